Lay the ground: tools, checks and the shared shapes

Cause: nothing stands yet. Change: pinned dependencies, one command for the checks and one for the tests, the shapes that all decision components share (events with the time handed in, effects out), the message codec, registries, findings, the timer service, and the gRPC service between instances, its generated code committed.

Ruled out: a typed protobuf message per decision message; it would double every message class. The gRPC envelope carries msgpack of one registered class instead.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Commands that measure; nothing here asserts a speed."""
--- /dev/null
+++ b/chivetrack/components/__init__.py
@@ -0,0 +1,1 @@
+"""One package per component of the system."""
--- /dev/null
+++ b/chivetrack/components/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""What is known of the endpoints: announcements, leases, health."""
--- /dev/null
+++ b/chivetrack/components/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Carries messages between instances."""
--- /dev/null
+++ b/chivetrack/components/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Chooses the endpoint for a request."""
--- /dev/null
+++ b/chivetrack/const.py
@@ -0,0 +1,10 @@
+"""Constants that more than one component uses."""
+
+from typing import Final
+
+VERSION: Final = "0.1.0"
+
+KIBIBYTE: Final = 1024
+MEBIBYTE: Final = 1024 * KIBIBYTE
+
+MILLISECONDS_PER_SECOND: Final = 1000
--- /dev/null
+++ b/chivetrack/helpers/codec.py
@@ -0,0 +1,76 @@
+"""Messages between instances and records on disk, as msgpack arrays."""
+
+from collections.abc import Callable
+from typing import TypeVar
+
+import msgspec
+
+from chivetrack.helpers.registry import Registry
+
+
+class Message(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """Base of every message and record.
+
+    Encoded as an array, so new fields go at the end and need a default: an older
+    reader ignores them, a newer one fills them in. Subclasses repeat
+    ``frozen=True, array_like=True``.
+    """
+
+
+MessageT = TypeVar("MessageT", bound=type[Message])
+
+MESSAGES: Registry[type[Message]] = Registry(name="message")
+_KINDS: dict[type[Message], str] = {}
+_DECODERS: dict[str, msgspec.msgpack.Decoder] = {}
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+class DecodeError(Exception):
+    """The bytes are not a message of the kind they claim to be."""
+
+
+def message(kind: str) -> Callable[[MessageT], MessageT]:
+    """Register a message class under the name it has on the wire."""
+
+    def enter(cls: MessageT) -> MessageT:
+        MESSAGES.register(kind)(cls)
+        _KINDS[cls] = kind
+        _DECODERS[kind] = msgspec.msgpack.Decoder(cls)
+        return cls
+
+    return enter
+
+
+def get_kind(value: Message) -> str:
+    """Return the wire name of a message."""
+    return _KINDS[type(value)]
+
+
+def encode(value: Message) -> bytes:
+    """Encode a registered message without its kind."""
+    return _ENCODER.encode(value)
+
+
+def decode(kind: str, payload: bytes) -> Message:
+    """Decode a message; raise ``DecodeError`` for an unknown kind or bad bytes."""
+    decoder = _DECODERS.get(kind)
+    if decoder is None:
+        raise DecodeError(f"no message is named {kind!r}")
+    try:
+        return decoder.decode(payload)
+    except msgspec.MsgspecError as error:
+        raise DecodeError(f"{kind}: {error}") from error
+
+
+def pack(value: Message) -> bytes:
+    """Encode a message together with its kind, for a log or a file."""
+    return _ENCODER.encode((get_kind(value), msgspec.Raw(encode(value))))
+
+
+def unpack(data: bytes) -> Message:
+    """Decode what ``pack`` gave; raise ``DecodeError`` for anything else."""
+    try:
+        kind, payload = msgspec.msgpack.decode(data, type=tuple[str, msgspec.Raw])
+    except msgspec.MsgspecError as error:
+        raise DecodeError(str(error)) from error
+    return decode(kind, bytes(payload))
--- /dev/null
+++ b/chivetrack/helpers/timer.py
@@ -0,0 +1,67 @@
+"""The timer service: parts subscribe to it, whoever drives it hands in the time."""
+
+import heapq
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from chivetrack.core import Unsubscribe
+
+Callback = Callable[[float], None]
+
+
+@dataclass(slots=True, order=True)
+class _Entry:
+    due: float
+    order: int
+    callback: Callback = field(compare=False)
+    interval: float | None = field(compare=False)
+    active: bool = field(default=True, compare=False)
+
+
+class TimerService:
+    """Calls subscribers when their time has come; times are seconds of one clock."""
+
+    def __init__(self) -> None:
+        """Start with no subscribers."""
+        self._heap: list[_Entry] = []
+        self._orders = itertools.count()
+
+    def call_at(self, due: float, callback: Callback) -> Unsubscribe:
+        """Call once at ``due``."""
+        return self._add(due, callback, None)
+
+    def call_every(self, interval: float, callback: Callback, *, now: float) -> Unsubscribe:
+        """Call every ``interval`` seconds, first at ``now + interval``."""
+        return self._add(now + interval, callback, interval)
+
+    def _add(self, due: float, callback: Callback, interval: float | None) -> Unsubscribe:
+        entry = _Entry(due, next(self._orders), callback, interval)
+        heapq.heappush(self._heap, entry)
+
+        def unsubscribe() -> None:
+            entry.active = False
+
+        return unsubscribe
+
+    def find_next(self) -> float | None:
+        """Return when the next subscriber is due, or ``None``."""
+        while self._heap and not self._heap[0].active:
+            heapq.heappop(self._heap)
+        return self._heap[0].due if self._heap else None
+
+    def run_due(self, now: float) -> None:
+        """Call all that are due at ``now``.
+
+        A subscriber that was missed several times is called once: a process that
+        was frozen must not do minutes of work in one burst when it wakes.
+        """
+        while (due := self.find_next()) is not None and due <= now:
+            entry = heapq.heappop(self._heap)
+            if entry.interval is not None:
+                entry.due = max(entry.due + entry.interval, now)
+                entry.order = next(self._orders)
+                if entry.due <= now:
+                    entry.due = now + entry.interval
+                heapq.heappush(self._heap, entry)
+            entry.callback(now)
--- /dev/null
+++ b/chivetrack/proto/__init__.py
@@ -0,0 +1,1 @@
+"""Generated gRPC code of the protocol between instances."""
--- /dev/null
+++ b/script/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks of the developers."""
--- /dev/null
+++ b/tests/helpers/test_timer.py
@@ -0,0 +1,30 @@
+"""The timer service."""
+
+import unittest
+
+from chivetrack.helpers.timer import TimerService
+
+
+class TimerServiceTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.timers = TimerService()
+        self.calls: list[float] = []
+
+    def test_calls_in_order_of_time(self) -> None:
+        self.timers.call_at(2.0, lambda now: self.calls.append(2.0))
+        self.timers.call_at(1.0, lambda now: self.calls.append(1.0))
+        self.timers.run_due(3.0)
+        self.assertEqual(self.calls, [1.0, 2.0])
+
+    def test_unsubscribed_is_not_called(self) -> None:
+        unsubscribe = self.timers.call_every(1.0, self.calls.append, now=0.0)
+        unsubscribe()
+        self.timers.run_due(5.0)
+        self.assertEqual(self.calls, [])
+        self.assertIsNone(self.timers.find_next())
+
+    def test_missed_intervals_are_called_once(self) -> None:
+        self.timers.call_every(1.0, self.calls.append, now=0.0)
+        self.timers.run_due(100.0)
+        self.assertEqual(self.calls, [100.0])
+        self.assertEqual(self.timers.find_next(), 101.0)
