Add the request pipeline, the caller interface and the endpoint client

Cause: the way of a request from caller to endpoint and back is the first thing that must stand. Change: a filter chain of decisions without I/O; a request flow (events in, effects out) that owns attempts, retries and claims; an HTTP client whose connections are reused only after a whole answer; a gateway that runs a request in its caller's greenlet; the gRPC transport between instances.

Ruled out: a generator for the streamed body, since closing one that was never started runs none of its code.

--- /dev/null
+++ b/chivetrack/components/caller_api/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface towards callers."""
--- /dev/null
+++ b/chivetrack/components/caller_api/app.py
@@ -0,0 +1,150 @@
+"""The bottle application that callers, endpoints and the balancer talk to."""
+
+from collections.abc import Callable
+from urllib.parse import quote
+
+import gevent
+from bottle import Bottle, HTTPError, HTTPResponse, request
+
+from chivetrack.components.caller_api.const import (
+    BODY_TIMEOUT_S,
+    DEFAULT_MAX_BODY,
+    ENVIRON_SOCKET,
+    PATH_ANNOUNCE,
+    PATH_CHAT,
+    PATH_HEALTH,
+    PATH_READY,
+    PATH_SERVICE,
+)
+from chivetrack.components.caller_api.errors import make_error_response
+from chivetrack.components.caller_api.gateway import Gateway, GatewayAnswer
+from chivetrack.components.caller_api.watch import CallerLeftError, watch_caller
+from chivetrack.components.pipeline import faults
+from chivetrack.components.pipeline.models import CallerRequest, RequestKind
+from chivetrack.exceptions import Fault, FaultError
+
+SERVICE_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
+
+Announce = Callable[[bytes, str], "Fault | None"]
+
+
+def read_body(limit: int) -> bytes:
+    """Return the whole body of the current request; raise ``FaultError``."""
+    length = request.environ.get("CONTENT_LENGTH") or ""
+    if length.isdigit() and int(length) > limit:
+        raise FaultError(faults.body_too_large(limit))
+    stream = request.environ["wsgi.input"]
+    # A caller that stops in the middle of its body would hold its place for ever.
+    with gevent.Timeout(BODY_TIMEOUT_S, FaultError(faults.body_timeout(BODY_TIMEOUT_S))):
+        try:
+            body = stream.read(limit + 1)
+        except (OSError, ValueError) as error:
+            raise FaultError(faults.malformed_body(f"body not readable: {error}")) from error
+    if len(body) > limit:
+        raise FaultError(faults.body_too_large(limit))
+    if length.isdigit() and len(body) < int(length):
+        raise FaultError(faults.malformed_body("the body is shorter than its Content-Length"))
+    return body
+
+
+def read_headers() -> dict[str, str]:
+    """Return the headers of the current request, names in lower case."""
+    headers = {
+        name[5:].replace("_", "-").lower(): value
+        for name, value in request.environ.items()
+        if name.startswith("HTTP_")
+    }
+    content_type = request.environ.get("CONTENT_TYPE")
+    if content_type:
+        headers["content-type"] = content_type
+    return headers
+
+
+def make_response(answer: GatewayAnswer) -> HTTPResponse:
+    """Return a gateway's answer as a bottle response."""
+    if answer.fault is not None:
+        return make_error_response(answer.fault, answer.request_id)
+    return HTTPResponse(body=answer.body, status=answer.status, headers=dict(answer.headers))
+
+
+class CallerApi:
+    """Builds the application; ``announce`` takes an endpoint's announcement."""
+
+    def __init__(
+        self,
+        *,
+        gateway: Gateway,
+        announce: Announce,
+        is_ready: Callable[[], bool],
+        max_body: int = DEFAULT_MAX_BODY,
+    ) -> None:
+        """Take what the routes lead to."""
+        self._gateway = gateway
+        self._announce = announce
+        self._is_ready = is_ready
+        self._max_body = max_body
+
+    def build(self) -> Bottle:
+        """Return the application."""
+        app = Bottle()
+        app.route(PATH_CHAT, "POST", self._serve_chat)
+        app.route(PATH_SERVICE, SERVICE_METHODS, self._serve_service)
+        app.route(PATH_ANNOUNCE, "POST", self._take_announcement)
+        app.route(PATH_HEALTH, "GET", self._tell_health)
+        app.route(PATH_READY, "GET", self._tell_ready)
+        app.default_error_handler = self._make_default_error
+        return app
+
+    def _serve_chat(self) -> HTTPResponse:
+        return self._serve(RequestKind.CHAT, PATH_CHAT, "")
+
+    def _serve_service(self, service: str, path: str) -> HTTPResponse:
+        target = "/" + quote(path, safe="/:@!$&'()*+,;=~-._")
+        if request.query_string:
+            target = f"{target}?{request.query_string}"
+        return self._serve(RequestKind.SERVICE, target, service)
+
+    def _serve(self, kind: RequestKind, path: str, service: str) -> HTTPResponse:
+        try:
+            body = read_body(self._max_body)
+            caller_request = CallerRequest(
+                kind=kind,
+                method=request.method,
+                path=path,
+                headers=read_headers(),
+                body=body,
+                service=service,
+            )
+            with watch_caller(request.environ.get(ENVIRON_SOCKET)):
+                answer = self._gateway.serve(caller_request)
+        except FaultError as error:
+            return make_error_response(error.fault)
+        except CallerLeftError as error:
+            return make_error_response(faults.caller_gone(error.ran))
+        return make_response(answer)
+
+    def _take_announcement(self) -> HTTPResponse:
+        try:
+            body = read_body(self._max_body)
+        except FaultError as error:
+            return make_error_response(error.fault)
+        fault = self._announce(body, read_headers().get("authorization", ""))
+        if fault is not None:
+            return make_error_response(fault)
+        return HTTPResponse(status=204)
+
+    @staticmethod
+    def _tell_health() -> HTTPResponse:
+        return HTTPResponse(body="ok\n", status=200, headers={"Content-Type": "text/plain"})
+
+    def _tell_ready(self) -> HTTPResponse:
+        if self._is_ready():
+            return HTTPResponse(body="ready\n", status=200, headers={"Content-Type": "text/plain"})
+        return make_error_response(faults.not_ready())
+
+    @staticmethod
+    def _make_default_error(error: HTTPError) -> bytes:
+        fault = faults.from_status(error.status_code, request.path)
+        response = make_error_response(fault)
+        error.content_type = response.headers["Content-Type"]
+        return response.body
--- /dev/null
+++ b/chivetrack/components/caller_api/const.py
@@ -0,0 +1,25 @@
+"""Constants of the interface towards callers."""
+
+from typing import Final
+
+from chivetrack.const import MEBIBYTE
+
+PATH_CHAT: Final = "/v1/chat/completions"
+PATH_SERVICE: Final = "/services/<service>/<path:path>"
+PATH_ANNOUNCE: Final = "/announce/v1/endpoints"
+PATH_HEALTH: Final = "/healthz"
+PATH_READY: Final = "/readyz"
+
+DEFAULT_MAX_BODY: Final = 4 * MEBIBYTE
+BODY_TIMEOUT_S: Final = 15.0
+# Answers up to this size are read whole before the first byte goes to the caller, so
+# that a broken one becomes a typed error or a retry rather than a cut connection.
+WHOLE_ANSWER_LIMIT: Final = MEBIBYTE
+# The largest answer that an idempotency key keeps for a resend.
+STORED_ANSWER_LIMIT: Final = 64 * 1024
+
+ENVIRON_SOCKET: Final = "chivetrack.socket"
+HEADER_REQUEST_ID: Final = "X-Request-Id"
+HEADER_ENDPOINT: Final = "X-Served-By"
+JSON_TYPE: Final = "application/json"
+STREAM_TYPE: Final = "text/event-stream"
--- /dev/null
+++ b/chivetrack/components/caller_api/gateway.py
@@ -0,0 +1,305 @@
+"""Carries out what the request flow decides, for one caller after another."""
+
+from collections.abc import Callable, Iterator, Mapping
+from dataclasses import dataclass, field
+
+from gevent.queue import Empty, SimpleQueue
+
+from chivetrack.components.caller_api.const import (
+    HEADER_ENDPOINT,
+    HEADER_REQUEST_ID,
+    STORED_ANSWER_LIMIT,
+    STREAM_TYPE,
+    WHOLE_ANSWER_LIMIT,
+)
+from chivetrack.components.caller_api.relay import RelayBody
+from chivetrack.components.pipeline.models import (
+    AnswerEnded,
+    AttemptAnswered,
+    AttemptFailed,
+    CallerGone,
+    CallerRequest,
+    DeadlineReached,
+    Refuse,
+    RelayAnswer,
+    ReplayAnswer,
+    RequestArrived,
+    RequestEffect,
+    RequestEvent,
+    StartAttempt,
+)
+from chivetrack.components.upstream.client import UpstreamAnswer, UpstreamClient
+from chivetrack.components.upstream.const import (
+    ATTEMPT_HEADER,
+    DEADLINE_HEADER,
+    HOP_BY_HOP,
+    PRIORITY_HEADER,
+    TRACE_HEADER,
+)
+from chivetrack.components.upstream.models import (
+    AttemptOutcome,
+    BrokenAnswerError,
+    UpstreamRequest,
+)
+from chivetrack.const import MILLISECONDS_PER_SECOND
+from chivetrack.exceptions import Fault
+
+# A request waits longer than this only for what has a deadline of its own.
+WAIT_LIMIT_S = 3600.0
+_ANSWER_HEADERS = ("content-type", "content-length", "retry-after", "cache-control", "etag")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GatewayAnswer:
+    """What goes to the caller: an answer, or the fault that stands for one."""
+
+    request_id: str
+    status: int = 0
+    headers: Mapping[str, str] = field(default_factory=dict)
+    body: bytes | RelayBody = b""
+    fault: Fault | None = None
+
+
+@dataclass(slots=True, kw_only=True)
+class _Conversation:
+    """One caller's wait for its answer."""
+
+    request_id: str
+    mailbox: SimpleQueue
+    deadline: float
+    answer: UpstreamAnswer | None = None
+    started: StartAttempt | None = None
+
+
+class Gateway:
+    """Runs each request in the greenlet of its caller.
+
+    ``post`` hands an event to the decisions, whose effects on requests come back
+    by ``take_effect``.
+    """
+
+    def __init__(
+        self,
+        *,
+        post: Callable[[RequestEvent], None],
+        client: UpstreamClient,
+        read_clock: Callable[[], float],
+        make_id: Callable[[], str],
+    ) -> None:
+        """Take the decisions' entry, the client, the clock and the source of ids."""
+        self._post = post
+        self._client = client
+        self._read_clock = read_clock
+        self._make_id = make_id
+        self._mailboxes: dict[str, SimpleQueue] = {}
+
+    @property
+    def open_count(self) -> int:
+        """Return how many callers wait for an answer or are receiving one."""
+        return len(self._mailboxes)
+
+    def take_effect(self, effect: RequestEffect) -> None:
+        """Hand an effect to the greenlet of its request."""
+        mailbox = self._mailboxes.get(effect.request_id)
+        if mailbox is not None:
+            mailbox.put(effect)
+
+    def serve(self, request: CallerRequest) -> GatewayAnswer:
+        """Bring a request to its end, or to the first chunk of a streamed answer."""
+        request_id = self._make_id()
+        conversation = _Conversation(
+            request_id=request_id,
+            mailbox=SimpleQueue(),
+            deadline=self._read_clock() + WAIT_LIMIT_S,
+        )
+        self._mailboxes[request_id] = conversation.mailbox
+        keep = False
+        try:
+            self._post(RequestArrived(request_id=request_id, request=request))
+            answer = self._follow(conversation)
+            keep = isinstance(answer.body, RelayBody)
+            return answer
+        except BaseException:
+            self._post(CallerGone(request_id=request_id))
+            if conversation.answer is not None:
+                conversation.answer.cancel()
+            raise
+        finally:
+            if not keep:
+                del self._mailboxes[request_id]
+
+    def _follow(self, conversation: _Conversation) -> GatewayAnswer:
+        while True:
+            effect = self._wait(conversation)
+            if isinstance(effect, Refuse):
+                return GatewayAnswer(request_id=conversation.request_id, fault=effect.fault)
+            if isinstance(effect, ReplayAnswer):
+                return self._replay(effect)
+            if isinstance(effect, StartAttempt):
+                self._start(conversation, effect)
+            elif isinstance(effect, RelayAnswer):
+                answer = self._relay(conversation)
+                if answer is not None:
+                    return answer
+
+    def _wait(self, conversation: _Conversation) -> RequestEffect:
+        try:
+            remaining = max(0.0, conversation.deadline - self._read_clock())
+            return conversation.mailbox.get(timeout=remaining)
+        except Empty:
+            self._post(DeadlineReached(request_id=conversation.request_id))
+            return conversation.mailbox.get()
+
+    def _replay(self, effect: ReplayAnswer) -> GatewayAnswer:
+        headers = {
+            "Content-Type": effect.answer.content_type,
+            HEADER_REQUEST_ID: effect.request_id,
+            "Idempotent-Replayed": "true",
+        }
+        return GatewayAnswer(
+            request_id=effect.request_id,
+            status=effect.answer.status,
+            headers=headers,
+            body=effect.answer.body,
+        )
+
+    def _start(self, conversation: _Conversation, effect: StartAttempt) -> None:
+        if conversation.answer is not None:
+            conversation.answer.cancel()
+            conversation.answer = None
+        conversation.started = effect
+        conversation.deadline = effect.exchange.deadline
+        result = self._client.send(make_upstream_request(effect))
+        if result.is_error():
+            failure = result.error
+            self._post(
+                AttemptFailed(
+                    request_id=effect.request_id,
+                    outcome=failure.outcome,
+                    message=failure.message,
+                    retry_after_s=failure.retry_after_s,
+                )
+            )
+            return
+        conversation.answer = result.ok
+        self._post(AttemptAnswered(request_id=effect.request_id, status=result.ok.status))
+
+    def _relay(self, conversation: _Conversation) -> GatewayAnswer | None:
+        answer = conversation.answer
+        assert answer is not None
+        try:
+            if self._is_small(answer):
+                return self._relay_whole(conversation, answer)
+            return self._relay_stream(conversation, answer)
+        except BrokenAnswerError as error:
+            conversation.answer = None
+            self._post(
+                AttemptFailed(
+                    request_id=conversation.request_id,
+                    outcome=AttemptOutcome.MAYBE_RAN,
+                    message=str(error),
+                )
+            )
+            return None
+
+    @staticmethod
+    def _is_small(answer: UpstreamAnswer) -> bool:
+        if answer.status in (204, 304):
+            return True
+        length = answer.headers.get("Content-Length", "")
+        return length.isdigit() and int(length) <= WHOLE_ANSWER_LIMIT
+
+    def _relay_whole(self, conversation: _Conversation, answer: UpstreamAnswer) -> GatewayAnswer:
+        body = b"".join(answer.read_chunks())
+        stored = body if len(body) <= STORED_ANSWER_LIMIT else None
+        self._end(conversation, answer, whole=True, body=stored)
+        return GatewayAnswer(
+            request_id=conversation.request_id,
+            status=answer.status,
+            headers=self._make_headers(conversation, answer),
+            body=body,
+        )
+
+    def _relay_stream(self, conversation: _Conversation, answer: UpstreamAnswer) -> GatewayAnswer:
+        chunks = answer.read_chunks()
+        first = next(chunks, b"")
+
+        def end(whole: bool) -> None:
+            self._mailboxes.pop(conversation.request_id, None)
+            self._end(conversation, answer, whole=whole, body=None)
+
+        content_type = answer.headers.get("Content-Type", "")
+        body = RelayBody(
+            answer=answer,
+            first=first,
+            rest=chunks,
+            request_id=conversation.request_id,
+            is_event_stream=content_type.startswith(STREAM_TYPE),
+            on_end=end,
+        )
+        return GatewayAnswer(
+            request_id=conversation.request_id,
+            status=answer.status,
+            headers=self._make_headers(conversation, answer),
+            body=body,
+        )
+
+    def _end(
+        self,
+        conversation: _Conversation,
+        answer: UpstreamAnswer,
+        *,
+        whole: bool,
+        body: bytes | None,
+    ) -> None:
+        self._post(
+            AnswerEnded(
+                request_id=conversation.request_id,
+                whole=whole,
+                status=answer.status,
+                content_type=answer.headers.get("Content-Type", ""),
+                body=body,
+            )
+        )
+
+    @staticmethod
+    def _make_headers(conversation: _Conversation, answer: UpstreamAnswer) -> dict[str, str]:
+        headers = {
+            name.title(): answer.headers[name] for name in _ANSWER_HEADERS if name in answer.headers
+        }
+        headers[HEADER_REQUEST_ID] = conversation.request_id
+        if conversation.started is not None:
+            headers[HEADER_ENDPOINT] = conversation.started.attempt.endpoint_id
+        return headers
+
+
+def make_upstream_request(effect: StartAttempt) -> UpstreamRequest:
+    """Return the request as it goes to the endpoint of an attempt."""
+    exchange = effect.exchange
+    assert exchange.policy is not None
+    assert exchange.workspace is not None
+    headers = dict(_keep_end_to_end(exchange.request.headers))
+    headers[ATTEMPT_HEADER] = exchange.request_id
+    headers[DEADLINE_HEADER] = str(int(effect.timeout_s * MILLISECONDS_PER_SECOND))
+    headers[PRIORITY_HEADER] = str(exchange.priority)
+    headers[TRACE_HEADER] = exchange.traceparent
+    headers["X-Chat-Id"] = exchange.affinity
+    headers["X-Workspace"] = exchange.workspace.name
+    return UpstreamRequest(
+        request_id=exchange.request_id,
+        address=effect.attempt.address,
+        method=exchange.request.method,
+        path=exchange.request.path,
+        headers=headers,
+        body=exchange.request.body,
+        timeout_s=effect.timeout_s,
+        stall_timeout_s=min(exchange.policy.stall_timeout_s, effect.timeout_s),
+        idempotent=exchange.idempotent,
+        expects_stream_end=exchange.stream,
+    )
+
+
+def _keep_end_to_end(headers: Mapping[str, str]) -> Iterator[tuple[str, str]]:
+    for name, value in headers.items():
+        if name not in HOP_BY_HOP and not name.startswith("x-request-"):
+            yield name.title(), value
--- /dev/null
+++ b/chivetrack/components/peers/transport.py
@@ -0,0 +1,178 @@
+"""The gRPC edge between instances: one-way messages in batches per target."""
+
+from collections import deque
+from collections.abc import Callable, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+
+import gevent
+import grpc
+from gevent.event import Event
+
+from chivetrack.components.peers.const import (
+    BATCH_LIMIT,
+    CALL_OVERHEAD_BYTES,
+    DELIVER_TIMEOUT_S,
+    KEEPALIVE_MS,
+    QUEUE_LIMIT,
+    RECONNECT_MAX_MS,
+    RECONNECT_MIN_MS,
+    SERVER_WORKERS,
+    STOP_GRACE_S,
+)
+from chivetrack.helpers.codec import DecodeError, Message, decode, encode, get_kind
+from chivetrack.proto import peer_pb2, peer_pb2_grpc
+
+_CHANNEL_OPTIONS = [
+    ("grpc.min_reconnect_backoff_ms", RECONNECT_MIN_MS),
+    ("grpc.initial_reconnect_backoff_ms", RECONNECT_MIN_MS),
+    ("grpc.max_reconnect_backoff_ms", RECONNECT_MAX_MS),
+    ("grpc.keepalive_time_ms", KEEPALIVE_MS),
+    ("grpc.enable_http_proxy", 0),
+    # Channels of two transports in one process must not share a connection: a test
+    # that stops one of them would see the other's traffic.
+    ("grpc.use_local_subchannel_pool", 1),
+]
+
+
+@dataclass(slots=True, kw_only=True)
+class TrafficCount:
+    """What the transport has sent and received since its start."""
+
+    sent_bytes: int = 0
+    sent_calls: int = 0
+    received_bytes: int = 0
+    dropped_messages: int = 0
+
+
+@dataclass(slots=True)
+class _Outbox:
+    """The messages that wait for one target, oldest first."""
+
+    waiting: deque[peer_pb2.Envelope] = field(default_factory=lambda: deque(maxlen=QUEUE_LIMIT))
+    ready: Event = field(default_factory=Event)
+
+
+class _Servicer(peer_pb2_grpc.PeerServicer):
+    """Hands the messages of a batch to the transport's owner."""
+
+    def __init__(self, *, transport: "PeerTransport") -> None:
+        self._transport = transport
+
+    def Deliver(  # noqa: N802
+        self, request: peer_pb2.Batch, context: grpc.ServicerContext
+    ) -> peer_pb2.Receipt:
+        """Take a batch."""
+        self._transport.receive_batch(request)
+        return peer_pb2.Receipt()
+
+
+class PeerTransport:
+    """Sends messages to other instances and receives theirs.
+
+    Delivery is best effort: a message may be lost, late or doubled, and never waits
+    for more than ``QUEUE_LIMIT`` others. ``resolve`` gives the ``host:port`` of an
+    instance id; ``on_message`` gets the sender's id and the message.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance_id: str,
+        listen: str,
+        resolve: Callable[[str], str | None],
+        on_message: Callable[[str, Message], None],
+        on_error: Callable[[str], None],
+        server_credentials: grpc.ServerCredentials | None = None,
+        channel_credentials: grpc.ChannelCredentials | None = None,
+    ) -> None:
+        """Bind the listener; nothing is served before ``start``."""
+        self._instance_id = instance_id
+        self._resolve = resolve
+        self._on_message = on_message
+        self._on_error = on_error
+        self._channel_credentials = channel_credentials
+        self._outboxes: dict[str, _Outbox] = {}
+        self._channels: dict[str, grpc.Channel] = {}
+        self._senders: list[gevent.Greenlet] = []
+        self.traffic = TrafficCount()
+        self._server = grpc.server(
+            ThreadPoolExecutor(SERVER_WORKERS), options=[("grpc.so_reuseport", 0)]
+        )
+        peer_pb2_grpc.add_PeerServicer_to_server(_Servicer(transport=self), self._server)
+        self.port = self._bind(listen, server_credentials)
+
+    def _bind(self, listen: str, credentials: grpc.ServerCredentials | None) -> int:
+        if credentials is None:
+            return self._server.add_insecure_port(listen)
+        return self._server.add_secure_port(listen, credentials)
+
+    def start(self) -> None:
+        """Begin to serve."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stop serving and drop what waits."""
+        gevent.killall(self._senders)
+        for channel in self._channels.values():
+            channel.close()
+        self._server.stop(STOP_GRACE_S).wait()
+
+    def send(self, target: str, message: Message) -> None:
+        """Queue a message; returns at once, the oldest is dropped when too many wait."""
+        outbox = self._outboxes.get(target)
+        if outbox is None:
+            outbox = self._outboxes[target] = _Outbox()
+            self._senders.append(gevent.spawn(self._run_sender, target, outbox))
+        if len(outbox.waiting) == QUEUE_LIMIT:
+            self.traffic.dropped_messages += 1
+        outbox.waiting.append(peer_pb2.Envelope(kind=get_kind(message), payload=encode(message)))
+        outbox.ready.set()
+
+    def _run_sender(self, target: str, outbox: _Outbox) -> None:
+        while True:
+            outbox.ready.wait()
+            envelopes = self._take_batch(outbox)
+            try:
+                self._deliver(target, envelopes)
+            except grpc.RpcError:
+                self.traffic.dropped_messages += len(envelopes)
+
+    def _take_batch(self, outbox: _Outbox) -> Sequence[peer_pb2.Envelope]:
+        count = min(len(outbox.waiting), BATCH_LIMIT)
+        envelopes = [outbox.waiting.popleft() for _ in range(count)]
+        if not outbox.waiting:
+            outbox.ready.clear()
+        return envelopes
+
+    def _deliver(self, target: str, envelopes: Sequence[peer_pb2.Envelope]) -> None:
+        address = self._resolve(target)
+        if address is None:
+            self.traffic.dropped_messages += len(envelopes)
+            return
+        batch = peer_pb2.Batch(source=self._instance_id, target=target, envelopes=envelopes)
+        self.traffic.sent_calls += 1
+        self.traffic.sent_bytes += batch.ByteSize() + CALL_OVERHEAD_BYTES
+        self._get_stub(address).Deliver(batch, timeout=DELIVER_TIMEOUT_S)
+
+    def _get_stub(self, address: str) -> peer_pb2_grpc.PeerStub:
+        channel = self._channels.get(address)
+        if channel is None:
+            channel = self._channels[address] = self._open_channel(address)
+        return peer_pb2_grpc.PeerStub(channel)
+
+    def _open_channel(self, address: str) -> grpc.Channel:
+        if self._channel_credentials is None:
+            return grpc.insecure_channel(address, options=_CHANNEL_OPTIONS)
+        return grpc.secure_channel(address, self._channel_credentials, options=_CHANNEL_OPTIONS)
+
+    def receive_batch(self, batch: peer_pb2.Batch) -> None:
+        """Hand on the messages of a batch; one bad message does not hide the others."""
+        self.traffic.received_bytes += batch.ByteSize()
+        for envelope in batch.envelopes:
+            try:
+                message = decode(envelope.kind, envelope.payload)
+            except DecodeError as error:
+                self._on_error(f"bad message from {batch.source}: {error}")
+                continue
+            self._on_message(batch.source, message)
--- /dev/null
+++ b/chivetrack/components/pipeline/__init__.py
@@ -0,0 +1,1 @@
+"""Carries a request through the filter chain, its attempts and its end."""
--- /dev/null
+++ b/chivetrack/components/pipeline/faults.py
@@ -0,0 +1,132 @@
+"""The faults that the pipeline itself answers with."""
+
+from chivetrack.exceptions import Fault, Ran
+
+
+def missing_key() -> Fault:
+    """Return the fault for a request without a caller's key."""
+    return Fault(
+        code="missing_key", message="Send 'Authorization: Bearer KEY'.", status=401, ran=Ran.NO
+    )
+
+
+def bad_key() -> Fault:
+    """Return the fault for a key that fits no workspace, or not this one."""
+    return Fault(code="bad_key", message="The key is not valid here.", status=401, ran=Ran.NO)
+
+
+def unknown_workspace(name: str) -> Fault:
+    """Return the fault for a workspace that is not in the configuration."""
+    message = f"There is no workspace {name!r}."
+    return Fault(code="unknown_workspace", message=message, status=404, ran=Ran.NO)
+
+
+def unknown_model(model: str) -> Fault:
+    """Return the fault for a model that no service serves."""
+    message = f"No service serves the model {model!r}."
+    return Fault(code="unknown_model", message=message, status=404, ran=Ran.NO)
+
+
+def service_not_allowed(service: str) -> Fault:
+    """Return the fault for a service that the workspace may not use."""
+    message = f"The workspace may not use the service {service!r}."
+    return Fault(code="service_not_allowed", message=message, status=403, ran=Ran.NO)
+
+
+def malformed_body(detail: str) -> Fault:
+    """Return the fault for a body that is not a request of this interface."""
+    return Fault(code="malformed_body", message=detail, status=400, ran=Ran.NO)
+
+
+def malformed_header(name: str, detail: str) -> Fault:
+    """Return the fault for a header whose value can't be understood."""
+    return Fault(code="malformed_header", message=f"{name}: {detail}", status=400, ran=Ran.NO)
+
+
+def deadline_exceeded(*, ran: Ran) -> Fault:
+    """Return the fault for a request whose time is up."""
+    message = "The deadline passed before there was an answer."
+    return Fault(code="deadline_exceeded", message=message, status=504, ran=ran)
+
+
+def unconfirmed_configuration(retry_after_s: float) -> Fault:
+    """Return the fault of a router that can't confirm its configuration."""
+    return Fault(
+        code="unconfirmed_configuration",
+        message="This router can't confirm that its configuration is in force; try another.",
+        status=503,
+        ran=Ran.NO,
+        retry_after_s=retry_after_s,
+    )
+
+
+def no_endpoint(reason: str, retry_after_s: float | None) -> Fault:
+    """Return the fault for a request that no endpoint fits now."""
+    return Fault(
+        code="no_endpoint", message=reason, status=503, ran=Ran.NO, retry_after_s=retry_after_s
+    )
+
+
+def upstream_failed(message: str, *, ran: Ran, retry_after_s: float | None) -> Fault:
+    """Return the fault for a request whose attempts are used up."""
+    return Fault(
+        code="upstream_failed", message=message, status=502, ran=ran, retry_after_s=retry_after_s
+    )
+
+
+def caller_gone(ran: Ran) -> Fault:
+    """Return the fault that is logged when a caller left without its answer."""
+    return Fault(code="caller_gone", message="The caller has gone.", status=499, ran=ran)
+
+
+def stopping(retry_after_s: float) -> Fault:
+    """Return the fault of an instance that takes no new requests."""
+    return Fault(
+        code="stopping",
+        message="This instance is stopping; send the request again.",
+        status=503,
+        ran=Ran.NO,
+        retry_after_s=retry_after_s,
+    )
+
+
+def answer_cut() -> Fault:
+    """Return the fault for an answer that ended before it was whole."""
+    message = "The answer was cut off; what arrived is not the whole answer."
+    return Fault(code="answer_cut", message=message, status=502, ran=Ran.MAYBE)
+
+
+def body_too_large(limit: int) -> Fault:
+    """Return the fault for a body over the limit (bytes)."""
+    message = f"The body is larger than {limit} bytes."
+    return Fault(code="body_too_large", message=message, status=413, ran=Ran.NO)
+
+
+def body_timeout(limit_s: float) -> Fault:
+    """Return the fault for a body that did not arrive in time."""
+    message = f"The body did not arrive within {limit_s:.0f} s."
+    return Fault(code="body_timeout", message=message, status=408, ran=Ran.NO)
+
+
+def not_ready() -> Fault:
+    """Return the answer to the balancer while this instance takes no requests."""
+    return Fault(
+        code="not_ready",
+        message="This instance is not ready.",
+        status=503,
+        ran=Ran.NO,
+        retry_after_s=1.0,
+    )
+
+
+def from_status(status: int, path: str) -> Fault:
+    """Return the fault for what the HTTP library itself refuses."""
+    if status == 404:
+        message = f"There is nothing at {path}."
+        return Fault(code="unknown_path", message=message, status=404, ran=Ran.NO)
+    if status == 405:
+        message = f"The method is not allowed at {path}."
+        return Fault(code="method_not_allowed", message=message, status=405, ran=Ran.NO)
+    ran = Ran.MAYBE if status >= 500 else Ran.NO
+    code = "internal_error" if status >= 500 else "bad_request"
+    return Fault(code=code, message="The request failed.", status=status, ran=ran)
--- /dev/null
+++ b/chivetrack/components/pipeline/filters/route.py
@@ -0,0 +1,81 @@
+"""Chooses the endpoint and counts the request as in flight there."""
+
+from typing import Protocol
+
+from chivetrack.components.pipeline import faults
+from chivetrack.components.pipeline.chain import FILTERS, PROCEED, Refused, Step
+from chivetrack.components.pipeline.models import Attempt, Exchange
+from chivetrack.components.routing.models import Demand, Placement
+
+
+class PlacementDecision(Protocol):
+    """Chooses an endpoint; see ``routing``."""
+
+    def place(self, demand: Demand, *, now: float) -> Placement:
+        """Return the endpoint for a demand."""
+        ...
+
+
+class LoadCount(Protocol):
+    """Counts requests in flight; see ``load``."""
+
+    def start(self, endpoint_id: str, now: float) -> None:
+        """Count one more."""
+        ...
+
+    def finish(self, endpoint_id: str, now: float) -> None:
+        """Count one less."""
+        ...
+
+
+@FILTERS.register("route")
+class RouteFilter:
+    """Places the request; entered again for every retry."""
+
+    def __init__(
+        self, *, placer: PlacementDecision, load: LoadCount, region: str, zone: str
+    ) -> None:
+        """Take the placer and this router's own region and availability zone."""
+        self._placer = placer
+        self._load = load
+        self._region = region
+        self._zone = zone
+        self._open: dict[str, str] = {}
+
+    def enter(self, exchange: Exchange, *, now: float) -> Step:
+        """Place the request, or refuse it when nothing fits."""
+        placement = self._placer.place(self._make_demand(exchange), now=now)
+        exchange.placement = placement
+        endpoint = placement.endpoint
+        if endpoint is None:
+            return Refused(faults.no_endpoint(placement.reason, placement.retry_after_s))
+        self._load.start(endpoint.endpoint_id, now)
+        self._open[exchange.request_id] = endpoint.endpoint_id
+        attempt = Attempt(
+            number=len(exchange.attempts) + 1,
+            endpoint_id=endpoint.endpoint_id,
+            address=endpoint.address,
+            started_at=now,
+        )
+        exchange.attempts.append(attempt)
+        return PROCEED
+
+    def _make_demand(self, exchange: Exchange) -> Demand:
+        assert exchange.workspace is not None
+        assert exchange.policy is not None
+        return Demand(
+            affinity=exchange.affinity,
+            workspace=exchange.workspace.name,
+            service=exchange.service,
+            model=exchange.model,
+            region=self._region,
+            zone=self._zone,
+            load_bound=exchange.policy.load_bound,
+            excluded=frozenset(exchange.excluded),
+        )
+
+    def leave(self, exchange: Exchange, *, now: float) -> None:
+        """Count the request as no longer in flight."""
+        endpoint_id = self._open.pop(exchange.request_id, None)
+        if endpoint_id is not None:
+            self._load.finish(endpoint_id, now)
--- /dev/null
+++ b/chivetrack/components/pipeline/flow.py
@@ -0,0 +1,240 @@
+"""The life of a request as decisions: events in, effects out."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from chivetrack.components.pipeline import faults
+from chivetrack.components.pipeline.chain import FilterChain, Proceed, Refused, Step
+from chivetrack.components.pipeline.models import (
+    AnswerEnded,
+    Attempt,
+    AttemptAnswered,
+    AttemptFailed,
+    CallerGone,
+    ClaimAnswered,
+    DeadlineReached,
+    EndClaim,
+    Exchange,
+    QueueLeft,
+    Refuse,
+    RelayAnswer,
+    ReplayAnswer,
+    RequestArrived,
+    RequestEffect,
+    RequestEvent,
+    StoredAnswer,
+)
+from chivetrack.components.upstream.models import AttemptOutcome
+from chivetrack.core import Effect
+from chivetrack.exceptions import Fault, Ran
+
+RETRYABLE_STATUSES = frozenset({502, 503, 504})
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TryAgain:
+    """Another attempt, at an endpoint that is not excluded."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GiveUp:
+    """No other attempt; the caller gets this fault."""
+
+    fault: Fault
+
+
+class RetryDecision(Protocol):
+    """Decides whether a failed attempt is followed by another; see ``retries``."""
+
+    def start_request(self, exchange: Exchange, *, now: float) -> None:
+        """Take note of a request, which earns the retry budget."""
+        ...
+
+    def decide(
+        self, exchange: Exchange, failure: AttemptFailed, *, now: float
+    ) -> TryAgain | GiveUp:
+        """Return what comes after a failed attempt."""
+        ...
+
+
+OutcomeListener = Callable[[Attempt, AttemptOutcome, float], None]
+EndListener = Callable[[Exchange, Fault | None, float], None]
+
+
+class RequestFlow:
+    """Owns the open exchanges; one object per router.
+
+    Drive it with ``handle``. Each request begins with ``RequestArrived`` and ends
+    with ``Refuse``, ``ReplayAnswer`` or, after ``RelayAnswer``, with the driver's
+    ``AnswerEnded``. Events of a request that has ended are ignored: a late answer
+    finds nobody to go to.
+    """
+
+    def __init__(
+        self,
+        *,
+        chain: FilterChain,
+        retries: RetryDecision,
+        route_position: int,
+        on_outcome: OutcomeListener,
+        on_end: EndListener,
+    ) -> None:
+        """Take the chain; a retry enters it again at ``route_position``."""
+        self._chain = chain
+        self._retries = retries
+        self._route_position = route_position
+        self._on_outcome = on_outcome
+        self._on_end = on_end
+        self._exchanges: dict[str, Exchange] = {}
+        self._handlers: dict[type[RequestEvent], Callable[[Exchange, Any, float], list[Effect]]] = {
+            QueueLeft: self._leave_queue,
+            ClaimAnswered: self._take_claim,
+            AttemptFailed: self._fail_attempt,
+            AttemptAnswered: self._take_answer,
+            AnswerEnded: self._end_answer,
+            CallerGone: self._abandon,
+            DeadlineReached: self._expire,
+        }
+
+    @property
+    def open_count(self) -> int:
+        """Return how many requests are open."""
+        return len(self._exchanges)
+
+    def find_exchange(self, request_id: str) -> Exchange | None:
+        """Return an open exchange."""
+        return self._exchanges.get(request_id)
+
+    def handle(self, event: RequestEvent, *, now: float) -> list[Effect]:
+        """Take an event of a request."""
+        if isinstance(event, RequestArrived):
+            return self._open(event, now)
+        exchange = self._exchanges.get(event.request_id)
+        if exchange is None:
+            return self._handle_late(event)
+        handler = self._handlers[type(event)]
+        return handler(exchange, event, now)
+
+    @staticmethod
+    def _handle_late(event: RequestEvent) -> list[Effect]:
+        # The caller left while the log was asked. Nobody will use the claim, and no
+        # attempt was made under it: freed, so that the resend is not told for the
+        # claim's whole lifetime that the request is in progress.
+        if not isinstance(event, ClaimAnswered) or event.fault or event.stored:
+            return []
+        return [
+            EndClaim(
+                request_id=event.request_id,
+                workspace=event.workspace,
+                key=event.key,
+                did_not_run=True,
+            )
+        ]
+
+    def _open(self, event: RequestArrived, now: float) -> list[Effect]:
+        exchange = Exchange(request_id=event.request_id, request=event.request, arrived_at=now)
+        self._exchanges[event.request_id] = exchange
+        return self._advance(exchange, now)
+
+    def _advance(self, exchange: Exchange, now: float) -> list[Effect]:
+        step = self._chain.advance(exchange, now=now)
+        return self._follow(exchange, step, now)
+
+    def _follow(self, exchange: Exchange, step: Step, now: float) -> list[Effect]:
+        if isinstance(step, Refused):
+            return self._refuse(exchange, step.fault, now)
+        if isinstance(step, Proceed):
+            raise RuntimeError("the last filter must not proceed")
+        return list(step.effects)
+
+    def _leave_queue(self, exchange: Exchange, event: QueueLeft, now: float) -> list[Effect]:
+        if event.fault is not None:
+            return self._refuse(exchange, event.fault, now)
+        return self._go_on(exchange, now)
+
+    def _take_claim(self, exchange: Exchange, event: ClaimAnswered, now: float) -> list[Effect]:
+        if event.stored is not None:
+            self._close(exchange, None, now)
+            return [ReplayAnswer(request_id=exchange.request_id, answer=event.stored)]
+        if event.fault is not None:
+            return self._refuse(exchange, event.fault, now)
+        exchange.claimed = True
+        return self._go_on(exchange, now)
+
+    def _go_on(self, exchange: Exchange, now: float) -> list[Effect]:
+        if now >= exchange.deadline:
+            return self._expire(exchange, None, now)
+        return self._advance(exchange, now)
+
+    def _expire(
+        self, exchange: Exchange, event: DeadlineReached | None, now: float
+    ) -> list[Effect]:
+        return self._refuse(exchange, faults.deadline_exceeded(ran=exchange.ran), now)
+
+    def _fail_attempt(self, exchange: Exchange, event: AttemptFailed, now: float) -> list[Effect]:
+        self._on_outcome(exchange.attempt, event.outcome, now)
+        exchange.outcomes.append(event.outcome)
+        exchange.excluded.add(exchange.attempt.endpoint_id)
+        self._chain.unwind(exchange, now=now, to=self._route_position)
+        decision = self._retries.decide(exchange, event, now=now)
+        if isinstance(decision, GiveUp):
+            return self._refuse(exchange, decision.fault, now)
+        return self._advance(exchange, now)
+
+    def _take_answer(self, exchange: Exchange, event: AttemptAnswered, now: float) -> list[Effect]:
+        if event.status in RETRYABLE_STATUSES and exchange.idempotent:
+            return self._retry_status(exchange, event, now)
+        return [RelayAnswer(request_id=exchange.request_id)]
+
+    def _retry_status(self, exchange: Exchange, event: AttemptAnswered, now: float) -> list[Effect]:
+        failure = AttemptFailed(
+            request_id=exchange.request_id,
+            outcome=AttemptOutcome.MAYBE_RAN,
+            message=f"the endpoint answered with status {event.status}",
+        )
+        return self._fail_attempt(exchange, failure, now)
+
+    def _end_answer(self, exchange: Exchange, event: AnswerEnded, now: float) -> list[Effect]:
+        outcome = AttemptOutcome.RAN if event.whole else AttemptOutcome.MAYBE_RAN
+        self._on_outcome(exchange.attempt, outcome, now)
+        exchange.outcomes.append(outcome)
+        fault = None if event.whole else faults.answer_cut()
+        effects = self._end_claim(exchange, event)
+        self._close(exchange, fault, now)
+        return effects
+
+    def _end_claim(self, exchange: Exchange, event: AnswerEnded | None) -> list[Effect]:
+        if not exchange.claimed:
+            return []
+        assert exchange.workspace is not None
+        answer = None
+        if event is not None and event.whole and event.body is not None:
+            answer = StoredAnswer(
+                status=event.status, content_type=event.content_type, body=event.body
+            )
+        return [
+            EndClaim(
+                request_id=exchange.request_id,
+                workspace=exchange.workspace.name,
+                key=exchange.idempotency_key,
+                answer=answer,
+                did_not_run=exchange.ran is Ran.NO,
+            )
+        ]
+
+    def _refuse(self, exchange: Exchange, fault: Fault, now: float) -> list[Effect]:
+        claims = self._end_claim(exchange, None)
+        self._close(exchange, fault, now)
+        refuse: RequestEffect = Refuse(request_id=exchange.request_id, fault=fault)
+        return [refuse, *claims]
+
+    def _abandon(self, exchange: Exchange, event: CallerGone, now: float) -> list[Effect]:
+        effects = self._end_claim(exchange, None)
+        self._close(exchange, faults.caller_gone(exchange.ran), now)
+        return effects
+
+    def _close(self, exchange: Exchange, fault: Fault | None, now: float) -> None:
+        self._chain.unwind(exchange, now=now)
+        del self._exchanges[exchange.request_id]
+        self._on_end(exchange, fault, now)
--- /dev/null
+++ b/chivetrack/components/pipeline/models.py
@@ -0,0 +1,299 @@
+"""A request on its way through the pipeline."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Protocol
+
+from chivetrack.components.routing.models import Placement
+from chivetrack.components.upstream.models import AttemptOutcome
+from chivetrack.core import Effect, Event
+from chivetrack.exceptions import Fault, Ran
+
+
+class RequestKind(StrEnum):
+    """Which of the two caller interfaces a request came through."""
+
+    CHAT = "chat"
+    SERVICE = "service"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallerRequest:
+    """A request as the caller sent it; header names are in lower case."""
+
+    kind: RequestKind
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes
+    service: str = ""
+
+
+class PolicyView(Protocol):
+    """The routing policy of a workspace, as the pipeline reads it; times in seconds."""
+
+    @property
+    def load_bound(self) -> float:
+        """Return the multiple of the mean load that no endpoint may exceed."""
+        ...
+
+    @property
+    def max_attempts(self) -> int:
+        """Return how many endpoints a request may be tried at."""
+        ...
+
+    @property
+    def timeout_s(self) -> float:
+        """Return how long a request may take in all."""
+        ...
+
+    @property
+    def stall_timeout_s(self) -> float:
+        """Return how long a stream may be silent."""
+        ...
+
+    @property
+    def idempotent(self) -> bool | None:
+        """Return whether requests may run twice; ``None`` leaves it to the method."""
+        ...
+
+
+class WorkspaceView(Protocol):
+    """A workspace, as the pipeline reads it."""
+
+    @property
+    def name(self) -> str:
+        """Return the workspace's name."""
+        ...
+
+    @property
+    def priority(self) -> int:
+        """Return the priority that engines are told; lower is more urgent."""
+        ...
+
+    def allows(self, service: str) -> bool:
+        """Return whether the workspace may use a service."""
+        ...
+
+
+class Directory(Protocol):
+    """The configuration in force, as the pipeline reads it."""
+
+    def find_workspace(self, name: str) -> WorkspaceView | None:
+        """Return a workspace by name."""
+        ...
+
+    def find_workspace_by_key(self, key: str) -> WorkspaceView | None:
+        """Return the workspace that a caller's key belongs to."""
+        ...
+
+    def check_key(self, workspace: WorkspaceView, key: str) -> bool:
+        """Return whether a key is one of the workspace's; takes constant time."""
+        ...
+
+    def get_policy(self, workspace: WorkspaceView) -> PolicyView:
+        """Return the routing policy of a workspace."""
+        ...
+
+    def find_service(self, model: str) -> str | None:
+        """Return the service that serves a model."""
+        ...
+
+    def is_confirmed(self, now: float) -> bool:
+        """Return whether the configuration is known to be the one in force."""
+        ...
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Attempt:
+    """One attempt at one endpoint."""
+
+    number: int
+    endpoint_id: str
+    address: str
+    started_at: float
+
+
+@dataclass(slots=True, kw_only=True)
+class Exchange:
+    """A request with all that the filters found out; owned by the request flow.
+
+    Times are seconds on the clock of ``now``. ``bytes_sent`` counts what has gone
+    to the caller of the answer's body.
+    """
+
+    request_id: str
+    request: CallerRequest
+    arrived_at: float
+    traceparent: str = ""
+    workspace: WorkspaceView | None = None
+    policy: PolicyView | None = None
+    deadline: float = 0.0
+    service: str = ""
+    model: str = ""
+    affinity: str = ""
+    stream: bool = False
+    priority: int = 0
+    idempotent: bool = True
+    idempotency_key: str = ""
+    claimed: bool = False
+    placement: Placement | None = None
+    attempts: list[Attempt] = field(default_factory=list)
+    outcomes: list[AttemptOutcome] = field(default_factory=list)
+    excluded: set[str] = field(default_factory=set)
+    bytes_sent: int = 0
+    position: int = 0
+
+    @property
+    def attempt(self) -> Attempt:
+        """Return the newest attempt."""
+        return self.attempts[-1]
+
+    @property
+    def ran(self) -> Ran:
+        """Return what is known of all attempts together."""
+        if AttemptOutcome.RAN in self.outcomes:
+            return Ran.YES
+        is_open = len(self.attempts) > len(self.outcomes)
+        if is_open or AttemptOutcome.MAYBE_RAN in self.outcomes:
+            return Ran.MAYBE
+        return Ran.NO
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RequestEvent(Event):
+    """Base of the events of one request."""
+
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RequestArrived(RequestEvent):
+    """A caller's whole request has been read."""
+
+    request: CallerRequest
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class QueueLeft(RequestEvent):
+    """The request's turn has come, or the queue gave it up with a fault."""
+
+    fault: Fault | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ClaimAnswered(RequestEvent):
+    """The log's answer to ``AskClaim``; to be handed in once for each.
+
+    Neither ``fault`` nor ``stored``: the claim is granted.
+    """
+
+    workspace: str
+    key: str
+    fault: Fault | None = None
+    stored: "StoredAnswer | None" = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DeadlineReached(RequestEvent):
+    """The request's deadline has passed while it waited."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AttemptFailed(RequestEvent):
+    """An attempt ended without an answer that could be passed on."""
+
+    outcome: AttemptOutcome
+    message: str
+    retry_after_s: float | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AttemptAnswered(RequestEvent):
+    """The head of an endpoint's answer has arrived."""
+
+    status: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AnswerEnded(RequestEvent):
+    """The answer has gone to the caller, or was cut; ``whole`` tells which."""
+
+    whole: bool
+    status: int = 0
+    content_type: str = ""
+    body: bytes | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallerGone(RequestEvent):
+    """The caller closed its connection before it had its answer."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StoredAnswer:
+    """The first outcome of an idempotency key, given again to a resend."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RequestEffect(Effect):
+    """Base of the effects on one request."""
+
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StartAttempt(RequestEffect):
+    """Send the request to this endpoint; an earlier attempt's answer is dropped."""
+
+    exchange: Exchange
+    attempt: Attempt
+    timeout_s: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RelayAnswer(RequestEffect):
+    """Pass the answer whose head has arrived on to the caller."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Refuse(RequestEffect):
+    """Give the caller its final answer, now: there will be no other."""
+
+    fault: Fault
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReplayAnswer(RequestEffect):
+    """Give the caller the stored first outcome of its idempotency key."""
+
+    answer: StoredAnswer
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AskClaim(RequestEffect):
+    """Ask the replicated log for the claim on an idempotency key."""
+
+    workspace: str
+    key: str
+    fingerprint: str
+    lifetime_s: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EndClaim(RequestEffect):
+    """Record how a claimed request ended.
+
+    ``answer`` is its whole answer. Without one, ``did_not_run`` frees the key for a
+    resend; otherwise the outcome is recorded as unknown.
+    """
+
+    workspace: str
+    key: str
+    answer: StoredAnswer | None = None
+    did_not_run: bool = False
--- /dev/null
+++ b/chivetrack/components/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Sends a request to an endpoint and reads its answer, over HTTP."""
--- /dev/null
+++ b/chivetrack/components/upstream/const.py
@@ -0,0 +1,33 @@
+"""Constants of the client towards endpoints."""
+
+from typing import Final
+
+ATTEMPT_HEADER: Final = "X-Request-Id"
+DEADLINE_HEADER: Final = "X-Request-Timeout-Ms"
+PRIORITY_HEADER: Final = "X-Priority"
+DID_NOT_RUN_HEADER: Final = "X-Did-Not-Run"
+TRACE_HEADER: Final = "traceparent"
+
+CONNECT_TIMEOUT_S: Final = 1.0
+READ_SIZE: Final = 65536
+POOL_SIZE: Final = 256
+STREAM_END: Final = b"data: [DONE]"
+TAIL_SIZE: Final = 64
+
+HOP_BY_HOP: Final = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "host",
+        "authorization",
+        "x-workspace",
+        "cookie",
+    }
+)
