--- /dev/null
+++ b/standins/endpoint.py
@@ -0,0 +1,316 @@
+"""A stand-in endpoint: a model engine or a plain service, as a process of its own."""
+
+import signal
+import time
+from collections.abc import Callable, Iterator
+from typing import Annotated, Any
+
+import gevent
+import msgspec
+import typer
+from bottle import Bottle, HTTPResponse, request
+from gevent.event import Event
+from gevent.pywsgi import WSGIServer
+
+from standins.announcer import Announcer
+from standins.cache import PrefixCache
+from standins.const import (
+    DEFAULT_CACHE_CHATS,
+    DEFAULT_TOKEN_MS,
+    DEFAULT_TOKENS,
+    HEADER_DID_NOT_RUN,
+    HEADER_REQUEST_ID,
+    LEASE_S,
+    STOP_LIMIT_S,
+)
+from standins.models import EndpointIdentity, Faults, SeenRequest
+
+
+class CutError(Exception):
+    """Ends an answer in the middle, as a dying engine does."""
+
+
+class StandInEndpoint:
+    """Serves chat completions and plain calls, and keeps a record of what it ran."""
+
+    def __init__(
+        self,
+        *,
+        identity: EndpointIdentity,
+        tokens: int,
+        token_ms: float,
+        cache_chats: int,
+        end: Callable[[], None],
+    ) -> None:
+        """Take what it is and how fast it answers; ``end`` ends the process at once."""
+        self.identity = identity
+        self.faults = Faults()
+        self.seen: list[SeenRequest] = []
+        self.in_flight = 0
+        self.leaving = False
+        self._tokens = tokens
+        self._token_s = token_ms / 1000
+        self._cache = PrefixCache(chats=cache_chats)
+        self._end = end
+
+    def build(self) -> Bottle:
+        """Return the application."""
+        app = Bottle()
+        app.route("/v1/chat/completions", "POST", self._serve_chat)
+        app.route("/standin/seen", "GET", self._show_seen)
+        app.route("/standin/faults", "POST", self._set_faults)
+        app.route("/<path:path>", ["GET", "POST", "PUT", "DELETE"], self._serve_call)
+        return app
+
+    def _show_seen(self) -> HTTPResponse:
+        return _answer_json({"seen": self.seen, "in_flight": self.in_flight}, "")
+
+    def _set_faults(self) -> HTTPResponse:
+        self.faults = msgspec.convert(msgspec.json.decode(request.body.read()), Faults)
+        return HTTPResponse(status=204)
+
+    def _note(self, *, chat: str, ran: bool = True) -> SeenRequest:
+        seen = SeenRequest(
+            request_id=request.get_header(HEADER_REQUEST_ID, ""),
+            chat=chat,
+            path=request.path,
+            priority=request.get_header("X-Priority", ""),
+            traceparent=request.get_header("traceparent", ""),
+            idempotency_key=request.get_header("Idempotency-Key", ""),
+            ran=ran,
+        )
+        self.seen.append(seen)
+        return seen
+
+    def _play_early_fault(self, fault: str, chat: str) -> HTTPResponse | None:
+        if fault == "refuse":
+            self._note(chat=chat, ran=False)
+            headers = {HEADER_DID_NOT_RUN: "true", "Retry-After": "1"}
+            return HTTPResponse(status=503, headers=headers)
+        if fault == "late":
+            gevent.sleep(self.faults.delay_s)
+        if fault == "error":
+            self._note(chat=chat)
+            return _answer_json({"error": "played"}, "", status=500)
+        if fault == "die":
+            self._note(chat=chat)
+            raise CutError
+        return None
+
+    def _serve_call(self, path: str) -> HTTPResponse:
+        chat = request.get_header("X-Chat-Id", "")
+        fault = self.faults.take()
+        early = self._play_early_fault(fault, chat)
+        if early is not None:
+            return early
+        seen = self._note(chat=chat)
+        seen.finished = True
+        answer = {
+            "endpoint": self.identity.endpoint_id,
+            "path": path,
+            "query": request.query_string,
+            "run": len(self.seen),
+            "echo": request.body.read().decode(),
+        }
+        return _answer_json(answer, _echo_id(fault))
+
+    def _serve_chat(self) -> HTTPResponse:
+        body = msgspec.json.decode(request.body.read())
+        chat = request.get_header("X-Chat-Id", "")
+        fault = self.faults.take()
+        early = self._play_early_fault(fault, chat)
+        if early is not None:
+            return early
+        seen = self._note(chat=chat)
+        seen.cached = self._cache.use(chat)
+        text = str(body["messages"][-1].get("content", ""))
+        if not body.get("stream"):
+            return self._answer_whole(seen, text, fault)
+        headers = {"Content-Type": "text/event-stream", HEADER_REQUEST_ID: _echo_id(fault)}
+        stream = TokenStream(endpoint=self, seen=seen, text=text, fault=fault, count=self._tokens)
+        return HTTPResponse(body=stream, status=200, headers=headers)
+
+    def _answer_whole(self, seen: SeenRequest, text: str, fault: str) -> HTTPResponse:
+        self.in_flight += 1
+        try:
+            gevent.sleep(self._tokens * self._token_s)
+        except BaseException:
+            seen.cancelled = True
+            raise
+        finally:
+            self.in_flight -= 1
+        seen.finished = True
+        content = "".join(self.make_token(seen, text, i) for i in range(self._tokens))
+        answer = {
+            "object": "chat.completion",
+            "endpoint": self.identity.endpoint_id,
+            "cached": seen.cached,
+            "choices": [{"message": {"role": "assistant", "content": content}}],
+        }
+        response = _answer_json(answer, _echo_id(fault))
+        if fault == "cut":
+            response.headers["Content-Length"] = str(len(response.body) + 10)
+        return response
+
+    def make_token(self, seen: SeenRequest, text: str, number: int) -> str:
+        """Return a token that names its request, so that a mix-up shows."""
+        return f"{seen.chat}/{text}/{number} "
+
+    def wait_token(self) -> None:
+        """Wait as long as a token takes."""
+        gevent.sleep(self._token_s)
+
+
+class TokenStream:
+    """The chunks of one streamed answer; closing it early is a cancel."""
+
+    def __init__(
+        self, *, endpoint: StandInEndpoint, seen: SeenRequest, text: str, fault: str, count: int
+    ) -> None:
+        """Count the stream as in flight."""
+        self._endpoint = endpoint
+        self._seen = seen
+        self._chunks = self._make_chunks(text, fault, count)
+        self._open = True
+        endpoint.in_flight += 1
+
+    def __iter__(self) -> "TokenStream":
+        return self
+
+    def __next__(self) -> bytes:
+        return next(self._chunks)
+
+    def close(self) -> None:
+        """Take note of the end; not finished means cancelled."""
+        if not self._open:
+            return
+        self._open = False
+        self._endpoint.in_flight -= 1
+        self._seen.cancelled = not self._seen.finished
+
+    def _make_chunks(self, text: str, fault: str, count: int) -> Iterator[bytes]:
+        faults = self._endpoint.faults
+        for number in range(count):
+            if fault in ("cut", "truncate", "stall") and number == faults.after_chunks:
+                if fault == "cut":
+                    raise CutError
+                if fault == "truncate":
+                    return
+                gevent.sleep(faults.delay_s)
+            self._endpoint.wait_token()
+            yield self._make_event(text, number)
+        self._seen.finished = True
+        yield b"data: [DONE]\n\n"
+
+    def _make_event(self, text: str, number: int) -> bytes:
+        token = self._endpoint.make_token(self._seen, text, number)
+        event = {
+            "object": "chat.completion.chunk",
+            "endpoint": self._endpoint.identity.endpoint_id,
+            "cached": self._seen.cached,
+            "choices": [{"delta": {"content": token}}],
+        }
+        return b"data: " + msgspec.json.encode(event) + b"\n\n"
+
+
+def _echo_id(fault: str) -> str:
+    given = request.get_header(HEADER_REQUEST_ID, "")
+    return "another-request" if fault == "wrong_id" else given
+
+
+def _answer_json(value: Any, request_id: str, *, status: int = 200) -> HTTPResponse:
+    headers = {"Content-Type": "application/json"}
+    if request_id:
+        headers[HEADER_REQUEST_ID] = request_id
+    body = msgspec.json.encode(value)
+    headers["Content-Length"] = str(len(body))
+    return HTTPResponse(body=body, status=status, headers=headers)
+
+
+def serve(
+    *,
+    identity: EndpointIdentity,
+    listen: str,
+    announce_to: list[str],
+    tokens: int,
+    token_ms: float,
+    cache_chats: int,
+    key: str,
+) -> None:
+    """Serve until SIGTERM; then announce the leave and finish what is in flight."""
+    stop = Event()
+    endpoint = StandInEndpoint(
+        identity=identity,
+        tokens=tokens,
+        token_ms=token_ms,
+        cache_chats=cache_chats,
+        end=stop.set,
+    )
+    host, _, port = listen.rpartition(":")
+    server = WSGIServer((host, int(port)), endpoint.build(), log=None, error_log=None)
+    server.start()
+    address = f"{host}:{server.server_port}"
+
+    def make_announcement(state: str) -> dict[str, Any]:
+        return identity.make_announcement(
+            address=address, state=state, lease_s=LEASE_S, in_flight=endpoint.in_flight
+        )
+
+    announcer = Announcer(targets=announce_to, make_announcement=make_announcement, key=key)
+    loop = gevent.spawn(announcer.run)
+    gevent.signal_handler(signal.SIGTERM, stop.set)
+    print(f"ready {address}", flush=True)
+    stop.wait()
+    announcer.state = "leaving"
+    announcer.announce()
+    deadline = time.monotonic() + STOP_LIMIT_S
+    gevent.sleep(LEASE_S)
+    while endpoint.in_flight and time.monotonic() < deadline:
+        gevent.sleep(0.05)
+    loop.kill()
+    server.stop(timeout=1)
+
+
+def main(
+    endpoint_id: Annotated[str, typer.Option("--id", help="Endpoint id.")],
+    announce_to: Annotated[list[str], typer.Option("--announce-to", help="http://host:port")],
+    listen: Annotated[str, typer.Option(help="host:port; port 0 chooses one.")] = "127.0.0.1:0",
+    kind: Annotated[str, typer.Option(help="engine or service.")] = "engine",
+    service: Annotated[str, typer.Option(help="Service that it belongs to.")] = "valuation",
+    model: Annotated[list[str] | None, typer.Option(help="Models that it serves.")] = None,
+    region: Annotated[str, typer.Option(help="Region.")] = "kyushu",
+    zone: Annotated[str, typer.Option(help="Availability zone.")] = "fukuoka-hall",
+    capacity: Annotated[int, typer.Option(help="Requests served at once.")] = 16,
+    tokens: Annotated[int, typer.Option(help="Tokens of each answer.")] = DEFAULT_TOKENS,
+    token_ms: Annotated[float, typer.Option(help="Time a token takes.")] = DEFAULT_TOKEN_MS,
+    cache_chats: Annotated[int, typer.Option(help="Chats in the cache.")] = DEFAULT_CACHE_CHATS,
+    incarnation: Annotated[int, typer.Option(help="0: the current time.")] = 0,
+    key: Annotated[str, typer.Option(help="Announcer's key.")] = "",
+) -> None:
+    """Run a stand-in endpoint."""
+    identity = EndpointIdentity(
+        endpoint_id=endpoint_id,
+        incarnation=incarnation or time.time_ns() // 1_000_000,
+        kind=kind,
+        service=service,
+        region=region,
+        zone=zone,
+        capacity=capacity,
+        models=model or [],
+    )
+    serve(
+        identity=identity,
+        listen=listen,
+        announce_to=announce_to,
+        tokens=tokens,
+        token_ms=token_ms,
+        cache_chats=cache_chats,
+        key=key,
+    )
+
+
+if __name__ == "__main__":
+    from gevent import monkey
+
+    monkey.patch_all()
+    typer.run(main)
