Add resources and the deterministic store

Cause: operators' resources need validated documents at the border and a state machine that every replica drives to the same bytes. Ruled out: validation inside the store (its outcome would depend on the version of the program a replica runs); one revision for preconditions on spec and status (a controller's status writes would fail every operator's apply).

--- /dev/null
+++ b/chivetrack/components/resources/__init__.py
@@ -0,0 +1,1 @@
+"""The kinds of resources: validated at the border, compact inside."""
--- /dev/null
+++ b/chivetrack/components/resources/models.py
@@ -0,0 +1,150 @@
+"""The compact forms of the specifications, as the parts inside use them.
+
+They are decoded from the stored bytes when needed: 49,000 workspaces held as
+validated models would take most of a router's memory. Their defaults equal those of
+the validated models in ``specs``; a test compares them.
+"""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from chivetrack.components.resources import const
+
+
+class Locality(StrEnum):
+    """Where a request prefers its endpoint."""
+
+    ZONE = "zone"
+    REGION = "region"
+    ANY = "any"
+
+
+class Affinity(StrEnum):
+    """What makes two requests want the same endpoint."""
+
+    CHAT = "chat"
+    DOSSIER = "dossier"
+    PREFIX = "prefix"
+    NONE = "none"
+
+
+class DrainTargetKind(StrEnum):
+    """What a drain empties."""
+
+    ENDPOINT = "endpoint"
+    AVAILABILITY_ZONE = "availability_zone"
+    INSTANCE = "instance"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Workspace:
+    """What a workspace may use and how much; ``rate`` is requests a second."""
+
+    display_name: str = ""
+    keys: tuple[str, ...] = ()
+    services: tuple[str, ...] = ()
+    models: tuple[str, ...] = ()
+    priority: int = const.DEFAULT_PRIORITY
+    policy: str = const.DEFAULT_POLICY
+    rate: float | None = None
+    concurrency: int | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Timeouts:
+    """How long each step of a request may take, in seconds."""
+
+    connect_s: float = const.DEFAULT_CONNECT_TIMEOUT_S
+    first_byte_s: float = const.DEFAULT_FIRST_BYTE_TIMEOUT_S
+    idle_s: float = const.DEFAULT_IDLE_TIMEOUT_S
+    total_s: float = const.DEFAULT_TOTAL_TIMEOUT_S
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RoutingPolicy:
+    """How requests of a workspace are placed, retried and timed out."""
+
+    load_bound: float = const.DEFAULT_LOAD_BOUND
+    locality: Locality = Locality.ZONE
+    idempotent: bool = False
+    max_attempts: int = const.DEFAULT_MAX_ATTEMPTS
+    timeouts: Timeouts = field(default_factory=Timeouts)
+    affinity: Affinity = Affinity.CHAT
+    prefix_bytes: int = const.DEFAULT_PREFIX_BYTES
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DrainTarget:
+    """What is drained."""
+
+    kind: DrainTargetKind
+    name: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Drain:
+    """A planned drain; ``start`` and ``deadline`` are seconds since 1970, UTC.
+
+    No ``start`` means at once. ``floor`` is the fraction of the capacity that must
+    remain while the drain lasts.
+    """
+
+    target: DrainTarget
+    start: float | None = None
+    deadline: float | None = None
+    floor: float = const.DEFAULT_FLOOR
+    move_context: bool = True
+    reason: str = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Model:
+    """A model that is wanted on the engines of a service, in so many copies."""
+
+    service: str
+    version: str
+    weights: str
+    copies: int = const.DEFAULT_COPIES
+    floor: float = const.DEFAULT_FLOOR
+    spread_zones: int = 1
+    memory_bytes: int = 0
+    role: str = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Adapter:
+    """An adapter that is wanted beside a model, in so many copies."""
+
+    model: str
+    version: str
+    weights: str
+    copies: int = const.DEFAULT_COPIES
+    workspaces: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Limit:
+    """A limit for all requests that match; ``rate`` is requests a second."""
+
+    workspace: str = const.ANY_NAME
+    service: str = const.ANY_NAME
+    model: str = const.ANY_NAME
+    rate: float | None = None
+    concurrency: int | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Endpoint:
+    """An endpoint as it announced itself."""
+
+    address: str
+    service: str
+    region: str
+    zone: str
+    kind: str = "engine"
+    capacity: int = 1
+    models: tuple[str, ...] = ()
+    adapters: tuple[str, ...] = ()
+    version: str = ""
+    role: str = ""
+    checks_fencing: bool = False
--- /dev/null
+++ b/chivetrack/components/store/__init__.py
@@ -0,0 +1,1 @@
+"""The deterministic store that the replicated log drives."""
--- /dev/null
+++ b/chivetrack/components/store/const.py
@@ -0,0 +1,31 @@
+"""Bounds of the store; they are part of the state machine.
+
+All replicas must apply the same bounds: change one only together with a new command
+or snapshot version, never as a setting.
+"""
+
+from typing import Final
+
+from chivetrack.const import KIBIBYTE, MEBIBYTE
+
+HOUR_MS: Final = 3_600_000
+DAY_MS: Final = 24 * HOUR_MS
+
+MAX_SPEC_BYTES: Final = 64 * KIBIBYTE
+MAX_STATUS_BYTES: Final = 64 * KIBIBYTE
+
+HISTORY_CHANGES: Final = 20_000
+HISTORY_BYTES: Final = 16 * MEBIBYTE
+CHANGE_OVERHEAD_BYTES: Final = 200
+
+REQUESTS_KEPT: Final = 20_000
+REQUESTS_KEPT_BYTES: Final = 16 * MEBIBYTE
+REQUESTS_KEPT_MS: Final = DAY_MS
+
+MAX_LEASES: Final = 4_096
+MAX_LEASE_MS: Final = HOUR_MS
+
+CLAIM_WINDOW_MS: Final = DAY_MS
+MAX_CLAIMS_PER_WORKSPACE: Final = 10_000
+MAX_CLAIM_BODY_BYTES: Final = 64 * KIBIBYTE
+CLAIM_BODIES_BYTES: Final = 32 * MEBIBYTE
--- /dev/null
+++ b/chivetrack/components/store/history.py
@@ -0,0 +1,68 @@
+"""A bounded list of the last changes."""
+
+from bisect import bisect_right
+from collections.abc import Iterable, Sequence
+
+from chivetrack.components.store import const
+from chivetrack.components.store.records import Change
+
+
+def _get_revision(change: Change) -> int:
+    return change.revision
+
+
+def estimate_size(change: Change) -> int:
+    """Estimate the encoded size of a change in bytes, generously."""
+    if change.record is None:
+        return const.CHANGE_OVERHEAD_BYTES
+    return const.CHANGE_OVERHEAD_BYTES + len(change.record.spec) + len(change.record.status)
+
+
+class History:
+    """The changes after ``compaction_revision``, oldest first, bounded twice."""
+
+    def __init__(
+        self,
+        *,
+        compaction_revision: int = 0,
+        max_changes: int = const.HISTORY_CHANGES,
+        max_bytes: int = const.HISTORY_BYTES,
+    ) -> None:
+        """Start empty; changes up to ``compaction_revision`` are not known."""
+        self.compaction_revision = compaction_revision
+        self._max_changes = max_changes
+        self._max_bytes = max_bytes
+        self._changes: list[Change] = []
+        self._bytes = 0
+
+    def __len__(self) -> int:
+        return len(self._changes)
+
+    def extend(self, changes: Iterable[Change]) -> None:
+        """Add changes, each with a higher revision than the last; drop the oldest."""
+        for change in changes:
+            self._changes.append(change)
+            self._bytes += estimate_size(change)
+        if len(self._changes) > self._max_changes or self._bytes > self._max_bytes:
+            self._compact()
+
+    def list_after(self, revision: int, *, limit: int | None = None) -> Sequence[Change] | None:
+        """Return the changes after a revision, or ``None`` once they are compacted."""
+        if revision < self.compaction_revision:
+            return None
+        start = bisect_right(self._changes, revision, key=_get_revision)
+        stop = None if limit is None else start + limit
+        return self._changes[start:stop]
+
+    def _compact(self) -> None:
+        # A tenth more than needed is dropped, so that this runs once in many changes.
+        keep_changes = self._max_changes * 9 // 10
+        keep_bytes = self._max_bytes * 9 // 10
+        drop = 0
+        while drop < len(self._changes) and (
+            len(self._changes) - drop > keep_changes or self._bytes > keep_bytes
+        ):
+            self._bytes -= estimate_size(self._changes[drop])
+            drop += 1
+        self.compaction_revision = self._changes[drop - 1].revision
+        del self._changes[:drop]
--- /dev/null
+++ b/chivetrack/components/store/requests.py
@@ -0,0 +1,71 @@
+"""Remembers the outcomes of requests, so that a resend gets the first one."""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+
+from chivetrack.components.store import const
+from chivetrack.helpers.codec import Message
+
+
+class RememberedRequest(Message, frozen=True, array_like=True):
+    """One request with its packed outcome."""
+
+    request_id: str
+    fingerprint: bytes
+    time_ms: int
+    outcome: bytes
+
+
+class RequestMemory:
+    """The last requests, bounded by age, number and bytes; the oldest go first."""
+
+    def __init__(
+        self,
+        requests: Iterable[RememberedRequest] = (),
+        *,
+        max_requests: int = const.REQUESTS_KEPT,
+        max_bytes: int = const.REQUESTS_KEPT_BYTES,
+        max_age_ms: int = const.REQUESTS_KEPT_MS,
+    ) -> None:
+        """Start with what a snapshot held, oldest first."""
+        self._max_requests = max_requests
+        self._max_bytes = max_bytes
+        self._max_age_ms = max_age_ms
+        self._requests: OrderedDict[str, RememberedRequest] = OrderedDict()
+        self._bytes = 0
+        for request in requests:
+            self._add(request)
+
+    def find(self, request_id: str) -> RememberedRequest | None:
+        """Return what is remembered under an id."""
+        return self._requests.get(request_id)
+
+    def remember(self, request: RememberedRequest) -> None:
+        """Remember a request, newer than all others."""
+        self._add(request)
+        while len(self._requests) > self._max_requests or self._bytes > self._max_bytes:
+            self._drop_oldest()
+
+    def expire(self, time_ms: int) -> None:
+        """Forget what is too old."""
+        while self._requests:
+            oldest = next(iter(self._requests.values()))
+            if time_ms - oldest.time_ms <= self._max_age_ms:
+                return
+            self._drop_oldest()
+
+    def export(self) -> tuple[RememberedRequest, ...]:
+        """Return all, oldest first, for a snapshot."""
+        return tuple(self._requests.values())
+
+    def _add(self, request: RememberedRequest) -> None:
+        self._requests[request.request_id] = request
+        self._bytes += self._measure(request)
+
+    def _drop_oldest(self) -> None:
+        _, request = self._requests.popitem(last=False)
+        self._bytes -= self._measure(request)
+
+    @staticmethod
+    def _measure(request: RememberedRequest) -> int:
+        return const.CHANGE_OVERHEAD_BYTES + len(request.request_id) + len(request.outcome)
--- /dev/null
+++ b/chivetrack/components/store/table.py
@@ -0,0 +1,175 @@
+"""The table of all resources at one revision, with the last changes.
+
+The store of a replica and the configuration of a router are both such a table.
+"""
+
+from bisect import bisect_right
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import dataclass
+
+from chivetrack.components.store import const
+from chivetrack.components.store.history import History
+from chivetrack.components.store.records import Change, KindRecords, Record
+from chivetrack.core import Unsubscribe
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TableUpdate:
+    """What subscribers are told; after a reset the whole table is to be read again."""
+
+    revision: int
+    changes: Sequence[Change] = ()
+    is_reset: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Page:
+    """Records in the order of their names; ``next_after`` is ``None`` on the last page."""
+
+    records: Sequence[Record]
+    next_after: str | None
+
+
+Subscriber = Callable[[TableUpdate], None]
+
+
+class ResourceTable:
+    """All resources by kind and name; its revision never goes back."""
+
+    def __init__(
+        self,
+        *,
+        history_changes: int = const.HISTORY_CHANGES,
+        history_bytes: int = const.HISTORY_BYTES,
+    ) -> None:
+        """Start empty at revision 0."""
+        self._history_changes = history_changes
+        self._history_bytes = history_bytes
+        self._kinds: dict[str, dict[str, Record]] = {}
+        self._sorted: dict[str, list[str]] = {}
+        self._subscribers: list[Subscriber] = []
+        self._history = self._make_history(0)
+        self.revision = 0
+
+    @property
+    def compaction_revision(self) -> int:
+        """Return the revision up to which changes are no longer known."""
+        return self._history.compaction_revision
+
+    def get(self, kind: str, name: str) -> Record | None:
+        """Return a record, or ``None``."""
+        records = self._kinds.get(kind)
+        return None if records is None else records.get(name)
+
+    def iterate(self, kind: str) -> Iterator[Record]:
+        """Iterate over the records of a kind, in no useful order."""
+        return iter(self._kinds.get(kind, {}).values())
+
+    def list_kinds(self) -> list[str]:
+        """Return the names of the kinds that have records, sorted."""
+        return sorted(kind for kind, records in self._kinds.items() if records)
+
+    def count(self, kind: str) -> int:
+        """Return how many records a kind has."""
+        return len(self._kinds.get(kind, {}))
+
+    def list_page(self, kind: str, *, after: str = "", limit: int) -> Page:
+        """Return up to ``limit`` records whose names come after ``after``."""
+        records = self._kinds.get(kind, {})
+        names = self._sorted.get(kind)
+        if names is None:
+            names = self._sorted[kind] = sorted(records)
+        start = bisect_right(names, after) if after else 0
+        chosen = names[start : start + limit]
+        is_last = start + limit >= len(names)
+        next_after = None if is_last or not chosen else chosen[-1]
+        return Page(records=[records[name] for name in chosen], next_after=next_after)
+
+    def list_changes(self, after: int, *, limit: int | None = None) -> Sequence[Change] | None:
+        """Return the changes after a revision, or ``None`` once they are compacted."""
+        return self._history.list_after(after, limit=limit)
+
+    def apply(self, changes: Sequence[Change], *, revision: int | None = None) -> bool:
+        """Apply changes in the order of their revisions; tell whether anything was new.
+
+        Changes at or below the table's revision are left out: a late or doubled
+        delta would put an older specification back. ``revision`` is what the table
+        is at afterwards, if that is more than the last change.
+        """
+        fresh = [change for change in changes if change.revision > self.revision]
+        target = max(revision or 0, fresh[-1].revision if fresh else 0)
+        if target <= self.revision:
+            return False
+        for change in fresh:
+            self._set(change)
+        self._history.extend(fresh)
+        self.revision = target
+        self._notify(TableUpdate(revision=target, changes=fresh))
+        return True
+
+    def replace(
+        self,
+        kinds: Sequence[KindRecords],
+        *,
+        revision: int,
+        compaction_revision: int | None = None,
+        changes: Sequence[Change] = (),
+    ) -> bool:
+        """Put a whole state in place, unless it is older; tell whether it was taken."""
+        if revision < self.revision:
+            return False
+        self._kinds = {
+            entry.kind: {record.name: record for record in entry.records} for entry in kinds
+        }
+        self._sorted.clear()
+        self._history = self._make_history(
+            revision if compaction_revision is None else compaction_revision
+        )
+        self._history.extend(map(self._share_record, changes))
+        self.revision = revision
+        self._notify(TableUpdate(revision=revision, is_reset=True))
+        return True
+
+    def export(self) -> tuple[KindRecords, ...]:
+        """Return all records, for a snapshot."""
+        return tuple(
+            KindRecords(kind, tuple(records.values())) for kind, records in self._kinds.items()
+        )
+
+    def subscribe(self, subscriber: Subscriber) -> Unsubscribe:
+        """Call after every update; must not raise."""
+        self._subscribers.append(subscriber)
+
+        def unsubscribe() -> None:
+            if subscriber in self._subscribers:
+                self._subscribers.remove(subscriber)
+
+        return unsubscribe
+
+    def _set(self, change: Change) -> None:
+        records = self._kinds.setdefault(change.kind, {})
+        if change.record is None:
+            if records.pop(change.name, None) is not None:
+                self._sorted.pop(change.kind, None)
+            return
+        if change.name not in records:
+            self._sorted.pop(change.kind, None)
+        records[change.name] = change.record
+
+    def _share_record(self, change: Change) -> Change:
+        """Let a decoded change use the record of the table, to hold it once."""
+        record = self.get(change.kind, change.name)
+        if record is None or record.revision != change.revision:
+            return change
+        return Change(change.revision, change.kind, change.name, record)
+
+    def _make_history(self, compaction_revision: int) -> History:
+        return History(
+            compaction_revision=compaction_revision,
+            max_changes=self._history_changes,
+            max_bytes=self._history_bytes,
+        )
+
+    def _notify(self, update: TableUpdate) -> None:
+        for subscriber in tuple(self._subscribers):
+            subscriber(update)
--- /dev/null
+++ b/tests/components/resource_api/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of resource_api."""
--- /dev/null
+++ b/tests/components/resources/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of resources."""
