--- a/chivetrack/components/caller_api/gateway.py
+++ b/chivetrack/components/caller_api/gateway.py
@@ -70,6 +70,11 @@
     answer: UpstreamAnswer | None = None
     started: StartAttempt | None = None
 
+    @property
+    def attempt_number(self) -> int:
+        """Return the number of the newest attempt, 0 before the first."""
+        return 0 if self.started is None else self.started.attempt.number
+
 
 class Gateway:
     """Runs each request in the greenlet of its caller.
@@ -175,6 +180,7 @@
             self._post(
                 AttemptFailed(
                     request_id=effect.request_id,
+                    attempt=effect.attempt.number,
                     outcome=failure.outcome,
                     message=failure.message,
                     retry_after_s=failure.retry_after_s,
@@ -182,7 +188,13 @@
             )
             return
         conversation.answer = result.ok
-        self._post(AttemptAnswered(request_id=effect.request_id, status=result.ok.status))
+        self._post(
+            AttemptAnswered(
+                request_id=effect.request_id,
+                attempt=effect.attempt.number,
+                status=result.ok.status,
+            )
+        )
 
     def _relay(self, conversation: _Conversation) -> GatewayAnswer | None:
         answer = conversation.answer
@@ -196,6 +208,7 @@
             self._post(
                 AttemptFailed(
                     request_id=conversation.request_id,
+                    attempt=conversation.attempt_number,
                     outcome=AttemptOutcome.MAYBE_RAN,
                     message=str(error),
                 )
@@ -255,6 +268,7 @@
         self._post(
             AnswerEnded(
                 request_id=conversation.request_id,
+                attempt=conversation.attempt_number,
                 whole=whole,
                 status=answer.status,
                 content_type=answer.headers.get("Content-Type", ""),
--- a/chivetrack/components/pipeline/flow.py
+++ b/chivetrack/components/pipeline/flow.py
@@ -1,7 +1,7 @@
 """The life of a request as decisions: events in, effects out."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any, Protocol
 
 from chivetrack.components.pipeline import faults
@@ -10,6 +10,7 @@
     AnswerEnded,
     Attempt,
     AttemptAnswered,
+    AttemptEvent,
     AttemptFailed,
     CallerGone,
     ClaimAnswered,
@@ -113,9 +114,18 @@
         exchange = self._exchanges.get(event.request_id)
         if exchange is None:
             return self._handle_late(event)
+        if isinstance(event, AttemptEvent) and not self._is_current(exchange, event):
+            return []
         handler = self._handlers[type(event)]
         return handler(exchange, event, now)
 
+    @staticmethod
+    def _is_current(exchange: Exchange, event: AttemptEvent) -> bool:
+        # An attempt that was given up may still report. Its end counted as that of
+        # the attempt after it would send a request on that is running.
+        is_open = len(exchange.attempts) > len(exchange.outcomes)
+        return is_open and event.attempt == exchange.attempt.number
+
     @staticmethod
     def _handle_late(event: RequestEvent) -> list[Effect]:
         # The caller left while the log was asked. Nobody will use the claim, and no
@@ -173,6 +183,10 @@
         return self._refuse(exchange, faults.deadline_exceeded(ran=exchange.ran), now)
 
     def _fail_attempt(self, exchange: Exchange, event: AttemptFailed, now: float) -> list[Effect]:
+        # An endpoint whose head has arrived did begin, whatever ended it.
+        if exchange.answered:
+            event = replace(event, outcome=AttemptOutcome.MAYBE_RAN)
+        exchange.answered = False
         self._on_outcome(exchange.attempt, event.outcome, now)
         exchange.outcomes.append(event.outcome)
         exchange.excluded.add(exchange.attempt.endpoint_id)
@@ -185,11 +199,13 @@
     def _take_answer(self, exchange: Exchange, event: AttemptAnswered, now: float) -> list[Effect]:
         if event.status in RETRYABLE_STATUSES and exchange.idempotent:
             return self._retry_status(exchange, event, now)
+        exchange.answered = True
         return [RelayAnswer(request_id=exchange.request_id)]
 
     def _retry_status(self, exchange: Exchange, event: AttemptAnswered, now: float) -> list[Effect]:
         failure = AttemptFailed(
             request_id=exchange.request_id,
+            attempt=event.attempt,
             outcome=AttemptOutcome.MAYBE_RAN,
             message=f"the endpoint answered with status {event.status}",
         )
--- a/chivetrack/components/pipeline/models.py
+++ b/chivetrack/components/pipeline/models.py
@@ -144,6 +144,7 @@
     excluded: set[str] = field(default_factory=set)
     bytes_sent: int = 0
     position: int = 0
+    answered: bool = False
 
     @property
     def attempt(self) -> Attempt:
@@ -201,7 +202,14 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class AttemptFailed(RequestEvent):
+class AttemptEvent(RequestEvent):
+    """Base of the events of one attempt; those of an earlier attempt are ignored."""
+
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AttemptFailed(AttemptEvent):
     """An attempt ended without an answer that could be passed on."""
 
     outcome: AttemptOutcome
@@ -210,14 +218,14 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class AttemptAnswered(RequestEvent):
+class AttemptAnswered(AttemptEvent):
     """The head of an endpoint's answer has arrived."""
 
     status: int
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class AnswerEnded(RequestEvent):
+class AnswerEnded(AttemptEvent):
     """The answer has gone to the caller, or was cut; ``whole`` tells which."""
 
     whole: bool
--- /dev/null
+++ b/chivetrack/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: edges around the decision components, and their assembly."""
--- /dev/null
+++ b/chivetrack/daemon/const.py
@@ -0,0 +1,16 @@
+"""Constants of the daemon."""
+
+from typing import Final
+
+HEADER_TIMEOUT_S: Final = 20.0
+IDLE_TIMEOUT_S: Final = 75.0
+BACKLOG: Final = 1024
+STOP_POLL_S: Final = 0.02
+STOP_QUIET_S: Final = 0.2
+LONGEST_SLEEP_S: Final = 0.5
+
+EXIT_OK: Final = 0
+EXIT_CUT: Final = 1
+EXIT_SETTINGS: Final = 3
+EXIT_START: Final = 4
+EXIT_STORAGE: Final = 5
--- /dev/null
+++ b/chivetrack/daemon/runner.py
@@ -0,0 +1,71 @@
+"""Carries events into the decisions and their effects out."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+import gevent
+from gevent.event import Event as Signal
+
+from chivetrack.core import Effect, Event, TimeReached, WakeAt
+from chivetrack.daemon.const import LONGEST_SLEEP_S
+
+EffectHandler = Callable[[Effect], None]
+
+
+class Decisions(Protocol):
+    """What the runner drives."""
+
+    def handle(self, event: Event, *, now: float) -> list[Effect]:
+        """Take an event, return effects."""
+        ...
+
+
+class Runner:
+    """Drives one decision object; only one greenlet is inside it at a time.
+
+    The decisions never switch greenlets, so ``post`` needs no lock.
+    """
+
+    def __init__(self, *, decisions: Decisions, read_clock: Callable[[], float]) -> None:
+        """Take the decisions and a monotonic clock (seconds)."""
+        self._decisions = decisions
+        self._read_clock = read_clock
+        self._handlers: dict[type[Effect], EffectHandler] = {}
+        self._wake_at = float("inf")
+        self._rearmed = Signal()
+
+    def handle_effects(self, effect_type: type[Effect], handler: EffectHandler) -> None:
+        """Have effects of a type, and of its subclasses, carried out by ``handler``."""
+        self._handlers[effect_type] = handler
+
+    def post(self, event: Event) -> None:
+        """Hand in an event and carry out what follows from it."""
+        for effect in self._decisions.handle(event, now=self._read_clock()):
+            self._carry_out(effect)
+
+    def _carry_out(self, effect: Effect) -> None:
+        if isinstance(effect, WakeAt):
+            self._arm(effect.at)
+            return
+        for effect_type in type(effect).__mro__:
+            handler = self._handlers.get(effect_type)
+            if handler is not None:
+                handler(effect)
+                return
+        raise TypeError(f"nobody carries out {type(effect).__name__}")
+
+    def _arm(self, at: float) -> None:
+        if at < self._wake_at:
+            self._wake_at = at
+            self._rearmed.set()
+
+    def run(self) -> None:
+        """Hand in the time whenever it is due; runs until killed."""
+        while True:
+            self._rearmed.clear()
+            wait_s = min(self._wake_at - self._read_clock(), LONGEST_SLEEP_S)
+            if wait_s > 0 and self._rearmed.wait(wait_s):
+                continue
+            self._wake_at = float("inf")
+            self.post(TimeReached())
+            gevent.sleep(0)
