Add proposals, claims and the router node

Change: a client that sends submissions to the believed leader until their deadline and ends them as accepted, refused or unknown; a keeper that turns the flow's claims into commands of the store and frees those whose grant was lost; a node that composes the parts, events in, effects out. Ruled out: blocking calls for claims; the decisions could then not be driven by anything but the daemon.

--- /dev/null
+++ b/chivetrack/components/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Claims on idempotency keys, held in the replicated log."""
--- /dev/null
+++ b/chivetrack/components/claims/keeper.py
@@ -0,0 +1,170 @@
+"""Asks the log for claims and reports how they ended."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from chivetrack.components.claims.const import (
+    CLAIM_MARGIN_S,
+    CLAIM_TIMEOUT_S,
+    REPORT_TIMEOUT_S,
+)
+from chivetrack.components.claims.faults import claim_unavailable, find_claim_fault
+from chivetrack.components.pipeline.models import AskClaim, ClaimAnswered, EndClaim, StoredAnswer
+from chivetrack.components.proposals.models import SubmissionEnded, Submit
+from chivetrack.components.store.commands import (
+    AbandonClaim,
+    Claim,
+    Command,
+    FinishClaim,
+    ReportClaimUnknown,
+    Stamp,
+)
+from chivetrack.components.store.outcomes import ClaimAnswer, ClaimState
+from chivetrack.const import MILLISECONDS_PER_SECOND
+from chivetrack.exceptions import Fault, Ran
+from chivetrack.helpers.codec import pack, unpack
+
+CLAIM_PREFIX = "claim:"
+REPORT_PREFIX = "claim-report:"
+CLEANUP_PREFIX = "claim-cleanup:"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Asked:
+    """A claim that was asked for; ``data`` is its command."""
+
+    ask: AskClaim
+    data: bytes
+
+
+class ClaimKeeper:
+    """Turns the flow's claim effects into submissions, and their ends into events.
+
+    ``make_holder`` gives a text that is unique to one attempt of one router;
+    ``to_wall_ms`` maps ``now`` to milliseconds since 1970 for the store's clock.
+    """
+
+    def __init__(
+        self, *, make_holder: Callable[[str], str], to_wall_ms: Callable[[float], int]
+    ) -> None:
+        """Start with no claims."""
+        self._make_holder = make_holder
+        self._to_wall_ms = to_wall_ms
+        self._asked: dict[str, _Asked] = {}
+        self._grants: dict[str, int] = {}
+
+    def ask(self, effect: AskClaim, *, now: float) -> Submit:
+        """Return the submission that asks for a claim."""
+        holder = self._make_holder(effect.request_id)
+        run_ms = int((effect.lifetime_s + CLAIM_MARGIN_S) * MILLISECONDS_PER_SECOND)
+        command = Claim(
+            stamp=Stamp(time_ms=self._to_wall_ms(now), request_id=holder),
+            workspace=effect.workspace,
+            key=effect.key,
+            fingerprint=effect.fingerprint.encode(),
+            holder=holder,
+            run_ms=run_ms,
+        )
+        asked = _Asked(ask=effect, data=pack(command))
+        self._asked[effect.request_id] = asked
+        deadline = now + min(CLAIM_TIMEOUT_S, effect.lifetime_s)
+        return self._submit(CLAIM_PREFIX + effect.request_id, asked.data, deadline)
+
+    def end(self, effect: EndClaim, *, now: float) -> Submit | None:
+        """Return the submission that reports how a claimed request ended."""
+        grant = self._grants.pop(effect.request_id, None)
+        if grant is None:
+            return None
+        command = self._make_report(effect, grant, now)
+        submission_id = REPORT_PREFIX + effect.request_id
+        return self._submit(submission_id, pack(command), now + REPORT_TIMEOUT_S)
+
+    @staticmethod
+    def _submit(submission_id: str, data: bytes, deadline: float) -> Submit:
+        return Submit(submission_id=submission_id, data=data, deadline=deadline)
+
+    def _make_report(self, effect: EndClaim, grant: int, now: float) -> Command:
+        holder = self._make_holder(effect.request_id)
+        stamp = Stamp(time_ms=self._to_wall_ms(now), request_id=f"{holder}:end")
+        if effect.answer is not None:
+            return FinishClaim(
+                stamp=stamp,
+                workspace=effect.workspace,
+                key=effect.key,
+                grant=grant,
+                status=effect.answer.status,
+                content_type=effect.answer.content_type,
+                body=effect.answer.body,
+            )
+        report = AbandonClaim if effect.did_not_run else ReportClaimUnknown
+        return report(stamp=stamp, workspace=effect.workspace, key=effect.key, grant=grant)
+
+    def take_end(self, ended: SubmissionEnded, *, now: float) -> ClaimAnswered | Submit | None:
+        """Return what follows from the end of a submission of this component."""
+        if ended.submission_id.startswith(CLAIM_PREFIX):
+            return self._take_claim(ended, now)
+        if ended.submission_id.startswith(CLEANUP_PREFIX):
+            return self._take_cleanup(ended, now)
+        return None
+
+    def needs_cleanup(self, ended: SubmissionEnded) -> bool:
+        """Return whether a claim may have been granted without anybody knowing."""
+        is_claim = ended.submission_id.startswith(CLAIM_PREFIX)
+        return is_claim and ended.fault is not None and ended.fault.ran is not Ran.NO
+
+    def clean_up(self, ended: SubmissionEnded, *, now: float) -> Submit:
+        """Return the submission that finds out about a claim whose answer was lost.
+
+        The request was refused and never sent. Were its claim left in the log, its
+        resend would hear "in progress" until the claim runs out, and then "unknown".
+        """
+        request_id = ended.submission_id.removeprefix(CLAIM_PREFIX)
+        data = self._asked[request_id].data
+        return self._submit(CLEANUP_PREFIX + request_id, data, now + REPORT_TIMEOUT_S)
+
+    def _take_claim(self, ended: SubmissionEnded, now: float) -> ClaimAnswered:
+        request_id = ended.submission_id.removeprefix(CLAIM_PREFIX)
+        asked = self._asked[request_id]
+        if not self.needs_cleanup(ended):
+            del self._asked[request_id]
+        if ended.fault is not None:
+            return self._answer(asked, fault=claim_unavailable(ended.fault.retry_after_s))
+        answer = unpack(ended.result)
+        if not isinstance(answer, ClaimAnswer):
+            return self._answer(asked, fault=claim_unavailable(None))
+        if answer.state is ClaimState.GRANTED:
+            self._grants[request_id] = answer.grant
+            return self._answer(asked)
+        if answer.state is ClaimState.FINISHED and answer.body_kept:
+            stored = StoredAnswer(
+                status=answer.status, content_type=answer.content_type, body=answer.body
+            )
+            return self._answer(asked, stored=stored)
+        return self._answer(asked, fault=find_claim_fault(answer))
+
+    @staticmethod
+    def _answer(
+        asked: _Asked, *, fault: Fault | None = None, stored: StoredAnswer | None = None
+    ) -> ClaimAnswered:
+        return ClaimAnswered(
+            request_id=asked.ask.request_id,
+            workspace=asked.ask.workspace,
+            key=asked.ask.key,
+            fault=fault,
+            stored=stored,
+        )
+
+    def _take_cleanup(self, ended: SubmissionEnded, now: float) -> Submit | None:
+        request_id = ended.submission_id.removeprefix(CLEANUP_PREFIX)
+        asked = self._asked.pop(request_id)
+        answer = unpack(ended.result) if ended.fault is None else None
+        if not isinstance(answer, ClaimAnswer) or answer.state is not ClaimState.GRANTED:
+            return None
+        self._grants[request_id] = answer.grant
+        end = EndClaim(
+            request_id=request_id,
+            workspace=asked.ask.workspace,
+            key=asked.ask.key,
+            did_not_run=True,
+        )
+        return self.end(end, now=now)
--- /dev/null
+++ b/chivetrack/components/proposals/client.py
@@ -0,0 +1,183 @@
+"""Finds the leader for each submission, and goes on looking until its deadline."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from random import Random
+
+from chivetrack.components.proposals.const import (
+    ANSWER_TIMEOUT_S,
+    MAX_PENDING,
+    RETRY_AFTER_S,
+    RETRY_DELAY_S,
+)
+from chivetrack.components.proposals.models import (
+    ForwardProposal,
+    ForwardRead,
+    ProposalAnswer,
+    SubmissionEnded,
+    Submit,
+    SubmitRead,
+    Verdict,
+)
+from chivetrack.core import Effect, Event, MessageReceived, SendMessage, TimeReached, WakeAt
+from chivetrack.exceptions import Fault, Ran
+
+
+def no_leader(*, ran: Ran) -> Fault:
+    """Return the fault for a submission that no leader answered in time."""
+    if ran is Ran.NO:
+        message = "No leader could be reached; the command was not accepted."
+        code = "no_leader"
+    else:
+        message = "The answer was lost; send it again with the same request id to learn more."
+        code = "outcome_unknown"
+    return Fault(code=code, message=message, status=503, ran=ran, retry_after_s=RETRY_AFTER_S)
+
+
+@dataclass(slots=True, kw_only=True)
+class _Pending:
+    """A submission under way; ``number`` names its newest try.
+
+    ``lost`` says that an earlier try had no clear answer, so it may be in the log.
+    """
+
+    submission: Submit | SubmitRead
+    number: int = 0
+    target: str = ""
+    retry_at: float = 0.0
+    lost: bool = False
+
+
+class ProposalClient:
+    """Sends submissions to the replica that is believed to lead.
+
+    A try that gets no answer may have been accepted, so it is tried again (the
+    request id in the command makes that safe) and, at the deadline, ends as unknown
+    rather than refused.
+    """
+
+    def __init__(self, *, instance_id: str, replicas: Sequence[str], random: Random) -> None:
+        """Take the instance ids of the replicas; ``set_replicas`` changes them."""
+        self._instance_id = instance_id
+        self._replicas = list(replicas)
+        self._random = random
+        self._leader = ""
+        self._pending: dict[str, _Pending] = {}
+        self._by_number: dict[int, str] = {}
+        self._next_number = 1
+
+    @property
+    def leader(self) -> str:
+        """Return the instance id of the believed leader, or an empty text."""
+        return self._leader
+
+    def set_replicas(self, replicas: Sequence[str]) -> None:
+        """Replace the instances that are asked."""
+        self._replicas = list(replicas)
+
+    def note_leader(self, leader: str) -> None:
+        """Take a hint about who leads."""
+        self._leader = leader
+
+    def handle(self, event: Event, *, now: float) -> list[Effect]:
+        """Take a submission, an answer or the time."""
+        if isinstance(event, Submit | SubmitRead):
+            return self._open(event, now)
+        if isinstance(event, MessageReceived) and isinstance(event.message, ProposalAnswer):
+            return self._take_answer(event.source, event.message, now)
+        if isinstance(event, TimeReached):
+            return self._tick(now)
+        return []
+
+    def _open(self, submission: Submit | SubmitRead, now: float) -> list[Effect]:
+        if len(self._pending) >= MAX_PENDING:
+            fault = no_leader(ran=Ran.NO)
+            return [SubmissionEnded(submission_id=submission.submission_id, fault=fault)]
+        pending = _Pending(submission=submission)
+        self._pending[submission.submission_id] = pending
+        return self._try(pending, now)
+
+    def _try(self, pending: _Pending, now: float) -> list[Effect]:
+        target = self._choose_target(pending)
+        if target is None:
+            return self._wait(pending, now)
+        if self._by_number.pop(pending.number, None) is not None:
+            pending.lost = True
+        pending.number = self._next_number
+        self._next_number += 1
+        self._by_number[pending.number] = pending.submission.submission_id
+        pending.target = target
+        pending.retry_at = min(now + ANSWER_TIMEOUT_S, pending.submission.deadline)
+        message: ForwardProposal | ForwardRead = ForwardRead(pending.number)
+        if isinstance(pending.submission, Submit):
+            message = ForwardProposal(pending.number, pending.submission.data)
+        return [SendMessage(target=target, message=message), WakeAt(at=pending.retry_at)]
+
+    def _choose_target(self, pending: _Pending) -> str | None:
+        if self._leader:
+            return self._leader
+        others = [name for name in self._replicas if name != pending.target]
+        candidates = others or self._replicas
+        return self._random.choice(candidates) if candidates else None
+
+    def _wait(self, pending: _Pending, now: float) -> list[Effect]:
+        pending.retry_at = min(now + RETRY_DELAY_S, pending.submission.deadline)
+        return [WakeAt(at=pending.retry_at)]
+
+    def _take_answer(self, source: str, answer: ProposalAnswer, now: float) -> list[Effect]:
+        submission_id = self._by_number.pop(answer.number, None)
+        if submission_id is None:
+            return []
+        pending = self._pending[submission_id]
+        if answer.verdict is Verdict.ACCEPTED:
+            self._leader = source
+            return self._end(pending, result=answer.result, revision=answer.revision)
+        self._leader = answer.leader if answer.leader != source else ""
+        if answer.verdict is Verdict.REFUSED:
+            return self._retry_refused(pending, now)
+        pending.lost = True
+        return self._wait(pending, now)
+
+    def _retry_refused(self, pending: _Pending, now: float) -> list[Effect]:
+        if self._leader:
+            return self._try(pending, now)
+        return self._wait(pending, now)
+
+    def _tick(self, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        for pending in list(self._pending.values()):
+            if now >= pending.submission.deadline:
+                ran = Ran.MAYBE if self._may_be_accepted(pending) else Ran.NO
+                effects.extend(self._end(pending, fault=no_leader(ran=ran)))
+            elif now >= pending.retry_at:
+                effects.extend(self._retry_silent(pending, now))
+            else:
+                effects.append(WakeAt(at=pending.retry_at))
+        return effects
+
+    def _may_be_accepted(self, pending: _Pending) -> bool:
+        # A try without an answer can't be told from one that was never delivered.
+        is_open = pending.number in self._by_number
+        return isinstance(pending.submission, Submit) and (pending.lost or is_open)
+
+    def _retry_silent(self, pending: _Pending, now: float) -> list[Effect]:
+        if pending.target == self._leader:
+            self._leader = ""
+        return self._try(pending, now)
+
+    def _end(
+        self,
+        pending: _Pending,
+        *,
+        result: bytes = b"",
+        revision: int = 0,
+        fault: Fault | None = None,
+    ) -> list[Effect]:
+        submission_id = pending.submission.submission_id
+        self._by_number.pop(pending.number, None)
+        del self._pending[submission_id]
+        return [
+            SubmissionEnded(
+                submission_id=submission_id, result=result, revision=revision, fault=fault
+            )
+        ]
--- /dev/null
+++ b/chivetrack/node.py
@@ -0,0 +1,93 @@
+"""One router instance as decisions: every event enters here, every effect leaves here.
+
+This is the door for a daemon, a test or a bench: hand in an event and the time, carry
+out the effects. Instances, time, messages and requests may be the driver's own. There
+are no globals; two nodes in one process share nothing.
+"""
+
+from collections import deque
+from collections.abc import Sequence
+
+from chivetrack.components.claims.keeper import ClaimKeeper
+from chivetrack.components.pipeline.flow import RequestFlow
+from chivetrack.components.pipeline.models import AskClaim, EndClaim, RequestEvent
+from chivetrack.components.proposals.client import ProposalClient
+from chivetrack.components.proposals.models import SubmissionEnded, Submit, SubmitRead
+from chivetrack.core import Component, Effect, Event, TimeReached, WakeAt
+
+
+class RouterNode:
+    """Composes the decision components of one router.
+
+    ``handle`` takes any event of the components. Effects that concern only other
+    components (claims and their submissions) are followed inside; the rest are the
+    driver's: messages, attempts, final answers, ended submissions and one ``WakeAt``.
+    """
+
+    def __init__(
+        self,
+        *,
+        flow: RequestFlow,
+        proposals: ProposalClient,
+        claims: ClaimKeeper,
+        components: Sequence[Component],
+    ) -> None:
+        """Take the parts; ``components`` get every message and every tick."""
+        self._flow = flow
+        self._proposals = proposals
+        self._claims = claims
+        self._components = (proposals, *components)
+
+    def handle(self, event: Event, *, now: float) -> list[Effect]:
+        """Take one event at time ``now`` (seconds, never going back)."""
+        waiting = deque(self._dispatch(event, now))
+        effects: list[Effect] = []
+        wake_at = float("inf")
+        while waiting:
+            effect = waiting.popleft()
+            if isinstance(effect, WakeAt):
+                wake_at = min(wake_at, effect.at)
+            elif isinstance(effect, AskClaim | EndClaim | SubmissionEnded):
+                waiting.extend(self._follow(effect, now))
+                if isinstance(effect, SubmissionEnded):
+                    effects.append(effect)
+            else:
+                effects.append(effect)
+        if wake_at != float("inf"):
+            effects.append(WakeAt(at=wake_at))
+        return effects
+
+    def _dispatch(self, event: Event, now: float) -> list[Effect]:
+        if isinstance(event, RequestEvent):
+            return self._flow.handle(event, now=now)
+        if isinstance(event, Submit | SubmitRead):
+            return self._proposals.handle(event, now=now)
+        effects: list[Effect] = []
+        for component in self._components:
+            effects.extend(component.handle(event, now=now))
+        return effects
+
+    def _follow(self, effect: Effect, now: float) -> list[Effect]:
+        if isinstance(effect, AskClaim):
+            return self._proposals.handle(self._claims.ask(effect, now=now), now=now)
+        if isinstance(effect, EndClaim):
+            report = self._claims.end(effect, now=now)
+            return [] if report is None else self._proposals.handle(report, now=now)
+        assert isinstance(effect, SubmissionEnded)
+        return self._follow_submission(effect, now)
+
+    def _follow_submission(self, ended: SubmissionEnded, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        if self._claims.needs_cleanup(ended):
+            clean_up = self._claims.clean_up(ended, now=now)
+            effects.extend(self._proposals.handle(clean_up, now=now))
+        following = self._claims.take_end(ended, now=now)
+        if isinstance(following, Submit):
+            effects.extend(self._proposals.handle(following, now=now))
+        elif following is not None:
+            effects.extend(self._flow.handle(following, now=now))
+        return effects
+
+    def start(self, *, now: float) -> list[Effect]:
+        """Begin: the first tick, which arms all timers."""
+        return self.handle(TimeReached(), now=now)
