Hold the endpoint client to its promises by a table of broken answers

Cause: a broken, mixed-up or late answer of an engine must never pass for whole. Change: a scripted endpoint plays each fault byte for byte; tests for outcomes, broken bodies, and connection reuse after a cancel.

Each test was seen to fail with its safeguard taken out: echoed id, framing, end mark, own connection for non-idempotent requests, closing after a cancel, the endpoint's own refusal. Not proved here: the stall timeout alone, since without it the request's own timeout ends the wait too; that needs a process test.

--- a/chivetrack/components/upstream/client.py
+++ b/chivetrack/components/upstream/client.py
@@ -140,9 +140,9 @@
             pool = self._pools[request.address] = self._open_pool(request.address)
         return pool
 
-    def _open_pool(self, address: str) -> urllib3.HTTPConnectionPool:
-        host, _, port = address.rpartition(":")
-        return urllib3.HTTPConnectionPool(host, int(port), maxsize=POOL_SIZE, block=False)
+    @staticmethod
+    def _open_pool(address: str) -> urllib3.HTTPConnectionPool:
+        return urllib3.connection_from_url(address, maxsize=POOL_SIZE, block=False)
 
     def _check_head(
         self,
--- a/chivetrack/components/upstream/models.py
+++ b/chivetrack/components/upstream/models.py
@@ -21,7 +21,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class UpstreamRequest:
-    """One request as it goes to one endpoint; times in seconds."""
+    """One request as it goes to one endpoint.
+
+    ``address`` is the endpoint's base URL, times are in seconds.
+    """
 
     request_id: str
     address: str
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -252,9 +252,7 @@
     address = f"{host}:{server.server_port}"
 
     def make_announcement(state: str) -> dict[str, Any]:
-        return identity.make_announcement(
-            address=address, state=state, lease_s=LEASE_S, in_flight=endpoint.in_flight
-        )
+        return identity.make_announcement(address=address, state=state, lease_s=LEASE_S)
 
     announcer = Announcer(targets=announce_to, make_announcement=make_announcement, key=key)
     loop = gevent.spawn(announcer.run)
--- a/standins/models.py
+++ b/standins/models.py
@@ -57,9 +57,7 @@
     capacity: int
     models: list[str] = field(default_factory=list)
 
-    def make_announcement(
-        self, *, address: str, state: str, lease_s: float, in_flight: int
-    ) -> dict[str, Any]:
+    def make_announcement(self, *, address: str, state: str, lease_s: float) -> dict[str, Any]:
         """Return the announcement as JSON would have it."""
         return {
             "id": self.endpoint_id,
@@ -68,10 +66,9 @@
             "state": state,
             "kind": self.kind,
             "service": self.service,
-            "address": address,
+            "address": f"http://{address}",
             "region": self.region,
-            "availability_zone": self.zone,
+            "zone": self.zone,
             "capacity": self.capacity,
             "models": self.models,
-            "in_flight": in_flight,
         }
--- /dev/null
+++ b/tests/components/upstream/server.py
@@ -0,0 +1,81 @@
+"""A scripted endpoint: answers raw bytes, so that every fault can be played exactly."""
+
+import socket
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+HEAD_END = b"\r\n\r\n"
+
+
+@dataclass(frozen=True, slots=True)
+class Stall:
+    """Send nothing until the client has gone."""
+
+
+@dataclass(slots=True)
+class Script:
+    """What one connection answers to each of its requests; then it is closed."""
+
+    answers: list[list[bytes | Stall]] = field(default_factory=list)
+
+
+class ScriptedServer:
+    """Serves one script a connection and keeps what it received."""
+
+    def __init__(self, scripts: list[Script]) -> None:
+        self._scripts = scripts
+        self.connections = 0
+        self.requests: list[bytes] = []
+        self._socket = socket.create_server(("127.0.0.1", 0))
+        self.address = f"http://127.0.0.1:{self._socket.getsockname()[1]}"
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def _run(self) -> None:
+        for script in self._scripts:
+            try:
+                connection, _ = self._socket.accept()
+            except OSError:
+                return
+            self.connections += 1
+            thread = threading.Thread(target=self._serve, args=(connection, script), daemon=True)
+            thread.start()
+
+    def _serve(self, connection: socket.socket, script: Script) -> None:
+        with connection:
+            self._answer(connection, script)
+
+    def _answer(self, connection: socket.socket, script: Script) -> None:
+        for answer in script.answers:
+            if not self._read(connection):
+                return
+            for part in answer:
+                if isinstance(part, Stall):
+                    connection.recv(1)
+                    return
+                connection.sendall(part)
+
+    def _read(self, connection: socket.socket) -> bool:
+        data = b""
+        while HEAD_END not in data:
+            received = connection.recv(65536)
+            if not received:
+                return False
+            data += received
+        self.requests.append(data)
+        return True
+
+    def close(self) -> None:
+        self._socket.close()
+
+
+@contextmanager
+def open_server(*scripts: Script) -> Iterator[ScriptedServer]:
+    """Give a server for so many connections."""
+    server = ScriptedServer(list(scripts))
+    try:
+        yield server
+    finally:
+        server.close()
--- /dev/null
+++ b/tests/components/upstream/test_client.py
@@ -0,0 +1,143 @@
+"""The engine client against broken answers, as a table."""
+
+import socket
+import unittest
+
+from chivetrack.components.upstream.client import UpstreamClient
+from chivetrack.components.upstream.models import (
+    AttemptOutcome,
+    BrokenAnswerError,
+    UpstreamRequest,
+)
+from tests.components.upstream.server import Script, Stall, open_server
+
+OK = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+STREAM_END = b"e\r\ndata: [DONE]\n\n\r\n"
+LAST = b"0\r\n\r\n"
+
+
+def make_request(address: str, **changes: object) -> UpstreamRequest:
+    fields = {
+        "request_id": "r1",
+        "address": address,
+        "method": "GET",
+        "path": "/x",
+        "headers": {"X-Request-Id": "r1"},
+        "body": b"",
+        "timeout_s": 5.0,
+        "stall_timeout_s": 0.2,
+        "idempotent": True,
+    }
+    return UpstreamRequest(**{**fields, **changes})  # type: ignore[arg-type]
+
+
+class NoAnswerTest(unittest.TestCase):
+    def test_what_is_known_of_an_attempt_without_an_answer(self) -> None:
+        """An engine fails before the head of an answer has arrived.
+
+        "Not sent" may be retried by anybody, so it must be said only when no byte
+        can have left; a mixed-up answer must reach nobody.
+        """
+        wrong = OK + b"X-Request-Id: r0\r\nContent-Length: 2\r\n\r\nhi"
+        refusal = (
+            b"HTTP/1.1 503 X\r\nX-Did-Not-Run: true\r\nRetry-After: 7\r\nContent-Length: 0\r\n\r\n"
+        )
+        table = [
+            ("closed after the request", [], AttemptOutcome.MAYBE_RAN),
+            ("not HTTP", [b"hello\r\n\r\n"], AttemptOutcome.MAYBE_RAN),
+            ("answer to another request", [wrong], AttemptOutcome.MAYBE_RAN),
+            ("no length, not chunked", [OK + b"\r\nhello"], AttemptOutcome.MAYBE_RAN),
+            ("engine says it did not run", [refusal], AttemptOutcome.REFUSED),
+        ]
+        for name, parts, outcome in table:
+            with self.subTest(name), open_server(Script([parts])) as server:
+                result = UpstreamClient().send(make_request(server.address))
+                self.assertTrue(result.is_error())
+                self.assertIs(result.error.outcome, outcome)
+                if outcome is AttemptOutcome.REFUSED:
+                    self.assertEqual(result.error.retry_after_s, 7.0)
+
+    def test_nobody_listens(self) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as taken:
+            address = f"http://127.0.0.1:{taken.getsockname()[1]}"
+        result = UpstreamClient().send(make_request(address))
+        self.assertIs(result.error.outcome, AttemptOutcome.NOT_SENT)
+
+    def test_silent_engine(self) -> None:
+        with open_server(Script([[Stall()]])) as server:
+            result = UpstreamClient().send(make_request(server.address, timeout_s=0.2))
+            self.assertIs(result.error.outcome, AttemptOutcome.MAYBE_RAN)
+
+
+class BrokenAnswerTest(unittest.TestCase):
+    def test_an_answer_that_is_not_whole_is_an_error(self) -> None:
+        """An engine dies, stalls or loses the end of its answer after the head.
+
+        Each must end as an error: taken for whole, half a report would go to the
+        caller as if it were all.
+        """
+        chunk = b"5\r\nhello\r\n"
+        table = [
+            ("length not reached", [OK + b"Content-Length: 9\r\n\r\nhello"], False),
+            ("cut between chunks", [CHUNKED, chunk], False),
+            ("cut inside a chunk", [CHUNKED, b"9\r\nhello"], False),
+            ("bad chunk size", [CHUNKED, chunk, b"zz\r\n"], False),
+            ("silent after a chunk", [CHUNKED, chunk, Stall()], False),
+            ("clean end without the end mark", [CHUNKED, chunk, LAST], True),
+        ]
+        for name, parts, expects_end in table:
+            with self.subTest(name), open_server(Script([parts])) as server:
+                request = make_request(server.address, expects_stream_end=expects_end)
+                answer = UpstreamClient().send(request).ok
+                with self.assertRaises(BrokenAnswerError):
+                    b"".join(answer.read_chunks())
+
+    def test_whole_stream(self) -> None:
+        with open_server(Script([[CHUNKED, b"5\r\nhello\r\n", STREAM_END, LAST]])) as server:
+            request = make_request(server.address, expects_stream_end=True)
+            chunks = list(UpstreamClient().send(request).ok.read_chunks())
+            self.assertEqual(chunks, [b"hello", b"data: [DONE]\n\n"])
+
+
+class ReuseTest(unittest.TestCase):
+    def test_connection_is_reused_after_a_whole_answer(self) -> None:
+        whole = [OK + b"Content-Length: 5\r\n\r\nhello"]
+        with open_server(Script([whole, whole])) as server:
+            client = UpstreamClient()
+            for _ in range(2):
+                answer = client.send(make_request(server.address)).ok
+                self.assertEqual(b"".join(answer.read_chunks()), b"hello")
+            self.assertEqual(server.connections, 1)
+
+    def test_connection_is_not_reused_after_a_cancel(self) -> None:
+        """A caller leaves in the middle of a stream; another caller comes next.
+
+        The rest of the first answer is still on the connection. Reused, the second
+        caller would read the first one's words; so it gets a connection of its own.
+        """
+        first = [CHUNKED, b"5\r\nfirst\r\n", b"4\r\nrest\r\n"]
+        second = [OK + b"Content-Length: 6\r\n\r\nsecond"]
+        with open_server(Script([first, second]), Script([second])) as server:
+            client = UpstreamClient()
+            chunks = client.send(make_request(server.address)).ok.read_chunks()
+            self.assertEqual(next(chunks), b"first")
+            chunks.close()
+            answer = client.send(make_request(server.address)).ok
+            self.assertEqual(b"".join(answer.read_chunks()), b"second")
+            self.assertEqual(server.connections, 2)
+
+    def test_non_idempotent_request_gets_a_new_connection(self) -> None:
+        """An engine closes an idle connection just as a quote is sent on it.
+
+        Nobody can tell then whether the quote was made. On a connection of its own
+        the race can't happen.
+        """
+        whole = [OK + b"Content-Length: 5\r\n\r\nhello"]
+        with open_server(Script([whole, whole]), Script([whole])) as server:
+            client = UpstreamClient()
+            first = client.send(make_request(server.address)).ok
+            self.assertEqual(b"".join(first.read_chunks()), b"hello")
+            second = client.send(make_request(server.address, idempotent=False)).ok
+            self.assertEqual(b"".join(second.read_chunks()), b"hello")
+            self.assertEqual(server.connections, 2)
