--- /dev/null
+++ b/tests/helpers/telemetry/stalled_collector.py
@@ -0,0 +1,62 @@
+"""A program for the tests: requests while the collector accepts and never answers.
+
+Runs as its own process, since it patches the standard library for gevent. Prints
+``survived`` when all requests and the close were through while no export was answered.
+"""
+
+import gevent.monkey
+
+gevent.monkey.patch_all()
+
+import gc  # noqa: E402
+import socket  # noqa: E402
+import threading  # noqa: E402
+from unittest import mock  # noqa: E402
+
+import gevent  # noqa: E402
+from opentelemetry.sdk.trace import ReadableSpan  # noqa: E402
+
+from chivetrack.helpers.telemetry import const, open_telemetry  # noqa: E402
+
+REQUESTS = 4 * const.MAX_QUEUED_SPANS
+HANG_S = 20.0
+
+
+def serve_nothing(listener: socket.socket, held: list[socket.socket]) -> None:
+    """Accept connections and leave every one of them without an answer."""
+    while True:
+        connection, _ = listener.accept()
+        held.append(connection)
+
+
+def main() -> None:
+    """Send many sampled requests past a collector that has stalled."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    held: list[socket.socket] = []
+    threading.Thread(target=serve_nothing, args=(listener, held), daemon=True).start()
+    endpoint = f"http://127.0.0.1:{listener.getsockname()[1]}"
+    with (
+        gevent.Timeout(HANG_S),
+        mock.patch.object(const, "EXPORT_TIMEOUT_S", 10 * HANG_S),
+        mock.patch.object(const, "SPAN_EXPORT_INTERVAL_S", 0.001),
+        mock.patch.object(const, "METRIC_EXPORT_INTERVAL_S", 0.001),
+        open_telemetry(
+            instance_id="r1", otlp_endpoint=endpoint, sample_ratio=1.0, close_within_s=0.1
+        ) as telemetry,
+    ):
+        while len(held) < 2:
+            telemetry.instruments.record_retry(reason="connect")
+            with telemetry.tracer.open_hop("before"):
+                gevent.sleep(0.001)
+        for _ in range(REQUESTS):
+            with telemetry.tracer.open_hop("request"):
+                telemetry.instruments.record_chunks(service="chat", count=1)
+        text = telemetry.render_metrics().decode()
+        kept = sum(isinstance(item, ReadableSpan) for item in gc.get_objects())
+    assert kept <= const.MAX_QUEUED_SPANS + const.MAX_SPANS_PER_EXPORT, kept
+    assert f'chivetrack_chunks_total{{service="chat"}} {REQUESTS}' in text, text
+    print("survived")
+
+
+if __name__ == "__main__":
+    main()
