Add the placement experiment

Drives the real placer and load book of several routers against a table of fake engines with limited caches.

--- /dev/null
+++ b/benchmarks/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Placement measured: the real decision objects against a table of fake engines."""
--- /dev/null
+++ b/benchmarks/placement/fleet.py
@@ -0,0 +1,229 @@
+"""Policies made of the real decision objects, one set for each router."""
+
+from collections.abc import Sequence
+from functools import partial
+from random import Random
+
+from benchmarks.placement.const import (
+    CAPACITY,
+    COUNTS_DELAY_S,
+    COUNTS_LATE_S,
+    COUNTS_LATE_SHARE,
+    COUNTS_LOSS,
+    EVENT_BYTES,
+    EVENT_DELAY_S,
+    EVENT_LOSS,
+    MESSAGE_OVERHEAD_BYTES,
+    REGION,
+    SERVICE,
+    VIEW_DELAY_S,
+    WARM_UP_S,
+)
+from benchmarks.placement.engines import FakeEngine
+from benchmarks.placement.models import Request
+from benchmarks.placement.policies import POLICIES
+from benchmarks.placement.reports import subscribe_reports
+from benchmarks.placement.world import Policy, World
+from chivetrack.components.endpoints.models import EndpointKind, EndpointState
+from chivetrack.components.load.book import LoadBook
+from chivetrack.components.load.const import COUNTS_INTERVAL_S
+from chivetrack.components.load.models import LoadCounts
+from chivetrack.components.routing.hints import CacheHints
+from chivetrack.components.routing.models import Demand
+from chivetrack.components.routing.order import hash_affinity
+from chivetrack.components.routing.placer import Placer
+from chivetrack.helpers.codec import pack
+
+_ALWAYS = -1e9
+
+
+def make_endpoint(engine: FakeEngine, joined_at: float) -> EndpointState:
+    """Return an engine as a router sees it."""
+    return EndpointState(
+        endpoint_id=engine.engine_id,
+        incarnation=engine.incarnation,
+        address="127.0.0.1:1",
+        kind=EndpointKind.ENGINE,
+        service=SERVICE,
+        region=REGION,
+        zone="zone",
+        capacity=CAPACITY,
+        joined_at=joined_at,
+    )
+
+
+class RouterView:
+    """One router's list of endpoints."""
+
+    def __init__(self, *, engines: Sequence[FakeEngine]) -> None:
+        """List engines that have been there for long."""
+        self.version = 0
+        self._endpoints = {e.engine_id: make_endpoint(e, _ALWAYS) for e in engines}
+        self._listed = tuple(self._endpoints.values())
+
+    def list_endpoints(self, service: str) -> Sequence[EndpointState]:
+        """Return the endpoints."""
+        return self._listed
+
+    def apply(self, engine: FakeEngine, now: float) -> None:
+        """Take in that an engine is gone or back."""
+        self._endpoints.pop(engine.engine_id, None)
+        if engine.alive:
+            self._endpoints[engine.engine_id] = make_endpoint(engine, now)
+        self._listed = tuple(self._endpoints.values())
+        self.version += 1
+
+
+class FakeRouter:
+    """The decision objects of one router."""
+
+    def __init__(self, *, number: int, world: World) -> None:
+        """Start with the full list of engines."""
+        self.router_id = f"router-{number}"
+        self.view = RouterView(engines=list(world.engines.values()))
+        self.load = LoadBook(router_id=self.router_id)
+        self.hints = CacheHints()
+        self.placer = Placer(
+            view=self.view,
+            load=self.load,
+            random=Random(world.options.seed * 1000 + number),
+            hints=self.hints,
+        )
+
+
+class FleetPolicy(Policy):
+    """The placer and load book; subclasses switch what routers hear."""
+
+    exchanges_counts = True
+    hears_events = True
+
+    def __init__(self, *, world: World) -> None:
+        """Make the routers and subscribe them."""
+        super().__init__(world=world)
+        count = world.options.fleet.routers
+        self.routers = [FakeRouter(number=number, world=world) for number in range(count)]
+        subscribe_reports(world, count, self._report)
+        if self.exchanges_counts:
+            for router in self.routers:
+                first = world.random.uniform(0.0, COUNTS_INTERVAL_S)
+                world.call_every(COUNTS_INTERVAL_S, partial(self._send_counts, router), first=first)
+
+    def place(self, request: Request, excluded: frozenset[str]) -> str | None:
+        """Ask the placer of the request's router."""
+        demand = Demand(
+            affinity=request.key, workspace="w", service=SERVICE, region=REGION, excluded=excluded
+        )
+        endpoint = self.routers[request.router].placer.place(demand, now=self.world.now).endpoint
+        return endpoint.endpoint_id if endpoint else None
+
+    def start(self, request: Request, engine_id: str) -> None:
+        """Count the request."""
+        self.routers[request.router].load.start(engine_id, self.world.now)
+
+    def finish(self, request: Request, engine_id: str) -> None:
+        """Count the request as over."""
+        self.routers[request.router].load.finish(engine_id, self.world.now)
+
+    def _report(self, router: int, engine: FakeEngine, in_flight: int, taken_at: float) -> None:
+        self.routers[router].load.report_load(
+            engine.engine_id,
+            in_flight,
+            incarnation=engine.incarnation,
+            age_s=self.world.now - taken_at,
+            now=self.world.now,
+        )
+
+    def _send_counts(self, router: FakeRouter) -> None:
+        world = self.world
+        counts = router.load.collect_counts(world.now)
+        size = len(pack(counts)) + MESSAGE_OVERHEAD_BYTES
+        sent_at = world.now
+        for other in self.routers:
+            if other is router:
+                continue
+            self._count_bytes(sent=size, received=size)
+            if world.random.random() < COUNTS_LOSS:
+                continue
+            delay = world.random.uniform(*COUNTS_DELAY_S)
+            if world.random.random() < COUNTS_LATE_SHARE:
+                delay += COUNTS_LATE_S
+            world.call_at(
+                sent_at + delay,
+                partial(self._merge, other, router.router_id, counts, sent_at),
+            )
+
+    def _merge(self, router: FakeRouter, source: str, counts: LoadCounts, sent_at: float) -> None:
+        now = self.world.now
+        router.load.merge_counts(source, counts, age_s=now - sent_at, now=now)
+
+    def _count_bytes(self, *, sent: int = 0, received: int = 0) -> None:
+        if self.world.now >= WARM_UP_S:
+            self.world.result.sent_bytes += sent
+            self.world.result.received_bytes += received
+
+    def cache(self, engine: FakeEngine, key: str, evicted: list[str]) -> None:
+        """Deliver cache events to each router, late and partly lost."""
+        if not self.hears_events:
+            return
+        world = self.world
+        incarnation, at = engine.incarnation, world.now
+        events = [(hash_affinity(old), False) for old in evicted]
+        events.append((hash_affinity(key), True))
+        for router in self.routers:
+            self._count_bytes(received=EVENT_BYTES * len(events))
+            kept = [event for event in events if world.random.random() >= EVENT_LOSS]
+            delay = world.random.uniform(*EVENT_DELAY_S)
+            world.call_at(
+                at + delay,
+                partial(_apply_events, router.hints, kept, engine.engine_id, incarnation, at),
+            )
+
+    def change_view(self, engine: FakeEngine) -> None:
+        """Tell each router after seconds."""
+        for router in self.routers:
+            delay = self.world.random.uniform(*VIEW_DELAY_S)
+            self.world.call_at(self.world.now + delay, partial(self._apply, router, engine))
+
+    def _apply(self, router: FakeRouter, engine: FakeEngine) -> None:
+        router.view.apply(engine, self.world.now)
+        router.hints.restart(engine.engine_id, engine.incarnation)
+        if not engine.alive:
+            router.load.forget_endpoint(engine.engine_id)
+
+
+def _apply_events(
+    hints: CacheHints,
+    events: list[tuple[bytes, bool]],
+    engine_id: str,
+    incarnation: int,
+    at: float,
+) -> None:
+    for key, stored in events:
+        if stored:
+            hints.store(key, engine_id, incarnation, stored_at=at)
+        else:
+            hints.evict(key, engine_id, incarnation, evicted_at=at)
+
+
+@POLICIES.register("previous")
+class Previous(FleetPolicy):
+    """The placer by engines' reports and own requests since, without cache events."""
+
+    name = "previous"
+    exchanges_counts = False
+    hears_events = False
+
+
+@POLICIES.register("counts")
+class Counts(FleetPolicy):
+    """The placer with counts exchanged, without cache events."""
+
+    name = "counts"
+    hears_events = False
+
+
+@POLICIES.register("this")
+class This(FleetPolicy):
+    """The placer as it is wired: counts exchanged and cache events heard."""
+
+    name = "this"
--- /dev/null
+++ b/benchmarks/placement/world.py
@@ -0,0 +1,197 @@
+"""One run: arrivals, answers, reports and churn in order of time, for one policy."""
+
+import heapq
+import itertools
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from functools import partial
+from math import ceil
+from random import Random
+
+from benchmarks.placement.const import (
+    CHURN_INTERVAL_S,
+    SAMPLE_INTERVAL_S,
+    WARM_UP_S,
+)
+from benchmarks.placement.engines import FakeEngine
+from benchmarks.placement.models import Fleet, Request, Result
+from chivetrack.components.routing.models import DEFAULT_LOAD_BOUND
+
+Action = Callable[[], None]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RunOptions:
+    """What a run is made of, besides its arrivals."""
+
+    fleet: Fleet
+    seconds: float
+    lag_s: float
+    churn: bool
+    seed: int
+
+
+class World:
+    """The table of engines, the clock and the queue of what happens next."""
+
+    def __init__(self, *, options: RunOptions, policy: str) -> None:
+        """Start at time 0 with idle engines."""
+        self.options = options
+        self.now = 0.0
+        self.random = Random(options.seed)
+        fleet = options.fleet
+        self.engines = {
+            f"engine-{number}": FakeEngine(
+                engine_id=f"engine-{number}", cache_tokens=fleet.cache_tokens
+            )
+            for number in range(fleet.engines)
+        }
+        self.result = Result(policy=policy, routers=fleet.routers)
+        self._queue: list[tuple[float, int, Action]] = []
+        self._order = itertools.count()
+
+    def call_at(self, at: float, action: Action) -> None:
+        """Run an action at a time."""
+        heapq.heappush(self._queue, (at, next(self._order), action))
+
+    def call_every(self, interval: float, action: Action, *, first: float) -> None:
+        """Run an action again and again until the run ends."""
+
+        def run() -> None:
+            action()
+            if self.now + interval < self.options.seconds:
+                self.call_at(self.now + interval, run)
+
+        self.call_at(first, run)
+
+    def list_alive(self) -> list[FakeEngine]:
+        """Return the engines that run."""
+        return [engine for engine in self.engines.values() if engine.alive]
+
+    def run_until(self, time: float) -> None:
+        """Do everything that is due before a time."""
+        queue = self._queue
+        while queue and queue[0][0] <= time:
+            at, _, action = heapq.heappop(queue)
+            self.now = at
+            action()
+        self.now = time
+
+
+class Policy:
+    """Where requests go; a subclass hears of everything it may know."""
+
+    name = ""
+
+    def __init__(self, *, world: World) -> None:
+        """Subscribe to what the policy needs."""
+        self.world = world
+
+    def place(self, request: Request, excluded: frozenset[str]) -> str | None:
+        """Return the engine for a request."""
+        raise NotImplementedError
+
+    def start(self, request: Request, engine_id: str) -> None:
+        """Hear that a request was sent."""
+
+    def finish(self, request: Request, engine_id: str) -> None:
+        """Hear that a request is over."""
+
+    def cache(self, engine: FakeEngine, key: str, evicted: list[str]) -> None:
+        """Hear what an engine cached and evicted, to be delivered as events."""
+
+    def change_view(self, engine: FakeEngine) -> None:
+        """Hear that an engine is gone or back."""
+
+
+def run_policy(
+    options: RunOptions, make_policy: type[Policy], requests: Iterable[Request]
+) -> Result:
+    """Run the arrivals through a policy and return what was measured."""
+    world = World(options=options, policy=make_policy.name)
+    run = _Run(world, make_policy(world=world))
+    for request in requests:
+        world.run_until(request.at)
+        run.send(request, frozenset())
+    world.run_until(options.seconds)
+    result = world.result
+    result.seconds = options.seconds
+    return result
+
+
+class _Run:
+    def __init__(self, world: World, policy: Policy) -> None:
+        self._world = world
+        self._policy = policy
+        self._mean_sum = 0.0
+        self._running: dict[str, dict[int, Request]] = {name: {} for name in world.engines}
+        self._over = 0
+        world.call_every(SAMPLE_INTERVAL_S, self._sample, first=WARM_UP_S)
+        if world.options.churn:
+            world.call_every(CHURN_INTERVAL_S, self._churn, first=CHURN_INTERVAL_S)
+
+    def send(self, request: Request, excluded: frozenset[str]) -> None:
+        """Place and run a request; on a dead engine, once more elsewhere."""
+        world, result = self._world, self._world.result
+        engine_id = self._policy.place(request, excluded)
+        if engine_id is None:
+            result.refused += 1
+            return
+        engine = world.engines[engine_id]
+        if not engine.alive:
+            # The connect fails, so the request was certainly not sent.
+            result.resent += 1
+            self.send(request, excluded | {engine_id})
+            return
+        self._policy.start(request, engine_id)
+        self._serve(request, engine)
+
+    def _serve(self, request: Request, engine: FakeEngine) -> None:
+        world, result = self._world, self._world.result
+        engine.in_flight += 1
+        reused, evicted = engine.run(request.key, request.prompt_tokens, request.answer_tokens)
+        self._policy.cache(engine, request.key, evicted)
+        result.placed += 1
+        if world.now >= WARM_UP_S:
+            result.prompt_tokens += request.prompt_tokens
+            result.reused_tokens += reused
+        self._running[engine.engine_id][request.number] = request
+        world.call_at(world.now + request.service_s, partial(self._finish, request, engine))
+
+    def _finish(self, request: Request, engine: FakeEngine) -> None:
+        if self._running[engine.engine_id].pop(request.number, None) is None:
+            return
+        engine.in_flight -= 1
+        self._policy.finish(request, engine.engine_id)
+
+    def _fail(self, engine: FakeEngine) -> None:
+        """Cut all requests of an engine; their routers see it at once."""
+        engine.fail()
+        cut = self._running[engine.engine_id]
+        self._world.result.lost += len(cut)
+        for request in cut.values():
+            self._policy.finish(request, engine.engine_id)
+        cut.clear()
+
+    def _sample(self) -> None:
+        loads = [engine.in_flight for engine in self._world.list_alive()]
+        mean = sum(loads) / len(loads)
+        if not mean:
+            return
+        result = self._world.result
+        result.skews.append(max(loads) / mean)
+        self._over += max(loads) > max(DEFAULT_LOAD_BOUND * mean, ceil(mean))
+        self._mean_sum += mean
+        result.mean_in_flight = self._mean_sum / len(result.skews)
+        result.over_bound = self._over / len(result.skews)
+
+    def _churn(self) -> None:
+        world = self._world
+        gone = [engine for engine in world.engines.values() if not engine.alive]
+        if gone:
+            engine = gone[0]
+            engine.restart()
+        else:
+            engine = world.random.choice(world.list_alive())
+            self._fail(engine)
+        self._policy.change_view(engine)
