--- /dev/null
+++ b/chivetrack/components/directory/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration in force, in the form in which the pipeline reads it."""
--- /dev/null
+++ b/chivetrack/components/directory/directory.py
@@ -0,0 +1,132 @@
+"""Workspaces, policies and models of the configuration view, for the pipeline."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+from chivetrack.components.configuration.view import ConfigView
+from chivetrack.components.endpoints.models import EndpointState
+from chivetrack.components.resources.const import ANY_NAME
+from chivetrack.components.resources.keys import check_key
+from chivetrack.components.resources.models import RoutingPolicy, Workspace
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WorkspaceHandle:
+    """A workspace with its name."""
+
+    name: str
+    form: Workspace
+
+    @property
+    def priority(self) -> int:
+        """Return the priority that engines are told."""
+        return self.form.priority
+
+    def allows(self, service: str) -> bool:
+        """Return whether the workspace may use a service; an empty list allows none."""
+        return service in self.form.services or ANY_NAME in self.form.services
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PolicyHandle:
+    """A routing policy; times in seconds."""
+
+    form: RoutingPolicy
+
+    @property
+    def load_bound(self) -> float:
+        """Return the multiple of the mean load that no endpoint may exceed."""
+        return self.form.load_bound
+
+    @property
+    def max_attempts(self) -> int:
+        """Return how many endpoints a request may be tried at."""
+        return self.form.max_attempts
+
+    @property
+    def timeout_s(self) -> float:
+        """Return how long a request may take in all."""
+        return self.form.timeouts.total_s
+
+    @property
+    def stall_timeout_s(self) -> float:
+        """Return how long a stream may be silent."""
+        return self.form.timeouts.idle_s
+
+    @property
+    def idempotent(self) -> bool | None:
+        """Return whether requests may run twice; ``None`` leaves it to the method."""
+        return self.form.idempotent
+
+
+class AnnouncedEndpoints(Protocol):
+    """The endpoints that announced themselves."""
+
+    @property
+    def version(self) -> int:
+        """Return a number that changes with the list."""
+        ...
+
+    def list_services(self) -> Sequence[str]:
+        """Return the services that have endpoints."""
+        ...
+
+    def list_endpoints(self, service: str) -> Sequence[EndpointState]:
+        """Return the endpoints of a service."""
+        ...
+
+
+class ConfigDirectory:
+    """Answers the pipeline's questions from the configuration in force.
+
+    A model belongs to the service that its ``model`` resource names; without one, to
+    the service whose endpoints announce it.
+    """
+
+    def __init__(self, *, view: ConfigView, endpoints: AnnouncedEndpoints) -> None:
+        """Take the configuration and the announced endpoints."""
+        self._view = view
+        self._endpoints = endpoints
+        self._announced: dict[str, str] = {}
+        self._announced_version = -1
+
+    def find_workspace(self, name: str) -> WorkspaceHandle | None:
+        """Return a workspace by name."""
+        named = self._view.get_workspace(name)
+        return None if named is None else WorkspaceHandle(name=named.name, form=named.form)
+
+    def find_workspace_by_key(self, key: str) -> WorkspaceHandle | None:
+        """Return the workspace that a caller's key belongs to."""
+        named = self._view.find_workspace(key)
+        return None if named is None else WorkspaceHandle(name=named.name, form=named.form)
+
+    def check_key(self, workspace: WorkspaceHandle, key: str) -> bool:
+        """Return whether a key is one of the workspace's; looks at all of them."""
+        return any([check_key(key, stored) for stored in workspace.form.keys])
+
+    def get_policy(self, workspace: WorkspaceHandle) -> PolicyHandle:
+        """Return the routing policy of a workspace."""
+        return PolicyHandle(form=self._view.get_policy(workspace.form))
+
+    def find_service(self, model: str) -> str | None:
+        """Return the service that serves a model."""
+        for named in self._view.list_named("model"):
+            if named.name == model:
+                return str(named.form.service)
+        if self._announced_version != self._endpoints.version:
+            self._announced = self._index_announced()
+            self._announced_version = self._endpoints.version
+        return self._announced.get(model)
+
+    def _index_announced(self) -> dict[str, str]:
+        return {
+            model: service
+            for service in self._endpoints.list_services()
+            for endpoint in self._endpoints.list_endpoints(service)
+            for model in endpoint.models
+        }
+
+    def is_confirmed(self, now: float) -> bool:
+        """Return whether requests may be served with the configuration at hand."""
+        return self._view.check_serving(now) is None
