Add the edge that waits for submissions

Cause: the resource API blocks a greenlet until its command has ended. Change: one waiter per submission, woken by the decisions' effect. Not driven yet.

--- /dev/null
+++ b/chivetrack/daemon/submissions.py
@@ -0,0 +1,58 @@
+"""Lets a greenlet wait for a command or a confirmed read."""
+
+from collections.abc import Callable
+
+from expression import Error, Ok, Result
+from gevent.event import AsyncResult
+
+from chivetrack.components.proposals.models import SubmissionEnded, Submit, SubmitRead
+from chivetrack.core import Event
+from chivetrack.exceptions import Fault
+
+SUBMISSION_PREFIX = "api:"
+
+
+class Submissions:
+    """Posts submissions and hands each its end."""
+
+    def __init__(
+        self,
+        *,
+        post: Callable[[Event], None],
+        read_clock: Callable[[], float],
+        make_id: Callable[[], str],
+    ) -> None:
+        """Take the decisions' entry, the clock and the source of ids."""
+        self._post = post
+        self._read_clock = read_clock
+        self._make_id = make_id
+        self._waiting: dict[str, AsyncResult] = {}
+
+    def submit(self, data: bytes, *, timeout_s: float) -> Result[bytes, Fault]:
+        """Bring a command to the log and return its outcome's bytes."""
+        submission_id = SUBMISSION_PREFIX + self._make_id()
+        deadline = self._read_clock() + timeout_s
+        ended = self._wait(Submit(submission_id=submission_id, data=data, deadline=deadline))
+        return Ok(ended.result) if ended.fault is None else Error(ended.fault)
+
+    def confirm_revision(self, *, timeout_s: float) -> Result[int, Fault]:
+        """Return the newest revision, confirmed by a quorum."""
+        submission_id = SUBMISSION_PREFIX + self._make_id()
+        deadline = self._read_clock() + timeout_s
+        ended = self._wait(SubmitRead(submission_id=submission_id, deadline=deadline))
+        return Ok(ended.revision) if ended.fault is None else Error(ended.fault)
+
+    def _wait(self, submission: Submit | SubmitRead) -> SubmissionEnded:
+        waiter = self._waiting[submission.submission_id] = AsyncResult()
+        try:
+            self._post(submission)
+            ended: SubmissionEnded = waiter.get()
+            return ended
+        finally:
+            del self._waiting[submission.submission_id]
+
+    def take_end(self, ended: SubmissionEnded) -> None:
+        """Wake the greenlet that waits for this submission, if one does."""
+        waiter = self._waiting.get(ended.submission_id)
+        if waiter is not None:
+            waiter.set(ended)
