Bring the configuration to every router, confirmed by the leader

Cause: a router without a disk may restart beside a peer with an old copy, a relay may hand on an old confirmation, a leader may sit behind a silent cut. Ruled out: pushing confirmations (the time on the way is not in their age); applying a first copy before it is confirmed; the leader sending to every router. Change: view, follower, publisher, acknowledgements; a stateful fuzz of the store. The fuzz found that routers behind the history gave each other pages for ever; pages now carry the least revision that is of use.

--- /dev/null
+++ b/chivetrack/components/configuration/configuration.py
@@ -0,0 +1,69 @@
+"""The configuration of one instance: view, follower and publisher together."""
+
+import random
+from collections.abc import Iterable
+
+from chivetrack.components.configuration.follower import ConfigFollower
+from chivetrack.components.configuration.messages import RouterAck
+from chivetrack.components.configuration.models import (
+    ConfigChanged,
+    ConfigurationSettings,
+    InForce,
+)
+from chivetrack.components.configuration.publisher import ConfigPublisher
+from chivetrack.components.configuration.view import ConfigView
+from chivetrack.components.store.table import ResourceTable
+from chivetrack.core import Effect, Event
+
+
+class Configuration:
+    """A decision component; hand it every event, it takes what concerns it.
+
+    On a replica ``table`` is the store's, which then alone writes it; hand in
+    ``ConfigChanged`` after the store has applied entries.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance: str,
+        incarnation: int,
+        settings: ConfigurationSettings,
+        started_at: float,
+        rng: random.Random,
+        store_table: ResourceTable | None = None,
+    ) -> None:
+        """Start unconfirmed; ``started_at`` is on the clock of ``now``."""
+        self._instance = instance
+        self._incarnation = incarnation
+        table = store_table if store_table is not None else ResourceTable()
+        self.view = ConfigView(table=table, settings=settings, started_at=started_at)
+        self.publisher = ConfigPublisher(view=self.view, settings=settings)
+        self.follower = ConfigFollower(
+            instance=instance,
+            incarnation=incarnation,
+            view=self.view,
+            acknowledgements=self.publisher.acknowledgements,
+            settings=settings,
+            rng=rng,
+            takes_changes=store_table is None,
+        )
+
+    def handle(self, event: Event, *, now: float) -> list[Effect]:
+        """Take one event; what the follower applied is passed on at once."""
+        before = self.view.revision
+        effects = self.publisher.handle(event, now=now)
+        effects.extend(self.follower.handle(event, now=now))
+        if self.view.revision > before:
+            effects.extend(self.publisher.handle(ConfigChanged(), now=now))
+        return effects
+
+    def compute_in_force(
+        self, expected: Iterable[str], *, now: float, revision: int | None = None
+    ) -> InForce:
+        """Say on the leader where a revision, by default the newest, is in force."""
+        acknowledgements = self.publisher.acknowledgements
+        own = RouterAck(self._instance, self._incarnation, self.view.revision)
+        acknowledgements.take([own], now=now)
+        asked = self.view.table.revision if revision is None else revision
+        return acknowledgements.compute_in_force(asked, expected, now=now)
--- /dev/null
+++ b/chivetrack/components/configuration/const.py
@@ -0,0 +1,31 @@
+"""Defaults of the distribution of configuration."""
+
+from typing import Final
+
+from chivetrack.const import KIBIBYTE
+
+DEFAULT_POLL_INTERVAL_S: Final = 1.0
+DEFAULT_ANSWER_TIMEOUT_S: Final = 1.0
+DEFAULT_CONFIRMATION_WINDOW_S: Final = 5.0
+DEFAULT_STALE_UPSTREAM_S: Final = 2.5
+DEFAULT_BATCH_BYTES: Final = 256 * KIBIBYTE
+DEFAULT_PUSH_INTERVAL_S: Final = 0.2
+
+# Clocks of two machines may run this much apart; ages are made longer by it.
+CLOCK_DRIFT: Final = 0.01
+
+POLL_JITTER: Final = 0.1
+ACKNOWLEDGE_WITHIN_S: Final = 0.1
+RELAY_WITHIN_S: Final = 0.25
+CORRELATION_BITS: Final = 20
+RELAYS_PER_ZONE: Final = 2
+SILENT_PENALTY_S: Final = 3.0
+STALE_PENALTY_S: Final = 1.0
+CONFIRMATIONS_PENDING: Final = 8
+
+DOWNSTREAM_KEPT_S: Final = 3.0
+ACKNOWLEDGEMENT_KEPT_S: Final = 60.0
+ACKNOWLEDGEMENT_REFRESH_S: Final = 10.0
+COMMITS_KEPT: Final = 1000
+
+REINDEX_AFTER_CHANGES: Final = 10_000
--- /dev/null
+++ b/chivetrack/components/configuration/publisher.py
@@ -0,0 +1,155 @@
+"""Serves configuration: every instance that holds a revision can pass it on."""
+
+from collections.abc import Sequence
+
+from chivetrack.components.configuration import const
+from chivetrack.components.configuration.acknowledgements import Acknowledgements
+from chivetrack.components.configuration.messages import (
+    UNASKED,
+    ConfigDelta,
+    ConfigPage,
+    PullConfig,
+    PullPage,
+)
+from chivetrack.components.configuration.models import (
+    ConfigChanged,
+    ConfigurationSettings,
+    HeldConfirmation,
+    QuorumConfirmed,
+)
+from chivetrack.components.configuration.view import ConfigView
+from chivetrack.components.store.history import estimate_size
+from chivetrack.components.store.records import Change, KindRecords, Record
+from chivetrack.core import Effect, Event, MessageReceived, SendMessage, TimeReached, WakeAt
+
+PAGE_RECORDS = 2_000
+DELTA_CHANGES = 10_000
+
+
+class ConfigPublisher:
+    """Answers pulls, and sends new changes to those who pulled lately.
+
+    With the two relays of each zone pulling from the leader and the rest from the
+    relays, a change leaves the leader twice per zone and not once per router.
+    """
+
+    def __init__(self, *, view: ConfigView, settings: ConfigurationSettings) -> None:
+        """Serve what ``view`` holds."""
+        self.acknowledgements = Acknowledgements()
+        self._view = view
+        self._settings = settings
+        self._downstream: dict[str, tuple[float, int]] = {}
+        self._counter = 0
+        self._pushed_at = float("-inf")
+        self._pushed_revision = 0
+
+    def handle(self, event: Event, *, now: float) -> list[Effect]:
+        """Take pulls, confirmations of the own leadership, news and time."""
+        match event:
+            case MessageReceived(source=source, message=PullConfig() as pull):
+                return [SendMessage(target=source, message=self._answer(source, pull, now))]
+            case MessageReceived(source=source, message=PullPage() as pull):
+                return [SendMessage(target=source, message=self._make_page(pull))]
+            case QuorumConfirmed():
+                self._confirm(event)
+                return []
+            case ConfigChanged():
+                self.acknowledgements.note_commit(self._view.revision, now=now)
+                return self._push(now)
+            case TimeReached():
+                return self._push(now)
+        return []
+
+    def _confirm(self, event: QuorumConfirmed) -> None:
+        self._counter += 1
+        held = HeldConfirmation(
+            term=event.term,
+            counter=self._counter,
+            revision=event.revision,
+            obtained_at=event.started_at,
+        )
+        self._view.freshness.offer(held, revision=self._view.table.revision)
+
+    def _answer(self, source: str, pull: PullConfig, now: float) -> ConfigDelta:
+        self.acknowledgements.take(pull.acks, now=now)
+        delta = self._make_delta(pull.correlation, pull.revision, now)
+        self._downstream[source] = (now, delta.to_revision)
+        return delta
+
+    def _make_delta(self, correlation: int, revision: int, now: float) -> ConfigDelta:
+        held = self._view.revision
+        asked = correlation != UNASKED
+        confirmation = self._view.freshness.report(now) if asked else None
+        if revision >= held:
+            return ConfigDelta(correlation, revision, revision, held, confirmation=confirmation)
+        table = self._view.table
+        changes = table.list_changes(revision, limit=DELTA_CHANGES)
+        if changes is None:
+            return ConfigDelta(
+                correlation, revision, revision, held, (), table.compaction_revision, confirmation
+            )
+        batch = _take_batch(changes, self._settings.batch_bytes)
+        is_all = len(batch) == len(changes) < DELTA_CHANGES
+        reached = held if is_all else batch[-1].revision
+        return ConfigDelta(correlation, revision, reached, held, tuple(batch), 0, confirmation)
+
+    def _make_page(self, pull: PullPage) -> ConfigPage:
+        table = self._view.table
+        revision = self._view.revision
+        kinds = [kind for kind in table.list_kinds() if kind >= pull.kind]
+        if not kinds or revision < max(pull.minimum, 1):
+            return ConfigPage(pull.correlation, revision, KindRecords("", ()))
+        kind = kinds[0]
+        after = pull.after if kind == pull.kind else ""
+        page = table.list_page(kind, after=after, limit=PAGE_RECORDS)
+        records = _take_records(page.records, self._settings.batch_bytes)
+        entry = KindRecords(kind, tuple(records))
+        if len(records) < len(page.records) or page.next_after is not None:
+            return ConfigPage(pull.correlation, revision, entry, kind, records[-1].name)
+        next_kind = kinds[1] if len(kinds) > 1 else ""
+        return ConfigPage(pull.correlation, revision, entry, next_kind, "")
+
+    def _push(self, now: float) -> list[Effect]:
+        """Send new changes to those who pulled lately, not too often."""
+        revision = self._view.revision
+        if revision <= self._pushed_revision:
+            return []
+        due = self._pushed_at + self._settings.push_interval_s
+        if now < due:
+            return [WakeAt(at=due)]
+        self._pushed_at = now
+        self._pushed_revision = revision
+        self._forget_downstream(now)
+        return [
+            SendMessage(target=target, message=self._make_delta(UNASKED, sent, now))
+            for target, (_, sent) in self._downstream.items()
+            if sent < revision
+        ]
+
+    def _forget_downstream(self, now: float) -> None:
+        self.acknowledgements.forget_silent(now)
+        oldest = now - const.DOWNSTREAM_KEPT_S
+        self._downstream = {
+            target: (seen, sent)
+            for target, (seen, sent) in self._downstream.items()
+            if seen >= oldest
+        }
+
+
+def _take_batch(changes: Sequence[Change], limit: int) -> Sequence[Change]:
+    """Return as many of the first changes as fit, at least one."""
+    total = 0
+    for count, change in enumerate(changes):
+        total += estimate_size(change)
+        if total > limit:
+            return changes[: max(count, 1)]
+    return changes
+
+
+def _take_records(records: Sequence[Record], limit: int) -> Sequence[Record]:
+    total = 0
+    for count, record in enumerate(records):
+        total += estimate_size(Change(record.revision, "", record.name, record))
+        if total > limit:
+            return records[: max(count, 1)]
+    return records
--- /dev/null
+++ b/chivetrack/components/configuration/view.py
@@ -0,0 +1,169 @@
+"""The configuration as a router applies it, with the lookups of the hot path."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any, Generic, TypeVar
+
+import msgspec
+
+from chivetrack.components.configuration.freshness import Freshness
+from chivetrack.components.configuration.key_index import KeyIndex
+from chivetrack.components.configuration.models import ConfigurationSettings, WhenUnconfirmed
+from chivetrack.components.resources import const as resource_const
+from chivetrack.components.resources.keys import check_key
+from chivetrack.components.resources.kinds import KINDS
+from chivetrack.components.resources.models import (
+    Drain,
+    DrainPhase,
+    DrainStatus,
+    RoutingPolicy,
+    Workspace,
+)
+from chivetrack.components.store.records import KindRecords, Record
+from chivetrack.components.store.table import ResourceTable, Subscriber, TableUpdate
+from chivetrack.core import Unsubscribe
+from chivetrack.exceptions import Fault, Ran
+
+FormT = TypeVar("FormT")
+
+UNCONFIRMED_RETRY_S = 1.0
+
+_DRAIN_STATUS = msgspec.msgpack.Decoder(DrainStatus, strict=False)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Named(Generic[FormT]):
+    """The compact form of a resource, with its name and revision."""
+
+    name: str
+    revision: int
+    form: FormT
+
+
+class ConfigView:
+    """Reads a table that a follower, or on a replica the store, keeps up to date.
+
+    The hot path asks ``check_serving`` first; until the first confirmation the
+    other answers are empty, whatever the table holds.
+    """
+
+    def __init__(
+        self, *, table: ResourceTable, settings: ConfigurationSettings, started_at: float
+    ) -> None:
+        """Read ``table``; ``started_at`` is when this process started."""
+        self.table = table
+        self.freshness = Freshness(started_at=started_at, window_s=settings.confirmation_window_s)
+        self._refuses = settings.when_unconfirmed is WhenUnconfirmed.REFUSE
+        self._keys = KeyIndex()
+        self._lists: dict[str, tuple[Named[Any], ...]] = {}
+        self._keys.rebuild(table)
+        table.subscribe(self._follow)
+
+    @property
+    def revision(self) -> int:
+        """Return the revision in force here; 0 until the first confirmation."""
+        return self.table.revision if self.freshness.is_initialised else 0
+
+    @property
+    def confirmed_until(self) -> float:
+        """Return until when the configuration is confirmed, on the clock of ``now``."""
+        return self.freshness.confirmed_until
+
+    def is_confirmed(self, now: float) -> bool:
+        """Tell whether a fresh enough confirmation is satisfied."""
+        return now < self.freshness.confirmed_until
+
+    def check_serving(self, now: float) -> Fault | None:
+        """Return why no new work may be taken, or ``None``.
+
+        Without the first confirmation nothing is served under either setting: the
+        table may be older than what was in force here before the restart.
+        """
+        if self.is_confirmed(now):
+            return None
+        if self.freshness.is_initialised and not self._refuses:
+            return None
+        return Fault(
+            code="configuration_unconfirmed",
+            message="this router can't confirm that its configuration is the newest",
+            status=503,
+            ran=Ran.NO,
+            retry_after_s=UNCONFIRMED_RETRY_S,
+        )
+
+    def adopt(self, kinds: Sequence[KindRecords], *, revision: int) -> bool:
+        """Put a whole state in force unless it is older; tell whether it was taken."""
+        return self.table.replace(kinds, revision=revision)
+
+    def find_workspace(self, key: str) -> Named[Workspace] | None:
+        """Return the workspace to which a caller's key belongs."""
+        for name in self._keys.find_names(key):
+            workspace = self.get_workspace(name)
+            if workspace is None:
+                continue
+            if any(check_key(key, stored) for stored in workspace.form.keys):
+                return workspace
+        return None
+
+    def get_workspace(self, name: str) -> Named[Workspace] | None:
+        """Return a workspace by its name."""
+        return self._get("workspace", name)
+
+    def get_policy(self, workspace: Workspace) -> RoutingPolicy:
+        """Return the policy of a workspace, else the default one, else the defaults."""
+        for name in (workspace.policy, resource_const.DEFAULT_POLICY):
+            named = self._get("routing_policy", name)
+            if named is not None:
+                policy: RoutingPolicy = named.form
+                return policy
+        return RoutingPolicy()
+
+    def list_named(self, kind: str) -> Sequence[Named[Any]]:
+        """Return all resources of a kind; kept until one of them changes."""
+        if not self.freshness.is_initialised:
+            return ()
+        listed = self._lists.get(kind)
+        if listed is None:
+            read = (_read(kind, record) for record in self.table.iterate(kind))
+            listed = tuple(named for named in read if named is not None)
+            self._lists[kind] = listed
+        return listed
+
+    def list_drains(self) -> Sequence[Drain]:
+        """Return the drains in force: started by their controller and not cancelled."""
+        return [named.form for named in self.list_named("drain") if self._is_active(named.name)]
+
+    def subscribe(self, subscriber: Subscriber) -> Unsubscribe:
+        """Call after every change of the table."""
+        return self.table.subscribe(subscriber)
+
+    def _is_active(self, name: str) -> bool:
+        record = self.table.get("drain", name)
+        if record is None or record.deleting_ms or not record.status:
+            return False
+        return _DRAIN_STATUS.decode(record.status).phase in (DrainPhase.ACTIVE, DrainPhase.DONE)
+
+    def _get(self, kind: str, name: str) -> Named[Any] | None:
+        if not self.freshness.is_initialised:
+            return None
+        record = self.table.get(kind, name)
+        return None if record is None else _read(kind, record)
+
+    def _follow(self, update: TableUpdate) -> None:
+        self.freshness.settle(update.revision)
+        if update.is_reset:
+            self._lists.clear()
+            self._keys.rebuild(self.table)
+            return
+        for change in update.changes:
+            self._lists.pop(change.kind, None)
+            if change.kind == "workspace" and change.record is not None:
+                self._keys.add(change.record)
+        self._keys.clean(self.table)
+
+
+def _read(kind: str, record: Record) -> Named[Any] | None:
+    form = KINDS[kind].compact.decode(record.spec)
+    if form is None:
+        return None
+    return Named(name=record.name, revision=record.revision, form=form)
--- a/chivetrack/components/resources/kinds.py
+++ b/chivetrack/components/resources/kinds.py
@@ -27,9 +27,16 @@
         """Prepare a decoder for ``form``."""
         self._decoder = msgspec.msgpack.Decoder(form, strict=False)
 
-    def decode(self, spec: bytes) -> FormT:
-        """Decode stored bytes; keys that this version does not know are ignored."""
-        return self._decoder.decode(spec)
+    def decode(self, spec: bytes) -> FormT | None:
+        """Decode stored bytes; keys that this version does not know are ignored.
+
+        ``None`` when a value is unknown: a newer version may have written it, and a
+        router must go on with the rest of its configuration.
+        """
+        try:
+            return self._decoder.decode(spec)
+        except msgspec.MsgspecError:
+            return None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/chivetrack/components/resources/models.py
+++ b/chivetrack/components/resources/models.py
@@ -97,6 +97,26 @@
     reason: str = ""
 
 
+class DrainPhase(StrEnum):
+    """How far a drain is; only its controller moves it on."""
+
+    WAITING = "waiting"
+    ACTIVE = "active"
+    DONE = "done"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DrainStatus:
+    """The part of a drain's status that routers read; others ignore what they don't know.
+
+    A drain is in force from ``ACTIVE`` until it is deleted, also once it is done:
+    its target must not get new work before the operator lifts the drain.
+    """
+
+    phase: DrainPhase = DrainPhase.WAITING
+    reason: str = ""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Model:
     """A model that is wanted on the engines of a service, in so many copies."""
--- /dev/null
+++ b/tests/components/store/fuzzing.py
@@ -0,0 +1,20 @@
+"""Settings of the fuzz tests: derandomised, or a longer random run by command.
+
+CHIVETRACK_FUZZ_EXAMPLES=5000 script/test tests.components.store.test_store_fuzz
+"""
+
+import os
+
+from hypothesis import HealthCheck, settings
+
+
+def make_settings(examples: int, steps: int = 40) -> settings:
+    asked = os.environ.get("CHIVETRACK_FUZZ_EXAMPLES")
+    return settings(
+        max_examples=int(asked) if asked else examples,
+        stateful_step_count=steps,
+        derandomize=asked is None,
+        deadline=None,
+        database=None,
+        suppress_health_check=list(HealthCheck),
+    )
