--- /dev/null
+++ b/chivetrack/helpers/tls.py
@@ -0,0 +1,218 @@
+"""TLS from files, taken up again when they change and without a restart.
+
+The certificate of an instance must name its IP number, since instances connect by IP.
+"""
+
+import hashlib
+import socket
+import ssl
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, Final
+
+import grpc
+from expression import Error, Ok, Result
+
+from chivetrack.core import Unsubscribe
+from chivetrack.helpers.finding import Findings
+from chivetrack.helpers.log import get_logger
+
+RELOAD_INTERVAL_S: Final = 30.0
+HANDSHAKE_TIMEOUT_S: Final = 10.0
+
+_LOGGER = get_logger("tls")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TlsFiles:
+    """The PEM files of one listener; with authorities, clients need a certificate too."""
+
+    certificate_file: Path
+    key_file: Path
+    ca_file: Path | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Content:
+    """What the files hold at one moment."""
+
+    certificate: bytes = field(repr=False)
+    key: bytes = field(repr=False)
+    ca: bytes | None = field(repr=False)
+
+    @property
+    def digest(self) -> bytes:
+        parts = (self.certificate, self.key, self.ca or b"")
+        return hashlib.sha256(b"".join(hashlib.sha256(part).digest() for part in parts)).digest()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Loaded:
+    """Content that fits together, and the contexts made from it."""
+
+    content: _Content
+    server_context: ssl.SSLContext
+    client_context: ssl.SSLContext
+
+
+def open_tls(files: TlsFiles) -> Result["Tls", Findings]:
+    """Load the files; the error side says which of them is unusable and why."""
+    return _load(files).map(lambda loaded: Tls(files=files, loaded=loaded))
+
+
+class Tls:
+    """The certificate, key and authorities in use; drive ``check`` by the timer service."""
+
+    def __init__(self, *, files: TlsFiles, loaded: _Loaded) -> None:
+        """Take files that ``open_tls`` has loaded."""
+        self._files = files
+        self._loaded = loaded
+        self._refused_digest: bytes | None = None
+        self._callbacks: list[Callable[[], None]] = []
+
+    @property
+    def server_context(self) -> ssl.SSLContext:
+        """Return the context for connections accepted from now on."""
+        return self._loaded.server_context
+
+    @property
+    def client_context(self) -> ssl.SSLContext:
+        """Return the context for connections opened from now on; do not keep it."""
+        return self._loaded.client_context
+
+    def wrap_socket(self, sock: socket.socket, **options: Any) -> ssl.SSLSocket:
+        """Wrap an accepted socket; lets this object stand in for a server's context.
+
+        The handshake has a time limit: clients that connect and say nothing would
+        otherwise hold a greenlet and a socket each until there are no more.
+        """
+        timeout = sock.gettimeout()
+        sock.settimeout(HANDSHAKE_TIMEOUT_S)
+        wrapped = self._loaded.server_context.wrap_socket(sock, **options)
+        wrapped.settimeout(timeout)
+        return wrapped
+
+    def subscribe(self, callback: Callable[[], None]) -> Unsubscribe:
+        """Call after each change, such as to open gRPC channels anew."""
+        self._callbacks.append(callback)
+        return lambda: self._callbacks.remove(callback)
+
+    def check(self, now: float = 0.0) -> Findings:
+        """Take up changed files; return and log what is wrong with them.
+
+        The content is compared, not the time of the files: copies may keep their time.
+        A pair that does not fit is common for a moment, between the replacement of the
+        certificate and that of the key. Put to use, it would refuse every connection
+        until the next check; so the old one stays until a whole new one is there.
+        """
+        content = _read(self._files)
+        if content.is_ok() and content.ok.digest == self._loaded.content.digest:
+            self._refused_digest = None
+            return Findings()
+        loaded = _load(self._files)
+        if loaded.is_error():
+            self._report(loaded.error, content)
+            return loaded.error
+        self._loaded = loaded.ok
+        self._refused_digest = None
+        _LOGGER.info("Took up a new certificate from {}.", self._files.certificate_file)
+        for callback in list(self._callbacks):
+            callback()
+        return Findings()
+
+    def _report(self, findings: Findings, content: Result[_Content, Findings]) -> None:
+        """Log each unusable content once, not at every check."""
+        digest = content.ok.digest if content.is_ok() else b""
+        if digest == self._refused_digest:
+            return
+        self._refused_digest = digest
+        for finding in findings:
+            _LOGGER.error("New TLS files are not used, the old stay: {}.", finding)
+
+    def create_grpc_server_credentials(self) -> grpc.ServerCredentials:
+        """Return credentials that ask for the content in use at every handshake."""
+        return grpc.dynamic_ssl_server_credentials(
+            self._create_grpc_configuration(),
+            self._create_grpc_configuration,
+            require_client_authentication=self._files.ca_file is not None,
+        )
+
+    def create_grpc_channel_credentials(self) -> grpc.ChannelCredentials:
+        """Return the credentials of a new channel; they do not change by themselves."""
+        content = self._loaded.content
+        return grpc.ssl_channel_credentials(content.ca, content.key, content.certificate)
+
+    def _create_grpc_configuration(self) -> grpc.ServerCertificateConfiguration:
+        content = self._loaded.content
+        return grpc.ssl_server_certificate_configuration(
+            [(content.key, content.certificate)], root_certificates=content.ca
+        )
+
+
+def _read(files: TlsFiles) -> Result[_Content, Findings]:
+    findings = Findings()
+    certificate = _read_file(files.certificate_file, findings)
+    key = _read_file(files.key_file, findings)
+    ca = None if files.ca_file is None else _read_file(files.ca_file, findings)
+    if len(findings):
+        return Error(findings)
+    return Ok(_Content(certificate=certificate, key=key, ca=ca))
+
+
+def _read_file(path: Path, findings: Findings) -> bytes:
+    try:
+        return path.read_bytes()
+    except OSError as error:
+        findings.add(str(path), f"cannot be read: {error.strerror}")
+        return b""
+
+
+def _load(files: TlsFiles) -> Result[_Loaded, Findings]:
+    content = _read(files)
+    if content.is_error():
+        return Error(content.error)
+    findings = Findings()
+    server_context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    client_context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    for context in (server_context, client_context):
+        context.minimum_version = ssl.TLSVersion.TLSv1_2
+        if not len(findings):
+            _fill_context(context, files, content.ok, findings)
+    if files.ca_file is not None:
+        server_context.verify_mode = ssl.CERT_REQUIRED
+    else:
+        client_context.load_default_certs()
+    if not len(findings) and _read(files).map(lambda again: again.digest) != Ok(content.ok.digest):
+        findings.add(str(files.certificate_file), "is being replaced at this moment")
+    if len(findings):
+        return Error(findings)
+    return Ok(
+        _Loaded(content=content.ok, server_context=server_context, client_context=client_context)
+    )
+
+
+def _fill_context(
+    context: ssl.SSLContext, files: TlsFiles, content: _Content, findings: Findings
+) -> None:
+    try:
+        # An encrypted key would otherwise wait for a pass phrase at the terminal.
+        context.load_cert_chain(files.certificate_file, files.key_file, password=lambda: b"")
+    except (ssl.SSLError, OSError, ValueError) as error:
+        findings.add(
+            f"{files.certificate_file}, {files.key_file}",
+            f"are no usable pair: {_describe(error)}",
+            hint="both in PEM form, the key without a pass phrase, and of the same certificate",
+        )
+    if content.ca is None:
+        return
+    try:
+        context.load_verify_locations(cadata=content.ca.decode("ascii"))
+    except (ssl.SSLError, ValueError) as error:
+        findings.add(str(files.ca_file), f"holds no usable authorities: {_describe(error)}")
+
+
+def _describe(error: Exception) -> str:
+    if isinstance(error, ssl.SSLError) and error.reason:
+        return error.reason.lower().replace("_", " ")
+    return str(error)
