Send counts on news rather than at a fixed pace

Cause: counts every 0.2 s took 5054 bytes/s sent per router, above the default budget of 4 KB/s, and were still up to 0.2 s old when a request was placed.

Change: a start is told at once, a finish within 0.2 s, a heartbeat each second, all under a token bucket of 3.5 messages a second.

--- a/benchmarks/placement/fleet.py
+++ b/benchmarks/placement/fleet.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 from functools import partial
+from math import inf
 from random import Random
 
 from benchmarks.placement.const import (
@@ -26,8 +27,8 @@
 from benchmarks.placement.world import Policy, World
 from chivetrack.components.endpoints.models import EndpointKind, EndpointState
 from chivetrack.components.load.book import LoadBook
-from chivetrack.components.load.const import COUNTS_INTERVAL_S
 from chivetrack.components.load.models import LoadCounts
+from chivetrack.components.load.pacer import CountsPacer
 from chivetrack.components.routing.hints import CacheHints
 from chivetrack.components.routing.models import Demand
 from chivetrack.components.routing.order import hash_affinity
@@ -82,6 +83,8 @@
         self.router_id = f"router-{number}"
         self.view = RouterView(engines=list(world.engines.values()))
         self.load = LoadBook(router_id=self.router_id)
+        self.pacer = CountsPacer()
+        self.armed_at = inf
         self.hints = CacheHints()
         self.placer = Placer(
             view=self.view,
@@ -105,8 +108,7 @@
         subscribe_reports(world, count, self._report)
         if self.exchanges_counts:
             for router in self.routers:
-                first = world.random.uniform(0.0, COUNTS_INTERVAL_S)
-                world.call_every(COUNTS_INTERVAL_S, partial(self._send_counts, router), first=first)
+                self._arm(router)
 
     def place(self, request: Request, excluded: frozenset[str]) -> str | None:
         """Ask the placer of the request's router."""
@@ -118,11 +120,36 @@
 
     def start(self, request: Request, engine_id: str) -> None:
         """Count the request."""
-        self.routers[request.router].load.start(engine_id, self.world.now)
+        router = self.routers[request.router]
+        router.load.start(engine_id, self.world.now)
+        router.pacer.note_start(self.world.now)
+        self._arm(router)
 
     def finish(self, request: Request, engine_id: str) -> None:
         """Count the request as over."""
-        self.routers[request.router].load.finish(engine_id, self.world.now)
+        router = self.routers[request.router]
+        router.load.finish(engine_id, self.world.now)
+        router.pacer.note_finish(self.world.now)
+        self._arm(router)
+
+    def _arm(self, router: FakeRouter) -> None:
+        """Set the router's next send, unless an earlier one is set."""
+        if not self.exchanges_counts:
+            return
+        now = self.world.now
+        due = max(router.pacer.find_due(now), now)
+        if due >= router.armed_at or due >= self.world.options.seconds:
+            return
+        router.armed_at = due
+        self.world.call_at(due, partial(self._send_due, router, due))
+
+    def _send_due(self, router: FakeRouter, due: float) -> None:
+        if router.armed_at != due:
+            return
+        router.armed_at = inf
+        router.pacer.note_sent(self.world.now)
+        self._send_counts(router)
+        self._arm(router)
 
     def _report(self, router: int, engine: FakeEngine, in_flight: int, taken_at: float) -> None:
         self.routers[router].load.report_load(
--- a/chivetrack/components/load/const.py
+++ b/chivetrack/components/load/const.py
@@ -2,8 +2,17 @@
 
 from typing import Final
 
-COUNTS_INTERVAL_S: Final = 0.2
-"""How often a router should send its counts to the others."""
+SEND_RATE_PER_S: Final = 3.5
+"""Messages with counts a second to each other router, at most, in the long run."""
+
+SEND_BURST: Final = 4.0
+"""Messages with counts that may follow each other at once."""
+
+FINISH_DELAY_S: Final = 0.2
+"""How long the news that a request is over may wait to go with other news."""
+
+HEARTBEAT_S: Final = 1.0
+"""Counts are sent this often without news, or the others would call it silence."""
 
 PEER_SILENCE_S: Final = 3.0
 """Counts of a router that was silent for so long are no longer used."""
