Serve the whole path, thin, as separate processes

Cause: one request must go the whole way before any part is made deep. Thin still: the first replica holds the state in memory, peers come from the settings, the resource API only creates.

Found by the first run: two routers in different zones sent one chat to two engines, since each preferred its own zone; reuse through another router was 0 of 6. Locality is now the region by default and the zone only by policy; after that 6 of 6 in python -m standins.demo (3 routers, 2 engines, 3 chats). Also found: a router without peers never confirmed its configuration.

--- /dev/null
+++ b/chivetrack/assembly.py
@@ -0,0 +1,177 @@
+"""Puts the decision components of one router together, without any I/O.
+
+A daemon, a test or a bench calls ``assemble_router`` and drives ``Router.node``.
+"""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+import chivetrack.components.pipeline.filters  # noqa: F401
+from chivetrack.components.claims.keeper import ClaimKeeper
+from chivetrack.components.configuration.configuration import Configuration
+from chivetrack.components.configuration.models import ConfigurationSettings
+from chivetrack.components.directory.directory import ConfigDirectory
+from chivetrack.components.endpoints.models import OutcomeKind
+from chivetrack.components.endpoints.registry import EndpointRegistry
+from chivetrack.components.gossip.gossip import Gossip
+from chivetrack.components.load.book import LoadBook
+from chivetrack.components.load.exchange import LoadExchange
+from chivetrack.components.pipeline.attempts import AttemptRetries
+from chivetrack.components.pipeline.chain import FILTERS, Filter, FilterChain
+from chivetrack.components.pipeline.const import FILTER_ORDER
+from chivetrack.components.pipeline.flow import RequestFlow
+from chivetrack.components.pipeline.models import Attempt, Exchange
+from chivetrack.components.proposals.client import ProposalClient
+from chivetrack.components.routing.placer import Placer
+from chivetrack.components.store.table import ResourceTable
+from chivetrack.components.upstream.models import AttemptOutcome
+from chivetrack.exceptions import Fault
+from chivetrack.node import RouterNode
+
+_OUTCOME_KINDS = {
+    AttemptOutcome.NOT_SENT: OutcomeKind.CONNECT,
+    AttemptOutcome.REFUSED: OutcomeKind.ANSWER,
+    AttemptOutcome.MAYBE_RAN: OutcomeKind.CUT,
+    AttemptOutcome.RAN: OutcomeKind.ANSWER,
+}
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RouterIdentity:
+    """Who a router is; ``incarnation`` must rise with every start of the process."""
+
+    instance_id: str
+    incarnation: int
+    region: str
+    zone: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RouterOptions:
+    """What may differ between routers; ``replicas`` are instance ids."""
+
+    replicas: Sequence[str]
+    budget_bytes_per_s: int
+    configuration: ConfigurationSettings
+    filter_order: Sequence[str] = FILTER_ORDER
+
+
+@dataclass(slots=True, kw_only=True)
+class Router:
+    """The decision components of one router; everything enters through ``node``."""
+
+    node: RouterNode
+    flow: RequestFlow
+    gossip: Gossip
+    registry: EndpointRegistry
+    load: LoadBook
+    configuration: Configuration
+    proposals: ProposalClient
+    directory: ConfigDirectory
+    end_listeners: list[Callable[[Exchange, Fault | None, float], None]] = field(
+        default_factory=list
+    )
+
+
+class _OpenLimiter:
+    """Admits everything."""
+
+    def admit(self, exchange: Exchange, *, now: float) -> Fault | bool:
+        return True
+
+    def release(self, exchange: Exchange, *, now: float) -> None:
+        return
+
+
+def assemble_router(
+    *,
+    identity: RouterIdentity,
+    options: RouterOptions,
+    random_source: Random,
+    to_wall_ms: Callable[[float], int],
+    now: float,
+    store_table: ResourceTable | None = None,
+) -> Router:
+    """Return a router at time ``now``; on a replica ``store_table`` is the store's.
+
+    ``to_wall_ms`` maps the clock of ``now`` to milliseconds since 1970.
+    """
+    gossip = Gossip(
+        instance_id=identity.instance_id,
+        incarnation=identity.incarnation,
+        random=random_source,
+        budget_bytes_per_s=options.budget_bytes_per_s,
+        region=identity.region,
+    )
+    registry = EndpointRegistry(gossip=gossip, instance_id=identity.instance_id)
+    load = LoadBook(router_id=identity.instance_id, incarnation=identity.incarnation)
+    configuration = Configuration(
+        instance=identity.instance_id,
+        incarnation=identity.incarnation,
+        settings=options.configuration,
+        started_at=now,
+        rng=random_source,
+        store_table=store_table,
+    )
+    directory = ConfigDirectory(view=configuration.view, endpoints=registry)
+    proposals = ProposalClient(
+        instance_id=identity.instance_id, replicas=options.replicas, random=random_source
+    )
+    placer = Placer(view=registry, load=load, random=random_source)
+    exchange = LoadExchange(book=load, gossip=gossip)
+    parts: dict[str, dict[str, Any]] = {
+        "trace": {"random_source": random_source},
+        "identify": {"directory": directory},
+        "classify": {"directory": directory},
+        "limit": {"limiter": _OpenLimiter()},
+        "route": {
+            "placer": placer,
+            "load": exchange,
+            "region": identity.region,
+            "zone": identity.zone,
+        },
+    }
+    filters: list[Filter] = [FILTERS[name](**parts.get(name, {})) for name in options.filter_order]
+    end_listeners: list[Callable[[Exchange, Fault | None, float], None]] = []
+
+    def record_outcome(attempt: Attempt, outcome: AttemptOutcome, at: float) -> None:
+        kind = _OUTCOME_KINDS[outcome]
+        is_good = outcome in (AttemptOutcome.RAN, AttemptOutcome.REFUSED)
+        registry.record_outcome(attempt.endpoint_id, is_good, kind, at)
+
+    def tell_end(exchange: Exchange, fault: Fault | None, at: float) -> None:
+        for listener in end_listeners:
+            listener(exchange, fault, at)
+
+    flow = RequestFlow(
+        chain=FilterChain(filters=filters),
+        retries=AttemptRetries(),
+        route_position=list(options.filter_order).index("route"),
+        on_outcome=record_outcome,
+        on_end=tell_end,
+    )
+    claims = ClaimKeeper(
+        make_holder=lambda request_id: (
+            f"{identity.instance_id}/{identity.incarnation}/{request_id}"
+        ),
+        to_wall_ms=to_wall_ms,
+    )
+    node = RouterNode(
+        flow=flow,
+        proposals=proposals,
+        claims=claims,
+        components=(exchange, gossip, registry, configuration),
+    )
+    return Router(
+        node=node,
+        flow=flow,
+        gossip=gossip,
+        registry=registry,
+        load=load,
+        configuration=configuration,
+        proposals=proposals,
+        directory=directory,
+        end_listeners=end_listeners,
+    )
--- a/chivetrack/components/directory/directory.py
+++ b/chivetrack/components/directory/directory.py
@@ -8,7 +8,7 @@
 from chivetrack.components.endpoints.models import EndpointState
 from chivetrack.components.resources.const import ANY_NAME
 from chivetrack.components.resources.keys import check_key
-from chivetrack.components.resources.models import RoutingPolicy, Workspace
+from chivetrack.components.resources.models import Locality, RoutingPolicy, Workspace
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -54,6 +54,11 @@
         """Return how long a stream may be silent."""
         return self.form.timeouts.idle_s
 
+    @property
+    def locality(self) -> Locality:
+        """Return how near its endpoint a request wants to stay."""
+        return self.form.locality
+
     @property
     def idempotent(self) -> bool | None:
         """Return whether requests may run twice; ``None`` leaves it to the method."""
--- a/chivetrack/components/pipeline/filters/route.py
+++ b/chivetrack/components/pipeline/filters/route.py
@@ -5,6 +5,7 @@
 from chivetrack.components.pipeline import faults
 from chivetrack.components.pipeline.chain import FILTERS, PROCEED, Refused, Step
 from chivetrack.components.pipeline.models import Attempt, Exchange
+from chivetrack.components.resources.models import Locality
 from chivetrack.components.routing.models import Demand, Placement
 
 
@@ -63,13 +64,14 @@
     def _make_demand(self, exchange: Exchange) -> Demand:
         assert exchange.workspace is not None
         assert exchange.policy is not None
+        locality = exchange.policy.locality
         return Demand(
             affinity=exchange.affinity,
             workspace=exchange.workspace.name,
             service=exchange.service,
             model=exchange.model,
-            region=self._region,
-            zone=self._zone,
+            region="" if locality is Locality.ANY else self._region,
+            zone=self._zone if locality is Locality.ZONE else "",
             load_bound=exchange.policy.load_bound,
             excluded=frozenset(exchange.excluded),
         )
--- a/chivetrack/components/pipeline/models.py
+++ b/chivetrack/components/pipeline/models.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 from typing import Protocol
 
+from chivetrack.components.resources.models import Locality
 from chivetrack.components.routing.models import Placement
 from chivetrack.components.upstream.models import AttemptOutcome
 from chivetrack.core import Effect, Event
@@ -53,6 +54,11 @@
         """Return how long a stream may be silent."""
         ...
 
+    @property
+    def locality(self) -> Locality:
+        """Return how near its endpoint a request wants to stay."""
+        ...
+
     @property
     def idempotent(self) -> bool | None:
         """Return whether requests may run twice; ``None`` leaves it to the method."""
--- a/chivetrack/components/resources/models.py
+++ b/chivetrack/components/resources/models.py
@@ -62,11 +62,16 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RoutingPolicy:
-    """How requests of a workspace are placed, retried and timed out."""
+    """How requests of a workspace are placed, retried and timed out.
+
+    ``locality`` is the region by default: two routers in different zones that each
+    preferred their own would send one chat to two engines. ``idempotent`` left out
+    means: chats are, plain calls go by their method.
+    """
 
     load_bound: float = const.DEFAULT_LOAD_BOUND
-    locality: Locality = Locality.ZONE
-    idempotent: bool = False
+    locality: Locality = Locality.REGION
+    idempotent: bool | None = None
     max_attempts: int = const.DEFAULT_MAX_ATTEMPTS
     timeouts: Timeouts = field(default_factory=Timeouts)
     affinity: Affinity = Affinity.CHAT
--- a/chivetrack/components/resources/specs.py
+++ b/chivetrack/components/resources/specs.py
@@ -73,8 +73,8 @@
     """A routing policy: how requests are placed, retried and timed out."""
 
     load_bound: Annotated[float, Field(ge=1.0, le=100.0)] = const.DEFAULT_LOAD_BOUND
-    locality: Locality = Locality.ZONE
-    idempotent: bool = False
+    locality: Locality = Locality.REGION
+    idempotent: bool | None = None
     max_attempts: Annotated[int, Field(ge=1, le=const.MAX_ATTEMPTS)] = const.DEFAULT_MAX_ATTEMPTS
     timeouts: TimeoutsSpec = Field(default_factory=TimeoutsSpec)
     affinity: Affinity = Affinity.CHAT
--- /dev/null
+++ b/chivetrack/daemon/instance.py
@@ -0,0 +1,241 @@
+"""One running instance: the edges around the router's decisions."""
+
+import random
+import secrets
+import signal
+import time
+import uuid
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+
+import gevent
+
+from chivetrack.assembly import Router, RouterIdentity, RouterOptions, assemble_router
+from chivetrack.components.caller_api.app import CallerApi
+from chivetrack.components.caller_api.gateway import Gateway
+from chivetrack.components.configuration.models import (
+    ConfigurationSettings,
+    PeersChanged,
+    WhenUnconfirmed,
+)
+from chivetrack.components.gossip.models import Peer
+from chivetrack.components.peers.transport import PeerTransport
+from chivetrack.components.pipeline.models import RequestEffect
+from chivetrack.components.proposals.models import SubmissionEnded
+from chivetrack.components.settings import Settings
+from chivetrack.components.settings.models import Address, HashedKey, Role
+from chivetrack.components.store.store import Store
+from chivetrack.components.upstream.client import UpstreamClient
+from chivetrack.const import MILLISECONDS_PER_SECOND
+from chivetrack.core import SendMessage
+from chivetrack.daemon.announcements import AnnouncementDesk
+from chivetrack.daemon.memory_replica import MemoryReplica
+from chivetrack.daemon.metrics import build_metrics_app
+from chivetrack.daemon.peering import MessageDesk
+from chivetrack.daemon.resources import build_thin_resources
+from chivetrack.daemon.runner import Runner
+from chivetrack.daemon.server import HttpServer
+from chivetrack.daemon.stop import GracefulStop, StopReport
+from chivetrack.daemon.submissions import Submissions
+from chivetrack.helpers.codec import Message
+from chivetrack.helpers.keys import KeyHolder, KeyRing
+from chivetrack.helpers.log import get_logger
+from chivetrack.helpers.telemetry import Telemetry
+
+_LOGGER = get_logger("daemon")
+
+
+def _make_id() -> str:
+    return uuid.uuid4().hex
+
+
+def _to_wall_ms(now: float) -> int:
+    shift_s = now - time.monotonic()
+    return int((time.time() + shift_s) * MILLISECONDS_PER_SECOND)
+
+
+class Instance:
+    """Owns the edges of one daemon; ``run`` serves until a graceful stop has ended."""
+
+    def __init__(self, *, settings: Settings, telemetry: Telemetry) -> None:
+        """Build all parts; nothing listens before ``run``."""
+        self._settings = settings
+        self._telemetry = telemetry
+        self._incarnation = time.time_ns() // 1_000_000
+        self._store = Store() if self._is_replica else None
+        self.router = self._assemble()
+        self.runner = Runner(decisions=self.router.node, read_clock=time.monotonic)
+        self.desk = MessageDesk(post=self.runner.post)
+        self.submissions = Submissions(
+            post=self.runner.post, read_clock=time.monotonic, make_id=_make_id
+        )
+        self.client = UpstreamClient()
+        self.gateway = Gateway(
+            post=self.runner.post,
+            client=self.client,
+            read_clock=time.monotonic,
+            make_id=_make_id,
+        )
+        self.transport = self._build_transport()
+        self._servers = self._build_servers()
+        self._stop = GracefulStop(
+            settle_s=settings.stop.settle_s,
+            deadline_s=settings.stop.deadline_s,
+            count_open=lambda: self.gateway.open_count,
+            close_listeners=self._close_caller_listener,
+            read_clock=time.monotonic,
+        )
+        self._replica: MemoryReplica | None = None
+        self._build_replica()
+        self._connect_effects()
+
+    def _assemble(self) -> Router:
+        instance = self._settings.instance
+        identity = RouterIdentity(
+            instance_id=instance.id,
+            incarnation=self._incarnation,
+            region=instance.region,
+            zone=instance.availability_zone,
+        )
+        configuration = ConfigurationSettings(
+            confirmation_window_s=self._settings.configuration.confirm_within_s,
+            when_unconfirmed=WhenUnconfirmed(self._settings.configuration.when_unconfirmed.value),
+        )
+        options = RouterOptions(
+            replicas=[member.id for member in self._settings.replicas.initial],
+            budget_bytes_per_s=self._settings.control.budget_bytes_per_s,
+            configuration=configuration,
+        )
+        return assemble_router(
+            identity=identity,
+            options=options,
+            random_source=random.Random(secrets.randbits(128)),
+            to_wall_ms=_to_wall_ms,
+            now=time.monotonic(),
+            store_table=None if self._store is None else self._store.table,
+        )
+
+    def _meet_peers(self) -> None:
+        members = self._settings.replicas.initial
+        peers = [Peer(instance_id=m.id, region=self._settings.instance.region) for m in members]
+        self.router.gossip.set_peers(peers)
+        names = tuple(member.id for member in members)
+        self.runner.post(PeersChanged(leader=names[0], replicas=names))
+
+    @property
+    def _is_replica(self) -> bool:
+        # Until the log is here, the first replica alone holds the state, in memory.
+        initial = self._settings.replicas.initial
+        is_first = bool(initial) and initial[0].id == self._settings.instance.id
+        return is_first and Role.REPLICA in self._settings.instance.roles
+
+    def _build_replica(self) -> None:
+        if self._store is None:
+            return
+        self._replica = MemoryReplica(
+            store=self._store, post=self.runner.post, send=self._send_to, read_clock=time.monotonic
+        )
+        self.desk.replica = self._replica
+
+    def _send_to(self, target: str, message: Message) -> None:
+        self._send(SendMessage(target=target, message=message))
+
+    def _build_transport(self) -> PeerTransport:
+        return PeerTransport(
+            instance_id=self._settings.instance.id,
+            listen=str(self._settings.listeners.peer),
+            resolve=self._resolve,
+            on_message=self.desk.take,
+            on_error=lambda text: _LOGGER.warning("Dropped a message: {}.", text),
+        )
+
+    def _resolve(self, instance_id: str) -> str | None:
+        for member in self._settings.replicas.initial:
+            if member.id == instance_id:
+                return str(member.address)
+        return None
+
+    def _build_servers(self) -> dict[str, HttpServer]:
+        listeners = self._settings.listeners
+        announcements = AnnouncementDesk(
+            registry=self.router.registry,
+            keys=KeyRing(holders=[_to_holder(key) for key in self._settings.announcers.keys]),
+            read_clock=time.monotonic,
+        )
+        caller_api = CallerApi(
+            gateway=self.gateway,
+            announce=announcements.take,
+            is_ready=self.is_ready,
+            max_body=self._settings.limits.max_body_bytes,
+        )
+        applications = {
+            "caller": (listeners.caller, caller_api.build()),
+            "resources": (listeners.resources, build_thin_resources(self.submissions)),
+            "telemetry": (listeners.telemetry, build_metrics_app(telemetry=self._telemetry)),
+        }
+        return {
+            name: HttpServer(
+                address=_to_pair(address), application=app, is_closing=self.is_stopping
+            )
+            for name, (address, app) in applications.items()
+        }
+
+    def _connect_effects(self) -> None:
+        self.runner.handle_effects(SendMessage, self._send)
+        self.runner.handle_effects(RequestEffect, self.gateway.take_effect)
+        self.runner.handle_effects(SubmissionEnded, self.submissions.take_end)
+
+    def _send(self, effect: SendMessage) -> None:
+        own_id = self._settings.instance.id
+        if effect.target == own_id:
+            gevent.spawn(self.desk.take, own_id, effect.message)
+            return
+        self.transport.send(effect.target, effect.message)
+
+    def is_ready(self) -> bool:
+        """Return whether the balancer may send requests here."""
+        if self._stop.is_stopping:
+            return False
+        return self.router.configuration.view.check_serving(time.monotonic()) is None
+
+    def is_stopping(self) -> bool:
+        """Return whether connections are closed after their current request."""
+        return self._stop.is_stopping
+
+    def _close_caller_listener(self) -> None:
+        self._servers["caller"].stop_accepting()
+
+    def run(self) -> StopReport:
+        """Serve until a graceful stop has ended, and tell what it cut."""
+        with ExitStack() as stack:
+            stack.enter_context(self._serve())
+            gevent.signal_handler(signal.SIGTERM, self._stop.ask)
+            gevent.signal_handler(signal.SIGINT, self._stop.ask)
+            _LOGGER.info("Instance {} is up.", self._settings.instance.id)
+            return self._stop.wait()
+
+    @contextmanager
+    def _serve(self) -> Iterator[None]:
+        self.transport.start()
+        self._meet_peers()
+        for server in self._servers.values():
+            server.start()
+        loops = [gevent.spawn(self.runner.run)]
+        if self._replica is not None:
+            loops.append(gevent.spawn(self._replica.run))
+        try:
+            yield
+        finally:
+            gevent.killall(loops)
+            for server in self._servers.values():
+                server.stop(timeout=0)
+            self.transport.stop()
+            self.client.close()
+
+
+def _to_pair(address: Address) -> tuple[str, int]:
+    return address.host, address.port
+
+
+def _to_holder(key: HashedKey) -> KeyHolder:
+    return KeyHolder(name=key.name, hash=key.hash)
--- /dev/null
+++ b/chivetrack/daemon/memory_replica.py
@@ -0,0 +1,60 @@
+"""A replica that keeps its state in memory: a stand-in until the log is here."""
+
+from collections.abc import Callable
+
+import gevent
+
+from chivetrack.components.configuration.models import ConfigChanged, QuorumConfirmed
+from chivetrack.components.proposals.models import (
+    ForwardProposal,
+    ForwardRead,
+    ProposalAnswer,
+    Verdict,
+)
+from chivetrack.components.store.store import Store
+from chivetrack.core import Event
+from chivetrack.helpers.codec import Message
+
+CONFIRM_EVERY_S = 0.5
+
+
+class MemoryReplica:
+    """Accepts every command at once; nothing survives the process."""
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        post: Callable[[Event], None],
+        send: Callable[[str, Message], None],
+        read_clock: Callable[[], float],
+    ) -> None:
+        """Take the store and the way out."""
+        self._store = store
+        self._post = post
+        self._send = send
+        self._read_clock = read_clock
+        self._index = 0
+
+    def takes(self, message: Message) -> bool:
+        """Return whether a message is for the replica."""
+        return isinstance(message, ForwardProposal | ForwardRead)
+
+    def take(self, source: str, message: Message) -> None:
+        """Apply a command or answer a read."""
+        result = b""
+        if isinstance(message, ForwardProposal):
+            self._index += 1
+            result = self._store.apply(self._index, message.data)
+            self._post(ConfigChanged())
+        assert isinstance(message, ForwardProposal | ForwardRead)
+        revision = self._store.revision
+        self._send(source, ProposalAnswer(message.number, Verdict.ACCEPTED, result, revision))
+
+    def run(self) -> None:
+        """Confirm the configuration again and again."""
+        while True:
+            now = self._read_clock()
+            event = QuorumConfirmed(term=1, revision=self._store.revision, started_at=now)
+            self._post(event)
+            gevent.sleep(CONFIRM_EVERY_S)
--- a/chivetrack/daemon/runner.py
+++ b/chivetrack/daemon/runner.py
@@ -1,7 +1,7 @@
 """Carries events into the decisions and their effects out."""
 
 from collections.abc import Callable
-from typing import Protocol
+from typing import Any, Protocol, TypeVar
 
 import gevent
 from gevent.event import Event as Signal
@@ -9,7 +9,7 @@
 from chivetrack.core import Effect, Event, TimeReached, WakeAt
 from chivetrack.daemon.const import LONGEST_SLEEP_S
 
-EffectHandler = Callable[[Effect], None]
+EffectT = TypeVar("EffectT", bound=Effect)
 
 
 class Decisions(Protocol):
@@ -30,11 +30,13 @@
         """Take the decisions and a monotonic clock (seconds)."""
         self._decisions = decisions
         self._read_clock = read_clock
-        self._handlers: dict[type[Effect], EffectHandler] = {}
+        self._handlers: dict[type[Effect], Callable[[Any], None]] = {}
         self._wake_at = float("inf")
         self._rearmed = Signal()
 
-    def handle_effects(self, effect_type: type[Effect], handler: EffectHandler) -> None:
+    def handle_effects(
+        self, effect_type: type[EffectT], handler: Callable[[EffectT], None]
+    ) -> None:
         """Have effects of a type, and of its subclasses, carried out by ``handler``."""
         self._handlers[effect_type] = handler
 
--- a/chivetrack/helpers/codec.py
+++ b/chivetrack/helpers/codec.py
@@ -18,6 +18,7 @@
 
 
 MessageT = TypeVar("MessageT", bound=type[Message])
+ValueT = TypeVar("ValueT", bound=Message)
 
 MESSAGES: Registry[type[Message]] = Registry(name="message")
 _KINDS: dict[type[Message], str] = {}
@@ -62,6 +63,13 @@
         raise DecodeError(f"{kind}: {error}") from error
 
 
+def decode_as(cls: type[ValueT], payload: bytes) -> ValueT:
+    """Decode a message whose class is known; raise ``DecodeError`` for bad bytes."""
+    value = decode(_KINDS[cls], payload)
+    assert isinstance(value, cls)
+    return value
+
+
 def pack(value: Message) -> bytes:
     """Encode a message together with its kind, for a log or a file."""
     return _ENCODER.encode((get_kind(value), msgspec.Raw(encode(value))))
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -10,7 +10,7 @@
 from chivetrack.components.resources.keys import hash_key
 from standins.fleet import RESOURCE_PORT, ZONES, Fleet, FleetError, Member, open_fleet
 
-CALLER_KEY = "caller-key-of-the-local-fleet"
+CALLER_KEY = "ck_caller-key-of-the-local-fleet-not-for-real-"
 WORKSPACE = "hakata"
 MODEL = "appraiser"
 ENGINE_SERVICE = "valuation"
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -21,7 +21,7 @@
 RESOURCE_PORT = 18081
 PEER_PORT = 18082
 TELEMETRY_PORT = 18083
-START_LIMIT_S = 30.0
+START_LIMIT_S = 15.0
 STOP_LIMIT_S = 30.0
 POLL_S = 0.05
 HOSTS_PER_FLEET = 64
@@ -87,7 +87,7 @@
 
     folder: Path
     settings: dict[str, dict[str, Any]] = field(default_factory=dict)
-    operator_key: str = "operator-key-of-the-local-fleet"
+    operator_key: str = "ck_operator-key-of-the-local-fleet-not-for-rea"
     members: dict[str, Member] = field(default_factory=dict)
     plans: list[InstancePlan] = field(default_factory=list)
     _http: urllib3.PoolManager = field(
--- a/tests/components/pipeline/fakes.py
+++ b/tests/components/pipeline/fakes.py
@@ -15,6 +15,7 @@
     Exchange,
     RequestKind,
 )
+from chivetrack.components.resources.models import Locality
 from chivetrack.components.routing.models import Demand, Placement
 from chivetrack.components.upstream.models import AttemptOutcome
 from chivetrack.exceptions import Fault
@@ -39,6 +40,7 @@
     max_attempts: int = 3
     timeout_s: float = 30.0
     stall_timeout_s: float = 5.0
+    locality: Locality = Locality.REGION
     idempotent: bool | None = None
 
 
