Add the resource API with watch and an OpenAPI document

Cause: operators need get, list, create, replace, patch, delete and watch over HTTP on every instance, with answers that say whether a change was made. Ruled out: a queue for each watcher (the bounded history serves all of them, and a slow one falls out of it); validation of patches in the store. Change: operations by decorator, routes and OpenAPI made from the same registry; typed errors with findings and the current resource.

--- /dev/null
+++ b/chivetrack/components/resource_api/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP API through which operators read and change resources."""
--- /dev/null
+++ b/chivetrack/components/resource_api/const.py
@@ -0,0 +1,17 @@
+"""Names and bounds of the resource API."""
+
+from typing import Final
+
+from chivetrack.const import KIBIBYTE
+
+PREFIX: Final = "/api/v1"
+REQUEST_ID_HEADER: Final = "X-Request-Id"
+REQUEST_ID_PATTERN: Final = r"[A-Za-z0-9._:-]{1,128}"
+
+MAX_BODY_BYTES: Final = 128 * KIBIBYTE
+DEFAULT_PAGE: Final = 100
+MAX_PAGE: Final = 1_000
+
+PATCH_ATTEMPTS: Final = 3
+BOOKMARK_INTERVAL_S: Final = 5.0
+WATCH_BATCH: Final = 256
--- /dev/null
+++ b/chivetrack/components/resource_api/models.py
@@ -0,0 +1,90 @@
+"""What the operations take and give; free of the HTTP library."""
+
+from collections.abc import Callable, Iterator, Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Any, TypeAlias
+
+from expression import Result
+
+from chivetrack.components.configuration.view import ConfigView
+from chivetrack.components.resources.kinds import Kind
+from chivetrack.components.store.commands import Command
+from chivetrack.components.store.outcomes import Outcome
+from chivetrack.components.store.queries import Answer, Query
+from chivetrack.exceptions import Fault
+from chivetrack.helpers.finding import Finding
+
+Json: TypeAlias = dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ObservedResource:
+    """A resource that is seen and not stored."""
+
+    name: str
+    spec: Mapping[str, Any]
+    status: Mapping[str, Any] = field(default_factory=dict)
+
+
+Submit: TypeAlias = Callable[[Command], Result[Outcome, Fault]]
+Read: TypeAlias = Callable[[Query], Result[Answer, Fault]]
+Observe: TypeAlias = Callable[[], Sequence[ObservedResource]]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Ports:
+    """What the API needs of its instance.
+
+    ``submit`` has a command committed by the leader, ``read`` answers as of all that
+    was committed when it was called; both may block the calling greenlet. A fault
+    with ``Ran.NO`` promises that the command will not be committed later.
+    ``observed`` lists the resources of the kinds that are not stored.
+    ``check_operator`` tells whether a bearer token is an operator's.
+    """
+
+    submit: Submit
+    read: Read
+    view: ConfigView
+    check_operator: Callable[[str], bool]
+    observed: Mapping[str, Observe] = field(default_factory=dict)
+    bookmark_interval_s: float | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ApiRequest:
+    """One request to an operation; ``fingerprint`` tells a resend from another request."""
+
+    kind: Kind
+    name: str = ""
+    body: bytes = b""
+    query: Mapping[str, str] = field(default_factory=dict)
+    precondition: int | None = None
+    request_id: str = ""
+    fingerprint: bytes = b""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Reply:
+    """A whole answer."""
+
+    status: int
+    body: Json
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Stream:
+    """An answer of JSON objects, one a line, that goes on until the caller leaves."""
+
+    lines: Iterator[bytes]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Problem:
+    """An error answer; ``current`` is the resource that was in the way."""
+
+    fault: Fault
+    findings: Sequence[Finding] = ()
+    current: Json | None = None
+
+
+Outcomes: TypeAlias = Result[Reply | Stream, Problem]
--- /dev/null
+++ b/chivetrack/components/resource_api/reads.py
@@ -0,0 +1,141 @@
+"""Operations that read: get, list, watch."""
+
+from collections.abc import Sequence
+
+from expression import Error, Ok, Result
+
+from chivetrack.components.resource_api import const
+from chivetrack.components.resource_api.models import (
+    ApiRequest,
+    Json,
+    ObservedResource,
+    Outcomes,
+    Ports,
+    Problem,
+    Reply,
+    Stream,
+)
+from chivetrack.components.resource_api.operations import Parameter, operation
+from chivetrack.components.resource_api.paging import Continuation, decode_token, encode_token
+from chivetrack.components.resource_api.problems import make_problem
+from chivetrack.components.resource_api.rendering import render_observed, render_record
+from chivetrack.components.resource_api.watch import watch_changes
+from chivetrack.components.store.queries import GetResource, ListResources
+
+PAGE_PARAMETERS = (
+    Parameter(name="limit", type="integer", summary="How many resources a page may have."),
+    Parameter(name="continue", type="string", summary="The token of the page before."),
+    Parameter(name="watch", type="boolean", summary="Stream changes instead of a list."),
+    Parameter(name="revision", type="integer", summary="Stream the changes after this."),
+)
+
+
+@operation("get", "GET", has_name=True, statuses=(200, 404, 503))
+def get_resource(ports: Ports, request: ApiRequest) -> Outcomes:
+    """Return one resource."""
+    if not request.kind.stored:
+        return _get_observed(ports, request)
+    result = ports.read(GetResource(request.kind.name, request.name))
+    if result.is_error():
+        return Error(Problem(fault=result.error))
+    records = result.ok.records
+    if not records:
+        return Error(_make_missing(request))
+    return Ok(Reply(status=200, body=render_record(request.kind.name, records[0])))
+
+
+@operation("list", "GET", has_name=False, statuses=(200, 400, 410, 503), parameters=PAGE_PARAMETERS)
+def list_resources(ports: Ports, request: ApiRequest) -> Outcomes:
+    """Return the resources of a kind in pages, or stream their changes.
+
+    The revision in the answer is that of the first page: a watch from there on
+    brings what changed while the pages were read.
+    """
+    if request.query.get("watch", "").lower() in ("true", "1"):
+        return _watch(ports, request)
+    parsed = _parse_page(request)
+    if parsed.is_error():
+        return Error(parsed.error)
+    limit, continuation = parsed.ok
+    if not request.kind.stored:
+        return Ok(_list_observed(ports, request, limit, continuation))
+    result = ports.read(ListResources(request.kind.name, continuation.after, limit))
+    if result.is_error():
+        return Error(Problem(fault=result.error))
+    answer = result.ok
+    items = [render_record(request.kind.name, record) for record in answer.records]
+    revision = continuation.revision or answer.revision
+    return Ok(_make_list(request, items, revision, answer.next_after))
+
+
+def _get_observed(ports: Ports, request: ApiRequest) -> Outcomes:
+    for observed in _observe(ports, request):
+        if observed.name == request.name:
+            return Ok(Reply(status=200, body=render_observed(request.kind.name, observed)))
+    return Error(_make_missing(request))
+
+
+def _list_observed(
+    ports: Ports, request: ApiRequest, limit: int, continuation: Continuation
+) -> Reply:
+    known = sorted(_observe(ports, request), key=lambda observed: observed.name)
+    rest = [observed for observed in known if observed.name > continuation.after]
+    chosen = rest[:limit]
+    next_after = chosen[-1].name if len(rest) > limit else ""
+    items = [render_observed(request.kind.name, observed) for observed in chosen]
+    return _make_list(request, items, ports.view.revision, next_after)
+
+
+def _observe(ports: Ports, request: ApiRequest) -> Sequence[ObservedResource]:
+    observe = ports.observed.get(request.kind.name)
+    return () if observe is None else observe()
+
+
+def _make_list(request: ApiRequest, items: list[Json], revision: int, next_after: str) -> Reply:
+    token = encode_token(Continuation(next_after, revision)) if next_after else None
+    body = {
+        "kind": request.kind.name,
+        "revision": revision,
+        "items": items,
+        "continue": token,
+    }
+    return Reply(status=200, body=body)
+
+
+def _watch(ports: Ports, request: ApiRequest) -> Outcomes:
+    if not request.kind.stored:
+        message = f"{request.kind.name} resources are observed and can't be watched"
+        return Error(make_problem("not_watchable", message, status=400))
+    table = ports.view.table
+    asked = request.query.get("revision")
+    if asked is not None and not asked.isdecimal():
+        return Error(make_problem("invalid_parameter", "revision must be a number", status=400))
+    revision = ports.view.revision if asked is None else int(asked)
+    if revision < table.compaction_revision:
+        message = f"changes up to revision {table.compaction_revision} are no longer known"
+        return Error(make_problem("compacted", message, status=410))
+    interval = ports.bookmark_interval_s or const.BOOKMARK_INTERVAL_S
+    lines = watch_changes(
+        ports.view, request.kind.name, revision=revision, bookmark_interval_s=interval
+    )
+    return Ok(Stream(lines=lines))
+
+
+def _parse_page(request: ApiRequest) -> Result[tuple[int, Continuation], Problem]:
+    asked = request.query.get("limit", str(const.DEFAULT_PAGE))
+    if not asked.isdecimal() or not 1 <= int(asked) <= const.MAX_PAGE:
+        message = f"limit must be a number from 1 to {const.MAX_PAGE}"
+        return Error(make_problem("invalid_parameter", message, status=400))
+    token = request.query.get("continue", "")
+    if not token:
+        return Ok((int(asked), Continuation("", 0)))
+    continuation = decode_token(token)
+    if continuation is None:
+        message = "continue must be the token of the page before"
+        return Error(make_problem("invalid_parameter", message, status=400))
+    return Ok((int(asked), continuation))
+
+
+def _make_missing(request: ApiRequest) -> Problem:
+    message = f"there is no {request.kind.name}/{request.name}"
+    return make_problem("not_found", message, status=404)
--- a/chivetrack/components/resources/specs.py
+++ b/chivetrack/components/resources/specs.py
@@ -1,17 +1,8 @@
 """The validated specifications of all kinds, as operators write them."""
 
-from datetime import UTC, datetime
-from typing import Annotated, Any, Self
-
-from pydantic import (
-    AwareDatetime,
-    Field,
-    PlainSerializer,
-    StringConstraints,
-    WrapValidator,
-    model_validator,
-)
-from pydantic_core.core_schema import ValidatorFunctionWrapHandler
+from typing import Annotated, Self
+
+from pydantic import AwareDatetime, Field, StringConstraints, model_validator
 
 from chivetrack.components.resources import const, models
 from chivetrack.components.resources.kinds import Spec, resource_kind
@@ -28,23 +19,6 @@
 Copies = Annotated[int, Field(ge=0, le=100_000)]
 
 
-def _read_instant(value: Any, handler: ValidatorFunctionWrapHandler) -> datetime:
-    """Accept ISO 8601 and seconds since 1970, the form in which instants are stored."""
-    if isinstance(value, str):
-        value = datetime.fromisoformat(value)
-    if isinstance(value, int | float) and not isinstance(value, bool):
-        return datetime.fromtimestamp(value, UTC)
-    instant: datetime = handler(value)
-    return instant
-
-
-Instant = Annotated[
-    AwareDatetime,
-    WrapValidator(_read_instant),
-    PlainSerializer(lambda value: value.timestamp(), return_type=float),
-]
-
-
 @resource_kind("workspace", form=models.Workspace)
 class WorkspaceSpec(Spec):
     """A workspace: its callers' keys, what it may use and how much."""
@@ -93,8 +67,8 @@
     """A planned drain of an endpoint, an availability zone or an instance."""
 
     target: DrainTargetSpec
-    start: Instant | None = None
-    deadline: Instant | None = None
+    start: AwareDatetime | None = None
+    deadline: AwareDatetime | None = None
     floor: Fraction = const.DEFAULT_FLOOR
     move_context: bool = True
     reason: Text = ""
--- a/chivetrack/components/resources/validation.py
+++ b/chivetrack/components/resources/validation.py
@@ -17,20 +17,25 @@
 LabelValue = Annotated[str, StringConstraints(max_length=63)]
 
 
-class Metadata(BaseModel):
+class Labels(BaseModel):
+    """Labels of a resource."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    labels: Annotated[dict[LabelKey, LabelValue], Field(max_length=const.MAX_LABELS)] = Field(
+        default_factory=dict
+    )
+
+
+class Metadata(Labels):
     """The part of a document that names the resource.
 
     ``revision`` is the precondition of a write. What only the server sets may stand
     in a document, since operators send back what they read; it is ignored.
     """
 
-    model_config = ConfigDict(extra="forbid", frozen=True)
-
     name: specs.Name
     revision: Annotated[int, Field(ge=0)] | None = None
-    labels: Annotated[dict[LabelKey, LabelValue], Field(max_length=const.MAX_LABELS)] = Field(
-        default_factory=dict
-    )
     generation: int | None = None
     created: float | None = None
     deleting: float | None = None
@@ -82,6 +87,11 @@
     return _validate(entry.spec, data, findings, _join(place, "spec"))
 
 
+def validate_labels(labels: dict[str, str], findings: Findings) -> None:
+    """Validate labels alone; places begin with ``metadata.labels``."""
+    _validate(Labels, {"labels": labels}, findings, "metadata")
+
+
 def encode_spec(spec: Spec) -> bytes:
     """Encode a specification in its stored form: what the operator set, as msgpack."""
     return msgspec.msgpack.encode(spec.model_dump(mode="json", exclude_unset=True))
--- a/chivetrack/components/store/commands.py
+++ b/chivetrack/components/store/commands.py
@@ -200,3 +200,9 @@
     bare = msgspec.structs.replace(command, stamp=Stamp(0))
     name = type(command).__name__.encode()
     return hashlib.sha256(name + b"\0" + encode(bare)).digest()
+
+
+def stamp_time(command: Command, time_ms: int) -> Command:
+    """Return the command stamped with the proposer's clock, before it is proposed."""
+    stamp = msgspec.structs.replace(command.stamp, time_ms=time_ms)
+    return msgspec.structs.replace(command, stamp=stamp)
--- /dev/null
+++ b/chivetrack/components/store/queries.py
@@ -0,0 +1,71 @@
+"""Questions to the store, as they are forwarded to the leader."""
+
+from typing import TypeAlias
+
+from chivetrack.components.store.outcomes import Outcome
+from chivetrack.components.store.records import Record
+from chivetrack.components.store.store import Store
+from chivetrack.helpers.codec import Message, message, pack
+
+MAX_PAGE: int = 1_000
+
+
+@message("store/get")
+class GetResource(Message, frozen=True, array_like=True):
+    """Ask for one resource."""
+
+    kind: str
+    name: str
+
+
+@message("store/list")
+class ListResources(Message, frozen=True, array_like=True):
+    """Ask for resources whose names come after ``after``."""
+
+    kind: str
+    after: str = ""
+    limit: int = MAX_PAGE
+
+
+@message("store/find-outcome")
+class FindOutcome(Message, frozen=True, array_like=True):
+    """Ask what became of a request."""
+
+    request_id: str
+    fingerprint: bytes
+
+
+Query: TypeAlias = GetResource | ListResources | FindOutcome
+
+
+@message("store/answer")
+class Answer(Message, frozen=True, array_like=True):
+    """The answer to any query, as of ``revision``.
+
+    ``next_after`` is empty on the last page, ``outcome`` (packed) when the store
+    remembers no such request.
+    """
+
+    revision: int
+    records: tuple[Record, ...] = ()
+    next_after: str = ""
+    outcome: bytes = b""
+
+
+def answer_query(store: Store, query: Query) -> Answer:
+    """Answer from a store that has applied all that was committed when it was asked."""
+    match query:
+        case GetResource():
+            record = store.table.get(query.kind, query.name)
+            return Answer(store.revision, () if record is None else (record,))
+        case ListResources():
+            limit = min(max(query.limit, 1), MAX_PAGE)
+            page = store.table.list_page(query.kind, after=query.after, limit=limit)
+            return Answer(store.revision, tuple(page.records), page.next_after or "")
+        case FindOutcome():
+            found = store.find_outcome(query.request_id, query.fingerprint)
+            return Answer(store.revision, outcome=_pack_found(found))
+
+
+def _pack_found(outcome: Outcome | None) -> bytes:
+    return b"" if outcome is None else pack(outcome)
