Keep the headroom for chats whose context is cached

Cause: chats without any cached context took room below the bound on engines that hold the context of others, which then spilled and lost it.

Change: hints keep up to three holders of a chat, newest by the engines' time. While the router hears cache events, a chat without a hint may use only a fifth of the headroom above the mean; it loses nothing elsewhere.

--- a/chivetrack/components/routing/bounds.py
+++ b/chivetrack/components/routing/bounds.py
@@ -19,7 +19,7 @@
     total: float
     capacity: float
 
-    def get_limit(self, endpoint: EndpointState) -> float:
+    def get_limit(self, endpoint: EndpointState, *, headroom: float = 1.0) -> float:
         """Return how many requests the endpoint may carry, the new one included.
 
         The mean counts the new request. Where ``multiple`` times the mean is less than
@@ -28,7 +28,7 @@
         below that, so the bound never refuses all of them when counts are whole.
         """
         fair = self.total * max(endpoint.capacity, 1) / self.capacity
-        return max(float(ceil(fair)), self.multiple * fair)
+        return max(float(ceil(fair)), (1.0 + (self.multiple - 1.0) * headroom) * fair)
 
 
 def get_slow_start(endpoint: EndpointState, now: float) -> float:
--- a/chivetrack/components/routing/const.py
+++ b/chivetrack/components/routing/const.py
@@ -25,3 +25,15 @@
 
 HINT_MAX_AGE_S: Final = 1800.0
 """A cache hint that is older than this is not used."""
+
+HINT_HOLDERS: Final = 3
+"""How many endpoints are remembered for one chat or dossier."""
+
+HINTS_WARM_UP_S: Final = 120.0
+"""How long a router listens before a chat without a hint counts as cold."""
+
+HINTS_SILENCE_S: Final = 15.0
+"""Without any cache event for so long, no chat counts as cold."""
+
+COLD_HEADROOM: Final = 0.2
+"""The share of the bound's headroom above the mean that a cold chat may use."""
--- a/chivetrack/components/routing/hints.py
+++ b/chivetrack/components/routing/hints.py
@@ -3,7 +3,13 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
-from chivetrack.components.routing.const import HINT_CAPACITY, HINT_MAX_AGE_S
+from chivetrack.components.routing.const import (
+    HINT_CAPACITY,
+    HINT_HOLDERS,
+    HINT_MAX_AGE_S,
+    HINTS_SILENCE_S,
+    HINTS_WARM_UP_S,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -14,56 +20,95 @@
 
 
 class CacheHints:
-    """A bounded table of where chats were last stored.
+    """A bounded table of where chats were last stored, newest first.
 
     Hints only reorder the endpoints that fit; a wrong one costs a cache miss. So
     events may come late, out of order, twice or not at all.
     """
 
-    def __init__(self, *, capacity: int = HINT_CAPACITY, max_age_s: float = HINT_MAX_AGE_S) -> None:
-        """Keep at most ``capacity`` hints, none older than ``max_age_s``."""
+    def __init__(
+        self,
+        *,
+        capacity: int = HINT_CAPACITY,
+        max_age_s: float = HINT_MAX_AGE_S,
+        holders: int = HINT_HOLDERS,
+    ) -> None:
+        """Keep at most ``capacity`` chats and ``holders`` endpoints of each."""
         self._capacity = capacity
         self._max_age_s = max_age_s
-        self._hints: OrderedDict[bytes, _Hint] = OrderedDict()
+        self._holders = holders
+        self._hints: OrderedDict[bytes, tuple[_Hint, ...]] = OrderedDict()
         self._incarnations: dict[str, int] = {}
+        self._first_at: float | None = None
+        self._last_at = 0.0
 
     def __len__(self) -> int:
         return len(self._hints)
 
     def store(self, key: bytes, endpoint_id: str, incarnation: int, *, stored_at: float) -> None:
         """Note that an endpoint held a chat's context at a time."""
+        self._note_heard(stored_at)
         if not self._accept(endpoint_id, incarnation):
             return
-        old = self._hints.get(key)
-        # A late event must not send a chat back to where it was before its last turn.
-        if old is not None and old.stored_at > stored_at and self._is_current(old):
+        hints = [hint for hint in self._hints.get(key, ()) if self._is_current(hint)]
+        old = next((hint for hint in hints if hint.endpoint_id == endpoint_id), None)
+        if old is not None and old.stored_at >= stored_at:
             return
-        self._hints[key] = _Hint(endpoint_id, incarnation, stored_at)
+        if old is not None:
+            hints.remove(old)
+        hints.append(_Hint(endpoint_id, incarnation, stored_at))
+        # Newest by the engines' time: a late event must not send a chat back to where
+        # it was before its last turn.
+        hints.sort(key=lambda hint: hint.stored_at, reverse=True)
+        self._hints[key] = tuple(hints[: self._holders])
         self._hints.move_to_end(key)
         if len(self._hints) > self._capacity:
             self._hints.popitem(last=False)
 
     def evict(self, key: bytes, endpoint_id: str, incarnation: int, *, evicted_at: float) -> None:
         """Note that an endpoint dropped a chat's context at a time."""
+        self._note_heard(evicted_at)
         self._accept(endpoint_id, incarnation)
-        hint = self._hints.get(key)
-        if hint is None or hint.endpoint_id != endpoint_id or hint.stored_at > evicted_at:
-            return
-        del self._hints[key]
+        kept = tuple(
+            hint
+            for hint in self._hints.get(key, ())
+            if hint.endpoint_id != endpoint_id or hint.stored_at > evicted_at
+        )
+        self._replace(key, kept)
 
     def restart(self, endpoint_id: str, incarnation: int) -> None:
         """Note that an endpoint runs under a new incarnation, with an empty cache."""
         self._accept(endpoint_id, incarnation)
 
-    def find(self, key: bytes, now: float) -> str | None:
-        """Return the endpoint that probably holds the chat's context."""
-        hint = self._hints.get(key)
-        if hint is None:
-            return None
-        if now - hint.stored_at > self._max_age_s or not self._is_current(hint):
-            del self._hints[key]
-            return None
-        return hint.endpoint_id
+    def find(self, key: bytes, now: float) -> tuple[str, ...]:
+        """Return the endpoints that probably hold the chat's context, newest first."""
+        hints = self._hints.get(key)
+        if hints is None:
+            return ()
+        oldest = now - self._max_age_s
+        kept = tuple(hint for hint in hints if hint.stored_at >= oldest and self._is_current(hint))
+        self._replace(key, kept)
+        return tuple(hint.endpoint_id for hint in kept)
+
+    def is_warm(self, now: float) -> bool:
+        """Return whether a chat without a hint probably has no context anywhere.
+
+        Not so for a router that began to listen a short while ago or hears no events.
+        """
+        if self._first_at is None or now - self._last_at > HINTS_SILENCE_S:
+            return False
+        return now - self._first_at >= HINTS_WARM_UP_S
+
+    def _note_heard(self, at: float) -> None:
+        if self._first_at is None:
+            self._first_at = at
+        self._last_at = max(self._last_at, at)
+
+    def _replace(self, key: bytes, kept: tuple[_Hint, ...]) -> None:
+        if kept:
+            self._hints[key] = kept
+        else:
+            self._hints.pop(key, None)
 
     def _accept(self, endpoint_id: str, incarnation: int) -> bool:
         newest = self._incarnations.get(endpoint_id, incarnation)
--- a/chivetrack/components/routing/placer.py
+++ b/chivetrack/components/routing/placer.py
@@ -7,7 +7,11 @@
 from chivetrack.components.endpoints.models import EndpointState
 from chivetrack.components.load.book import LoadBook
 from chivetrack.components.routing.bounds import LoadBound, get_slow_start
-from chivetrack.components.routing.const import MAX_CANDIDATES, RETRY_WHEN_NONE_FITS_S
+from chivetrack.components.routing.const import (
+    COLD_HEADROOM,
+    MAX_CANDIDATES,
+    RETRY_WHEN_NONE_FITS_S,
+)
 from chivetrack.components.routing.hints import CacheHints
 from chivetrack.components.routing.models import Candidate, Demand, EndpointView, Placement
 from chivetrack.components.routing.order import hash_affinity
@@ -78,26 +82,32 @@
 
     def _look(self, tier: Tier, demand: Demand, key: bytes, now: float) -> Iterator[_Look]:
         """Yield the endpoints in the chat's order, a hinted one first."""
-        estimates = self._load.estimates
         bound = LoadBound(
             multiple=demand.load_bound, total=self._sum_load(tier) + 1.0, capacity=tier.capacity
         )
         hinted = self._find_hinted(tier, demand, key, now)
-        if hinted is not None:
-            yield _Look(hinted, estimates.get(hinted.endpoint_id, 0.0), bound.get_limit(hinted))
+        for endpoint in hinted:
+            yield self._look_at(endpoint, bound, 1.0)
+        headroom = COLD_HEADROOM if self._is_cold(demand, now) else 1.0
         for endpoint in tier.order.iterate(key):
-            if endpoint is hinted or endpoint.endpoint_id in demand.excluded:
+            if endpoint in hinted or endpoint.endpoint_id in demand.excluded:
                 continue
-            load = estimates.get(endpoint.endpoint_id, 0.0)
-            yield _Look(endpoint, load, bound.get_limit(endpoint))
+            yield self._look_at(endpoint, bound, headroom)
+
+    def _look_at(self, endpoint: EndpointState, bound: LoadBound, headroom: float) -> _Look:
+        load = self._load.estimates.get(endpoint.endpoint_id, 0.0)
+        return _Look(endpoint, load, bound.get_limit(endpoint, headroom=headroom))
+
+    def _is_cold(self, demand: Demand, now: float) -> bool:
+        return not demand.affinity or self._hints.is_warm(now)
 
     def _find_hinted(
         self, tier: Tier, demand: Demand, key: bytes, now: float
-    ) -> EndpointState | None:
-        endpoint_id = self._hints.find(key, now) if demand.affinity else None
-        if endpoint_id is None or endpoint_id in demand.excluded:
-            return None
-        return tier.by_id.get(endpoint_id)
+    ) -> list[EndpointState]:
+        if not demand.affinity:
+            return []
+        names = [name for name in self._hints.find(key, now) if name not in demand.excluded]
+        return [tier.by_id[name] for name in names if name in tier.by_id]
 
     def _choose(self, tier: Tier, pool: Pool, looks: Iterator[_Look], now: float) -> Placement:
         seen: list[_Look] = []
--- a/tests/components/routing/test_placer.py
+++ b/tests/components/routing/test_placer.py
@@ -10,6 +10,7 @@
 
 from chivetrack.components.endpoints.models import Availability
 from chivetrack.components.load.book import LoadBook
+from chivetrack.components.routing.const import HINTS_WARM_UP_S
 from chivetrack.components.routing.hints import CacheHints
 from chivetrack.components.routing.order import hash_affinity
 from chivetrack.components.routing.placer import Placer
@@ -123,6 +124,24 @@
         self.assertEqual([self.place(chat, now=1.0) for chat in moved], [before[c] for c in moved])
         self.assertEqual({self.place(chat, now=31.0) for chat in moved}, {"new"})
 
+    def test_cold_chats_leave_room_for_those_with_context(self) -> None:
+        """All chats of one home arrive, some with context there and some without.
+
+        A cold chat loses nothing elsewhere; one with context pays for a whole prompt.
+        So the room between the mean and the bound is kept for the latter.
+        """
+        home = self.place("warm")
+        for endpoint in make_endpoints(6):
+            for _ in range(20):
+                self.load.start(endpoint.endpoint_id, 0.0)
+        for _ in range(2):
+            self.load.start(home or "", 0.0)
+        cold = next(c for c in (f"cold-{n}" for n in range(99)) if self.place(c) == home)
+        self.hints.store(hash_affinity("other"), "engine-1", 1, stored_at=0.0)
+        self.hints.store(hash_affinity("warm"), home or "", 1, stored_at=HINTS_WARM_UP_S)
+        self.assertEqual(self.place("warm", now=HINTS_WARM_UP_S), home)
+        self.assertNotEqual(self.place(cold, now=HINTS_WARM_UP_S), home)
+
     def test_near_endpoints_come_first_and_spill_when_they_are_full(self) -> None:
         near = make_endpoint("near", capacity=2)
         far = make_endpoint("far", zone="kumamoto-hall", capacity=2)
