Load the command line's TLS files before the first request

Cause: a file of authorities that cannot be read came out as a lost answer: the client library reports it as a TLS error at the first connection, and a write would have been called "unknown" although nothing was sent.

Ruled out: telling such errors apart by their text.

Change: cli/trust loads authorities, certificate and key first; a file that is no good is wrong usage (exit code 2) and named.

Seen to fail with the safeguard taken out: unusable files, a server of another authority, the certificate of a profile.

--- a/chivetrack/cli/client.py
+++ b/chivetrack/cli/client.py
@@ -56,6 +56,7 @@
         self,
         *,
         connection: Connection,
+        context: ssl.SSLContext | None = None,
         clock: Callable[[], float] = time.monotonic,
         sleep: Callable[[float], None] = time.sleep,
         chance: random.Random | None = None,
@@ -65,11 +66,7 @@
         self._clock = clock
         self._sleep = sleep
         self._chance = chance or random.Random()
-        options: dict[str, Any] = {"ca_certs": connection.ca} if connection.ca else {}
-        if connection.certificate:
-            options["cert_file"] = connection.certificate
-            options["key_file"] = connection.certificate_key or None
-        self._pool = urllib3.PoolManager(retries=False, **options)
+        self._pool = urllib3.PoolManager(retries=False, ssl_context=context)
 
     def read(self, path: str, **query: str | int) -> Result[Document, Failure]:
         """Get a document."""
--- a/chivetrack/cli/session.py
+++ b/chivetrack/cli/session.py
@@ -11,6 +11,7 @@
 from chivetrack.cli.models import Failure
 from chivetrack.cli.output import Output, print_error, print_findings
 from chivetrack.cli.profile import Flags, resolve_connection
+from chivetrack.cli.trust import create_context
 from chivetrack.helpers.finding import Findings
 
 ValueT = TypeVar("ValueT")
@@ -35,7 +36,13 @@
         result = resolve_connection(self.flags)
         if result.is_error():
             exit_with_findings(result.error, code=ExitCode.USAGE)
-        return Client(connection=result.ok)
+        connection = result.ok
+        if not connection.server.startswith("https:"):
+            return Client(connection=connection)
+        context = create_context(connection)
+        if context.is_error():
+            exit_with_findings(context.error, code=ExitCode.USAGE)
+        return Client(connection=connection, context=context.ok)
 
 
 def get_client(context: typer.Context) -> Client:
--- a/tests/cli/stand_in.py
+++ b/tests/cli/stand_in.py
@@ -14,6 +14,8 @@
 
 import bottle
 
+from chivetrack.helpers.tls import Tls
+
 Document = dict[str, Any]
 
 
@@ -133,14 +135,16 @@
 
 
 @contextmanager
-def open_stand_in() -> Iterator[StandIn]:
+def open_stand_in(tls: Tls | None = None) -> Iterator[StandIn]:
     stand_in = StandIn()
     app = bottle.Bottle()
     app.route("/api/v1/<path:path>", ["GET", "POST", "PUT", "DELETE"], stand_in.handle)
     server = simple_server.make_server(
         "127.0.0.1", 0, app, server_class=_Server, handler_class=_Handler
     )
-    stand_in.url = f"http://127.0.0.1:{server.server_port}"
+    stand_in.url = f"{'https' if tls else 'http'}://127.0.0.1:{server.server_port}"
+    if tls is not None:
+        server.socket = tls.server_context.wrap_socket(server.socket, server_side=True)
     thread = threading.Thread(target=server.serve_forever, kwargs={"poll_interval": 0.01})
     thread.start()
     try:
@@ -154,6 +158,9 @@
 class _Server(ThreadingMixIn, simple_server.WSGIServer):
     daemon_threads = True
 
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        pass
+
 
 class _Handler(simple_server.WSGIRequestHandler):
     def get_environ(self) -> Document:
