--- a/chivetrack/components/settings/models.py
+++ b/chivetrack/components/settings/models.py
@@ -147,7 +147,8 @@
         default=(),
         max_length=const.MAX_REPLICAS,
         description="First members of the replicated log, the same list on every instance. "
-        "Read only while no log exists yet; later changes go by `chivetrack replica`.",
+        "Read only while no log exists yet; later changes go by `chivetrack replica add` and "
+        "`chivetrack replica remove`.",
     )
 
 
