Connect the resource API with the log's clients

Cause: the thin resource API only created. Change: all verbs and watch; reads carry a query to the leader and are answered as of a confirmed revision; a command without a request id gets one, since it is sent again when an answer is lost.

--- a/chivetrack/components/proposals/client.py
+++ b/chivetrack/components/proposals/client.py
@@ -108,9 +108,9 @@
         self._by_number[pending.number] = pending.submission.submission_id
         pending.target = target
         pending.retry_at = min(now + ANSWER_TIMEOUT_S, pending.submission.deadline)
-        message: ForwardProposal | ForwardRead = ForwardRead(pending.number)
-        if isinstance(pending.submission, Submit):
-            message = ForwardProposal(pending.number, pending.submission.data)
+        is_write = isinstance(pending.submission, Submit)
+        kind = ForwardProposal if is_write else ForwardRead
+        message = kind(pending.number, pending.submission.data)
         return [SendMessage(target=target, message=message), WakeAt(at=pending.retry_at)]
 
     def _choose_target(self, pending: _Pending) -> str | None:
--- a/chivetrack/components/proposals/models.py
+++ b/chivetrack/components/proposals/models.py
@@ -29,9 +29,10 @@
 
 @message("proposals.read")
 class ForwardRead(Message, frozen=True, array_like=True):
-    """Confirm with a quorum what the newest revision is."""
+    """Confirm with a quorum what the newest revision is, and answer a query as of it."""
 
     number: int
+    data: bytes = b""
 
 
 @message("proposals.answer")
@@ -60,10 +61,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SubmitRead(Event):
-    """Ask for the newest revision, confirmed by a quorum after this moment."""
+    """Ask for the newest revision, confirmed by a quorum after this moment.
+
+    ``data`` may hold a packed query, which is answered as of that revision.
+    """
 
     submission_id: str
     deadline: float
+    data: bytes = b""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/chivetrack/daemon/instance.py
+++ b/chivetrack/daemon/instance.py
@@ -23,7 +23,7 @@
 from chivetrack.components.pipeline.models import RequestEffect
 from chivetrack.components.proposals.models import SubmissionEnded
 from chivetrack.components.settings import Settings
-from chivetrack.components.settings.models import Address, HashedKey, Role
+from chivetrack.components.settings.models import Address, Role
 from chivetrack.components.store.store import Store
 from chivetrack.components.upstream.client import UpstreamClient
 from chivetrack.const import MILLISECONDS_PER_SECOND
@@ -32,13 +32,12 @@
 from chivetrack.daemon.memory_replica import MemoryReplica
 from chivetrack.daemon.metrics import build_metrics_app
 from chivetrack.daemon.peering import MessageDesk
-from chivetrack.daemon.resources import build_thin_resources
+from chivetrack.daemon.resources import ResourceDesk, build_resources_app, make_key_ring
 from chivetrack.daemon.runner import Runner
 from chivetrack.daemon.server import HttpServer
 from chivetrack.daemon.stop import GracefulStop, StopReport
 from chivetrack.daemon.submissions import Submissions
 from chivetrack.helpers.codec import Message
-from chivetrack.helpers.keys import KeyHolder, KeyRing
 from chivetrack.helpers.log import get_logger
 from chivetrack.helpers.telemetry import Telemetry
 
@@ -159,7 +158,7 @@
         listeners = self._settings.listeners
         announcements = AnnouncementDesk(
             registry=self.router.registry,
-            keys=KeyRing(holders=[_to_holder(key) for key in self._settings.announcers.keys]),
+            keys=make_key_ring(self._settings.announcers.keys),
             read_clock=time.monotonic,
         )
         caller_api = CallerApi(
@@ -168,9 +167,14 @@
             is_ready=self.is_ready,
             max_body=self._settings.limits.max_body_bytes,
         )
+        resources = build_resources_app(
+            desk=ResourceDesk(submissions=self.submissions, registry=self.router.registry),
+            view=self.router.configuration.view,
+            operators=make_key_ring(self._settings.operators.keys),
+        )
         applications = {
             "caller": (listeners.caller, caller_api.build()),
-            "resources": (listeners.resources, build_thin_resources(self.submissions)),
+            "resources": (listeners.resources, resources),
             "telemetry": (listeners.telemetry, build_metrics_app(telemetry=self._telemetry)),
         }
         return {
@@ -235,7 +239,3 @@
 
 def _to_pair(address: Address) -> tuple[str, int]:
     return address.host, address.port
-
-
-def _to_holder(key: HashedKey) -> KeyHolder:
-    return KeyHolder(name=key.name, hash=key.hash)
--- a/chivetrack/daemon/memory_replica.py
+++ b/chivetrack/daemon/memory_replica.py
@@ -11,9 +11,10 @@
     ProposalAnswer,
     Verdict,
 )
+from chivetrack.components.store.queries import answer_query
 from chivetrack.components.store.store import Store
 from chivetrack.core import Event
-from chivetrack.helpers.codec import Message
+from chivetrack.helpers.codec import Message, pack, unpack
 
 CONFIRM_EVERY_S = 0.5
 
@@ -48,6 +49,9 @@
             result = self._store.apply(self._index, message.data)
             self._post(ConfigChanged())
         assert isinstance(message, ForwardProposal | ForwardRead)
+        if isinstance(message, ForwardRead) and message.data:
+            query = unpack(message.data)
+            result = pack(answer_query(self._store, query))  # type: ignore[arg-type]
         revision = self._store.revision
         self._send(source, ProposalAnswer(message.number, Verdict.ACCEPTED, result, revision))
 
--- a/chivetrack/daemon/resources.py
+++ b/chivetrack/daemon/resources.py
@@ -1,36 +1,105 @@
-"""The thin resource API: create only, until the whole one is here."""
-
-import time
+"""Connects the resource API with the log, the configuration and the endpoints."""
 
 import msgspec
-from bottle import Bottle, HTTPResponse, request
+from bottle import Bottle
+from expression import Error, Ok, Result
 
-from chivetrack.components.caller_api.errors import make_error_response
-from chivetrack.components.resources.kinds import KINDS
-from chivetrack.components.store.commands import Create, Stamp
-from chivetrack.components.store.outcomes import Refused
+from chivetrack.components.configuration.view import ConfigView
+from chivetrack.components.endpoints.models import EndpointState
+from chivetrack.components.endpoints.registry import EndpointRegistry
+from chivetrack.components.resource_api.app import build_app
+from chivetrack.components.resource_api.models import ObservedResource, Ports
+from chivetrack.components.settings.models import HashedKey
+from chivetrack.components.store.commands import Command
+from chivetrack.components.store.outcomes import Outcome
+from chivetrack.components.store.queries import Answer, Query
 from chivetrack.daemon.submissions import Submissions
+from chivetrack.exceptions import Fault
 from chivetrack.helpers.codec import pack, unpack
+from chivetrack.helpers.keys import KeyHolder, KeyRing
+
+WRITE_TIMEOUT_S = 10.0
+READ_TIMEOUT_S = 5.0
+OWN_REQUEST_PREFIX = "auto:"
+
+
+class ResourceDesk:
+    """Carries the resource API's commands and queries to the leader."""
 
+    def __init__(self, *, submissions: Submissions, registry: EndpointRegistry) -> None:
+        """Take the way to the log and the observed endpoints."""
+        self._submissions = submissions
+        self._registry = registry
+
+    def submit(self, command: Command) -> Result[Outcome, Fault]:
+        """Have a command committed.
+
+        A command without a request id gets one: it is sent again when an answer is
+        lost, and must not be applied twice then.
+        """
+        if not command.stamp.request_id:
+            request_id = OWN_REQUEST_PREFIX + self._submissions.make_id()
+            stamp = msgspec.structs.replace(command.stamp, request_id=request_id)
+            command = msgspec.structs.replace(command, stamp=stamp)
+        result = self._submissions.submit(pack(command), timeout_s=WRITE_TIMEOUT_S)
+        if result.is_error():
+            return Error(result.error)
+        outcome = unpack(result.ok)
+        assert isinstance(outcome, Outcome)
+        return Ok(outcome)
 
-def build_thin_resources(submissions: Submissions) -> Bottle:
-    """Return the application."""
-    app = Bottle()
-
-    def create(kind: str) -> HTTPResponse:
-        document = msgspec.json.decode(request.body.read())
-        spec = KINDS[kind].spec.model_validate(document["spec"])
-        command = Create(
-            stamp=Stamp(time_ms=time.time_ns() // 1_000_000),
-            kind=kind,
-            name=document["metadata"]["name"],
-            spec=msgspec.msgpack.encode(spec.model_dump(mode="json", exclude_defaults=True)),
-        )
-        result = submissions.submit(pack(command), timeout_s=5.0)
+    def read(self, query: Query) -> Result[Answer, Fault]:
+        """Answer a query as of all that was committed by now."""
+        result = self._submissions.read(pack(query), timeout_s=READ_TIMEOUT_S)
         if result.is_error():
-            return make_error_response(result.error)
-        status = 409 if isinstance(unpack(result.ok), Refused) else 201
-        return HTTPResponse(body=b"{}", status=status)
+            return Error(result.error)
+        answer = unpack(result.ok.result)
+        assert isinstance(answer, Answer)
+        return Ok(answer)
+
+    def list_endpoints(self) -> list[ObservedResource]:
+        """Return the endpoints as this router sees them."""
+        return [
+            _observe(endpoint)
+            for service in self._registry.list_services()
+            for endpoint in self._registry.list_endpoints(service)
+        ]
+
+
+def _observe(endpoint: EndpointState) -> ObservedResource:
+    spec = {
+        "address": endpoint.address,
+        "service": endpoint.service,
+        "region": endpoint.region,
+        "zone": endpoint.zone,
+        "kind": endpoint.kind.value,
+        "capacity": endpoint.capacity,
+        "models": list(endpoint.models),
+        "adapters": list(endpoint.adapters),
+        "version": endpoint.version,
+        "role": endpoint.role,
+        "checks_fencing": endpoint.checks_fencing,
+    }
+    status = {
+        "availability": endpoint.availability.value,
+        "reason": endpoint.reason,
+        "incarnation": endpoint.incarnation,
+    }
+    return ObservedResource(name=endpoint.endpoint_id, spec=spec, status=status)
+
+
+def build_resources_app(*, desk: ResourceDesk, view: ConfigView, operators: KeyRing) -> Bottle:
+    """Return the resource API of an instance."""
+    ports = Ports(
+        submit=desk.submit,
+        read=desk.read,
+        view=view,
+        check_operator=lambda token: operators.find_holder(token) is not None,
+        observed={"endpoint": desk.list_endpoints},
+    )
+    return build_app(ports)
+
 
-    app.route("/api/v1/<kind>", "POST", create)
-    return app
+def make_key_ring(keys: tuple[HashedKey, ...]) -> KeyRing:
+    """Return the keys that a listener accepts."""
+    return KeyRing(holders=[KeyHolder(name=key.name, hash=key.hash) for key in keys])
--- a/chivetrack/daemon/submissions.py
+++ b/chivetrack/daemon/submissions.py
@@ -25,22 +25,23 @@
         """Take the decisions' entry, the clock and the source of ids."""
         self._post = post
         self._read_clock = read_clock
-        self._make_id = make_id
+        self.make_id = make_id
         self._waiting: dict[str, AsyncResult] = {}
 
     def submit(self, data: bytes, *, timeout_s: float) -> Result[bytes, Fault]:
         """Bring a command to the log and return its outcome's bytes."""
-        submission_id = SUBMISSION_PREFIX + self._make_id()
+        submission_id = SUBMISSION_PREFIX + self.make_id()
         deadline = self._read_clock() + timeout_s
         ended = self._wait(Submit(submission_id=submission_id, data=data, deadline=deadline))
         return Ok(ended.result) if ended.fault is None else Error(ended.fault)
 
-    def confirm_revision(self, *, timeout_s: float) -> Result[int, Fault]:
-        """Return the newest revision, confirmed by a quorum."""
-        submission_id = SUBMISSION_PREFIX + self._make_id()
+    def read(self, data: bytes, *, timeout_s: float) -> Result[SubmissionEnded, Fault]:
+        """Return the newest revision, confirmed by a quorum, and a query's answer."""
+        submission_id = SUBMISSION_PREFIX + self.make_id()
         deadline = self._read_clock() + timeout_s
-        ended = self._wait(SubmitRead(submission_id=submission_id, deadline=deadline))
-        return Ok(ended.revision) if ended.fault is None else Error(ended.fault)
+        submission = SubmitRead(submission_id=submission_id, deadline=deadline, data=data)
+        ended = self._wait(submission)
+        return Ok(ended) if ended.fault is None else Error(ended.fault)
 
     def _wait(self, submission: Submit | SubmitRead) -> SubmissionEnded:
         waiter = self._waiting[submission.submission_id] = AsyncResult()
