Wire telemetry, encryption, explanations and drains into the daemon

Cause: these parts stood beside the path. Change: a span for the request and one for each attempt, the context passed on; TLS on every listener and between instances, files taken up again by timer; explain and status routes; drains in force reach the endpoint registry. Still thin: replicas and backup answer 501.

--- a/chivetrack/assembly.py
+++ b/chivetrack/assembly.py
@@ -13,6 +13,7 @@
 from chivetrack.components.configuration.configuration import Configuration
 from chivetrack.components.configuration.models import ConfigurationSettings
 from chivetrack.components.directory.directory import ConfigDirectory
+from chivetrack.components.drains.enforcement import DrainEnforcement
 from chivetrack.components.endpoints.models import OutcomeKind
 from chivetrack.components.endpoints.registry import EndpointRegistry
 from chivetrack.components.gossip.gossip import Gossip
@@ -158,11 +159,12 @@
         ),
         to_wall_ms=to_wall_ms,
     )
+    enforcement = DrainEnforcement(configuration=configuration, registry=registry)
     node = RouterNode(
         flow=flow,
         proposals=proposals,
         claims=claims,
-        components=(exchange, gossip, registry, configuration),
+        components=(exchange, gossip, registry, configuration, enforcement),
     )
     return Router(
         node=node,
--- a/chivetrack/components/caller_api/gateway.py
+++ b/chivetrack/components/caller_api/gateway.py
@@ -1,9 +1,11 @@
 """Carries out what the request flow decides, for one caller after another."""
 
 from collections.abc import Callable, Iterator, Mapping
-from dataclasses import dataclass, field
+from contextlib import ExitStack
+from dataclasses import dataclass, field, replace
 
 from gevent.queue import Empty, SimpleQueue
+from opentelemetry.trace import SpanKind
 
 from chivetrack.components.caller_api.const import (
     HEADER_ENDPOINT,
@@ -34,7 +36,6 @@
     DEADLINE_HEADER,
     HOP_BY_HOP,
     PRIORITY_HEADER,
-    TRACE_HEADER,
 )
 from chivetrack.components.upstream.models import (
     AttemptOutcome,
@@ -43,6 +44,7 @@
 )
 from chivetrack.const import MILLISECONDS_PER_SECOND
 from chivetrack.exceptions import Fault
+from chivetrack.helpers.telemetry import Hop, Telemetry, extract_context
 
 # A request waits longer than this only for what has a deadline of its own.
 WAIT_LIMIT_S = 3600.0
@@ -66,7 +68,10 @@
 
     request_id: str
     mailbox: SimpleQueue
+    begun_at: float
     deadline: float
+    hops: ExitStack
+    hop: Hop
     answer: UpstreamAnswer | None = None
     started: StartAttempt | None = None
 
@@ -88,10 +93,13 @@
         *,
         post: Callable[[RequestEvent], None],
         client: UpstreamClient,
+        telemetry: Telemetry,
         read_clock: Callable[[], float],
         make_id: Callable[[], str],
     ) -> None:
-        """Take the decisions' entry, the client, the clock and the source of ids."""
+        """Take the decisions' entry, the client, telemetry, the clock and a source of ids."""
+        self._tracer = telemetry.tracer
+        self._instruments = telemetry.instruments
         self._post = post
         self._client = client
         self._read_clock = read_clock
@@ -111,18 +119,17 @@
 
     def serve(self, request: CallerRequest) -> GatewayAnswer:
         """Bring a request to its end, or to the first chunk of a streamed answer."""
-        request_id = self._make_id()
-        conversation = _Conversation(
-            request_id=request_id,
-            mailbox=SimpleQueue(),
-            deadline=self._read_clock() + WAIT_LIMIT_S,
-        )
-        self._mailboxes[request_id] = conversation.mailbox
+        conversation = self._open(request)
+        headers = {**request.headers, **conversation.hop.write_headers()}
+        request = replace(request, headers=headers)
+        request_id = conversation.request_id
         keep = False
         try:
             self._post(RequestArrived(request_id=request_id, request=request))
             answer = self._follow(conversation)
             keep = isinstance(answer.body, RelayBody)
+            if answer.fault is not None:
+                conversation.hop.fail(answer.fault.code)
             return answer
         except BaseException:
             self._post(CallerGone(request_id=request_id))
@@ -131,7 +138,33 @@
             raise
         finally:
             if not keep:
-                del self._mailboxes[request_id]
+                self._close(conversation)
+
+    def _open(self, request: CallerRequest) -> _Conversation:
+        hops = ExitStack()
+        parent = extract_context(request.headers)
+        hop = hops.enter_context(
+            self._tracer.open_hop("request", parent=parent, kind=SpanKind.SERVER)
+        )
+        now = self._read_clock()
+        conversation = _Conversation(
+            request_id=self._make_id(),
+            mailbox=SimpleQueue(),
+            begun_at=now,
+            deadline=now + WAIT_LIMIT_S,
+            hops=hops,
+            hop=hop,
+        )
+        hop.set_attribute("request.id", conversation.request_id)
+        self._mailboxes[conversation.request_id] = conversation.mailbox
+        self._instruments.change_in_flight(1)
+        return conversation
+
+    def _close(self, conversation: _Conversation) -> None:
+        if self._mailboxes.pop(conversation.request_id, None) is None:
+            return
+        self._instruments.change_in_flight(-1)
+        conversation.hops.close()
 
     def _follow(self, conversation: _Conversation) -> GatewayAnswer:
         while True:
@@ -174,9 +207,18 @@
             conversation.answer = None
         conversation.started = effect
         conversation.deadline = effect.exchange.deadline
-        result = self._client.send(make_upstream_request(effect))
+        hop = conversation.hops.enter_context(
+            self._tracer.open_hop(
+                "attempt",
+                parent=conversation.hop.context,
+                kind=SpanKind.CLIENT,
+                attributes={"endpoint.id": effect.attempt.endpoint_id},
+            )
+        )
+        result = self._client.send(make_upstream_request(effect, hop))
         if result.is_error():
             failure = result.error
+            hop.fail(failure.outcome.value)
             self._post(
                 AttemptFailed(
                     request_id=effect.request_id,
@@ -236,10 +278,14 @@
     def _relay_stream(self, conversation: _Conversation, answer: UpstreamAnswer) -> GatewayAnswer:
         chunks = answer.read_chunks()
         first = next(chunks, b"")
+        service = self._get_service(conversation)
+        waited_s = self._read_clock() - conversation.begun_at
+        self._instruments.record_first_chunk(service=service, duration_s=waited_s)
 
-        def end(whole: bool) -> None:
-            self._mailboxes.pop(conversation.request_id, None)
+        def end(whole: bool, count: int) -> None:
+            self._instruments.record_chunks(service=service, count=count)
             self._end(conversation, answer, whole=whole, body=None)
+            self._close(conversation)
 
         content_type = answer.headers.get("Content-Type", "")
         body = RelayBody(
@@ -257,6 +303,11 @@
             body=body,
         )
 
+    @staticmethod
+    def _get_service(conversation: _Conversation) -> str:
+        started = conversation.started
+        return "" if started is None else started.exchange.service
+
     def _end(
         self,
         conversation: _Conversation,
@@ -287,7 +338,7 @@
         return headers
 
 
-def make_upstream_request(effect: StartAttempt) -> UpstreamRequest:
+def make_upstream_request(effect: StartAttempt, hop: Hop) -> UpstreamRequest:
     """Return the request as it goes to the endpoint of an attempt."""
     exchange = effect.exchange
     assert exchange.policy is not None
@@ -296,7 +347,7 @@
     headers[ATTEMPT_HEADER] = exchange.request_id
     headers[DEADLINE_HEADER] = str(int(effect.timeout_s * MILLISECONDS_PER_SECOND))
     headers[PRIORITY_HEADER] = str(exchange.priority)
-    headers[TRACE_HEADER] = exchange.traceparent
+    headers.update(hop.write_headers())
     headers["X-Chat-Id"] = exchange.affinity
     headers["X-Workspace"] = exchange.workspace.name
     return UpstreamRequest(
--- a/chivetrack/components/caller_api/relay.py
+++ b/chivetrack/components/caller_api/relay.py
@@ -7,13 +7,17 @@
 from chivetrack.components.upstream.client import UpstreamAnswer
 from chivetrack.components.upstream.models import BrokenAnswerError
 
+EndCallback = Callable[[bool, int], None]
+
 
 class AnswerCutError(Exception):
     """Ends a caller's answer without the mark of a whole one."""
 
 
 class RelayBody:
-    """The body of a streamed answer; ``on_end`` is called once, with whether it is whole.
+    """The body of a streamed answer.
+
+    ``on_end`` is called once, with whether it is whole and how many chunks went on.
 
     An object rather than a generator: closing a generator that was never started
     runs none of its code, and the engine would go on for a caller that has left.
@@ -27,7 +31,7 @@
         rest: Iterator[bytes],
         request_id: str,
         is_event_stream: bool,
-        on_end: Callable[[bool], None],
+        on_end: EndCallback,
     ) -> None:
         """Take over an answer whose first chunk was read."""
         self._answer = answer
@@ -35,8 +39,9 @@
         self._rest = rest
         self._request_id = request_id
         self._is_event_stream = is_event_stream
-        self._on_end: Callable[[bool], None] | None = on_end
+        self._on_end: EndCallback | None = on_end
         self._cut = False
+        self._chunks = 0
 
     def __iter__(self) -> "RelayBody":
         return self
@@ -44,6 +49,7 @@
     def __next__(self) -> bytes:
         if self._first is not None:
             first, self._first = self._first, None
+            self._chunks = 1
             return first
         if self._cut:
             # The server closes the connection without the last chunk on an error:
@@ -51,7 +57,9 @@
             # show the caller half a report as if it were whole.
             raise AnswerCutError(self._request_id)
         try:
-            return next(self._rest)
+            chunk = next(self._rest)
+            self._chunks += 1
+            return chunk
         except StopIteration:
             self._end(whole=True)
             raise
@@ -72,4 +80,4 @@
     def _end(self, *, whole: bool) -> None:
         if self._on_end is not None:
             on_end, self._on_end = self._on_end, None
-            on_end(whole)
+            on_end(whole, self._chunks)
--- /dev/null
+++ b/chivetrack/components/drains/__init__.py
@@ -0,0 +1,1 @@
+"""Planned drains: taking endpoints out of service without cutting anything."""
--- /dev/null
+++ b/chivetrack/components/management/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' routes beside the resources: status, explanations, replicas, backup."""
--- /dev/null
+++ b/chivetrack/components/management/app.py
@@ -0,0 +1,105 @@
+"""The bottle application of the operators' routes."""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from bottle import Bottle, HTTPResponse, request
+from expression import Result
+
+from chivetrack.components.caller_api.errors import make_error_response
+from chivetrack.components.management.models import Document, Find, ManagementPorts
+from chivetrack.exceptions import Fault, Ran
+
+PREFIX = "/api/v1"
+JSON_TYPE = "application/json"
+BINARY_TYPE = "application/octet-stream"
+BEARER_PREFIX = "Bearer "
+MAX_DOCUMENT = 4096
+
+UNAUTHORIZED = Fault(code="unauthorized", message="no operator's key", status=401, ran=Ran.NO)
+
+
+class ReplicaDocument(msgspec.Struct, forbid_unknown_fields=True):
+    """The body of a request to add a replica."""
+
+    id: str
+    address: str
+
+
+def build_management_app(ports: ManagementPorts) -> Bottle:
+    """Return the application; to be merged with the resource API."""
+    routes = _Routes(ports=ports)
+    app = Bottle()
+    app.route(f"{PREFIX}/status", "GET", routes.guard(routes.show_status))
+    app.route(f"{PREFIX}/explain/request/<name>", "GET", routes.guard(routes.explain_request))
+    app.route(f"{PREFIX}/explain/endpoint/<name>", "GET", routes.guard(routes.explain_endpoint))
+    app.route(f"{PREFIX}/replicas", "POST", routes.guard(routes.add_replica))
+    app.route(f"{PREFIX}/replicas/<name>", "DELETE", routes.guard(routes.remove_replica))
+    app.route(f"{PREFIX}/backup", "GET", routes.guard(routes.send_backup))
+    return app
+
+
+class _Routes:
+    def __init__(self, *, ports: ManagementPorts) -> None:
+        self._ports = ports
+
+    def guard(self, handler: Callable[..., HTTPResponse]) -> Callable[..., HTTPResponse]:
+        """Return the handler behind the check of the operator's key."""
+
+        def check_and_call(**arguments: Any) -> HTTPResponse:
+            given = request.get_header("Authorization", "")
+            if not given.startswith(BEARER_PREFIX):
+                return make_error_response(UNAUTHORIZED)
+            if not self._ports.check_operator(given.removeprefix(BEARER_PREFIX).strip()):
+                return make_error_response(UNAUTHORIZED)
+            return handler(**arguments)
+
+        return check_and_call
+
+    def show_status(self) -> HTTPResponse:
+        return _answer(self._ports.read_status())
+
+    def explain_request(self, name: str) -> HTTPResponse:
+        return _explain(self._ports.explain_request, name)
+
+    def explain_endpoint(self, name: str) -> HTTPResponse:
+        return _explain(self._ports.explain_endpoint, name)
+
+    def add_replica(self) -> HTTPResponse:
+        body = request.environ["wsgi.input"].read(MAX_DOCUMENT)
+        try:
+            document = msgspec.json.decode(body, type=ReplicaDocument)
+        except msgspec.MsgspecError as error:
+            fault = Fault(code="malformed_body", message=str(error), status=400, ran=Ran.NO)
+            return make_error_response(fault)
+        return _acknowledge(self._ports.add_replica(document.id, document.address))
+
+    def remove_replica(self, name: str) -> HTTPResponse:
+        return _acknowledge(self._ports.remove_replica(name))
+
+    def send_backup(self) -> HTTPResponse:
+        content = self._ports.read_backup()
+        if content.is_error():
+            return make_error_response(content.error)
+        headers = {"Content-Type": BINARY_TYPE}
+        return HTTPResponse(body=content.ok, status=200, headers=headers)
+
+
+def _answer(document: Document, status: int = 200) -> HTTPResponse:
+    body = msgspec.json.encode(document)
+    return HTTPResponse(body=body, status=status, headers={"Content-Type": JSON_TYPE})
+
+
+def _acknowledge(result: Result[None, Fault]) -> HTTPResponse:
+    if result.is_error():
+        return make_error_response(result.error)
+    return _answer({"accepted": True}, 202)
+
+
+def _explain(find: Find, name: str) -> HTTPResponse:
+    found = find(name)
+    if found is None:
+        message = f"Nothing is known of {name!r} here; ask the instance that served it."
+        return make_error_response(Fault(code="not_found", message=message, status=404, ran=Ran.NO))
+    return _answer(found)
--- /dev/null
+++ b/chivetrack/components/management/models.py
@@ -0,0 +1,29 @@
+"""What the operators' routes need of their instance."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, TypeAlias
+
+from expression import Result
+
+from chivetrack.exceptions import Fault
+
+Document: TypeAlias = dict[str, Any]
+Find: TypeAlias = Callable[[str], Document | None]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ManagementPorts:
+    """The ways from the routes into the instance.
+
+    ``explain_request`` and ``explain_endpoint`` return ``None`` for what is not
+    known. The others may block the calling greenlet.
+    """
+
+    check_operator: Callable[[str], bool]
+    read_status: Callable[[], Document]
+    explain_request: Find
+    explain_endpoint: Find
+    add_replica: Callable[[str, str], Result[None, Fault]]
+    remove_replica: Callable[[str], Result[None, Fault]]
+    read_backup: Callable[[], Result[bytes, Fault]]
--- a/chivetrack/components/peers/transport.py
+++ b/chivetrack/components/peers/transport.py
@@ -84,14 +84,14 @@
         on_message: Callable[[str, Message], None],
         on_error: Callable[[str], None],
         server_credentials: grpc.ServerCredentials | None = None,
-        channel_credentials: grpc.ChannelCredentials | None = None,
+        make_channel_credentials: Callable[[], grpc.ChannelCredentials] | None = None,
     ) -> None:
         """Bind the listener; nothing is served before ``start``."""
         self._instance_id = instance_id
         self._resolve = resolve
         self._on_message = on_message
         self._on_error = on_error
-        self._channel_credentials = channel_credentials
+        self._make_channel_credentials = make_channel_credentials
         self._outboxes: dict[str, _Outbox] = {}
         self._channels: dict[str, grpc.Channel] = {}
         self._senders: list[gevent.Greenlet] = []
@@ -162,9 +162,16 @@
         return peer_pb2_grpc.PeerStub(channel)
 
     def _open_channel(self, address: str) -> grpc.Channel:
-        if self._channel_credentials is None:
+        if self._make_channel_credentials is None:
             return grpc.insecure_channel(address, options=_CHANNEL_OPTIONS)
-        return grpc.secure_channel(address, self._channel_credentials, options=_CHANNEL_OPTIONS)
+        credentials = self._make_channel_credentials()
+        return grpc.secure_channel(address, credentials, options=_CHANNEL_OPTIONS)
+
+    def reopen_channels(self) -> None:
+        """Open channels anew, with the credentials of now, at the next message."""
+        channels, self._channels = self._channels, {}
+        for channel in channels.values():
+            channel.close()
 
     def receive_batch(self, batch: peer_pb2.Batch) -> None:
         """Hand on the messages of a batch; one bad message does not hide the others."""
--- a/chivetrack/components/upstream/const.py
+++ b/chivetrack/components/upstream/const.py
@@ -6,7 +6,6 @@
 DEADLINE_HEADER: Final = "X-Request-Timeout-Ms"
 PRIORITY_HEADER: Final = "X-Priority"
 DID_NOT_RUN_HEADER: Final = "X-Did-Not-Run"
-TRACE_HEADER: Final = "traceparent"
 
 CONNECT_TIMEOUT_S: Final = 1.0
 READ_SIZE: Final = 65536
@@ -29,5 +28,7 @@
         "authorization",
         "x-workspace",
         "cookie",
+        "traceparent",
+        "tracestate",
     }
 )
--- a/chivetrack/daemon/__main__.py
+++ b/chivetrack/daemon/__main__.py
@@ -8,6 +8,7 @@
 
 grpc_gevent.init_gevent()
 
+from collections.abc import Iterable  # noqa: E402
 from pathlib import Path  # noqa: E402
 from typing import Annotated  # noqa: E402
 
@@ -21,7 +22,9 @@
     EXIT_SETTINGS,
     EXIT_START,
 )
+from chivetrack.daemon.encryption import open_encryption  # noqa: E402
 from chivetrack.daemon.instance import Instance  # noqa: E402
+from chivetrack.helpers.finding import Finding  # noqa: E402
 from chivetrack.helpers.log import get_logger, open_logs  # noqa: E402
 from chivetrack.helpers.telemetry import open_telemetry  # noqa: E402
 
@@ -36,9 +39,19 @@
         raise typer.Exit
 
 
+def report_findings(findings: Iterable[Finding]) -> int:
+    """Print all findings and return the exit code for them."""
+    for finding in findings:
+        typer.echo(str(finding), err=True)
+    return EXIT_SETTINGS
+
+
 def serve(settings: Settings) -> int:
     """Run an instance until it was stopped, and return the exit code."""
     instance = settings.instance
+    encryption = open_encryption(settings)
+    if encryption.is_error():
+        return report_findings(encryption.error)
     with (
         open_logs(level=settings.log.level, form=settings.log.format),
         open_telemetry(
@@ -50,7 +63,7 @@
         ) as telemetry,
     ):
         try:
-            running = Instance(settings=settings, telemetry=telemetry)
+            running = Instance(settings=settings, telemetry=telemetry, encryption=encryption.ok)
         except (OSError, RuntimeError) as error:
             _LOGGER.error("Cannot start: {}.", error)
             return EXIT_START
@@ -73,9 +86,7 @@
     """
     settings = load_settings(config)
     if settings.is_error():
-        for finding in settings.error:
-            typer.echo(str(finding), err=True)
-        raise typer.Exit(EXIT_SETTINGS)
+        raise typer.Exit(report_findings(settings.error))
     raise typer.Exit(serve(settings.ok))
 
 
--- a/chivetrack/daemon/instance.py
+++ b/chivetrack/daemon/instance.py
@@ -6,7 +6,7 @@
 import time
 import uuid
 from collections.abc import Iterator
-from contextlib import ExitStack, contextmanager
+from contextlib import contextmanager
 
 import gevent
 
@@ -19,27 +19,34 @@
     WhenUnconfirmed,
 )
 from chivetrack.components.gossip.models import Peer
+from chivetrack.components.management.app import build_management_app
 from chivetrack.components.peers.transport import PeerTransport
 from chivetrack.components.pipeline.models import RequestEffect
 from chivetrack.components.proposals.models import SubmissionEnded
 from chivetrack.components.settings import Settings
-from chivetrack.components.settings.models import Address, Role
+from chivetrack.components.settings.models import Role
 from chivetrack.components.store.store import Store
 from chivetrack.components.upstream.client import UpstreamClient
 from chivetrack.const import MILLISECONDS_PER_SECOND
 from chivetrack.core import SendMessage
 from chivetrack.daemon.announcements import AnnouncementDesk
+from chivetrack.daemon.encryption import Encryption
+from chivetrack.daemon.explanations import Explanations
+from chivetrack.daemon.listeners import Applications, Listeners
+from chivetrack.daemon.management import Management
 from chivetrack.daemon.memory_replica import MemoryReplica
 from chivetrack.daemon.metrics import build_metrics_app
 from chivetrack.daemon.peering import MessageDesk
+from chivetrack.daemon.recorder import RequestRecorder
 from chivetrack.daemon.resources import ResourceDesk, build_resources_app, make_key_ring
 from chivetrack.daemon.runner import Runner
-from chivetrack.daemon.server import HttpServer
 from chivetrack.daemon.stop import GracefulStop, StopReport
 from chivetrack.daemon.submissions import Submissions
 from chivetrack.helpers.codec import Message
 from chivetrack.helpers.log import get_logger
 from chivetrack.helpers.telemetry import Telemetry
+from chivetrack.helpers.timer import TimerService
+from chivetrack.helpers.tls import RELOAD_INTERVAL_S
 
 _LOGGER = get_logger("daemon")
 
@@ -56,14 +63,19 @@
 class Instance:
     """Owns the edges of one daemon; ``run`` serves until a graceful stop has ended."""
 
-    def __init__(self, *, settings: Settings, telemetry: Telemetry) -> None:
+    def __init__(self, *, settings: Settings, telemetry: Telemetry, encryption: Encryption) -> None:
         """Build all parts; nothing listens before ``run``."""
         self._settings = settings
         self._telemetry = telemetry
-        self._incarnation = time.time_ns() // 1_000_000
+        self._encryption = encryption
+        self._timers = TimerService()
         self._store = Store() if self._is_replica else None
-        self.router = self._assemble()
-        self.runner = Runner(decisions=self.router.node, read_clock=time.monotonic)
+        self.router = self._assemble_router()
+        self.recorder = RequestRecorder(instruments=telemetry.instruments)
+        self.router.end_listeners.append(self.recorder.record_end)
+        self.runner = Runner(
+            decisions=self.router.node, timers=self._timers, read_clock=time.monotonic
+        )
         self.desk = MessageDesk(post=self.runner.post)
         self.submissions = Submissions(
             post=self.runner.post, read_clock=time.monotonic, make_id=_make_id
@@ -72,27 +84,40 @@
         self.gateway = Gateway(
             post=self.runner.post,
             client=self.client,
+            telemetry=telemetry,
             read_clock=time.monotonic,
             make_id=_make_id,
         )
         self.transport = self._build_transport()
-        self._servers = self._build_servers()
+        self._replica = self._build_replica()
+        self.desk.replica = self._replica
+        self._listeners = self._build_listeners()
         self._stop = GracefulStop(
             settle_s=settings.stop.settle_s,
             deadline_s=settings.stop.deadline_s,
             count_open=lambda: self.gateway.open_count,
-            close_listeners=self._close_caller_listener,
+            close_listeners=self._listeners.close_caller,
             read_clock=time.monotonic,
         )
-        self._replica: MemoryReplica | None = None
-        self._build_replica()
         self._connect_effects()
 
-    def _assemble(self) -> Router:
+    @property
+    def instance_id(self) -> str:
+        """Return this instance's id."""
+        return self._settings.instance.id
+
+    @property
+    def _is_replica(self) -> bool:
+        # Until the log is here, the first replica alone holds the state, in memory.
+        initial = self._settings.replicas.initial
+        is_first = bool(initial) and initial[0].id == self._settings.instance.id
+        return is_first and Role.REPLICA in self._settings.instance.roles
+
+    def _assemble_router(self) -> Router:
         instance = self._settings.instance
         identity = RouterIdentity(
             instance_id=instance.id,
-            incarnation=self._incarnation,
+            incarnation=time.time_ns() // 1_000_000,
             region=instance.region,
             zone=instance.availability_zone,
         )
@@ -114,39 +139,20 @@
             store_table=None if self._store is None else self._store.table,
         )
 
-    def _meet_peers(self) -> None:
-        members = self._settings.replicas.initial
-        peers = [Peer(instance_id=m.id, region=self._settings.instance.region) for m in members]
-        self.router.gossip.set_peers(peers)
-        names = tuple(member.id for member in members)
-        self.runner.post(PeersChanged(leader=names[0], replicas=names))
-
-    @property
-    def _is_replica(self) -> bool:
-        # Until the log is here, the first replica alone holds the state, in memory.
-        initial = self._settings.replicas.initial
-        is_first = bool(initial) and initial[0].id == self._settings.instance.id
-        return is_first and Role.REPLICA in self._settings.instance.roles
-
-    def _build_replica(self) -> None:
-        if self._store is None:
-            return
-        self._replica = MemoryReplica(
-            store=self._store, post=self.runner.post, send=self._send_to, read_clock=time.monotonic
-        )
-        self.desk.replica = self._replica
-
-    def _send_to(self, target: str, message: Message) -> None:
-        self._send(SendMessage(target=target, message=message))
-
     def _build_transport(self) -> PeerTransport:
-        return PeerTransport(
-            instance_id=self._settings.instance.id,
+        tls = self._encryption.get("peer")
+        transport = PeerTransport(
+            instance_id=self.instance_id,
             listen=str(self._settings.listeners.peer),
             resolve=self._resolve,
             on_message=self.desk.take,
             on_error=lambda text: _LOGGER.warning("Dropped a message: {}.", text),
+            server_credentials=None if tls is None else tls.create_grpc_server_credentials(),
+            make_channel_credentials=(None if tls is None else tls.create_grpc_channel_credentials),
         )
+        if tls is not None:
+            tls.subscribe(transport.reopen_channels)
+        return transport
 
     def _resolve(self, instance_id: str) -> str | None:
         for member in self._settings.replicas.initial:
@@ -154,8 +160,15 @@
                 return str(member.address)
         return None
 
-    def _build_servers(self) -> dict[str, HttpServer]:
-        listeners = self._settings.listeners
+    def _build_replica(self) -> MemoryReplica | None:
+        if self._store is None:
+            return None
+        return MemoryReplica(
+            store=self._store, post=self.runner.post, send=self._send_to, read_clock=time.monotonic
+        )
+
+    def _build_listeners(self) -> Listeners:
+        operators = make_key_ring(self._settings.operators.keys)
         announcements = AnnouncementDesk(
             registry=self.router.registry,
             keys=make_key_ring(self._settings.announcers.keys),
@@ -170,19 +183,34 @@
         resources = build_resources_app(
             desk=ResourceDesk(submissions=self.submissions, registry=self.router.registry),
             view=self.router.configuration.view,
-            operators=make_key_ring(self._settings.operators.keys),
-        )
-        applications = {
-            "caller": (listeners.caller, caller_api.build()),
-            "resources": (listeners.resources, resources),
-            "telemetry": (listeners.telemetry, build_metrics_app(telemetry=self._telemetry)),
-        }
-        return {
-            name: HttpServer(
-                address=_to_pair(address), application=app, is_closing=self.is_stopping
-            )
-            for name, (address, app) in applications.items()
-        }
+            operators=operators,
+        )
+        explanations = Explanations(
+            instance_id=self.instance_id,
+            recorder=self.recorder,
+            registry=self.router.registry,
+            read_clock=time.monotonic,
+        )
+        management = Management(
+            instance_id=self.instance_id,
+            router=self.router,
+            submissions=self.submissions,
+            explanations=explanations,
+            operators=operators,
+            read_clock=time.monotonic,
+        )
+        resources.merge(build_management_app(management.make_ports()))
+        applications = Applications(
+            caller=caller_api.build(),
+            resources=resources,
+            telemetry=build_metrics_app(telemetry=self._telemetry),
+        )
+        return Listeners(
+            settings=self._settings.listeners,
+            applications=applications,
+            encryption=self._encryption,
+            is_closing=self.is_stopping,
+        )
 
     def _connect_effects(self) -> None:
         self.runner.handle_effects(SendMessage, self._send)
@@ -190,11 +218,21 @@
         self.runner.handle_effects(SubmissionEnded, self.submissions.take_end)
 
     def _send(self, effect: SendMessage) -> None:
-        own_id = self._settings.instance.id
-        if effect.target == own_id:
-            gevent.spawn(self.desk.take, own_id, effect.message)
+        self._send_to(effect.target, effect.message)
+
+    def _send_to(self, target: str, message: Message) -> None:
+        if target == self.instance_id:
+            gevent.spawn(self.desk.take, self.instance_id, message)
             return
-        self.transport.send(effect.target, effect.message)
+        self.transport.send(target, message)
+
+    def _meet_peers(self) -> None:
+        members = self._settings.replicas.initial
+        region = self._settings.instance.region
+        peers = [Peer(instance_id=member.id, region=region) for member in members]
+        self.router.gossip.set_peers(peers)
+        names = tuple(member.id for member in members)
+        self.runner.post(PeersChanged(leader=names[0], replicas=names))
 
     def is_ready(self) -> bool:
         """Return whether the balancer may send requests here."""
@@ -206,24 +244,22 @@
         """Return whether connections are closed after their current request."""
         return self._stop.is_stopping
 
-    def _close_caller_listener(self) -> None:
-        self._servers["caller"].stop_accepting()
-
     def run(self) -> StopReport:
         """Serve until a graceful stop has ended, and tell what it cut."""
-        with ExitStack() as stack:
-            stack.enter_context(self._serve())
+        with self._serve():
             gevent.signal_handler(signal.SIGTERM, self._stop.ask)
             gevent.signal_handler(signal.SIGINT, self._stop.ask)
-            _LOGGER.info("Instance {} is up.", self._settings.instance.id)
+            _LOGGER.info("Instance {} is up.", self.instance_id)
             return self._stop.wait()
 
     @contextmanager
     def _serve(self) -> Iterator[None]:
         self.transport.start()
         self._meet_peers()
-        for server in self._servers.values():
-            server.start()
+        self._listeners.start()
+        now = time.monotonic()
+        self._timers.call_every(RELOAD_INTERVAL_S, lambda _: self._encryption.check(), now=now)
+        self.runner.start()
         loops = [gevent.spawn(self.runner.run)]
         if self._replica is not None:
             loops.append(gevent.spawn(self._replica.run))
@@ -231,11 +267,6 @@
             yield
         finally:
             gevent.killall(loops)
-            for server in self._servers.values():
-                server.stop(timeout=0)
+            self._listeners.stop()
             self.transport.stop()
             self.client.close()
-
-
-def _to_pair(address: Address) -> tuple[str, int]:
-    return address.host, address.port
--- /dev/null
+++ b/chivetrack/daemon/listeners.py
@@ -0,0 +1,62 @@
+"""The HTTP listeners of an instance and their applications."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from bottle import Bottle
+
+from chivetrack.components.settings.models import Address, ListenerSettings
+from chivetrack.daemon.encryption import Encryption
+from chivetrack.daemon.server import HttpServer
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Applications:
+    """What each HTTP listener serves."""
+
+    caller: Bottle
+    resources: Bottle
+    telemetry: Bottle
+
+
+class Listeners:
+    """Opens and closes the HTTP listeners."""
+
+    def __init__(
+        self,
+        *,
+        settings: ListenerSettings,
+        applications: Applications,
+        encryption: Encryption,
+        is_closing: Callable[[], bool],
+    ) -> None:
+        """Create the servers; they listen from ``start`` on."""
+        self._encryption = encryption
+        self._is_closing = is_closing
+        self._servers = {
+            "caller": self._create("caller", settings.caller, applications.caller),
+            "resources": self._create("resources", settings.resources, applications.resources),
+            "telemetry": self._create("telemetry", settings.telemetry, applications.telemetry),
+        }
+
+    def _create(self, name: str, address: Address, application: Bottle) -> HttpServer:
+        return HttpServer(
+            address=(address.host, address.port),
+            application=application,
+            is_closing=self._is_closing,
+            tls=self._encryption.get(name),
+        )
+
+    def start(self) -> None:
+        """Listen; raise ``OSError`` when an address is taken."""
+        for server in self._servers.values():
+            server.start()
+
+    def close_caller(self) -> None:
+        """Accept no more connections of callers; those that are open go on."""
+        self._servers["caller"].stop_accepting()
+
+    def stop(self) -> None:
+        """Close everything."""
+        for server in self._servers.values():
+            server.stop(timeout=0)
--- a/chivetrack/daemon/runner.py
+++ b/chivetrack/daemon/runner.py
@@ -8,6 +8,7 @@
 
 from chivetrack.core import Effect, Event, TimeReached, WakeAt
 from chivetrack.daemon.const import LONGEST_SLEEP_S
+from chivetrack.helpers.timer import TimerService
 
 EffectT = TypeVar("EffectT", bound=Effect)
 
@@ -26,9 +27,12 @@
     The decisions never switch greenlets, so ``post`` needs no lock.
     """
 
-    def __init__(self, *, decisions: Decisions, read_clock: Callable[[], float]) -> None:
-        """Take the decisions and a monotonic clock (seconds)."""
+    def __init__(
+        self, *, decisions: Decisions, timers: TimerService, read_clock: Callable[[], float]
+    ) -> None:
+        """Take the decisions, the timer service and a monotonic clock (seconds)."""
         self._decisions = decisions
+        self._timers = timers
         self._read_clock = read_clock
         self._handlers: dict[type[Effect], Callable[[Any], None]] = {}
         self._wake_at = float("inf")
@@ -62,12 +66,23 @@
             self._rearmed.set()
 
     def run(self) -> None:
-        """Hand in the time whenever it is due; runs until killed."""
+        """Hand in the time and call the timers whenever they are due; runs until killed."""
         while True:
             self._rearmed.clear()
-            wait_s = min(self._wake_at - self._read_clock(), LONGEST_SLEEP_S)
+            wait_s = min(self._find_next() - self._read_clock(), LONGEST_SLEEP_S)
             if wait_s > 0 and self._rearmed.wait(wait_s):
                 continue
-            self._wake_at = float("inf")
-            self.post(TimeReached())
+            now = self._read_clock()
+            self._timers.run_due(now)
+            if now >= self._wake_at:
+                self._wake_at = float("inf")
+                self.post(TimeReached())
             gevent.sleep(0)
+
+    def _find_next(self) -> float:
+        due = self._timers.find_next()
+        return self._wake_at if due is None else min(self._wake_at, due)
+
+    def start(self) -> None:
+        """Hand in the time once, which arms the decisions' timers."""
+        self.post(TimeReached())
--- a/chivetrack/daemon/server.py
+++ b/chivetrack/daemon/server.py
@@ -1,6 +1,5 @@
 """The HTTP servers of the daemon."""
 
-import ssl
 from collections.abc import Callable
 from typing import Any
 
@@ -10,6 +9,7 @@
 from chivetrack.components.caller_api.const import ENVIRON_SOCKET
 from chivetrack.daemon.const import BACKLOG, HEADER_TIMEOUT_S, IDLE_TIMEOUT_S
 from chivetrack.helpers.log import get_logger
+from chivetrack.helpers.tls import Tls, TlsServerMixin
 
 _LOGGER = get_logger("http")
 
@@ -67,7 +67,7 @@
         self._send_error_response_if_possible(500)
 
 
-class HttpServer(WSGIServer):
+class HttpServer(TlsServerMixin, WSGIServer):
     """A WSGI server whose connections close once ``is_closing`` says so."""
 
     def __init__(
@@ -76,7 +76,7 @@
         address: tuple[str, int],
         application: Callable[..., Any],
         is_closing: Callable[[], bool],
-        tls: ssl.SSLContext | None = None,
+        tls: Tls | None = None,
     ) -> None:
         """Bind at ``start``; ``tls`` makes every connection encrypted."""
         options: dict[str, Any] = {} if tls is None else {"ssl_context": tls}
