--- a/chivetrack/components/configuration/follower.py
+++ b/chivetrack/components/configuration/follower.py
@@ -79,6 +79,8 @@
         match event:
             case PeersChanged():
                 self._upstream.set_peers(event)
+                if not self._view.is_confirmed(now):
+                    self._ask_at = now
             case RevisionHeard():
                 self._hear(event, now)
             case MessageReceived(source=source, message=ConfigDelta() as delta):
--- a/chivetrack/components/store/state.py
+++ b/chivetrack/components/store/state.py
@@ -1,7 +1,7 @@
 """The state that handlers of commands work on."""
 
 from collections.abc import Callable
-from typing import Any, TypeVar
+from typing import Any, Final, TypeVar
 
 from chivetrack.components.store.claims import ClaimRecord, ClaimTable
 from chivetrack.components.store.commands import Command
@@ -12,8 +12,10 @@
 from chivetrack.components.store.table import ResourceTable
 from chivetrack.helpers.codec import Message, message
 
+SNAPSHOT_KIND: Final = "store/snapshot"
 
-@message("store/snapshot")
+
+@message(SNAPSHOT_KIND)
 class Snapshot(Message, frozen=True, array_like=True, kw_only=True):
     """The whole state of a store."""
 
--- a/chivetrack/components/store/store.py
+++ b/chivetrack/components/store/store.py
@@ -5,10 +5,10 @@
 from chivetrack.components.store.leases import Lease
 from chivetrack.components.store.outcomes import Outcome, RefusalCode, Refused
 from chivetrack.components.store.requests import RememberedRequest
-from chivetrack.components.store.state import HANDLERS, Snapshot, State
+from chivetrack.components.store.state import HANDLERS, SNAPSHOT_KIND, Snapshot, State
 from chivetrack.components.store.table import ResourceTable
 from chivetrack.exceptions import ChivetrackError
-from chivetrack.helpers.codec import DecodeError, pack, unpack
+from chivetrack.helpers.codec import DecodeError, decode, encode, pack, unpack
 
 __all__ = ["Store", "StoreError", "decode_command", "hold_handlers", "resource_handlers"]
 
@@ -90,8 +90,12 @@
         return self._state.leases.get(name, time_ms=self._state.time_ms)
 
     def take_snapshot(self) -> bytes:
-        """Return the whole state, for ``restore_snapshot``."""
-        return pack(self._state.export())
+        """Return the whole state, for ``restore_snapshot``.
+
+        Not packed like a command: that would copy it once more, and with tens of
+        thousands of workspaces each copy counts.
+        """
+        return encode(self._state.export())
 
     def restore_snapshot(self, data: bytes) -> None:
         """Put the state of a snapshot in place; raise ``StoreError`` for other bytes.
@@ -99,7 +103,7 @@
         A snapshot older than the state is refused too: revisions must not go back.
         """
         try:
-            snapshot = unpack(data)
+            snapshot = decode(SNAPSHOT_KIND, data)
         except DecodeError as error:
             raise StoreError(f"not a snapshot: {error}") from error
         if not isinstance(snapshot, Snapshot):
--- a/tests/components/resource_api/test_resource_api.py
+++ b/tests/components/resource_api/test_resource_api.py
@@ -1,10 +1,12 @@
 """The resource API over a store without a log."""
 
+import dataclasses
 import json
 import unittest
 from collections.abc import Iterator
 from typing import Any
 
+import gevent
 from expression import Error, Ok, Result
 
 from chivetrack.components.configuration.models import ConfigurationSettings, HeldConfirmation
@@ -336,6 +338,15 @@
         last = list(watch)[-1]
         self.assertEqual((last["type"], last["error"]["code"]), ("error", "compacted"))
 
+    def test_a_change_wakes_a_waiting_watcher(self) -> None:
+        ports = dataclasses.replace(self.ports, bookmark_interval_s=60.0)
+        self.client = Client(build_app(ports))
+        watch = self.watch(0)
+        self.assertEqual(next(watch)["type"], "bookmark")
+        writer = gevent.spawn(self.create, "a")
+        self.assertEqual(next(watch)["type"], "changed")
+        writer.get()
+
     def test_leaves_no_subscription(self) -> None:
         before = len(self.store.table._subscribers)
         response = self.client.call("GET", "/api/v1/limit?watch=true", stream=True)
--- a/tests/components/store/test_store_fuzz.py
+++ b/tests/components/store/test_store_fuzz.py
@@ -297,10 +297,11 @@
         self.holder = ""
         self.expires = 0
 
-    @rule(holder=st.sampled_from("abc"), duration=st.integers(0, 50))
-    def acquire(self, holder: str, duration: int) -> None:
+    @rule(holder=st.sampled_from("abc"), duration=st.integers(0, 50), behind=st.integers(0, 40))
+    def acquire(self, holder: str, duration: int, behind: int) -> None:
         now = self.replicas.time_ms
-        answer = self.replicas.apply(AcquireLease(Stamp(now), "l", holder, duration))
+        stamp = Stamp(now - behind)
+        answer = self.replicas.apply(AcquireLease(stamp, "l", holder, duration))
         free = now >= self.expires
         assert (answer.state == "held") == (free or holder == self.holder)
         if answer.state != "held":
@@ -321,8 +322,8 @@
 
 
 ResourceTest = ResourceMachine.TestCase
-ResourceTest.settings = make_settings(60)
+ResourceTest.settings = make_settings(100)
 ClaimTest = ClaimMachine.TestCase
-ClaimTest.settings = make_settings(60)
+ClaimTest.settings = make_settings(100)
 LeaseTest = LeaseMachine.TestCase
 LeaseTest.settings = make_settings(40)
