--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -23,7 +23,7 @@
 from chivetrack.components.configuration.view import ConfigView
 from chivetrack.components.resources.keys import hash_key
 from chivetrack.components.store.commands import Claim, Create, FinishClaim, Replace, Stamp
-from chivetrack.components.store.records import Change, KindRecords
+from chivetrack.components.store.records import Change
 from chivetrack.components.store.store import Store
 from chivetrack.components.store.table import ResourceTable
 from chivetrack.const import KIBIBYTE, MEBIBYTE
@@ -154,11 +154,11 @@
 
 def report_view(store: Store) -> None:
     """Print memory of a router's view and the cost of its lookups."""
-    kinds = store.table.export()
+    gathered = copy_table(store)
 
     def make_view() -> ConfigView:
         view = ConfigView(table=ResourceTable(), settings=SETTINGS, started_at=0.0)
-        view.adopt(kinds, revision=store.revision)
+        view.adopt(gathered)
         return view
 
     view, held, _ = measure_memory(make_view)
@@ -178,7 +178,7 @@
 def report_changes(store: Store) -> None:
     """Print the size of deltas and the time for changes that have piled up."""
     before = store.revision
-    base = store.table.export()
+    base = copy_table(store)
     change(store, CHANGES)
     changes = store.table.list_changes(before)
     assert changes is not None
@@ -195,13 +195,13 @@
         return decoded
 
     print(f"decode {len(changes)} changes: {measure(decode):.3f} s")
-    best = min(_time_apply(base, before, decode().changes) for _ in range(ROUNDS))
+    best = min(_time_apply(base, decode().changes) for _ in range(ROUNDS))
     print(f"view, apply {len(changes)} changes as one delta: {best:.3f} s")
 
 
-def _time_apply(base: Sequence[KindRecords], before: int, changes: tuple[Change, ...]) -> float:
+def _time_apply(base: ResourceTable, changes: tuple[Change, ...]) -> float:
     configuration = make_configuration("router", None)
-    configuration.view.adopt(base, revision=before)
+    configuration.view.adopt(base)
     started = time.perf_counter()
     configuration.view.table.apply(changes)
     return time.perf_counter() - started
@@ -212,7 +212,7 @@
     leader = make_configuration("leader", store.table)
     leader.handle(QuorumConfirmed(term=3, revision=store.revision, started_at=1.0), now=1.0)
     router = make_configuration("router-1", None)
-    router.view.adopt(store.table.export(), revision=store.revision)
+    router.view.adopt(copy_table(store))
     peers = PeersChanged(leader="leader", replicas=("leader",))
     question = find_sent(router.handle(peers, now=1.0))
     delivered = MessageReceived(source="router-1", message=question)
@@ -240,6 +240,13 @@
     print(f"poll and take the answer: {elapsed / POLLS * 1e6:.1f} us")
 
 
+def copy_table(store: Store) -> ResourceTable:
+    """Return a table over the records of a store, without its history."""
+    table = ResourceTable()
+    table.replace(store.table.export(), revision=store.revision)
+    return table
+
+
 def make_configuration(instance: str, table: ResourceTable | None) -> Configuration:
     """Return the configuration of a replica with a store's table, or of a router."""
     return Configuration(
--- a/chivetrack/components/configuration/const.py
+++ b/chivetrack/components/configuration/const.py
@@ -14,6 +14,9 @@
 # Clocks of two machines may run this much apart; ages are made longer by it.
 CLOCK_DRIFT: Final = 0.01
 
+# A wake-up may come this much early, by rounding.
+WAKE_TOLERANCE_S: Final = 0.001
+
 POLL_JITTER: Final = 0.1
 ACKNOWLEDGE_WITHIN_S: Final = 0.1
 RELAY_WITHIN_S: Final = 0.25
--- a/chivetrack/components/configuration/follower.py
+++ b/chivetrack/components/configuration/follower.py
@@ -103,7 +103,8 @@
 
     def _take_delta(self, source: str, delta: ConfigDelta, now: float) -> None:
         question = self._close_question(source, delta.correlation)
-        has_changed = self._apply(delta)
+        before = self._view.revision
+        self._apply(delta)
         if question is None:
             # Nobody knows how long it was on the way: the changes are good, a
             # confirmation is not.
@@ -112,23 +113,22 @@
         else:
             self._take_answer(question, delta, now)
         self._promote()
-        if has_changed:
+        if self._view.revision > before:
             soon = now + self._rng.uniform(0.0, const.ACKNOWLEDGE_WITHIN_S)
             self._ask_at = min(self._ask_at, soon)
 
-    def _apply(self, delta: ConfigDelta) -> bool:
+    def _apply(self, delta: ConfigDelta) -> None:
         if not self._takes_changes or delta.is_compacted:
-            return False
+            return
         if self._staging is not None and self._staging.is_paging:
-            return False
+            return
         # A delta that starts after the applied revision leaves a gap: changes in
         # between would be missing for good.
         if delta.from_revision > self._target.revision:
-            return False
-        return self._target.apply(delta.changes, revision=delta.to_revision)
+            return
+        self._target.apply(delta.changes, revision=delta.to_revision)
 
     def _take_answer(self, question: _Question, delta: ConfigDelta, now: float) -> None:
-        self._schedule(now)
         self._upstream.report_success(question.peer)
         self._note_acknowledged(question)
         self._take_confirmation(question, delta, now)
@@ -178,11 +178,11 @@
         staging = self._staging
         if staging is None or not staging.is_whole:
             return
-        revision = staging.table.revision
         freshness = self._view.freshness
-        if not freshness.is_initialised and not freshness.is_satisfied_by(revision):
+        is_satisfied = freshness.is_satisfied_by(staging.table.revision)
+        if not freshness.is_initialised and not is_satisfied:
             return
-        if self._view.adopt(staging.table.export(), revision=revision):
+        if self._view.adopt(staging.table):
             self._staging = None
 
     def _close_question(self, source: str, correlation: int) -> _Question | None:
@@ -193,22 +193,24 @@
         return question
 
     def _proceed(self, now: float) -> list[Effect]:
+        due = now + const.WAKE_TOLERANCE_S
         question = self._question
-        if question is not None and now >= question.asked_at + self._settings.answer_timeout_s:
+        if question is not None and due >= question.asked_at + self._settings.answer_timeout_s:
             self._upstream.report_silent(question.peer, now)
             self._question = None
             self._ask_at = now
         if self._acknowledgements.take_news():
             self._ask_at = min(self._ask_at, now + const.RELAY_WITHIN_S)
         effects: list[Effect] = []
-        if self._question is None and now >= self._ask_at:
+        if self._question is None and due >= self._ask_at:
             effects.extend(self._ask(now))
         effects.extend(self._arm(now))
         return effects
 
     def _arm(self, now: float) -> list[Effect]:
+        # One wake-up at a time: to answer each with a new one would add them up.
         wake_at = self._find_wake()
-        if now < self._wake_at <= wake_at:
+        if now + const.WAKE_TOLERANCE_S < self._wake_at <= wake_at:
             return []
         self._wake_at = wake_at
         return [WakeAt(at=wake_at)]
--- a/chivetrack/components/configuration/view.py
+++ b/chivetrack/components/configuration/view.py
@@ -19,7 +19,7 @@
     RoutingPolicy,
     Workspace,
 )
-from chivetrack.components.store.records import KindRecords, Record
+from chivetrack.components.store.records import Record
 from chivetrack.components.store.table import ResourceTable, Subscriber, TableUpdate
 from chivetrack.core import Unsubscribe
 from chivetrack.exceptions import Fault, Ran
@@ -91,9 +91,18 @@
             retry_after_s=UNCONFIRMED_RETRY_S,
         )
 
-    def adopt(self, kinds: Sequence[KindRecords], *, revision: int) -> bool:
-        """Put a whole state in force unless it is older; tell whether it was taken."""
-        return self.table.replace(kinds, revision=revision)
+    def adopt(self, gathered: ResourceTable) -> bool:
+        """Put a whole state in force unless it is older; tell whether it was taken.
+
+        Its history comes along: without it others could not pull deltas from here.
+        """
+        known_from = gathered.compaction_revision
+        return self.table.replace(
+            gathered.export(),
+            revision=gathered.revision,
+            compaction_revision=known_from,
+            changes=gathered.list_changes(known_from) or (),
+        )
 
     def find_workspace(self, key: str) -> Named[Workspace] | None:
         """Return the workspace to which a caller's key belongs."""
--- a/tests/components/configuration/test_configuration.py
+++ b/tests/components/configuration/test_configuration.py
@@ -298,6 +298,37 @@
         self.assertEqual(self.router.view.revision, 3)
 
 
+class RelayTest(unittest.TestCase):
+    def test_serves_deltas_from_what_it_took_first(self) -> None:
+        """A relay takes its first state; a router behind it lacks the last change.
+
+        Without the history the relay would send it through the whole state.
+        """
+        relay = make_router()
+        relay.handle(answer(ask(relay, now=1.0), revision=5, confirmed=5, age_s=0.1), now=1.1)
+        event = MessageReceived(source="r2", message=PullConfig(7, 4))
+        delta: Any = list_sent(relay.handle(event, now=1.2))[0].message
+        self.assertFalse(delta.is_compacted)
+        self.assertEqual([change.revision for change in delta.changes], [5])
+
+    def test_passes_acknowledgements_on_soon(self) -> None:
+        """The relay's own question is open when a router acknowledges.
+
+        The answer must not put the next question off to the end of the interval:
+        the operator would wait a second longer to see the change in force.
+        """
+        relay = make_router()
+        relay.handle(answer(ask(relay, now=1.0), revision=5, confirmed=5, age_s=0.1), now=1.1)
+        question = ask(relay, now=3.0)
+        acks = (RouterAck("r2", 1, 5),)
+        event = MessageReceived(source="r2", message=PullConfig(7, 5, acks))
+        relay.handle(event, now=3.0)
+        relay.handle(answer(question, revision=5, confirmed=5, age_s=0.1), now=3.1)
+        later = relay.handle(TimeReached(), now=3.0 + const.RELAY_WITHIN_S)
+        pull: Any = list_sent(later)[0].message
+        self.assertEqual([ack.router for ack in pull.acks], ["router", "r2"])
+
+
 class TableTest(unittest.TestCase):
     def test_older_state_is_not_put_in_place(self) -> None:
         table = ResourceTable()
--- a/tests/components/configuration/test_configuration_fuzz.py
+++ b/tests/components/configuration/test_configuration_fuzz.py
@@ -63,6 +63,10 @@
         fleet.change()
         fleet.run(SETTINGS.push_interval_s * 3)
         self.assertEqual(fleet.list_revisions(), [1] * 9)
+        leader = fleet.nodes["leader"]
+        clock = leader.read_clock(fleet.time)
+        in_force = leader.configuration.compute_in_force(fleet.names, now=clock)
+        self.assertEqual((in_force.applied, in_force.missing), (9, ()))
 
     def test_leader_serves_relays_only(self) -> None:
         fleet = Fleet(seed=1, routers=9, chaos=False)
