Refuse a key that another workspace has

Cause: with one key in two workspaces its callers would count as one of them. Ruled out: a check in the store (it does not read specifications). Change: checks by kind against the router's own view; two writes at once may pass both, the lookup then takes the first name. A resend of an accepted request still gets its first outcome. Drains are not kept as 'none' before the first confirmation.

--- a/chivetrack/components/configuration/key_index.py
+++ b/chivetrack/components/configuration/key_index.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 
 from chivetrack.components.configuration import const
-from chivetrack.components.resources.keys import derive_key_id, get_key_id
+from chivetrack.components.resources.keys import get_key_id
 from chivetrack.components.resources.kinds import KINDS
 from chivetrack.components.store.records import Record
 from chivetrack.components.store.table import ResourceTable
@@ -21,9 +21,9 @@
         self._names: dict[int, str | tuple[str, ...]] = {}
         self._changes = 0
 
-    def find_names(self, key: str) -> Sequence[str]:
+    def find_names(self, key_id: str) -> Sequence[str]:
         """Return the workspaces that have, or had, a key with this id, by name."""
-        names = self._names.get(int(derive_key_id(key), 16), ())
+        names = self._names.get(int(key_id, 16), ())
         return (names,) if isinstance(names, str) else names
 
     def add(self, record: Record) -> None:
--- a/chivetrack/components/configuration/view.py
+++ b/chivetrack/components/configuration/view.py
@@ -10,7 +10,7 @@
 from chivetrack.components.configuration.key_index import KeyIndex
 from chivetrack.components.configuration.models import ConfigurationSettings, WhenUnconfirmed
 from chivetrack.components.resources import const as resource_const
-from chivetrack.components.resources.keys import check_key
+from chivetrack.components.resources.keys import check_key, derive_key_id, get_key_id
 from chivetrack.components.resources.kinds import KINDS
 from chivetrack.components.resources.models import (
     Drain,
@@ -56,6 +56,7 @@
         self._refuses = settings.when_unconfirmed is WhenUnconfirmed.REFUSE
         self._keys = KeyIndex()
         self._lists: dict[str, tuple[Named[Any], ...]] = {}
+        self._drains: tuple[Drain, ...] | None = None
         self._keys.rebuild(table)
         table.subscribe(self._follow)
 
@@ -106,7 +107,7 @@
 
     def find_workspace(self, key: str) -> Named[Workspace] | None:
         """Return the workspace to which a caller's key belongs."""
-        for name in self._keys.find_names(key):
+        for name in self._keys.find_names(derive_key_id(key)):
             workspace = self.get_workspace(name)
             if workspace is None:
                 continue
@@ -140,7 +141,21 @@
 
     def list_drains(self) -> Sequence[Drain]:
         """Return the drains in force: started by their controller and not cancelled."""
-        return [named.form for named in self.list_named("drain") if self._is_active(named.name)]
+        if not self.freshness.is_initialised:
+            return ()
+        if self._drains is None:
+            named = self.list_named("drain")
+            self._drains = tuple(drain.form for drain in named if self._is_active(drain.name))
+        return self._drains
+
+    def find_key_owners(self, key_hash: str) -> Sequence[str]:
+        """Return the names of the workspaces that have this hash of a key."""
+        owners = []
+        for name in self._keys.find_names(get_key_id(key_hash)):
+            workspace = self.get_workspace(name)
+            if workspace is not None and key_hash in workspace.form.keys:
+                owners.append(name)
+        return owners
 
     def subscribe(self, subscriber: Subscriber) -> Unsubscribe:
         """Call after every change of the table."""
@@ -160,6 +175,7 @@
 
     def _follow(self, update: TableUpdate) -> None:
         self.freshness.settle(update.revision)
+        self._drains = None
         if update.is_reset:
             self._lists.clear()
             self._keys.rebuild(self.table)
--- a/chivetrack/components/resource_api/writes.py
+++ b/chivetrack/components/resource_api/writes.py
@@ -6,6 +6,7 @@
 from expression import Error, Ok, Result
 
 from chivetrack.components.resource_api import const
+from chivetrack.components.resource_api.checks import check_against_view
 from chivetrack.components.resource_api.models import (
     ApiRequest,
     Outcomes,
@@ -42,9 +43,9 @@
 @operation("create", "POST", has_name=False, statuses=(201, 400, *WRITE_STATUSES))
 def create_resource(ports: Ports, request: ApiRequest) -> Outcomes:
     """Create a resource."""
-    parsed = _parse_document(request)
+    parsed = _parse_document(ports, request)
     if parsed.is_error():
-        return Error(parsed.error)
+        return _refuse_unless_sent_before(ports, request, parsed.error, status=201)
     resource = parsed.ok
     command = Create(
         _make_stamp(request),
@@ -60,9 +61,9 @@
 @operation("replace", "PUT", has_name=True, statuses=(200, 400, 404, *WRITE_STATUSES))
 def replace_resource(ports: Ports, request: ApiRequest) -> Outcomes:
     """Replace specification and labels of a resource."""
-    parsed = _parse_document(request)
+    parsed = _parse_document(ports, request)
     if parsed.is_error():
-        return Error(parsed.error)
+        return _refuse_unless_sent_before(ports, request, parsed.error, status=200)
     resource = parsed.ok
     precondition = request.precondition
     if precondition is None:
@@ -106,12 +107,9 @@
 
 def _try_patch(ports: Ports, request: ApiRequest, patch: Any, attempt: int) -> Outcomes:
     stamp = _make_stamp(request, attempt)
-    if stamp.request_id:
-        found = ports.read(FindOutcome(stamp.request_id, stamp.fingerprint))
-        if found.is_error():
-            return Error(Problem(fault=found.error))
-        if found.ok.outcome:
-            return _render_outcome(unpack(found.ok.outcome), status=200)
+    first = _find_first(ports, stamp, status=200)
+    if first is not None:
+        return first
     current = ports.read(GetResource(request.kind.name, request.name))
     if current.is_error():
         return Error(Problem(fault=current.error))
@@ -119,7 +117,7 @@
         message = f"there is no {request.kind.name}/{request.name}"
         return Error(make_problem("not_found", message, status=404))
     record = current.ok.records[0]
-    problem = _check_merged(request, record, patch)
+    problem = _check_merged(ports, request, record, patch)
     if problem is not None:
         return Error(problem)
     precondition = request.precondition
@@ -130,13 +128,40 @@
     return _submit(ports, command, status=200)
 
 
-def _check_merged(request: ApiRequest, record: Record, patch: Any) -> Problem | None:
+def _find_first(ports: Ports, stamp: Stamp, *, status: int) -> Outcomes | None:
+    """Return the first outcome of a request that was sent before, if it was."""
+    if not stamp.request_id:
+        return None
+    found = ports.read(FindOutcome(stamp.request_id, stamp.fingerprint))
+    if found.is_error():
+        return Error(Problem(fault=found.error))
+    if not found.ok.outcome:
+        return None
+    return _render_outcome(unpack(found.ok.outcome), status=status)
+
+
+def _refuse_unless_sent_before(
+    ports: Ports, request: ApiRequest, problem: Problem, *, status: int
+) -> Outcomes:
+    """Refuse a document, unless this is a resend of one that was accepted.
+
+    What is checked against other resources may have been right the first time; to
+    refuse the resend would say that the change was not made.
+    """
+    first = _find_first(ports, _make_stamp(request), status=status)
+    return Error(problem) if first is None else first
+
+
+def _check_merged(ports: Ports, request: ApiRequest, record: Record, patch: Any) -> Problem | None:
     findings = Findings()
     try:
         spec, labels = merge_record(record, patch)
     except msgspec.MsgspecError as error:
         return make_problem("invalid_patch", str(error), status=422)
-    validate_spec(request.kind.name, msgspec.msgpack.decode(spec), findings)
+    kind = request.kind.name
+    model = validate_spec(kind, msgspec.msgpack.decode(spec), findings)
+    if model is not None:
+        check_against_view(ports.view, kind, request.name, model, findings)
     validate_labels({label.key: label.value for label in labels}, findings)
     return make_invalid(findings) if len(findings) else None
 
@@ -165,7 +190,7 @@
     return Ok({key: value for key, value in parts.items() if value is not None})
 
 
-def _parse_document(request: ApiRequest) -> Result[Resource, Problem]:
+def _parse_document(ports: Ports, request: ApiRequest) -> Result[Resource, Problem]:
     data = _decode_json(request)
     if data.is_error():
         return Error(data.error)
@@ -173,6 +198,8 @@
     resource = validate_document(data.ok, findings)
     if resource is not None:
         _check_identity(request, resource, findings)
+        name = resource.metadata.name
+        check_against_view(ports.view, resource.kind, name, resource.spec, findings)
     if resource is None or len(findings):
         return Error(make_invalid(findings))
     return Ok(resource)
--- a/tests/components/configuration/test_configuration.py
+++ b/tests/components/configuration/test_configuration.py
@@ -198,12 +198,18 @@
             rng=random.Random(1),
             store_table=table,
         )
-        table.apply(make_changes(1, 3))
+        status = msgspec.msgpack.encode({"phase": "active"})
+        target = {"target": {"kind": "endpoint", "name": "e1"}}
+        table.apply([*make_changes(1, 2), make_change(3, "drain", "d", target, status=status)])
         self.assertEqual(replica.view.revision, 0)
         self.assertEqual(replica.view.list_named("limit"), ())
+        self.assertEqual(replica.view.list_drains(), ())
         question = ask(replica, now=1.0)
         replica.handle(answer(question, revision=9, confirmed=4, age_s=0.1), now=1.1)
         self.assertEqual((replica.view.revision, table.revision), (0, 3))
+        held = HeldConfirmation(term=1, counter=1, revision=3, obtained_at=1.2)
+        replica.view.freshness.offer(held, revision=3)
+        self.assertEqual(len(replica.view.list_drains()), 1)
         table.apply(make_changes(4, 4))
         self.assertEqual(replica.view.revision, 4)
         self.assertTrue(replica.view.is_confirmed(1.2))
--- a/tests/components/resource_api/test_resource_api.py
+++ b/tests/components/resource_api/test_resource_api.py
@@ -169,6 +169,39 @@
             },
         )
 
+    def test_key_of_another_workspace(self) -> None:
+        document = {
+            "kind": "workspace",
+            "metadata": {"name": "a"},
+            "spec": {"keys": [hash_key(TOKEN)]},
+        }
+        self.client.call("POST", "/api/v1/workspace", document)
+        same = self.client.call("PUT", "/api/v1/workspace/a", document)
+        self.assertEqual(same.status, 200)
+        other = {**document, "metadata": {"name": "b"}}
+        refused = self.client.call("POST", "/api/v1/workspace", other)
+        self.assertEqual(refused.body["error"]["findings"][0]["place"], "spec.keys[0]")
+        self.client.call("POST", "/api/v1/workspace", {**other, "spec": {}})
+        patch = {"spec": document["spec"]}
+        refused = self.client.call("PATCH", "/api/v1/workspace/b", patch)
+        self.assertEqual(refused.body["error"]["findings"][0]["place"], "spec.keys[0]")
+
+    def test_resend_after_the_key_has_moved(self) -> None:
+        """A create was accepted and its answer lost; its key now is another's.
+
+        The check against other workspaces would refuse the resend and so say that
+        the create never happened.
+        """
+        spec = {"keys": [hash_key(TOKEN)]}
+        document = {"kind": "workspace", "metadata": {"name": "a"}, "spec": spec}
+        headers = {const.REQUEST_ID_HEADER: "id"}
+        first = self.client.call("POST", "/api/v1/workspace", document, headers=headers)
+        self.client.call("DELETE", "/api/v1/workspace/a")
+        other = {**document, "metadata": {"name": "b"}}
+        self.client.call("POST", "/api/v1/workspace", other)
+        again = self.client.call("POST", "/api/v1/workspace", document, headers=headers)
+        self.assertEqual((again.status, again.body), (201, first.body))
+
     def test_loser_of_a_race_sees_the_winner(self) -> None:
         """Two operators read revision 1, and both replace. The second gets 409."""
         self.create("a")
