Take the real time out of the command line's tests; explain long waits

Change: the tests' clock passes only while somebody sleeps, and may wake late. The command says once what it waits for. Keys are trimmed, and one that cannot be a header is wrong usage. The form of the log is declared once.

Ruled out: longer time limits in the tests (slower, and still a guess).

--- a/chivetrack/cli/client.py
+++ b/chivetrack/cli/client.py
@@ -60,12 +60,17 @@
         clock: Callable[[], float] = time.monotonic,
         sleep: Callable[[float], None] = time.sleep,
         chance: random.Random | None = None,
+        notify: Callable[[str], None] = lambda text: None,
     ) -> None:
-        """Open no connection yet; clock, sleep and chance may be a test's own."""
+        """Open no connection yet; clock, sleep and chance may be a test's own.
+
+        ``notify`` is told once a request when it takes long, and why.
+        """
         self._connection = connection
         self._clock = clock
         self._sleep = sleep
         self._chance = chance or random.Random()
+        self._notify = notify
         self._pool = urllib3.PoolManager(retries=False, ssl_context=context)
 
     def read(self, path: str, **query: str | int) -> Result[Document, Failure]:
@@ -80,9 +85,15 @@
         """Send a request, again with the same id while its outcome is open."""
         return self._repeat(request).bind(lambda body: _decode(body, request))
 
+    def pause(self, seconds: float) -> None:
+        """Wait before the caller tries something again."""
+        self._sleep(seconds)
+
     def _repeat(self, request: Request) -> Result[bytes, Failure]:
         """Try until there is an outcome; once sent, a lost answer stays in memory."""
-        deadline = self._clock() + self._connection.timeout_s
+        started = self._clock()
+        deadline = started + self._connection.timeout_s
+        is_told = False
         request_id = str(uuid.uuid4()) if request.is_write else None
         lost: Failure | None = None
         backoff = const.FIRST_BACKOFF_S
@@ -99,6 +110,9 @@
                 wait = backoff * self._chance.uniform(0.5, 1.0)
             if not _is_worth_another(failure) or self._clock() + wait >= deadline:
                 return Error(_conclude(failure, lost, request))
+            if not is_told and self._clock() - started >= const.NOTIFY_AFTER_S:
+                self._notify(f"{failure}; trying for up to {self._connection.timeout_s:g} s")
+                is_told = True
             self._sleep(wait)
             backoff = min(backoff * 2, const.MAX_BACKOFF_S)
 
--- a/chivetrack/cli/commands/watch.py
+++ b/chivetrack/cli/commands/watch.py
@@ -1,6 +1,5 @@
 """Following the changes of resources."""
 
-import time
 from collections.abc import Iterator
 from typing import Annotated, Any
 
@@ -83,7 +82,7 @@
                     revision = event.revision
                     if event.resource is not None:
                         yield event
-        time.sleep(backoff)
+        client.pause(backoff)
         backoff = min(backoff * 2, const.MAX_BACKOFF_S)
 
 
--- a/chivetrack/cli/const.py
+++ b/chivetrack/cli/const.py
@@ -19,6 +19,7 @@
 # A sleep may end after the time is up; the attempt that follows still needs some.
 MIN_ATTEMPT_S: Final = 0.1
 WATCH_READ_TIMEOUT_S: Final = 60.0
+NOTIFY_AFTER_S: Final = 2.0
 FIRST_BACKOFF_S: Final = 0.2
 MAX_BACKOFF_S: Final = 3.0
 PAGE_SIZE: Final = 500
--- a/chivetrack/cli/profile.py
+++ b/chivetrack/cli/profile.py
@@ -54,7 +54,10 @@
         return Error(profile.error)
     kept = profile.ok
     server = flags.server or environment.get(const.ENV_SERVER, "") or kept.get("server", "")
+    key = (flags.key or environment.get(const.ENV_KEY, "") or kept.get("key", "")).strip()
     findings = Findings()
+    if not (key.isascii() and key.isprintable()):
+        findings.add("the key", "holds characters that no key has")
     if not server:
         findings.add("--server", "is missing", hint=f"or set {const.ENV_SERVER}, or use a profile")
     elif not server.startswith(("http://", "https://")):
@@ -64,7 +67,7 @@
     return Ok(
         Connection(
             server=server.rstrip("/"),
-            key=flags.key or environment.get(const.ENV_KEY, "") or kept.get("key", ""),
+            key=key,
             ca=flags.ca or environment.get(const.ENV_CA, "") or kept.get("ca", ""),
             certificate=kept.get("certificate", ""),
             certificate_key=kept.get("certificate_key", ""),
--- a/chivetrack/cli/session.py
+++ b/chivetrack/cli/session.py
@@ -38,11 +38,11 @@
             exit_with_findings(result.error, code=ExitCode.USAGE)
         connection = result.ok
         if not connection.server.startswith("https:"):
-            return Client(connection=connection)
+            return Client(connection=connection, notify=print_error)
         context = create_context(connection)
         if context.is_error():
             exit_with_findings(context.error, code=ExitCode.USAGE)
-        return Client(connection=connection, context=context.ok)
+        return Client(connection=connection, context=context.ok, notify=print_error)
 
 
 def get_client(context: typer.Context) -> Client:
--- a/chivetrack/components/settings/models.py
+++ b/chivetrack/components/settings/models.py
@@ -18,6 +18,7 @@
 )
 
 from chivetrack.components.settings import const
+from chivetrack.helpers.log import LogFormat
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,13 +77,6 @@
     ERROR = "error"
 
 
-class LogFormat(StrEnum):
-    """The form of a log line."""
-
-    TEXT = "text"
-    JSON = "json"
-
-
 class Section(BaseModel):
     """Base of every section: unknown keys are findings, values never change."""
 
--- a/chivetrack/helpers/log.py
+++ b/chivetrack/helpers/log.py
@@ -22,7 +22,7 @@
 _CONTROL_CHARACTERS[ord("\n")] = "\\n"
 
 
-class LogForm(StrEnum):
+class LogFormat(StrEnum):
     """The form of a log line."""
 
     TEXT = "text"
@@ -36,14 +36,14 @@
 
 @contextmanager
 def open_logs(
-    *, level: str = "info", form: str = LogForm.TEXT, stream: TextIO | None = None
+    *, level: str = "info", form: str = LogFormat.TEXT, stream: TextIO | None = None
 ) -> Iterator[None]:
     """Write log lines of at least ``level`` to ``stream`` (stderr) until the block ends.
 
     Warnings of libraries that use the standard ``logging`` come out in the same form,
     with the library's name as the part.
     """
-    formatter = format_json if LogForm(form) is LogForm.JSON else format_text
+    formatter = format_json if LogFormat(form) is LogFormat.JSON else format_text
     handler = _LineHandler(
         stream=stream if stream is not None else sys.stderr,
         level=logbook.lookup_level(level.upper()),
--- a/tests/cli/case.py
+++ b/tests/cli/case.py
@@ -1,8 +1,10 @@
 """Runs commands in this process against the stand-in."""
 
 import contextlib
+import functools
 import io
 import json
+import random
 import tempfile
 import unittest
 from dataclasses import dataclass
@@ -12,8 +14,11 @@
 
 from chivetrack.cli import const
 from chivetrack.cli.__main__ import run
+from chivetrack.cli.client import Client
 from tests.cli.stand_in import open_stand_in
 
+ENDLESS_S = 600.0
+
 
 @dataclass(frozen=True)
 class Ended:
@@ -22,6 +27,22 @@
     err: str
 
 
+class Clock:
+    """Time that passes only while somebody sleeps, who may wake late."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.late = 0.0
+
+    def read(self) -> float:
+        return self.now
+
+    def sleep(self, seconds: float) -> None:
+        self.now += seconds + self.late
+        if self.now > ENDLESS_S:
+            raise RuntimeError("the command does not end")
+
+
 class CliCase(unittest.TestCase):
     def setUp(self) -> None:
         stack = contextlib.ExitStack()
@@ -32,8 +53,11 @@
             const.ENV_SERVER: self.server.url,
             const.ENV_PROFILE_FILE: str(self.folder / "profiles.toml"),
         }
-        for name in ("FIRST_BACKOFF_S", "MAX_BACKOFF_S"):
-            stack.enter_context(mock.patch.object(const, name, 0.001))
+        self.clock = Clock()
+        client = functools.partial(
+            Client, clock=self.clock.read, sleep=self.clock.sleep, chance=random.Random(1)
+        )
+        stack.enter_context(mock.patch("chivetrack.cli.session.Client", client))
 
     def run_command(self, *arguments: str) -> Ended:
         out, err = io.StringIO(), io.StringIO()
--- a/tests/cli/test_apply.py
+++ b/tests/cli/test_apply.py
@@ -28,6 +28,13 @@
         self.assertIn("accepted: replaced, revision 12", ended.out)
         self.assertEqual(self.server.resources["workspace", "w1"]["spec"], {"weight": 2})
 
+    def test_status_is_not_sent_back(self) -> None:
+        file = self.write("x.json", {**WORKSPACE, "status": {"inForce": 9}})
+        for _ in range(2):
+            self.assertEqual(self.run_command("apply", "-f", file).code, ExitCode.OK)
+            self.assertNotIn("status", self.server.resources["workspace", "w1"])
+            self.server.resources["workspace", "w1"]["spec"] = {}
+
     def test_named_revision_is_the_precondition(self) -> None:
         self.server.store(WORKSPACE)
         for revision, code in ((10, ExitCode.CONFLICT), (11, ExitCode.OK)):
@@ -75,7 +82,7 @@
                 self.server.resources.clear()
                 self.server.faults.clear()
                 self.server.faults.extend((Fault.NONE, Fault.LOSE_ANSWER, *[answer] * 500))
-                ended = self.run_command("--timeout", "0.3", "apply", "-f", self.file)
+                ended = self.run_command("apply", "-f", self.file)
                 self.assertEqual(ended.code, ExitCode.UNKNOWN, ended)
                 self.assertIn("w1 unknown", ended.out)
                 self.assertIn("request id", ended.err)
@@ -103,7 +110,7 @@
             with self.subTest(status=status, body=body):
                 self.server.faults.clear()
                 self.server.faults.extend((Fault.NONE, *[(status, body)] * 500))
-                ended = self.run_command("--timeout", "0.1", "apply", "-f", self.file, "-o", "json")
+                ended = self.run_command("apply", "-f", self.file, "-o", "json")
                 self.assertEqual(ended.code, code, ended)
                 (outcome,) = json.loads(ended.out)["outcomes"]
                 self.assertEqual(outcome["outcome"], word)
@@ -142,7 +149,7 @@
         self.assertEqual(self.server.requests, [])
 
     def test_refusal_with_a_time_is_tried_again(self) -> None:
-        busy = (503, write_error("no_leader", "no leader", retry_after_s=0.001))
+        busy = (503, write_error("no_leader", "no leader", retry_after_s=0.5))
         self.server.faults.extend((Fault.NONE, busy, busy))
         self.assertEqual(self.run_command("apply", "-f", self.file).code, ExitCode.OK)
 
@@ -164,7 +171,7 @@
                 self.subTest(error=error),
                 mock.patch.object(urllib3.PoolManager, "request", side_effect=failure),
             ):
-                ended = self.run_command("--timeout", "0.1", "apply", "-f", file)
+                ended = self.run_command("apply", "-f", file)
                 self.assertEqual(ended.code, code, ended)
 
 
@@ -174,10 +181,26 @@
         self.environment["CHIVETRACK_SERVER"] = "http://127.0.0.1:1"
         for arguments in (("apply", "-f", file), ("get", "workspace"), ("delete", "w", "x")):
             with self.subTest(arguments=arguments):
-                ended = self.run_command("--timeout", "0.1", *arguments)
+                ended = self.run_command(*arguments)
                 self.assertEqual(ended.code, ExitCode.UNREACHABLE, ended)
                 self.assertIn("cannot be reached", ended.err)
 
+    def test_sleep_that_ends_after_the_time_is_up(self) -> None:
+        """A busy machine wakes the command late; there is no time left for the attempt.
+
+        A connection with a time limit below zero is a fault of the program to the client
+        library: exit code 70 where "unreachable" was known.
+        """
+        self.environment["CHIVETRACK_SERVER"] = "http://127.0.0.1:1"
+        self.clock.late = 60.0
+        self.assertEqual(self.run_command("get", "workspace").code, ExitCode.UNREACHABLE)
+
+    def test_long_wait_is_explained_once(self) -> None:
+        self.environment["CHIVETRACK_SERVER"] = "http://127.0.0.1:1"
+        ended = self.run_command("--timeout", "9", "get", "workspace")
+        self.assertEqual(ended.err.count("trying for up to 9 s"), 1)
+        self.assertLess(self.clock.now, 9)
+
     def test_fault_of_the_program_is_not_a_refusal(self) -> None:
         with mock.patch("chivetrack.cli.client.Client.read", side_effect=RuntimeError):
             self.assertEqual(self.run_command("get", "workspace").code, ExitCode.FAULT)
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -122,7 +122,7 @@
 
     def test_answer_that_was_cut_short_never_becomes_a_backup(self) -> None:
         self.server.faults.extend([Fault.CUT_ANSWER] * 500)
-        ended = self.run_command("--timeout", "0.1", "backup", str(self.file))
+        ended = self.run_command("backup", str(self.file))
         self.assertEqual(ended.code, ExitCode.UNREACHABLE)
         self.assertEqual(list(self.folder.iterdir()), [])
 
@@ -213,6 +213,15 @@
         self.environment["CHIVETRACK_KEY"] = "b"
         self.assertEqual(self.find_key(), "Bearer b")
         self.assertEqual(self.find_key("--key", "c"), "Bearer c")
+        self.environment["CHIVETRACK_KEY"] = "from-a-file\n"
+        self.assertEqual(self.find_key(), "Bearer from-a-file")
+
+    def test_key_that_cannot_be_sent_is_wrong_usage(self) -> None:
+        for key in ("a\r\nX-Other: b", "schlüssel"):
+            self.environment["CHIVETRACK_KEY"] = key
+            ended = self.run_command("get", "workspace")
+            self.assertEqual(ended.code, ExitCode.USAGE)
+            self.assertNotIn(key, ended.err)
 
     def test_faults_are_reported_together(self) -> None:
         table = [
--- a/tests/cli/test_tls.py
+++ b/tests/cli/test_tls.py
@@ -23,7 +23,7 @@
         tls = open_tls(files).default_with(lambda found: self.fail(list(found)))
         with open_stand_in(tls) as server:
             self.environment["CHIVETRACK_SERVER"] = server.url
-            return self.run_command("--timeout", "0.5", *flags, "get", "workspace").code
+            return self.run_command(*flags, "get", "workspace").code
 
     def test_server_must_be_of_a_trusted_authority(self) -> None:
         files = TlsFiles(certificate_file=self.files.certificate_file, key_file=self.files.key_file)
