Find the places in settings files with other line ends

Cause: in a file with CR LF line ends no statement was recognised by itself, so every finding came without its line.

Ruled out: opening files with translated line ends alone; `parse_settings` takes texts.

Change: line ends are made equal before the text is cut into statements. A property test damages the sample file at random and wants findings, never a crash.

Seen to fail with the change taken out: the test of CR LF.

--- a/chivetrack/components/settings/places.py
+++ b/chivetrack/components/settings/places.py
@@ -70,7 +70,7 @@
     """Cut a text into the shortest runs of lines that are TOML by themselves."""
     pending: list[str] = []
     start = 1
-    for number, line in enumerate(text.split("\n"), start=1):
+    for number, line in enumerate(text.replace("\r\n", "\n").split("\n"), start=1):
         if not pending:
             start = number
         pending.append(line)
--- a/tests/components/settings/test_config.py
+++ b/tests/components/settings/test_config.py
@@ -3,6 +3,9 @@
 import unittest
 from pathlib import Path
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from chivetrack.components.settings import Settings, load_settings, parse_settings
 from chivetrack.components.settings.models import Address, Role, WhenUnconfirmed
 
@@ -120,7 +123,29 @@
         self.assertIn("cannot be read", str(next(iter(result.error))))
 
 
+class DamagedFileTest(unittest.TestCase):
+    """Any damage to a file is reported as findings with places, never as a crash."""
+
+    @settings(derandomize=True, deadline=None, max_examples=300)
+    @given(st.data())
+    def test_damaged_sample(self, data: st.DataObject) -> None:
+        lines = SAMPLE.read_text().splitlines()
+        words = st.sampled_from(
+            ["", "= ", "[", "]", "{", "}", '"', "[[a.b]]", "x.y = 1", "tls = 3"]
+        )
+        for _ in range(data.draw(st.integers(1, 4))):
+            index = data.draw(st.integers(0, len(lines) - 1))
+            other = data.draw(st.one_of(words, st.sampled_from(lines), st.text(max_size=9)))
+            lines[index] = data.draw(st.sampled_from([other, lines[index] + other, other + "\n"]))
+        for fault in find_faults("\n".join(lines)):
+            self.assertRegex(fault, r"^f(:\d+)?( \S.*)?: ")
+
+
 class PlaceTest(unittest.TestCase):
+    def test_lines_end_as_on_other_systems(self) -> None:
+        faults = find_faults((SMALL + "[limits]\nx = 1\n").replace("\n", "\r\n"))
+        self.assertTrue(faults[0].startswith("f:14 limits.x"), faults)
+
     def test_lines_in_long_values_and_repeated_tables(self) -> None:
         text = SMALL + (
             'note = """\n[limits]\n"""\n'
