Say in words what a name, a key hash or a URL in settings must be

Cause: a finding quoted a regular expression, which a newcomer can't act on.

Change: the meaning of each pattern stands beside it. The tests now want these words where they wanted "pattern".

--- a/chivetrack/components/settings/config.py
+++ b/chivetrack/components/settings/config.py
@@ -12,6 +12,7 @@
 from pydantic_core import ErrorDetails
 
 from chivetrack.components.settings.checks import CHECKS, ValidSections
+from chivetrack.components.settings.const import PATTERN_MEANINGS
 from chivetrack.components.settings.models import Section, Settings
 from chivetrack.components.settings.places import KeyPath, Places
 from chivetrack.helpers.finding import Findings, suggest_name
@@ -101,7 +102,7 @@
         if detail["type"] == "missing":
             self._add(path, "is missing")
             return
-        self._add(path, _tidy_message(detail["msg"]))
+        self._add(path, _tidy_message(detail))
 
     def _add_unknown(self, path: KeyPath, model: type[BaseModel]) -> None:
         hint = suggest_name(str(path[-1]), model.model_fields)
@@ -124,9 +125,12 @@
     return text
 
 
-def _tidy_message(message: str) -> str:
-    """Drop the library's opening words; the place already names the value."""
-    text = message.removeprefix("Value error, ").replace("Input should be", "must be")
+def _tidy_message(detail: ErrorDetails) -> str:
+    """Say it in words, without the library's opening; the place already names the value."""
+    pattern = str(detail.get("ctx", {}).get("pattern"))
+    if pattern in PATTERN_MEANINGS:
+        return PATTERN_MEANINGS[pattern]
+    text = detail["msg"].removeprefix("Value error, ").replace("Input should be", "must be")
     return text[:1].lower() + text[1:]
 
 
--- a/chivetrack/components/settings/const.py
+++ b/chivetrack/components/settings/const.py
@@ -1,5 +1,6 @@
 """Bounds and defaults of the settings."""
 
+from types import MappingProxyType
 from typing import Final
 
 from chivetrack.const import KIBIBYTE, MEBIBYTE
@@ -8,6 +9,15 @@
 MAX_NAME_LENGTH: Final = 63
 NAME_PATTERN: Final = r"^[a-z0-9]([a-z0-9.-]*[a-z0-9])?$"
 KEY_HASH_PATTERN: Final = r"^sha256:[0-9a-f]{64}$"
+URL_PATTERN: Final = r"^(https?://[^\s/]+.*)?$"
+PATTERN_MEANINGS: Final = MappingProxyType(
+    {
+        NAME_PATTERN: "must be of lower-case letters, digits, dots and hyphens, "
+        "with a letter or digit at both ends",
+        KEY_HASH_PATTERN: "must be a hash that `chivetrack key make` or `key hash` printed",
+        URL_PATTERN: "must be a URL that starts with http:// or https://",
+    }
+)
 
 MAX_REPLICAS: Final = 9
 
--- a/chivetrack/components/settings/models.py
+++ b/chivetrack/components/settings/models.py
@@ -292,7 +292,7 @@
     )
     otlp_endpoint: str = Field(
         default="",
-        pattern=r"^(https?://[^\s/]+.*)?$",
+        pattern=const.URL_PATTERN,
         description="Base URL of an OTLP collector over HTTP, such as `http://10.0.0.9:4318`. "
         "Empty: nothing is sent and no traces are recorded.",
     )
--- a/tests/components/settings/test_config.py
+++ b/tests/components/settings/test_config.py
@@ -74,14 +74,14 @@
             (
                 '[[operators.keys]]\nname="a"\nhash="secret"',
                 "f:15 operators.keys[1].hash",
-                "pattern",
+                "must be a hash that `chivetrack key make`",
             ),
             (
                 '[[operators.keys]]\nname="a"\nhsh="secret"',
                 "f:15 operators.keys[1].hsh",
                 "'hash'",
             ),
-            ('[telemetry]\notlp_endpoint = "c:1"', "f:14 telemetry.otlp_endpoint", "pattern"),
+            ('[telemetry]\notlp_endpoint = "c:1"', "f:14 telemetry.otlp_endpoint", "must be a URL"),
             ("x = [", "f:13", "is not TOML"),
         ]
         for lines, place, message in table:
@@ -94,6 +94,7 @@
         table = [
             ('peer = "[::1]:0"', 'peer = "0.0.0.0:9"', "f:8 listeners.peer", "reach"),
             ('caller = "127.0.0.1:0"', 'caller = "host"', "f:6 listeners.caller", "IP-number"),
+            ('id = "r1"', 'id = "R 1"', "f:2 instance.id", "lower-case letters"),
             ('region = "kyushu"\n', "", "f:1 instance.region", "is missing"),
             ("plain_text_accepted = true\n", "", "f:10 tls.plain_text_accepted", "must be true"),
             ("enabled = false", "enabled = true", "f:10 tls.peer", "no certificate"),
