--- a/chivetrack/components/settings/models.py
+++ b/chivetrack/components/settings/models.py
@@ -18,6 +18,7 @@
 )
 
 from chivetrack.components.settings import const
+from chivetrack.helpers.log import LogFormat
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,13 +77,6 @@
     ERROR = "error"
 
 
-class LogFormat(StrEnum):
-    """The form of a log line."""
-
-    TEXT = "text"
-    JSON = "json"
-
-
 class Section(BaseModel):
     """Base of every section: unknown keys are findings, values never change."""
 
@@ -298,7 +292,7 @@
     )
     otlp_endpoint: str = Field(
         default="",
-        pattern=r"^(https?://[^\s/]+.*)?$",
+        pattern=const.URL_PATTERN,
         description="Base URL of an OTLP collector over HTTP, such as `http://10.0.0.9:4318`. "
         "Empty: nothing is sent and no traces are recorded.",
     )
--- a/tests/components/settings/test_config.py
+++ b/tests/components/settings/test_config.py
@@ -3,6 +3,9 @@
 import unittest
 from pathlib import Path
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from chivetrack.components.settings import Settings, load_settings, parse_settings
 from chivetrack.components.settings.models import Address, Role, WhenUnconfirmed
 
@@ -71,14 +74,14 @@
             (
                 '[[operators.keys]]\nname="a"\nhash="secret"',
                 "f:15 operators.keys[1].hash",
-                "pattern",
+                "must be a hash that `chivetrack key make`",
             ),
             (
                 '[[operators.keys]]\nname="a"\nhsh="secret"',
                 "f:15 operators.keys[1].hsh",
                 "'hash'",
             ),
-            ('[telemetry]\notlp_endpoint = "c:1"', "f:14 telemetry.otlp_endpoint", "pattern"),
+            ('[telemetry]\notlp_endpoint = "c:1"', "f:14 telemetry.otlp_endpoint", "must be a URL"),
             ("x = [", "f:13", "is not TOML"),
         ]
         for lines, place, message in table:
@@ -91,6 +94,7 @@
         table = [
             ('peer = "[::1]:0"', 'peer = "0.0.0.0:9"', "f:8 listeners.peer", "reach"),
             ('caller = "127.0.0.1:0"', 'caller = "host"', "f:6 listeners.caller", "IP-number"),
+            ('id = "r1"', 'id = "R 1"', "f:2 instance.id", "lower-case letters"),
             ('region = "kyushu"\n', "", "f:1 instance.region", "is missing"),
             ("plain_text_accepted = true\n", "", "f:10 tls.plain_text_accepted", "must be true"),
             ("enabled = false", "enabled = true", "f:10 tls.peer", "no certificate"),
@@ -120,7 +124,29 @@
         self.assertIn("cannot be read", str(next(iter(result.error))))
 
 
+class DamagedFileTest(unittest.TestCase):
+    """Any damage to a file is reported as findings with places, never as a crash."""
+
+    @settings(derandomize=True, deadline=None, max_examples=300)
+    @given(st.data())
+    def test_damaged_sample(self, data: st.DataObject) -> None:
+        lines = SAMPLE.read_text().splitlines()
+        words = st.sampled_from(
+            ["", "= ", "[", "]", "{", "}", '"', "[[a.b]]", "x.y = 1", "tls = 3"]
+        )
+        for _ in range(data.draw(st.integers(1, 4))):
+            index = data.draw(st.integers(0, len(lines) - 1))
+            other = data.draw(st.one_of(words, st.sampled_from(lines), st.text(max_size=9)))
+            lines[index] = data.draw(st.sampled_from([other, lines[index] + other, other + "\n"]))
+        for fault in find_faults("\n".join(lines)):
+            self.assertRegex(fault, r"^f(:\d+)?( \S.*)?: ")
+
+
 class PlaceTest(unittest.TestCase):
+    def test_lines_end_as_on_other_systems(self) -> None:
+        faults = find_faults((SMALL + "[limits]\nx = 1\n").replace("\n", "\r\n"))
+        self.assertTrue(faults[0].startswith("f:14 limits.x"), faults)
+
     def test_lines_in_long_values_and_repeated_tables(self) -> None:
         text = SMALL + (
             'note = """\n[limits]\n"""\n'
