--- a/chivetrack/helpers/__init__.py
+++ b/chivetrack/helpers/__init__.py
@@ -1,1 +1,1 @@
-"""Small tools that every layer may use; none of them does I/O."""
+"""Small tools that every layer may use."""
