Add gossip and the endpoint registry

Cause: routers have to tell each other which endpoints live, leave and are loaded, inside a few kilobytes a second.

Endpoints' full announcements every renewal would not fit the budget of a region; bodies travel once a change, renewals as a hash and an age.

Change: frames to peers at ring distances with base 3 digits plus random ones; load counts chosen by how much younger they make the peer's, in a short form once named; digests and chunked summaries repair the rest; floors void retracted keys; ages add up over hops and over time under way. The registry holds leases, incarnations, leaving, flap delays, circuit breakers with a cap, drains and explanations.

One gRPC call with a batch of one message takes 116 bytes out and 65 back besides its payload (measured on loopback), hence the overhead of 184 that is charged.

Conclusion: ready to be wired.

--- /dev/null
+++ b/chivetrack/components/endpoints/judgement.py
@@ -0,0 +1,83 @@
+"""Decides which endpoints may be given new work, and keeps a service from running empty."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from chivetrack.components.endpoints.const import MAX_OUT_SHARE
+from chivetrack.components.endpoints.models import Availability
+from chivetrack.components.endpoints.record import Record
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Judgement:
+    """Whether one endpoint may be given new work, and why not."""
+
+    availability: Availability
+    reason: str = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServiceJudgement:
+    """The judgements on all endpoints of a service.
+
+    ``is_degraded``: more endpoints look bad than may be taken out, so the least bad
+    of them are left in.
+    """
+
+    judgements: dict[str, Judgement]
+    is_degraded: bool
+
+
+def judge_service(records: Iterable[Record], now: float) -> ServiceJudgement:
+    """Judge the endpoints that are present in one service."""
+    listed = list(records)
+    judgements = {record.announcement.endpoint_id: _judge(record, now) for record in listed}
+    doubtful = [record for record in listed if _is_doubtful(judgements, record)]
+    staying = sum(1 for record in listed if not _is_leaving(judgements, record))
+    # Bad requests, a bad link of this router or a wrong probe make all endpoints look
+    # bad; with all of them out every caller would be refused. Beyond the cap the least
+    # bad stay in.
+    allowed = int(MAX_OUT_SHARE * staying)
+    doubtful.sort(key=lambda record: _rank_badness(record, now), reverse=True)
+    for record in doubtful[allowed:]:
+        endpoint_id = record.announcement.endpoint_id
+        reason = f"kept in, too many look bad: {judgements[endpoint_id].reason}"
+        judgements[endpoint_id] = Judgement(availability=Availability.READY, reason=reason)
+    return ServiceJudgement(judgements=judgements, is_degraded=len(doubtful) > allowed)
+
+
+def _judge(record: Record, now: float) -> Judgement:
+    if record.is_leaving:
+        reason = f"leaving, on the word of {record.leaving_word}"
+        return Judgement(availability=Availability.LEAVING, reason=reason)
+    if record.drained_by:
+        reason = f"drained: {record.drained_by}"
+        return Judgement(availability=Availability.LEAVING, reason=reason)
+    if now < record.refused_until:
+        reason = "leaving, it refused work from this router"
+        return Judgement(availability=Availability.LEAVING, reason=reason)
+    if now < record.flaps.held_until:
+        reason = "came and went too often"
+        return Judgement(availability=Availability.HELD_BACK, reason=reason)
+    if not record.breaker.lets_through:
+        return Judgement(availability=Availability.BROKEN, reason=record.breaker.reason)
+    return Judgement(availability=Availability.READY, reason=record.breaker.reason)
+
+
+def _is_doubtful(judgements: dict[str, Judgement], record: Record) -> bool:
+    availability = judgements[record.announcement.endpoint_id].availability
+    return availability in (Availability.HELD_BACK, Availability.BROKEN)
+
+
+def _is_leaving(judgements: dict[str, Judgement], record: Record) -> bool:
+    return judgements[record.announcement.endpoint_id].availability is Availability.LEAVING
+
+
+def _rank_badness(record: Record, now: float) -> tuple[bool, int, float, str]:
+    """Return a sort key; broken is worse than held back, and ties go by name."""
+    return (
+        not record.breaker.lets_through,
+        record.breaker.failures_in_row,
+        record.flaps.get_penalty(now),
+        record.announcement.endpoint_id,
+    )
--- /dev/null
+++ b/chivetrack/components/endpoints/registry.py
@@ -0,0 +1,273 @@
+"""The endpoint registry: who may be given work, by leases and by own experience."""
+
+from collections.abc import Callable, Iterable, Sequence
+
+from expression import Error, Ok, Result
+
+from chivetrack.components.endpoints.const import (
+    MAX_REMEMBERED,
+    MEMORY_S,
+    REFUSAL_S,
+    RENEWALS_PER_LEASE,
+    TICK_S,
+    TOPIC_ENDPOINT,
+    TOPIC_RENEWAL,
+)
+from chivetrack.components.endpoints.explanation import explain_record, explain_unknown
+from chivetrack.components.endpoints.judgement import judge_service
+from chivetrack.components.endpoints.models import (
+    Announcement,
+    Drain,
+    EndpointState,
+    Explanation,
+    OutcomeKind,
+    Receipt,
+)
+from chivetrack.components.endpoints.presence import find_drain, make_states, turn_presence
+from chivetrack.components.endpoints.record import OWN_WORD, Acceptance, Record, make_record
+from chivetrack.components.endpoints.spread import (
+    Spreader,
+    read_endpoint_news,
+    read_renewal_news,
+)
+from chivetrack.components.gossip.gossip import Gossip
+from chivetrack.components.gossip.models import News
+from chivetrack.core import Effect, Event, TimeReached, Unsubscribe, WakeAt
+from chivetrack.exceptions import Fault
+
+
+class EndpointRegistry:
+    """The endpoints that this router knows; implements routing's ``EndpointView``."""
+
+    def __init__(self, *, gossip: Gossip, instance_id: str) -> None:
+        """Create an empty registry and listen to gossip."""
+        self._records: dict[str, Record] = {}
+        self._by_hash: dict[int, Record] = {}
+        self._spreader = Spreader(gossip=gossip, instance_id=instance_id)
+        self._instance_id = instance_id
+        self._drains: tuple[Drain, ...] = ()
+        self._lists: dict[str, tuple[EndpointState, ...]] = {}
+        self._degraded: frozenset[str] = frozenset()
+        self._version = 0
+        self._next_tick = float("-inf")
+        self._callbacks: list[Callable[[int], None]] = []
+        gossip.subscribe(TOPIC_ENDPOINT, self._receive_body)
+        gossip.subscribe(TOPIC_RENEWAL, self._receive_renewals)
+
+    @property
+    def version(self) -> int:
+        """Return a number that changes with the list."""
+        return self._version
+
+    def list_endpoints(self, service: str) -> Sequence[EndpointState]:
+        """Return all endpoints of a service that hold a lease, whatever their availability."""
+        return self._lists.get(service, ())
+
+    def list_services(self) -> Sequence[str]:
+        """Return the services that have endpoints."""
+        return tuple(self._lists)
+
+    def is_degraded(self, service: str) -> bool:
+        """Return whether so many endpoints look bad that some of them are kept in."""
+        return service in self._degraded
+
+    def subscribe(self, callback: Callable[[int], None]) -> Unsubscribe:
+        """Call back with the new version whenever the list changes."""
+        self._callbacks.append(callback)
+
+        def unsubscribe() -> None:
+            if callback in self._callbacks:
+                self._callbacks.remove(callback)
+
+        return unsubscribe
+
+    def handle(self, event: Event, *, now: float) -> list[Effect]:
+        """Let leases and delays run out, and publish renewals."""
+        if not isinstance(event, TimeReached):
+            return []
+        if now >= self._next_tick:
+            self._next_tick = now + TICK_S
+            self._tick(now)
+        return [WakeAt(at=self._next_tick)]
+
+    def announce(self, announcement: Announcement, *, now: float) -> Result[Receipt, Fault]:
+        """Take in what an endpoint says of itself to this router."""
+        record, acceptance = self._accept(announcement, at=now, word=OWN_WORD, now=now)
+        if acceptance is Acceptance.STALE:
+            held = record.announcement.incarnation
+            return Error(
+                Fault(
+                    code="stale-incarnation",
+                    message=f"incarnation {held} of {announcement.endpoint_id} was seen already",
+                    status=409,
+                )
+            )
+        if acceptance is Acceptance.LEAVING:
+            return Error(
+                Fault(
+                    code="endpoint-leaving",
+                    message=f"{announcement.endpoint_id} said that it leaves;"
+                    " announce a higher incarnation to come back",
+                    status=409,
+                )
+            )
+        record.direct_at = now
+        self._spreader.spread_body(record, now=now)
+        self._update([record], now)
+        return Ok(
+            Receipt(
+                endpoint_id=announcement.endpoint_id,
+                incarnation=announcement.incarnation,
+                renew_after_s=announcement.lease_s / RENEWALS_PER_LEASE,
+                state=record.announcement.state,
+            )
+        )
+
+    def record_attempt(self, endpoint_id: str, *, now: float) -> None:
+        """Note that a request goes out to an endpoint."""
+        record = self._records.get(endpoint_id)
+        if record is None:
+            return
+        record.breaker.record_attempt(now)
+        self._update([record], now)
+
+    def record_outcome(self, endpoint_id: str, ok: bool, kind: OutcomeKind, now: float) -> None:
+        """Take in how this router's own attempt ended; it counts for this router only."""
+        record = self._records.get(endpoint_id)
+        if record is None:
+            return
+        if kind is OutcomeKind.LEAVING:
+            record.refused_until = now + REFUSAL_S
+        else:
+            record.breaker.record(ok=ok, kind=kind, now=now)
+        self._update([record], now)
+
+    def set_drained(self, drains: Iterable[Drain], *, now: float) -> None:
+        """Replace the drains that are in force."""
+        self._drains = tuple(drains)
+        self._update(self._records.values(), now)
+
+    def explain(self, endpoint_id: str, *, now: float) -> Explanation:
+        """Return why an endpoint is in or out, since when and on whose word."""
+        record = self._records.get(endpoint_id)
+        if record is None:
+            return explain_unknown(endpoint_id)
+        listed = self._lists.get(record.announcement.service, ())
+        shown = next((state for state in listed if state.endpoint_id == endpoint_id), None)
+        return explain_record(record, shown, now=now)
+
+    # Taking in
+
+    def _receive_body(self, news: News) -> None:
+        if news.payload is None:
+            record = self._records.get(news.key)
+            if record is not None:
+                record.carriers.pop(news.origin, None)
+            return
+        body = read_endpoint_news(news)
+        if body is None:
+            return
+        at = news.now - news.age_s
+        word = f"router {news.origin}"
+        record, _ = self._accept(body, at=at, word=word, now=news.now)
+        record.carriers[news.origin] = body
+        self._update([record], news.now)
+
+    def _receive_renewals(self, news: News) -> None:
+        renewals = read_renewal_news(news)
+        if renewals is None:
+            return
+        renewed: list[Record] = []
+        for renewal in renewals.renewals:
+            record = self._by_hash.get(renewal.endpoint_hash)
+            if record is None:
+                continue
+            record.renew(news.now - news.age_s - renewal.age_ds / 10)
+            renewed.append(record)
+        self._update(renewed, news.now)
+
+    def _accept(
+        self, announcement: Announcement, *, at: float, word: str, now: float
+    ) -> tuple[Record, Acceptance]:
+        record = self._records.get(announcement.endpoint_id)
+        if record is None:
+            record = make_record(announcement, at=at, word=word, now=now)
+            self._records[announcement.endpoint_id] = record
+            self._by_hash[record.endpoint_hash] = record
+            return record, Acceptance.TAKEN
+        before = record.endpoint_hash
+        acceptance = record.accept(announcement, at=at, word=word, now=now)
+        if record.endpoint_hash != before:
+            self._by_hash.pop(before, None)
+            self._by_hash[record.endpoint_hash] = record
+        return record, acceptance
+
+    # Time
+
+    def _tick(self, now: float) -> None:
+        for record in self._records.values():
+            record.breaker.tick(now)
+        self._update(self._records.values(), now)
+        self._withdraw_outdated(now)
+        self._spreader.spread_renewals(self._records.values(), now=now)
+        self._forget_old(now)
+
+    def _withdraw_outdated(self, now: float) -> None:
+        for record in self._records.values():
+            own = record.carriers.get(self._instance_id)
+            if own is None:
+                continue
+            if not record.present or own.incarnation < record.announcement.incarnation:
+                self._spreader.retract_body(record, now=now)
+
+    def _forget_old(self, now: float) -> None:
+        gone = [record for record in self._records.values() if not record.present]
+        gone.sort(key=lambda record: record.lease_until)
+        excess = max(0, len(gone) - MAX_REMEMBERED)
+        for index, record in enumerate(gone):
+            if index >= excess and now < record.lease_until + MEMORY_S:
+                continue
+            del self._records[record.announcement.endpoint_id]
+            self._by_hash.pop(record.endpoint_hash, None)
+
+    def _update(self, records: Iterable[Record], now: float) -> None:
+        """Bring the lists up to date with what changed in these records."""
+        services: set[str] = set()
+        for record in records:
+            record.drained_by = find_drain(self._drains, record.announcement)
+            standing = record.get_standing(now)
+            if standing == record.seen:
+                continue
+            if record.seen is not None:
+                services.add(record.seen.announcement.service)
+            services.add(record.announcement.service)
+            if standing.is_present != record.present:
+                turn_presence(record, self._records.values(), now=now)
+            record.seen = record.get_standing(now)
+        if services:
+            self._rebuild(services, now)
+
+    def _rebuild(self, services: set[str], now: float) -> None:
+        lists = dict(self._lists)
+        degraded = set(self._degraded)
+        for service in services:
+            listed = [record for record in self._records.values() if _is_listed(record, service)]
+            judged = judge_service(listed, now)
+            lists[service] = make_states(listed, judged)
+            degraded.discard(service)
+            if judged.is_degraded:
+                degraded.add(service)
+        self._degraded = frozenset(degraded)
+        self._replace_lists({service: states for service, states in lists.items() if states})
+
+    def _replace_lists(self, lists: dict[str, tuple[EndpointState, ...]]) -> None:
+        if lists == self._lists:
+            return
+        self._lists = lists
+        self._version += 1
+        for callback in tuple(self._callbacks):
+            callback(self._version)
+
+
+def _is_listed(record: Record, service: str) -> bool:
+    return record.present and record.announcement.service == service
--- /dev/null
+++ b/chivetrack/components/endpoints/spread.py
@@ -0,0 +1,110 @@
+"""Carries announcements between the endpoint registry and gossip."""
+
+from collections.abc import Iterable
+
+from chivetrack.components.endpoints.const import (
+    RENEWALS_EVERY_S,
+    RENEWALS_REPEAT_S,
+    TOPIC_ENDPOINT,
+    TOPIC_RENEWAL,
+)
+from chivetrack.components.endpoints.models import Announcement
+from chivetrack.components.endpoints.record import Record
+from chivetrack.components.endpoints.wire import (
+    EndpointBody,
+    Renewal,
+    Renewals,
+    make_body,
+    read_body,
+)
+from chivetrack.components.gossip.gossip import Gossip
+from chivetrack.components.gossip.models import News, Urgency
+from chivetrack.helpers.codec import DecodeError, decode, encode
+
+
+class Spreader:
+    """Publishes what this router heard from endpoints directly."""
+
+    def __init__(self, *, gossip: Gossip, instance_id: str) -> None:
+        """Create a spreader that has published nothing."""
+        self._gossip = gossip
+        self._instance_id = instance_id
+        self._renewals_at = float("-inf")
+        self._newest_direct = float("-inf")
+        self._spread_any = False
+
+    def spread_body(self, record: Record, *, now: float) -> None:
+        """Publish an announcement unless some instance already does."""
+        if any(carried == record.announcement for carried in record.carriers.values()):
+            return
+        announcement = record.announcement
+        urgency = Urgency.LEAVING if record.is_leaving else Urgency.ANNOUNCEMENT
+        payload = encode(make_body(announcement))
+        published = self._gossip.publish(
+            TOPIC_ENDPOINT, announcement.endpoint_id, payload, urgency, now=now
+        )
+        if published.is_ok():
+            record.carriers[self._instance_id] = announcement
+
+    def retract_body(self, record: Record, *, now: float) -> None:
+        """Take back what this router publishes of an endpoint."""
+        if record.carriers.pop(self._instance_id, None) is None:
+            return
+        endpoint_id = record.announcement.endpoint_id
+        self._gossip.retract(TOPIC_ENDPOINT, endpoint_id, Urgency.REST, now=now)
+
+    def spread_renewals(self, records: Iterable[Record], *, now: float) -> None:
+        """Publish whose latest announcement came here, if that changed or is due again."""
+        if now < self._renewals_at + RENEWALS_EVERY_S:
+            return
+        mine = [record for record in records if _is_newest_here(record, now)]
+        newest = max((record.direct_at for record in mine), default=float("-inf"))
+        is_due = now >= self._renewals_at + RENEWALS_REPEAT_S and (mine or self._spread_any)
+        if newest <= self._newest_direct and not is_due:
+            return
+        self._renewals_at = now
+        self._newest_direct = max(self._newest_direct, newest)
+        self._spread_any = bool(mine)
+        renewals = tuple(_make_renewal(record, now) for record in mine)
+        for index, chunk in enumerate(_chunk(renewals)):
+            payload = encode(Renewals(chunk))
+            self._gossip.publish(TOPIC_RENEWAL, _name_chunk(index), payload, Urgency.LOAD, now=now)
+
+
+_CHUNK = 48
+
+
+def _chunk(renewals: tuple[Renewal, ...]) -> list[tuple[Renewal, ...]]:
+    """Split the list so that each part fits into a frame; never empty."""
+    starts = range(0, max(1, len(renewals)), _CHUNK)
+    return [renewals[start : start + _CHUNK] for start in starts]
+
+
+def _name_chunk(index: int) -> str:
+    return str(index) if index else ""
+
+
+def _is_newest_here(record: Record, now: float) -> bool:
+    return record.direct_at >= record.renewed_at and now < record.lease_until
+
+
+def _make_renewal(record: Record, now: float) -> Renewal:
+    return Renewal(record.endpoint_hash, round((now - record.direct_at) * 10))
+
+
+def read_endpoint_news(news: News) -> Announcement | None:
+    """Return the announcement in a piece of news, ``None`` if it can't be read."""
+    try:
+        body = decode("endpoints.body", news.payload or b"")
+        return read_body(body) if isinstance(body, EndpointBody) else None
+    except (DecodeError, ValueError):
+        return None
+
+
+def read_renewal_news(news: News) -> Renewals | None:
+    """Return the renewals in a piece of news, ``None`` if they can't be read."""
+    try:
+        renewals = decode("endpoints.renewals", news.payload or b"")
+    except DecodeError:
+        return None
+    return renewals if isinstance(renewals, Renewals) else None
--- /dev/null
+++ b/chivetrack/components/gossip/__init__.py
@@ -0,0 +1,1 @@
+"""Spreads versioned key-values between instances within a budget of bytes."""
--- /dev/null
+++ b/chivetrack/components/gossip/clock.py
@@ -0,0 +1,42 @@
+"""Finds how long a frame was under way, without comparing clocks."""
+
+from dataclasses import dataclass
+
+from chivetrack.components.gossip.const import CLOCK_DRIFT
+
+
+@dataclass(slots=True)
+class _Offset:
+    incarnation: int
+    least_s: float
+    seen_at: float
+
+
+class TransitClock:
+    """Measures by how much a frame took longer than the fastest one of its sender.
+
+    A frame that waited in a queue or in a frozen process would otherwise bring news
+    that looks young, and leases would outlive their endpoints by that time. The
+    difference between two monotonic clocks is constant but for their drift, so what
+    exceeds the least difference seen is time under way.
+    """
+
+    def __init__(self) -> None:
+        """Start with no sender known."""
+        self._offsets: dict[str, _Offset] = {}
+
+    def measure(self, sender: str, incarnation: int, sent_s: float, now: float) -> float:
+        """Return the seconds by which this frame was slower than the fastest one."""
+        offset = now - sent_s
+        known = self._offsets.get(sender)
+        if known is None or known.incarnation != incarnation:
+            self._offsets[sender] = _Offset(incarnation, offset, now)
+            return 0.0
+        known.least_s += (now - known.seen_at) * CLOCK_DRIFT
+        known.seen_at = now
+        known.least_s = min(known.least_s, offset)
+        return offset - known.least_s
+
+    def forget(self, sender: str) -> None:
+        """Drop what is known of a sender that is gone."""
+        self._offsets.pop(sender, None)
--- /dev/null
+++ b/chivetrack/components/gossip/const.py
@@ -0,0 +1,59 @@
+"""Constants of gossip."""
+
+from typing import Final
+
+DEFAULT_BUDGET_BYTES_PER_S: Final = 4096
+MAX_BUDGET_BYTES_PER_S: Final = 19 * 1024
+MIN_BUDGET_BYTES_PER_S: Final = 2048
+
+# Charged for each message besides its encoded form: what one call with a batch of one
+# message takes of HTTP/2 in both directions (116 bytes out, 65 back) on an open
+# connection. TCP and IP headers are not counted.
+TRANSPORT_OVERHEAD_BYTES: Final = 184
+
+WINDOW_S: Final = 1.0
+# Ordinary news gets this share of the budget, and at most that of a second at once;
+# the rest is for urgent news and for probes.
+PACED_SHARE: Final = 0.88
+PACED_BURST_SHARE: Final = 0.35
+
+# Kept free of news, urgent or not, for probes and their answers.
+PROBE_RESERVE_BYTES: Final = 256
+
+TICK_S: Final = 0.2
+TICK_JITTER: Final = 0.2
+MAX_FRAMES_PER_S: Final = 12.0
+FRAME_BURST: Final = 4.0
+
+DIGEST_EVERY_S: Final = 2.0
+DIGEST_ORIGINS: Final = 8
+DIGEST_PATIENCE_S: Final = 2.0
+SUMMARY_KEYS: Final = 48
+FAR_REGION_EVERY: Final = 8
+
+# A load count that would make a peer's younger by less is not worth its bytes.
+MIN_GAIN_S: Final = 0.1
+
+# Every so many times a load count goes to a peer with its full name, in case that the
+# first one was lost and the peer can't tell what the short name stands for.
+FULL_NAME_EVERY: Final = 8
+
+# A value waiting unsent rises one level of urgency in this time.
+PROMOTION_S: Final = 4.0
+
+MAX_TOMBSTONES: Final = 64
+RING_BASE: Final = 3
+RANDOM_VISIT_EVERY: Final = 5
+
+FORGET_AGE_S: Final = 60.0
+CLOCK_DRIFT: Final = 2e-4
+
+# Upper bounds of msgpack's own bytes, so that a frame can be filled without encoding it.
+ENTRY_HEADER_BYTES: Final = 32
+DELTA_HEADER_BYTES: Final = 32
+SHORT_ENTRY_BYTES: Final = 26
+FRAME_HEADER_BYTES: Final = 32
+DIGEST_HEADER_BYTES: Final = 16
+DIGEST_ORIGIN_BYTES: Final = 32
+SUMMARY_HEADER_BYTES: Final = 40
+SUMMARY_KEY_BYTES: Final = 16
--- /dev/null
+++ b/chivetrack/components/gossip/rotation.py
@@ -0,0 +1,61 @@
+"""The order in which peers are visited."""
+
+import random as random_module
+from collections.abc import Iterable
+
+from chivetrack.components.gossip.const import RANDOM_VISIT_EVERY, RING_BASE
+
+
+class Rotation:
+    """Visits peers at fixed distances on the ring of sorted ids, and some at random.
+
+    The distances are the multiples of the powers of a small base, so news gets from
+    anyone to anyone in as many hops as a number below the ring's size has digits, and
+    nobody waits for a lucky draw. The random visits get round bad links and instances
+    whose views of the ring differ.
+    """
+
+    def __init__(self, *, own_id: str, random: random_module.Random) -> None:
+        """Start without members."""
+        self.members: tuple[str, ...] = ()
+        self._own_id = own_id
+        self._random = random
+        self._ring: list[str] = []
+        self._distances: list[int] = []
+        self._visits = 0
+
+    def set_members(self, members: Iterable[str]) -> None:
+        """Replace the members."""
+        listed = tuple(sorted(members))
+        if listed == self.members:
+            return
+        self.members = listed
+        ring = sorted({*listed, self._own_id})
+        start = ring.index(self._own_id)
+        self._ring = ring[start:] + ring[:start]
+        self._distances = list_distances(len(ring))
+
+    def take(self, count: int) -> list[str]:
+        """Return the next ``count`` distinct members, or all if there are fewer."""
+        taken: dict[str, None] = {}
+        while len(taken) < min(count, len(self.members)):
+            taken[self._take_one(bool(taken))] = None
+        return list(taken)
+
+    def _take_one(self, at_random: bool) -> str:
+        self._visits += 1
+        if at_random or self._visits % RANDOM_VISIT_EVERY == 0:
+            return self._random.choice(self.members)
+        regular = self._visits - self._visits // RANDOM_VISIT_EVERY
+        return self._ring[self._distances[regular % len(self._distances)]]
+
+
+def list_distances(size: int) -> list[int]:
+    """Return the distances to visit on a ring, the nearest first."""
+    distances: list[int] = []
+    power = 1
+    while power < size:
+        multiples = (power * digit for digit in range(1, RING_BASE))
+        distances.extend(distance for distance in multiples if distance < size)
+        power *= RING_BASE
+    return distances
--- /dev/null
+++ b/chivetrack/components/gossip/state.py
@@ -0,0 +1,248 @@
+"""The values that an instance holds, by origin."""
+
+import zlib
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from chivetrack.components.gossip.const import ENTRY_HEADER_BYTES
+from chivetrack.components.gossip.models import Delta, Entry, ShortEntry, Urgency
+
+_HASH_BITS = 32
+KEY_HASH_END = 1 << _HASH_BITS
+
+
+class ValueKey(NamedTuple):
+    """What names a value within its origin."""
+
+    topic: str
+    key: str
+
+
+@dataclass(slots=True, eq=False)
+class Value:
+    """The latest value of a key.
+
+    ``born`` is the local time at which the origin published it, ``waiting_since``
+    the local time since which something has waited to be sent for this key.
+    ``known`` are the peers that surely have it or were sent it, ``sends`` counts
+    the latter.
+    """
+
+    origin: str
+    key: ValueKey
+    version: int
+    urgency: int
+    payload: bytes | None
+    born: float
+    waiting_since: float
+    key_hash: int
+    known: set[str]
+    size_bound: int
+    sends: int = 0
+    current: bool = True
+    name_hash: int = 0
+
+    @property
+    def is_repaired(self) -> bool:
+        """Return whether digests cover it."""
+        return self.urgency != Urgency.LOAD
+
+    @property
+    def checksum(self) -> int:
+        """Return its share of the origin's checksum."""
+        return zlib.crc32(self.version.to_bytes(8, "big"), self.key_hash)
+
+    def get_short_entry(self, now: float) -> ShortEntry:
+        """Return its short form in a frame that is sent at ``now``."""
+        age_ms = max(0, round((now - self.born) * 1000))
+        return ShortEntry(self.name_hash, self.version, age_ms, self.payload)
+
+    def get_entry(self, now: float) -> Entry:
+        """Return its form in a frame that is sent at ``now``."""
+        age_ms = max(0, round((now - self.born) * 1000))
+        topic, key = self.key
+        return Entry(topic, key, self.version, self.urgency, age_ms, self.payload)
+
+
+def bound_size(key: ValueKey, payload: bytes | None) -> int:
+    """Return an upper bound of the encoded size of an entry."""
+    names = len(key.topic.encode()) + len(key.key.encode())
+    return ENTRY_HEADER_BYTES + names + (0 if payload is None else len(payload))
+
+
+def hash_key(key: ValueKey) -> int:
+    """Return the 32-bit hash by which summaries name a key."""
+    return zlib.crc32(f"{key.topic}\0{key.key}".encode())
+
+
+def hash_name(origin: str, incarnation: int, key: ValueKey) -> int:
+    """Return the 32-bit hash by which short entries name a load count."""
+    return zlib.crc32(f"{origin}\0{incarnation}\0{key.topic}\0{key.key}".encode())
+
+
+@dataclass(slots=True)
+class OriginState:
+    """All values of one origin; ``heard_at`` is when it last certainly lived."""
+
+    origin: str
+    incarnation: int
+    floor: int = 0
+    heard_at: float = float("-inf")
+    values: dict[ValueKey, Value] = field(default_factory=dict)
+
+    def list_repaired(self, topics: frozenset[str] | None) -> Iterator[Value]:
+        """Yield the values that digests cover, of ``topics`` or of all."""
+        for value in self.values.values():
+            if value.is_repaired and (topics is None or value.key.topic in topics):
+                yield value
+
+    def get_checksum(self, topics: frozenset[str] | None) -> int:
+        """Return a checksum over the keys and versions that digests cover."""
+        checksum = 0
+        for value in self.list_repaired(topics):
+            checksum ^= value.checksum
+        return checksum
+
+    def put(self, value: Value) -> None:
+        """Hold a newer value in place of the one before it."""
+        old = self.values.get(value.key)
+        if old is not None:
+            old.current = False
+        self.values[value.key] = value
+
+    def drop_below_floor(self, floor: int) -> list[Value]:
+        """Raise the floor and return the values that it voids."""
+        self.floor = max(self.floor, floor)
+        void = [value for value in self.values.values() if value.version <= self.floor]
+        for value in void:
+            value.current = False
+            del self.values[value.key]
+        return void
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Merged:
+    """What a delta changed."""
+
+    put: tuple[Value, ...] = ()
+    repeated: tuple[Value, ...] = ()
+    dropped: tuple[Value, ...] = ()
+
+
+class GossipState:
+    """Everything held of all origins; refuses what is older than what it has."""
+
+    def __init__(self) -> None:
+        """Start with nothing."""
+        self.origins: dict[str, OriginState] = {}
+        self._least_incarnations: dict[str, int] = {}
+        self._forgotten: set[str] = set()
+        self._short_names: dict[int, Value] = {}
+
+    def open_origin(self, origin: str, incarnation: int) -> OriginState:
+        """Return the state of an origin, created if need be."""
+        state = self.origins.get(origin)
+        if state is None:
+            state = OriginState(origin=origin, incarnation=incarnation)
+            self.origins[origin] = state
+        self._least_incarnations[origin] = state.incarnation
+        self._forgotten.discard(origin)
+        return state
+
+    def forget(self, origin: str) -> None:
+        """Drop all values of an origin that is gone; its incarnation is remembered."""
+        state = self.origins.pop(origin, None)
+        if state is None:
+            return
+        self._drop_names(state)
+        self._forgotten.add(origin)
+
+    def expand(self, short: ShortEntry) -> Delta | None:
+        """Return a short entry in full, or ``None`` if its name was never seen."""
+        named = self._short_names.get(short.name_hash)
+        held = None if named is None else self.origins.get(named.origin)
+        if named is None or held is None:
+            return None
+        if hash_name(held.origin, held.incarnation, named.key) != short.name_hash:
+            return None
+        topic, key = named.key
+        entry = Entry(topic, key, short.version, named.urgency, short.age_ms, short.payload)
+        return Delta(held.origin, held.incarnation, held.floor, (entry,))
+
+    def is_forgotten(self, origin: str) -> bool:
+        """Return whether the origin was dropped and has shown no life since."""
+        return origin in self._forgotten
+
+    def merge(self, delta: Delta, *, source: str, extra_age_s: float, now: float) -> Merged:
+        """Take in the newer values of a delta."""
+        # A restarted origin would be overwritten by relays that still hold what it
+        # said before; an older incarnation is refused whoever brings it.
+        if delta.incarnation < self._least_incarnations.get(delta.origin, 0):
+            return Merged()
+        state = self.open_origin(delta.origin, delta.incarnation)
+        dropped: list[Value] = []
+        if delta.incarnation > state.incarnation:
+            dropped.extend(self._replace(state, delta.incarnation))
+        dropped.extend(state.drop_below_floor(delta.floor) if delta.floor > state.floor else ())
+        put: list[Value] = []
+        repeated: list[Value] = []
+        for entry in delta.entries:
+            born = now - entry.age_ms / 1000 - extra_age_s
+            state.heard_at = max(state.heard_at, born)
+            value = self._take(state, entry, born, now)
+            if value is not None:
+                put.append(value)
+                continue
+            held = state.values.get(ValueKey(entry.topic, entry.key))
+            if held is not None and held.version == entry.version:
+                repeated.append(held)
+        for value in (*put, *repeated):
+            value.known.add(source)
+        return Merged(put=tuple(put), repeated=tuple(repeated), dropped=tuple(dropped))
+
+    def _drop_names(self, state: OriginState) -> None:
+        for value in state.values.values():
+            value.current = False
+            self._short_names.pop(value.name_hash, None)
+
+    def _replace(self, state: OriginState, incarnation: int) -> list[Value]:
+        dropped = list(state.values.values())
+        self._drop_names(state)
+        state.values.clear()
+        state.incarnation = incarnation
+        state.floor = 0
+        self._least_incarnations[state.origin] = incarnation
+        return dropped
+
+    def _take(self, state: OriginState, entry: Entry, born: float, now: float) -> Value | None:
+        key = ValueKey(entry.topic, entry.key)
+        held = state.values.get(key)
+        if entry.version <= state.floor or (held is not None and held.version >= entry.version):
+            return None
+        value = Value(
+            origin=state.origin,
+            key=key,
+            version=entry.version,
+            urgency=entry.urgency,
+            payload=entry.payload,
+            born=born,
+            waiting_since=now if held is None or held.sends else held.waiting_since,
+            key_hash=hash_key(key) if held is None else held.key_hash,
+            known={state.origin},
+            size_bound=bound_size(key, entry.payload),
+        )
+        state.put(value)
+        self._note_short_name(state, value, held)
+        return value
+
+    def _note_short_name(self, state: OriginState, value: Value, held: Value | None) -> None:
+        if value.urgency != Urgency.LOAD:
+            return
+        known = held is not None and held.name_hash != 0
+        value.name_hash = (
+            held.name_hash
+            if known and held is not None
+            else hash_name(state.origin, state.incarnation, value.key)
+        )
+        self._short_names[value.name_hash] = value
--- /dev/null
+++ b/tests/components/endpoints/test_registry.py
@@ -0,0 +1,86 @@
+"""Leases, leaving and incarnations of endpoints over several routers."""
+
+import unittest
+
+from chivetrack.components.endpoints.models import Availability
+from tests.components.endpoints.fleet import LEAVING, EndpointFleet, make_announcement
+
+READY = Availability.READY
+
+
+class LeaseTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.fleet = EndpointFleet(9)
+
+    def announce_for(self, seconds: float, names: tuple[str, ...], routers: list[str]) -> None:
+        """Announce every 2 s, each time to the next router, as the balancer would."""
+        for step in range(int(seconds / 2)):
+            for name in names:
+                self.fleet.announce(routers[step % len(routers)], make_announcement(name))
+            self.fleet.network.run_for(2)
+
+    def test_every_router_lists_what_one_was_told(self) -> None:
+        self.announce_for(20, ("e-1", "e-2"), self.fleet.names)
+        for name in self.fleet.names:
+            listed = self.fleet.list_availability(name)
+            self.assertEqual(listed, {"e-1": READY, "e-2": READY}, name)
+
+    def test_an_expired_lease_removes_everywhere(self) -> None:
+        self.announce_for(10, ("e-1",), self.fleet.names)
+        self.fleet.network.run_for(7)
+        for name in self.fleet.names:
+            self.assertEqual(self.fleet.list_availability(name), {}, name)
+
+    def test_a_cut_router_lets_leases_run_out(self) -> None:
+        """A router is cut from its peers; endpoints go on announcing to the others.
+
+        Nobody tells it which of them left. It must drop each at the end of the lease
+        that it last heard of rather than route by a view that nobody refreshes.
+        """
+        self.announce_for(10, ("e-1", "e-2"), self.fleet.names)
+        self.fleet.network.cut(["router-0"], self.fleet.names[1:])
+        self.announce_for(8, ("e-1", "e-2"), self.fleet.names[1:])
+        self.assertEqual(self.fleet.list_availability("router-0"), {})
+        self.assertEqual(self.fleet.list_availability("router-1"), {"e-1": READY, "e-2": READY})
+        self.fleet.network.heal()
+        self.announce_for(4, ("e-1", "e-2"), self.fleet.names[1:])
+        self.assertEqual(self.fleet.list_availability("router-0"), {"e-1": READY, "e-2": READY})
+
+    def test_leaving_is_everywhere_in_a_second(self) -> None:
+        self.announce_for(10, ("e-1", "e-2"), self.fleet.names)
+        self.fleet.announce("router-3", make_announcement("e-1", state=LEAVING))
+        self.fleet.network.run_for(1)
+        for name in self.fleet.names:
+            listed = self.fleet.list_availability(name)
+            self.assertEqual(listed, {"e-1": Availability.LEAVING, "e-2": READY}, name)
+
+    def test_leaving_is_final_for_an_incarnation(self) -> None:
+        """An endpoint says that it leaves; an older "ready" of it arrives later elsewhere.
+
+        If that undid it, callers would be sent to an endpoint that stops under them.
+        """
+        self.announce_for(6, ("e-1",), self.fleet.names)
+        self.fleet.announce("router-3", make_announcement("e-1", state=LEAVING))
+        self.fleet.announce("router-5", make_announcement("e-1"))
+        self.fleet.network.run_for(1)
+        for name in self.fleet.names:
+            self.assertEqual(
+                self.fleet.list_availability(name), {"e-1": Availability.LEAVING}, name
+            )
+        refused = self.fleet.announce("router-1", make_announcement("e-1"))
+        self.assertEqual(refused.swap().ok.code, "endpoint-leaving")
+        self.fleet.announce("router-1", make_announcement("e-1", incarnation=2))
+        self.fleet.network.run_for(2)
+        for name in self.fleet.names:
+            self.assertEqual(self.fleet.list_availability(name), {"e-1": READY}, name)
+
+    def test_a_stale_incarnation_never_returns(self) -> None:
+        self.announce_for(4, ("e-1",), self.fleet.names)
+        new = make_announcement("e-1", incarnation=2, address="http://10.0.0.2:8000")
+        self.fleet.announce("router-2", new)
+        self.fleet.network.run_for(1)
+        for name in self.fleet.names:
+            refused = self.fleet.announce(name, make_announcement("e-1"))
+            self.assertEqual(refused.swap().ok.code, "stale-incarnation", name)
+            listed = self.fleet.registries[name].list_endpoints("valuation")
+            self.assertEqual([state.address for state in listed], [new.address], name)
--- /dev/null
+++ b/tests/components/gossip/fleet.py
@@ -0,0 +1,58 @@
+"""A fleet of gossips on the network in memory."""
+
+import random
+
+from chivetrack.components.gossip.gossip import Gossip
+from chivetrack.components.gossip.models import News, Peer
+from tests.components.network import Network
+
+TOPIC = "topic"
+
+
+class GossipFleet:
+    """Some gossips that know each other, and what each was told on one topic."""
+
+    def __init__(self, size: int, *, seed: int = 1, budget_bytes_per_s: int = 4096) -> None:
+        self.network = Network(seed=seed)
+        self.names = [f"router-{index}" for index in range(size)]
+        self.seed = seed
+        self.budget = budget_bytes_per_s
+        self.gossips: dict[str, Gossip] = {}
+        self.news: dict[str, list[News]] = {name: [] for name in self.names}
+        for name in self.names:
+            self.start(name, incarnation=1)
+
+    def start(self, name: str, *, incarnation: int, clock_offset_s: float = 0.0) -> Gossip:
+        gossip = Gossip(
+            instance_id=name,
+            incarnation=incarnation,
+            random=random.Random(f"{self.seed}{name}{incarnation}"),
+            budget_bytes_per_s=self.budget,
+        )
+        gossip.set_peers([Peer(instance_id=other, region="") for other in self.names])
+        gossip.subscribe(TOPIC, self.news[name].append)
+        self.gossips[name] = gossip
+        self.network.start(name, [gossip], clock_offset_s=clock_offset_s)
+        return gossip
+
+    def list_held(self, name: str, origin: str) -> dict[str, bytes | None]:
+        """Return the latest value of each key of an origin as told to a node."""
+        return {news.key: news.payload for news in self.news[name] if news.origin == origin}
+
+    def count_holders(self, origin: str, key: str, payload: bytes | None) -> int:
+        return sum(
+            1
+            for name in self.names
+            if name != origin and self.list_held(name, origin).get(key, b"-") == payload
+        )
+
+    def find_worst_second(self, name: str) -> int:
+        """Return the most bytes that a node sent in any window of one second."""
+        sent = [sent for sent in self.network.sent if sent.source == name]
+        return max(
+            (
+                sum(s.charged_bytes for s in sent[i:] if s.at < first.at + 1.0)
+                for i, first in enumerate(sent)
+            ),
+            default=0,
+        )
--- /dev/null
+++ b/tests/components/gossip/test_budget.py
@@ -0,0 +1,35 @@
+"""The budget against an oracle that sums every window."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from chivetrack.components.gossip.budget import ByteBudget
+
+STEPS = st.lists(st.tuples(st.floats(0.0, 0.6, allow_nan=False), st.integers(0, 3000)), max_size=60)
+
+
+class ByteBudgetTest(unittest.TestCase):
+    @settings(derandomize=True, max_examples=300)
+    @given(steps=STEPS, rate=st.integers(2048, 19 * 1024))
+    def test_no_window_of_a_second_holds_more(
+        self, steps: list[tuple[float, int]], rate: int
+    ) -> None:
+        budget = ByteBudget(bytes_per_s=rate)
+        paid: list[tuple[float, int]] = []
+        now = 0.0
+        for wait, size in steps:
+            now += wait
+            room = budget.get_room(now)
+            self.assertEqual(budget.charge(size, now), size <= room)
+            if size <= room:
+                paid.append((now, size + budget.overhead_bytes))
+        for first, _ in paid:
+            window = sum(size for at, size in paid if first <= at < first + 1.0)
+            self.assertLessEqual(window, rate)
+
+    def test_refuses_rates_outside_the_allowance(self) -> None:
+        for rate in (0, 2047, 19 * 1024 + 1):
+            with self.subTest(rate=rate), self.assertRaises(ValueError):
+                ByteBudget(bytes_per_s=rate)
--- /dev/null
+++ b/tests/components/network.py
@@ -0,0 +1,177 @@
+"""A seeded network in memory: drops, delays, doubles, reorders, cuts, freezes, restarts."""
+
+import heapq
+import itertools
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from chivetrack.components.gossip.const import TRANSPORT_OVERHEAD_BYTES
+from chivetrack.core import Component, Effect, Event, MessageReceived, SendMessage, TimeReached
+from chivetrack.core import WakeAt as Wake
+from chivetrack.helpers.codec import decode, encode, get_kind
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """One message as it left a node."""
+
+    at: float
+    source: str
+    target: str
+    kind: str
+    charged_bytes: int
+
+
+@dataclass(slots=True, order=True)
+class _Due:
+    at: float
+    order: int
+    node: str = field(compare=False)
+    life: int = field(compare=False)
+    component: int | None = field(compare=False)
+    event: Event = field(compare=False)
+
+
+@dataclass(slots=True)
+class _Node:
+    components: list[Component]
+    life: int
+    clock_offset_s: float
+    wakes: dict[int, float] = field(default_factory=dict)
+    held: list[_Due] = field(default_factory=list)
+    frozen: bool = False
+
+
+class Network:
+    """Drives nodes of several components each; times are seconds from 0."""
+
+    def __init__(self, *, seed: int, delay_s: tuple[float, float] = (0.001, 0.004)) -> None:
+        """Create a network without faults."""
+        self.now = 0.0
+        self.drop = 0.0
+        self.duplicate = 0.0
+        self.delay_s = delay_s
+        self.sent: list[Sent] = []
+        self._random = random.Random(seed)
+        self._cut: set[tuple[str, str]] = set()
+        self._nodes: dict[str, _Node] = {}
+        self._queue: list[_Due] = []
+        self._orders = itertools.count()
+        self._lives = itertools.count()
+
+    def start(
+        self, name: str, components: Iterable[Component], *, clock_offset_s: float = 0.0
+    ) -> None:
+        """Start a node, or start it anew in place of its earlier life.
+
+        Its clock shows ``clock_offset_s`` more than the network's time.
+        """
+        self._nodes[name] = _Node(list(components), next(self._lives), clock_offset_s)
+        for index in range(len(self._nodes[name].components)):
+            self._wake(name, index, self.now)
+
+    def kill(self, name: str) -> None:
+        """End a node without notice."""
+        self._nodes.pop(name, None)
+
+    def freeze(self, name: str) -> None:
+        """Stop a node's processor; what comes in waits."""
+        self._nodes[name].frozen = True
+
+    def thaw(self, name: str) -> None:
+        """Let a frozen node go on; what waited comes all at once."""
+        node = self._nodes[name]
+        node.frozen = False
+        held, node.held = node.held, []
+        for due in held:
+            due.at = self.now
+            heapq.heappush(self._queue, due)
+
+    def cut(self, group: Iterable[str], others: Iterable[str], *, one_way: bool = False) -> None:
+        """Lose everything between two groups."""
+        listed = tuple(others)
+        for left in group:
+            for right in listed:
+                self._cut.add((left, right))
+                if not one_way:
+                    self._cut.add((right, left))
+
+    def heal(self) -> None:
+        """Take back all cuts."""
+        self._cut.clear()
+
+    def run_until(self, end: float) -> None:
+        """Run all events up to ``end``."""
+        while self._queue and self._queue[0].at <= end:
+            due = heapq.heappop(self._queue)
+            self.now = max(self.now, due.at)
+            self._run(due)
+        self.now = end
+
+    def run_for(self, seconds: float) -> None:
+        """Run all events of the next ``seconds``."""
+        self.run_until(self.now + seconds)
+
+    def get_bytes(self, source: str, first: float, last: float) -> int:
+        """Return the bytes that a node was charged for in ``[first, last)``."""
+        return sum(
+            sent.charged_bytes
+            for sent in self.sent
+            if sent.source == source and first <= sent.at < last
+        )
+
+    def _run(self, due: _Due) -> None:
+        node = self._nodes.get(due.node)
+        if node is None or node.life != due.life:
+            return
+        if node.frozen:
+            node.held.append(due)
+            return
+        if due.component is not None:
+            if node.wakes.get(due.component) == due.at:
+                del node.wakes[due.component]
+            self._handle(due.node, due.component, due.event)
+            return
+        for index in range(len(node.components)):
+            self._handle(due.node, index, due.event)
+
+    def _handle(self, name: str, index: int, event: Event) -> None:
+        node = self._nodes[name]
+        now = self.now + node.clock_offset_s
+        for effect in node.components[index].handle(event, now=now):
+            self._carry_out(name, index, effect)
+
+    def _carry_out(self, name: str, index: int, effect: Effect) -> None:
+        if isinstance(effect, SendMessage):
+            self._send(name, effect)
+        if isinstance(effect, Wake):
+            self._wake(name, index, effect.at - self._nodes[name].clock_offset_s)
+
+    def _wake(self, name: str, index: int, at: float) -> None:
+        node = self._nodes[name]
+        at = max(at, self.now + 1e-6)
+        if index in node.wakes and self.now < node.wakes[index] <= at:
+            return
+        node.wakes[index] = at
+        self._push(at, name, index, TimeReached())
+
+    def _send(self, source: str, effect: SendMessage) -> None:
+        data = encode(effect.message)
+        kind = get_kind(effect.message)
+        size = len(data) + TRANSPORT_OVERHEAD_BYTES
+        self.sent.append(Sent(self.now, source, effect.target, kind, size))
+        copies = 2 if self._random.random() < self.duplicate else 1
+        for _ in range(copies):
+            if (source, effect.target) in self._cut or self._random.random() < self.drop:
+                continue
+            event = MessageReceived(source=source, message=decode(kind, data))
+            at = self.now + self._random.uniform(*self.delay_s)
+            self._push(at, effect.target, None, event)
+
+    def _push(self, at: float, name: str, component: int | None, event: Event) -> None:
+        node = self._nodes.get(name)
+        if node is None:
+            return
+        due = _Due(at, next(self._orders), name, node.life, component, event)
+        heapq.heappush(self._queue, due)
