Test that a late event of a restarted engine displaces no holder

Change: a case in which the late event would push a good holder out of the bounded list. Seen to fail without the check.

--- a/tests/components/routing/test_hints.py
+++ b/tests/components/routing/test_hints.py
@@ -65,6 +65,9 @@
         for at, endpoint_id in ((3.0, "c"), (1.0, "a"), (2.0, "b")):
             hints.store(KEY, endpoint_id, 1, stored_at=at)
         self.assertEqual(hints.find(KEY, 5.0), ("c", "b"))
+        hints.restart("d", 2)
+        hints.store(KEY, "d", 1, stored_at=4.0)
+        self.assertEqual(hints.find(KEY, 5.0), ("c", "b"))
 
     def test_warm_only_after_listening_and_while_events_come(self) -> None:
         """A router restarts, or the event stream breaks: it knows of no chat's context.
