Decide whether a failed request is sent again

Cause: a second send of a request that may have run is a second bill or a second dispatch note; a retry without a budget doubles the load when a zone fails.

Ruled out: judging by the last attempt alone, since a refusal by a second endpoint does not undo that the first may have run it; resuming a non-idempotent answer on another endpoint, since that runs it again.

Change: four outcomes of an attempt, a decision of retry, resume at the caller's offset or give up with a fault that says whether it ran, and budgets of a tenth of the requests, for the router and for each workspace.

Tests: all histories of up to four attempts with all traits; the decision is compared with each rule.

--- /dev/null
+++ b/chivetrack/components/retries/decision.py
@@ -0,0 +1,98 @@
+"""The decision after an attempt failed: again, go on at an offset, or give up."""
+
+from collections.abc import Sequence
+
+from chivetrack.components.retries.budget import RetryBudgets
+from chivetrack.components.retries.const import MAX_ATTEMPTS, MIN_REMAINING_S, RETRY_AFTER_S
+from chivetrack.components.retries.models import (
+    Attempt,
+    GiveUp,
+    Outcome,
+    RequestTraits,
+    Resume,
+    Retry,
+    RetryDecision,
+)
+from chivetrack.exceptions import Fault, Ran
+
+_DID_NOT_RUN = frozenset({Outcome.NOT_SENT, Outcome.REFUSED_NOT_RUN})
+
+_STATUS_BAD_GATEWAY = 502
+_STATUS_UNAVAILABLE = 503
+_STATUS_TIMEOUT = 504
+
+_STATUSES = {
+    "already-ran": _STATUS_BAD_GATEWAY,
+    "outcome-unknown": _STATUS_BAD_GATEWAY,
+    "answer-cut": _STATUS_BAD_GATEWAY,
+    "deadline-exceeded": _STATUS_TIMEOUT,
+    "attempts-exhausted": _STATUS_UNAVAILABLE,
+    "retry-budget-exhausted": _STATUS_UNAVAILABLE,
+}
+
+_MESSAGES = {
+    "already-ran": "The endpoint ran the request and gave no whole answer.",
+    "outcome-unknown": "The request may have run and may not be sent again.",
+    "answer-cut": "The answer was cut off and can't be resumed.",
+    "deadline-exceeded": "The deadline left no time for another attempt.",
+    "attempts-exhausted": "Every attempt at an endpoint failed.",
+    "retry-budget-exhausted": "Too many requests are being retried already.",
+}
+
+
+def decide_retry(
+    attempts: Sequence[Attempt], traits: RequestTraits, *, budgets: RetryBudgets, now: float
+) -> RetryDecision:
+    """Decide what follows after the last of ``attempts``; spends budget on a retry."""
+    refusal = _find_refusal(attempts, traits)
+    if refusal:
+        return GiveUp(fault=make_fault(refusal, attempts, traits))
+    if traits.deadline - now < MIN_REMAINING_S:
+        return GiveUp(fault=make_fault("deadline-exceeded", attempts, traits))
+    if len(attempts) >= MAX_ATTEMPTS:
+        return GiveUp(fault=make_fault("attempts-exhausted", attempts, traits))
+    if not budgets.spend(traits.workspace):
+        return GiveUp(fault=make_fault("retry-budget-exhausted", attempts, traits))
+    excluded = frozenset(attempt.endpoint_id for attempt in attempts)
+    if traits.caller_bytes:
+        return Resume(offset=traits.caller_bytes, excluded=excluded)
+    return Retry(excluded=excluded)
+
+
+def _find_refusal(attempts: Sequence[Attempt], traits: RequestTraits) -> str:
+    """Return why no further attempt is safe, or an empty string."""
+    outcomes = {attempt.outcome for attempt in attempts}
+    if Outcome.RAN in outcomes:
+        return "already-ran"
+    # All attempts count, not only the last: a refusal by a second endpoint does not
+    # undo that the first one may have run a quote, which is then billed twice.
+    if not traits.idempotent and not outcomes <= _DID_NOT_RUN:
+        return "outcome-unknown"
+    # The caller holds the first bytes of one answer; bytes of another run would be
+    # spliced to them unless the engine goes on at that very offset.
+    if traits.caller_bytes and not (traits.idempotent and traits.resumable):
+        return "answer-cut"
+    return ""
+
+
+def find_ran(attempts: Sequence[Attempt], *, caller_bytes: int = 0) -> Ran:
+    """Return the strongest thing that is true of all attempts together."""
+    outcomes = {attempt.outcome for attempt in attempts}
+    if Outcome.RAN in outcomes:
+        return Ran.YES
+    if caller_bytes or not outcomes <= _DID_NOT_RUN:
+        return Ran.MAYBE
+    return Ran.NO
+
+
+def make_fault(code: str, attempts: Sequence[Attempt], traits: RequestTraits) -> Fault:
+    """Return the fault for giving up, with what is known of whether it ran."""
+    ran = find_ran(attempts, caller_bytes=traits.caller_bytes)
+    may_return = ran is Ran.NO or (traits.idempotent and ran is Ran.MAYBE)
+    return Fault(
+        code=code,
+        message=_MESSAGES[code],
+        status=_STATUSES[code],
+        ran=ran,
+        retry_after_s=RETRY_AFTER_S if may_return else None,
+    )
--- /dev/null
+++ b/tests/components/retries/test_decision.py
@@ -0,0 +1,121 @@
+"""The retry decision, over every history, and the budgets."""
+
+import itertools
+import unittest
+
+from chivetrack.components.retries.budget import RetryBudgets
+from chivetrack.components.retries.const import BUDGET_RATIO, BUDGET_START, MAX_ATTEMPTS
+from chivetrack.components.retries.decision import decide_retry
+from chivetrack.components.retries.models import (
+    Attempt,
+    GiveUp,
+    Outcome,
+    RequestTraits,
+    Resume,
+    Retry,
+)
+from chivetrack.exceptions import Ran
+
+DID_NOT_RUN = {Outcome.NOT_SENT, Outcome.REFUSED_NOT_RUN}
+
+
+def make_traits(**changes: object) -> RequestTraits:
+    fields = {"workspace": "gallery", "deadline": 10.0, "idempotent": True}
+    return RequestTraits(**(fields | changes))
+
+
+def make_attempts(outcomes: tuple[Outcome, ...]) -> list[Attempt]:
+    return [Attempt(endpoint_id=f"e{n}", outcome=outcome) for n, outcome in enumerate(outcomes)]
+
+
+class DecisionTest(unittest.TestCase):
+    def test_every_history_and_trait(self) -> None:
+        """An adjuster asks for a premium quote; the engine dies at some point.
+
+        A second send of a quote that may have run is a second bill; a second answer
+        spliced to the first bytes of another is a false report. Every history of up to
+        four attempts is tried with every trait, and each rule is checked on its own.
+        """
+        histories = itertools.chain.from_iterable(
+            itertools.product(Outcome, repeat=count) for count in range(1, 5)
+        )
+        choices = itertools.product((True, False), (True, False), (0, 7), (10.0, 5.0))
+        for outcomes, choice in itertools.product(list(histories), list(choices)):
+            idempotent, resumable, caller_bytes, deadline = choice
+            with self.subTest(outcomes=outcomes, choice=choice):
+                traits = make_traits(
+                    idempotent=idempotent,
+                    resumable=resumable,
+                    caller_bytes=caller_bytes,
+                    deadline=deadline,
+                )
+                attempts = make_attempts(outcomes)
+                decision = decide_retry(attempts, traits, budgets=RetryBudgets(), now=5.0)
+                clean = set(outcomes) <= DID_NOT_RUN
+                again = (
+                    Outcome.RAN not in outcomes
+                    and (idempotent or clean)
+                    and (not caller_bytes or (idempotent and resumable))
+                    and deadline > 5.0
+                    and len(outcomes) < MAX_ATTEMPTS
+                )
+                self.assertEqual(not isinstance(decision, GiveUp), again)
+                if isinstance(decision, GiveUp):
+                    ran = Ran.YES if Outcome.RAN in outcomes else Ran.MAYBE
+                    ran = Ran.NO if clean and not caller_bytes else ran
+                    self.assertEqual(decision.fault.ran, ran)
+                    comes_back = decision.fault.retry_after_s is not None
+                    self.assertEqual(comes_back, ran is Ran.NO or (ran is Ran.MAYBE and idempotent))
+                    continue
+                tried = frozenset(attempt.endpoint_id for attempt in attempts)
+                expected = Retry(excluded=tried)
+                if caller_bytes:
+                    expected = Resume(offset=caller_bytes, excluded=tried)
+                self.assertEqual(decision, expected)
+
+    def test_codes(self) -> None:
+        maybe, clean = (Outcome.MAYBE_RAN,), (Outcome.NOT_SENT,)
+        cases = [
+            ((Outcome.RAN,), {}, 5.0, "already-ran", 502),
+            (maybe, {"idempotent": False}, 5.0, "outcome-unknown", 502),
+            (maybe, {"caller_bytes": 3}, 5.0, "answer-cut", 502),
+            (clean, {}, 9.99, "deadline-exceeded", 504),
+            (clean * MAX_ATTEMPTS, {}, 5.0, "attempts-exhausted", 503),
+        ]
+        for outcomes, changes, now, code, status in cases:
+            with self.subTest(code):
+                decision = decide_retry(
+                    make_attempts(outcomes), make_traits(**changes), budgets=RetryBudgets(), now=now
+                )
+                assert isinstance(decision, GiveUp)
+                self.assertEqual((decision.fault.code, decision.fault.status), (code, status))
+
+    def decide(self, budgets: RetryBudgets, workspace: str) -> bool:
+        attempts = make_attempts((Outcome.NOT_SENT,))
+        decision = decide_retry(
+            attempts, make_traits(workspace=workspace), budgets=budgets, now=0.0
+        )
+        if isinstance(decision, GiveUp):
+            self.assertEqual(decision.fault.code, "retry-budget-exhausted")
+        return isinstance(decision, Retry)
+
+    def test_budget_bounds_the_extra_load(self) -> None:
+        """An availability zone fails and every request's first attempt with it.
+
+        Retries of all of them would double the load on the engines that are left.
+        """
+        budgets = RetryBudgets()
+        retries = 0
+        for number in range(1000):
+            budgets.earn(f"workspace-{number % 10}")
+            retries += self.decide(budgets, f"workspace-{number % 10}")
+        self.assertLessEqual(retries, BUDGET_START + 1000 * BUDGET_RATIO)
+        self.assertGreater(retries, 90)
+
+    def test_one_workspace_does_not_spend_the_budget_of_all(self) -> None:
+        """One workspace's requests all fail while the others' succeed."""
+        budgets = RetryBudgets()
+        for number in range(210):
+            budgets.earn(f"workspace-{number % 10}")
+        self.assertEqual(sum(self.decide(budgets, "workspace-1") for _ in range(50)), 5)
+        self.assertTrue(self.decide(budgets, "workspace-2"))
