Find the other instances by gossip

Cause: peers came from the settings. Change: membership in the assembly; a roster that tells configuration, proposals and the load book who lives; news of the leader and its revision; batches carry the sender's address, so that an answer finds a new instance before gossip has its address; seeds are known by address only and are greeted until a member with that address is met.

Seen in a first run with 5 instances: a chat that came back within 50 ms through another router went to the second engine, since the count of the request before was still believed to be in flight (counts lag by about 0.4 s). That is the bound at work on little load; the demonstration now waits a second between requests.

--- a/chivetrack/assembly.py
+++ b/chivetrack/assembly.py
@@ -16,9 +16,14 @@
 from chivetrack.components.drains.enforcement import DrainEnforcement
 from chivetrack.components.endpoints.models import OutcomeKind
 from chivetrack.components.endpoints.registry import EndpointRegistry
+from chivetrack.components.fleet.leader import LeaderNews
+from chivetrack.components.fleet.roster import Roster
 from chivetrack.components.gossip.gossip import Gossip
 from chivetrack.components.load.book import LoadBook
 from chivetrack.components.load.exchange import LoadExchange
+from chivetrack.components.membership.const import FLEET_TOPICS
+from chivetrack.components.membership.membership import Membership
+from chivetrack.components.membership.models import Instance, Life, Seed
 from chivetrack.components.pipeline.attempts import AttemptRetries
 from chivetrack.components.pipeline.chain import FILTERS, Filter, FilterChain
 from chivetrack.components.pipeline.const import FILTER_ORDER
@@ -41,10 +46,15 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RouterIdentity:
-    """Who a router is; ``incarnation`` must rise with every start of the process."""
+    """Who a router is and where the others reach it.
+
+    ``incarnation`` must rise with every start of the process.
+    """
 
     instance_id: str
     incarnation: int
+    address: str
+    roles: tuple[str, ...]
     region: str
     zone: str
 
@@ -54,6 +64,7 @@
     """What may differ between routers; ``replicas`` are instance ids."""
 
     replicas: Sequence[str]
+    seeds: Sequence[Seed]
     budget_bytes_per_s: int
     configuration: ConfigurationSettings
     filter_order: Sequence[str] = FILTER_ORDER
@@ -66,6 +77,7 @@
     node: RouterNode
     flow: RequestFlow
     gossip: Gossip
+    membership: Membership
     registry: EndpointRegistry
     load: LoadBook
     configuration: Configuration
@@ -105,7 +117,18 @@
         random=random_source,
         budget_bytes_per_s=options.budget_bytes_per_s,
         region=identity.region,
+        fleet_topics=FLEET_TOPICS,
+    )
+    own = Instance(
+        instance_id=identity.instance_id,
+        address=identity.address,
+        region=identity.region,
+        zone=identity.zone,
+        roles=identity.roles,
+        life=Life(identity.incarnation, 0),
+        since=now,
     )
+    membership = Membership(gossip=gossip, own=own, seeds=options.seeds, random=random_source)
     registry = EndpointRegistry(gossip=gossip, instance_id=identity.instance_id)
     load = LoadBook(router_id=identity.instance_id, incarnation=identity.incarnation)
     configuration = Configuration(
@@ -159,17 +182,41 @@
         ),
         to_wall_ms=to_wall_ms,
     )
+    leader_news = LeaderNews(
+        instance_id=identity.instance_id,
+        gossip=gossip,
+        configuration=configuration,
+        proposals=proposals,
+    )
+    roster = Roster(
+        own=own,
+        replicas=options.replicas,
+        membership=membership,
+        configuration=configuration,
+        proposals=proposals,
+        load=load,
+    )
     enforcement = DrainEnforcement(configuration=configuration, registry=registry)
     node = RouterNode(
         flow=flow,
         proposals=proposals,
         claims=claims,
-        components=(exchange, gossip, registry, configuration, enforcement),
+        components=(
+            exchange,
+            membership,
+            gossip,
+            registry,
+            configuration,
+            leader_news,
+            roster,
+            enforcement,
+        ),
     )
     return Router(
         node=node,
         flow=flow,
         gossip=gossip,
+        membership=membership,
         registry=registry,
         load=load,
         configuration=configuration,
--- /dev/null
+++ b/chivetrack/components/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Tells the other components who is alive and who leads."""
--- a/chivetrack/components/membership/membership.py
+++ b/chivetrack/components/membership/membership.py
@@ -245,10 +245,13 @@
             return
         self._greeted_at = now
         dead = [m for m in self._members.values() if m.status is InstanceStatus.DEAD]
+        # A seed is known by its address only; which member it is shows when they meet.
+        met = {member.record.address for member in self._members.values()}
+        met.add(self._own.address)
         absent = [
             Peer(instance_id=seed.instance_id, region=seed.region)
             for seed in self._seeds.values()
-            if seed.instance_id not in self._members and seed.instance_id != self._own.instance_id
+            if seed.address not in met
         ]
         absent.extend(Peer(instance_id=m.instance_id, region=m.record.region) for m in dead)
         for peer in self._random.sample(absent, min(2, len(absent))):
--- a/chivetrack/components/peers/transport.py
+++ b/chivetrack/components/peers/transport.py
@@ -100,7 +100,9 @@
             ThreadPoolExecutor(SERVER_WORKERS), options=[("grpc.so_reuseport", 0)]
         )
         peer_pb2_grpc.add_PeerServicer_to_server(_Servicer(transport=self), self._server)
-        self.port = self._bind(listen, server_credentials)
+        port = self._bind(listen, server_credentials)
+        self.address = f"{listen.rpartition(':')[0]}:{port}"
+        self._learned: dict[str, str] = {}
 
     def _bind(self, listen: str, credentials: grpc.ServerCredentials | None) -> int:
         if credentials is None:
@@ -146,11 +148,13 @@
         return envelopes
 
     def _deliver(self, target: str, envelopes: Sequence[peer_pb2.Envelope]) -> None:
-        address = self._resolve(target)
+        address = self._resolve(target) or self._learned.get(target)
         if address is None:
             self.traffic.dropped_messages += len(envelopes)
             return
-        batch = peer_pb2.Batch(source=self._instance_id, target=target, envelopes=envelopes)
+        batch = peer_pb2.Batch(
+            source=self._instance_id, source_address=self.address, envelopes=envelopes
+        )
         self.traffic.sent_calls += 1
         self.traffic.sent_bytes += batch.ByteSize() + CALL_OVERHEAD_BYTES
         self._get_stub(address).Deliver(batch, timeout=DELIVER_TIMEOUT_S)
@@ -176,6 +180,7 @@
     def receive_batch(self, batch: peer_pb2.Batch) -> None:
         """Hand on the messages of a batch; one bad message does not hide the others."""
         self.traffic.received_bytes += batch.ByteSize()
+        self._learned[batch.source] = batch.source_address
         for envelope in batch.envelopes:
             try:
                 message = decode(envelope.kind, envelope.payload)
--- a/chivetrack/daemon/instance.py
+++ b/chivetrack/daemon/instance.py
@@ -13,13 +13,9 @@
 from chivetrack.assembly import Router, RouterIdentity, RouterOptions, assemble_router
 from chivetrack.components.caller_api.app import CallerApi
 from chivetrack.components.caller_api.gateway import Gateway
-from chivetrack.components.configuration.models import (
-    ConfigurationSettings,
-    PeersChanged,
-    WhenUnconfirmed,
-)
-from chivetrack.components.gossip.models import Peer
+from chivetrack.components.configuration.models import ConfigurationSettings, WhenUnconfirmed
 from chivetrack.components.management.app import build_management_app
+from chivetrack.components.membership.models import Seed
 from chivetrack.components.peers.transport import PeerTransport
 from chivetrack.components.pipeline.models import RequestEffect
 from chivetrack.components.proposals.models import SubmissionEnded
@@ -118,6 +114,8 @@
         identity = RouterIdentity(
             instance_id=instance.id,
             incarnation=time.time_ns() // 1_000_000,
+            address=str(self._settings.listeners.peer),
+            roles=tuple(role.value for role in instance.roles),
             region=instance.region,
             zone=instance.availability_zone,
         )
@@ -127,6 +125,7 @@
         )
         options = RouterOptions(
             replicas=[member.id for member in self._settings.replicas.initial],
+            seeds=self._list_seeds(),
             budget_bytes_per_s=self._settings.control.budget_bytes_per_s,
             configuration=configuration,
         )
@@ -154,17 +153,28 @@
             tls.subscribe(transport.reopen_channels)
         return transport
 
+    def _list_seeds(self) -> list[Seed]:
+        """Return the seeds; one that is known by its address only has that as its id."""
+        region = self._settings.instance.region
+        named = {str(member.address): member.id for member in self._settings.replicas.initial}
+        addresses = [str(seed) for seed in self._settings.peers.seeds]
+        return [
+            Seed(instance_id=named.get(address, address), address=address, region=region)
+            for address in dict.fromkeys([*named, *addresses])
+        ]
+
     def _resolve(self, instance_id: str) -> str | None:
-        for member in self._settings.replicas.initial:
-            if member.id == instance_id:
-                return str(member.address)
-        return None
+        return self.router.membership.find_address(instance_id, now=time.monotonic())
 
     def _build_replica(self) -> MemoryReplica | None:
         if self._store is None:
             return None
         return MemoryReplica(
-            store=self._store, post=self.runner.post, send=self._send_to, read_clock=time.monotonic
+            instance_id=self.instance_id,
+            store=self._store,
+            post=self.runner.post,
+            send=self._send_to,
+            read_clock=time.monotonic,
         )
 
     def _build_listeners(self) -> Listeners:
@@ -226,14 +236,6 @@
             return
         self.transport.send(target, message)
 
-    def _meet_peers(self) -> None:
-        members = self._settings.replicas.initial
-        region = self._settings.instance.region
-        peers = [Peer(instance_id=member.id, region=region) for member in members]
-        self.router.gossip.set_peers(peers)
-        names = tuple(member.id for member in members)
-        self.runner.post(PeersChanged(leader=names[0], replicas=names))
-
     def is_ready(self) -> bool:
         """Return whether the balancer may send requests here."""
         if self._stop.is_stopping:
@@ -255,7 +257,6 @@
     @contextmanager
     def _serve(self) -> Iterator[None]:
         self.transport.start()
-        self._meet_peers()
         self._listeners.start()
         now = time.monotonic()
         self._timers.call_every(RELOAD_INTERVAL_S, lambda _: self._encryption.check(), now=now)
--- a/chivetrack/daemon/memory_replica.py
+++ b/chivetrack/daemon/memory_replica.py
@@ -5,6 +5,7 @@
 import gevent
 
 from chivetrack.components.configuration.models import ConfigChanged, QuorumConfirmed
+from chivetrack.components.fleet.models import LeadershipSeen
 from chivetrack.components.proposals.models import (
     ForwardProposal,
     ForwardRead,
@@ -25,12 +26,14 @@
     def __init__(
         self,
         *,
+        instance_id: str,
         store: Store,
         post: Callable[[Event], None],
         send: Callable[[str, Message], None],
         read_clock: Callable[[], float],
     ) -> None:
         """Take the store and the way out."""
+        self._instance_id = instance_id
         self._store = store
         self._post = post
         self._send = send
@@ -57,6 +60,7 @@
 
     def run(self) -> None:
         """Confirm the configuration again and again."""
+        self._post(LeadershipSeen(term=1, leader=self._instance_id, leads=True))
         while True:
             now = self._read_clock()
             event = QuorumConfirmed(term=1, revision=self._store.revision, started_at=now)
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -18,6 +18,8 @@
 CHAT_PATH = "/v1/chat/completions"
 ROUTED_LIMIT_S = 15.0
 POLL_S = 0.05
+# Between two requests of a chat: longer than the routers' counts lag, as a person is.
+PAUSE_S = 1.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -143,6 +145,7 @@
         for plan in fleet.plans:
             reply = chat(fleet, fleet.members[plan.name], "appraise this", chat_id=chat_id)
             show(f"{chat_id} through {plan.name}", reply)
+            time.sleep(PAUSE_S)
             served.add(reply.served_by)
         same = same and len(served) == 1
     return same
