Add the consensus core of the replicated log

Cause: the durable state needs a log of its own on the few instances with disks. Change: a Raft core without I/O: pre-vote, check-quorum, read index by a heartbeat round, learners, one-at-a-time member changes, leadership transfer,

Ruled out: leases for reads; they lean on clocks that a freeze breaks.

--- /dev/null
+++ b/chivetrack/components/consensus/changes.py
@@ -0,0 +1,72 @@
+"""Which member changes a leader refuses, and why."""
+
+from collections.abc import Mapping
+
+from chivetrack.components.consensus.const import MAX_PROMOTION_LAG, MAX_VOTERS
+from chivetrack.components.consensus.members import ChangeKind, Members
+from chivetrack.components.consensus.models import ChangeMembers, Refusal
+from chivetrack.components.consensus.progress import Progress
+from chivetrack.components.consensus.state import State
+
+
+def find_refusal(state: State, event: ChangeMembers, progress: Mapping[str, Progress]) -> Refusal:
+    """Return why a change is refused, or ``NONE``."""
+    if state.log.members_index > state.commit_index:
+        return Refusal.CHANGE_PENDING
+    members = state.log.members
+    if event.kind is ChangeKind.ADD_LEARNER:
+        return _check_add(members, event)
+    member = members.find(event.member.replica_id)
+    if member is None:
+        return Refusal.NOT_A_MEMBER
+    if event.kind is ChangeKind.PROMOTE:
+        return _check_promote(state, event, progress)
+    if member.replica_id == state.replica_id:
+        return Refusal.IS_LEADER
+    return _check_quorum(state, members.change(event.kind, member), progress)
+
+
+def _check_add(members: Members, event: ChangeMembers) -> Refusal:
+    if members.find(event.member.replica_id) is not None:
+        return Refusal.ALREADY_A_MEMBER
+    if event.member.replica_id in members.retired:
+        return Refusal.RETIRED_ID
+    return Refusal.NONE
+
+
+def _check_promote(state: State, event: ChangeMembers, progress: Mapping[str, Progress]) -> Refusal:
+    members = state.log.members
+    replica_id = event.member.replica_id
+    if members.is_voter(replica_id):
+        return Refusal.ALREADY_A_MEMBER
+    if len(members.list_voters()) >= MAX_VOTERS:
+        return Refusal.TOO_MANY_VOTERS
+    if not _is_caught_up(state, progress[replica_id]):
+        return Refusal.NOT_CAUGHT_UP
+    return _check_quorum(state, members.change(event.kind, event.member), progress)
+
+
+def _is_caught_up(state: State, progress: Progress) -> bool:
+    """Tell whether a learner holds nearly all, and at least the entry that took it in.
+
+    An empty voter adds nothing to safety but raises the quorum: one more loss and
+    nothing can be committed any more.
+    """
+    wanted = max(state.commit_index - MAX_PROMOTION_LAG, state.log.members_index)
+    return not progress.regressed and progress.match_index >= wanted
+
+
+def _check_quorum(state: State, after: Members, progress: Mapping[str, Progress]) -> Refusal:
+    """Refuse a change after which the replicas that answer now are no quorum.
+
+    It could not be committed, and would block every later change.
+    """
+    recent = state.now - state.timing.election_max_s
+    alive = {
+        one.replica_id
+        for one in progress.values()
+        if one.last_contact >= recent and not one.regressed
+    }
+    if after.has_quorum(alive | {state.replica_id}):
+        return Refusal.NONE
+    return Refusal.NO_QUORUM_AFTER
--- /dev/null
+++ b/chivetrack/components/consensus/const.py
@@ -0,0 +1,28 @@
+"""Constants of the replicated log."""
+
+from typing import Final
+
+from chivetrack.const import KIBIBYTE
+
+HEARTBEAT_S: Final = 0.150
+ELECTION_MIN_S: Final = 0.600
+ELECTION_MAX_S: Final = 1.200
+
+MAX_VOTERS: Final = 9
+
+# One message carries many entries: each costs both sides some 600 us of processor time.
+MAX_APPEND_BYTES: Final = 256 * KIBIBYTE
+ENTRY_OVERHEAD_BYTES: Final = 32
+MAX_APPENDS_IN_FLIGHT: Final = 16
+SNAPSHOT_CHUNK_BYTES: Final = 256 * KIBIBYTE
+
+# A leader that cannot commit must not collect proposals without end.
+MAX_UNCOMMITTED_ENTRIES: Final = 8192
+
+# A learner this close to the commit index counts as caught up; entries written
+# meanwhile are always a few ahead of it.
+MAX_PROMOTION_LAG: Final = 64
+
+# Entries kept behind a snapshot, so that a replica that is a little late is sent
+# entries and not the whole snapshot.
+TRAILING_ENTRIES: Final = 1024
--- /dev/null
+++ b/chivetrack/components/consensus/elections.py
@@ -0,0 +1,134 @@
+"""Elections: pre-votes, votes and who may have them."""
+
+from chivetrack.components.consensus.messages import (
+    PreVoteAnswer,
+    PreVoteRequest,
+    VoteAnswer,
+    VoteRequest,
+)
+from chivetrack.components.consensus.models import Role
+from chivetrack.components.consensus.state import State
+
+
+class Elections:
+    """Campaigns of this replica and its votes for others."""
+
+    def __init__(self, *, state: State) -> None:
+        """Start with no campaign."""
+        self._state = state
+        self._granted: set[str] = set()
+
+    def start_pre_vote(self) -> bool:
+        """Ask whether an election could be won; return whether it is won already.
+
+        Without this, a replica that was cut off comes back with a higher term and
+        topples a healthy leader, again and again.
+        """
+        state = self._state
+        state.reset_election()
+        if not state.is_voter:
+            state.set_role(Role.FOLLOWER, "")
+            return False
+        state.set_role(Role.PRE_CANDIDATE, "")
+        self._granted = {state.replica_id}
+        for voter in self._list_others():
+            state.send(
+                PreVoteRequest(
+                    sender=state.replica_id,
+                    receiver=voter,
+                    term=state.term,
+                    last_index=state.log.last_index,
+                    last_term=state.log.last_term,
+                )
+            )
+        return self._has_won()
+
+    def start_vote(self, *, transfer: bool) -> bool:
+        """Become a candidate of the next term; return whether it is won already."""
+        state = self._state
+        state.reset_election()
+        state.set_term(state.term + 1, state.replica_id)
+        state.set_role(Role.CANDIDATE, "")
+        self._granted = {state.replica_id}
+        for voter in self._list_others():
+            state.send(
+                VoteRequest(
+                    sender=state.replica_id,
+                    receiver=voter,
+                    term=state.term,
+                    last_index=state.log.last_index,
+                    last_term=state.log.last_term,
+                    transfer=transfer,
+                )
+            )
+        return self._has_won()
+
+    def answer_pre_vote(self, request: PreVoteRequest) -> None:
+        """Grant a pre-vote unless a leader lives or the candidate lacks entries."""
+        state = self._state
+        granted = (
+            state.is_member
+            and not state.hears_leader
+            and request.term >= state.term
+            and state.is_up_to_date(request.last_index, request.last_term)
+        )
+        state.send(
+            PreVoteAnswer(
+                sender=state.replica_id,
+                receiver=request.sender,
+                term=state.term,
+                asked_term=request.term,
+                granted=granted,
+            )
+        )
+
+    def answer_vote(self, request: VoteRequest) -> None:
+        """Vote at most once in a term, and only for a log that holds all of this one.
+
+        A replica whose log does not name it has an empty disk. Were it the disk of
+        a voter that was lost, it might vote twice in one term, so it does not vote.
+        A learner does: it may have been promoted and not know it yet.
+        """
+        state = self._state
+        granted = (
+            state.is_member
+            and request.term == state.term
+            and state.vote in ("", request.sender)
+            and state.is_up_to_date(request.last_index, request.last_term)
+        )
+        if granted and not state.vote:
+            state.set_term(state.term, request.sender)
+            state.reset_election()
+        state.send(
+            VoteAnswer(
+                sender=state.replica_id,
+                receiver=request.sender,
+                term=state.term,
+                granted=granted,
+            )
+        )
+
+    def count_pre_vote(self, answer: PreVoteAnswer) -> bool:
+        """Count an answer; return whether the pre-vote is won by it."""
+        state = self._state
+        wanted = state.role is Role.PRE_CANDIDATE and answer.asked_term == state.term
+        if not (wanted and answer.granted):
+            return False
+        self._granted.add(answer.sender)
+        return self._has_won()
+
+    def count_vote(self, answer: VoteAnswer) -> bool:
+        """Count an answer; return whether the election is won by it."""
+        state = self._state
+        wanted = state.role is Role.CANDIDATE and answer.term == state.term
+        if not (wanted and answer.granted):
+            return False
+        self._granted.add(answer.sender)
+        return self._has_won()
+
+    def _has_won(self) -> bool:
+        return self._state.log.members.has_quorum(self._granted)
+
+    def _list_others(self) -> list[str]:
+        state = self._state
+        return [one for one in state.log.members.list_voters() if one != state.replica_id]
--- /dev/null
+++ b/chivetrack/components/consensus/leadership.py
@@ -0,0 +1,298 @@
+"""What only a leader does: proposals, reads, member changes, commits, hand-over."""
+
+from collections import deque
+from dataclasses import dataclass
+
+from chivetrack.components.consensus.changes import find_refusal
+from chivetrack.components.consensus.const import MAX_UNCOMMITTED_ENTRIES
+from chivetrack.components.consensus.messages import (
+    AppendAnswer,
+    Entry,
+    EntryKind,
+    SnapshotAnswer,
+    TimeoutNow,
+)
+from chivetrack.components.consensus.models import (
+    ChangeMembers,
+    Outcome,
+    Proposal,
+    ProposalEnded,
+    ReadReady,
+    ReadRefused,
+    Refusal,
+    ReplicaStatus,
+    TransferRefused,
+)
+from chivetrack.components.consensus.replication import Replication
+from chivetrack.components.consensus.state import State
+from chivetrack.helpers.codec import pack
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Pending:
+    """A proposal in the log that is not committed yet."""
+
+    index: int
+    proposal_id: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Read:
+    """A read that waits for heartbeat round ``round`` and for ``index`` to be committed."""
+
+    read_id: int
+    round: int
+    index: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Transfer:
+    """A hand-over that is given up at ``until``."""
+
+    target: str
+    until: float
+
+
+class Leadership:
+    """One leader's term of office; thrown away when it ends."""
+
+    def __init__(self, *, state: State) -> None:
+        """Append an empty entry: only entries of the own term are committed by counting."""
+        self._state = state
+        self._replication = Replication(state=state)
+        self._pending: deque[_Pending] = deque()
+        self._reads: deque[_Read] = deque()
+        self._confirmed_round = 0
+        self._transfer: _Transfer | None = None
+        self.heartbeat_at = state.now + state.timing.heartbeat_s
+        self._first_index = state.log.last_index + 1
+        self._append(EntryKind.NOOP, b"")
+        self._replication.start_round()
+
+    def _append_pending(self, kind: EntryKind, data: bytes, proposal_id: int) -> None:
+        index = self._append(kind, data)
+        self._pending.append(_Pending(index=index, proposal_id=proposal_id))
+
+    def _append(self, kind: EntryKind, data: bytes) -> int:
+        state = self._state
+        index = state.log.last_index + 1
+        entry = Entry(index=index, term=state.term, kind=kind, data=data)
+        state.log.append((entry,))
+        state.out.append((entry,))
+        return index
+
+    def propose(self, proposals: tuple[Proposal, ...]) -> None:
+        """Append proposals and send them on."""
+        for proposal in proposals:
+            refusal = self._find_refusal()
+            if refusal is not Refusal.NONE:
+                self._refuse(proposal.proposal_id, refusal)
+                continue
+            self._append_pending(EntryKind.DATA, proposal.data, proposal.proposal_id)
+        self._replication.broadcast_entries()
+
+    def _find_refusal(self) -> Refusal:
+        state = self._state
+        if self._transfer is not None:
+            return Refusal.TRANSFERRING
+        if state.log.last_index - state.commit_index >= MAX_UNCOMMITTED_ENTRIES:
+            return Refusal.OVERLOADED
+        return Refusal.NONE
+
+    def _refuse(self, proposal_id: int, refusal: Refusal) -> None:
+        self._state.out.add(
+            ProposalEnded(
+                proposal_id=proposal_id,
+                outcome=Outcome.REFUSED,
+                refusal=refusal,
+                leader=self._state.get_leader_instance(),
+            )
+        )
+
+    def change_members(self, event: ChangeMembers) -> None:
+        """Append a member change; it holds from the moment it is appended."""
+        state = self._state
+        refusal = self._find_refusal()
+        if refusal is Refusal.NONE and state.commit_index < self._first_index:
+            # Until an entry of this term is committed, a change of an earlier leader
+            # may still be undecided: two changes at once can have disjoint quorums.
+            refusal = Refusal.NOT_READY
+        if refusal is Refusal.NONE:
+            refusal = find_refusal(state, event, self._replication.progress)
+        if refusal is not Refusal.NONE:
+            self._refuse(event.proposal_id, refusal)
+            return
+        member = state.log.members.find(event.member.replica_id) or event.member
+        members = state.log.members.change(event.kind, member)
+        self._append_pending(EntryKind.MEMBERS, pack(members), event.proposal_id)
+        self._replication.sync_members()
+        self._replication.broadcast_entries()
+
+    def read(self, read_id: int) -> None:
+        """Queue a read for a heartbeat round that begins after it was asked for.
+
+        A leader behind a silent cut still believes that it leads; the round proves
+        that no other was elected before the read came.
+        """
+        replication = self._replication
+        idle = self._confirmed_round == replication.round
+        index = max(self._state.commit_index, self._first_index)
+        self._reads.append(_Read(read_id=read_id, round=replication.round + 1, index=index))
+        if idle:
+            replication.start_round()
+        self.advance()
+
+    def transfer(self, target: str) -> None:
+        """Stop taking proposals and hand over once the target holds every entry."""
+        target = target or self._choose_target()
+        progress = self._replication.progress.get(target)
+        if progress is None or not self._state.log.members.is_voter(target):
+            self._state.out.add(TransferRefused(refusal=Refusal.NOT_A_MEMBER))
+            return
+        until = self._state.now + self._state.timing.election_max_s
+        self._transfer = _Transfer(target=target, until=until)
+        self._replication.send_entries(progress)
+        self._hand_over()
+
+    def _choose_target(self) -> str:
+        state = self._state
+        recent = state.now - state.timing.election_min_s
+        able = [
+            one
+            for one in self._replication.progress.values()
+            if state.log.members.is_voter(one.replica_id) and one.last_contact >= recent
+        ]
+        best = max(able, key=lambda one: one.match_index, default=None)
+        return "" if best is None else best.replica_id
+
+    def _hand_over(self) -> None:
+        state = self._state
+        if self._transfer is None:
+            return
+        target = self._transfer.target
+        progress = self._replication.progress.get(target)
+        if progress is None or progress.match_index < state.log.last_index:
+            return
+        if state.commit_index < state.log.last_index:
+            # Proposals that end with this leader end as committed, not as unknown.
+            return
+        state.send(TimeoutNow(sender=state.replica_id, receiver=target, term=state.term))
+
+    def take_answer(self, answer: AppendAnswer) -> None:
+        """Take the answer to an append."""
+        self._replication.take_answer(answer)
+        self.advance()
+
+    def take_chunk_answer(self, answer: SnapshotAnswer) -> None:
+        """Take the answer to a snapshot chunk."""
+        self._replication.take_chunk_answer(answer)
+        self.advance()
+
+    def wake(self) -> None:
+        """Do what the time asks for."""
+        state = self._state
+        if state.now >= self.heartbeat_at:
+            self.heartbeat_at = state.now + state.timing.heartbeat_s
+            self._replication.start_round()
+        if self._transfer is not None and state.now >= self._transfer.until:
+            self._transfer = None
+            state.out.add(TransferRefused(refusal=Refusal.NOT_CAUGHT_UP))
+
+    def has_quorum_contact(self) -> bool:
+        """Tell whether a majority was heard within the longest election timeout."""
+        state = self._state
+        oldest = state.now - state.timing.election_max_s
+        progress = self._replication.progress.values()
+        heard = {one.replica_id for one in progress if one.last_contact >= oldest}
+        return state.log.members.has_quorum(heard | {state.replica_id})
+
+    def advance(self) -> None:
+        """Commit what a majority has synced, end proposals and reads."""
+        before = self._state.commit_index
+        self._commit()
+        self._end_proposals()
+        if self._state.commit_index > before:
+            self._replication.broadcast_commit()
+            if self._state.log.members_index <= self._state.commit_index:
+                self._replication.drop_removed()
+        self._confirm_reads()
+        self._hand_over()
+
+    def _commit(self) -> None:
+        state = self._state
+        voters = state.log.members.list_voters()
+        matches = sorted((self._get_match(one) for one in voters), reverse=True)
+        index = matches[state.log.members.get_majority() - 1]
+        # An entry of an earlier term may be on a majority and yet be overwritten;
+        # it is committed only together with a later one of the own term.
+        if state.log.find_term(index) == state.term:
+            state.advance_commit(index)
+
+    def _get_match(self, replica_id: str) -> int:
+        if replica_id == self._state.replica_id:
+            return self._state.durable_index
+        return self._replication.progress[replica_id].match_index
+
+    def _end_proposals(self) -> None:
+        while self._pending and self._pending[0].index <= self._state.commit_index:
+            ended = self._pending.popleft()
+            self._state.out.add(
+                ProposalEnded(
+                    proposal_id=ended.proposal_id, outcome=Outcome.COMMITTED, index=ended.index
+                )
+            )
+
+    def _confirm_reads(self) -> None:
+        state = self._state
+        progress = self._replication.progress
+        rounds = [progress[one].acknowledged_round for one in self._list_other_voters()]
+        if state.is_voter:
+            rounds.append(self._replication.round)
+        rounds.sort(reverse=True)
+        self._confirmed_round = rounds[state.log.members.get_majority() - 1]
+        while self._reads and self._is_ready(self._reads[0]):
+            read = self._reads.popleft()
+            state.out.add(ReadReady(read_id=read.read_id, index=read.index))
+        waits = bool(self._reads) and self._reads[-1].round > self._replication.round
+        if waits and self._confirmed_round == self._replication.round:
+            self._replication.start_round()
+            self._confirm_alone()
+
+    def _confirm_alone(self) -> None:
+        """Go on at once where this replica is the only voter."""
+        if not self._list_other_voters():
+            self._confirm_reads()
+
+    def _is_ready(self, read: _Read) -> bool:
+        confirmed = read.round <= self._confirmed_round
+        return confirmed and read.index <= self._state.commit_index
+
+    def _list_other_voters(self) -> list[str]:
+        voters = self._state.log.members.list_voters()
+        return [one for one in voters if one != self._state.replica_id]
+
+    def end(self) -> None:
+        """End what is pending: proposals may still be committed by the next leader."""
+        state = self._state
+        for one in self._pending:
+            state.out.add(ProposalEnded(proposal_id=one.proposal_id, outcome=Outcome.UNKNOWN))
+        for read in self._reads:
+            state.out.add(ReadRefused(read_id=read.read_id))
+
+    def list_replicas(self, now: float) -> tuple[ReplicaStatus, ...]:
+        """Return how far each member is."""
+        return tuple(
+            self._make_status(one.replica_id, now) for one in self._state.log.members.members
+        )
+
+    def _make_status(self, replica_id: str, now: float) -> ReplicaStatus:
+        state = self._state
+        progress = self._replication.progress.get(replica_id)
+        return ReplicaStatus(
+            replica_id=replica_id,
+            instance_id=state.get_instance(replica_id),
+            voter=state.log.members.is_voter(replica_id),
+            match_index=self._get_match(replica_id),
+            last_contact_age_s=0.0 if progress is None else now - progress.last_contact,
+            regressed=progress is not None and progress.regressed,
+        )
--- /dev/null
+++ b/chivetrack/components/consensus/log.py
@@ -0,0 +1,134 @@
+"""The entries in memory: those after the last compaction, and the members at each index."""
+
+from collections.abc import Sequence
+
+from chivetrack.components.consensus.const import (
+    ENTRY_OVERHEAD_BYTES,
+    MAX_APPEND_BYTES,
+    TRAILING_ENTRIES,
+)
+from chivetrack.components.consensus.members import Members
+from chivetrack.components.consensus.messages import Entry, EntryKind
+from chivetrack.components.consensus.models import Recovered, Snapshot
+from chivetrack.helpers.codec import unpack
+
+
+def decode_members(entry: Entry) -> Members:
+    """Return the members that an entry of kind ``MEMBERS`` holds."""
+    members = unpack(entry.data)
+    if not isinstance(members, Members):
+        raise ValueError(f"entry {entry.index} holds no members")
+    return members
+
+
+class Log:
+    """Entries ``first_index`` to ``last_index``, behind a snapshot."""
+
+    def __init__(self, *, recovered: Recovered) -> None:
+        """Start with what was on disk."""
+        self.snapshot = recovered.snapshot
+        self._base_index = recovered.snapshot.index
+        self._base_term = recovered.snapshot.term
+        self._entries: list[Entry] = []
+        self._members: list[tuple[int, Members]] = [
+            (recovered.snapshot.index, recovered.snapshot.members)
+        ]
+        self.append(recovered.entries)
+
+    @property
+    def base_index(self) -> int:
+        """Return the index before the first entry; its term is still known."""
+        return self._base_index
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last entry."""
+        return self._base_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """Return the term of the last entry."""
+        return self._entries[-1].term if self._entries else self._base_term
+
+    @property
+    def members(self) -> Members:
+        """Return the latest members, committed or not."""
+        return self._members[-1][1]
+
+    @property
+    def members_index(self) -> int:
+        """Return the index of the entry that holds the latest members."""
+        return self._members[-1][0]
+
+    def get_members_at(self, index: int) -> Members:
+        """Return the members as of an index not before the snapshot."""
+        return next(one for at, one in reversed(self._members) if at <= index)
+
+    def find_term(self, index: int) -> int | None:
+        """Return the term of an entry, or ``None`` if it is not (or no longer) here."""
+        if index == self._base_index:
+            return self._base_term
+        if not self._base_index < index <= self.last_index:
+            return None
+        return self._entries[index - self._base_index - 1].term
+
+    def append(self, entries: Sequence[Entry]) -> None:
+        """Append entries that follow the last one."""
+        for entry in entries:
+            if entry.index != self.last_index + 1:
+                raise ValueError(f"entry {entry.index} does not follow {self.last_index}")
+            self._entries.append(entry)
+            if entry.kind is EntryKind.MEMBERS:
+                self._members.append((entry.index, decode_members(entry)))
+
+    def truncate(self, index: int) -> None:
+        """Drop all entries from ``index`` on, and the members they brought."""
+        del self._entries[index - self._base_index - 1 :]
+        self._members = [one for one in self._members if one[0] < index]
+
+    def list_entries(self, first: int, last: int) -> tuple[Entry, ...]:
+        """Return the entries from ``first`` to ``last``."""
+        return tuple(self._entries[first - self._base_index - 1 : last - self._base_index])
+
+    def list_batch(self, first: int) -> tuple[Entry, ...]:
+        """Return entries from ``first`` on, at least one, as many as one message takes."""
+        size = 0
+        last = first
+        while last <= self.last_index:
+            size += len(self._entries[last - self._base_index - 1].data) + ENTRY_OVERHEAD_BYTES
+            if size > MAX_APPEND_BYTES and last > first:
+                break
+            last += 1
+        return self.list_entries(first, last - 1)
+
+    def find_term_start(self, index: int) -> int:
+        """Return the first index here that has the same term as ``index``."""
+        term = self.find_term(index)
+        while index - 1 > self._base_index and self.find_term(index - 1) == term:
+            index -= 1
+        return index
+
+    def find_term_end(self, term: int, before: int) -> int | None:
+        """Return the last index up to ``before`` that has this term."""
+        index = min(before, self.last_index)
+        while index > self._base_index and (self.find_term(index) or 0) > term:
+            index -= 1
+        return index if self.find_term(index) == term else None
+
+    def compact(self, snapshot: Snapshot) -> None:
+        """Take over a snapshot of applied entries; keep some entries behind it."""
+        keep_after = max(self._base_index, snapshot.index - TRAILING_ENTRIES)
+        self._base_term = self.find_term(keep_after) or 0
+        del self._entries[: keep_after - self._base_index]
+        self._base_index = keep_after
+        later = [one for one in self._members if one[0] > snapshot.index]
+        self._members = [(snapshot.index, snapshot.members), *later]
+        self.snapshot = snapshot
+
+    def reset(self, snapshot: Snapshot) -> None:
+        """Drop all entries and go on after a snapshot from the leader."""
+        self._entries.clear()
+        self._base_index = snapshot.index
+        self._base_term = snapshot.term
+        self._members = [(snapshot.index, snapshot.members)]
+        self.snapshot = snapshot
--- /dev/null
+++ b/chivetrack/components/consensus/outbox.py
@@ -0,0 +1,78 @@
+"""Collects the effects of one event in the order in which they must be carried out."""
+
+from chivetrack.components.consensus.messages import Entry
+from chivetrack.components.consensus.models import HardState, Persist, Snapshot
+from chivetrack.core import Effect, SendMessage
+
+
+class Outbox:
+    """Effects before, in and after the one ``Persist`` of an event."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._clear()
+
+    def _clear(self) -> None:
+        self._early: list[Effect] = []
+        self._late: list[Effect] = []
+        self._entries: list[Entry] = []
+        self._truncate_from: int | None = None
+        self._snapshot: Snapshot | None = None
+        self._reset = False
+        self._hard_state_changed = False
+
+    def add(self, effect: Effect) -> None:
+        """Add an effect that waits for the sync."""
+        self._late.append(effect)
+
+    def send_early(self, effect: SendMessage) -> None:
+        """Add a message that may leave before the sync: a leader's append.
+
+        The leader syncs in parallel with its followers and counts itself only once
+        ``Persisted`` comes in.
+        """
+        self._early.append(effect)
+
+    def change_hard_state(self) -> None:
+        """Mark the term or the vote as changed."""
+        self._hard_state_changed = True
+
+    def append(self, entries: tuple[Entry, ...]) -> None:
+        """Add entries to be synced."""
+        self._entries.extend(entries)
+
+    def truncate(self, index: int) -> None:
+        """Add a truncation to be synced before the entries."""
+        self._truncate_from = index
+
+    def save_snapshot(self, snapshot: Snapshot, *, reset: bool) -> None:
+        """Add a snapshot to be synced."""
+        self._snapshot = snapshot
+        self._reset = reset
+
+    def drain(self, hard_state: HardState, last_index: int, last_term: int) -> list[Effect]:
+        """Return all effects in order and start again empty."""
+        persist = self._make_persist(hard_state, last_index, last_term)
+        # A message shows its term: none may leave before a new term is synced.
+        early_first = persist is None or persist.hard_state is None
+        saved = [] if persist is None else [persist]
+        if early_first:
+            effects = [*self._early, *saved, *self._late]
+        else:
+            effects = [*saved, *self._early, *self._late]
+        self._clear()
+        return effects
+
+    def _make_persist(self, hard_state: HardState, index: int, term: int) -> Persist | None:
+        changed = self._hard_state_changed
+        if not (changed or self._entries or self._snapshot or self._truncate_from):
+            return None
+        return Persist(
+            hard_state=hard_state if changed else None,
+            snapshot=self._snapshot,
+            reset=self._reset,
+            truncate_from=self._truncate_from,
+            entries=tuple(self._entries),
+            last_index=index,
+            last_term=term,
+        )
--- /dev/null
+++ b/chivetrack/components/consensus/replication.py
@@ -0,0 +1,220 @@
+"""How a leader brings other replicas up to date."""
+
+from chivetrack.components.consensus.const import SNAPSHOT_CHUNK_BYTES
+from chivetrack.components.consensus.messages import (
+    AppendAnswer,
+    AppendRequest,
+    Entry,
+    SnapshotAnswer,
+    SnapshotChunk,
+)
+from chivetrack.components.consensus.models import ReplicaRegressed
+from chivetrack.components.consensus.progress import Progress, SnapshotTransfer
+from chivetrack.components.consensus.state import State
+from chivetrack.core import SendMessage
+
+
+class Replication:
+    """Sends entries, heartbeats and snapshots, and keeps the progress of each replica."""
+
+    def __init__(self, *, state: State) -> None:
+        """Start with the members of the log, none of them known to agree."""
+        self._state = state
+        self.round = 0
+        self.progress: dict[str, Progress] = {}
+        self.sync_members()
+
+    def sync_members(self) -> None:
+        """Add progress for new members; that of removed ones stays until ``drop_removed``."""
+        state = self._state
+        for member in state.log.members.members:
+            known = member.replica_id in self.progress
+            if known or member.replica_id == state.replica_id:
+                continue
+            self.progress[member.replica_id] = Progress(
+                replica_id=member.replica_id,
+                instance_id=member.instance_id,
+                next_index=state.log.last_index + 1,
+                last_contact=state.now,
+            )
+
+    def drop_removed(self) -> None:
+        """Forget replicas whose removal is committed, after telling them so."""
+        members = self._state.log.members
+        for replica_id in [one for one in self.progress if members.find(one) is None]:
+            self.send_entries(self.progress[replica_id])
+            self.send_heartbeat(self.progress[replica_id])
+            del self.progress[replica_id]
+
+    def start_round(self) -> None:
+        """Send a heartbeat with a new round number to all."""
+        self.round += 1
+        for progress in self.progress.values():
+            self.send_heartbeat(progress)
+            self._resend_chunk(progress)
+
+    def broadcast_entries(self) -> None:
+        """Send new entries to all that can take them."""
+        for progress in self.progress.values():
+            self.send_entries(progress)
+
+    def broadcast_commit(self) -> None:
+        """Tell idle replicas the new commit index; busy ones get it with the next entries."""
+        for progress in self.progress.values():
+            behind = progress.sent_commit < self._state.commit_index
+            if behind and progress.can_send_entries and not progress.in_flight:
+                self.send_heartbeat(progress)
+
+    def send_entries(self, progress: Progress) -> None:
+        """Send what the replica lacks, as far as it may be sent now."""
+        log = self._state.log
+        while progress.can_send_entries and progress.next_index <= log.last_index:
+            if progress.next_index <= log.base_index:
+                self._start_transfer(progress)
+                return
+            entries = log.list_batch(progress.next_index)
+            self._send_append(progress, entries)
+            progress.note_sent(entries[-1].index)
+
+    def send_heartbeat(self, progress: Progress) -> None:
+        """Send an append without entries; while probing it is the probe."""
+        self._send_append(progress, ())
+
+    def _send_append(self, progress: Progress, entries: tuple[Entry, ...]) -> None:
+        state = self._state
+        previous_index = max(progress.next_index - 1, state.log.base_index)
+        progress.sent_commit = state.commit_index
+        message = AppendRequest(
+            sender=state.replica_id,
+            receiver=progress.replica_id,
+            term=state.term,
+            previous_index=previous_index,
+            previous_term=state.log.find_term(previous_index) or 0,
+            entries=entries,
+            commit_index=state.commit_index,
+            round=self.round,
+        )
+        self._send(progress, message)
+
+    def _send(self, progress: Progress, message: AppendRequest | SnapshotChunk) -> None:
+        self._state.out.send_early(SendMessage(target=progress.instance_id, message=message))
+
+    def take_answer(self, answer: AppendAnswer) -> None:
+        """Note how far a replica is and send it more."""
+        progress = self.progress.get(answer.sender)
+        if progress is None or progress.regressed:
+            return
+        if self._has_regressed(progress, answer):
+            self._exclude(progress)
+            return
+        self._note_contact(progress, answer.round)
+        if answer.success:
+            self._take_success(progress, answer)
+        else:
+            self._take_refusal(progress, answer)
+
+    def _take_success(self, progress: Progress, answer: AppendAnswer) -> None:
+        if answer.match_index >= self._state.log.base_index:
+            progress.transfer = None
+        progress.note_match(answer.match_index, self.round)
+        self.send_entries(progress)
+
+    def _take_refusal(self, progress: Progress, answer: AppendAnswer) -> None:
+        if progress.transfer is not None or self._is_late(progress, answer):
+            return
+        progress.start_probing(self._find_next_index(answer))
+        if progress.next_index <= self._state.log.base_index:
+            self._start_transfer(progress)
+            return
+        self.send_heartbeat(progress)
+
+    def _has_regressed(self, progress: Progress, answer: AppendAnswer) -> bool:
+        """Tell whether a replica lost entries or the membership it had acknowledged.
+
+        The round of the answer began after the acknowledgement was here, so no
+        reordering explains it: the replica was started on an empty disk under its
+        old id. It may have forgotten that it follows a later leader; counting on it
+        could commit with a minority or confirm a read that misses writes.
+        """
+        if answer.round <= progress.match_round:
+            return False
+        forgot = not answer.member and self._state.log.members.is_voter(answer.sender)
+        return forgot or answer.last_index < progress.match_index
+
+    def _exclude(self, progress: Progress) -> None:
+        progress.regressed = True
+        progress.match_index = 0
+        progress.acknowledged_round = 0
+        progress.transfer = None
+        self._state.out.add(ReplicaRegressed(replica_id=progress.replica_id))
+
+    def _is_late(self, progress: Progress, answer: AppendAnswer) -> bool:
+        """Tell whether a refusal is of a message that no longer matters."""
+        if progress.probing:
+            return answer.previous_index != progress.next_index - 1
+        return answer.previous_index <= progress.match_index
+
+    def _find_next_index(self, answer: AppendAnswer) -> int:
+        """Skip a whole term with one message instead of one entry."""
+        if not answer.conflict_term:
+            return answer.conflict_index
+        before = answer.previous_index - 1
+        end = self._state.log.find_term_end(answer.conflict_term, before)
+        return answer.conflict_index if end is None else end + 1
+
+    def _note_contact(self, progress: Progress, round_number: int) -> None:
+        progress.last_contact = self._state.now
+        progress.acknowledged_round = max(progress.acknowledged_round, round_number)
+
+    def _start_transfer(self, progress: Progress) -> None:
+        snapshot = self._state.log.snapshot
+        progress.start_probing(progress.next_index)
+        progress.transfer = SnapshotTransfer(snapshot=snapshot, sent_at=self._state.now)
+        self._send_chunk(progress, progress.transfer)
+
+    def _resend_chunk(self, progress: Progress) -> None:
+        """Send a lost chunk again, but only to a replica that lives: chunks are large."""
+        transfer = progress.transfer
+        if transfer is None or progress.regressed:
+            return
+        patience = self._state.timing.election_min_s
+        alive = self._state.now < progress.last_contact + patience
+        if alive and self._state.now >= transfer.sent_at + patience:
+            self._send_chunk(progress, transfer)
+
+    def _send_chunk(self, progress: Progress, transfer: SnapshotTransfer) -> None:
+        state = self._state
+        snapshot = transfer.snapshot
+        end = transfer.offset + SNAPSHOT_CHUNK_BYTES
+        transfer.sent_at = state.now
+        message = SnapshotChunk(
+            sender=state.replica_id,
+            receiver=progress.replica_id,
+            term=state.term,
+            index=snapshot.index,
+            index_term=snapshot.term,
+            members=snapshot.members,
+            offset=transfer.offset,
+            total=len(snapshot.data),
+            data=snapshot.data[transfer.offset : end],
+            round=self.round,
+        )
+        self._send(progress, message)
+
+    def take_chunk_answer(self, answer: SnapshotAnswer) -> None:
+        """Send the next chunk, or go on with entries after the last one."""
+        progress = self.progress.get(answer.sender)
+        if progress is None or progress.regressed:
+            return
+        self._note_contact(progress, answer.round)
+        transfer = progress.transfer
+        if transfer is None or answer.index != transfer.snapshot.index:
+            return
+        if answer.done:
+            progress.transfer = None
+            progress.note_match(answer.index, self.round)
+            self.send_entries(progress)
+            return
+        if answer.received != transfer.offset:
+            transfer.offset = answer.received
+            self._send_chunk(progress, transfer)
--- /dev/null
+++ b/chivetrack/components/consensus/state.py
@@ -0,0 +1,113 @@
+"""What followers, candidates and leaders share."""
+
+from random import Random
+
+from chivetrack.components.consensus.log import Log
+from chivetrack.components.consensus.messages import PeerMessage
+from chivetrack.components.consensus.models import (
+    Apply,
+    HardState,
+    LeadershipChanged,
+    Recovered,
+    Role,
+    Timing,
+)
+from chivetrack.components.consensus.outbox import Outbox
+from chivetrack.core import SendMessage
+
+
+class State:
+    """The state of one replica, and the effects it has to give."""
+
+    def __init__(
+        self, *, replica_id: str, random: Random, timing: Timing, recovered: Recovered
+    ) -> None:
+        """Take over what was on disk; all of it is synced."""
+        self.replica_id = replica_id
+        self.random = random
+        self.timing = timing
+        self.log = Log(recovered=recovered)
+        self.term = recovered.hard_state.term
+        self.vote = recovered.hard_state.vote
+        self.role = Role.FOLLOWER
+        self.leader_id = ""
+        self.commit_index = recovered.snapshot.index
+        self.durable_index = self.log.last_index
+        self.leader_heard_at = float("-inf")
+        self.election_at = float("inf")
+        self.halted = False
+        self.now = 0.0
+        self.out = Outbox()
+
+    @property
+    def is_voter(self) -> bool:
+        """Tell whether the own log names this replica as a voter."""
+        return self.log.members.is_voter(self.replica_id)
+
+    @property
+    def is_member(self) -> bool:
+        """Tell whether the own log names this replica at all."""
+        return self.log.members.find(self.replica_id) is not None
+
+    @property
+    def hears_leader(self) -> bool:
+        """Tell whether a leader lives, as far as this replica can know."""
+        if self.role is Role.LEADER:
+            return True
+        return self.now < self.leader_heard_at + self.timing.election_min_s
+
+    def get_instance(self, replica_id: str) -> str:
+        """Return the instance of a replica; its id if it is not a member (yet)."""
+        member = self.log.members.find(replica_id)
+        return replica_id if member is None else member.instance_id
+
+    def get_leader_instance(self) -> str:
+        """Return the instance of the known leader, or an empty string."""
+        return self.get_instance(self.leader_id) if self.leader_id else ""
+
+    def set_term(self, term: int, vote: str) -> None:
+        """Change the term and the vote in it."""
+        self.term = term
+        self.vote = vote
+        self.out.change_hard_state()
+
+    def set_role(self, role: Role, leader_id: str) -> None:
+        """Change the role and the known leader, and tell of it."""
+        self.role = role
+        self.leader_id = leader_id
+        self.out.add(
+            LeadershipChanged(
+                term=self.term,
+                role=role,
+                leader_id=leader_id,
+                leader_instance=self.get_leader_instance(),
+            )
+        )
+
+    def send(self, message: PeerMessage, *, instance: str = "") -> None:
+        """Send after the sync."""
+        target = instance or self.get_instance(message.receiver)
+        self.out.add(SendMessage(target=target, message=message))
+
+    def reset_election(self) -> None:
+        """Start the election timeout again, at random so that candidates rarely collide."""
+        timing = self.timing
+        wait = self.random.uniform(timing.election_min_s, timing.election_max_s)
+        self.election_at = self.now + wait
+
+    def is_up_to_date(self, last_index: int, last_term: int) -> bool:
+        """Tell whether a log that ends so holds at least what this one does."""
+        return (last_term, last_index) >= (self.log.last_term, self.log.last_index)
+
+    def advance_commit(self, index: int) -> None:
+        """Commit up to ``index``, as far as the log goes."""
+        index = min(index, self.log.last_index)
+        if index <= self.commit_index:
+            return
+        entries = self.log.list_entries(self.commit_index + 1, index)
+        self.commit_index = index
+        self.out.add(Apply(entries=entries))
+
+    def get_hard_state(self) -> HardState:
+        """Return the term and vote as they go to disk."""
+        return HardState(term=self.term, vote=self.vote)
--- /dev/null
+++ b/tests/components/consensus/network.py
@@ -0,0 +1,401 @@
+"""Replicas in memory, with a network and disks that fail, beside an oracle.
+
+Only what a ``Persist`` had synced survives a crash. The oracle raises as soon as a
+promise is broken: two leaders in a term, a committed entry that differs or is applied
+out of order, a refused proposal that is committed, a read that misses a write.
+"""
+
+import heapq
+import itertools
+from collections import defaultdict, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from chivetrack.components.consensus import Consensus
+from chivetrack.components.consensus.members import ChangeKind, Member, make_voters
+from chivetrack.components.consensus.messages import Entry, EntryKind
+from chivetrack.components.consensus.models import (
+    Apply,
+    ChangeMembers,
+    HardState,
+    LeadershipChanged,
+    Outcome,
+    Persist,
+    Persisted,
+    Proposal,
+    ProposalEnded,
+    Propose,
+    ReadReady,
+    ReadRefused,
+    ReadRequested,
+    Recovered,
+    ReplicaRegressed,
+    RestoreSnapshot,
+    Role,
+    Snapshot,
+    SnapshotTaken,
+    Timing,
+    TransferLeadership,
+)
+from chivetrack.core import Effect, Event, MessageReceived, SendMessage, TimeReached, WakeAt
+
+SNAPSHOT_EVERY = 10
+
+
+class Oracle:
+    """What must hold, whatever fails."""
+
+    def __init__(self) -> None:
+        self.leaders: dict[int, str] = {}
+        self.committed: dict[int, Entry] = {}
+        self.proposed: dict[int, bytes] = {}
+        self.outcomes: dict[int, ProposalEnded] = {}
+        self.read_floor: dict[int, int] = {}
+        self.reads: dict[int, ReadReady | ReadRefused] = {}
+        self.acknowledged = 0
+
+    def note_leader(self, term: int, replica_id: str) -> None:
+        known = self.leaders.setdefault(term, replica_id)
+        assert known == replica_id, f"two leaders in term {term}: {known}, {replica_id}"
+
+    def note_applied(self, entry: Entry) -> None:
+        known = self.committed.setdefault(entry.index, entry)
+        assert known == entry, f"committed entry {entry.index} changed"
+
+    def note_ended(self, ended: ProposalEnded) -> None:
+        assert ended.proposal_id not in self.outcomes, "a proposal ended twice"
+        self.outcomes[ended.proposal_id] = ended
+        if ended.outcome is not Outcome.COMMITTED:
+            return
+        self.acknowledged = max(self.acknowledged, ended.index)
+        data = self.proposed.get(ended.proposal_id)
+        if data is not None:
+            assert self.committed[ended.index].data == data, "another entry was acknowledged"
+
+    def note_read(self, ready: ReadReady, applied: int) -> None:
+        self.reads[ready.read_id] = ready
+        assert ready.index >= self.read_floor[ready.read_id], "a read misses a write"
+        assert applied >= ready.index, "a read is ready before its index is applied"
+
+    def check_refused(self) -> None:
+        committed = {one.data for one in self.committed.values()}
+        for proposal_id, ended in self.outcomes.items():
+            if ended.outcome is Outcome.REFUSED and proposal_id in self.proposed:
+                assert self.proposed[proposal_id] not in committed, "refused and yet committed"
+
+
+@dataclass(slots=True)
+class Disk:
+    """What is synced."""
+
+    hard_state: HardState = field(default_factory=HardState)
+    snapshot: Snapshot = field(default_factory=Snapshot)
+    entries: list[Entry] = field(default_factory=list)
+
+    def save(self, persist: Persist) -> None:
+        if persist.snapshot is not None:
+            self.snapshot = persist.snapshot
+            kept = [] if persist.reset else self.entries
+            self.entries = [one for one in kept if one.index > self.snapshot.index]
+        if persist.hard_state is not None:
+            self.hard_state = persist.hard_state
+        cut = persist.truncate_from
+        if cut is not None:
+            self.entries = [one for one in self.entries if one.index < cut]
+        self.entries += persist.entries
+
+    def recover(self) -> Recovered:
+        return Recovered(
+            hard_state=self.hard_state, snapshot=self.snapshot, entries=tuple(self.entries)
+        )
+
+
+class Node:
+    """One replica: its disk, its process if it runs, and what it applied."""
+
+    def __init__(self, *, network: "Network", replica_id: str, disk: Disk) -> None:
+        self.network = network
+        self.replica_id = replica_id
+        self.disk = disk
+        self.life = 0
+        self.frozen: list[Event] | None = None
+        self.consensus: Consensus | None = None
+        self.regressed: list[str] = []
+        self.start()
+
+    def start(self) -> None:
+        self.life += 1
+        self.frozen = None
+        self.waiting: deque[Effect] = deque()
+        self.syncing = False
+        self.consensus = Consensus(
+            replica_id=self.replica_id,
+            random=Random(self.network.random.random()),
+            timing=Timing(),
+            recovered=self.disk.recover(),
+        )
+        self.restore(self.disk.snapshot)
+        self.take(TimeReached())
+
+    def crash(self) -> None:
+        self.life += 1
+        self.consensus = None
+
+    def freeze(self) -> None:
+        if self.frozen is None:
+            self.frozen = []
+
+    def thaw(self) -> None:
+        events, self.frozen = self.frozen or [], None
+        for event in events:
+            self.take(event)
+
+    @property
+    def is_leader(self) -> bool:
+        return self.consensus is not None and self.consensus.is_leader
+
+    def restore(self, snapshot: Snapshot) -> None:
+        self.applied = snapshot.index
+        self.values = [one for one in snapshot.data.split(b",") if one]
+
+    def take(self, event: Event) -> None:
+        if self.consensus is None:
+            return
+        if self.frozen is not None:
+            self.frozen.append(event)
+            return
+        effects = self.consensus.handle(event, now=self.network.now)
+        self.waiting.extend(effects)
+        self.work()
+
+    def work(self) -> None:
+        while self.waiting and not self.syncing:
+            effect = self.waiting.popleft()
+            if isinstance(effect, Persist):
+                self.sync(effect)
+            else:
+                self.carry_out(effect)
+
+    def sync(self, persist: Persist) -> None:
+        self.syncing = True
+        life = self.life
+
+        def finish() -> None:
+            if self.life != life:
+                return
+            self.disk.save(persist)
+            self.syncing = False
+            self.take(Persisted(last_index=persist.last_index, last_term=persist.last_term))
+            self.work()
+
+        self.network.call_later(self.network.get_sync_s(), finish)
+
+    def carry_out(self, effect: Effect) -> None:
+        network = self.network
+        match effect:
+            case SendMessage():
+                network.send(self.replica_id, effect)
+            case WakeAt():
+                network.wake(self, effect.at)
+            case Apply():
+                self.apply(effect.entries)
+            case RestoreSnapshot():
+                self.restore(effect.snapshot)
+            case ProposalEnded():
+                network.oracle.note_ended(effect)
+            case ReadReady():
+                network.oracle.note_read(effect, self.applied)
+            case ReadRefused():
+                network.oracle.reads[effect.read_id] = effect
+            case LeadershipChanged(role=Role.LEADER):
+                network.oracle.note_leader(effect.term, self.replica_id)
+            case ReplicaRegressed():
+                self.regressed.append(effect.replica_id)
+
+    def apply(self, entries: tuple[Entry, ...]) -> None:
+        for entry in entries:
+            assert entry.index == self.applied + 1, "applied out of order"
+            self.network.oracle.note_applied(entry)
+            self.applied = entry.index
+            if entry.kind is EntryKind.DATA:
+                self.values.append(entry.data)
+            if entry.index % SNAPSHOT_EVERY == 0:
+                data = b",".join(self.values)
+                self.network.call_later(0.0, self.make_taker(entry.index, data))
+
+    def make_taker(self, index: int, data: bytes) -> Callable[[], None]:
+        life = self.life
+
+        def take() -> None:
+            if self.life == life:
+                self.take(SnapshotTaken(index=index, data=data))
+
+        return take
+
+
+class Network:
+    """Carries messages and time; deterministic for a seed."""
+
+    def __init__(self, *, seed: int, voters: tuple[str, ...] = ("a", "b", "c")) -> None:
+        self.random = Random(seed)
+        self.oracle = Oracle()
+        self.now = 0.0
+        self.loss = 0.0
+        self.duplicates = 0.0
+        self.delay = (0.001, 0.003)
+        self.sync = (0.001, 0.002)
+        self.cuts: set[tuple[str, str]] = set()
+        self.sent: defaultdict[str, int] = defaultdict(int)
+        self._heap: list[tuple[float, int, Callable[[], None]]] = []
+        self._orders = itertools.count()
+        self._ids = itertools.count(1)
+        members = make_voters(*voters)
+        first = Snapshot(index=1, term=1, members=members)
+        self.nodes: dict[str, Node] = {}
+        for one in voters:
+            self.add(one, Disk(hard_state=HardState(term=1), snapshot=first))
+
+    def add(self, replica_id: str, disk: Disk) -> Node:
+        node = Node(network=self, replica_id=replica_id, disk=disk)
+        self.nodes[replica_id] = node
+        return node
+
+    def call_later(self, delay: float, call: Callable[[], None]) -> None:
+        heapq.heappush(self._heap, (self.now + delay, next(self._orders), call))
+
+    def get_sync_s(self) -> float:
+        return self.random.uniform(*self.sync)
+
+    def wake(self, node: Node, at: float) -> None:
+        life = node.life
+
+        def call() -> None:
+            if node.life == life:
+                node.take(TimeReached())
+
+        self.call_later(max(0.0, at - self.now), call)
+
+    def send(self, source: str, effect: SendMessage) -> None:
+        self.sent[source] += 1
+        copies = 1 + (self.random.random() < self.duplicates)
+        for _ in range(copies):
+            if self.random.random() >= self.loss:
+                self.call_later(
+                    self.random.uniform(*self.delay), lambda: self._deliver(source, effect)
+                )
+
+    def _deliver(self, source: str, effect: SendMessage) -> None:
+        node = self.nodes.get(effect.target)
+        if node is not None and (source, effect.target) not in self.cuts:
+            node.take(MessageReceived(source=source, message=effect.message))
+
+    def cut(self, *replica_ids: str) -> None:
+        """Swallow all messages between these and the others, both ways."""
+        for one in replica_ids:
+            for other in self.nodes:
+                if other not in replica_ids:
+                    self.cuts |= {(one, other), (other, one)}
+
+    def heal(self) -> None:
+        self.cuts.clear()
+        self.loss = self.duplicates = 0.0
+        self.delay = (0.001, 0.003)
+
+    def run(self, seconds: float) -> None:
+        end = self.now + seconds
+        while self._heap and self._heap[0][0] <= end:
+            self.now, _, call = heapq.heappop(self._heap)
+            call()
+        self.now = end
+
+    def run_until(self, condition: Callable[[], bool], *, limit: float = 30.0) -> None:
+        end = self.now + limit
+        while not condition():
+            assert self._heap and self._heap[0][0] <= end, "nothing came of it"
+            self.now, _, call = heapq.heappop(self._heap)
+            call()
+
+    @property
+    def leader(self) -> Node | None:
+        """The running leader of the highest term."""
+        leading = [one for one in self.nodes.values() if one.is_leader and one.frozen is None]
+        return max(leading, key=lambda one: self.get_term(one), default=None)
+
+    def get_term(self, node: Node) -> int:
+        return 0 if node.consensus is None else node.consensus.get_status(now=self.now).term
+
+    def elect(self) -> Node:
+        self.run_until(lambda: self.leader is not None)
+        leader = self.leader
+        assert leader is not None
+        return leader
+
+    def propose(self, node: Node, data: bytes | None = None) -> int:
+        proposal_id = next(self._ids)
+        value = b"%d" % proposal_id if data is None else data
+        self.oracle.proposed[proposal_id] = value
+        node.take(Propose(proposals=(Proposal(proposal_id=proposal_id, data=value),)))
+        return proposal_id
+
+    def commit(self, node: Node) -> int:
+        proposal_id = self.propose(node)
+        self.run_until(lambda: proposal_id in self.oracle.outcomes)
+        ended = self.oracle.outcomes[proposal_id]
+        assert ended.outcome is Outcome.COMMITTED, ended
+        return ended.index
+
+    def read(self, node: Node) -> int:
+        read_id = next(self._ids)
+        self.oracle.read_floor[read_id] = self.oracle.acknowledged
+        node.take(ReadRequested(read_id=read_id))
+        return read_id
+
+    def change(self, node: Node, kind: ChangeKind, replica_id: str) -> int:
+        proposal_id = next(self._ids)
+        member = Member(replica_id=replica_id, instance_id=replica_id, voter=False)
+        node.take(ChangeMembers(proposal_id=proposal_id, kind=kind, member=member))
+        return proposal_id
+
+    def change_and_wait(self, node: Node, kind: ChangeKind, replica_id: str) -> ProposalEnded:
+        proposal_id = self.change(node, kind, replica_id)
+        self.run_until(lambda: proposal_id in self.oracle.outcomes)
+        return self.oracle.outcomes[proposal_id]
+
+    def transfer(self, node: Node, target: str = "") -> None:
+        node.take(TransferLeadership(target=target))
+
+    def settle(self) -> None:
+        """Heal all, commit once more and wait until every member has applied it."""
+        self.heal()
+        for node in self.nodes.values():
+            if node.consensus is None:
+                node.start()
+            node.thaw()
+        done: list[int] = []
+
+        def is_committed() -> bool:
+            ended = [one for one in done if one in self.oracle.outcomes]
+            if any(self.oracle.outcomes[one].outcome is Outcome.COMMITTED for one in ended):
+                return True
+            if self.leader is not None and len(ended) == len(done):
+                done.append(self.propose(self.leader))
+            return False
+
+        self.run_until(is_committed)
+        top = max(self.oracle.committed)
+        self.run_until(lambda: all(one.applied >= top for one in self.list_members()))
+        assert top >= self.oracle.acknowledged
+        self.oracle.check_refused()
+
+    def list_members(self) -> list[Node]:
+        """The members that still have their disk."""
+        leader = self.leader
+        if leader is None or leader.consensus is None:
+            return list(self.nodes.values())
+        members = leader.consensus.get_status(now=self.now).members.members
+        nodes = [self.nodes[one.replica_id] for one in members if one.replica_id in self.nodes]
+        return [one for one in nodes if not self.is_halted(one)]
+
+    def is_halted(self, node: Node) -> bool:
+        return node.consensus is not None and node.consensus.get_status(now=self.now).halted
--- /dev/null
+++ b/tests/components/replica/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the replica component."""
