Add the data folder and the replica's writer, and failure tests of the log

Cause: the consensus core gives effects; they need disks, callers and proofs. Found by the fuzz test and mended: the refusal of a late append of an older term carried its round number and confirmed a read in the leader's new term; a replica that knew of its uncommitted removal blocked elections after the leader's death. Ruled out: cutting off any last frame with a wrong checksum. A byte flipped after the sync looks the same unless sectors are tested, and would forget an acknowledged entry.

--- a/chivetrack/components/consensus/changes.py
+++ b/chivetrack/components/consensus/changes.py
@@ -52,8 +52,9 @@
     An empty voter adds nothing to safety but raises the quorum: one more loss and
     nothing can be committed any more.
     """
-    wanted = max(state.commit_index - MAX_PROMOTION_LAG, state.log.members_index)
-    return not progress.regressed and progress.match_index >= wanted
+    wanted = state.commit_index - MAX_PROMOTION_LAG
+    able = progress.knows_membership and not progress.regressed
+    return able and progress.match_index >= wanted
 
 
 def _check_quorum(state: State, after: Members, progress: Mapping[str, Progress]) -> Refusal:
--- a/chivetrack/components/consensus/follower.py
+++ b/chivetrack/components/consensus/follower.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+import msgspec
+
 from chivetrack.components.consensus.log import decode_members
 from chivetrack.components.consensus.members import Members
 from chivetrack.components.consensus.messages import (
@@ -34,8 +36,12 @@
         self._download: _Download | None = None
 
     def refuse_append(self, request: AppendRequest) -> None:
-        """Tell a leader of an old term which term it is."""
-        self._answer(request, success=False)
+        """Tell a leader of an old term which term it is.
+
+        Round 0 confirms nothing: the sender may lead again by now, in this term,
+        and has used the same round number before.
+        """
+        self._answer(msgspec.structs.replace(request, round=0), success=False)
 
     def take_append(self, request: AppendRequest) -> None:
         """Append the entries if the log agrees with the leader's before them."""
--- a/chivetrack/components/consensus/progress.py
+++ b/chivetrack/components/consensus/progress.py
@@ -23,7 +23,7 @@
     While ``probing``, single empty appends look for the last index that agrees.
     Afterwards entries are sent ahead of their answers, ``in_flight`` holds the last
     index of each such message. ``match_round`` is the heartbeat round in which
-    ``match_index`` became known.
+    ``match_index`` became known. ``knows_membership``: its log names it as a member.
     """
 
     replica_id: str
@@ -36,6 +36,7 @@
     sent_commit: int = 0
     probing: bool = True
     regressed: bool = False
+    knows_membership: bool = False
     in_flight: deque[int] = field(default_factory=deque)
     transfer: SnapshotTransfer | None = None
 
--- a/chivetrack/components/consensus/replication.py
+++ b/chivetrack/components/consensus/replication.py
@@ -42,9 +42,9 @@
         """Forget replicas whose removal is committed, after telling them so."""
         members = self._state.log.members
         for replica_id in [one for one in self.progress if members.find(one) is None]:
-            self.send_entries(self.progress[replica_id])
-            self.send_heartbeat(self.progress[replica_id])
-            del self.progress[replica_id]
+            progress = self.progress.pop(replica_id)
+            self._send_next(progress)
+            self.send_heartbeat(progress)
 
     def start_round(self) -> None:
         """Send a heartbeat with a new round number to all."""
@@ -66,7 +66,16 @@
                 self.send_heartbeat(progress)
 
     def send_entries(self, progress: Progress) -> None:
-        """Send what the replica lacks, as far as it may be sent now."""
+        """Send what the replica lacks, as far as it may be sent now.
+
+        A replica that is being removed gets nothing more until that is committed.
+        Did it know of its removal, it would start no elections, yet refuse its vote
+        to those who lack the entry: with the leader dead, nobody could be elected.
+        """
+        if self._state.log.members.find(progress.replica_id) is not None:
+            self._send_next(progress)
+
+    def _send_next(self, progress: Progress) -> None:
         log = self._state.log
         while progress.can_send_entries and progress.next_index <= log.last_index:
             if progress.next_index <= log.base_index:
@@ -117,6 +126,7 @@
         if answer.match_index >= self._state.log.base_index:
             progress.transfer = None
         progress.note_match(answer.match_index, self.round)
+        progress.knows_membership = answer.member
         self.send_entries(progress)
 
     def _take_refusal(self, progress: Progress, answer: AppendAnswer) -> None:
--- /dev/null
+++ b/chivetrack/components/replica/core.py
@@ -0,0 +1,120 @@
+"""The log and its state machine as one component without I/O."""
+
+from chivetrack.components.consensus import Consensus
+from chivetrack.components.consensus.messages import Entry, EntryKind
+from chivetrack.components.consensus.models import (
+    Apply,
+    ConsensusStatus,
+    Outcome,
+    ProposalEnded,
+    RestoreSnapshot,
+    Snapshot,
+    SnapshotTaken,
+)
+from chivetrack.components.replica.const import SNAPSHOT_ENTRIES
+from chivetrack.components.replica.models import ProposalAnswered, StateMachine
+from chivetrack.core import Effect, Event
+
+
+class ReplicaCore:
+    """Carries out ``Apply`` and ``RestoreSnapshot`` itself; passes other effects on.
+
+    It applies without waiting for the sync of a ``Persist``: what is committed is on
+    the disks of a majority whether or not it is on this one. All other effects
+    must wait as ``Consensus`` says. Whoever drives it handles ``Persist``,
+    ``SendMessage``, ``WakeAt``, ``ProposalAnswered``, ``ReadReady``, ``ReadRefused``
+    and, as it likes, ``LeadershipChanged``, ``TransferRefused``, ``ReplicaRegressed``.
+    """
+
+    def __init__(
+        self,
+        *,
+        consensus: Consensus,
+        state_machine: StateMachine,
+        snapshot: Snapshot,
+        snapshot_entries: int = SNAPSHOT_ENTRIES,
+    ) -> None:
+        """Put the state machine at the snapshot that ``consensus`` recovered."""
+        self._consensus = consensus
+        self._state_machine = state_machine
+        self._snapshot_entries = snapshot_entries
+        self._answers: dict[int, bytes] = {}
+        self._snapshot_at: float | None = None
+        self._restore(snapshot)
+
+    @property
+    def applied_index(self) -> int:
+        """Return the index of the last entry that was applied."""
+        return self._applied_index
+
+    def handle(self, event: Event, *, now: float) -> list[Effect]:
+        """Take one event at time ``now`` (seconds, never going back)."""
+        effects = self._carry_out(self._consensus.handle(event, now=now))
+        if self._applied_index - self._snapshot_index >= self._snapshot_entries:
+            effects += self._save_snapshot(now)
+        self._answers.clear()
+        return effects
+
+    def _carry_out(self, effects: list[Effect]) -> list[Effect]:
+        others: list[Effect] = []
+        for effect in effects:
+            match effect:
+                case Apply():
+                    self._apply(effect.entries)
+                case RestoreSnapshot():
+                    self._restore(effect.snapshot)
+                case ProposalEnded():
+                    others.append(self._answer(effect))
+                case _:
+                    others.append(effect)
+        return others
+
+    def _apply(self, entries: tuple[Entry, ...]) -> None:
+        for entry in entries:
+            self._applied_index = entry.index
+            if entry.kind is not EntryKind.DATA:
+                continue
+            answer = self._state_machine.apply(entry.index, entry.data)
+            if self._consensus.is_leader:
+                self._answers[entry.index] = answer
+
+    def _restore(self, snapshot: Snapshot) -> None:
+        self._state_machine.restore_snapshot(snapshot.data)
+        self._applied_index = snapshot.index
+        self._snapshot_index = snapshot.index
+
+    def _answer(self, ended: ProposalEnded) -> ProposalAnswered:
+        committed = ended.outcome is Outcome.COMMITTED
+        return ProposalAnswered(
+            proposal_id=ended.proposal_id,
+            outcome=ended.outcome,
+            index=ended.index,
+            data=self._answers.get(ended.index, b"") if committed else b"",
+            refusal=ended.refusal,
+            leader=ended.leader,
+        )
+
+    def _save_snapshot(self, now: float) -> list[Effect]:
+        data = self._state_machine.take_snapshot()
+        self._snapshot_index = self._applied_index
+        self._snapshot_at = now
+        taken = SnapshotTaken(index=self._applied_index, data=data)
+        return self._carry_out(self._consensus.handle(taken, now=now))
+
+    def take_backup(self, *, now: float) -> Snapshot:
+        """Return the state as of now, for a backup."""
+        status = self.get_status(now=now)
+        return Snapshot(
+            index=self._applied_index,
+            term=status.term,
+            members=status.members,
+            data=self._state_machine.take_snapshot(),
+        )
+
+    def get_status(self, *, now: float) -> ConsensusStatus:
+        """Return what this replica knows."""
+        return self._consensus.get_status(now=now)
+
+    def get_snapshot_age(self, *, now: float) -> float | None:
+        """Return seconds since the last snapshot, ``None`` if none since the start."""
+        return None if self._snapshot_at is None else now - self._snapshot_at
--- /dev/null
+++ b/chivetrack/components/replica/faults.py
@@ -0,0 +1,72 @@
+"""The faults that callers of a replica see."""
+
+from chivetrack.components.consensus.models import Outcome, Refusal
+from chivetrack.components.replica.const import NOT_LEADER_RETRY_S, STORAGE_RETRY_S
+from chivetrack.components.replica.models import NotLeaderFault, ProposalAnswered
+from chivetrack.exceptions import Fault, Ran
+
+_PASSING = frozenset(
+    {Refusal.TRANSFERRING, Refusal.OVERLOADED, Refusal.CHANGE_PENDING, Refusal.NOT_READY}
+)
+
+
+def make_unknown() -> Fault:
+    """Say that a write may or may not happen; the same request id makes a resend safe."""
+    return Fault(
+        code="outcome_unknown",
+        message="the write may or may not have happened; send it again with the same request id",
+        status=503,
+        ran=Ran.MAYBE,
+        retry_after_s=NOT_LEADER_RETRY_S,
+    )
+
+
+def make_not_leader(leader: str) -> NotLeaderFault:
+    """Say who leads instead."""
+    known = f"; {leader} may" if leader else ""
+    return NotLeaderFault(
+        code="not_leader",
+        message=f"this replica does not lead{known}",
+        status=503,
+        ran=Ran.NO,
+        retry_after_s=NOT_LEADER_RETRY_S,
+        leader=leader,
+    )
+
+
+def make_timeout() -> Fault:
+    """Say that a read could not be confirmed in time."""
+    return Fault(
+        code="read_timeout",
+        message="no quorum confirmed the read in time",
+        status=503,
+        ran=Ran.NO,
+        retry_after_s=NOT_LEADER_RETRY_S,
+    )
+
+
+def make_failed(reason: str) -> Fault:
+    """Say that this replica's disk failed and nothing new was written."""
+    return Fault(
+        code="storage_failed",
+        message=f"this replica cannot write: {reason}",
+        status=503,
+        ran=Ran.NO,
+        retry_after_s=STORAGE_RETRY_S,
+    )
+
+
+def make_fault(answer: ProposalAnswered) -> Fault:
+    """Return the fault for a proposal that was not committed."""
+    if answer.outcome is Outcome.UNKNOWN:
+        return make_unknown()
+    if answer.refusal is Refusal.NOT_LEADER:
+        return make_not_leader(answer.leader)
+    passing = answer.refusal in _PASSING
+    return Fault(
+        code=answer.refusal.value,
+        message=f"the leader refused: {answer.refusal.value.replace('_', ' ')}",
+        status=503 if passing else 409,
+        ran=Ran.NO,
+        retry_after_s=NOT_LEADER_RETRY_S if passing else None,
+    )
--- /dev/null
+++ b/chivetrack/components/replica/replica.py
@@ -0,0 +1,250 @@
+"""Drives a replica: one writer takes events in order, syncs them in groups, answers."""
+
+from collections import deque
+from collections.abc import Callable, Sequence
+from typing import Protocol
+
+from expression import Result
+
+from chivetrack.components.consensus.members import ChangeKind, Member
+from chivetrack.components.consensus.models import (
+    ChangeMembers,
+    LeadershipChanged,
+    Persist,
+    Persisted,
+    Proposal,
+    Propose,
+    ReadReady,
+    ReadRefused,
+    ReadRequested,
+    ReplicaRegressed,
+    Snapshot,
+    TransferLeadership,
+    TransferRefused,
+)
+from chivetrack.components.replica.calls import Calls
+from chivetrack.components.replica.const import CALL_TIMEOUT_S, MAX_WAITING_MESSAGES
+from chivetrack.components.replica.core import ReplicaCore
+from chivetrack.components.replica.faults import make_failed
+from chivetrack.components.replica.models import ProposalAnswered, ReplicaStatus, Waiter
+from chivetrack.components.storage.exceptions import StorageError
+from chivetrack.core import (
+    Effect,
+    Event,
+    MessageReceived,
+    SendMessage,
+    TimeReached,
+    Unsubscribe,
+    WakeAt,
+)
+from chivetrack.exceptions import Fault
+from chivetrack.helpers.codec import Message
+
+Notice = LeadershipChanged | TransferRefused | ReplicaRegressed
+Listener = Callable[[Notice], None]
+
+
+class LogStorage(Protocol):
+    """The part of ``Storage`` that the writer uses."""
+
+    def save(self, persists: Sequence[Persist]) -> None:
+        """Sync all of these or raise ``StorageError``."""
+        ...
+
+
+def call_directly(call: Callable[[], None]) -> None:
+    """Run a blocking call where it is; the daemon hands in a thread pool instead."""
+    call()
+
+
+class Replica:
+    """One replica as a service.
+
+    ``run`` is the one writer, in a thread or greenlet of its own; all other methods
+    may be called from others. While it syncs, events gather, and the next sync covers
+    all of them. After a failed write it ends every call, refuses new ones and
+    ``run`` raises; the process must open the folder again.
+    """
+
+    def __init__(
+        self,
+        *,
+        core: ReplicaCore,
+        storage: LogStorage,
+        send: Callable[[SendMessage], None],
+        clock: Callable[[], float],
+        make_waiter: Callable[[], Waiter],
+        run_blocking: Callable[[Callable[[], None]], None] = call_directly,
+    ) -> None:
+        """Set up a replica that does nothing before ``run`` or ``step``."""
+        self._core = core
+        self._storage = storage
+        self._send = send
+        self._clock = clock
+        self._run_blocking = run_blocking
+        self._signal = make_waiter()
+        self._calls = Calls(make_waiter=make_waiter)
+        self._inbox: deque[Event] = deque([TimeReached()])
+        self._listeners: list[Listener] = []
+        self._wake_at = float("inf")
+        self._stopped = False
+        self._failure = ""
+
+    def run(self) -> None:
+        """Work until ``stop``; raise ``StorageError`` once a write has failed."""
+        while not self._stopped:
+            self.step()
+            if not self._inbox and not self._stopped:
+                self._signal.wait(max(0.0, self._wake_at - self._clock()))
+
+    def stop(self) -> None:
+        """End ``run``; calls that wait end as unknown."""
+        self._stopped = True
+        self._signal.set()
+        self._calls.end_all()
+
+    def step(self) -> None:
+        """Take all events that wait, and the time."""
+        self._signal.clear()
+        effects: list[Effect] = []
+        for event in self._take_events():
+            effects += self._core.handle(event, now=self._clock())
+        self._carry_out(effects)
+
+    def _take_events(self) -> list[Event]:
+        """Return what waits; proposals among it are one event: one message each way."""
+        events: list[Event] = []
+        proposals: list[Proposal] = []
+        for _ in range(len(self._inbox)):
+            event = self._inbox.popleft()
+            if isinstance(event, Propose):
+                proposals += event.proposals
+            else:
+                events.append(event)
+        if proposals:
+            events.append(Propose(proposals=tuple(proposals)))
+        if self._clock() >= self._wake_at:
+            self._wake_at = float("inf")
+            events.append(TimeReached())
+        return events
+
+    def _carry_out(self, effects: list[Effect]) -> None:
+        """Carry out effects in order, with one sync for all that must be synced."""
+        while effects:
+            persists = [one for one in effects if isinstance(one, Persist)]
+            if not persists:
+                self._carry_out_all(effects)
+                return
+            first = effects.index(persists[0])
+            self._carry_out_all(effects[:first])
+            self._save(persists)
+            self._carry_out_all(effects[first:])
+            last = persists[-1]
+            persisted = Persisted(last_index=last.last_index, last_term=last.last_term)
+            effects = self._core.handle(persisted, now=self._clock())
+
+    def _save(self, persists: list[Persist]) -> None:
+        try:
+            self._run_blocking(lambda: self._storage.save(persists))
+        except StorageError as error:
+            self._fail(str(error))
+            raise
+
+    def _fail(self, reason: str) -> None:
+        """Acknowledge nothing any more: what this replica believes is not on its disk."""
+        self._failure = reason
+        self._stopped = True
+        self._calls.end_all()
+
+    def _carry_out_all(self, effects: Sequence[Effect]) -> None:
+        for effect in effects:
+            self._carry_out_one(effect)
+
+    def _carry_out_one(self, effect: Effect) -> None:
+        match effect:
+            case SendMessage():
+                self._send(effect)
+            case WakeAt():
+                self._wake_at = min(self._wake_at, effect.at)
+            case ProposalAnswered():
+                self._calls.end_proposal(effect)
+            case ReadReady() | ReadRefused():
+                self._calls.end_read(effect)
+            case LeadershipChanged() | TransferRefused() | ReplicaRegressed():
+                for listener in tuple(self._listeners):
+                    listener(effect)
+
+    def listen(self, listener: Listener) -> Unsubscribe:
+        """Tell a listener of leadership changes, refused transfers and lost disks."""
+        self._listeners.append(listener)
+
+        def unsubscribe() -> None:
+            if listener in self._listeners:
+                self._listeners.remove(listener)
+
+        return unsubscribe
+
+    def _submit(self, event: Event) -> None:
+        self._inbox.append(event)
+        self._signal.set()
+
+    def receive(self, source: str, message: Message) -> None:
+        """Take a message from another replica; it is dropped if too many wait."""
+        if len(self._inbox) < MAX_WAITING_MESSAGES and not self._stopped:
+            self._submit(MessageReceived(source=source, message=message))
+
+    def propose(self, data: bytes, *, timeout_s: float = CALL_TIMEOUT_S) -> Result[bytes, Fault]:
+        """Append data and return the state machine's answer once it is committed.
+
+        A fault with ``Ran.NO`` promises that it is in no log; ``outcome_unknown`` has
+        ``Ran.MAYBE``. ``NotLeaderFault`` names the instance to ask.
+        """
+        call_id = self._calls.open(is_read=False)
+        proposal = Proposal(proposal_id=call_id, data=data)
+        result = self._call(call_id, Propose(proposals=(proposal,)), timeout_s)
+        return result.map(lambda answer: getattr(answer, "data", b""))
+
+    def confirm_read(self, *, timeout_s: float = CALL_TIMEOUT_S) -> Result[int, Fault]:
+        """Wait until a read of the state machine here sees all earlier writes.
+
+        Returns the index up to which it does at least.
+        """
+        call_id = self._calls.open(is_read=True)
+        result = self._call(call_id, ReadRequested(read_id=call_id), timeout_s)
+        return result.map(lambda answer: answer.index)
+
+    def change_members(
+        self, kind: ChangeKind, member: Member, *, timeout_s: float = CALL_TIMEOUT_S
+    ) -> Result[int, Fault]:
+        """Change one member; returns the index of the committed change."""
+        call_id = self._calls.open(is_read=False)
+        event = ChangeMembers(proposal_id=call_id, kind=kind, member=member)
+        result = self._call(call_id, event, timeout_s)
+        return result.map(lambda answer: answer.index)
+
+    def _call(
+        self, call_id: int, event: Event, timeout_s: float
+    ) -> Result[ProposalAnswered | ReadReady, Fault]:
+        if self._stopped:
+            self._calls.refuse(call_id, make_failed(self._failure or "it is stopped"))
+        else:
+            self._submit(event)
+        return self._calls.wait(call_id, timeout_s)
+
+    def transfer_leadership(self, target: str = "") -> None:
+        """Hand leadership to a replica id, or to whichever is furthest along."""
+        self._submit(TransferLeadership(target=target))
+
+    def take_backup(self) -> Snapshot:
+        """Return the state as of now; call it where the writer does not run meanwhile."""
+        return self._core.take_backup(now=self._clock())
+
+    def get_status(self) -> ReplicaStatus:
+        """Return what ``chivetrack status`` shows."""
+        now = self._clock()
+        return ReplicaStatus(
+            consensus=self._core.get_status(now=now),
+            applied_index=self._core.applied_index,
+            snapshot_age_s=self._core.get_snapshot_age(now=now),
+            failure=self._failure,
+        )
--- /dev/null
+++ b/chivetrack/components/storage/__init__.py
@@ -0,0 +1,5 @@
+"""The data folder: what must survive a restart, synced before it is acknowledged."""
+
+from chivetrack.components.storage.storage import Storage, create_folder, open_storage
+
+__all__ = ["Storage", "create_folder", "open_storage"]
--- /dev/null
+++ b/chivetrack/components/storage/backup.py
@@ -0,0 +1,67 @@
+"""A backup: the state at one index in one checksummed file, and a folder made from it."""
+
+from pathlib import Path
+from random import Random
+
+from chivetrack.components.consensus.members import Member, Members
+from chivetrack.components.consensus.models import Snapshot
+from chivetrack.components.storage.exceptions import DamagedFileError, WriteFailedError
+from chivetrack.components.storage.files import Calls, write_file
+from chivetrack.components.storage.frames import encode_frame, scan_frames
+from chivetrack.components.storage.records import Identity
+from chivetrack.components.storage.storage import create_folder
+
+_ID_BITS = 48
+
+
+def make_replica_id(*, instance_id: str, random: Random) -> str:
+    """Return an id that no replica had before.
+
+    The random part must come from the system's source: an empty disk under the id
+    of the one before it could vote twice in one term.
+    """
+    return f"{instance_id}.{random.getrandbits(_ID_BITS):012x}"
+
+
+def make_first_snapshot(identity: Identity) -> Snapshot:
+    """Return the start of a new system, whose only voter is this replica."""
+    return Snapshot(index=1, term=1, members=_make_members(identity))
+
+
+def _make_members(identity: Identity) -> Members:
+    member = Member(replica_id=identity.replica_id, instance_id=identity.instance_id, voter=True)
+    return Members(members=(member,))
+
+
+def write_backup(path: Path, snapshot: Snapshot, *, calls: Calls | None = None) -> None:
+    """Write a snapshot as a backup; the file appears only when it is whole and synced."""
+    try:
+        write_file(path, encode_frame([snapshot]), calls or Calls())
+    except OSError as error:
+        raise WriteFailedError(path, str(error)) from error
+
+
+def read_backup(path: Path) -> Snapshot:
+    """Read a backup; raise ``DamagedFileError`` if a byte of it is wrong."""
+    records = scan_frames(path.read_bytes(), path=path, may_be_torn=False).records
+    if len(records) != 1 or not isinstance(records[0], Snapshot):
+        raise DamagedFileError(path, 0, "not a backup")
+    return records[0]
+
+
+def restore_backup(
+    path: Path, *, folder: Path, identity: Identity, calls: Calls | None = None
+) -> None:
+    """Make a folder with the state of a backup for a new replica, the only voter.
+
+    The log goes on after the index of the backup, in a later term. The replicas of
+    the system before must stay stopped; the others are added anew as learners.
+    """
+    backup = read_backup(path)
+    snapshot = Snapshot(
+        index=backup.index,
+        term=backup.term + 1,
+        members=_make_members(identity),
+        data=backup.data,
+    )
+    create_folder(folder, identity=identity, snapshot=snapshot, calls=calls)
--- /dev/null
+++ b/chivetrack/components/storage/const.py
@@ -0,0 +1,16 @@
+"""Names and sizes in the data folder."""
+
+from typing import Final
+
+from chivetrack.const import MEBIBYTE
+
+LOCK_NAME: Final = "lock"
+IDENTITY_NAME: Final = "identity"
+SEGMENT_PREFIX: Final = "log-"
+SNAPSHOT_PREFIX: Final = "snapshot-"
+TEMPORARY_SUFFIX: Final = ".tmp"
+
+SEGMENT_BYTES: Final = 8 * MEBIBYTE
+
+# Devices write whole sectors: what a power cut leaves unwritten reads as zeros.
+SECTOR_BYTES: Final = 512
--- /dev/null
+++ b/chivetrack/components/storage/records.py
@@ -0,0 +1,31 @@
+"""The records in the data folder, besides entries, hard states and snapshots."""
+
+from chivetrack.components.consensus.models import HardState
+from chivetrack.helpers.codec import Message, message
+
+
+@message("storage.identity")
+class Identity(Message, frozen=True, array_like=True):
+    """Whose folder it is."""
+
+    replica_id: str
+    instance_id: str
+
+
+@message("storage.segment_header")
+class SegmentHeader(Message, frozen=True, array_like=True):
+    """The first record of a segment: what held when it was begun.
+
+    ``base_index`` and ``base_term`` are the end of the log before it.
+    """
+
+    hard_state: HardState
+    base_index: int
+    base_term: int
+
+
+@message("storage.truncation")
+class Truncation(Message, frozen=True, array_like=True):
+    """All entries from ``index`` on are dropped."""
+
+    index: int
--- /dev/null
+++ b/chivetrack/components/storage/recovery.py
@@ -0,0 +1,135 @@
+"""Reads the segments of a folder back into the log."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from chivetrack.components.consensus.messages import Entry
+from chivetrack.components.consensus.models import HardState, Snapshot
+from chivetrack.components.storage.exceptions import DamagedFileError
+from chivetrack.components.storage.frames import Scan, scan_frames
+from chivetrack.components.storage.records import SegmentHeader, Truncation
+from chivetrack.helpers.codec import Message
+
+
+@dataclass(slots=True, kw_only=True)
+class Segment:
+    """A segment file; ``last_index`` is the highest index of an entry in it."""
+
+    path: Path
+    number: int
+    last_index: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class Chain:
+    """The log as far as it is read: entries after ``base_index``."""
+
+    hard_state: HardState = HardState()
+    base_index: int = 0
+    base_term: int = 0
+    entries: list[Entry] = field(default_factory=list)
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last entry."""
+        return self.base_index + len(self.entries)
+
+    def find_term(self, index: int) -> int | None:
+        """Return the term at an index, or ``None``."""
+        if index == self.base_index:
+            return self.base_term
+        if not self.base_index < index <= self.last_index:
+            return None
+        return self.entries[index - self.base_index - 1].term
+
+    def truncate(self, index: int) -> None:
+        """Drop the entries from ``index`` on."""
+        del self.entries[max(0, index - self.base_index - 1) :]
+
+    def restart(self, header: SegmentHeader) -> None:
+        """Drop all entries and go on after the base of a segment."""
+        self.entries.clear()
+        self.base_index = header.base_index
+        self.base_term = header.base_term
+
+
+def read_segment(path: Path, *, is_last: bool) -> Scan:
+    """Read one segment; only the last may end in a torn frame."""
+    return scan_frames(path.read_bytes(), path=path, may_be_torn=is_last)
+
+
+class SegmentReader:
+    """Puts the records of segments together, in their order."""
+
+    def __init__(self, *, snapshot: Snapshot) -> None:
+        """Start before the first segment of a log behind ``snapshot``."""
+        self._snapshot = snapshot
+        self._is_first = True
+        self._replaced_before = 0
+        self.chain = Chain()
+
+    def read(self, segment: Segment, records: Sequence[Message]) -> None:
+        """Add the records of the next segment."""
+        if not records or not isinstance(records[0], SegmentHeader):
+            raise DamagedFileError(segment.path, 0, "the segment has no header")
+        self._take_header(segment, records[0])
+        for record in records[1:]:
+            self._take_record(segment, record)
+
+    def _take_header(self, segment: Segment, header: SegmentHeader) -> None:
+        chain = self.chain
+        follows = (chain.last_index, chain.find_term(chain.last_index)) == (
+            header.base_index,
+            header.base_term,
+        )
+        # A snapshot from the leader replaced the log; a crash kept the older segments.
+        replaced = (self._snapshot.index, self._snapshot.term) == (
+            header.base_index,
+            header.base_term,
+        )
+        if not (self._is_first or follows or replaced):
+            raise DamagedFileError(segment.path, 0, "the segment does not follow the one before")
+        if not follows:
+            chain.restart(header)
+            self._replaced_before = segment.number
+        self._is_first = False
+        chain.hard_state = header.hard_state
+
+    def _take_record(self, segment: Segment, record: Message) -> None:
+        chain = self.chain
+        match record:
+            case HardState():
+                chain.hard_state = record
+            case Truncation():
+                chain.truncate(record.index)
+            case Entry():
+                self._take_entry(segment, record)
+            case _:
+                raise DamagedFileError(segment.path, 0, f"a {type(record).__name__} in the log")
+
+    def _take_entry(self, segment: Segment, entry: Entry) -> None:
+        if entry.index != self.chain.last_index + 1:
+            raise DamagedFileError(segment.path, 0, f"entry {entry.index} does not follow")
+        self.chain.entries.append(entry)
+        segment.last_index = max(segment.last_index, entry.index)
+
+    @property
+    def agrees(self) -> bool:
+        """Tell whether the log goes on after the snapshot.
+
+        If not, the snapshot came from the leader, and a crash kept it from
+        replacing the log.
+        """
+        return self.chain.find_term(self._snapshot.index) == self._snapshot.term
+
+    def is_replaced(self, segment: Segment) -> bool:
+        """Tell whether a segment is a leftover of a log that a snapshot replaced."""
+        return not self.agrees or segment.number < self._replaced_before
+
+    def list_entries(self) -> tuple[Entry, ...]:
+        """Return the entries after the snapshot."""
+        chain = self.chain
+        if not self.agrees:
+            return ()
+        return tuple(chain.entries[self._snapshot.index - chain.base_index :])
--- /dev/null
+++ b/tests/components/consensus/test_core.py
@@ -0,0 +1,355 @@
+"""Single events to one replica of a, b and c: what it may and may not answer."""
+
+import unittest
+from random import Random
+from typing import TypeVar
+
+from chivetrack.components.consensus import Consensus
+from chivetrack.components.consensus.members import Member, Members, make_voters
+from chivetrack.components.consensus.messages import (
+    AppendAnswer,
+    AppendRequest,
+    Entry,
+    EntryKind,
+    PeerMessage,
+    PreVoteAnswer,
+    PreVoteRequest,
+    SnapshotAnswer,
+    SnapshotChunk,
+    TimeoutNow,
+    VoteAnswer,
+    VoteRequest,
+)
+from chivetrack.components.consensus.models import (
+    Apply,
+    HardState,
+    Outcome,
+    Persist,
+    Persisted,
+    Proposal,
+    ProposalEnded,
+    Propose,
+    ReadReady,
+    ReadRequested,
+    Recovered,
+    ReplicaRegressed,
+    Snapshot,
+    SnapshotTaken,
+    Timing,
+)
+from chivetrack.core import Effect, Event, MessageReceived, SendMessage, TimeReached
+
+EffectT = TypeVar("EffectT", bound=Effect)
+VOTERS = make_voters("a", "b", "c")
+
+
+def make_entries(*terms: int) -> tuple[Entry, ...]:
+    """Entries from index 2 on, with these terms."""
+    return tuple(
+        Entry(index=index, term=term, kind=EntryKind.DATA, data=b"%d.%d" % (index, term))
+        for index, term in enumerate(terms, start=2)
+    )
+
+
+class Subject:
+    """Replica a, driven by hand; syncs are reported only on ``persist``."""
+
+    def __init__(self, *terms: int, term: int = 1, members: Members = VOTERS) -> None:
+        self.now = 0.0
+        recovered = Recovered(
+            hard_state=HardState(term=term),
+            snapshot=Snapshot(index=1, term=1, members=members),
+            entries=make_entries(*terms),
+        )
+        self.consensus = Consensus(
+            replica_id="a", random=Random(1), timing=Timing(), recovered=recovered
+        )
+        self.effects: list[Effect] = []
+        self.handle(TimeReached())
+
+    def handle(self, event: Event, *, after: float = 0.0) -> list[Effect]:
+        self.now += after
+        self.effects = self.consensus.handle(event, now=self.now)
+        return self.effects
+
+    def take(self, message: PeerMessage) -> list[Effect]:
+        return self.handle(MessageReceived(source=message.sender, message=message))
+
+    def list_effects(self, kind: type[EffectT]) -> list[EffectT]:
+        return [one for one in self.effects if isinstance(one, kind)]
+
+    def get_answer(self) -> PeerMessage:
+        message = self.list_effects(SendMessage)[0].message
+        assert isinstance(message, PeerMessage)
+        return message
+
+    def persist(self) -> list[Effect]:
+        last = self.list_effects(Persist)[-1]
+        return self.handle(Persisted(last_index=last.last_index, last_term=last.last_term))
+
+    def lead(self) -> None:
+        """Win an election with the vote of b; the empty entry is not synced yet."""
+        term = self.consensus.get_status(now=self.now).term
+        self.handle(TimeReached(), after=1.3)
+        self.take(PreVoteAnswer("b", "a", term, term, True))
+        self.take(VoteAnswer("b", "a", term + 1, True))
+        assert self.consensus.is_leader
+
+    def ack(self, sender: str, match_index: int, *, round_number: int = 1) -> list[Effect]:
+        term = self.consensus.get_status(now=self.now).term
+        return self.take(
+            AppendAnswer(
+                sender, "a", term, True, 0, match_index, 0, 0, match_index, True, round_number
+            )
+        )
+
+    def refuse(
+        self, sender: str, last_index: int, *, round_number: int, member: bool = True
+    ) -> None:
+        term = self.consensus.get_status(now=self.now).term
+        previous = self.consensus.get_status(now=self.now).last_index - 1
+        self.take(
+            AppendAnswer(
+                sender, "a", term, False, previous, 0, 1, 0, last_index, member, round_number
+            )
+        )
+
+    def append(
+        self, previous: tuple[int, int], entries: tuple[Entry, ...], *, term: int, commit: int = 0
+    ) -> list[Effect]:
+        return self.take(AppendRequest("b", "a", term, *previous, entries, commit, 3))
+
+
+class VoteTest(unittest.TestCase):
+    def test_requests(self) -> None:
+        """A vote for a log that lacks entries, or a second vote in a term, elects a
+        leader without a committed entry or two leaders; a vote against a live
+        leader topples it."""
+        cases = {
+            "same log": (VoteRequest("b", "a", 3, 3, 2, False), True),
+            "longer log": (VoteRequest("b", "a", 3, 9, 2, False), True),
+            "shorter log": (VoteRequest("b", "a", 3, 2, 2, False), False),
+            "longer log of an older term": (VoteRequest("b", "a", 3, 9, 1, False), False),
+            "old term": (VoteRequest("b", "a", 1, 9, 9, False), False),
+        }
+        for name, (request, granted) in cases.items():
+            with self.subTest(name):
+                subject = Subject(2, 2, term=2)
+                subject.take(request)
+                answer = subject.get_answer()
+                assert isinstance(answer, VoteAnswer)
+                self.assertEqual(answer.granted, granted)
+
+    def test_one_vote_in_a_term(self) -> None:
+        subject = Subject()
+        subject.take(VoteRequest("b", "a", 2, 5, 1, False))
+        self.assertIsInstance(subject.effects[0], Persist, "a vote is synced before it is sent")
+        subject.take(VoteRequest("c", "a", 2, 9, 1, False))
+        self.assertFalse(getattr(subject.get_answer(), "granted", None))
+
+    def test_live_leader_is_not_toppled(self) -> None:
+        subject = Subject(term=2)
+        subject.append((1, 1), (), term=2)
+        subject.take(VoteRequest("c", "a", 3, 9, 2, False))
+        self.assertEqual(subject.list_effects(SendMessage), [])
+        subject.take(PreVoteRequest("c", "a", 2, 9, 2))
+        self.assertFalse(getattr(subject.get_answer(), "granted", None))
+        subject.take(VoteRequest("c", "a", 3, 9, 2, True))
+        self.assertTrue(getattr(subject.get_answer(), "granted", None), "the leader wanted it")
+
+    def test_empty_disk_does_not_vote(self) -> None:
+        subject = Subject(members=make_voters("b", "c"))
+        subject.take(VoteRequest("b", "a", 2, 5, 1, False))
+        self.assertFalse(getattr(subject.get_answer(), "granted", None))
+
+    def test_message_for_the_id_before_is_ignored(self) -> None:
+        subject = Subject()
+        self.assertEqual(subject.take(VoteRequest("b", "a.old", 2, 5, 1, False)), [])
+
+    def test_new_term_is_synced_before_it_is_seen(self) -> None:
+        learner = Member(replica_id="d", instance_id="d", voter=False)
+        alone = Members(members=(*make_voters("a").members, learner))
+        subject = Subject(members=alone)
+        subject.handle(TimeReached(), after=1.3)
+        self.assertTrue(subject.consensus.is_leader)
+        self.assertIsInstance(subject.effects[0], Persist)
+        self.assertTrue(subject.list_effects(SendMessage))
+
+
+class FollowerTest(unittest.TestCase):
+    def test_late_append_keeps_what_follows(self) -> None:
+        """An append arrives again, late, after more was acknowledged. Cutting the log
+        after it would drop entries that the leader counts as committed."""
+        subject = Subject(2, 2, 2, term=2)
+        subject.append((1, 1), make_entries(2), term=2)
+        self.assertEqual(subject.list_effects(Persist), [])
+        self.assertEqual(subject.consensus.get_status(now=0).last_index, 4)
+
+    def test_conflict_is_replaced(self) -> None:
+        subject = Subject(2, 2, 2, term=2)
+        new = make_entries(2, 3)[1:]
+        subject.append((2, 2), new, term=3)
+        persist = subject.list_effects(Persist)[0]
+        self.assertEqual((persist.truncate_from, persist.entries), (3, new))
+        self.assertEqual(persist.last_index, 3)
+
+    def test_commits_only_what_agrees(self) -> None:
+        """A heartbeat agrees up to index 1 and tells a commit index of 3. What is here
+        at 2 and 3 is from a deposed leader and must not be applied."""
+        subject = Subject(2, 2, term=2)
+        subject.append((1, 1), (), term=3, commit=3)
+        self.assertEqual(subject.list_effects(Apply), [])
+
+    def test_snapshot_of_known_entries_keeps_the_rest(self) -> None:
+        """A late snapshot chunk covers entries that are here. Installing it would drop
+        those after it, which were acknowledged."""
+        subject = Subject(2, 2, 2, term=2)
+        subject.take(SnapshotChunk("b", "a", 2, 3, 2, VOTERS, 0, 1, b"x", 1))
+        self.assertEqual(subject.consensus.get_status(now=0).last_index, 4)
+        self.assertEqual(subject.consensus.commit_index, 3)
+        self.assertTrue(getattr(subject.get_answer(), "done", None))
+
+    def test_chunks_out_of_order(self) -> None:
+        subject = Subject(term=2)
+        chunks = [
+            SnapshotChunk("b", "a", 2, 9, 2, VOTERS, at, 4, b"wxyz"[at : at + 2], 1)
+            for at in (0, 2)
+        ]
+        for number, done in ((1, False), (0, False), (0, False), (1, True)):
+            subject.take(chunks[number])
+            answer = (
+                subject.get_answer() if not done else subject.list_effects(SendMessage)[0].message
+            )
+            assert isinstance(answer, SnapshotAnswer)
+            self.assertEqual(answer.done, done)
+        persist = subject.list_effects(Persist)[0]
+        assert persist.snapshot is not None
+        self.assertEqual((persist.snapshot.data, persist.reset), (b"wxyz", True))
+
+    def test_empty_disk_under_the_id_of_a_voter_halts(self) -> None:
+        """The disk of voter a is lost and a starts on an empty one under its old id.
+        Its first members name it as a voter: it acknowledges nothing from then on."""
+        recovered = Recovered()
+        subject = Subject()
+        subject.consensus = Consensus(
+            replica_id="a", random=Random(1), timing=Timing(), recovered=recovered
+        )
+        subject.take(SnapshotChunk("b", "a", 2, 9, 2, VOTERS, 0, 1, b"x", 1))
+        self.assertEqual(subject.list_effects(SendMessage), [])
+        self.assertTrue(subject.consensus.get_status(now=0).halted)
+        subject.take(VoteRequest("b", "a", 3, 9, 2, False))
+        self.assertEqual(subject.effects, [])
+
+    def test_refusal_of_an_old_term_confirms_no_round(self) -> None:
+        """b led in term 2, and leads again in term 4. An append of its term 2 arrives
+        late; the answer shows term 4 and must not look like one to a round of it."""
+        subject = Subject(term=4)
+        subject.append((1, 1), (), term=2)
+        self.assertEqual(getattr(subject.get_answer(), "round", None), 0)
+
+
+class LeaderTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.subject = Subject(2, 2, term=3)
+        self.subject.lead()
+
+    def test_entries_of_earlier_terms_are_not_counted(self) -> None:
+        """Entries of term 2 reach a majority under the leader of term 4. Until one of
+        term 4 does, another leader may still overwrite them: they are not committed."""
+        self.subject.persist()
+        self.subject.ack("b", 3)
+        self.assertEqual(self.subject.consensus.commit_index, 1)
+        self.subject.ack("b", 4)
+        self.assertEqual(self.subject.consensus.commit_index, 4)
+
+    def test_own_entry_counts_once_it_is_synced(self) -> None:
+        persist = self.subject.list_effects(Persist)[0]
+        self.subject.ack("b", 4)
+        self.assertEqual(self.subject.consensus.commit_index, 1)
+        self.subject.handle(Persisted(last_index=persist.last_index, last_term=persist.last_term))
+        self.assertEqual(self.subject.consensus.commit_index, 4)
+
+    def test_replaced_entries_are_not_synced(self) -> None:
+        """Entries up to 4 were synced, then replaced by one at 2. When this replica
+        leads, its own entry 3 must not count as synced because 4 once was."""
+        subject = Subject(2, 2, 2, term=3)
+        subject.append((1, 1), make_entries(3), term=3)
+        subject.take(TimeoutNow("b", "a", 3))
+        subject.take(VoteAnswer("b", "a", 4, True))
+        subject.ack("b", 3)
+        self.assertEqual(subject.consensus.commit_index, 1)
+
+    def test_read_waits_for_a_round_after_it(self) -> None:
+        self.subject.persist()
+        self.subject.ack("b", 4, round_number=1)
+        self.subject.handle(ReadRequested(read_id=7))
+        self.assertEqual(self.subject.list_effects(ReadReady), [])
+        self.subject.ack("b", 4, round_number=1)
+        self.assertEqual(self.subject.list_effects(ReadReady), [])
+        self.subject.ack("b", 4, round_number=2)
+        self.assertEqual(self.subject.list_effects(ReadReady), [ReadReady(read_id=7, index=4)])
+
+    def test_read_during_a_round_waits_for_the_next(self) -> None:
+        self.subject.persist()
+        self.subject.ack("b", 4, round_number=1)
+        self.subject.handle(ReadRequested(read_id=7))
+        self.subject.handle(ReadRequested(read_id=8))
+        self.subject.ack("b", 4, round_number=2)
+        ready = self.subject.list_effects(ReadReady)
+        self.assertEqual([one.read_id for one in ready], [7])
+        self.subject.ack("b", 4, round_number=3)
+        self.assertEqual(self.subject.list_effects(ReadReady)[0].read_id, 8)
+
+    def test_read_of_a_new_leader_waits_for_its_first_entry(self) -> None:
+        """The leader before answered writes that this one holds but does not know to
+        be committed. A read at its own commit index would miss them."""
+        self.subject.persist()
+        self.subject.handle(ReadRequested(read_id=7))
+        self.subject.ack("b", 3, round_number=9)
+        self.assertEqual(self.subject.list_effects(ReadReady), [])
+        self.subject.ack("b", 4, round_number=9)
+        self.assertEqual(self.subject.list_effects(ReadReady), [ReadReady(read_id=7, index=4)])
+
+    def test_lost_entries_exclude_a_replica(self) -> None:
+        """b acknowledged entry 4; later it refuses and its log ends at 0. Its disk was
+        lost, it counts no more. A late refusal from before the acknowledgement says
+        nothing."""
+        self.subject.ack("b", 4, round_number=1)
+        self.subject.refuse("b", 0, round_number=1)
+        self.assertEqual(self.subject.list_effects(ReplicaRegressed), [])
+        self.subject.refuse("b", 0, round_number=2)
+        self.assertEqual(
+            self.subject.list_effects(ReplicaRegressed), [ReplicaRegressed(replica_id="b")]
+        )
+
+    def test_voter_that_forgot_its_membership_is_excluded(self) -> None:
+        self.subject.refuse("c", 0, round_number=1, member=False)
+        self.assertEqual(
+            self.subject.list_effects(ReplicaRegressed), [ReplicaRegressed(replica_id="c")]
+        )
+
+    def test_proposals_end_once(self) -> None:
+        """Committed after the majority; unknown when leadership is lost; refused with
+        the leader's name where there was none."""
+        proposal = Proposal(proposal_id=1, data=b"x")
+        self.subject.handle(Propose(proposals=(proposal,)))
+        self.assertEqual(self.subject.list_effects(ProposalEnded), [])
+        self.subject.take(AppendRequest("c", "a", 9, 1, 1, (), 1, 1))
+        ended = self.subject.list_effects(ProposalEnded)
+        self.assertEqual([one.outcome for one in ended], [Outcome.UNKNOWN])
+        self.subject.handle(Propose(proposals=(Proposal(proposal_id=2, data=b"y"),)))
+        ended = self.subject.list_effects(ProposalEnded)
+        self.assertEqual([(one.outcome, one.leader) for one in ended], [(Outcome.REFUSED, "c")])
+
+    def test_snapshot_compacts_and_keeps_terms(self) -> None:
+        self.subject.persist()
+        self.subject.ack("b", 4)
+        self.subject.handle(SnapshotTaken(index=4, data=b"s"))
+        persist = self.subject.list_effects(Persist)[0]
+        assert persist.snapshot is not None
+        self.assertEqual((persist.snapshot.index, persist.snapshot.term), (4, 4))
+        self.assertEqual(self.subject.handle(SnapshotTaken(index=9, data=b"s")), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/components/replica/test_replica.py
@@ -0,0 +1,279 @@
+"""The writer: what its callers are told, and how events share a sync."""
+
+import tempfile
+import threading
+import unittest
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from random import Random
+
+from chivetrack.components.consensus import Consensus
+from chivetrack.components.consensus.members import make_voters
+from chivetrack.components.consensus.models import (
+    Persist,
+    Recovered,
+    Snapshot,
+    Timing,
+)
+from chivetrack.components.replica import Replica, ReplicaCore
+from chivetrack.components.replica.models import NotLeaderFault
+from chivetrack.components.storage import Storage, create_folder, open_storage
+from chivetrack.components.storage.exceptions import WriteFailedError
+from chivetrack.components.storage.records import Identity
+from chivetrack.core import SendMessage
+from chivetrack.exceptions import Fault, Ran
+from chivetrack.helpers.codec import pack, unpack
+
+
+class Journal:
+    """A state machine that keeps every value and answers with their number."""
+
+    def __init__(self) -> None:
+        self.values: list[bytes] = []
+
+    def apply(self, index: int, data: bytes) -> bytes:
+        self.values.append(data)
+        return b"%d" % len(self.values)
+
+    def take_snapshot(self) -> bytes:
+        return b",".join(self.values)
+
+    def restore_snapshot(self, data: bytes) -> None:
+        self.values = data.split(b",") if data else []
+
+
+class Disk:
+    """Counts saves; fails once told to."""
+
+    def __init__(self) -> None:
+        self.saves: list[int] = []
+        self.full = False
+
+    def save(self, persists: Sequence[Persist]) -> None:
+        if self.full:
+            raise WriteFailedError(Path("data"), "disk full")
+        self.saves.append(len(persists))
+
+
+class StepWaiter(threading.Event):
+    """Runs all replicas instead of waiting: tests need no threads and no time."""
+
+    work: Callable[[], None] | None = None
+
+    def wait(self, timeout: float | None = None) -> bool:
+        if self.work is not None:
+            self.work()
+        return self.is_set()
+
+
+class Cluster:
+    """Replicas a, b and c with in-memory disks and a clock that is handed on by hand."""
+
+    def __init__(self, *names: str) -> None:
+        self.now = 0.0
+        self.replicas: dict[str, Replica] = {}
+        self.journals: dict[str, Journal] = {}
+        self.disks: dict[str, Disk] = {}
+        self.cut: set[str] = set()
+        first = Snapshot(index=1, term=1, members=make_voters(*names))
+        for number, name in enumerate(names):
+            self.journals[name] = Journal()
+            self.disks[name] = Disk()
+            consensus = Consensus(
+                replica_id=name,
+                random=Random(number),
+                timing=Timing(),
+                recovered=Recovered(snapshot=first),
+            )
+            core = ReplicaCore(
+                consensus=consensus,
+                state_machine=self.journals[name],
+                snapshot=first,
+                snapshot_entries=10,
+            )
+            self.replicas[name] = Replica(
+                core=core,
+                storage=self.disks[name],
+                send=self.make_sender(name),
+                clock=lambda: self.now,
+                make_waiter=self.make_waiter,
+            )
+
+    def make_waiter(self) -> StepWaiter:
+        waiter = StepWaiter()
+        waiter.work = self.work
+        return waiter
+
+    def make_sender(self, source: str) -> Callable[[SendMessage], None]:
+        def send(effect: SendMessage) -> None:
+            if not {source, effect.target} & self.cut:
+                message = unpack(pack(effect.message))
+                self.replicas[effect.target].receive(source, message)
+
+        return send
+
+    def work(self, rounds: int = 30) -> None:
+        for _ in range(rounds):
+            self.now += 0.002
+            for name, replica in self.replicas.items():
+                if not self.disks[name].full:
+                    replica.step()
+
+    def elect(self) -> str:
+        while True:
+            self.work()
+            for name, replica in self.replicas.items():
+                if name not in self.cut and replica.get_status().consensus.role == "leader":
+                    return name
+
+
+class ReplicaTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.cluster = Cluster("a", "b", "c")
+        self.name = self.cluster.elect()
+        self.leader = self.cluster.replicas[self.name]
+        self.others = [one for one in "abc" if one != self.name]
+
+    def get_fault(self, data: bytes = b"x", *, name: str | None = None) -> Fault:
+        return (
+            self.cluster.replicas[name or self.name]
+            .propose(data)
+            .swap()
+            .default_value(Fault(code="none", message="", status=0))
+        )
+
+    def test_accepted(self) -> None:
+        self.assertEqual(self.leader.propose(b"x").default_value(b""), b"1")
+        self.assertEqual(self.leader.propose(b"y").default_value(b""), b"2")
+        self.assertGreaterEqual(self.leader.confirm_read().default_value(0), 4)
+        self.cluster.work(200)
+        for journal in self.cluster.journals.values():
+            self.assertEqual(journal.values, [b"x", b"y"])
+
+    def test_refused_with_the_leader(self) -> None:
+        fault = self.get_fault(name=self.others[0])
+        assert isinstance(fault, NotLeaderFault)
+        self.assertEqual((fault.ran, fault.leader), (Ran.NO, self.name))
+
+    def test_unknown_behind_a_cut(self) -> None:
+        """The leader is cut off after it took a write. The caller is told that the
+        outcome is unknown: the entry is in a log and may be committed later."""
+        self.cluster.cut.add(self.name)
+        fault = self.get_fault()
+        self.assertEqual((fault.code, fault.ran), ("outcome_unknown", Ran.MAYBE))
+
+    def test_failed_disk(self) -> None:
+        """The leader's disk fails during a write. The caller is told that the outcome is
+        unknown, since the followers may hold it; later callers are refused, and the
+        replica answers no message any more."""
+        disk = self.cluster.disks[self.name]
+        failed: list[Exception] = []
+
+        def work() -> None:
+            disk.full = True
+            try:
+                self.leader.step()
+            except WriteFailedError as error:
+                failed.append(error)
+
+        waiters: list[StepWaiter] = []
+        make = self.leader._calls._make_waiter
+
+        def make_waiter() -> StepWaiter:
+            waiter = make()
+            assert isinstance(waiter, StepWaiter)
+            waiter.work = work
+            waiters.append(waiter)
+            return waiter
+
+        self.leader._calls._make_waiter = make_waiter
+        fault = self.get_fault()
+        self.assertEqual((fault.code, fault.ran), ("outcome_unknown", Ran.MAYBE))
+        self.assertEqual(len(failed), 1)
+        fault = self.get_fault()
+        self.assertEqual((fault.code, fault.ran), ("storage_failed", Ran.NO))
+        self.assertIn("disk full", self.leader.get_status().failure)
+
+    def test_many_writers_share_a_sync(self) -> None:
+        """Sixty-four writers propose before the writer turns to them: one save at the
+        leader, and one message to each follower."""
+        self.cluster.work(100)
+        disk = self.cluster.disks[self.name]
+        disk.saves.clear()
+        barrier = StepWaiter()
+        self.leader._calls._make_waiter = lambda: barrier
+        for number in range(64):
+            self.leader.propose(b"%d" % number)
+        self.assertEqual(disk.saves, [])
+        self.cluster.work()
+        self.assertEqual(disk.saves[0], 1)
+        self.assertLessEqual(len(disk.saves), 1 + 64 // 10)
+        self.assertEqual(len(self.cluster.journals[self.name].values), 64)
+
+    def test_hand_over(self) -> None:
+        self.leader.transfer_leadership()
+        self.cluster.work()
+        self.assertNotEqual(self.cluster.elect(), self.name)
+
+
+class RestartTest(unittest.TestCase):
+    def make_replica(self, storage: Storage, journal: Journal) -> Replica:
+        recovered = storage.take_recovered()
+        replica_id = storage.identity.replica_id
+        core = ReplicaCore(
+            consensus=Consensus(
+                replica_id=replica_id, random=Random(1), timing=Timing(), recovered=recovered
+            ),
+            state_machine=journal,
+            snapshot=recovered.snapshot,
+            snapshot_entries=10,
+        )
+        return Replica(
+            core=core,
+            storage=storage,
+            send=lambda effect: None,
+            clock=self.tick,
+            make_waiter=self.make_waiter,
+        )
+
+    def setUp(self) -> None:
+        self.now = 0.0
+        self.replica: Replica | None = None
+
+    def tick(self) -> float:
+        self.now += 0.05
+        return self.now
+
+    def make_waiter(self) -> StepWaiter:
+        waiter = StepWaiter()
+        waiter.work = self.work
+        return waiter
+
+    def work(self) -> None:
+        for _ in range(60):
+            if self.replica is not None:
+                self.replica.step()
+
+    def test_values_survive_restarts(self) -> None:
+        """A lone replica is stopped and started five times, with snapshots between; the
+        state machine holds each acknowledged value once, in order."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "data"
+            first = Snapshot(index=1, term=1, members=make_voters("a"))
+            identity = Identity(replica_id="a", instance_id="a")
+            create_folder(path, identity=identity, snapshot=first)
+            written: list[bytes] = []
+            for life in range(5):
+                journal = Journal()
+                with open_storage(path=path) as storage:
+                    self.replica = self.make_replica(storage, journal)
+                    self.work()
+                    for number in range(7):
+                        value = b"%d-%d" % (life, number)
+                        self.assertTrue(self.replica.propose(value).is_ok())
+                        written.append(value)
+                    self.assertEqual(journal.values, written)
+
+
+if __name__ == "__main__":
+    unittest.main()
