--- a/tests/components/consensus/test_core.py
+++ b/tests/components/consensus/test_core.py
@@ -36,6 +36,7 @@
     Snapshot,
     SnapshotTaken,
     Timing,
+    TransferLeadership,
 )
 from chivetrack.core import Effect, Event, MessageReceived, SendMessage, TimeReached
 
@@ -341,6 +342,17 @@
         ended = self.subject.list_effects(ProposalEnded)
         self.assertEqual([(one.outcome, one.leader) for one in ended], [(Outcome.REFUSED, "c")])
 
+    def test_hand_over_waits_for_commits(self) -> None:
+        """b holds every entry but the last is not committed yet. Handing over now would
+        end its proposal as unknown for no reason."""
+        persist = self.subject.list_effects(Persist)[0]
+        self.subject.ack("b", 4)
+        self.subject.handle(TransferLeadership(target="b"))
+        self.assertEqual(self.subject.list_effects(SendMessage), [])
+        self.subject.handle(Persisted(last_index=persist.last_index, last_term=persist.last_term))
+        sent = [one.message for one in self.subject.list_effects(SendMessage)]
+        self.assertTrue(any(isinstance(one, TimeoutNow) for one in sent))
+
     def test_snapshot_compacts_and_keeps_terms(self) -> None:
         self.subject.persist()
         self.subject.ack("b", 4)
--- a/tests/components/replica/test_replica.py
+++ b/tests/components/replica/test_replica.py
@@ -190,6 +190,7 @@
         fault = self.get_fault()
         self.assertEqual((fault.code, fault.ran), ("outcome_unknown", Ran.MAYBE))
         self.assertEqual(len(failed), 1)
+        self.assertTrue(waiters[0].is_set(), "the caller need not wait any longer")
         fault = self.get_fault()
         self.assertEqual((fault.code, fault.ran), ("storage_failed", Ran.NO))
         self.assertIn("disk full", self.leader.get_status().failure)
--- a/tests/components/storage/test_storage.py
+++ b/tests/components/storage/test_storage.py
@@ -167,13 +167,18 @@
         self.save(make_persist(10, 12))
         older = sorted(self.path.glob("log-*"))[0]
         older.write_bytes(older.read_bytes()[:-1])
-        with self.assertRaises(DamagedFileError):
+        with self.assertRaises(DamagedFileError) as caught:
             self.recover()
+        self.assertEqual(caught.exception.path, older)
 
     def test_missing_segment_refuses_to_start(self) -> None:
-        for first, last in ((2, 5), (6, 7), (8, 9)):
-            self.save(make_persist(first, last))
-        for index in (0, 1):
+        """One of four segments is gone, at one time the one that holds only a vote."""
+        vote = Persist(hard_state=HardState(term=3, vote="c"), last_index=5, last_term=1)
+        self.save(make_persist(2, 5))
+        self.save(vote)
+        self.save(make_persist(6, 7))
+        self.save(make_persist(8, 9))
+        for index in (0, 1, 2):
             with self.subTest(index):
                 segment = sorted(self.path.glob("log-*"))[index]
                 whole = segment.read_bytes()
@@ -251,8 +256,11 @@
         entries; an empty folder may be that of a lost disk."""
         with open_storage(path=self.path), self.assertRaises(FolderLockedError):
             self.recover()
-        with self.assertRaises(FolderExistsError):
-            create_folder(self.path, identity=IDENTITY)
+        joining = self.root / "joining"
+        create_folder(joining, identity=IDENTITY)
+        for path in (self.path, joining):
+            with self.assertRaises(FolderExistsError):
+                create_folder(path, identity=IDENTITY)
         empty = self.root / "empty"
         empty.mkdir()
         with self.assertRaises(FolderEmptyError), open_storage(path=empty):
