Hold the state in the replicated log, founded once and repaired by new ids

Cause: the state was in one process's memory. Replica ids are new for every folder, so a lost disk comes back as a stranger. The command line follows: replica commands take the ids that the logs show and no address, a drain names kind and target as the resource has it, restore makes a data folder on the spot instead of sending the state to a route that nobody serves.

--- a/chivetrack/cli/commands/backup.py
+++ b/chivetrack/cli/commands/backup.py
@@ -3,15 +3,19 @@
 import hashlib
 import os
 from pathlib import Path
+from random import SystemRandom
 from typing import Annotated
 
 import typer
 
 from chivetrack.cli.app import app
-from chivetrack.cli.client import Request
 from chivetrack.cli.const import ExitCode
 from chivetrack.cli.output import print_error, print_line
 from chivetrack.cli.session import get_client, take
+from chivetrack.components.storage.backup import make_replica_id
+from chivetrack.components.storage.backup import restore_backup as make_folder_from_backup
+from chivetrack.components.storage.exceptions import StorageError
+from chivetrack.components.storage.records import Identity
 
 BACKUP = "backup"
 
@@ -33,22 +37,30 @@
 
 
 @app.command("restore")
-def restore_backup(
-    context: typer.Context,
+def restore_folder(
     file: Annotated[Path, typer.Argument(help="File that `chivetrack backup` wrote.")],
+    folder: Annotated[Path, typer.Option(help="Data folder to make; must be empty or absent.")],
+    instance: Annotated[str, typer.Option(help="Id of the instance that will use it.")],
     yes: Annotated[bool, typer.Option("--yes", help="Do not ask.")] = False,
 ) -> None:
-    """Replace all durable state by that of a backup.
+    """Make a data folder from a backup, for the first replica of a new log.
 
-    The checksum beside the file is compared before anything is sent.
+    Run it on that instance, while the replicas of the old log are stopped for good: two
+    logs would each accept changes. The checksum beside the file is compared first.
     """
     content = read_backup(file)
     if content is None:
         raise typer.Exit(ExitCode.FINDINGS)
     if not yes:
-        typer.confirm("This replaces the state of the whole fleet. Go on?", abort=True)
-    take(get_client(context).send(Request(method="PUT", path=BACKUP, content=content)))
-    print_line(f"{file} accepted: restored")
+        typer.confirm("The old replicas must never start again. Go on?", abort=True)
+    replica_id = make_replica_id(instance_id=instance, random=SystemRandom())
+    identity = Identity(replica_id, instance)
+    try:
+        make_folder_from_backup(file, folder=folder, identity=identity)
+    except StorageError as error:
+        print_error(str(error))
+        raise typer.Exit(ExitCode.FINDINGS) from None
+    print_line(f"{folder}: made from {file} for replica {replica_id}")
 
 
 def read_backup(file: Path) -> bytes | None:
--- a/chivetrack/cli/commands/fleet.py
+++ b/chivetrack/cli/commands/fleet.py
@@ -12,6 +12,7 @@
 from chivetrack.cli.models import Document, Resource
 from chivetrack.cli.output import Output, format_document, print_json, print_line
 from chivetrack.cli.session import OutputOption, get_client, take
+from chivetrack.components.resources.models import DrainTargetKind
 
 
 class Subject(StrEnum):
@@ -43,29 +44,30 @@
 
 
 @app.command("drain")
-def drain_endpoint(
+def drain_target(
     context: typer.Context,
-    endpoint: Annotated[str, typer.Argument(help="Name of the endpoint.")],
+    name: Annotated[str, typer.Argument(help="Name of what is to be drained.")],
+    kind: Annotated[DrainTargetKind, typer.Option(help="What it is.")] = DrainTargetKind.ENDPOINT,
     reason: Annotated[str, typer.Option(help="Why, for those who look later.")] = "",
     undo: Annotated[bool, typer.Option("--undo", help="Take the drain back.")] = False,
 ) -> None:
-    """Let an endpoint finish what it has and give it nothing new.
+    """Let an endpoint, or a whole zone, finish what it has and give it nothing new.
 
-    This creates a drain resource with the endpoint's name; `chivetrack describe drain NAME`
-    shows how far it is, `--undo` deletes it.
+    This creates a drain resource of the same name; `chivetrack describe drain NAME` shows
+    how far it is, `--undo` deletes it.
     """
     client = get_client(context)
-    name = f"{DRAIN_KIND}/{endpoint}"
+    title = f"{DRAIN_KIND}/{name}"
     if undo:
-        take(client.send(Request(method="DELETE", path=join_path(DRAIN_KIND, endpoint))))
-        print_line(f"{name} accepted: deleted")
+        take(client.send(Request(method="DELETE", path=join_path(DRAIN_KIND, name))))
+        print_line(f"{title} accepted: deleted")
         return
-    spec: Document = {"endpoint": endpoint}
+    spec: Document = {"target": {"kind": kind.value, "name": name}}
     if reason:
         spec["reason"] = reason
-    document = {"kind": DRAIN_KIND, "metadata": {"name": endpoint}, "spec": spec}
+    document = {"kind": DRAIN_KIND, "metadata": {"name": name}, "spec": spec}
     applied = take(apply_resource(client, Resource(document)))
-    print_line(f"{name} accepted: {applied.change}")
+    print_line(f"{title} accepted: {applied.change}")
 
 
 def _print_document(document: Document, output: Output) -> None:
--- a/chivetrack/cli/commands/replicas.py
+++ b/chivetrack/cli/commands/replicas.py
@@ -17,17 +17,19 @@
 )
 app.add_typer(replica_app, name="replica")
 
-IdArgument = Annotated[str, typer.Argument(help="Id of the replica.")]
-AddressArgument = Annotated[str, typer.Argument(help="Its peer address, IP-number:port.")]
+IdArgument = Annotated[
+    str, typer.Argument(help="Id of the replica, as its instance's log and `status` show it.")
+]
 
 
 @replica_app.command("add")
-def add_replica(context: typer.Context, id: IdArgument, address: AddressArgument) -> None:
+def add_replica(context: typer.Context, id: IdArgument) -> None:
     """Add a replica; it learns the state first and votes once it has caught up.
 
-    Use an id that no replica ever had. `chivetrack status` shows how far it is.
+    An instance with an empty data folder makes a new id and logs it. `chivetrack status`
+    shows how far the replica is.
     """
-    _add(get_client(context), id, address)
+    _add(get_client(context), id)
 
 
 @replica_app.command("remove")
@@ -41,8 +43,7 @@
 def replace_replica(
     context: typer.Context,
     lost: Annotated[str, typer.Argument(help="Id of the replica whose disk is lost.")],
-    id: Annotated[str, typer.Argument(help="A new id for its successor.")],
-    address: AddressArgument,
+    id: Annotated[str, typer.Argument(help="The new id that its successor logs.")],
 ) -> None:
     """Remove a replica whose disk is lost and add its successor under a new id.
 
@@ -63,13 +64,13 @@
     else:
         print_error(f"Replica {lost} was not replaced; run the same command again.")
         exit_with_failure(removal.error)
-    _add(client, id, address)
+    _add(client, id)
 
 
-def _add(client: Client, id: str, address: str) -> None:
-    document = {"id": id, "address": address}
+def _add(client: Client, id: str) -> None:
+    document = {"id": id}
     result = client.send(Request(method="POST", path=REPLICAS, document=document))
     if result.is_error():
-        print_error(f"To go on: chivetrack replica add {id} {address}")
+        print_error(f"To go on: chivetrack replica add {id}")
         exit_with_failure(result.error)
     print_line(f"replica {id} accepted: added, votes once it has caught up")
--- a/chivetrack/components/management/app.py
+++ b/chivetrack/components/management/app.py
@@ -21,10 +21,9 @@
 
 
 class ReplicaDocument(msgspec.Struct, forbid_unknown_fields=True):
-    """The body of a request to add a replica."""
+    """The body of a request to add a replica; the id is the one that its log shows."""
 
     id: str
-    address: str
 
 
 def build_management_app(ports: ManagementPorts) -> Bottle:
@@ -73,7 +72,7 @@
         except msgspec.MsgspecError as error:
             fault = Fault(code="malformed_body", message=str(error), status=400, ran=Ran.NO)
             return make_error_response(fault)
-        return _acknowledge(self._ports.add_replica(document.id, document.address))
+        return _acknowledge(self._ports.add_replica(document.id))
 
     def remove_replica(self, name: str) -> HTTPResponse:
         return _acknowledge(self._ports.remove_replica(name))
--- a/chivetrack/components/management/models.py
+++ b/chivetrack/components/management/models.py
@@ -24,6 +24,6 @@
     read_status: Callable[[], Document]
     explain_request: Find
     explain_endpoint: Find
-    add_replica: Callable[[str, str], Result[None, Fault]]
+    add_replica: Callable[[str], Result[None, Fault]]
     remove_replica: Callable[[str], Result[None, Fault]]
     read_backup: Callable[[], Result[bytes, Fault]]
--- a/chivetrack/components/peers/const.py
+++ b/chivetrack/components/peers/const.py
@@ -2,8 +2,12 @@
 
 from typing import Final
 
+from chivetrack.const import MEBIBYTE
+
 QUEUE_LIMIT: Final = 512
 BATCH_LIMIT: Final = 64
+# A backup travels as one message; 49,000 workspaces take 19 MB.
+MAX_MESSAGE_BYTES: Final = 128 * MEBIBYTE
 DELIVER_TIMEOUT_S: Final = 2.0
 RECONNECT_MIN_MS: Final = 100
 RECONNECT_MAX_MS: Final = 2000
--- a/chivetrack/components/peers/transport.py
+++ b/chivetrack/components/peers/transport.py
@@ -14,6 +14,7 @@
     CALL_OVERHEAD_BYTES,
     DELIVER_TIMEOUT_S,
     KEEPALIVE_MS,
+    MAX_MESSAGE_BYTES,
     QUEUE_LIMIT,
     RECONNECT_MAX_MS,
     RECONNECT_MIN_MS,
@@ -23,6 +24,10 @@
 from chivetrack.helpers.codec import DecodeError, Message, decode, encode, get_kind
 from chivetrack.proto import peer_pb2, peer_pb2_grpc
 
+_SIZE_OPTIONS = [
+    ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+]
 _CHANNEL_OPTIONS = [
     ("grpc.min_reconnect_backoff_ms", RECONNECT_MIN_MS),
     ("grpc.initial_reconnect_backoff_ms", RECONNECT_MIN_MS),
@@ -32,6 +37,7 @@
     # Channels of two transports in one process must not share a connection: a test
     # that stops one of them would see the other's traffic.
     ("grpc.use_local_subchannel_pool", 1),
+    *_SIZE_OPTIONS,
 ]
 
 
@@ -97,7 +103,7 @@
         self._senders: list[gevent.Greenlet] = []
         self.traffic = TrafficCount()
         self._server = grpc.server(
-            ThreadPoolExecutor(SERVER_WORKERS), options=[("grpc.so_reuseport", 0)]
+            ThreadPoolExecutor(SERVER_WORKERS), options=[("grpc.so_reuseport", 0), *_SIZE_OPTIONS]
         )
         peer_pb2_grpc.add_PeerServicer_to_server(_Servicer(transport=self), self._server)
         port = self._bind(listen, server_credentials)
--- a/chivetrack/components/store/store.py
+++ b/chivetrack/components/store/store.py
@@ -100,8 +100,12 @@
     def restore_snapshot(self, data: bytes) -> None:
         """Put the state of a snapshot in place; raise ``StoreError`` for other bytes.
 
+        No bytes mean the empty state, with which a new log begins.
+
         A snapshot older than the state is refused too: revisions must not go back.
         """
+        if not data and self.index == 0:
+            return
         try:
             snapshot = decode(SNAPSHOT_KIND, data)
         except DecodeError as error:
--- a/chivetrack/daemon/instance.py
+++ b/chivetrack/daemon/instance.py
@@ -30,10 +30,10 @@
 from chivetrack.daemon.explanations import Explanations
 from chivetrack.daemon.listeners import Applications, Listeners
 from chivetrack.daemon.management import Management
-from chivetrack.daemon.memory_replica import MemoryReplica
 from chivetrack.daemon.metrics import build_metrics_app
 from chivetrack.daemon.peering import MessageDesk
 from chivetrack.daemon.recorder import RequestRecorder
+from chivetrack.daemon.replica_host import ReplicaHost
 from chivetrack.daemon.resources import ResourceDesk, build_resources_app, make_key_ring
 from chivetrack.daemon.runner import Runner
 from chivetrack.daemon.stop import GracefulStop, StopReport
@@ -44,6 +44,10 @@
 from chivetrack.helpers.timer import TimerService
 from chivetrack.helpers.tls import RELOAD_INTERVAL_S
 
+# Time for the news that this instance leaves, and for the writer's last sync.
+LEAVE_S = 0.5
+STOP_WRITER_S = 2.0
+
 _LOGGER = get_logger("daemon")
 
 
@@ -104,10 +108,7 @@
 
     @property
     def _is_replica(self) -> bool:
-        # Until the log is here, the first replica alone holds the state, in memory.
-        initial = self._settings.replicas.initial
-        is_first = bool(initial) and initial[0].id == self._settings.instance.id
-        return is_first and Role.REPLICA in self._settings.instance.roles
+        return Role.REPLICA in self._settings.instance.roles
 
     def _assemble_router(self) -> Router:
         instance = self._settings.instance
@@ -166,15 +167,18 @@
     def _resolve(self, instance_id: str) -> str | None:
         return self.router.membership.find_address(instance_id, now=time.monotonic())
 
-    def _build_replica(self) -> MemoryReplica | None:
-        if self._store is None:
+    def _build_replica(self) -> ReplicaHost | None:
+        folder = self._settings.instance.data_folder
+        if self._store is None or folder is None:
             return None
-        return MemoryReplica(
+        return ReplicaHost(
             instance_id=self.instance_id,
+            folder=folder,
+            first_instances=[member.id for member in self._settings.replicas.initial],
             store=self._store,
             post=self.runner.post,
             send=self._send_to,
-            read_clock=time.monotonic,
+            system_random=random.SystemRandom(),
         )
 
     def _build_listeners(self) -> Listeners:
@@ -252,7 +256,16 @@
             gevent.signal_handler(signal.SIGTERM, self._stop.ask)
             gevent.signal_handler(signal.SIGINT, self._stop.ask)
             _LOGGER.info("Instance {} is up.", self.instance_id)
-            return self._stop.wait()
+            report = self._stop.wait()
+            self._leave()
+            return report
+
+    def _leave(self) -> None:
+        """Hand over what others would otherwise find missing, and say that we leave."""
+        if self._replica is not None:
+            self._replica.hand_over()
+        self.router.membership.leave(now=time.monotonic())
+        gevent.sleep(LEAVE_S)
 
     @contextmanager
     def _serve(self) -> Iterator[None]:
@@ -267,6 +280,9 @@
         try:
             yield
         finally:
+            if self._replica is not None:
+                self._replica.stop()
+            gevent.joinall(loops[1:], timeout=STOP_WRITER_S)
             gevent.killall(loops)
             self._listeners.stop()
             self.transport.stop()
--- a/chivetrack/daemon/management.py
+++ b/chivetrack/daemon/management.py
@@ -1,18 +1,34 @@
 """Connects the operators' routes with the instance."""
 
+import math
 from collections.abc import Callable
 from dataclasses import asdict
 from typing import Any
 
-from expression import Error, Result
+import msgspec
+from expression import Error, Ok, Result
 
 from chivetrack.assembly import Router
+from chivetrack.components.consensus.members import ChangeKind
 from chivetrack.components.management.models import ManagementPorts
+from chivetrack.components.membership.models import Instance, InstanceStatus
+from chivetrack.components.replica.administration import (
+    ChangeReplica,
+    LeaderRefusal,
+    ReadLogStatus,
+    TakeBackup,
+)
 from chivetrack.daemon.explanations import Explanations
 from chivetrack.daemon.submissions import Submissions
 from chivetrack.exceptions import Fault, Ran
+from chivetrack.helpers.codec import pack, unpack
 from chivetrack.helpers.keys import KeyRing
 
+STATUS_TIMEOUT_S = 1.5
+CHANGE_TIMEOUT_S = 10.0
+BACKUP_TIMEOUT_S = 30.0
+_LIVING = frozenset({InstanceStatus.ALIVE, InstanceStatus.SUSPECT})
+
 Document = dict[str, Any]
 
 
@@ -50,33 +66,79 @@
         )
 
     def read_status(self) -> Document:
-        """Return what this instance knows of itself and the fleet."""
+        """Return what this instance knows of itself, the fleet and the log."""
         now = self._read_clock()
         view = self._router.configuration.view
-        in_force = self._router.configuration.compute_in_force([self._instance_id], now=now)
-        return {
+        instances = self._router.membership.list_instances()
+        document: Document = {
             "instance": self._instance_id,
             "leader": self._router.proposals.leader,
             "configuration": {
                 "revision": view.revision,
-                "confirmed_for_s": round(view.confirmed_until - now, 3),
-                "in_force": asdict(in_force),
+                "confirmed_for_s": _round(view.confirmed_until - now),
             },
             "requests_in_flight": self._router.flow.open_count,
+            "instances": [_describe_instance(each, now) for each in instances],
+        }
+        log = self._submissions.read(pack(ReadLogStatus()), timeout_s=STATUS_TIMEOUT_S)
+        if log.is_error():
+            document["log"] = {"error": log.error.code}
+        else:
+            document["log"] = msgspec.json.decode(log.ok.result)
+        document["in_force"] = self._describe_in_force(now)
+        return document
+
+    def _describe_in_force(self, now: float) -> Document:
+        """Return where the newest revision is in force; only the leader knows all."""
+        instances = self._router.membership.list_instances()
+        expected = [each.instance_id for each in instances if each.status in _LIVING]
+        found = self._router.configuration.compute_in_force(expected, now=now)
+        return {
+            "as_seen_by": self._instance_id,
+            "revision": found.revision,
+            "expected": found.expected,
+            "applied": found.applied,
+            "missing": [asdict(each) for each in found.missing],
+            "elapsed_s": _round(found.elapsed_s),
         }
 
-    def add_replica(self, replica_id: str, address: str) -> Result[None, Fault]:
-        """Add a replica."""
-        return Error(_not_here())
+    def add_replica(self, replica_id: str) -> Result[None, Fault]:
+        """Add a replica as a learner; it votes once it has caught up."""
+        return self._change(ChangeReplica(ChangeKind.ADD_LEARNER, replica_id))
 
     def remove_replica(self, replica_id: str) -> Result[None, Fault]:
-        """Remove a replica."""
-        return Error(_not_here())
+        """Remove a replica for good."""
+        return self._change(ChangeReplica(ChangeKind.REMOVE, replica_id))
+
+    def _change(self, change: ChangeReplica) -> Result[None, Fault]:
+        result = self._submissions.submit(pack(change), timeout_s=CHANGE_TIMEOUT_S)
+        if result.is_error():
+            return Error(result.error)
+        if not result.ok:
+            return Ok(None)
+        refusal = unpack(result.ok)
+        assert isinstance(refusal, LeaderRefusal)
+        fault = Fault(code=refusal.code, message=refusal.text, status=refusal.status, ran=Ran.NO)
+        return Error(fault)
 
     def read_backup(self) -> Result[bytes, Fault]:
-        """Return the durable state."""
-        return Error(_not_here())
+        """Return the durable state as the content of a backup file."""
+        result = self._submissions.read(pack(TakeBackup()), timeout_s=BACKUP_TIMEOUT_S)
+        return result.map(lambda ended: ended.result)
+
+
+def _describe_instance(instance: Instance, now: float) -> Document:
+    return {
+        "id": instance.instance_id,
+        "zone": instance.zone,
+        "roles": list(instance.roles),
+        "status": instance.status.value,
+        "since_s": _round(now - instance.since),
+        "reason": instance.reason,
+    }
 
 
-def _not_here() -> Fault:
-    return Fault(code="not_implemented", message="not available yet", status=501, ran=Ran.NO)
+def _round(value: float | None) -> float | None:
+    if value is None or not math.isfinite(value):
+        return None
+    return round(value, 3)
