Limit workspaces over the whole fleet and shed at once

Cause: each router sees a sliver of a workspace's traffic; a surge of one workspace must not make the others wait; a request held until its deadline leaves its caller no time to turn elsewhere.

Change: parts of a limit by told demand, a greater one used only 1.5 s after it was told; whole units laid end to end; a dead band and a time constant by demand; token buckets and concurrency by part; a bounded queue with priorities, turns by weight and a surplus that comes from whoever fills it; a wait estimated from service times, on which a request is shed at once with Retry-After spread by a seeded random.

--- /dev/null
+++ b/chivetrack/components/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits of workspaces: rate, concurrency, fair shares, a bounded queue."""
--- /dev/null
+++ b/chivetrack/components/limits/demand.py
@@ -0,0 +1,59 @@
+"""How much of a workspace's traffic comes through this router."""
+
+from math import exp
+
+from chivetrack.components.limits.const import (
+    DECAY_REQUESTS,
+    DEMAND_DEAD_BAND,
+    MAX_DECAY_S,
+    MIN_DECAY_S,
+    MIN_DEMAND,
+)
+
+
+class DemandMeter:
+    """Requests a second by workspace, as a mean that forgets."""
+
+    def __init__(self) -> None:
+        """Start with no demand."""
+        self._rates: dict[str, tuple[float, float]] = {}
+        self._told: dict[str, float] = {}
+
+    def note(self, workspace: str, now: float) -> None:
+        """Count a request, also one that is refused."""
+        rate = self.get(workspace, now)
+        self._rates[workspace] = (rate + 1.0 / _get_decay(rate), now)
+
+    def get(self, workspace: str, now: float) -> float:
+        """Return the requests a second of a workspace."""
+        rate, noted_at = self._rates.get(workspace, (0.0, now))
+        return rate * exp((noted_at - now) / _get_decay(rate))
+
+    def collect(self, now: float) -> dict[str, float]:
+        """Return all demands to tell and forget those that have died down.
+
+        A demand is told anew only when it has clearly changed. Parts are computed from
+        the least demand told of late, so each wobble would leave some of the limit to
+        nobody: a workspace would be refused well below its limit.
+        """
+        rates = {workspace: self.get(workspace, now) for workspace in self._rates}
+        kept = {workspace: rate for workspace, rate in rates.items() if rate >= MIN_DEMAND}
+        self._rates = {workspace: (rate, now) for workspace, rate in kept.items()}
+        self._told = {workspace: self._steady(workspace, rate) for workspace, rate in kept.items()}
+        return self._told
+
+    def _steady(self, workspace: str, rate: float) -> float:
+        told = self._told.get(workspace, 0.0)
+        least_change = DEMAND_DEAD_BAND * max(told, rate)
+        return rate if told <= 0.0 or abs(rate - told) > least_change else told
+
+
+def _get_decay(rate: float) -> float:
+    """Return the time constant: long enough for some requests, and no longer.
+
+    A busy workspace that moves to other routers is told within a second; one that sends
+    a request now and then is not taken for gone in between.
+    """
+    if rate <= 0.0:
+        return MAX_DECAY_S
+    return min(max(DECAY_REQUESTS / rate, MIN_DECAY_S), MAX_DECAY_S)
--- /dev/null
+++ b/chivetrack/components/limits/faults.py
@@ -0,0 +1,44 @@
+"""The faults of requests that were not let in; none of them ran."""
+
+from random import Random
+
+from chivetrack.components.limits.const import (
+    MAX_RETRY_AFTER_S,
+    MIN_RETRY_AFTER_S,
+    RETRY_SPREAD,
+    STATUS_OVERLOADED,
+    STATUS_TOO_MANY,
+)
+from chivetrack.components.limits.gate import Cause, WaitEstimate
+from chivetrack.exceptions import Fault, Ran
+
+_CODES = {
+    Cause.RATE: "rate-limited",
+    Cause.CONCURRENCY: "concurrency-limited",
+    Cause.CAPACITY: "overloaded",
+    Cause.NOTHING: "overloaded",
+}
+
+_MESSAGES = {
+    Cause.RATE: "The workspace sends more requests a second than its limit.",
+    Cause.CONCURRENCY: "The workspace has more requests running than its limit.",
+    Cause.CAPACITY: "The request can't be done before its deadline.",
+    Cause.NOTHING: "The request can't be done before its deadline.",
+}
+
+
+def make_fault(estimate: WaitEstimate, random: Random) -> Fault:
+    """Return the fault for a shed request.
+
+    ``Retry-After`` is spread out: callers that were shed together would come back
+    together and be shed again.
+    """
+    base = min(max(estimate.seconds, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
+    limited = estimate.cause in (Cause.RATE, Cause.CONCURRENCY)
+    return Fault(
+        code=_CODES[estimate.cause],
+        message=_MESSAGES[estimate.cause],
+        status=STATUS_TOO_MANY if limited else STATUS_OVERLOADED,
+        ran=Ran.NO,
+        retry_after_s=random.uniform(base, base * (1.0 + RETRY_SPREAD)),
+    )
--- /dev/null
+++ b/chivetrack/components/limits/models.py
@@ -0,0 +1,69 @@
+"""Shapes of the limits component."""
+
+from dataclasses import dataclass
+
+from chivetrack.core import Effect
+from chivetrack.exceptions import Fault
+from chivetrack.helpers.codec import Message, message
+
+
+@message("limits.demands")
+class DemandReport(Message, frozen=True, array_like=True):
+    """All demands of one router in requests a second, by workspace.
+
+    Always complete; an absent workspace has none. ``incarnation`` and ``sequence``
+    order the messages of one router.
+    """
+
+    incarnation: int
+    sequence: int
+    demands: dict[str, float]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WorkspaceLimit:
+    """A workspace's limits over the whole fleet; ``None`` means no limit.
+
+    ``weight`` is its fair share of a router's capacity while there is not enough.
+    """
+
+    rate_per_s: float | None = None
+    burst: float = 1.0
+    concurrency: int | None = None
+    weight: float = 1.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LimitedRequest:
+    """A request that asks to be let in; a higher ``priority`` goes first.
+
+    ``deadline`` is a time on the clock of ``now``, by which the answer must be whole.
+    """
+
+    request_id: str
+    workspace: str
+    deadline: float
+    priority: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Admit(Effect):
+    """Let the request go on to routing."""
+
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Wait(Effect):
+    """Hold the request; an ``Admit`` or a ``Shed`` will follow."""
+
+    request_id: str
+    estimate_s: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Shed(Effect):
+    """Answer the request with the fault at once; it did not run."""
+
+    request_id: str
+    fault: Fault
--- /dev/null
+++ b/chivetrack/components/limits/queue.py
@@ -0,0 +1,120 @@
+"""The bounded queue: priorities first, then fair shares of the workspaces."""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from chivetrack.components.limits.models import LimitedRequest
+
+
+@dataclass(frozen=True, slots=True)
+class _Lane:
+    priority: int
+    workspace: str
+
+
+@dataclass(frozen=True, slots=True)
+class _Waiting:
+    tag: float
+    request: LimitedRequest
+
+
+class FairQueue:
+    """Requests that wait; of equal priority, workspaces take turns by their weights.
+
+    A turn costs ``1 / weight`` of virtual time, so a workspace that surges tenfold waits
+    behind its own requests and not in front of everybody else's.
+    """
+
+    def __init__(self, *, capacity: int) -> None:
+        """Hold at most ``capacity`` requests."""
+        self._capacity = capacity
+        self._lanes: dict[_Lane, deque[_Waiting]] = {}
+        self._last_tags: dict[_Lane, float] = {}
+        self._virtual_time = 0.0
+        self._length = 0
+
+    def __len__(self) -> int:
+        return self._length
+
+    @property
+    def is_full(self) -> bool:
+        """Return whether something must leave before more can come."""
+        return self._length >= self._capacity
+
+    def push(self, request: LimitedRequest, *, weight: float) -> None:
+        """Add a request."""
+        lane = _Lane(request.priority, request.workspace)
+        start = max(self._virtual_time, self._last_tags.get(lane, 0.0))
+        tag = start + 1.0 / weight
+        self._last_tags[lane] = tag
+        self._lanes.setdefault(lane, deque()).append(_Waiting(tag, request))
+        self._length += 1
+
+    def pop(self, is_eligible: Callable[[str], bool]) -> LimitedRequest | None:
+        """Take the next request whose workspace is eligible."""
+        lanes = [lane for lane in self._lanes if is_eligible(lane.workspace)]
+        if not lanes:
+            return None
+        lane = min(lanes, key=lambda each: (-each.priority, self._lanes[each][0].tag))
+        waiting = self._lanes[lane].popleft()
+        self._virtual_time = max(self._virtual_time, waiting.tag)
+        self._close(lane)
+        return waiting.request
+
+    def pop_surplus(self, newcomer: LimitedRequest) -> LimitedRequest | None:
+        """Take the newest request of the lane that holds most, to make room.
+
+        Lanes of a higher priority than the newcomer's are spared. Returns ``None`` when
+        the newcomer's own lane is the longest: then it is the surplus.
+        """
+        own = _Lane(newcomer.priority, newcomer.workspace)
+        lanes = [lane for lane in self._lanes if lane.priority <= newcomer.priority]
+        if not lanes:
+            return None
+        lane = max(lanes, key=lambda each: (-each.priority, len(self._lanes[each])))
+        same = lane.priority == own.priority
+        if same and len(self._lanes[lane]) <= len(self._lanes.get(own, ())) + 1:
+            return None
+        waiting = self._lanes[lane].pop()
+        self._close(lane)
+        return waiting.request
+
+    def pop_where(self, must_leave: Callable[[LimitedRequest], bool]) -> list[LimitedRequest]:
+        """Take all requests that a condition is true of."""
+        left = []
+        for lane, waiting in list(self._lanes.items()):
+            gone = [each.request for each in waiting if must_leave(each.request)]
+            if not gone:
+                continue
+            left.extend(gone)
+            names = {request.request_id for request in gone}
+            self._lanes[lane] = deque(w for w in waiting if w.request.request_id not in names)
+            self._length -= len(gone) - 1
+            self._close(lane)
+        return left
+
+    def count_ahead(self, request: LimitedRequest, *, share: float) -> float:
+        """Return about how many requests would be admitted before this one.
+
+        ``share`` is the part of the turns that its workspace gets.
+        """
+        own = len(self._lanes.get(_Lane(request.priority, request.workspace), ()))
+        higher = sum(len(w) for lane, w in self._lanes.items() if lane.priority > request.priority)
+        equal = sum(len(w) for lane, w in self._lanes.items() if lane.priority == request.priority)
+        return higher + min(float(equal), own / share)
+
+    def list_workspaces(self) -> set[str]:
+        """Return the workspaces that wait."""
+        return {lane.workspace for lane in self._lanes}
+
+    def count(self, workspace: str) -> int:
+        """Return how many requests of a workspace wait."""
+        return sum(len(w) for lane, w in self._lanes.items() if lane.workspace == workspace)
+
+    def _close(self, lane: _Lane) -> None:
+        self._length -= 1
+        if self._lanes[lane]:
+            return
+        del self._lanes[lane]
+        del self._last_tags[lane]
--- /dev/null
+++ b/chivetrack/components/limits/shares.py
@@ -0,0 +1,135 @@
+"""Which part of a fleet-wide limit this router may use.
+
+Each router's part is its demand over all demands it knows of, each with a small prior
+added, so that a router where a workspace turns up can admit something at once. Were a
+router to use a greater demand as soon as it sees it, it would take a greater part before
+the others have given up theirs, and together they would exceed the limit. So it tells
+the greater demand first and uses it ``SHARE_GROWTH_DELAY_S`` later, when the others have
+heard; a smaller one it uses at once. What router i believes of j is then never less than
+what j uses, hence the parts
+
+    used_i / (used_i + sum of what i believes of the others)
+
+add up to at most one, as long as messages arrive within the delay. A router that has
+just started has heard nobody and takes no part until the delay has passed. Routers cut
+off from each other keep each other's last demand until membership declares the others
+dead; from then on each side of the cut holds the limit for itself.
+"""
+
+from collections import deque
+from collections.abc import Collection
+from itertools import takewhile
+from math import floor
+
+from xxhash import xxh3_64_intdigest
+
+from chivetrack.components.limits.const import PRIOR_DEMAND, SHARE_GROWTH_DELAY_S
+from chivetrack.components.limits.demand import DemandMeter
+from chivetrack.components.limits.models import DemandReport
+
+_ROUND = 0.5
+
+
+class ShareBook:
+    """This router's demands and those that the others told."""
+
+    def __init__(self, *, router_id: str, incarnation: int = 0) -> None:
+        """Start alone; ``incarnation`` must rise when this router restarts."""
+        self._router_id = router_id
+        self._incarnation = incarnation
+        self._sequence = 0
+        self._meter = DemandMeter()
+        self._told: deque[tuple[float, dict[str, float]]] = deque()
+        self._used: dict[str, float] = {}
+        self._others: dict[str, DemandReport] = {}
+        self._routers = [router_id]
+        self._listened = False
+
+    def set_routers(self, router_ids: Collection[str]) -> None:
+        """Take over the routers that membership knows of; forget all others."""
+        self._routers = sorted({*router_ids, self._router_id})
+        for source in list(self._others):
+            if source not in router_ids:
+                del self._others[source]
+
+    def note_request(self, workspace: str, now: float) -> None:
+        """Count a request of a workspace, also one that is refused."""
+        self._meter.note(workspace, now)
+
+    def collect_demands(self, now: float) -> DemandReport:
+        """Return this router's demands as a message, each ``DEMAND_INTERVAL_S``."""
+        self._sequence += 1
+        demands = self._meter.collect(now)
+        self._told.append((now, demands))
+        while len(self._told) > 1 and self._told[1][0] <= now - SHARE_GROWTH_DELAY_S:
+            self._told.popleft()
+        self._listened = self._told[0][0] <= now - SHARE_GROWTH_DELAY_S
+        self._used = self._find_used()
+        return DemandReport(incarnation=self._incarnation, sequence=self._sequence, demands=demands)
+
+    def merge_demands(self, source: str, report: DemandReport) -> bool:
+        """Take another router's demands; return whether they were news."""
+        if source == self._router_id or source not in self._routers:
+            return False
+        old = self._others.get(source)
+        if old is not None and _order(report) <= _order(old):
+            return False
+        self._others[source] = report
+        return True
+
+    def get_share(self, workspace: str) -> float:
+        """Return the part of the workspace's rate that this router may use."""
+        if not self._has_listened:
+            return 0.0
+        return self._weigh(self._router_id, workspace, self._sum_demands(workspace))
+
+    def allot_units(self, workspace: str, limit: int) -> int:
+        """Return how many of ``limit`` whole units this router may use.
+
+        Rounding each router's part up would let 380 routers use 380 units of a limit of
+        four. So all parts are laid end to end in one order, and a router owns the units
+        that begin in its stretch; what is rounded up for one is missing for the next.
+        """
+        if not self._has_listened:
+            return 0
+        total = self._sum_demands(workspace)
+        before = sum(
+            self._weigh(router_id, workspace, total)
+            for router_id in takewhile(self._router_id.__ne__, self._order_routers(workspace))
+        )
+        own = self._weigh(self._router_id, workspace, total)
+        return floor(limit * (before + own) + _ROUND) - floor(limit * before + _ROUND)
+
+    @property
+    def _has_listened(self) -> bool:
+        return self._listened or len(self._routers) == 1
+
+    def _order_routers(self, workspace: str) -> list[str]:
+        """Return the routers from a place that differs by workspace."""
+        first = xxh3_64_intdigest(workspace.encode()) % len(self._routers)
+        return self._routers[first:] + self._routers[:first]
+
+    def _get_demand(self, router_id: str, workspace: str) -> float:
+        if router_id == self._router_id:
+            return self._used.get(workspace, 0.0)
+        report = self._others.get(router_id)
+        return report.demands.get(workspace, 0.0) if report else 0.0
+
+    def _sum_demands(self, workspace: str) -> float:
+        return sum(self._get_demand(router_id, workspace) for router_id in self._routers)
+
+    def _weigh(self, router_id: str, workspace: str, total: float) -> float:
+        prior = PRIOR_DEMAND / len(self._routers)
+        return (self._get_demand(router_id, workspace) + prior) / (total + PRIOR_DEMAND)
+
+    def _find_used(self) -> dict[str, float]:
+        """Return, by workspace, the least demand told within the delay."""
+        newest = self._told[-1][1]
+        return {
+            workspace: min(demands.get(workspace, 0.0) for _, demands in self._told)
+            for workspace in newest
+        }
+
+
+def _order(report: DemandReport) -> tuple[int, int]:
+    return (report.incarnation, report.sequence)
