Prove endpoint health and membership against oracles

Cause: a seeded fuzz found a router that kept an endpoint ready while others knew that it leaves: their renewals, named by id and incarnation only, extended its lease there.

Change: the name in a renewal also says whether the endpoint leaves, so that a renewal extends a lease only where the same is known; a router that carries an older "ready" replaces or retracts it.

Ruled out: marking an endpoint leaving on such a renewal, since two of the 32-bit names may collide and leaving is final.

--- a/chivetrack/components/endpoints/record.py
+++ b/chivetrack/components/endpoints/record.py
@@ -67,8 +67,9 @@
 
     @property
     def endpoint_hash(self) -> int:
-        """Return the name of this incarnation in renewals."""
-        return hash_endpoint(self.announcement.endpoint_id, self.announcement.incarnation)
+        """Return the name of this incarnation, as it stands, in renewals."""
+        held = self.announcement
+        return hash_endpoint(held.endpoint_id, held.incarnation, leaving=self.is_leaving)
 
     @property
     def is_leaving(self) -> bool:
--- a/chivetrack/components/endpoints/registry.py
+++ b/chivetrack/components/endpoints/registry.py
@@ -195,11 +195,9 @@
             self._records[announcement.endpoint_id] = record
             self._by_hash[record.endpoint_hash] = record
             return record, Acceptance.TAKEN
-        before = record.endpoint_hash
+        self._by_hash.pop(record.endpoint_hash, None)
         acceptance = record.accept(announcement, at=at, word=word, now=now)
-        if record.endpoint_hash != before:
-            self._by_hash.pop(before, None)
-            self._by_hash[record.endpoint_hash] = record
+        self._by_hash[record.endpoint_hash] = record
         return record, acceptance
 
     # Time
@@ -219,6 +217,9 @@
                 continue
             if not record.present or own.incarnation < record.announcement.incarnation:
                 self._spreader.retract_body(record, now=now)
+            # A router that starts now would take the older "ready" from here.
+            elif own.state is not record.announcement.state:
+                self._spreader.spread_body(record, now=now)
 
     def _forget_old(self, now: float) -> None:
         gone = [record for record in self._records.values() if not record.present]
--- a/chivetrack/components/endpoints/spread.py
+++ b/chivetrack/components/endpoints/spread.py
@@ -36,6 +36,7 @@
     def spread_body(self, record: Record, *, now: float) -> None:
         """Publish an announcement unless some instance already does."""
         if any(carried == record.announcement for carried in record.carriers.values()):
+            self._retract_other(record, now=now)
             return
         announcement = record.announcement
         urgency = Urgency.LEAVING if record.is_leaving else Urgency.ANNOUNCEMENT
@@ -46,6 +47,10 @@
         if published.is_ok():
             record.carriers[self._instance_id] = announcement
 
+    def _retract_other(self, record: Record, *, now: float) -> None:
+        if record.carriers.get(self._instance_id, record.announcement) != record.announcement:
+            self.retract_body(record, now=now)
+
     def retract_body(self, record: Record, *, now: float) -> None:
         """Take back what this router publishes of an endpoint."""
         if record.carriers.pop(self._instance_id, None) is None:
--- a/chivetrack/components/endpoints/wire.py
+++ b/chivetrack/components/endpoints/wire.py
@@ -45,9 +45,13 @@
     renewals: tuple[Renewal, ...]
 
 
-def hash_endpoint(endpoint_id: str, incarnation: int) -> int:
-    """Return the 32-bit name of an incarnation of an endpoint."""
-    return zlib.crc32(f"{endpoint_id}\0{incarnation}".encode())
+def hash_endpoint(endpoint_id: str, incarnation: int, *, leaving: bool) -> int:
+    """Return the 32-bit name of an incarnation of an endpoint and of what it says.
+
+    Without the latter, renewals by those who know that it leaves would keep it ready at
+    a router that does not know yet.
+    """
+    return zlib.crc32(f"{endpoint_id}\0{incarnation}\0{leaving}".encode())
 
 
 def make_body(announcement: Announcement) -> EndpointBody:
--- /dev/null
+++ b/tests/components/endpoints/test_breaker.py
@@ -0,0 +1,253 @@
+"""Circuit breakers, the cap on taking out, flapping, drains and explanations."""
+
+import random
+import unittest
+
+from chivetrack.components.endpoints.const import MAX_OUT_SHARE
+from chivetrack.components.endpoints.models import Availability, Drain, OutcomeKind
+from chivetrack.components.endpoints.registry import EndpointRegistry
+from chivetrack.components.gossip.gossip import Gossip
+from chivetrack.core import TimeReached
+from tests.components.endpoints.fleet import (
+    LEAVING,
+    SERVICE,
+    EndpointFleet,
+    make_announcement,
+)
+
+READY, BROKEN, HELD = Availability.READY, Availability.BROKEN, Availability.HELD_BACK
+NAMES = tuple(f"e-{index}" for index in range(6))
+
+
+class RegistryCase(unittest.TestCase):
+    """One registry whose endpoints announce themselves every second unless told not to."""
+
+    def setUp(self) -> None:
+        self.gossip = Gossip(instance_id="r", incarnation=1, random=random.Random(1))
+        self.registry = EndpointRegistry(gossip=self.gossip, instance_id="r")
+        self.now = 0.0
+        self.run_for(1)
+
+    def run_for(self, seconds: float, names: tuple[str, ...] = NAMES, **changes: object) -> None:
+        for step in range(int(seconds * 4)):
+            if step % 4 == 0:
+                for name in names:
+                    self.registry.announce(make_announcement(name, **changes), now=self.now)
+            self.now += 0.25
+            self.registry.handle(TimeReached(), now=self.now)
+
+    def fail(self, name: str, times: int = 3, kind: OutcomeKind = OutcomeKind.CONNECT) -> None:
+        for _ in range(times):
+            self.registry.record_attempt(name, now=self.now)
+            self.registry.record_outcome(name, False, kind, self.now)
+
+    def succeed(self, name: str) -> None:
+        self.registry.record_attempt(name, now=self.now)
+        self.registry.record_outcome(name, True, OutcomeKind.ANSWER, self.now)
+
+    def get_out(self) -> dict[str, Availability]:
+        listed = self.registry.list_endpoints(SERVICE)
+        return {s.endpoint_id: s.availability for s in listed if s.availability is not READY}
+
+
+class BreakerTest(RegistryCase):
+    def test_opens_by_kind_of_failure(self) -> None:
+        cases = [
+            (OutcomeKind.CONNECT, 2, False),
+            (OutcomeKind.CONNECT, 3, True),
+            (OutcomeKind.ERROR, 4, False),
+            (OutcomeKind.ERROR, 5, True),
+            (OutcomeKind.TIMEOUT, 5, True),
+            (OutcomeKind.CUT, 5, True),
+        ]
+        for kind, times, is_open in cases:
+            with self.subTest(kind=kind, times=times):
+                self.setUp()
+                self.fail("e-1", times, kind)
+                self.assertEqual(self.get_out(), {"e-1": BROKEN} if is_open else {})
+
+    def test_opens_on_a_bad_share_between_successes(self) -> None:
+        """An endpoint fails every second request: never several in a row.
+
+        Counting only rows of failures, half of its callers would get errors for ever.
+        """
+        for _ in range(10):
+            self.succeed("e-1")
+            self.fail("e-1", 1, OutcomeKind.ERROR)
+        self.assertEqual(self.get_out(), {"e-1": BROKEN})
+
+    def test_half_open_lets_one_probe_through(self) -> None:
+        """The delay is over and many requests wait; the endpoint may still be down.
+
+        One of them may try it; the others would fail with it.
+        """
+        self.fail("e-1")
+        self.run_for(1.25)
+        self.assertEqual(self.get_out(), {})
+        self.registry.record_attempt("e-1", now=self.now)
+        self.assertEqual(self.get_out(), {"e-1": BROKEN})
+        self.registry.record_outcome("e-1", True, OutcomeKind.ANSWER, self.now)
+        self.assertEqual(self.get_out(), {})
+
+    def test_a_failed_probe_doubles_the_delay(self) -> None:
+        self.fail("e-1")
+        for delay in (1.0, 2.0, 4.0):
+            self.run_for(delay - 0.25)
+            self.assertEqual(self.get_out(), {"e-1": BROKEN}, delay)
+            self.run_for(0.5)
+            self.assertEqual(self.get_out(), {}, delay)
+            self.fail("e-1", 1)
+
+    def test_a_probe_without_outcome_does_not_block(self) -> None:
+        self.fail("e-1")
+        self.run_for(1.25)
+        self.registry.record_attempt("e-1", now=self.now)
+        self.run_for(31)
+        self.assertEqual(self.get_out(), {})
+
+    def test_a_bad_probe_does_not_empty_the_service(self) -> None:
+        """This router's link is bad, or a request breaks every engine that it is tried on.
+
+        With all six out every caller would be refused. Half stay in, those with the
+        fewest failures, and the registry says that it is so.
+        """
+        for count, name in enumerate(NAMES):
+            self.fail(name, 3 + count)
+        self.assertEqual(self.get_out(), dict.fromkeys(NAMES[3:], BROKEN))
+        self.assertTrue(self.registry.is_degraded(SERVICE))
+        reasons = [s.reason for s in self.registry.list_endpoints(SERVICE)]
+        self.assertTrue(reasons[0].startswith("kept in, too many look bad"), reasons)
+
+    def test_the_cap_holds_whatever_happens(self) -> None:
+        """Random outcomes, losses, restarts and drains against the one rule.
+
+        Of the endpoints that do not leave, at most the stated share is ever out.
+        """
+        for seed in range(20):
+            source = random.Random(seed)
+            self.setUp()
+            for _ in range(150):
+                name = source.choice(NAMES)
+                if source.random() < 0.7:
+                    self.fail(name, source.randrange(1, 6), source.choice(list(OutcomeKind)[1:5]))
+                else:
+                    self.succeed(name)
+                alive = tuple(n for n in NAMES if source.random() < 0.8)
+                self.run_for(source.choice((0.25, 1, 7)), alive)
+                listed = self.registry.list_endpoints(SERVICE)
+                staying = [s for s in listed if s.availability is not Availability.LEAVING]
+                out = [s for s in staying if s.availability is not READY]
+                self.assertLessEqual(len(out), MAX_OUT_SHARE * len(staying))
+
+    def test_one_routers_failures_stay_its_own(self) -> None:
+        """One router's link to an endpoint is bad; it fails every attempt there.
+
+        Spread as a removal, one bad link would take the endpoint from everybody.
+        """
+        fleet = EndpointFleet(5)
+        for _ in range(4):
+            for name in ("e-1", "e-2", "e-3"):
+                fleet.announce("router-1", make_announcement(name))
+            for _ in range(5):
+                fleet.registries["router-0"].record_outcome(
+                    "e-1", False, OutcomeKind.CONNECT, fleet.network.now
+                )
+            fleet.network.run_for(2)
+            fleet.registries["router-0"].record_outcome(
+                "e-2", False, OutcomeKind.LEAVING, fleet.network.now
+            )
+        self.assertEqual(fleet.list_availability("router-0")["e-2"], Availability.LEAVING)
+        for name in fleet.names[1:]:
+            self.assertEqual(set(fleet.list_availability(name).values()), {READY}, name)
+
+
+class FlapTest(RegistryCase):
+    def test_delays_grow_with_each_return_and_decay(self) -> None:
+        """An endpoint's lease runs out every few seconds and it returns each time.
+
+        Each return costs its callers failed requests; the delay before it gets work again
+        grows, and an hour of quiet forgives it.
+        """
+        delays: list[float] = []
+        for _ in range(4):
+            self.run_for(8, NAMES[1:])
+            self.run_for(1)
+            held_from = self.now
+            while self.get_out() and self.now < held_from + 200:
+                self.run_for(1)
+            delays.append(self.now - held_from)
+        self.assertEqual(delays[0], 0.0)
+        self.assertGreater(delays[1], 3.0)
+        self.assertEqual(delays, sorted(set(delays)))
+        self.run_for(3600)
+        self.run_for(8, NAMES[1:])
+        self.run_for(1)
+        self.assertEqual(self.get_out(), {})
+
+    def test_restarts_without_notice_count_and_planned_ones_do_not(self) -> None:
+        for planned in (False, True):
+            with self.subTest(planned=planned):
+                self.setUp()
+                for incarnation in range(2, 5):
+                    if planned:
+                        leaving = make_announcement(
+                            "e-0", incarnation=incarnation - 1, state=LEAVING
+                        )
+                        self.registry.announce(leaving, now=self.now)
+                        self.run_for(7, NAMES[1:])
+                    self.run_for(1, ("e-0",), incarnation=incarnation)
+                    self.run_for(1, NAMES[1:])
+                self.assertEqual(self.get_out(), {} if planned else {"e-0": HELD})
+
+    def test_a_cut_off_router_holds_nobody_back(self) -> None:
+        """The router hears nothing for a while, three times; all leases run out at once.
+
+        Taken for flapping, all endpoints would be held back when it hears again.
+        """
+        for _ in range(3):
+            self.run_for(10, ())
+            self.assertEqual(self.registry.list_endpoints(SERVICE), ())
+            self.run_for(2)
+            self.assertEqual(self.get_out(), {})
+
+
+class DrainTest(RegistryCase):
+    def test_drains_mark_as_leaving_and_end(self) -> None:
+        zone = Drain(name="drain/zone", zones=frozenset({"fukuoka-hall"}))
+        one = Drain(name="drain/one", endpoint_ids=frozenset({"e-2"}))
+        cases = [([one], {"e-2"}), ([zone], set(NAMES)), ([zone, one], set(NAMES)), ([], set())]
+        for drains, expected in cases:
+            with self.subTest(drains=[drain.name for drain in drains]):
+                version = self.registry.version
+                self.registry.set_drained(drains, now=self.now)
+                self.assertEqual(self.get_out(), dict.fromkeys(expected, Availability.LEAVING))
+                self.assertGreater(self.registry.version, version)
+
+
+class ExplainTest(RegistryCase):
+    def test_says_why_since_when_and_on_whose_word(self) -> None:
+        self.fail("e-1")
+        self.registry.announce(make_announcement("e-2", state=LEAVING), now=self.now)
+        drain = Drain(name="drain/rack-4", endpoint_ids=frozenset({"e-3"}))
+        self.registry.set_drained([drain], now=self.now)
+        self.registry.record_outcome("e-4", False, OutcomeKind.LEAVING, self.now)
+        cases = {
+            "e-0": ("ready", "it holds a lease", "the endpoint, here"),
+            "e-1": ("broken", "3 failures in a row (connect)", "this router's own attempts"),
+            "e-2": ("leaving", "leaving, on the word of the endpoint, here", "the endpoint, here"),
+            "e-3": ("leaving", "drained: drain/rack-4", "configuration: drain/rack-4"),
+            "e-4": (
+                "leaving",
+                "leaving, it refused work from this router",
+                "its own refusal, to this router",
+            ),
+            "e-9": ("unknown", "no announcement of it is remembered here", "nobody"),
+        }
+        for name, expected in cases.items():
+            with self.subTest(name):
+                told = self.registry.explain(name, now=self.now)
+                self.assertEqual((told.verdict, told.reason, told.word), expected)
+        self.run_for(10, NAMES[1:])
+        told = self.registry.explain("e-0", now=self.now)
+        self.assertEqual(told.verdict, "gone")
+        self.assertAlmostEqual(told.since_s, 5.0, delta=1.0)
