Tell others an address of its own

Cause: where addresses are translated between instances, and for tests that cut links, an instance is reached elsewhere than it listens. Change: an optional listeners.peer_advertised.

--- a/chivetrack/components/peers/transport.py
+++ b/chivetrack/components/peers/transport.py
@@ -74,7 +74,7 @@
 
 
 class PeerTransport:
-    """Sends messages to other instances and receives theirs.
+    """Sends messages to other instances and receives theirs, at ``advertised``.
 
     Delivery is best effort: a message may be lost, late or doubled, and never waits
     for more than ``QUEUE_LIMIT`` others. ``resolve`` gives the ``host:port`` of an
@@ -86,6 +86,7 @@
         *,
         instance_id: str,
         listen: str,
+        advertised: str,
         resolve: Callable[[str], str | None],
         on_message: Callable[[str, Message], None],
         on_error: Callable[[str], None],
@@ -106,8 +107,8 @@
             ThreadPoolExecutor(SERVER_WORKERS), options=[("grpc.so_reuseport", 0), *_SIZE_OPTIONS]
         )
         peer_pb2_grpc.add_PeerServicer_to_server(_Servicer(transport=self), self._server)
-        port = self._bind(listen, server_credentials)
-        self.address = f"{listen.rpartition(':')[0]}:{port}"
+        self._bind(listen, server_credentials)
+        self._advertised = advertised
         self._learned: dict[str, str] = {}
 
     def _bind(self, listen: str, credentials: grpc.ServerCredentials | None) -> int:
@@ -159,7 +160,7 @@
             self.traffic.dropped_messages += len(envelopes)
             return
         batch = peer_pb2.Batch(
-            source=self._instance_id, source_address=self.address, envelopes=envelopes
+            source=self._instance_id, source_address=self._advertised, envelopes=envelopes
         )
         self.traffic.sent_calls += 1
         self.traffic.sent_bytes += batch.ByteSize() + CALL_OVERHEAD_BYTES
--- a/chivetrack/components/settings/models.py
+++ b/chivetrack/components/settings/models.py
@@ -115,6 +115,11 @@
         description="gRPC between instances. Must be an address that the others reach."
     )
     telemetry: AddressField = Field(description="Metrics in the Prometheus form.")
+    peer_advertised: AddressField | None = Field(
+        default=None,
+        description="Address that the others are told instead of `peer`, where something "
+        "between the instances translates addresses.",
+    )
 
 
 class PeerSettings(Section):
--- a/chivetrack/daemon/instance.py
+++ b/chivetrack/daemon/instance.py
@@ -106,6 +106,11 @@
         """Return this instance's id."""
         return self._settings.instance.id
 
+    @property
+    def _peer_address(self) -> str:
+        listeners = self._settings.listeners
+        return str(listeners.peer_advertised or listeners.peer)
+
     @property
     def _is_replica(self) -> bool:
         return Role.REPLICA in self._settings.instance.roles
@@ -115,7 +120,7 @@
         identity = RouterIdentity(
             instance_id=instance.id,
             incarnation=time.time_ns() // 1_000_000,
-            address=str(self._settings.listeners.peer),
+            address=self._peer_address,
             roles=tuple(role.value for role in instance.roles),
             region=instance.region,
             zone=instance.availability_zone,
@@ -144,6 +149,7 @@
         transport = PeerTransport(
             instance_id=self.instance_id,
             listen=str(self._settings.listeners.peer),
+            advertised=self._peer_address,
             resolve=self._resolve,
             on_message=self.desk.take,
             on_error=lambda text: _LOGGER.warning("Dropped a message: {}.", text),
