Prove the durable state as processes, under kills, cuts and lost disks

Cause: the log was proved in tests of its core only. Change: links between the instances that swallow bytes by process while connections stay up; tests with the leader killed in the middle of writes, frozen and woken, on the lesser side of a silent cut; a lost disk followed at once by a second loss; a flipped byte; operators racing with equal revisions and resending after a lost answer.

Found by them, cause and mend: a replica with an empty disk never caught up. It knows the leader by its replica id until it has learnt the members, and its first answer went to that as if it were an instance; the host now sends it where the leader's message came from. Adding a replica was answered as an unknown kind: a resource's path fits the operators' routes, which now come first. Ruled out for the first: the consensus core (it answered), the channel to the restarted process (its messages arrived).

Not an error: two equal writes both end as accepted when one asks for what is already there; the race test uses values that differ from the current one.

--- a/chivetrack/daemon/instance.py
+++ b/chivetrack/daemon/instance.py
@@ -219,10 +219,13 @@
             operators=operators,
             read_clock=time.monotonic,
         )
-        resources.merge(build_management_app(management.make_ports()))
+        # The first route that fits is taken, and a resource's path fits all of these.
+        operators_app = build_management_app(management.make_ports())
+        operators_app.merge(resources)
+        operators_app.default_error_handler = resources.default_error_handler
         applications = Applications(
             caller=caller_api.build(),
-            resources=resources,
+            resources=operators_app,
             telemetry=build_metrics_app(telemetry=self._telemetry),
         )
         return Listeners(
--- a/chivetrack/daemon/replica_host.py
+++ b/chivetrack/daemon/replica_host.py
@@ -82,6 +82,7 @@
         self._formation: Formation | None = None
         self._formed = Signal()
         self._founded: Members | None = None
+        self._instances: dict[str, str] = {}
         self._is_changed = False
         self._is_leader = False
         self.replica: Replica | None = None
@@ -102,9 +103,16 @@
             self._take_hello(source, message)
         elif isinstance(message, ForwardProposal | ForwardRead):
             gevent.spawn(self.desk.answer, source, message)
-        elif self.replica is not None:
+        elif self.replica is not None and isinstance(message, PeerMessage):
+            self._instances[message.sender] = source
             self.replica.receive(source, message)
 
+    def _send_to_replica(self, effect: SendMessage) -> None:
+        # A replica that has not learnt the members yet knows the leader by its replica
+        # id only. Sent to that, its first answer would be lost and it never caught up.
+        target = self._instances.get(effect.target, effect.target)
+        self._send(target, effect.message)
+
     def _take_hello(self, source: str, hello: Hello) -> None:
         if self._formation is not None:
             event = MessageReceived(source=source, message=hello)
@@ -194,7 +202,7 @@
         replica = Replica(
             core=core,
             storage=storage,
-            send=lambda effect: self._send(effect.target, effect.message),
+            send=self._send_to_replica,
             clock=time.monotonic,
             make_waiter=Signal,
             run_blocking=_run_in_pool,
--- /dev/null
+++ b/tests/system/fleets.py
@@ -0,0 +1,170 @@
+"""Fleets for the process tests: replicas, links that can be cut, operators."""
+
+import json
+import shutil
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any
+
+import urllib3
+
+from standins.fleet import PEER_PORT, RESOURCE_PORT, Fleet, InstancePlan, Member
+
+LINK_PORT = 18092
+WAIT_S = 30.0
+POLL_S = 0.05
+
+
+class NotReachedError(AssertionError):
+    """A condition did not come true in time."""
+
+
+def wait_for(condition: Callable[[], Any], what: str, *, within_s: float = WAIT_S) -> Any:
+    """Wait until a condition returns something true, and return that."""
+    deadline = time.monotonic() + within_s
+    while time.monotonic() < deadline:
+        found = condition()
+        if found:
+            return found
+        time.sleep(POLL_S)
+    raise NotReachedError(what)
+
+
+@dataclass(slots=True, kw_only=True)
+class LinkedFleet(Fleet):
+    """A fleet whose instances reach each other through links that can be cut."""
+
+    extra: dict[str, dict[str, Any]] = field(default_factory=dict)
+
+    def make_settings(self, plan: InstancePlan) -> str:
+        """Add the address of the link to the settings."""
+        text = Fleet.make_settings(self, plan)
+        for other in self.plans:
+            text = text.replace(f"{other.host}:{PEER_PORT}", f"{other.host}:{LINK_PORT}")
+        own = f'peer = "{plan.host}:{LINK_PORT}"'
+        real = f'peer = "{plan.host}:{PEER_PORT}"'
+        advertised = f'peer_advertised = "{plan.host}:{LINK_PORT}"'
+        return text.replace(own, f"{real}\n{advertised}", 1)
+
+    def start_links(self) -> None:
+        """Start a link before each planned instance."""
+        for plan in self.plans:
+            command = ["-m", "standins", "link", "--listen", f"{plan.host}:{LINK_PORT}"]
+            command += ["--target", f"{plan.host}:{PEER_PORT}"]
+            command += ["--cuts", str(self.get_cuts(plan.name))]
+            self._start_announced(f"link-{plan.name}", command)
+
+    def get_cuts(self, name: str) -> Path:
+        """Return the file of cuts of the link before an instance."""
+        return self.folder / f"{name}.cuts"
+
+    def cut(self, name: str) -> None:
+        """Cut an instance off from all others, without a sign."""
+        pid = self.members[name].process.pid
+        for plan in self.plans:
+            self._write_cuts(plan.name, "*" if plan.name == name else str(pid))
+
+    def heal(self) -> None:
+        """Take all cuts back."""
+        for plan in self.plans:
+            self._write_cuts(plan.name, "")
+
+    def _write_cuts(self, name: str, text: str) -> None:
+        aside = self.get_cuts(name).with_suffix(".new")
+        aside.write_text(text)
+        aside.replace(self.get_cuts(name))
+
+
+@contextmanager
+def open_linked_fleet(*, instances: int, replicas: int = 3) -> Iterator[LinkedFleet]:
+    """Give a running fleet with links."""
+    with TemporaryDirectory(prefix="chivetrack-") as folder:
+        fleet = LinkedFleet(folder=Path(folder))
+        try:
+            fleet.plan_instances(instances, replicas=replicas)
+            fleet.start_links()
+            fleet.start_instances()
+            yield fleet
+        finally:
+            fleet.kill()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Answer:
+    """What an operator got; status 0 stands for no answer at all."""
+
+    status: int
+    document: dict[str, Any]
+
+    @property
+    def revision(self) -> int:
+        """Return the revision of the resource in the answer."""
+        return int(self.document["metadata"]["revision"])
+
+
+class Operator:
+    """Writes and reads resources through an instance."""
+
+    def __init__(self, *, fleet: Fleet, timeout_s: float = 20.0) -> None:
+        """Take the fleet."""
+        self._fleet = fleet
+        self._http = urllib3.PoolManager(retries=False, timeout=timeout_s)
+
+    def send(self, method: str, name: str, path: str, value: Any = None, **headers: str) -> Answer:
+        """Send a request through an instance; underscores in header names are dashes."""
+        given = {key.replace("_", "-"): text for key, text in headers.items()}
+        given["Authorization"] = f"Bearer {self._fleet.operator_key}"
+        member = self._fleet.members[name]
+        url = f"http://{member.host}:{RESOURCE_PORT}/api/v1/{path}"
+        body = None if value is None else json.dumps(value)
+        try:
+            response = self._http.request(method, url, body=body, headers=given)
+        except urllib3.exceptions.HTTPError:
+            return Answer(status=0, document={})
+        document = json.loads(response.data) if response.data else {}
+        return Answer(status=response.status, document=document)
+
+    def create(self, through: str, name: str, priority: int = 1, **headers: str) -> Answer:
+        """Create a workspace."""
+        return self.send("POST", through, "workspace", make_workspace(name, priority), **headers)
+
+    def replace(self, through: str, name: str, priority: int, revision: int) -> Answer:
+        """Replace a workspace as of a revision."""
+        value = make_workspace(name, priority)
+        value["metadata"]["revision"] = revision
+        return self.send("PUT", through, f"workspace/{name}", value)
+
+    def get(self, through: str, name: str) -> Answer:
+        """Read a workspace."""
+        return self.send("GET", through, f"workspace/{name}")
+
+    def get_status(self, through: str) -> dict[str, Any]:
+        """Return the status document of an instance."""
+        return self.send("GET", through, "status").document
+
+    def find_leader(self, *, among: list[str] | None = None) -> str:
+        """Wait until an instance names a leader, and return it."""
+        names = among or [plan.name for plan in self._fleet.plans]
+
+        def look() -> str:
+            for name in names:
+                log = self.get_status(name).get("log", {})
+                if log.get("role") == "leader":
+                    return str(log["leader"])
+            return ""
+
+        return str(wait_for(look, "no leader"))
+
+
+def make_workspace(name: str, priority: int) -> dict[str, Any]:
+    """Return a workspace document."""
+    return {"kind": "workspace", "metadata": {"name": name}, "spec": {"priority": priority}}
+
+
+def delete_folder(fleet: Fleet, member: Member) -> None:
+    """Delete a replica's data folder, as a lost disk does."""
+    shutil.rmtree(fleet.folder / member.name)
--- /dev/null
+++ b/tests/system/test_log_failures.py
@@ -0,0 +1,265 @@
+"""The durable state as processes: kills, freezes, cuts, lost disks, races of operators."""
+
+import json
+import socket
+import threading
+import unittest
+
+from standins.fleet import RESOURCE_PORT, Fleet, open_fleet
+from tests.system.fleets import (
+    LinkedFleet,
+    Operator,
+    delete_folder,
+    make_workspace,
+    open_linked_fleet,
+    wait_for,
+)
+
+REPLICAS = ["entry-1", "entry-2", "entry-3"]
+
+
+class FleetCase(unittest.TestCase):
+    def open(self) -> tuple[Fleet, Operator]:
+        fleet = self.enterContext(open_fleet())
+        fleet.plan_instances(3)
+        fleet.start_instances()
+        return fleet, Operator(fleet=fleet)
+
+    def open_linked(self, instances: int) -> tuple[LinkedFleet, Operator]:
+        fleet = self.enterContext(open_linked_fleet(instances=instances))
+        return fleet, Operator(fleet=fleet)
+
+    def read_all(self, operator: Operator, through: str, names: list[str]) -> None:
+        for name in names:
+            self.assertEqual(operator.get(through, name).status, 200, name)
+
+    def restart(self, fleet: Fleet, name: str) -> None:
+        plan = next(plan for plan in fleet.plans if plan.name == name)
+        fleet.start_instance(plan)
+
+
+class KilledLeaderTest(FleetCase):
+    def test_accepted_writes_outlive_a_killed_leader(self) -> None:
+        """Operators write through all instances while the leader is killed.
+
+        A write that was accepted must be there afterwards; one that was refused as
+        not happened must not. The others may be either. The killed process comes
+        back and has everything too.
+        """
+        fleet, operator = self.open()
+        leader = operator.find_leader()
+        others = [name for name in REPLICAS if name != leader]
+        answers: dict[str, int] = {}
+        refused: list[str] = []
+        stop = threading.Event()
+
+        def write(through: str) -> None:
+            number = 0
+            while not stop.is_set():
+                number += 1
+                name = f"{through}-{number}"
+                answer = Operator(fleet=fleet).create(through, name)
+                answers[name] = answer.status
+                error = answer.document.get("error", {})
+                if error.get("ran") == "no":
+                    refused.append(name)
+
+        writers = [threading.Thread(target=write, args=(name,)) for name in others]
+        for writer in writers:
+            writer.start()
+        wait_for(lambda: len(answers) > 20, "no writes")
+        fleet.members[leader].kill()
+        after = len(answers)
+        wait_for(lambda: len(answers) > after + 20, "no writes after the kill")
+        stop.set()
+        for writer in writers:
+            writer.join()
+        self.restart(fleet, leader)
+        fleet.wait_ready(leader)
+        accepted = [name for name, status in answers.items() if status == 201]
+        self.assertGreater(len(accepted), 20)
+        for through in REPLICAS:
+            self.read_all(operator, through, accepted[:3] + accepted[-10:])
+        for name in refused:
+            self.assertEqual(operator.get(leader, name).status, 404, name)
+
+
+class FrozenLeaderTest(FleetCase):
+    def test_frozen_leader_neither_answers_nor_takes_back(self) -> None:
+        """The leader hangs for longer than an election, and wakes up.
+
+        Meanwhile another one leads and a change is accepted. The woken one still
+        believes that it leads; through it nobody may read the old state, and its
+        revision must not go back.
+        """
+        fleet, operator = self.open()
+        leader = operator.find_leader()
+        others = [name for name in REPLICAS if name != leader]
+        first = operator.create(leader, "hakata", 1)
+        fleet.members[leader].freeze()
+        next_leader = operator.find_leader(among=others)
+        self.assertNotEqual(next_leader, leader)
+        second = operator.replace(others[0], "hakata", 2, first.revision)
+        self.assertEqual(second.status, 200)
+        fleet.members[leader].thaw()
+        seen = wait_for(lambda: self.read(operator, leader), "the woken one does not read")
+        self.assertEqual(seen, 2)
+        status = operator.get_status(leader)
+        self.assertGreaterEqual(status["configuration"]["revision"], 0)
+
+    def read(self, operator: Operator, through: str) -> int:
+        answer = operator.get(through, "hakata")
+        return int(answer.document["spec"]["priority"]) if answer.status == 200 else 0
+
+
+class CutLeaderTest(FleetCase):
+    def test_leader_on_the_lesser_side_of_a_silent_cut(self) -> None:
+        """Bytes from and to the leader vanish; its connections stay up.
+
+        It can't know. Writes through it must not be accepted, reads through it must
+        not show the old state, and the other side goes on. After the cut heals, its
+        router applies what was accepted and never the older revision.
+        """
+        fleet, operator = self.open_linked(5)
+        leader = operator.find_leader()
+        others = [plan.name for plan in fleet.plans if plan.name != leader]
+        first = operator.create(leader, "hakata", 1)
+        self.assertEqual(first.status, 201)
+        fleet.cut(leader)
+        operator.find_leader(among=others)
+        second = operator.replace(others[0], "hakata", 2, first.revision)
+        self.assertEqual(second.status, 200)
+        lost = operator.create(leader, "lost", 1)
+        self.assertNotIn(lost.status, (200, 201))
+        stale = operator.get(leader, "hakata")
+        self.assertNotEqual(stale.status, 200)
+        ready = fleet.request("GET", fleet.members[leader], "/readyz")
+        self.assertEqual(ready.status, 503)
+        fleet.heal()
+        fleet.wait_ready(leader)
+        healed = operator.get(leader, "hakata")
+        self.assertEqual(healed.document["spec"]["priority"], 2)
+        if lost.document.get("error", {}).get("ran") == "no":
+            self.assertEqual(operator.get(others[0], "lost").status, 404)
+
+
+class LostDiskTest(FleetCase):
+    def test_second_loss_right_after_a_repair(self) -> None:
+        """A replica loses its disk, is replaced, and then another one is killed.
+
+        The emptied folder comes back as a stranger: it does not vote until it was
+        added and has caught up. After that the other loss must cost nothing that was
+        accepted, and changes must go on.
+        """
+        fleet, operator = self.open()
+        leader = operator.find_leader()
+        victim, other = [name for name in REPLICAS if name != leader]
+        names = [f"w{number}" for number in range(10)]
+        for name in names:
+            self.assertEqual(operator.create(leader, name).status, 201)
+        old_id = self.find_replica(operator, leader, victim)
+        member = fleet.members[victim]
+        member.kill()
+        delete_folder(fleet, member)
+        self.restart(fleet, victim)
+        log = fleet.members[victim]
+        wait_for(lambda: "is not a member" in log.read_log(), "no stranger")
+        new_id = log.read_log().rpartition("replica add ")[2].split()[0]
+        self.assertNotEqual(new_id, old_id)
+        removed = operator.send("DELETE", leader, f"replicas/{old_id}")
+        self.assertEqual(removed.status, 202, removed)
+        added = operator.send("POST", leader, "replicas", {"id": new_id})
+        self.assertEqual(added.status, 202, added)
+        wait_for(lambda: self.votes(operator, leader, new_id), "the new replica does not vote")
+        fleet.members[other].kill()
+        wait_for(lambda: operator.create(leader, "after").status == 201, "no writes")
+        for through in (leader, victim):
+            self.read_all(operator, through, [*names, "after"])
+
+    def find_replica(self, operator: Operator, through: str, instance: str) -> str:
+        members = operator.get_status(through)["log"]["members"]
+        (found,) = [one["replica"] for one in members if one["replica"].startswith(instance)]
+        return str(found)
+
+    def votes(self, operator: Operator, through: str, replica_id: str) -> bool:
+        members = operator.get_status(through).get("log", {}).get("members", [])
+        return {"replica": replica_id, "voter": True} in members
+
+
+class DamagedDiskTest(FleetCase):
+    def test_flipped_byte_stops_the_replica_and_names_the_place(self) -> None:
+        """A byte in the middle of a replica's log is wrong after a restart.
+
+        Started on it, the replica would vote and answer from a state that never was.
+        It stops, its log names file and offset, and the other two go on.
+        """
+        fleet, operator = self.open()
+        leader = operator.find_leader()
+        victim = next(name for name in REPLICAS if name != leader)
+        for number in range(10):
+            operator.create(leader, f"w{number}")
+        member = fleet.members[victim]
+        member.kill()
+        (segment,) = sorted((fleet.folder / victim).glob("log-*"))[-1:]
+        data = bytearray(segment.read_bytes())
+        data[len(data) // 2] ^= 0x40
+        segment.write_bytes(bytes(data))
+        self.restart(fleet, victim)
+        log = fleet.members[victim]
+        wait_for(lambda: "The replica has stopped" in log.read_log(), "not stopped")
+        self.assertIn(segment.name, log.read_log())
+        self.assertIn("offset", log.read_log())
+        self.assertEqual(operator.create(leader, "after").status, 201)
+
+
+class RacingOperatorsTest(FleetCase):
+    def test_equal_revisions_and_resends(self) -> None:
+        """Two operators replace the same revision at once; a third loses its answer.
+
+        Exactly one of the two wins and the other is shown the winner. The third
+        sends its request again, through another instance, and gets the first outcome;
+        the same request id with another body is refused.
+        """
+        fleet, operator = self.open()
+        first = operator.create("entry-1", "hakata", 1)
+        for priority in (2, 4, 6, 8):
+            answers = self.race(fleet, first.revision, priority)
+            statuses = sorted(answer.status for answer in answers)
+            self.assertEqual(statuses, [200, 409])
+            (winner,) = [answer for answer in answers if answer.status == 200]
+            (loser,) = [answer for answer in answers if answer.status == 409]
+            shown = loser.document["error"]["current"]["metadata"]["revision"]
+            self.assertEqual(shown, winner.revision)
+            first = winner
+        self.lose_answer(fleet, "entry-1", "sikka")
+        again = operator.create("entry-2", "sikka", X_Request_Id="lost-1")
+        self.assertEqual(again.status, 201, again)
+        other = operator.create("entry-3", "sikka", 9, X_Request_Id="lost-1")
+        self.assertEqual(other.document["error"]["code"], "request_id_reused")
+
+    def race(self, fleet: Fleet, revision: int, priority: int) -> list:
+        answers: list = []
+
+        def write(through: str, value: int) -> None:
+            operator = Operator(fleet=fleet)
+            answers.append(operator.replace(through, "hakata", value, revision))
+
+        threads = [
+            threading.Thread(target=write, args=("entry-1", priority)),
+            threading.Thread(target=write, args=("entry-2", priority + 1)),
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        return answers
+
+    def lose_answer(self, fleet: Fleet, through: str, name: str) -> None:
+        body = json.dumps(make_workspace(name, 1)).encode()
+        head = (
+            f"POST /api/v1/workspace HTTP/1.1\r\nHost: x\r\nX-Request-Id: lost-1\r\n"
+            f"Authorization: Bearer {fleet.operator_key}\r\nContent-Length: {len(body)}\r\n\r\n"
+        )
+        host = fleet.members[through].host
+        with socket.create_connection((host, RESOURCE_PORT)) as connection:
+            connection.sendall(head.encode() + body)
