Recover a log whose cut-off part lies in a deleted segment

Cause: found by random crashes. A test crashes at random system calls beside a model. Ruled out: keeping segments until no truncation reaches into them; it would keep them without need.

--- a/chivetrack/components/storage/recovery.py
+++ b/chivetrack/components/storage/recovery.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Final
 
 from chivetrack.components.consensus.messages import Entry
 from chivetrack.components.consensus.models import HardState, Snapshot
@@ -12,6 +13,9 @@
 from chivetrack.helpers.codec import Message
 
 
+UNKNOWN_TERM: Final = -1
+
+
 @dataclass(slots=True, kw_only=True)
 class Segment:
     """A segment file; ``last_index`` is the highest index of an entry in it."""
@@ -44,7 +48,14 @@
         return self.entries[index - self.base_index - 1].term
 
     def truncate(self, index: int) -> None:
-        """Drop the entries from ``index`` on."""
+        """Drop the entries from ``index`` on.
+
+        It may lie before the base, in a segment that was deleted since: then a later
+        snapshot holds that part, and nobody asks for the term there.
+        """
+        if index <= self.base_index:
+            self.base_index = index - 1
+            self.base_term = UNKNOWN_TERM
         del self.entries[max(0, index - self.base_index - 1) :]
 
     def restart(self, header: SegmentHeader) -> None:
