Rescue a folder after a lost majority; kill a writer in the middle of writes

Cause: with the disks of a majority lost, the survivor's log is the best that is left, and operators need a way to go on from it. Change: rescue_folder makes a system of one new replica from a survivor's folder; a test kills a writing process with SIGKILL and compares. Ruled out: editing the survivor's members in place; the old id must not lead two systems.

--- a/chivetrack/components/storage/backup.py
+++ b/chivetrack/components/storage/backup.py
@@ -4,12 +4,14 @@
 from random import Random
 
 from chivetrack.components.consensus.members import Member, Members
-from chivetrack.components.consensus.models import Snapshot
+from chivetrack.components.consensus.messages import Entry, EntryKind
+from chivetrack.components.consensus.models import HardState, Persist, Snapshot
 from chivetrack.components.storage.exceptions import WriteFailedError
 from chivetrack.components.storage.files import Calls
 from chivetrack.components.storage.records import Identity
 from chivetrack.components.storage.snapshots import read_snapshot, write_snapshot
-from chivetrack.components.storage.storage import create_folder
+from chivetrack.components.storage.storage import create_folder, open_storage
+from chivetrack.helpers.codec import pack
 
 _ID_BITS = 48
 
@@ -62,3 +64,34 @@
         data=backup.data,
     )
     create_folder(folder, identity=identity, snapshot=snapshot, calls=calls)
+
+
+def rescue_folder(
+    source: Path, *, folder: Path, identity: Identity, calls: Calls | None = None
+) -> int:
+    """Make a folder for a new replica, the only voter, from that of a stopped survivor.
+
+    For a majority whose disks are lost for good. All entries of the survivor are kept,
+    also those that were never committed; what it lacks is lost. Take the survivor with
+    the highest last term, then the highest last index (the return value). All other
+    replicas of the system before must stay stopped for ever: they could elect a
+    leader of their own.
+    """
+    calls = calls or Calls()
+    with open_storage(path=source) as storage:
+        recovered = storage.take_recovered()
+    last = recovered.entries[-1].index if recovered.entries else recovered.snapshot.index
+    term = recovered.hard_state.term + 1
+    entry = Entry(
+        index=last + 1, term=term, kind=EntryKind.MEMBERS, data=pack(_make_members(identity))
+    )
+    persist = Persist(
+        hard_state=HardState(term=term),
+        entries=(*recovered.entries, entry),
+        last_index=last + 1,
+        last_term=term,
+    )
+    create_folder(folder, identity=identity, snapshot=recovered.snapshot, calls=calls)
+    with open_storage(path=folder, calls=calls) as storage:
+        storage.save([persist])
+    return last
--- a/tests/components/replica/test_replica.py
+++ b/tests/components/replica/test_replica.py
@@ -9,6 +9,7 @@
 
 from chivetrack.components.consensus import Consensus
 from chivetrack.components.consensus.members import make_voters
+from chivetrack.components.consensus.messages import Entry, EntryKind
 from chivetrack.components.consensus.models import (
     Persist,
     Recovered,
@@ -18,6 +19,7 @@
 from chivetrack.components.replica import Replica, ReplicaCore
 from chivetrack.components.replica.models import NotLeaderFault
 from chivetrack.components.storage import Storage, create_folder, open_storage
+from chivetrack.components.storage.backup import rescue_folder
 from chivetrack.components.storage.exceptions import WriteFailedError
 from chivetrack.components.storage.records import Identity
 from chivetrack.core import SendMessage
@@ -281,6 +283,32 @@
                         written.append(value)
                     self.assertEqual(journal.values, written)
 
+    def test_rescue_after_a_lost_majority(self) -> None:
+        """Two of three disks are lost for good. The survivor's folder becomes a system
+        of one new replica, which has every value that the survivor held and takes new
+        ones; its members are itself alone."""
+        with tempfile.TemporaryDirectory() as folder:
+            old = Path(folder) / "old"
+            new = Path(folder) / "new"
+            first = Snapshot(index=1, term=1, members=make_voters("a", "b", "c"))
+            create_folder(old, identity=Identity(replica_id="a", instance_id="a"), snapshot=first)
+            entries = tuple(
+                Entry(index=index, term=1, kind=EntryKind.DATA, data=b"%d" % index)
+                for index in range(2, 30)
+            )
+            with open_storage(path=old) as storage:
+                storage.save([Persist(entries=entries, last_index=29, last_term=1)])
+            identity = Identity(replica_id="z", instance_id="z")
+            self.assertEqual(rescue_folder(old, folder=new, identity=identity), 29)
+            journal = Journal()
+            with open_storage(path=new) as storage:
+                self.replica = self.make_replica(storage, journal)
+                self.work()
+                self.assertTrue(self.replica.propose(b"next").is_ok())
+                members = self.replica.get_status().consensus.members
+            self.assertEqual(members.list_voters(), ["z"])
+            self.assertEqual(journal.values, [*(one.data for one in entries), b"next"])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/components/storage/test_crashes.py
+++ b/tests/components/storage/test_crashes.py
@@ -5,6 +5,8 @@
 """
 
 import os
+import subprocess
+import sys
 import tempfile
 import unittest
 from dataclasses import dataclass, replace
@@ -167,5 +169,40 @@
             allowed[:] = states[-1:]
 
 
+WRITER = """
+import sys
+from pathlib import Path
+from chivetrack.components.consensus.messages import Entry, EntryKind
+from chivetrack.components.consensus.models import Persist
+from chivetrack.components.storage import open_storage
+
+with open_storage(path=Path(sys.argv[1])) as storage:
+    for index in range(2, 1_000_000):
+        entry = Entry(index=index, term=1, kind=EntryKind.DATA, data=b"%d" % index)
+        storage.save([Persist(entries=(entry,), last_index=index, last_term=1)])
+        print(index, flush=True)
+"""
+
+
+class KillTest(unittest.TestCase):
+    def test_kill_in_the_middle_of_writes(self) -> None:
+        """A process writes and tells of each write; it is killed with SIGKILL. The folder
+        is free for the next process at once, and holds every write that was told."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "data"
+            identity = Identity(replica_id="a", instance_id="a")
+            create_folder(path, identity=identity, snapshot=FIRST)
+            command = [sys.executable, "-c", WRITER, str(path)]
+            with subprocess.Popen(command, stdout=subprocess.PIPE, text=True) as writer:
+                assert writer.stdout is not None
+                told = [int(writer.stdout.readline()) for _ in range(60)]
+                writer.kill()
+                told += [int(line) for line in writer.stdout if line.endswith("\n")]
+            with open_storage(path=path) as storage:
+                entries = storage.take_recovered().entries
+            self.assertGreaterEqual(entries[-1].index, told[-1])
+            self.assertEqual([one.data for one in entries], [b"%d" % one.index for one in entries])
+
+
 if __name__ == "__main__":
     unittest.main()
