Bound the log's memory by bytes

Cause: all bounds counted entries; a thousand of a mebibyte would exceed the 128 MB of an instance, and one over 4 MiB would not pass gRPC at all. Ruled out: splitting entries over messages; the resources are small.

--- a/chivetrack/components/consensus/leadership.py
+++ b/chivetrack/components/consensus/leadership.py
@@ -4,7 +4,11 @@
 from dataclasses import dataclass
 
 from chivetrack.components.consensus.changes import find_refusal
-from chivetrack.components.consensus.const import MAX_UNCOMMITTED_ENTRIES
+from chivetrack.components.consensus.const import (
+    MAX_ENTRY_BYTES,
+    MAX_UNCOMMITTED_BYTES,
+    MAX_UNCOMMITTED_ENTRIES,
+)
 from chivetrack.components.consensus.messages import (
     AppendAnswer,
     Entry,
@@ -35,6 +39,7 @@
 
     index: int
     proposal_id: int
+    size: int
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -62,6 +67,7 @@
         self._state = state
         self._replication = Replication(state=state)
         self._pending: deque[_Pending] = deque()
+        self._pending_bytes = 0
         self._reads: deque[_Read] = deque()
         self._confirmed_round = 0
         self._transfer: _Transfer | None = None
@@ -72,7 +78,8 @@
 
     def _append_pending(self, kind: EntryKind, data: bytes, proposal_id: int) -> None:
         index = self._append(kind, data)
-        self._pending.append(_Pending(index=index, proposal_id=proposal_id))
+        self._pending.append(_Pending(index=index, proposal_id=proposal_id, size=len(data)))
+        self._pending_bytes += len(data)
 
     def _append(self, kind: EntryKind, data: bytes) -> int:
         state = self._state
@@ -85,19 +92,23 @@
     def propose(self, proposals: tuple[Proposal, ...]) -> None:
         """Append proposals and send them on."""
         for proposal in proposals:
-            refusal = self._find_refusal()
+            refusal = self._find_refusal(proposal.data)
             if refusal is not Refusal.NONE:
                 self._refuse(proposal.proposal_id, refusal)
                 continue
             self._append_pending(EntryKind.DATA, proposal.data, proposal.proposal_id)
         self._replication.broadcast_entries()
 
-    def _find_refusal(self) -> Refusal:
+    def _find_refusal(self, data: bytes = b"") -> Refusal:
         state = self._state
+        if len(data) > MAX_ENTRY_BYTES:
+            return Refusal.TOO_LARGE
         if self._transfer is not None:
             return Refusal.TRANSFERRING
         if state.log.last_index - state.commit_index >= MAX_UNCOMMITTED_ENTRIES:
             return Refusal.OVERLOADED
+        if self._pending_bytes + len(data) > MAX_UNCOMMITTED_BYTES:
+            return Refusal.OVERLOADED
         return Refusal.NONE
 
     def _refuse(self, proposal_id: int, refusal: Refusal) -> None:
@@ -241,6 +252,7 @@
     def _end_proposals(self) -> None:
         while self._pending and self._pending[0].index <= self._state.commit_index:
             ended = self._pending.popleft()
+            self._pending_bytes -= ended.size
             self._state.out.add(
                 ProposalEnded(
                     proposal_id=ended.proposal_id, outcome=Outcome.COMMITTED, index=ended.index
--- a/chivetrack/components/consensus/log.py
+++ b/chivetrack/components/consensus/log.py
@@ -119,7 +119,7 @@
 
     def compact(self, snapshot: Snapshot) -> None:
         """Take over a snapshot of applied entries; keep some entries behind it."""
-        keep_after = max(self._base_index, snapshot.index - self._limits.trailing_entries)
+        keep_after = self._find_trailing(snapshot.index)
         self._base_term = self.find_term(keep_after) or 0
         del self._entries[: keep_after - self._base_index]
         self._base_index = keep_after
@@ -127,6 +127,17 @@
         self._members = [(snapshot.index, snapshot.members), *later]
         self.snapshot = drop_data(snapshot)
 
+    def _find_trailing(self, index: int) -> int:
+        """Return the index after which entries are kept behind a snapshot of ``index``."""
+        first = max(self._base_index, index - self._limits.trailing_entries)
+        size = 0
+        while index > first:
+            size += len(self._entries[index - self._base_index - 1].data)
+            if size > self._limits.trailing_bytes:
+                break
+            index -= 1
+        return index
+
     def reset(self, snapshot: Snapshot) -> None:
         """Drop all entries and go on after a snapshot from the leader."""
         self._entries.clear()
--- a/chivetrack/components/consensus/models.py
+++ b/chivetrack/components/consensus/models.py
@@ -9,6 +9,7 @@
     HEARTBEAT_S,
     MAX_APPEND_BYTES,
     SNAPSHOT_CHUNK_BYTES,
+    TRAILING_BYTES,
     TRAILING_ENTRIES,
 )
 from chivetrack.components.consensus.members import ChangeKind, Member, Members
@@ -45,6 +46,7 @@
     NOT_LEADER = "not_leader"
     TRANSFERRING = "transferring"
     OVERLOADED = "overloaded"
+    TOO_LARGE = "too_large"
     CHANGE_PENDING = "change_pending"
     NOT_READY = "not_ready"
     NOT_CAUGHT_UP = "not_caught_up"
@@ -72,6 +74,7 @@
     append_bytes: int = MAX_APPEND_BYTES
     chunk_bytes: int = SNAPSHOT_CHUNK_BYTES
     trailing_entries: int = TRAILING_ENTRIES
+    trailing_bytes: int = TRAILING_BYTES
 
 
 @message("log.hard_state")
--- a/chivetrack/components/replica/const.py
+++ b/chivetrack/components/replica/const.py
@@ -2,8 +2,11 @@
 
 from typing import Final
 
-# A restart applies at most about this many entries again.
+from chivetrack.const import MEBIBYTE
+
+# A restart reads and applies at most about this much again, and memory holds it.
 SNAPSHOT_ENTRIES: Final = 10_000
+SNAPSHOT_BYTES: Final = 8 * MEBIBYTE
 
 # Messages may be lost; a replica whose disk is stuck drops them rather than its memory.
 MAX_WAITING_MESSAGES: Final = 4096
--- a/chivetrack/components/replica/core.py
+++ b/chivetrack/components/replica/core.py
@@ -11,7 +11,7 @@
     Snapshot,
     SnapshotTaken,
 )
-from chivetrack.components.replica.const import SNAPSHOT_ENTRIES
+from chivetrack.components.replica.const import SNAPSHOT_BYTES, SNAPSHOT_ENTRIES
 from chivetrack.components.replica.models import ProposalAnswered, StateMachine
 from chivetrack.core import Effect, Event
 
@@ -51,11 +51,15 @@
     def handle(self, event: Event, *, now: float) -> list[Effect]:
         """Take one event at time ``now`` (seconds, never going back)."""
         effects = self._carry_out(self._consensus.handle(event, now=now))
-        if self._applied_index - self._snapshot_index >= self._snapshot_entries:
+        if self._needs_snapshot():
             effects += self._save_snapshot(now)
         self._answers.clear()
         return effects
 
+    def _needs_snapshot(self) -> bool:
+        many = self._applied_index - self._snapshot_index >= self._snapshot_entries
+        return many or self._applied_bytes >= SNAPSHOT_BYTES
+
     def _carry_out(self, effects: list[Effect]) -> list[Effect]:
         others: list[Effect] = []
         for effect in effects:
@@ -73,6 +77,7 @@
     def _apply(self, entries: tuple[Entry, ...]) -> None:
         for entry in entries:
             self._applied_index = entry.index
+            self._applied_bytes += len(entry.data)
             if entry.kind is not EntryKind.DATA:
                 continue
             answer = self._state_machine.apply(entry.index, entry.data)
@@ -83,6 +88,7 @@
         self._state_machine.restore_snapshot(snapshot.data)
         self._applied_index = snapshot.index
         self._snapshot_index = snapshot.index
+        self._applied_bytes = 0
 
     def _answer(self, ended: ProposalEnded) -> ProposalAnswered:
         committed = ended.outcome is Outcome.COMMITTED
@@ -98,6 +104,7 @@
     def _save_snapshot(self, now: float) -> list[Effect]:
         data = self._state_machine.take_snapshot()
         self._snapshot_index = self._applied_index
+        self._applied_bytes = 0
         self._snapshot_at = now
         taken = SnapshotTaken(index=self._applied_index, data=data)
         return self._carry_out(self._consensus.handle(taken, now=now))
--- a/chivetrack/components/replica/faults.py
+++ b/chivetrack/components/replica/faults.py
@@ -1,5 +1,6 @@
 """The faults that callers of a replica see."""
 
+from chivetrack.components.consensus.const import MAX_ENTRY_BYTES
 from chivetrack.components.consensus.models import Outcome, Refusal
 from chivetrack.components.replica.const import NOT_LEADER_RETRY_S, STORAGE_RETRY_S
 from chivetrack.components.replica.models import NotLeaderFault, ProposalAnswered
@@ -62,6 +63,12 @@
         return make_unknown()
     if answer.refusal is Refusal.NOT_LEADER:
         return make_not_leader(answer.leader)
+    if answer.refusal is Refusal.TOO_LARGE:
+        return Fault(
+            code="too_large",
+            message=f"an entry has at most {MAX_ENTRY_BYTES} bytes",
+            status=413,
+        )
     passing = answer.refusal in _PASSING
     return Fault(
         code=answer.refusal.value,
--- a/tests/components/consensus/test_core.py
+++ b/tests/components/consensus/test_core.py
@@ -5,6 +5,7 @@
 from typing import TypeVar
 
 from chivetrack.components.consensus import Consensus
+from chivetrack.components.consensus.log import Log
 from chivetrack.components.consensus.members import Member, Members, make_voters
 from chivetrack.components.consensus.messages import (
     AppendAnswer,
@@ -23,6 +24,7 @@
 from chivetrack.components.consensus.models import (
     Apply,
     HardState,
+    Limits,
     Outcome,
     Persist,
     Persisted,
@@ -363,5 +365,19 @@
         self.assertEqual(self.subject.handle(SnapshotTaken(index=9, data=b"s")), [])
 
 
+class LogTest(unittest.TestCase):
+    def test_entries_behind_a_snapshot(self) -> None:
+        """As many stay as both limits allow; the term before them stays known."""
+        cases = {"entries": (Limits(trailing_entries=3), 6), "bytes": (Limits(trailing_bytes=7), 7)}
+        for name, (limits, base) in cases.items():
+            with self.subTest(name):
+                first = Snapshot(index=1, term=1, members=VOTERS)
+                recovered = Recovered(snapshot=first, entries=make_entries(*range(2, 12)))
+                log = Log(recovered=recovered, limits=limits)
+                log.compact(Snapshot(index=9, term=9, members=VOTERS))
+                self.assertEqual((log.base_index, log.find_term(base)), (base, base))
+                self.assertEqual((log.last_index, log.find_term(11)), (11, 11))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/components/replica/test_replica.py
+++ b/tests/components/replica/test_replica.py
@@ -22,6 +22,7 @@
 from chivetrack.components.storage.backup import rescue_folder
 from chivetrack.components.storage.exceptions import WriteFailedError
 from chivetrack.components.storage.records import Identity
+from chivetrack.const import MEBIBYTE
 from chivetrack.core import SendMessage
 from chivetrack.exceptions import Fault, Ran
 from chivetrack.helpers.codec import pack, unpack
@@ -203,6 +204,23 @@
         self.assertEqual((fault.code, fault.ran), ("storage_failed", Ran.NO))
         self.assertIn("disk full", self.leader.get_status().failure)
 
+    def test_memory_is_bounded(self) -> None:
+        """Large entries: one that no message takes is refused; behind a cut the leader
+        takes 16 MiB and refuses the rest; after 8 MiB a snapshot lets the log go."""
+        fault = self.get_fault(bytes(MEBIBYTE + 1))
+        self.assertEqual((fault.code, fault.status, fault.ran), ("too_large", 413, Ran.NO))
+        disk = self.cluster.disks[self.name]
+        for _ in range(8):
+            self.assertTrue(self.leader.propose(b"x" * MEBIBYTE).is_ok())
+        self.assertGreater(disk.snapshot.index, 8)
+        self.cluster.cut.add(self.name)
+        self.leader._calls._make_waiter = StepWaiter
+        for _ in range(17):
+            self.leader.propose(b"x" * MEBIBYTE, timeout_s=0)
+        self.leader.step()
+        status = self.leader.get_status().consensus
+        self.assertEqual(status.last_index - status.commit_index, 16)
+
     def test_many_writers_share_a_sync(self) -> None:
         """Sixty-four writers propose before the writer turns to them: one save at the
         leader, and one message to each follower."""
