--- a/chivetrack/components/storage/backup.py
+++ b/chivetrack/components/storage/backup.py
@@ -4,12 +4,14 @@
 from random import Random
 
 from chivetrack.components.consensus.members import Member, Members
-from chivetrack.components.consensus.models import Snapshot
-from chivetrack.components.storage.exceptions import DamagedFileError, WriteFailedError
-from chivetrack.components.storage.files import Calls, write_file
-from chivetrack.components.storage.frames import encode_frame, scan_frames
+from chivetrack.components.consensus.messages import Entry, EntryKind
+from chivetrack.components.consensus.models import HardState, Persist, Snapshot
+from chivetrack.components.storage.exceptions import WriteFailedError
+from chivetrack.components.storage.files import Calls
 from chivetrack.components.storage.records import Identity
-from chivetrack.components.storage.storage import create_folder
+from chivetrack.components.storage.snapshots import read_snapshot, write_snapshot
+from chivetrack.components.storage.storage import create_folder, open_storage
+from chivetrack.helpers.codec import pack
 
 _ID_BITS = 48
 
@@ -36,17 +38,14 @@
 def write_backup(path: Path, snapshot: Snapshot, *, calls: Calls | None = None) -> None:
     """Write a snapshot as a backup; the file appears only when it is whole and synced."""
     try:
-        write_file(path, encode_frame([snapshot]), calls or Calls())
+        write_snapshot(path, snapshot, calls or Calls())
     except OSError as error:
         raise WriteFailedError(path, str(error)) from error
 
 
 def read_backup(path: Path) -> Snapshot:
     """Read a backup; raise ``DamagedFileError`` if a byte of it is wrong."""
-    records = scan_frames(path.read_bytes(), path=path, may_be_torn=False).records
-    if len(records) != 1 or not isinstance(records[0], Snapshot):
-        raise DamagedFileError(path, 0, "not a backup")
-    return records[0]
+    return read_snapshot(path)
 
 
 def restore_backup(
@@ -65,3 +64,34 @@
         data=backup.data,
     )
     create_folder(folder, identity=identity, snapshot=snapshot, calls=calls)
+
+
+def rescue_folder(
+    source: Path, *, folder: Path, identity: Identity, calls: Calls | None = None
+) -> int:
+    """Make a folder for a new replica, the only voter, from that of a stopped survivor.
+
+    For a majority whose disks are lost for good. All entries of the survivor are kept,
+    also those that were never committed; what it lacks is lost. Take the survivor with
+    the highest last term, then the highest last index (the return value). All other
+    replicas of the system before must stay stopped for ever: they could elect a
+    leader of their own.
+    """
+    calls = calls or Calls()
+    with open_storage(path=source) as storage:
+        recovered = storage.take_recovered()
+    last = recovered.entries[-1].index if recovered.entries else recovered.snapshot.index
+    term = recovered.hard_state.term + 1
+    entry = Entry(
+        index=last + 1, term=term, kind=EntryKind.MEMBERS, data=pack(_make_members(identity))
+    )
+    persist = Persist(
+        hard_state=HardState(term=term),
+        entries=(*recovered.entries, entry),
+        last_index=last + 1,
+        last_term=term,
+    )
+    create_folder(folder, identity=identity, snapshot=recovered.snapshot, calls=calls)
+    with open_storage(path=folder, calls=calls) as storage:
+        storage.save([persist])
+    return last
--- a/tests/components/replica/test_replica.py
+++ b/tests/components/replica/test_replica.py
@@ -9,6 +9,7 @@
 
 from chivetrack.components.consensus import Consensus
 from chivetrack.components.consensus.members import make_voters
+from chivetrack.components.consensus.messages import Entry, EntryKind
 from chivetrack.components.consensus.models import (
     Persist,
     Recovered,
@@ -18,8 +19,10 @@
 from chivetrack.components.replica import Replica, ReplicaCore
 from chivetrack.components.replica.models import NotLeaderFault
 from chivetrack.components.storage import Storage, create_folder, open_storage
+from chivetrack.components.storage.backup import rescue_folder
 from chivetrack.components.storage.exceptions import WriteFailedError
 from chivetrack.components.storage.records import Identity
+from chivetrack.const import MEBIBYTE
 from chivetrack.core import SendMessage
 from chivetrack.exceptions import Fault, Ran
 from chivetrack.helpers.codec import pack, unpack
@@ -48,11 +51,17 @@
     def __init__(self) -> None:
         self.saves: list[int] = []
         self.full = False
+        self.snapshot = Snapshot()
 
     def save(self, persists: Sequence[Persist]) -> None:
         if self.full:
             raise WriteFailedError(Path("data"), "disk full")
         self.saves.append(len(persists))
+        taken = [one.snapshot for one in persists if one.snapshot is not None]
+        self.snapshot = taken[-1] if taken else self.snapshot
+
+    def load_snapshot(self) -> Snapshot:
+        return self.snapshot
 
 
 class StepWaiter(threading.Event):
@@ -195,6 +204,23 @@
         self.assertEqual((fault.code, fault.ran), ("storage_failed", Ran.NO))
         self.assertIn("disk full", self.leader.get_status().failure)
 
+    def test_memory_is_bounded(self) -> None:
+        """Large entries: one that no message takes is refused; behind a cut the leader
+        takes 16 MiB and refuses the rest; after 8 MiB a snapshot lets the log go."""
+        fault = self.get_fault(bytes(MEBIBYTE + 1))
+        self.assertEqual((fault.code, fault.status, fault.ran), ("too_large", 413, Ran.NO))
+        disk = self.cluster.disks[self.name]
+        for _ in range(8):
+            self.assertTrue(self.leader.propose(b"x" * MEBIBYTE).is_ok())
+        self.assertGreater(disk.snapshot.index, 8)
+        self.cluster.cut.add(self.name)
+        self.leader._calls._make_waiter = StepWaiter
+        for _ in range(17):
+            self.leader.propose(b"x" * MEBIBYTE, timeout_s=0)
+        self.leader.step()
+        status = self.leader.get_status().consensus
+        self.assertEqual(status.last_index - status.commit_index, 16)
+
     def test_many_writers_share_a_sync(self) -> None:
         """Sixty-four writers propose before the writer turns to them: one save at the
         leader, and one message to each follower."""
@@ -275,6 +301,32 @@
                         written.append(value)
                     self.assertEqual(journal.values, written)
 
+    def test_rescue_after_a_lost_majority(self) -> None:
+        """Two of three disks are lost for good. The survivor's folder becomes a system
+        of one new replica, which has every value that the survivor held and takes new
+        ones; its members are itself alone."""
+        with tempfile.TemporaryDirectory() as folder:
+            old = Path(folder) / "old"
+            new = Path(folder) / "new"
+            first = Snapshot(index=1, term=1, members=make_voters("a", "b", "c"))
+            create_folder(old, identity=Identity(replica_id="a", instance_id="a"), snapshot=first)
+            entries = tuple(
+                Entry(index=index, term=1, kind=EntryKind.DATA, data=b"%d" % index)
+                for index in range(2, 30)
+            )
+            with open_storage(path=old) as storage:
+                storage.save([Persist(entries=entries, last_index=29, last_term=1)])
+            identity = Identity(replica_id="z", instance_id="z")
+            self.assertEqual(rescue_folder(old, folder=new, identity=identity), 29)
+            journal = Journal()
+            with open_storage(path=new) as storage:
+                self.replica = self.make_replica(storage, journal)
+                self.work()
+                self.assertTrue(self.replica.propose(b"next").is_ok())
+                members = self.replica.get_status().consensus.members
+            self.assertEqual(members.list_voters(), ["z"])
+            self.assertEqual(journal.values, [*(one.data for one in entries), b"next"])
+
 
 if __name__ == "__main__":
     unittest.main()
