--- a/chivetrack/components/endpoints/record.py
+++ b/chivetrack/components/endpoints/record.py
@@ -30,6 +30,7 @@
     drained_by: str
     breaker_state: BreakerState
     lets_through: bool
+    failures: int
 
 
 @dataclass(slots=True, kw_only=True)
@@ -86,6 +87,7 @@
             self.drained_by,
             self.breaker.state,
             self.breaker.lets_through,
+            0 if self.breaker.state is BreakerState.CLOSED else self.breaker.failures_in_row,
         )
 
     def renew(self, at: float) -> None:
--- a/chivetrack/components/gossip/const.py
+++ b/chivetrack/components/gossip/const.py
@@ -20,7 +20,7 @@
 # Kept free of news, urgent or not, for probes and their answers.
 PROBE_RESERVE_BYTES: Final = 256
 
-TICK_S: Final = 0.2
+TICK_S: Final = 0.14
 TICK_JITTER: Final = 0.2
 MAX_FRAMES_PER_S: Final = 12.0
 FRAME_BURST: Final = 4.0
@@ -31,6 +31,7 @@
 SUMMARY_KEYS: Final = 48
 FAR_REGION_EVERY: Final = 8
 GREET_EVERY: Final = 3
+ANSWER_EVERY: Final = 2
 
 # A load count that would make a peer's younger by less is not worth its bytes.
 MIN_GAIN_S: Final = 0.1
--- a/chivetrack/components/gossip/gossip.py
+++ b/chivetrack/components/gossip/gossip.py
@@ -7,6 +7,7 @@
 from chivetrack.components.gossip.budget import ByteBudget, TokenBucket
 from chivetrack.components.gossip.clock import TransitClock
 from chivetrack.components.gossip.const import (
+    ANSWER_EVERY,
     DEFAULT_BUDGET_BYTES_PER_S,
     DELTA_HEADER_BYTES,
     DIGEST_EVERY_S,
@@ -172,6 +173,11 @@
         """Return when the last frame came straight from an instance, less its delay."""
         return self._frame_heard.get(sender)
 
+    def count_held(self, origin: str) -> int:
+        """Return how many keys of an origin are held, retracted ones among them."""
+        held = self._state.origins.get(origin)
+        return 0 if held is None else len(held.values)
+
     def get_last_load(self) -> float:
         """Return when this instance last published a load count, which shows its life."""
         return self._last_load
@@ -227,11 +233,23 @@
     def _choose_peers(self) -> list[str]:
         if self._greetings and self._ticks % GREET_EVERY == 0:
             return [next(iter(self._greetings))]
+        if self._ticks % ANSWER_EVERY == 0 and (waiting := self._find_waiting()) is not None:
+            return [waiting]
         if self._ticks % FAR_REGION_EVERY == 0 and self._far.members:
             return self._far.take(1)
         extra = 2 if self._outbox.count_urgent() else 0
         return self._near.take(1 + extra)
 
+    def _find_waiting(self) -> str | None:
+        """Return a peer that an answer waits for.
+
+        Left to the rotation, each of the three steps of a repair would take a round.
+        """
+        waiting = [
+            peer for peer in self._peers if self._summaries.get(peer) or self._outbox.owes(peer)
+        ]
+        return self._random.choice(waiting) if waiting else None
+
     def _send(self, peer: str, now: float) -> list[Effect]:
         room = self._get_room(now) - FRAME_HEADER_BYTES
         topics = self._get_topics(peer)
--- a/chivetrack/components/gossip/selection.py
+++ b/chivetrack/components/gossip/selection.py
@@ -79,6 +79,10 @@
         value.known.discard(peer)
         self._owed.setdefault(peer, {})[value] = None
 
+    def owes(self, peer: str) -> bool:
+        """Return whether a peer was seen to lack something."""
+        return any(value.current for value in self._owed.get(peer, ()))
+
     def drop_peer(self, peer: str) -> None:
         """Forget what was owed to a peer that is gone, and what it knows."""
         self._owed.pop(peer, None)
--- a/chivetrack/components/membership/membership.py
+++ b/chivetrack/components/membership/membership.py
@@ -330,7 +330,7 @@
             self._add_member(news, record, heard_at)
             return
         life = Life(record.incarnation, record.refutation)
-        # What was said before a death, a leave or a restart must not undo it.
+        # Gossip gives no older record; one of the same life only matters if it leaves.
         if life < member.life or (life == member.life and not record.leaving):
             return
         is_new_life = life > member.life
--- a/tests/components/endpoints/test_registry.py
+++ b/tests/components/endpoints/test_registry.py
@@ -2,7 +2,12 @@
 
 import unittest
 
+from chivetrack.components.endpoints.const import TOPIC_RENEWAL
 from chivetrack.components.endpoints.models import Availability
+from chivetrack.components.endpoints.wire import Renewal, Renewals, hash_endpoint
+from chivetrack.components.gossip.models import Delta, Entry, GossipFrame, Urgency
+from chivetrack.core import MessageReceived, TimeReached
+from chivetrack.helpers.codec import encode
 from tests.components.endpoints.fleet import LEAVING, EndpointFleet, make_announcement
 
 READY = Availability.READY
@@ -84,3 +89,38 @@
             self.assertEqual(refused.swap().ok.code, "stale-incarnation", name)
             listed = self.fleet.registries[name].list_endpoints("valuation")
             self.assertEqual([state.address for state in listed], [new.address], name)
+
+    def test_an_older_ready_is_not_left_behind(self) -> None:
+        """Router 1 was told "ready", router 2 "leaving"; then 2 and 3 restart empty.
+
+        What router 2 published goes with it. If router 1 still offered its "ready", those
+        who start now would give the endpoint work up to the end of the lease.
+        """
+        self.fleet.announce("router-1", make_announcement("e-1"))
+        self.fleet.network.run_for(1)
+        self.fleet.announce("router-2", make_announcement("e-1", state=LEAVING))
+        self.fleet.network.run_for(1.5)
+        self.fleet.start("router-2", incarnation=2)
+        self.fleet.network.run_for(0.5)
+        self.fleet.start("router-3", incarnation=2)
+        self.fleet.network.run_for(2)
+        for name in self.fleet.names:
+            self.assertNotIn(READY, self.fleet.list_availability(name).values(), name)
+
+    def test_renewals_of_one_that_leaves_do_not_keep_it_ready(self) -> None:
+        """A router missed that an endpoint leaves, but gets the renewals of those who know.
+
+        Named by id and incarnation alone they would extend the lease, and callers would
+        be sent to the endpoint for as long as it takes to stop.
+        """
+        registry = self.fleet.registries["router-0"]
+        registry.announce(make_announcement("e-1"), now=0.0)
+        name = hash_endpoint("e-1", 1, leaving=True)
+        payload = encode(Renewals((Renewal(name, 0),)))
+        for second in range(1, 8):
+            entry = Entry(TOPIC_RENEWAL, "", second, int(Urgency.LOAD), 0, payload)
+            frame = GossipFrame(1, second * 1000, (Delta("router-1", 1, 0, (entry,)),))
+            event = MessageReceived(source="router-1", message=frame)
+            self.fleet.gossips["router-0"].handle(event, now=float(second))
+            registry.handle(TimeReached(), now=float(second))
+        self.assertEqual(self.fleet.list_availability("router-0"), {})
