Wire limits, retry budgets and the drain controller

Cause: requests were admitted without limits, retried without a budget, and no drain was ever moved on. Change: admission by the limiter, whose turns for other requests are given once the chain is done with one; demands exchanged by gossip for workspaces that have a limit; retries by the policy with budgets; the drain controller runs on the replicas. Fault codes are all in one spelling now.

Ruled out: telling the demands of all workspaces; at 49,000 they fit no frame. Not applied yet: limit resources for one service or one model.

--- a/chivetrack/assembly.py
+++ b/chivetrack/assembly.py
@@ -12,18 +12,30 @@
 from chivetrack.components.claims.keeper import ClaimKeeper
 from chivetrack.components.configuration.configuration import Configuration
 from chivetrack.components.configuration.models import ConfigurationSettings
+from chivetrack.components.controllers.host import ControllerHost
+from chivetrack.components.controllers.lease import LeaseHolder
+from chivetrack.components.controllers.loop import ControllerLoop
 from chivetrack.components.directory.directory import ConfigDirectory
+from chivetrack.components.directory.limits import ConfiguredLimits
+from chivetrack.components.drains.const import CONTROLLER as DRAIN_CONTROLLER
+from chivetrack.components.drains.controller import DrainController
 from chivetrack.components.drains.enforcement import DrainEnforcement
+from chivetrack.components.drains.models import InstanceState
+from chivetrack.components.drains.observation import FleetObserver
 from chivetrack.components.endpoints.models import OutcomeKind
 from chivetrack.components.endpoints.registry import EndpointRegistry
 from chivetrack.components.fleet.leader import LeaderNews
 from chivetrack.components.fleet.roster import Roster
 from chivetrack.components.gossip.gossip import Gossip
+from chivetrack.components.limits.exchange import DemandExchange
+from chivetrack.components.limits.limiter import Limiter
+from chivetrack.components.limits.shares import ShareBook
 from chivetrack.components.load.book import LoadBook
 from chivetrack.components.load.exchange import LoadExchange
 from chivetrack.components.membership.const import FLEET_TOPICS
 from chivetrack.components.membership.membership import Membership
-from chivetrack.components.membership.models import Instance, Life, Seed
+from chivetrack.components.membership.models import Instance, InstanceStatus, Life, Seed
+from chivetrack.components.pipeline.admission import AdmissionControl
 from chivetrack.components.pipeline.attempts import AttemptRetries
 from chivetrack.components.pipeline.chain import FILTERS, Filter, FilterChain
 from chivetrack.components.pipeline.const import FILTER_ORDER
@@ -36,6 +48,8 @@
 from chivetrack.exceptions import Fault
 from chivetrack.node import RouterNode
 
+DEFAULT_MAX_REQUESTS = 1000
+
 _OUTCOME_KINDS = {
     AttemptOutcome.NOT_SENT: OutcomeKind.CONNECT,
     AttemptOutcome.REFUSED: OutcomeKind.ANSWER,
@@ -68,6 +82,7 @@
     budget_bytes_per_s: int
     configuration: ConfigurationSettings
     filter_order: Sequence[str] = FILTER_ORDER
+    max_requests: int = DEFAULT_MAX_REQUESTS
 
 
 @dataclass(slots=True, kw_only=True)
@@ -88,14 +103,47 @@
     )
 
 
-class _OpenLimiter:
-    """Admits everything."""
+def assemble_controllers(
+    *,
+    identity: RouterIdentity,
+    configuration: Configuration,
+    proposals: ProposalClient,
+    registry: EndpointRegistry,
+    load: LoadBook,
+    membership: Membership,
+    random_source: Random,
+    to_wall_ms: Callable[[float], int],
+    now: float,
+    is_replica: bool,
+) -> ControllerHost:
+    """Return the controllers of an instance; only replicas run any.
 
-    def admit(self, exchange: Exchange, *, now: float) -> Fault | bool:
-        return True
+    Each standby asks for its leases by entries of the log, so few instances should.
+    """
+    if not is_replica:
+        return ControllerHost(loops=(), proposals=proposals)
 
-    def release(self, exchange: Exchange, *, now: float) -> None:
-        return
+    def list_states(at: float) -> list[InstanceState]:
+        return [
+            InstanceState(
+                instance_id=each.instance_id, is_ready=each.status is InstanceStatus.ALIVE
+            )
+            for each in membership.list_instances()
+        ]
+
+    observer = FleetObserver(
+        registry=registry, load=load, list_instances=list_states, to_wall_ms=to_wall_ms
+    )
+    table = configuration.view.table
+    run = f"{identity.instance_id}/{identity.incarnation}"
+    loop = ControllerLoop(
+        controller=DrainController(table=table, observer=observer),
+        lease=LeaseHolder(name=DRAIN_CONTROLLER, instance_run=run, random=random_source),
+        get_revision=lambda: table.revision,
+        random=random_source,
+        started_at=now,
+    )
+    return ControllerHost(loops=[loop], proposals=proposals)
 
 
 def assemble_router(
@@ -145,11 +193,16 @@
     )
     placer = Placer(view=registry, load=load, random=random_source)
     exchange = LoadExchange(book=load, gossip=gossip)
+    shares = ShareBook(router_id=identity.instance_id, incarnation=identity.incarnation)
+    limiter = Limiter(shares=shares, random=random_source, capacity=options.max_requests)
+    admission = AdmissionControl(limiter=limiter, limits=ConfiguredLimits(view=configuration.view))
+    demands = DemandExchange(shares=shares, gossip=gossip, list_routers=membership.list_living)
+    retries = AttemptRetries()
     parts: dict[str, dict[str, Any]] = {
         "trace": {"random_source": random_source},
         "identify": {"directory": directory},
         "classify": {"directory": directory},
-        "limit": {"limiter": _OpenLimiter()},
+        "limit": {"limiter": admission},
         "route": {
             "placer": placer,
             "load": exchange,
@@ -158,7 +211,7 @@
         },
     }
     filters: list[Filter] = [FILTERS[name](**parts.get(name, {})) for name in options.filter_order]
-    end_listeners: list[Callable[[Exchange, Fault | None, float], None]] = []
+    end_listeners: list[Callable[[Exchange, Fault | None, float], None]] = [retries.earn]
 
     def record_outcome(attempt: Attempt, outcome: AttemptOutcome, at: float) -> None:
         kind = _OUTCOME_KINDS[outcome]
@@ -171,7 +224,7 @@
 
     flow = RequestFlow(
         chain=FilterChain(filters=filters),
-        retries=AttemptRetries(),
+        retries=retries,
         route_position=list(options.filter_order).index("route"),
         on_outcome=record_outcome,
         on_end=tell_end,
@@ -197,12 +250,27 @@
         load=load,
     )
     enforcement = DrainEnforcement(configuration=configuration, registry=registry)
+    controllers = assemble_controllers(
+        identity=identity,
+        configuration=configuration,
+        proposals=proposals,
+        registry=registry,
+        load=load,
+        membership=membership,
+        random_source=random_source,
+        to_wall_ms=to_wall_ms,
+        now=now,
+        is_replica=store_table is not None,
+    )
     node = RouterNode(
         flow=flow,
         proposals=proposals,
         claims=claims,
+        admission=admission,
+        controllers=controllers,
         components=(
             exchange,
+            demands,
             membership,
             gossip,
             registry,
--- a/chivetrack/components/directory/directory.py
+++ b/chivetrack/components/directory/directory.py
@@ -23,6 +23,16 @@
         """Return the priority that engines are told."""
         return self.form.priority
 
+    @property
+    def rate(self) -> float | None:
+        """Return how many requests a second it may send."""
+        return self.form.rate
+
+    @property
+    def concurrency(self) -> int | None:
+        """Return how many requests it may have running."""
+        return self.form.concurrency
+
     def allows(self, service: str) -> bool:
         """Return whether the workspace may use a service; an empty list allows none."""
         return service in self.form.services or ANY_NAME in self.form.services
--- a/chivetrack/components/endpoints/registry.py
+++ b/chivetrack/components/endpoints/registry.py
@@ -97,7 +97,7 @@
             held = record.announcement.incarnation
             return Error(
                 Fault(
-                    code="stale-incarnation",
+                    code="stale_incarnation",
                     message=f"incarnation {held} of {announcement.endpoint_id} was seen already",
                     status=409,
                 )
@@ -105,7 +105,7 @@
         if acceptance is Acceptance.LEAVING:
             return Error(
                 Fault(
-                    code="endpoint-leaving",
+                    code="endpoint_leaving",
                     message=f"{announcement.endpoint_id} said that it leaves;"
                     " announce a higher incarnation to come back",
                     status=409,
--- a/chivetrack/components/gossip/gossip.py
+++ b/chivetrack/components/gossip/gossip.py
@@ -129,7 +129,7 @@
         if bound_size(value_key, payload) > self._largest_entry:
             return Error(
                 Fault(
-                    code="gossip-value-too-large",
+                    code="gossip_value_too_large",
                     message=f"{topic}/{key} takes {len(payload)} bytes, no frame holds that",
                     status=413,
                 )
--- /dev/null
+++ b/chivetrack/components/limits/exchange.py
@@ -0,0 +1,58 @@
+"""Exchanges workspaces' demands between routers by gossip."""
+
+from collections.abc import Callable, Collection
+
+from chivetrack.components.gossip.gossip import Gossip
+from chivetrack.components.gossip.models import News, Urgency
+from chivetrack.components.limits.const import DEMAND_INTERVAL_S
+from chivetrack.components.limits.models import DemandReport
+from chivetrack.components.limits.shares import ShareBook
+from chivetrack.core import Effect, Event, TimeReached, WakeAt
+from chivetrack.helpers.codec import DecodeError, decode_as, encode
+
+TOPIC_DEMAND = "demand"
+
+
+class DemandExchange:
+    """Publishes this router's demands when they change, and takes in the others'."""
+
+    def __init__(
+        self,
+        *,
+        shares: ShareBook,
+        gossip: Gossip,
+        list_routers: Callable[[], Collection[str]],
+    ) -> None:
+        """Connect a share book with gossip; ``list_routers`` returns the living ones."""
+        self._shares = shares
+        self._gossip = gossip
+        self._list_routers = list_routers
+        self._next = float("-inf")
+        self._published: dict[str, float] | None = None
+        gossip.subscribe(TOPIC_DEMAND, self._take_news)
+
+    def handle(self, event: Event, *, now: float) -> list[Effect]:
+        """Publish when it is due."""
+        if not isinstance(event, TimeReached):
+            return []
+        if now >= self._next:
+            self._next = now + DEMAND_INTERVAL_S
+            self._shares.set_routers(self._list_routers())
+            self._publish(now)
+        return [WakeAt(at=self._next)]
+
+    def _publish(self, now: float) -> None:
+        report = self._shares.collect_demands(now)
+        if report.demands == self._published:
+            return
+        self._published = report.demands
+        self._gossip.publish(TOPIC_DEMAND, "", encode(report), Urgency.OVERLOAD, now=now)
+
+    def _take_news(self, news: News) -> None:
+        if news.payload is None:
+            return
+        try:
+            report = decode_as(DemandReport, news.payload)
+        except DecodeError:
+            return
+        self._shares.merge_demands(news.origin, report)
--- a/chivetrack/components/limits/faults.py
+++ b/chivetrack/components/limits/faults.py
@@ -13,8 +13,8 @@
 from chivetrack.exceptions import Fault, Ran
 
 _CODES = {
-    Cause.RATE: "rate-limited",
-    Cause.CONCURRENCY: "concurrency-limited",
+    Cause.RATE: "rate_limited",
+    Cause.CONCURRENCY: "concurrency_limited",
     Cause.CAPACITY: "overloaded",
     Cause.NOTHING: "overloaded",
 }
--- a/chivetrack/components/limits/limiter.py
+++ b/chivetrack/components/limits/limiter.py
@@ -75,7 +75,9 @@
 
     def submit(self, request: LimitedRequest, now: float) -> list[Effect]:
         """Decide on a new request."""
-        self._shares.note_request(request.workspace, now)
+        # Demands are told to all routers, so only those that share out a limit are.
+        if request.workspace in self._limits:
+            self._shares.note_request(request.workspace, now)
         effects = self.advance(now)
         estimate = self._estimate(request, now)
         if estimate.cause is Cause.NOTHING:
--- a/chivetrack/components/membership/membership.py
+++ b/chivetrack/components/membership/membership.py
@@ -93,6 +93,11 @@
         listed = [member.make_instance() for member in self._members.values()]
         return sorted([*listed, self._own], key=lambda instance: instance.instance_id)
 
+    def list_living(self) -> list[str]:
+        """Return the ids of the instances that are not dead and have not left."""
+        gone = (InstanceStatus.DEAD, InstanceStatus.LEFT)
+        return [each.instance_id for each in self.list_instances() if each.status not in gone]
+
     def list_regions(self, *, now: float) -> list[RegionSummary]:
         """Return what is known of other regions."""
         return self._regions.list_summaries(now)
--- /dev/null
+++ b/chivetrack/components/pipeline/admission.py
@@ -0,0 +1,109 @@
+"""Connects the filter chain with the limiter."""
+
+from collections.abc import Sequence
+from typing import Protocol
+
+from chivetrack.components.limits.limiter import Limiter
+from chivetrack.components.limits.models import Admit, LimitedRequest, Shed, WorkspaceLimit
+from chivetrack.components.pipeline.models import Exchange, QueueLeft, WorkspaceView
+from chivetrack.core import Effect, Event, TimeReached, WakeAt
+from chivetrack.exceptions import Fault
+
+MIN_BURST = 1.0
+
+
+class LimitSource(Protocol):
+    """Where the limits of a workspace come from."""
+
+    def find_limit(self, workspace: WorkspaceView) -> WorkspaceLimit | None:
+        """Return the limits in force for a workspace."""
+        ...
+
+
+class AdmissionControl:
+    """Asks the limiter for each request, and gives the turns of those that waited.
+
+    What the limiter decides about others while one request is looked at is kept until
+    ``take_turns``: the chain is in the middle of that one request.
+    """
+
+    def __init__(self, *, limiter: Limiter, limits: LimitSource) -> None:
+        """Take the limiter and the configured limits."""
+        self._limiter = limiter
+        self._limits = limits
+        self._configured: dict[str, WorkspaceLimit | None] = {}
+        self._waiting: set[str] = set()
+        self._turns: list[QueueLeft] = []
+
+    def admit(self, exchange: Exchange, *, now: float) -> Fault | bool:
+        """Let a request in, have it wait, or refuse it at once."""
+        assert exchange.workspace is not None
+        self._configure(exchange.workspace, now)
+        request = LimitedRequest(
+            request_id=exchange.request_id,
+            workspace=exchange.workspace.name,
+            deadline=exchange.deadline,
+            # Engines take the lower number first, the limiter's queue the higher one.
+            priority=-exchange.priority,
+        )
+        decision: Fault | bool = False
+        for effect in self._limiter.submit(request, now):
+            own = _find_own(effect, exchange.request_id)
+            if own is None:
+                self._note(effect)
+            else:
+                decision = own
+        if decision is False:
+            self._waiting.add(exchange.request_id)
+        return decision
+
+    def _configure(self, workspace: WorkspaceView, now: float) -> None:
+        limit = self._limits.find_limit(workspace)
+        if self._configured.get(workspace.name) != limit:
+            self._configured[workspace.name] = limit
+            self._limiter.configure(workspace.name, limit, now)
+
+    def _note(self, effect: Effect) -> None:
+        if not isinstance(effect, Admit | Shed) or effect.request_id not in self._waiting:
+            return
+        self._waiting.remove(effect.request_id)
+        fault = effect.fault if isinstance(effect, Shed) else None
+        self._turns.append(QueueLeft(request_id=effect.request_id, fault=fault))
+
+    def release(self, exchange: Exchange, *, now: float) -> None:
+        """Take in that a request is over, or has left the queue."""
+        request_id = exchange.request_id
+        if request_id in self._waiting:
+            self._waiting.remove(request_id)
+            self._limiter.cancel(request_id)
+            return
+        self._note_all(self._limiter.finish(request_id, now))
+
+    def _note_all(self, effects: Sequence[Effect]) -> None:
+        for effect in effects:
+            self._note(effect)
+
+    def take_turns(self) -> list[QueueLeft]:
+        """Return whose turn has come, or who was given up, since the last call."""
+        turns, self._turns = self._turns, []
+        return turns
+
+    def handle(self, event: Event, *, now: float) -> list[Effect]:
+        """Look at the queue while somebody waits."""
+        if not isinstance(event, TimeReached):
+            return []
+        self._note_all(self._limiter.advance(now))
+        due = self._limiter.find_due(now)
+        return [] if due is None else [WakeAt(at=due)]
+
+    def find_due(self, now: float) -> float | None:
+        """Return when to look at the queue next."""
+        return self._limiter.find_due(now)
+
+
+def _find_own(effect: Effect, request_id: str) -> Fault | bool | None:
+    if isinstance(effect, Admit) and effect.request_id == request_id:
+        return True
+    if isinstance(effect, Shed) and effect.request_id == request_id:
+        return effect.fault
+    return None
--- a/chivetrack/components/pipeline/attempts.py
+++ b/chivetrack/components/pipeline/attempts.py
@@ -1,32 +1,63 @@
-"""Decides whether a failed attempt is followed by another."""
+"""Asks the retry policy what follows a failed attempt."""
 
-from chivetrack.components.pipeline import faults
 from chivetrack.components.pipeline.flow import GiveUp, TryAgain
 from chivetrack.components.pipeline.models import AttemptFailed, Exchange
+from chivetrack.components.retries import models as retries
+from chivetrack.components.retries.budget import RetryBudgets
+from chivetrack.components.retries.decision import decide_retry, make_final_fault
 from chivetrack.components.upstream.models import AttemptOutcome
+from chivetrack.exceptions import Fault
 
-GIVE_UP_RETRY_AFTER_S = 1.0
-_DID_NOT_RUN = frozenset({AttemptOutcome.NOT_SENT, AttemptOutcome.REFUSED})
+_OUTCOMES = {
+    AttemptOutcome.NOT_SENT: retries.Outcome.NOT_SENT,
+    AttemptOutcome.REFUSED: retries.Outcome.REFUSED_NOT_RUN,
+    AttemptOutcome.MAYBE_RAN: retries.Outcome.MAYBE_RAN,
+    AttemptOutcome.RAN: retries.Outcome.RAN,
+}
 
 
 class AttemptRetries:
-    """Tries again where the first certainly did not run, or where running twice is fine."""
+    """Keeps the retry budgets; every request earns for them once."""
+
+    def __init__(self) -> None:
+        """Start with fresh budgets."""
+        self._budgets = RetryBudgets()
+
+    def earn(self, exchange: Exchange, fault: Fault | None, now: float) -> None:
+        """Count a request that has ended, if it was sent at all."""
+        if exchange.workspace is not None and exchange.attempts:
+            self._budgets.earn(exchange.workspace.name)
 
     def start_request(self, exchange: Exchange, *, now: float) -> None:
-        """Take note of a request."""
+        """Take note of a request; it earns when it ends."""
 
     def decide(
         self, exchange: Exchange, failure: AttemptFailed, *, now: float
     ) -> TryAgain | GiveUp:
         """Return what comes after a failed attempt."""
         assert exchange.policy is not None
-        if now >= exchange.deadline:
-            return GiveUp(fault=faults.deadline_exceeded(ran=exchange.ran))
-        is_safe = failure.outcome in _DID_NOT_RUN or exchange.idempotent
-        if is_safe and len(exchange.attempts) < exchange.policy.max_attempts:
-            return TryAgain()
-        retry_after_s = failure.retry_after_s or GIVE_UP_RETRY_AFTER_S
-        fault = faults.upstream_failed(
-            failure.message, ran=exchange.ran, retry_after_s=retry_after_s
-        )
-        return GiveUp(fault=fault)
+        attempts = _list_attempts(exchange)
+        traits = _describe(exchange)
+        if len(attempts) >= exchange.policy.max_attempts:
+            return GiveUp(fault=make_final_fault(attempts, traits))
+        decision = decide_retry(attempts, traits, budgets=self._budgets, now=now)
+        if isinstance(decision, retries.GiveUp):
+            return GiveUp(fault=decision.fault)
+        return TryAgain()
+
+
+def _list_attempts(exchange: Exchange) -> list[retries.Attempt]:
+    return [
+        retries.Attempt(endpoint_id=attempt.endpoint_id, outcome=_OUTCOMES[outcome])
+        for attempt, outcome in zip(exchange.attempts, exchange.outcomes, strict=True)
+    ]
+
+
+def _describe(exchange: Exchange) -> retries.RequestTraits:
+    assert exchange.workspace is not None
+    return retries.RequestTraits(
+        workspace=exchange.workspace.name,
+        deadline=exchange.deadline,
+        idempotent=exchange.idempotent,
+        caller_bytes=exchange.bytes_sent,
+    )
--- a/chivetrack/components/pipeline/models.py
+++ b/chivetrack/components/pipeline/models.py
@@ -78,6 +78,16 @@
         """Return the priority that engines are told; lower is more urgent."""
         ...
 
+    @property
+    def rate(self) -> float | None:
+        """Return how many requests a second it may send, ``None`` without a limit."""
+        ...
+
+    @property
+    def concurrency(self) -> int | None:
+        """Return how many requests it may have running, ``None`` without a limit."""
+        ...
+
     def allows(self, service: str) -> bool:
         """Return whether the workspace may use a service."""
         ...
--- a/chivetrack/components/retries/decision.py
+++ b/chivetrack/components/retries/decision.py
@@ -22,21 +22,21 @@
 _STATUS_TIMEOUT = 504
 
 _STATUSES = {
-    "already-ran": _STATUS_BAD_GATEWAY,
-    "outcome-unknown": _STATUS_BAD_GATEWAY,
-    "answer-cut": _STATUS_BAD_GATEWAY,
-    "deadline-exceeded": _STATUS_TIMEOUT,
-    "attempts-exhausted": _STATUS_UNAVAILABLE,
-    "retry-budget-exhausted": _STATUS_UNAVAILABLE,
+    "already_ran": _STATUS_BAD_GATEWAY,
+    "outcome_unknown": _STATUS_BAD_GATEWAY,
+    "answer_cut": _STATUS_BAD_GATEWAY,
+    "deadline_exceeded": _STATUS_TIMEOUT,
+    "attempts_exhausted": _STATUS_UNAVAILABLE,
+    "retry_budget_exhausted": _STATUS_UNAVAILABLE,
 }
 
 _MESSAGES = {
-    "already-ran": "The endpoint ran the request and gave no whole answer.",
-    "outcome-unknown": "The request may have run and may not be sent again.",
-    "answer-cut": "The answer was cut off and can't be resumed.",
-    "deadline-exceeded": "The deadline left no time for another attempt.",
-    "attempts-exhausted": "Every attempt at an endpoint failed.",
-    "retry-budget-exhausted": "Too many requests are being retried already.",
+    "already_ran": "The endpoint ran the request and gave no whole answer.",
+    "outcome_unknown": "The request may have run and may not be sent again.",
+    "answer_cut": "The answer was cut off and can't be resumed.",
+    "deadline_exceeded": "The deadline left no time for another attempt.",
+    "attempts_exhausted": "Every attempt at an endpoint failed.",
+    "retry_budget_exhausted": "Too many requests are being retried already.",
 }
 
 
@@ -48,30 +48,36 @@
     if refusal:
         return GiveUp(fault=make_fault(refusal, attempts, traits))
     if traits.deadline - now < MIN_REMAINING_S:
-        return GiveUp(fault=make_fault("deadline-exceeded", attempts, traits))
+        return GiveUp(fault=make_fault("deadline_exceeded", attempts, traits))
     if len(attempts) >= MAX_ATTEMPTS:
-        return GiveUp(fault=make_fault("attempts-exhausted", attempts, traits))
+        return GiveUp(fault=make_fault("attempts_exhausted", attempts, traits))
     if not budgets.spend(traits.workspace):
-        return GiveUp(fault=make_fault("retry-budget-exhausted", attempts, traits))
+        return GiveUp(fault=make_fault("retry_budget_exhausted", attempts, traits))
     excluded = frozenset(attempt.endpoint_id for attempt in attempts)
     if traits.caller_bytes:
         return Resume(offset=traits.caller_bytes, excluded=excluded)
     return Retry(excluded=excluded)
 
 
+def make_final_fault(attempts: Sequence[Attempt], traits: RequestTraits) -> Fault:
+    """Return the fault when a policy allows no attempt after these."""
+    code = _find_refusal(attempts, traits) or "attempts_exhausted"
+    return make_fault(code, attempts, traits)
+
+
 def _find_refusal(attempts: Sequence[Attempt], traits: RequestTraits) -> str:
     """Return why no further attempt is safe, or an empty string."""
     outcomes = {attempt.outcome for attempt in attempts}
     if Outcome.RAN in outcomes:
-        return "already-ran"
+        return "already_ran"
     # All attempts count, not only the last: a refusal by a second endpoint does not
     # undo that the first one may have run a quote, which is then billed twice.
     if not traits.idempotent and not outcomes <= _DID_NOT_RUN:
-        return "outcome-unknown"
+        return "outcome_unknown"
     # The caller holds the first bytes of one answer; bytes of another run would be
     # spliced to them unless the engine goes on at that very offset.
     if traits.caller_bytes and not (traits.idempotent and traits.resumable):
-        return "answer-cut"
+        return "answer_cut"
     return ""
 
 
--- a/chivetrack/daemon/instance.py
+++ b/chivetrack/daemon/instance.py
@@ -134,6 +134,7 @@
             seeds=self._list_seeds(),
             budget_bytes_per_s=self._settings.control.budget_bytes_per_s,
             configuration=configuration,
+            max_requests=self._settings.limits.max_streams,
         )
         return assemble_router(
             identity=identity,
@@ -271,6 +272,7 @@
 
     def _leave(self) -> None:
         """Hand over what others would otherwise find missing, and say that we leave."""
+        self.runner.carry_out(self.router.node.release_leases(now=time.monotonic()))
         if self._replica is not None:
             self._replica.hand_over()
         self.router.membership.leave(now=time.monotonic())
--- a/chivetrack/daemon/runner.py
+++ b/chivetrack/daemon/runner.py
@@ -1,6 +1,6 @@
 """Carries events into the decisions and their effects out."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any, Protocol, TypeVar
 
 import gevent
@@ -46,7 +46,11 @@
 
     def post(self, event: Event) -> None:
         """Hand in an event and carry out what follows from it."""
-        for effect in self._decisions.handle(event, now=self._read_clock()):
+        self.carry_out(self._decisions.handle(event, now=self._read_clock()))
+
+    def carry_out(self, effects: Sequence[Effect]) -> None:
+        """Carry out effects in their order."""
+        for effect in effects:
             self._carry_out(effect)
 
     def _carry_out(self, effect: Effect) -> None:
--- a/chivetrack/node.py
+++ b/chivetrack/node.py
@@ -9,6 +9,8 @@
 from collections.abc import Sequence
 
 from chivetrack.components.claims.keeper import ClaimKeeper
+from chivetrack.components.controllers.host import ControllerHost
+from chivetrack.components.pipeline.admission import AdmissionControl
 from chivetrack.components.pipeline.flow import RequestFlow
 from chivetrack.components.pipeline.models import AskClaim, EndClaim, RequestEvent
 from chivetrack.components.proposals.client import ProposalClient
@@ -20,7 +22,7 @@
     """Composes the decision components of one router.
 
     ``handle`` takes any event of the components. Effects that concern only other
-    components (claims and their submissions) are followed inside; the rest are the
+    components (claims, submissions, turns in the queue) are followed inside; the rest are the
     driver's: messages, attempts, final answers, ended submissions and one ``WakeAt``.
     """
 
@@ -30,20 +32,29 @@
         flow: RequestFlow,
         proposals: ProposalClient,
         claims: ClaimKeeper,
+        admission: AdmissionControl,
+        controllers: ControllerHost,
         components: Sequence[Component],
     ) -> None:
         """Take the parts; ``components`` get every message and every tick."""
         self._flow = flow
         self._proposals = proposals
         self._claims = claims
-        self._components = (proposals, *components)
+        self._admission = admission
+        self._controllers = controllers
+        self._components: tuple[Component, ...] = (
+            proposals,
+            admission,
+            *components,
+            controllers,
+        )
 
     def handle(self, event: Event, *, now: float) -> list[Effect]:
         """Take one event at time ``now`` (seconds, never going back)."""
         waiting = deque(self._dispatch(event, now))
         effects: list[Effect] = []
         wake_at = float("inf")
-        while waiting:
+        while waiting or self._give_turns(waiting, now):
             effect = waiting.popleft()
             if isinstance(effect, WakeAt):
                 wake_at = min(wake_at, effect.at)
@@ -53,10 +64,18 @@
                     effects.append(effect)
             else:
                 effects.append(effect)
+        due = self._admission.find_due(now)
+        wake_at = wake_at if due is None else min(wake_at, due)
         if wake_at != float("inf"):
             effects.append(WakeAt(at=wake_at))
         return effects
 
+    def _give_turns(self, waiting: deque[Effect], now: float) -> bool:
+        """Let requests on whose turn in the queue has come; tell whether anything follows."""
+        for turn in self._admission.take_turns():
+            waiting.extend(self._flow.handle(turn, now=now))
+        return bool(waiting)
+
     def _dispatch(self, event: Event, now: float) -> list[Effect]:
         if isinstance(event, RequestEvent):
             return self._flow.handle(event, now=now)
@@ -77,7 +96,7 @@
         return self._follow_submission(effect, now)
 
     def _follow_submission(self, ended: SubmissionEnded, now: float) -> list[Effect]:
-        effects: list[Effect] = []
+        effects = self._controllers.take_end(ended, now=now)
         if self._claims.needs_cleanup(ended):
             clean_up = self._claims.clean_up(ended, now=now)
             effects.extend(self._proposals.handle(clean_up, now=now))
@@ -88,6 +107,10 @@
             effects.extend(self._flow.handle(following, now=now))
         return effects
 
+    def release_leases(self, *, now: float) -> list[Effect]:
+        """Give the controllers' leases back, before an orderly stop."""
+        return self._controllers.release(now=now)
+
     def start(self, *, now: float) -> list[Effect]:
         """Begin: the first tick, which arms all timers."""
         return self.handle(TimeReached(), now=now)
--- a/tests/components/claims/test_claims.py
+++ b/tests/components/claims/test_claims.py
@@ -5,6 +5,10 @@
 
 import chivetrack.components.pipeline.filters  # noqa: F401
 from chivetrack.components.claims.keeper import ClaimKeeper
+from chivetrack.components.controllers.host import ControllerHost
+from chivetrack.components.limits.limiter import Limiter
+from chivetrack.components.limits.shares import ShareBook
+from chivetrack.components.pipeline.admission import AdmissionControl
 from chivetrack.components.pipeline.models import (
     AnswerEnded,
     AttemptAnswered,
@@ -56,16 +60,29 @@
     def __init__(self, name: str, rng: random.Random) -> None:
         self.name = name
         self.bench = FlowBench()
+        proposals = ProposalClient(instance_id=name, replicas=["a", "b"], random=rng)
         self.node = RouterNode(
             flow=self.bench.flow,
-            proposals=ProposalClient(instance_id=name, replicas=["a", "b"], random=rng),
+            proposals=proposals,
             claims=ClaimKeeper(
                 make_holder=lambda request_id: f"{name}/{request_id}",
                 to_wall_ms=lambda now: int(now * 1000),
             ),
+            admission=self.make_admission(rng),
+            controllers=ControllerHost(loops=(), proposals=proposals),
             components=(),
         )
 
+    @staticmethod
+    def make_admission(rng: random.Random) -> AdmissionControl:
+        limiter = Limiter(shares=ShareBook(router_id="r"), random=rng, capacity=100)
+        return AdmissionControl(limiter=limiter, limits=NoLimits())
+
+
+class NoLimits:
+    def find_limit(self, workspace: object) -> None:
+        return None
+
 
 class World:
     """Two routers, one log, one caller that sends the same keyed request again and again."""
--- a/tests/components/endpoints/test_registry.py
+++ b/tests/components/endpoints/test_registry.py
@@ -73,7 +73,7 @@
                 self.fleet.list_availability(name), {"e-1": Availability.LEAVING}, name
             )
         refused = self.fleet.announce("router-1", make_announcement("e-1"))
-        self.assertEqual(refused.swap().ok.code, "endpoint-leaving")
+        self.assertEqual(refused.swap().ok.code, "endpoint_leaving")
         self.fleet.announce("router-1", make_announcement("e-1", incarnation=2))
         self.fleet.network.run_for(2)
         for name in self.fleet.names:
@@ -86,7 +86,7 @@
         self.fleet.network.run_for(1)
         for name in self.fleet.names:
             refused = self.fleet.announce(name, make_announcement("e-1"))
-            self.assertEqual(refused.swap().ok.code, "stale-incarnation", name)
+            self.assertEqual(refused.swap().ok.code, "stale_incarnation", name)
             listed = self.fleet.registries[name].list_endpoints("valuation")
             self.assertEqual([state.address for state in listed], [new.address], name)
 
--- a/tests/components/gossip/test_gossip.py
+++ b/tests/components/gossip/test_gossip.py
@@ -200,7 +200,7 @@
     def test_refuses_what_no_frame_can_hold(self) -> None:
         gossip = GossipFleet(2).gossips[ORIGIN]
         refused = gossip.publish(TOPIC, "key", bytes(4096), Urgency.REST, now=0.0)
-        self.assertEqual(refused.swap().ok.code, "gossip-value-too-large")
+        self.assertEqual(refused.swap().ok.code, "gossip_value_too_large")
 
 
 class IncarnationTest(unittest.TestCase):
--- a/tests/components/limits/test_limiter.py
+++ b/tests/components/limits/test_limiter.py
@@ -161,11 +161,11 @@
         self.limiter.configure("slotted", WorkspaceLimit(concurrency=2), 0.0)
         rated = [self.submit("rated", deadline=1.1)[-1] for _ in range(5)]
         self.assertEqual([type(effect) for effect in rated], [Admit] * 3 + [Shed] * 2)
-        self.assertEqual((rated[-1].fault.code, rated[-1].fault.status), ("rate-limited", 429))
+        self.assertEqual((rated[-1].fault.code, rated[-1].fault.status), ("rate_limited", 429))
         self.assertIsInstance(self.submit("rated", now=0.5, deadline=1.6)[-1], Admit)
         slotted = [self.submit("slotted", deadline=1.4)[-1] for _ in range(3)]
         self.assertEqual([type(effect) for effect in slotted], [Admit, Admit, Shed])
-        self.assertEqual(slotted[-1].fault.code, "concurrency-limited")
+        self.assertEqual(slotted[-1].fault.code, "concurrency_limited")
         self.limiter.finish(slotted[0].request_id, 1.0)
         self.assertIsInstance(self.submit("slotted", now=1.0)[-1], Admit)
 
--- a/tests/components/pipeline/fakes.py
+++ b/tests/components/pipeline/fakes.py
@@ -3,6 +3,7 @@
 import random
 from collections import Counter
 from dataclasses import dataclass, field
+from typing import Any
 
 from chivetrack.components.endpoints.models import EndpointKind, EndpointState
 from chivetrack.components.pipeline import faults
@@ -29,6 +30,8 @@
     name: str = "hakata"
     priority: int = 3
     services: tuple[str, ...] = ("valuation", "claims")
+    rate: float | None = None
+    concurrency: int | None = None
 
     def allows(self, service: str) -> bool:
         return service in self.services
@@ -141,9 +144,9 @@
 class FlowBench:
     """A request flow on fakes."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, limiter: Any = None) -> None:
         self.directory = FakeDirectory()
-        self.limiter = FakeLimiter()
+        self.limiter = limiter or FakeLimiter()
         self.load = FakeLoad()
         self.placer = FakePlacer()
         self.ended: list[tuple[str, Fault | None]] = []
--- a/tests/components/retries/test_decision.py
+++ b/tests/components/retries/test_decision.py
@@ -76,11 +76,11 @@
     def test_codes(self) -> None:
         maybe, clean = (Outcome.MAYBE_RAN,), (Outcome.NOT_SENT,)
         cases = [
-            ((Outcome.RAN,), {}, 5.0, "already-ran", 502),
-            (maybe, {"idempotent": False}, 5.0, "outcome-unknown", 502),
-            (maybe, {"caller_bytes": 3}, 5.0, "answer-cut", 502),
-            (clean, {}, 9.99, "deadline-exceeded", 504),
-            (clean * MAX_ATTEMPTS, {}, 5.0, "attempts-exhausted", 503),
+            ((Outcome.RAN,), {}, 5.0, "already_ran", 502),
+            (maybe, {"idempotent": False}, 5.0, "outcome_unknown", 502),
+            (maybe, {"caller_bytes": 3}, 5.0, "answer_cut", 502),
+            (clean, {}, 9.99, "deadline_exceeded", 504),
+            (clean * MAX_ATTEMPTS, {}, 5.0, "attempts_exhausted", 503),
         ]
         for outcomes, changes, now, code, status in cases:
             with self.subTest(code):
@@ -96,7 +96,7 @@
             attempts, make_traits(workspace=workspace), budgets=budgets, now=0.0
         )
         if isinstance(decision, GiveUp):
-            self.assertEqual(decision.fault.code, "retry-budget-exhausted")
+            self.assertEqual(decision.fault.code, "retry_budget_exhausted")
         return isinstance(decision, Retry)
 
     def test_budget_bounds_the_extra_load(self) -> None:
