--- a/tests/components/consensus/chaos.py
+++ b/tests/components/consensus/chaos.py
@@ -151,13 +151,6 @@
         self.lost = ""
         self.steps = {}
 
-    def change_at_random(self) -> None:
-        """Ask every leader, also one that was deposed, for a change."""
-        for node in list(self.network.nodes.values()):
-            if node.is_leader and not self.lost:
-                kind = self.random.choice([ChangeKind.REMOVE, ChangeKind.PROMOTE])
-                self.network.change(node, kind, self.pick().replica_id)
-
     def finish(self) -> None:
         """Heal all; what was acknowledged must be there on every member."""
         self.network.nodes.pop(self.lost, None)
--- a/tests/components/consensus/network.py
+++ b/tests/components/consensus/network.py
@@ -12,35 +12,9 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from chivetrack.components.consensus import Consensus
+from chivetrack.components.consensus import Consensus, models
 from chivetrack.components.consensus.members import ChangeKind, Member, make_voters
 from chivetrack.components.consensus.messages import Entry, EntryKind
-from chivetrack.components.consensus.models import (
-    Apply,
-    ChangeMembers,
-    HardState,
-    LeadershipChanged,
-    Limits,
-    Outcome,
-    Persist,
-    Persisted,
-    Proposal,
-    ProposalEnded,
-    Propose,
-    ReadReady,
-    ReadRefused,
-    ReadRequested,
-    Recovered,
-    ReplicaRegressed,
-    RestoreSnapshot,
-    Role,
-    Snapshot,
-    SnapshotLoaded,
-    SnapshotTaken,
-    SnapshotWanted,
-    Timing,
-    TransferLeadership,
-)
 from chivetrack.core import Effect, Event, MessageReceived, SendMessage, TimeReached, WakeAt
 
 SNAPSHOT_EVERY = 10
@@ -54,9 +28,9 @@
         self.leaders: dict[int, str] = {}
         self.committed: dict[int, Entry] = {}
         self.proposed: dict[int, bytes] = {}
-        self.outcomes: dict[int, ProposalEnded] = {}
+        self.outcomes: dict[int, models.ProposalEnded] = {}
         self.read_floor: dict[int, int] = {}
-        self.reads: dict[int, ReadReady | ReadRefused] = {}
+        self.reads: dict[int, models.ReadReady | models.ReadRefused] = {}
         self.acknowledged = 0
 
     def note_leader(self, term: int, replica_id: str) -> None:
@@ -67,17 +41,17 @@
         known = self.committed.setdefault(entry.index, entry)
         assert known == entry, f"committed entry {entry.index} changed"
 
-    def note_ended(self, ended: ProposalEnded) -> None:
+    def note_ended(self, ended: models.ProposalEnded) -> None:
         assert ended.proposal_id not in self.outcomes, "a proposal ended twice"
         self.outcomes[ended.proposal_id] = ended
-        if ended.outcome is not Outcome.COMMITTED:
+        if ended.outcome is not models.Outcome.COMMITTED:
             return
         self.acknowledged = max(self.acknowledged, ended.index)
         data = self.proposed.get(ended.proposal_id)
         if data is not None:
             assert self.committed[ended.index].data == data, "another entry was acknowledged"
 
-    def note_read(self, ready: ReadReady, applied: int) -> None:
+    def note_read(self, ready: models.ReadReady, applied: int) -> None:
         self.reads[ready.read_id] = ready
         assert ready.index >= self.read_floor[ready.read_id], "a read misses a write"
         assert applied >= ready.index, "a read is ready before its index is applied"
@@ -85,7 +59,7 @@
     def check_refused(self) -> None:
         committed = {one.data for one in self.committed.values()}
         for proposal_id, ended in self.outcomes.items():
-            if ended.outcome is Outcome.REFUSED and proposal_id in self.proposed:
+            if ended.outcome is models.Outcome.REFUSED and proposal_id in self.proposed:
                 assert self.proposed[proposal_id] not in committed, "refused and yet committed"
 
 
@@ -93,11 +67,11 @@
 class Disk:
     """What is synced."""
 
-    hard_state: HardState = field(default_factory=HardState)
-    snapshot: Snapshot = field(default_factory=Snapshot)
+    hard_state: models.HardState = field(default_factory=models.HardState)
+    snapshot: models.Snapshot = field(default_factory=models.Snapshot)
     entries: list[Entry] = field(default_factory=list)
 
-    def save(self, persist: Persist) -> None:
+    def save(self, persist: models.Persist) -> None:
         if persist.snapshot is not None:
             self.snapshot = persist.snapshot
             kept = [] if persist.reset else self.entries
@@ -109,8 +83,8 @@
             self.entries = [one for one in self.entries if one.index < cut]
         self.entries += persist.entries
 
-    def recover(self) -> Recovered:
-        return Recovered(
+    def recover(self) -> models.Recovered:
+        return models.Recovered(
             hard_state=self.hard_state, snapshot=self.snapshot, entries=tuple(self.entries)
         )
 
@@ -136,8 +110,8 @@
         self.consensus = Consensus(
             replica_id=self.replica_id,
             random=Random(self.network.random.random()),
-            timing=Timing(),
-            limits=Limits(append_bytes=2000, chunk_bytes=CHUNK_BYTES, trailing_entries=5),
+            timing=models.Timing(),
+            limits=models.Limits(append_bytes=2000, chunk_bytes=CHUNK_BYTES, trailing_entries=5),
             recovered=self.disk.recover(),
         )
         self.restore(self.disk.snapshot)
@@ -160,7 +134,7 @@
     def is_leader(self) -> bool:
         return self.consensus is not None and self.consensus.is_leader
 
-    def restore(self, snapshot: Snapshot) -> None:
+    def restore(self, snapshot: models.Snapshot) -> None:
         self.applied = snapshot.index
         self.values = [one for one in snapshot.data.split(b",") if one]
 
@@ -177,12 +151,12 @@
     def work(self) -> None:
         while self.waiting and not self.syncing:
             effect = self.waiting.popleft()
-            if isinstance(effect, Persist):
+            if isinstance(effect, models.Persist):
                 self.sync(effect)
             else:
                 self.carry_out(effect)
 
-    def sync(self, persist: Persist) -> None:
+    def sync(self, persist: models.Persist) -> None:
         self.syncing = True
         life = self.life
 
@@ -191,7 +165,7 @@
                 return
             self.disk.save(persist)
             self.syncing = False
-            self.take(Persisted(last_index=persist.last_index, last_term=persist.last_term))
+            self.take(models.Persisted(last_index=persist.last_index, last_term=persist.last_term))
             self.work()
 
         self.network.call_later(self.network.get_sync_s(), finish)
@@ -203,11 +177,11 @@
                 network.send(self.replica_id, effect)
             case WakeAt():
                 network.wake(self, effect.at)
-            case Apply():
+            case models.Apply():
                 self.apply(effect.entries)
-            case SnapshotWanted():
+            case models.SnapshotWanted():
                 network.call_later(0.001, self.make_loader())
-            case RestoreSnapshot():
+            case models.RestoreSnapshot():
                 self.restore(effect.snapshot)
             case _:
                 self.report(effect)
@@ -215,15 +189,15 @@
     def report(self, effect: Effect) -> None:
         network = self.network
         match effect:
-            case ProposalEnded():
+            case models.ProposalEnded():
                 network.oracle.note_ended(effect)
-            case ReadReady():
+            case models.ReadReady():
                 network.oracle.note_read(effect, self.applied)
-            case ReadRefused():
+            case models.ReadRefused():
                 network.oracle.reads[effect.read_id] = effect
-            case LeadershipChanged(role=Role.LEADER):
+            case models.LeadershipChanged(role=models.Role.LEADER):
                 network.oracle.note_leader(effect.term, self.replica_id)
-            case ReplicaRegressed():
+            case models.ReplicaRegressed():
                 self.regressed.append(effect.replica_id)
 
     def apply(self, entries: tuple[Entry, ...]) -> None:
@@ -242,7 +216,7 @@
 
         def load() -> None:
             if self.life == life:
-                self.take(SnapshotLoaded(snapshot=self.disk.snapshot))
+                self.take(models.SnapshotLoaded(snapshot=self.disk.snapshot))
 
         return load
 
@@ -251,7 +225,7 @@
 
         def take() -> None:
             if self.life == life:
-                self.take(SnapshotTaken(index=index, data=data))
+                self.take(models.SnapshotTaken(index=index, data=data))
 
         return take
 
@@ -273,10 +247,10 @@
         self._orders = itertools.count()
         self._ids = itertools.count(1)
         members = make_voters(*voters)
-        first = Snapshot(index=1, term=1, members=members)
+        first = models.Snapshot(index=1, term=1, members=members)
         self.nodes: dict[str, Node] = {}
         for one in voters:
-            self.add(one, Disk(hard_state=HardState(term=1), snapshot=first))
+            self.add(one, Disk(hard_state=models.HardState(term=1), snapshot=first))
 
     def add(self, replica_id: str, disk: Disk) -> Node:
         node = Node(network=self, replica_id=replica_id, disk=disk)
@@ -355,44 +329,46 @@
 
     def propose(self, node: Node, data: bytes | None = None) -> int:
         proposal = self._make_proposal(data)
-        node.take(Propose(proposals=(proposal,)))
+        node.take(models.Propose(proposals=(proposal,)))
         return proposal.proposal_id
 
     def propose_many(self, node: Node, count: int) -> None:
-        node.take(Propose(proposals=tuple(self._make_proposal(None) for _ in range(count))))
+        node.take(models.Propose(proposals=tuple(self._make_proposal(None) for _ in range(count))))
 
-    def _make_proposal(self, data: bytes | None) -> Proposal:
+    def _make_proposal(self, data: bytes | None) -> models.Proposal:
         proposal_id = next(self._ids)
         value = b"%d" % proposal_id if data is None else data
         self.oracle.proposed[proposal_id] = value
-        return Proposal(proposal_id=proposal_id, data=value)
+        return models.Proposal(proposal_id=proposal_id, data=value)
 
     def commit(self, node: Node) -> int:
         proposal_id = self.propose(node)
         self.run_until(lambda: proposal_id in self.oracle.outcomes)
         ended = self.oracle.outcomes[proposal_id]
-        assert ended.outcome is Outcome.COMMITTED, ended
+        assert ended.outcome is models.Outcome.COMMITTED, ended
         return ended.index
 
     def read(self, node: Node) -> int:
         read_id = next(self._ids)
         self.oracle.read_floor[read_id] = self.oracle.acknowledged
-        node.take(ReadRequested(read_id=read_id))
+        node.take(models.ReadRequested(read_id=read_id))
         return read_id
 
     def change(self, node: Node, kind: ChangeKind, replica_id: str) -> int:
         proposal_id = next(self._ids)
         member = Member(replica_id=replica_id, instance_id=replica_id, voter=False)
-        node.take(ChangeMembers(proposal_id=proposal_id, kind=kind, member=member))
+        node.take(models.ChangeMembers(proposal_id=proposal_id, kind=kind, member=member))
         return proposal_id
 
-    def change_and_wait(self, node: Node, kind: ChangeKind, replica_id: str) -> ProposalEnded:
+    def change_and_wait(
+        self, node: Node, kind: ChangeKind, replica_id: str
+    ) -> models.ProposalEnded:
         proposal_id = self.change(node, kind, replica_id)
         self.run_until(lambda: proposal_id in self.oracle.outcomes)
         return self.oracle.outcomes[proposal_id]
 
     def transfer(self, node: Node, target: str = "") -> None:
-        node.take(TransferLeadership(target=target))
+        node.take(models.TransferLeadership(target=target))
 
     def settle(self) -> None:
         """Heal all, commit once more and wait until every member has applied it."""
@@ -405,7 +381,7 @@
 
         def is_committed() -> bool:
             ended = [one for one in done if one in self.oracle.outcomes]
-            if any(self.oracle.outcomes[one].outcome is Outcome.COMMITTED for one in ended):
+            if any(self.oracle.outcomes[one].outcome is models.Outcome.COMMITTED for one in ended):
                 return True
             if self.leader is not None and len(ended) == len(done):
                 done.append(self.propose(self.leader))
--- a/tests/components/replica/test_replica.py
+++ b/tests/components/replica/test_replica.py
@@ -7,23 +7,17 @@
 from pathlib import Path
 from random import Random
 
-from chivetrack.components.consensus import Consensus
+from chivetrack.components.consensus import Consensus, models
 from chivetrack.components.consensus.members import make_voters
 from chivetrack.components.consensus.messages import Entry, EntryKind
-from chivetrack.components.consensus.models import (
-    Persist,
-    Recovered,
-    Snapshot,
-    Timing,
-)
 from chivetrack.components.replica import Replica, ReplicaCore
-from chivetrack.components.replica.models import NotLeaderFault
+from chivetrack.components.replica.models import NotLeaderFault, ProposalAnswered
 from chivetrack.components.storage import Storage, create_folder, open_storage
 from chivetrack.components.storage.backup import rescue_folder
 from chivetrack.components.storage.exceptions import WriteFailedError
 from chivetrack.components.storage.records import Identity
 from chivetrack.const import MEBIBYTE
-from chivetrack.core import SendMessage
+from chivetrack.core import Event, SendMessage, TimeReached
 from chivetrack.exceptions import Fault, Ran
 from chivetrack.helpers.codec import pack, unpack
 
@@ -45,22 +39,37 @@
         self.values = data.split(b",") if data else []
 
 
+def make_core(
+    name: str, recovered: models.Recovered, journal: Journal, *, seed: int = 1
+) -> ReplicaCore:
+    """A core that takes a snapshot every ten entries."""
+    consensus = Consensus(
+        replica_id=name, random=Random(seed), timing=models.Timing(), recovered=recovered
+    )
+    return ReplicaCore(
+        consensus=consensus,
+        state_machine=journal,
+        snapshot=recovered.snapshot,
+        snapshot_entries=10,
+    )
+
+
 class Disk:
     """Counts saves; fails once told to."""
 
     def __init__(self) -> None:
         self.saves: list[int] = []
         self.full = False
-        self.snapshot = Snapshot()
+        self.snapshot = models.Snapshot()
 
-    def save(self, persists: Sequence[Persist]) -> None:
+    def save(self, persists: Sequence[models.Persist]) -> None:
         if self.full:
             raise WriteFailedError(Path("data"), "disk full")
         self.saves.append(len(persists))
         taken = [one.snapshot for one in persists if one.snapshot is not None]
         self.snapshot = taken[-1] if taken else self.snapshot
 
-    def load_snapshot(self) -> Snapshot:
+    def load_snapshot(self) -> models.Snapshot:
         return self.snapshot
 
 
@@ -84,22 +93,12 @@
         self.journals: dict[str, Journal] = {}
         self.disks: dict[str, Disk] = {}
         self.cut: set[str] = set()
-        first = Snapshot(index=1, term=1, members=make_voters(*names))
+        first = models.Snapshot(index=1, term=1, members=make_voters(*names))
         for number, name in enumerate(names):
             self.journals[name] = Journal()
             self.disks[name] = Disk()
-            consensus = Consensus(
-                replica_id=name,
-                random=Random(number),
-                timing=Timing(),
-                recovered=Recovered(snapshot=first),
-            )
-            core = ReplicaCore(
-                consensus=consensus,
-                state_machine=self.journals[name],
-                snapshot=first,
-                snapshot_entries=10,
-            )
+            recovered = models.Recovered(snapshot=first)
+            core = make_core(name, recovered, self.journals[name], seed=number)
             self.replicas[name] = Replica(
                 core=core,
                 storage=self.disks[name],
@@ -243,18 +242,33 @@
         self.assertNotEqual(self.cluster.elect(), self.name)
 
 
+class CoreTest(unittest.TestCase):
+    def test_driven_by_events_alone(self) -> None:
+        """A bench hands in events and times and carries out the effects itself."""
+        first = models.Snapshot(index=1, term=1, members=make_voters("a"))
+        core = make_core("a", models.Recovered(snapshot=first), Journal())
+        events: list[Event] = [
+            TimeReached(),
+            TimeReached(),
+            models.Propose(proposals=(models.Proposal(proposal_id=5, data=b"x"),)),
+        ]
+        answered: list[ProposalAnswered] = []
+        now = 0.0
+        while events:
+            for effect in core.handle(events.pop(0), now=now):
+                now += 0.5
+                if isinstance(effect, models.Persist):
+                    last = (effect.last_index, effect.last_term)
+                    events.append(models.Persisted(last_index=last[0], last_term=last[1]))
+                if isinstance(effect, ProposalAnswered):
+                    answered.append(effect)
+            now += 2.0
+        self.assertEqual([(one.proposal_id, one.data) for one in answered], [(5, b"1")])
+
+
 class RestartTest(unittest.TestCase):
     def make_replica(self, storage: Storage, journal: Journal) -> Replica:
-        recovered = storage.take_recovered()
-        replica_id = storage.identity.replica_id
-        core = ReplicaCore(
-            consensus=Consensus(
-                replica_id=replica_id, random=Random(1), timing=Timing(), recovered=recovered
-            ),
-            state_machine=journal,
-            snapshot=recovered.snapshot,
-            snapshot_entries=10,
-        )
+        core = make_core(storage.identity.replica_id, storage.take_recovered(), journal)
         return Replica(
             core=core,
             storage=storage,
@@ -286,7 +300,7 @@
         state machine holds each acknowledged value once, in order."""
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "data"
-            first = Snapshot(index=1, term=1, members=make_voters("a"))
+            first = models.Snapshot(index=1, term=1, members=make_voters("a"))
             identity = Identity(replica_id="a", instance_id="a")
             create_folder(path, identity=identity, snapshot=first)
             written: list[bytes] = []
@@ -308,14 +322,14 @@
         with tempfile.TemporaryDirectory() as folder:
             old = Path(folder) / "old"
             new = Path(folder) / "new"
-            first = Snapshot(index=1, term=1, members=make_voters("a", "b", "c"))
+            first = models.Snapshot(index=1, term=1, members=make_voters("a", "b", "c"))
             create_folder(old, identity=Identity(replica_id="a", instance_id="a"), snapshot=first)
             entries = tuple(
                 Entry(index=index, term=1, kind=EntryKind.DATA, data=b"%d" % index)
                 for index in range(2, 30)
             )
             with open_storage(path=old) as storage:
-                storage.save([Persist(entries=entries, last_index=29, last_term=1)])
+                storage.save([models.Persist(entries=entries, last_index=29, last_term=1)])
             identity = Identity(replica_id="z", instance_id="z")
             self.assertEqual(rescue_folder(old, folder=new, identity=identity), 29)
             journal = Journal()
--- a/tests/components/storage/test_crashes.py
+++ b/tests/components/storage/test_crashes.py
@@ -13,6 +13,8 @@
 from pathlib import Path
 from random import Random, SystemRandom
 
+import msgspec
+
 from chivetrack.components.consensus.members import make_voters
 from chivetrack.components.consensus.messages import Entry, EntryKind
 from chivetrack.components.consensus.models import HardState, Persist, Recovered, Snapshot
@@ -87,7 +89,7 @@
     if kind == "install":
         taken = Snapshot(index=index + 9, term=vote.term, members=FIRST.members, data=b"installed")
         if random.random() < 0.5 and index - model.state.snapshot.index > 3:
-            taken = replace_index(taken, index - 2)
+            taken = msgspec.structs.replace(taken, index=index - 2)
         return Persist(
             snapshot=taken,
             hard_state=vote,
@@ -112,10 +114,6 @@
     return Persist(entries=entries, truncate_from=cut, last_index=entries[-1].index, last_term=term)
 
 
-def replace_index(snapshot: Snapshot, index: int) -> Snapshot:
-    return Snapshot(index=index, term=snapshot.term, members=snapshot.members, data=snapshot.data)
-
-
 class CrashTest(unittest.TestCase):
     """A crash may lose what was not acknowledged, as a whole, and nothing else."""
 
