Measure the slopes of control

Change: metrics of control bytes, revision and lead are fed; a crowd of announcing endpoints; a command that varies instances, endpoints and changes.

--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,160 @@
+"""Measure the slopes of control: processor time, memory and bytes a second of an instance.
+
+Run with: python -m benchmarks.capacity [--write]
+Local fleets of real processes, idle but for what is varied: instances, endpoints,
+changes a minute. ``--write`` puts the table into docs/CAPACITY.md.
+"""
+
+import re
+import threading
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import typer
+import urllib3
+
+from benchmarks.path import read_usage
+from standins.fleet import CALLER_PORT, TELEMETRY_PORT, Fleet, open_fleet
+
+PAGE = Path(__file__).resolve().parents[1] / "docs" / "CAPACITY.md"
+BEGIN = "<!-- measured slopes: python -m benchmarks.capacity --write -->"
+END = "<!-- end of measured slopes -->"
+SETTLE_S = 6.0
+MEASURE_S = 10.0
+CONTROL = re.compile(r"^chivetrack_control_bytes_total\{.*direction=\"sent\".*\} (\S+)", re.M)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Reading:
+    """The means over the instances of one fleet, and the greatest."""
+
+    title: str
+    cpu_percent: float
+    cpu_worst: float
+    resident_mb: float
+    sent_per_s: float
+    sent_worst: float
+
+    def format(self) -> str:
+        """Return the reading as a row of the table."""
+        return (
+            f"| {self.title} | {self.cpu_percent:.1f} / {self.cpu_worst:.1f} "
+            f"| {self.resident_mb:.0f} | {self.sent_per_s:.0f} / {self.sent_worst:.0f} |"
+        )
+
+
+def read_sent(fleet: Fleet, http: urllib3.PoolManager) -> list[float]:
+    """Return the control bytes that each instance has sent so far."""
+    totals = []
+    for plan in fleet.plans:
+        url = f"http://{plan.host}:{TELEMETRY_PORT}/metrics"
+        text = http.request("GET", url).data.decode()
+        totals.append(sum(float(value) for value in CONTROL.findall(text)))
+    return totals
+
+
+def measure(fleet: Fleet, title: str) -> Reading:
+    """Return what the instances of a fleet use in a while."""
+    http = urllib3.PoolManager()
+    pids = [fleet.members[plan.name].process.pid for plan in fleet.plans]
+    time.sleep(SETTLE_S)
+    sent = read_sent(fleet, http)
+    before = [read_usage(pid) for pid in pids]
+    begin = time.monotonic()
+    time.sleep(MEASURE_S)
+    took = time.monotonic() - begin
+    after = [read_usage(pid) for pid in pids]
+    rates = [(b - a) / took for a, b in zip(sent, read_sent(fleet, http), strict=True)]
+    shares = [(b.cpu_s - a.cpu_s) / took * 100 for a, b in zip(before, after, strict=True)]
+    return Reading(
+        title=title,
+        cpu_percent=sum(shares) / len(shares),
+        cpu_worst=max(shares),
+        resident_mb=sum(each.resident for each in after) / len(after) / 1e6,
+        sent_per_s=sum(rates) / len(rates),
+        sent_worst=max(rates),
+    )
+
+
+def measure_instances(count: int) -> Reading:
+    """Measure an idle fleet of so many instances, three of them replicas."""
+    with open_fleet() as fleet:
+        fleet.plan_instances(count)
+        fleet.start_instances()
+        return measure(fleet, f"{count} instances, idle")
+
+
+def measure_endpoints(count: int) -> Reading:
+    """Measure three instances with so many endpoints that renew their leases."""
+    with open_fleet() as fleet:
+        fleet.plan_instances(3)
+        fleet.start_instances()
+        command = ["-m", "standins", "crowd", "--count", str(count)]
+        for plan in fleet.plans:
+            command += ["--announce-to", f"http://{plan.host}:{CALLER_PORT}"]
+        fleet.start_announced("crowd", command)
+        return measure(fleet, f"3 instances, {count} endpoints")
+
+
+def measure_changes(per_minute: int) -> Reading:
+    """Measure three instances while operators change workspaces."""
+    with open_fleet() as fleet:
+        fleet.plan_instances(3)
+        fleet.start_instances()
+        stop = threading.Event()
+        writer = threading.Thread(target=_write_changes, args=(fleet, per_minute, stop))
+        writer.start()
+        try:
+            return measure(fleet, f"3 instances, {per_minute} changes a minute")
+        finally:
+            stop.set()
+            writer.join()
+
+
+def _write_changes(fleet: Fleet, per_minute: int, stop: threading.Event) -> None:
+    member = fleet.members[fleet.plans[0].name]
+    number = 0
+    while not stop.wait(60.0 / per_minute):
+        number += 1
+        value = {"kind": "workspace", "metadata": {"name": f"w{number}"}, "spec": {}}
+        fleet.manage("POST", member, "/api/v1/workspace", value)
+
+
+def make_table(readings: list[Reading]) -> str:
+    """Return the readings as a Markdown table."""
+    head = (
+        "| fleet | % of a core, mean / worst | resident MB | bytes sent a second, mean / worst |\n"
+        "| --- | --- | --- | --- |"
+    )
+    return "\n".join([head, *(reading.format() for reading in readings)])
+
+
+def write_table(table: str) -> None:
+    """Replace the table in the page."""
+    text = PAGE.read_text()
+    before, _, rest = text.partition(BEGIN)
+    _, _, after = rest.partition(END)
+    PAGE.write_text(f"{before}{BEGIN}\n{table}\n{END}{after}")
+
+
+def main(
+    write: Annotated[bool, typer.Option(help="Put the table into docs/CAPACITY.md.")] = False,
+) -> None:
+    """Measure the slopes."""
+    readings = []
+    for count in (3, 6, 9, 15):
+        readings.append(measure_instances(count))
+        print(readings[-1].format(), flush=True)
+    for count in (6, 60, 600):
+        readings.append(measure_endpoints(count))
+        print(readings[-1].format(), flush=True)
+    readings.append(measure_changes(100))
+    print(readings[-1].format(), flush=True)
+    if write:
+        write_table(make_table(readings))
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/chivetrack/daemon/gauges.py
@@ -0,0 +1,44 @@
+"""Feeds the metrics that are read off the parts now and then."""
+
+from collections.abc import Callable
+
+from chivetrack.components.configuration.configuration import Configuration
+from chivetrack.components.peers.transport import PeerTransport
+from chivetrack.helpers.telemetry import Instruments
+from chivetrack.helpers.telemetry.instruments import Direction
+
+GAUGE_EVERY_S = 1.0
+ALL_KINDS = "all"
+
+
+class Gauges:
+    """Reads traffic, revision and lead; driven by the timer service."""
+
+    def __init__(
+        self,
+        *,
+        instruments: Instruments,
+        transport: PeerTransport,
+        configuration: Configuration,
+        is_leader: Callable[[], bool],
+    ) -> None:
+        """Take the parts that are read."""
+        self._instruments = instruments
+        self._transport = transport
+        self._configuration = configuration
+        self._is_leader = is_leader
+        self._sent = 0
+        self._received = 0
+
+    def read(self, now: float) -> None:
+        """Feed the metrics with what has changed since the last time."""
+        traffic = self._transport.traffic
+        self._record(Direction.SENT, traffic.sent_bytes - self._sent)
+        self._record(Direction.RECEIVED, traffic.received_bytes - self._received)
+        self._sent = traffic.sent_bytes
+        self._received = traffic.received_bytes
+        self._instruments.set_config_revision(self._configuration.view.revision)
+        self._instruments.set_leader(self._is_leader())
+
+    def _record(self, direction: Direction, count: int) -> None:
+        self._instruments.record_control_bytes(direction=direction, kind=ALL_KINDS, count=count)
--- a/chivetrack/daemon/instance.py
+++ b/chivetrack/daemon/instance.py
@@ -28,6 +28,7 @@
 from chivetrack.daemon.announcements import AnnouncementDesk
 from chivetrack.daemon.encryption import Encryption
 from chivetrack.daemon.explanations import Explanations
+from chivetrack.daemon.gauges import GAUGE_EVERY_S, Gauges
 from chivetrack.daemon.listeners import Applications, Listeners
 from chivetrack.daemon.management import Management
 from chivetrack.daemon.metrics import build_metrics_app
@@ -284,6 +285,13 @@
         self._listeners.start()
         now = time.monotonic()
         self._timers.call_every(RELOAD_INTERVAL_S, lambda _: self._encryption.check(), now=now)
+        gauges = Gauges(
+            instruments=self._telemetry.instruments,
+            transport=self.transport,
+            configuration=self.router.configuration,
+            is_leader=lambda: self._replica is not None and self._replica.is_leader,
+        )
+        self._timers.call_every(GAUGE_EVERY_S, gauges.read, now=now)
         self.runner.start()
         loops = [gevent.spawn(self.runner.run)]
         if self._replica is not None:
--- a/chivetrack/daemon/replica_host.py
+++ b/chivetrack/daemon/replica_host.py
@@ -84,7 +84,7 @@
         self._founded: Members | None = None
         self._instances: dict[str, str] = {}
         self._is_changed = False
-        self._is_leader = False
+        self.is_leader = False
         self.replica: Replica | None = None
         self.replica_id = ""
         self.failure = ""
@@ -222,14 +222,14 @@
         if not isinstance(notice, LeadershipChanged):
             return
         leads = notice.role is Role.LEADER
-        if leads and not self._is_leader:
+        if leads and not self.is_leader:
             _LOGGER.info("Leading in term {}.", notice.term)
             self.desk.clock = ProposerClock(
                 store_time_ms=self._store.time_ms,
                 wall_time_ms=time.time_ns() // 1_000_000,
                 now=time.monotonic(),
             )
-        self._is_leader = leads
+        self.is_leader = leads
         seen = LeadershipSeen(term=notice.term, leader=notice.leader_instance, leads=leads)
         gevent.spawn(self._post, seen)
 
@@ -246,7 +246,7 @@
     def _confirm(self) -> None:
         """On the leader, have a quorum confirm again and again what is in force."""
         while True:
-            if self._is_leader and self.replica is not None:
+            if self.is_leader and self.replica is not None:
                 self._confirm_once(self.replica)
             gevent.sleep(CONFIRM_EVERY_S)
 
@@ -262,16 +262,16 @@
         """On the leader, let learners vote once they have caught up."""
         while True:
             gevent.sleep(PROMOTE_EVERY_S)
-            if self._is_leader and self.replica is not None:
+            if self.is_leader and self.replica is not None:
                 self.desk.promote_learners()
 
     def hand_over(self) -> None:
         """Before a stop, hand leadership to another replica."""
-        if self.replica is None or not self._is_leader:
+        if self.replica is None or not self.is_leader:
             return
         self.replica.transfer_leadership()
         ends_at = time.monotonic() + TRANSFER_WAIT_S
-        while self._is_leader and time.monotonic() < ends_at:
+        while self.is_leader and time.monotonic() < ends_at:
             gevent.sleep(POLL_S)
 
     def stop(self) -> None:
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -1,4 +1,4 @@
-"""The programs of the stand-ins: ``python -m standins endpoint|balancer|link``."""
+"""The programs of the stand-ins: ``python -m standins endpoint|balancer|link|crowd``."""
 
 # Before every other import: bottle keeps the current request in a thread-local. Made
 # before the patch, that is one for all greenlets, and under concurrency a request reads
@@ -9,12 +9,13 @@
 
 import typer  # noqa: E402
 
-from standins import endpoint, link, relay  # noqa: E402
+from standins import crowd, endpoint, link, relay  # noqa: E402
 
 APP = typer.Typer(help="Stand-ins for the systems around a fleet.")
 APP.command("endpoint")(endpoint.main)
 APP.command("balancer")(relay.main)
 APP.command("link")(link.main)
+APP.command("crowd")(crowd.main)
 
 if __name__ == "__main__":
     APP()
--- a/tests/system/fleets.py
+++ b/tests/system/fleets.py
@@ -56,7 +56,7 @@
             command = ["-m", "standins", "link", "--listen", f"{plan.host}:{LINK_PORT}"]
             command += ["--target", f"{plan.host}:{PEER_PORT}"]
             command += ["--cuts", str(self.get_cuts(plan.name))]
-            self._start_announced(f"link-{plan.name}", command)
+            self.start_announced(f"link-{plan.name}", command)
 
     def get_cuts(self, name: str) -> Path:
         """Return the file of cuts of the link before an instance."""
