End all calls when the writer dies, and measure failovers

Cause: an exception from the state machine left callers waiting for their timeout; an empty replica that halts told nobody. Change: whatever ends the writer ends its calls; the halted replica gives a ReplicaRegressed with its own id. The test was seen to fail without the first.

--- a/benchmarks/log.py
+++ b/benchmarks/log.py
@@ -31,6 +31,8 @@
 NAMES: Final = ("a", "b", "c")
 VALUE: Final = b"x" * 300
 SECONDS: Final = 5.0
+SETTLE_S: Final = 1.0
+FAILOVERS: Final = 7
 ENTRIES: Final = 10_000
 PAGES_PER_MEBIBYTE: Final = 256
 
@@ -169,6 +171,28 @@
     )
 
 
+def measure_failover(*, hand_over: bool) -> None:
+    """Print how long no commit was possible after the leader stopped."""
+    times: list[float] = []
+    for _ in range(FAILOVERS):
+        with run_fleet() as fleet:
+            leader = fleet.find_leader()
+            gevent.sleep(SETTLE_S)
+            start = time.perf_counter()
+            if hand_over:
+                leader.transfer_leadership()
+            else:
+                leader.stop()
+            others = [one for one in fleet.replicas.values() if one is not leader]
+            while not any(one.propose(VALUE).is_ok() for one in others):
+                gevent.sleep(0.001)
+            times.append(time.perf_counter() - start)
+    times.sort()
+    name = "hand-over" if hand_over else "stopped leader"
+    middle = times[len(times) // 2]
+    print(f"{name}, {FAILOVERS} times: p50 {middle:.3f} s, longest {times[-1]:.3f} s to a commit")
+
+
 def fill_folder(path: Path) -> None:
     """Make a lone replica's folder with many entries after its snapshot."""
     member = Member(replica_id="a", instance_id="a", voter=True)
@@ -217,12 +241,14 @@
         return
     with run_fleet() as fleet:
         leader = fleet.find_leader()
-        gevent.sleep(1.0)
+        gevent.sleep(SETTLE_S)
         measure_idle(fleet)
         for callers in (1, 64):
             measure_calls("commits", fleet, lambda: leader.propose(VALUE).is_ok(), callers)
         for callers in (1, 64):
             measure_calls("reads", fleet, lambda: leader.confirm_read().is_ok(), callers)
+    for hand_over in (True, False):
+        measure_failover(hand_over=hand_over)
     with tempfile.TemporaryDirectory() as root:
         path = Path(root) / "data"
         fill_folder(path)
--- a/chivetrack/components/consensus/follower.py
+++ b/chivetrack/components/consensus/follower.py
@@ -14,7 +14,7 @@
     SnapshotAnswer,
     SnapshotChunk,
 )
-from chivetrack.components.consensus.models import RestoreSnapshot, Snapshot
+from chivetrack.components.consensus.models import ReplicaRegressed, RestoreSnapshot, Snapshot
 from chivetrack.components.consensus.state import State
 
 
@@ -191,4 +191,5 @@
         if state.is_member or not members.is_voter(state.replica_id):
             return True
         state.halted = True
+        state.out.add(ReplicaRegressed(replica_id=state.replica_id))
         return False
--- a/chivetrack/components/consensus/models.py
+++ b/chivetrack/components/consensus/models.py
@@ -257,7 +257,8 @@
 class ReplicaRegressed(Effect):
     """A replica lacks entries that it had acknowledged: its disk was lost.
 
-    It counts for nothing from now on and must be replaced under a new id.
+    It counts for nothing from now on and must be replaced under a new id. The
+    leader tells it of another, an empty replica that halts tells it of itself.
     """
 
     replica_id: str
--- a/chivetrack/components/replica/replica.py
+++ b/chivetrack/components/replica/replica.py
@@ -97,7 +97,18 @@
         self._failure = ""
 
     def run(self) -> None:
-        """Work until ``stop``; raise ``StorageError`` once a write has failed."""
+        """Work until ``stop``; raise ``StorageError`` once a write has failed.
+
+        Whatever else is raised, by the state machine for example, ends all calls too:
+        callers must not wait for a writer that is gone.
+        """
+        try:
+            self._work()
+        except Exception as error:
+            self._fail(str(error))
+            raise
+
+    def _work(self) -> None:
         while not self._stopped:
             self.step()
             if not self._inbox and not self._stopped:
@@ -162,6 +173,7 @@
         try:
             self._run_blocking(call)
         except (StorageError, OSError) as error:
+            # At once, so that nobody is told of what this event had in mind.
             self._fail(str(error))
             raise
 
--- a/tests/components/consensus/test_core.py
+++ b/tests/components/consensus/test_core.py
@@ -239,6 +239,7 @@
         )
         subject.take(SnapshotChunk("b", "a", 2, 9, 2, VOTERS, 0, 1, b"x", 1))
         self.assertEqual(subject.list_effects(SendMessage), [])
+        self.assertEqual(subject.list_effects(ReplicaRegressed)[0].replica_id, "a")
         self.assertTrue(subject.consensus.get_status(now=0).halted)
         subject.take(VoteRequest("b", "a", 3, 9, 2, False))
         self.assertEqual(subject.effects, [])
--- a/tests/components/replica/test_replica.py
+++ b/tests/components/replica/test_replica.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Sequence
 from pathlib import Path
 from random import Random
+from unittest import mock
 
 from chivetrack.components.consensus import Consensus, models
 from chivetrack.components.consensus.members import make_voters
@@ -203,6 +204,24 @@
         self.assertEqual((fault.code, fault.ran), ("storage_failed", Ran.NO))
         self.assertIn("disk full", self.leader.get_status().failure)
 
+    def test_broken_state_machine_ends_calls(self) -> None:
+        """Applying an entry raises. The writer is gone; its callers are told that the
+        outcome is unknown instead of waiting, later ones are refused."""
+        broken = ValueError("cannot apply")
+        journal = self.cluster.journals[self.name]
+        with mock.patch.object(journal, "apply", side_effect=broken):
+            call_id = self.leader._calls.open(is_read=False)
+            self.leader._submit(
+                models.Propose(proposals=(models.Proposal(proposal_id=call_id, data=b"x"),))
+            )
+            self.leader.step()
+            for name in self.others:
+                self.cluster.replicas[name].step()
+            with self.assertRaises(ValueError):
+                self.leader.run()
+        self.assertTrue(self.leader._calls._calls[call_id].waiter.wait(0))
+        self.assertEqual(self.get_fault().ran, Ran.NO)
+
     def test_memory_is_bounded(self) -> None:
         """Large entries: one that no message takes is refused; behind a cut the leader
         takes 16 MiB and refuses the rest; after 8 MiB a snapshot lets the log go."""
