Let random histories of the log get further

Cause: counted over 60 histories, the median history committed 39 proposals, confirmed 7 reads and lost one disk: too many failures at once kept the replicas from getting on, and repairs were rarely finished. Change: an action that heals all for a while, more lost disks. Ruled out: fewer kinds of failures; they must meet.

--- a/tests/components/consensus/chaos.py
+++ b/tests/components/consensus/chaos.py
@@ -102,6 +102,17 @@
     def heal(self) -> None:
         self.network.heal()
 
+    def calm(self) -> None:
+        """Let all work for a while, so that histories get on."""
+        self.heal()
+        self.restart()
+        self.thaw()
+        self.network.run(1.4)
+        self.propose()
+        self.repair()
+        self.network.run(0.05)
+        self.read()
+
     def worsen(self) -> None:
         self.network.loss = self.random.choice([0.0, 0.1, 0.4])
         self.network.duplicates = 0.2
@@ -174,7 +185,8 @@
     "worsen": 4,
     "slow_disks": 3,
     "transfer": 3,
-    "lose_disk": 2,
+    "lose_disk": 5,
     "repair": 10,
+    "calm": 12,
 }
 ACTIONS = tuple(WEIGHTS)
