--- a/chivetrack/components/storage/storage.py
+++ b/chivetrack/components/storage/storage.py
@@ -51,8 +51,9 @@
         for leftover in _list_files(path, SNAPSHOT_PREFIX):
             raise FolderExistsError(leftover)
         try:
-            if snapshot is not None:
-                _save_snapshot(path, snapshot, calls)
+            first = snapshot or Snapshot()
+            _save_snapshot(path, first, calls)
+            _write_header(path, 1, HardState(term=first.term), (first.index, first.term), calls)
             write_file(path / IDENTITY_NAME, [encode_frame([identity])], calls)
             sync_folder(path.parent, calls)
         except OSError as error:
@@ -96,6 +97,15 @@
             old.unlink()
 
 
+def _write_header(
+    folder: Path, number: int, hard_state: HardState, end: tuple[int, int], calls: Calls
+) -> Path:
+    path = folder / f"{SEGMENT_PREFIX}{number:016d}"
+    header = SegmentHeader(hard_state=hard_state, base_index=end[0], base_term=end[1])
+    write_file(path, [encode_frame([header])], calls)
+    return path
+
+
 def _find_end(recovered: Recovered) -> tuple[int, int]:
     if recovered.entries:
         return (recovered.entries[-1].index, recovered.entries[-1].term)
@@ -207,15 +217,11 @@
 
     def _begin_segment(self) -> None:
         """Begin a segment; it gets its name once its header is synced."""
-        number = self._segments[-1].number + 1 if self._segments else 1
-        path = self._path / f"{SEGMENT_PREFIX}{number:016d}"
-        index, term = self._end
-        header = SegmentHeader(hard_state=self._hard_state, base_index=index, base_term=term)
-        frame = encode_frame([header])
-        write_file(path, [frame], self._calls)
+        number = self._segments[-1].number + 1
+        path = _write_header(self._path, number, self._hard_state, self._end, self._calls)
         self.close()
         self._descriptor = os.open(path, os.O_WRONLY | os.O_APPEND)
-        self._size = len(frame)
+        self._size = 0
         self._segments.append(Segment(path=path, number=number))
 
     def _drop_held_segments(self) -> None:
@@ -224,8 +230,14 @@
             self._drop_segments(1)
 
     def _drop_segments(self, count: int) -> None:
+        """Delete the oldest segments, each for good before the next.
+
+        Were an older one back after a crash and a later one not, the gap would look
+        like damage.
+        """
         for segment in self._segments[:count]:
             segment.path.unlink()
+            sync_folder(self._path, self._calls)
         del self._segments[:count]
 
     def _read_identity(self) -> Identity:
@@ -247,7 +259,7 @@
             if scan.end < segment.path.stat().st_size:
                 truncate_file(segment.path, scan.end, self._calls)
             reader.read(segment, scan.records)
-        if self._segments and reader.chain.base_index > snapshot.index:
+        if reader.chain.base_index > snapshot.index:
             path = self._segments[0].path
             raise DamagedFileError(path, 0, "entries before this segment are missing")
         self._replaced = sum(1 for one in self._segments if reader.is_replaced(one))
@@ -257,14 +269,16 @@
         return Recovered(hard_state=hard_state, snapshot=snapshot, entries=reader.list_entries())
 
     def load_snapshot(self) -> Snapshot:
-        """Return the latest snapshot, an empty one if there is none."""
+        """Return the latest snapshot."""
         paths = _list_files(self._path, SNAPSHOT_PREFIX)
         if not paths:
-            return Snapshot()
+            raise DamagedFileError(self._path, 0, "the snapshot is missing")
         return read_snapshot(paths[-1])
 
     def _list_segments(self) -> list[Segment]:
         paths = _list_files(self._path, SEGMENT_PREFIX)
+        if not paths:
+            raise DamagedFileError(self._path, 0, "the log is missing")
         segments = [Segment(path=one, number=_get_number(one, SEGMENT_PREFIX)) for one in paths]
         for before, after in zip(segments, segments[1:], strict=False):
             if after.number != before.number + 1:
--- a/tests/components/storage/test_storage.py
+++ b/tests/components/storage/test_storage.py
@@ -189,6 +189,18 @@
                     self.recover()
                 segment.write_bytes(whole)
 
+    def test_missing_log_or_snapshot_refuses_to_start(self) -> None:
+        """All of one kind of file is gone, the identity is there: going on would forget
+        the vote and every entry under an id that has acknowledged them."""
+        for pattern in ("log-*", "snapshot-*"):
+            with self.subTest(pattern):
+                path = self.root / pattern[:3]
+                create_folder(path, identity=IDENTITY)
+                for file in path.glob(pattern):
+                    file.unlink()
+                with self.assertRaises(DamagedFileError), open_storage(path=path):
+                    pass
+
     def test_damaged_snapshot_refuses_to_start(self) -> None:
         snapshot = next(self.path.glob("snapshot-*"))
         snapshot.write_bytes(snapshot.read_bytes()[:-1])
