Keep gossip and membership stable as the region grows

Cause: the benchmark with 18 routers collapsed: instance records and probes squeezed out the load counts, which are the signs of life, so more instances were suspected and probed (load counts 23 s old, no endpoint listed, live instances declared dead). At 54 each router named every load count in full to each peer, minutes of budget.

Change: frames share their room between urgent news, load counts and ordinary news; load counts go by freshness gained for a byte; short names need no naming for each peer, who can't read one says so; probes have a share of their own, answers are not held to it; suspects are probed after a random wait and few at a time; nobody is suspected while a start settles; region summaries only where there are other regions; ordinary news is sent on twice and the rest is left to digests.

Ruled out: a fixed share of each frame for load counts, since a large one would never fit; turns do it.

--- /dev/null
+++ b/benchmarks/gossip.py
@@ -0,0 +1,276 @@
+"""Measures gossip: bytes, messages, propagation and processor time, on the network in memory.
+
+Run ``python -m benchmarks.gossip``. Times of propagation are simulated (1-4 ms one way,
+no loss, all routers with their own phase); processor time is this machine's. Load counts
+take 5 bytes an endpoint that the router has requests at, with 15 in flight an endpoint.
+"""
+
+import random
+import time
+from dataclasses import dataclass, field, replace
+
+from chivetrack.components.endpoints.models import AnnouncedState, Announcement, EndpointKind
+from chivetrack.components.endpoints.registry import EndpointRegistry
+from chivetrack.components.gossip.gossip import Gossip
+from chivetrack.components.gossip.models import News, Urgency
+from chivetrack.components.membership.const import FLEET_TOPICS
+from chivetrack.components.membership.membership import Membership
+from chivetrack.components.membership.models import Instance, Life, Seed
+from chivetrack.core import Component, Effect, Event, WakeAt
+from tests.components.network import Network
+
+REGION = "kyushu"
+SERVICE = "valuation"
+ZONES = ("fukuoka-hall", "kumamoto-hall", "kitakyushu-hall")
+LEASE_S = 12.0
+IN_FLIGHT = 15
+BYTES_PER_COUNT = 5
+LOAD_EVERY_S = 0.1
+WARM_UP_S = 15.0
+MEASURED_S = 20.0
+CHURN_EVERY_S = 2.0
+
+
+@dataclass(slots=True)
+class Spent:
+    """Processor time of the components, summed over all routers."""
+
+    seconds: float = 0.0
+
+
+class Timed:
+    """A component whose processor time is summed."""
+
+    def __init__(self, *, component: Component, spent: Spent) -> None:
+        """Wrap a component."""
+        self._component = component
+        self._spent = spent
+
+    def handle(self, event: Event, *, now: float) -> list[Effect]:
+        """Hand the event on and take the time."""
+        started = time.perf_counter()
+        effects = self._component.handle(event, now=now)
+        self._spent.seconds += time.perf_counter() - started
+        return effects
+
+
+class LoadPublisher:
+    """Publishes a router's load counts of ever the same size."""
+
+    def __init__(self, *, gossip: Gossip, size: int, phase: float) -> None:
+        """Start at ``phase`` seconds."""
+        self._gossip = gossip
+        self._payload = bytes(size)
+        self._due = phase
+
+    def handle(self, event: Event, *, now: float) -> list[Effect]:
+        """Publish when it is time."""
+        if now >= self._due:
+            self._due = now + LOAD_EVERY_S
+            self._gossip.publish("load", "", self._payload, Urgency.LOAD, now=now)
+        return [WakeAt(at=self._due)]
+
+
+@dataclass(slots=True)
+class Router:
+    """The parts of one router."""
+
+    gossip: Gossip
+    registry: EndpointRegistry
+    born: dict[str, float] = field(default_factory=dict)
+
+
+class Fleet:
+    """Routers with endpoints that announce themselves to any of them."""
+
+    def __init__(self, *, routers: int, endpoints: int, budget: int) -> None:
+        """Start all routers; endpoints announce themselves once time runs."""
+        self.network = Network(seed=1)
+        self.random = random.Random(2)
+        self.spent = Spent()
+        self.delays: list[float] = []
+        self.left: dict[str, float] = {}
+        self.names = [f"{ZONES[index % 3]}-{index}" for index in range(routers)]
+        self.budget = budget
+        each = min(endpoints, IN_FLIGHT * endpoints // routers) or 1
+        self.load_bytes = min(each * BYTES_PER_COUNT, budget // 5)
+        self.routers = {name: self._start(name) for name in self.names}
+        self.endpoints = {name: _announce(name) for name in _name_endpoints(endpoints)}
+        self._due = dict.fromkeys(self.endpoints, 0.0)
+        for name in self._due:
+            self._due[name] = self.random.uniform(0.0, LEASE_S / 3)
+
+    def _start(self, name: str) -> Router:
+        stream = random.Random(name)
+        gossip = Gossip(
+            instance_id=name,
+            incarnation=1764709000,
+            random=stream,
+            region=REGION,
+            budget_bytes_per_s=self.budget,
+            fleet_topics=FLEET_TOPICS,
+        )
+        own = Instance(
+            instance_id=name,
+            address="10.0.0.1:7000",
+            region=REGION,
+            zone=name.rsplit("-", 1)[0],
+            roles=("router",),
+            life=Life(1764709000, 0),
+        )
+        seeds = [
+            Seed(instance_id=seed, address="10.0.0.1:7000", region=REGION)
+            for seed in self.names[:3]
+        ]
+        membership = Membership(gossip=gossip, own=own, seeds=seeds, random=stream)
+        router = Router(gossip, EndpointRegistry(gossip=gossip, instance_id=name))
+        gossip.subscribe("load", lambda news: self._note_load(router, news))
+        parts: list[Component] = [gossip, membership, router.registry]
+        timed: list[Component] = [Timed(component=part, spent=self.spent) for part in parts]
+        phase = stream.uniform(0.0, LOAD_EVERY_S)
+        publisher = LoadPublisher(gossip=gossip, size=self.load_bytes, phase=phase)
+        self.network.start(name, [*timed, publisher])
+        return router
+
+    def _note_load(self, router: Router, news: News) -> None:
+        router.born[news.origin] = news.now - news.age_s
+        if news.now > WARM_UP_S:
+            self.delays.append(news.age_s)
+
+    def run_for(self, seconds: float) -> None:
+        """Run, with announcements at their time."""
+        end = self.network.now + seconds
+        while self.network.now < end:
+            self.network.run_for(0.05)
+            for name, due in self._due.items():
+                if self.network.now >= due:
+                    self._due[name] = self.network.now + LEASE_S / 3
+                    self.announce(self.endpoints[name])
+
+    def announce(self, announcement: Announcement) -> None:
+        """Let an endpoint announce itself to a random router."""
+        router = self.routers[self.random.choice(self.names)]
+        router.registry.announce(announcement, now=self.network.now)
+
+    def list_ages(self) -> list[float]:
+        """Return how old the load counts are that each router holds of each other."""
+        now = self.network.now
+        return [now - born for router in self.routers.values() for born in router.born.values()]
+
+
+def _name_endpoints(count: int) -> list[str]:
+    return [f"engine-{ZONES[index % 3]}-{index}" for index in range(count)]
+
+
+def _announce(name: str) -> Announcement:
+    return Announcement(
+        endpoint_id=name,
+        incarnation=1764709000,
+        address="http://10.0.0.1:8000",
+        kind=EndpointKind.ENGINE,
+        service=SERVICE,
+        region=REGION,
+        zone=name.split("-", 1)[1].rsplit("-", 1)[0],
+        capacity=24,
+        lease_s=LEASE_S,
+        models=("valuation-large", "valuation-small"),
+        version="2026.11",
+    )
+
+
+def pick(values: list[float], share: float) -> float:
+    """Return a quantile, not-a-number for no values."""
+    if not values:
+        return float("nan")
+    return sorted(values)[min(len(values) - 1, int(share * len(values)))]
+
+
+def measure_leaving(fleet: Fleet) -> list[float]:
+    """Let one endpoint leave; return after how long each router knew."""
+    name = fleet.random.choice(list(fleet.endpoints))
+    old = fleet.endpoints[name]
+    fleet.endpoints[name] = replace(old, state=AnnouncedState.LEAVING)
+    started = fleet.network.now
+    fleet.announce(fleet.endpoints[name])
+    known: dict[str, float] = {}
+    while len(known) < len(fleet.names) and fleet.network.now < started + 10:
+        for router, parts in fleet.routers.items():
+            if router not in known and _is_leaving(parts.registry, name):
+                known[router] = fleet.network.now - started
+        fleet.network.run_for(0.01)
+    late = [10.0] * (len(fleet.names) - len(known))
+    fleet.endpoints[name] = replace(old, incarnation=old.incarnation + 1)
+    fleet.announce(fleet.endpoints[name])
+    return [*known.values(), *late]
+
+
+def _is_leaving(registry: EndpointRegistry, name: str) -> bool:
+    listed = registry.list_endpoints(SERVICE)
+    return any(s.endpoint_id == name and s.availability.value == "leaving" for s in listed)
+
+
+def measure(*, routers: int, endpoints: int, budget: int, churn: bool) -> str:
+    """Run one fleet and return its line of the table."""
+    fleet = Fleet(routers=routers, endpoints=endpoints, budget=budget)
+    fleet.run_for(WARM_UP_S)
+    fleet.spent.seconds = 0.0
+    first = len(fleet.network.sent)
+    started = fleet.network.now
+    ages: list[float] = []
+    leaving: list[float] = []
+    next_churn = started
+    while fleet.network.now < started + MEASURED_S:
+        fleet.run_for(0.25)
+        ages.extend(fleet.list_ages())
+        if churn and fleet.network.now >= next_churn:
+            leaving.extend(measure_leaving(fleet))
+            next_churn = fleet.network.now + CHURN_EVERY_S
+    sent = fleet.network.sent[first:]
+    seconds = fleet.network.now - started
+    listed = [len(parts.registry.list_endpoints(SERVICE)) for parts in fleet.routers.values()]
+    cells = [
+        f"{routers:4d} {endpoints:4d} {budget:6d} {'churn' if churn else 'idle':5s}",
+        f"{fleet.load_bytes:5d}",
+        f"{sum(s.charged_bytes for s in sent) / seconds / routers:7.0f}",
+        f"{len(sent) / seconds / routers:5.1f}",
+        f"{pick(fleet.delays, 0.5):6.2f} {pick(fleet.delays, 0.99):6.2f}",
+        f"{pick(ages, 0.5):6.2f} {pick(ages, 0.99):6.2f}",
+        f"{pick(leaving, 0.5):6.2f} {pick(leaving, 0.99):6.2f}",
+        f"{1e6 * fleet.spent.seconds / max(1, len(sent)):7.0f}",
+        f"{1e3 * fleet.spent.seconds / seconds / routers:6.1f}",
+    ]
+    missing = max(endpoints - count for count in listed)
+    return "  ".join(cells) + (f"  {missing} not yet listed" if missing > 0 else "")
+
+
+HEADER = """\
+                         load   per router      load count     load count     leaving
+routers endpoints       count   and second      on its way     as held        known
+         budget B/s     bytes   bytes   msgs   p50    p99     p50    p99     p50    p99   us/msg  ms/s\
+"""
+
+CASES = [
+    (9, 6, 4096, False),
+    (9, 6, 4096, True),
+    (3, 6, 4096, True),
+    (18, 6, 4096, True),
+    (27, 6, 4096, True),
+    (54, 6, 4096, True),
+    (9, 60, 4096, True),
+    (9, 200, 4096, True),
+    (9, 600, 4096, True),
+    (54, 600, 4096, True),
+    (54, 600, 19 * 1024, True),
+]
+
+
+def main() -> None:
+    """Print the table."""
+    print(HEADER)
+    for routers, endpoints, budget, churn in CASES:
+        line = measure(routers=routers, endpoints=endpoints, budget=budget, churn=churn)
+        print(line, flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/chivetrack/components/gossip/budget.py
+++ b/chivetrack/components/gossip/budget.py
@@ -8,6 +8,8 @@
     MIN_BUDGET_BYTES_PER_S,
     PACED_BURST_SHARE,
     PACED_SHARE,
+    PROBE_BURST_S,
+    PROBE_SHARE,
     TRANSPORT_OVERHEAD_BYTES,
     WINDOW_S,
 )
@@ -66,6 +68,9 @@
         self._pace = TokenBucket(
             rate=bytes_per_s * PACED_SHARE, capacity=bytes_per_s * PACED_BURST_SHARE
         )
+        self._probes = TokenBucket(
+            rate=bytes_per_s * PROBE_SHARE, capacity=bytes_per_s * PROBE_SHARE * PROBE_BURST_S
+        )
         self._payments: deque[_Payment] = deque()
         self._paid = 0
 
@@ -84,6 +89,13 @@
         paced = int(self._pace.get_level(now)) - self.overhead_bytes
         return min(paced, self.get_room(now))
 
+    def charge_probe(self, encoded_bytes: int, now: float) -> bool:
+        """Pay for a probe or an answer to one, within their own share."""
+        amount = encoded_bytes + self.overhead_bytes
+        if self._probes.get_level(now) < amount or not self.charge(encoded_bytes, now):
+            return False
+        return self._probes.take(amount, now)
+
     def charge(self, encoded_bytes: int, now: float) -> bool:
         """Pay for one message; ``False`` means that it must not be sent."""
         if encoded_bytes > self.get_room(now):
--- a/chivetrack/components/gossip/const.py
+++ b/chivetrack/components/gossip/const.py
@@ -17,6 +17,10 @@
 PACED_SHARE: Final = 0.88
 PACED_BURST_SHARE: Final = 0.35
 
+# Probes and their answers get at most this share. Without a limit a burst of suspicions
+# would squeeze out the news that shows life, and so cause more suspicions without end.
+PROBE_SHARE: Final = 0.12
+PROBE_BURST_S: Final = 2.0
 # Kept free of news, urgent or not, for probes and their answers.
 PROBE_RESERVE_BYTES: Final = 256
 
@@ -25,8 +29,8 @@
 MAX_FRAMES_PER_S: Final = 12.0
 FRAME_BURST: Final = 4.0
 
-DIGEST_EVERY_S: Final = 2.0
-DIGEST_ORIGINS: Final = 8
+DIGEST_EVERY_S: Final = 1.5
+DIGEST_ORIGINS: Final = 12
 DIGEST_PATIENCE_S: Final = 2.0
 SUMMARY_KEYS: Final = 48
 FAR_REGION_EVERY: Final = 8
@@ -36,9 +40,17 @@
 # A load count that would make a peer's younger by less is not worth its bytes.
 MIN_GAIN_S: Final = 0.1
 
-# Every so many times a load count goes to a peer with its full name, in case that the
-# first one was lost and the peer can't tell what the short name stands for.
-FULL_NAME_EVERY: Final = 8
+SMALL_LOAD_BYTES: Final = 64
+
+# Short names that a peer can't read are reported back, at most so many in a frame.
+UNKNOWN_NAMES: Final = 16
+UNKNOWN_NAME_BYTES: Final = 6
+
+# All urgent news but the first may fill at most this share of a frame while load counts
+# wait, which are also the signs of life.
+URGENT_SHARE: Final = 0.5
+# How often each holder sends ordinary news on; digests find those who missed it.
+ORDINARY_SENDS: Final = 2
 
 # A value waiting unsent rises one level of urgency in this time.
 PROMOTION_S: Final = 4.0
--- a/chivetrack/components/gossip/gossip.py
+++ b/chivetrack/components/gossip/gossip.py
@@ -22,11 +22,14 @@
     GREET_EVERY,
     MAX_FRAMES_PER_S,
     PROBE_RESERVE_BYTES,
+    SMALL_LOAD_BYTES,
     SUMMARY_HEADER_BYTES,
     SUMMARY_KEY_BYTES,
     SUMMARY_KEYS,
     TICK_JITTER,
     TICK_S,
+    UNKNOWN_NAME_BYTES,
+    UNKNOWN_NAMES,
 )
 from chivetrack.components.gossip.models import (
     Delta,
@@ -42,12 +45,13 @@
 from chivetrack.components.gossip.repair import (
     compare_digest,
     find_lacking,
+    has_newer,
     make_digest,
     make_empty_summary,
     make_summary,
 )
 from chivetrack.components.gossip.rotation import Rotation
-from chivetrack.components.gossip.selection import Outbox, choose_values, make_deltas
+from chivetrack.components.gossip.selection import Outbox, Selection, fill_frame, make_deltas
 from chivetrack.components.gossip.state import (
     KEY_HASH_END,
     GossipState,
@@ -102,8 +106,10 @@
         self._digest_due = 0.0
         self._last_load = float("-inf")
         self._ticks = 0
+        self._loads_first = True
         self._next_tick = float("-inf")
         self._frame_heard: dict[str, float] = {}
+        self._unreadable: dict[str, dict[int, None]] = {}
         self._peer_incarnations: dict[str, int] = {}
 
     @property
@@ -134,7 +140,7 @@
                     status=413,
                 )
             )
-        if urgency is Urgency.LOAD:
+        if urgency is Urgency.LOAD and len(payload) <= SMALL_LOAD_BYTES:
             self._last_load = now
         self._outbox.add(self._own.put(value_key, payload, urgency, now))
         return Ok(None)
@@ -179,7 +185,10 @@
         return 0 if held is None else len(held.values)
 
     def get_last_load(self) -> float:
-        """Return when this instance last published a load count, which shows its life."""
+        """Return when this instance last published a load count that shows its life.
+
+        Large ones don't count: it may take long until the budget lets them through.
+        """
         return self._last_load
 
     def forget(self, origin: str) -> None:
@@ -222,7 +231,7 @@
         self._next_tick = now + self._tick_s * jitter
         self._ticks += 1
         effects: list[Effect] = []
-        for peer in self._choose_peers():
+        for peer in self._choose_peers(now):
             if self._frames.get_level(now) < 1:
                 break
             effects.extend(self._send(peer, now))
@@ -230,11 +239,14 @@
         effects.append(WakeAt(at=self._next_tick))
         return effects
 
-    def _choose_peers(self) -> list[str]:
+    def _choose_peers(self, now: float) -> list[str]:
         if self._greetings and self._ticks % GREET_EVERY == 0:
             return [next(iter(self._greetings))]
         if self._ticks % ANSWER_EVERY == 0 and (waiting := self._find_waiting()) is not None:
             return [waiting]
+        # In step with the rotation, a quiet instance would compare with one peer only.
+        if self._near.members and self._is_digest_due(now):
+            return [self._random.choice(self._near.members)]
         if self._ticks % FAR_REGION_EVERY == 0 and self._far.members:
             return self._far.take(1)
         extra = 2 if self._outbox.count_urgent() else 0
@@ -246,7 +258,9 @@
         Left to the rotation, each of the three steps of a repair would take a round.
         """
         waiting = [
-            peer for peer in self._peers if self._summaries.get(peer) or self._outbox.owes(peer)
+            peer
+            for peer in self._peers
+            if self._summaries.get(peer) or self._unreadable.get(peer) or self._outbox.owes(peer)
         ]
         return self._random.choice(waiting) if waiting else None
 
@@ -258,24 +272,28 @@
         room -= 0 if digest is None else _bound_digest(digest)
         summaries = self._take_summaries(peer, room // 2)
         room -= sum(_bound_summary(summary) for summary in summaries)
+        unknown = self._list_unreadable(peer)
+        room -= UNKNOWN_NAME_BYTES * len(unknown)
         wanted = self._outbox.list_wanted(peer, topics, now)
-        chosen = choose_values(
-            wanted,
+        chosen = Selection(
             room=room,
             largest=self._largest_frame,
             takes_short=lambda value: self._outbox.takes_short(peer, value),
         )
-        if room < 0 or not (chosen.values or digest or summaries):
+        fill_frame(chosen, wanted, loads_first=self._loads_first)
+        if room < 0 or not (chosen.values or digest or summaries or unknown):
             self._put_back(peer, summaries)
             return []
         deltas = make_deltas(chosen.full, self._state, now)
         shorts = tuple(value.get_short_entry(now) for value in chosen.short)
         sent_ms = round(now * 1000)
-        frame = GossipFrame(self.incarnation, sent_ms, deltas, digest, summaries, shorts)
+        frame = GossipFrame(self.incarnation, sent_ms, deltas, digest, summaries, shorts, unknown)
         if not self.budget.charge(len(encode(frame)), now):
             self._put_back(peer, summaries)
             return []
+        self._unreadable.pop(peer, None)
         self._frames.take(1, now)
+        self._loads_first = not self._loads_first
         self._outbox.mark_sent(peer, chosen.values, peers=len(self._near.members), now=now)
         if digest is not None:
             self._digest_due = now + DIGEST_EVERY_S
@@ -310,6 +328,9 @@
             taken.append(waiting.pop(origin))
         return tuple(taken)
 
+    def _list_unreadable(self, peer: str) -> tuple[int, ...]:
+        return tuple(self._unreadable.get(peer, {}))[:UNKNOWN_NAMES]
+
     def _put_back(self, peer: str, summaries: tuple[Summary, ...]) -> None:
         for summary in summaries:
             self._summaries.setdefault(peer, {}).setdefault(summary.origin, summary)
@@ -329,6 +350,10 @@
             full = self._state.expand(short)
             if full is not None:
                 self._merge(source, full, extra_age_s, now)
+            else:
+                self._unreadable.setdefault(source, {})[short.name_hash] = None
+        for name_hash in frame.unknown_names:
+            self._outbox.note_unknown(source, name_hash)
         held = self._state.origins.get(source)
         if held is not None and held.incarnation == frame.incarnation:
             held.heard_at = max(held.heard_at, now - extra_age_s)
@@ -404,8 +429,13 @@
         held = self._state.origins.get(summary.origin)
         if held is None:
             return
-        for value in find_lacking(held, summary, topics=self._get_topics(source)):
+        topics = self._get_topics(source)
+        for value in find_lacking(held, summary, topics=topics):
             self._outbox.owe(source, value)
+        if has_newer(held, summary):
+            self._summaries.setdefault(source, {})[summary.origin] = self._summarise(
+                summary.origin, topics
+            )
 
 
 def _shows_life(source: str, delta: Delta) -> bool:
--- a/chivetrack/components/gossip/models.py
+++ b/chivetrack/components/gossip/models.py
@@ -64,8 +64,8 @@
 class ShortEntry(Message, frozen=True, array_like=True):
     """A load count whose origin, incarnation, topic and key are named by a hash.
 
-    The names would take more bytes than the counts. It is sent only to peers that
-    should have seen the full entry; one that has not ignores it.
+    The names would take more bytes than the counts. A peer that has not seen the full
+    entry ignores it and reports the hash back.
     """
 
     name_hash: int
@@ -133,3 +133,4 @@
     digest: Digest | None = None
     summaries: tuple[Summary, ...] = ()
     shorts: tuple[ShortEntry, ...] = ()
+    unknown_names: tuple[int, ...] = ()
--- a/chivetrack/components/gossip/repair.py
+++ b/chivetrack/components/gossip/repair.py
@@ -104,6 +104,17 @@
             yield value
 
 
+def has_newer(held: OriginState, summary: Summary) -> bool:
+    """Return whether the sender of a summary has values that are lacking here."""
+    if summary.incarnation != held.incarnation:
+        return summary.incarnation > held.incarnation
+    versions = {value.key_hash: value.version for value in held.values.values()}
+    return any(
+        versions.get(entry.key_hash, -1) < entry.version and entry.version > held.floor
+        for entry in summary.keys
+    )
+
+
 def make_empty_summary(origin: str) -> Summary:
     """Return the summary of an origin of which nothing is held."""
     return Summary(origin, 0, 0, KEY_HASH_END, ())
--- a/chivetrack/components/gossip/selection.py
+++ b/chivetrack/components/gossip/selection.py
@@ -7,10 +7,11 @@
 
 from chivetrack.components.gossip.const import (
     DELTA_HEADER_BYTES,
-    FULL_NAME_EVERY,
     MIN_GAIN_S,
+    ORDINARY_SENDS,
     PROMOTION_S,
     SHORT_ENTRY_BYTES,
+    URGENT_SHARE,
 )
 from chivetrack.components.gossip.models import Delta, Entry, Urgency
 from chivetrack.components.gossip.state import GossipState, Value, ValueKey
@@ -25,11 +26,10 @@
 
 @dataclass(slots=True)
 class KnownLoad:
-    """How young a load count a peer has, and how often it was named to it."""
+    """How young a load count a peer has, under which name."""
 
     born: float
     name_hash: int
-    sends: int = 1
 
 
 class Rank(NamedTuple):
@@ -48,16 +48,36 @@
 
 def limit_sends(urgency: int, peers: int) -> int:
     """Return how many copies of a value each holder sends on of its own accord."""
+    if urgency > Urgency.LOAD:
+        return ORDINARY_SENDS
     rounds = math.ceil(math.log2(peers + 2))
     return rounds + 2 if urgency <= Urgency.OVERLOAD else rounds
 
 
+@dataclass(slots=True)
+class Wanted:
+    """What a peer should get, by kind and each in the order of sending."""
+
+    urgent: list[Value] = field(default_factory=list)
+    loads: list[Value] = field(default_factory=list)
+    ordinary: list[Value] = field(default_factory=list)
+
+    def add(self, rank: Rank, value: Value) -> None:
+        """Enter a value."""
+        if value.urgency == Urgency.LOAD:
+            self.loads.append(value)
+        elif rank.urgency < Urgency.LOAD:
+            self.urgent.append(value)
+        else:
+            self.ordinary.append(value)
+
+
 class Outbox:
     """The values that have still to be sent on.
 
     Hot values go to any peer that is not known to have them, a limited number of
     times. Owed values go to one peer that was seen to lack them. Load counts are
-    never done: a peer gets those by which its own would become younger the most.
+    never done: a peer gets those by which its own become younger the most for a byte.
     """
 
     def __init__(self) -> None:
@@ -66,6 +86,9 @@
         self._loads: dict[LoadName, Value] = {}
         self._owed: dict[str, dict[Value, None]] = {}
         self._known_loads: dict[str, dict[LoadName, KnownLoad]] = {}
+        self._full_sends: dict[int, int] = {}
+        self._full_limit = 1
+        self._unknown_to: dict[str, set[int]] = {}
 
     def add(self, value: Value) -> None:
         """Send a new value on."""
@@ -87,10 +110,12 @@
         """Forget what was owed to a peer that is gone, and what it knows."""
         self._owed.pop(peer, None)
         self._known_loads.pop(peer, None)
+        self._unknown_to.pop(peer, None)
 
     def drop_origin(self, origin: str) -> None:
         """Send nothing more of an origin that is gone."""
         for name in [name for name in self._loads if name.origin == origin]:
+            self._full_sends.pop(self._loads[name].name_hash, None)
             del self._loads[name]
         for loads in self._known_loads.values():
             for name in [name for name in loads if name.origin == origin]:
@@ -108,18 +133,22 @@
             return
         known.born = max(known.born, value.born)
 
-    def list_wanted(self, peer: str, topics: frozenset[str] | None, now: float) -> list[Value]:
+    def list_wanted(self, peer: str, topics: frozenset[str] | None, now: float) -> Wanted:
         """Return what a peer should get, the most urgent first."""
         owed = self._owed.get(peer, {})
         for value in [value for value in owed if not value.current]:
             del owed[value]
         for value in [value for value in self._hot if not value.current]:
             del self._hot[value]
-        wanted = {**owed, **dict.fromkeys(v for v in self._hot if peer not in v.known)}
-        ranked = [Ranked(rank_value(value, now), value) for value in wanted]
+        news = {**owed, **dict.fromkeys(v for v in self._hot if peer not in v.known)}
+        ranked = [Ranked(rank_value(value, now), value) for value in news]
         ranked.extend(self._rank_loads(peer))
         ranked.sort(key=lambda entry: entry.rank)
-        return [e.value for e in ranked if topics is None or e.value.key.topic in topics]
+        wanted = Wanted()
+        for rank, value in ranked:
+            if topics is None or value.key.topic in topics:
+                wanted.add(rank, value)
+        return wanted
 
     def count_urgent(self) -> int:
         """Return how many hot values of the highest urgency nobody was sent yet."""
@@ -128,32 +157,45 @@
         )
 
     def takes_short(self, peer: str, value: Value) -> bool:
-        """Return whether a peer should understand the short form of a value."""
+        """Return whether a peer should understand the short form of a value.
+
+        The full form goes out as often as other news, which reaches nearly everyone; who
+        missed it says so. Each holder naming everything to each peer would take minutes.
+        """
         if value.urgency != Urgency.LOAD:
             return False
-        known = self._known_loads.get(peer, {}).get(LoadName(value.origin, value.key))
-        if known is None or known.name_hash != value.name_hash:
+        if value.name_hash in self._unknown_to.get(peer, ()):
             return False
-        return known.sends % FULL_NAME_EVERY != 0
+        known = self._known_loads.get(peer, {}).get(LoadName(value.origin, value.key))
+        if known is not None and known.name_hash == value.name_hash:
+            return True
+        return self._full_sends.get(value.name_hash, 0) >= self._full_limit
+
+    def note_unknown(self, peer: str, name_hash: int) -> None:
+        """Note that a peer can't read a short name."""
+        self._unknown_to.setdefault(peer, set()).add(name_hash)
+        for known in self._known_loads.get(peer, {}).values():
+            if known.name_hash == name_hash:
+                known.born = -math.inf
 
     def mark_sent(self, peer: str, values: Iterable[Value], *, peers: int, now: float) -> None:
         """Note that values went to a peer."""
         owed = self._owed.get(peer, {})
+        unknown = self._unknown_to.get(peer, set())
+        self._full_limit = limit_sends(Urgency.LOAD, peers)
         for value in values:
+            if value.urgency == Urgency.LOAD and not self.takes_short(peer, value):
+                unknown.discard(value.name_hash)
+                sends = self._full_sends.get(value.name_hash, 0)
+                self._full_sends[value.name_hash] = sends + 1
             owed.pop(value, None)
             value.known.add(peer)
             value.sends += 1
             value.waiting_since = now
-            self._count_load(peer, value)
+            self.note_known(peer, value)
             if value.sends >= limit_sends(value.urgency, peers):
                 self._hot.pop(value, None)
 
-    def _count_load(self, peer: str, value: Value) -> None:
-        self.note_known(peer, value)
-        known = self._known_loads.get(peer, {}).get(LoadName(value.origin, value.key))
-        if known is not None and value.urgency == Urgency.LOAD:
-            known.sends += 1
-
     def _rank_loads(self, peer: str) -> Iterator[Ranked]:
         loads = self._known_loads.get(peer, {})
         for name, value in self._loads.items():
@@ -162,7 +204,7 @@
             known = loads.get(name)
             gain = math.inf if known is None else value.born - known.born
             if gain >= MIN_GAIN_S:
-                yield Ranked(Rank(Urgency.LOAD, -gain), value)
+                yield Ranked(Rank(Urgency.LOAD, -gain / value.size_bound), value)
 
 
 def rank_value(value: Value, now: float) -> Rank:
@@ -175,47 +217,77 @@
     return Rank(value.urgency - promotion, value.waiting_since)
 
 
-@dataclass(slots=True)
 class Selection:
     """The values of one frame, in full and in short form."""
 
-    full: list[Value] = field(default_factory=list)
-    short: list[Value] = field(default_factory=list)
+    def __init__(self, *, room: int, largest: int, takes_short: Callable[[Value], bool]) -> None:
+        """Start an empty frame with ``room`` bytes; no frame ever has over ``largest``."""
+        self.full: list[Value] = []
+        self.short: list[Value] = []
+        self._room = room
+        self._largest = largest
+        self._takes_short = takes_short
+        self._origins: set[str] = set()
 
     @property
     def values(self) -> list[Value]:
         """Return all values."""
         return self.full + self.short
 
+    def fill(self, values: Iterable[Value], *, share: float = 1.0, waits: bool = True) -> bool:
+        """Add values in their order, up to a share of the room.
 
-def choose_values(
-    wanted: Iterable[Value], *, room: int, largest: int, takes_short: Callable[[Value], bool]
-) -> Selection:
-    """Return as many of ``wanted`` as fit into ``room`` bytes, in their order.
+        With ``waits`` one that does not fit now stops the rest and ``False`` is returned:
+        others must not use up the budget that it waits for. One that will never fit,
+        since it came from an instance with a larger budget, is passed over.
+        """
+        kept = self._room * (1 - share)
+        for value in values:
+            if not self._can_ever_hold(value):
+                continue
+            short = self._takes_short(value)
+            need = self._measure(value, short=short)
+            if need > self._room - kept:
+                if waits:
+                    return False
+                continue
+            self._room -= need
+            self._put(value, short=short)
+        return True
 
-    A value that does not fit now stops the rest: smaller and less urgent ones must
-    not use up the budget that it waits for. One that will never fit, since it came
-    from an instance with a larger budget, is passed over.
-    """
-    chosen = Selection()
-    origins: set[str] = set()
-    for value in wanted:
+    def _can_ever_hold(self, value: Value) -> bool:
         header = DELTA_HEADER_BYTES + len(value.origin.encode())
-        if value.size_bound + header > largest:
-            continue
-        short = takes_short(value)
-        need = value.size_bound + (0 if value.origin in origins else header)
+        return value.size_bound + header <= self._largest
+
+    def _measure(self, value: Value, *, short: bool) -> int:
         if short:
-            need = SHORT_ENTRY_BYTES + len(value.payload or b"")
-        if need > room:
-            break
-        room -= need
+            return SHORT_ENTRY_BYTES + len(value.payload or b"")
+        if value.origin in self._origins:
+            return value.size_bound
+        return value.size_bound + DELTA_HEADER_BYTES + len(value.origin.encode())
+
+    def _put(self, value: Value, *, short: bool) -> None:
         if short:
-            chosen.short.append(value)
-            continue
-        origins.add(value.origin)
-        chosen.full.append(value)
-    return chosen
+            self.short.append(value)
+            return
+        self._origins.add(value.origin)
+        self.full.append(value)
+
+
+def fill_frame(selection: Selection, wanted: Wanted, *, loads_first: bool) -> None:
+    """Fill a frame: urgent news, then load counts and ordinary news in turns.
+
+    Load counts never end and ordinary news may come in bulk; whichever always went
+    first would keep the other from being sent.
+    """
+    share = URGENT_SHARE if wanted.loads else 1.0
+    selection.fill(wanted.urgent[:1])
+    selection.fill(wanted.urgent[1:], share=share)
+    first, second = wanted.loads, wanted.ordinary
+    if not loads_first:
+        first, second = second, first
+    if selection.fill(first):
+        selection.fill(second, waits=False)
 
 
 def make_deltas(values: Iterable[Value], state: GossipState, now: float) -> tuple[Delta, ...]:
--- a/chivetrack/components/gossip/state.py
+++ b/chivetrack/components/gossip/state.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+import xxhash
+
 from chivetrack.components.gossip.const import ENTRY_HEADER_BYTES
 from chivetrack.components.gossip.models import Delta, Entry, ShortEntry, Urgency
 
@@ -50,8 +52,13 @@
 
     @property
     def checksum(self) -> int:
-        """Return its share of the origin's checksum."""
-        return zlib.crc32(self.version.to_bytes(8, "big"), self.key_hash)
+        """Return its share of the origin's checksum.
+
+        The shares are combined by exclusive or, under which a cyclic redundancy check is
+        linear: different versions of two keys would often cancel out, and what a peer
+        lacks would never be found.
+        """
+        return xxhash.xxh32_intdigest(self.version.to_bytes(8, "big"), self.key_hash)
 
     def get_short_entry(self, now: float) -> ShortEntry:
         """Return its short form in a frame that is sent at ``now``."""
--- a/chivetrack/components/membership/const.py
+++ b/chivetrack/components/membership/const.py
@@ -17,6 +17,18 @@
 SUSPECT_GAPS: Final = 8.0
 MAX_SUSPECT_AFTER_S: Final = 10.0
 GAP_WEIGHT: Final = 0.1
+FIRST_GAP_S: Final = 0.5
+
+# All find an instance silent at about the same time. Each waits a random time before it
+# probes, longer where there are more, and most get the verdict of another meanwhile.
+PROBE_SPREAD_S: Final = 0.1
+MAX_PROBE_SPREAD_S: Final = 4.0
+MAX_ROUNDS: Final = 3
+
+# After its start an instance suspects nobody for this time and so much more for each
+# member. While many start together and learn each other's names, signs of life are slow.
+START_GRACE_S: Final = 5.0
+START_GRACE_EACH_S: Final = 0.7
 
 WITNESSES: Final = 3
 NEEDED_DENIALS: Final = 2
--- a/chivetrack/components/membership/member.py
+++ b/chivetrack/components/membership/member.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from chivetrack.components.membership.const import (
+    FIRST_GAP_S,
     GAP_WEIGHT,
     MAX_SUSPECT_AFTER_S,
     SUSPECT_AFTER_S,
@@ -27,7 +28,7 @@
     since: float
     status: InstanceStatus = InstanceStatus.ALIVE
     reason: str = ""
-    gap_s: float = 0.0
+    gap_s: float = FIRST_GAP_S
     asked: set[str] = field(default_factory=set)
     denials: dict[str, float] = field(default_factory=dict)
     round_ends: float = float("-inf")
@@ -76,6 +77,7 @@
         self.asked.clear()
         self.denials.clear()
         self.round_ends = float("-inf")
+        self.is_probed = False
 
     def make_instance(self) -> Instance:
         """Return it as others see it."""
--- a/chivetrack/components/membership/membership.py
+++ b/chivetrack/components/membership/membership.py
@@ -12,8 +12,13 @@
     FORGET_AFTER_S,
     FROZEN_AFTER_S,
     GREET_EVERY_S,
+    MAX_PROBE_SPREAD_S,
+    MAX_ROUNDS,
     NOTICE_EVERY_S,
+    PROBE_SPREAD_S,
     ROUND_S,
+    START_GRACE_EACH_S,
+    START_GRACE_S,
     TICK_S,
     TOPIC_ALIVE,
     TOPIC_INSTANCE,
@@ -68,7 +73,7 @@
         self._own = own
         self._seeds = {seed.instance_id: seed for seed in seeds}
         self._random = random
-        self._regions = Regions(gossip=gossip, own_region=own.region)
+        self._regions = Regions(gossip=gossip, own_region=own.region, seeds=seeds)
         self._members: dict[str, Member] = {}
         self._errands = Errands()
         self._callbacks: list[InstanceCallback] = []
@@ -76,7 +81,7 @@
         self._last_event: float | None = None
         self._next_tick = float("-inf")
         self._greeted_at = float("-inf")
-        self._joined = False
+        self._joined_at: float | None = None
         self._leaving = False
         self._isolated = False
         self._rounds = 0
@@ -122,7 +127,7 @@
         """Say that this instance leaves; keep handing in time for a second after that."""
         self._leaving = True
         self._own = replace(self._own, status=InstanceStatus.LEFT, since=now)
-        self._publish_own(now)
+        self._publish_own(now, Urgency.LEAVING)
 
     def handle(self, event: Event, *, now: float) -> list[Effect]:
         """Take in a message, or watch over the others."""
@@ -153,9 +158,9 @@
             member.clear_round()
 
     def _tick(self, now: float) -> None:
-        if not self._joined:
-            self._joined = True
-            self._publish_own(now)
+        if self._joined_at is None:
+            self._joined_at = now
+            self._publish_own(now, Urgency.ANNOUNCEMENT)
         if now >= self._gossip.get_last_load() + ALIVE_EVERY_S and not self._leaving:
             self._gossip.publish(TOPIC_ALIVE, "", b"", Urgency.LOAD, now=now)
         self._take_signs_of_life(now)
@@ -182,21 +187,32 @@
         if member.status in (InstanceStatus.DEAD, InstanceStatus.LEFT):
             self._watch_gone(member, now)
             return
-        if self._isolated or self._leaving or not member.is_silent(now):
+        may_accuse = self._is_settled(now) and not self._isolated and not self._leaving
+        if not may_accuse or not member.is_silent(now):
             return
         candidates = list_candidates(member, self._members.values(), now)
         if member.status is InstanceStatus.ALIVE:
             silence = now - member.heard_at
             self._change(member, InstanceStatus.SUSPECT, f"silent for {silence:.1f} s", now)
-            self._start_round(member, candidates, now)
+            spread_s = min(MAX_PROBE_SPREAD_S, PROBE_SPREAD_S * len(self._members))
+            member.round_ends = now + self._random.uniform(0.0, spread_s)
             return
         if now < member.round_ends:
             return
         if member.is_probed and is_confirmed(member, candidates, own_zone=self._own.zone):
             self._declare_dead(member, now)
             return
+        if self._count_rounds(now) >= MAX_ROUNDS:
+            return
         self._start_round(member, candidates, now)
 
+    def _is_settled(self, now: float) -> bool:
+        grace_s = START_GRACE_S + START_GRACE_EACH_S * len(self._members)
+        return self._joined_at is not None and now >= self._joined_at + grace_s
+
+    def _count_rounds(self, now: float) -> int:
+        return sum(1 for m in self._members.values() if m.is_probed and now < m.round_ends)
+
     def _watch_gone(self, member: Member, now: float) -> None:
         self._notice_the_dead(member, now)
         if now < member.since + FORGET_AFTER_S:
@@ -223,9 +239,9 @@
             member, candidates, own_zone=self._own.zone, random=self._random
         )
         for witness in witnesses:
-            member.asked.add(witness.instance_id)
             request = WitnessRequest(self._rounds, member.instance_id)
-            self._send(witness.instance_id, request, now)
+            if self._send(witness.instance_id, request, now):
+                member.asked.add(witness.instance_id)
 
     def _declare_dead(self, member: Member, now: float) -> None:
         witnesses = tuple(sorted(member.denials))
@@ -388,21 +404,28 @@
             return
         life = Life(self._own.life.incarnation, accused.refutation + 1)
         self._own = replace(self._own, life=life)
-        self._publish_own(now)
+        self._publish_own(now, Urgency.LEAVING)
         self._tell_own()
 
-    def _publish_own(self, now: float) -> None:
+    def _publish_own(self, now: float, urgency: Urgency) -> None:
         own = self._own
         record = InstanceRecord(
             own.address, own.region, own.zone, own.roles, *own.life, self._leaving
         )
-        self._gossip.publish(TOPIC_INSTANCE, "", encode(record), Urgency.LEAVING, now=now)
+        self._gossip.publish(TOPIC_INSTANCE, "", encode(record), urgency, now=now)
 
     # Effects
 
     def _send(self, target: str, message: Message, now: float) -> bool:
-        """Send if the budget pays for it; if not, the next round makes up for it."""
-        if not self._gossip.budget.charge(len(encode(message)), now):
+        """Send if the budget pays for it; if not, the next round makes up for it.
+
+        Answers are not held to the share of probes: an instance that is asked a lot would
+        fail to answer, and count as dead for it.
+        """
+        budget = self._gossip.budget
+        is_answer = isinstance(message, Pong | WitnessAnswer)
+        charge = budget.charge if is_answer else budget.charge_probe
+        if not charge(len(encode(message)), now):
             return False
         self._outgoing.append(SendMessage(target=target, message=message))
         return True
--- a/chivetrack/components/membership/regions.py
+++ b/chivetrack/components/membership/regions.py
@@ -18,8 +18,9 @@
 class Regions:
     """Publishes the own region's summary if it is this instance's turn; keeps the others'."""
 
-    def __init__(self, *, gossip: Gossip, own_region: str) -> None:
+    def __init__(self, *, gossip: Gossip, own_region: str, seeds: Iterable[Seed]) -> None:
         """Listen to the summaries of other regions."""
+        self._has_far_seeds = any(seed.region != own_region for seed in seeds)
         self._gossip = gossip
         self._own_region = own_region
         self._summaries: dict[str, RegionSummary] = {}
@@ -45,6 +46,8 @@
         if now < self._published_at + SUMMARY_EVERY_S:
             return
         self._published_at = now
+        if not (self._has_far_seeds or self._summaries):
+            return
         alive = [i for i in instances if i.status is InstanceStatus.ALIVE]
         near = sorted(
             (i for i in alive if i.region == self._own_region), key=lambda i: i.instance_id
