Carry large load counts and many endpoints without doubling

Cause: with 60 endpoints on 9 routers at 4 KB/s, load counts of 300 bytes were 26 s old and 20 endpoints were missing after 40 s. Small values took every frame's room before a large one fitted; every router to which an endpoint announced itself spread the same announcement; and announcements were taken back as soon as a late renewal let a lease lapse, then spread again.

Change: a frame waits while a large value needs more room; new announcements wait while more than four ordinary values are being sent on; they are taken back a minute after the lease.

Proofs: bulk and load counts take turns; a stream of more urgent news starves neither the rest nor load counts; 18 routers that start together accuse nobody; probes keep to their share.

--- a/chivetrack/components/endpoints/const.py
+++ b/chivetrack/components/endpoints/const.py
@@ -10,6 +10,8 @@
 RENEWALS_PER_LEASE: Final = 3
 
 TICK_S: Final = 0.25
+# New announcements wait while more ordinary news than this is being sent on.
+MAX_BACKLOG: Final = 4
 RENEWALS_EVERY_S: Final = 1.0
 RENEWALS_REPEAT_S: Final = 2.5
 
@@ -18,6 +20,10 @@
 MEMORY_S: Final = 3600.0
 MAX_REMEMBERED: Final = 4096
 
+# How long after its lease an endpoint's announcement is taken back from gossip; one that
+# comes back soon, or whose renewals were late, would otherwise be spread all over again.
+RETRACT_AFTER_S: Final = 60.0
+
 # At most this share of a service's endpoints is held back or broken at a time.
 MAX_OUT_SHARE: Final = 0.5
 
--- a/chivetrack/components/endpoints/registry.py
+++ b/chivetrack/components/endpoints/registry.py
@@ -9,6 +9,7 @@
     MEMORY_S,
     REFUSAL_S,
     RENEWALS_PER_LEASE,
+    RETRACT_AFTER_S,
     TICK_S,
     TOPIC_ENDPOINT,
     TOPIC_RENEWAL,
@@ -208,6 +209,7 @@
             record.breaker.tick(now)
         self._update(self._records.values(), now)
         self._withdraw_outdated(now)
+        self._spreader.spread_pending(self._records.values(), now=now)
         self._spreader.spread_renewals(self._records.values(), now=now)
         self._forget_old(now)
 
@@ -216,7 +218,8 @@
             own = record.carriers.get(self._instance_id)
             if own is None:
                 continue
-            if not record.present or own.incarnation < record.announcement.incarnation:
+            is_gone = now >= record.lease_until + RETRACT_AFTER_S
+            if is_gone or own.incarnation < record.announcement.incarnation:
                 self._spreader.retract_body(record, now=now)
             # A router that starts now would take the older "ready" from here.
             elif own.state is not record.announcement.state:
--- a/chivetrack/components/endpoints/spread.py
+++ b/chivetrack/components/endpoints/spread.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from chivetrack.components.endpoints.const import (
+    MAX_BACKLOG,
     RENEWALS_EVERY_S,
     RENEWALS_REPEAT_S,
     TOPIC_ENDPOINT,
@@ -38,15 +39,30 @@
         if any(carried == record.announcement for carried in record.carriers.values()):
             self._retract_other(record, now=now)
             return
+        # After a start hundreds of endpoints announce themselves to one router after the
+        # other. If each of these published them all, what is doubled would fill the budget
+        # and none would learn in time that another has it already.
+        if not record.is_leaving and self._gossip.count_ordinary() > MAX_BACKLOG:
+            return
         announcement = record.announcement
         urgency = Urgency.LEAVING if record.is_leaving else Urgency.ANNOUNCEMENT
         payload = encode(make_body(announcement))
+        # The endpoint may have said it a while ago; counted from now, the others would
+        # keep it for longer than its lease.
+        age_s = now - record.renewed_at
         published = self._gossip.publish(
-            TOPIC_ENDPOINT, announcement.endpoint_id, payload, urgency, now=now
+            TOPIC_ENDPOINT, announcement.endpoint_id, payload, urgency, now=now, age_s=age_s
         )
         if published.is_ok():
             record.carriers[self._instance_id] = announcement
 
+    def spread_pending(self, records: Iterable[Record], *, now: float) -> None:
+        """Publish what nobody does, as far as the backlog allows."""
+        for record in records:
+            is_live = now < record.direct_at + record.announcement.lease_s
+            if is_live and not record.carriers:
+                self.spread_body(record, now=now)
+
     def _retract_other(self, record: Record, *, now: float) -> None:
         if record.carriers.get(self._instance_id, record.announcement) != record.announcement:
             self.retract_body(record, now=now)
--- a/chivetrack/components/gossip/budget.py
+++ b/chivetrack/components/gossip/budget.py
@@ -89,6 +89,10 @@
         paced = int(self._pace.get_level(now)) - self.overhead_bytes
         return min(paced, self.get_room(now))
 
+    def is_pace_full(self, now: float) -> bool:
+        """Return whether waiting longer would give ordinary news no more room."""
+        return self._pace.get_level(now) >= self._pace.capacity
+
     def charge_probe(self, encoded_bytes: int, now: float) -> bool:
         """Pay for a probe or an answer to one, within their own share."""
         amount = encoded_bytes + self.overhead_bytes
--- a/chivetrack/components/gossip/const.py
+++ b/chivetrack/components/gossip/const.py
@@ -41,6 +41,7 @@
 MIN_GAIN_S: Final = 0.1
 
 SMALL_LOAD_BYTES: Final = 64
+LARGE_VALUE_BYTES: Final = 128
 
 # Short names that a peer can't read are reported back, at most so many in a frame.
 UNKNOWN_NAMES: Final = 16
--- a/chivetrack/components/gossip/gossip.py
+++ b/chivetrack/components/gossip/gossip.py
@@ -128,9 +128,19 @@
         self._far.set_members([name for name in known if self._is_far(name)])
 
     def publish(
-        self, topic: str, key: str, payload: bytes, urgency: Urgency, *, now: float
+        self,
+        topic: str,
+        key: str,
+        payload: bytes,
+        urgency: Urgency,
+        *,
+        now: float,
+        age_s: float = 0.0,
     ) -> Result[None, Fault]:
-        """Set the own value of a key; refused if no frame could ever hold it."""
+        """Set the own value of a key; refused if no frame could ever hold it.
+
+        ``age_s`` is how old the news is already.
+        """
         value_key = ValueKey(topic, key)
         if bound_size(value_key, payload) > self._largest_entry:
             return Error(
@@ -142,7 +152,9 @@
             )
         if urgency is Urgency.LOAD and len(payload) <= SMALL_LOAD_BYTES:
             self._last_load = now
-        self._outbox.add(self._own.put(value_key, payload, urgency, now))
+        value = self._own.put(value_key, payload, urgency, now)
+        value.born = now - age_s
+        self._outbox.add(value)
         return Ok(None)
 
     def retract(self, topic: str, key: str, urgency: Urgency, *, now: float) -> None:
@@ -184,6 +196,10 @@
         held = self._state.origins.get(origin)
         return 0 if held is None else len(held.values)
 
+    def count_ordinary(self) -> int:
+        """Return how much ordinary news is still being sent on from here."""
+        return self._outbox.count_ordinary()
+
     def get_last_load(self) -> float:
         """Return when this instance last published a load count that shows its life.
 
@@ -281,7 +297,12 @@
             takes_short=lambda value: self._outbox.takes_short(peer, value),
         )
         fill_frame(chosen, wanted, loads_first=self._loads_first)
-        if room < 0 or not (chosen.values or digest or summaries or unknown):
+        is_urgent = bool(wanted.urgent or digest)
+        may_wait = chosen.is_waiting and not self.budget.is_pace_full(now)
+        if room < 0 or (may_wait and not is_urgent):
+            self._put_back(peer, summaries)
+            return []
+        if not (chosen.values or digest or summaries or unknown):
             self._put_back(peer, summaries)
             return []
         deltas = make_deltas(chosen.full, self._state, now)
@@ -339,7 +360,7 @@
 
     def _receive(self, source: str, frame: GossipFrame, now: float) -> None:
         extra_age_s = self._clock.measure(source, frame.incarnation, frame.sent_ms / 1000, now)
-        # A peer that started anew has forgotten what the one before it was sent.
+        # What the peer's earlier start knew and was owed means nothing to this one.
         if self._peer_incarnations.get(source) != frame.incarnation:
             self._peer_incarnations[source] = frame.incarnation
             self._outbox.drop_peer(source)
--- a/chivetrack/components/gossip/selection.py
+++ b/chivetrack/components/gossip/selection.py
@@ -7,6 +7,7 @@
 
 from chivetrack.components.gossip.const import (
     DELTA_HEADER_BYTES,
+    LARGE_VALUE_BYTES,
     MIN_GAIN_S,
     ORDINARY_SENDS,
     PROMOTION_S,
@@ -150,6 +151,10 @@
                 wanted.add(rank, value)
         return wanted
 
+    def count_ordinary(self) -> int:
+        """Return how many values of ordinary urgency are still being sent on."""
+        return sum(1 for v in self._hot if v.current and v.urgency > Urgency.LOAD)
+
     def count_urgent(self) -> int:
         """Return how many hot values of the highest urgency nobody was sent yet."""
         return sum(
@@ -228,6 +233,7 @@
         self._largest = largest
         self._takes_short = takes_short
         self._origins: set[str] = set()
+        self.is_waiting = False
 
     @property
     def values(self) -> list[Value]:
@@ -240,6 +246,9 @@
         With ``waits`` one that does not fit now stops the rest and ``False`` is returned:
         others must not use up the budget that it waits for. One that will never fit,
         since it came from an instance with a larger budget, is passed over.
+
+        ``is_waiting`` is then set if it is large: small values that were chosen before it
+        should wait too, or at every tick they would use up what it needs.
         """
         kept = self._room * (1 - share)
         for value in values:
@@ -249,6 +258,7 @@
             need = self._measure(value, short=short)
             if need > self._room - kept:
                 if waits:
+                    self.is_waiting = value.size_bound > LARGE_VALUE_BYTES
                     return False
                 continue
             self._room -= need
--- a/tests/components/gossip/test_budget.py
+++ b/tests/components/gossip/test_budget.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 
 from chivetrack.components.gossip.budget import ByteBudget
+from chivetrack.components.gossip.const import PROBE_BURST_S, PROBE_SHARE
 
 STEPS = st.lists(st.tuples(st.floats(0.0, 0.6, allow_nan=False), st.integers(0, 3000)), max_size=60)
 
@@ -33,3 +34,10 @@
         for rate in (0, 2047, 19 * 1024 + 1):
             with self.subTest(rate=rate), self.assertRaises(ValueError):
                 ByteBudget(bytes_per_s=rate)
+
+    def test_probes_keep_to_their_share(self) -> None:
+        """Probes for many suspects at once must leave room for the signs of life."""
+        budget = ByteBudget(bytes_per_s=4096)
+        sent = sum(budget.charge_probe(16, 0.0) for _ in range(100))
+        self.assertEqual(sent, int(4096 * PROBE_SHARE * PROBE_BURST_S / 200))
+        self.assertTrue(budget.charge(16, 0.0))
--- a/tests/components/gossip/test_gossip.py
+++ b/tests/components/gossip/test_gossip.py
@@ -199,23 +199,48 @@
         self.assertEqual(fleet.count_holders(ORIGIN, "leaving", b"now"), 8)
         self.assertLess(len(fleet.list_held("router-5", ORIGIN)), 150)
 
-    def test_urgent_news_does_not_starve_the_rest(self) -> None:
-        """Urgent news fills the budget without a pause while one ordinary key waits.
+    def test_more_urgent_news_does_not_starve_the_rest(self) -> None:
+        """A stream of other news fills the budget while one ordinary key and counts wait.
 
-        Sent strictly by urgency it would wait for ever; waiting raises its urgency.
+        Sent strictly by urgency they would wait for ever; waiting raises the urgency, and
+        urgent news leaves a part of each frame to load counts.
         """
-        fleet = GossipFleet(4, budget_bytes_per_s=2048)
-        gossip = fleet.gossips[ORIGIN]
-        gossip.publish(TOPIC, "ordinary", b"value", Urgency.REST, now=0.0)
-        for _ in range(600):
-            for index in range(6):
-                gossip.publish(
-                    TOPIC, f"u-{index}", bytes(200), Urgency.OVERLOAD, now=fleet.network.now
+        for urgency in (Urgency.OVERLOAD, Urgency.ANNOUNCEMENT):
+            with self.subTest(urgency=urgency):
+                fleet = GossipFleet(4, budget_bytes_per_s=2048)
+                gossip = fleet.gossips[ORIGIN]
+                gossip.publish(TOPIC, "ordinary", b"value", Urgency.REST, now=0.0)
+                for _ in range(600):
+                    now = fleet.network.now
+                    for index in range(6):
+                        gossip.publish(TOPIC, f"u-{index}", bytes(200), urgency, now=now)
+                    gossip.publish(TOPIC, "load", bytes(20), Urgency.LOAD, now=now)
+                    fleet.network.run_for(0.1)
+                self.assertGreater(fleet.count_holders(ORIGIN, "ordinary", b"value"), 0)
+                self.assertGreater(fleet.count_holders(ORIGIN, "load", bytes(20)), 0)
+
+    def test_bulk_and_load_counts_take_turns(self) -> None:
+        """400 announcements wait while everyone's large load counts change all the time.
+
+        Either could fill every frame. Placement needs the counts, and a router that is
+        never told of an endpoint can't use it; both have to get through.
+        """
+        fleet = GossipFleet(6)
+        for index in range(400):
+            fleet.gossips[ORIGIN].publish(
+                TOPIC, f"key-{index}", b"x" * 150, Urgency.ANNOUNCEMENT, now=0.0
+            )
+        for _ in range(100):
+            for name in fleet.names:
+                fleet.gossips[name].publish(
+                    TOPIC, "load", bytes(250), Urgency.LOAD, now=fleet.network.now
                 )
             fleet.network.run_for(0.1)
-            if fleet.count_holders(ORIGIN, "ordinary", b"value"):
-                break
-        self.assertGreater(fleet.count_holders(ORIGIN, "ordinary", b"value"), 0)
+        for name in fleet.names[1:]:
+            loads = [news for news in fleet.news[name] if news.key == "load"]
+            self.assertEqual(len({news.origin for news in loads}), 5, name)
+            self.assertGreater(len(loads), 20, name)
+            self.assertGreater(len(fleet.list_held(name, ORIGIN)), 20, name)
 
     def test_refuses_what_no_frame_can_hold(self) -> None:
         gossip = GossipFleet(2).gossips[ORIGIN]
--- a/tests/components/membership/test_membership.py
+++ b/tests/components/membership/test_membership.py
@@ -3,6 +3,7 @@
 import random
 import unittest
 
+from chivetrack.components.gossip.const import PROBE_BURST_S, PROBE_SHARE
 from chivetrack.components.gossip.models import Delta, Entry, GossipFrame, Urgency
 from chivetrack.components.membership.const import TOPIC_VERDICT
 from chivetrack.components.membership.models import InstanceStatus
@@ -227,6 +228,43 @@
                         self.assertEqual(len(fleet.find_viewers(name, ALIVE)), 8, name)
 
 
+class StartTest(unittest.TestCase):
+    def test_many_that_start_together_accuse_nobody(self) -> None:
+        """18 routers start at once, each with load counts, as after a power cut.
+
+        All learn each other's names inside 4 KB/s and signs of life are slow meanwhile.
+        Suspicions would bring probes, which squeeze out more signs of life, without end:
+        live routers would be found dead and no news come through.
+        """
+        fleet = MembershipFleet([6, 6, 6])
+        for step in range(300):
+            for gossip in fleet.gossips.values():
+                gossip.publish("load", "", bytes(30), Urgency.LOAD, now=fleet.network.now)
+            fleet.network.run_for(0.1)
+            if step == 150:
+                fleet.network.sent.clear()
+        self.assertEqual(fleet.list_told_dead(), set())
+        for name in fleet.memberships:
+            self.assertEqual(len(fleet.find_viewers(name, ALIVE)), 17, name)
+        probes = [sent for sent in fleet.network.sent if sent.kind != "gossip.frame"]
+        self.assertLess(len(probes), len(fleet.network.sent) / 20)
+
+    def test_probes_keep_to_their_share(self) -> None:
+        """Half of the routers die at once; the others suspect them all at the same time."""
+        fleet = MembershipFleet([4, 4])
+        fleet.network.run_for(20)
+        dead = [name for name in fleet.memberships if name.endswith(("2", "3"))]
+        for name in dead:
+            fleet.network.kill(name)
+        fleet.network.sent.clear()
+        fleet.network.run_for(10)
+        for name in set(fleet.memberships) - set(dead):
+            kinds = ("membership.ping", "membership.witness-request")
+            probes = [s for s in fleet.network.sent if s.source == name and s.kind in kinds]
+            spent = sum(sent.charged_bytes for sent in probes)
+            self.assertLessEqual(spent, 4096 * PROBE_SHARE * (10 + PROBE_BURST_S), name)
+
+
 class RegionsTest(unittest.TestCase):
     def test_regions_know_one_summary_of_each_other(self) -> None:
         fleet = MembershipFleet([2, 2])
