--- /dev/null
+++ b/chivetrack/components/gossip/answers.py
@@ -0,0 +1,80 @@
+"""What is still to be answered to each peer: summaries and short names."""
+
+from chivetrack.components.gossip.const import (
+    SUMMARY_HEADER_BYTES,
+    SUMMARY_KEY_BYTES,
+    SUMMARY_KEYS,
+    UNKNOWN_NAMES,
+)
+from chivetrack.components.gossip.models import Summary
+from chivetrack.components.gossip.repair import make_empty_summary, make_summary
+from chivetrack.components.gossip.state import KEY_HASH_END, GossipState
+
+
+class Answers:
+    """Summaries that peers need to see what is lacking here, and names unknown here."""
+
+    def __init__(self, *, state: GossipState, largest_frame: int) -> None:
+        """Start with nothing to answer."""
+        self._state = state
+        self._summaries: dict[str, dict[str, Summary]] = {}
+        self._summary_from: dict[str, int] = {}
+        self._unreadable: dict[str, dict[int, None]] = {}
+        room = largest_frame // 2 - SUMMARY_HEADER_BYTES - 64
+        self._keys = max(1, min(SUMMARY_KEYS, room // SUMMARY_KEY_BYTES))
+
+    def has(self, peer: str) -> bool:
+        """Return whether an answer waits for a peer."""
+        return bool(self._summaries.get(peer) or self._unreadable.get(peer))
+
+    def drop_peer(self, peer: str) -> None:
+        """Forget what a peer that is gone was to be answered."""
+        self._summaries.pop(peer, None)
+        self._unreadable.pop(peer, None)
+
+    def add_summary(self, peer: str, origin: str, topics: frozenset[str] | None) -> None:
+        """Tell a peer, range by range, what is held of an origin."""
+        self._summaries.setdefault(peer, {})[origin] = self._summarise(origin, topics)
+
+    def take_summaries(self, peer: str, room: int) -> tuple[Summary, ...]:
+        """Return and drop the summaries for a peer that fit into ``room``."""
+        waiting = self._summaries.get(peer, {})
+        taken: list[Summary] = []
+        for origin in list(waiting):
+            room -= bound_summary(waiting[origin])
+            if room < 0:
+                break
+            taken.append(waiting.pop(origin))
+        return tuple(taken)
+
+    def put_back(self, peer: str, summaries: tuple[Summary, ...]) -> None:
+        """Keep summaries that were not sent after all."""
+        for summary in summaries:
+            self._summaries.setdefault(peer, {}).setdefault(summary.origin, summary)
+
+    def add_unreadable(self, peer: str, name_hash: int) -> None:
+        """Note a short name from a peer that is not known here."""
+        self._unreadable.setdefault(peer, {})[name_hash] = None
+
+    def list_unreadable(self, peer: str) -> tuple[int, ...]:
+        """Return the names to report to a peer in one frame."""
+        return tuple(self._unreadable.get(peer, {}))[:UNKNOWN_NAMES]
+
+    def mark_reported(self, peer: str) -> None:
+        """Note that the names were reported; those still unknown come up again."""
+        self._unreadable.pop(peer, None)
+
+    def _summarise(self, origin: str, topics: frozenset[str] | None) -> Summary:
+        held = self._state.origins.get(origin)
+        if held is None:
+            return make_empty_summary(origin)
+        first = self._summary_from.get(origin, 0)
+        summary = make_summary(held, first=first, topics=topics, limit=self._keys)
+        self._summary_from[origin] = 0 if summary.end == KEY_HASH_END else summary.end
+        return summary
+
+
+def bound_summary(summary: Summary) -> int:
+    """Return an upper bound of the encoded size of a summary."""
+    name = len(summary.origin.encode())
+    return SUMMARY_HEADER_BYTES + name + SUMMARY_KEY_BYTES * len(summary.keys)
--- a/chivetrack/components/gossip/gossip.py
+++ b/chivetrack/components/gossip/gossip.py
@@ -4,32 +4,15 @@
 
 from expression import Error, Ok, Result
 
-from chivetrack.components.gossip.budget import ByteBudget, TokenBucket
+from chivetrack.components.gossip.answers import Answers
+from chivetrack.components.gossip.budget import ByteBudget
 from chivetrack.components.gossip.clock import TransitClock
 from chivetrack.components.gossip.const import (
-    ANSWER_EVERY,
     DEFAULT_BUDGET_BYTES_PER_S,
     DELTA_HEADER_BYTES,
-    DIGEST_EVERY_S,
-    DIGEST_HEADER_BYTES,
-    DIGEST_ORIGIN_BYTES,
-    DIGEST_ORIGINS,
-    DIGEST_PATIENCE_S,
-    FAR_REGION_EVERY,
     FORGET_AGE_S,
-    FRAME_BURST,
-    FRAME_HEADER_BYTES,
-    GREET_EVERY,
-    MAX_FRAMES_PER_S,
-    PROBE_RESERVE_BYTES,
     SMALL_LOAD_BYTES,
-    SUMMARY_HEADER_BYTES,
-    SUMMARY_KEY_BYTES,
-    SUMMARY_KEYS,
-    TICK_JITTER,
     TICK_S,
-    UNKNOWN_NAME_BYTES,
-    UNKNOWN_NAMES,
 )
 from chivetrack.components.gossip.models import (
     Delta,
@@ -42,26 +25,12 @@
     Urgency,
 )
 from chivetrack.components.gossip.own import OwnValues
-from chivetrack.components.gossip.repair import (
-    compare_digest,
-    find_lacking,
-    has_newer,
-    make_digest,
-    make_empty_summary,
-    make_summary,
-)
-from chivetrack.components.gossip.rotation import Rotation
-from chivetrack.components.gossip.selection import Outbox, Selection, fill_frame, make_deltas
-from chivetrack.components.gossip.state import (
-    KEY_HASH_END,
-    GossipState,
-    Value,
-    ValueKey,
-    bound_size,
-)
-from chivetrack.core import Effect, Event, MessageReceived, SendMessage, Unsubscribe, WakeAt
+from chivetrack.components.gossip.repair import compare_digest, find_lacking, has_newer
+from chivetrack.components.gossip.selection import Outbox
+from chivetrack.components.gossip.sender import Sender, get_largest_frame
+from chivetrack.components.gossip.state import GossipState, Value, ValueKey, bound_size
+from chivetrack.core import Effect, Event, MessageReceived, Unsubscribe
 from chivetrack.exceptions import Fault
-from chivetrack.helpers.codec import encode
 
 
 class Gossip:
@@ -86,30 +55,27 @@
         """
         self.budget = budget or ByteBudget(bytes_per_s=budget_bytes_per_s)
         self._instance_id = instance_id
-        self._region = region
-        self._random = random
-        self._fleet_topics = fleet_topics
-        self._tick_s = tick_s
         self._state = GossipState()
         self._own = OwnValues(state=self._state, instance_id=instance_id, incarnation=incarnation)
         self._outbox = Outbox()
+        largest_frame = get_largest_frame(self.budget)
+        self._largest_entry = largest_frame - DELTA_HEADER_BYTES - len(instance_id.encode())
+        self._answers = Answers(state=self._state, largest_frame=largest_frame)
+        self._sender = Sender(
+            own=self._own,
+            state=self._state,
+            outbox=self._outbox,
+            answers=self._answers,
+            budget=self.budget,
+            random=random,
+            region=region,
+            fleet_topics=fleet_topics,
+            tick_s=tick_s,
+        )
         self._clock = TransitClock()
-        self._frames = TokenBucket(rate=MAX_FRAMES_PER_S, capacity=FRAME_BURST)
-        self._peers: dict[str, Peer] = {}
-        self._greetings: dict[str, Peer] = {}
-        self._near = Rotation(own_id=instance_id, random=random)
-        self._far = Rotation(own_id=instance_id, random=random)
         self._subscribers: dict[str, list[NewsCallback]] = {}
-        self._summaries: dict[str, dict[str, Summary]] = {}
-        self._summary_from: dict[str, int] = {}
-        self._digest_from: dict[bool, str] = {}
-        self._digest_due = 0.0
         self._last_load = float("-inf")
-        self._ticks = 0
-        self._loads_first = True
-        self._next_tick = float("-inf")
         self._frame_heard: dict[str, float] = {}
-        self._unreadable: dict[str, dict[int, None]] = {}
         self._peer_incarnations: dict[str, int] = {}
 
     @property
@@ -119,13 +85,7 @@
 
     def set_peers(self, peers: list[Peer]) -> None:
         """Replace the instances that frames are sent to."""
-        known = {peer.instance_id: peer for peer in peers if peer.instance_id != self._instance_id}
-        for gone in self._peers.keys() - known.keys():
-            self._outbox.drop_peer(gone)
-            self._summaries.pop(gone, None)
-        self._peers = known
-        self._near.set_members([name for name in known if not self._is_far(name)])
-        self._far.set_members([name for name in known if self._is_far(name)])
+        self._sender.set_peers(peers)
 
     def publish(
         self,
@@ -168,8 +128,7 @@
 
     def greet(self, peer: Peer) -> None:
         """Send one frame with a digest to an instance that need not be a peer."""
-        if peer.instance_id != self._instance_id:
-            self._greetings[peer.instance_id] = peer
+        self._sender.greet(peer)
 
     def subscribe(self, topic: str, callback: NewsCallback) -> Unsubscribe:
         """Call back with every newer value of a topic from another origin."""
@@ -220,141 +179,7 @@
             if isinstance(event.message, GossipFrame):
                 self._receive(event.source, event.message, now)
             return []
-        return self._tick(now)
-
-    @property
-    def _largest_frame(self) -> int:
-        return self.budget.largest_message - FRAME_HEADER_BYTES
-
-    @property
-    def _largest_entry(self) -> int:
-        return self._largest_frame - DELTA_HEADER_BYTES - len(self._instance_id.encode())
-
-    def _is_far(self, peer: str) -> bool:
-        return self._peers[peer].region != self._region
-
-    def _get_topics(self, peer: str) -> frozenset[str] | None:
-        known = self._peers.get(peer) or self._greetings.get(peer)
-        near = known is None or known.region == self._region
-        return None if near else self._fleet_topics
-
-    # Sending
-
-    def _tick(self, now: float) -> list[Effect]:
-        if now < self._next_tick:
-            return [WakeAt(at=self._next_tick)]
-        jitter = 1 + TICK_JITTER * (2 * self._random.random() - 1)
-        self._next_tick = now + self._tick_s * jitter
-        self._ticks += 1
-        effects: list[Effect] = []
-        for peer in self._choose_peers(now):
-            if self._frames.get_level(now) < 1:
-                break
-            effects.extend(self._send(peer, now))
-            self._greetings.pop(peer, None)
-        effects.append(WakeAt(at=self._next_tick))
-        return effects
-
-    def _choose_peers(self, now: float) -> list[str]:
-        if self._greetings and self._ticks % GREET_EVERY == 0:
-            return [next(iter(self._greetings))]
-        if self._ticks % ANSWER_EVERY == 0 and (waiting := self._find_waiting()) is not None:
-            return [waiting]
-        # In step with the rotation, a quiet instance would compare with one peer only.
-        if self._near.members and self._is_digest_due(now):
-            return [self._random.choice(self._near.members)]
-        if self._ticks % FAR_REGION_EVERY == 0 and self._far.members:
-            return self._far.take(1)
-        extra = 2 if self._outbox.count_urgent() else 0
-        return self._near.take(1 + extra)
-
-    def _find_waiting(self) -> str | None:
-        """Return a peer that an answer waits for.
-
-        Left to the rotation, each of the three steps of a repair would take a round.
-        """
-        waiting = [
-            peer
-            for peer in self._peers
-            if self._summaries.get(peer) or self._unreadable.get(peer) or self._outbox.owes(peer)
-        ]
-        return self._random.choice(waiting) if waiting else None
-
-    def _send(self, peer: str, now: float) -> list[Effect]:
-        room = self._get_room(now) - FRAME_HEADER_BYTES
-        topics = self._get_topics(peer)
-        has_digest = peer in self._greetings or self._is_digest_due(now)
-        digest = self._make_digest(peer, now) if has_digest else None
-        room -= 0 if digest is None else _bound_digest(digest)
-        summaries = self._take_summaries(peer, room // 2)
-        room -= sum(_bound_summary(summary) for summary in summaries)
-        unknown = self._list_unreadable(peer)
-        room -= UNKNOWN_NAME_BYTES * len(unknown)
-        wanted = self._outbox.list_wanted(peer, topics, now)
-        chosen = Selection(
-            room=room,
-            largest=self._largest_frame,
-            takes_short=lambda value: self._outbox.takes_short(peer, value),
-        )
-        fill_frame(chosen, wanted, loads_first=self._loads_first)
-        is_urgent = bool(wanted.urgent or digest)
-        may_wait = chosen.is_waiting and not self.budget.is_pace_full(now)
-        if room < 0 or (may_wait and not is_urgent):
-            self._put_back(peer, summaries)
-            return []
-        if not (chosen.values or digest or summaries or unknown):
-            self._put_back(peer, summaries)
-            return []
-        deltas = make_deltas(chosen.full, self._state, now)
-        shorts = tuple(value.get_short_entry(now) for value in chosen.short)
-        sent_ms = round(now * 1000)
-        frame = GossipFrame(self.incarnation, sent_ms, deltas, digest, summaries, shorts, unknown)
-        if not self.budget.charge(len(encode(frame)), now):
-            self._put_back(peer, summaries)
-            return []
-        self._unreadable.pop(peer, None)
-        self._frames.take(1, now)
-        self._loads_first = not self._loads_first
-        self._outbox.mark_sent(peer, chosen.values, peers=len(self._near.members), now=now)
-        if digest is not None:
-            self._digest_due = now + DIGEST_EVERY_S
-            self._digest_from[topics is not None] = digest.end or ""
-        return [SendMessage(target=peer, message=frame)]
-
-    def _get_room(self, now: float) -> int:
-        if self._outbox.count_urgent():
-            return min(self._largest_frame, self.budget.get_room(now) - PROBE_RESERVE_BYTES)
-        return min(self.budget.get_paced_room(now), self._largest_frame)
-
-    def _is_digest_due(self, now: float) -> bool:
-        # Urgent news goes before a digest, but without an end to that a stream of it
-        # would put off repair for ever.
-        patience = DIGEST_PATIENCE_S if self._outbox.count_urgent() else 0.0
-        return now >= self._digest_due + patience
-
-    def _make_digest(self, peer: str, now: float) -> Digest:
-        topics = self._get_topics(peer)
-        first = self._digest_from.get(topics is not None, "")
-        limit = self._largest_frame // 2 // (DIGEST_ORIGIN_BYTES + 32)
-        limit = max(1, min(DIGEST_ORIGINS, limit))
-        return make_digest(self._state, first=first, topics=topics, limit=limit)
-
-    def _take_summaries(self, peer: str, room: int) -> tuple[Summary, ...]:
-        waiting = self._summaries.get(peer, {})
-        taken: list[Summary] = []
-        for origin in list(waiting):
-            room -= _bound_summary(waiting[origin])
-            if room < 0:
-                break
-            taken.append(waiting.pop(origin))
-        return tuple(taken)
-
-    def _list_unreadable(self, peer: str) -> tuple[int, ...]:
-        return tuple(self._unreadable.get(peer, {}))[:UNKNOWN_NAMES]
-
-    def _put_back(self, peer: str, summaries: tuple[Summary, ...]) -> None:
-        for summary in summaries:
-            self._summaries.setdefault(peer, {}).setdefault(summary.origin, summary)
+        return self._sender.tick(now)
 
     # Receiving
 
@@ -372,7 +197,7 @@
             if full is not None:
                 self._merge(source, full, extra_age_s, now)
             else:
-                self._unreadable.setdefault(source, {})[short.name_hash] = None
+                self._answers.add_unreadable(source, short.name_hash)
         for name_hash in frame.unknown_names:
             self._outbox.note_unknown(source, name_hash)
         held = self._state.origins.get(source)
@@ -424,7 +249,7 @@
             callback(news)
 
     def _answer_digest(self, source: str, digest: Digest, now: float) -> None:
-        topics = self._get_topics(source)
+        topics = self._sender.get_topics(source)
         for theirs in digest.origins:
             if theirs.origin == self._instance_id:
                 self._defend(theirs.incarnation, 0, now)
@@ -433,30 +258,17 @@
         for value in found.lacking:
             self._outbox.owe(source, value)
         for origin in found.unequal:
-            self._summaries.setdefault(source, {})[origin] = self._summarise(origin, topics)
-
-    def _summarise(self, origin: str, topics: frozenset[str] | None) -> Summary:
-        held = self._state.origins.get(origin)
-        if held is None:
-            return make_empty_summary(origin)
-        first = self._summary_from.get(origin, 0)
-        limit = (self._largest_frame // 2 - SUMMARY_HEADER_BYTES - 64) // SUMMARY_KEY_BYTES
-        limit = max(1, min(SUMMARY_KEYS, limit))
-        summary = make_summary(held, first=first, topics=topics, limit=limit)
-        self._summary_from[origin] = 0 if summary.end == KEY_HASH_END else summary.end
-        return summary
+            self._answers.add_summary(source, origin, topics)
 
     def _answer_summary(self, source: str, summary: Summary) -> None:
         held = self._state.origins.get(summary.origin)
         if held is None:
             return
-        topics = self._get_topics(source)
+        topics = self._sender.get_topics(source)
         for value in find_lacking(held, summary, topics=topics):
             self._outbox.owe(source, value)
         if has_newer(held, summary):
-            self._summaries.setdefault(source, {})[summary.origin] = self._summarise(
-                summary.origin, topics
-            )
+            self._answers.add_summary(source, summary.origin, topics)
 
 
 def _shows_life(source: str, delta: Delta) -> bool:
@@ -467,14 +279,3 @@
     """
     youngest = min((entry.age_ms for entry in delta.entries), default=FORGET_AGE_S * 1000)
     return source == delta.origin or youngest < FORGET_AGE_S * 1000
-
-
-def _bound_digest(digest: Digest) -> int:
-    names = sum(len(entry.origin.encode()) for entry in digest.origins)
-    ends = len(digest.first.encode()) + len((digest.end or "").encode())
-    return DIGEST_HEADER_BYTES + ends + names + DIGEST_ORIGIN_BYTES * len(digest.origins)
-
-
-def _bound_summary(summary: Summary) -> int:
-    name = len(summary.origin.encode())
-    return SUMMARY_HEADER_BYTES + name + SUMMARY_KEY_BYTES * len(summary.keys)
--- a/chivetrack/components/gossip/selection.py
+++ b/chivetrack/components/gossip/selection.py
@@ -248,7 +248,7 @@
         since it came from an instance with a larger budget, is passed over.
 
         ``is_waiting`` is then set if it is large: small values that were chosen before it
-        should wait too, or at every tick they would use up what it needs.
+        should wait too, since at every tick they use up what it needs.
         """
         kept = self._room * (1 - share)
         for value in values:
--- a/chivetrack/components/membership/membership.py
+++ b/chivetrack/components/membership/membership.py
@@ -8,7 +8,6 @@
 from chivetrack.components.gossip.models import News, Peer, Urgency
 from chivetrack.components.membership.const import (
     ALIVE_EVERY_S,
-    DIRECT_CONTACT_S,
     FORGET_AFTER_S,
     FROZEN_AFTER_S,
     GREET_EVERY_S,
@@ -16,7 +15,6 @@
     MAX_ROUNDS,
     NOTICE_EVERY_S,
     PROBE_SPREAD_S,
-    ROUND_S,
     START_GRACE_EACH_S,
     START_GRACE_S,
     TICK_S,
@@ -33,9 +31,9 @@
     RegionSummary,
     Seed,
 )
+from chivetrack.components.membership.prober import Prober
 from chivetrack.components.membership.regions import Regions
 from chivetrack.components.membership.suspicion import (
-    choose_witnesses,
     is_confirmed,
     is_isolated,
     list_candidates,
@@ -43,18 +41,12 @@
 from chivetrack.components.membership.wire import (
     InstanceRecord,
     Notice,
-    Ping,
-    Pong,
     Verdict,
-    WitnessAnswer,
-    WitnessRequest,
 )
-from chivetrack.components.membership.witness import Errand, Errands
 from chivetrack.core import (
     Effect,
     Event,
     MessageReceived,
-    SendMessage,
     TimeReached,
     Unsubscribe,
     WakeAt,
@@ -75,16 +67,20 @@
         self._random = random
         self._regions = Regions(gossip=gossip, own_region=own.region, seeds=seeds)
         self._members: dict[str, Member] = {}
-        self._errands = Errands()
+        self._prober = Prober(
+            gossip=gossip,
+            own_zone=own.zone,
+            random=random,
+            on_reached=self._hear,
+            on_denied=self._deny,
+        )
         self._callbacks: list[InstanceCallback] = []
-        self._outgoing: list[Effect] = []
         self._last_event: float | None = None
         self._next_tick = float("-inf")
         self._greeted_at = float("-inf")
         self._joined_at: float | None = None
         self._leaving = False
         self._isolated = False
-        self._rounds = 0
         gossip.subscribe(TOPIC_INSTANCE, self._receive_record)
         gossip.subscribe(TOPIC_VERDICT, self._receive_verdict)
 
@@ -137,7 +133,7 @@
         if isinstance(event, TimeReached) and now >= self._next_tick:
             self._next_tick = now + TICK_S
             self._tick(now)
-        effects, self._outgoing = self._outgoing, []
+        effects = self._prober.take_effects()
         if isinstance(event, TimeReached):
             effects.append(WakeAt(at=self._next_tick))
         return effects
@@ -152,7 +148,7 @@
         last, self._last_event = self._last_event, now
         if last is None or now - last < FROZEN_AFTER_S:
             return
-        self._errands.drop_all()
+        self._prober.drop_all()
         for member in self._members.values():
             member.heard_at = max(member.heard_at, now)
             member.clear_round()
@@ -165,8 +161,7 @@
             self._gossip.publish(TOPIC_ALIVE, "", b"", Urgency.LOAD, now=now)
         self._take_signs_of_life(now)
         self._isolated = is_isolated(self._members.values(), now)
-        for errand in self._errands.take_overdue(now):
-            self._answer(errand, reached=False, now=now)
+        self._prober.tick(now)
         for member in list(self._members.values()):
             self._watch(member, now)
         self._greet(now)
@@ -204,7 +199,7 @@
             return
         if self._count_rounds(now) >= MAX_ROUNDS:
             return
-        self._start_round(member, candidates, now)
+        self._prober.start_round(member, candidates, now)
 
     def _is_settled(self, now: float) -> bool:
         grace_s = START_GRACE_S + START_GRACE_EACH_S * len(self._members)
@@ -229,19 +224,7 @@
         if heard_at <= member.since or now < member.noticed_at + NOTICE_EVERY_S:
             return
         member.noticed_at = now
-        self._send(member.instance_id, Notice(*member.life), now)
-
-    def _start_round(self, member: Member, candidates: list[Member], now: float) -> None:
-        self._rounds += 1
-        member.round_ends = now + ROUND_S
-        member.is_probed = self._send(member.instance_id, Ping(-self._rounds), now)
-        witnesses = choose_witnesses(
-            member, candidates, own_zone=self._own.zone, random=self._random
-        )
-        for witness in witnesses:
-            request = WitnessRequest(self._rounds, member.instance_id)
-            if self._send(witness.instance_id, request, now):
-                member.asked.add(witness.instance_id)
+        self._prober.send(member.instance_id, Notice(*member.life), now)
 
     def _declare_dead(self, member: Member, now: float) -> None:
         witnesses = tuple(sorted(member.denials))
@@ -281,51 +264,17 @@
     # Messages
 
     def _receive(self, source: str, message: Message, now: float) -> None:
-        if isinstance(message, Ping):
-            self._send(source, Pong(message.number), now)
-        elif isinstance(message, Pong):
-            self._receive_pong(source, message, now)
-        elif isinstance(message, WitnessRequest):
-            self._receive_request(source, message, now)
-        elif isinstance(message, WitnessAnswer):
-            self._receive_answer(source, message, now)
-        elif isinstance(message, Notice):
+        if isinstance(message, Notice):
             self._refute(Life(message.incarnation, message.refutation), now)
-
-    def _receive_pong(self, source: str, pong: Pong, now: float) -> None:
-        if pong.number < 0:
-            self._hear(source, "answered a probe", now)
             return
-        errand = self._errands.finish(pong.number, source)
-        if errand is not None:
-            self._answer(errand, reached=True, now=now)
-
-    def _receive_request(self, source: str, request: WitnessRequest, now: float) -> None:
-        contact = self._gossip.get_direct_contact(request.target)
-        if contact is not None and now - contact < DIRECT_CONTACT_S:
-            self._send(source, WitnessAnswer(request.number, request.target, True), now)
-            return
-        number = self._errands.start(
-            asker=source, asker_number=request.number, target=request.target, now=now
-        )
-        # A probe that was never sent must not end in "not reached": a witness with a
-        # spent budget would help to declare a live instance dead.
-        if not self._send(request.target, Ping(number), now):
-            self._errands.finish(number, request.target)
-
-    def _answer(self, errand: Errand, *, reached: bool, now: float) -> None:
-        answer = WitnessAnswer(errand.asker_number, errand.target, reached)
-        self._send(errand.asker, answer, now)
+        self._prober.receive(source, message, now)
 
-    def _receive_answer(self, source: str, answer: WitnessAnswer, now: float) -> None:
-        member = self._members.get(answer.target)
+    def _deny(self, instance_id: str, witness: str, now: float) -> None:
+        member = self._members.get(instance_id)
         if member is None or member.status is not InstanceStatus.SUSPECT:
             return
-        if answer.reached:
-            self._hear(answer.target, f"not heard from here, but reached by {source}", now)
-            return
-        if source in member.asked:
-            member.denials[source] = now
+        if witness in member.asked:
+            member.denials[witness] = now
 
     def _hear(self, instance_id: str, reason: str, now: float) -> None:
         member = self._members.get(instance_id)
@@ -414,22 +363,6 @@
         )
         self._gossip.publish(TOPIC_INSTANCE, "", encode(record), urgency, now=now)
 
-    # Effects
-
-    def _send(self, target: str, message: Message, now: float) -> bool:
-        """Send if the budget pays for it; if not, the next round makes up for it.
-
-        Answers are not held to the share of probes: an instance that is asked a lot would
-        fail to answer, and count as dead for it.
-        """
-        budget = self._gossip.budget
-        is_answer = isinstance(message, Pong | WitnessAnswer)
-        charge = budget.charge if is_answer else budget.charge_probe
-        if not charge(len(encode(message)), now):
-            return False
-        self._outgoing.append(SendMessage(target=target, message=message))
-        return True
-
     def _change(self, member: Member, status: InstanceStatus, reason: str, now: float) -> None:
         changed = member.status is not status
         member.change(status, reason, now)
--- /dev/null
+++ b/chivetrack/components/membership/prober.py
@@ -0,0 +1,127 @@
+"""Sends probes and answers them, for this instance and on behalf of others."""
+
+import random as random_module
+from collections.abc import Callable
+
+from chivetrack.components.gossip.gossip import Gossip
+from chivetrack.components.membership.const import DIRECT_CONTACT_S, ROUND_S
+from chivetrack.components.membership.member import Member
+from chivetrack.components.membership.suspicion import choose_witnesses
+from chivetrack.components.membership.wire import Ping, Pong, WitnessAnswer, WitnessRequest
+from chivetrack.components.membership.witness import Errand, Errands
+from chivetrack.core import Effect, SendMessage
+from chivetrack.helpers.codec import Message, encode
+
+ReachedCallback = Callable[[str, str, float], None]
+DeniedCallback = Callable[[str, str, float], None]
+
+
+class Prober:
+    """Finds out whether instances can be reached, from here and by way of witnesses.
+
+    Calls ``on_reached`` with an instance, how it was reached and the time, ``on_denied``
+    with an instance, the witness that could not reach it and the time.
+    """
+
+    def __init__(
+        self,
+        *,
+        gossip: Gossip,
+        own_zone: str,
+        random: random_module.Random,
+        on_reached: ReachedCallback,
+        on_denied: DeniedCallback,
+    ) -> None:
+        """Create a prober with nothing under way."""
+        self._gossip = gossip
+        self._own_zone = own_zone
+        self._random = random
+        self._on_reached = on_reached
+        self._on_denied = on_denied
+        self._errands = Errands()
+        self._outgoing: list[Effect] = []
+        self._rounds = 0
+
+    def take_effects(self) -> list[Effect]:
+        """Return and drop the messages to be sent."""
+        effects, self._outgoing = self._outgoing, []
+        return effects
+
+    def drop_all(self) -> None:
+        """Forget all probes for others."""
+        self._errands.drop_all()
+
+    def tick(self, now: float) -> None:
+        """Answer for the probes that got no answer in time."""
+        for errand in self._errands.take_overdue(now):
+            self._answer(errand, reached=False, now=now)
+
+    def start_round(self, member: Member, candidates: list[Member], now: float) -> None:
+        """Probe a member, and ask witnesses to."""
+        self._rounds += 1
+        member.round_ends = now + ROUND_S
+        member.is_probed = self.send(member.instance_id, Ping(-self._rounds), now)
+        witnesses = choose_witnesses(
+            member, candidates, own_zone=self._own_zone, random=self._random
+        )
+        for witness in witnesses:
+            request = WitnessRequest(self._rounds, member.instance_id)
+            if self.send(witness.instance_id, request, now):
+                member.asked.add(witness.instance_id)
+
+    def receive(self, source: str, message: Message, now: float) -> None:
+        """Take in a probe, a request or an answer."""
+        if isinstance(message, Ping):
+            self.send(source, Pong(message.number), now)
+        elif isinstance(message, Pong):
+            self._receive_pong(source, message, now)
+        elif isinstance(message, WitnessRequest):
+            self._receive_request(source, message, now)
+        elif isinstance(message, WitnessAnswer):
+            self._receive_answer(source, message, now)
+
+    def _receive_pong(self, source: str, pong: Pong, now: float) -> None:
+        if pong.number < 0:
+            self._on_reached(source, "answered a probe", now)
+            return
+        errand = self._errands.finish(pong.number, source)
+        if errand is not None:
+            self._answer(errand, reached=True, now=now)
+
+    def _receive_request(self, source: str, request: WitnessRequest, now: float) -> None:
+        contact = self._gossip.get_direct_contact(request.target)
+        if contact is not None and now - contact < DIRECT_CONTACT_S:
+            self.send(source, WitnessAnswer(request.number, request.target, True), now)
+            return
+        number = self._errands.start(
+            asker=source, asker_number=request.number, target=request.target, now=now
+        )
+        # A probe that was never sent must not end in "not reached": a witness with a
+        # spent budget would help to declare a live instance dead.
+        if not self.send(request.target, Ping(number), now):
+            self._errands.finish(number, request.target)
+
+    def _answer(self, errand: Errand, *, reached: bool, now: float) -> None:
+        answer = WitnessAnswer(errand.asker_number, errand.target, reached)
+        self.send(errand.asker, answer, now)
+
+    def _receive_answer(self, source: str, answer: WitnessAnswer, now: float) -> None:
+        if answer.reached:
+            how = f"not heard from here, but reached by {source}"
+            self._on_reached(answer.target, how, now)
+            return
+        self._on_denied(answer.target, source, now)
+
+    def send(self, target: str, message: Message, now: float) -> bool:
+        """Send if the budget pays for it; if not, the next round makes up for it.
+
+        Answers are not held to the share of probes: an instance that is asked a lot would
+        fail to answer, and count as dead for it.
+        """
+        budget = self._gossip.budget
+        is_answer = isinstance(message, Pong | WitnessAnswer)
+        charge = budget.charge if is_answer else budget.charge_probe
+        if not charge(len(encode(message)), now):
+            return False
+        self._outgoing.append(SendMessage(target=target, message=message))
+        return True
