Answer every refusal typed; prove own answers and the graceful stop over processes

Cause: the HTTP library answered bad requests, long headers and unclear bodies by itself, as plain text or HTML, and read an oversized body to its end, however long. After a retry found no endpoint left, the caller was told 'did not run' although an attempt before may have run. Over max_streams: 'instance_full', did not run, Retry-After. A refusal never says 'did not run' when an attempt may have. Stand-in engines: 'die' closes without a word (it sent HTML 500), 'cut' closes (it left the connection open), 'double' sends an answer twice.

--- a/chivetrack/components/caller_api/app.py
+++ b/chivetrack/components/caller_api/app.py
@@ -28,14 +28,14 @@
 Announce = Callable[[bytes, str], "Fault | None"]
 
 
-def read_body(limit: int) -> bytes:
+def read_body(limit: int, timeout_s: float = BODY_TIMEOUT_S) -> bytes:
     """Return the whole body of the current request; raise ``FaultError``."""
     length = request.environ.get("CONTENT_LENGTH") or ""
     if length.isdigit() and int(length) > limit:
         raise FaultError(faults.body_too_large(limit))
     stream = request.environ["wsgi.input"]
     # A caller that stops in the middle of its body would hold its place for ever.
-    with gevent.Timeout(BODY_TIMEOUT_S, FaultError(faults.body_timeout(BODY_TIMEOUT_S))):
+    with gevent.Timeout(timeout_s, FaultError(faults.body_timeout(timeout_s))):
         try:
             body = stream.read(limit + 1)
         except (OSError, ValueError) as error:
@@ -77,12 +77,14 @@
         announce: Announce,
         is_ready: Callable[[], bool],
         max_body: int = DEFAULT_MAX_BODY,
+        body_timeout_s: float = BODY_TIMEOUT_S,
     ) -> None:
         """Take what the routes lead to."""
         self._gateway = gateway
         self._announce = announce
         self._is_ready = is_ready
         self._max_body = max_body
+        self._body_timeout_s = body_timeout_s
 
     def build(self) -> Bottle:
         """Return the application."""
@@ -106,7 +108,7 @@
 
     def _serve(self, kind: RequestKind, path: str, service: str) -> HTTPResponse:
         try:
-            body = read_body(self._max_body)
+            body = read_body(self._max_body, self._body_timeout_s)
             caller_request = CallerRequest(
                 kind=kind,
                 method=request.method,
@@ -125,7 +127,7 @@
 
     def _take_announcement(self) -> HTTPResponse:
         try:
-            body = read_body(self._max_body)
+            body = read_body(self._max_body, self._body_timeout_s)
         except FaultError as error:
             return make_error_response(error.fault)
         fault = self._announce(body, read_headers().get("authorization", ""))
--- a/chivetrack/components/caller_api/errors.py
+++ b/chivetrack/components/caller_api/errors.py
@@ -35,6 +35,15 @@
     return HTTPResponse(body=body, status=fault.status, headers=headers)
 
 
+def make_raw_error(fault: Fault) -> bytes:
+    """Return the whole HTTP answer for a request that no application has seen."""
+    response = make_error_response(fault)
+    lines = [f"HTTP/1.1 {response.status_line}", "Connection: close"]
+    lines += [f"{name}: {value}" for name, value in response.headerlist]
+    lines.append(f"Content-Length: {len(response.body)}")
+    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + response.body
+
+
 def make_stream_error(fault: Fault, request_id: str) -> bytes:
     """Return a fault as the last event of a stream."""
     return b"data: " + msgspec.json.encode(make_error_body(fault, request_id)) + b"\n\n"
--- a/chivetrack/components/caller_api/gateway.py
+++ b/chivetrack/components/caller_api/gateway.py
@@ -8,6 +8,8 @@
 from opentelemetry.trace import SpanKind
 
 from chivetrack.components.caller_api.const import (
+    DEFAULT_MAX_OPEN,
+    FULL_RETRY_AFTER_S,
     HEADER_ENDPOINT,
     HEADER_REQUEST_ID,
     STORED_ANSWER_LIMIT,
@@ -15,6 +17,7 @@
     WHOLE_ANSWER_LIMIT,
 )
 from chivetrack.components.caller_api.relay import RelayBody
+from chivetrack.components.pipeline import faults
 from chivetrack.components.pipeline.models import (
     AnswerEnded,
     AttemptAnswered,
@@ -96,8 +99,10 @@
         telemetry: Telemetry,
         read_clock: Callable[[], float],
         make_id: Callable[[], str],
+        max_open: int = DEFAULT_MAX_OPEN,
     ) -> None:
         """Take the decisions' entry, the client, telemetry, the clock and a source of ids."""
+        self._max_open = max_open
         self._tracer = telemetry.tracer
         self._instruments = telemetry.instruments
         self._post = post
@@ -119,6 +124,10 @@
 
     def serve(self, request: CallerRequest) -> GatewayAnswer:
         """Bring a request to its end, or to the first chunk of a streamed answer."""
+        # Without a bound a surge would take the memory that open streams need.
+        if self.open_count >= self._max_open:
+            fault = faults.too_many_requests(self._max_open, FULL_RETRY_AFTER_S)
+            return GatewayAnswer(request_id=self._make_id(), fault=fault)
         conversation = self._open(request)
         headers = {**request.headers, **conversation.hop.write_headers()}
         request = replace(request, headers=headers)
--- a/chivetrack/components/pipeline/faults.py
+++ b/chivetrack/components/pipeline/faults.py
@@ -104,10 +104,50 @@
 
 def body_timeout(limit_s: float) -> Fault:
     """Return the fault for a body that did not arrive in time."""
-    message = f"The body did not arrive within {limit_s:.0f} s."
+    message = f"The body did not arrive within {limit_s:g} s."
     return Fault(code="body_timeout", message=message, status=408, ran=Ran.NO)
 
 
+def headers_too_large(max_bytes: int, max_lines: int) -> Fault:
+    """Return the fault for a request whose headers are over a limit."""
+    message = f"The headers are larger than {max_bytes} bytes or more than {max_lines} lines."
+    return Fault(code="headers_too_large", message=message, status=431, ran=Ran.NO)
+
+
+def headers_timeout(limit_s: float) -> Fault:
+    """Return the fault for headers that did not arrive in time."""
+    message = f"The headers did not arrive within {limit_s:g} s."
+    return Fault(code="headers_timeout", message=message, status=408, ran=Ran.NO)
+
+
+def uri_too_long() -> Fault:
+    """Return the fault for a request line over the limit."""
+    message = "The request line is too long."
+    return Fault(code="uri_too_long", message=message, status=414, ran=Ran.NO)
+
+
+def bad_request() -> Fault:
+    """Return the fault for what is not an HTTP request."""
+    message = "This is not an HTTP request that can be understood."
+    return Fault(code="bad_request", message=message, status=400, ran=Ran.NO)
+
+
+def internal_error() -> Fault:
+    """Return the fault for a request on which this router itself failed."""
+    return Fault(code="internal_error", message="The request failed.", status=500, ran=Ran.MAYBE)
+
+
+def too_many_requests(limit: int, retry_after_s: float) -> Fault:
+    """Return the fault of an instance that has as many requests open as it may."""
+    return Fault(
+        code="instance_full",
+        message=f"This instance has {limit} requests open, which is its limit.",
+        status=503,
+        ran=Ran.NO,
+        retry_after_s=retry_after_s,
+    )
+
+
 def not_ready() -> Fault:
     """Return the answer to the balancer while this instance takes no requests."""
     return Fault(
--- a/chivetrack/components/pipeline/flow.py
+++ b/chivetrack/components/pipeline/flow.py
@@ -240,6 +240,10 @@
         ]
 
     def _refuse(self, exchange: Exchange, fault: Fault, now: float) -> list[Effect]:
+        # A filter that is entered again for a retry speaks of that attempt only. "Did
+        # not run" would be a lie about the one before it.
+        if fault.ran is Ran.NO:
+            fault = replace(fault, ran=exchange.ran)
         claims = self._end_claim(exchange, None)
         self._close(exchange, fault, now)
         refuse: RequestEffect = Refuse(request_id=exchange.request_id, fault=fault)
--- a/chivetrack/daemon/const.py
+++ b/chivetrack/daemon/const.py
@@ -5,6 +5,10 @@
 HEADER_TIMEOUT_S: Final = 20.0
 IDLE_TIMEOUT_S: Final = 75.0
 BACKLOG: Final = 1024
+MAX_HEADER_BYTES: Final = 32 * 1024
+MAX_HEADERS: Final = 100
+LINGER_S: Final = 1.0
+LINGER_BYTES: Final = 1024 * 1024
 STOP_POLL_S: Final = 0.02
 STOP_QUIET_S: Final = 0.2
 LONGEST_SLEEP_S: Final = 0.5
--- a/chivetrack/daemon/instance.py
+++ b/chivetrack/daemon/instance.py
@@ -40,6 +40,7 @@
 from chivetrack.daemon.recorder import RequestRecorder
 from chivetrack.daemon.resources import ResourceDesk, build_resources_app, make_key_ring
 from chivetrack.daemon.runner import Runner
+from chivetrack.daemon.server import make_server_limits
 from chivetrack.daemon.stop import GracefulStop, StopReport
 from chivetrack.daemon.submissions import Submissions
 from chivetrack.helpers.codec import Message
@@ -87,6 +88,7 @@
             telemetry=telemetry,
             read_clock=time.monotonic,
             make_id=_make_id,
+            max_open=settings.limits.max_streams,
         )
         self.transport = self._build_transport()
         self._replica = self._build_replica()
@@ -210,6 +212,7 @@
             applications=applications,
             encryption=self._encryption,
             is_closing=self.is_stopping,
+            limits=make_server_limits(self._settings.limits),
         )
 
     def _connect_effects(self) -> None:
--- a/chivetrack/daemon/listeners.py
+++ b/chivetrack/daemon/listeners.py
@@ -7,7 +7,7 @@
 
 from chivetrack.components.settings.models import Address, ListenerSettings
 from chivetrack.daemon.encryption import Encryption
-from chivetrack.daemon.server import HttpServer
+from chivetrack.daemon.server import HttpServer, ServerLimits
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -29,10 +29,12 @@
         applications: Applications,
         encryption: Encryption,
         is_closing: Callable[[], bool],
+        limits: ServerLimits | None = None,
     ) -> None:
         """Create the servers; they listen from ``start`` on."""
         self._encryption = encryption
         self._is_closing = is_closing
+        self._limits = limits
         self._servers = {
             "caller": self._create("caller", settings.caller, applications.caller),
             "resources": self._create("resources", settings.resources, applications.resources),
@@ -45,6 +47,7 @@
             application=application,
             is_closing=self._is_closing,
             tls=self._encryption.get(name),
+            limits=self._limits,
         )
 
     def start(self) -> None:
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -39,6 +39,13 @@
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         super().handle()
 
+    def handle_error(self, t: Any, v: Any, tb: Any) -> None:
+        """Close without a word when a death is played."""
+        if isinstance(v, CutError):
+            self.close_connection = True
+            return
+        super().handle_error(t, v, tb)
+
 
 class CutError(Exception):
     """Ends an answer in the middle, as a dying engine does."""
@@ -69,7 +76,7 @@
 
     def build(self) -> Bottle:
         """Return the application."""
-        app = Bottle()
+        app = Bottle(catchall=False)
         app.route("/v1/chat/completions", "POST", self._serve_chat)
         app.route("/standin/seen", "GET", self._show_seen)
         app.route("/standin/faults", "POST", self._set_faults)
@@ -164,6 +171,9 @@
         response = _answer_json(answer, _echo_id(fault))
         if fault == "cut":
             response.headers["Content-Length"] = str(len(response.body) + 10)
+            response.headers["Connection"] = "close"
+        if fault == "double":
+            response.body += _make_raw_answer(response)
         return response
 
     def make_token(self, seen: SeenRequest, text: str, number: int) -> str:
@@ -232,6 +242,11 @@
     return "another-request" if fault == "wrong_id" else given
 
 
+def _make_raw_answer(response: HTTPResponse) -> bytes:
+    lines = ["HTTP/1.1 200 OK", *(f"{name}: {value}" for name, value in response.headerlist)]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + response.body
+
+
 def _answer_json(value: Any, request_id: str, *, status: int = 200) -> HTTPResponse:
     headers = {"Content-Type": "application/json"}
     if request_id:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -240,6 +240,16 @@
         url = f"http://{member.host}:{RESOURCE_PORT}{path}"
         return self._http.request(method, url, headers=headers, body=body)
 
+    def play(self, member: Member, mode: str, *, count: int = 1, **details: float) -> None:
+        """Have a stand-in play a fault on its next requests; see ``Faults``."""
+        body = json.dumps({"mode": mode, "count": count, **details})
+        self.request("POST", member, "/standin/faults", body=body)
+
+    def read_seen(self, member: Member) -> list[dict[str, Any]]:
+        """Return the requests that a stand-in has received."""
+        seen: list[dict[str, Any]] = self.request("GET", member, "/standin/seen").json()["seen"]
+        return seen
+
     def stop(self) -> dict[str, int]:
         """Stop every process gracefully; return the exit codes by name."""
         codes: dict[str, int] = {}
--- a/standins/models.py
+++ b/standins/models.py
@@ -12,7 +12,8 @@
     (a stream that ends cleanly without its end mark), ``stall`` (silent after some
     chunks), ``wrong_id`` (echoes another request's id), ``refuse`` (503, did not
     run), ``die`` (closes without an answer after reading the request), ``late``
-    (waits ``delay_s`` before it answers), ``error`` (status 500).
+    (waits ``delay_s`` before it answers), ``error`` (status 500), ``double`` (sends a
+    whole answer a second time on the connection).
     """
 
     mode: str = ""
--- a/tests/components/pipeline/test_flow.py
+++ b/tests/components/pipeline/test_flow.py
@@ -88,6 +88,17 @@
         (effect,) = self.send(AttemptAnswered(request_id="r", attempt=1, status=503))
         self.assertIsInstance(effect, RelayAnswer)
 
+    def test_no_endpoint_left_does_not_hide_that_one_may_have_run(self) -> None:
+        """The only engine dies in an answer, and there is no other to try.
+
+        "No endpoint, did not run" would have the caller send again what may have run.
+        """
+        self.bench.placer.names = ("engine-1",)
+        self.arrive()
+        (refuse,) = self.send(fail(AttemptOutcome.MAYBE_RAN))
+        assert isinstance(refuse, Refuse)
+        self.assertEqual((refuse.fault.code, refuse.fault.ran), ("no_endpoint", Ran.MAYBE))
+
     def test_nothing_is_dispatched_before_the_claim(self) -> None:
         (ask,) = self.arrive(**KEYED)
         self.assertIsInstance(ask, AskClaim)
--- /dev/null
+++ b/tests/system/test_path_own_answer.py
@@ -0,0 +1,455 @@
+"""The whole path as processes: each caller gets its own whole answer, or a typed error."""
+
+import http.client
+import json
+import socket
+import time
+import unittest
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import ExitStack
+from functools import partial
+from typing import Any, ClassVar
+
+from standins.demo import (
+    CALLER_KEY,
+    CHAT_PATH,
+    MODEL,
+    PLAIN_SERVICE,
+    Reply,
+    apply_workspace,
+    call,
+    chat,
+    wait_routed,
+)
+from standins.fleet import Fleet, Member, open_fleet
+
+WAIT_LIMIT_S = 15.0
+MAX_BODY = 100_000
+PLAIN_PATH = f"/services/{PLAIN_SERVICE}/quotes"
+TOKENS = 6
+
+
+def wait_until(condition: Callable[[], bool], what: str) -> None:
+    """Return when a condition holds; fail when it does not in time."""
+    deadline = time.monotonic() + WAIT_LIMIT_S
+    while not condition():
+        if time.monotonic() > deadline:
+            raise AssertionError(f"not in time: {what}")
+        time.sleep(0.02)
+
+
+def make_chat(text: str, *, stream: bool) -> bytes:
+    """Return the body of a chat request."""
+    messages = [{"role": "user", "content": text}]
+    return json.dumps({"model": MODEL, "messages": messages, "stream": stream}).encode()
+
+
+def make_head(path: str, *lines: str, method: str = "POST") -> bytes:
+    """Return the head of a request, as raw bytes."""
+    fixed = [f"{method} {path} HTTP/1.1", "Host: x", f"Authorization: Bearer {CALLER_KEY}"]
+    return "\r\n".join([*fixed, *lines, "", ""]).encode()
+
+
+class PathCase(unittest.TestCase):
+    """A fleet of three routers, two engines and a plain service, shared by a class."""
+
+    fleet: ClassVar[Fleet]
+    routers: ClassVar[list[Member]]
+    engines: ClassVar[list[Member]]
+    service: ClassVar[Member]
+    token_ms = "5"
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.stack = ExitStack()
+        cls.addClassCleanup(cls.stack.close)
+        cls.fleet = cls.stack.enter_context(open_fleet())
+        cls.fleet.settings["limits"] = {"max_body_bytes": MAX_BODY, "max_header_bytes": 4096}
+        cls.fleet.plan_instances(3)
+        cls.fleet.start_instances()
+        options = ("--model", MODEL, "--tokens", str(TOKENS), "--token-ms", cls.token_ms)
+        cls.engines = [cls.fleet.start_endpoint(f"engine-{n}", *options) for n in (1, 2)]
+        cls.service = cls.fleet.start_endpoint(
+            "claims-1", "--kind", "service", "--service", PLAIN_SERVICE
+        )
+        apply_workspace(cls.fleet)
+        wait_routed(cls.fleet)
+        cls.routers = [cls.fleet.members[plan.name] for plan in cls.fleet.plans]
+        for router in cls.routers:
+            wait_until(partial(cls.serves_plain, router), "the plain service is routed")
+
+    @classmethod
+    def serves_plain(cls, router: Member) -> bool:
+        return call(cls.fleet, router, "GET", f"/services/{PLAIN_SERVICE}/warm").status == 200
+
+    def play(self, mode: str, **details: float) -> None:
+        """Have both engines play a fault until ``tearDown``."""
+        for engine in self.engines:
+            self.fleet.play(engine, mode, count=1000, **details)
+
+    def tearDown(self) -> None:
+        for member in (*self.engines, self.service):
+            self.fleet.play(member, "", count=0)
+
+    def find_seen(self, chat_id: str) -> list[dict[str, Any]]:
+        """Return what the engines saw of one chat."""
+        seen = [entry for engine in self.engines for entry in self.fleet.read_seen(engine)]
+        return [entry for entry in seen if entry["chat"] == chat_id]
+
+    def assert_typed(self, reply: Reply, status: int, code: str, ran: str) -> None:
+        self.assertEqual(reply.status, status, reply.body)
+        self.assertEqual(reply.headers["content-type"], "application/json")
+        self.assertEqual((reply.error["code"], reply.error["ran"]), (code, ran))
+        self.assertTrue(reply.error["message"])
+
+
+class EngineFaultTest(PathCase):
+    """The fleet's answers when engines answer wrongly."""
+
+    def make_whole(self, chat_id: str, text: str) -> str:
+        return "".join(f"{chat_id}/{text}/{number} " for number in range(TOKENS))
+
+    def test_whole_answers_that_are_wrong(self) -> None:
+        """Engines cut, mix up, refuse or lose whole answers; the caller must not send twice.
+
+        Nothing of a wrong answer may reach the caller. It learns what is known: a
+        refusal did not run, everything else may have.
+        """
+        table = [
+            ("cut", "maybe"),
+            ("wrong_id", "maybe"),
+            ("die", "maybe"),
+            ("refuse", "no"),
+        ]
+        for mode, ran in table:
+            with self.subTest(mode):
+                self.play(mode)
+                reply = chat(self.fleet, self.routers[0], mode, stream=False, X_Idempotent="false")
+                self.assertIn(reply.status, (502, 503), reply.body)
+                self.assertEqual(reply.error["ran"], ran)
+                self.assertNotIn(mode.encode() + b"/0", reply.body)
+                self.tearDown()
+                self.assert_serves()
+
+    def assert_serves(self) -> None:
+        def serves() -> bool:
+            return all(chat(self.fleet, m, "x", stream=False).status == 200 for m in self.routers)
+
+        wait_until(serves, "every router serves again")
+
+    def test_retry_hides_one_broken_answer(self) -> None:
+        """An engine loses a whole answer; the chat may run twice, so another engine does it."""
+        for engine in self.engines:
+            self.fleet.play(engine, "cut", count=1)
+        replies = [chat(self.fleet, self.routers[1], "t", stream=False) for _ in range(4)]
+        good = [reply for reply in replies if reply.status == 200]
+        self.assertGreaterEqual(len(good), 3)
+        for reply in good:
+            self.assertEqual(reply.text, self.make_whole(reply.text.split("/")[0], "t"))
+
+    def test_streams_that_end_early_are_seen_as_cut(self) -> None:
+        """An engine dies, loses its end mark or falls silent after three tokens.
+
+        The bytes passed on can't be taken back. The caller must see that they are
+        not all: a last event with the error, and a broken connection; ended cleanly
+        half a report would look whole.
+        """
+        policy_stall = {"cut": 0.0, "truncate": 0.0, "stall": 60.0}
+        for mode, delay_s in policy_stall.items():
+            with self.subTest(mode):
+                self.play(mode, after_chunks=3, delay_s=delay_s)
+                connection = http.client.HTTPConnection(self.routers[0].address, timeout=60)
+                headers = {
+                    "Authorization": f"Bearer {CALLER_KEY}",
+                    "X-Request-Timeout-Ms": "2000" if mode == "stall" else "20000",
+                }
+                connection.request("POST", CHAT_PATH, make_chat("s", stream=True), headers)
+                response = connection.getresponse()
+                self.assertEqual(response.status, 200)
+                received = b""
+                with self.assertRaises(http.client.IncompleteRead):
+                    while chunk := response.read1():
+                        received += chunk
+                connection.close()
+                self.assertIn(b'"code":"answer_cut"', received)
+                self.assertIn(b"s/2 ", received)
+                self.assertNotIn(b"s/3 ", received)
+                self.assertNotIn(b"[DONE]", received)
+                self.tearDown()
+                self.assert_serves()
+
+    def test_late_answer_reaches_nobody(self) -> None:
+        """Engines answer after the deadline, while other callers use the same routers.
+
+        The late one is told "deadline, may have run"; the others get their own.
+        """
+        self.play("late", delay_s=1.0)
+        late = chat(self.fleet, self.routers[0], "late", stream=False, X_Request_Timeout_Ms="200")
+        self.assert_typed(late, 504, "deadline_exceeded", "maybe")
+        self.tearDown()
+        for number in range(8):
+            reply = chat(self.fleet, self.routers[0], f"next {number}", stream=False)
+            self.assertIn(f"/next {number}/0 ", reply.text)
+
+    def test_doubled_answer_reaches_nobody_else(self) -> None:
+        """An engine sends an answer twice; the second copy waits on the connection.
+
+        Read by the next caller it would be another caller's words.
+        """
+        self.play("double")
+        for number in range(6):
+            reply = chat(self.fleet, self.routers[2], f"copy {number}", stream=False)
+            self.assertEqual(reply.status, 200)
+            self.assertIn(f"/copy {number}/0 ", reply.text)
+
+    def test_many_callers_on_kept_connections(self) -> None:
+        """Callers keep their connections and interleave streams, whole answers and cancels.
+
+        Every answer names its request, so one foreign byte shows.
+        """
+
+        def run(number: int) -> None:
+            address = self.routers[number % 3].address
+            connection = http.client.HTTPConnection(address, timeout=30)
+            for turn in range(6):
+                text = f"caller {number} turn {turn}"
+                body = make_chat(text, stream=turn % 2 == 0)
+                headers = {"Authorization": f"Bearer {CALLER_KEY}", "X-Chat-Id": text}
+                connection.request("POST", CHAT_PATH, body, headers)
+                response = connection.getresponse()
+                if turn == 2:
+                    response.read1(10)
+                    connection.close()
+                    continue
+                data = response.read().decode()
+                self.assertEqual(response.status, 200, data)
+                self.assertEqual(data.count(f"{text}/{text}/"), TOKENS)
+                self.assertEqual(data.count("caller "), 2 * TOKENS)
+
+        with ThreadPoolExecutor(24) as workers:
+            list(workers.map(run, range(24)))
+
+
+class CallerLeavesTest(PathCase):
+    """A caller closes its connection before its answer is whole."""
+
+    token_ms = "1000"
+
+    def leave(self, chat_id: str, *, stream: bool) -> None:
+        connection = http.client.HTTPConnection(self.routers[0].address, timeout=30)
+        headers = {"Authorization": f"Bearer {CALLER_KEY}", "X-Chat-Id": chat_id}
+        connection.request("POST", CHAT_PATH, make_chat("x", stream=stream), headers)
+        if stream:
+            connection.getresponse().read1(10)
+        wait_until(lambda: bool(self.find_seen(chat_id)), "the engine has the request")
+        connection.close()
+
+    def count_in_flight(self) -> int:
+        return sum(
+            int(self.fleet.request("GET", engine, "/standin/seen").json()["in_flight"])
+            for engine in self.engines
+        )
+
+    def test_the_engine_stops_working_for_a_caller_that_left(self) -> None:
+        """A caller leaves while it streams; the engine's stream must be cancelled.
+
+        Else it would go on for minutes and hold a place that others need.
+        """
+        self.leave("left-streaming", stream=True)
+        wait_until(lambda: self.find_seen("left-streaming")[0]["cancelled"], "cancelled")
+        wait_until(lambda: self.count_in_flight() == 0, "no engine works on")
+
+    def test_the_router_forgets_a_caller_that_left_while_waiting(self) -> None:
+        """A caller leaves while the engine still works on its whole answer.
+
+        A router that only waits writes nothing that could fail, so only watching the
+        connection shows it.
+        """
+        self.leave("left-waiting", stream=False)
+        router = self.routers[0]
+        url = f"http://{router.host}:18083/metrics"
+
+        def is_idle() -> bool:
+            text = self.fleet._http.request("GET", url).data.decode()
+            lines = [line for line in text.splitlines() if line.startswith("chivetrack_in_flight")]
+            return bool(lines) and all(line.endswith(" 0.0") for line in lines)
+
+        wait_until(is_idle, "the router has no request in flight")
+        self.assertFalse(self.find_seen("left-waiting")[0]["finished"])
+
+
+class TypedErrorTest(PathCase):
+    """Every refusal over real HTTP: a typed error, never HTML, a traceback or a hang."""
+
+    def send_raw(self, *parts: bytes) -> Reply:
+        """Send raw bytes and read the answer to its end."""
+        host, _, port = self.routers[0].address.rpartition(":")
+        with socket.create_connection((host, int(port)), timeout=30) as connection:
+            for part in parts:
+                connection.sendall(part)
+            response = http.client.HTTPResponse(connection)
+            response.begin()
+            headers = {name.lower(): value for name, value in response.getheaders()}
+            return Reply(status=response.status, headers=headers, body=response.read())
+
+    def test_requests_that_are_refused(self) -> None:
+        router = self.routers[0]
+        large = {"model": MODEL, "messages": ["x" * MAX_BODY]}
+        table: list[tuple[str, Callable[[], Reply], int, str]] = [
+            (
+                "unknown workspace",
+                lambda: self.chat(X_Workspace="nobody"),
+                404,
+                "unknown_workspace",
+            ),
+            ("bad key", lambda: self.call(CHAT_PATH, {}, key="wrong"), 401, "bad_key"),
+            (
+                "key of none",
+                lambda: self.send_raw(
+                    b"POST /v1/chat/completions HTTP/1.1\r\n"
+                    b"Host: x\r\nContent-Length: 2\r\n\r\n{}"
+                ),
+                401,
+                "missing_key",
+            ),
+            ("malformed body", lambda: self.call(CHAT_PATH, {"model": 3}), 400, "malformed_body"),
+            (
+                "unknown model",
+                lambda: self.call(CHAT_PATH, {"model": "z", "messages": [1]}),
+                404,
+                "unknown_model",
+            ),
+            ("oversized body", lambda: self.call(CHAT_PATH, large), 413, "body_too_large"),
+            (
+                "oversized, chunked",
+                lambda: self.send_raw(
+                    make_head(CHAT_PATH, "Transfer-Encoding: chunked"),
+                    b"%x\r\n%b\r\n" % (MAX_BODY + 1, b" " * (MAX_BODY + 1)),
+                    b"0\r\n\r\n",
+                ),
+                413,
+                "body_too_large",
+            ),
+            (
+                "oversized without end",
+                lambda: self.send_raw(
+                    make_head(CHAT_PATH, "Content-Length: 99999999999"), b" " * 1000
+                ),
+                413,
+                "body_too_large",
+            ),
+            (
+                "two lengths",
+                lambda: self.send_raw(
+                    make_head(CHAT_PATH, "Content-Length: 2", "Content-Length: 3"), b"{}"
+                ),
+                400,
+                "malformed_body",
+            ),
+            (
+                "unknown coding",
+                lambda: self.send_raw(make_head(CHAT_PATH, "Transfer-Encoding: gzip, chunked")),
+                400,
+                "malformed_body",
+            ),
+            (
+                "bad chunk",
+                lambda: self.send_raw(
+                    make_head(CHAT_PATH, "Transfer-Encoding: chunked"), b"zz\r\n"
+                ),
+                400,
+                "malformed_body",
+            ),
+            (
+                "deadline past",
+                lambda: self.chat(X_Request_Timeout_Ms="0"),
+                504,
+                "deadline_exceeded",
+            ),
+            (
+                "bad deadline",
+                lambda: self.chat(X_Request_Timeout_Ms="soon"),
+                400,
+                "malformed_header",
+            ),
+            ("unknown path", lambda: self.call("/nothing/here", {}), 404, "unknown_path"),
+            (
+                "wrong method",
+                lambda: call(self.fleet, router, "GET", CHAT_PATH),
+                405,
+                "method_not_allowed",
+            ),
+            (
+                "headers too large",
+                lambda: self.chat(X_Padding="x" * 5000),
+                431,
+                "headers_too_large",
+            ),
+            (
+                "too many headers",
+                lambda: self.send_raw(make_head(CHAT_PATH, *(f"X-H{n}: 1" for n in range(150)))),
+                431,
+                "headers_too_large",
+            ),
+            (
+                "request line too long",
+                lambda: self.send_raw(make_head("/" + "x" * 9000)),
+                414,
+                "uri_too_long",
+            ),
+            ("not HTTP", lambda: self.send_raw(b"hello there you\r\n\r\n"), 400, "bad_request"),
+        ]
+        for name, send, status, code in table:
+            with self.subTest(name):
+                self.assert_typed(send(), status, code, "no")
+        self.assertEqual(chat(self.fleet, router, "after all").status, 200)
+        self.assertNotIn("Traceback", router.read_log())
+
+    def chat(self, **headers: str) -> Reply:
+        return chat(self.fleet, self.routers[0], "x", **headers)
+
+    def call(self, path: str, value: Any, **options: Any) -> Reply:
+        return call(self.fleet, self.routers[0], "POST", path, value, **options)
+
+    def test_no_endpoint_says_when_to_come_back(self) -> None:
+        """All engines refuse; the caller is told that nothing ran and when to try again."""
+        self.play("refuse")
+        reply = self.chat(X_Idempotent="false")
+        self.assertEqual(reply.error["ran"], "no")
+        self.assertGreaterEqual(int(reply.headers["retry-after"]), 1)
+        self.assertGreater(reply.error["retry_after_s"], 0)
+
+
+class AtMostOnceTest(PathCase):
+    """What must not run twice, with an engine that dies after it has read the request."""
+
+    def count_runs(self, key: str) -> int:
+        return sum(
+            seen["idempotency_key"] == key or seen["chat"] == key
+            for seen in self.fleet.read_seen(self.service)
+        )
+
+    def test_keyed_call_whose_outcome_is_unknown_is_never_run_again(self) -> None:
+        """A service reads a keyed quote and dies; the caller sends it again elsewhere.
+
+        Nobody knows whether the quote was made. Every router must say so and none may
+        send it on.
+        """
+        self.fleet.play(self.service, "die")
+        first = self.quote(self.routers[0], Idempotency_Key="quote-a")
+        self.assertEqual(first.error["ran"], "maybe")
+        for router in self.routers[1:]:
+            again = self.quote(router, Idempotency_Key="quote-a")
+            self.assert_typed(again, again.status, "outcome_unknown", "maybe")
+        self.assertEqual(self.count_runs("quote-a"), 1)
+
+    def test_call_without_a_key_is_not_sent_twice(self) -> None:
+        """A POST without a key dies in the service; the caller alone may decide to resend."""
+        self.fleet.play(self.service, "die")
+        reply = self.quote(self.routers[0], X_Chat_Id="quote-b")
+        self.assertEqual((reply.status, reply.error["ran"]), (502, "maybe"))
+        self.assertEqual(self.count_runs("quote-b"), 1)
+
+    def quote(self, router: Member, **headers: str) -> Reply:
+        return call(self.fleet, router, "POST", PLAIN_PATH, {"item": "vase"}, **headers)
--- /dev/null
+++ b/tests/system/test_stop_graceful.py
@@ -0,0 +1,108 @@
+"""The stop of a router as a process: what is in flight is finished, or said to be cut."""
+
+import http.client
+import signal
+import unittest
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import ExitStack
+
+from standins.demo import CALLER_KEY, CHAT_PATH, MODEL, apply_workspace, chat, wait_routed
+from standins.fleet import Fleet, Member, open_fleet
+from tests.system.test_path_own_answer import make_chat, wait_until
+
+STREAMS = 6
+TOKENS = 40
+END_MARK = b"data: [DONE]"
+
+
+class StopCase(unittest.TestCase):
+    """Starts a fleet behind the stand-in balancer for one test."""
+
+    def open(self, *, deadline_s: float, token_ms: int, balancer: bool) -> Fleet:
+        stack = ExitStack()
+        self.addCleanup(stack.close)
+        fleet = stack.enter_context(open_fleet())
+        fleet.settings["stop"] = {"settle_s": 1.5, "deadline_s": deadline_s}
+        fleet.plan_instances(3)
+        fleet.start_instances()
+        fleet.start_endpoint(
+            "engine-1", "--model", MODEL, "--tokens", str(TOKENS), "--token-ms", str(token_ms)
+        )
+        apply_workspace(fleet)
+        wait_routed(fleet)
+        if balancer:
+            fleet.start_balancer()
+        return fleet
+
+    def begin_stream(self, member: Member) -> http.client.HTTPResponse:
+        """Return a stream whose first bytes have come."""
+        connection = http.client.HTTPConnection(member.address, timeout=60)
+        headers = {"Authorization": f"Bearer {CALLER_KEY}"}
+        connection.request("POST", CHAT_PATH, make_chat("s", stream=True), headers)
+        response = connection.getresponse()
+        self.addCleanup(connection.close)
+        self.addCleanup(response.close)
+        self.assertEqual(response.status, 200)
+        self.assertTrue(response.read1(10))
+        return response
+
+
+class GracefulStopTest(StopCase):
+    def test_nothing_is_cut_and_new_requests_are_served(self) -> None:
+        """A router is stopped while the balancer still sends to it and streams run.
+
+        The balancer learns late that it is not ready. Closing the listener at once
+        would refuse callers in those moments; ending the process would cut streams.
+        """
+        fleet = self.open(deadline_s=30.0, token_ms=100, balancer=True)
+        balancer = fleet.members["balancer"]
+        streams = [self.begin_stream(balancer) for _ in range(STREAMS)]
+        leaving = fleet.members["entry-2"]
+        kept = http.client.HTTPConnection(leaving.address, timeout=60)
+        self.addCleanup(kept.close)
+        headers = {"Authorization": f"Bearer {CALLER_KEY}"}
+        kept.request("POST", CHAT_PATH, make_chat("k", stream=True), headers)
+        kept.getresponse().read()
+        leaving.send(signal.SIGTERM)
+        wait_until(lambda: "settling" in leaving.read_log(), "the stop has begun")
+        self.assertEqual(fleet.request("GET", leaving, "/readyz").status, 503)
+        kept.request("POST", CHAT_PATH, make_chat("late", stream=True), headers)
+        late = kept.getresponse()
+        self.assertEqual((late.status, late.headers["Connection"]), (200, "close"))
+        with ThreadPoolExecutor(STREAMS) as workers:
+            more = list(workers.map(lambda n: chat(fleet, balancer, f"n{n}"), range(STREAMS)))
+            rest = list(workers.map(lambda stream: stream.read(), streams))
+        self.assertIn(END_MARK, late.read())
+        self.assertEqual([reply.status for reply in more], [200] * STREAMS)
+        for data in rest:
+            self.assertIn(END_MARK, data)
+        self.assertEqual(leaving.process.wait(30), 0)
+        self.assertIn("nothing cut off", leaving.read_log())
+
+
+class ForcedStopTest(StopCase):
+    def assert_cut(self, leaving: Member, stream: http.client.HTTPResponse) -> None:
+        with self.assertRaises((http.client.IncompleteRead, ConnectionError)):
+            stream.read()
+        self.assertEqual(leaving.process.wait(30), 1)
+        self.assertIn("Stopped with 1 requests cut off", leaving.read_log())
+
+    def test_second_signal_ends_it(self) -> None:
+        """An operator has no time to wait; the log says what was cut."""
+        fleet = self.open(deadline_s=60.0, token_ms=5, balancer=False)
+        leaving = fleet.members["entry-2"]
+        fleet.play(fleet.members["engine-1"], "stall", delay_s=60.0)
+        stream = self.begin_stream(leaving)
+        leaving.send(signal.SIGTERM)
+        wait_until(lambda: "settling" in leaving.read_log(), "the stop has begun")
+        leaving.send(signal.SIGTERM)
+        self.assert_cut(leaving, stream)
+
+    def test_the_deadline_ends_it(self) -> None:
+        """A stream runs longer than the stop may take; the caller sees a cut answer."""
+        fleet = self.open(deadline_s=2.0, token_ms=5, balancer=False)
+        leaving = fleet.members["entry-2"]
+        fleet.play(fleet.members["engine-1"], "stall", delay_s=60.0)
+        stream = self.begin_stream(leaving)
+        leaving.send(signal.SIGTERM)
+        self.assert_cut(leaving, stream)
