Pass on together what arrived together; hold slow and greedy callers

Cause: each streamed token cost a wake-up, a read and a write. Slower streams never wait. Bytes after an answer's end make it broken and its connection is closed.

--- a/chivetrack/components/upstream/client.py
+++ b/chivetrack/components/upstream/client.py
@@ -1,15 +1,19 @@
 """The HTTP client towards endpoints."""
 
 import contextlib
+import time
 from collections.abc import Iterator, Mapping
 
+import gevent
 import urllib3
 from expression import Error, Ok, Result
 
+from chivetrack.components.upstream.chunks import ChunkDecoder, ChunkError
 from chivetrack.components.upstream.const import (
     ATTEMPT_HEADER,
     CONNECT_TIMEOUT_S,
     DID_NOT_RUN_HEADER,
+    PACE_S,
     POOL_SIZE,
     READ_SIZE,
     STREAM_END,
@@ -23,7 +27,7 @@
 )
 
 _NOT_CONNECTED = (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError)
-_BROKEN = (urllib3.exceptions.HTTPError, OSError)
+_BROKEN = (urllib3.exceptions.HTTPError, ChunkError, OSError)
 
 
 class UpstreamAnswer:
@@ -51,8 +55,9 @@
     def read_chunks(self) -> Iterator[bytes]:
         """Yield the body as it comes; raise ``BrokenAnswerError`` if it is not whole."""
         tail = b""
+        chunks = self._read_stream() if self._response.chunked else self._read_blocks()
         try:
-            while chunk := self._read_some():
+            for chunk in chunks:
                 tail = (tail + chunk)[-TAIL_SIZE:]
                 yield chunk
         except _BROKEN as error:
@@ -64,12 +69,43 @@
             self._close_own_pool()
         self._check_end(tail)
 
-    def _read_some(self) -> bytes:
-        # A chunked answer is a stream, whose chunks go on as they come. One with a
-        # length is read in full blocks: read1 does not see its end.
-        if self._response.chunked:
-            return self._response.read1(READ_SIZE, decode_content=False)
-        return self._response.read(READ_SIZE, decode_content=False)
+    def _read_blocks(self) -> Iterator[bytes]:
+        # Read in full blocks: read1 does not see the end of an answer with a length.
+        while chunk := self._response.read(READ_SIZE, decode_content=False):
+            yield chunk
+
+    def _read_stream(self) -> Iterator[bytes]:
+        """Yield what arrived together as one piece, as soon as it is there."""
+        raw = self._response._fp
+        source = raw.fp  # type: ignore[union-attr]
+        decoder = ChunkDecoder()
+        last_read_at = 0.0
+        while True:
+            data = source.read1(READ_SIZE)
+            if not data:
+                raise ChunkError("the answer ended before its last chunk")
+            if payload := decoder.feed(data):
+                yield payload
+            if decoder.is_ended:
+                break
+            last_read_at = self._pace(last_read_at)
+        if decoder.has_rest:
+            raise ChunkError("bytes came after the end of the answer")
+        # The connection is free for the next request: nothing is left on it.
+        raw.close()  # type: ignore[union-attr]
+        self._response.release_conn()
+
+    def _pace(self, last_read_at: float) -> float:
+        """Give a fast stream a moment, so that its next chunks come in one read.
+
+        A wake-up and a write for each chunk cost more than all else. Streams whose
+        chunks are further apart than ``PACE_S`` never wait.
+        """
+        now = time.monotonic()
+        if now - last_read_at >= PACE_S:
+            return now
+        gevent.sleep(PACE_S)
+        return time.monotonic()
 
     def _check_end(self, tail: bytes) -> None:
         # An engine that dies behind a proxy of its own may leave a stream that ends
--- /dev/null
+++ b/tests/components/upstream/test_chunks.py
@@ -0,0 +1,58 @@
+"""The framing of chunked answers, in whatever pieces it arrives."""
+
+import random
+import unittest
+
+from chivetrack.components.upstream.chunks import ChunkDecoder, ChunkError
+
+
+def frame(rng: random.Random, parts: list[bytes]) -> bytes:
+    """Return the chunked form of a body, with extensions and a trailer at times."""
+    lines = []
+    for part in parts:
+        extension = rng.choice([b"", b";a=b"])
+        size = b"%X" % len(part) if rng.random() < 0.5 else b"%x" % len(part)
+        lines.append(size + extension + b"\r\n" + part + b"\r\n")
+    trailer = rng.choice([b"", b"X-Sum: 1\r\n"])
+    return b"".join(lines) + b"0\r\n" + trailer + b"\r\n"
+
+
+class ChunkDecoderTest(unittest.TestCase):
+    def test_any_cuts_give_the_same_body(self) -> None:
+        """A stream arrives in pieces that fall anywhere, also inside a size or a line end.
+
+        The body comes out as it was, not a byte more or less, and the end is told
+        exactly when the last byte of the framing is there.
+        """
+        for seed in range(500):
+            with self.subTest(seed=seed):
+                rng = random.Random(seed)
+                parts = [rng.randbytes(rng.randrange(1, 40)) for _ in range(rng.randrange(8))]
+                data = frame(rng, parts)
+                decoder = ChunkDecoder()
+                body = b""
+                while data:
+                    self.assertFalse(decoder.is_ended)
+                    size = rng.randrange(1, 30)
+                    body += decoder.feed(data[:size])
+                    data = data[size:]
+                self.assertTrue(decoder.is_ended)
+                self.assertFalse(decoder.has_rest)
+                self.assertEqual(body, b"".join(parts))
+
+    def test_framing_that_is_not_understood(self) -> None:
+        table = [
+            ("no size", b"\r\n"),
+            ("sign", b"+5\r\nhello\r\n"),
+            ("underscore", b"1_0\r\n"),
+            ("longer than its size", b"5\r\nhello!\r\n"),
+            ("endless size", b"0" * 100),
+        ]
+        for name, data in table:
+            with self.subTest(name), self.assertRaises(ChunkError):
+                ChunkDecoder().feed(data)
+
+    def test_bytes_after_the_end(self) -> None:
+        decoder = ChunkDecoder()
+        decoder.feed(b"0\r\n\r\nHTTP/1.1")
+        self.assertTrue(decoder.has_rest)
--- /dev/null
+++ b/tests/daemon/test_server.py
@@ -0,0 +1,128 @@
+"""Slow and greedy callers at the HTTP server, over loopback with short limits."""
+
+import json
+import time
+import unittest
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import gevent
+from gevent import socket
+from gevent.event import Event
+
+from chivetrack.components.caller_api.app import CallerApi
+from chivetrack.components.caller_api.gateway import Gateway
+from chivetrack.components.upstream.client import UpstreamClient
+from chivetrack.daemon.server import HttpServer, ServerLimits
+from chivetrack.helpers.telemetry import open_telemetry
+
+LIMITS = ServerLimits(header_timeout_s=0.2, idle_timeout_s=0.3)
+CHUNK = b"x" * 65536
+
+
+class EndlessBody:
+    """A stream without end that counts what is taken of it."""
+
+    def __init__(self) -> None:
+        self.taken = 0
+        self.closed = Event()
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self
+
+    def __next__(self) -> bytes:
+        self.taken += 1
+        return CHUNK
+
+    def close(self) -> None:
+        self.closed.set()
+
+
+class ServerCase(unittest.TestCase):
+    def serve(self, application: Callable[..., Any]) -> socket.socket:
+        """Start a server and return a connection to it."""
+        server = HttpServer(
+            address=("127.0.0.1", 0),
+            application=application,
+            is_closing=lambda: False,
+            limits=LIMITS,
+        )
+        server.start()
+        self.addCleanup(server.stop, timeout=0)
+        connection = socket.create_connection(("127.0.0.1", server.server_port), timeout=10)
+        self.addCleanup(connection.close)
+        return connection
+
+    def serve_callers(self, **options: Any) -> socket.socket:
+        telemetry = self.enterContext(open_telemetry(instance_id="entry-1"))
+        gateway = Gateway(
+            post=lambda event: None,
+            client=UpstreamClient(),
+            telemetry=telemetry,
+            read_clock=time.monotonic,
+            make_id=lambda: "r1",
+            **options,
+        )
+        api = CallerApi(
+            gateway=gateway,
+            announce=lambda body, key: None,
+            is_ready=lambda: True,
+            body_timeout_s=0.2,
+        )
+        return self.serve(api.build())
+
+    def read_error(self, connection: socket.socket) -> tuple[str, dict[str, Any]]:
+        data = b""
+        while received := connection.recv(65536):
+            data += received
+        head, _, body = data.partition(b"\r\n\r\n")
+        return head.decode(), json.loads(body)["error"]
+
+
+class SlowCallerTest(ServerCase):
+    def test_headers_and_bodies_that_do_not_arrive(self) -> None:
+        """A caller begins a request and stops; it must not hold its place for ever."""
+        head = b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+        table = [
+            ("headers", head, "headers_timeout"),
+            ("body", head + b"Content-Length: 9\r\n\r\nabc", "body_timeout"),
+        ]
+        for name, data, code in table:
+            with self.subTest(name):
+                connection = self.serve_callers()
+                connection.sendall(data)
+                status, error = self.read_error(connection)
+                self.assertIn(" 408 ", status)
+                self.assertEqual((error["code"], error["ran"]), (code, "no"))
+
+    def test_caller_that_does_not_read(self) -> None:
+        """A caller asks for a long stream and reads none of it.
+
+        What is taken from the engine stays bounded by the connection's buffers, and
+        after the idle time the stream is closed, which cancels it at the engine.
+        """
+        body = EndlessBody()
+
+        def application(environ: Any, start_response: Any) -> Any:
+            start_response("200 OK", [("Content-Type", "text/plain")])
+            return body
+
+        connection = self.serve(application)
+        connection.sendall(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.assertTrue(body.closed.wait(10))
+        self.assertLess(body.taken * len(CHUNK), 64 * 1024 * 1024)
+
+
+class FullInstanceTest(ServerCase):
+    def test_over_the_limit_nothing_is_run(self) -> None:
+        """A surge fills an instance; one more is refused at once, and may come back."""
+        connection = self.serve_callers(max_open=0)
+        connection.sendall(
+            b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+            b"Content-Length: 2\r\n\r\n{}"
+        )
+        with gevent.Timeout(10):
+            status, error = self.read_error(connection)
+        self.assertIn(" 503 ", status)
+        self.assertIn("Retry-After: 1", status)
+        self.assertEqual((error["code"], error["ran"]), ("instance_full", "no"))
