Add orders to engines under the fencing number of a lease

Change: components/orders asks an engine for its state, sends one order and asks again; steps come from the difference of goal and state. Every order has the number and a time by which it must leave. An engine that does not check the number gets none until the old lease, the drift bound and the delivery time are over. client.py is the HTTP edge.

Ruled out: concluding from an answer that an order was carried out, or from a lost one that it was not; pooled connections (an engine that has just closed one makes "not sent" unknowable); leases of their own for drains and orders (one counter numbers all leases, so the engine would refuse the lower number for good).

Not wired; the stand-in engine does not take orders yet.

--- /dev/null
+++ b/chivetrack/components/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to engines, under the fencing number of a lease."""
--- /dev/null
+++ b/chivetrack/components/orders/client.py
@@ -0,0 +1,99 @@
+"""The HTTP edge of the order desk."""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+import msgspec
+import urllib3
+
+from chivetrack.components.orders import const
+from chivetrack.components.orders.models import (
+    AskEngine,
+    EngineAnswered,
+    EngineState,
+    OrderEnded,
+    OrderOutcome,
+    SendOrder,
+)
+
+_NOT_CONNECTED = (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError)
+_BROKEN = (urllib3.exceptions.HTTPError, OSError)
+_STATES = msgspec.json.Decoder(EngineState, strict=False)
+_HEADERS = {"Content-Type": "application/json"}
+
+
+class OrderClient:
+    """Carries out the desk's effects; each call blocks until its end.
+
+    ``read_clock`` is the clock of the desk's ``now``. Every call has a connection of its
+    own: on a pooled one that the engine has just closed, "not sent" could not be told.
+    """
+
+    def __init__(self, *, read_clock: Callable[[], float]) -> None:
+        """Take the clock."""
+        self._read_clock = read_clock
+
+    def send(self, effect: SendOrder) -> OrderEnded:
+        """Send an order unless it is too late; say how that ended."""
+        outcome, error = self._send(effect)
+        return OrderEnded(
+            endpoint_id=effect.endpoint_id,
+            order_id=effect.order.order_id,
+            outcome=outcome,
+            error=error,
+        )
+
+    def ask(self, effect: AskEngine) -> EngineAnswered:
+        """Ask an engine for its state; no state when there was no clear answer."""
+        state = self._ask(effect)
+        return EngineAnswered(endpoint_id=effect.endpoint_id, ask_id=effect.ask_id, state=state)
+
+    def _send(self, effect: SendOrder) -> tuple[OrderOutcome, str]:
+        now = self._read_clock()
+        if now >= effect.send_by:
+            return OrderOutcome.NOT_SENT, "its time to leave had passed"
+        timeout = urllib3.Timeout(connect=effect.send_by - now, total=effect.answer_by - now)
+        body = msgspec.json.encode(effect.order)
+        try:
+            with _open(effect.address, timeout) as pool:
+                response = pool.request("POST", const.ORDERS_PATH, body=body, headers=_HEADERS)
+        except _NOT_CONNECTED as error:
+            return OrderOutcome.NOT_SENT, str(error)
+        except _BROKEN as error:
+            return OrderOutcome.LOST, str(error)
+        return _judge(response.status), f"status {response.status}"
+
+    def _ask(self, effect: AskEngine) -> EngineState | None:
+        left_s = effect.answer_by - self._read_clock()
+        if left_s <= 0:
+            return None
+        try:
+            with _open(effect.address, urllib3.Timeout(total=left_s)) as pool:
+                response = pool.request("GET", const.STATE_PATH, preload_content=False)
+                data = response.read(const.MAX_STATE_BYTES + 1)
+        except _BROKEN:
+            return None
+        if response.status != 200 or len(data) > const.MAX_STATE_BYTES:
+            return None
+        try:
+            return _STATES.decode(data)
+        except msgspec.MsgspecError:
+            return None
+
+
+def _judge(status: int) -> OrderOutcome:
+    if 200 <= status < 300:
+        return OrderOutcome.ACCEPTED
+    if status == const.STALE_STATUS:
+        return OrderOutcome.STALE
+    # An engine that failed on an order may have begun it.
+    return OrderOutcome.REFUSED if 400 <= status < 500 else OrderOutcome.LOST
+
+
+@contextmanager
+def _open(address: str, timeout: urllib3.Timeout) -> Iterator[urllib3.HTTPConnectionPool]:
+    pool = urllib3.connection_from_url(address, timeout=timeout, retries=False)
+    try:
+        yield pool
+    finally:
+        pool.close()
--- /dev/null
+++ b/chivetrack/components/orders/const.py
@@ -0,0 +1,30 @@
+"""Constants of the orders component; times in seconds."""
+
+from typing import Final
+
+SEND_WITHIN_S: Final = 1.0
+"""An order that has not left by then is dropped: its holder may have lost the lease."""
+
+DELIVERY_S: Final = 2.0
+"""How long what has left may take to reach an engine."""
+
+ANSWER_WITHIN_S: Final = 5.0
+ASK_WITHIN_S: Final = 3.0
+
+FRESH_S: Final = 2.0
+"""An engine's state that is older than this is asked for anew before an order."""
+
+POLL_IDLE_S: Final = 60.0
+POLL_BUSY_S: Final = 1.0
+
+LOOK_INTERVAL_S: Final = 0.25
+
+MAX_OPEN_ASKS: Final = 32
+MAX_REQUESTS: Final = 64
+"""One-time orders that may wait for one engine."""
+
+ORDERS_PATH: Final = "/v1/orders"
+STATE_PATH: Final = "/v1/engine-state"
+STALE_STATUS: Final = 409
+MAX_STATE_BYTES: Final = 1024 * 1024
+"""A longer answer is not a state; reading it would take the daemon's memory."""
--- /dev/null
+++ b/chivetrack/components/orders/desk.py
@@ -0,0 +1,265 @@
+"""Gives orders to engines while the lease is held."""
+
+from collections.abc import Callable, Iterable
+from random import Random
+from typing import Protocol
+
+from chivetrack.components.controllers.backoff import Backoffs
+from chivetrack.components.controllers.const import CLOCK_DRIFT, LEASE_DURATION_S
+from chivetrack.components.controllers.lease import LeaseHolder
+from chivetrack.components.orders import const
+from chivetrack.components.orders.difference import find_step, is_busy
+from chivetrack.components.orders.engine import DeskPhase, EngineRecord
+from chivetrack.components.orders.models import (
+    Artifact,
+    ArtifactPhase,
+    AskEngine,
+    EngineAnswered,
+    EngineState,
+    EngineTarget,
+    Order,
+    OrderEnded,
+    OrderOutcome,
+    OrderRequest,
+    SendOrder,
+)
+from chivetrack.components.orders.requests import (
+    end_all,
+    fail,
+    find_next,
+    make_order,
+    take_ended,
+)
+from chivetrack.core import Effect, Event, WakeAt
+
+
+class LoadAdmission(Protocol):
+    """Decides which engine may load from the weight store now."""
+
+    def admit(self, endpoint_id: str, artifact: Artifact, *, now: float) -> bool:
+        """Tell whether this load may begin; asked again at each look."""
+        ...
+
+
+class OrderDesk:
+    """Level-triggered: asks an engine, sends one order, asks again.
+
+    Hand it events after the lease's holder has had them. ``list_targets`` returns the
+    engines with their goals as they stand.
+    """
+
+    def __init__(
+        self,
+        *,
+        lease: LeaseHolder,
+        list_targets: Callable[[], Iterable[EngineTarget]],
+        admission: LoadAdmission,
+        random: Random,
+    ) -> None:
+        """Start without knowing any engine."""
+        self._lease = lease
+        self._list_targets = list_targets
+        self._admission = admission
+        self._silences = Backoffs(random=random)
+        self._failures = Backoffs(random=random)
+        self._engines: dict[str, EngineRecord] = {}
+        self._term = 0
+        self._sequence = 0
+        self._look_at = float("-inf")
+
+    def get_state(self, endpoint_id: str) -> EngineState | None:
+        """Return what an engine last said in this term, or ``None``."""
+        engine = self._engines.get(endpoint_id)
+        return None if engine is None else engine.state
+
+    def handle(self, event: Event, *, now: float) -> list[Effect]:
+        """Take answers, requests and the time."""
+        if not self._lease.is_held(now):
+            return self._end_term(event)
+        if self._lease.fencing != self._term:
+            self._engines.clear()
+            self._silences.clear()
+            self._failures.clear()
+            self._term = self._lease.fencing
+            self._look_at = now
+        effects = self._take(event, now)
+        if now >= self._look_at:
+            self._look_at = now + const.LOOK_INTERVAL_S
+            self._take_targets()
+            for engine in self._engines.values():
+                effects.extend(self._proceed(engine, now))
+        effects.append(WakeAt(at=self._look_at))
+        return effects
+
+    def _end_term(self, event: Event) -> list[Effect]:
+        effects: list[Effect] = []
+        for engine in self._engines.values():
+            effects.extend(end_all(engine, "the lease was lost"))
+        self._engines.clear()
+        self._term = 0
+        if isinstance(event, OrderRequest):
+            effects.append(fail(event, "this instance does not hold the lease"))
+        return effects
+
+    def _take_targets(self) -> None:
+        targets = {target.endpoint_id: target for target in self._list_targets()}
+        for endpoint_id, target in targets.items():
+            engine = self._engines.get(endpoint_id)
+            if engine is None:
+                self._engines[endpoint_id] = EngineRecord(target=target)
+            elif engine.target != target:
+                engine.replace_target(target)
+        for endpoint_id in [name for name in self._engines if name not in targets]:
+            if not self._engines[endpoint_id].requests:
+                del self._engines[endpoint_id]
+
+    def _take(self, event: Event, now: float) -> list[Effect]:
+        if isinstance(event, OrderRequest):
+            return self._take_request(event, now)
+        if not isinstance(event, OrderEnded | EngineAnswered):
+            return []
+        engine = self._engines.get(event.endpoint_id)
+        if engine is None:
+            return []
+        if isinstance(event, EngineAnswered) and event.ask_id == engine.open_id:
+            self._take_state(engine, event.state, now)
+        if isinstance(event, OrderEnded) and event.order_id == engine.open_id:
+            self._take_order_end(engine, event, now)
+        return self._proceed(engine, now)
+
+    def _take_request(self, request: OrderRequest, now: float) -> list[Effect]:
+        engine = self._engines.get(request.endpoint_id)
+        if engine is None:
+            return [fail(request, f"no engine {request.endpoint_id} is known")]
+        if any(known.request_id == request.request_id for known in engine.requests):
+            return []
+        if len(engine.requests) >= const.MAX_REQUESTS:
+            return [fail(request, "too many orders wait for this engine")]
+        engine.requests.append(request)
+        return self._proceed(engine, now)
+
+    def _take_state(self, engine: EngineRecord, state: EngineState | None, now: float) -> None:
+        engine.forget_state()
+        if state is None or state.incarnation != engine.target.incarnation:
+            self._silences.fail(engine.target.endpoint_id, now)
+            return
+        self._silences.succeed(engine.target.endpoint_id)
+        engine.phase = DeskPhase.KNOWN
+        engine.state = state
+        engine.state_at = now
+        engine.is_outranked = state.fencing > self._term
+        has_failed = any(held.phase is ArtifactPhase.FAILED for held in state.artifacts)
+        if not has_failed and not is_busy(state):
+            self._failures.succeed(engine.target.endpoint_id)
+
+    def _take_order_end(self, engine: EngineRecord, ended: OrderEnded, now: float) -> None:
+        engine.forget_state()
+        if ended.outcome is not OrderOutcome.NOT_SENT:
+            engine.note_sent(ended.order_id)
+        if ended.outcome is not OrderOutcome.ACCEPTED:
+            self._failures.fail(engine.target.endpoint_id, now)
+
+    def _proceed(self, engine: EngineRecord, now: float) -> list[Effect]:
+        effects: list[Effect] = list(take_ended(engine, now))
+        if engine.open_id and now >= engine.open_until:
+            # Lost without a word: what became of it is asked after, not guessed.
+            engine.note_sent(engine.open_id)
+            engine.forget_state()
+            self._silences.fail(engine.target.endpoint_id, now)
+        if engine.phase is DeskPhase.KNOWN:
+            effects.extend(self._order(engine, now))
+        if engine.phase is DeskPhase.UNKNOWN:
+            effects.extend(self._ask(engine, now))
+        return effects
+
+    def _order(self, engine: EngineRecord, now: float) -> list[Effect]:
+        order = self._choose(engine, now) if self._may_order(engine, now) else None
+        if order is None:
+            self._grow_old(engine, now)
+            return []
+        if now >= engine.state_at + const.FRESH_S:
+            engine.forget_state()
+            return []
+        self._note_sent(engine, order, now)
+        return [
+            SendOrder(
+                endpoint_id=engine.target.endpoint_id,
+                address=engine.target.address,
+                order=order,
+                send_by=min(now + const.SEND_WITHIN_S, self._lease.valid_until),
+                answer_by=engine.open_until,
+            )
+        ]
+
+    def _note_sent(self, engine: EngineRecord, order: Order, now: float) -> None:
+        engine.phase = DeskPhase.ORDERING
+        engine.open_id = order.order_id
+        engine.open_until = now + const.ANSWER_WITHIN_S
+        assert engine.state is not None
+        held = None if order.artifact is None else engine.state.find(order.artifact)
+        if held is not None and held.phase is ArtifactPhase.FAILED:
+            # A load that fails at once each time would take the weight store's rate.
+            self._failures.fail(engine.target.endpoint_id, now)
+
+    def _may_order(self, engine: EngineRecord, now: float) -> bool:
+        if engine.is_outranked or not self._failures.allows(engine.target.endpoint_id, now):
+            return False
+        if engine.target.checks_fencing:
+            return True
+        # The former holder may still believe in its lease, and this engine would obey
+        # both: a load beside an unload, in any order. By then its lease is over on its
+        # own slow clock, and what had left has arrived.
+        waited_out = LEASE_DURATION_S * (1.0 + CLOCK_DRIFT) + const.DELIVERY_S
+        return now >= self._lease.acquired_at + waited_out
+
+    def _choose(self, engine: EngineRecord, now: float) -> Order | None:
+        assert engine.state is not None
+        request = find_next(engine)
+        if request is not None:
+            return make_order(request, fencing=self._term)
+        if engine.target.goal is None:
+            return None
+        endpoint_id = engine.target.endpoint_id
+        step = find_step(
+            engine.target.goal,
+            engine.state,
+            may_load=lambda artifact: self._admission.admit(endpoint_id, artifact, now=now),
+        )
+        if step is None:
+            return None
+        return Order(
+            order_id=self._name("order"),
+            fencing=self._term,
+            kind=step.kind,
+            artifact=step.artifact,
+            role=step.role,
+        )
+
+    def _grow_old(self, engine: EngineRecord, now: float) -> None:
+        assert engine.state is not None
+        is_waiting = is_busy(engine.state) or bool(engine.requests)
+        poll_s = const.POLL_BUSY_S if is_waiting else const.POLL_IDLE_S
+        if now >= engine.state_at + poll_s:
+            engine.phase = DeskPhase.UNKNOWN
+
+    def _ask(self, engine: EngineRecord, now: float) -> list[Effect]:
+        if not self._silences.allows(engine.target.endpoint_id, now):
+            return []
+        asking = sum(1 for one in self._engines.values() if one.phase is DeskPhase.ASKING)
+        if asking >= const.MAX_OPEN_ASKS:
+            return []
+        engine.phase = DeskPhase.ASKING
+        engine.open_id = self._name("ask")
+        engine.open_until = now + const.ASK_WITHIN_S
+        return [
+            AskEngine(
+                endpoint_id=engine.target.endpoint_id,
+                address=engine.target.address,
+                ask_id=engine.open_id,
+                answer_by=engine.open_until,
+            )
+        ]
+
+    def _name(self, what: str) -> str:
+        self._sequence += 1
+        return f"{self._lease.name}/{self._term}/{what}/{self._sequence}"
--- /dev/null
+++ b/chivetrack/components/orders/requests.py
@@ -0,0 +1,69 @@
+"""One-time orders: followed by their id until the engine says how they ended."""
+
+from chivetrack.components.orders.engine import EngineRecord
+from chivetrack.components.orders.models import (
+    KnownOrder,
+    Order,
+    OrderPhase,
+    OrderRequest,
+    OrderRequestEnded,
+)
+
+
+def make_order(request: OrderRequest, *, fencing: int) -> Order:
+    """Return the order for a request; its id is the same at every resend."""
+    return Order(
+        order_id=request.request_id,
+        fencing=fencing,
+        kind=request.kind,
+        subject=request.subject,
+        location=request.location,
+    )
+
+
+def find_known(engine: EngineRecord, request: OrderRequest) -> KnownOrder | None:
+    """Return what the engine said of a request, or ``None``."""
+    if engine.state is None:
+        return None
+    known = [order for order in engine.state.orders if order.order_id == request.request_id]
+    return known[0] if known else None
+
+
+def find_next(engine: EngineRecord) -> OrderRequest | None:
+    """Return the oldest request that the engine does not know of."""
+    return next((one for one in engine.requests if find_known(engine, one) is None), None)
+
+
+def take_ended(engine: EngineRecord, now: float) -> list[OrderRequestEnded]:
+    """Remove and return the requests that ended or ran out of time."""
+    ended = [(one, _find_end(engine, one, now)) for one in engine.requests]
+    engine.requests = [one for one, end in ended if end is None]
+    engine.sent -= {one.request_id for one, end in ended if end is not None}
+    return [end for _, end in ended if end is not None]
+
+
+def end_all(engine: EngineRecord, error: str) -> list[OrderRequestEnded]:
+    """Return the ends of all requests of an engine that this instance gives up."""
+    return [_give_up(engine, request, error) for request in engine.requests]
+
+
+def fail(request: OrderRequest, error: str) -> OrderRequestEnded:
+    """Return the end of a request that certainly did not run."""
+    return OrderRequestEnded(request_id=request.request_id, phase=OrderPhase.FAILED, error=error)
+
+
+def _find_end(engine: EngineRecord, request: OrderRequest, now: float) -> OrderRequestEnded | None:
+    known = find_known(engine, request)
+    if known is not None and known.phase is not OrderPhase.RUNNING:
+        return OrderRequestEnded(
+            request_id=request.request_id, phase=known.phase, error=known.error
+        )
+    if now >= request.deadline:
+        return _give_up(engine, request, "the deadline passed")
+    return None
+
+
+def _give_up(engine: EngineRecord, request: OrderRequest, error: str) -> OrderRequestEnded:
+    if not engine.may_know(request) and find_known(engine, request) is None:
+        return fail(request, error)
+    return OrderRequestEnded(request_id=request.request_id, phase=None, error=error)
--- a/tests/components/controllers/simulation.py
+++ b/tests/components/controllers/simulation.py
@@ -43,7 +43,7 @@
     """One process; ``rate`` is how fast its clock runs."""
 
     name: str
-    loop: ControllerLoop
+    loop: Any
     table: ResourceTable
     controller: Any
     rate: float = 1.0
@@ -77,7 +77,9 @@
         self.applied: list[tuple[Command, Any]] = []
         self.proposed_at: dict[str, float] = {}
         self.on_apply: Callable[[Command, Any], None] = lambda command, outcome: None
+        self.on_effect: Callable[[Instance, Effect], None] = lambda instance, effect: None
         self.instances: list[Instance] = []
+        self.make_loop: Callable[..., Any] = ControllerLoop
         self._make_controller = make_controller
         self._lease = lease
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
@@ -95,7 +97,7 @@
         controller = self._make_controller(table, to_wall_ms)
         lease = LeaseHolder(name=self._lease, instance_run=f"{name}/1", random=self.random)
         started_at = offset + self.time * rate - (1000.0 if warm else 0.0)
-        loop = ControllerLoop(
+        loop = self.make_loop(
             controller=controller,
             lease=lease,
             get_revision=lambda: table.revision,
@@ -129,6 +131,11 @@
         """Delete a resource."""
         return self.apply(Delete(Stamp(0), kind, name))
 
+    def call_later(self, network: Network, act: Callable[[], None]) -> None:
+        """Call after a delay of the network, or never if it loses the message."""
+        if self.random.random() >= network.loss:
+            self._later(network, act)
+
     def find_holders(self) -> list[str]:
         """Return who would act now if it were given an event."""
         return [
@@ -157,6 +164,8 @@
             self._send(instance, effect, lambda: self._apply_packed(effect.data))
         elif isinstance(effect, ConfirmRevision):
             self._send(instance, effect, lambda: b"")
+        else:
+            self.on_effect(instance, effect)
 
     def _send(
         self, instance: Instance, effect: Propose | ConfirmRevision, act: Callable[[], bytes]
--- /dev/null
+++ b/tests/components/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the orders component."""
--- /dev/null
+++ b/tests/components/orders/test_client.py
@@ -0,0 +1,97 @@
+"""The HTTP edge of orders against broken answers, as tables."""
+
+import socket
+import time
+import unittest
+
+import msgspec
+
+from chivetrack.components.orders import const
+from chivetrack.components.orders.client import OrderClient
+from chivetrack.components.orders.models import (
+    ArtifactPhase,
+    AskEngine,
+    EngineState,
+    HeldArtifact,
+    Order,
+    OrderKind,
+    OrderOutcome,
+    SendOrder,
+)
+from tests.components.orders.engines import make_model
+from tests.components.upstream.server import Script, Stall, open_server
+
+MODEL = make_model("m1")
+STATE = EngineState(
+    incarnation=3,
+    fencing=7,
+    artifacts=(HeldArtifact(artifact=MODEL, phase=ArtifactPhase.LOADING),),
+)
+
+
+def make_send(address: str, *, left_s: float = 0.5) -> SendOrder:
+    now = time.monotonic()
+    return SendOrder(
+        endpoint_id="e1",
+        address=address,
+        order=Order(order_id="o1", fencing=7, kind=OrderKind.LOAD, artifact=MODEL),
+        send_by=now + left_s,
+        answer_by=now + 0.5,
+    )
+
+
+def make_answer(status: str, body: bytes = b"") -> bytes:
+    head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+class ClientTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.client = OrderClient(read_clock=time.monotonic)
+
+    def test_orders(self) -> None:
+        """Only what certainly has not left counts as not sent; no answer tells nothing."""
+        table = [
+            ("taken", [make_answer("202")], OrderOutcome.ACCEPTED),
+            ("old number", [make_answer("409")], OrderOutcome.STALE),
+            ("not understood", [make_answer("400")], OrderOutcome.REFUSED),
+            ("failed on the way", [make_answer("500")], OrderOutcome.LOST),
+            ("closed without an answer", [], OrderOutcome.LOST),
+            ("silent", [Stall()], OrderOutcome.LOST),
+        ]
+        for title, parts, outcome in table:
+            with self.subTest(title), open_server(Script([parts])) as server:
+                ended = self.client.send(make_send(server.address))
+                self.assertEqual((outcome, "o1"), (ended.outcome, ended.order_id))
+                self.assertIn(b'"fencing":7', server.requests[0] if server.requests else b"")
+
+    def test_late_order_does_not_leave(self) -> None:
+        """The process was frozen between decision and send; the lease is over by now."""
+        with open_server(Script([[make_answer("202")]])) as server:
+            ended = self.client.send(make_send(server.address, left_s=-0.1))
+            self.assertIs(OrderOutcome.NOT_SENT, ended.outcome)
+            self.assertEqual(0, server.connections)
+
+    def test_nobody_listens(self) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as closed:
+            address = f"http://127.0.0.1:{closed.getsockname()[1]}"
+        self.assertIs(OrderOutcome.NOT_SENT, self.client.send(make_send(address)).outcome)
+
+    def test_states(self) -> None:
+        """An answer that is no whole state is no answer: nothing is concluded from it."""
+        body = msgspec.json.encode(STATE)
+        table = [
+            ("state", make_answer("200", body), STATE),
+            ("not JSON", make_answer("200", b"hello"), None),
+            ("another shape", make_answer("200", b"[]"), None),
+            ("error", make_answer("500", body), None),
+            ("cut", make_answer("200", body)[:-5], None),
+            ("too long", make_answer("200", body + b" " * const.MAX_STATE_BYTES), None),
+        ]
+        for title, answer, state in table:
+            with self.subTest(title), open_server(Script([[answer]])) as server:
+                answer_by = time.monotonic() + 0.5
+                ask = AskEngine(
+                    endpoint_id="e1", address=server.address, ask_id="a1", answer_by=answer_by
+                )
+                self.assertEqual(state, self.client.ask(ask).state)
--- /dev/null
+++ b/tests/components/orders/test_orders_fuzz.py
@@ -0,0 +1,113 @@
+"""Orders under faults: never an old number accepted, and in the end the goal is reached."""
+
+import unittest
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from chivetrack.components.orders.models import EngineGoal
+from tests.components.controllers.simulation import Instance, Network
+from tests.components.orders.engines import Engine, EngineRoom, make_adapter, make_model
+from tests.components.store.fuzzing import make_settings
+
+MODELS = [make_model("m1", "1"), make_model("m1", "2"), make_model("m2")]
+ADAPTERS = [make_adapter("a1", "m1"), make_adapter("a2", "m2")]
+NAMES = ["checking", "trusting"]
+
+
+class OrderMachine(RuleBasedStateMachine):
+    """Three instances order two engines about; one of them does not check fencing.
+
+    Whatever is frozen, killed, delayed, lost or restarted, the numbers that an engine
+    obeys never fall. Once the faults end, each engine holds what its goal says.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.engines = [Engine("checking"), Engine("trusting", checks=False)]
+        for engine in self.engines:
+            engine.goal = EngineGoal(artifacts=frozenset())
+        self.room = EngineRoom(self.engines)
+        self.started = 0
+
+    @initialize(seed=st.integers(0, 1000))
+    def begin(self, seed: int) -> None:
+        self.room.simulation.random.seed(seed)
+        for _ in range(3):
+            self.start_instance()
+        self.room.run(1.0)
+
+    def start_instance(self) -> None:
+        self.started += 1
+        rate = (0.995, 1.0, 1.005)[self.started % 3]
+        self.room.simulation.add(f"i{self.started}", rate=rate)
+
+    def get_live(self) -> list[Instance]:
+        return [one for one in self.room.simulation.instances if not one.is_dead]
+
+    @rule(
+        pick=st.integers(0, 1),
+        artifacts=st.frozensets(st.sampled_from([*MODELS, *ADAPTERS]), max_size=3),
+        role=st.sampled_from(["", "decode", "prefill"]),
+    )
+    def set_goal(self, pick: int, artifacts: frozenset, role: str) -> None:
+        models = {artifact.name for artifact in artifacts if not artifact.model}
+        fitting = frozenset(a for a in artifacts if not a.model or a.model in models)
+        self.engines[pick].goal = EngineGoal(artifacts=fitting, role=role)
+
+    @rule(seconds=st.sampled_from([0.3, 1.0, 5.0, 15.0]))
+    def wait(self, seconds: float) -> None:
+        self.room.run(seconds)
+
+    @rule(delay=st.sampled_from([0.02, 1.0, 4.0]), loss=st.sampled_from([0.0, 0.3]))
+    def disturb_orders(self, delay: float, loss: float) -> None:
+        self.room.network = Network(delay=(0.0, delay), loss=loss)
+
+    @rule(
+        pick=st.integers(0, 2),
+        delay=st.sampled_from([0.02, 2.0, 8.0]),
+        loss=st.sampled_from([0.0, 0.4]),
+    )
+    def disturb_log(self, pick: int, delay: float, loss: float) -> None:
+        network = Network(delay=(0.0, delay), loss=loss, doubling=0.3)
+        self.get_live()[pick].network = network
+
+    @rule(pick=st.integers(0, 2))
+    def freeze_or_wake(self, pick: int) -> None:
+        instance = self.get_live()[pick]
+        instance.is_frozen = not instance.is_frozen
+
+    @rule(pick=st.integers(0, 2))
+    def kill(self, pick: int) -> None:
+        self.get_live()[pick].is_dead = True
+        self.start_instance()
+
+    @rule(pick=st.integers(0, 1))
+    def restart_engine(self, pick: int) -> None:
+        self.engines[pick].restart()
+
+    @invariant()
+    def numbers_never_fall(self) -> None:
+        for name, numbers in self.room.arrived.items():
+            assert numbers == sorted(numbers), f"{name} obeyed {numbers}"
+
+    def teardown(self) -> None:
+        self.room.network = Network()
+        for instance in self.get_live():
+            instance.network = Network()
+            instance.is_frozen = False
+        self.room.run(150.0)
+        self.numbers_never_fall()
+        for engine in self.engines:
+            assert engine.goal is not None
+            held = engine.list_ready(self.room.simulation.time)
+            assert held == engine.goal.artifacts, f"{engine.name} holds {held}"
+            assert engine.goal.role in ("", engine.role)
+
+
+class OrderFuzzTest(OrderMachine.TestCase):  # type: ignore[misc,name-defined]
+    settings = make_settings(25, steps=30)
+
+
+if __name__ == "__main__":
+    unittest.main()
