Let questions to engines carry the fencing number

Cause: an order of the former holder that the network still held could arrive after the next holder had asked what the engine has, and make that answer wrong. Change: the question carries the number, so a checking engine refuses older orders from then on. Ruled out: an empty order for the same purpose, which is one more message for each engine. Conclusion: with checking engines an answer stays true until this holder's own next order.

--- a/chivetrack/components/orders/client.py
+++ b/chivetrack/components/orders/client.py
@@ -69,7 +69,10 @@
             return None
         try:
             with _open(effect.address, urllib3.Timeout(total=left_s)) as pool:
-                response = pool.request("GET", const.STATE_PATH, preload_content=False)
+                fields = {const.FENCING_FIELD: str(effect.fencing)}
+                response = pool.request(
+                    "GET", const.STATE_PATH, fields=fields, preload_content=False
+                )
                 data = response.read(const.MAX_STATE_BYTES + 1)
         except _BROKEN:
             return None
--- a/chivetrack/components/orders/const.py
+++ b/chivetrack/components/orders/const.py
@@ -25,6 +25,7 @@
 
 ORDERS_PATH: Final = "/v1/orders"
 STATE_PATH: Final = "/v1/engine-state"
+FENCING_FIELD: Final = "fencing"
 STALE_STATUS: Final = 409
 MAX_STATE_BYTES: Final = 1024 * 1024
 """A longer answer is not a state; reading it would take the daemon's memory."""
--- a/chivetrack/components/orders/desk.py
+++ b/chivetrack/components/orders/desk.py
@@ -72,6 +72,11 @@
         engine = self._engines.get(endpoint_id)
         return None if engine is None else engine.state
 
+    def get_state_at(self, endpoint_id: str) -> float:
+        """Return when an engine last said something in this term."""
+        engine = self._engines.get(endpoint_id)
+        return float("-inf") if engine is None else engine.state_at
+
     def handle(self, event: Event, *, now: float) -> list[Effect]:
         """Take answers, requests and the time."""
         if not self._lease.is_held(now):
@@ -208,7 +213,7 @@
             return True
         # The former holder may still believe in its lease, and this engine would obey
         # both: a load beside an unload, in any order. By then its lease is over on its
-        # own slow clock, and what had left has arrived.
+        # own slow clock, and what had left has arrived. A state from before may not show it.
         waited_out = LEASE_DURATION_S * (1.0 + CLOCK_DRIFT) + const.DELIVERY_S
         return now >= self._lease.acquired_at + waited_out
 
@@ -256,6 +261,7 @@
                 endpoint_id=engine.target.endpoint_id,
                 address=engine.target.address,
                 ask_id=engine.open_id,
+                fencing=self._term,
                 answer_by=engine.open_until,
             )
         ]
--- a/chivetrack/components/orders/models.py
+++ b/chivetrack/components/orders/models.py
@@ -90,13 +90,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EngineState:
-    """What an engine says of itself when asked."""
+    """What an engine says of itself when asked; 0 ``memory_bytes`` means unknown."""
 
     incarnation: int
     fencing: int = 0
     role: str = ""
     artifacts: tuple[HeldArtifact, ...] = ()
     orders: tuple[KnownOrder, ...] = ()
+    memory_bytes: int = 0
 
     def find(self, artifact: Artifact) -> HeldArtifact | None:
         """Return what the engine says of an artifact, or ``None``."""
@@ -139,11 +140,16 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class AskEngine(Effect):
-    """Ask an engine for its state; answered by ``EngineAnswered``."""
+    """Ask an engine for its state; answered by ``EngineAnswered``.
+
+    The question carries the fencing number too: an engine that checks refuses from then
+    on what an earlier holder sent and the network still holds.
+    """
 
     endpoint_id: str
     address: str
     ask_id: str
+    fencing: int
     answer_by: float
 
 
--- a/tests/components/orders/engines.py
+++ b/tests/components/orders/engines.py
@@ -181,6 +181,8 @@
     def ask(self, instance: Instance, effect: AskEngine) -> None:
         def arrive() -> None:
             engine = self.engines[effect.endpoint_id]
+            if engine.checks:
+                engine.fencing = max(engine.fencing, effect.fencing)
             state = engine.describe(self.simulation.time)
             self.answer(
                 instance,
--- a/tests/components/orders/test_client.py
+++ b/tests/components/orders/test_client.py
@@ -92,6 +92,11 @@
             with self.subTest(title), open_server(Script([[answer]])) as server:
                 answer_by = time.monotonic() + 0.5
                 ask = AskEngine(
-                    endpoint_id="e1", address=server.address, ask_id="a1", answer_by=answer_by
+                    endpoint_id="e1",
+                    address=server.address,
+                    ask_id="a1",
+                    fencing=7,
+                    answer_by=answer_by,
                 )
                 self.assertEqual(state, self.client.ask(ask).state)
+                self.assertIn(b"?fencing=7 ", server.requests[0])
--- a/tests/components/orders/test_orders.py
+++ b/tests/components/orders/test_orders.py
@@ -222,6 +222,14 @@
         self.assertIs(OrderOutcome.STALE, engine.take(late, self.room.simulation.time))
         self.assertEqual({SECOND}, engine.list_ready(self.room.simulation.time))
 
+    def test_question_of_the_next_holder_shuts_out_the_former(self) -> None:
+        """The next holder asked, saw no load, and decides; the former one's load comes then."""
+        engine = Engine("e1", goal=make_goal())
+        self.start(engine)
+        self.room.run(5.0)
+        late = Order(order_id="late", fencing=0, kind=OrderKind.LOAD, artifact=FIRST)
+        self.assertIs(OrderOutcome.STALE, engine.take(late, self.room.simulation.time))
+
     def test_outranked_holder_gives_way(self) -> None:
         """Its own clock says that it holds the lease, an engine has seen a higher number."""
         engine = Engine("e1", goal=make_goal(FIRST), fencing=99)
