--- a/tests/components/storage/test_storage.py
+++ b/tests/components/storage/test_storage.py
@@ -200,6 +200,8 @@
                     file.unlink()
                 with self.assertRaises(DamagedFileError), open_storage(path=path):
                     pass
+                with self.assertRaises(FolderExistsError):
+                    create_folder(path, identity=IDENTITY)
 
     def test_damaged_snapshot_refuses_to_start(self) -> None:
         snapshot = next(self.path.glob("snapshot-*"))
