Spread new incarnations although old announcements are still carried

A new incarnation that had to wait for the backlog was only spread once nobody carried anything of the endpoint, and the backlog never emptied, since values that all peers were known to have stayed in it. Other routers showed the endpoint as leaving for as long as 4 s and more.

Change: what is waiting is spread unless someone carries the same announcement; what all peers have is dropped from the outbox. Renewals go in parts of 8, ahead of large load counts.

The budget's window has a millisecond for the rounding of clocks.

--- a/chivetrack/components/endpoints/spread.py
+++ b/chivetrack/components/endpoints/spread.py
@@ -60,7 +60,7 @@
         """Publish what nobody does, as far as the backlog allows."""
         for record in records:
             is_live = now < record.direct_at + record.announcement.lease_s
-            if is_live and not record.carriers:
+            if is_live:
                 self.spread_body(record, now=now)
 
     def _retract_other(self, record: Record, *, now: float) -> None:
@@ -92,11 +92,15 @@
             self._gossip.publish(TOPIC_RENEWAL, _name_chunk(index), payload, Urgency.LOAD, now=now)
 
 
-_CHUNK = 48
+_CHUNK = 8
 
 
 def _chunk(renewals: tuple[Renewal, ...]) -> list[tuple[Renewal, ...]]:
-    """Split the list so that each part fits into a frame; never empty."""
+    """Split the list, never into nothing.
+
+    Small parts get ahead of large load counts: a late renewal takes an endpoint off the
+    list, a late count only makes a choice worse.
+    """
     starts = range(0, max(1, len(renewals)), _CHUNK)
     return [renewals[start : start + _CHUNK] for start in starts]
 
--- a/chivetrack/components/gossip/const.py
+++ b/chivetrack/components/gossip/const.py
@@ -11,7 +11,8 @@
 # connection. TCP and IP headers are not counted.
 TRANSPORT_OVERHEAD_BYTES: Final = 184
 
-WINDOW_S: Final = 1.0
+# A second, and a millisecond for the rounding of clock times.
+WINDOW_S: Final = 1.001
 # Ordinary news gets this share of the budget, and at most that of a second at once;
 # the rest is for urgent news and for probes.
 PACED_SHARE: Final = 0.88
--- a/chivetrack/components/gossip/selection.py
+++ b/chivetrack/components/gossip/selection.py
@@ -151,6 +151,17 @@
                 wanted.add(rank, value)
         return wanted
 
+    def list_topics(self) -> frozenset[str]:
+        """Return the topics of the hot values."""
+        return frozenset(value.key.topic for value in self._hot)
+
+    def drop_known(self, peers: frozenset[str], *, topics: frozenset[str] | None) -> None:
+        """Stop sending on what all ``peers``, who are told of ``topics``, are known to have."""
+        known = [value for value in self._hot if peers <= value.known]
+        for value in known:
+            if topics is None or value.key.topic in topics:
+                del self._hot[value]
+
     def count_ordinary(self) -> int:
         """Return how many values of ordinary urgency are still being sent on."""
         return sum(1 for v in self._hot if v.current and v.urgency > Urgency.LOAD)
--- a/chivetrack/components/gossip/sender.py
+++ b/chivetrack/components/gossip/sender.py
@@ -100,6 +100,7 @@
         jitter = 1 + TICK_JITTER * (2 * self._random.random() - 1)
         self._next_tick = now + self._tick_s * jitter
         self._ticks += 1
+        self._drop_known()
         effects: list[Effect] = []
         for peer in self._choose_peers(now):
             if self._frames.get_level(now) < 1:
@@ -109,6 +110,15 @@
         effects.append(WakeAt(at=self._next_tick))
         return effects
 
+    def _drop_known(self) -> None:
+        """Clear out what needs no sending, or it would count as backlog for ever."""
+        near, far = frozenset(self._near.members), frozenset(self._far.members)
+        if near and not far:
+            self._outbox.drop_known(near, topics=None)
+        elif near:
+            self._outbox.drop_known(near | far, topics=self._fleet_topics)
+            self._outbox.drop_known(near, topics=self._outbox.list_topics() - self._fleet_topics)
+
     def _choose_peers(self, now: float) -> list[str]:
         if self._greetings and self._ticks % GREET_EVERY == 0:
             return [next(iter(self._greetings))]
