--- a/tests/components/endpoints/test_registry.py
+++ b/tests/components/endpoints/test_registry.py
@@ -124,3 +124,26 @@
             self.fleet.gossips["router-0"].handle(event, now=float(second))
             registry.handle(TimeReached(), now=float(second))
         self.assertEqual(self.fleet.list_availability("router-0"), {})
+
+    def test_a_new_incarnation_is_back_everywhere_in_seconds(self) -> None:
+        """Endpoints of a quiet small fleet leave and come back as a new incarnation.
+
+        Others still carry the old one, and what everyone has counts as no backlog; if
+        either put off the news, the endpoint would stay out at all routers but one.
+        """
+        fleet = self.fleet = EndpointFleet(3)
+        names = tuple(f"e-{index}" for index in range(6))
+        self.announce_for(16, names, fleet.names)
+        for step, name in enumerate(names):
+            router = fleet.names[step % 3]
+            fleet.announce(router, make_announcement(name, state=LEAVING))
+            fleet.network.run_for(1)
+            for index in range(8):
+                payload = bytes([step]) * 100
+                fleet.gossips[router].publish(
+                    "other", f"{index}", payload, Urgency.ANNOUNCEMENT, now=fleet.network.now
+                )
+            fleet.announce(router, make_announcement(name, incarnation=2))
+            fleet.network.run_for(3)
+            for viewer in fleet.names:
+                self.assertIs(fleet.list_availability(viewer).get(name), READY, (viewer, name))
