--- a/tests/daemon/test_server.py
+++ b/tests/daemon/test_server.py
@@ -95,6 +95,22 @@
                 self.assertIn(" 408 ", status)
                 self.assertEqual((error["code"], error["ran"]), (code, "no"))
 
+    def test_caller_that_sends_without_end(self) -> None:
+        """A caller announces a body over the limit and sends on and on.
+
+        It is refused at once; read to its end, as the library does, the body would
+        take a greenlet and the network for as long as the caller likes.
+        """
+        connection = self.serve_callers()
+        connection.sendall(
+            b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 999999999999\r\n\r\n"
+        )
+        sent = 0
+        with self.assertRaises(OSError):
+            while sent < 256 * 1024 * 1024:
+                sent += connection.send(CHUNK)
+                gevent.sleep(0)
+
     def test_caller_that_does_not_read(self) -> None:
         """A caller asks for a long stream and reads none of it.
 
