Keep models and adapters in place on engines

Change: components/model_placement turns them and what engines say into a goal for each engine, which the order desk carries out under the same lease.

Found by the tests and mended before this commit: an engine that answered late was given a goal that was planned while it was unknown, and unloaded a copy that served.

Not done: copies by workspace demand (the count in the specification is used as it is), rebalancing of copies that are in place, wiring.

--- /dev/null
+++ b/chivetrack/components/model_placement/__init__.py
@@ -0,0 +1,1 @@
+"""Keeps models and adapters in place on engines."""
--- /dev/null
+++ b/chivetrack/components/model_placement/memory.py
@@ -0,0 +1,101 @@
+"""What the placement remembers within a term: losses, copies on their way out, soaks."""
+
+from collections.abc import Iterable, Mapping
+
+from chivetrack.components.model_placement import const
+from chivetrack.components.model_placement.models import EngineView, Wanted
+from chivetrack.components.orders.models import Artifact, ArtifactName, ArtifactPhase
+
+_Place = tuple[ArtifactName, str]
+
+
+class TermMemory:
+    """Starts empty with each term; that only makes the controller wait longer."""
+
+    def __init__(self, *, started_at: float) -> None:
+        """Begin a term."""
+        self._started_at = started_at
+        self._lost_at: dict[_Place, float | None] = {}
+        self._most_seen: dict[ArtifactName, int] = {}
+        self._leaving_since: dict[_Place, float] = {}
+        self._serving_since: dict[Artifact, float] = {}
+
+    def note_copies(self, wanted: Wanted, engines: Iterable[EngineView], *, now: float) -> None:
+        """Look where copies are, which are lost, and how long the new version serves."""
+        name = wanted.artifact.get_name()
+        by_id = {engine.endpoint_id: engine for engine in engines}
+        for endpoint_id, engine in by_id.items():
+            if engine.is_usable and engine.state is not None:
+                if engine.find(wanted) is not None:
+                    self._lost_at[(name, endpoint_id)] = None
+                else:
+                    self._lost_at.pop((name, endpoint_id), None)
+        for place, lost_at in self._lost_at.items():
+            known = by_id.get(place[1])
+            if place[0] == name and lost_at is None and (known is None or not known.is_usable):
+                self._lost_at[place] = now
+        self._note_serving(wanted, by_id.values(), now)
+
+    def count_absent(self, wanted: Wanted, holders: int, *, now: float) -> int:
+        """Return how many copies are lost and not yet to be replaced.
+
+        An engine that restarts is back within seconds; replaced at once, its copies would
+        be loaded twice, and a switch that blinks would reload a whole zone.
+        """
+        name = wanted.artifact.get_name()
+        most_seen = max(holders, self._most_seen.get(name, 0))
+        self._most_seen[name] = most_seen
+        absent = sum(
+            1
+            for (owner, _), lost_at in self._lost_at.items()
+            if owner == name and lost_at is not None and now < lost_at + const.REPAIR_DELAY_S
+        )
+        if wanted.good is not None and now < self._started_at + const.REPAIR_DELAY_S:
+            # What this holder has never seen may have been lost just before its term.
+            absent += max(0, wanted.copies - most_seen)
+        return absent
+
+    def is_soaked(self, artifact: Artifact, *, now: float) -> bool:
+        """Tell whether a version has served somewhere for long enough."""
+        since = self._serving_since.get(artifact)
+        return since is not None and now >= since + const.SOAK_S
+
+    def list_leaving(self, wanted: Wanted) -> set[str]:
+        """Return the engines from which a copy is or may be on its way out."""
+        name = wanted.artifact.get_name()
+        return {place[1] for place in self._leaving_since if place[0] == name}
+
+    def note_goals(
+        self,
+        wanted: Wanted,
+        engines: Iterable[EngineView],
+        goals: Mapping[str, Artifact],
+        *,
+        now: float,
+    ) -> None:
+        """Remember which copies the goals take away.
+
+        The unload may be under way while the engine's last word is still "ready":
+        counted as such, a second copy would be taken beside it, below the floor.
+        """
+        name = wanted.artifact.get_name()
+        for engine in engines:
+            place = (name, engine.endpoint_id)
+            held = engine.find(wanted)
+            if held is None:
+                self._leaving_since.pop(place, None)
+            elif engine.is_usable and goals.get(engine.endpoint_id) != held.artifact:
+                self._leaving_since[place] = now
+            elif engine.state_at > self._leaving_since.get(place, now) + const.SETTLE_S:
+                self._leaving_since.pop(place, None)
+
+    def _note_serving(self, wanted: Wanted, engines: Iterable[EngineView], now: float) -> None:
+        if any(_serves(engine, wanted.artifact) for engine in engines):
+            self._serving_since.setdefault(wanted.artifact, now)
+        else:
+            self._serving_since.pop(wanted.artifact, None)
+
+
+def _serves(engine: EngineView, artifact: Artifact) -> bool:
+    held = None if engine.state is None else engine.state.find(artifact)
+    return held is not None and held.phase is ArtifactPhase.READY and engine.is_healthy
--- /dev/null
+++ b/chivetrack/components/model_placement/report.py
@@ -0,0 +1,60 @@
+"""The status of a model or an adapter, from what was planned."""
+
+from dataclasses import replace
+
+import msgspec
+
+from chivetrack.components.controllers.models import WriteStatus
+from chivetrack.components.model_placement.const import MAX_EVENTS
+from chivetrack.components.model_placement.models import (
+    ItemPlan,
+    PlacementEvent,
+    PlacementPhase,
+    PlacementReport,
+    Wanted,
+)
+
+
+def write_report(wanted: Wanted, plan: ItemPlan, *, wall_ms: int) -> WriteStatus | None:
+    """Return the write of the new status, or ``None`` if it stays as it is."""
+    before = wanted.report or PlacementReport()
+    after = _make_report(wanted, plan, before)
+    if after == wanted.report:
+        return None
+    if (after.phase, after.reason) != (before.phase, before.reason) or wanted.report is None:
+        event = PlacementEvent(at_ms=wall_ms, phase=after.phase, reason=after.reason)
+        after = replace(after, events=(*before.events, event)[-MAX_EVENTS:])
+    return WriteStatus(
+        kind=wanted.kind,
+        name=wanted.record.name,
+        status=msgspec.msgpack.encode(after),
+        precondition=wanted.record.status_revision,
+    )
+
+
+def _make_report(wanted: Wanted, plan: ItemPlan, before: PlacementReport) -> PlacementReport:
+    version = wanted.artifact.version
+    counts = replace(before, ready=plan.ready, wanted=wanted.copies)
+    if plan.failed_on:
+        return replace(
+            counts,
+            phase=PlacementPhase.HALTED,
+            reason=f"version {version} failed on {plan.failed_on}; nothing more moves to it",
+            halted_version=version,
+        )
+    if wanted.is_halted:
+        return replace(counts, phase=PlacementPhase.HALTED)
+    if plan.is_complete:
+        return replace(
+            counts,
+            phase=PlacementPhase.STEADY,
+            reason=f"version {version} is in place",
+            good_version=version,
+            good_weights=wanted.artifact.weights,
+            halted_version="",
+        )
+    if wanted.is_rolling:
+        reason = f"version {version} replaces {before.good_version}"
+        return replace(counts, phase=PlacementPhase.ROLLING, reason=reason, halted_version="")
+    reason = f"version {version} is being loaded where it is missing"
+    return replace(counts, phase=PlacementPhase.PLACING, reason=reason, halted_version="")
--- /dev/null
+++ b/chivetrack/components/model_placement/rollout.py
@@ -0,0 +1,173 @@
+"""Where the copies of one model or adapter go, as a function of what is."""
+
+from collections import Counter
+from collections.abc import Callable, Collection, Sequence
+from zlib import crc32
+
+from chivetrack.components.model_placement.const import MAX_CHANGES
+from chivetrack.components.model_placement.models import EngineView, ItemPlan, Wanted
+from chivetrack.components.orders.models import Artifact, ArtifactPhase
+
+
+class Rollout:
+    """Plans one item; engines that hold a copy keep it unless there is a reason.
+
+    ``leaving`` are engines from which a copy is being taken: they don't count as ready,
+    whatever they said last. ``absent`` copies are lost but may come back, and are not
+    replaced yet. ``is_soaked``: the first copy of a new version has served long enough.
+    """
+
+    def __init__(
+        self,
+        *,
+        wanted: Wanted,
+        engines: Sequence[EngineView],
+        leaving: Collection[str],
+        absent: int,
+        is_soaked: bool,
+        has_room: Callable[[EngineView], bool],
+    ) -> None:
+        """Take what is known."""
+        self._wanted = wanted
+        self._engines = {engine.endpoint_id: engine for engine in engines if engine.is_usable}
+        self._leaving = leaving
+        self._absent = absent
+        self._is_soaked = is_soaked
+        self._has_room = has_room
+        self._goals: dict[str, Artifact] = {}
+        self._ready = {
+            name
+            for name, engine in self._engines.items()
+            if engine.has_ready(wanted) and name not in leaving
+        }
+
+    def plan(self) -> ItemPlan:
+        """Return the goals."""
+        self._keep()
+        failed_on = self._find_failure()
+        if not failed_on:
+            self._replace_versions()
+            self._fill()
+            self._drop_surplus()
+        return ItemPlan(
+            goals=self._goals,
+            ready=len(self._ready),
+            failed_on=failed_on,
+            is_complete=self._is_complete(),
+        )
+
+    def _keep(self) -> None:
+        for name, engine in self._engines.items():
+            held = engine.find(self._wanted)
+            if held is None or held.phase is ArtifactPhase.UNLOADING:
+                continue
+            artifact = held.artifact
+            if self._wanted.is_halted and engine.has_failed(self._wanted):
+                assert self._wanted.good is not None
+                artifact = self._wanted.good
+            self._goals[name] = artifact
+
+    def _find_failure(self) -> str:
+        if not self._wanted.is_rolling or self._wanted.is_halted:
+            return ""
+        failed = [n for n, engine in self._engines.items() if engine.has_failed(self._wanted)]
+        return min(failed, default="")
+
+    def _replace_versions(self) -> None:
+        if self._wanted.is_halted or not self._has_old():
+            return
+        target = self._wanted.artifact
+        # The first copy goes alone: a version that can't be loaded, or fails its
+        # requests, then costs one copy and not as many as the floor would allow.
+        is_proven = self._is_soaked or not self._wanted.is_rolling
+        allowed = self._wanted.copies if is_proven else 1
+        missing = min(allowed, self._wanted.copies) - self._count(target)
+        for _ in range(min(missing, MAX_CHANGES)):
+            name = self._choose_for_new_version()
+            if name is None:
+                return
+            self._goals[name] = target
+            self._ready.discard(name)
+
+    def _choose_for_new_version(self) -> str | None:
+        free = self._choose_free(self._wanted.artifact)
+        if free is not None:
+            return free
+        old = [name for name, held in self._goals.items() if held != self._wanted.artifact]
+        may_go = [name for name in old if self._may_lose(name, keep=self._wanted.min_ready)]
+        return min(may_go, key=lambda name: (name not in self._leaving, name), default=None)
+
+    def _fill(self) -> None:
+        use_new = not self._wanted.is_rolling or (self._is_soaked and not self._wanted.is_halted)
+        artifact = self._wanted.artifact if use_new else self._wanted.good
+        assert artifact is not None
+        missing = self._wanted.copies - len(self._goals) - self._absent
+        for _ in range(min(missing, MAX_CHANGES)):
+            name = self._choose_free(artifact)
+            if name is None:
+                return
+            self._goals[name] = artifact
+
+    def _drop_surplus(self) -> None:
+        surplus = len(self._goals) - self._wanted.copies
+        for _ in range(min(surplus, MAX_CHANGES)):
+            zones = Counter(self._engines[name].zone for name in self._goals)
+            may_go = [n for n in self._goals if self._is_surplus(n)]
+            if not may_go:
+                return
+            name = min(
+                may_go,
+                key=lambda n: (
+                    self._goals[n] == self._wanted.artifact,
+                    n not in self._leaving,
+                    -zones[self._engines[n].zone],
+                    n,
+                ),
+            )
+            del self._goals[name]
+            self._ready.discard(name)
+
+    def _is_surplus(self, name: str) -> bool:
+        # A copy of the new version that still loads is what the old ones wait for.
+        if self._has_old() and self._goals[name] == self._wanted.artifact:
+            return False
+        return self._may_lose(name, keep=self._wanted.copies)
+
+    def _may_lose(self, name: str, *, keep: int) -> bool:
+        return name not in self._ready or len(self._ready) - 1 >= keep
+
+    def _choose_free(self, artifact: Artifact) -> str | None:
+        zones = Counter(
+            self._engines[name].zone for name, held in self._goals.items() if held == artifact
+        )
+        free = [
+            engine
+            for name, engine in self._engines.items()
+            if name not in self._goals and engine.is_healthy and self._has_room(engine)
+        ]
+        if not free:
+            return None
+        chosen = min(free, key=lambda engine: (zones[engine.zone], self._rank(engine)))
+        return chosen.endpoint_id
+
+    def _rank(self, engine: EngineView) -> tuple[int, str]:
+        text = f"{self._wanted.artifact.name}\0{engine.endpoint_id}"
+        return crc32(text.encode()), engine.endpoint_id
+
+    def _has_old(self) -> bool:
+        return any(held != self._wanted.artifact for held in self._goals.values())
+
+    def _count(self, artifact: Artifact) -> int:
+        return sum(1 for held in self._goals.values() if held == artifact)
+
+    def _is_complete(self) -> bool:
+        target = self._wanted.artifact
+        if any(held != target for held in self._goals.values()):
+            return False
+        serving = [name for name in self._goals if self._serves_target(name)]
+        return len(serving) >= self._wanted.copies
+
+    def _serves_target(self, name: str) -> bool:
+        engine = self._engines[name]
+        held = None if engine.state is None else engine.state.find(self._wanted.artifact)
+        return held is not None and held.phase is ArtifactPhase.READY and engine.is_healthy
--- a/chivetrack/components/orders/desk.py
+++ b/chivetrack/components/orders/desk.py
@@ -5,7 +5,6 @@
 from typing import Protocol
 
 from chivetrack.components.controllers.backoff import Backoffs
-from chivetrack.components.controllers.const import CLOCK_DRIFT, LEASE_DURATION_S
 from chivetrack.components.controllers.lease import LeaseHolder
 from chivetrack.components.orders import const
 from chivetrack.components.orders.difference import find_step, is_busy
@@ -30,6 +29,7 @@
     make_order,
     take_ended,
 )
+from chivetrack.components.orders.settling import compute_settled_at
 from chivetrack.core import Effect, Event, WakeAt
 
 
@@ -37,7 +37,7 @@
     """Decides which engine may load from the weight store now."""
 
     def admit(self, endpoint_id: str, artifact: Artifact, *, now: float) -> bool:
-        """Tell whether this load may begin; asked again at each look."""
+        """Tell whether this load may begin; asked again at each look until it may."""
         ...
 
 
@@ -66,6 +66,7 @@
         self._term = 0
         self._sequence = 0
         self._look_at = float("-inf")
+        self._asking = 0
 
     def get_state(self, endpoint_id: str) -> EngineState | None:
         """Return what an engine last said in this term, or ``None``."""
@@ -77,6 +78,12 @@
         engine = self._engines.get(endpoint_id)
         return float("-inf") if engine is None else engine.state_at
 
+    def read_states(self) -> dict[str, EngineState]:
+        """Return what all engines last said in this term."""
+        return {
+            name: engine.state for name, engine in self._engines.items() if engine.state is not None
+        }
+
     def handle(self, event: Event, *, now: float) -> list[Effect]:
         """Take answers, requests and the time."""
         if not self._lease.is_held(now):
@@ -91,6 +98,7 @@
         if now >= self._look_at:
             self._look_at = now + const.LOOK_INTERVAL_S
             self._take_targets()
+            self._asking = self._count_asking()
             for engine in self._engines.values():
                 effects.extend(self._proceed(engine, now))
         effects.append(WakeAt(at=self._look_at))
@@ -169,6 +177,7 @@
         if engine.open_id and now >= engine.open_until:
             # Lost without a word: what became of it is asked after, not guessed.
             engine.note_sent(engine.open_id)
+            engine.granted = None
             engine.forget_state()
             self._silences.fail(engine.target.endpoint_id, now)
         if engine.phase is DeskPhase.KNOWN:
@@ -198,6 +207,7 @@
 
     def _note_sent(self, engine: EngineRecord, order: Order, now: float) -> None:
         engine.phase = DeskPhase.ORDERING
+        engine.granted = None
         engine.open_id = order.order_id
         engine.open_until = now + const.ANSWER_WITHIN_S
         assert engine.state is not None
@@ -211,11 +221,7 @@
             return False
         if engine.target.checks_fencing:
             return True
-        # The former holder may still believe in its lease, and this engine would obey
-        # both: a load beside an unload, in any order. By then its lease is over on its
-        # own slow clock, and what had left has arrived. A state from before may not show it.
-        waited_out = LEASE_DURATION_S * (1.0 + CLOCK_DRIFT) + const.DELIVERY_S
-        return now >= self._lease.acquired_at + waited_out
+        return now >= compute_settled_at(self._lease)
 
     def _choose(self, engine: EngineRecord, now: float) -> Order | None:
         assert engine.state is not None
@@ -224,11 +230,10 @@
             return make_order(request, fencing=self._term)
         if engine.target.goal is None:
             return None
-        endpoint_id = engine.target.endpoint_id
         step = find_step(
             engine.target.goal,
             engine.state,
-            may_load=lambda artifact: self._admission.admit(endpoint_id, artifact, now=now),
+            may_load=lambda artifact: self._may_load(engine, artifact, now),
         )
         if step is None:
             return None
@@ -240,19 +245,30 @@
             role=step.role,
         )
 
+    def _may_load(self, engine: EngineRecord, artifact: Artifact, now: float) -> bool:
+        if engine.granted == artifact:
+            return True
+        if not self._admission.admit(engine.target.endpoint_id, artifact, now=now):
+            return False
+        engine.granted = artifact
+        return True
+
     def _grow_old(self, engine: EngineRecord, now: float) -> None:
         assert engine.state is not None
         is_waiting = is_busy(engine.state) or bool(engine.requests)
         poll_s = const.POLL_BUSY_S if is_waiting else const.POLL_IDLE_S
-        if now >= engine.state_at + poll_s:
+        is_unsettled = not engine.target.checks_fencing and (
+            engine.state_at < compute_settled_at(self._lease) <= now
+        )
+        if now >= engine.state_at + poll_s or is_unsettled:
             engine.phase = DeskPhase.UNKNOWN
 
     def _ask(self, engine: EngineRecord, now: float) -> list[Effect]:
         if not self._silences.allows(engine.target.endpoint_id, now):
             return []
-        asking = sum(1 for one in self._engines.values() if one.phase is DeskPhase.ASKING)
-        if asking >= const.MAX_OPEN_ASKS:
+        if self._asking >= const.MAX_OPEN_ASKS:
             return []
+        self._asking += 1
         engine.phase = DeskPhase.ASKING
         engine.open_id = self._name("ask")
         engine.open_until = now + const.ASK_WITHIN_S
@@ -266,6 +282,9 @@
             )
         ]
 
+    def _count_asking(self) -> int:
+        return sum(1 for one in self._engines.values() if one.phase is DeskPhase.ASKING)
+
     def _name(self, what: str) -> str:
         self._sequence += 1
         return f"{self._lease.name}/{self._term}/{what}/{self._sequence}"
--- a/chivetrack/components/orders/difference.py
+++ b/chivetrack/components/orders/difference.py
@@ -55,7 +55,9 @@
     unwanted = [
         held
         for held in state.artifacts
-        if held.artifact not in goal.artifacts and held.phase is not ArtifactPhase.UNLOADING
+        if held.artifact not in goal.artifacts
+        and held.artifact.get_name() in goal.managed
+        and held.phase is not ArtifactPhase.UNLOADING
     ]
     unwanted.sort(key=lambda held: (held.artifact.kind is ArtifactKind.MODEL, held.artifact))
     return unwanted[0] if unwanted else None
--- a/chivetrack/components/orders/engine.py
+++ b/chivetrack/components/orders/engine.py
@@ -3,7 +3,12 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from chivetrack.components.orders.models import EngineState, EngineTarget, OrderRequest
+from chivetrack.components.orders.models import (
+    Artifact,
+    EngineState,
+    EngineTarget,
+    OrderRequest,
+)
 
 
 class DeskPhase(StrEnum):
@@ -23,6 +28,7 @@
 class EngineRecord:
     """One engine; ``open_id`` names the ask or order that is open until ``open_until``.
 
+    ``granted`` may be loaded next, once the state is fresh.
     ``is_outranked``: it has seen a higher number than the one that this term has.
     ``sent`` holds the ids of one-time orders that may have reached it.
     """
@@ -34,6 +40,7 @@
     open_id: str = ""
     open_until: float = float("-inf")
     is_outranked: bool = False
+    granted: Artifact | None = None
     requests: list[OrderRequest] = field(default_factory=list)
     sent: set[str] = field(default_factory=set)
 
@@ -56,5 +63,6 @@
         if target.incarnation != self.target.incarnation:
             self.forget_state()
             self.state = None
+            self.granted = None
             self.is_outranked = False
         self.target = target
--- a/chivetrack/components/orders/models.py
+++ b/chivetrack/components/orders/models.py
@@ -51,6 +51,18 @@
     model: str = field(default="", compare=False)
     weights: str = field(default="", compare=False)
 
+    def get_name(self) -> "ArtifactName":
+        """Return the name without the version."""
+        return ArtifactName(kind=self.kind, name=self.name)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ArtifactName:
+    """A model or an adapter, in whatever version."""
+
+    kind: ArtifactKind
+    name: str
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Order:
@@ -107,10 +119,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EngineGoal:
-    """What an engine should hold; an empty role leaves its role alone."""
+    """What an engine should hold; an empty role leaves its role alone.
+
+    Of what it has beside, only artifacts under ``managed`` names are unloaded.
+    """
 
     artifacts: frozenset[Artifact]
     role: str = ""
+    managed: frozenset[ArtifactName] = frozenset()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/components/controllers/test_host.py
+++ b/tests/components/controllers/test_host.py
@@ -41,7 +41,7 @@
             random=Random(1),
             started_at=-100.0,
         )
-        self.host = ControllerHost(loops=[loop], proposals=self.proposals)
+        self.host = ControllerHost(runners=[loop], proposals=self.proposals)
 
     def apply(self, data: bytes, now: float) -> bytes:
         self.index += 1
--- /dev/null
+++ b/tests/components/model_placement/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the model placement."""
--- a/tests/components/orders/engines.py
+++ b/tests/components/orders/engines.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from chivetrack.components.controllers.lease import LeaseHolder
+from chivetrack.components.model_placement.const import STORE_BUSY
 from chivetrack.components.orders import const
 from chivetrack.components.orders.desk import OrderDesk
 from chivetrack.components.orders.models import (
@@ -42,6 +43,11 @@
     name: str
     checks: bool = True
     goal: EngineGoal | None = None
+    zone: str = "a"
+    is_listed: bool = True
+    is_leaving: bool = False
+    memory_bytes: int = 0
+    store: Any = None
     incarnation: int = 1
     announced: int | None = None
     load_s: float = 2.0
@@ -49,6 +55,7 @@
     role: str = ""
     held: dict[Artifact, float] = field(default_factory=dict)
     broken: set[Artifact] = field(default_factory=set)
+    refusals: set[Artifact] = field(default_factory=set)
     orders: dict[str, OrderPhase] = field(default_factory=dict)
     taken: list[Order] = field(default_factory=list)
     refused: list[Order] = field(default_factory=list)
@@ -62,7 +69,7 @@
             return OrderOutcome.ACCEPTED
         self.taken.append(order)
         if order.kind is OrderKind.LOAD and order.artifact is not None:
-            self.held.setdefault(order.artifact, time + self.load_s)
+            self.load(order.artifact, time)
         elif order.kind is OrderKind.UNLOAD and order.artifact is not None:
             self.held.pop(order.artifact, None)
         elif order.kind is OrderKind.SET_ROLE:
@@ -71,22 +78,36 @@
             self.orders[order.order_id] = OrderPhase.DONE
         return OrderOutcome.ACCEPTED
 
+    def load(self, artifact: Artifact, time: float) -> None:
+        if artifact in self.held and self.get_phase(artifact, time) is not ArtifactPhase.FAILED:
+            return
+        self.refusals.discard(artifact)
+        if self.store is not None and not self.store.take(self.name, time):
+            self.refusals.add(artifact)
+        self.held[artifact] = time + (0.0 if artifact in self.refusals else self.load_s)
+
     def describe(self, time: float) -> EngineState:
         return EngineState(
             incarnation=self.incarnation,
             fencing=self.fencing if self.checks else 0,
             role=self.role,
             artifacts=tuple(
-                HeldArtifact(artifact=artifact, phase=self.get_phase(artifact, time))
+                HeldArtifact(
+                    artifact=artifact,
+                    phase=self.get_phase(artifact, time),
+                    error=STORE_BUSY if artifact in self.refusals else "",
+                )
                 for artifact in self.held
             ),
+            memory_bytes=self.memory_bytes,
             orders=tuple(KnownOrder(order_id=o, phase=p) for o, p in self.orders.items()),
         )
 
     def get_phase(self, artifact: Artifact, time: float) -> ArtifactPhase:
         if time < self.held[artifact]:
             return ArtifactPhase.LOADING
-        return ArtifactPhase.FAILED if artifact in self.broken else ArtifactPhase.READY
+        is_bad = artifact in self.broken or artifact in self.refusals
+        return ArtifactPhase.FAILED if is_bad else ArtifactPhase.READY
 
     def list_ready(self, time: float) -> set[Artifact]:
         return {a for a in self.held if self.get_phase(a, time) is ArtifactPhase.READY}
--- a/tests/components/orders/test_orders.py
+++ b/tests/components/orders/test_orders.py
@@ -23,12 +23,15 @@
 FIRST = make_model("first")
 SECOND = make_model("second")
 TUNED = make_adapter("tuned", "second")
+MANAGED = frozenset(
+    artifact.get_name() for artifact in (FIRST, SECOND, TUNED, make_adapter("old", "first"))
+)
 WAIT_OUT_S = LEASE_DURATION_S * (1 + CLOCK_DRIFT) + const.DELIVERY_S
 FAILOVER_S = 2 * LEASE_DURATION_S + 8.0
 
 
 def make_goal(*artifacts: Artifact, role: str = "") -> EngineGoal:
-    return EngineGoal(artifacts=frozenset(artifacts), role=role)
+    return EngineGoal(artifacts=frozenset(artifacts), role=role, managed=MANAGED)
 
 
 class OrderTestCase(unittest.TestCase):
@@ -65,6 +68,13 @@
         expected = ["set-role decode", "unload old", "unload first", "load second", "load tuned"]
         self.assertEqual(expected, self.get_kinds(engine))
 
+    def test_what_nobody_manages_is_left_alone(self) -> None:
+        engine = Engine("e1", goal=make_goal(FIRST))
+        engine.held = {make_model("by-hand"): 0.0}
+        self.start(engine)
+        self.room.run(10.0)
+        self.assertEqual(["load first"], self.get_kinds(engine))
+
     def test_unwanted_load_is_broken_off(self) -> None:
         engine = Engine("e1", goal=make_goal(FIRST), load_s=600.0)
         self.start(engine)
--- a/tests/components/orders/test_orders_fuzz.py
+++ b/tests/components/orders/test_orders_fuzz.py
@@ -12,7 +12,7 @@
 
 MODELS = [make_model("m1", "1"), make_model("m1", "2"), make_model("m2")]
 ADAPTERS = [make_adapter("a1", "m1"), make_adapter("a2", "m2")]
-NAMES = ["checking", "trusting"]
+MANAGED = frozenset(artifact.get_name() for artifact in [*MODELS, *ADAPTERS])
 
 
 class OrderMachine(RuleBasedStateMachine):
@@ -26,7 +26,7 @@
         super().__init__()
         self.engines = [Engine("checking"), Engine("trusting", checks=False)]
         for engine in self.engines:
-            engine.goal = EngineGoal(artifacts=frozenset())
+            engine.goal = EngineGoal(artifacts=frozenset(), managed=MANAGED)
         self.room = EngineRoom(self.engines)
         self.started = 0
 
@@ -53,7 +53,7 @@
     def set_goal(self, pick: int, artifacts: frozenset, role: str) -> None:
         models = {artifact.name for artifact in artifacts if not artifact.model}
         fitting = frozenset(a for a in artifacts if not a.model or a.model in models)
-        self.engines[pick].goal = EngineGoal(artifacts=fitting, role=role)
+        self.engines[pick].goal = EngineGoal(artifacts=fitting, role=role, managed=MANAGED)
 
     @rule(seconds=st.sampled_from([0.3, 1.0, 5.0, 15.0]))
     def wait(self, seconds: float) -> None:
