Let the owner of an endpoint grant its slots

Cause: with 54 routers and 571 engines each router sees a sliver, and reports a second old can't keep the bound; telling all counts to all routers there costs about 50 times the bytes of today.

Ruled out: credits handed out in advance (18 places on an engine over 54 routers are a third of a place each); one sequencer for all endpoints (every request of a region through one process); an owner that relays the request (each chunk twice).

Change: each endpoint has one owner by rendezvous over the routers. A router asks the owner of its choice for a slot and tells its counts with the question; a slot stays reserved until those counts show it. What all owners refuse is asked for in random order, so that a shared dossier does not fill one endpoint after another. An owner that doesn't answer in 50 ms is done without for 2 s, by the estimates of before.

The most wanted dossier now has the same part of an engine's load at any size; before, one dossier had hundreds of requests in flight at 571 engines.

--- a/benchmarks/placement/__main__.py
+++ b/benchmarks/placement/__main__.py
@@ -5,7 +5,7 @@
 
 import typer
 
-import benchmarks.placement.fleet  # noqa: F401 (fills the registry of policies)
+import benchmarks.placement.slots  # noqa: F401 (fills the registry of policies)
 from benchmarks.placement.models import Fleet, Result
 from benchmarks.placement.policies import POLICIES
 from benchmarks.placement.report import print_plot, print_table
--- a/benchmarks/placement/fleet.py
+++ b/benchmarks/placement/fleet.py
@@ -14,11 +14,11 @@
     EVENT_BYTES,
     EVENT_DELAY_S,
     EVENT_LOSS,
+    MAX_EVENT_ENGINES,
     MESSAGE_OVERHEAD_BYTES,
     REGION,
     SERVICE,
     VIEW_DELAY_S,
-    WARM_UP_S,
 )
 from benchmarks.placement.engines import FakeEngine
 from benchmarks.placement.models import Request
@@ -53,6 +53,13 @@
     )
 
 
+def make_demand(request: Request, excluded: frozenset[str]) -> Demand:
+    """Return what routing is asked for a request."""
+    return Demand(
+        affinity=request.key, workspace="w", service=SERVICE, region=REGION, excluded=excluded
+    )
+
+
 class RouterView:
     """One router's list of endpoints."""
 
@@ -99,22 +106,22 @@
 
     exchanges_counts = True
     hears_events = True
+    hears_reports = True
 
     def __init__(self, *, world: World) -> None:
         """Make the routers and subscribe them."""
         super().__init__(world=world)
         count = world.options.fleet.routers
         self.routers = [FakeRouter(number=number, world=world) for number in range(count)]
-        subscribe_reports(world, count, self._report)
+        if self.hears_reports:
+            subscribe_reports(world, count, self._report)
         if self.exchanges_counts:
             for router in self.routers:
                 self._arm(router)
 
     def place(self, request: Request, excluded: frozenset[str]) -> str | None:
         """Ask the placer of the request's router."""
-        demand = Demand(
-            affinity=request.key, workspace="w", service=SERVICE, region=REGION, excluded=excluded
-        )
+        demand = make_demand(request, excluded)
         endpoint = self.routers[request.router].placer.place(demand, now=self.world.now).endpoint
         return endpoint.endpoint_id if endpoint else None
 
@@ -184,13 +191,14 @@
         router.load.merge_counts(source, counts, age_s=now - sent_at, now=now)
 
     def _count_bytes(self, *, sent: int = 0, received: int = 0) -> None:
-        if self.world.now >= WARM_UP_S:
+        if self.world.now >= self.world.options.warm_up_s:
             self.world.result.sent_bytes += sent
+            self.world.result.messages += sent > 0
             self.world.result.received_bytes += received
 
     def cache(self, engine: FakeEngine, key: str, evicted: list[str]) -> None:
         """Deliver cache events to each router, late and partly lost."""
-        if not self.hears_events:
+        if not self.hears_events or len(self.world.engines) > MAX_EVENT_ENGINES:
             return
         world = self.world
         incarnation, at = engine.incarnation, world.now
--- a/benchmarks/placement/models.py
+++ b/benchmarks/placement/models.py
@@ -37,6 +37,7 @@
     refused: int = 0
     resent: int = 0
     lost: int = 0
+    messages: int = 0
     sent_bytes: int = 0
     received_bytes: int = 0
     seconds: float = 0.0
--- a/benchmarks/placement/report.py
+++ b/benchmarks/placement/report.py
@@ -4,12 +4,12 @@
 
 import plotext
 
-from benchmarks.placement.const import PERCENT, WARM_UP_S
+from benchmarks.placement.const import PERCENT
 from benchmarks.placement.models import Result
 
 HEADER = (
     f"{'policy':<16}{'reuse':>7}{'of oracle':>10}{'p50':>6}{'p99':>6}{'worst':>7}"
-    f"{'over':>7}{'mean':>7}{'refused':>8}{'resent':>8}{'sent B/s':>9}{'rcvd B/s':>9}"
+    f"{'over':>7}{'mean':>7}{'refused':>8}{'resent':>8}{'sent B/s':>9}{'rcvd B/s':>9}{'msgs/s':>7}"
 )
 
 
@@ -17,13 +17,14 @@
     """Return one line of the table."""
     share = f"{PERCENT * result.reuse / oracle.reuse:.1f}%" if oracle else "-"
     total = max(result.placed + result.refused, 1)
-    routers_s = result.routers * max(result.seconds - WARM_UP_S, 1.0)
+    routers_s = result.routers * max(result.seconds, 1.0)
     return (
         f"{result.policy:<16}{result.reuse:>7.3f}{share:>10}"
         f"{result.get_skew(0.5):>6.2f}{result.get_skew(0.99):>6.2f}{result.get_skew(1.0):>7.2f}"
         f"{PERCENT * result.over_bound:>6.1f}%{result.mean_in_flight:>7.1f}"
         f"{PERCENT * result.refused / total:>7.2f}%{PERCENT * result.resent / total:>7.2f}%"
         f"{result.sent_bytes / routers_s:>9.0f}{result.received_bytes / routers_s:>9.0f}"
+        f"{result.messages / routers_s:>7.1f}"
     )
 
 
--- a/benchmarks/placement/workloads.py
+++ b/benchmarks/placement/workloads.py
@@ -87,6 +87,7 @@
     WORKLOADS.register(_workload.name)(_workload)
 
 _MAX_TURNS = 12
+_BASE_ENGINES = 6
 
 
 class _Arrivals:
@@ -147,7 +148,9 @@
 
 def _make_chooser(workload: Workload, fleet: Fleet, random: Random) -> Callable[[], str]:
     count = workload.keys_per_engine * fleet.engines
-    weights = list(accumulate((rank + 1) ** -workload.zipf for rank in range(count)))
+    # The most wanted key of six engines takes the same part of their load at any size.
+    scale = _BASE_ENGINES / max(fleet.engines, _BASE_ENGINES)
+    weights = list(accumulate((rank * scale + 1) ** -workload.zipf for rank in range(count)))
     keys = [f"dossier-{rank}" for rank in range(count)]
 
     def choose() -> str:
--- a/benchmarks/placement/world.py
+++ b/benchmarks/placement/world.py
@@ -12,12 +12,14 @@
     CHURN_INTERVAL_S,
     SAMPLE_INTERVAL_S,
     WARM_UP_S,
+    WARM_UP_SHARE,
 )
 from benchmarks.placement.engines import FakeEngine
 from benchmarks.placement.models import Fleet, Request, Result
 from chivetrack.components.routing.models import DEFAULT_LOAD_BOUND
 
 Action = Callable[[], None]
+Chosen = Callable[[str | None], None]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -30,6 +32,11 @@
     churn: bool
     seed: int
 
+    @property
+    def warm_up_s(self) -> float:
+        """Return from when on the run is measured."""
+        return min(WARM_UP_S, self.seconds * WARM_UP_SHARE)
+
 
 class World:
     """The table of engines, the clock and the queue of what happens next."""
@@ -91,9 +98,16 @@
         """Return the engine for a request."""
         raise NotImplementedError
 
+    def choose(self, request: Request, excluded: frozenset[str], done: Chosen) -> None:
+        """Call ``done`` with the engine, now or a little later."""
+        done(self.place(request, excluded))
+
     def start(self, request: Request, engine_id: str) -> None:
         """Hear that a request was sent."""
 
+    def abandon(self, request: Request, engine_id: str) -> None:
+        """Hear that a request could not be sent to the chosen engine."""
+
     def finish(self, request: Request, engine_id: str) -> None:
         """Hear that a request is over."""
 
@@ -115,7 +129,7 @@
         run.send(request, frozenset())
     world.run_until(options.seconds)
     result = world.result
-    result.seconds = options.seconds
+    result.seconds = options.seconds - options.warm_up_s
     return result
 
 
@@ -126,14 +140,17 @@
         self._mean_sum = 0.0
         self._running: dict[str, dict[int, Request]] = {name: {} for name in world.engines}
         self._over = 0
-        world.call_every(SAMPLE_INTERVAL_S, self._sample, first=WARM_UP_S)
+        world.call_every(SAMPLE_INTERVAL_S, self._sample, first=world.options.warm_up_s)
         if world.options.churn:
             world.call_every(CHURN_INTERVAL_S, self._churn, first=CHURN_INTERVAL_S)
 
     def send(self, request: Request, excluded: frozenset[str]) -> None:
         """Place and run a request; on a dead engine, once more elsewhere."""
+        done = partial(self._send_to, request, excluded)
+        self._policy.choose(request, excluded, done)
+
+    def _send_to(self, request: Request, excluded: frozenset[str], engine_id: str | None) -> None:
         world, result = self._world, self._world.result
-        engine_id = self._policy.place(request, excluded)
         if engine_id is None:
             result.refused += 1
             return
@@ -141,6 +158,7 @@
         if not engine.alive:
             # The connect fails, so the request was certainly not sent.
             result.resent += 1
+            self._policy.abandon(request, engine_id)
             self.send(request, excluded | {engine_id})
             return
         self._policy.start(request, engine_id)
@@ -152,7 +170,7 @@
         reused, evicted = engine.run(request.key, request.prompt_tokens, request.answer_tokens)
         self._policy.cache(engine, request.key, evicted)
         result.placed += 1
-        if world.now >= WARM_UP_S:
+        if world.now >= world.options.warm_up_s:
             result.prompt_tokens += request.prompt_tokens
             result.reused_tokens += reused
         self._running[engine.engine_id][request.number] = request
--- a/chivetrack/components/load/book.py
+++ b/chivetrack/components/load/book.py
@@ -1,14 +1,18 @@
 """The load book: own requests, counts of other routers and engines' reports."""
 
+from collections.abc import Collection, Sequence
+
 from chivetrack.components.load.const import (
     MAX_TOMBSTONES,
     PEER_SILENCE_S,
     REPORT_MAX_AGE_S,
+    SUMMARY_WARM_UP_S,
 )
 from chivetrack.components.load.history import CountHistory
 from chivetrack.components.load.models import LoadCounts, LoadEstimate, MergeVerdict
-from chivetrack.components.load.peers import PeerCounts
+from chivetrack.components.load.peers import PeerCounts, apply_message
 from chivetrack.components.load.reports import EngineReport
+from chivetrack.components.load.reservations import Reservations
 
 
 class LoadBook:
@@ -33,6 +37,8 @@
         self._silent: set[str] = set()
         self._dead: dict[str, int] = {}
         self._reports: dict[str, EngineReport] = {}
+        self._reservations = Reservations()
+        self._owned: dict[str, float] = {}
         self._foreign: dict[str, int] = {}
         self._estimates: dict[str, float] = {}
         self._next_expiry = float("inf")
@@ -59,14 +65,25 @@
         """Return this router's own requests in flight on the endpoint."""
         return self._history.get(endpoint_id)
 
-    def collect_counts(self, now: float) -> LoadCounts:
-        """Return this router's counts as a message for the other routers."""
+    def list_own(self) -> list[str]:
+        """Return the endpoints on which own requests are in flight."""
+        return list(self._history.copy_counts())
+
+    def collect_counts(
+        self, now: float, *, scope: Sequence[str] | None = None, settled: int = 0
+    ) -> LoadCounts:
+        """Return this router's counts as a message, all or those of ``scope``."""
         self.expire(now)
         self._sequence += 1
+        counts = self._history.copy_counts()
+        if scope is not None:
+            counts = {name: counts[name] for name in scope if name in counts}
         return LoadCounts(
             incarnation=self._incarnation,
             sequence=self._sequence,
-            counts=self._history.copy_counts(),
+            counts=counts,
+            scope=None if scope is None else list(scope),
+            settled=settled,
         )
 
     def merge_counts(
@@ -78,11 +95,12 @@
         if verdict is not MergeVerdict.TAKEN:
             return verdict
         old = self._peers.get(source)
-        self._peers[source] = PeerCounts.from_message(counts, as_of=now - age_s)
+        new = self._peers[source] = apply_message(old, counts, as_of=now - age_s)
         self._silent.discard(source)
         self._dead.pop(source, None)
-        self._next_expiry = min(self._next_expiry, now - age_s + PEER_SILENCE_S)
-        self._replace(old.counts if old else {}, counts.counts)
+        self._next_expiry = min(self._next_expiry, new.silent_at)
+        self._release(self._reservations.settle(source, counts.settled))
+        self._replace(old.counts if old else {}, new.counts)
         self._switch_reports()
         return verdict
 
@@ -109,10 +127,32 @@
         if old is not None and old.order[0] > incarnation:
             return
         self._silent.discard(source)
+        self._release(self._reservations.drop_router(source))
         if self._peers.pop(source, None) is not None and old is not None:
             self._replace(old.counts, {})
         self._switch_reports()
 
+    def reserve(self, source: str, endpoint_id: str, ticket: int, now: float) -> None:
+        """Count a slot for another router until its counts show it."""
+        self._reservations.add(source, endpoint_id, ticket, now)
+        self._next_expiry = min(self._next_expiry, self._reservations.find_next_expiry())
+        self._foreign[endpoint_id] = self._foreign.get(endpoint_id, 0) + 1
+        self._update(endpoint_id)
+
+    def find_reserved(self, source: str, ticket: int) -> str | None:
+        """Return the endpoint of which a slot is reserved for a ticket."""
+        return self._reservations.find(source, ticket)
+
+    def set_owned(self, endpoint_ids: Collection[str], now: float) -> None:
+        """Take over for which endpoints this router grants the slots.
+
+        Their counts are told by all who use them. Just after a change they are not
+        whole yet, so until ``SUMMARY_WARM_UP_S`` later reports are believed as well.
+        """
+        self._owned = {name: self._owned.get(name, now) for name in endpoint_ids}
+        for endpoint_id in self._reports:
+            self._update(endpoint_id)
+
     def report_load(
         self, endpoint_id: str, in_flight: int, *, incarnation: int, age_s: float, now: float
     ) -> MergeVerdict:
@@ -131,6 +171,12 @@
         self._update(endpoint_id)
         return MergeVerdict.TAKEN
 
+    def report_total(self, endpoint_id: str, in_flight: int, *, age_s: float, now: float) -> None:
+        """Take what the endpoint's owner says of it, like a report of the engine's own."""
+        old = self._reports.get(endpoint_id)
+        incarnation = old.incarnation if old is not None else 0
+        self.report_load(endpoint_id, in_flight, incarnation=incarnation, age_s=age_s, now=now)
+
     def forget_endpoint(self, endpoint_id: str) -> None:
         """Drop what was reported of an endpoint that is gone."""
         self._reports.pop(endpoint_id, None)
@@ -156,17 +202,17 @@
         if now < self._next_expiry:
             return
         for source, peer in list(self._peers.items()):
-            if now - peer.as_of < PEER_SILENCE_S or source in self._silent:
+            if now < peer.silent_at or source in self._silent:
                 continue
             self._silent.add(source)
             self._peers[source] = peer.clear()
             self._replace(peer.counts, {})
+        self._release(self._reservations.expire(now))
         self._switch_reports()
         self._expire_reports(now)
-        heard = [peer.as_of for source, peer in self._peers.items() if source not in self._silent]
-        ages = [as_of + PEER_SILENCE_S for as_of in heard]
+        ages = [peer.silent_at for name, peer in self._peers.items() if name not in self._silent]
         ages += [report.as_of + REPORT_MAX_AGE_S for report in self._reports.values()]
-        self._next_expiry = min(ages, default=float("inf"))
+        self._next_expiry = min([*ages, self._reservations.find_next_expiry()])
 
     def _expire_reports(self, now: float) -> None:
         for endpoint_id, report in list(self._reports.items()):
@@ -175,23 +221,35 @@
 
     def _switch_reports(self) -> None:
         """Begin or cease to use the engines' reports, as routers fall silent or speak."""
-        uses_reports = not self._peers or bool(self._silent)
+        complete = any(peer.complete for peer in self._peers.values())
+        uses_reports = not complete or bool(self._silent)
         if uses_reports == self._uses_reports:
             return
         self._uses_reports = uses_reports
         for endpoint_id in self._reports:
             self._update(endpoint_id)
 
+    def _release(self, endpoint_ids: list[str]) -> None:
+        for endpoint_id in endpoint_ids:
+            self._foreign[endpoint_id] = self._foreign.get(endpoint_id, 0) - 1
+            self._update(endpoint_id)
+
     def _replace(self, old: dict[str, int], new: dict[str, int]) -> None:
         for endpoint_id in old.keys() | new.keys():
             change = new.get(endpoint_id, 0) - old.get(endpoint_id, 0)
             self._foreign[endpoint_id] = self._foreign.get(endpoint_id, 0) + change
             self._update(endpoint_id)
 
+    def _believes_report(self, endpoint_id: str, report: EngineReport) -> bool:
+        owned_since = self._owned.get(endpoint_id)
+        if owned_since is None:
+            return self._uses_reports
+        return report.as_of < owned_since + SUMMARY_WARM_UP_S
+
     def _update(self, endpoint_id: str) -> None:
         foreign = self._foreign.get(endpoint_id, 0)
         report = self._reports.get(endpoint_id)
-        if report is not None and self._uses_reports:
+        if report is not None and self._believes_report(endpoint_id, report):
             foreign = max(foreign, report.foreign)
         estimate = float(self._history.get(endpoint_id) + foreign)
         if estimate:
--- a/chivetrack/components/load/const.py
+++ b/chivetrack/components/load/const.py
@@ -17,6 +17,9 @@
 PEER_SILENCE_S: Final = 3.0
 """Counts of a router that was silent for so long are no longer used."""
 
+SCOPED_SILENCE_S: Final = 6.0
+"""The same for a router that tells its counts to the owners of endpoints only."""
+
 REPORT_MAX_AGE_S: Final = 10.0
 """An engine's own load report that is older than this is no longer used."""
 
@@ -25,3 +28,9 @@
 
 MAX_TOMBSTONES: Final = 1024
 """How many dead routers are remembered, so that their late counts are refused."""
+
+RESERVATION_MAX_S: Final = 2.0
+"""A granted slot of which nothing is heard for so long is free again."""
+
+SUMMARY_WARM_UP_S: Final = 3.0
+"""How long a new owner of an endpoint also believes reports, which lag but are whole."""
--- a/chivetrack/components/load/models.py
+++ b/chivetrack/components/load/models.py
@@ -8,15 +8,26 @@
 
 @message("load.counts")
 class LoadCounts(Message, frozen=True, array_like=True):
-    """All in-flight counts of one router, by endpoint id; an absent endpoint has none.
+    """In-flight counts of one router, by endpoint id; an absent endpoint has none.
 
-    Always complete, so that a lost message costs freshness and never correctness.
-    ``incarnation`` and ``sequence`` order the messages of one router.
+    Always complete, so that a lost message costs freshness and never correctness: for
+    all endpoints, or, where ``scope`` names some, for those that the receiver owns.
+    ``incarnation`` and ``sequence`` order the messages of one router. All slots up to
+    the ticket ``settled`` that it was granted are in the counts or were not used.
     """
 
     incarnation: int
     sequence: int
     counts: dict[str, int]
+    scope: list[str] | None = None
+    settled: int = 0
+
+
+@message("load.summary")
+class LoadSummary(Message, frozen=True, array_like=True):
+    """Requests of all routers in flight on the endpoints that one router owns."""
+
+    loads: dict[str, int]
 
 
 class MergeVerdict(StrEnum):
--- a/chivetrack/components/routing/const.py
+++ b/chivetrack/components/routing/const.py
@@ -37,3 +37,23 @@
 
 COLD_HEADROOM: Final = 0.2
 """The share of the bound's headroom above the mean that a cold chat may use."""
+
+MAX_ASKED: Final = 4
+"""Endpoints whose owners are asked for a slot before the choice is made without."""
+
+ASK_TIMEOUT_S: Final = 0.05
+"""How long an owner has to answer; a hundredth of that is usual."""
+
+AVOID_OWNER_S: Final = 2.0
+"""How long an owner that did not answer is not asked again."""
+
+START_REPORT_DELAY_S: Final = 1.0
+FINISH_REPORT_DELAY_S: Final = 0.2
+"""How long the owner of an endpoint waits for the news of a start or a finish.
+
+The first must be less than half of ``RESERVATION_MAX_S``: until the news has come the
+reservation stands for the request.
+"""
+
+OWNER_HEARTBEAT_S: Final = 2.0
+"""Counts that are not zero are told again this often; see ``SCOPED_SILENCE_S``."""
--- /dev/null
+++ b/chivetrack/components/routing/slots.py
@@ -0,0 +1,271 @@
+"""Placement by slots that the owners of the endpoints grant.
+
+Each endpoint has one owner among the routers, which knows all requests on it: every
+router tells the owner its counts with each question, and a granted slot is reserved
+until the asker's counts show it. So routers that place at the same time can't overfill
+an endpoint, however many they are. An owner that doesn't answer is done without: the
+placer then chooses by its estimates, as it does without owners.
+"""
+
+from collections.abc import Collection
+from dataclasses import dataclass, replace
+from math import inf
+
+from chivetrack.components.load.book import LoadBook
+from chivetrack.components.load.models import LoadCounts, LoadSummary
+from chivetrack.components.routing.const import ASK_TIMEOUT_S, AVOID_OWNER_S, MAX_ASKED
+from chivetrack.components.routing.messages import SlotAnswer, SlotRequest
+from chivetrack.components.routing.models import Candidate, Demand, Placement
+from chivetrack.components.routing.news import PendingNews
+from chivetrack.components.routing.owners import OwnerMap
+from chivetrack.components.routing.placer import Look, Placer
+from chivetrack.core import Effect, Event, MessageReceived, SendMessage, TimeReached, WakeAt
+
+_NONE = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Placed(Effect):
+    """The placement of a request; its endpoint is counted in the load book already."""
+
+    request_id: str
+    placement: Placement
+
+
+@dataclass(slots=True, kw_only=True)
+class _Question:
+    """A request on its way: what is left to try and who was asked."""
+
+    request_id: str
+    demand: Demand
+    looks: list[Look]
+    tried: list[Look]
+    owner: str = ""
+    asked_until: float = 0.0
+    spreads: bool = False
+
+
+class SlotPlacer:
+    """Places requests by asking the owners, and answers for the endpoints it owns."""
+
+    def __init__(
+        self, *, router_id: str, placer: Placer, load: LoadBook, router_ids: Collection[str]
+    ) -> None:
+        """Ask and answer among ``router_ids``, this router included."""
+        self._router_id = router_id
+        self._placer = placer
+        self._load = load
+        self._owners = OwnerMap(router_ids=router_ids)
+        self._news = PendingNews()
+        self._questions: dict[int, _Question] = {}
+        self._ticket = 0
+        self._avoided: dict[str, float] = {}
+        self._owned: list[str] = []
+        self._armed_at = inf
+
+    def set_view(
+        self, *, router_ids: Collection[str], endpoint_ids: Collection[str], now: float
+    ) -> list[Effect]:
+        """Take over the routers (this one included) and endpoints that are known."""
+        self._owners.set_routers(router_ids)
+        self._owned = [
+            name for name in endpoint_ids if self._owners.find_owner(name) == self._router_id
+        ]
+        self._load.set_owned(self._owned, now)
+        return [effect for name in self._load.list_own() for effect in self._note_start(name, now)]
+
+    def collect_summary(self, now: float) -> LoadSummary:
+        """Return the loads of the owned endpoints, for all other routers."""
+        loads = {name: int(self._load.get_estimate(name, now).in_flight) for name in self._owned}
+        return LoadSummary(loads=loads)
+
+    def place(self, request_id: str, demand: Demand, *, now: float) -> list[Effect]:
+        """Begin to place a request; its ``Placed`` comes now or with a later event."""
+        looks = self._placer.preview(demand, now=now, count=MAX_ASKED)
+        question = _Question(request_id=request_id, demand=demand, looks=looks, tried=[])
+        return self._go_on(question, now)
+
+    def finish(self, endpoint_id: str, *, now: float) -> list[Effect]:
+        """Take in that a placed request is over."""
+        self._load.finish(endpoint_id, now)
+        owner = self._owners.find_owner(endpoint_id)
+        if owner == self._router_id:
+            return []
+        self._news.note_finish(owner, now)
+        return self._wake()
+
+    def handle(self, event: Event, *, now: float) -> list[Effect]:
+        """Take a question, an answer, counts or the time."""
+        if isinstance(event, TimeReached):
+            if now >= self._armed_at:
+                self._armed_at = inf
+            return self._expire(now) + self._tell(now) + self._wake()
+        if not isinstance(event, MessageReceived):
+            return []
+        if isinstance(event.message, SlotRequest):
+            return self._answer(event.source, event.message, now)
+        if isinstance(event.message, SlotAnswer):
+            return self._take(event.message, now)
+        if isinstance(event.message, LoadCounts):
+            self._load.merge_counts(event.source, event.message, age_s=0.0, now=now)
+        if isinstance(event.message, LoadSummary):
+            for name, in_flight in event.message.loads.items():
+                self._load.report_total(name, in_flight, age_s=0.0, now=now)
+        return []
+
+    def _go_on(self, question: _Question, now: float) -> list[Effect]:
+        while question.looks:
+            owner = self._owners.find_owner(question.looks[0].endpoint.endpoint_id)
+            if owner != self._router_id:
+                return self._ask(question, owner, now)
+            look = question.looks.pop(0)
+            question.tried.append(look)
+            estimate = self._load.get_estimate(look.endpoint.endpoint_id, now)
+            if estimate.in_flight + 1.0 <= look.limit:
+                return self._place_on(question, look, now)
+        if question.spreads or not question.tried:
+            return self._fall_back(question, now)
+        return self._spread(question, now)
+
+    def _spread(self, question: _Question, now: float) -> list[Effect]:
+        """Ask for a slot anywhere, after the chat's first choices have refused.
+
+        A dossier that many chats share would fill its next choices one by one, each by
+        all routers at once; in random order its requests spread over all endpoints.
+        """
+        question.spreads = True
+        question.looks = self._placer.preview(
+            replace(self._spare(question), affinity=""), now=now, count=MAX_ASKED
+        )
+        return self._go_on(question, now)
+
+    def _spare(self, question: _Question) -> Demand:
+        """Return the demand without the endpoints that are known to be full."""
+        refused = {look.endpoint.endpoint_id for look in question.tried}
+        return replace(question.demand, excluded=question.demand.excluded | refused)
+
+    def _ask(self, question: _Question, owner: str, now: float) -> list[Effect]:
+        if self._avoided.get(owner, now) > now:
+            return self._fall_back(question, now)
+        asked = [question.looks.pop(0)]
+        while question.looks and self._is_owned_by(owner, question.looks[0]):
+            asked.append(question.looks.pop(0))
+        question.tried += asked
+        question.owner = owner
+        question.asked_until = now + ASK_TIMEOUT_S
+        self._ticket += 1
+        self._questions[self._ticket] = question
+        counts = self._collect(owner, now)
+        request = SlotRequest(
+            ticket=self._ticket,
+            endpoint_ids=[look.endpoint.endpoint_id for look in asked],
+            limits=[look.limit for look in asked],
+            counts=counts,
+        )
+        return [
+            SendMessage(target=owner, message=request),
+            WakeAt(at=question.asked_until),
+            *self._wake(),
+        ]
+
+    def _is_owned_by(self, owner: str, look: Look) -> bool:
+        return self._owners.find_owner(look.endpoint.endpoint_id) == owner
+
+    def _collect(self, owner: str, now: float) -> LoadCounts:
+        """Return the counts for an owner's endpoints; must not go unsent."""
+        scope = [name for name in self._load.list_own() if self._owners.find_owner(name) == owner]
+        self._news.note_told(owner, now, has_counts=bool(scope))
+        settled = min(self._questions, default=self._ticket + 1) - 1
+        return self._load.collect_counts(now, scope=scope, settled=settled)
+
+    def _answer(self, source: str, request: SlotRequest, now: float) -> list[Effect]:
+        """Grant a slot; a request that comes twice gets the same answer."""
+        self._load.merge_counts(source, request.counts, age_s=0.0, now=now)
+        granted = self._load.find_reserved(source, request.ticket)
+        if granted is None:
+            granted = self._grant(source, request, now)
+        return [SendMessage(target=source, message=SlotAnswer(request.ticket, granted))]
+
+    def _grant(self, source: str, request: SlotRequest, now: float) -> str:
+        for endpoint_id, limit in zip(request.endpoint_ids, request.limits, strict=False):
+            if self._load.get_estimate(endpoint_id, now).in_flight + 1.0 <= limit:
+                self._load.reserve(source, endpoint_id, request.ticket, now)
+                return endpoint_id
+        return _NONE
+
+    def _take(self, answer: SlotAnswer, now: float) -> list[Effect]:
+        question = self._questions.pop(answer.ticket, None)
+        if question is None:
+            return []
+        for look in question.tried:
+            if look.endpoint.endpoint_id == answer.endpoint_id:
+                return self._place_on(question, look, now)
+        return self._go_on(question, now)
+
+    def _expire(self, now: float) -> list[Effect]:
+        """Do without the owners that have not answered in time."""
+        effects: list[Effect] = []
+        late = [ticket for ticket, each in self._questions.items() if each.asked_until <= now]
+        for ticket in late:
+            question = self._questions.pop(ticket)
+            question.tried.clear()
+            self._avoided[question.owner] = now + AVOID_OWNER_S
+            effects += self._fall_back(question, now)
+        return effects
+
+    def _fall_back(self, question: _Question, now: float) -> list[Effect]:
+        """Choose by estimates, sparing the endpoints that are known to be full."""
+        placement = self._placer.place(self._spare(question), now=now)
+        if placement.endpoint is None:
+            placement = self._placer.place(question.demand, now=now)
+        if placement.endpoint is None:
+            return [Placed(request_id=question.request_id, placement=placement)]
+        # No reservation stands for this one, so its owner should hear at once.
+        owner = self._owners.find_owner(placement.endpoint.endpoint_id)
+        if owner != self._router_id:
+            self._news.note_now(owner, now)
+        return self._count(question, placement, now) + self._tell(now)
+
+    def _place_on(self, question: _Question, look: Look, now: float) -> list[Effect]:
+        candidates = tuple(
+            Candidate(
+                endpoint_id=each.endpoint.endpoint_id,
+                in_flight=each.load,
+                limit=each.limit,
+                age_s=0.0,
+                verdict="granted by its owner" if each is look else "refused by its owner",
+            )
+            for each in question.tried[: question.tried.index(look) + 1]
+        )
+        reason = f"slot granted, choice {len(candidates)}"
+        placement = Placement(endpoint=look.endpoint, reason=reason, candidates=candidates)
+        return self._count(question, placement, now)
+
+    def _count(self, question: _Question, placement: Placement, now: float) -> list[Effect]:
+        placed = Placed(request_id=question.request_id, placement=placement)
+        endpoint = placement.endpoint
+        if endpoint is None:
+            return [placed]
+        self._load.start(endpoint.endpoint_id, now)
+        return [placed, *self._note_start(endpoint.endpoint_id, now)]
+
+    def _note_start(self, endpoint_id: str, now: float) -> list[Effect]:
+        owner = self._owners.find_owner(endpoint_id)
+        if owner == self._router_id:
+            return []
+        self._news.note_start(owner, now)
+        return self._wake()
+
+    def _wake(self) -> list[Effect]:
+        """Ask to be woken for the next news, unless that was asked already."""
+        due = self._news.find_due()
+        if due is None or due >= self._armed_at:
+            return []
+        self._armed_at = due
+        return [WakeAt(at=due)]
+
+    def _tell(self, now: float) -> list[Effect]:
+        return [
+            SendMessage(target=owner, message=self._collect(owner, now))
+            for owner in self._news.list_due(now)
+        ]
--- a/tests/components/load/test_book.py
+++ b/tests/components/load/test_book.py
@@ -7,7 +7,12 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from chivetrack.components.load.book import LoadBook
-from chivetrack.components.load.const import PEER_SILENCE_S, REPORT_MAX_AGE_S
+from chivetrack.components.load.const import (
+    PEER_SILENCE_S,
+    REPORT_MAX_AGE_S,
+    RESERVATION_MAX_S,
+    SUMMARY_WARM_UP_S,
+)
 from chivetrack.components.load.models import LoadCounts, MergeVerdict
 from chivetrack.helpers.codec import pack, unpack
 
@@ -118,6 +123,39 @@
             self.book.report_load("a", 9, incarnation=incarnation, age_s=age_s, now=5.0)
             self.assertEqual(self.estimate("a", 5.0), 4)
 
+    def test_reservation_stands_until_the_counts_show_it(self) -> None:
+        """A slot was granted to another router, whose counts are under way.
+
+        Dropped early, the slot is granted twice; kept as well, it is counted twice;
+        kept for ever when the router never uses it, the endpoint loses a place.
+        """
+        for settled, expected in ((2, 2), (3, 1)):
+            with self.subTest(settled=settled):
+                self.setUp()
+                self.book.reserve("r2", "a", 3, 0.0)
+                self.assertEqual(self.estimate("a", 0.0), 1)
+                counts = LoadCounts(1, 1, {"a": 1}, scope=["a"], settled=settled)
+                self.merge(counts, now=0.1)
+                self.assertEqual(self.estimate("a", 0.1), expected)
+                self.assertEqual(self.estimate("a", RESERVATION_MAX_S), 1)
+        self.book.reserve("r2", "a", 4, 1.0)
+        self.book.drop_router("r2", 1)
+        self.assertEqual(self.estimate("a", 1.0), 0)
+
+    def test_counts_for_an_owner_replace_only_what_they_concern(self) -> None:
+        self.merge(make_counts(1, a=1, b=2), now=0.0)
+        self.merge(LoadCounts(1, 2, {}, scope=["a"]), now=0.5)
+        self.assertEqual((self.estimate("a", 0.5), self.estimate("b", 0.5)), (0, 2))
+        self.assertEqual(self.estimate("b", PEER_SILENCE_S), 0)
+
+    def test_new_owner_believes_reports_until_the_counts_are_whole(self) -> None:
+        self.merge(LoadCounts(1, 1, {"a": 1}, scope=["a"]), now=0.0)
+        self.book.set_owned(["a"], 0.0)
+        self.book.report_total("a", 9, age_s=0.0, now=0.5)
+        self.assertEqual(self.estimate("a", 0.5), 9)
+        self.book.report_total("a", 9, age_s=0.0, now=SUMMARY_WARM_UP_S)
+        self.assertEqual(self.estimate("a", SUMMARY_WARM_UP_S), 1)
+
     def test_counts_travel(self) -> None:
         self.book.start("a", 0.0)
         sent = self.book.collect_counts(0.0)
