--- a/standins/demo.py
+++ b/standins/demo.py
@@ -128,13 +128,20 @@
             time.sleep(POLL_S)
 
 
-def show(title: str, reply: Reply) -> None:
-    """Print one answer in a line."""
+def find_reason(fleet: Fleet, member: Member, reply: Reply) -> str:
+    """Return why a request went where it went, in the router's words."""
+    request_id = reply.headers.get("x-request-id", "")
+    response = fleet.manage("GET", member, f"/api/v1/explain/request/{request_id}")
+    return str(response.json()["placement"]["reason"]) if response.status == 200 else ""
+
+
+def show(title: str, reply: Reply, reason: str = "") -> None:
+    """Print one answer in a line, and why it went there."""
     if reply.status != 200:
-        print(f"{title:<42} {reply.status} {reply.error['code']}, ran: {reply.error['ran']}")
+        print(f"{title:<30} {reply.status} {reply.error['code']}, ran: {reply.error['ran']}")
         return
     cached = "context reused" if reply.cached else "new context"
-    print(f"{title:<42} {reply.status} from {reply.served_by:<10} {cached}")
+    print(f"{title:<30} {reply.status} from {reply.served_by:<9} {cached:<15} {reason}")
 
 
 def send_chats(fleet: Fleet) -> bool:
@@ -143,8 +150,9 @@
     for chat_id in ("dossier-1", "dossier-2", "dossier-3"):
         served: set[str] = set()
         for plan in fleet.plans:
-            reply = chat(fleet, fleet.members[plan.name], "appraise this", chat_id=chat_id)
-            show(f"{chat_id} through {plan.name}", reply)
+            member = fleet.members[plan.name]
+            reply = chat(fleet, member, "appraise this", chat_id=chat_id)
+            show(f"{chat_id} via {plan.name}", reply, find_reason(fleet, member, reply))
             time.sleep(PAUSE_S)
             served.add(reply.served_by)
         same = same and len(served) == 1
@@ -168,7 +176,7 @@
     for title, member in (("quote", first), ("the same quote again", second)):
         reply = call(fleet, member, "POST", path, {"item": "vase"}, Idempotency_Key="quote-1")
         run = json.loads(reply.body).get("run")
-        print(f"{title + ' through ' + member.name:<42} {reply.status} run number {run}")
+        print(f"{title + ' via ' + member.name:<30} {reply.status} run number {run}")
 
 
 def explain(fleet: Fleet, request_id: str) -> None:
--- a/tests/helpers/certificates.py
+++ b/tests/helpers/certificates.py
@@ -2,6 +2,7 @@
 
 import datetime
 import ipaddress
+from collections.abc import Sequence
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -34,13 +35,13 @@
         )
         self.pem = certificate.public_bytes(serialization.Encoding.PEM)
 
-    def issue(self) -> Pair:
+    def issue(self, *, hosts: Sequence[str] = ("127.0.0.1",)) -> Pair:
         key = ec.generate_private_key(ec.SECP256R1())
         name = x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, "instance")])
-        address = x509.IPAddress(ipaddress.ip_address("127.0.0.1"))
+        addresses = [x509.IPAddress(ipaddress.ip_address(host)) for host in hosts]
         certificate = (
             _build(name, self._name, key)
-            .add_extension(x509.SubjectAlternativeName([address]), critical=False)
+            .add_extension(x509.SubjectAlternativeName(addresses), critical=False)
             .sign(self._key, hashes.SHA256())
         )
         return Pair(
