--- a/tests/system/test_path_own_answer.py
+++ b/tests/system/test_path_own_answer.py
@@ -231,6 +231,38 @@
             list(workers.map(run, range(24)))
 
 
+class EngineKilledTest(PathCase):
+    """An engine's process is killed while it streams."""
+
+    def test_its_caller_sees_a_cut_and_others_are_served(self) -> None:
+        """An engine is killed after three tokens of an answer.
+
+        Its caller must see that the answer is not whole; every router then serves
+        chats at the engine that is left.
+        """
+        self.play("stall", delay_s=60.0)
+        connection = http.client.HTTPConnection(self.routers[0].address, timeout=60)
+        self.addCleanup(connection.close)
+        headers = {"Authorization": f"Bearer {CALLER_KEY}"}
+        connection.request("POST", CHAT_PATH, make_chat("killed", stream=True), headers)
+        response = connection.getresponse()
+        received = response.read1()
+        while b"killed/2 " not in received:
+            received += response.read1()
+        killed = self.fleet.members[response.headers["X-Served-By"]]
+        killed.kill()
+        self.engines.remove(killed)
+        self.tearDown()
+        with self.assertRaises(http.client.IncompleteRead):
+            while chunk := response.read1():
+                received += chunk
+        self.assertIn(b'"code":"answer_cut"', received)
+        self.assertNotIn(b"[DONE]", received)
+        for router in self.routers:
+            reply = chat(self.fleet, router, "next", stream=False)
+            self.assertEqual((reply.status, reply.served_by), (200, self.engines[0].name))
+
+
 class CallerLeavesTest(PathCase):
     """A caller closes its connection before its answer is whole."""
 
