Wait for the outcome of a keyed call to be recorded

Cause: a test resent a keyed call at once and sometimes heard 'in progress' where it wanted 'outcome unknown' (seen once in two runs of all tests, on a busy machine). The first caller is answered before the log has the outcome, since its answer must not be held back. Change: the resend is repeated while it hears 'in progress', which must be typed and carry Retry-After; the runs are counted as before. Ruled out: holding the first answer back until the log has answered.

--- a/tests/system/test_path_own_answer.py
+++ b/tests/system/test_path_own_answer.py
@@ -23,6 +23,7 @@
     wait_routed,
 )
 from standins.fleet import Fleet, Member, open_fleet
+from tests.system.fleets import wait_for
 
 WAIT_LIMIT_S = 15.0
 MAX_BODY = 100_000
@@ -468,13 +469,14 @@
         """A service reads a keyed quote and dies; the caller sends it again elsewhere.
 
         Nobody knows whether the quote was made. Every router must say so and none may
-        send it on.
+        send it on. The first caller is answered before the log has the outcome, so a
+        quick resend may hear "in progress" first.
         """
         self.fleet.play(self.service, "die")
         first = self.quote(self.routers[0], Idempotency_Key="quote-a")
         self.assertEqual(first.error["ran"], "maybe")
         for router in self.routers[1:]:
-            again = self.quote(router, Idempotency_Key="quote-a")
+            again = self.wait_ended(router, "quote-a")
             self.assert_typed(again, again.status, "outcome_unknown", "maybe")
         self.assertEqual(self.count_runs("quote-a"), 1)
 
@@ -485,5 +487,19 @@
         self.assertEqual((reply.status, reply.error["ran"]), (502, "maybe"))
         self.assertEqual(self.count_runs("quote-b"), 1)
 
+    def wait_ended(self, router: Member, key: str) -> Reply:
+        """Send a call again while it is said to be in progress, each time with that said."""
+
+        def send() -> Reply | None:
+            again = self.quote(router, Idempotency_Key=key)
+            if again.error["code"] != "in_progress":
+                return again
+            self.assert_typed(again, 409, "in_progress", "maybe")
+            self.assertIn("retry-after", again.headers)
+            return None
+
+        ended: Reply = wait_for(send, "the outcome was never recorded")
+        return ended
+
     def quote(self, router: Member, **headers: str) -> Reply:
         return call(self.fleet, router, "POST", PLAIN_PATH, {"item": "vase"}, **headers)
