Read the whole request in the scripted endpoint

Cause: test_orders failed once in three runs of all tests ('not understood'): the scripted endpoint answered when it had the head, and the body came in a segment of its own. Change: it reads to the end of the body. Ruled out: the order client (it had sent the body).

--- a/tests/components/upstream/server.py
+++ b/tests/components/upstream/server.py
@@ -64,6 +64,14 @@
             if not received:
                 return False
             data += received
+        # The body may come behind the head; answered too soon, a test would find a
+        # request without it.
+        length = _find_length(data)
+        while len(data) < length:
+            received = connection.recv(65536)
+            if not received:
+                return False
+            data += received
         self.requests.append(data)
         return True
 
@@ -71,6 +79,15 @@
         self._socket.close()
 
 
+def _find_length(data: bytes) -> int:
+    """Return how long the whole request is, its body included."""
+    head, end, _ = data.partition(HEAD_END)
+    for line in head.lower().split(b"\r\n"):
+        if line.startswith(b"content-length:"):
+            return len(head) + len(end) + int(line.partition(b":")[2])
+    return len(head) + len(end)
+
+
 @contextmanager
 def open_server(*scripts: Script) -> Iterator[ScriptedServer]:
     """Give a server for so many connections."""
