Give streams threads enough, and syncs one of their own

Cause: the capacity run found fleets of 11 and more instances never ready (9 ok, 11, 13 and 15 not, each time). Each open stream waits in a thread of the event loop's pool, whose default is 10; with all taken, nothing was received, and syncs of the log waited behind them. Ruled out: the founding of the log (all three had founded it), the election itself (with a pool for syncs a leader was elected and still heard nobody), the library's setting for the pool's size (it is read before it can be set). Change: the pool may grow to 512 threads; syncs have a thread of their own.

--- a/chivetrack/daemon/__main__.py
+++ b/chivetrack/daemon/__main__.py
@@ -1,9 +1,14 @@
 """The program ``chivetrackd``."""
 
-from gevent import monkey
+from gevent import get_hub, monkey
 
 monkey.patch_all()
 
+# Each stream to another instance waits in a thread of this pool for as long as it is
+# open. With the default of 10, an instance that talks to more of them has no thread
+# left: nothing is received any more and no leader is ever elected.
+get_hub().threadpool.maxsize = 512
+
 import grpc.experimental.gevent as grpc_gevent  # noqa: E402
 
 grpc_gevent.init_gevent()
--- a/chivetrack/daemon/replica_host.py
+++ b/chivetrack/daemon/replica_host.py
@@ -8,6 +8,7 @@
 
 import gevent
 from gevent.event import Event as Signal
+from gevent.threadpool import ThreadPool
 
 from chivetrack.components.configuration.models import ConfigChanged, QuorumConfirmed
 from chivetrack.components.consensus import Consensus
@@ -48,10 +49,6 @@
 _LOGGER = get_logger("replica")
 
 
-def _run_in_pool(call: Callable[[], None]) -> None:
-    gevent.get_hub().threadpool.apply(call)
-
-
 class ReplicaHost:
     """Runs the replica; without one (before the log exists) it takes part in founding it.
 
@@ -83,6 +80,9 @@
         self._formed = Signal()
         self._founded: Members | None = None
         self._instances: dict[str, str] = {}
+        # Syncs have a thread of their own, so that they never wait for one behind
+        # whatever else uses the common pool.
+        self._sync_pool = ThreadPool(1)
         self._is_changed = False
         self.is_leader = False
         self.replica: Replica | None = None
@@ -205,7 +205,7 @@
             send=self._send_to_replica,
             clock=time.monotonic,
             make_waiter=Signal,
-            run_blocking=_run_in_pool,
+            run_blocking=self._sync_pool.apply,
         )
         replica.listen(self._take_notice)
         self.replica = replica
