Take out what nothing uses in the pipeline

Cause: a last read found code that the change itself had left dead, and one computation made twice. Change: the retry policy's start_request (requests earn at their end), an unused fault, an unused constant and an unused type are gone; the admission's next look at its queue is asked for once, by the node, and no longer by its own tick as well; a sequence counts by itself. Behaviour and assertions stay; only a fake's unused method went with its protocol. Ruled out for now, noted: one module for hashing keys, one enum for outcomes of attempts, a shorter assemble_router; each reaches too far for what can be run.

--- a/chivetrack/components/pipeline/admission.py
+++ b/chivetrack/components/pipeline/admission.py
@@ -6,11 +6,9 @@
 from chivetrack.components.limits.limiter import Limiter
 from chivetrack.components.limits.models import Admit, LimitedRequest, Shed, WorkspaceLimit
 from chivetrack.components.pipeline.models import Exchange, QueueLeft, WorkspaceView
-from chivetrack.core import Effect, Event, TimeReached, WakeAt
+from chivetrack.core import Effect, Event, TimeReached
 from chivetrack.exceptions import Fault
 
-MIN_BURST = 1.0
-
 
 class LimitSource(Protocol):
     """Where the limits of a workspace come from."""
@@ -89,12 +87,10 @@
         return turns
 
     def handle(self, event: Event, *, now: float) -> list[Effect]:
-        """Look at the queue while somebody waits."""
-        if not isinstance(event, TimeReached):
-            return []
-        self._note_all(self._limiter.advance(now))
-        due = self._limiter.find_due(now)
-        return [] if due is None else [WakeAt(at=due)]
+        """Look at the queue; when to look next is ``find_due``'s to say."""
+        if isinstance(event, TimeReached):
+            self._note_all(self._limiter.advance(now))
+        return []
 
     def find_due(self, now: float) -> float | None:
         """Return when to look at the queue next."""
--- a/chivetrack/components/pipeline/attempts.py
+++ b/chivetrack/components/pipeline/attempts.py
@@ -28,9 +28,6 @@
         if exchange.workspace is not None and exchange.attempts:
             self._budgets.earn(exchange.workspace.name)
 
-    def start_request(self, exchange: Exchange, *, now: float) -> None:
-        """Take note of a request; it earns when it ends."""
-
     def decide(
         self, exchange: Exchange, failure: AttemptFailed, *, now: float
     ) -> TryAgain | GiveUp:
--- a/chivetrack/components/pipeline/chain.py
+++ b/chivetrack/components/pipeline/chain.py
@@ -74,7 +74,7 @@
                 place, f"no filter is named {name!r}", hint=suggest_name(name, FILTER_ORDER)
             )
     for name in FILTER_ORDER:
-        count = order.count(name) if isinstance(order, list) else list(order).count(name)
+        count = order.count(name)
         if count != 1:
             findings.add(place, f"filter {name!r} must appear once, not {count} times")
     for name, needed in _NEEDS.items():
--- a/chivetrack/components/pipeline/faults.py
+++ b/chivetrack/components/pipeline/faults.py
@@ -79,17 +79,6 @@
     return Fault(code="caller_gone", message="The caller has gone.", status=499, ran=ran)
 
 
-def stopping(retry_after_s: float) -> Fault:
-    """Return the fault of an instance that takes no new requests."""
-    return Fault(
-        code="stopping",
-        message="This instance is stopping; send the request again.",
-        status=503,
-        ran=Ran.NO,
-        retry_after_s=retry_after_s,
-    )
-
-
 def answer_cut() -> Fault:
     """Return the fault for an answer that ended before it was whole."""
     message = "The answer was cut off; what arrived is not the whole answer."
--- a/chivetrack/components/pipeline/flow.py
+++ b/chivetrack/components/pipeline/flow.py
@@ -48,10 +48,6 @@
 class RetryDecision(Protocol):
     """Decides whether a failed attempt is followed by another; see ``retries``."""
 
-    def start_request(self, exchange: Exchange, *, now: float) -> None:
-        """Take note of a request, which earns the retry budget."""
-        ...
-
     def decide(
         self, exchange: Exchange, failure: AttemptFailed, *, now: float
     ) -> TryAgain | GiveUp:
--- a/chivetrack/daemon/recorder.py
+++ b/chivetrack/daemon/recorder.py
@@ -1,7 +1,6 @@
 """Records the end of every request: metrics, and what ``explain`` shows."""
 
 from collections import OrderedDict
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from chivetrack.components.pipeline.models import Attempt, Exchange
@@ -72,6 +71,3 @@
         fault=fault,
         traceparent=exchange.traceparent,
     )
-
-
-EndListener = Callable[[Exchange, Fault | None, float], None]
--- a/tests/components/pipeline/fakes.py
+++ b/tests/components/pipeline/fakes.py
@@ -114,9 +114,6 @@
 class SimpleRetries:
     """Another attempt whenever that is safe, three at most."""
 
-    def start_request(self, exchange: Exchange, *, now: float) -> None:
-        return
-
     def decide(
         self, exchange: Exchange, failure: AttemptFailed, *, now: float
     ) -> TryAgain | GiveUp:
