Find the owner of a connection by both of its ends

The link looked a connection's owner up by its local port alone. The kernel gives one local port to several connections with different targets, so the first line of its table could name another process, and the bytes of the cut instance went through. Ruled out: the product accepting on its own (a run that passes shows 503 from the same leader, and the log has no second leader in one term). Change: the link compares both ends with the kernel's table.

--- a/standins/link.py
+++ b/standins/link.py
@@ -8,6 +8,7 @@
 import os
 import signal
 import socket
+import sys
 from pathlib import Path
 from typing import Annotated
 
@@ -21,9 +22,16 @@
 TCP_TABLE = Path("/proc/net/tcp")
 
 
-def find_owner(port: int, pids: list[int]) -> int:
-    """Return which of the processes owns the connection from this local port, or 0."""
-    inode = _find_inode(port)
+Endpoint = tuple[str, int]
+
+
+def find_owner(source: Endpoint, target: Endpoint, pids: list[int]) -> int:
+    """Return which of the processes owns the connection from source to target, or 0.
+
+    Both ends count: two processes may connect from the same local port to different
+    targets at once, and the port alone would name either of them.
+    """
+    inode = find_inode(source, target)
     if not inode:
         return 0
     for pid in pids:
@@ -32,14 +40,22 @@
     return 0
 
 
-def _find_inode(port: int) -> str:
+def find_inode(source: Endpoint, target: Endpoint) -> str:
+    """Return the inode of the socket that holds a connection, empty if there is none."""
+    wanted = [_format_end(source), _format_end(target)]
     for line in TCP_TABLE.read_text().splitlines()[1:]:
         fields = line.split()
-        if int(fields[1].rpartition(":")[2], 16) == port and fields[9] != "0":
+        if fields[1:3] == wanted and fields[9] != "0":
             return fields[9]
     return ""
 
 
+def _format_end(end: Endpoint) -> str:
+    """Write an address as the kernel's table does: hexadecimal, in its own byte order."""
+    number = int.from_bytes(socket.inet_aton(end[0]), sys.byteorder)
+    return f"{number:08X}:{end[1]:04X}"
+
+
 def _owns(pid: int, name: str) -> bool:
     folder = Path(f"/proc/{pid}/fd")
     try:
@@ -83,29 +99,32 @@
             source.close()
             return
         sink.settimeout(None)
-        source_port = address[1]
-        other = gevent.spawn(self._pump, sink, source, source_port)
-        self._pump(source, sink, source_port)
+        caller: Endpoint = (address[0], address[1])
+        own: Endpoint = source.getsockname()[:2]
+        other = gevent.spawn(self._pump, sink, source, caller, own)
+        self._pump(source, sink, caller, own)
         other.join()
         source.close()
         sink.close()
 
-    def _pump(self, source: socket.socket, sink: socket.socket, port: int) -> None:
+    def _pump(
+        self, source: socket.socket, sink: socket.socket, caller: Endpoint, own: Endpoint
+    ) -> None:
         try:
             while data := source.recv(PUMP_SIZE):
-                if not self._is_cut(port):
+                if not self._is_cut(caller, own):
                     sink.sendall(data)
             sink.shutdown(socket.SHUT_WR)
         except OSError:
             source.close()
             sink.close()
 
-    def _is_cut(self, port: int) -> bool:
+    def _is_cut(self, caller: Endpoint, own: Endpoint) -> bool:
         if not self._cut:
             return False
         if "*" in self._cut:
             return True
-        return find_owner(port, [int(pid) for pid in self._cut]) != 0
+        return find_owner(caller, own, [int(pid) for pid in self._cut]) != 0
 
 
 def main(
