--- /dev/null
+++ b/chivetrack/components/announcements/models.py
@@ -0,0 +1,44 @@
+"""Statements of endpoints about themselves."""
+
+from enum import StrEnum
+
+from chivetrack.helpers.codec import Message, message
+
+# A departure closes its lifetime: no statement of the same lifetime comes after it.
+LAST_SEQUENCE = 2**62
+
+
+class EndpointState(StrEnum):
+    """What an endpoint says that it is."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    LEFT = "left"
+
+
+@message("announcements.record")
+class EndpointRecord(Message, frozen=True, array_like=True):
+    """The newest known statement of an endpoint.
+
+    ``born`` is the Unix millisecond of the endpoint's start; it tells two lifetimes
+    under one id apart. ``sequence`` counts the statements of a lifetime. ``slots`` is
+    how many requests run at once, ``cold_s`` for how long the endpoint stays slow after
+    its start (seconds, as of the statement).
+    """
+
+    endpoint_id: str
+    born: int
+    sequence: int
+    service: str
+    address: str
+    zone: str
+    software: str
+    slots: int
+    state: EndpointState
+    cold_s: float = 0.0
+    models: tuple[str, ...] = ()
+
+    @property
+    def position(self) -> tuple[int, int]:
+        """Return what orders two statements of one endpoint."""
+        return (self.born, self.sequence)
--- /dev/null
+++ b/chivetrack/components/announcements/table.py
@@ -0,0 +1,116 @@
+"""The endpoints that an instance knows of, merged from statements in any order."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import msgspec
+
+from chivetrack.components.announcements.models import (
+    LAST_SEQUENCE,
+    EndpointRecord,
+    EndpointState,
+)
+
+# Three heartbeats of 1.2 s and one that comes late: an endpoint that is silent for longer
+# has crashed or is cut off from every replica.
+SILENT_AFTER_S = 5.0
+# A statement that was delayed on its way is forgotten elsewhere by then.
+FORGET_AFTER_S = 60.0
+
+
+@dataclass(slots=True, kw_only=True)
+class _Entry:
+    record: EndpointRecord
+    change: int
+    heard_at: float
+
+
+class EndpointTable:
+    """Keeps the newest statement of each endpoint and numbers the changes.
+
+    A heartbeat that says nothing new moves only the time at which the endpoint was last
+    heard; followers are sent changes alone.
+    """
+
+    def __init__(self) -> None:
+        """Start with no endpoints."""
+        self._entries: dict[str, _Entry] = {}
+        self.change = 0
+
+    def merge(self, record: EndpointRecord, *, now: float) -> bool:
+        """Take a statement; return whether it changes what followers have to know."""
+        entry = self._entries.get(record.endpoint_id)
+        if entry is None:
+            self.change += 1
+            self._entries[record.endpoint_id] = _Entry(
+                record=record, change=self.change, heard_at=now
+            )
+            return True
+        if record.position <= entry.record.position:
+            return False
+        is_change = _strip(record) != _strip(entry.record)
+        entry.record = record
+        entry.heard_at = now
+        if is_change:
+            self.change += 1
+            entry.change = self.change
+        return is_change
+
+    def close(self, endpoint_id: str, *, born: int | None, now: float) -> EndpointRecord | None:
+        """Note that an endpoint has left; return its last record, ``None`` if unknown.
+
+        Without ``born`` the departure is of the lifetime that is known. That of an
+        earlier lifetime says nothing about the present one.
+        """
+        entry = self._entries.get(endpoint_id)
+        if entry is None:
+            return None
+        record = entry.record
+        if born is not None and born < record.born:
+            return record
+        left = msgspec.structs.replace(
+            record,
+            born=record.born if born is None else born,
+            sequence=LAST_SEQUENCE,
+            state=EndpointState.LEFT,
+        )
+        self.merge(left, now=now)
+        return self._entries[endpoint_id].record
+
+    def find(self, endpoint_id: str) -> EndpointRecord | None:
+        """Return the newest statement of an endpoint."""
+        entry = self._entries.get(endpoint_id)
+        return None if entry is None else entry.record
+
+    def list_records(self) -> Iterator[EndpointRecord]:
+        """Yield the newest statement of each endpoint."""
+        for entry in self._entries.values():
+            yield entry.record
+
+    def list_changes(self, after: int) -> list[EndpointRecord]:
+        """Return the statements that changed after a numbered change."""
+        return [entry.record for entry in self._entries.values() if entry.change > after]
+
+    def list_silent(self, now: float) -> list[str]:
+        """Return the endpoints that were not heard of lately and did not say that they left."""
+        return [
+            endpoint_id
+            for endpoint_id, entry in self._entries.items()
+            if now - entry.heard_at > SILENT_AFTER_S
+            and entry.record.state is not EndpointState.LEFT
+        ]
+
+    def forget_old(self, now: float) -> None:
+        """Drop endpoints that nobody has heard of for long."""
+        old = [
+            endpoint_id
+            for endpoint_id, entry in self._entries.items()
+            if now - entry.heard_at > FORGET_AFTER_S
+        ]
+        for endpoint_id in old:
+            del self._entries[endpoint_id]
+
+
+def _strip(record: EndpointRecord) -> EndpointRecord:
+    """Leave out what changes with every heartbeat."""
+    return msgspec.structs.replace(record, sequence=0, cold_s=float(record.cold_s > 0))
--- /dev/null
+++ b/chivetrack/components/distribution/__init__.py
@@ -0,0 +1,1 @@
+"""How replicas tell routers of the document and the endpoints."""
--- /dev/null
+++ b/chivetrack/components/distribution/messages.py
@@ -0,0 +1,93 @@
+"""Messages between routers and replicas, and between replicas about endpoints."""
+
+from chivetrack.components.announcements.models import EndpointRecord
+from chivetrack.helpers.codec import Message, message
+
+
+@message("distribution.load")
+class EndpointLoad(Message, frozen=True, array_like=True):
+    """How much of an endpoint some routers use.
+
+    ``running`` are requests in flight, ``tokens`` prompt tokens sent and not yet
+    answered by a first event.
+    """
+
+    endpoint_id: str
+    running: int
+    tokens: int = 0
+
+
+@message("distribution.placed")
+class PlacedPart(Message, frozen=True, array_like=True):
+    """A part of a prompt that was sent to an endpoint ``age_s`` seconds ago."""
+
+    part: str
+    endpoint_id: str
+    age_s: float
+
+
+@message("distribution.follow")
+class Follow(Message, frozen=True, array_like=True):
+    """A router tells a replica what it has, and is sent what it lacks.
+
+    ``run`` and ``change`` say up to which change of which process of the replica the
+    endpoints are known.
+    """
+
+    router: str
+    zone: str
+    run: str
+    change: int
+    version: int
+    loads: tuple[EndpointLoad, ...] = ()
+    placed: tuple[PlacedPart, ...] = ()
+
+
+@message("distribution.view")
+class View(Message, frozen=True, array_like=True):
+    """What a replica knows: records after change ``base``, and the state of the fleet.
+
+    ``version`` is that of the newest document applied there, ``loads`` are summed over
+    all routers but the receiver, ``routers`` counts the routers.
+    """
+
+    run: str
+    base: int
+    change: int
+    version: int
+    records: tuple[EndpointRecord, ...]
+    replicas: tuple[str, ...]
+    silent: tuple[str, ...]
+    loads: tuple[EndpointLoad, ...]
+    routers: int
+    placed: tuple[PlacedPart, ...] = ()
+
+
+@message("distribution.fetch")
+class FetchDocument(Message, frozen=True, array_like=True):
+    """Ask for the newest document."""
+
+    held_version: int
+
+
+@message("distribution.document")
+class DocumentSent(Message, frozen=True, array_like=True):
+    """A document, packed."""
+
+    version: int
+    payload: bytes
+
+
+@message("distribution.spread")
+class SpreadRecords(Message, frozen=True, array_like=True):
+    """Statements of endpoints that one replica passes on to the others."""
+
+    number: int
+    records: tuple[EndpointRecord, ...]
+
+
+@message("distribution.spread_answer")
+class RecordsTaken(Message, frozen=True, array_like=True):
+    """The statements of a ``SpreadRecords`` are known here."""
+
+    number: int
--- /dev/null
+++ b/chivetrack/components/distribution/subscriber.py
@@ -0,0 +1,147 @@
+"""A router's side: which replicas it follows, and what it holds from them."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from chivetrack.components.announcements.table import EndpointTable
+from chivetrack.components.distribution.const import (
+    FETCH_AGAIN_S,
+    FOLLOW_EVERY_S,
+    REPLICA_FORGET_S,
+    REPLICA_SILENT_S,
+)
+from chivetrack.components.distribution.messages import (
+    DocumentSent,
+    EndpointLoad,
+    FetchDocument,
+    Follow,
+    PlacedPart,
+    View,
+)
+from chivetrack.core import Effect, SendMessage, WakeAt
+
+
+@dataclass(slots=True)
+class _Replica:
+    """What a replica has told so far."""
+
+    named_at: float
+    heard_at: float = float("-inf")
+    run: str = ""
+    change: int = 0
+    view: View | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OwnNews:
+    """What this router tells the others through the replicas."""
+
+    loads: tuple[EndpointLoad, ...]
+    placed: tuple[PlacedPart, ...]
+
+
+class Subscriber:
+    """Follows all replicas, so that no single one of them can keep news from a router.
+
+    A document is taken only if its version is higher than the one held: a replica that
+    lags, or has been cut off, can't take a router back.
+    """
+
+    def __init__(
+        self,
+        *,
+        router: str,
+        zone: str,
+        seeds: Sequence[str],
+        table: EndpointTable,
+        take_document: Callable[[DocumentSent], None],
+        get_news: Callable[[], OwnNews],
+    ) -> None:
+        """Take the own name, the addresses of the first replicas and the ways out."""
+        self._router = router
+        self._zone = zone
+        self._seeds = tuple(seeds)
+        self._table = table
+        self._take_document = take_document
+        self._get_news = get_news
+        self._replicas: dict[str, _Replica] = {}
+        self._next_follow = float("-inf")
+        self._fetched_at = float("-inf")
+        self.version = 0
+
+    def wake(self, *, now: float) -> list[Effect]:
+        """Ask the replicas when it is time to."""
+        effects: list[Effect] = []
+        if now >= self._next_follow:
+            self._next_follow = now + FOLLOW_EVERY_S
+            effects += self._follow_all(now)
+        effects.append(WakeAt(at=self._next_follow))
+        return effects
+
+    def _follow_all(self, now: float) -> list[Effect]:
+        for seed in self._seeds:
+            self._name(seed, now)
+        for name, replica in list(self._replicas.items()):
+            if now - replica.named_at > REPLICA_FORGET_S:
+                del self._replicas[name]
+        news = self._get_news()
+        return [
+            SendMessage(target=name, message=self._make_follow(replica, news))
+            for name, replica in self._replicas.items()
+        ]
+
+    def _make_follow(self, replica: _Replica, news: OwnNews) -> Follow:
+        return Follow(
+            router=self._router,
+            zone=self._zone,
+            run=replica.run,
+            change=replica.change,
+            version=self.version,
+            loads=news.loads,
+            placed=news.placed,
+        )
+
+    def _name(self, name: str, now: float) -> _Replica:
+        replica = self._replicas.get(name)
+        if replica is None:
+            replica = self._replicas[name] = _Replica(named_at=now)
+        replica.named_at = now
+        return replica
+
+    def take_view(self, source: str, view: View, *, now: float) -> list[Effect]:
+        """Merge what a replica tells; ask for its document if it is newer."""
+        replica = self._name(source, now)
+        replica.heard_at = now
+        replica.view = view
+        for record in view.records:
+            self._table.merge(record, now=now)
+        if view.run != replica.run:
+            replica.run, replica.change = view.run, 0
+        if view.base <= replica.change:
+            # After a push that was lost the next answer begins where this router is.
+            replica.change = max(replica.change, view.change)
+        for name in view.replicas:
+            self._name(name, now)
+        return self._fetch(source, view.version, now)
+
+    def _fetch(self, source: str, version: int, now: float) -> list[Effect]:
+        if version <= self.version or now - self._fetched_at < FETCH_AGAIN_S:
+            return []
+        self._fetched_at = now
+        return [SendMessage(target=source, message=FetchDocument(held_version=self.version))]
+
+    def take_document(self, document: DocumentSent) -> None:
+        """Put a newer document in force; an older one is dropped."""
+        if document.version <= self.version:
+            return
+        self.version = document.version
+        self._fetched_at = float("-inf")
+        self._take_document(document)
+
+    def list_live(self, now: float) -> list[View]:
+        """Return the last words of the replicas that are in contact."""
+        return [
+            replica.view
+            for replica in self._replicas.values()
+            if replica.view is not None and now - replica.heard_at <= REPLICA_SILENT_S
+        ]
--- /dev/null
+++ b/chivetrack/components/document/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration document as the state that the log replicates."""
--- a/chivetrack/components/peers/const.py
+++ b/chivetrack/components/peers/const.py
@@ -17,6 +17,8 @@
 RECONNECT_MIN_MS: Final = 100
 RECONNECT_MAX_MS: Final = 2000
 KEEPALIVE_MS: Final = 10_000
+# The library's own default.
+PING_TIMEOUT_MS: Final = 20_000
 # One for each stream that is open; they are greenlets and cost a few KB.
 SERVER_WORKERS: Final = 1024
 STOP_GRACE_S: Final = 1.0
--- /dev/null
+++ b/chivetrack/components/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which endpoint a request goes to, decided without I/O."""
--- /dev/null
+++ b/chivetrack/components/replica/repair.py
@@ -0,0 +1,122 @@
+"""Keeps the replicated log at its wanted number of voters, without an operator."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from chivetrack.components.consensus.members import ChangeKind, Member, Members
+from chivetrack.components.consensus.models import ConsensusStatus
+from chivetrack.helpers.codec import Message, message
+
+# A voter that was silent for this long gives its place to a learner that waits for one.
+# Longer than the freezes and restarts of a few seconds that a voter comes back from.
+VOTER_SILENT_S = 5.0
+# A learner that has not been heard for so long is dropped: its disk is gone for good.
+LEARNER_SILENT_S = 10.0
+# A joiner is taken at its word for so long; it asks four times a second.
+JOINER_FRESH_S = 1.0
+
+
+@message("replica.join")
+class JoinRequest(Message, frozen=True, array_like=True):
+    """A replica that hears no leader asks whether it belongs to the log."""
+
+    instance_id: str
+    replica_id: str
+
+
+@message("replica.join_answer")
+class JoinAnswer(Message, frozen=True, array_like=True):
+    """The members as one replica knows them, and who leads."""
+
+    leader_instance: str
+    members: Members
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class MemberChange:
+    """The next change to propose."""
+
+    kind: ChangeKind
+    member: Member
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Joiner:
+    replica_id: str
+    heard_at: float
+
+
+class Repair:
+    """Decides on a leader which member change comes next; one at a time.
+
+    A replica with a new id on the instance of a member means that the disk of that
+    member is lost: its old id can never answer again, so it is removed first. With two
+    of five disks lost, the quorum goes down to three of four before it has to be
+    reached, and the three that are left suffice at every step.
+    """
+
+    def __init__(self, *, wanted_voters: int) -> None:
+        """Take the number of voters that bears the losses which are to be borne."""
+        self._wanted_voters = wanted_voters
+        self._joiners: dict[str, _Joiner] = {}
+
+    def note_join(self, request: JoinRequest, *, now: float) -> None:
+        """Remember who asks to be let in."""
+        self._joiners[request.instance_id] = _Joiner(replica_id=request.replica_id, heard_at=now)
+
+    def choose(self, status: ConsensusStatus, *, now: float) -> MemberChange | None:
+        """Return the change that is due on this leader, if there is one."""
+        joiners = {
+            instance: joiner.replica_id
+            for instance, joiner in self._joiners.items()
+            if now - joiner.heard_at <= JOINER_FRESH_S
+        }
+        silent = {one.replica_id: one.last_contact_age_s for one in status.replicas}
+        return (
+            self._replace_lost(status, joiners)
+            or self._add(status.members, joiners)
+            or self._promote(status, silent)
+            or self._drop_learner(status, silent)
+        )
+
+    def _replace_lost(
+        self, status: ConsensusStatus, joiners: Mapping[str, str]
+    ) -> MemberChange | None:
+        for member in status.members.members:
+            joiner = joiners.get(member.instance_id, member.replica_id)
+            is_retired = joiner in status.members.retired
+            if joiner == member.replica_id or is_retired or member.replica_id == status.replica_id:
+                continue
+            return MemberChange(kind=ChangeKind.REMOVE, member=member)
+        return None
+
+    def _add(self, members: Members, joiners: Mapping[str, str]) -> MemberChange | None:
+        for instance, replica_id in joiners.items():
+            if members.find(replica_id) is None and replica_id not in members.retired:
+                member = Member(replica_id=replica_id, instance_id=instance, voter=False)
+                return MemberChange(kind=ChangeKind.ADD_LEARNER, member=member)
+        return None
+
+    def _promote(self, status: ConsensusStatus, silent: Mapping[str, float]) -> MemberChange | None:
+        learners = [
+            member
+            for member in status.members.members
+            if not member.voter and silent.get(member.replica_id, 0.0) < JOINER_FRESH_S
+        ]
+        if not learners:
+            return None
+        if len(status.members.list_voters()) < self._wanted_voters:
+            return MemberChange(kind=ChangeKind.PROMOTE, member=learners[0])
+        for member in status.members.members:
+            is_silent = silent.get(member.replica_id, 0.0) > VOTER_SILENT_S
+            if member.voter and is_silent and member.replica_id != status.replica_id:
+                return MemberChange(kind=ChangeKind.REMOVE, member=member)
+        return None
+
+    def _drop_learner(
+        self, status: ConsensusStatus, silent: Mapping[str, float]
+    ) -> MemberChange | None:
+        for member in status.members.members:
+            if not member.voter and silent.get(member.replica_id, 0.0) > LEARNER_SILENT_S:
+                return MemberChange(kind=ChangeKind.REMOVE, member=member)
+        return None
--- a/chivetrack/components/settings/config.py
+++ b/chivetrack/components/settings/config.py
@@ -2,21 +2,23 @@
 
 import re
 import tomllib
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import fields
 from pathlib import Path
-from typing import Any, get_args
+from typing import Any, Generic, TypeVar, get_args
 
 from expression import Error, Ok, Result
 from pydantic import BaseModel, ValidationError
 from pydantic_core import ErrorDetails
 
-from chivetrack.components.settings.checks import CHECKS, ValidSections
+from chivetrack.components.settings.checks import CHECKS, Problem, ValidSections
 from chivetrack.components.settings.const import PATTERN_MEANINGS
 from chivetrack.components.settings.models import Section, Settings
 from chivetrack.components.settings.places import KeyPath, Places
 from chivetrack.helpers.finding import Findings, suggest_name
 
+SettingsT = TypeVar("SettingsT", bound=BaseModel)
+
 _SYNTAX_PLACE = re.compile(
     r"^(?P<message>.*) \(at (line (?P<line>\d+), column \d+|end of document)\)$", re.DOTALL
 )
@@ -24,27 +26,50 @@
 
 def load_settings(path: Path) -> Result[Settings, Findings]:
     """Read a settings file; the error side holds everything that is wrong with it."""
+    return read_text(path).bind(lambda text: parse_settings(text, source=str(path)))
+
+
+def read_text(path: Path) -> Result[str, Findings]:
+    """Read a settings file as text."""
     try:
-        text = path.read_text(encoding="utf-8")
+        return Ok(path.read_text(encoding="utf-8"))
     except (OSError, UnicodeDecodeError) as error:
         findings = Findings()
         reason = error.strerror if isinstance(error, OSError) else "is not UTF-8 text"
         findings.add(str(path), f"cannot be read: {reason}")
         return Error(findings)
-    return parse_settings(text, source=str(path))
 
 
 def parse_settings(text: str, *, source: str) -> Result[Settings, Findings]:
     """Check a settings text; ``source`` names it in the findings' places."""
+    return parse_sections(text, source=source, model=Settings, check=_check_settings)
+
+
+def parse_sections(
+    text: str,
+    *,
+    source: str,
+    model: type[SettingsT],
+    check: Callable[[dict[str, Section]], Iterator[Problem]],
+) -> Result[SettingsT, Findings]:
+    """Check a text against a model of sections, and then what reads more than one of them."""
     try:
         document = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
         return Error(_report_syntax(str(error), text, source))
-    reader = _Reader(source=source, places=Places(text=text))
-    settings = reader.read(document)
+    reader = _Reader(source=source, places=Places(text=text), model=model)
+    settings = reader.read(document, check)
     return Error(reader.findings) if settings is None else Ok(settings)
 
 
+def _check_settings(valid: dict[str, Section]) -> Iterator[Problem]:
+    known = {field.name for field in fields(ValidSections)}
+    picked: dict[str, Any] = {n: section for n, section in valid.items() if n in known}
+    sections = ValidSections(**picked)
+    for check in CHECKS.values():
+        yield from check(sections)
+
+
 def _report_syntax(message: str, text: str, source: str) -> Findings:
     findings = Findings()
     match = _SYNTAX_PLACE.match(message)
@@ -56,29 +81,35 @@
     return findings
 
 
-class _Reader:
+class _Reader(Generic[SettingsT]):
     """Checks one document section by section, so that one fault hides no other."""
 
-    def __init__(self, *, source: str, places: Places) -> None:
+    def __init__(self, *, source: str, places: Places, model: type[SettingsT]) -> None:
         self.findings = Findings()
         self._source = source
         self._places = places
+        self._model = model
 
-    def read(self, document: dict[str, Any]) -> Settings | None:
+    def read(
+        self,
+        document: dict[str, Any],
+        check: Callable[[dict[str, Section]], Iterator[Problem]],
+    ) -> SettingsT | None:
         """Return the settings, or ``None`` after recording what is wrong."""
         for name in document:
-            if name not in Settings.model_fields:
-                self._add_unknown((name,), Settings)
+            if name not in self._model.model_fields:
+                self._add_unknown((name,), self._model)
         valid = {}
-        for name in Settings.model_fields:
+        for name in self._model.model_fields:
             section = self._read_section(name, document.get(name, {}))
             if section is not None:
                 valid[name] = section
-        self._run_checks(valid)
-        return None if len(self.findings) else Settings.model_validate(valid)
+        for problem in check(valid):
+            self._add(problem.path, problem.message, hint=problem.hint)
+        return None if len(self.findings) else self._model.model_validate(valid)
 
     def _read_section(self, name: str, content: Any) -> Section | None:
-        model = Settings.model_fields[name].annotation
+        model = self._model.model_fields[name].annotation
         assert isinstance(model, type) and issubclass(model, Section)
         try:
             return model.model_validate(content)
@@ -87,14 +118,6 @@
                 self._add_detail((name, *detail["loc"]), detail, model)
         return None
 
-    def _run_checks(self, valid: dict[str, Section]) -> None:
-        known = {field.name for field in fields(ValidSections)}
-        picked: dict[str, Any] = {n: section for n, section in valid.items() if n in known}
-        sections = ValidSections(**picked)
-        for check in CHECKS.values():
-            for problem in check(sections):
-                self._add(problem.path, problem.message, hint=problem.hint)
-
     def _add_detail(self, path: KeyPath, detail: ErrorDetails, model: type[Section]) -> None:
         if detail["type"] == "extra_forbidden":
             self._add_unknown(path, _find_model(model, path[1:-1]))
--- /dev/null
+++ b/chivetrack/components/traffic/__init__.py
@@ -0,0 +1,1 @@
+"""What operators configure for traffic: routes, services, workspaces, limits on callers."""
--- /dev/null
+++ b/chivetrack/components/upstream/connection.py
@@ -0,0 +1,217 @@
+"""One connection to an endpoint: a request at a time, and what is known if it fails."""
+
+import http.client
+import select
+import socket
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+
+import gevent
+from urllib3.connection import HTTPConnection
+
+from chivetrack.components.upstream.chunks import ChunkDecoder, ChunkError
+from chivetrack.components.upstream.const import READ_SIZE
+from chivetrack.components.upstream.models import BrokenAnswerError
+
+# Bytes that stay unacknowledged for longer end the connection: the other side has no
+# power or is behind a cut, and would never say so.
+UNACKNOWLEDGED_MS = 2000
+# Larger bodies are sent by a greenlet of their own, so that an answer which comes before
+# the body was read is seen at once.
+SEND_ASIDE_BYTES = 16 * 1024
+_SOCKET_OPTIONS: list[tuple[int, int, int | bytes]] = [
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+]
+
+
+class NotSentError(Exception):
+    """No byte of the request has left."""
+
+
+class MaybeRanError(Exception):
+    """Bytes have left and there is no whole head of an answer."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EndpointRequest:
+    """A request as it goes out; ``target`` is the raw target of the request line."""
+
+    method: str
+    target: str
+    headers: Sequence[tuple[str, str]]
+    body: bytes
+
+
+class EndpointAnswer:
+    """The head of an answer, and its body as it comes."""
+
+    def __init__(self, *, response: http.client.HTTPResponse, method: str) -> None:
+        """Take over a response whose head was read."""
+        self._response = response
+        self._method = method
+        self.status = response.status
+        self.headers = response.headers
+        self.is_whole = False
+        self.is_framed = bool(response.chunked) or response.length is not None
+
+    @property
+    def length(self) -> int | None:
+        """Return the stated length of the body in bytes."""
+        return None if self._response.chunked else self._response.length
+
+    def read_chunks(self) -> Iterator[bytes]:
+        """Yield the body as it comes; raise ``BrokenAnswerError`` if it is not whole."""
+        try:
+            yield from self._read()
+        except (OSError, ChunkError, http.client.HTTPException, ValueError) as error:
+            raise BrokenAnswerError(f"{type(error).__name__}: {error}") from error
+        self.is_whole = True
+
+    def _read(self) -> Iterator[bytes]:
+        if self._response.chunked:
+            return self._read_chunked()
+        if self._response.length is None:
+            return self._read_to_end()
+        return self._read_length(self._response.length)
+
+    def _read_chunked(self) -> Iterator[bytes]:
+        source = self._response.fp
+        decoder = ChunkDecoder()
+        while not decoder.is_ended:
+            data = source.read1(READ_SIZE)
+            if not data:
+                raise ChunkError("the answer ended before its last chunk")
+            if payload := decoder.feed(data):
+                yield payload
+        if decoder.has_rest:
+            self._response.will_close = True
+
+    def _read_length(self, left: int) -> Iterator[bytes]:
+        source = self._response.fp
+        while left > 0:
+            data = source.read1(min(left, READ_SIZE))
+            if not data:
+                raise ChunkError(f"the answer ended {left} bytes early")
+            left -= len(data)
+            yield data
+
+    def _read_to_end(self) -> Iterator[bytes]:
+        source = self._response.fp
+        while data := source.read1(READ_SIZE):
+            yield data
+
+    @property
+    def keeps_connection(self) -> bool:
+        """Return whether the connection may serve another request after this answer."""
+        return self.is_whole and self.is_framed and not self._response.will_close
+
+
+class EndpointConnection:
+    """A connection that is used for one request after the other."""
+
+    def __init__(self, *, address: str, connect_timeout_s: float) -> None:
+        """Connect; raise ``NotSentError``."""
+        host, _, port = address.rpartition(":")
+        self._http = HTTPConnection(
+            host, int(port), timeout=connect_timeout_s, socket_options=_SOCKET_OPTIONS
+        )
+        try:
+            self._http.connect()
+        except Exception as error:
+            self._http.close()
+            raise NotSentError(f"no connection: {error}") from error
+        self._sender: gevent.Greenlet | None = None
+        self.idle_since = 0.0
+        self.idle_limit_s = 0.0
+        self.is_used = False
+
+    @property
+    def _socket(self) -> socket.socket:
+        sock = self._http.sock
+        assert sock is not None
+        return sock
+
+    def is_clean(self) -> bool:
+        """Return whether nothing has come since the last answer, neither bytes nor an end.
+
+        Bytes that belong to no request would be taken for the next answer.
+        """
+        if self._http.sock is None:
+            return False
+        readable, _, _ = select.select([self._socket], [], [], 0)
+        return not readable
+
+    def send(self, request: EndpointRequest, *, timeout_s: float) -> None:
+        """Send a request; raise ``NotSentError`` or ``MaybeRanError``."""
+        self._socket.settimeout(timeout_s)
+        self.is_used = True
+        head = _make_head(request)
+        aside = len(request.body) > SEND_ASIDE_BYTES
+        first = head if aside else head + request.body
+        self._send_first(first)
+        if aside:
+            self._sender = gevent.spawn(self._send_aside, request.body)
+
+    def _send_first(self, data: bytes) -> None:
+        try:
+            sent = self._socket.send(data)
+        except OSError as error:
+            # Refused as a whole: the other side had closed before the request was there.
+            raise NotSentError(f"not sent: {error}") from error
+        try:
+            self._socket.sendall(data[sent:])
+        except OSError as error:
+            raise MaybeRanError(f"sent in part: {error}") from error
+
+    def _send_aside(self, body: bytes) -> bool:
+        try:
+            self._socket.sendall(body)
+        except OSError:
+            # An answer that was sent before the end of the body may still be read.
+            return False
+        return True
+
+    def read_answer(self, method: str, *, timeout_s: float) -> EndpointAnswer:
+        """Read the head of the next answer; raise ``MaybeRanError``."""
+        self._socket.settimeout(timeout_s)
+        response = http.client.HTTPResponse(self._socket, method=method)
+        try:
+            response.begin()
+        except (OSError, http.client.HTTPException, ValueError) as error:
+            raise MaybeRanError(f"no answer: {type(error).__name__}: {error}") from error
+        return EndpointAnswer(response=response, method=method)
+
+    def set_timeout(self, timeout_s: float) -> None:
+        """Bound the wait for the next bytes."""
+        self._socket.settimeout(timeout_s)
+
+    def end_request(self) -> bool:
+        """Return whether the whole request has been sent, so that another one may follow."""
+        sender, self._sender = self._sender, None
+        if sender is None:
+            return True
+        if not sender.ready():
+            sender.kill(block=False)
+            return False
+        return bool(sender.value)
+
+    def close(self) -> None:
+        """Close the connection, which tells the endpoint to stop."""
+        sender, self._sender = self._sender, None
+        if sender is not None:
+            sender.kill(block=False)
+        self._http.close()
+
+    def rest(self, *, now: float, idle_limit_s: float) -> None:
+        """Note that the connection is idle from now on."""
+        self.idle_since = now
+        self.idle_limit_s = idle_limit_s
+
+
+def _make_head(request: EndpointRequest) -> bytes:
+    lines = [f"{request.method} {request.target} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in request.headers]
+    if request.body or request.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+        lines.append(f"Content-Length: {len(request.body)}")
+    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
--- /dev/null
+++ b/chivetrack/daemon/fleet/__main__.py
@@ -0,0 +1,74 @@
+"""The program of the deployed processes: a router or a replica, as the settings say."""
+
+from gevent import get_hub, monkey
+
+monkey.patch_all()
+
+# Each stream to another process waits in a thread of this pool for as long as it is open.
+get_hub().threadpool.maxsize = 256
+
+import grpc.experimental.gevent as grpc_gevent  # noqa: E402
+
+grpc_gevent.init_gevent()
+
+from pathlib import Path  # noqa: E402
+from typing import Annotated  # noqa: E402
+
+import typer  # noqa: E402
+
+from chivetrack.components.settings.deployment import (  # noqa: E402
+    DeploymentSettings,
+    ProcessRole,
+    load_deployment,
+)
+from chivetrack.daemon.const import EXIT_CUT, EXIT_OK, EXIT_SETTINGS, EXIT_START  # noqa: E402
+from chivetrack.daemon.fleet.replica import ReplicaProcess  # noqa: E402
+from chivetrack.daemon.fleet.router import Router  # noqa: E402
+from chivetrack.helpers.events import open_events  # noqa: E402
+from chivetrack.helpers.log import open_logs  # noqa: E402
+from chivetrack.helpers.telemetry import open_telemetry  # noqa: E402
+
+APP = typer.Typer(add_completion=False)
+
+
+def serve(settings: DeploymentSettings) -> int:
+    """Run the process until it was stopped, and return the exit code."""
+    process = settings.process
+    program = ReplicaProcess if process.role is ProcessRole.REPLICA else Router
+    with (
+        open_logs(level=settings.log.level, form="json"),
+        open_events(instance=process.name) as events,
+        open_telemetry(
+            instance_id=process.name, availability_zone=process.availability_zone
+        ) as telemetry,
+    ):
+        try:
+            running = program(settings=settings, events=events, telemetry=telemetry)
+            cut = running.run()
+        except (OSError, RuntimeError) as error:
+            events.write("start_failed", detail=str(error))
+            return EXIT_START
+    return EXIT_CUT if cut else EXIT_OK
+
+
+@APP.command()
+def run_process(
+    config: Annotated[
+        Path, typer.Option(envvar="CHIVETRACK_SETTINGS", help="The settings file (TOML).")
+    ],
+) -> None:
+    """Run one router or replica until SIGTERM.
+
+    Exit codes: 0 stopped and nothing cut; 1 stopped, requests were cut off; 3 the
+    settings have faults (all are printed); 4 a listener or a file could not be opened.
+    """
+    settings = load_deployment(config)
+    if settings.is_error():
+        for finding in settings.error:
+            typer.echo(str(finding), err=True)
+        raise typer.Exit(EXIT_SETTINGS)
+    raise typer.Exit(serve(settings.ok))
+
+
+if __name__ == "__main__":
+    APP()
--- /dev/null
+++ b/chivetrack/daemon/fleet/const.py
@@ -0,0 +1,62 @@
+"""Constants of the deployed processes; times in seconds unless a name says otherwise."""
+
+from typing import Final
+
+CONNECT_TIMEOUT_S: Final = 0.6
+"""Two zones are 3 ms apart; a lost opening packet is sent again after a second."""
+
+ANSWER_STALL_S: Final = 2.0
+"""A resumable stream that is silent for so long after its first event goes on elsewhere;
+callers give up after eight pauses, 2.4 s at the least."""
+
+WHOLE_ANSWER_BYTES: Final = 1024 * 1024
+"""Answers up to this size are read whole before the caller gets a byte, so that a broken
+one can be repeated or refused and is never seen."""
+
+DEFAULT_WAIT_S: Final = 15.0
+"""For callers that do not say how long they wait."""
+
+LATE_ANSWER_S: Final = 0.1
+"""How long after a route's timeout an answer may still be on its way."""
+
+NO_ENDPOINT_RETRY_S: Final = 0.5
+NO_DOCUMENT_RETRY_S: Final = 1.0
+
+FLUSH_S: Final = 0.02
+"""Changes of endpoints within so long go out to routers together."""
+
+TIDY_EVERY_S: Final = 1.0
+
+STOP_IDLE_AFTER_S: Final = 1.0
+"""From SIGTERM until idle connections are closed: callers then open one elsewhere."""
+
+STOP_ACCEPT_S: Final = 3.2
+"""From SIGTERM until nothing new is taken: the balancer asks each second and believes the
+second no, and a connection that it had just sent needs a moment."""
+
+STOP_MARGIN_S: Final = 0.5
+"""Between the end of what is in flight and the kill."""
+
+SPREAD_WAIT_S: Final = 0.6
+"""How long a replica waits for others to know of a departure; callers wait a second."""
+
+PROPOSE_TIMEOUT_S: Final = 0.9
+READ_TIMEOUT_S: Final = 0.8
+"""Operators go to another replica after a second."""
+
+REPAIR_EVERY_S: Final = 0.1
+SEEK_EVERY_S: Final = 0.25
+LEADER_SILENT_S: Final = 1.5
+REOPEN_AFTER_S: Final = 0.5
+FOUNDING_GRACE_S: Final = 8.0
+"""While a log is founded, documents wait this long for all voters to have joined: one that
+is acknowledged before then lies on fewer disks than losses are to be borne."""
+
+MAX_REQUESTS: Final = 1500
+"""Requests in flight at a router: half of its descriptors, for both sides of each."""
+
+KEEPALIVE_MS: Final = 1000
+PING_TIMEOUT_MS: Final = 1200
+RECONNECT_MAX_MS: Final = 400
+"""A silent cut between instances is noticed in 2.2 s and a returned one is found in half a
+second, so that three seconds after trouble all are in contact again."""
--- /dev/null
+++ b/chivetrack/daemon/fleet/desk.py
@@ -0,0 +1,231 @@
+"""What a replica does for operators and endpoints."""
+
+import itertools
+import time
+import zlib
+from collections.abc import Callable
+
+from expression import Error, Ok, Result
+from gevent.event import Event as Signal
+
+from chivetrack.components.announcements.models import (
+    LAST_SEQUENCE,
+    EndpointRecord,
+    EndpointState,
+)
+from chivetrack.components.announcements.table import EndpointTable
+from chivetrack.components.distribution.messages import RecordsTaken, SpreadRecords
+from chivetrack.components.document.store import DocumentStore, PutOutcome, StoredDocument
+from chivetrack.components.replica.models import NotLeaderFault
+from chivetrack.components.traffic.models import Document
+from chivetrack.daemon.fleet.const import (
+    FOUNDING_GRACE_S,
+    PROPOSE_TIMEOUT_S,
+    READ_TIMEOUT_S,
+    SPREAD_WAIT_S,
+)
+from chivetrack.daemon.fleet.log_host import LogHost
+from chivetrack.exceptions import Fault, Ran
+from chivetrack.helpers.codec import Message, decode_as, encode
+from chivetrack.helpers.events import EventLog
+from chivetrack.platform.control_api import Elsewhere
+
+_RETRY_S = 0.3
+
+
+def _make_fault(code: str, message: str) -> Fault:
+    return Fault(code=code, message=message, status=503, ran=Ran.NO, retry_after_s=_RETRY_S)
+
+
+class _Spread:
+    """A statement on its way to the other replicas."""
+
+    def __init__(self, needed: int) -> None:
+        self.done = Signal()
+        self.needed = needed
+        self.takers: set[str] = set()
+
+    def take(self, source: str) -> None:
+        self.takers.add(source)
+        if len(self.takers) >= self.needed:
+            self.done.set()
+
+
+class Desk:
+    """Answers operators from the log and endpoints from the table of announcements."""
+
+    def __init__(
+        self,
+        *,
+        instance_id: str,
+        control_port: int,
+        host: LogHost,
+        store: DocumentStore,
+        table: EndpointTable,
+        send: Callable[[str, Message], None],
+        push: Callable[[], None],
+        events: EventLog,
+    ) -> None:
+        """Take the log and the table; ``push`` tells the routers of a change."""
+        self._instance_id = instance_id
+        self._control_port = control_port
+        self._host = host
+        self._store = store
+        self._table = table
+        self._send = send
+        self._push = push
+        self._events = events
+        self._numbers = itertools.count(1)
+        self._spreads: dict[int, _Spread] = {}
+
+    # Operators
+
+    def put(self, document: Document, body: bytes) -> Result[int, Fault | Elsewhere]:
+        """Commit a document and return the version in force."""
+        outcome = self._put(document, body)
+        self._events.write(
+            "configuration_sent",
+            version=document.version,
+            held=self._store.current.version,
+            outcome="acknowledged" if outcome.is_ok() else type(outcome.error).__name__,
+            detail="" if outcome.is_ok() else str(outcome.error)[:200],
+        )
+        return outcome
+
+    def _put(self, document: Document, body: bytes) -> Result[int, Fault | Elsewhere]:
+        replica = self._host.replica
+        if not self._host.is_leader or replica is None:
+            return Error(self._refer())
+        if self._is_founding():
+            return Error(_make_fault("founding", "not all replicas have joined yet"))
+        if document.version <= self._store.current.version:
+            # A resend, or an older one: nothing changes, so the log needs no entry.
+            confirmed = replica.confirm_read(timeout_s=READ_TIMEOUT_S)
+            if confirmed.is_error():
+                return Error(self._refer_after(confirmed.error))
+            return Ok(self._store.current.version)
+        stored = StoredDocument(version=document.version, payload=zlib.compress(body, 6))
+        result = replica.propose(encode(stored), timeout_s=PROPOSE_TIMEOUT_S)
+        if result.is_error():
+            return Error(self._refer_after(result.error))
+        return Ok(decode_as(PutOutcome, result.ok).version)
+
+    def _is_founding(self) -> bool:
+        if self._store.current.version or self._host.has_all_voters:
+            return False
+        return time.monotonic() - self._host.leads_since < FOUNDING_GRACE_S
+
+    def read(self) -> Result[StoredDocument, Fault | Elsewhere]:
+        """Return the newest document, once a quorum has confirmed that this replica leads."""
+        replica = self._host.replica
+        if not self._host.is_leader or replica is None:
+            return Error(self._refer())
+        confirmed = replica.confirm_read(timeout_s=READ_TIMEOUT_S)
+        if confirmed.is_error():
+            return Error(self._refer_after(confirmed.error))
+        if not self._store.current.version:
+            return Error(_make_fault("no_configuration", "no configuration was sent yet"))
+        return Ok(self._store.current)
+
+    def _refer(self) -> Fault | Elsewhere:
+        leader = self._host.get_leader()
+        if not leader or leader == self._instance_id:
+            return _make_fault("no_leader", "no replica leads at the moment")
+        host = leader.rpartition(":")[0]
+        return Elsewhere(address=f"{host}:{self._control_port}")
+
+    def _refer_after(self, fault: Fault) -> Fault | Elsewhere:
+        return self._refer() if isinstance(fault, NotLeaderFault) else fault
+
+    # Endpoints
+
+    def announce(self, record: EndpointRecord) -> Result[None, Fault]:
+        """Take an endpoint's statement; one that it drains is acknowledged once others know."""
+        is_change = self._table.merge(record, now=time.monotonic())
+        known = self._table.find(record.endpoint_id)
+        if is_change:
+            self._log(record)
+            self._push()
+        if known is not None and known.state is not EndpointState.READY and is_change:
+            return self._spread_for_sure(known)
+        self._spread(record)
+        return Ok(None)
+
+    def leave(self, endpoint_id: str, born: int | None) -> Result[None, Fault]:
+        """Take an endpoint's departure."""
+        now = time.monotonic()
+        known = self._table.close(endpoint_id, born=born, now=now)
+        if known is None:
+            # Nobody has announced it here since the start; a router may still know it.
+            known = _make_departure(endpoint_id, born)
+            self._table.merge(known, now=now)
+        self._log(known)
+        self._push()
+        return self._spread_for_sure(known)
+
+    def _log(self, record: EndpointRecord) -> None:
+        self._events.write(
+            "endpoint_said",
+            endpoint=record.endpoint_id,
+            service=record.service,
+            address=record.address,
+            state=record.state.value,
+            born=record.born,
+            sequence=record.sequence,
+        )
+
+    def _list_others(self) -> list[str]:
+        return [one for one in self._host.list_instances() if one != self._instance_id]
+
+    def _spread(self, record: EndpointRecord) -> None:
+        for target in self._list_others():
+            self._send(target, SpreadRecords(number=0, records=(record,)))
+
+    def _spread_for_sure(self, record: EndpointRecord) -> Result[None, Fault]:
+        """Return once a majority knows; a single replica might be lost with the news.
+
+        Routers ask every replica, so one of a majority reaches each of them in time.
+        """
+        others = self._list_others()
+        number = next(self._numbers)
+        spread = _Spread((len(others) + 1) // 2)
+        self._spreads[number] = spread
+        for target in others:
+            self._send(target, SpreadRecords(number=number, records=(record,)))
+        is_known = spread.needed == 0 or spread.done.wait(SPREAD_WAIT_S)
+        del self._spreads[number]
+        if is_known:
+            return Ok(None)
+        self._events.write("departure_not_spread", endpoint=record.endpoint_id)
+        return Error(_make_fault("no_majority", "too few replicas know of it yet"))
+
+    def take(self, source: str, message: Message) -> bool:
+        """Take a message of another replica; return whether it was for the desk."""
+        if isinstance(message, RecordsTaken):
+            spread = self._spreads.get(message.number)
+            if spread is not None:
+                spread.take(source)
+            return True
+        if not isinstance(message, SpreadRecords):
+            return False
+        now = time.monotonic()
+        changes = [self._table.merge(record, now=now) for record in message.records]
+        if any(changes):
+            self._push()
+        if message.number:
+            self._send(source, RecordsTaken(number=message.number))
+        return True
+
+
+def _make_departure(endpoint_id: str, born: int | None) -> EndpointRecord:
+    return EndpointRecord(
+        endpoint_id=endpoint_id,
+        born=int(time.time() * 1000) if born is None else born,
+        sequence=LAST_SEQUENCE,
+        service="",
+        address="",
+        zone="",
+        software="",
+        slots=0,
+        state=EndpointState.LEFT,
+    )
--- /dev/null
+++ b/chivetrack/daemon/fleet/fleet_view.py
@@ -0,0 +1,229 @@
+"""What a router believes of the fleet: configuration, endpoints, their load and health."""
+
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+from chivetrack.components.announcements.models import EndpointRecord, EndpointState
+from chivetrack.components.announcements.table import EndpointTable
+from chivetrack.components.distribution.messages import DocumentSent, View
+from chivetrack.components.distribution.subscriber import OwnNews
+from chivetrack.components.endpoints.breaker import Breaker, BreakerState
+from chivetrack.components.endpoints.models import OutcomeKind
+from chivetrack.components.placement.choice import Candidate, Choice, Chooser
+from chivetrack.components.placement.loads import LoadTable
+from chivetrack.components.placement.parts import PartBook
+from chivetrack.components.retries.sending import SendEnd
+from chivetrack.components.retries.window import RetryWindow
+from chivetrack.components.settings.deployment import BoundSettings
+from chivetrack.components.traffic.models import Document
+from chivetrack.components.traffic.table import RouteTable
+from chivetrack.daemon.fleet.calls import Call
+from chivetrack.helpers.events import EventLog
+
+_OUTCOME_KINDS = {
+    SendEnd.NOT_SENT: OutcomeKind.CONNECT,
+    SendEnd.MAYBE_RAN: OutcomeKind.CUT,
+    SendEnd.FAILED: OutcomeKind.ANSWER,
+}
+
+
+class FleetView:
+    """Joins what replicas tell with what this router sees itself."""
+
+    def __init__(
+        self,
+        *,
+        zone: str,
+        bounds: BoundSettings,
+        events: EventLog,
+        decode: Callable[[bytes], Document | None],
+        forget_endpoint: Callable[[str], None],
+    ) -> None:
+        """Start knowing nothing; ``decode`` reads a packed document."""
+        self._bounds = bounds
+        self._events = events
+        self._decode = decode
+        self._forget_endpoint = forget_endpoint
+        self.table: RouteTable | None = None
+        self.endpoints = EndpointTable()
+        self.loads = LoadTable()
+        self.parts = PartBook()
+        self._chooser = Chooser(zone=zone, loads=self.loads, parts=self.parts)
+        self._breakers: dict[str, Breaker] = {}
+        self._windows: dict[str, RetryWindow] = {}
+        self._silent: frozenset[str] = frozenset()
+        self._by_service: dict[str, list[EndpointRecord]] = {}
+        self._born: dict[str, int] = {}
+        self._seen_change = -1
+        self._routers = 1
+        self.has_view = False
+        self.listeners: list[Callable[[Document], None]] = []
+
+    # What replicas tell
+
+    @property
+    def version(self) -> int:
+        """Return the version of the configuration in force here."""
+        return 0 if self.table is None else self.table.version
+
+    def take_document(self, sent: DocumentSent) -> None:
+        """Put a configuration in force."""
+        document = self._decode(sent.payload)
+        if document is None:
+            self._events.write("configuration_unreadable", version=sent.version)
+            return
+        before = self.version
+        self.table = RouteTable(document=document)
+        self._events.write(
+            "configuration_in_force",
+            version=document.version,
+            before=before,
+            routes=len(document.routes),
+        )
+        for listener in self.listeners:
+            listener(document)
+
+    def take_view(self, view: View) -> None:
+        """Take what one replica knows of loads and silent endpoints."""
+        now = time.monotonic()
+        self.has_view = True
+        self._routers = max(1, view.routers)
+        self._silent = frozenset(view.silent)
+        self.loads.take_others(view.loads, now=now)
+        self.parts.take_news(view.placed, now=now, capacity=self._get_capacity())
+        self._note_changes()
+
+    def _get_capacity(self) -> int:
+        services = () if self.table is None else self.table.document.services
+        sizes = [one.engine.memory_tokens for one in services if one.engine is not None]
+        return max(sizes, default=500_000)
+
+    def _note_changes(self) -> None:
+        """Sort the endpoints by service again after a change."""
+        if self._seen_change == self.endpoints.change:
+            return
+        for record in self.endpoints.list_changes(self._seen_change):
+            self._note_change(record)
+        self._seen_change = self.endpoints.change
+        self._by_service = {}
+        for record in self.endpoints.list_records():
+            if record.state is EndpointState.READY:
+                self._by_service.setdefault(record.service, []).append(record)
+
+    def _note_change(self, record: EndpointRecord) -> None:
+        self._events.write(
+            "endpoint_changed",
+            endpoint=record.endpoint_id,
+            service=record.service,
+            address=record.address,
+            state=record.state.value,
+            born=record.born,
+            sequence=record.sequence,
+        )
+        if self._born.get(record.endpoint_id) != record.born:
+            # A new lifetime under the id starts with an empty memory and a clean record.
+            self._born[record.endpoint_id] = record.born
+            self.parts.forget(record.endpoint_id)
+            self._breakers.pop(record.endpoint_id, None)
+            self._forget_endpoint(record.endpoint_id)
+        if record.state is not EndpointState.READY:
+            self._forget_endpoint(record.endpoint_id)
+
+    def get_news(self) -> OwnNews:
+        """Return what the other routers should know of this one."""
+        now = time.monotonic()
+        return OwnNews(loads=tuple(self.loads.list_own()), placed=tuple(self.parts.list_news(now)))
+
+    # Choosing
+
+    def choose(self, call: Call) -> Choice | None:
+        """Return where a request goes next."""
+        now = time.monotonic()
+        tried = {one.endpoint_id for one in call.tries}
+        candidates = [
+            Candidate(record=record, is_silent=record.endpoint_id in self._silent)
+            for record in self._by_service.get(call.service, ())
+            if record.endpoint_id not in tried and self._lets_through(record.endpoint_id, now)
+        ]
+        service = None if self.table is None else self.table.find_service(call.service)
+        return self._chooser.choose(candidates, service=service, facts=call.facts, now=now)
+
+    def count_candidates(self, service: str) -> int:
+        """Return how many endpoints of a service are known as ready."""
+        return len(self._by_service.get(service, ()))
+
+    def _lets_through(self, endpoint_id: str, now: float) -> bool:
+        breaker = self._breakers.get(endpoint_id)
+        if breaker is None:
+            return True
+        breaker.tick(now)
+        return breaker.lets_through
+
+    @contextmanager
+    def use(self, call: Call, choice: Choice) -> Iterator[None]:
+        """Count a request at an endpoint for as long as it is there."""
+        endpoint_id = choice.record.endpoint_id
+        now = time.monotonic()
+        breaker = self._breakers.get(endpoint_id)
+        if breaker is not None:
+            breaker.record_attempt(now)
+        if call.facts.parts:
+            self.parts.note(endpoint_id, call.facts.parts, now=now, capacity=self._get_capacity())
+        self.loads.start(endpoint_id, choice.missing_tokens)
+        seen = call.first_event_at
+        try:
+            yield
+        finally:
+            if call.first_event_at is seen:
+                self.loads.begin(endpoint_id, choice.missing_tokens)
+            self.loads.finish(endpoint_id)
+
+    def note_first_event(self, call: Call, choice: Choice) -> None:
+        """Take a prompt as read."""
+        if call.first_event_at is None:
+            self.loads.begin(choice.record.endpoint_id, choice.missing_tokens)
+
+    def note_outcome(self, endpoint_id: str, end: SendEnd | None) -> None:
+        """Tell the endpoint's circuit breaker how a try ended; a refusal is no failure."""
+        if end is SendEnd.REFUSED:
+            return
+        now = time.monotonic()
+        breaker = self._breakers.get(endpoint_id)
+        if breaker is None:
+            breaker = self._breakers[endpoint_id] = Breaker(now=now)
+        before = breaker.state
+        kind = OutcomeKind.ANSWER if end is None else _OUTCOME_KINDS[end]
+        breaker.record(ok=end is None, kind=kind, now=now)
+        if breaker.state is not before and BreakerState.OPEN in (before, breaker.state):
+            self._events.write(
+                "breaker_changed",
+                endpoint=endpoint_id,
+                state=breaker.state.value,
+                reason=breaker.reason,
+            )
+
+    # Retry budget
+
+    def _get_window(self, service: str) -> RetryWindow:
+        window = self._windows.get(service)
+        if window is None:
+            bounds = self._bounds
+            window = self._windows[service] = RetryWindow(
+                ratio=bounds.retry_ratio,
+                slack=bounds.retry_slack,
+                window_s=bounds.retry_window_s,
+            )
+        return window
+
+    def note_request(self, service: str) -> None:
+        """Count a caller's request for a service."""
+        self._get_window(service).note_request(time.monotonic())
+
+    def note_repeat(self, service: str) -> None:
+        """Count a request that is sent once more."""
+        self._get_window(service).note_repeat(time.monotonic())
+
+    def has_budget(self, service: str) -> bool:
+        """Return whether the fleet's budget leaves room for another repeat."""
+        return self._get_window(service).may_repeat(time.monotonic(), routers=self._routers)
--- /dev/null
+++ b/chivetrack/daemon/fleet/log_host.py
@@ -0,0 +1,334 @@
+"""Runs a replica of the log: founds it, joins it, repairs it, and opens its folder again."""
+
+import random
+import shutil
+import time
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+
+import gevent
+from gevent.event import Event as Signal
+from gevent.threadpool import ThreadPool
+
+from chivetrack.components.consensus import Consensus
+from chivetrack.components.consensus.members import Members
+from chivetrack.components.consensus.messages import PeerMessage
+from chivetrack.components.consensus.models import (
+    LeadershipChanged,
+    Persist,
+    Recovered,
+    ReplicaRegressed,
+    Role,
+    Snapshot,
+    Timing,
+    TransferRefused,
+)
+from chivetrack.components.document.store import DocumentStore
+from chivetrack.components.replica import Replica, ReplicaCore
+from chivetrack.components.replica.formation import Formation, Founded, Hello, Stranger
+from chivetrack.components.replica.repair import JoinAnswer, JoinRequest, Repair
+from chivetrack.components.storage import Storage, create_folder, open_storage
+from chivetrack.components.storage.backup import make_replica_id
+from chivetrack.components.storage.exceptions import FolderEmptyError, StorageError
+from chivetrack.components.storage.records import Identity
+from chivetrack.core import Effect, MessageReceived, SendMessage, TimeReached, WakeAt
+from chivetrack.daemon.fleet.const import (
+    LEADER_SILENT_S,
+    REOPEN_AFTER_S,
+    REPAIR_EVERY_S,
+    SEEK_EVERY_S,
+)
+from chivetrack.helpers.codec import Message
+from chivetrack.helpers.events import EventLog
+
+_POLL_S = 0.02
+_CHANGE_TIMEOUT_S = 2.0
+_TRANSFER_WAIT_S = 1.5
+_FOLDER_NAME = "log"
+
+
+class RetiredError(Exception):
+    """The log has removed this replica for good; it has to come back under a new id."""
+
+
+class LogHost:
+    """Owns the data folder and the replica that lives in it.
+
+    A folder that can't be written is opened again and again: the disk may be full for a
+    while. Until then this replica says nothing, so nobody counts on what is not on disk.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance_id: str,
+        folder: Path,
+        founders: list[str],
+        seeds: list[str],
+        wanted_voters: int,
+        store: DocumentStore,
+        send: Callable[[str, Message], None],
+        events: EventLog,
+    ) -> None:
+        """Take the folder and ways out; ``founders`` is empty unless the log is to begin."""
+        self._instance_id = instance_id
+        self._folder = folder / _FOLDER_NAME
+        self._founders = founders
+        self._contacts: dict[str, None] = dict.fromkeys(seeds)
+        self._store = store
+        self._send = send
+        self._events = events
+        self._random = random.SystemRandom()
+        self._repair = Repair(wanted_voters=wanted_voters)
+        self._wanted_voters = wanted_voters
+        self._formation: Formation | None = None
+        self._formed = Signal()
+        self._founded: Members | None = None
+        self._is_retired = False
+        self._sources: dict[str, str] = {}
+        # Syncs have a thread of their own, so that they never wait behind other work.
+        self._sync_pool = ThreadPool(1)
+        self.replica: Replica | None = None
+        self.replica_id = ""
+        self.is_leader = False
+        self.leads_since = 0.0
+
+    # Messages
+
+    def takes(self, message: Message) -> bool:
+        """Return whether a message is for the log."""
+        return isinstance(message, PeerMessage | Hello | JoinRequest | JoinAnswer)
+
+    def take(self, source: str, message: Message) -> None:
+        """Take a message; never blocks."""
+        self._contacts[source] = None
+        if isinstance(message, Hello):
+            self._take_hello(source, message)
+        elif isinstance(message, JoinRequest):
+            self._take_join(source, message)
+        elif isinstance(message, JoinAnswer):
+            self._take_join_answer(message)
+        elif self.replica is not None and isinstance(message, PeerMessage):
+            self._sources[message.sender] = source
+            self.replica.receive(source, message)
+
+    def _take_hello(self, source: str, hello: Hello) -> None:
+        if self._formation is not None:
+            event = MessageReceived(source=source, message=hello)
+            self._follow(self._formation.handle(event, now=time.monotonic()))
+            return
+        members = self.get_members()
+        if members.members and hello.members is None:
+            self._send(source, Hello(self._instance_id, self.replica_id, (), members))
+
+    def _take_join(self, source: str, request: JoinRequest) -> None:
+        if self.replica is None:
+            return
+        if self.is_leader:
+            self._repair.note_join(request, now=time.monotonic())
+        status = self.replica.get_status().consensus
+        answer = JoinAnswer(leader_instance=status.leader_instance, members=status.members)
+        self._send(source, answer)
+
+    def _take_join_answer(self, answer: JoinAnswer) -> None:
+        for member in answer.members.members:
+            self._contacts[member.instance_id] = None
+        if self.replica_id in answer.members.retired and not self._is_retired:
+            self._is_retired = True
+            self._events.write("replica_retired", replica=self.replica_id)
+            if self.replica is not None:
+                self.replica.stop()
+
+    def get_members(self) -> Members:
+        """Return the members of the log as they are known here."""
+        if self.replica is None:
+            return Members()
+        return self.replica.get_status().consensus.members
+
+    def get_leader(self) -> str:
+        """Return the instance that leads as far as it is known here, or an empty text."""
+        if self.replica is None:
+            return ""
+        return self.replica.get_status().consensus.leader_instance
+
+    def list_instances(self) -> tuple[str, ...]:
+        """Return the instances of all members."""
+        return tuple(member.instance_id for member in self.get_members().members)
+
+    @property
+    def has_all_voters(self) -> bool:
+        """Return whether the log has as many voters as the losses to be borne ask for."""
+        return len(self.get_members().list_voters()) >= self._wanted_voters
+
+    # Life
+
+    def run(self) -> None:
+        """Serve until killed; whatever ends the replica is logged and tried again."""
+        while True:
+            try:
+                self._run_once()
+            except RetiredError:
+                shutil.rmtree(self._folder, ignore_errors=True)
+            except StorageError as error:
+                self._events.write("storage_failed", detail=str(error))
+                gevent.sleep(REOPEN_AFTER_S)
+            finally:
+                self.replica = None
+                self.is_leader = False
+
+    def _run_once(self) -> None:
+        self._is_retired = False
+        with self._open_folder() as storage:
+            recovered = storage.take_recovered()
+            is_blank = not recovered.snapshot.members.members and not recovered.entries
+            if is_blank and self._instance_id in self._founders:
+                recovered = self._form(storage, recovered)
+            self._serve(storage, recovered)
+        if self._is_retired:
+            raise RetiredError
+
+    @contextmanager
+    def _open_folder(self) -> Iterator[Storage]:
+        with ExitStack() as stack:
+            try:
+                storage = stack.enter_context(open_storage(path=self._folder))
+            except FolderEmptyError:
+                self._create_folder()
+                storage = stack.enter_context(open_storage(path=self._folder))
+            self.replica_id = storage.identity.replica_id
+            self._events.write("replica_opened", replica=self.replica_id)
+            yield storage
+
+    def _create_folder(self) -> None:
+        # Half of a folder is left where an earlier start was cut off before its end; it
+        # has no identity yet, so nobody can have counted on it.
+        shutil.rmtree(self._folder, ignore_errors=True)
+        replica_id = make_replica_id(instance_id=self._instance_id, random=self._random)
+        create_folder(self._folder, identity=Identity(replica_id, self._instance_id))
+
+    def _form(self, storage: Storage, recovered: Recovered) -> Recovered:
+        """Wait until the log exists; return the state to start from."""
+        self._formation = Formation(
+            instance_id=self._instance_id,
+            replica_id=self.replica_id,
+            instances=self._founders,
+        )
+        while not self._formed.is_set():
+            now = time.monotonic()
+            wake_at = self._follow(self._formation.handle(TimeReached(), now=now))
+            self._formed.wait(max(_POLL_S, wake_at - now))
+        self._formation = None
+        founded, self._founded = self._founded, None
+        self._founders = []
+        if founded is None or founded.find(self.replica_id) is None:
+            return recovered
+        first = Snapshot(index=1, term=1, members=founded)
+        storage.save([Persist(snapshot=first, reset=True, last_index=1, last_term=1)])
+        return Recovered(hard_state=recovered.hard_state, snapshot=first)
+
+    def _follow(self, effects: list[Effect]) -> float:
+        wake_at = time.monotonic()
+        for effect in effects:
+            if isinstance(effect, SendMessage):
+                self._send(effect.target, effect.message)
+            elif isinstance(effect, WakeAt):
+                wake_at = effect.at
+            elif isinstance(effect, Founded | Stranger):
+                self._founded = effect.members
+                self._formed.set()
+                self._events.write("log_founded", members=len(effect.members.members))
+        return wake_at
+
+    def _serve(self, storage: Storage, recovered: Recovered) -> None:
+        consensus = Consensus(
+            replica_id=self.replica_id, random=self._random, timing=Timing(), recovered=recovered
+        )
+        core = ReplicaCore(
+            consensus=consensus, state_machine=self._store, snapshot=recovered.snapshot
+        )
+        replica = Replica(
+            core=core,
+            storage=storage,
+            send=self._send_to_replica,
+            clock=time.monotonic,
+            make_waiter=Signal,
+            run_blocking=self._sync_pool.apply,
+        )
+        replica.listen(self._take_notice)
+        self.replica = replica
+        loops = [gevent.spawn(self._run_repair, replica), gevent.spawn(self._seek, replica)]
+        try:
+            replica.run()
+        finally:
+            gevent.killall(loops)
+
+    def _send_to_replica(self, effect: SendMessage) -> None:
+        # A replica that has not learnt the members yet knows the leader by its replica
+        # id only. Sent to that, its first answer would be lost and it never caught up.
+        self._send(self._sources.get(effect.target, effect.target), effect.message)
+
+    def _take_notice(self, notice: LeadershipChanged | TransferRefused | ReplicaRegressed) -> None:
+        if isinstance(notice, ReplicaRegressed):
+            self._events.write("replica_regressed", replica=notice.replica_id)
+            return
+        if not isinstance(notice, LeadershipChanged):
+            return
+        leads = notice.role is Role.LEADER
+        if leads and not self.is_leader:
+            self.leads_since = time.monotonic()
+        self.is_leader = leads
+        self._events.write(
+            "leader_changed",
+            term=notice.term,
+            leader=notice.leader_instance,
+            role=notice.role.value,
+        )
+
+    # Repair
+
+    def _run_repair(self, replica: Replica) -> None:
+        """On the leader, carry out the member changes that are due."""
+        while True:
+            gevent.sleep(REPAIR_EVERY_S)
+            if not self.is_leader:
+                continue
+            status = replica.get_status().consensus
+            change = self._repair.choose(status, now=time.monotonic())
+            if change is None:
+                continue
+            result = replica.change_members(change.kind, change.member, timeout_s=_CHANGE_TIMEOUT_S)
+            self._events.write(
+                "member_change",
+                kind=change.kind.value,
+                replica=change.member.replica_id,
+                outcome="committed" if result.is_ok() else result.error.code,
+            )
+
+    def _seek(self, replica: Replica) -> None:
+        """Ask all known instances to be let in for as long as no leader is heard."""
+        heard_at = time.monotonic() - LEADER_SILENT_S
+        while True:
+            status = replica.get_status().consensus
+            now = time.monotonic()
+            is_voter = status.members.is_voter(self.replica_id)
+            if status.leader_instance and is_voter:
+                heard_at = now
+            if not is_voter or now - heard_at > LEADER_SILENT_S:
+                self._ask_to_join()
+            gevent.sleep(SEEK_EVERY_S)
+
+    def _ask_to_join(self) -> None:
+        request = JoinRequest(instance_id=self._instance_id, replica_id=self.replica_id)
+        for contact in list(self._contacts):
+            if contact != self._instance_id:
+                self._send(contact, request)
+
+    def hand_over(self) -> None:
+        """Before a stop, hand leadership to another replica."""
+        if self.replica is None or not self.is_leader:
+            return
+        self.replica.transfer_leadership()
+        ends_at = time.monotonic() + _TRANSFER_WAIT_S
+        while self.is_leader and time.monotonic() < ends_at:
+            gevent.sleep(_POLL_S)
--- /dev/null
+++ b/chivetrack/daemon/fleet/peering.py
@@ -0,0 +1,43 @@
+"""The transport between the processes of a deployment; an id is an address."""
+
+from collections.abc import Callable
+
+from chivetrack.components.peers.transport import ConnectionTiming, PeerTransport
+from chivetrack.components.settings.deployment import DeploymentSettings
+from chivetrack.core import Effect, SendMessage
+from chivetrack.daemon.fleet.const import KEEPALIVE_MS, PING_TIMEOUT_MS, RECONNECT_MAX_MS
+from chivetrack.helpers.codec import Message
+from chivetrack.helpers.events import EventLog
+
+
+def make_transport(
+    settings: DeploymentSettings, *, events: EventLog, take: Callable[[str, Message], None]
+) -> PeerTransport:
+    """Return the transport of a process; messages that can't be read are logged."""
+    address = str(settings.listeners.peer)
+    return PeerTransport(
+        instance_id=address,
+        listen=address,
+        advertised=address,
+        resolve=lambda target: target,
+        on_message=take,
+        on_error=lambda text: events.write("message_unreadable", detail=text),
+        timing=ConnectionTiming(
+            keepalive_ms=KEEPALIVE_MS,
+            ping_timeout_ms=PING_TIMEOUT_MS,
+            reconnect_max_ms=RECONNECT_MAX_MS,
+        ),
+    )
+
+
+def list_seed_peers(settings: DeploymentSettings) -> list[str]:
+    """Return the peer addresses of the seeds; the peer port is the same on all instances."""
+    port = settings.listeners.peer.port
+    return [f"{seed.host}:{port}" for seed in settings.fleet.seeds]
+
+
+def send_all(transport: PeerTransport, effects: list[Effect] | list[SendMessage]) -> None:
+    """Send the messages among effects."""
+    for effect in effects:
+        if isinstance(effect, SendMessage):
+            transport.send(effect.target, effect.message)
--- /dev/null
+++ b/chivetrack/daemon/fleet/replica.py
@@ -0,0 +1,145 @@
+"""The replica process: operators and endpoints on one side, routers on the other."""
+
+import secrets
+import signal
+import time
+import zlib
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import gevent
+from gevent.event import Event as Signal
+
+from chivetrack.components.announcements.table import EndpointTable
+from chivetrack.components.distribution.messages import FetchDocument, Follow
+from chivetrack.components.distribution.publisher import Publisher
+from chivetrack.components.document.store import DocumentStore, StoredDocument
+from chivetrack.components.settings.deployment import DeploymentSettings
+from chivetrack.daemon.fleet.const import FLUSH_S, TIDY_EVERY_S
+from chivetrack.daemon.fleet.desk import Desk
+from chivetrack.daemon.fleet.log_host import LogHost
+from chivetrack.daemon.fleet.metrics import open_metrics_server
+from chivetrack.daemon.fleet.peering import list_seed_peers, make_transport, send_all
+from chivetrack.daemon.server import HttpServer
+from chivetrack.helpers.codec import Message
+from chivetrack.helpers.events import EventLog
+from chivetrack.helpers.telemetry import Telemetry
+from chivetrack.platform.control_api import build_control_app
+
+_LAST_WORDS_S = 0.2
+
+
+class ReplicaProcess:
+    """Owns the listeners and loops of a replica; ``run`` serves until a stop has ended."""
+
+    def __init__(
+        self, *, settings: DeploymentSettings, events: EventLog, telemetry: Telemetry
+    ) -> None:
+        """Build all parts; nothing listens before ``run``."""
+        listeners = settings.listeners
+        assert listeners.control is not None and settings.process.data_folder is not None
+        self._settings = settings
+        self._events = events
+        self._asked = Signal()
+        self._is_pushing = False
+        self._store = DocumentStore()
+        self._table = EndpointTable()
+        self.transport = make_transport(settings, events=events, take=self._take_message)
+        seeds = list_seed_peers(settings)
+        own = str(listeners.peer)
+        self.host = LogHost(
+            instance_id=own,
+            folder=settings.process.data_folder,
+            founders=seeds if settings.fleet.is_first_start else [],
+            seeds=seeds,
+            wanted_voters=2 * settings.fleet.tolerated_losses + 1,
+            store=self._store,
+            send=self.transport.send,
+            events=events,
+        )
+        self._publisher = Publisher(
+            run=secrets.token_hex(8),
+            table=self._table,
+            list_replicas=self.host.list_instances,
+            get_document=lambda: self._store.current,
+        )
+        self._desk = Desk(
+            instance_id=own,
+            control_port=listeners.control.port,
+            host=self.host,
+            store=self._store,
+            table=self._table,
+            send=self.transport.send,
+            push=self._push_soon,
+            events=events,
+        )
+        self._store.listen(self._take_document)
+        self._control = HttpServer(
+            address=(listeners.control.host, listeners.control.port),
+            application=build_control_app(
+                desk=self._desk, unpack=zlib.decompress, note_bad=self._note_bad
+            ),
+            is_closing=self._asked.is_set,
+        )
+        self._metrics_server = open_metrics_server(listeners.metrics, telemetry)
+
+    def _note_bad(self, what: str, detail: str) -> None:
+        self._events.write("message_rejected", what=what, detail=detail[:300])
+
+    def _take_document(self, document: StoredDocument) -> None:
+        self._events.write("configuration_applied", version=document.version)
+        self._push_soon()
+
+    def _push_soon(self) -> None:
+        """Tell the routers; changes that come together go out together."""
+        if not self._is_pushing:
+            self._is_pushing = True
+            gevent.spawn_later(FLUSH_S, self._push)
+
+    def _push(self) -> None:
+        self._is_pushing = False
+        send_all(self.transport, self._publisher.publish(now=time.monotonic()))
+
+    def _take_message(self, source: str, message: Message) -> None:
+        if isinstance(message, Follow):
+            effects = self._publisher.take_follow(message, now=time.monotonic())
+            send_all(self.transport, effects)
+        elif isinstance(message, FetchDocument):
+            send_all(self.transport, self._publisher.take_fetch(source, message))
+        elif self.host.takes(message):
+            self.host.take(source, message)
+        else:
+            self._desk.take(source, message)
+
+    def run(self) -> int:
+        """Serve until SIGTERM; leadership is handed over first."""
+        gevent.signal_handler(signal.SIGTERM, self._asked.set)
+        gevent.signal_handler(signal.SIGHUP, self._note_reload)
+        with self._serve():
+            self._events.write("started", role="replica", peer=str(self._settings.listeners.peer))
+            self._asked.wait()
+            self._events.write("stopping", leads=self.host.is_leader)
+            self.host.hand_over()
+            gevent.sleep(_LAST_WORDS_S)
+            self._events.write("stopped", cut=0)
+        return 0
+
+    def _note_reload(self) -> None:
+        self._events.write("reload", detail="settings are read at the next start")
+
+    def _tidy(self) -> None:
+        while True:
+            gevent.sleep(TIDY_EVERY_S)
+            self._table.forget_old(time.monotonic())
+
+    @contextmanager
+    def _serve(self) -> Iterator[None]:
+        self.transport.start()
+        self._control.start()
+        if self._metrics_server is not None:
+            self._metrics_server.start()
+        loops = [gevent.spawn(self.host.run), gevent.spawn(self._tidy)]
+        try:
+            yield
+        finally:
+            gevent.killall(loops, block=False)
--- /dev/null
+++ b/chivetrack/daemon/fleet/requests.py
@@ -0,0 +1,283 @@
+"""Takes callers' requests in and sees each of them through to its answer."""
+
+import time
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import gevent
+import xxhash
+
+from chivetrack.components.caller_api.const import ENVIRON_SOCKET
+from chivetrack.components.caller_api.watch import CallerLeftError, watch_caller
+from chivetrack.components.placement.choice import Choice
+from chivetrack.components.retries.sending import (
+    SendEnd,
+    Tried,
+    make_final_fault,
+    may_send_again,
+)
+from chivetrack.components.traffic.models import Route, Workspace
+from chivetrack.components.traffic.requests import RequestFacts
+from chivetrack.components.traffic.table import RouteTable
+from chivetrack.daemon.fleet.calls import Call, Reply
+from chivetrack.daemon.fleet.const import (
+    DEFAULT_WAIT_S,
+    MAX_REQUESTS,
+    NO_DOCUMENT_RETRY_S,
+    NO_ENDPOINT_RETRY_S,
+)
+from chivetrack.daemon.fleet.fleet_view import FleetView
+from chivetrack.daemon.fleet.forwarder import AnswerCutError, Forwarder, make_tried
+from chivetrack.daemon.server import ENVIRON_HEADERS, ENVIRON_TARGET
+from chivetrack.exceptions import Fault, FaultError, Ran
+from chivetrack.helpers.events import EventLog
+from chivetrack.platform.headers import read_request_facts
+
+_BODY_TIMEOUT_S = 15.0
+
+
+class RouteTimeoutError(BaseException):
+    """The route's timeout or the caller's own has passed."""
+
+
+class RequestDesk:
+    """The application of the callers' listener."""
+
+    def __init__(
+        self,
+        *,
+        view: FleetView,
+        forwarder: Forwarder,
+        events: EventLog,
+        is_stopping: Callable[[], bool],
+        record: Callable[[Call, str], None],
+    ) -> None:
+        """Take what requests need; ``record`` counts how each one ended."""
+        self._view = view
+        self._forwarder = forwarder
+        self._events = events
+        self._is_stopping = is_stopping
+        self._record = record
+        self.open_count = 0
+        self.is_closed = False
+
+    def __call__(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
+        """Serve one request as a WSGI application."""
+        reply = Reply(start_response=start_response)
+        self.open_count += 1
+        try:
+            self._serve(environ, reply)
+        except FaultError as error:
+            reply.refuse(error.fault)
+        finally:
+            self.open_count -= 1
+        return ()
+
+    def _serve(self, environ: dict[str, Any], reply: Reply) -> None:
+        came_at = time.monotonic()
+        lines = environ[ENVIRON_HEADERS]
+        facts = read_request_facts({name.lower(): value for name, value in lines})
+        try:
+            call = self._admit(environ, facts, reply, came_at)
+        except FaultError as error:
+            self._events.write(
+                "request_rejected",
+                request=facts.request_id,
+                code=error.fault.code,
+                status=error.fault.status,
+                version=self._view.version,
+                path=environ["PATH_INFO"],
+            )
+            raise
+        try:
+            with watch_caller(environ.get(ENVIRON_SOCKET)):
+                self._see_through(call)
+        except CallerLeftError:
+            self._end(call, "caller_left")
+            raise AnswerCutError("the caller left") from None
+
+    def _admit(
+        self, environ: dict[str, Any], facts: RequestFacts, reply: Reply, came_at: float
+    ) -> Call:
+        """Check a request against the configuration and read its body; raise ``FaultError``."""
+        table = self._view.table
+        if table is None:
+            raise FaultError(_refuse("no_configuration", 503, NO_DOCUMENT_RETRY_S))
+        if self.is_closed or self.open_count > MAX_REQUESTS:
+            raise FaultError(_refuse("instance_full", 503, NO_ENDPOINT_RETRY_S))
+        target = environ[ENVIRON_TARGET]
+        route = table.find_route(environ.get("HTTP_HOST", ""), target.partition("?")[0])
+        if route is None:
+            raise FaultError(_refuse("unknown_route", 404, None))
+        workspace = self._identify(table, route, facts)
+        wait_s = DEFAULT_WAIT_S if facts.wait_s is None else facts.wait_s
+        body = _read_body(environ, table.document.limits.max_body_bytes)
+        return Call(
+            facts=facts,
+            route=route,
+            workspace=workspace,
+            method=environ["REQUEST_METHOD"],
+            target=target,
+            headers=environ[ENVIRON_HEADERS],
+            body=body,
+            reply=reply,
+            came_at=came_at,
+            ends_at=came_at + min(wait_s, route.timeout_s),
+            service=choose_service(route, facts.request_id),
+            last_event_id=facts.last_event_id,
+        )
+
+    @staticmethod
+    def _identify(table: RouteTable, route: Route, facts: RequestFacts) -> Workspace | None:
+        if not table.needs_keys:
+            return None
+        workspace = table.find_workspace(facts.key)
+        if workspace is None and not route.is_public:
+            raise FaultError(_refuse("unknown_key", 401, None))
+        return workspace
+
+    def _see_through(self, call: Call) -> None:
+        self._view.note_request(call.service)
+        try:
+            with gevent.Timeout(max(0.001, call.ends_at - time.monotonic()), RouteTimeoutError):
+                self._try_endpoints(call)
+            self._end(call, "answered")
+        except RouteTimeoutError:
+            self._end_late(call)
+        except AnswerCutError:
+            self._end(call, "cut")
+            raise
+
+    def _end_late(self, call: Call) -> None:
+        self._end(call, "timeout")
+        if call.reply.is_started:
+            raise AnswerCutError("the time is up in the midst of an answer")
+        if all(one.end in (SendEnd.NOT_SENT, SendEnd.REFUSED) for one in call.tries):
+            call.reply.refuse(_refuse("timeout", 503, NO_ENDPOINT_RETRY_S))
+            return
+        message = "The time is up; the request may have run."
+        call.reply.refuse(Fault(code="timeout", message=message, status=504, ran=Ran.MAYBE))
+
+    def _try_endpoints(self, call: Call) -> None:
+        while True:
+            choice = self._view.choose(call)
+            if choice is None:
+                self._give_up(call, "no_candidate")
+                return
+            if self._send(call, choice):
+                return
+            if not self._may_send_again(call):
+                self._give_up(call, "tries_used_up")
+                return
+
+    def _may_send_again(self, call: Call) -> bool:
+        left_s = call.ends_at - time.monotonic()
+        has_budget = self._view.has_budget(call.service)
+        return may_send_again(call.route, call.tries, left_s=left_s, has_budget=has_budget)
+
+    def _send(self, call: Call, choice: Choice) -> bool:
+        """Try one endpoint; return whether the caller has its answer."""
+        endpoint_id = choice.record.endpoint_id
+        reached = any(one.end is not SendEnd.NOT_SENT for one in call.tries)
+        if reached:
+            self._view.note_repeat(call.service)
+        sends = sum(1 for one in call.tries if one.end in (SendEnd.MAYBE_RAN, SendEnd.FAILED))
+        may_repeat = (
+            call.route.is_repeatable
+            and sends + 1 < call.route.max_attempts
+            and self._view.has_budget(call.service)
+        )
+        with self._view.use(call, choice):
+            # If the time is up or the caller leaves, this try may have run.
+            call.tries.append(Tried(endpoint_id=endpoint_id, end=SendEnd.MAYBE_RAN))
+            result = self._forwarder.send(call, choice, may_repeat=may_repeat)
+            call.tries.pop()
+        if result.end is None:
+            self._view.note_outcome(endpoint_id, SendEnd.FAILED if result.status >= 500 else None)
+            self._log_try(call, choice, "answered", f"status {result.status}")
+            return True
+        call.tries.append(make_tried(choice, result))
+        self._view.note_outcome(endpoint_id, result.end)
+        self._log_try(call, choice, result.end.value, result.detail)
+        return False
+
+    def _give_up(self, call: Call, why: str) -> None:
+        if call.reply.is_started:
+            raise AnswerCutError("the stream can't go on elsewhere")
+        fault = make_final_fault(call.tries, retry_after_s=NO_ENDPOINT_RETRY_S)
+        self._events.write(
+            "request_given_up",
+            request=call.facts.request_id,
+            why=why,
+            status=fault.status,
+            tries=len(call.tries),
+            candidates=self._view.count_candidates(call.service),
+        )
+        call.reply.refuse(fault)
+
+    def _log_try(self, call: Call, choice: Choice, outcome: str, detail: str) -> None:
+        if outcome == "answered" and not call.tries:
+            return
+        self._events.write(
+            "try_ended",
+            request=call.facts.request_id,
+            service=call.service,
+            endpoint=choice.record.endpoint_id,
+            address=choice.record.address,
+            outcome=outcome,
+            detail=detail[:200],
+            running=choice.running,
+            last_event=call.last_event_id,
+        )
+
+    def _end(self, call: Call, outcome: str) -> None:
+        now = time.monotonic()
+        first = call.first_event_at
+        self._record(call, outcome)
+        self._events.write(
+            "request_ended",
+            request=call.facts.request_id,
+            route=call.route.name,
+            service=call.service,
+            outcome=outcome,
+            status=call.reply.status,
+            tries=len(call.tries),
+            sent=call.reply.bytes_sent,
+            ms=round((now - call.came_at) * 1000),
+            first_ms=None if first is None else round((first - call.came_at) * 1000),
+            version=self._view.version,
+        )
+
+
+def choose_service(route: Route, request_id: str) -> str:
+    """Return the service of a split route; the same request always gets the same one."""
+    total = sum(share.weight for share in route.shares)
+    point = xxhash.xxh64_intdigest(request_id.encode()) / 2**64 * total
+    for share in route.shares:
+        point -= share.weight
+        if point < 0:
+            return share.service
+    return route.shares[-1].service
+
+
+def _refuse(code: str, status: int, retry_after_s: float | None) -> Fault:
+    message = f"The request has not run: {code.replace('_', ' ')}."
+    return Fault(code=code, message=message, status=status, ran=Ran.NO, retry_after_s=retry_after_s)
+
+
+def _read_body(environ: dict[str, Any], limit: int) -> bytes:
+    """Return the whole body; raise ``FaultError`` over the limit or when it stalls."""
+    length = environ.get("CONTENT_LENGTH") or ""
+    if length.isdigit() and int(length) > limit:
+        raise FaultError(_refuse("body_too_large", 413, None))
+    timeout = FaultError(_refuse("body_timeout", 408, None))
+    with gevent.Timeout(_BODY_TIMEOUT_S, timeout):
+        try:
+            body: bytes = environ["wsgi.input"].read(limit + 1)
+        except (OSError, ValueError) as error:
+            raise FaultError(_refuse("malformed_body", 400, None)) from error
+    if len(body) > limit:
+        raise FaultError(_refuse("body_too_large", 413, None))
+    if length.isdigit() and len(body) < int(length):
+        raise FaultError(_refuse("malformed_body", 400, None))
+    return body
--- /dev/null
+++ b/chivetrack/daemon/fleet/router.py
@@ -0,0 +1,191 @@
+"""The router process: callers on one side, endpoints on the other."""
+
+import signal
+import time
+import zlib
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any
+
+import gevent
+from bottle import Bottle, HTTPResponse
+from gevent.event import Event as Signal
+
+from chivetrack.components.distribution.const import FOLLOW_EVERY_S
+from chivetrack.components.distribution.messages import DocumentSent, View
+from chivetrack.components.distribution.subscriber import Subscriber
+from chivetrack.components.settings.deployment import DeploymentSettings
+from chivetrack.components.settings.models import Address
+from chivetrack.components.traffic.models import Document
+from chivetrack.components.upstream.kept import KeptConnections
+from chivetrack.daemon.fleet.calls import Call
+from chivetrack.daemon.fleet.const import (
+    STOP_ACCEPT_S,
+    STOP_IDLE_AFTER_S,
+    STOP_MARGIN_S,
+    TIDY_EVERY_S,
+)
+from chivetrack.daemon.fleet.fleet_view import FleetView
+from chivetrack.daemon.fleet.forwarder import Forwarder
+from chivetrack.daemon.fleet.metrics import RouterMetrics, open_metrics_server
+from chivetrack.daemon.fleet.peering import list_seed_peers, make_transport, send_all
+from chivetrack.daemon.fleet.requests import RequestDesk
+from chivetrack.daemon.server import HttpServer, ServerLimits
+from chivetrack.helpers.codec import Message
+from chivetrack.helpers.events import EventLog
+from chivetrack.helpers.telemetry import Telemetry
+from chivetrack.helpers.timer import TimerService
+from chivetrack.platform.configuration import read_document
+from chivetrack.platform.paths import PATH_READY
+
+_POLL_S = 0.02
+
+
+def decode_document(payload: bytes) -> Document | None:
+    """Unpack and decode a stored configuration."""
+    read = read_document(zlib.decompress(payload))
+    return read.ok if read.is_ok() else None
+
+
+class Router:
+    """Owns the listeners and loops of a router; ``run`` serves until a stop has ended."""
+
+    def __init__(
+        self, *, settings: DeploymentSettings, events: EventLog, telemetry: Telemetry
+    ) -> None:
+        """Build all parts; nothing listens before ``run``."""
+        self._settings = settings
+        self._events = events
+        self._timers = TimerService()
+        self._asked = Signal()
+        self._kept = KeptConnections(read_clock=time.monotonic)
+        self._metrics = RouterMetrics(instruments=telemetry.instruments)
+        self.view = FleetView(
+            zone=settings.process.availability_zone,
+            bounds=settings.bounds,
+            events=events,
+            decode=decode_document,
+            forget_endpoint=self._kept.forget,
+        )
+        self.view.listeners.append(self._take_limits)
+        self.subscriber = Subscriber(
+            router=str(settings.listeners.peer),
+            zone=settings.process.availability_zone,
+            seeds=list_seed_peers(settings),
+            table=self.view.endpoints,
+            take_document=self.view.take_document,
+            get_news=self.view.get_news,
+        )
+        self.transport = make_transport(settings, events=events, take=self._take_message)
+        self.desk = RequestDesk(
+            view=self.view,
+            forwarder=Forwarder(
+                kept=self._kept,
+                note_answer=self._metrics.note_answer,
+                note_first_event=self.view.note_first_event,
+            ),
+            events=events,
+            is_stopping=self._asked.is_set,
+            record=self._record,
+        )
+        assert settings.listeners.callers is not None and settings.listeners.ready is not None
+        self._callers = self._make_server(settings.listeners.callers, self.desk)
+        self._ready = self._make_server(settings.listeners.ready, self._build_ready_app())
+        self._metrics_server = open_metrics_server(settings.listeners.metrics, telemetry)
+
+    def _make_server(self, address: Address, application: Callable[..., Any]) -> HttpServer:
+        return HttpServer(
+            address=(address.host, address.port),
+            application=application,
+            is_closing=self._asked.is_set,
+        )
+
+    def _build_ready_app(self) -> Bottle:
+        app = Bottle()
+
+        def show_ready() -> HTTPResponse:
+            return HTTPResponse(body=b"", status=200 if self.is_ready() else 503)
+
+        app.route(PATH_READY, "GET", show_ready)
+        return app
+
+    def is_ready(self) -> bool:
+        """Return whether the balancer may send connections here."""
+        return not self._asked.is_set() and self.view.table is not None and self.view.has_view
+
+    def _take_limits(self, document: Document) -> None:
+        limits = document.limits
+        self._callers.limits = ServerLimits(
+            max_header_bytes=limits.max_header_bytes,
+            header_timeout_s=limits.header_timeout_s,
+            idle_timeout_s=limits.idle_timeout_s,
+        )
+
+    def _record(self, call: Call, outcome: str) -> None:
+        self._metrics.record_end(call, outcome)
+
+    def _take_message(self, source: str, message: Message) -> None:
+        now = time.monotonic()
+        if isinstance(message, View):
+            effects = self.subscriber.take_view(source, message, now=now)
+            self.view.take_view(message)
+            send_all(self.transport, effects)
+        elif isinstance(message, DocumentSent):
+            self.subscriber.take_document(message)
+
+    def _follow(self, now: float) -> None:
+        send_all(self.transport, self.subscriber.wake(now=now))
+
+    def _tidy(self, now: float) -> None:
+        self._kept.close_old()
+        self.view.endpoints.forget_old(now)
+
+    def _run_timers(self) -> None:
+        while True:
+            now = time.monotonic()
+            self._timers.run_due(now)
+            due = self._timers.find_next()
+            gevent.sleep(0.1 if due is None else max(0.005, due - time.monotonic()))
+
+    def run(self) -> int:
+        """Serve until SIGTERM, finish what is in flight, and return how much was cut."""
+        gevent.signal_handler(signal.SIGTERM, self._asked.set)
+        gevent.signal_handler(signal.SIGHUP, self._note_reload)
+        with self._serve():
+            self._events.write("started", role="router", peer=str(self._settings.listeners.peer))
+            self._asked.wait()
+            return self._stop()
+
+    def _note_reload(self) -> None:
+        self._events.write("reload", detail="settings are read at the next start")
+
+    def _stop(self) -> int:
+        began = time.monotonic()
+        ends_at = began + self._settings.bounds.stop_within_s - STOP_MARGIN_S
+        self._events.write("stopping", open=self.desk.open_count)
+        gevent.sleep(STOP_IDLE_AFTER_S)
+        self._callers.close_idle()
+        gevent.sleep(STOP_ACCEPT_S - STOP_IDLE_AFTER_S)
+        self.desk.is_closed = True
+        self._callers.stop_accepting()
+        self._callers.close_idle()
+        while self.desk.open_count and time.monotonic() < ends_at:
+            gevent.sleep(_POLL_S)
+        cut = self.desk.open_count
+        self._events.write("stopped", cut=cut, after_s=round(time.monotonic() - began, 2))
+        return cut
+
+    @contextmanager
+    def _serve(self) -> Iterator[None]:
+        self.transport.start()
+        for server in (self._callers, self._ready, self._metrics_server):
+            if server is not None:
+                server.start()
+        now = time.monotonic()
+        self._timers.call_every(FOLLOW_EVERY_S / 4, self._follow, now=now)
+        self._timers.call_every(TIDY_EVERY_S, self._tidy, now=now)
+        loop = gevent.spawn(self._run_timers)
+        try:
+            yield
+        finally:
+            loop.kill()
--- a/chivetrack/daemon/headers.py
+++ b/chivetrack/daemon/headers.py
@@ -41,6 +41,11 @@
         """Return all values of a header."""
         return self._values.get(name.lower(), [])
 
+    def list_lines(self) -> list[tuple[str, str]]:
+        """Return name and value of each line as they were sent."""
+        lines = (line.partition(":") for line in self.headers)
+        return [(name, value.strip()) for name, _, value in lines]
+
     def __delitem__(self, name: str) -> None:
         del self._values[name.lower()]
 
--- a/chivetrack/daemon/server.py
+++ b/chivetrack/daemon/server.py
@@ -1,5 +1,6 @@
 """The HTTP server of a listener: gevent's, with limits and time limits, typed errors and a stop."""
 
+import contextlib
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -26,6 +27,11 @@
 from chivetrack.helpers.log import get_logger
 from chivetrack.helpers.tls import Tls, TlsServerMixin
 
+# The target and the header lines as they were sent; the standard keys of the environment
+# hold a decoded path and joined lines, which can't be passed on unchanged.
+ENVIRON_TARGET = "chivetrack.target"
+ENVIRON_HEADERS = "chivetrack.headers"
+
 _LOGGER = get_logger("http")
 
 
@@ -98,6 +104,14 @@
         self._linger()
         return None
 
+    def read_requestline(self) -> Any:
+        """Wait for the next request; meanwhile the connection is idle."""
+        self.server.idle.add(self.socket)
+        try:
+            return super().read_requestline()
+        finally:
+            self.server.idle.discard(self.socket)
+
     def read_request(self, raw_requestline: str) -> Any:
         """Read the headers; a caller that stalls in them is cut off."""
         timeout = FaultError(faults.headers_timeout(self.server.limits.header_timeout_s))
@@ -123,6 +137,8 @@
         """Return the environment with the socket, which shows a caller that leaves."""
         environ: dict[str, Any] = super().get_environ()
         environ[ENVIRON_SOCKET] = self.socket
+        environ[ENVIRON_TARGET] = self.path
+        environ[ENVIRON_HEADERS] = self.headers.list_lines()
         return environ
 
     def run_application(self) -> None:
@@ -202,7 +218,7 @@
         sees that the answer is not whole.
         """
         if not isinstance(v, OSError):
-            _LOGGER.debug("Answer ended early: {}.", type(v).__name__)
+            _LOGGER.error("Answer ended early: {}.", type(v).__name__, exc_info=(t, v, tb))
         self._send_error_response_if_possible(500)
 
 
@@ -231,3 +247,13 @@
         )
         self.is_closing = is_closing
         self.limits = limits or ServerLimits()
+        self.idle: set[Any] = set()
+
+    def close_idle(self) -> None:
+        """End the connections on which no request is waited for or being read.
+
+        Only reading ends: a request that is already here is still read and answered.
+        """
+        for connection in list(self.idle):
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RD)
--- /dev/null
+++ b/chivetrack/helpers/events.py
@@ -0,0 +1,117 @@
+"""Structured event lines on standard output: bounded, and never waited for.
+
+A line a decision is what on-call engineers have afterwards. A pipe that nobody reads
+would stop the process at the next write, so lines wait in a bounded queue for a thread of
+their own, and what doesn't fit is counted and told in a line.
+"""
+
+import os
+import time
+from collections import deque
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Any
+
+import gevent
+import msgspec
+from gevent.threadpool import ThreadPool
+
+MAX_QUEUED_LINES = 4096
+WRITE_EVERY_S = 0.25
+# Lines of one kind a second, in bursts of twice as many. At 40 requests a second and
+# three lines each, a router stays below it; a storm of refusals does not.
+LINES_PER_S = 150.0
+MAX_WRITE_BYTES = 64 * 1024
+
+
+class _Bucket:
+    """Allows a rate and a burst, and counts what it left out."""
+
+    def __init__(self) -> None:
+        self.tokens = 2 * LINES_PER_S
+        self.at = 0.0
+        self.left_out = 0
+
+    def take(self, now: float) -> bool:
+        self.tokens = min(2 * LINES_PER_S, self.tokens + (now - self.at) * LINES_PER_S)
+        self.at = now
+        if self.tokens < 1.0:
+            self.left_out += 1
+            return False
+        self.tokens -= 1.0
+        return True
+
+
+class EventLog:
+    """Takes events from anywhere in the process and writes them as JSON lines."""
+
+    def __init__(self, *, instance: str, descriptor: int = 1) -> None:
+        """Take the name of the instance and where lines go."""
+        self._instance = instance
+        self._descriptor = descriptor
+        self._lines: deque[bytes] = deque()
+        self._buckets: dict[str, _Bucket] = {}
+        self._pool = ThreadPool(1)
+        self._encoder = msgspec.json.Encoder()
+        self.dropped = 0
+
+    def write(self, event: str, **fields: Any) -> None:
+        """Queue one line; returns at once."""
+        now = time.monotonic()
+        bucket = self._buckets.get(event)
+        if bucket is None:
+            bucket = self._buckets[event] = _Bucket()
+        if not bucket.take(now):
+            return
+        if bucket.left_out and bucket.tokens > LINES_PER_S:
+            left_out, bucket.left_out = bucket.left_out, 0
+            self._queue({"event": "lines_left_out", "of": event, "count": left_out}, now)
+        self._queue({"event": event, **fields}, now)
+
+    def _queue(self, fields: dict[str, Any], now: float) -> None:
+        if len(self._lines) >= MAX_QUEUED_LINES:
+            self.dropped += 1
+            return
+        head = {"at": round(time.time(), 3), "up": round(now, 3), "instance": self._instance}
+        self._lines.append(self._encoder.encode({**head, **fields}) + b"\n")
+
+    def run(self) -> None:
+        """Write what waits, again and again, until killed."""
+        while True:
+            gevent.sleep(WRITE_EVERY_S)
+            self.flush()
+
+    def flush(self) -> None:
+        """Write what waits now; other greenlets go on meanwhile."""
+        if self.dropped:
+            dropped, self.dropped = self.dropped, 0
+            self._queue({"event": "lines_dropped", "count": dropped}, time.monotonic())
+        while self._lines:
+            parts: list[bytes] = []
+            size = 0
+            while self._lines and size < MAX_WRITE_BYTES:
+                parts.append(self._lines.popleft())
+                size += len(parts[-1])
+            self._pool.apply(_write_all, (self._descriptor, b"".join(parts)))
+
+
+def _write_all(descriptor: int, data: bytes) -> None:
+    try:
+        while data:
+            data = data[os.write(descriptor, data) :]
+    except OSError:
+        # The reader has gone; the process goes on without its lines.
+        return
+
+
+@contextmanager
+def open_events(*, instance: str) -> Iterator[EventLog]:
+    """Give a log that is written until the block ends."""
+    events = EventLog(instance=instance)
+    writer = gevent.spawn(events.run)
+    try:
+        yield events
+    finally:
+        writer.kill()
+        with gevent.Timeout(0.5, False):
+            events.flush()
--- a/chivetrack/helpers/telemetry/instruments.py
+++ b/chivetrack/helpers/telemetry/instruments.py
@@ -141,6 +141,7 @@
 
     def __init__(self, *, meter: Meter) -> None:
         """Create every instrument on a meter."""
+        self.meter = meter
         self._requests = _create_counter(meter, REQUESTS)
         self._duration = _create_histogram(meter, REQUEST_DURATION)
         self._first_chunk = _create_histogram(meter, FIRST_CHUNK_DURATION)
--- /dev/null
+++ b/chivetrack/platform/announcements.py
@@ -0,0 +1,78 @@
+"""Decodes what endpoints say of themselves."""
+
+import msgspec
+from expression import Error, Ok, Result
+
+from chivetrack.components.announcements.models import EndpointRecord, EndpointState
+
+_STATES = {"ready": EndpointState.READY, "draining": EndpointState.DRAINING}
+
+
+class _Model(msgspec.Struct):
+    name: str
+
+
+class _Heartbeat(msgspec.Struct, rename="camel"):
+    """What arrives; three of the names need a word.
+
+    ``version`` is that of the endpoint's software, ``cold_remaining_ms`` how long it stays
+    slow after its start, ``born`` the Unix millisecond of its start.
+    """
+
+    service: str
+    address: str
+    zone: str
+    state: str
+    sequence: int
+    born: int = 0
+    version: str = ""
+    slots: int = 0
+    cold_remaining_ms: float = 0.0
+    models: list[_Model] = []
+
+
+class _Departure(msgspec.Struct):
+    born: int | None = None
+
+
+_HEARTBEAT = msgspec.json.Decoder(_Heartbeat)
+_DEPARTURE = msgspec.json.Decoder(_Departure)
+
+
+def read_heartbeat(endpoint_id: str, body: bytes) -> Result[EndpointRecord, str]:
+    """Decode a heartbeat; the error side says why it names no endpoint to use."""
+    try:
+        beat = _HEARTBEAT.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        return Error(str(error))
+    state = _STATES.get(beat.state)
+    if state is None:
+        return Error(f"the state {beat.state!r} is not known")
+    host, colon, port = beat.address.rpartition(":")
+    if not (host and colon and port.isdigit() and endpoint_id and beat.service):
+        return Error("the id, the service or the address is missing")
+    return Ok(
+        EndpointRecord(
+            endpoint_id=endpoint_id,
+            born=beat.born,
+            sequence=beat.sequence,
+            service=beat.service,
+            address=beat.address,
+            zone=beat.zone,
+            software=beat.version,
+            slots=beat.slots,
+            state=state,
+            cold_s=beat.cold_remaining_ms / 1000.0,
+            models=tuple(model.name for model in beat.models),
+        )
+    )
+
+
+def read_departure(body: bytes) -> int | None:
+    """Return the start of the lifetime that ends (Unix ms), ``None`` if it was not said."""
+    if not body:
+        return None
+    try:
+        return _DEPARTURE.decode(body).born
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        return None
--- /dev/null
+++ b/chivetrack/platform/control_api.py
@@ -0,0 +1,103 @@
+"""The HTTP calls that operators and endpoints make."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+import msgspec
+from bottle import Bottle, HTTPResponse, request
+from expression import Result
+
+from chivetrack.components.announcements.models import EndpointRecord
+from chivetrack.components.document.store import StoredDocument
+from chivetrack.components.traffic.models import Document
+from chivetrack.exceptions import Fault
+from chivetrack.platform.announcements import read_departure, read_heartbeat
+from chivetrack.platform.configuration import read_document, render_findings
+
+_JSON = {"Content-Type": "application/json"}
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Elsewhere:
+    """Another replica has to be asked; ``address`` is its ``host:port``."""
+
+    address: str
+
+
+class ControlDesk(Protocol):
+    """What a replica does for operators and endpoints."""
+
+    def put(self, document: Document, body: bytes) -> Result[int, Fault | Elsewhere]:
+        """Commit a document and return the version in force."""
+        ...
+
+    def read(self) -> Result[StoredDocument, Fault | Elsewhere]:
+        """Return the newest document for sure."""
+        ...
+
+    def announce(self, record: EndpointRecord) -> Result[None, Fault]:
+        """Take an endpoint's statement."""
+        ...
+
+    def leave(self, endpoint_id: str, born: int | None) -> Result[None, Fault]:
+        """Take an endpoint's departure."""
+        ...
+
+
+def build_control_app(
+    *, desk: ControlDesk, unpack: Callable[[bytes], bytes], note_bad: Callable[[str, str], None]
+) -> Bottle:
+    """Return the application of the control listener."""
+    app = Bottle()
+
+    def put_config() -> HTTPResponse:
+        body = request.environ["wsgi.input"].read()
+        read = read_document(body)
+        if read.is_error():
+            note_bad("configuration", "; ".join(str(one) for one in read.error)[:500])
+            return _answer(400, render_findings(read.error))
+        outcome = desk.put(read.ok, body)
+        if outcome.is_ok():
+            return _answer(200, {"version": outcome.ok})
+        return _refuse(outcome.error, "/config")
+
+    def get_config() -> HTTPResponse:
+        outcome = desk.read()
+        if outcome.is_error():
+            return _refuse(outcome.error, "/config")
+        return HTTPResponse(body=unpack(outcome.ok.payload), status=200, headers=_JSON)
+
+    def put_endpoint(endpoint_id: str) -> HTTPResponse:
+        record = read_heartbeat(endpoint_id, request.environ["wsgi.input"].read())
+        if record.is_error():
+            note_bad("heartbeat", record.error)
+            return _answer(400, {"error": record.error})
+        outcome = desk.announce(record.ok)
+        return _answer(200, {}) if outcome.is_ok() else _refuse(outcome.error, "")
+
+    def delete_endpoint(endpoint_id: str) -> HTTPResponse:
+        born = read_departure(request.environ["wsgi.input"].read())
+        outcome = desk.leave(endpoint_id, born)
+        return _answer(200, {}) if outcome.is_ok() else _refuse(outcome.error, "")
+
+    app.route("/config", "PUT", put_config)
+    app.route("/config", "GET", get_config)
+    app.route("/instances/<endpoint_id>", "PUT", put_endpoint)
+    app.route("/instances/<endpoint_id>", "DELETE", delete_endpoint)
+    return app
+
+
+def _answer(status: int, document: object) -> HTTPResponse:
+    return HTTPResponse(body=msgspec.json.encode(document), status=status, headers=_JSON)
+
+
+def _refuse(refusal: Fault | Elsewhere, path: str) -> HTTPResponse:
+    if isinstance(refusal, Elsewhere):
+        headers = {**_JSON, "Location": f"http://{refusal.address}{path}"}
+        return HTTPResponse(body=b"{}", status=307, headers=headers)
+    headers = dict(_JSON)
+    if refusal.retry_after_s is not None:
+        headers["Retry-After"] = f"{refusal.retry_after_s:g}"
+    body = msgspec.json.encode({"error": refusal.code, "message": refusal.message})
+    return HTTPResponse(body=body, status=refusal.status, headers=headers)
--- /dev/null
+++ b/chivetrack/platform/headers.py
@@ -0,0 +1,170 @@
+"""The platform's headers: what each one is called and which side may set it."""
+
+from collections.abc import Iterable, Iterator, Mapping
+from email.message import Message
+
+from chivetrack.components.traffic.requests import (
+    AnswerFacts,
+    EndpointLoadFacts,
+    PromptPart,
+    RequestFacts,
+)
+
+HEADER_ATTEMPT = "X-Chivetrack-Attempt-Id"
+HEADER_DEADLINE = "X-Chivetrack-Deadline-Ms"
+HEADER_KEY = "X-Chivetrack-Key"
+HEADER_WORKSPACE = "X-Chivetrack-Tenant"
+HEADER_EXPECTED_ENDPOINT = "X-Chivetrack-Expect-Instance"
+HEADER_PRIORITY = "X-Chivetrack-Request-Priority"
+HEADER_MODEL = "X-Chivetrack-Model"
+HEADER_TOKENS = "X-Chivetrack-Token-Counts"
+HEADER_PARTS = "X-Chivetrack-Prompt-Prefix"
+HEADER_LENGTH = "X-Chivetrack-Length-Hint"
+HEADER_LAST_EVENT = "Last-Event-Id"
+HEADER_SEAL = "X-Chivetrack-Server-Seal"
+HEADER_DID_NOT_RUN = "X-Chivetrack-Not-Executed"
+HEADER_LOAD = "X-Chivetrack-Server-Load"
+
+STATUS_OTHER_INSTANCE = 421
+
+# Of one connection only, or set anew by this router. A hold, a pin or a continuation that
+# a caller names is not its to ask for: an endpoint would refuse the request for it.
+_NOT_PASSED_ON = frozenset(
+    name.lower()
+    for name in (
+        "Connection",
+        "Keep-Alive",
+        "Proxy-Authenticate",
+        "Proxy-Authorization",
+        "Proxy-Connection",
+        "TE",
+        "Trailer",
+        "Transfer-Encoding",
+        "Upgrade",
+        "Expect",
+        "Content-Length",
+        HEADER_DEADLINE,
+        HEADER_KEY,
+        HEADER_WORKSPACE,
+        HEADER_EXPECTED_ENDPOINT,
+        HEADER_PRIORITY,
+        HEADER_LAST_EVENT,
+        "X-Chivetrack-Expect-Version",
+        "X-Chivetrack-Pin-Ms",
+        "X-Chivetrack-Hold",
+        "X-Chivetrack-Kv-Backup",
+        "X-Chivetrack-Kv-From",
+        "X-Chivetrack-Kv-Fetch",
+        "Kv-From",
+        "Kv-Fetch",
+        "Kv-Backup",
+        "Wait-Ms",
+    )
+)
+_NOT_PASSED_BACK = frozenset(
+    ("connection", "keep-alive", "transfer-encoding", "content-length", "upgrade", "trailer", "te")
+)
+
+HeaderLines = Iterable[tuple[str, str]]
+
+
+def read_request_facts(headers: Mapping[str, str]) -> RequestFacts:
+    """Decode a caller's headers (names in lower case); what can't be read counts as absent."""
+    prompt_tokens, max_output = _read_counts(headers.get(HEADER_TOKENS.lower(), ""))
+    wait_ms = _read_number(headers.get(HEADER_DEADLINE.lower(), ""))
+    return RequestFacts(
+        request_id=headers.get(HEADER_ATTEMPT.lower(), ""),
+        key=headers.get(HEADER_KEY.lower(), ""),
+        wait_s=None if wait_ms is None else wait_ms / 1000.0,
+        model=headers.get(HEADER_MODEL.lower(), ""),
+        parts=tuple(_read_parts(headers.get(HEADER_PARTS.lower(), ""))),
+        prompt_tokens=prompt_tokens,
+        max_output_tokens=max_output,
+        expected_tokens=int(_read_number(headers.get(HEADER_LENGTH.lower(), "")) or 0),
+        last_event_id=headers.get(HEADER_LAST_EVENT.lower(), ""),
+    )
+
+
+def make_endpoint_headers(
+    lines: HeaderLines,
+    *,
+    endpoint_id: str,
+    workspace: str,
+    left_s: float,
+    last_event_id: str,
+    priority: int | None,
+) -> list[tuple[str, str]]:
+    """Return the headers for an endpoint: the caller's own ones and those that we set.
+
+    ``left_s`` is the time that is left of the caller's and the route's, in seconds.
+    """
+    passed = [(name, value) for name, value in lines if name.lower() not in _NOT_PASSED_ON]
+    passed.append((HEADER_DEADLINE, str(max(1, int(left_s * 1000)))))
+    passed.append((HEADER_EXPECTED_ENDPOINT, endpoint_id))
+    if workspace:
+        passed.append((HEADER_WORKSPACE, workspace))
+    if last_event_id:
+        passed.append((HEADER_LAST_EVENT, last_event_id))
+    if priority is not None:
+        passed.append((HEADER_PRIORITY, str(priority)))
+    return passed
+
+
+def read_answer_facts(status: int, headers: Message) -> AnswerFacts:
+    """Decode the head of an endpoint's answer (names in any case)."""
+    retry_after = _read_number(headers.get("Retry-After", ""))
+    other = status == STATUS_OTHER_INSTANCE
+    return AnswerFacts(
+        request_id=headers.get(HEADER_ATTEMPT),
+        is_sealed=HEADER_SEAL in headers,
+        did_not_run=HEADER_DID_NOT_RUN in headers or other,
+        is_other_instance=other,
+        is_encoded="Content-Encoding" in headers,
+        closes="close" in headers.get("Connection", "").lower(),
+        keep_alive_s=_read_keep_alive(headers.get("Keep-Alive", "")),
+        load=_read_load(headers.get(HEADER_LOAD, "")),
+        retry_after_s=retry_after,
+    )
+
+
+def list_answer_headers(headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
+    """Return what of an endpoint's headers goes back to the caller."""
+    return [(name, value) for name, value in headers if name.lower() not in _NOT_PASSED_BACK]
+
+
+def _read_counts(text: str) -> tuple[int, int]:
+    fields = [field.strip() for field in text.split(",")]
+    if len(fields) != 2 or not all(field.isdigit() for field in fields):
+        return (0, 0)
+    return (int(fields[0]), int(fields[1]))
+
+
+def _read_parts(text: str) -> Iterator[PromptPart]:
+    for field in filter(None, text.split(",")):
+        part_id, _, tokens = field.strip().partition(":")
+        if part_id and tokens.isdigit():
+            yield PromptPart(part_id, int(tokens))
+
+
+def _read_load(text: str) -> EndpointLoadFacts | None:
+    fields = [field.strip() for field in text.split(",")]
+    if len(fields) != 3 or not all(field.isdigit() for field in fields):
+        return None
+    running, waiting, slots = map(int, fields)
+    return EndpointLoadFacts(running=running, waiting=waiting, slots=slots)
+
+
+def _read_keep_alive(text: str) -> float | None:
+    for field in text.split(","):
+        name, _, value = field.strip().partition("=")
+        if name.strip().lower() == "timeout":
+            return _read_number(value)
+    return None
+
+
+def _read_number(text: str) -> float | None:
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    return value if 0 <= value < float("inf") else None
--- /dev/null
+++ b/chivetrack/platform/paths.py
@@ -0,0 +1,3 @@
+"""The paths that the platform asks."""
+
+PATH_READY = "/ready"
