--- /dev/null
+++ b/tests/components/announcements/test_table.py
@@ -0,0 +1,98 @@
+"""Which of several statements about an endpoint is believed."""
+
+import itertools
+import unittest
+from typing import Any
+
+import msgspec
+
+from chivetrack.components.announcements.models import EndpointRecord, EndpointState
+from chivetrack.components.announcements.table import SILENT_AFTER_S, EndpointTable
+
+
+def make_record(sequence: int = 1, **changes: Any) -> EndpointRecord:
+    record = EndpointRecord(
+        endpoint_id="e1",
+        born=1000,
+        sequence=sequence,
+        service="llm",
+        address="127.0.0.1:80",
+        zone="z",
+        software="v1",
+        slots=64,
+        state=EndpointState.READY,
+    )
+    return msgspec.structs.replace(record, **changes)
+
+
+class EndpointTableTest(unittest.TestCase):
+    def test_heartbeat_that_was_delayed_by_a_cut(self) -> None:
+        """An endpoint says that it drains; an earlier 'ready' arrives afterwards.
+
+        The late word was held up by a cut. If it won, routers would send new work to an
+        endpoint that was promised none. The sequence tells which is newer.
+        """
+        table = EndpointTable()
+        table.merge(make_record(2, state=EndpointState.DRAINING), now=0.0)
+        self.assertFalse(table.merge(make_record(1), now=1.0))
+        record = table.find("e1")
+        assert record is not None
+        self.assertIs(record.state, EndpointState.DRAINING)
+
+    def test_restart_under_the_same_id(self) -> None:
+        """A crashed endpoint starts again under its id and counts from 1.
+
+        By the sequence alone its words would be older than those of its former lifetime
+        and be ignored; the time of its start goes first.
+        """
+        table = EndpointTable()
+        table.merge(make_record(50), now=0.0)
+        self.assertTrue(table.merge(make_record(1, born=2000), now=1.0))
+        self.assertFalse(table.merge(make_record(51), now=2.0))
+
+    def test_departure_of_an_earlier_lifetime(self) -> None:
+        table = EndpointTable()
+        table.merge(make_record(1, born=2000), now=0.0)
+        kept = table.close("e1", born=1000, now=1.0)
+        assert kept is not None
+        self.assertIs(kept.state, EndpointState.READY)
+        left = table.close("e1", born=None, now=2.0)
+        assert left is not None
+        self.assertIs(left.state, EndpointState.LEFT)
+        self.assertFalse(table.merge(make_record(9, born=2000), now=3.0))
+        self.assertTrue(table.merge(make_record(1, born=3000), now=4.0))
+
+    def test_any_order_gives_one_state(self) -> None:
+        records = [
+            make_record(1),
+            make_record(2),
+            make_record(3, state=EndpointState.DRAINING),
+            make_record(1, born=2000),
+        ]
+        for order in itertools.permutations(records):
+            table = EndpointTable()
+            for record in order:
+                table.merge(record, now=0.0)
+            self.assertEqual(table.find("e1"), records[-1])
+
+    def test_only_changes_are_numbered(self) -> None:
+        table = EndpointTable()
+        table.merge(make_record(1), now=0.0)
+        change = table.change
+        self.assertFalse(table.merge(make_record(2), now=1.0))
+        self.assertEqual(table.change, change)
+        self.assertEqual(table.list_changes(change), [])
+        table.merge(make_record(3, state=EndpointState.DRAINING), now=2.0)
+        self.assertEqual([one.sequence for one in table.list_changes(change)], [3])
+
+    def test_silence(self) -> None:
+        table = EndpointTable()
+        table.merge(make_record(1), now=0.0)
+        self.assertEqual(table.list_silent(SILENT_AFTER_S), [])
+        self.assertEqual(table.list_silent(SILENT_AFTER_S + 0.1), ["e1"])
+        table.forget_old(100.0)
+        self.assertIsNone(table.find("e1"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/components/distribution/test_distribution.py
@@ -0,0 +1,151 @@
+"""What reaches a router when messages are lost, late or from a replica that lags."""
+
+import unittest
+
+from chivetrack.components.announcements.models import EndpointState
+from chivetrack.components.announcements.table import EndpointTable
+from chivetrack.components.distribution.const import FETCH_AGAIN_S, FOLLOW_EVERY_S
+from chivetrack.components.distribution.messages import (
+    DocumentSent,
+    EndpointLoad,
+    FetchDocument,
+    Follow,
+    View,
+)
+from chivetrack.components.distribution.publisher import Publisher
+from chivetrack.components.distribution.subscriber import OwnNews, Subscriber
+from chivetrack.components.document.store import StoredDocument
+from chivetrack.core import SendMessage
+from tests.components.announcements.test_table import make_record
+
+
+class Fixture:
+    """A replica and a router that talk by hand."""
+
+    def __init__(self, run: str = "run1") -> None:
+        self.table = EndpointTable()
+        self.document = StoredDocument()
+        self.taken: list[int] = []
+        self.publisher = self.make_publisher(run)
+        self.own = EndpointTable()
+        self.subscriber = Subscriber(
+            router="r1",
+            zone="z",
+            seeds=["p1"],
+            table=self.own,
+            take_document=lambda sent: self.taken.append(sent.version),
+            get_news=lambda: OwnNews(loads=(), placed=()),
+        )
+
+    def make_publisher(self, run: str) -> Publisher:
+        return Publisher(
+            run=run,
+            table=self.table,
+            list_replicas=lambda: ("p1", "p2"),
+            get_document=lambda: self.document,
+        )
+
+    def follow(self, now: float) -> Follow:
+        for effect in self.subscriber.wake(now=now):
+            if isinstance(effect, SendMessage) and isinstance(effect.message, Follow):
+                return effect.message
+        raise AssertionError("no follow was due")
+
+    def exchange(self, now: float) -> list[SendMessage]:
+        """Carry one question and its answer; return what the router sends on."""
+        (answer,) = self.publisher.take_follow(self.follow(now), now=now)
+        assert isinstance(answer.message, View)
+        effects = self.subscriber.take_view("p1", answer.message, now=now)
+        return [one for one in effects if isinstance(one, SendMessage)]
+
+
+class DistributionTest(unittest.TestCase):
+    def test_push_that_was_lost_is_made_good(self) -> None:
+        """An endpoint drains; the push to one router is lost on its way.
+
+        The replica believes that the router has it. The router's next question says up to
+        which change it really is, and the answer begins there.
+        """
+        fixture = Fixture()
+        fixture.table.merge(make_record(1), now=0.0)
+        fixture.exchange(0.0)
+        fixture.table.merge(make_record(2, state=EndpointState.DRAINING), now=0.1)
+        (lost,) = fixture.publisher.publish(now=0.1)
+        assert isinstance(lost.message, View)
+        self.assertEqual(len(lost.message.records), 1)
+        fixture.exchange(FOLLOW_EVERY_S)
+        record = fixture.own.find("e1")
+        assert record is not None
+        self.assertIs(record.state, EndpointState.DRAINING)
+
+    def test_later_push_does_not_hide_a_lost_one(self) -> None:
+        """Two endpoints change; the first push is lost and the second arrives.
+
+        Did the router take the second one's number as its own, it would never ask for the
+        first change again.
+        """
+        fixture = Fixture()
+        fixture.exchange(0.0)
+        fixture.table.merge(make_record(1), now=0.1)
+        fixture.publisher.publish(now=0.1)
+        fixture.table.merge(make_record(1, endpoint_id="e2"), now=0.2)
+        (second,) = fixture.publisher.publish(now=0.2)
+        assert isinstance(second.message, View)
+        fixture.subscriber.take_view("p1", second.message, now=0.2)
+        self.assertIsNone(fixture.own.find("e1"))
+        fixture.exchange(FOLLOW_EVERY_S)
+        self.assertIsNotNone(fixture.own.find("e1"))
+
+    def test_restarted_replica_numbers_anew(self) -> None:
+        fixture = Fixture()
+        for number in range(5):
+            fixture.table.merge(make_record(1, endpoint_id=f"e{number}"), now=0.0)
+        fixture.exchange(0.0)
+        fixture.table = EndpointTable()
+        fixture.table.merge(make_record(1, endpoint_id="new"), now=0.2)
+        fixture.publisher = fixture.make_publisher("run2")
+        fixture.exchange(FOLLOW_EVERY_S)
+        self.assertIsNotNone(fixture.own.find("new"))
+
+    def test_lagging_replica_takes_no_router_back(self) -> None:
+        """A replica that was cut off sends the document of before the cut.
+
+        The router has a newer one in force. Requests that a newer route served would get
+        404 again; a lower version is never taken.
+        """
+        fixture = Fixture()
+        fixture.subscriber.take_document(DocumentSent(version=5, payload=b""))
+        fixture.subscriber.take_document(DocumentSent(version=3, payload=b""))
+        self.assertEqual(fixture.taken, [5])
+        fixture.document = StoredDocument(version=3)
+        self.assertEqual(fixture.exchange(0.0), [])
+
+    def test_newer_document_is_fetched_once_and_again_after_a_loss(self) -> None:
+        fixture = Fixture()
+        fixture.document = StoredDocument(version=2, payload=b"x")
+        (fetch,) = fixture.exchange(0.0)
+        self.assertEqual(fetch.message, FetchDocument(held_version=0))
+        view = fixture.publisher.publish(now=0.1)[0].message
+        assert isinstance(view, View)
+        self.assertEqual(fixture.subscriber.take_view("p2", view, now=0.1), [])
+        again = fixture.subscriber.take_view("p2", view, now=FETCH_AGAIN_S + 0.01)
+        self.assertEqual(len(again), 1)
+        (sent,) = fixture.publisher.take_fetch("r1", FetchDocument(held_version=0))
+        self.assertEqual(sent.message, DocumentSent(version=2, payload=b"x"))
+        self.assertEqual(fixture.publisher.take_fetch("r1", FetchDocument(held_version=2)), [])
+
+    def test_loads_are_those_of_the_other_routers(self) -> None:
+        fixture = Fixture()
+        for router, running in (("r1", 3), ("r2", 4), ("r3", 5)):
+            loads = (EndpointLoad(endpoint_id="e1", running=running, tokens=10),)
+            follow = Follow(router=router, zone="z", run="", change=0, version=0, loads=loads)
+            fixture.publisher.take_follow(follow, now=0.0)
+        views = {one.target: one.message for one in fixture.publisher.publish(now=0.0)}
+        view = views["r2"]
+        assert isinstance(view, View)
+        self.assertEqual(view.loads, (EndpointLoad(endpoint_id="e1", running=8, tokens=20),))
+        self.assertEqual(view.routers, 3)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/components/placement/test_choice.py
@@ -0,0 +1,142 @@
+"""Where requests go: cached prompts against load and distance."""
+
+import unittest
+from typing import Any
+
+from chivetrack.components.placement.choice import Candidate, Choice, Chooser
+from chivetrack.components.placement.loads import LoadTable
+from chivetrack.components.placement.parts import USABLE_SHARE, PartBook
+from chivetrack.components.traffic.models import EngineProfile, Service
+from chivetrack.components.traffic.requests import PromptPart, RequestFacts
+from tests.components.announcements.test_table import make_record
+
+ENGINE = Service(name="llm", engine=EngineProfile(slots=64, memory_tokens=500_000))
+PLAIN = Service(name="portal")
+
+
+def make_facts(dossier: str = "d1", own: str = "o1") -> RequestFacts:
+    parts = (PromptPart("system", 512), PromptPart(dossier, 10_000), PromptPart(own, 1_300))
+    return RequestFacts(request_id="q", parts=parts, prompt_tokens=11_812)
+
+
+class World:
+    """Six engines in three zones, seen by a router in zone z0."""
+
+    def __init__(self) -> None:
+        self.loads = LoadTable()
+        self.parts = PartBook()
+        self.chooser = Chooser(zone="z0", loads=self.loads, parts=self.parts)
+        self.candidates = [
+            Candidate(record=make_record(endpoint_id=f"e{n}", zone=f"z{n % 3}", slots=6))
+            for n in range(6)
+        ]
+
+    def choose(self, facts: RequestFacts, service: Service = ENGINE, **extra: Any) -> Choice:
+        choice = self.chooser.choose(
+            extra.get("candidates", self.candidates), service=service, facts=facts, now=0.0
+        )
+        assert choice is not None
+        return choice
+
+    def send(self, facts: RequestFacts) -> Choice:
+        choice = self.choose(facts)
+        endpoint_id = choice.record.endpoint_id
+        self.loads.start(endpoint_id, choice.missing_tokens)
+        self.parts.note(endpoint_id, facts.parts, now=0.0, capacity=500_000)
+        return choice
+
+
+class ChooserTest(unittest.TestCase):
+    def test_routers_agree_on_a_prompt_that_is_cached_nowhere(self) -> None:
+        """Two routers get requests for the same new dossier at the same moment.
+
+        Neither knows of the other. If they chose by load alone, 10,000 tokens would be
+        read at two engines; both take the same home, whatever its zone.
+        """
+        for dossier in ("d1", "d2", "d3", "d4"):
+            homes = set()
+            for zone in ("z0", "z1", "z2"):
+                world = World()
+                world.chooser = Chooser(zone=zone, loads=world.loads, parts=world.parts)
+                homes.add(world.choose(make_facts(dossier)).record.endpoint_id)
+            self.assertEqual(len(homes), 1, dossier)
+
+    def test_returning_dossier_goes_where_it_was_read(self) -> None:
+        world = World()
+        first = world.send(make_facts(own="o1"))
+        again = world.send(make_facts(own="o2"))
+        self.assertEqual(again.record, first.record)
+        self.assertEqual(again.missing_tokens, 1_300)
+
+    def test_dossier_that_everybody_asks_for(self) -> None:
+        """One dossier gets all the traffic for seconds.
+
+        Its engine would hold all requests and each would wait for the others. No engine
+        gets more than the bound over the mean, so the dossier is read at more of them.
+        """
+        world = World()
+        counts: dict[str, int] = {}
+        for number in range(60):
+            choice = world.send(make_facts(own=f"o{number}"))
+            endpoint_id = choice.record.endpoint_id
+            counts[endpoint_id] = counts.get(endpoint_id, 0) + 1
+            self.assertLessEqual(max(counts.values()), 2 * number / 6 + 3)
+        self.assertGreaterEqual(len(counts), 4)
+
+    def test_plain_service_prefers_its_zone_until_it_is_busy(self) -> None:
+        world = World()
+        facts = RequestFacts(request_id="q")
+        near = {"e0", "e3"}
+        self.assertIn(world.choose(facts, PLAIN).record.endpoint_id, near)
+        for endpoint_id in near:
+            for _ in range(3):
+                world.loads.start(endpoint_id, 0)
+        self.assertNotIn(world.choose(facts, PLAIN).record.endpoint_id, near)
+
+    def test_nothing_to_choose_from(self) -> None:
+        world = World()
+        choice = world.chooser.choose([], service=ENGINE, facts=make_facts(), now=0.0)
+        self.assertIsNone(choice)
+
+
+class PartBookTest(unittest.TestCase):
+    def test_least_recently_used_parts_go_first(self) -> None:
+        book = PartBook()
+        old, new = PromptPart("old", 60), PromptPart("new", 60)
+        capacity = int(100 / USABLE_SHARE)
+        book.note("e", [old], now=0.0, capacity=capacity)
+        book.note("e", [new], now=1.0, capacity=capacity)
+        self.assertEqual(book.count_cached("e", [old]), 0)
+        self.assertEqual(book.count_cached("e", [new]), 60)
+
+    def test_only_the_beginning_of_a_prompt_counts(self) -> None:
+        book = PartBook()
+        book.note("e", [PromptPart("b", 10)], now=0.0, capacity=1000)
+        self.assertEqual(book.count_cached("e", [PromptPart("a", 5), PromptPart("b", 10)]), 0)
+
+    def test_news_of_other_routers(self) -> None:
+        ours, theirs = PartBook(), PartBook()
+        theirs.note("e", [PromptPart("a", 5)], now=10.0, capacity=1000)
+        news = list(theirs.list_news(10.5))
+        ours.take_news(news, now=3.0, capacity=1000)
+        self.assertEqual(ours.count_cached("e", [PromptPart("a", 5)]), 5)
+        self.assertEqual(list(theirs.list_news(20.0)), [])
+
+
+class LoadTableTest(unittest.TestCase):
+    def test_others_are_believed_for_a_while(self) -> None:
+        loads = LoadTable()
+        loads.start("e", 100)
+        other = LoadTable()
+        other.start("e", 50)
+        loads.take_others(other.list_own(), now=0.0)
+        self.assertEqual(loads.count_running("e", 1.0), 2)
+        self.assertEqual(loads.count_tokens("e", 1.0), 150)
+        self.assertEqual(loads.count_running("e", 10.0), 1)
+        loads.begin("e", 100)
+        loads.finish("e")
+        self.assertEqual(list(loads.list_own()), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/components/retries/test_sending.py
@@ -0,0 +1,124 @@
+"""When a request may go to another endpoint, and what the caller is told otherwise."""
+
+import itertools
+import unittest
+
+from chivetrack.components.retries.sending import (
+    SendEnd,
+    Tried,
+    make_final_fault,
+    may_send_again,
+)
+from chivetrack.components.retries.window import SAFETY, RetryWindow
+from chivetrack.components.traffic.models import RouteKind
+from chivetrack.exceptions import Ran
+from tests.components.traffic.documents import make_route
+
+ONCE = make_route(kind=RouteKind.NON_IDEMPOTENT, max_attempts=3)
+TWICE = make_route(kind=RouteKind.IDEMPOTENT, max_attempts=2)
+STREAM = make_route(kind=RouteKind.STREAM, max_attempts=2)
+RESUMABLE = make_route(kind=RouteKind.STREAM, max_attempts=2, is_resumable=True)
+
+
+def try_all(*ends: SendEnd) -> list[Tried]:
+    return [Tried(endpoint_id=f"e{number}", end=end) for number, end in enumerate(ends)]
+
+
+class MaySendAgainTest(unittest.TestCase):
+    def test_table(self) -> None:
+        cases = [
+            (ONCE, (SendEnd.NOT_SENT,), True),
+            (ONCE, (SendEnd.REFUSED,), True),
+            (ONCE, (SendEnd.MAYBE_RAN,), False),
+            (ONCE, (SendEnd.FAILED,), False),
+            (STREAM, (SendEnd.MAYBE_RAN,), False),
+            (TWICE, (SendEnd.MAYBE_RAN,), True),
+            (TWICE, (SendEnd.FAILED,), True),
+            (TWICE, (SendEnd.FAILED, SendEnd.FAILED), False),
+            (TWICE, (SendEnd.NOT_SENT, SendEnd.FAILED), True),
+            (RESUMABLE, (SendEnd.MAYBE_RAN,), True),
+            (TWICE, (SendEnd.REFUSED, SendEnd.REFUSED), False),
+            (ONCE, (SendEnd.NOT_SENT,) * 3, False),
+        ]
+        for route, ends, expected in cases:
+            with self.subTest(kind=route.kind, ends=ends):
+                may = may_send_again(route, try_all(*ends), left_s=1.0, has_budget=True)
+                self.assertEqual(may, expected)
+
+    def test_what_may_run_once_never_runs_twice(self) -> None:
+        """An insurer's quote is sent; after any series of ends it runs at most once.
+
+        Whatever comes after an end that may have run, no further try is allowed, or the
+        insurer's customer is billed twice.
+        """
+        for length in (1, 2, 3):
+            for ends in itertools.product(SendEnd, repeat=length):
+                if not {SendEnd.MAYBE_RAN, SendEnd.FAILED} & set(ends):
+                    continue
+                for route in (ONCE, STREAM):
+                    tries = try_all(*ends)
+                    self.assertFalse(
+                        may_send_again(route, tries, left_s=9.0, has_budget=True), ends
+                    )
+
+    def test_without_budget_only_what_reached_nobody(self) -> None:
+        for ends, expected in (((SendEnd.NOT_SENT,), True), ((SendEnd.REFUSED,), False)):
+            may = may_send_again(TWICE, try_all(*ends), left_s=1.0, has_budget=False)
+            self.assertEqual(may, expected)
+
+    def test_no_time_left(self) -> None:
+        tries = try_all(SendEnd.NOT_SENT)
+        self.assertFalse(may_send_again(TWICE, tries, left_s=0.01, has_budget=True))
+
+
+class FinalFaultTest(unittest.TestCase):
+    def test_not_run_is_said_only_where_it_is_true(self) -> None:
+        for length in (0, 1, 2):
+            for ends in itertools.product(SendEnd, repeat=length):
+                fault = make_final_fault(try_all(*ends), retry_after_s=0.5)
+                is_safe = set(ends) <= {SendEnd.NOT_SENT, SendEnd.REFUSED}
+                self.assertEqual(fault.status == 503, is_safe, ends)
+                self.assertEqual(fault.ran is Ran.NO, is_safe, ends)
+
+    def test_endpoint_says_when_to_come_back(self) -> None:
+        tried = Tried(endpoint_id="e", end=SendEnd.REFUSED, retry_after_s=2.0)
+        self.assertEqual(make_final_fault([tried], retry_after_s=0.5).retry_after_s, 2.0)
+
+
+class RetryWindowTest(unittest.TestCase):
+    def test_parts_of_all_routers_stay_within_the_fleet_budget(self) -> None:
+        """All endpoints fail for 30 s; nine routers would repeat every request.
+
+        Each knows its own ninth of the traffic only. Summed over any 10 s, the repeats
+        stay below a fifth of the requests and the fixed slack.
+        """
+        windows = [RetryWindow(ratio=0.2, slack=58.0, window_s=10.0) for _ in range(9)]
+        repeats: list[float] = []
+        requests: list[float] = []
+        for step in range(3000):
+            now = step * 0.01
+            window = windows[step % 9]
+            window.note_request(now)
+            requests.append(now)
+            if window.may_repeat(now, routers=9):
+                window.note_repeat(now)
+                repeats.append(now)
+        self.assertGreater(len(repeats), 500)
+        for end in range(10, 31):
+            sent = sum(1 for at in requests if end - 10 <= at < end)
+            again = sum(1 for at in repeats if end - 10 <= at < end)
+            self.assertLessEqual(again, 0.2 * sent + 58.0)
+
+    def test_quiet_service(self) -> None:
+        window = RetryWindow(ratio=0.2, slack=9.0, window_s=10.0)
+        window.note_request(0.0)
+        granted = 0
+        while window.may_repeat(0.0, routers=3):
+            window.note_repeat(0.0)
+            granted += 1
+        self.assertEqual(granted, int(SAFETY * 3.2))
+        self.assertTrue(window.may_repeat(20.0, routers=3))
+
+
+if __name__ == "__main__":
+    unittest.main()
