Read all answers of a connection through one buffer

Cause: the library gives each answer a buffer of its own. A second answer that came together with the first was read ahead into it and lost; when only its beginning was, the rest stood where the next caller's answer was expected. Ruled out: looking at the socket alone, which no longer holds the bytes. Change: a reader of the connection that all answers share; bytes left after an answer close the connection.

--- a/chivetrack/components/upstream/connection.py
+++ b/chivetrack/components/upstream/connection.py
@@ -43,6 +43,48 @@
     body: bytes
 
 
+class _Reader:
+    """Reads a connection for one answer after the other.
+
+    The library gives each answer a buffer of its own. What that one had read ahead, the
+    beginning of a second answer perhaps, would be lost with it, and the rest would be
+    taken for the next answer.
+    """
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._socket = sock
+        self._buffer = b""
+
+    @property
+    def has_rest(self) -> bool:
+        return bool(self._buffer)
+
+    def makefile(self, mode: str) -> "_Reader":
+        return self
+
+    def readline(self, limit: int = -1) -> bytes:
+        while b"\n" not in self._buffer and (limit < 0 or len(self._buffer) < limit):
+            data = self._socket.recv(READ_SIZE)
+            if not data:
+                break
+            self._buffer += data
+        end = self._buffer.find(b"\n") + 1 or len(self._buffer)
+        return self._take(end if limit < 0 else min(end, limit))
+
+    def read1(self, size: int) -> bytes:
+        return self._take(size) if self._buffer else self._socket.recv(size)
+
+    def _take(self, size: int) -> bytes:
+        data, self._buffer = self._buffer[:size], self._buffer[size:]
+        return data
+
+    def flush(self) -> None:
+        """Do nothing; the library calls it at the end of an answer."""
+
+    def close(self) -> None:
+        """Leave the connection open; the library calls it at the end of an answer."""
+
+
 class EndpointAnswer:
     """The head of an answer, and its body as it comes."""
 
@@ -121,6 +163,7 @@
         except Exception as error:
             self._http.close()
             raise NotSentError(f"no connection: {error}") from error
+        self._reader = _Reader(self._socket)
         self._sender: gevent.Greenlet | None = None
         self.idle_since = 0.0
         self.idle_limit_s = 0.0
@@ -137,7 +180,7 @@
 
         Bytes that belong to no request would be taken for the next answer.
         """
-        if self._http.sock is None:
+        if self._http.sock is None or self._reader.has_rest:
             return False
         readable, _, _ = select.select([self._socket], [], [], 0)
         return not readable
@@ -175,7 +218,7 @@
     def read_answer(self, method: str, *, timeout_s: float) -> EndpointAnswer:
         """Read the head of the next answer; raise ``MaybeRanError``."""
         self._socket.settimeout(timeout_s)
-        response = http.client.HTTPResponse(self._socket, method=method)
+        response = http.client.HTTPResponse(self._reader, method=method)  # type: ignore[arg-type]
         try:
             response.begin()
         except (OSError, http.client.HTTPException, ValueError) as error:
--- a/standins/link.py
+++ b/standins/link.py
@@ -19,19 +19,16 @@
 from standins.const import PUMP_SIZE
 
 READ_EVERY_S = 0.05
+TABLE_READS = 20
+READ_AGAIN_S = 0.005
 TCP_TABLE = Path("/proc/net/tcp")
 
 
 Endpoint = tuple[str, int]
 
 
-def find_owner(source: Endpoint, target: Endpoint, pids: list[int]) -> int:
-    """Return which of the processes owns the connection from source to target, or 0.
-
-    Both ends count: two processes may connect from the same local port to different
-    targets at once, and the port alone would name either of them.
-    """
-    inode = find_inode(source, target)
+def find_owner(inode: str, pids: list[int]) -> int:
+    """Return which of the processes owns the socket with an inode, or 0."""
     if not inode:
         return 0
     for pid in pids:
@@ -41,8 +38,23 @@
 
 
 def find_inode(source: Endpoint, target: Endpoint) -> str:
-    """Return the inode of the socket that holds a connection, empty if there is none."""
+    """Return the inode of the socket that connects source to target, empty if there is none.
+
+    Both ends count: two processes may connect from the same local port to different
+    targets at once, and the port alone would name either of them. The kernel gives its
+    table out in pieces, and a socket that others move past meanwhile is left out; so it
+    is read again before a connection counts as unknown.
+    """
     wanted = [_format_end(source), _format_end(target)]
+    for _ in range(TABLE_READS):
+        inode = _read_inode(wanted)
+        if inode:
+            return inode
+        gevent.sleep(READ_AGAIN_S)
+    return ""
+
+
+def _read_inode(wanted: list[str]) -> str:
     for line in TCP_TABLE.read_text().splitlines()[1:]:
         fields = line.split()
         if fields[1:3] == wanted and fields[9] != "0":
@@ -99,32 +111,29 @@
             source.close()
             return
         sink.settimeout(None)
-        caller: Endpoint = (address[0], address[1])
-        own: Endpoint = source.getsockname()[:2]
-        other = gevent.spawn(self._pump, sink, source, caller, own)
-        self._pump(source, sink, caller, own)
+        inode = find_inode((address[0], address[1]), source.getsockname()[:2])
+        other = gevent.spawn(self._pump, sink, source, inode)
+        self._pump(source, sink, inode)
         other.join()
         source.close()
         sink.close()
 
-    def _pump(
-        self, source: socket.socket, sink: socket.socket, caller: Endpoint, own: Endpoint
-    ) -> None:
+    def _pump(self, source: socket.socket, sink: socket.socket, inode: str) -> None:
         try:
             while data := source.recv(PUMP_SIZE):
-                if not self._is_cut(caller, own):
+                if not self._is_cut(inode):
                     sink.sendall(data)
             sink.shutdown(socket.SHUT_WR)
         except OSError:
             source.close()
             sink.close()
 
-    def _is_cut(self, caller: Endpoint, own: Endpoint) -> bool:
+    def _is_cut(self, inode: str) -> bool:
         if not self._cut:
             return False
         if "*" in self._cut:
             return True
-        return find_owner(caller, own, [int(pid) for pid in self._cut]) != 0
+        return find_owner(inode, [int(pid) for pid in self._cut]) != 0
 
 
 def main(
--- /dev/null
+++ b/tests/components/replica/test_repair.py
@@ -0,0 +1,138 @@
+"""Which member change a leader makes when disks are lost, instances leave or are added."""
+
+import unittest
+
+from chivetrack.components.consensus.members import ChangeKind, Member, Members
+from chivetrack.components.consensus.models import ConsensusStatus, ReplicaStatus, Role
+from chivetrack.components.replica.repair import (
+    LEARNER_SILENT_S,
+    VOTER_SILENT_S,
+    JoinRequest,
+    MemberChange,
+    Repair,
+)
+
+
+class Log:
+    """The members as a leader on i1 sees them; changes take effect at once."""
+
+    def __init__(self, voters: int, learners: int = 0) -> None:
+        self.members = Members(
+            members=tuple(
+                Member(replica_id=f"i{n}.a", instance_id=f"i{n}", voter=n <= voters)
+                for n in range(1, voters + learners + 1)
+            )
+        )
+        self.ages: dict[str, float] = {}
+        self.repair = Repair(wanted_voters=5)
+
+    def get_status(self) -> ConsensusStatus:
+        return ConsensusStatus(
+            replica_id="i1.a",
+            role=Role.LEADER,
+            term=1,
+            leader_id="i1.a",
+            leader_instance="i1",
+            commit_index=9,
+            last_index=9,
+            snapshot_index=0,
+            members=self.members,
+            halted=False,
+            replicas=tuple(
+                ReplicaStatus(
+                    replica_id=one.replica_id,
+                    instance_id=one.instance_id,
+                    voter=one.voter,
+                    match_index=9,
+                    last_contact_age_s=self.ages.get(one.replica_id, 0.0),
+                    regressed=False,
+                )
+                for one in self.members.members
+            ),
+        )
+
+    def join(self, instance: str, replica_id: str, now: float = 0.0) -> None:
+        self.repair.note_join(JoinRequest(instance, replica_id), now=now)
+
+    def step(self, now: float = 0.0) -> MemberChange | None:
+        change = self.repair.choose(self.get_status(), now=now)
+        if change is not None:
+            self.members = self.members.change(change.kind, change.member)
+        return change
+
+    def settle(self, now: float = 0.0) -> list[tuple[ChangeKind, str]]:
+        changes = []
+        while (change := self.step(now)) is not None:
+            changes.append((change.kind, change.member.replica_id))
+            assert len(changes) < 20, changes
+        return changes
+
+
+class RepairTest(unittest.TestCase):
+    def test_log_founded_by_three_grows_to_five(self) -> None:
+        log = Log(voters=3)
+        log.join("i4", "i4.a")
+        log.join("i5", "i5.a")
+        log.settle()
+        self.assertEqual(len(log.members.list_voters()), 5)
+
+    def test_two_lost_disks_at_once(self) -> None:
+        """Two of five replicas come back with empty disks, under new ids.
+
+        Their old ids are removed, the new ones learn and then vote. At no step may the
+        three that are left, with the ones already repaired, be less than a majority.
+        """
+        log = Log(voters=5)
+        log.join("i4", "i4.b")
+        log.join("i5", "i5.b")
+        log.ages = {"i4.a": 2.0, "i5.a": 2.0}
+        alive = {"i1.a", "i2.a", "i3.a"}
+        for _ in range(20):
+            change = log.step()
+            if change is None:
+                break
+            if change.kind is ChangeKind.PROMOTE:
+                alive.add(change.member.replica_id)
+            self.assertTrue(log.members.has_quorum(alive), change)
+        voters = set(log.members.list_voters())
+        self.assertEqual(voters, {"i1.a", "i2.a", "i3.a", "i4.b", "i5.b"})
+        self.assertIn("i4.a", log.members.retired)
+
+    def test_old_request_of_a_retired_replica(self) -> None:
+        """A request to join that was sent before the disk was lost arrives late.
+
+        Taken at its word, it would have the repaired replica removed again.
+        """
+        log = Log(voters=5)
+        log.join("i4", "i4.b")
+        log.settle()
+        log.join("i4", "i4.a")
+        self.assertEqual(log.settle(), [])
+
+    def test_instance_that_is_gone_gives_its_place_to_a_new_one(self) -> None:
+        log = Log(voters=5)
+        log.join("i6", "i6.a")
+        self.assertEqual(log.settle(), [(ChangeKind.ADD_LEARNER, "i6.a")])
+        log.ages = {"i3.a": VOTER_SILENT_S + 0.1}
+        self.assertEqual(log.settle(), [(ChangeKind.REMOVE, "i3.a"), (ChangeKind.PROMOTE, "i6.a")])
+
+    def test_short_silence_costs_no_place(self) -> None:
+        log = Log(voters=5, learners=1)
+        log.ages = {"i3.a": VOTER_SILENT_S - 0.5}
+        self.assertEqual(log.settle(), [])
+
+    def test_silent_learner_is_dropped_and_not_promoted(self) -> None:
+        log = Log(voters=4, learners=1)
+        log.ages = {"i5.a": 2.0}
+        self.assertEqual(log.settle(), [])
+        log.ages = {"i5.a": LEARNER_SILENT_S + 1.0}
+        self.assertEqual(log.settle(), [(ChangeKind.REMOVE, "i5.a")])
+
+    def test_request_is_forgotten(self) -> None:
+        log = Log(voters=5)
+        log.join("i6", "i6.a", now=0.0)
+        self.assertEqual(log.settle(now=5.0), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,143 @@
+"""Headers of the platform: what is read, what passes to which side."""
+
+import unittest
+from email.message import Message
+
+from chivetrack.components.traffic.requests import EndpointLoadFacts, PromptPart
+from chivetrack.platform.headers import (
+    list_answer_headers,
+    make_endpoint_headers,
+    read_answer_facts,
+    read_request_facts,
+)
+
+
+def make_headers(**fields: str) -> Message:
+    message = Message()
+    for name, value in fields.items():
+        message[name.replace("_", "-")] = value
+    return message
+
+
+class RequestFactsTest(unittest.TestCase):
+    def test_good_request(self) -> None:
+        facts = read_request_facts(
+            {
+                "x-chivetrack-attempt-id": "9c41",
+                "x-chivetrack-deadline-ms": "1500",
+                "x-chivetrack-key": "k",
+                "x-chivetrack-model": "m",
+                "x-chivetrack-token-counts": "1460,80",
+                "x-chivetrack-prompt-prefix": "5c1e:800,91bd:410,e440:250",
+                "x-chivetrack-length-hint": "33",
+                "last-event-id": "12",
+            }
+        )
+        self.assertEqual(facts.wait_s, 1.5)
+        self.assertEqual((facts.prompt_tokens, facts.max_output_tokens), (1460, 80))
+        self.assertEqual(facts.shared_parts, (PromptPart("5c1e", 800), PromptPart("91bd", 410)))
+        self.assertEqual((facts.expected_tokens, facts.last_event_id), (33, "12"))
+
+    def test_odd_and_broken_values_count_as_absent(self) -> None:
+        cases = [
+            ("x-chivetrack-deadline-ms", "soon"),
+            ("x-chivetrack-deadline-ms", "-5"),
+            ("x-chivetrack-deadline-ms", "inf"),
+            ("x-chivetrack-deadline-ms", "nan"),
+            ("x-chivetrack-token-counts", "1460"),
+            ("x-chivetrack-token-counts", "a,b"),
+            ("x-chivetrack-prompt-prefix", "5c1e,:3,x:y,,"),
+            ("x-chivetrack-length-hint", "?"),
+        ]
+        for name, value in cases:
+            with self.subTest(name=name, value=value):
+                facts = read_request_facts({name: value})
+                self.assertIsNone(facts.wait_s)
+                self.assertEqual((facts.prompt_tokens, facts.max_output_tokens), (0, 0))
+                self.assertEqual((facts.parts, facts.expected_tokens), ((), 0))
+
+
+class EndpointHeadersTest(unittest.TestCase):
+    def test_callers_may_not_ask_for_what_is_ours(self) -> None:
+        """A tenth of the callers send headers that only routers may set.
+
+        Passed on, a made-up hold or continuation is refused by the endpoint, which looks
+        like overload; a made-up workspace would be believed.
+        """
+        for name in (
+            "X-Chivetrack-Key",
+            "X-Chivetrack-Tenant",
+            "X-Chivetrack-Expect-Instance",
+            "X-Chivetrack-Expect-Version",
+            "X-Chivetrack-Request-Priority",
+            "X-Chivetrack-Hold",
+            "X-Chivetrack-Pin-Ms",
+            "X-Chivetrack-Kv-Backup",
+            "Kv-From",
+            "kv-from",
+            "Kv-Fetch",
+            "Connection",
+            "Transfer-Encoding",
+            "Content-Length",
+            "Upgrade",
+        ):
+            lines = self.make([(name, "forged"), ("X-Own", "1"), ("Host", "h")])
+            self.assertNotIn("forged", [value for _, value in lines], name)
+            self.assertIn(("X-Own", "1"), lines)
+            self.assertIn(("Host", "h"), lines)
+
+    def test_what_the_router_sets(self) -> None:
+        lines = dict(self.make([("X-Chivetrack-Attempt-Id", "9c41")]))
+        self.assertEqual(lines["X-Chivetrack-Attempt-Id"], "9c41")
+        self.assertEqual(lines["X-Chivetrack-Deadline-Ms"], "1250")
+        self.assertEqual(lines["X-Chivetrack-Expect-Instance"], "e1")
+        self.assertEqual(lines["X-Chivetrack-Tenant"], "w")
+        self.assertEqual(lines["Last-Event-Id"], "7")
+
+    def make(self, lines: list[tuple[str, str]]) -> list[tuple[str, str]]:
+        return make_endpoint_headers(
+            lines,
+            endpoint_id="e1",
+            workspace="w",
+            left_s=1.25,
+            last_event_id="7",
+            priority=None,
+        )
+
+
+class AnswerFactsTest(unittest.TestCase):
+    def test_statements(self) -> None:
+        cases = [
+            (200, {"X_Chivetrack_Server_Seal": "s"}, (True, False, False)),
+            (200, {}, (False, False, False)),
+            (503, {"X_Chivetrack_Not_Executed": "1"}, (False, True, False)),
+            (503, {}, (False, False, False)),
+            (421, {}, (False, True, True)),
+        ]
+        for status, fields, expected in cases:
+            with self.subTest(status=status, fields=fields):
+                facts = read_answer_facts(status, make_headers(**fields))
+                found = (facts.is_sealed, facts.did_not_run, facts.is_other_instance)
+                self.assertEqual(found, expected)
+
+    def test_load_and_keep_alive(self) -> None:
+        facts = read_answer_facts(
+            200, make_headers(X_Chivetrack_Server_Load="3,0,8", Keep_Alive="timeout=4, max=9")
+        )
+        self.assertEqual(facts.load, EndpointLoadFacts(running=3, waiting=0, slots=8))
+        self.assertEqual(facts.keep_alive_s, 4.0)
+        odd = read_answer_facts(
+            200, make_headers(X_Chivetrack_Server_Load="3,0", Keep_Alive="max=9")
+        )
+        self.assertIsNone(odd.load)
+        self.assertIsNone(odd.keep_alive_s)
+
+    def test_what_goes_back(self) -> None:
+        headers = [("X-Chivetrack-Server-Seal", "s"), ("Connection", "close"), ("X-A", "1")]
+        self.assertEqual(
+            list_answer_headers(headers), [("X-Chivetrack-Server-Seal", "s"), ("X-A", "1")]
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/platform/test_messages.py
@@ -0,0 +1,212 @@
+"""Bodies of the platform: good, odd and broken ones, and what the sender gets."""
+
+import json
+import unittest
+import zlib
+from typing import Any
+
+import urllib3
+from expression import Error, Ok, Result
+from gevent.pywsgi import WSGIServer
+from gevent.threadpool import ThreadPool
+
+from chivetrack.components.announcements.models import EndpointRecord, EndpointState
+from chivetrack.components.document.store import StoredDocument
+from chivetrack.components.traffic.models import Document, RouteKind
+from chivetrack.exceptions import Fault
+from chivetrack.platform.announcements import read_departure, read_heartbeat
+from chivetrack.platform.configuration import read_document
+from chivetrack.platform.control_api import Elsewhere, build_control_app
+
+ROUTE = {
+    "name": "r",
+    "hostname": "h",
+    "pathPrefix": "/a/",
+    "kind": "stream",
+    "timeoutMs": 15000,
+    "targetLatencyMs": 1000,
+    "priority": 1,
+    "trafficSplit": [{"service": "llm", "weight": 90}, {"service": "portal", "weight": 10}],
+    "maxAttempts": 2,
+    "public": False,
+    "sticky": True,
+    "resumable": True,
+    "gapTargetMs": 250,
+}
+SERVICES = [
+    {"name": "llm", "engine": {"slots": 64, "kvCapacity": 5000, "models": [{"name": "m"}]}},
+    {"name": "portal", "healthPath": "/health", "maxConnections": 110, "protocol": "h1"},
+]
+BEAT = {
+    "service": "llm",
+    "address": "10.0.0.9:8080",
+    "zone": "z",
+    "version": "v1",
+    "slots": 64,
+    "state": "ready",
+    "coldRemainingMs": 1500,
+    "stage": "both",
+    "models": [{"name": "m", "version": 1, "adapters": []}],
+    "sequence": 4,
+    "born": 1790732696017,
+}
+
+
+def make_config(**changes: Any) -> bytes:
+    whole = {
+        "version": 7,
+        "routes": [ROUTE],
+        "services": SERVICES,
+        "limits": {"maxHeaderBytes": 16384, "idleTimeoutMs": 15000},
+        "tenants": [{"name": "t", "apiKeys": ["k"], "priority": 1}],
+    }
+    return json.dumps({**whole, **changes}).encode()
+
+
+class ConfigurationTest(unittest.TestCase):
+    def test_good_document(self) -> None:
+        document = read_document(make_config(unknown={"field": 1})).ok
+        (route,) = document.routes
+        self.assertIs(route.kind, RouteKind.STREAM)
+        self.assertEqual((route.timeout_s, route.longest_pause_s), (15.0, 0.25))
+        self.assertEqual([one.weight for one in route.shares], [90.0, 10.0])
+        assert document.workspaces is not None
+        self.assertEqual(document.workspaces[0].keys, ("k",))
+        self.assertEqual(document.limits.idle_timeout_s, 15.0)
+        engine = document.services[0].engine
+        assert engine is not None
+        self.assertEqual(engine.memory_tokens, 5000)
+
+    def test_invalid_documents(self) -> None:
+        same = [ROUTE, {**ROUTE, "name": "q"}]
+        cases = {
+            "cut short": make_config()[:-9],
+            "not a table": b"[]",
+            "not UTF-8": b"\xff\xfe",
+            "empty": b"",
+            "no version": json.dumps({"routes": [], "services": []}).encode(),
+            "version of another type": make_config(version="7"),
+            "unknown service": make_config(services=SERVICES[:1]),
+            "same place": make_config(routes=same),
+            "no weight": make_config(
+                routes=[{**ROUTE, "trafficSplit": [{"service": "llm", "weight": 0}]}]
+            ),
+            "no timeout": make_config(routes=[{**ROUTE, "timeoutMs": 0}]),
+            "no service": make_config(routes=[{**ROUTE, "trafficSplit": None}]),
+            "shared key": make_config(
+                tenants=[{"name": "a", "apiKeys": ["k"]}, {"name": "b", "apiKeys": ["k"]}]
+            ),
+        }
+        for name, body in cases.items():
+            with self.subTest(name):
+                self.assertTrue(read_document(body).is_error())
+
+    def test_kind_that_is_not_known_may_not_be_repeated(self) -> None:
+        document = read_document(make_config(routes=[{**ROUTE, "kind": "new"}])).ok
+        self.assertFalse(document.routes[0].is_repeatable)
+
+
+class HeartbeatTest(unittest.TestCase):
+    def test_good_heartbeat(self) -> None:
+        record = read_heartbeat("i-1", json.dumps(BEAT).encode()).ok
+        self.assertEqual((record.born, record.sequence, record.cold_s), (1790732696017, 4, 1.5))
+        self.assertIs(record.state, EndpointState.READY)
+
+    def test_heartbeats_of_another_writer(self) -> None:
+        missing = [{k: v for k, v in BEAT.items() if k != name} for name in ("service", "state")]
+        bodies = [
+            b"",
+            b"\x00\x01",
+            b"null",
+            *(json.dumps(one).encode() for one in missing),
+            json.dumps({**BEAT, "state": "sleeping"}).encode(),
+            json.dumps({**BEAT, "sequence": "4"}).encode(),
+            json.dumps({**BEAT, "address": 9}).encode(),
+            json.dumps({**BEAT, "address": "nowhere"}).encode(),
+            json.dumps({**BEAT, "models": "m"}).encode(),
+        ]
+        for body in bodies:
+            with self.subTest(body=body):
+                self.assertTrue(read_heartbeat("i-1", body).is_error())
+
+    def test_departure(self) -> None:
+        self.assertIsNone(read_departure(b""))
+        self.assertIsNone(read_departure(b"what"))
+        self.assertEqual(read_departure(b'{"born": 5}'), 5)
+
+
+class Desk:
+    """A replica that answers as it is told to."""
+
+    def __init__(self) -> None:
+        self.outcome: Result[Any, Fault | Elsewhere] = Ok(7)
+        self.records: list[EndpointRecord] = []
+
+    def put(self, document: Document, body: bytes) -> Result[int, Fault | Elsewhere]:
+        return self.outcome
+
+    def read(self) -> Result[StoredDocument, Fault | Elsewhere]:
+        if self.outcome.is_error():
+            return self.outcome
+        return Ok(StoredDocument(version=7, payload=zlib.compress(make_config())))
+
+    def announce(self, record: EndpointRecord) -> Result[None, Fault]:
+        self.records.append(record)
+        return Ok(None)
+
+    def leave(self, endpoint_id: str, born: int | None) -> Result[None, Fault]:
+        return Ok(None) if self.outcome.is_ok() else Error(self.outcome.error)
+
+
+class ControlApiTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.desk = Desk()
+        self.bad: list[str] = []
+        app = build_control_app(
+            desk=self.desk,
+            unpack=zlib.decompress,
+            note_bad=lambda what, detail: self.bad.append(what),
+        )
+        self.server = WSGIServer(("127.0.0.1", 0), app, log=None)
+        self.server.start()
+        self.addCleanup(self.server.stop)
+        self.http = urllib3.PoolManager(retries=False)
+        self.pool = ThreadPool(1)
+
+    def ask(self, method: str, path: str, body: bytes | None = None) -> Any:
+        url = f"http://127.0.0.1:{self.server.server_port}{path}"
+        return self.pool.apply(lambda: self.http.request(method, url, body=body, redirect=False))
+
+    def test_configuration(self) -> None:
+        answer = self.ask("PUT", "/config", make_config())
+        self.assertEqual((answer.status, json.loads(answer.data)), (200, {"version": 7}))
+        answer = self.ask("GET", "/config")
+        self.assertEqual(json.loads(answer.data), json.loads(make_config()))
+        answer = self.ask("PUT", "/config", b"{")
+        self.assertEqual(answer.status, 400)
+        self.assertEqual(self.bad, ["configuration"])
+        self.assertIn("errors", json.loads(answer.data))
+
+    def test_refusals(self) -> None:
+        self.desk.outcome = Error(Elsewhere(address="10.0.0.4:8080"))
+        for method, body in (("PUT", make_config()), ("GET", None)):
+            answer = self.ask(method, "/config", body)
+            self.assertEqual(answer.status, 307)
+            self.assertEqual(answer.headers["Location"], "http://10.0.0.4:8080/config")
+        fault = Fault(code="no_leader", message="no", status=503, retry_after_s=0.3)
+        self.desk.outcome = Error(fault)
+        answer = self.ask("GET", "/config")
+        self.assertEqual((answer.status, answer.headers["Retry-After"]), (503, "0.3"))
+        self.assertEqual(self.ask("DELETE", "/instances/i-1").status, 503)
+
+    def test_endpoints(self) -> None:
+        answer = self.ask("PUT", "/instances/i-1", json.dumps(BEAT).encode())
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(self.desk.records[0].endpoint_id, "i-1")
+        self.assertEqual(self.ask("PUT", "/instances/i-1", b"x").status, 400)
+        self.assertEqual(self.bad, ["heartbeat"])
+        self.assertEqual(self.ask("DELETE", "/instances/i-1").status, 200)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/standins/test_link.py
+++ b/tests/standins/test_link.py
@@ -21,10 +21,12 @@
         second = self.connect(targets[1], source)
         self.assertEqual(second.getsockname(), source)
         for target in targets:
-            self.assertEqual(find_owner(source, target, [os.getpid()]), os.getpid())
-            self.assertEqual(find_owner(source, target, [1]), 0)
+            inode = find_inode(source, target)
+            self.assertEqual(find_owner(inode, [os.getpid()]), os.getpid())
+            self.assertEqual(find_owner(inode, [1]), 0)
         self.assertNotEqual(find_inode(source, targets[0]), find_inode(source, targets[1]))
-        self.assertEqual(find_owner(source, ("127.0.0.3", 9), [os.getpid()]), 0)
+        self.assertEqual(find_inode(source, ("127.0.0.3", 9)), "")
+        self.assertEqual(find_owner("", [os.getpid()]), 0)
 
     def listen(self, host: str) -> tuple[str, int]:
         server = self.enterContext(socket.create_server((host, 0)))
