Wait for every link to take a cut before a test goes on

In a failing run every instance named the old leader right after the cut (an instance answers a status by asking the leader), and the whole test ended within the 50 ms in which a link reads its file of cuts: the write went through a link that was still open. In a passing run the cut was taken first and another leader was found after 0.8 s. Ruled out: the product accepting (no second leader, the old one still led), and look-ups of owners (each one logged named the right process). Change: links say which cuts they have taken, and a fleet waits for that. The test is unchanged.

--- a/standins/link.py
+++ b/standins/link.py
@@ -88,6 +88,11 @@
     return False
 
 
+def get_taken(cuts: Path) -> Path:
+    """Return the file into which a link writes the cuts that it has taken."""
+    return cuts.with_suffix(".taken")
+
+
 class Link:
     """Pipes connections to one instance and swallows what is cut."""
 
@@ -97,15 +102,20 @@
         self._target = target
         self._cuts = cuts
         self._cut: frozenset[str] = frozenset()
+        self._text: str | None = None
         self.server = StreamServer((host, int(port)), self._handle)
 
     def watch(self) -> None:
         """Read the file of cuts again and again."""
         while True:
             try:
-                self._cut = frozenset(self._cuts.read_text().split())
+                text = self._cuts.read_text()
             except OSError:
-                self._cut = frozenset()
+                text = ""
+            if text != self._text:
+                self._text = text
+                self._cut = frozenset(text.split())
+                get_taken(self._cuts).write_text(text)
             gevent.sleep(READ_EVERY_S)
 
     def _handle(self, source: socket.socket, address: tuple[str, int]) -> None:
--- a/tests/system/fleets.py
+++ b/tests/system/fleets.py
@@ -13,6 +13,7 @@
 import urllib3
 
 from standins.fleet import PEER_PORT, RESOURCE_PORT, Fleet, InstancePlan, Member
+from standins.link import get_taken
 
 LINK_PORT = 18092
 WAIT_S = 30.0
@@ -65,13 +66,23 @@
     def cut(self, name: str) -> None:
         """Cut an instance off from all others, without a sign."""
         pid = self.members[name].process.pid
-        for plan in self.plans:
-            self._write_cuts(plan.name, "*" if plan.name == name else str(pid))
+        self._set_cuts({plan.name: str(pid) for plan in self.plans} | {name: "*"})
 
     def heal(self) -> None:
         """Take all cuts back."""
-        for plan in self.plans:
-            self._write_cuts(plan.name, "")
+        self._set_cuts({plan.name: "" for plan in self.plans})
+
+    def _set_cuts(self, cuts: dict[str, str]) -> None:
+        """Write the cuts and wait until every link has taken them.
+
+        A link reads its file each 50 ms. A write that a test sends in that time passes a
+        link that is still open, and its acceptance looks like a broken promise.
+        """
+        for name, text in cuts.items():
+            self._write_cuts(name, text)
+        for name, text in cuts.items():
+            taken = get_taken(self.get_cuts(name))
+            wait_for(lambda t=taken, c=text: t.exists() and t.read_text() == c, "cut not taken")
 
     def _write_cuts(self, name: str, text: str) -> None:
         aside = self.get_cuts(name).with_suffix(".new")
