--- a/chivetrack/components/consensus/const.py
+++ b/chivetrack/components/consensus/const.py
@@ -7,6 +7,8 @@
 HEARTBEAT_S: Final = 0.150
 ELECTION_MIN_S: Final = 0.600
 ELECTION_MAX_S: Final = 1.200
+# The first tries may come before the others listen; after these, the usual bounds hold.
+FIRST_TRIES: Final = 4
 
 MAX_VOTERS: Final = 9
 
--- a/chivetrack/components/consensus/models.py
+++ b/chivetrack/components/consensus/models.py
@@ -60,11 +60,19 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Timing:
-    """Intervals in seconds; elections start at random between the two bounds."""
+    """Intervals in seconds; elections start at random between the two bounds.
+
+    The first ones after a start have bounds of their own, until a leader is heard. After
+    all replicas lost power, nobody leads and each further second is one without service.
+    A replica that starts alone disturbs nobody: those who hear a leader refuse its
+    pre-vote.
+    """
 
     heartbeat_s: float = HEARTBEAT_S
     election_min_s: float = ELECTION_MIN_S
     election_max_s: float = ELECTION_MAX_S
+    first_election_min_s: float = ELECTION_MIN_S
+    first_election_max_s: float = ELECTION_MAX_S
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/chivetrack/components/consensus/state.py
+++ b/chivetrack/components/consensus/state.py
@@ -2,6 +2,7 @@
 
 from random import Random
 
+from chivetrack.components.consensus.const import FIRST_TRIES
 from chivetrack.components.consensus.log import Log
 from chivetrack.components.consensus.messages import PeerMessage
 from chivetrack.components.consensus.models import (
@@ -43,6 +44,7 @@
         self.durable_index = self.log.last_index
         self.leader_heard_at = float("-inf")
         self.election_at = float("inf")
+        self.first_tries = FIRST_TRIES
         self.halted = False
         self.now = 0.0
         self.out = Outbox()
@@ -100,8 +102,11 @@
     def reset_election(self) -> None:
         """Start the election timeout again, at random so that candidates rarely collide."""
         timing = self.timing
-        wait = self.random.uniform(timing.election_min_s, timing.election_max_s)
-        self.election_at = self.now + wait
+        low, high = timing.election_min_s, timing.election_max_s
+        if self.first_tries > 0 and self.leader_heard_at == float("-inf"):
+            self.first_tries -= 1
+            low, high = timing.first_election_min_s, timing.first_election_max_s
+        self.election_at = self.now + self.random.uniform(low, high)
 
     def is_up_to_date(self, last_index: int, last_term: int) -> bool:
         """Tell whether a log that ends so holds at least what this one does."""
--- a/tests/components/consensus/test_core.py
+++ b/tests/components/consensus/test_core.py
@@ -5,6 +5,7 @@
 from typing import TypeVar
 
 from chivetrack.components.consensus import Consensus
+from chivetrack.components.consensus.const import FIRST_TRIES
 from chivetrack.components.consensus.log import Log
 from chivetrack.components.consensus.members import Member, Members, make_voters
 from chivetrack.components.consensus.messages import (
@@ -380,5 +381,27 @@
                 self.assertEqual((log.last_index, log.find_term(11)), (11, 11))
 
 
+class FirstElectionTest(unittest.TestCase):
+    def test_first_tries_come_soon_and_then_the_usual_bounds_hold(self) -> None:
+        """All replicas lost power; each starts and finds nobody to lead.
+
+        With the usual timeout nothing is served for another second. The first tries come
+        within their own bounds; where they stay without an answer, the usual ones follow,
+        so that a replica that is alone does not send requests for votes all the time.
+        """
+        timing = Timing(first_election_min_s=0.1, first_election_max_s=0.4)
+        recovered = Recovered(snapshot=Snapshot(index=1, term=1, members=make_voters("a", "b")))
+        replica = Consensus(replica_id="a", random=Random(1), timing=timing, recovered=recovered)
+        now, asked = 0.0, []
+        while now < 8.0:
+            effects = replica.handle(TimeReached(), now=now)
+            if any(isinstance(one, SendMessage) for one in effects):
+                asked.append(now)
+            now += 0.01
+        waits = [after - before for before, after in zip([0.0, *asked], asked, strict=False)]
+        self.assertLess(max(waits[:FIRST_TRIES]), 0.42)
+        self.assertGreater(min(waits[FIRST_TRIES:]), 0.58)
+
+
 if __name__ == "__main__":
     unittest.main()
