Keep the endpoints that a replica knows over its restart

Cause: after a loss of power routers had the configuration and no endpoints, up to 1.2 s longer, until each endpoint's next heartbeat. Ruled out: endpoints in the replicated log (an entry for each change, and none while there is no quorum).

--- a/chivetrack/components/announcements/models.py
+++ b/chivetrack/components/announcements/models.py
@@ -9,11 +9,12 @@
 
 
 class EndpointState(StrEnum):
-    """What an endpoint says that it is."""
+    """What an endpoint says that it is; ``LOST`` is said of one that is not heard any more."""
 
     READY = "ready"
     DRAINING = "draining"
     LEFT = "left"
+    LOST = "lost"
 
 
 @message("announcements.record")
@@ -39,6 +40,9 @@
     models: tuple[str, ...] = ()
 
     @property
-    def position(self) -> tuple[int, int]:
-        """Return what orders two statements of one endpoint."""
-        return (self.born, self.sequence)
+    def position(self) -> tuple[int, int, bool]:
+        """Return what orders two statements of one endpoint.
+
+        That it is lost comes after its last word, and before any further one.
+        """
+        return (self.born, self.sequence, self.state is EndpointState.LOST)
--- a/chivetrack/components/announcements/table.py
+++ b/chivetrack/components/announcements/table.py
@@ -1,6 +1,6 @@
 """The endpoints that an instance knows of, merged from statements in any order."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
 import msgspec
@@ -16,6 +16,9 @@
 SILENT_AFTER_S = 5.0
 # A statement that was delayed on its way is forgotten elsewhere by then.
 FORGET_AFTER_S = 60.0
+# Endpoints that a replica knows from before its restart have to be heard again: two
+# heartbeats of 1.2 s. Their last word, a departure perhaps, may not have been kept.
+RESTORED_FOR_S = 2.6
 
 
 @dataclass(slots=True, kw_only=True)
@@ -23,6 +26,7 @@
     record: EndpointRecord
     change: int
     heard_at: float
+    is_restored: bool = False
 
 
 class EndpointTable:
@@ -51,11 +55,31 @@
         is_change = _strip(record) != _strip(entry.record)
         entry.record = record
         entry.heard_at = now
+        entry.is_restored = False
         if is_change:
             self.change += 1
             entry.change = self.change
         return is_change
 
+    def restore(self, records: Iterable[EndpointRecord], *, now: float) -> None:
+        """Take over what was known before a restart, until it is heard again or lost."""
+        for record in records:
+            if self.merge(record, now=now):
+                self._entries[record.endpoint_id].is_restored = True
+
+    def drop_unheard(self, now: float) -> bool:
+        """Give up restored endpoints that were not heard again; return whether there were."""
+        unheard = [
+            entry
+            for entry in self._entries.values()
+            if entry.is_restored and now - entry.heard_at > RESTORED_FOR_S
+        ]
+        for entry in unheard:
+            lost = msgspec.structs.replace(entry.record, state=EndpointState.LOST)
+            entry.is_restored = False
+            self.merge(lost, now=now)
+        return bool(unheard)
+
     def close(self, endpoint_id: str, *, born: int | None, now: float) -> EndpointRecord | None:
         """Note that an endpoint has left; return its last record, ``None`` if unknown.
 
--- a/tests/components/announcements/test_table.py
+++ b/tests/components/announcements/test_table.py
@@ -85,6 +85,28 @@
         table.merge(make_record(3, state=EndpointState.DRAINING), now=2.0)
         self.assertEqual([one.sequence for one in table.list_changes(change)], [3])
 
+    def test_restart_of_a_replica_with_what_it_knew(self) -> None:
+        """All replicas lose power; they come back with the endpoints of before.
+
+        Routers can serve at once, not only after the next heartbeats. An endpoint whose
+        departure was not kept is not heard again, and is given up before long.
+        """
+        table = EndpointTable()
+        table.restore([make_record(5), make_record(5, endpoint_id="e2")], now=0.0)
+        self.assertEqual(len(table.list_changes(0)), 2)
+        table.merge(make_record(6), now=1.0)
+        self.assertFalse(table.drop_unheard(2.0))
+        self.assertTrue(table.drop_unheard(3.0))
+        self.assertFalse(table.drop_unheard(4.0))
+        states = {one.endpoint_id: one.state for one in table.list_records()}
+        self.assertEqual(states, {"e1": EndpointState.READY, "e2": EndpointState.LOST})
+        self.assertTrue(table.merge(make_record(6, endpoint_id="e2"), now=5.0))
+
+    def test_router_that_heard_more_keeps_it(self) -> None:
+        table = EndpointTable()
+        table.merge(make_record(6), now=0.0)
+        self.assertFalse(table.merge(make_record(5, state=EndpointState.LOST), now=1.0))
+
     def test_silence(self) -> None:
         table = EndpointTable()
         table.merge(make_record(1), now=0.0)
