--- /dev/null
+++ b/chivetrack/components/deployment/__init__.py
@@ -0,0 +1,1 @@
+"""What the processes of a deployment are told at their start."""
--- a/chivetrack/components/settings/checks.py
+++ b/chivetrack/components/settings/checks.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass
 
 from chivetrack.components.settings.models import (
-    Address,
     AnnouncerSettings,
     HashedKey,
     InstanceSettings,
@@ -16,21 +15,14 @@
     StopSettings,
     TlsSettings,
 )
-from chivetrack.components.settings.places import KeyPath
 from chivetrack.helpers.registry import Registry
+from chivetrack.helpers.sections.base import Address
+from chivetrack.helpers.sections.places import KeyPath
+from chivetrack.helpers.sections.reader import Problem
 
 LISTENERS = ("caller", "resources", "peer", "telemetry")
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Problem:
-    """What a check found, at a key path."""
-
-    path: KeyPath
-    message: str
-    hint: str | None = None
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ValidSections:
     """The sections that have no findings of their own; ``None`` for the others."""
--- a/chivetrack/components/settings/models.py
+++ b/chivetrack/components/settings/models.py
@@ -1,55 +1,16 @@
 """The validated models of the settings file, one per section."""
 
-import ipaddress
-from dataclasses import dataclass
 from enum import StrEnum
 from pathlib import Path
-from typing import Annotated, Any
-
-from pydantic import (
-    BaseModel,
-    BeforeValidator,
-    ConfigDict,
-    Field,
-    PlainSerializer,
-    StrictBool,
-    StrictFloat,
-    StrictInt,
-)
+from typing import Annotated
+
+from pydantic import Field, StrictBool, StrictFloat, StrictInt
 
 from chivetrack.components.settings import const
 from chivetrack.helpers.log import LogFormat
+from chivetrack.helpers.sections.base import Address as Address
+from chivetrack.helpers.sections.base import AddressField, LogLevel, Section
 
-
-@dataclass(frozen=True, slots=True)
-class Address:
-    """An IP number and a port; port 0 lets the system choose one."""
-
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        return f"[{self.host}]:{self.port}" if ":" in self.host else f"{self.host}:{self.port}"
-
-
-def parse_address(value: Any) -> Address:
-    """Read ``host:port`` with an IP number; raise ``ValueError`` for anything else."""
-    if isinstance(value, Address):
-        return value
-    if not isinstance(value, str):
-        raise ValueError('must be a text of the form "IP-number:port"')
-    host, colon, port = value.rpartition(":")
-    if not colon or not port.isascii() or not port.isdigit() or int(port) > const.MAX_PORT:
-        raise ValueError(f"must be IP-number:port with a port from 0 to {const.MAX_PORT}")
-    host = host[1:-1] if host.startswith("[") and host.endswith("]") else host
-    try:
-        ipaddress.ip_address(host)
-    except ValueError:
-        raise ValueError(f"{host!r} is not an IP number; names are not looked up") from None
-    return Address(host, int(port))
-
-
-AddressField = Annotated[Address, BeforeValidator(parse_address), PlainSerializer(str)]
 Name = Annotated[str, Field(pattern=const.NAME_PATTERN, max_length=const.MAX_NAME_LENGTH)]
 KeyHash = Annotated[str, Field(pattern=const.KEY_HASH_PATTERN)]
 
@@ -68,21 +29,6 @@
     SERVE = "serve"
 
 
-class LogLevel(StrEnum):
-    """The least important level that is written."""
-
-    DEBUG = "debug"
-    INFO = "info"
-    WARNING = "warning"
-    ERROR = "error"
-
-
-class Section(BaseModel):
-    """Base of every section: unknown keys are findings, values never change."""
-
-    model_config = ConfigDict(frozen=True, extra="forbid", arbitrary_types_allowed=True)
-
-
 class InstanceSettings(Section):
     """What this instance is and where it stands."""
 
--- a/chivetrack/daemon/fleet/__main__.py
+++ b/chivetrack/daemon/fleet/__main__.py
@@ -1,6 +1,11 @@
 """The program of the deployed processes: a router or a replica, as the settings say."""
 
-from gevent import get_hub, monkey
+import gc
+
+# Nothing of what is imported becomes garbage; looking for it takes a fifth of the start.
+gc.disable()
+
+from gevent import get_hub, monkey  # noqa: E402
 
 monkey.patch_all()
 
@@ -17,35 +22,41 @@
 
 import typer  # noqa: E402
 
-from chivetrack.components.settings.deployment import (  # noqa: E402
+from chivetrack.components.deployment.settings import (  # noqa: E402
     DeploymentSettings,
     ProcessRole,
     load_deployment,
 )
 from chivetrack.daemon.const import EXIT_CUT, EXIT_OK, EXIT_SETTINGS, EXIT_START  # noqa: E402
-from chivetrack.daemon.fleet.replica import ReplicaProcess  # noqa: E402
-from chivetrack.daemon.fleet.router import Router  # noqa: E402
-from chivetrack.helpers.events import open_events  # noqa: E402
+from chivetrack.helpers.events import EventLog, open_events  # noqa: E402
 from chivetrack.helpers.log import open_logs  # noqa: E402
-from chivetrack.helpers.telemetry import open_telemetry  # noqa: E402
 
 APP = typer.Typer(add_completion=False)
 
 
+def _run(settings: DeploymentSettings, events: EventLog) -> int:
+    """Load and run the program of the role; each role needs half of the modules."""
+    if settings.process.role is ProcessRole.REPLICA:
+        from chivetrack.daemon.fleet.replica import ReplicaProcess
+
+        run = ReplicaProcess(settings=settings, events=events).run
+    else:
+        from chivetrack.daemon.fleet.router import Router
+
+        run = Router(settings=settings, events=events).run
+    gc.freeze()
+    gc.enable()
+    return run()
+
+
 def serve(settings: DeploymentSettings) -> int:
     """Run the process until it was stopped, and return the exit code."""
-    process = settings.process
-    program = ReplicaProcess if process.role is ProcessRole.REPLICA else Router
     with (
         open_logs(level=settings.log.level, form="json"),
-        open_events(instance=process.name) as events,
-        open_telemetry(
-            instance_id=process.name, availability_zone=process.availability_zone
-        ) as telemetry,
+        open_events(instance=settings.process.name) as events,
     ):
         try:
-            running = program(settings=settings, events=events, telemetry=telemetry)
-            cut = running.run()
+            cut = _run(settings, events)
         except (OSError, RuntimeError) as error:
             events.write("start_failed", detail=str(error))
             return EXIT_START
--- a/chivetrack/daemon/fleet/const.py
+++ b/chivetrack/daemon/fleet/const.py
@@ -22,6 +22,11 @@
 NO_ENDPOINT_RETRY_S: Final = 0.5
 NO_DOCUMENT_RETRY_S: Final = 1.0
 
+START_WAIT_S: Final = 2.0
+"""From a router's start until it knows configuration and endpoints, also if all replicas
+start with it: 0.8 s longer than its own start to a leader, two rounds of the exchange, and
+as much again."""
+
 FLUSH_S: Final = 0.02
 """Changes of endpoints within so long go out to routers together."""
 
--- a/chivetrack/daemon/fleet/fleet_view.py
+++ b/chivetrack/daemon/fleet/fleet_view.py
@@ -4,8 +4,11 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
+from gevent.event import Event as Signal
+
 from chivetrack.components.announcements.models import EndpointRecord, EndpointState
 from chivetrack.components.announcements.table import EndpointTable
+from chivetrack.components.deployment.settings import BoundSettings
 from chivetrack.components.distribution.messages import DocumentSent, View
 from chivetrack.components.distribution.subscriber import OwnNews
 from chivetrack.components.endpoints.breaker import Breaker, BreakerState
@@ -15,7 +18,6 @@
 from chivetrack.components.placement.parts import PartBook
 from chivetrack.components.retries.sending import SendEnd
 from chivetrack.components.retries.window import RetryWindow
-from chivetrack.components.settings.deployment import BoundSettings
 from chivetrack.components.traffic.models import Document
 from chivetrack.components.traffic.table import RouteTable
 from chivetrack.daemon.fleet.calls import Call
@@ -59,6 +61,7 @@
         self._seen_change = -1
         self._routers = 1
         self.has_view = False
+        self._ready = Signal()
         self.listeners: list[Callable[[Document], None]] = []
 
     # What replicas tell
@@ -94,6 +97,12 @@
         self.loads.take_others(view.loads, now=now)
         self.parts.take_news(view.placed, now=now, capacity=self._get_capacity())
         self._note_changes()
+        if self.table is not None and self._by_service:
+            self._ready.set()
+
+    def wait_until_ready(self, timeout_s: float) -> None:
+        """Wait until configuration and endpoints are known."""
+        self._ready.wait(timeout_s)
 
     def _get_capacity(self) -> int:
         services = () if self.table is None else self.table.document.services
@@ -110,7 +119,7 @@
         self._by_service = {}
         self._sources = {}
         for record in self.endpoints.list_records():
-            if record.state is not EndpointState.LEFT:
+            if record.state in (EndpointState.READY, EndpointState.DRAINING):
                 self._sources.setdefault(record.service, []).append(record)
             if record.state is EndpointState.READY:
                 self._by_service.setdefault(record.service, []).append(record)
--- a/chivetrack/daemon/fleet/log_host.py
+++ b/chivetrack/daemon/fleet/log_host.py
@@ -48,6 +48,11 @@
 _FOLDER_NAME = "log"
 
 
+# A start takes replicas of one size alike; the last of them finds the others listening and
+# needs a connection to each, 0.1 s, before its pre-vote can be answered.
+TIMING = Timing(first_election_min_s=0.1, first_election_max_s=0.4)
+
+
 class RetiredError(Exception):
     """The log has removed this replica for good; it has to come back under a new id."""
 
@@ -242,7 +247,7 @@
 
     def _serve(self, storage: Storage, recovered: Recovered) -> None:
         consensus = Consensus(
-            replica_id=self.replica_id, random=self._random, timing=Timing(), recovered=recovered
+            replica_id=self.replica_id, random=self._random, timing=TIMING, recovered=recovered
         )
         core = ReplicaCore(
             consensus=consensus, state_machine=self._store, snapshot=recovered.snapshot
--- /dev/null
+++ b/chivetrack/daemon/fleet/meters.py
@@ -0,0 +1,77 @@
+"""The instruments of the deployed processes, on the library's side."""
+
+from contextlib import ExitStack
+
+from chivetrack.components.traffic.requests import AnswerFacts
+from chivetrack.daemon.fleet.calls import Call
+from chivetrack.helpers.telemetry import METRICS_CONTENT_TYPE, Telemetry, open_telemetry
+from chivetrack.helpers.telemetry.const import DURATION_BOUNDS_S
+
+
+class Meters:
+    """Counts requests by kind, workspace, service and outcome.
+
+    The names come from the configuration or from fixed lists; the provider's limit on
+    series bounds them where a configuration names many.
+    """
+
+    def __init__(self, *, telemetry: Telemetry) -> None:
+        """Create the instruments."""
+        meter = telemetry.instruments.meter
+        self._telemetry = telemetry
+        self._requests = meter.create_counter(
+            "chivetrack.router.requests", unit="{request}", description="Requests by outcome."
+        )
+        self._duration = meter.create_histogram(
+            "chivetrack.router.duration",
+            unit="s",
+            description="From the request to its end.",
+            explicit_bucket_boundaries_advisory=DURATION_BOUNDS_S,
+        )
+        self._first = meter.create_histogram(
+            "chivetrack.router.first_event",
+            unit="s",
+            description="From the request to a stream's first event.",
+            explicit_bucket_boundaries_advisory=DURATION_BOUNDS_S,
+        )
+        self._answers = meter.create_counter(
+            "chivetrack.router.endpoint_answers",
+            unit="{answer}",
+            description="Heads of answers by what they say of the request.",
+        )
+        self._events = meter.create_counter(
+            "chivetrack.replica.events", unit="{event}", description="Events by name."
+        )
+
+    def record_end(self, call: Call, outcome: str, now: float) -> None:
+        """Count a request that ended at ``now`` (seconds)."""
+        kinds = {"kind": call.route.kind.value, "service": call.service}
+        names = {
+            **kinds,
+            "workspace": "" if call.workspace is None else call.workspace.name,
+            "outcome": outcome,
+            "status": str(call.reply.status),
+        }
+        self._requests.add(1, names)
+        self._duration.record(now - call.came_at, kinds)
+        if call.first_event_at is not None:
+            self._first.record(call.first_event_at - call.came_at, kinds)
+
+    def note_answer(self, facts: AnswerFacts) -> None:
+        """Count the head of an endpoint's answer."""
+        self._answers.add(1, {"ran": "no" if facts.did_not_run else "yes"})
+
+    def count(self, event: str) -> None:
+        """Count an event."""
+        self._events.add(1, {"event": event})
+
+    def render(self) -> tuple[str, bytes]:
+        """Return the content type and the text of all metrics."""
+        return METRICS_CONTENT_TYPE, self._telemetry.render_metrics()
+
+
+def open_meters(*, instance: str, zone: str) -> Meters:
+    """Return meters that are read at the metrics address for as long as the process lives."""
+    stack = ExitStack()
+    telemetry = stack.enter_context(open_telemetry(instance_id=instance, availability_zone=zone))
+    return Meters(telemetry=telemetry)
--- a/chivetrack/daemon/fleet/metrics.py
+++ b/chivetrack/daemon/fleet/metrics.py
@@ -1,69 +1,88 @@
 """What the deployed processes count, and the address where it can be read."""
 
 import time
+from collections import deque
+from collections.abc import Callable
+from typing import TYPE_CHECKING
 
-from opentelemetry.metrics import Meter
+from bottle import Bottle, HTTPResponse
 
-from chivetrack.components.settings.models import Address
 from chivetrack.components.traffic.requests import AnswerFacts
 from chivetrack.daemon.fleet.calls import Call
-from chivetrack.daemon.metrics import build_metrics_app
 from chivetrack.daemon.server import HttpServer
-from chivetrack.helpers.telemetry import Telemetry
-from chivetrack.helpers.telemetry.instruments import Instruments
+from chivetrack.helpers.sections.base import Address
 
+if TYPE_CHECKING:
+    from chivetrack.daemon.fleet.meters import Meters
 
-class RouterMetrics:
-    """Counts requests by kind, workspace, service and outcome.
+# Records that wait until somebody asks for metrics; more open the library by themselves.
+MAX_WAITING = 20_000
 
-    The names come from the configuration or from fixed lists; the limit on series in the
-    provider bounds them where a configuration names many.
+
+class Metrics:
+    """Keeps records until metrics are read for the first time.
+
+    The library takes a tenth of a process's start, which is the time in which callers
+    are refused after all instances lost power. Nothing is lost by the delay: the records
+    are handed in when the library is there.
     """
 
-    def __init__(self, *, instruments: Instruments) -> None:
-        """Take the instruments of the process."""
-        self._meter: Meter = instruments.meter
-        self._requests = self._meter.create_counter(
-            "chivetrack.router.requests", unit="{request}", description="Requests by outcome."
-        )
-        self._duration = self._meter.create_histogram(
-            "chivetrack.router.duration", unit="s", description="From the request to its end."
-        )
-        self._first = self._meter.create_histogram(
-            "chivetrack.router.first_event", unit="s", description="Up to a stream's first event."
-        )
-        self._answers = self._meter.create_counter(
-            "chivetrack.router.endpoint_answers",
-            unit="{answer}",
-            description="Heads of answers by what they say of the request.",
-        )
+    def __init__(self, *, instance: str, zone: str) -> None:
+        """Take the names that metrics are kept under."""
+        self._instance = instance
+        self._zone = zone
+        self._waiting: deque[Callable[[Meters], None]] = deque()
+        self._meters: Meters | None = None
 
     def record_end(self, call: Call, outcome: str) -> None:
         """Count a request that has ended."""
-        names = {
-            "kind": call.route.kind.value,
-            "service": call.service,
-            "workspace": "" if call.workspace is None else call.workspace.name,
-            "outcome": outcome,
-            "status": str(call.reply.status),
-        }
-        self._requests.add(1, names)
-        kinds = {"kind": call.route.kind.value, "service": call.service}
-        self._duration.record(time.monotonic() - call.came_at, kinds)
-        if call.first_event_at is not None:
-            self._first.record(call.first_event_at - call.came_at, kinds)
+        now = time.monotonic()
+        self._record(lambda meters: meters.record_end(call, outcome, now))
 
     def note_answer(self, endpoint_id: str, facts: AnswerFacts) -> None:
         """Count the head of an endpoint's answer."""
-        self._answers.add(1, {"ran": "no" if facts.did_not_run else "yes"})
+        self._record(lambda meters: meters.note_answer(facts))
+
+    def count(self, event: str) -> None:
+        """Count an event of a replica."""
+        self._record(lambda meters: meters.count(event))
+
+    def _record(self, record: "Callable[[Meters], None]") -> None:
+        if self._meters is not None:
+            record(self._meters)
+            return
+        self._waiting.append(record)
+        if len(self._waiting) >= MAX_WAITING:
+            self.open()
+
+    def open(self) -> "Meters":
+        """Load the library, hand in what waits and return the meters."""
+        if self._meters is None:
+            from chivetrack.daemon.fleet.meters import open_meters
+
+            self._meters = open_meters(instance=self._instance, zone=self._zone)
+        while self._waiting:
+            self._waiting.popleft()(self._meters)
+        return self._meters
+
+    def build_app(self) -> Bottle:
+        """Return the application that answers with all metrics as text."""
+        app = Bottle()
+
+        def show_metrics() -> HTTPResponse:
+            content_type, body = self.open().render()
+            return HTTPResponse(body=body, status=200, headers={"Content-Type": content_type})
+
+        app.route("/metrics", "GET", show_metrics)
+        return app
 
 
-def open_metrics_server(address: Address | None, telemetry: Telemetry) -> HttpServer | None:
+def open_metrics_server(address: Address | None, metrics: Metrics) -> HttpServer | None:
     """Return the server of the metrics address, if the settings name one."""
     if address is None:
         return None
     return HttpServer(
         address=(address.host, address.port),
-        application=build_metrics_app(telemetry=telemetry),
+        application=metrics.build_app(),
         is_closing=lambda: False,
     )
--- a/chivetrack/daemon/fleet/peering.py
+++ b/chivetrack/daemon/fleet/peering.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Callable
 
+from chivetrack.components.deployment.settings import DeploymentSettings
 from chivetrack.components.peers.transport import ConnectionTiming, PeerTransport
-from chivetrack.components.settings.deployment import DeploymentSettings
 from chivetrack.core import Effect, SendMessage
 from chivetrack.daemon.fleet.const import KEEPALIVE_MS, PING_TIMEOUT_MS, RECONNECT_MAX_MS
 from chivetrack.helpers.codec import Message
--- a/chivetrack/daemon/fleet/replica.py
+++ b/chivetrack/daemon/fleet/replica.py
@@ -11,19 +11,19 @@
 from gevent.event import Event as Signal
 
 from chivetrack.components.announcements.table import EndpointTable
+from chivetrack.components.deployment.settings import DeploymentSettings
 from chivetrack.components.distribution.messages import FetchDocument, Follow
 from chivetrack.components.distribution.publisher import Publisher
 from chivetrack.components.document.store import DocumentStore, StoredDocument
-from chivetrack.components.settings.deployment import DeploymentSettings
 from chivetrack.daemon.fleet.const import FLUSH_S, TIDY_EVERY_S
 from chivetrack.daemon.fleet.desk import Desk
+from chivetrack.daemon.fleet.endpoint_file import EndpointFile
 from chivetrack.daemon.fleet.log_host import LogHost
-from chivetrack.daemon.fleet.metrics import open_metrics_server
+from chivetrack.daemon.fleet.metrics import Metrics, open_metrics_server
 from chivetrack.daemon.fleet.peering import list_seed_peers, make_transport, send_all
 from chivetrack.daemon.server import HttpServer
 from chivetrack.helpers.codec import Message
 from chivetrack.helpers.events import EventLog
-from chivetrack.helpers.telemetry import Telemetry
 from chivetrack.platform.control_api import build_control_app
 
 _LAST_WORDS_S = 0.2
@@ -32,15 +32,16 @@
 class ReplicaProcess:
     """Owns the listeners and loops of a replica; ``run`` serves until a stop has ended."""
 
-    def __init__(
-        self, *, settings: DeploymentSettings, events: EventLog, telemetry: Telemetry
-    ) -> None:
+    def __init__(self, *, settings: DeploymentSettings, events: EventLog) -> None:
         """Build all parts; nothing listens before ``run``."""
         listeners = settings.listeners
         assert listeners.control is not None and settings.process.data_folder is not None
         self._settings = settings
         self._events = events
         self._asked = Signal()
+        self._metrics = Metrics(
+            instance=settings.process.name, zone=settings.process.availability_zone
+        )
         self._is_pushing = False
         self._store = DocumentStore()
         self._table = EndpointTable()
@@ -73,6 +74,9 @@
             push=self._push_soon,
             events=events,
         )
+        self._file = EndpointFile(
+            folder=settings.process.data_folder, table=self._table, events=events
+        )
         self._store.listen(self._take_document)
         self._control = HttpServer(
             address=(listeners.control.host, listeners.control.port),
@@ -81,12 +85,14 @@
             ),
             is_closing=self._asked.is_set,
         )
-        self._metrics_server = open_metrics_server(listeners.metrics, telemetry)
+        self._metrics_server = open_metrics_server(listeners.metrics, self._metrics)
 
     def _note_bad(self, what: str, detail: str) -> None:
+        self._metrics.count("message_rejected")
         self._events.write("message_rejected", what=what, detail=detail[:300])
 
     def _take_document(self, document: StoredDocument) -> None:
+        self._metrics.count("configuration_applied")
         self._events.write("configuration_applied", version=document.version)
         self._push_soon()
 
@@ -98,6 +104,7 @@
 
     def _push(self) -> None:
         self._is_pushing = False
+        self._file.write_soon()
         send_all(self.transport, self._publisher.publish(now=time.monotonic()))
 
     def _take_message(self, source: str, message: Message) -> None:
@@ -130,10 +137,14 @@
     def _tidy(self) -> None:
         while True:
             gevent.sleep(TIDY_EVERY_S)
-            self._table.forget_old(time.monotonic())
+            now = time.monotonic()
+            self._table.forget_old(now)
+            if self._table.drop_unheard(now):
+                self._push_soon()
 
     @contextmanager
     def _serve(self) -> Iterator[None]:
+        self._file.load(now=time.monotonic())
         self.transport.start()
         self._control.start()
         if self._metrics_server is not None:
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -25,6 +25,7 @@
     MAX_REQUESTS,
     NO_DOCUMENT_RETRY_S,
     NO_ENDPOINT_RETRY_S,
+    START_WAIT_S,
 )
 from chivetrack.daemon.fleet.fleet_view import FleetView
 from chivetrack.daemon.fleet.forwarder import AnswerCutError, Forwarder, make_tried
@@ -60,6 +61,7 @@
         self._record = record
         self.open_count = 0
         self.is_closed = False
+        self._started_at = time.monotonic()
 
     def __call__(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
         """Serve one request as a WSGI application."""
@@ -100,7 +102,7 @@
         self, environ: dict[str, Any], facts: RequestFacts, reply: Reply, came_at: float
     ) -> Call:
         """Check a request against the configuration and read its body; raise ``FaultError``."""
-        table = self._view.table
+        table = self._view.table or self._wait_for_table(facts, came_at)
         if table is None:
             raise FaultError(_refuse("no_configuration", 503, NO_DOCUMENT_RETRY_S))
         if self.is_closed or self.open_count > MAX_REQUESTS:
@@ -127,6 +129,20 @@
             last_event_id=facts.last_event_id,
         )
 
+    def _wait_for_table(self, facts: RequestFacts, now: float) -> RouteTable | None:
+        """Wait for the configuration for as long as a start usually takes.
+
+        After all instances lost power, a caller's only other try may come in the very
+        second in which routers are up and no replica leads yet. Refused then, it is lost;
+        the configuration is most likely there in some hundred ms. A router that has
+        been up for longer without it refuses at once.
+        """
+        left_s = self._started_at + START_WAIT_S - now
+        wait_s = DEFAULT_WAIT_S if facts.wait_s is None else facts.wait_s
+        if left_s > 0:
+            self._view.wait_until_ready(min(left_s, wait_s / 2))
+        return self._view.table
+
     @staticmethod
     def _identify(table: RouteTable, route: Route, facts: RequestFacts) -> Workspace | None:
         if not table.needs_keys:
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -11,14 +11,12 @@
 from bottle import Bottle, HTTPResponse
 from gevent.event import Event as Signal
 
+from chivetrack.components.deployment.settings import DeploymentSettings
 from chivetrack.components.distribution.const import FOLLOW_EVERY_S
 from chivetrack.components.distribution.messages import DocumentSent, View
 from chivetrack.components.distribution.subscriber import Subscriber
-from chivetrack.components.settings.deployment import DeploymentSettings
-from chivetrack.components.settings.models import Address
 from chivetrack.components.traffic.models import Document
 from chivetrack.components.upstream.kept import KeptConnections
-from chivetrack.daemon.fleet.calls import Call
 from chivetrack.daemon.fleet.const import (
     STOP_ACCEPT_S,
     STOP_IDLE_AFTER_S,
@@ -27,13 +25,13 @@
 )
 from chivetrack.daemon.fleet.fleet_view import FleetView
 from chivetrack.daemon.fleet.forwarder import Forwarder
-from chivetrack.daemon.fleet.metrics import RouterMetrics, open_metrics_server
+from chivetrack.daemon.fleet.metrics import Metrics, open_metrics_server
 from chivetrack.daemon.fleet.peering import list_seed_peers, make_transport, send_all
 from chivetrack.daemon.fleet.requests import RequestDesk
 from chivetrack.daemon.server import HttpServer, ServerLimits
 from chivetrack.helpers.codec import Message
 from chivetrack.helpers.events import EventLog
-from chivetrack.helpers.telemetry import Telemetry
+from chivetrack.helpers.sections.base import Address
 from chivetrack.helpers.timer import TimerService
 from chivetrack.platform.configuration import read_document
 from chivetrack.platform.paths import PATH_READY
@@ -50,16 +48,16 @@
 class Router:
     """Owns the listeners and loops of a router; ``run`` serves until a stop has ended."""
 
-    def __init__(
-        self, *, settings: DeploymentSettings, events: EventLog, telemetry: Telemetry
-    ) -> None:
+    def __init__(self, *, settings: DeploymentSettings, events: EventLog) -> None:
         """Build all parts; nothing listens before ``run``."""
         self._settings = settings
         self._events = events
         self._timers = TimerService()
         self._asked = Signal()
         self._kept = KeptConnections(read_clock=time.monotonic)
-        self._metrics = RouterMetrics(instruments=telemetry.instruments)
+        self._metrics = Metrics(
+            instance=settings.process.name, zone=settings.process.availability_zone
+        )
         self.view = FleetView(
             zone=settings.process.availability_zone,
             bounds=settings.bounds,
@@ -86,12 +84,12 @@
             ),
             events=events,
             is_stopping=self._asked.is_set,
-            record=self._record,
+            record=self._metrics.record_end,
         )
         assert settings.listeners.callers is not None and settings.listeners.ready is not None
         self._callers = self._make_server(settings.listeners.callers, self.desk)
         self._ready = self._make_server(settings.listeners.ready, self._build_ready_app())
-        self._metrics_server = open_metrics_server(settings.listeners.metrics, telemetry)
+        self._metrics_server = open_metrics_server(settings.listeners.metrics, self._metrics)
 
     def _make_server(self, address: Address, application: Callable[..., Any]) -> HttpServer:
         return HttpServer(
@@ -121,9 +119,6 @@
             idle_timeout_s=limits.idle_timeout_s,
         )
 
-    def _record(self, call: Call, outcome: str) -> None:
-        self._metrics.record_end(call, outcome)
-
     def _take_message(self, source: str, message: Message) -> None:
         now = time.monotonic()
         if isinstance(message, View):
--- a/chivetrack/daemon/listeners.py
+++ b/chivetrack/daemon/listeners.py
@@ -5,9 +5,10 @@
 
 from bottle import Bottle
 
-from chivetrack.components.settings.models import Address, ListenerSettings
+from chivetrack.components.settings.models import ListenerSettings
 from chivetrack.daemon.encryption import Encryption
 from chivetrack.daemon.server import HttpServer, ServerLimits
+from chivetrack.helpers.sections.base import Address
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -8,4 +8,4 @@
     python3 -m pip install -q --disable-pip-version-check --target target/deps -r requirements-runtime.txt
     cp requirements-runtime.txt "$stamp"
 fi
-python3 -X pycache_prefix=target/pycache -m compileall -q -j 0 target/deps chivetrack >/dev/null
+python3 -m compileall -q -j 0 target/deps chivetrack >/dev/null
--- a/script/settings_reference.py
+++ b/script/settings_reference.py
@@ -9,7 +9,8 @@
 from pydantic.fields import FieldInfo
 
 from chivetrack.components.settings.config import find_inner_model
-from chivetrack.components.settings.models import Address, Settings
+from chivetrack.components.settings.models import Settings
+from chivetrack.helpers.sections.base import Address
 
 TARGET = Path(__file__).resolve().parent.parent / "docs" / "operators" / "settings.md"
 
