Prove founding, losses, drains and stops over processes

Change: replicas and routers as processes on loopback addresses, with an endpoint inside the test: two of five disks lost while all others restart, and two more after the repair; a killed leader; an acknowledged drain; a stop under load. Found by it: the metrics address lost all counters at once, since the telemetry was closed when nothing held its context any more.

--- a/chivetrack/daemon/fleet/meters.py
+++ b/chivetrack/daemon/fleet/meters.py
@@ -15,8 +15,9 @@
     series bounds them where a configuration names many.
     """
 
-    def __init__(self, *, telemetry: Telemetry) -> None:
-        """Create the instruments."""
+    def __init__(self, *, telemetry: Telemetry, lifetime: ExitStack) -> None:
+        """Create the instruments; the telemetry closes when ``lifetime`` is collected."""
+        self._lifetime = lifetime
         meter = telemetry.instruments.meter
         self._telemetry = telemetry
         self._requests = meter.create_counter(
@@ -74,4 +75,4 @@
     """Return meters that are read at the metrics address for as long as the process lives."""
     stack = ExitStack()
     telemetry = stack.enter_context(open_telemetry(instance_id=instance, availability_zone=zone))
-    return Meters(telemetry=telemetry)
+    return Meters(telemetry=telemetry, lifetime=stack)
--- /dev/null
+++ b/tests/system/deployment.py
@@ -0,0 +1,304 @@
+"""A deployment as processes: replicas, routers, and an endpoint inside the test."""
+
+import contextlib
+import http.server
+import json
+import os
+import random
+import shutil
+import signal
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any
+
+import urllib3
+
+from tests.system.fleets import wait_for
+
+ROOT = Path(__file__).resolve().parents[2]
+PEER_PORT, CONTROL_PORT, CALLER_PORT, READY_PORT, METRICS_PORT = 18540, 18541, 18542, 18543, 18544
+ENDPOINT_PORT = 18545
+
+
+class Endpoint(http.server.ThreadingHTTPServer):
+    """A plain service that seals its answers and remembers what it was asked."""
+
+    daemon_threads = True
+
+    def __init__(self, *, host: str, name: str, service: str) -> None:
+        """Listen on ``host``."""
+        self.name = name
+        self.service = service
+        self.address = f"{host}:{ENDPOINT_PORT}"
+        self.seen: list[tuple[str, dict[str, str]]] = []
+        self.work_s = 0.0
+        self.sequence = 0
+        self.born = int(time.time() * 1000)
+        super().__init__((host, ENDPOINT_PORT), _Handler)
+        threading.Thread(target=self.serve_forever, daemon=True).start()
+
+    def make_heartbeat(self, state: str = "ready") -> dict[str, Any]:
+        """Return the next word of this endpoint about itself."""
+        self.sequence += 1
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": "z1",
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "coldRemainingMs": 0,
+            "sequence": self.sequence,
+            "born": self.born,
+        }
+
+
+class _Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    server: Endpoint
+
+    def do_GET(self) -> None:
+        self._answer()
+
+    def do_POST(self) -> None:
+        self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        self._answer()
+
+    def _answer(self) -> None:
+        self.server.seen.append((self.path, dict(self.headers.items())))
+        time.sleep(self.server.work_s)
+        body = self.server.name.encode()
+        self.send_response(200)
+        self.send_header("X-Chivetrack-Server-Seal", "seal")
+        attempt = self.headers.get("X-Chivetrack-Attempt-Id", "")
+        self.send_header("X-Chivetrack-Attempt-Id", attempt)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, format: str, *args: Any) -> None:
+        """Write nothing."""
+
+
+@dataclass(slots=True, kw_only=True)
+class Deployment:
+    """Processes on addresses of the loopback network, each with the same ports."""
+
+    folder: Path
+    network: str
+    replicas: int
+    routers: int
+    processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
+    is_first_start: bool = True
+    http: urllib3.PoolManager = field(
+        default_factory=lambda: urllib3.PoolManager(retries=False, timeout=5.0)
+    )
+
+    def get_host(self, name: str) -> str:
+        """Return the address of a process: ``p1`` is a replica, ``r1`` a router."""
+        number = int(name[1:])
+        return f"{self.network}.{number if name[0] == 'p' else 100 + number}"
+
+    def list_names(self, kind: str) -> list[str]:
+        """Return the names of the replicas (``p``) or routers (``r``)."""
+        count = self.replicas if kind == "p" else self.routers
+        return [f"{kind}{number}" for number in range(1, count + 1)]
+
+    def start(self, name: str) -> None:
+        """Start a process."""
+        settings = self.folder / f"{name}.toml"
+        settings.write_text(self._make_settings(name))
+        log = (self.folder / f"{name}.log").open("ab")
+        environment = {**os.environ, "CHIVETRACK_SETTINGS": str(settings)}
+        command = [sys.executable, "-m", "chivetrack.daemon.fleet"]
+        self.processes[name] = subprocess.Popen(
+            command, cwd=ROOT, env=environment, stdout=log, stderr=log
+        )
+        log.close()
+
+    def _make_settings(self, name: str) -> str:
+        host = self.get_host(name)
+        seeds = [f"{self.get_host(one)}:{CONTROL_PORT}" for one in self.list_names("p")[:3]]
+        is_replica = name[0] == "p"
+        role = "replica" if is_replica else "router"
+        lines = ["[process]", f'name = "{name}"', f'role = "{role}"']
+        lines.append('availability_zone = "z1"')
+        if is_replica:
+            lines.append(f'data_folder = "{self.folder / (name + "-data")}"')
+        lines += ["[listeners]", f'peer = "{host}:{PEER_PORT}"']
+        lines.append(f'metrics = "{host}:{METRICS_PORT}"')
+        if is_replica:
+            lines.append(f'control = "{host}:{CONTROL_PORT}"')
+        else:
+            lines.append(f'callers = "{host}:{CALLER_PORT}"')
+            lines.append(f'ready = "{host}:{READY_PORT}"')
+        lines += ["[fleet]", f"seeds = {json.dumps(seeds)}"]
+        lines.append(f"is_first_start = {json.dumps(self.is_first_start)}")
+        lines.append(f"tolerated_losses = {(self.replicas - 1) // 2}")
+        return "\n".join(lines) + "\n"
+
+    def start_all(self) -> None:
+        """Start all processes and wait until a leader takes configuration."""
+        for name in [*self.list_names("p"), *self.list_names("r")]:
+            self.start(name)
+
+    def kill(self, name: str) -> None:
+        """Kill a process without a word."""
+        process = self.processes.pop(name)
+        process.kill()
+        process.wait()
+
+    def wipe(self, name: str) -> None:
+        """Delete the disk of a replica that does not run."""
+        shutil.rmtree(self.folder / f"{name}-data")
+
+    def stop(self, name: str) -> int:
+        """Stop a process by SIGTERM and return its exit code."""
+        process = self.processes.pop(name)
+        process.send_signal(signal.SIGTERM)
+        return process.wait(timeout=20)
+
+    def stop_all(self) -> None:
+        """Kill what is left."""
+        for name in list(self.processes):
+            self.kill(name)
+
+    def read_events(self, name: str) -> list[dict[str, Any]]:
+        """Return the event lines of a process."""
+        events = []
+        for line in (self.folder / f"{name}.log").read_text().splitlines():
+            with contextlib.suppress(ValueError):
+                events.append(json.loads(line))
+        return events
+
+    def ask(self, method: str, url: str, **options: Any) -> tuple[int, bytes]:
+        """Send a request; status 0 stands for no answer."""
+        try:
+            response = self.http.request(method, url, redirect=False, **options)
+        except urllib3.exceptions.HTTPError:
+            return (0, b"")
+        return (response.status, response.data)
+
+    def control(self, method: str, name: str, path: str, document: Any = None) -> tuple[int, bytes]:
+        """Call a replica; a redirect is followed once."""
+        body = None if document is None else json.dumps(document)
+        url = f"http://{self.get_host(name)}:{CONTROL_PORT}{path}"
+        try:
+            response = self.http.request(method, url, body=body, redirect=False)
+            if response.status == 307:
+                response = self.http.request(
+                    method, response.headers["Location"], body=body, redirect=False
+                )
+        except urllib3.exceptions.HTTPError:
+            return (0, b"")
+        return (response.status, response.data)
+
+    def put(self, document: dict[str, Any]) -> str:
+        """Send a configuration to one replica after the other; return who took it."""
+
+        def attempt() -> str:
+            for name in self.list_names("p"):
+                if self.control("PUT", name, "/config", document)[0] == 200:
+                    return name
+            return ""
+
+        return str(wait_for(attempt, "nobody takes the configuration"))
+
+    def read(self) -> int:
+        """Return the version that the replicas hold for sure."""
+
+        def attempt() -> int:
+            for name in self.list_names("p"):
+                status, data = self.control("GET", name, "/config")
+                if status == 200:
+                    return int(json.loads(data)["version"])
+            return 0
+
+        return int(wait_for(attempt, "nobody reads the configuration"))
+
+    def announce(self, endpoint: Endpoint, state: str = "ready") -> None:
+        """Have a replica acknowledge an endpoint's word."""
+        path = f"/instances/{endpoint.name}"
+
+        def attempt() -> bool:
+            beat = endpoint.make_heartbeat(state)
+            return any(
+                self.control("PUT", name, path, beat)[0] == 200 for name in self.list_names("p")
+            )
+
+        wait_for(attempt, "nobody acknowledges the endpoint")
+
+    def call(self, router: str, path: str = "/a/x", **headers: str) -> tuple[int, bytes]:
+        """Send a caller's request."""
+        given = {key.replace("_", "-"): value for key, value in headers.items()}
+        lines = {
+            "Host": "one.example",
+            "X-Chivetrack-Attempt-Id": f"{random.getrandbits(64):x}",
+            "X-Chivetrack-Deadline-Ms": "3000",
+            "X-Chivetrack-Key": "key",
+            **given,
+        }
+        url = f"http://{self.get_host(router)}:{CALLER_PORT}{path}"
+        return self.ask("POST", url, body=b"body", headers=lines)
+
+    def wait_served(self, router: str, path: str = "/a/x") -> None:
+        """Wait until a router serves a path."""
+        wait_for(lambda: self.call(router, path)[0] == 200, f"{router} does not serve {path}")
+
+
+def make_config(version: int, *prefixes: str) -> dict[str, Any]:
+    """Return a configuration with a route for each prefix."""
+    return {
+        "version": version,
+        "routes": [
+            {
+                "name": f"r{number}",
+                "hostname": "one.example",
+                "pathPrefix": prefix,
+                "kind": "non_idempotent",
+                "timeoutMs": 3000,
+                "targetLatencyMs": 100,
+                "priority": 1,
+                "service": "portal",
+                "maxAttempts": 1,
+            }
+            for number, prefix in enumerate(prefixes or ("/a/",))
+        ],
+        "services": [{"name": "portal", "healthPath": "/health", "maxConnections": 50}],
+        "tenants": [{"name": "w", "apiKeys": ["key"], "priority": 1}],
+    }
+
+
+@contextmanager
+def open_deployment(*, replicas: int = 3, routers: int = 2) -> Iterator[Deployment]:
+    """Give a deployment on addresses of its own."""
+    network = f"127.{random.randrange(20, 200)}.{random.randrange(1, 250)}"
+    with TemporaryDirectory(prefix="chivetrack-") as folder:
+        deployment = Deployment(
+            folder=Path(folder), network=network, replicas=replicas, routers=routers
+        )
+        try:
+            yield deployment
+        finally:
+            deployment.stop_all()
+
+
+@contextmanager
+def open_endpoint(
+    deployment: Deployment, number: int, service: str = "portal"
+) -> Iterator[Endpoint]:
+    """Give an endpoint inside the test."""
+    host = f"{deployment.network}.{200 + number}"
+    endpoint = Endpoint(host=host, name=f"i-{number}", service=service)
+    try:
+        yield endpoint
+    finally:
+        endpoint.shutdown()
+        endpoint.server_close()
