Tell the story of a request from the logs of routers

Cause: on-call engineers have the lines of several routers in any order, and no way from an id to a cause. Change: 'chivetrack story ID FILES' puts the lines of a request in order, marks what the router came to believe before, and names the cause in the last line.

--- a/chivetrack/cli/__main__.py
+++ b/chivetrack/cli/__main__.py
@@ -4,10 +4,10 @@
 import traceback
 
 from chivetrack.cli.app import app
-from chivetrack.cli.commands import apply, backup, fleet, local, replicas, resources, watch
+from chivetrack.cli.commands import apply, backup, fleet, local, replicas, resources, story, watch
 from chivetrack.cli.const import ExitCode
 
-COMMANDS = (resources, apply, watch, fleet, replicas, backup, local)
+COMMANDS = (resources, apply, watch, fleet, replicas, backup, local, story)
 
 
 def main() -> None:
--- /dev/null
+++ b/chivetrack/cli/commands/story.py
@@ -0,0 +1,48 @@
+"""What happened to a request, from the logs of routers."""
+
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from chivetrack.cli.app import app
+from chivetrack.cli.const import ExitCode
+from chivetrack.cli.output import Output, print_error, print_json, print_line
+from chivetrack.cli.session import OutputOption
+from chivetrack.components.stories.story import Story, format_event, read_events, tell_story
+
+
+@app.command("story")
+def show_story(
+    request: Annotated[str, typer.Argument(help="Id of the request.")],
+    files: Annotated[
+        list[Path] | None, typer.Argument(help="Logs of any instances; none: standard input.")
+    ] = None,
+    output: OutputOption = Output.TABLE,
+) -> None:
+    """Tell from event lines what happened to a request; the last line names the cause.
+
+    The lines may be of several instances and in any order.
+    """
+    lines: list[str] = []
+    for file in files or ():
+        lines += file.read_text(errors="replace").splitlines()
+    if not files:
+        lines = sys.stdin.read().splitlines()
+    story = tell_story(request, read_events(lines))
+    if story is None:
+        print_error(f"no line names the request {request!r}")
+        raise typer.Exit(ExitCode.FINDINGS)
+    if output is Output.JSON:
+        print_json({"request": request, "events": story.events, "cause": story.cause})
+        return
+    _print(story)
+
+
+def _print(story: Story) -> None:
+    events = sorted([*story.context, *story.events], key=lambda one: float(one.get("at", 0.0)))
+    for event in events:
+        mark = " " if event in story.context else "*"
+        print_line(f"{mark} {format_event(event)}")
+    print_line(f"cause: {story.cause}")
--- /dev/null
+++ b/chivetrack/components/stories/__init__.py
@@ -0,0 +1,1 @@
+"""Tells from event lines what happened to a request."""
--- /dev/null
+++ b/chivetrack/components/stories/story.py
@@ -0,0 +1,128 @@
+"""Puts the event lines of one request in order and names the cause of its end."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from chivetrack.helpers.registry import Registry
+
+Event = dict[str, Any]
+Cause = Callable[[Event], str]
+
+# What an instance came to believe this long before a request's end may explain it.
+CONTEXT_S = 10.0
+_CONTEXT_EVENTS = frozenset(
+    (
+        "configuration_in_force",
+        "endpoint_changed",
+        "breaker_changed",
+        "started",
+        "stopping",
+        "lines_left_out",
+        "lines_dropped",
+    )
+)
+_HIDDEN = frozenset(("at", "up", "instance", "event", "request"))
+
+CAUSES: Registry[Cause] = Registry(name="cause")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Story:
+    """What is known of a request: its events in order, what stood around them, the cause."""
+
+    request: str
+    events: tuple[Event, ...]
+    context: tuple[Event, ...]
+    cause: str
+
+
+def read_events(lines: Iterable[str]) -> list[Event]:
+    """Return the events among log lines, whatever stands before or between them."""
+    events: list[Event] = []
+    for line in lines:
+        start = line.find("{")
+        if start < 0:
+            continue
+        try:
+            event = msgspec.json.decode(line[start:].strip())
+        except msgspec.MsgspecError:
+            continue
+        if isinstance(event, dict) and isinstance(event.get("event"), str):
+            events.append(event)
+    return events
+
+
+def tell_story(request: str, events: Iterable[Event]) -> Story | None:
+    """Return the story of a request, ``None`` if no line names it."""
+    ordered = sorted(events, key=_get_position)
+    own = [event for event in ordered if event.get("request") == request]
+    if not own:
+        return None
+    instances = {event.get("instance") for event in own}
+    first, last = float(own[0].get("at", 0.0)), float(own[-1].get("at", 0.0))
+    context = [
+        event
+        for event in ordered
+        if event["event"] in _CONTEXT_EVENTS
+        and event.get("instance") in instances
+        and first - CONTEXT_S <= float(event.get("at", 0.0)) <= last
+    ]
+    return Story(request=request, events=tuple(own), context=tuple(context), cause=_find_cause(own))
+
+
+def _get_position(event: Event) -> tuple[float, float]:
+    # Lines of one instance are ordered by its steady clock where the time of day stood still.
+    return (float(event.get("at", 0.0)), float(event.get("up", 0.0)))
+
+
+def _find_cause(events: list[Event]) -> str:
+    for event in reversed(events):
+        cause = CAUSES.get(event["event"])
+        if cause is not None:
+            return cause(event)
+    return "no line tells how it ended; the process may have been lost"
+
+
+def format_event(event: Event) -> str:
+    """Return an event as one line for people."""
+    fields = [f"{key}={value}" for key, value in event.items() if key not in _HIDDEN]
+    at = float(event.get("at", 0.0))
+    return f"{at:.3f} {event.get('instance', '?')} {event['event']} {' '.join(fields)}"
+
+
+@CAUSES.register("request_rejected")
+def _explain_rejected(event: Event) -> str:
+    code = event.get("code")
+    if code in ("unknown_route", "unknown_key"):
+        return f"{code} under version {event.get('version')} of the configuration on this router"
+    return f"rejected by the router itself: {code}"
+
+
+@CAUSES.register("request_given_up")
+def _explain_given_up(event: Event) -> str:
+    if event.get("why") == "no_candidate" and not event.get("tries"):
+        return f"no endpoint could be chosen; {event.get('candidates')} are known as ready"
+    return f"{event.get('tries')} tries failed and no further one was allowed"
+
+
+@CAUSES.register("try_ended")
+def _explain_try(event: Event) -> str:
+    return f"endpoint {event.get('endpoint')}: {event.get('outcome')} ({event.get('detail')})"
+
+
+@CAUSES.register("request_ended")
+def _explain_ended(event: Event) -> str:
+    outcome = event.get("outcome")
+    if outcome == "answered" and int(event.get("status") or 0) < 400:
+        return f"answered with {event.get('status')} after {event.get('ms')} ms"
+    if outcome == "answered":
+        return f"ended with status {event.get('status')} after {event.get('tries')} tries"
+    causes = {
+        "timeout": "the time of the caller or the route was up",
+        "cut": "the answer broke off and could not go on elsewhere",
+        "caller_left": "the caller closed its connection",
+    }
+    return f"{causes.get(str(outcome), outcome)} after {event.get('ms')} ms"
