Give up an endpoint at whose address another one answers

An engine had crashed at 13.4 s without a word and another one had taken its address at 16 s; the replicas still offered the first after their restart. Ruled out: a late heartbeat (its last one was from before the crash). Change: who announces an address ends whoever was heard there before and is silent now; a router leaves an endpoint out for 5 s after a 421. Routers that have just started ask two replicas, and all of them 1.2 s later, since each connection costs a replica with half a core some 10 ms in the moment of the election.

--- a/chivetrack/components/announcements/table.py
+++ b/chivetrack/components/announcements/table.py
@@ -19,6 +19,8 @@
 # Endpoints that a replica knows from before its restart have to be heard again: two
 # heartbeats of 1.2 s. Their last word, a departure perhaps, may not have been kept.
 RESTORED_FOR_S = 2.6
+# Longer than a heartbeat: whoever holds the address now would have been heard since.
+SUPERSEDED_AFTER_S = 1.5
 
 
 @dataclass(slots=True, kw_only=True)
@@ -80,6 +82,26 @@
             self.merge(lost, now=now)
         return bool(unheard)
 
+    def supersede(self, record: EndpointRecord, *, now: float) -> list[EndpointRecord]:
+        """Give up endpoints at whose address another one has just announced itself.
+
+        An endpoint that crashed says nothing; its successor at the address does. Until
+        then routers would send to it what its successor refuses. One that was heard
+        lately is left alone: the word of the other may have been late.
+        """
+        older = [
+            entry
+            for endpoint_id, entry in self._entries.items()
+            if endpoint_id != record.endpoint_id
+            and entry.record.address == record.address
+            and entry.record.state in (EndpointState.READY, EndpointState.DRAINING)
+            and now - entry.heard_at > SUPERSEDED_AFTER_S
+        ]
+        lost = [msgspec.structs.replace(one.record, state=EndpointState.LOST) for one in older]
+        for one in lost:
+            self.merge(one, now=now)
+        return lost
+
     def close(self, endpoint_id: str, *, born: int | None, now: float) -> EndpointRecord | None:
         """Note that an endpoint has left; return its last record, ``None`` if unknown.
 
--- a/chivetrack/components/distribution/const.py
+++ b/chivetrack/components/distribution/const.py
@@ -16,6 +16,12 @@
 """A document that has not come by then is asked for again, also from another replica;
 90 kB packed to 15 take 20 ms on the slowest link (6 Mbit/s)."""
 
+START_REPLICAS: Final = 2
+START_S: Final = 1.2
+"""A router that has just started asks this many replicas, for so long at most. After all
+instances lost power, each connection costs a replica with half a core some 10 ms at the
+moment at which it has to elect a leader."""
+
 REPLICA_FORGET_S: Final = 30.0
 """A replica that no other names any more is asked for this much longer."""
 
--- a/chivetrack/components/distribution/subscriber.py
+++ b/chivetrack/components/distribution/subscriber.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from random import Random
 
 from chivetrack.components.announcements.table import EndpointTable
 from chivetrack.components.distribution.const import (
@@ -9,6 +10,8 @@
     FOLLOW_EVERY_S,
     REPLICA_FORGET_S,
     REPLICA_SILENT_S,
+    START_REPLICAS,
+    START_S,
 )
 from chivetrack.components.distribution.messages import (
     DocumentSent,
@@ -67,6 +70,7 @@
         self._replicas: dict[str, _Replica] = {}
         self._next_follow = float("-inf")
         self._fetched_at = float("-inf")
+        self._started_at = float("inf")
         self.version = 0
 
     def wake(self, *, now: float) -> list[Effect]:
@@ -86,10 +90,19 @@
                 del self._replicas[name]
         news = self._get_news()
         return [
-            SendMessage(target=name, message=self._make_follow(replica, news))
-            for name, replica in self._replicas.items()
+            SendMessage(target=name, message=self._make_follow(self._replicas[name], news))
+            for name in self._list_targets(now)
         ]
 
+    def _list_targets(self, now: float) -> list[str]:
+        """Return whom to ask: all, but for the first moment after a start."""
+        names = list(self._replicas)
+        self._started_at = min(self._started_at, now)
+        if now - self._started_at >= START_S:
+            return names
+        order = Random(self._router).sample(sorted(names), len(names))
+        return order[:START_REPLICAS]
+
     def _make_follow(self, replica: _Replica, news: OwnNews) -> Follow:
         return Follow(
             router=self._router,
--- a/chivetrack/daemon/fleet/desk.py
+++ b/chivetrack/daemon/fleet/desk.py
@@ -144,6 +144,9 @@
         is_change = self._table.merge(record, now=time.monotonic())
         known = self._table.find(record.endpoint_id)
         if is_change:
+            for lost in self._table.supersede(record, now=time.monotonic()):
+                self._log(lost)
+                self._spread(lost)
             self._log(record)
             self._push()
         if known is not None and known.state is not EndpointState.READY and is_change:
--- a/chivetrack/daemon/fleet/fleet_view.py
+++ b/chivetrack/daemon/fleet/fleet_view.py
@@ -23,6 +23,10 @@
 from chivetrack.daemon.fleet.calls import Call
 from chivetrack.helpers.events import EventLog
 
+# Until its replicas give up an endpoint whose address another one holds: two heartbeats
+# after which the successor is known, and as much again.
+MISDIRECTED_FOR_S = 5.0
+
 _OUTCOME_KINDS = {
     SendEnd.NOT_SENT: OutcomeKind.CONNECT,
     SendEnd.MAYBE_RAN: OutcomeKind.CUT,
@@ -58,6 +62,7 @@
         self._by_service: dict[str, list[EndpointRecord]] = {}
         self._sources: dict[str, list[EndpointRecord]] = {}
         self._born: dict[str, int] = {}
+        self._misdirected: dict[str, float] = {}
         self._seen_change = -1
         self._routers = 1
         self.has_view = False
@@ -137,6 +142,7 @@
         if self._born.get(record.endpoint_id) != record.born:
             # A new lifetime under the id starts with an empty memory and a clean record.
             self._born[record.endpoint_id] = record.born
+            self._misdirected.pop(record.endpoint_id, None)
             self.parts.forget(record.endpoint_id)
             self._breakers.pop(record.endpoint_id, None)
             self._forget_endpoint(record.endpoint_id)
@@ -172,7 +178,14 @@
         """Return how many endpoints of a service are known as ready."""
         return len(self._by_service.get(service, ()))
 
+    def note_other_instance(self, endpoint_id: str) -> None:
+        """Leave out an endpoint at whose address another one has answered."""
+        self._misdirected[endpoint_id] = time.monotonic()
+        self._events.write("endpoint_misdirected", endpoint=endpoint_id)
+
     def _lets_through(self, endpoint_id: str, now: float) -> bool:
+        if now - self._misdirected.get(endpoint_id, float("-inf")) < MISDIRECTED_FOR_S:
+            return False
         breaker = self._breakers.get(endpoint_id)
         if breaker is None:
             return True
--- a/chivetrack/daemon/fleet/forwarder.py
+++ b/chivetrack/daemon/fleet/forwarder.py
@@ -49,6 +49,7 @@
     detail: str = ""
     retry_after_s: float | None = None
     status: int = 0
+    is_other_instance: bool = False
 
 
 class Forwarder:
@@ -155,6 +156,7 @@
                 detail=f"status {status}",
                 retry_after_s=facts.retry_after_s,
                 status=status,
+                is_other_instance=facts.is_other_instance,
             )
         is_success = 200 <= status < 300
         if is_success and (not facts.is_sealed or facts.is_encoded):
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -214,6 +214,8 @@
             self._log_try(call, choice, "answered", f"status {result.status}")
             return True
         call.tries.append(make_tried(choice, result))
+        if result.is_other_instance:
+            self._view.note_other_instance(endpoint_id)
         self._view.note_outcome(endpoint_id, result.end)
         self._log_try(call, choice, result.end.value, result.detail)
         return False
--- a/chivetrack/daemon/server.py
+++ b/chivetrack/daemon/server.py
@@ -4,7 +4,7 @@
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import gevent
 from gevent.pywsgi import Input, WSGIHandler, WSGIServer
@@ -12,7 +12,6 @@
 from chivetrack.components.caller_api.const import ENVIRON_SOCKET
 from chivetrack.components.caller_api.errors import make_raw_error
 from chivetrack.components.pipeline import faults
-from chivetrack.components.settings.models import LimitSettings
 from chivetrack.daemon.const import (
     BACKLOG,
     HEADER_TIMEOUT_S,
@@ -27,6 +26,10 @@
 from chivetrack.helpers.log import get_logger
 from chivetrack.helpers.tls import Tls, TlsServerMixin
 
+if TYPE_CHECKING:
+    # Loaded by the one program that has such settings.
+    from chivetrack.components.settings.models import LimitSettings
+
 # The target and the header lines as they were sent; the standard keys of the environment
 # hold a decoded path and joined lines, which can't be passed on unchanged.
 ENVIRON_TARGET = "chivetrack.target"
@@ -48,7 +51,7 @@
     idle_timeout_s: float = IDLE_TIMEOUT_S
 
 
-def make_server_limits(settings: LimitSettings) -> ServerLimits:
+def make_server_limits(settings: "LimitSettings") -> ServerLimits:
     """Return the limits that the settings give."""
     return ServerLimits(
         max_header_bytes=settings.max_header_bytes, max_headers=settings.max_headers
--- a/tests/components/announcements/test_table.py
+++ b/tests/components/announcements/test_table.py
@@ -107,6 +107,22 @@
         table.merge(make_record(6), now=0.0)
         self.assertFalse(table.merge(make_record(5, state=EndpointState.LOST), now=1.0))
 
+    def test_successor_at_the_address_of_a_crashed_endpoint(self) -> None:
+        """An endpoint crashes; two seconds later another one announces its address.
+
+        The crashed one never says that it left. Each request for it was refused by its
+        successor, and after a second refusal the caller was sent away.
+        """
+        table = EndpointTable()
+        table.merge(make_record(5), now=0.0)
+        successor = make_record(1, endpoint_id="e2")
+        table.merge(successor, now=1.0)
+        self.assertEqual(table.supersede(successor, now=1.0), [])
+        (lost,) = table.supersede(successor, now=2.0)
+        self.assertEqual((lost.endpoint_id, lost.state), ("e1", EndpointState.LOST))
+        self.assertEqual(table.find("e1"), lost)
+        self.assertTrue(table.merge(make_record(6), now=3.0))
+
     def test_silence(self) -> None:
         table = EndpointTable()
         table.merge(make_record(1), now=0.0)
--- a/tests/components/distribution/test_distribution.py
+++ b/tests/components/distribution/test_distribution.py
@@ -134,6 +134,29 @@
         self.assertEqual(sent.message, DocumentSent(version=2, payload=b"x"))
         self.assertEqual(fixture.publisher.take_fetch("r1", FetchDocument(held_version=2)), [])
 
+    def test_start_asks_few_and_then_all(self) -> None:
+        """All instances start at once; each router would connect to every replica.
+
+        The replicas have to elect a leader in that moment. Each router asks two of them
+        first, not all routers the same ones, and every replica a second later.
+        """
+        asked: set[str] = set()
+        for number in range(9):
+            subscriber = Subscriber(
+                router=f"r{number}",
+                zone="z",
+                seeds=["p1", "p2", "p3"],
+                table=EndpointTable(),
+                take_document=lambda sent: None,
+                get_news=lambda: OwnNews(loads=(), placed=()),
+            )
+            first = {e.target for e in subscriber.wake(now=0.0) if isinstance(e, SendMessage)}
+            later = {e.target for e in subscriber.wake(now=2.0) if isinstance(e, SendMessage)}
+            self.assertEqual(len(first), 2)
+            self.assertEqual(later, {"p1", "p2", "p3"})
+            asked |= first
+        self.assertEqual(asked, {"p1", "p2", "p3"})
+
     def test_loads_are_those_of_the_other_routers(self) -> None:
         fixture = Fixture()
         for router, running in (("r1", 3), ("r2", 4), ("r3", 5)):
