Keep where prompts were sent over the restart of routers and replicas

Cause: a router that started knew no placements and learnt only those of the last 1.5 s; after a loss of power nobody knew any. Ruled out: asking engines for what they have (each list call delays the engine and is paid for). Change: replicas remember the latest 700 placements for 60 s, tell a router that is new to them all of them, and keep them in the file for restarts. A router sorts its endpoints before it takes placements; the other order threw them away (test).

--- a/chivetrack/components/distribution/publisher.py
+++ b/chivetrack/components/distribution/publisher.py
@@ -13,6 +13,7 @@
     PlacedPart,
     View,
 )
+from chivetrack.components.distribution.placements import Placements
 from chivetrack.components.document.store import StoredDocument
 from chivetrack.core import SendMessage
 
@@ -36,11 +37,14 @@
     table: EndpointTable
     list_replicas: Callable[[], tuple[str, ...]]
     get_document: Callable[[], StoredDocument]
+    placements: Placements = field(default_factory=Placements)
     _routers: dict[str, _Router] = field(default_factory=dict)
 
     def take_follow(self, follow: Follow, *, now: float) -> list[SendMessage]:
         """Answer a router with what it lacks."""
-        change = follow.change if follow.run == self.run else 0
+        is_new = follow.run != self.run
+        change = 0 if is_new else follow.change
+        self.placements.note(follow.placed, now=now)
         router = _Router(
             zone=follow.zone,
             heard_at=now,
@@ -49,7 +53,8 @@
             placed=follow.placed,
         )
         self._routers[follow.router] = router
-        return [self._make_view(follow.router, router, now)]
+        placed = self.placements.list_all(now) if is_new else None
+        return [self._make_view(follow.router, router, now, placed)]
 
     def take_fetch(self, source: str, fetch: FetchDocument) -> list[SendMessage]:
         """Send the newest document to a router that lacks it."""
@@ -68,7 +73,13 @@
             del self._routers[one]
         return [self._make_view(one, router, now) for one, router in self._routers.items()]
 
-    def _make_view(self, name: str, router: _Router, now: float) -> SendMessage:
+    def _make_view(
+        self,
+        name: str,
+        router: _Router,
+        now: float,
+        placed: tuple[PlacedPart, ...] | None = None,
+    ) -> SendMessage:
         base = router.sent_change
         router.sent_change = self.table.change
         view = View(
@@ -81,7 +92,7 @@
             silent=tuple(self.table.list_silent(now)),
             loads=self._sum_loads(name, now),
             routers=len(self._routers),
-            placed=self._join_placed(name, now),
+            placed=self._join_placed(name, now) if placed is None else placed,
         )
         return SendMessage(target=name, message=view)
 
--- a/chivetrack/components/placement/parts.py
+++ b/chivetrack/components/placement/parts.py
@@ -45,7 +45,7 @@
     def note(
         self, endpoint_id: str, parts: Iterable[PromptPart], *, now: float, capacity: int
     ) -> None:
-        """Note that a prompt was sent to an endpoint by this router."""
+        """Note that shared parts were sent to an endpoint by this router."""
         for part in parts:
             self._enter(endpoint_id, part, now, capacity)
             self._news[(part.part_id, endpoint_id)] = now
@@ -53,6 +53,10 @@
         while len(self._news) > MAX_NEWS:
             self._news.popitem(last=False)
 
+    def note_own(self, endpoint_id: str, part: PromptPart, *, now: float, capacity: int) -> None:
+        """Note a part that only the request or its session has; no other router asks for it."""
+        self._enter(endpoint_id, part, now, capacity)
+
     def _enter(self, endpoint_id: str, part: PromptPart, now: float, capacity: int) -> None:
         cache = self._caches.setdefault(endpoint_id, OrderedDict())
         known = cache.pop(part.part_id, None)
--- a/chivetrack/daemon/fleet/fleet_view.py
+++ b/chivetrack/daemon/fleet/fleet_view.py
@@ -99,9 +99,10 @@
         self.has_view = True
         self._routers = max(1, view.routers)
         self._silent = frozenset(view.silent)
+        # Before the placements: what is known of an endpoint is dropped as it appears.
+        self._note_changes()
         self.loads.take_others(view.loads, now=now)
         self.parts.take_news(view.placed, now=now, capacity=self._get_capacity())
-        self._note_changes()
         if self.table is not None and self._by_service:
             self._ready.set()
 
@@ -201,7 +202,9 @@
         if breaker is not None:
             breaker.record_attempt(now)
         if call.facts.parts:
-            self.parts.note(endpoint_id, call.facts.parts, now=now, capacity=self._get_capacity())
+            capacity = self._get_capacity()
+            self.parts.note(endpoint_id, call.facts.shared_parts, now=now, capacity=capacity)
+            self.parts.note_own(endpoint_id, call.facts.parts[-1], now=now, capacity=capacity)
         self.loads.start(endpoint_id, choice.missing_tokens)
         seen = call.first_event_at
         try:
--- a/chivetrack/daemon/fleet/replica.py
+++ b/chivetrack/daemon/fleet/replica.py
@@ -17,10 +17,10 @@
 from chivetrack.components.document.store import DocumentStore, StoredDocument
 from chivetrack.daemon.fleet.const import FLUSH_S, TIDY_EVERY_S
 from chivetrack.daemon.fleet.desk import Desk
-from chivetrack.daemon.fleet.endpoint_file import EndpointFile
 from chivetrack.daemon.fleet.log_host import LogHost
 from chivetrack.daemon.fleet.metrics import Metrics, open_metrics_server
 from chivetrack.daemon.fleet.peering import list_seed_peers, make_transport, send_all
+from chivetrack.daemon.fleet.restart_file import RestartFile
 from chivetrack.daemon.server import HttpServer
 from chivetrack.helpers.codec import Message
 from chivetrack.helpers.events import EventLog
@@ -74,8 +74,11 @@
             push=self._push_soon,
             events=events,
         )
-        self._file = EndpointFile(
-            folder=settings.process.data_folder, table=self._table, events=events
+        self._file = RestartFile(
+            folder=settings.process.data_folder,
+            table=self._table,
+            placements=self._publisher.placements,
+            events=events,
         )
         self._store.listen(self._take_document)
         self._control = HttpServer(
@@ -139,6 +142,7 @@
             gevent.sleep(TIDY_EVERY_S)
             now = time.monotonic()
             self._table.forget_old(now)
+            self._file.write_soon()
             if self._table.drop_unheard(now):
                 self._push_soon()
 
--- a/tests/components/distribution/test_distribution.py
+++ b/tests/components/distribution/test_distribution.py
@@ -10,6 +10,7 @@
     EndpointLoad,
     FetchDocument,
     Follow,
+    PlacedPart,
     View,
 )
 from chivetrack.components.distribution.publisher import Publisher
@@ -134,6 +135,24 @@
         self.assertEqual(sent.message, DocumentSent(version=2, payload=b"x"))
         self.assertEqual(fixture.publisher.take_fetch("r1", FetchDocument(held_version=2)), [])
 
+    def test_router_that_starts_is_told_what_was_sent_where(self) -> None:
+        fixture = Fixture()
+        placed = (PlacedPart(part="d:10000", endpoint_id="e1", age_s=1.0),)
+        told = Follow(router="r2", zone="z", run="", change=0, version=0, placed=placed)
+        fixture.publisher.take_follow(told, now=0.0)
+        fixture.publisher.take_follow(
+            Follow(router="r2", zone="z", run="run1", change=0, version=0), now=20.0
+        )
+        new = Follow(router="r3", zone="z", run="", change=0, version=0)
+        (answer,) = fixture.publisher.take_follow(new, now=20.0)
+        assert isinstance(answer.message, View)
+        self.assertEqual(
+            answer.message.placed, (PlacedPart(part="d:10000", endpoint_id="e1", age_s=21.0),)
+        )
+        (answer,) = fixture.publisher.take_follow(new, now=90.0)
+        assert isinstance(answer.message, View)
+        self.assertEqual(answer.message.placed, ())
+
     def test_start_asks_few_and_then_all(self) -> None:
         """All instances start at once; each router would connect to every replica.
 
--- /dev/null
+++ b/tests/daemon/fleet/test_fleet_view.py
@@ -0,0 +1,105 @@
+"""What a router believes after the words of replicas and its own tries."""
+
+import unittest
+from typing import Any
+
+from chivetrack.components.announcements.models import EndpointState
+from chivetrack.components.deployment.settings import BoundSettings
+from chivetrack.components.distribution.messages import DocumentSent, PlacedPart, View
+from chivetrack.components.retries.sending import SendEnd
+from chivetrack.components.traffic.requests import PromptPart, RequestFacts
+from chivetrack.daemon.fleet.fleet_view import FleetView
+from chivetrack.helpers.events import EventLog
+from tests.components.announcements.test_table import make_record
+from tests.components.traffic.documents import make_document
+from tests.daemon.fleet.scripted import Caller, make_call
+
+
+def make_view(*records: Any, **changes: Any) -> View:
+    fields: dict[str, Any] = {
+        "run": "x",
+        "base": 0,
+        "change": 1,
+        "version": 1,
+        "records": records,
+        "replicas": ("p1",),
+        "silent": (),
+        "loads": (),
+        "routers": 1,
+    }
+    return View(**{**fields, **changes})
+
+
+class FleetViewTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.forgotten: list[str] = []
+        self.view = FleetView(
+            zone="z",
+            bounds=BoundSettings(),
+            events=EventLog(instance="r1"),
+            decode=lambda payload: make_document(),
+            forget_endpoint=self.forgotten.append,
+        )
+        self.view.take_document(DocumentSent(version=1, payload=b""))
+
+    def take(self, *records: Any, **changes: Any) -> None:
+        for record in records:
+            self.view.endpoints.merge(record, now=0.0)
+        self.view.take_view(make_view(*records, **changes))
+
+    def choose(self, service: str = "llm", *parts: PromptPart) -> str:
+        facts = RequestFacts(request_id="q", parts=parts, prompt_tokens=20_000)
+        call = make_call(Caller(), service=service, facts=facts)
+        choice = self.view.choose(call)
+        return "" if choice is None else choice.record.endpoint_id
+
+    def test_first_word_brings_endpoints_and_what_they_have_cached(self) -> None:
+        """A router has just started; one message names the engines and their dossiers.
+
+        What is known of an engine is dropped as it appears, since it may have restarted.
+        Done after the placements were taken, that threw them away, and dossiers were read
+        again all over the fleet after a restart.
+        """
+        records = [make_record(endpoint_id=f"e{number}") for number in range(6)]
+        for number in range(6):
+            self.setUp()
+            placed = (
+                PlacedPart(part="s:512", endpoint_id=f"e{number}", age_s=9.0),
+                PlacedPart(part="d:10000", endpoint_id=f"e{number}", age_s=9.0),
+            )
+            self.take(*records, placed=placed)
+            parts = (PromptPart("s", 512), PromptPart("d", 10_000), PromptPart("o", 3))
+            self.assertEqual(self.choose("llm", *parts), f"e{number}")
+
+    def test_leaving_lost_and_misdirected_endpoints_get_nothing(self) -> None:
+        record = make_record(service="portal")
+        self.take(record)
+        self.assertEqual(self.choose("portal"), "e1")
+        self.view.note_other_instance("e1")
+        self.assertEqual(self.choose("portal"), "")
+        self.take(make_record(1, service="portal", born=2000), change=2)
+        self.assertEqual(self.choose("portal"), "e1")
+        for number, state in enumerate((EndpointState.DRAINING, EndpointState.LOST), start=2):
+            self.take(make_record(number, service="portal", born=2000, state=state), change=number)
+            self.assertEqual(self.choose("portal"), "")
+        self.assertIn("e1", self.forgotten)
+
+    def test_breaker_of_an_endpoint_that_fails(self) -> None:
+        self.take(make_record(service="portal"))
+        for _ in range(20):
+            self.view.note_outcome("e1", SendEnd.REFUSED)
+        self.assertEqual(self.choose("portal"), "e1")
+        for _ in range(20):
+            self.view.note_outcome("e1", SendEnd.NOT_SENT)
+        self.assertEqual(self.choose("portal"), "")
+
+    def test_readiness(self) -> None:
+        self.assertFalse(self.view.has_view)
+        self.view.wait_until_ready(0.01)
+        self.take(make_record())
+        self.assertTrue(self.view.has_view)
+        self.view.wait_until_ready(5.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
