--- a/chivetrack/daemon/fleet/fleet_view.py
+++ b/chivetrack/daemon/fleet/fleet_view.py
@@ -178,12 +178,7 @@
     def choose(self, call: Call) -> Choice | None:
         """Return where a request goes next."""
         now = time.monotonic()
-        tried = {one.endpoint_id for one in call.tries}
-        candidates = [
-            Candidate(record=record, is_silent=record.endpoint_id in self._silent)
-            for record in self._by_service.get(call.service, ())
-            if record.endpoint_id not in tried and self._lets_through(record.endpoint_id, now)
-        ]
+        candidates = self._list_candidates(call, now)
         service = None if self.table is None else self.table.find_service(call.service)
         return self._chooser.choose(
             candidates,
@@ -194,6 +189,26 @@
             routers=round(self._routers),
         )
 
+    def _list_candidates(self, call: Call, now: float) -> list[Candidate]:
+        """Return who may be chosen.
+
+        Where every circuit breaker of a service is open, the service as a whole is in
+        trouble and not one endpoint of it. Refusing all would turn a share of failures
+        into failures throughout, so all are tried again then.
+        """
+        tried = {one.endpoint_id for one in call.tries}
+        left = [
+            Candidate(record=record, is_silent=record.endpoint_id in self._silent)
+            for record in self._by_service.get(call.service, ())
+            if record.endpoint_id not in tried and not self._is_misdirected(record, now)
+        ]
+        closed = [one for one in left if self._lets_through(one.record.endpoint_id, now)]
+        return closed or left
+
+    def _is_misdirected(self, record: EndpointRecord, now: float) -> bool:
+        at = self._misdirected.get(record.endpoint_id, float("-inf"))
+        return now - at < MISDIRECTED_FOR_S
+
     def _list_sources(self, service: str, now: float) -> list[Source]:
         return [
             Source(
@@ -213,8 +228,6 @@
         self._events.write("endpoint_misdirected", endpoint=endpoint_id)
 
     def _lets_through(self, endpoint_id: str, now: float) -> bool:
-        if now - self._misdirected.get(endpoint_id, float("-inf")) < MISDIRECTED_FOR_S:
-            return False
         breaker = self._breakers.get(endpoint_id)
         if breaker is None:
             return True
