--- a/chivetrack/cli/commands/local.py
+++ b/chivetrack/cli/commands/local.py
@@ -22,12 +22,16 @@
 @config_app.command("check")
 def check_config(
     file: Annotated[Path, typer.Argument(help="Settings file of chivetrackd.")],
+    deployment: Annotated[
+        bool, typer.Option("--deployment", help="The file is of a router or replica process.")
+    ] = False,
     output: OutputOption = Output.TABLE,
 ) -> None:
     """Check a settings file as the daemon does, and report everything that is wrong."""
+    from chivetrack.components.deployment.settings import load_deployment
     from chivetrack.components.settings import load_settings
 
-    result = load_settings(file)
+    result = load_deployment(file) if deployment else load_settings(file)
     findings = list(result.error) if result.is_error() else []
     if output is Output.JSON:
         print_json({"file": str(file), "findings": [_write_finding(found) for found in findings]})
--- a/script/settings_reference.py
+++ b/script/settings_reference.py
@@ -8,11 +8,12 @@
 from pydantic import BaseModel
 from pydantic.fields import FieldInfo
 
+from chivetrack.components.deployment.settings import DeploymentSettings
 from chivetrack.components.settings.config import find_inner_model
 from chivetrack.components.settings.models import Settings
 from chivetrack.helpers.sections.base import Address
 
-TARGET = Path(__file__).resolve().parent.parent / "docs" / "operators" / "settings.md"
+FOLDER = Path(__file__).resolve().parent.parent / "docs" / "operators"
 
 INTRODUCTION = """\
 # Settings of chivetrackd
@@ -23,13 +24,26 @@
 line of each fault; the daemon runs the same checks before it starts.
 """
 
+DEPLOYMENT_INTRODUCTION = """\
+# Settings of a router or replica process
+
+Written by `script/settings_reference` from the models; change the descriptions there.
+`chivetrack config check --deployment FILE` reports everything that is wrong with a file, with
+the line of each fault; the process runs the same checks before it starts.
+"""
+
+PAGES: dict[str, tuple[type[BaseModel], str]] = {
+    "settings.md": (Settings, INTRODUCTION),
+    "deployment-settings.md": (DeploymentSettings, DEPLOYMENT_INTRODUCTION),
+}
+
 BOUNDS = {"gt": "more than", "ge": "at least", "lt": "less than", "le": "at most"}
 
 
-def write_reference() -> str:
+def write_reference(settings: type[BaseModel] = Settings, introduction: str = INTRODUCTION) -> str:
     """Return the whole page."""
-    lines = [INTRODUCTION]
-    for name, field in Settings.model_fields.items():
+    lines = [introduction]
+    for name, field in settings.model_fields.items():
         model = find_inner_model(field.annotation)
         assert model is not None
         lines += [f"## `[{name}]`", "", model.__doc__ or "", ""]
@@ -92,9 +106,10 @@
 
 
 def main() -> None:
-    """Write the page."""
-    TARGET.parent.mkdir(parents=True, exist_ok=True)
-    TARGET.write_text(write_reference(), encoding="utf-8")
+    """Write the pages."""
+    FOLDER.mkdir(parents=True, exist_ok=True)
+    for name, (settings, introduction) in PAGES.items():
+        (FOLDER / name).write_text(write_reference(settings, introduction), encoding="utf-8")
 
 
 if __name__ == "__main__":
