--- a/script/settings_reference.py
+++ b/script/settings_reference.py
@@ -14,6 +14,7 @@
 from chivetrack.helpers.sections.base import Address
 
 FOLDER = Path(__file__).resolve().parent.parent / "docs" / "operators"
+TARGET = FOLDER / "settings.md"
 
 INTRODUCTION = """\
 # Settings of chivetrackd
