--- a/tests/components/settings/test_reference.py
+++ b/tests/components/settings/test_reference.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from script.settings_reference import TARGET, write_reference
+from script.settings_reference import FOLDER, PAGES, TARGET, write_reference
 
 
 class ReferenceTest(unittest.TestCase):
@@ -12,3 +12,8 @@
             write_reference(),
             "run script/settings_reference and commit the page",
         )
+
+    def test_every_page_is_of_the_models_as_they_are(self) -> None:
+        for name, (settings, introduction) in PAGES.items():
+            page = (FOLDER / name).read_text(encoding="utf-8")
+            self.assertEqual(page, write_reference(settings, introduction), name)
