Send nothing to a caller that has left

The server answers any error of the application with 500 where no head is out, also that a caller has closed its side. Change: an application can end a connection without another byte.

--- a/chivetrack/daemon/fleet/forwarder.py
+++ b/chivetrack/daemon/fleet/forwarder.py
@@ -25,7 +25,7 @@
     LATE_ANSWER_S,
     WHOLE_ANSWER_BYTES,
 )
-from chivetrack.exceptions import ChivetrackError
+from chivetrack.daemon.server import AbortConnectionError
 from chivetrack.platform.headers import (
     list_answer_headers,
     make_endpoint_headers,
@@ -36,7 +36,7 @@
 _MAX_STRAY_ANSWERS = 2
 
 
-class AnswerCutError(ChivetrackError):
+class AnswerCutError(AbortConnectionError):
     """The answer to the caller ended before it was whole; its connection has to be closed."""
 
 
--- a/chivetrack/daemon/server.py
+++ b/chivetrack/daemon/server.py
@@ -22,7 +22,7 @@
     MAX_HEADERS,
 )
 from chivetrack.daemon.headers import read_headers
-from chivetrack.exceptions import FaultError
+from chivetrack.exceptions import ChivetrackError, FaultError
 from chivetrack.helpers.log import get_logger
 from chivetrack.helpers.tls import Tls, TlsServerMixin
 
@@ -58,6 +58,10 @@
     )
 
 
+class AbortConnectionError(ChivetrackError):
+    """Raised by an application to end a connection without another byte."""
+
+
 class _LimitedLines:
     """The header lines of a request; raises ``FaultError`` over the limits."""
 
@@ -220,6 +224,11 @@
         After the head has been sent the library sends no last chunk, so the caller
         sees that the answer is not whole.
         """
+        if isinstance(v, AbortConnectionError):
+            # A caller that is leaving may still read; an error that it is sent would look
+            # like the answer to its request.
+            self.close_connection = True
+            return
         if not isinstance(v, OSError):
             _LOGGER.error("Answer ended early: {}.", type(v).__name__, exc_info=(t, v, tb))
         self._send_error_response_if_possible(500)
--- a/tests/daemon/test_server.py
+++ b/tests/daemon/test_server.py
@@ -13,7 +13,7 @@
 from chivetrack.components.caller_api.app import CallerApi
 from chivetrack.components.caller_api.gateway import Gateway
 from chivetrack.components.upstream.client import UpstreamClient
-from chivetrack.daemon.server import HttpServer, ServerLimits
+from chivetrack.daemon.server import AbortConnectionError, HttpServer, ServerLimits
 from chivetrack.helpers.telemetry import open_telemetry
 
 LIMITS = ServerLimits(header_timeout_s=0.2, idle_timeout_s=0.3)
@@ -79,6 +79,35 @@
         return head.decode(), json.loads(body)["error"]
 
 
+class AbortedAnswerTest(ServerCase):
+    def test_aborted_request_gets_no_byte(self) -> None:
+        """A caller half closes its connection and reads on; its request is given up.
+
+        An error of the server's own was sent to it then, although nobody had failed. An
+        application that ends the connection sends nothing at all.
+        """
+
+        def abort(environ: Any, start_response: Any) -> Any:
+            raise AbortConnectionError("given up")
+
+        connection = self.serve(abort)
+        connection.sendall(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.assertEqual(connection.recv(65536), b"")
+
+    def test_answer_that_is_aborted_midway_looks_cut(self) -> None:
+        def abort(environ: Any, start_response: Any) -> Any:
+            write = start_response("200 OK", [("Content-Length", "10")])
+            write(b"half")
+            raise AbortConnectionError("cut")
+
+        connection = self.serve(abort)
+        connection.sendall(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        data = b""
+        while received := connection.recv(65536):
+            data += received
+        self.assertTrue(data.endswith(b"\r\n\r\nhalf"))
+
+
 class SlowCallerTest(ServerCase):
     def test_headers_and_bodies_that_do_not_arrive(self) -> None:
         """A caller begins a request and stops; it must not hold its place for ever."""
