Take out what nothing uses in the deployed programs

Cause: a read as a newcomer: a setting that nothing reads, a router's zone in messages that nobody looks at, a callback and three attributes without a user. Change: they are gone.

--- a/chivetrack/components/deployment/settings.py
+++ b/chivetrack/components/deployment/settings.py
@@ -67,9 +67,6 @@
     retry_slack: float = Field(default=20.0, ge=0, description="Repeats on top, fleet-wide.")
     retry_window_s: Seconds = Field(default=10.0, gt=0, description="Window of the budget.")
     stop_within_s: Seconds = Field(default=8.0, gt=0, description="From SIGTERM to the kill.")
-    drain_within_s: Seconds = Field(
-        default=2.0, gt=0, description="From an endpoint's word to no new work for it."
-    )
 
 
 class ProcessLogSettings(Section):
--- a/chivetrack/components/distribution/messages.py
+++ b/chivetrack/components/distribution/messages.py
@@ -36,7 +36,6 @@
     """
 
     router: str
-    zone: str
     run: str
     change: int
     version: int
--- a/chivetrack/components/distribution/subscriber.py
+++ b/chivetrack/components/distribution/subscriber.py
@@ -57,7 +57,6 @@
         self,
         *,
         router: str,
-        zone: str,
         seeds: Sequence[str],
         table: EndpointTable,
         take_document: Callable[[DocumentSent], None],
@@ -65,7 +64,6 @@
     ) -> None:
         """Take the own name, the addresses of the first replicas and the ways out."""
         self._router = router
-        self._zone = zone
         self._seeds = tuple(seeds)
         self._table = table
         self._take_document = take_document
@@ -117,7 +115,6 @@
         replica = self._replicas[name]
         follow = Follow(
             router=self._router,
-            zone=self._zone,
             run=replica.run,
             change=replica.change,
             version=self.version,
@@ -148,7 +145,6 @@
     def _make_follow(self, replica: _Replica) -> Follow:
         return Follow(
             router=self._router,
-            zone=self._zone,
             run=replica.run,
             change=replica.change,
             version=self.version,
--- a/chivetrack/components/upstream/connection.py
+++ b/chivetrack/components/upstream/connection.py
@@ -88,20 +88,14 @@
 class EndpointAnswer:
     """The head of an answer, and its body as it comes."""
 
-    def __init__(self, *, response: http.client.HTTPResponse, method: str) -> None:
+    def __init__(self, *, response: http.client.HTTPResponse) -> None:
         """Take over a response whose head was read."""
         self._response = response
-        self._method = method
         self.status = response.status
         self.headers = response.headers
         self.is_whole = False
         self.is_framed = bool(response.chunked) or response.length is not None
 
-    @property
-    def length(self) -> int | None:
-        """Return the stated length of the body in bytes."""
-        return None if self._response.chunked else self._response.length
-
     def read_chunks(self) -> Iterator[bytes]:
         """Yield the body as it comes; raise ``BrokenAnswerError`` if it is not whole."""
         try:
@@ -167,7 +161,6 @@
         self._sender: gevent.Greenlet | None = None
         self.idle_since = 0.0
         self.idle_limit_s = 0.0
-        self.is_used = False
 
     @property
     def _socket(self) -> socket.socket:
@@ -188,7 +181,6 @@
     def send(self, request: EndpointRequest, *, timeout_s: float) -> None:
         """Send a request; raise ``NotSentError`` or ``MaybeRanError``."""
         self._socket.settimeout(timeout_s)
-        self.is_used = True
         head = _make_head(request)
         aside = len(request.body) > SEND_ASIDE_BYTES
         first = head if aside else head + request.body
@@ -223,7 +215,7 @@
             response.begin()
         except (OSError, http.client.HTTPException, ValueError) as error:
             raise MaybeRanError(f"no answer: {type(error).__name__}: {error}") from error
-        return EndpointAnswer(response=response, method=method)
+        return EndpointAnswer(response=response)
 
     def set_timeout(self, timeout_s: float) -> None:
         """Bound the wait for the next bytes."""
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -50,14 +50,12 @@
         view: FleetView,
         forwarder: Forwarder,
         events: EventLog,
-        is_stopping: Callable[[], bool],
         record: Callable[[Call, str], None],
     ) -> None:
         """Take what requests need; ``record`` counts how each one ended."""
         self._view = view
         self._forwarder = forwarder
         self._events = events
-        self._is_stopping = is_stopping
         self._record = record
         self.open_count = 0
         self.is_closed = False
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -68,7 +68,6 @@
         self.view.listeners.append(self._take_limits)
         self.subscriber = Subscriber(
             router=str(settings.listeners.peer),
-            zone=settings.process.availability_zone,
             seeds=list_seed_peers(settings),
             table=self.view.endpoints,
             take_document=self.view.take_document,
@@ -83,7 +82,6 @@
                 note_first_event=self.view.note_first_event,
             ),
             events=events,
-            is_stopping=self._asked.is_set,
             record=self._metrics.record_end,
         )
         assert settings.listeners.callers is not None and settings.listeners.ready is not None
--- a/tests/components/distribution/test_distribution.py
+++ b/tests/components/distribution/test_distribution.py
@@ -36,7 +36,6 @@
         self.own = EndpointTable()
         self.subscriber = Subscriber(
             router="r1",
-            zone="z",
             seeds=["p1"],
             table=self.own,
             take_document=lambda sent: self.taken.append(sent.version),
@@ -198,7 +197,6 @@
         for number in range(9):
             subscriber = Subscriber(
                 router=f"r{number}",
-                zone="z",
                 seeds=["p1", "p2", "p3"],
                 table=EndpointTable(),
                 take_document=lambda sent: None,
@@ -293,7 +291,6 @@
     loads = (EndpointLoad(endpoint_id="e1", running=running, tokens=10),) if running else ()
     return Follow(
         router=router,
-        zone="z",
         run=run,
         change=0,
         version=0,
