Answer a request that crosses the close of an idle connection

A router that stops ends the reading of its idle connections. Where a request had just arrived, either gevent ended the waiting read with an error, and the request was dropped unread; or the request was served, and the end of the router's own reading looked like a caller that had left. Ruled out: the end of the grace time (nothing was cut, 'stopped' with 0). Change: reading is ended below gevent, and a connection whose reading was ended here is not watched for its caller's end. Test: a request on a connection that is being closed (failed before in both ways).

--- a/chivetrack/daemon/server.py
+++ b/chivetrack/daemon/server.py
@@ -86,6 +86,7 @@
     """Adds the caller's socket, limits, typed errors and closing connections during a stop."""
 
     server: "HttpServer"
+    is_reading_ended = False
 
     def handle(self) -> None:
         """Serve a connection until it is closed."""
@@ -113,11 +114,21 @@
 
     def read_requestline(self) -> Any:
         """Wait for the next request; meanwhile the connection is idle."""
-        self.server.idle.add(self.socket)
+        self.server.idle.add(self)
         try:
             return super().read_requestline()
         finally:
-            self.server.idle.discard(self.socket)
+            self.server.idle.discard(self)
+
+    def end_reading(self) -> None:
+        """Take no request after one that is already here.
+
+        Done below gevent, whose own shutdown ends the waiting read with an error, although
+        a request may lie there unread.
+        """
+        self.is_reading_ended = True
+        with contextlib.suppress(OSError):
+            self.socket._sock.shutdown(socket.SHUT_RD)
 
     def read_request(self, raw_requestline: str) -> Any:
         """Read the headers; a caller that stalls in them is cut off."""
@@ -143,7 +154,9 @@
     def get_environ(self) -> dict[str, Any]:
         """Return the environment with the socket, which shows a caller that leaves."""
         environ: dict[str, Any] = super().get_environ()
-        environ[ENVIRON_SOCKET] = self.socket
+        # Where this side has ended reading, the end says nothing about the caller. Taken for
+        # a caller that has left, the last request of the connection was given up unanswered.
+        environ[ENVIRON_SOCKET] = None if self.is_reading_ended else self.socket
         environ[ENVIRON_TARGET] = self.path
         environ[ENVIRON_HEADERS] = self.headers.list_lines()
         return environ
@@ -266,6 +279,5 @@
 
         Only reading ends: a request that is already here is still read and answered.
         """
-        for connection in list(self.idle):
-            with contextlib.suppress(OSError):
-                connection.shutdown(socket.SHUT_RD)
+        for handler in list(self.idle):
+            handler.end_reading()
--- a/tests/daemon/test_server.py
+++ b/tests/daemon/test_server.py
@@ -11,7 +11,9 @@
 from gevent.event import Event
 
 from chivetrack.components.caller_api.app import CallerApi
+from chivetrack.components.caller_api.const import ENVIRON_SOCKET
 from chivetrack.components.caller_api.gateway import Gateway
+from chivetrack.components.caller_api.watch import watch_caller
 from chivetrack.components.upstream.client import UpstreamClient
 from chivetrack.daemon.server import AbortConnectionError, HttpServer, ServerLimits
 from chivetrack.helpers.telemetry import open_telemetry
@@ -48,6 +50,7 @@
             limits=LIMITS,
         )
         server.start()
+        self.server = server
         self.addCleanup(server.stop, timeout=0)
         connection = socket.create_connection(("127.0.0.1", server.server_port), timeout=10)
         self.addCleanup(connection.close)
@@ -108,6 +111,31 @@
         self.assertTrue(data.endswith(b"\r\n\r\nhalf"))
 
 
+class ClosedIdleTest(ServerCase):
+    def test_request_that_crosses_the_close_of_an_idle_connection(self) -> None:
+        """A router stops and ends its idle connections; one has just got a request.
+
+        The request is read and sent on. The end of the router's own reading looked like a
+        caller that had left: the request was given up and its connection closed without
+        an answer.
+        """
+
+        def answer(environ: Any, start_response: Any) -> Any:
+            with watch_caller(environ.get(ENVIRON_SOCKET)):
+                gevent.sleep(0.05)
+            start_response("200 OK", [("Content-Length", "4")])
+            return [b"done"]
+
+        connection = self.serve(answer)
+        request = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+        connection.sendall(request)
+        self.assertIn(b"done", connection.recv(65536))
+        gevent.sleep(0.02)
+        connection.sendall(request)
+        self.server.close_idle()
+        self.assertIn(b"done", connection.recv(65536))
+
+
 class SlowCallerTest(ServerCase):
     def test_headers_and_bodies_that_do_not_arrive(self) -> None:
         """A caller begins a request and stops; it must not hold its place for ever."""
