Compress messages between processes of a deployment, and count them by kind

Cause: with 87 routers the links of replicas (3 Mbit/s) carried 310 to 400 kB/s before compression, two thirds of it views; which kind it was could not be seen. Ruled out: fewer batches; at rest 150 a second take 40 kB/s in all. Change: peer_traffic tells bytes by kind; gRPC's deflate on the deployed processes' channels.

--- a/chivetrack/components/peers/transport.py
+++ b/chivetrack/components/peers/transport.py
@@ -1,7 +1,7 @@
 """The gRPC edge between instances: one-way messages in batches per target."""
 
 import time
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
@@ -40,11 +40,21 @@
 
     A connection whose other side is behind a cut shows no sign of it. A ping every
     ``keepalive_ms`` that stays without an answer for ``ping_timeout_ms`` ends it.
+    ``is_compressed`` saves half of the bytes on slow links for 0.35 ms of processor time
+    on both sides together, measured with views of 3.4 kB over loopback.
     """
 
     keepalive_ms: int = KEEPALIVE_MS
     ping_timeout_ms: int = PING_TIMEOUT_MS
     reconnect_max_ms: int = RECONNECT_MAX_MS
+    is_compressed: bool = False
+
+    @property
+    def _compression(self) -> int:
+        algorithm = (
+            grpc.Compression.Deflate if self.is_compressed else grpc.Compression.NoCompression
+        )
+        return int(algorithm)
 
     def list_channel_options(self) -> list[tuple[str, int]]:
         """Return the options of the side that connects."""
@@ -59,6 +69,7 @@
             # Channels of two transports in one process must not share a connection: a
             # test that stops one of them would see the other's traffic.
             ("grpc.use_local_subchannel_pool", 1),
+            ("grpc.default_compression_algorithm", self._compression),
             *_SIZE_OPTIONS,
         ]
 
@@ -82,6 +93,8 @@
     sent_batches: int = 0
     received_bytes: int = 0
     dropped_messages: int = 0
+    sent_by_kind: Counter[str] = field(default_factory=Counter)
+    """Bytes of the messages themselves, by their name on the wire."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -242,6 +255,8 @@
             source=self._instance_id, source_address=self._advertised, envelopes=envelopes
         )
         self.traffic.sent_batches += 1
+        for envelope in envelopes:
+            self.traffic.sent_by_kind[envelope.kind] += len(envelope.payload)
         self.traffic.sent_bytes += batch.ByteSize() + BATCH_OVERHEAD_BYTES
         return batch
 
--- a/chivetrack/daemon/fleet/peering.py
+++ b/chivetrack/daemon/fleet/peering.py
@@ -1,5 +1,6 @@
 """The transport between the processes of a deployment; an id is an address."""
 
+from collections import Counter
 from collections.abc import Callable
 
 from chivetrack.components.deployment.settings import DeploymentSettings
@@ -26,6 +27,7 @@
             keepalive_ms=KEEPALIVE_MS,
             ping_timeout_ms=PING_TIMEOUT_MS,
             reconnect_max_ms=RECONNECT_MAX_MS,
+            is_compressed=True,
         ),
     )
 
@@ -44,6 +46,7 @@
         self._transport = transport
         self._events = events
         self._before = (0, 0, 0, 0)
+        self._kinds_before: Counter[str] = Counter()
 
     def write(self) -> None:
         """Write one line."""
@@ -58,8 +61,15 @@
             now - before for now, before in zip(counts, self._before, strict=True)
         )
         self._before = counts
+        by_kind = traffic.sent_by_kind - self._kinds_before
+        self._kinds_before = traffic.sent_by_kind.copy()
         self._events.write(
-            "peer_traffic", sent=sent, batches=batches, received=received, dropped=dropped
+            "peer_traffic",
+            sent=sent,
+            batches=batches,
+            received=received,
+            dropped=dropped,
+            by_kind=dict(by_kind),
         )
 
 
