Read bodies in one place, and decide in one place what may have run

Cause: the deployed routers had a copy of the caller interface's body reader, and worked out beside the retry decision which tries may have run. Ruled out: sharing the bottle application; its module pulls in the whole gateway. Change: caller_api/body.py takes the environ; sending.py counts runs. Conclusion: two copies less.

--- a/chivetrack/components/caller_api/app.py
+++ b/chivetrack/components/caller_api/app.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable
 from urllib.parse import quote
 
-import gevent
 from bottle import Bottle, HTTPError, HTTPResponse, request
 
+from chivetrack.components.caller_api.body import read_body
 from chivetrack.components.caller_api.const import (
     BODY_TIMEOUT_S,
     DEFAULT_MAX_BODY,
@@ -28,25 +28,6 @@
 Announce = Callable[[bytes, str], "Fault | None"]
 
 
-def read_body(limit: int, timeout_s: float = BODY_TIMEOUT_S) -> bytes:
-    """Return the whole body of the current request; raise ``FaultError``."""
-    length = request.environ.get("CONTENT_LENGTH") or ""
-    if length.isdigit() and int(length) > limit:
-        raise FaultError(faults.body_too_large(limit))
-    stream = request.environ["wsgi.input"]
-    # A caller that stops in the middle of its body would hold its place for ever.
-    with gevent.Timeout(timeout_s, FaultError(faults.body_timeout(timeout_s))):
-        try:
-            body = stream.read(limit + 1)
-        except (OSError, ValueError) as error:
-            raise FaultError(faults.malformed_body(f"body not readable: {error}")) from error
-    if len(body) > limit:
-        raise FaultError(faults.body_too_large(limit))
-    if length.isdigit() and len(body) < int(length):
-        raise FaultError(faults.malformed_body("the body is shorter than its Content-Length"))
-    return body
-
-
 def read_headers() -> dict[str, str]:
     """Return the headers of the current request, names in lower case."""
     headers = {
@@ -108,7 +89,7 @@
 
     def _serve(self, kind: RequestKind, path: str, service: str) -> HTTPResponse:
         try:
-            body = read_body(self._max_body, self._body_timeout_s)
+            body = read_body(request.environ, limit=self._max_body, timeout_s=self._body_timeout_s)
             caller_request = CallerRequest(
                 kind=kind,
                 method=request.method,
@@ -127,7 +108,7 @@
 
     def _take_announcement(self) -> HTTPResponse:
         try:
-            body = read_body(self._max_body, self._body_timeout_s)
+            body = read_body(request.environ, limit=self._max_body, timeout_s=self._body_timeout_s)
         except FaultError as error:
             return make_error_response(error.fault)
         fault = self._announce(body, read_headers().get("authorization", ""))
--- a/chivetrack/components/retries/sending.py
+++ b/chivetrack/components/retries/sending.py
@@ -34,6 +34,21 @@
     retry_after_s: float | None = None
 
 
+def count_runs(tries: Sequence[Tried]) -> int:
+    """Return how many of the tries may have run."""
+    return sum(1 for one in tries if one.end in (SendEnd.MAYBE_RAN, SendEnd.FAILED))
+
+
+def may_have_run(tries: Sequence[Tried]) -> bool:
+    """Return whether any endpoint may have run the request."""
+    return count_runs(tries) > 0
+
+
+def allows_another(route: Route, runs: int) -> bool:
+    """Return whether the route allows one more try after so many that may have run."""
+    return not runs or (route.is_repeatable and runs < route.max_attempts)
+
+
 def may_send_again(
     route: Route, tries: Sequence[Tried], *, left_s: float, has_budget: bool
 ) -> bool:
@@ -44,12 +59,11 @@
     draws on the budget.
     """
     ends = [one.end for one in tries]
-    ran = sum(1 for end in ends if end in (SendEnd.MAYBE_RAN, SendEnd.FAILED))
     if left_s < MIN_LEFT_S or ends.count(SendEnd.NOT_SENT) >= MAX_UNREACHABLE:
         return False
     if ends.count(SendEnd.REFUSED) >= MAX_REFUSALS:
         return False
-    if ran and not (route.is_repeatable and ran < route.max_attempts):
+    if not allows_another(route, count_runs(tries)):
         return False
     reached = any(end is not SendEnd.NOT_SENT for end in ends)
     return has_budget or not reached
@@ -61,7 +75,7 @@
     Only if every try is known not to have run, the caller is told so: it may then come
     back with what must not run twice.
     """
-    if all(one.end in (SendEnd.NOT_SENT, SendEnd.REFUSED) for one in tries):
+    if not may_have_run(tries):
         stated = [one.retry_after_s for one in tries if one.retry_after_s is not None]
         return Fault(
             code="no_endpoint",
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -7,13 +7,17 @@
 import gevent
 import xxhash
 
-from chivetrack.components.caller_api.const import ENVIRON_SOCKET
+from chivetrack.components.caller_api.body import read_body
+from chivetrack.components.caller_api.const import BODY_TIMEOUT_S, ENVIRON_SOCKET
 from chivetrack.components.caller_api.watch import CallerLeftError, watch_caller
 from chivetrack.components.placement.choice import Choice
 from chivetrack.components.retries.sending import (
     SendEnd,
     Tried,
+    allows_another,
+    count_runs,
     make_final_fault,
+    may_have_run,
     may_send_again,
 )
 from chivetrack.components.traffic.models import Route, Workspace
@@ -34,8 +38,6 @@
 from chivetrack.helpers.events import EventLog
 from chivetrack.platform.headers import read_request_facts
 
-_BODY_TIMEOUT_S = 15.0
-
 
 class RouteTimeoutError(BaseException):
     """The route's timeout or the caller's own has passed."""
@@ -111,7 +113,8 @@
             raise FaultError(_refuse("unknown_route", 404, None))
         workspace = self._identify(table, route, facts)
         wait_s = DEFAULT_WAIT_S if facts.wait_s is None else facts.wait_s
-        body = _read_body(environ, table.document.limits.max_body_bytes)
+        limit = table.document.limits.max_body_bytes
+        body = read_body(environ, limit=limit, timeout_s=BODY_TIMEOUT_S)
         return Call(
             facts=facts,
             route=route,
@@ -166,7 +169,7 @@
         self._end(call, "timeout")
         if call.reply.is_started:
             raise AnswerCutError("the time is up in the midst of an answer")
-        if all(one.end in (SendEnd.NOT_SENT, SendEnd.REFUSED) for one in call.tries):
+        if not may_have_run(call.tries):
             call.reply.refuse(_refuse("timeout", 503, NO_ENDPOINT_RETRY_S))
             return
         message = "The time is up; the request may have run."
@@ -195,12 +198,9 @@
         reached = any(one.end is not SendEnd.NOT_SENT for one in call.tries)
         if reached:
             self._view.note_repeat(call.service)
-        sends = sum(1 for one in call.tries if one.end in (SendEnd.MAYBE_RAN, SendEnd.FAILED))
-        may_repeat = (
-            call.route.is_repeatable
-            and sends + 1 < call.route.max_attempts
-            and self._view.has_budget(call.service)
-        )
+        may_repeat = allows_another(
+            call.route, count_runs(call.tries) + 1
+        ) and self._view.has_budget(call.service)
         self._log_choice(call, choice)
         with self._view.use(call, choice):
             # If the time is up or the caller leaves, this try may have run.
@@ -295,21 +295,3 @@
 def _refuse(code: str, status: int, retry_after_s: float | None) -> Fault:
     message = f"The request has not run: {code.replace('_', ' ')}."
     return Fault(code=code, message=message, status=status, ran=Ran.NO, retry_after_s=retry_after_s)
-
-
-def _read_body(environ: dict[str, Any], limit: int) -> bytes:
-    """Return the whole body; raise ``FaultError`` over the limit or when it stalls."""
-    length = environ.get("CONTENT_LENGTH") or ""
-    if length.isdigit() and int(length) > limit:
-        raise FaultError(_refuse("body_too_large", 413, None))
-    timeout = FaultError(_refuse("body_timeout", 408, None))
-    with gevent.Timeout(_BODY_TIMEOUT_S, timeout):
-        try:
-            body: bytes = environ["wsgi.input"].read(limit + 1)
-        except (OSError, ValueError) as error:
-            raise FaultError(_refuse("malformed_body", 400, None)) from error
-    if len(body) > limit:
-        raise FaultError(_refuse("body_too_large", 413, None))
-    if length.isdigit() and len(body) < int(length):
-        raise FaultError(_refuse("malformed_body", 400, None))
-    return body
