Hold back endpoints that fail for the fleet as a whole

Cause: among 87 routers each sends an engine one request in six seconds; its own breaker never sees two failures in a row, so that all the traffic of a crashed engine fails once for as long as it is down. Ruled out: breakers that open at the first failure; a share of answers fails on services that are well. Change: routers tell with their loads how tries ended in the last 1.2 s; an endpoint at which three or more and 60 % of the fleet's tries failed gets 6 % of its requests until one is answered, never more than half of a service.

--- a/chivetrack/components/distribution/messages.py
+++ b/chivetrack/components/distribution/messages.py
@@ -6,15 +6,17 @@
 
 @message("distribution.load")
 class EndpointLoad(Message, frozen=True, array_like=True):
-    """How much of an endpoint some routers use.
+    """How much of an endpoint some routers use, and how their last tries there ended.
 
     ``running`` are requests in flight, ``tokens`` prompt tokens sent and not yet
-    answered by a first event.
+    answered by a first event. ``answered`` and ``failed`` are of the last 1.2 s.
     """
 
     endpoint_id: str
     running: int
     tokens: int = 0
+    answered: int = 0
+    failed: int = 0
 
 
 @message("distribution.placed")
--- a/chivetrack/components/distribution/publisher.py
+++ b/chivetrack/components/distribution/publisher.py
@@ -1,5 +1,6 @@
 """A replica's side: who follows, what each one has, what is sent to whom."""
 
+import itertools
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
@@ -183,12 +184,18 @@
 
 
 def _sum_loads(loads: Iterable[tuple[EndpointLoad, ...]]) -> tuple[EndpointLoad, ...]:
-    sums: dict[str, tuple[int, int]] = {}
-    for one in loads:
-        for load in one:
-            running, tokens = sums.get(load.endpoint_id, (0, 0))
-            sums[load.endpoint_id] = (running + load.running, tokens + load.tokens)
-    return tuple(
-        EndpointLoad(endpoint_id=one, running=running, tokens=tokens)
-        for one, (running, tokens) in sums.items()
+    sums: dict[str, EndpointLoad] = {}
+    for load in itertools.chain.from_iterable(loads):
+        known = sums.get(load.endpoint_id)
+        sums[load.endpoint_id] = load if known is None else _add(known, load)
+    return tuple(sums.values())
+
+
+def _add(one: EndpointLoad, other: EndpointLoad) -> EndpointLoad:
+    return EndpointLoad(
+        endpoint_id=one.endpoint_id,
+        running=one.running + other.running,
+        tokens=one.tokens + other.tokens,
+        answered=one.answered + other.answered,
+        failed=one.failed + other.failed,
     )
--- a/chivetrack/components/endpoints/const.py
+++ b/chivetrack/components/endpoints/const.py
@@ -43,3 +43,22 @@
 
 # How long an endpoint's own refusal as leaving counts; each refusal renews it.
 REFUSAL_S: Final = 30.0
+
+FLEET_WINDOW_S: Final = 1.2
+"""Four rounds in which routers tell each other; older outcomes are of another state."""
+
+FLEET_FAILURES: Final = 3
+FLEET_FAILURE_SHARE: Final = 0.6
+"""An endpoint is held back for all once so many and such a share of the fleet's tries
+failed in the window. One that fails a share of what it gets is left to the breakers."""
+
+FLEET_HELD_S: Final = 5.0
+"""Without any probe an endpoint is tried again after this much: a crashed one is back, or
+given up by its replicas, by then."""
+
+FLEET_PROBE_SHARE: Final = 0.06
+"""Of the requests that would go to an endpoint held back: one probe in two seconds at
+eight requests a second."""
+
+OTHERS_FRESH_S: Final = 2.0
+"""How long what other routers told is believed; they tell every 0.3 s."""
--- a/chivetrack/components/placement/loads.py
+++ b/chivetrack/components/placement/loads.py
@@ -4,9 +4,8 @@
 from dataclasses import dataclass
 
 from chivetrack.components.distribution.messages import EndpointLoad
+from chivetrack.components.endpoints.const import OTHERS_FRESH_S
 
-# What other routers used is believed for so long; they tell every 0.4 s.
-OTHERS_FRESH_S = 2.0
 # Prompt tokens that an engine reads in a millisecond; the engines of both users read 57.
 PREFILL_TOKENS_PER_MS = 57.0
 
--- a/chivetrack/daemon/fleet/fleet_view.py
+++ b/chivetrack/daemon/fleet/fleet_view.py
@@ -3,17 +3,20 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from random import Random
 
+import msgspec
 from gevent.event import Event as Signal
 
 from chivetrack.components.announcements.models import EndpointRecord, EndpointState
 from chivetrack.components.announcements.table import EndpointTable
 from chivetrack.components.deployment.settings import BoundSettings
 from chivetrack.components.distribution.const import MANY_ROUTERS
-from chivetrack.components.distribution.messages import View
+from chivetrack.components.distribution.messages import EndpointLoad, View
 from chivetrack.components.distribution.subscriber import OwnNews
 from chivetrack.components.endpoints.breaker import Breaker, BreakerState
 from chivetrack.components.endpoints.models import OutcomeKind
+from chivetrack.components.endpoints.outcomes import HeldChange, OutcomeTable
 from chivetrack.components.placement.choice import Candidate, Choice, Chooser, Source
 from chivetrack.components.placement.loads import LoadTable
 from chivetrack.components.placement.parts import (
@@ -40,6 +43,9 @@
 NEW_FOR_S = 20.0
 # Before the first word.
 FIRST_ROUTERS = 20.0
+# Cached by an engine whose profile the configuration does not tell; the users' engines have
+# 260,000 to 547,000.
+DEFAULT_MEMORY_TOKENS = 500_000
 
 _OUTCOME_KINDS = {
     SendEnd.NOT_SENT: OutcomeKind.CONNECT,
@@ -66,9 +72,11 @@
         self._decode = decode
         self._forget_endpoint = forget_endpoint
         self.table: RouteTable | None = None
+        self._memory_tokens = DEFAULT_MEMORY_TOKENS
         self.endpoints = EndpointTable()
         self.loads = LoadTable()
         self.parts = PartBook()
+        self._outcomes = OutcomeTable(random=Random(), note_change=self._note_held)
         self._chooser = Chooser(zone=zone, loads=self.loads, parts=self.parts)
         self._breakers: dict[str, Breaker] = {}
         self._windows: dict[str, RetryWindow] = {}
@@ -101,6 +109,8 @@
             return
         before = self.version
         self.table = RouteTable(document=document)
+        sizes = [one.engine.memory_tokens for one in document.services if one.engine is not None]
+        self._memory_tokens = max(sizes, default=DEFAULT_MEMORY_TOKENS)
         self._events.write(
             "configuration_in_force",
             version=document.version,
@@ -120,7 +130,8 @@
             self._routers = max(view.routers, self._routers * ROUTERS_KEPT)
             self._silent = frozenset(view.silent)
             self.loads.take_others(view.loads, now=now)
-            self.parts.take_news(view.placed, now=now, capacity=self._get_capacity())
+            self._outcomes.take_others(view.loads, now=now)
+            self.parts.take_news(view.placed, now=now, capacity=self._memory_tokens)
         if self.table is not None and self._by_service:
             self._ready.set()
 
@@ -128,11 +139,6 @@
         """Wait until configuration and endpoints are known."""
         self._ready.wait(timeout_s)
 
-    def _get_capacity(self) -> int:
-        services = () if self.table is None else self.table.document.services
-        sizes = [one.engine.memory_tokens for one in services if one.engine is not None]
-        return max(sizes, default=500_000)
-
     def _note_changes(self) -> None:
         """Sort the endpoints by service again after a change."""
         if self._seen_change == self.endpoints.change:
@@ -157,6 +163,7 @@
             self._misdirected.pop(record.endpoint_id, None)
             self.parts.forget(record.endpoint_id)
             self._breakers.pop(record.endpoint_id, None)
+            self._outcomes.forget(record.endpoint_id)
             self._forget_endpoint(record.endpoint_id)
         if record.state is not EndpointState.READY:
             self._forget_endpoint(record.endpoint_id)
@@ -164,7 +171,17 @@
     def get_news(self) -> OwnNews:
         """Return what the other routers should know of this one."""
         now = time.monotonic()
-        return OwnNews(loads=tuple(self.loads.list_own()), placed=tuple(self.parts.list_news(now)))
+        return OwnNews(loads=self._list_own(now), placed=tuple(self.parts.list_news(now)))
+
+    def _list_own(self, now: float) -> tuple[EndpointLoad, ...]:
+        """Return what this router uses of each endpoint and how its tries ended there."""
+        loads = {one.endpoint_id: one for one in self.loads.list_own()}
+        for endpoint_id in self._outcomes.list_endpoints():
+            answered, failed = self._outcomes.count_own(endpoint_id, now)
+            if answered or failed:
+                load = loads.get(endpoint_id, EndpointLoad(endpoint_id=endpoint_id, running=0))
+                loads[endpoint_id] = msgspec.structs.replace(load, answered=answered, failed=failed)
+        return tuple(loads.values())
 
     # Choosing
 
@@ -187,7 +204,8 @@
 
         Where every circuit breaker of a service is open, the service as a whole is in
         trouble and not one endpoint of it. Refusing all would turn a share of failures
-        into failures throughout, so all are tried again then.
+        into failures throughout, so all are tried again then. Likewise no more than half
+        are held back by what the fleet has seen: the rest would drown.
         """
         tried = {one.endpoint_id for one in call.tries}
         left = [
@@ -196,7 +214,8 @@
             if record.endpoint_id not in tried and not self._is_misdirected(record, now)
         ]
         closed = [one for one in left if self._lets_through(one.record.endpoint_id, now)]
-        return closed or left
+        let_in = [one for one in closed if self._outcomes.lets_through(one.record.endpoint_id, now)]
+        return (let_in if 2 * len(let_in) >= len(left) else closed) or left
 
     def _is_misdirected(self, record: EndpointRecord, now: float) -> bool:
         at = self._misdirected.get(record.endpoint_id, float("-inf"))
@@ -236,7 +255,7 @@
         if breaker is not None:
             breaker.record_attempt(now)
         if call.facts.parts:
-            capacity = self._get_capacity()
+            capacity = self._memory_tokens
             self.parts.note(
                 endpoint_id,
                 call.facts.shared_parts,
@@ -268,6 +287,7 @@
         if end is SendEnd.REFUSED:
             return
         now = time.monotonic()
+        self._outcomes.note(endpoint_id, ok=end is None, now=now)
         breaker = self._breakers.get(endpoint_id)
         if breaker is None:
             breaker = self._breakers[endpoint_id] = Breaker(now=now)
@@ -282,6 +302,14 @@
                 reason=breaker.reason,
             )
 
+    def _note_held(self, change: HeldChange) -> None:
+        self._events.write(
+            "endpoint_held" if change.is_held else "endpoint_let_in",
+            endpoint=change.endpoint_id,
+            answered=change.answered,
+            failed=change.failed,
+        )
+
     # Retry budget
 
     def _get_window(self, service: str) -> RetryWindow:
--- a/tests/daemon/fleet/test_fleet_view.py
+++ b/tests/daemon/fleet/test_fleet_view.py
@@ -5,7 +5,7 @@
 
 from chivetrack.components.announcements.models import EndpointState
 from chivetrack.components.deployment.settings import BoundSettings
-from chivetrack.components.distribution.messages import PlacedPart, View
+from chivetrack.components.distribution.messages import EndpointLoad, PlacedPart, View
 from chivetrack.components.retries.sending import SendEnd
 from chivetrack.components.traffic.requests import PromptPart, RequestFacts
 from chivetrack.daemon.fleet.fleet_view import FleetView
@@ -103,6 +103,24 @@
             self.view.note_outcome("e2", SendEnd.FAILED)
         self.assertNotEqual(self.choose("portal"), "")
 
+    def test_endpoint_that_fails_at_other_routers(self) -> None:
+        """An engine has crashed; this router has not sent it anything for seconds.
+
+        The others have, and say so. Its next request would be one more that fails.
+        """
+        records = [make_record(service="portal", endpoint_id=f"e{n}") for n in range(4)]
+        failed = EndpointLoad(endpoint_id="e1", running=0, failed=9)
+        self.take(*records, loads=(failed,))
+        chosen = [self.choose("portal") for _ in range(40)]
+        self.assertLess(chosen.count("e1"), 10)
+
+    def test_word_to_others_tells_how_tries_ended(self) -> None:
+        self.take(make_record(service="portal"))
+        self.view.note_outcome("e1", None)
+        self.view.note_outcome("e1", SendEnd.NOT_SENT)
+        (load,) = self.view.get_news().loads
+        self.assertEqual((load.running, load.answered, load.failed), (0, 1, 1))
+
     def test_readiness(self) -> None:
         self.assertFalse(self.view.has_view)
         self.view.wait_until_ready(0.01)
