Spread documents over time, so that heartbeats are not held up

Ruled out: patches alone; a document that is all new is as large as a patch. Change: documents leave a replica at 200 kB/s; who asks again while its document is due is not sent a second one.

--- a/chivetrack/components/distribution/const.py
+++ b/chivetrack/components/distribution/const.py
@@ -50,3 +50,10 @@
 
 REPLICA_FORGET_S: Final = 30.0
 """A replica that no other names any more is asked for this much longer."""
+
+DOCUMENT_BYTES_PER_S: Final = 200_000.0
+"""At which documents leave a replica: half of a link of 3 Mbit/s, so that heartbeats and
+loads find room beside them. 17 routers that start get 15 kB each within 1.3 s."""
+
+DOCUMENT_AGAIN_S: Final = 0.5
+"""A router that asks again so soon after its document has left is not sent it twice."""
--- a/chivetrack/components/distribution/publisher.py
+++ b/chivetrack/components/distribution/publisher.py
@@ -8,6 +8,8 @@
 
 from chivetrack.components.announcements.table import EndpointTable
 from chivetrack.components.distribution.const import (
+    DOCUMENT_AGAIN_S,
+    DOCUMENT_BYTES_PER_S,
     IN_FLIGHT_S,
     MANY_ROUTERS,
     PLACED_IN_ROUND,
@@ -23,6 +25,7 @@
     PlacedPart,
     View,
 )
+from chivetrack.components.distribution.pacing import Pacer
 from chivetrack.components.distribution.placements import Placements
 from chivetrack.components.document.history import DocumentHistory
 from chivetrack.core import SendMessage
@@ -56,6 +59,23 @@
     exchange: Exchange
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PacedDocument:
+    """A document that goes to a router after ``delay_s`` seconds."""
+
+    target: str
+    message: DocumentSent
+    delay_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class _DueDocument:
+    """Which version a router is being sent, and until when asking again brings nothing."""
+
+    version: int
+    again_at: float
+
+
 @dataclass(slots=True, kw_only=True)
 class Publisher:
     """Decides what routers are sent; ``run`` names this process of the replica.
@@ -72,6 +92,8 @@
     _routers: dict[str, _Router] = field(default_factory=dict)
     _peers: dict[str, _Peer] = field(default_factory=dict)
     _news: list[PlacedPart] = field(default_factory=list)
+    _pacer: Pacer = field(default_factory=lambda: Pacer(bytes_per_s=DOCUMENT_BYTES_PER_S))
+    _due: dict[str, _DueDocument] = field(default_factory=dict)
 
     def take_follow(self, follow: Follow, *, now: float) -> list[SendMessage]:
         """Answer a router with what it lacks."""
@@ -106,15 +128,22 @@
             placed=tuple(news),
         )
 
-    def take_fetch(self, source: str, fetch: FetchDocument) -> list[SendMessage]:
-        """Send the newest document to a router that lacks it."""
+    def take_fetch(
+        self, source: str, fetch: FetchDocument, *, now: float
+    ) -> tuple[PacedDocument, ...]:
+        """Send the newest document to a router that lacks it, when it is its turn."""
         update = self.history.make_update(fetch.held_version)
         if update is None:
-            return []
+            return ()
+        due = self._due.get(source)
+        if due is not None and due.version == update.version and now < due.again_at:
+            return ()
+        delay_s = self._pacer.reserve(len(update.payload), now=now)
+        self._due[source] = _DueDocument(update.version, now + delay_s + DOCUMENT_AGAIN_S)
         sent = DocumentSent(
             version=update.version, payload=update.payload, base_version=update.base_version
         )
-        return [SendMessage(target=source, message=sent)]
+        return (PacedDocument(target=source, message=sent, delay_s=delay_s),)
 
     def publish(self, *, now: float) -> list[SendMessage]:
         """Push what has changed to the routers, in a large fleet only to the close ones.
@@ -127,6 +156,7 @@
         ]
         for one in gone:
             del self._routers[one]
+            self._due.pop(one, None)
         is_large = len(self._routers) > MANY_ROUTERS
         return [
             self._make_view(one, router, now)
--- a/chivetrack/daemon/fleet/replica.py
+++ b/chivetrack/daemon/fleet/replica.py
@@ -116,7 +116,7 @@
             effects = self._publisher.take_follow(message, now=time.monotonic())
             send_all(self.transport, effects)
         elif isinstance(message, FetchDocument):
-            send_all(self.transport, self._publisher.take_fetch(source, message))
+            self._send_documents(source, message)
         elif isinstance(message, Exchange):
             self._publisher.take_exchange(source, message, now=time.monotonic())
         elif self.host.takes(message):
@@ -124,6 +124,10 @@
         else:
             self._desk.take(source, message)
 
+    def _send_documents(self, source: str, fetch: FetchDocument) -> None:
+        for one in self._publisher.take_fetch(source, fetch, now=time.monotonic()):
+            gevent.spawn_later(one.delay_s, self.transport.send, one.target, one.message)
+
     def run(self) -> int:
         """Serve until SIGTERM; leadership is handed over first."""
         gevent.signal_handler(signal.SIGTERM, self._asked.set)
--- a/tests/components/distribution/test_distribution.py
+++ b/tests/components/distribution/test_distribution.py
@@ -3,6 +3,7 @@
 import json
 import unittest
 import zlib
+from random import Random
 
 from chivetrack.components.announcements.models import EndpointState
 from chivetrack.components.announcements.table import EndpointTable
@@ -167,9 +168,10 @@
         self.assertEqual(fixture.subscriber.take_view("p2", view, now=0.1), [])
         again = fixture.subscriber.take_view("p2", view, now=FETCH_AGAIN_S + 0.01)
         self.assertEqual(len(again), 1)
-        (sent,) = fixture.publisher.take_fetch("r1", FetchDocument(held_version=0))
+        (sent,) = fixture.publisher.take_fetch("r1", FetchDocument(held_version=0), now=0.0)
         self.assertEqual(sent.message, DocumentSent(version=2, payload=zlib.compress(b"{}")))
-        self.assertEqual(fixture.publisher.take_fetch("r1", FetchDocument(held_version=2)), [])
+        newest = FetchDocument(held_version=2)
+        self.assertEqual(fixture.publisher.take_fetch("r1", newest, now=0.0), ())
 
     def test_change_of_one_object_travels_as_a_patch(self) -> None:
         """Operators change a quota each second; the document has 600 routes.
@@ -192,7 +194,7 @@
     def fetch(self, fixture: Fixture, now: float) -> DocumentSent:
         (ask,) = fixture.exchange(now)
         assert isinstance(ask.message, FetchDocument)
-        (answer,) = fixture.publisher.take_fetch("r1", ask.message)
+        (answer,) = fixture.publisher.take_fetch("r1", ask.message, now=now)
         assert isinstance(answer.message, DocumentSent)
         fixture.subscriber.take_document(answer.message)
         return answer.message
@@ -221,6 +223,30 @@
         fixture.subscriber.take_document(DocumentSent(version=4, payload=patch, base_version=2))
         self.assertEqual((fixture.taken, fixture.unreadable), ([3], []))
 
+    def test_documents_leave_room_for_heartbeats(self) -> None:
+        """1,300 routes are added; 17 routers ask a replica for 20 kB each at once.
+
+        On 3 Mbit/s that is a second in which the leader's heartbeats come late, the others
+        elect a new one, and operators get no answer. Sent one after the other, the last
+        router still has its document well within the 2.5 s that it may take. Who asks
+        again meanwhile is not sent a second copy.
+        """
+        fixture = Fixture()
+        random = Random(1)
+        fixture.put(1, random.randbytes(20_000))
+        ask = FetchDocument(held_version=0)
+        sent = []
+        for now in (0.0, 0.2, 0.4):
+            for number in range(17):
+                sent += fixture.publisher.take_fetch(f"r{number}", ask, now=now)
+        self.assertEqual(len(sent), 17)
+        for start in range(15):
+            first, third = sent[start], sent[start + 2]
+            self.assertGreater(third.delay_s - first.delay_s, 0.15)
+        self.assertLess(sent[-1].delay_s, 2.0)
+        again = fixture.publisher.take_fetch("r0", ask, now=3.0)
+        self.assertEqual(len(again), 1)
+
     def test_change_is_pushed_by_one_replica_each_in_a_large_fleet(self) -> None:
         """Five replicas pushed each change to all of 87 routers, 35 kB of each link.
 
