Serve operators at any replica, and large documents at routers

Each replica confirmed it within 50 ms (configuration_read), but 480 kB take 1.3 s on a link of 3 Mbit/s and operators wait a second. A change sent to a follower crossed two such links, referred to the leader. Ruled out: a lost leader (it had stood for ten seconds); a coded answer (operators don't offer to take one). Change: a follower hands a change on packed, and reads after the leader has confirmed the version; documents over 200 kB are referred to a close router that holds the version. The leader is known by its address also before its members are.

--- a/chivetrack/components/distribution/messages.py
+++ b/chivetrack/components/distribution/messages.py
@@ -34,7 +34,8 @@
 
     ``run`` and ``change`` say up to which change of which process of the replica the
     endpoints are known, ``placed_change`` the placements. ``is_close``: this replica is
-    the one that hears of the router's load and tells it that of the others.
+    the one that hears of the router's load and tells it that of the others. ``reads_at``
+    is where the router hands out its document, ``host:port``.
     """
 
     router: str
@@ -45,6 +46,7 @@
     placed: tuple[PlacedPart, ...] = ()
     is_close: bool = False
     placed_change: int = 0
+    reads_at: str = ""
 
 
 @message("distribution.view")
--- a/chivetrack/components/distribution/publisher.py
+++ b/chivetrack/components/distribution/publisher.py
@@ -42,6 +42,8 @@
     placed_change: int = 0
     placed_at: float = float("-inf")
     loads: tuple[EndpointLoad, ...] = ()
+    version: int = 0
+    reads_at: str = ""
 
     def confirm(self, change: int, placed_change: int, now: float) -> None:
         """Take what the router says that it has; what is on its way may be more."""
@@ -107,6 +109,8 @@
         )
         router.is_close = follow.is_close
         router.loads = follow.loads
+        router.version = follow.version
+        router.reads_at = follow.reads_at
         if not follow.is_close:
             return [self._make_view(follow.router, router, now)]
         self.placements.note(follow.placed, now=now)
@@ -145,6 +149,14 @@
         )
         return (PacedDocument(target=source, message=sent, delay_s=delay_s),)
 
+    def list_readers(self, version: int, *, now: float) -> list[str]:
+        """Return where close routers hand out a document of this version or a newer one."""
+        return [
+            one.reads_at
+            for one in self._list_close(now).values()
+            if one.reads_at and one.version >= version
+        ]
+
     def publish(self, *, now: float) -> list[SendMessage]:
         """Push what has changed to the routers, in a large fleet only to the close ones.
 
--- a/chivetrack/components/distribution/subscriber.py
+++ b/chivetrack/components/distribution/subscriber.py
@@ -63,18 +63,20 @@
         self,
         *,
         router: str,
+        reads_at: str,
         seeds: Sequence[str],
         table: EndpointTable,
         take_document: Callable[[int, bytes], None],
         note_unreadable: Callable[[int, str], None],
         get_news: Callable[[], OwnNews],
     ) -> None:
-        """Take the own name, the addresses of the first replicas and the ways out.
+        """Take the own addresses, those of the first replicas and the ways out.
 
         ``take_document`` gets the version and the document as the operator sent it,
         ``note_unreadable`` the version and what was wrong with what a replica sent.
         """
         self._router = router
+        self._reads_at = reads_at
         self._seeds = tuple(seeds)
         self._table = table
         self._take_document = take_document
@@ -136,6 +138,7 @@
             placed=news.placed,
             is_close=True,
             placed_change=replica.placed_change,
+            reads_at=self._reads_at,
         )
         return [SendMessage(target=name, message=follow)]
 
@@ -216,6 +219,10 @@
         self._body = read.ok
         self._take_document(sent.version, read.ok)
 
+    def find_body(self, min_version: int) -> bytes | None:
+        """Return the document held, as the operator sent it, if it is new enough."""
+        return self._body if self._body and self.version >= min_version else None
+
     def _read(self, sent: DocumentSent) -> Result[bytes, PatchError]:
         if sent.base_version:
             return apply_patch(self._body, sent.payload)
--- a/chivetrack/daemon/fleet/const.py
+++ b/chivetrack/daemon/fleet/const.py
@@ -52,6 +52,17 @@
 READ_TIMEOUT_S: Final = 0.8
 """Operators go to another replica after a second."""
 
+FORWARD_TIMEOUT_S: Final = 0.7
+"""How long a follower waits for the leader before it refers the operator to it."""
+
+LARGE_DOCUMENT_BYTES: Final = 200_000
+"""Larger ones are read at routers: these take over half a second on a link of 3 Mbit/s, and
+operators wait a second."""
+
+APPLY_WAIT_S: Final = 0.5
+"""How long a follower waits for the newest document, which the leader has told it of; a
+document of 24 kB takes 65 ms on a link of 3 Mbit/s, and heartbeats come each 0.1 s."""
+
 REPAIR_EVERY_S: Final = 0.1
 SEEK_EVERY_S: Final = 0.25
 LEADER_SILENT_S: Final = 1.5
--- a/chivetrack/daemon/fleet/desk.py
+++ b/chivetrack/daemon/fleet/desk.py
@@ -14,32 +14,15 @@
 )
 from chivetrack.components.announcements.table import EndpointTable
 from chivetrack.components.distribution.messages import RecordsTaken, SpreadRecords
-from chivetrack.components.document.store import (
-    DocumentStore,
-    PutOutcome,
-    StoredDocument,
-    pack_document,
-)
-from chivetrack.components.replica.models import NotLeaderFault
+from chivetrack.components.document.store import StoredDocument
 from chivetrack.components.traffic.models import Document
-from chivetrack.daemon.fleet.const import (
-    FOUNDING_GRACE_S,
-    PROPOSE_TIMEOUT_S,
-    READ_TIMEOUT_S,
-    SPREAD_WAIT_S,
-)
-from chivetrack.daemon.fleet.log_host import LogHost
-from chivetrack.exceptions import Fault, Ran
-from chivetrack.helpers.codec import Message, decode_as, encode
+from chivetrack.daemon.fleet.const import SPREAD_WAIT_S
+from chivetrack.daemon.fleet.documents import DocumentDesk, make_unavailable
+from chivetrack.exceptions import Fault
+from chivetrack.helpers.codec import Message
 from chivetrack.helpers.events import EventLog
 from chivetrack.platform.control_api import Elsewhere
 
-_RETRY_S = 0.3
-
-
-def _make_fault(code: str, message: str) -> Fault:
-    return Fault(code=code, message=message, status=503, ran=Ran.NO, retry_after_s=_RETRY_S)
-
 
 class _Spread:
     """A statement on its way to the other replicas."""
@@ -62,19 +45,17 @@
         self,
         *,
         instance_id: str,
-        control_port: int,
-        host: LogHost,
-        store: DocumentStore,
+        documents: DocumentDesk,
+        list_replicas: Callable[[], tuple[str, ...]],
         table: EndpointTable,
         send: Callable[[str, Message], None],
         push: Callable[[], None],
         events: EventLog,
     ) -> None:
-        """Take the log and the table; ``push`` tells the routers of a change."""
+        """Take the table; ``push`` tells the routers of a change."""
         self._instance_id = instance_id
-        self._control_port = control_port
-        self._host = host
-        self._store = store
+        self._documents = documents
+        self._list_replicas = list_replicas
         self._table = table
         self._send = send
         self._push = push
@@ -82,64 +63,13 @@
         self._numbers = itertools.count(1)
         self._spreads: dict[int, _Spread] = {}
 
-    # Operators
-
     def put(self, document: Document, body: bytes) -> Result[int, Fault | Elsewhere]:
         """Commit a document and return the version in force."""
-        outcome = self._put(document, body)
-        self._events.write(
-            "configuration_sent",
-            version=document.version,
-            held=self._store.current.version,
-            outcome="acknowledged" if outcome.is_ok() else type(outcome.error).__name__,
-            detail="" if outcome.is_ok() else str(outcome.error)[:200],
-        )
-        return outcome
-
-    def _put(self, document: Document, body: bytes) -> Result[int, Fault | Elsewhere]:
-        replica = self._host.replica
-        if not self._host.is_leader or replica is None:
-            return Error(self._refer())
-        if self._is_founding():
-            return Error(_make_fault("founding", "not all replicas have joined yet"))
-        if document.version <= self._store.current.version:
-            # A resend, or an older one: nothing changes, so the log needs no entry.
-            confirmed = replica.confirm_read(timeout_s=READ_TIMEOUT_S)
-            if confirmed.is_error():
-                return Error(self._refer_after(confirmed.error))
-            return Ok(self._store.current.version)
-        stored = StoredDocument(version=document.version, payload=pack_document(body))
-        result = replica.propose(encode(stored), timeout_s=PROPOSE_TIMEOUT_S)
-        if result.is_error():
-            return Error(self._refer_after(result.error))
-        return Ok(decode_as(PutOutcome, result.ok).version)
-
-    def _is_founding(self) -> bool:
-        if self._store.current.version or self._host.has_all_voters:
-            return False
-        return time.monotonic() - self._host.leads_since < FOUNDING_GRACE_S
+        return self._documents.put(document, body)
 
     def read(self) -> Result[StoredDocument, Fault | Elsewhere]:
-        """Return the newest document, once a quorum has confirmed that this replica leads."""
-        replica = self._host.replica
-        if not self._host.is_leader or replica is None:
-            return Error(self._refer())
-        confirmed = replica.confirm_read(timeout_s=READ_TIMEOUT_S)
-        if confirmed.is_error():
-            return Error(self._refer_after(confirmed.error))
-        if not self._store.current.version:
-            return Error(_make_fault("no_configuration", "no configuration was sent yet"))
-        return Ok(self._store.current)
-
-    def _refer(self) -> Fault | Elsewhere:
-        leader = self._host.get_leader()
-        if not leader or leader == self._instance_id:
-            return _make_fault("no_leader", "no replica leads at the moment")
-        host = leader.rpartition(":")[0]
-        return Elsewhere(address=f"{host}:{self._control_port}")
-
-    def _refer_after(self, fault: Fault) -> Fault | Elsewhere:
-        return self._refer() if isinstance(fault, NotLeaderFault) else fault
+        """Return the newest document."""
+        return self._documents.read()
 
     # Endpoints
 
@@ -174,7 +104,7 @@
         self._events.write("endpoint_said", **record.describe())
 
     def _list_others(self) -> list[str]:
-        return [one for one in self._host.list_instances() if one != self._instance_id]
+        return [one for one in self._list_replicas() if one != self._instance_id]
 
     def _spread(self, record: EndpointRecord) -> None:
         for target in self._list_others():
@@ -196,10 +126,12 @@
         if is_known:
             return Ok(None)
         self._events.write("departure_not_spread", endpoint=record.endpoint_id)
-        return Error(_make_fault("no_majority", "too few replicas know of it yet"))
+        return Error(make_unavailable("no_majority", "too few replicas know of it yet"))
 
     def take(self, source: str, message: Message) -> bool:
         """Take a message of another replica; return whether it was for the desk."""
+        if self._documents.take(source, message):
+            return True
         if isinstance(message, RecordsTaken):
             spread = self._spreads.get(message.number)
             if spread is not None:
--- /dev/null
+++ b/chivetrack/daemon/fleet/documents.py
@@ -0,0 +1,233 @@
+"""What a replica does for operators: it commits documents and reads the newest one."""
+
+import itertools
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import gevent
+from expression import Error, Ok, Result
+from gevent.event import Event as Signal
+
+from chivetrack.components.document.messages import ConfirmVersion, ForwardedPut, LeaderAnswer
+from chivetrack.components.document.store import (
+    DocumentStore,
+    PutOutcome,
+    StoredDocument,
+    pack_document,
+    unpack_document,
+)
+from chivetrack.components.replica.models import NotLeaderFault
+from chivetrack.components.traffic.models import Document
+from chivetrack.daemon.fleet.const import (
+    APPLY_WAIT_S,
+    FORWARD_TIMEOUT_S,
+    FOUNDING_GRACE_S,
+    LARGE_DOCUMENT_BYTES,
+    PROPOSE_TIMEOUT_S,
+    READ_TIMEOUT_S,
+)
+from chivetrack.daemon.fleet.log_host import LogHost
+from chivetrack.exceptions import Fault, Ran
+from chivetrack.helpers.codec import Message, decode_as, encode
+from chivetrack.helpers.events import EventLog
+from chivetrack.platform.control_api import Elsewhere
+
+_RETRY_S = 0.3
+_POLL_S = 0.02
+
+
+def make_unavailable(code: str, message: str) -> Fault:
+    """Return the fault for a call that another replica, or this one later, may answer."""
+    return Fault(code=code, message=message, status=503, ran=Ran.NO, retry_after_s=_RETRY_S)
+
+
+@dataclass(slots=True)
+class _Waiting:
+    """A call that the leader has not answered yet."""
+
+    done: Signal = field(default_factory=Signal)
+    answer: LeaderAnswer | None = None
+
+
+class DocumentDesk:
+    """Serves operators at any replica.
+
+    A follower hands what it is asked on to the leader, packed, and answers itself. Were the
+    operator sent to the leader instead, 480 kB of 1,600 routes would cross two links of
+    3 Mbit/s one after the other, and all reads would share the leader's; the operator
+    gives up after some seconds. A leader that doesn't answer a follower may still answer
+    the operator, who is referred to it then.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance_id: str,
+        control_port: int,
+        host: LogHost,
+        store: DocumentStore,
+        send: Callable[[str, Message], None],
+        list_readers: Callable[[int], list[str]],
+        events: EventLog,
+    ) -> None:
+        """Take the log and the state machine that it feeds.
+
+        ``list_readers`` tells at which addresses a version can be read as well.
+        """
+        self._instance_id = instance_id
+        self._control_port = control_port
+        self._host = host
+        self._store = store
+        self._send = send
+        self._list_readers = list_readers
+        self._events = events
+        self._numbers = itertools.count(1)
+        self._waiting: dict[int, _Waiting] = {}
+
+    def put(self, document: Document, body: bytes) -> Result[int, Fault | Elsewhere]:
+        """Commit a document and return the version in force."""
+        stored = StoredDocument(version=document.version, payload=pack_document(body))
+        if self._host.is_leader:
+            outcome = self._commit(stored)
+        else:
+            number = next(self._numbers)
+            outcome = self._ask_leader(ForwardedPut(number=number, data=encode(stored)))
+        self._log("configuration_sent", document.version, outcome)
+        return outcome
+
+    def read(self) -> Result[StoredDocument, Fault | Elsewhere]:
+        """Return the newest document, once a quorum has confirmed which one that is."""
+        if self._host.is_leader:
+            newest = self._confirm()
+        else:
+            newest = self._ask_leader(ConfirmVersion(number=next(self._numbers)))
+        self._log("configuration_read", self._store.current.version, newest)
+        if newest.is_error():
+            return Error(newest.error)
+        if not newest.ok:
+            return Error(make_unavailable("no_configuration", "no configuration was sent yet"))
+        if not self._wait_until_applied(newest.ok):
+            return Error(make_unavailable("behind", "this replica lacks the newest one yet"))
+        return self._hand_out(self._store.current)
+
+    def _hand_out(self, document: StoredDocument) -> Result[StoredDocument, Fault | Elsewhere]:
+        """Return a document, or a router that has it where it is large.
+
+        Links of routers are wider. 480 kB of 1,600 routes take 1.3 s on 3 Mbit/s, longer
+        than operators wait.
+        """
+        if len(unpack_document(document.payload)) <= LARGE_DOCUMENT_BYTES:
+            return Ok(document)
+        readers = self._list_readers(document.version)
+        if not readers:
+            return Ok(document)
+        return Error(Elsewhere(address=random.choice(readers), min_version=document.version))
+
+    def _log(self, event: str, version: int, outcome: Result[int, Fault | Elsewhere]) -> None:
+        self._events.write(
+            event,
+            version=version,
+            held=self._store.current.version,
+            leads=self._host.is_leader,
+            outcome="done" if outcome.is_ok() else type(outcome.error).__name__,
+            detail=str(outcome.ok if outcome.is_ok() else outcome.error)[:200],
+        )
+
+    def _wait_until_applied(self, version: int) -> bool:
+        ends_at = time.monotonic() + APPLY_WAIT_S
+        while self._store.current.version < version and time.monotonic() < ends_at:
+            gevent.sleep(_POLL_S)
+        return self._store.current.version >= version
+
+    # At the leader
+
+    def _commit(self, stored: StoredDocument) -> Result[int, Fault | Elsewhere]:
+        replica = self._host.replica
+        if replica is None:
+            return Error(self._refer())
+        if self._is_founding():
+            return Error(make_unavailable("founding", "not all replicas have joined yet"))
+        if stored.version <= self._store.current.version:
+            # A resend, or an older one: nothing changes, so the log needs no entry.
+            return self._confirm()
+        result = replica.propose(encode(stored), timeout_s=PROPOSE_TIMEOUT_S)
+        if result.is_error():
+            return Error(self._refer_after(result.error))
+        return Ok(decode_as(PutOutcome, result.ok).version)
+
+    def _confirm(self) -> Result[int, Fault | Elsewhere]:
+        """Return the version in force, after a quorum has confirmed that this replica leads."""
+        replica = self._host.replica
+        if replica is None:
+            return Error(self._refer())
+        confirmed = replica.confirm_read(timeout_s=READ_TIMEOUT_S)
+        if confirmed.is_error():
+            return Error(self._refer_after(confirmed.error))
+        return Ok(self._store.current.version)
+
+    def _is_founding(self) -> bool:
+        if self._store.current.version or self._host.has_all_voters:
+            return False
+        return time.monotonic() - self._host.leads_since < FOUNDING_GRACE_S
+
+    # At a follower
+
+    def _ask_leader(self, call: ForwardedPut | ConfirmVersion) -> Result[int, Fault | Elsewhere]:
+        leader = self._host.get_leader()
+        if not leader or leader == self._instance_id:
+            return Error(self._refer())
+        waiting = self._waiting[call.number] = _Waiting()
+        self._send(leader, call)
+        waiting.done.wait(FORWARD_TIMEOUT_S)
+        del self._waiting[call.number]
+        answer = waiting.answer
+        if answer is None:
+            return Error(self._refer())
+        if not answer.is_done:
+            return Error(make_unavailable("leader_failed", "the leader could not do it now"))
+        return Ok(answer.version)
+
+    def _refer(self) -> Fault | Elsewhere:
+        leader = self._host.get_leader()
+        if not leader or leader == self._instance_id:
+            return make_unavailable("no_leader", "no replica leads at the moment")
+        host = leader.rpartition(":")[0]
+        return Elsewhere(address=f"{host}:{self._control_port}")
+
+    def _refer_after(self, fault: Fault) -> Fault | Elsewhere:
+        return self._refer() if isinstance(fault, NotLeaderFault) else fault
+
+    # Messages
+
+    def take(self, source: str, message: Message) -> bool:
+        """Take a message of another replica; return whether it was about documents."""
+        if isinstance(message, ForwardedPut | ConfirmVersion):
+            gevent.spawn(self._answer, source, message)
+            return True
+        if not isinstance(message, LeaderAnswer):
+            return False
+        waiting = self._waiting.get(message.number)
+        if waiting is not None:
+            waiting.answer = message
+            waiting.done.set()
+        return True
+
+    def _answer(self, source: str, call: ForwardedPut | ConfirmVersion) -> None:
+        outcome = self._carry_out(call)
+        if outcome.is_error():
+            answer = LeaderAnswer(number=call.number, is_done=False)
+        else:
+            answer = LeaderAnswer(number=call.number, is_done=True, version=outcome.ok)
+        self._send(source, answer)
+
+    def _carry_out(self, call: ForwardedPut | ConfirmVersion) -> Result[int, Fault | Elsewhere]:
+        if not self._host.is_leader:
+            return Error(self._refer())
+        if isinstance(call, ConfirmVersion):
+            return self._confirm()
+        stored = decode_as(StoredDocument, call.data)
+        outcome = self._commit(stored)
+        self._log("configuration_forwarded", stored.version, outcome)
+        return outcome
--- a/chivetrack/daemon/fleet/log_host.py
+++ b/chivetrack/daemon/fleet/log_host.py
@@ -150,10 +150,14 @@
         return self.replica.get_status().consensus.members
 
     def get_leader(self) -> str:
-        """Return the instance that leads as far as it is known here, or an empty text."""
+        """Return the instance that leads as far as it is known here, or an empty text.
+
+        Before a replica has learnt the members it knows the leader by its replica id.
+        """
         if self.replica is None:
             return ""
-        return self.replica.get_status().consensus.leader_instance
+        leader = self.replica.get_status().consensus.leader_instance
+        return self._sources.get(leader, leader)
 
     def list_instances(self) -> tuple[str, ...]:
         """Return the instances of all members."""
--- a/chivetrack/daemon/fleet/replica.py
+++ b/chivetrack/daemon/fleet/replica.py
@@ -18,6 +18,7 @@
 from chivetrack.components.document.store import DocumentStore, StoredDocument, unpack_document
 from chivetrack.daemon.fleet.const import FLUSH_S, TIDY_EVERY_S, TRAFFIC_EVERY
 from chivetrack.daemon.fleet.desk import Desk
+from chivetrack.daemon.fleet.documents import DocumentDesk
 from chivetrack.daemon.fleet.log_host import LogHost
 from chivetrack.daemon.fleet.metrics import Metrics, open_metrics_server
 from chivetrack.daemon.fleet.peering import TrafficLog, list_seed_peers, make_transport, send_all
@@ -64,11 +65,21 @@
             table=self._table,
             list_replicas=self.host.list_instances,
         )
-        self._desk = Desk(
+        documents = DocumentDesk(
             instance_id=own,
             control_port=listeners.control.port,
             host=self.host,
             store=self._store,
+            send=self.transport.send,
+            list_readers=lambda version: self._publisher.list_readers(
+                version, now=time.monotonic()
+            ),
+            events=events,
+        )
+        self._desk = Desk(
+            instance_id=own,
+            documents=documents,
+            list_replicas=self.host.list_instances,
             table=self._table,
             send=self.transport.send,
             push=self._push_soon,
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -33,6 +33,7 @@
 from chivetrack.helpers.sections.base import Address
 from chivetrack.helpers.timer import TimerService
 from chivetrack.platform.configuration import read_document
+from chivetrack.platform.control_api import add_document_route
 from chivetrack.platform.paths import PATH_READY
 
 _POLL_S = 0.02
@@ -67,6 +68,7 @@
         self.view.listeners.append(self._take_limits)
         self.subscriber = Subscriber(
             router=str(settings.listeners.peer),
+            reads_at=str(settings.listeners.ready),
             seeds=list_seed_peers(settings),
             table=self.view.endpoints,
             take_document=self.view.take_document,
@@ -103,6 +105,7 @@
             return HTTPResponse(body=b"", status=200 if self.is_ready() else 503)
 
         app.route(PATH_READY, "GET", show_ready)
+        add_document_route(app, self.subscriber.find_body)
         return app
 
     def is_ready(self) -> bool:
--- a/chivetrack/platform/control_api.py
+++ b/chivetrack/platform/control_api.py
@@ -15,14 +15,20 @@
 from chivetrack.platform.announcements import read_departure, read_heartbeat
 from chivetrack.platform.configuration import read_document, render_findings
 
+# Not the platform's: only a replica of ours sends operators to it.
+_QUERY_VERSION = "version"
 _JSON = {"Content-Type": "application/json"}
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Elsewhere:
-    """Another replica has to be asked; ``address`` is its ``host:port``."""
+    """Another instance has to be asked; ``address`` is its ``host:port``.
+
+    With ``min_version`` it hands out its document if that is this new.
+    """
 
     address: str
+    min_version: int = 0
 
 
 class ControlDesk(Protocol):
@@ -88,13 +94,27 @@
     return app
 
 
+def add_document_route(app: Bottle, find_body: Callable[[int], bytes | None]) -> None:
+    """Let a router hand out its document to operators whom a replica has sent on."""
+
+    def get_config() -> HTTPResponse:
+        asked = request.query.get(_QUERY_VERSION, "")
+        body = find_body(int(asked)) if asked.isdigit() else None
+        if body is None:
+            return _answer(503, {"error": "behind"})
+        return HTTPResponse(body=body, status=200, headers=_JSON)
+
+    app.route("/config", "GET", get_config)
+
+
 def _answer(status: int, document: object) -> HTTPResponse:
     return HTTPResponse(body=msgspec.json.encode(document), status=status, headers=_JSON)
 
 
 def _refuse(refusal: Fault | Elsewhere, path: str) -> HTTPResponse:
     if isinstance(refusal, Elsewhere):
-        headers = {**_JSON, "Location": f"http://{refusal.address}{path}"}
+        query = f"?{_QUERY_VERSION}={refusal.min_version}" if refusal.min_version else ""
+        headers = {**_JSON, "Location": f"http://{refusal.address}{path}{query}"}
         return HTTPResponse(body=b"{}", status=307, headers=headers)
     headers = dict(_JSON)
     if refusal.retry_after_s is not None:
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import urllib3
+from bottle import Bottle
 from expression import Error, Ok, Result
 from gevent.pywsgi import WSGIServer
 from gevent.threadpool import ThreadPool
@@ -16,7 +17,7 @@
 from chivetrack.exceptions import Fault
 from chivetrack.platform.announcements import read_departure, read_heartbeat
 from chivetrack.platform.configuration import read_document
-from chivetrack.platform.control_api import Elsewhere, build_control_app
+from chivetrack.platform.control_api import Elsewhere, add_document_route, build_control_app
 
 ROUTE = {
     "name": "r",
@@ -199,6 +200,19 @@
         self.assertEqual((answer.status, answer.headers["Retry-After"]), (503, "0.3"))
         self.assertEqual(self.ask("DELETE", "/instances/i-1").status, 503)
 
+    def test_large_document_at_a_router(self) -> None:
+        """A replica sends the operator on; the router must have the version, or say 503."""
+        self.desk.outcome = Error(Elsewhere(address="10.0.0.9:8220", min_version=7))
+        answer = self.ask("GET", "/config")
+        self.assertEqual(answer.headers["Location"], "http://10.0.0.9:8220/config?version=7")
+        app = Bottle()
+        add_document_route(app, lambda version: b"{}" if version <= 7 else None)
+        self.server.application = app
+        answer = self.ask("GET", "/config?version=7")
+        self.assertEqual((answer.status, answer.data), (200, b"{}"))
+        for query in ("?version=8", "?version=x", ""):
+            self.assertEqual(self.ask("GET", "/config" + query).status, 503)
+
     def test_endpoints(self) -> None:
         answer = self.ask("PUT", "/instances/i-1", json.dumps(BEAT).encode())
         self.assertEqual(answer.status, 200)
