Part the health of endpoints from the view of the fleet

Cause: FleetView had grown to 336 lines, a third of them breakers, outcomes of the fleet and addresses that another endpoint holds; what was known of an endpoint that had left was kept for ever. Ruled out: moving them into the chooser, which is free of clocks and logs. Change: daemon/fleet/health.py; what is known of an endpoint goes when it leaves. Figures: none, no change of decisions meant; its tests pass unchanged but for the name of the part that they call.

--- a/chivetrack/daemon/fleet/fleet_view.py
+++ b/chivetrack/daemon/fleet/fleet_view.py
@@ -3,20 +3,15 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from random import Random
 
-import msgspec
 from gevent.event import Event as Signal
 
 from chivetrack.components.announcements.models import EndpointRecord, EndpointState
 from chivetrack.components.announcements.table import EndpointTable
 from chivetrack.components.deployment.settings import BoundSettings
 from chivetrack.components.distribution.const import MANY_ROUTERS
-from chivetrack.components.distribution.messages import EndpointLoad, View
+from chivetrack.components.distribution.messages import View
 from chivetrack.components.distribution.subscriber import OwnNews
-from chivetrack.components.endpoints.breaker import Breaker, BreakerState
-from chivetrack.components.endpoints.models import OutcomeKind
-from chivetrack.components.endpoints.outcomes import HeldChange, OutcomeTable
 from chivetrack.components.placement.choice import Candidate, Choice, Chooser, Source
 from chivetrack.components.placement.loads import LoadTable
 from chivetrack.components.placement.parts import (
@@ -24,17 +19,13 @@
     MIN_TOLD_TOKENS,
     PartBook,
 )
-from chivetrack.components.retries.sending import SendEnd
 from chivetrack.components.retries.window import RetryWindow
 from chivetrack.components.traffic.models import Document
 from chivetrack.components.traffic.table import RouteTable
 from chivetrack.daemon.fleet.calls import Call
+from chivetrack.daemon.fleet.health import EndpointHealth
 from chivetrack.helpers.events import EventLog
 
-# Until its replicas give up an endpoint whose address another one holds: two heartbeats
-# after which the successor is known, and as much again.
-MISDIRECTED_FOR_S = 5.0
-
 # A router that is cut off, or asks a replica that is, sees few others. Were its part of the
 # budget to grow at once, the parts together would exceed it. At a word each 0.3 s, the
 # count halves in 20 s, two windows of the budget.
@@ -47,12 +38,6 @@
 # 260,000 to 547,000.
 DEFAULT_MEMORY_TOKENS = 500_000
 
-_OUTCOME_KINDS = {
-    SendEnd.NOT_SENT: OutcomeKind.CONNECT,
-    SendEnd.MAYBE_RAN: OutcomeKind.CUT,
-    SendEnd.FAILED: OutcomeKind.ANSWER,
-}
-
 
 class FleetView:
     """Joins what replicas tell with what this router sees itself."""
@@ -76,16 +61,14 @@
         self.endpoints = EndpointTable()
         self.loads = LoadTable()
         self.parts = PartBook()
-        self._outcomes = OutcomeTable(random=Random(), note_change=self._note_held)
+        self.health = EndpointHealth(events=events)
         self._chooser = Chooser(zone=zone, loads=self.loads, parts=self.parts)
-        self._breakers: dict[str, Breaker] = {}
         self._windows: dict[str, RetryWindow] = {}
         self._silent: frozenset[str] = frozenset()
         self._by_service: dict[str, list[EndpointRecord]] = {}
         self._sources: dict[str, list[EndpointRecord]] = {}
         self._born: dict[str, int] = {}
         self._seen_at: dict[str, float] = {}
-        self._misdirected: dict[str, float] = {}
         self._seen_change = -1
         self._routers = FIRST_ROUTERS
         self.has_view = False
@@ -130,7 +113,7 @@
             self._routers = max(view.routers, self._routers * ROUTERS_KEPT)
             self._silent = frozenset(view.silent)
             self.loads.take_others(view.loads, now=now)
-            self._outcomes.take_others(view.loads, now=now)
+            self.health.take_others(view.loads, now=now)
             self.parts.take_news(view.placed, now=now, capacity=self._memory_tokens)
         if self.table is not None and self._by_service:
             self._ready.set()
@@ -160,28 +143,19 @@
             # A new lifetime under the id starts with an empty memory and a clean record.
             self._born[record.endpoint_id] = record.born
             self._seen_at[record.endpoint_id] = time.monotonic()
-            self._misdirected.pop(record.endpoint_id, None)
             self.parts.forget(record.endpoint_id)
-            self._breakers.pop(record.endpoint_id, None)
-            self._outcomes.forget(record.endpoint_id)
+            self.health.forget(record.endpoint_id)
             self._forget_endpoint(record.endpoint_id)
         if record.state is not EndpointState.READY:
             self._forget_endpoint(record.endpoint_id)
+        if record.state is EndpointState.LEFT:
+            self.health.forget(record.endpoint_id)
 
     def get_news(self) -> OwnNews:
         """Return what the other routers should know of this one."""
         now = time.monotonic()
-        return OwnNews(loads=self._list_own(now), placed=tuple(self.parts.list_news(now)))
-
-    def _list_own(self, now: float) -> tuple[EndpointLoad, ...]:
-        """Return what this router uses of each endpoint and how its tries ended there."""
-        loads = {one.endpoint_id: one for one in self.loads.list_own()}
-        for endpoint_id in self._outcomes.list_endpoints():
-            answered, failed = self._outcomes.count_own(endpoint_id, now)
-            if answered or failed:
-                load = loads.get(endpoint_id, EndpointLoad(endpoint_id=endpoint_id, running=0))
-                loads[endpoint_id] = msgspec.structs.replace(load, answered=answered, failed=failed)
-        return tuple(loads.values())
+        loads = self.health.add_outcomes(self.loads.list_own(), now=now)
+        return OwnNews(loads=loads, placed=tuple(self.parts.list_news(now)))
 
     # Choosing
 
@@ -200,26 +174,13 @@
         )
 
     def _list_candidates(self, call: Call, now: float) -> list[Candidate]:
-        """Return who may be chosen.
-
-        Where every circuit breaker of a service is open, the service as a whole is in
-        trouble and not one endpoint of it. Refusing all would turn a share of failures
-        into failures throughout, so all are tried again then. Likewise no more than half
-        are held back by what the fleet has seen: the rest would drown.
-        """
         tried = {one.endpoint_id for one in call.tries}
         left = [
             Candidate(record=record, is_silent=record.endpoint_id in self._silent)
             for record in self._by_service.get(call.service, ())
-            if record.endpoint_id not in tried and not self._is_misdirected(record, now)
+            if record.endpoint_id not in tried
         ]
-        closed = [one for one in left if self._lets_through(one.record.endpoint_id, now)]
-        let_in = [one for one in closed if self._outcomes.lets_through(one.record.endpoint_id, now)]
-        return (let_in if 2 * len(let_in) >= len(left) else closed) or left
-
-    def _is_misdirected(self, record: EndpointRecord, now: float) -> bool:
-        at = self._misdirected.get(record.endpoint_id, float("-inf"))
-        return now - at < MISDIRECTED_FOR_S
+        return self.health.choose_sound(left, now=now)
 
     def _list_sources(self, service: str, now: float) -> list[Source]:
         return [
@@ -234,26 +195,12 @@
         """Return how many endpoints of a service are known as ready."""
         return len(self._by_service.get(service, ()))
 
-    def note_other_instance(self, endpoint_id: str) -> None:
-        """Leave out an endpoint at whose address another one has answered."""
-        self._misdirected[endpoint_id] = time.monotonic()
-        self._events.write("endpoint_misdirected", endpoint=endpoint_id)
-
-    def _lets_through(self, endpoint_id: str, now: float) -> bool:
-        breaker = self._breakers.get(endpoint_id)
-        if breaker is None:
-            return True
-        breaker.tick(now)
-        return breaker.lets_through
-
     @contextmanager
     def use(self, call: Call, choice: Choice) -> Iterator[None]:
         """Count a request at an endpoint for as long as it is there."""
         endpoint_id = choice.record.endpoint_id
         now = time.monotonic()
-        breaker = self._breakers.get(endpoint_id)
-        if breaker is not None:
-            breaker.record_attempt(now)
+        self.health.note_attempt(endpoint_id, now=now)
         if call.facts.parts:
             capacity = self._memory_tokens
             self.parts.note(
@@ -282,34 +229,6 @@
         if call.first_event_at is None:
             self.loads.begin(choice.record.endpoint_id, choice.missing_tokens)
 
-    def note_outcome(self, endpoint_id: str, end: SendEnd | None) -> None:
-        """Tell the endpoint's circuit breaker how a try ended; a refusal is no failure."""
-        if end is SendEnd.REFUSED:
-            return
-        now = time.monotonic()
-        self._outcomes.note(endpoint_id, ok=end is None, now=now)
-        breaker = self._breakers.get(endpoint_id)
-        if breaker is None:
-            breaker = self._breakers[endpoint_id] = Breaker(now=now)
-        before = breaker.state
-        kind = OutcomeKind.ANSWER if end is None else _OUTCOME_KINDS[end]
-        breaker.record(ok=end is None, kind=kind, now=now)
-        if breaker.state is not before and BreakerState.OPEN in (before, breaker.state):
-            self._events.write(
-                "breaker_changed",
-                endpoint=endpoint_id,
-                state=breaker.state.value,
-                reason=breaker.reason,
-            )
-
-    def _note_held(self, change: HeldChange) -> None:
-        self._events.write(
-            "endpoint_held" if change.is_held else "endpoint_let_in",
-            endpoint=change.endpoint_id,
-            answered=change.answered,
-            failed=change.failed,
-        )
-
     # Retry budget
 
     def _get_window(self, service: str) -> RetryWindow:
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -208,13 +208,15 @@
             result = self._forwarder.send(call, choice, may_repeat=may_repeat)
             call.tries.pop()
         if result.end is None:
-            self._view.note_outcome(endpoint_id, SendEnd.FAILED if result.status >= 500 else None)
+            self._view.health.note_outcome(
+                endpoint_id, SendEnd.FAILED if result.status >= 500 else None
+            )
             self._log_try(call, choice, "answered", f"status {result.status}")
             return True
         call.tries.append(make_tried(choice, result))
         if result.is_other_instance:
-            self._view.note_other_instance(endpoint_id)
-        self._view.note_outcome(endpoint_id, result.end)
+            self._view.health.note_other_instance(endpoint_id)
+        self._view.health.note_outcome(endpoint_id, result.end)
         self._log_try(call, choice, result.end.value, result.detail)
         return False
 
--- a/tests/daemon/fleet/test_fleet_view.py
+++ b/tests/daemon/fleet/test_fleet_view.py
@@ -76,7 +76,7 @@
         record = make_record(service="portal")
         self.take(record)
         self.assertEqual(self.choose("portal"), "e1")
-        self.view.note_other_instance("e1")
+        self.view.health.note_other_instance("e1")
         self.assertEqual(self.choose("portal"), "")
         self.take(make_record(1, service="portal", born=2000), change=2)
         self.assertEqual(self.choose("portal"), "e1")
@@ -94,13 +94,13 @@
         first = make_record(service="portal")
         self.take(first, make_record(service="portal", endpoint_id="e2"))
         for _ in range(20):
-            self.view.note_outcome("e1", SendEnd.REFUSED)
+            self.view.health.note_outcome("e1", SendEnd.REFUSED)
         self.assertIn("e1", {self.choose("portal"), "e1"})
         for _ in range(20):
-            self.view.note_outcome("e1", SendEnd.NOT_SENT)
+            self.view.health.note_outcome("e1", SendEnd.NOT_SENT)
         self.assertEqual({self.choose("portal") for _ in range(5)}, {"e2"})
         for _ in range(20):
-            self.view.note_outcome("e2", SendEnd.FAILED)
+            self.view.health.note_outcome("e2", SendEnd.FAILED)
         self.assertNotEqual(self.choose("portal"), "")
 
     def test_endpoint_that_fails_at_other_routers(self) -> None:
@@ -116,8 +116,8 @@
 
     def test_word_to_others_tells_how_tries_ended(self) -> None:
         self.take(make_record(service="portal"))
-        self.view.note_outcome("e1", None)
-        self.view.note_outcome("e1", SendEnd.NOT_SENT)
+        self.view.health.note_outcome("e1", None)
+        self.view.health.note_outcome("e1", SendEnd.NOT_SENT)
         (load,) = self.view.get_news().loads
         self.assertEqual((load.running, load.answered, load.failed), (0, 1, 1))
 
