Open the callers' listener before the rest of a router is loaded

Cause: after all processes were killed, callers come back while routers start. The listener was opened after all imports, so each connection in that time was reset and used up one of the caller's few tries.

Ruled out: that replicas were the slow part; routers had their configuration 0.25 s after their listeners opened, and requests that were accepted by then were served.

Change: `daemon/fleet/early.py` reads two keys of the settings and listens, before gevent, gRPC and pydantic are imported; connections wait in the kernel's queue. The server takes the socket over. A first try passed the library a backlog together with the socket, which it refuses: routers ended at their start. The new server test shows it.

--- a/chivetrack/daemon/fleet/__main__.py
+++ b/chivetrack/daemon/fleet/__main__.py
@@ -5,6 +5,11 @@
 # Nothing of what is imported becomes garbage; looking for it takes a fifth of the start.
 gc.disable()
 
+from chivetrack.daemon.fleet.early import ENV_SETTINGS, open_callers_listener  # noqa: E402
+
+# Before all that takes time to load.
+EARLY_LISTENER = open_callers_listener()
+
 from gevent import get_hub, monkey  # noqa: E402
 
 monkey.patch_all()
@@ -43,7 +48,7 @@
     else:
         from chivetrack.daemon.fleet.router import Router
 
-        run = Router(settings=settings, events=events).run
+        run = Router(settings=settings, events=events, listener=EARLY_LISTENER).run
     gc.freeze()
     gc.enable()
     return run()
@@ -65,9 +70,7 @@
 
 @APP.command()
 def run_process(
-    config: Annotated[
-        Path, typer.Option(envvar="CHIVETRACK_SETTINGS", help="The settings file (TOML).")
-    ],
+    config: Annotated[Path, typer.Option(envvar=ENV_SETTINGS, help="The settings file (TOML).")],
 ) -> None:
     """Run one router or replica until SIGTERM.
 
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -1,6 +1,7 @@
 """The router process: callers on one side, endpoints on the other."""
 
 import signal
+import socket
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
@@ -48,8 +49,17 @@
 class Router:
     """Owns the listeners and loops of a router; ``run`` serves until a stop has ended."""
 
-    def __init__(self, *, settings: DeploymentSettings, events: EventLog) -> None:
-        """Build all parts; nothing listens before ``run``."""
+    def __init__(
+        self,
+        *,
+        settings: DeploymentSettings,
+        events: EventLog,
+        listener: socket.socket | None = None,
+    ) -> None:
+        """Build all parts; nothing is accepted before ``run``.
+
+        ``listener`` is the callers' one if it is open already.
+        """
         self._settings = settings
         self._events = events
         self._timers = TimerService()
@@ -87,15 +97,23 @@
             record=self._metrics.record_end,
         )
         assert settings.listeners.callers is not None and settings.listeners.ready is not None
-        self._callers = self._make_server(settings.listeners.callers, self.desk)
+        self._callers = self._make_server(settings.listeners.callers, self.desk, listener)
         self._ready = self._make_server(settings.listeners.ready, self._build_ready_app())
         self._metrics_server = open_metrics_server(settings.listeners.metrics, self._metrics)
 
-    def _make_server(self, address: Address, application: Callable[..., Any]) -> HttpServer:
+    def _make_server(
+        self,
+        address: Address,
+        application: Callable[..., Any],
+        listener: socket.socket | None = None,
+    ) -> HttpServer:
+        where = (address.host, address.port)
+        is_open = listener is not None and listener.getsockname() == where
         return HttpServer(
-            address=(address.host, address.port),
+            address=where,
             application=application,
             is_closing=self._asked.is_set,
+            listener=listener if is_open else None,
         )
 
     def _build_ready_app(self) -> Bottle:
--- a/chivetrack/daemon/server.py
+++ b/chivetrack/daemon/server.py
@@ -247,6 +247,11 @@
         self._send_error_response_if_possible(500)
 
 
+def _adopt(listener: socket.socket) -> gevent.socket.socket:
+    """Return the same listener with waits that give way to other greenlets."""
+    return gevent.socket.socket(listener.family, listener.type, fileno=listener.detach())
+
+
 class HttpServer(TlsServerMixin, WSGIServer):
     """A WSGI server whose connections close once ``is_closing`` says so."""
 
@@ -258,13 +263,17 @@
         is_closing: Callable[[], bool],
         tls: Tls | None = None,
         limits: ServerLimits | None = None,
+        listener: socket.socket | None = None,
     ) -> None:
-        """Bind at ``start``; ``tls`` makes every connection encrypted."""
+        """Bind at ``start``; ``tls`` makes every connection encrypted.
+
+        A ``listener`` that listens at ``address`` already is taken over.
+        """
         options: dict[str, Any] = {} if tls is None else {"ssl_context": tls}
         super().__init__(
-            address,
+            address if listener is None else _adopt(listener),
             application,
-            backlog=BACKLOG,
+            backlog=BACKLOG if listener is None else None,
             handler_class=_RequestHandler,
             log=None,
             error_log=None,
--- a/tests/daemon/test_server.py
+++ b/tests/daemon/test_server.py
@@ -1,6 +1,7 @@
 """Slow and greedy callers at the HTTP server, over loopback with short limits."""
 
 import json
+import socket as stdlib_socket
 import time
 import unittest
 from collections.abc import Callable, Iterator
@@ -82,6 +83,35 @@
         return head.decode(), json.loads(body)["error"]
 
 
+class EarlyListenerTest(unittest.TestCase):
+    def test_request_that_came_before_the_server(self) -> None:
+        """A caller connects and sends its request before the server is built.
+
+        The connection waits in the listener's queue, and the server that takes the listener
+        over answers it. Were the address bound anew, the connection would be reset.
+        """
+        listener = stdlib_socket.create_server(("127.0.0.1", 0))
+        address = listener.getsockname()
+        caller = socket.create_connection(address, timeout=10)
+        self.addCleanup(caller.close)
+        caller.sendall(b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+
+        def answer(environ: dict[str, Any], start_response: Any) -> list[bytes]:
+            start_response("200 OK", [("Content-Length", "5")])
+            return [b"hello"]
+
+        server = HttpServer(
+            address=address, application=answer, is_closing=lambda: False, listener=listener
+        )
+        server.start()
+        self.addCleanup(server.stop, timeout=0)
+        data = b""
+        while more := caller.recv(4096):
+            data += more
+        self.assertTrue(data.startswith(b"HTTP/1.1 200"))
+        self.assertTrue(data.endswith(b"hello"))
+
+
 class AbortedAnswerTest(ServerCase):
     def test_aborted_request_gets_no_byte(self) -> None:
         """A caller half closes its connection and reads on; its request is given up.
