Learn from answers how fast, how faulty and how silent endpoints are

Cause: what adapts was fixed (tokens read in a ms, cost of a running request, of a plain one, of a transfer): figures of two users' engines. An endpoint that failed three requests in ten went on getting its share, and one that fell silent kept each request to its deadline.

Change: `placement/placement.py` chooses, counts and learns behind one object without I/O; `observation` keeps reading rate, length of answers, each endpoint's slowness, share of failures and silence. Prompts told of an endpoint's earlier lifetime, and of tries that failed before they were read, no longer count as cached. Connections are given 0.3 s instead of 0.6. A request that may run again leaves an endpoint that is silent to all; a starting router lets a caller wait for three quarters of its time instead of a half.

Now patience follows the measured spread, only silence counts, and no more than a quarter are left out.

Tests of the reading rate, of slow and changing endpoints, of failures and of silence fail with the figures fixed again.

--- a/chivetrack/components/endpoints/outcomes.py
+++ b/chivetrack/components/endpoints/outcomes.py
@@ -13,6 +13,7 @@
     FLEET_WINDOW_S,
     OTHERS_FRESH_S,
 )
+from chivetrack.components.observation.failures import FailureBook
 
 _BUCKETS = 4
 _BUCKET_S = FLEET_WINDOW_S / _BUCKETS
@@ -77,6 +78,8 @@
         self._random = random
         self._note_change = note_change
         self._endpoints: dict[str, _Endpoint] = {}
+        self._failures = FailureBook()
+        self._others_heard_at: float | None = None
 
     def note(self, endpoint_id: str, *, ok: bool, now: float) -> None:
         """Count the end of one try."""
@@ -89,9 +92,13 @@
             counts.answered += 1
         else:
             counts.failed += 1
+        self._failures.note(endpoint_id, tries=1, failures=0 if ok else 1, now=now)
 
     def take_others(self, loads: Iterable[EndpointLoad], *, now: float) -> None:
         """Replace what the other routers have counted."""
+        # What is told are sums of a sliding window: the part of it that is new is counted.
+        heard_at, self._others_heard_at = self._others_heard_at, now
+        part = 1.0 if heard_at is None else min(1.0, (now - heard_at) / FLEET_WINDOW_S)
         for endpoint in self._endpoints.values():
             endpoint.others = _Counts()
         for load in loads:
@@ -99,6 +106,12 @@
                 endpoint = self._endpoints.setdefault(load.endpoint_id, _Endpoint())
                 endpoint.others = _Counts(load.answered, load.failed)
                 endpoint.others_at = now
+                self._failures.note(
+                    load.endpoint_id,
+                    tries=part * (load.answered + load.failed),
+                    failures=part * load.failed,
+                    now=now,
+                )
 
     def count_own(self, endpoint_id: str, now: float) -> tuple[int, int]:
         """Return how many tries of this router were answered and failed in the window."""
@@ -129,6 +142,11 @@
             self._note_change(HeldChange(endpoint_id, is_held, counts.answered, counts.failed))
         return not is_held or self._random.random() < FLEET_PROBE_SHARE
 
+    def find_failure_share(self, endpoint_id: str, now: float) -> float:
+        """Return the share of an endpoint's tries that fail lately, 0 to 1."""
+        return self._failures.find_share(endpoint_id, now)
+
     def forget(self, endpoint_id: str) -> None:
         """Drop what is known of an endpoint: it has started again, or has gone."""
         self._endpoints.pop(endpoint_id, None)
+        self._failures.forget(endpoint_id)
--- /dev/null
+++ b/chivetrack/components/observation/speeds.py
@@ -0,0 +1,131 @@
+"""How fast the endpoints of one service are, learned from the answers of its requests."""
+
+import math
+from dataclasses import dataclass
+
+from chivetrack.components.observation.median import RunningMedian, RunningQuantile
+
+# Where nothing has been seen yet: what a small engine for 100 B parameters does. Samples
+# replace them within a second of traffic.
+START_READ_TOKENS_PER_MS = 57.0
+START_FIRST_MS = 15.0
+START_ANSWER_MS = 1000.0
+START_PLAIN_MS = 30.0
+
+# Prompts of fewer unread tokens tell of the time that reading does not take, larger ones of
+# the rate of reading.
+SMALL_READ_TOKENS = 300
+LARGE_READ_TOKENS = 1000
+
+# An endpoint's own slowness is believed for about so long, in seconds: a crashed engine
+# comes back, and a neighbour that slowed it leaves, within some of these.
+SLOWNESS_HALF_LIFE_S = 3.0
+# So many samples at the service's own pace stand beside those of one endpoint, since a
+# single request says more about itself than about its endpoint.
+PRIOR_SAMPLES = 3.0
+# One sample is taken for no more than this factor.
+MAX_SAMPLE = 8.0
+
+# Of a hundred answers about two may take longer than the service's usual spread.
+SPREAD_SHARE = 0.98
+START_SPREAD = 2.0
+
+
+@dataclass(slots=True)
+class _Slowness:
+    """Logarithms of observed over expected time, fading."""
+
+    total: float = 0.0
+    weight: float = 0.0
+    at: float = 0.0
+
+    def fade(self, now: float) -> None:
+        factor = 0.5 ** (max(0.0, now - self.at) / SLOWNESS_HALF_LIFE_S)
+        self.total *= factor
+        self.weight *= factor
+        self.at = now
+
+
+class ServiceSpeeds:
+    """Learns reading rate, answer length and each endpoint's slowness of one service.
+
+    It answers engines that are faster or slower than those the routers were tuned on, that
+    differ among each other, and that turn slow in the middle of the day: with fixed figures
+    a slow engine goes on getting its full share, and all of that share is late.
+    """
+
+    def __init__(self) -> None:
+        """Start with figures that the first answers replace."""
+        self._rate = RunningMedian(START_READ_TOKENS_PER_MS)
+        self._first = RunningMedian(START_FIRST_MS)
+        self._answer = RunningMedian(START_ANSWER_MS)
+        self._plain = RunningMedian(START_PLAIN_MS)
+        self._spread = RunningQuantile(START_SPREAD, share=SPREAD_SHARE)
+        self._slowness: dict[str, _Slowness] = {}
+
+    @property
+    def spread(self) -> float:
+        """Return by which factor the slowest of fifty answers is over what was expected."""
+        return self._spread.value
+
+    @property
+    def read_tokens_per_ms(self) -> float:
+        """Return how many prompt tokens an endpoint of usual speed reads in a ms."""
+        return self._rate.value
+
+    @property
+    def answer_ms(self) -> float:
+        """Return how long a stream usually takes after its first event."""
+        return self._answer.value
+
+    @property
+    def plain_ms(self) -> float:
+        """Return how long a request without a prompt usually takes."""
+        return self._plain.value
+
+    def expect_first_ms(self, endpoint_id: str, tokens: float, now: float) -> float:
+        """Return the expected time to the first event with ``tokens`` to be read before it."""
+        usual = self._first.value + tokens / self._rate.value
+        return usual * self.find_slowness(endpoint_id, now)
+
+    def expect_plain_ms(self, endpoint_id: str, now: float) -> float:
+        """Return the expected time of a request without a prompt."""
+        return self._plain.value * self.find_slowness(endpoint_id, now)
+
+    def find_slowness(self, endpoint_id: str, now: float) -> float:
+        """Return by which factor an endpoint takes longer than its service does."""
+        known = self._slowness.get(endpoint_id)
+        if known is None:
+            return 1.0
+        known.fade(now)
+        return math.exp(known.total / (known.weight + PRIOR_SAMPLES))
+
+    def note_first(self, endpoint_id: str, *, tokens: float, took_ms: float, now: float) -> None:
+        """Learn from a first event that came after ``took_ms``; ``tokens`` were to be read."""
+        expected = self._first.value + tokens / self._rate.value
+        self._note_ratio(endpoint_id, took_ms, expected, now)
+        if tokens <= SMALL_READ_TOKENS:
+            self._first.add(max(0.1, took_ms - tokens / self._rate.value))
+        elif tokens >= LARGE_READ_TOKENS and took_ms > self._first.value:
+            self._rate.add(tokens / (took_ms - self._first.value))
+
+    def note_answer(self, took_ms: float) -> None:
+        """Learn from a stream that ended ``took_ms`` after its first event."""
+        self._answer.add(took_ms)
+
+    def note_plain(self, endpoint_id: str, *, took_ms: float, now: float) -> None:
+        """Learn from a whole answer without a stream."""
+        self._note_ratio(endpoint_id, took_ms, self._plain.value, now)
+        self._plain.add(took_ms)
+
+    def _note_ratio(self, endpoint_id: str, took_ms: float, usual_ms: float, now: float) -> None:
+        ratio = took_ms / usual_ms
+        self._spread.add(ratio / self.find_slowness(endpoint_id, now))
+        known = self._slowness.setdefault(endpoint_id, _Slowness(at=now))
+        known.fade(now)
+        known.total += math.log(min(MAX_SAMPLE, max(1.0 / MAX_SAMPLE, ratio)))
+        known.weight += 1.0
+
+    def forget(self, endpoint_id: str) -> None:
+        """Drop what is known of one endpoint: it has started again, or has gone."""
+        self._slowness.pop(endpoint_id, None)
--- a/chivetrack/components/placement/choice.py
+++ b/chivetrack/components/placement/choice.py
@@ -7,51 +7,28 @@
 import xxhash
 
 from chivetrack.components.announcements.models import EndpointRecord
-from chivetrack.components.placement.loads import PREFILL_TOKENS_PER_MS, LoadTable
+from chivetrack.components.observation.speeds import ServiceSpeeds
+from chivetrack.components.placement.loads import LoadTable
 from chivetrack.components.placement.parts import PartBook
+from chivetrack.components.placement.weights import (
+    DEFAULT_WEIGHTS,
+    FEW_ROUTERS,
+    PlacementWeights,
+)
 from chivetrack.components.traffic.models import Service
 from chivetrack.components.traffic.requests import RequestFacts
 
-# What one more running request costs the others: each step takes 0.1 ms longer, and a
-# stream takes some 300 steps.
-RUNNING_COST_MS = 6.0
-# A request to another zone: two ways of 1.4 ms, and its bytes are paid for.
-OTHER_ZONE_COST_MS = 25.0
-# Requests of plain services take about a slot's turn each.
-PLAIN_RUNNING_COST_MS = 30.0
-# Whatever a prompt would save: no endpoint gets more than this over the mean of its
-# service. Twice the mean and 3 is the limit that the users set; lagging counts need room.
-BOUND_FACTOR = 1.7
-BOUND_FACTOR_MANY = 1.3
-FEW_ROUTERS = 9
-BOUND_SLACK = 2.0
-# Taking a cached part over from another engine: 10,000 tokens are 184 MB, which take 17 ms
-# on the engines' links, and the links are paid for by the byte. Reading them takes 175 ms.
-FETCH_MS_PER_TOKEN = 0.02
-# A prompt that is not known to be cached anywhere has most likely been sent to its first
-# choice by another router, whose word is not here yet.
-HOME_CHANCE = 0.6
-# Reading what another engine has cached also delays every stream that runs beside it.
-READ_AGAIN_FACTOR = 2.0
-# What one router knows of the others comes late. A prompt goes to one of a few engines on
-# which all agree without a word, and elsewhere only when those are full. Shared tokens read
-# again fell from 4.3 M to 2.3 M in 16 s of 688 requests a second, 87 routers and 51 engines,
-# since two fetches of three had asked an engine that never had the prompt; with 9 routers
-# and 14 engines by a third to a half over a day.
-HOMES = 3
-# Less than this is not worth the transfer's own delay.
-MIN_FETCH_TOKENS = 200
-# An endpoint that stays slow after its start, or that no replica hears any more.
-COLD_COST_MS = 200.0
-SILENT_COST_MS = 400.0
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Candidate:
-    """An endpoint that may be chosen."""
+    """An endpoint that may be chosen.
+
+    ``failure_share``: of its latest tries, 0 to 1.
+    """
 
     record: EndpointRecord
     is_silent: bool = False
+    failure_share: float = 0.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -68,7 +45,8 @@
 
     ``missing_tokens`` have to be read there; ``fetch_from`` is the address of an engine
     that is believed to have more of the prompt cached. ``is_home``: other routers expect
-    the prompt there without being told.
+    the prompt there without being told. ``expected_ms`` is the expected time to the first
+    event, or to a plain answer; ``certain_ms`` is the part of it that known work takes.
     """
 
     record: EndpointRecord
@@ -77,6 +55,8 @@
     cost_ms: float
     fetch_from: str = ""
     is_home: bool = False
+    expected_ms: float = 0.0
+    certain_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -100,11 +80,19 @@
     parts to another.
     """
 
-    def __init__(self, *, zone: str, loads: LoadTable, parts: PartBook) -> None:
-        """Take the own zone and what is known of the endpoints."""
+    def __init__(
+        self,
+        *,
+        zone: str,
+        loads: LoadTable,
+        parts: PartBook,
+        weights: PlacementWeights = DEFAULT_WEIGHTS,
+    ) -> None:
+        """Take the own zone, what is known of the endpoints and what costs how much."""
         self._zone = zone
         self._loads = loads
         self._parts = parts
+        self._weights = weights
 
     def choose(
         self,
@@ -115,19 +103,22 @@
         now: float,
         sources: Sequence[Source] = (),
         routers: int = 1,
+        speeds: ServiceSpeeds | None = None,
     ) -> Choice | None:
         """Return the cheapest endpoint, ``None`` without candidates.
 
         ``sources`` are engines that cached parts may be taken from, also leaving ones;
-        ``routers`` is how many choose at the same time.
+        ``routers`` is how many choose at the same time; ``speeds`` is what has been learned
+        of the service's endpoints.
         """
         if not candidates:
             return None
+        speeds = speeds or ServiceSpeeds()
         running = {
             one.record.endpoint_id: self._loads.count_running(one.record.endpoint_id, now)
             for one in candidates
         }
-        bound = find_bound(sum(running.values()) / len(running), routers)
+        bound = find_bound(sum(running.values()) / len(running), routers, self._weights)
         within = [one for one in candidates if running[one.record.endpoint_id] + 1 <= bound]
         engine = None if service is None else service.engine
         prompt = None
@@ -137,7 +128,7 @@
             if routers > 1:
                 within = self._narrow(within, prompt, facts)
         choices = [
-            self._weigh(one, facts, running[one.record.endpoint_id], prompt, now)
+            self._weigh(one, facts, running[one.record.endpoint_id], prompt, speeds, now)
             for one in within or candidates
         ]
         return min(choices, key=lambda one: one.cost_ms)
@@ -177,7 +168,7 @@
             shared=sum(part.tokens for part in facts.shared_parts),
             best=cached[best_at.endpoint_id],
             best_at=best_at,
-            homes=_find_homes([one.record for one in candidates], key, HOMES),
+            homes=_find_homes([one.record for one in candidates], key, self._weights.homes),
             old_home=_find_homes(old or records, key, 1)[0],
             can_fetch=can_fetch,
         )
@@ -188,25 +179,40 @@
         facts: RequestFacts,
         running: int,
         prompt: _Prompt | None,
+        speeds: ServiceSpeeds,
         now: float,
     ) -> Choice:
         record = candidate.record
-        cost = _weigh_place(candidate, self._zone)
+        weights = self._weights
+        cost = self._weigh_place(candidate)
+        slowness = speeds.find_slowness(record.endpoint_id, now)
         if prompt is None:
-            cost += running * PLAIN_RUNNING_COST_MS / max(1, record.slots) * 6
-            return Choice(record=record, missing_tokens=0, running=running, cost_ms=cost)
+            turns = 1 + running * weights.plain_turns / max(1, record.slots)
+            cost += turns * speeds.plain_ms * slowness
+            queued = 1 + max(0, running + 1 - record.slots) / max(1, record.slots)
+            return Choice(
+                record=record,
+                missing_tokens=0,
+                running=running,
+                cost_ms=cost,
+                expected_ms=queued * speeds.plain_ms * slowness,
+                certain_ms=(queued - 1) * speeds.plain_ms,
+            )
+        rate = speeds.read_tokens_per_ms
         cached = self._parts.count_cached(record.endpoint_id, facts.parts)
         missing = max(0, prompt.tokens - cached)
         fetched, source = self._find_source(record, cached, prompt)
         read = missing - fetched
-        waiting = self._loads.count_tokens(record.endpoint_id, now)
-        cost += (read + waiting) / PREFILL_TOKENS_PER_MS + fetched * FETCH_MS_PER_TOKEN
-        cost += running * RUNNING_COST_MS
+        waiting = self._loads.count_tokens(record.endpoint_id, now, rate=rate)
+        queued_ms = max(0, running + 1 - record.slots) / max(1, record.slots) * speeds.answer_ms
         again = max(0.0, prompt.best - cached - fetched)
-        cost += again / PREFILL_TOKENS_PER_MS * READ_AGAIN_FACTOR
+        work = (read + waiting + again * weights.read_again_factor) / rate + queued_ms
+        work += running * weights.running_share * speeds.answer_ms
+        cost += work * slowness + fetched * weights.fetch_share / rate
         is_home = record is prompt.homes[0]
         if not cached and is_home:
-            cost -= HOME_CHANCE * min(prompt.shared, missing) / PREFILL_TOKENS_PER_MS
+            cost -= weights.home_chance * min(prompt.shared, missing) / rate
+        first_ms = speeds.expect_first_ms(record.endpoint_id, read + waiting, now)
         return Choice(
             record=record,
             missing_tokens=max(0, round(read)),
@@ -214,40 +220,47 @@
             cost_ms=cost,
             fetch_from=source,
             is_home=is_home,
+            expected_ms=first_ms + queued_ms * slowness,
+            certain_ms=(read + waiting) / rate + queued_ms,
         )
 
-    @staticmethod
-    def _find_source(record: EndpointRecord, cached: int, prompt: _Prompt) -> tuple[float, str]:
+    def _weigh_place(self, candidate: Candidate) -> float:
+        cost = 0.0
+        if candidate.record.zone != self._zone:
+            cost += self._weights.other_zone_ms
+        if candidate.record.cold_s > 0:
+            cost += self._weights.cold_ms
+        if candidate.is_silent:
+            cost += self._weights.silent_ms
+        cost += candidate.failure_share * self._weights.failure_ms
+        return cost
+
+    def _find_source(
+        self, record: EndpointRecord, cached: int, prompt: _Prompt
+    ) -> tuple[float, str]:
         """Return how many tokens are likely taken over, and from which address."""
         gain = prompt.best - cached
-        if prompt.can_fetch and gain >= MIN_FETCH_TOKENS:
+        if prompt.can_fetch and gain >= self._weights.min_fetch_tokens:
             return gain, prompt.best_at.address
         unknown = prompt.shared - max(cached, prompt.best)
-        if not prompt.can_fetch or record is prompt.old_home or unknown < MIN_FETCH_TOKENS:
+        if (
+            not prompt.can_fetch
+            or record is prompt.old_home
+            or unknown < self._weights.min_fetch_tokens
+        ):
             return 0.0, ""
-        return HOME_CHANCE * unknown, prompt.old_home.address
-
-
-def _weigh_place(candidate: Candidate, zone: str) -> float:
-    cost = 0.0
-    if candidate.record.zone != zone:
-        cost += OTHER_ZONE_COST_MS
-    if candidate.record.cold_s > 0:
-        cost += COLD_COST_MS
-    if candidate.is_silent:
-        cost += SILENT_COST_MS
-    return cost
+        return self._weights.home_chance * unknown, prompt.old_home.address
 
 
-def find_bound(mean: float, routers: int) -> float:
+def find_bound(mean: float, routers: int, weights: PlacementWeights = DEFAULT_WEIGHTS) -> float:
     """Return how many requests an endpoint may hold, given the mean of its service.
 
     Each router sees its own requests at once and those of all others half a second late.
     Among many routers nearly all is late, so that the same bound is overshot by more.
     """
     share = min(1.0, FEW_ROUTERS / max(1, routers))
-    factor = BOUND_FACTOR_MANY + (BOUND_FACTOR - BOUND_FACTOR_MANY) * share
-    return factor * mean + BOUND_SLACK
+    factor = weights.bound_many + (weights.bound_few - weights.bound_many) * share
+    return factor * mean + weights.bound_slack
 
 
 def _find_homes(
--- a/chivetrack/components/placement/loads.py
+++ b/chivetrack/components/placement/loads.py
@@ -6,9 +6,6 @@
 from chivetrack.components.distribution.messages import EndpointLoad
 from chivetrack.components.endpoints.const import OTHERS_FRESH_S
 
-# Prompt tokens that an engine reads in a millisecond; the engines of both users read 57.
-PREFILL_TOKENS_PER_MS = 57.0
-
 
 @dataclass(slots=True)
 class _Use:
@@ -58,15 +55,16 @@
         use = self._get(endpoint_id)
         return use.running + (use.others_running if now - use.others_at <= OTHERS_FRESH_S else 0)
 
-    def count_tokens(self, endpoint_id: str, now: float) -> int:
+    def count_tokens(self, endpoint_id: str, now: float, *, rate: float) -> int:
         """Return the prompt tokens that an endpoint has still to read.
 
-        What other routers told is some hundred ms old; meanwhile the endpoint reads on.
+        What other routers told is some hundred ms old; meanwhile the endpoint reads on,
+        ``rate`` tokens a ms.
         """
         use = self._get(endpoint_id)
         if not use.others_tokens:
             return use.tokens
-        read = (now - use.others_at) * 1000 * PREFILL_TOKENS_PER_MS
+        read = (now - use.others_at) * 1000 * rate
         return use.tokens + max(0, round(use.others_tokens - read))
 
     def list_own(self) -> Iterator[EndpointLoad]:
--- a/chivetrack/components/placement/parts.py
+++ b/chivetrack/components/placement/parts.py
@@ -37,6 +37,7 @@
         self._caches: dict[str, OrderedDict[str, _Cached]] = {}
         self._sums: dict[str, int] = {}
         self._news: OrderedDict[tuple[str, str], None] = OrderedDict()
+        self._empty_at: dict[str, float] = {}
 
     def count_cached(self, endpoint_id: str, parts: Iterable[PromptPart]) -> int:
         """Return how many tokens at the beginning of a prompt need not be read again."""
@@ -58,19 +59,31 @@
         now: float,
         capacity: int,
         min_told: int = MIN_TOLD_TOKENS,
-    ) -> None:
+    ) -> tuple[PromptPart, ...]:
         """Note that shared parts were sent to an endpoint by this router.
 
         The other routers are told if one of them has ``min_told`` tokens or more. All are
-        told then: a part counts as cached only if those before it are.
+        told then: a part counts as cached only if those before it are. Returns the parts
+        that were not believed to be there before.
         """
         shared = list(parts)
+        new = tuple(part for part in shared if self._find(endpoint_id, part.part_id) is None)
         is_told = max((part.tokens for part in shared), default=0) >= min_told
         for part in shared:
             cached = self._enter(endpoint_id, part, now, capacity)
             if is_told and now - cached.told_at >= TELL_AGAIN_S:
                 cached.told_at = now
                 self._news[(part.part_id, endpoint_id)] = None
+        return new
+
+    def withdraw(self, endpoint_id: str, parts: Iterable[PromptPart]) -> None:
+        """Drop parts that were sent to an endpoint which failed before it had read them."""
+        cache = self._caches.get(endpoint_id, OrderedDict())
+        for part in parts:
+            cached = cache.pop(part.part_id, None)
+            self._news.pop((part.part_id, endpoint_id), None)
+            if cached is not None:
+                self._sums[endpoint_id] -= cached.tokens
 
     def note_own(self, endpoint_id: str, part: PromptPart, *, now: float, capacity: int) -> None:
         """Note a part that only the request or its session has; no other router asks for it."""
@@ -95,6 +108,9 @@
         for placed in news:
             part_id, _, tokens = placed.part.rpartition(":")
             at = now - placed.age_s
+            if at < self._empty_at.get(placed.endpoint_id, at):
+                # Sent to the lifetime before; what it had cached is gone.
+                continue
             known = self._find(placed.endpoint_id, part_id)
             if known is not None and known.used_at >= at:
                 known.told_at = max(known.told_at, at)
@@ -118,7 +134,13 @@
         cache = self._caches.get(endpoint_id)
         return None if cache is None else cache.get(part_id)
 
-    def forget(self, endpoint_id: str) -> None:
-        """Drop what an endpoint had cached; its memory is empty after a restart."""
+    def forget(self, endpoint_id: str, *, emptied_at: float | None = None) -> None:
+        """Drop what an endpoint had cached; its memory is empty after a restart.
+
+        ``emptied_at`` is when it was seen to have restarted: what other routers tell of
+        earlier placements, for seconds still, no longer holds.
+        """
+        if emptied_at is not None:
+            self._empty_at[endpoint_id] = emptied_at
         self._caches.pop(endpoint_id, None)
         self._sums.pop(endpoint_id, None)
--- a/chivetrack/components/upstream/connection.py
+++ b/chivetrack/components/upstream/connection.py
@@ -207,6 +207,13 @@
             return False
         return True
 
+    def wait_readable(self, timeout_s: float) -> bool:
+        """Return whether bytes, or an end, have come within a time."""
+        if self._reader.has_rest:
+            return True
+        readable, _, _ = select.select([self._socket], [], [], max(0.0, timeout_s))
+        return bool(readable)
+
     def read_answer(self, method: str, *, timeout_s: float) -> EndpointAnswer:
         """Read the head of the next answer; raise ``MaybeRanError``."""
         self._socket.settimeout(timeout_s)
--- a/chivetrack/daemon/fleet/calls.py
+++ b/chivetrack/daemon/fleet/calls.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from chivetrack.components.placement.placement import Placed
 from chivetrack.components.retries.sending import Tried
 from chivetrack.components.traffic.models import Route, Workspace
 from chivetrack.components.traffic.requests import RequestFacts
@@ -89,3 +90,4 @@
     tries: list[Tried] = field(default_factory=list)
     last_event_id: str = ""
     first_event_at: float | None = None
+    placed: Placed | None = None
--- a/chivetrack/daemon/fleet/const.py
+++ b/chivetrack/daemon/fleet/const.py
@@ -2,8 +2,12 @@
 
 from typing import Final
 
-CONNECT_TIMEOUT_S: Final = 0.6
-"""Two zones are 3 ms apart; a lost opening packet is sent again after a second."""
+CONNECT_TIMEOUT_S: Final = 0.3
+"""Twice the way between the farthest regions; a lost opening packet is sent again only after
+a second, and another endpoint takes the request meanwhile."""
+
+LEAST_TIME_ELSEWHERE_S: Final = 0.1
+"""A silent endpoint is given up only while another one has so much time."""
 
 ANSWER_STALL_S: Final = 2.0
 """A resumable stream that is silent for so long after its first event goes on elsewhere;
@@ -27,6 +31,10 @@
 start with it: 0.8 s longer than its own start to a leader, two rounds of the exchange, and
 as much again."""
 
+START_WAIT_SHARE: Final = 0.75
+"""Of a caller's time: what is left is enough for an answer, and a caller that is sent away
+comes back with half of its time to another router that starts as well."""
+
 FLUSH_S: Final = 0.02
 """Changes of endpoints within so long go out to routers together."""
 
--- a/chivetrack/daemon/fleet/fleet_view.py
+++ b/chivetrack/daemon/fleet/fleet_view.py
@@ -9,16 +9,10 @@
 from chivetrack.components.announcements.models import EndpointRecord, EndpointState
 from chivetrack.components.announcements.table import EndpointTable
 from chivetrack.components.deployment.settings import BoundSettings
-from chivetrack.components.distribution.const import MANY_ROUTERS
 from chivetrack.components.distribution.messages import View
 from chivetrack.components.distribution.subscriber import OwnNews
-from chivetrack.components.placement.choice import Candidate, Choice, Chooser, Source
-from chivetrack.components.placement.loads import LoadTable
-from chivetrack.components.placement.parts import (
-    MIN_EXPECTED_TOKENS,
-    MIN_TOLD_TOKENS,
-    PartBook,
-)
+from chivetrack.components.placement.choice import Candidate, Choice, Source
+from chivetrack.components.placement.placement import Placed, Placement
 from chivetrack.components.retries.window import RetryWindow
 from chivetrack.components.traffic.models import Document
 from chivetrack.components.traffic.table import RouteTable
@@ -59,10 +53,8 @@
         self.table: RouteTable | None = None
         self._memory_tokens = DEFAULT_MEMORY_TOKENS
         self.endpoints = EndpointTable()
-        self.loads = LoadTable()
-        self.parts = PartBook()
-        self.health = EndpointHealth(events=events)
-        self._chooser = Chooser(zone=zone, loads=self.loads, parts=self.parts)
+        self.placement = Placement(zone=zone)
+        self.health = EndpointHealth(events=events, is_silent=self.placement.is_silent)
         self._windows: dict[str, RetryWindow] = {}
         self._silent: frozenset[str] = frozenset()
         self._by_service: dict[str, list[EndpointRecord]] = {}
@@ -112,9 +104,10 @@
         if view.has_loads:
             self._routers = max(view.routers, self._routers * ROUTERS_KEPT)
             self._silent = frozenset(view.silent)
-            self.loads.take_others(view.loads, now=now)
             self.health.take_others(view.loads, now=now)
-            self.parts.take_news(view.placed, now=now, capacity=self._memory_tokens)
+            self.placement.take_others(
+                view.loads, view.placed, now=now, capacity=self._memory_tokens
+            )
         if self.table is not None and self._by_service:
             self._ready.set()
 
@@ -141,9 +134,11 @@
         self._events.write("endpoint_changed", **record.describe())
         if self._born.get(record.endpoint_id) != record.born:
             # A new lifetime under the id starts with an empty memory and a clean record.
+            now = time.monotonic()
+            has_restarted = record.endpoint_id in self._born
             self._born[record.endpoint_id] = record.born
-            self._seen_at[record.endpoint_id] = time.monotonic()
-            self.parts.forget(record.endpoint_id)
+            self._seen_at[record.endpoint_id] = now
+            self.placement.forget(record.endpoint_id, emptied_at=now if has_restarted else None)
             self.health.forget(record.endpoint_id)
             self._forget_endpoint(record.endpoint_id)
         if record.state is not EndpointState.READY:
@@ -154,8 +149,8 @@
     def get_news(self) -> OwnNews:
         """Return what the other routers should know of this one."""
         now = time.monotonic()
-        loads = self.health.add_outcomes(self.loads.list_own(), now=now)
-        return OwnNews(loads=loads, placed=tuple(self.parts.list_news(now)))
+        loads = self.health.add_outcomes(self.placement.list_own(), now=now)
+        return OwnNews(loads=loads, placed=tuple(self.placement.list_news(now)))
 
     # Choosing
 
@@ -164,7 +159,7 @@
         now = time.monotonic()
         candidates = self._list_candidates(call, now)
         service = None if self.table is None else self.table.find_service(call.service)
-        return self._chooser.choose(
+        return self.placement.choose(
             candidates,
             service=service,
             facts=call.facts,
@@ -196,38 +191,46 @@
         return len(self._by_service.get(service, ()))
 
     @contextmanager
-    def use(self, call: Call, choice: Choice) -> Iterator[None]:
-        """Count a request at an endpoint for as long as it is there."""
-        endpoint_id = choice.record.endpoint_id
+    def use(self, call: Call, choice: Choice) -> Iterator[Placed]:
+        """Count a request at an endpoint for as long as it is there.
+
+        ``Placed.is_whole`` has to be set in the body once the answer is whole.
+        """
         now = time.monotonic()
-        self.health.note_attempt(endpoint_id, now=now)
-        if call.facts.parts:
-            capacity = self._memory_tokens
-            self.parts.note(
-                endpoint_id,
-                call.facts.shared_parts,
-                now=now,
-                capacity=capacity,
-                min_told=self._find_min_told(choice),
-            )
-            self.parts.note_own(endpoint_id, call.facts.parts[-1], now=now, capacity=capacity)
-        self.loads.start(endpoint_id, choice.missing_tokens)
-        seen = call.first_event_at
+        self.health.note_attempt(choice.record.endpoint_id, now=now)
+        placed = self.placement.start(
+            choice,
+            call.facts,
+            now=now,
+            capacity=self._memory_tokens,
+            routers=round(self._routers),
+        )
+        call.placed = placed
         try:
-            yield
+            yield placed
         finally:
-            if call.first_event_at is seen:
-                self.loads.begin(endpoint_id, choice.missing_tokens)
-            self.loads.finish(endpoint_id)
+            call.placed = None
+            self.placement.finish(placed, now=time.monotonic())
 
-    def _find_min_told(self, choice: Choice) -> int:
-        is_expected = choice.is_home and self._routers > MANY_ROUTERS
-        return MIN_EXPECTED_TOKENS if is_expected else MIN_TOLD_TOKENS
+    def hear(self, call: Call) -> None:
+        """Note that the endpoint which has a request sent bytes."""
+        if call.placed is not None:
+            self.placement.hear(call.placed, now=time.monotonic())
 
-    def note_first_event(self, call: Call, choice: Choice) -> None:
+    def note_first_event(self, call: Call) -> None:
         """Take a prompt as read."""
-        if call.first_event_at is None:
-            self.loads.begin(choice.record.endpoint_id, choice.missing_tokens)
+        if call.placed is not None:
+            self.placement.note_first(call.placed, now=time.monotonic())
+
+    def note_overdue(self, call: Call) -> bool:
+        """Note that no byte has come in time; return whether the endpoint is silent for all."""
+        if call.placed is None:
+            return False
+        endpoint_id = call.placed.endpoint_id
+        if not self.placement.is_silent(endpoint_id, time.monotonic()):
+            return False
+        self.health.note_overdue(endpoint_id)
+        return True
 
     # Retry budget
 
--- a/chivetrack/daemon/fleet/forwarder.py
+++ b/chivetrack/daemon/fleet/forwarder.py
@@ -23,6 +23,7 @@
     ANSWER_STALL_S,
     CONNECT_TIMEOUT_S,
     LATE_ANSWER_S,
+    LEAST_TIME_ELSEWHERE_S,
     WHOLE_ANSWER_BYTES,
 )
 from chivetrack.daemon.server import AbortConnectionError
@@ -65,11 +66,19 @@
         kept: KeptConnections,
         note_answer: Callable[[str, AnswerFacts], None],
         note_first_event: Callable[[Call, Choice], None],
+        hear: Callable[[Call], None] | None = None,
+        note_overdue: Callable[[Call], bool] | None = None,
     ) -> None:
-        """Take the idle connections and listeners for what endpoints say."""
+        """Take the idle connections and listeners for what endpoints say.
+
+        ``hear`` is told of bytes that came, ``note_overdue`` that none came in time; it
+        returns whether the endpoint is silent to all requests.
+        """
         self._kept = kept
         self._note_answer = note_answer
         self._note_first_event = note_first_event
+        self._hear = hear or (lambda call: None)
+        self._note_overdue = note_overdue or (lambda call: False)
 
     def send(self, call: Call, choice: Choice, *, may_repeat: bool) -> SendResult:
         """Send a request to one endpoint; ``may_repeat`` says that another may follow.
@@ -83,7 +92,7 @@
             return SendResult(end=SendEnd.NOT_SENT, detail=str(error))
         is_kept = False
         try:
-            answer, facts = self._ask(connection, call, choice)
+            answer, facts = self._ask(connection, call, choice, may_repeat)
             self._note_answer(record.endpoint_id, facts)
             result = self._take_answer(connection, call, choice, answer, facts, may_repeat)
             is_kept = answer.keeps_connection and not facts.closes and connection.end_request()
@@ -110,7 +119,7 @@
         )
 
     def _ask(
-        self, connection: EndpointConnection, call: Call, choice: Choice
+        self, connection: EndpointConnection, call: Call, choice: Choice, may_repeat: bool
     ) -> tuple[EndpointAnswer, AnswerFacts]:
         left_s = max(0.01, call.ends_at - time.monotonic())
         headers = make_endpoint_headers(
@@ -126,6 +135,8 @@
             method=call.method, target=call.target, headers=headers, body=call.body
         )
         connection.send(request, timeout_s=left_s)
+        self._await_answer(connection, call, may_repeat)
+        left_s = max(0.01, call.ends_at - time.monotonic())
         for _ in range(_MAX_STRAY_ANSWERS + 1):
             answer = connection.read_answer(call.method, timeout_s=left_s)
             facts = read_answer_facts(answer.status, answer.headers)
@@ -135,6 +146,24 @@
             self._skip(answer)
         raise MaybeRanError("the connection gives answers to other requests")
 
+    def _await_answer(self, connection: EndpointConnection, call: Call, may_repeat: bool) -> None:
+        """Wait for the first byte; give up an endpoint that is silent to all its requests.
+
+        Held to the deadline there, a request that may run again would be lost, although
+        another endpoint could answer it at once.
+        """
+        if call.placed is None:
+            return
+        patience_s = call.placed.patience_s
+        while not connection.wait_readable(min(patience_s, call.ends_at - time.monotonic())):
+            left_s = call.ends_at - time.monotonic()
+            is_silent = self._note_overdue(call)
+            if may_repeat and is_silent and left_s > LEAST_TIME_ELSEWHERE_S:
+                raise MaybeRanError(f"silent for {patience_s:.2f} s")
+            if left_s <= 0 or not may_repeat:
+                return
+        self._hear(call)
+
     @staticmethod
     def _skip(answer: EndpointAnswer) -> None:
         if not answer.is_framed:
@@ -200,6 +229,7 @@
         splitter = EventSplitter(last_id=call.last_event_id)
         is_first = True
         for chunk in answer.read_chunks():
+            self._hear(call)
             if is_first:
                 is_first = False
                 self._note_first_event(call, choice)
--- a/chivetrack/daemon/fleet/health.py
+++ b/chivetrack/daemon/fleet/health.py
@@ -1,7 +1,8 @@
 """Which endpoints may be tried, by what this router and the others have seen of them."""
 
 import time
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import replace
 from random import Random
 
 import msgspec
@@ -10,6 +11,7 @@
 from chivetrack.components.endpoints.breaker import Breaker, BreakerState
 from chivetrack.components.endpoints.models import OutcomeKind
 from chivetrack.components.endpoints.outcomes import HeldChange, OutcomeTable
+from chivetrack.components.observation.silence import leave_out_silent
 from chivetrack.components.placement.choice import Candidate
 from chivetrack.components.retries.sending import SendEnd
 from chivetrack.helpers.events import EventLog
@@ -28,9 +30,15 @@
 class EndpointHealth:
     """Joins the circuit breakers of this router with the outcomes of the whole fleet."""
 
-    def __init__(self, *, events: EventLog) -> None:
-        """Start with a clean record of every endpoint."""
+    def __init__(
+        self, *, events: EventLog, is_silent: Callable[[str, float], bool] | None = None
+    ) -> None:
+        """Start with a clean record of every endpoint.
+
+        ``is_silent`` tells whether an endpoint (id, now) owes this router an answer.
+        """
         self._events = events
+        self._is_silent = is_silent or (lambda endpoint_id, now: False)
         self._breakers: dict[str, Breaker] = {}
         self._outcomes = OutcomeTable(random=Random(), note_change=self._note_held)
         self._misdirected: dict[str, float] = {}
@@ -69,6 +77,13 @@
                 reason=breaker.reason,
             )
 
+    def note_overdue(self, endpoint_id: str) -> None:
+        """Note a try at an endpoint that has gone silent; its end is not known.
+
+        Known at the caller's deadline only, most of the trouble would be over by then.
+        """
+        self._outcomes.note(endpoint_id, ok=False, now=time.monotonic())
+
     def note_other_instance(self, endpoint_id: str) -> None:
         """Leave out an endpoint at whose address another one has answered."""
         self._misdirected[endpoint_id] = time.monotonic()
@@ -115,7 +130,24 @@
         left = [one for one in candidates if not self._is_misdirected(one, now)]
         closed = [one for one in left if self._is_closed(one, now)]
         let_in = [one for one in closed if self._outcomes.lets_through(one.record.endpoint_id, now)]
-        return (let_in if 2 * len(let_in) >= len(left) else closed) or left
+        sound = (let_in if 2 * len(let_in) >= len(left) else closed) or left
+        heard = self._leave_out_silent(sound, now)
+        return [self._add_record(one, now) for one in heard]
+
+    def _leave_out_silent(self, candidates: list[Candidate], now: float) -> list[Candidate]:
+        names = [one.record.endpoint_id for one in candidates]
+        silent = {name for name in names if self._is_silent(name, now)}
+        heard = set(leave_out_silent(names, silent)) if silent else set(names)
+        return [one for one in candidates if one.record.endpoint_id in heard] or candidates
+
+    def _add_record(self, candidate: Candidate, now: float) -> Candidate:
+        share = self._outcomes.find_failure_share(candidate.record.endpoint_id, now)
+        return replace(candidate, failure_share=share) if share else candidate
+
+    def _lets_through(self, endpoint_id: str, now: float) -> bool:
+        return self._outcomes.lets_through(endpoint_id, now) and not self._is_silent(
+            endpoint_id, now
+        )
 
     def _is_misdirected(self, candidate: Candidate, now: float) -> bool:
         at = self._misdirected.get(candidate.record.endpoint_id, float("-inf"))
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -30,6 +30,7 @@
     NO_DOCUMENT_RETRY_S,
     NO_ENDPOINT_RETRY_S,
     START_WAIT_S,
+    START_WAIT_SHARE,
 )
 from chivetrack.daemon.fleet.fleet_view import FleetView
 from chivetrack.daemon.fleet.forwarder import AnswerCutError, Forwarder, make_tried
@@ -141,7 +142,7 @@
         left_s = self._started_at + START_WAIT_S - now
         wait_s = DEFAULT_WAIT_S if facts.wait_s is None else facts.wait_s
         if left_s > 0:
-            self._view.wait_until_ready(min(left_s, wait_s / 2))
+            self._view.wait_until_ready(min(left_s, wait_s * START_WAIT_SHARE))
         return self._view.table
 
     @staticmethod
@@ -202,11 +203,12 @@
             call.route, count_runs(call.tries) + 1
         ) and self._view.has_budget(call.service)
         self._log_choice(call, choice)
-        with self._view.use(call, choice):
+        with self._view.use(call, choice) as placed:
             # If the time is up or the caller leaves, this try may have run.
             call.tries.append(Tried(endpoint_id=endpoint_id, end=SendEnd.MAYBE_RAN))
             result = self._forwarder.send(call, choice, may_repeat=may_repeat)
             call.tries.pop()
+            placed.is_whole = result.is_answered and result.status < 500
         if result.end is None:
             self._view.health.note_outcome(
                 endpoint_id, SendEnd.FAILED if result.status >= 500 else None
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -91,7 +91,9 @@
             forwarder=Forwarder(
                 kept=self._kept,
                 note_answer=self._metrics.note_answer,
-                note_first_event=self.view.note_first_event,
+                note_first_event=lambda call, choice: self.view.note_first_event(call),
+                hear=self.view.hear,
+                note_overdue=self.view.note_overdue,
             ),
             events=events,
             record=self._metrics.record_end,
--- /dev/null
+++ b/tests/components/observation/test_silence.py
@@ -0,0 +1,76 @@
+"""Endpoints that stop without a word while requests wait there."""
+
+import unittest
+
+from chivetrack.components.observation.silence import (
+    MIN_PATIENCE_S,
+    SilenceTable,
+    find_patience,
+    leave_out_silent,
+)
+from chivetrack.components.observation.speeds import ServiceSpeeds
+
+
+class SilenceTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.table = SilenceTable()
+
+    def test_endpoint_loses_power(self) -> None:
+        """An endpoint stops without a reset while a caller waits three seconds for it.
+
+        Nothing fails before that caller's deadline. Until then each further request sent
+        there would wait as long; the second one already goes elsewhere.
+        """
+        first = self.table.start("e", now=10.0, patience_s=0.3)
+        self.assertFalse(self.table.is_silent("e", 10.2))
+        self.assertTrue(self.table.is_silent("e", 10.4))
+        self.assertFalse(self.table.is_silent("other", 10.4))
+        self.table.finish("e", first)
+        self.assertFalse(self.table.is_silent("e", 13.0))
+
+    def test_long_request_beside_answers(self) -> None:
+        """One request takes long; others of the endpoint get their bytes meanwhile."""
+        self.table.start("e", now=10.0, patience_s=0.3)
+        other = self.table.start("e", now=10.1, patience_s=0.3)
+        self.table.hear("e", other, now=10.2)
+        self.assertFalse(self.table.is_silent("e", 12.0))
+
+    def test_streams_that_die_with_their_endpoint(self) -> None:
+        """A stream got bytes until the power went; a request that came later shows it."""
+        stream = self.table.start("e", now=10.0, patience_s=0.3)
+        self.table.hear("e", stream, now=10.5)
+        self.table.start("e", now=10.6, patience_s=0.3)
+        self.assertFalse(self.table.is_silent("e", 10.8))
+        self.assertTrue(self.table.is_silent("e", 11.0))
+
+    def test_endpoint_starts_again(self) -> None:
+        number = self.table.start("e", now=10.0, patience_s=0.3)
+        self.table.forget("e")
+        self.assertFalse(self.table.is_silent("e", 11.0))
+        self.table.hear("e", number, now=11.0)
+        self.table.finish("e", number)
+
+    def test_patience_grows_with_what_is_expected(self) -> None:
+        self.assertEqual(find_patience(5.0, 2.0), MIN_PATIENCE_S)
+        self.assertGreater(find_patience(400.0, 2.0), 2.0)
+
+    def test_overload_is_no_silence(self) -> None:
+        """Four times the usual load; every engine owes answers for a second.
+
+        Were they left out, each for a moment, the rest would get their load and fall
+        behind in turn. Answers that come late widen the spread, and with it the patience.
+        """
+        names = ["e0", "e1", "e2", "e3", "e4", "e5"]
+        self.assertEqual(leave_out_silent(names, {"e1"}), ["e0", "e2", "e3", "e4", "e5"])
+        self.assertEqual(leave_out_silent(names, {"e1", "e2", "e3"}), names)
+        self.assertEqual(leave_out_silent(["e0"], {"e0"}), [])
+        speeds = ServiceSpeeds()
+        for number in range(40):
+            late = 40.0 * (1 + number % 20)
+            speeds.note_first("e0", tokens=100, took_ms=late, now=number * 0.05)
+        expected_ms = speeds.expect_first_ms("e0", 100, now=2.0)
+        self.assertGreater(find_patience(expected_ms, speeds.spread), 0.8)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/components/placement/test_choice.py
+++ b/tests/components/placement/test_choice.py
@@ -4,9 +4,8 @@
 from random import Random
 from typing import Any
 
-from chivetrack.components.distribution.messages import EndpointLoad
+from chivetrack.components.distribution.messages import EndpointLoad, PlacedPart
 from chivetrack.components.placement.choice import (
-    HOMES,
     Candidate,
     Choice,
     Chooser,
@@ -15,6 +14,8 @@
 )
 from chivetrack.components.placement.loads import LoadTable
 from chivetrack.components.placement.parts import MIN_TOLD_TOKENS, USABLE_SHARE, PartBook
+from chivetrack.components.placement.placement import Placement
+from chivetrack.components.placement.weights import HOMES
 from chivetrack.components.traffic.models import EngineProfile, Service
 from chivetrack.components.traffic.requests import PromptPart, RequestFacts
 from tests.components.announcements.test_table import make_record
@@ -265,6 +266,40 @@
         theirs.note("e", [part], now=25.0, capacity=1000)
         self.assertEqual(len(list(theirs.list_news(25.0))), 1)
 
+    def test_news_of_the_lifetime_before(self) -> None:
+        """An engine crashes and is back in a second; others still tell what it had cached.
+
+        Believed, the prompt is sent there as if it were cached and read again, while the
+        engine that really has it goes unasked.
+        """
+        book = PartBook()
+        book.forget("e", emptied_at=10.0)
+        old = PlacedPart(part="d:5000", endpoint_id="e", age_s=4.0)
+        book.take_news([old], now=12.0, capacity=100_000)
+        parts = (PromptPart("d", 5000),)
+        self.assertEqual(book.count_cached("e", parts), 0)
+        new = PlacedPart(part="d:5000", endpoint_id="e", age_s=1.0)
+        book.take_news([new], now=12.0, capacity=100_000)
+        self.assertEqual(book.count_cached("e", parts), 5000)
+
+    def test_try_that_failed_before_its_prompt_was_read(self) -> None:
+        """An engine refuses connections; the prompt that was sent there is not cached there."""
+        world = World()
+        placement = Placement(zone="z0")
+        facts = make_facts()
+        choice = world.choose(facts)
+        name = choice.record.endpoint_id
+        failed = placement.start(choice, facts, now=0.0, capacity=500_000)
+        self.assertEqual(placement.parts.count_cached(name, facts.shared_parts), 10_512)
+        placement.finish(failed, now=0.1)
+        self.assertEqual(placement.parts.count_cached(name, facts.shared_parts), 0)
+        self.assertEqual(list(placement.list_news(0.1)), [])
+        read = placement.start(choice, facts, now=0.2, capacity=500_000)
+        placement.note_first(read, now=0.3)
+        again = placement.start(choice, facts, now=0.4, capacity=500_000)
+        placement.finish(again, now=0.5)
+        self.assertEqual(placement.parts.count_cached(name, facts.shared_parts), 10_512)
+
 
 class LoadTableTest(unittest.TestCase):
     def test_others_are_believed_for_a_while(self) -> None:
@@ -275,8 +310,8 @@
         loads.take_others(other.list_own(), now=0.0)
         self.assertEqual(loads.count_running("e", 1.0), 2)
         # What others sent is read meanwhile, at 57 tokens a millisecond.
-        self.assertEqual(loads.count_tokens("e", 0.0), 150)
-        self.assertEqual(loads.count_tokens("e", 1.0), 100)
+        self.assertEqual(loads.count_tokens("e", 0.0, rate=57.0), 150)
+        self.assertEqual(loads.count_tokens("e", 1.0, rate=57.0), 100)
         self.assertEqual(loads.count_running("e", 10.0), 1)
         loads.begin("e", 100)
         loads.finish("e")
--- a/tests/daemon/fleet/test_forwarder.py
+++ b/tests/daemon/fleet/test_forwarder.py
@@ -1,12 +1,16 @@
 """What a caller gets when an endpoint answers rightly, wrongly, twice or not at all."""
 
+import contextlib
 import socket
 import time
 import unittest
+from collections.abc import Callable
 
+from chivetrack.components.placement.placement import Placed
 from chivetrack.components.retries.sending import SendEnd
 from chivetrack.components.traffic.models import RouteKind
 from chivetrack.components.upstream.kept import KeptConnections
+from chivetrack.daemon.fleet.calls import Call
 from chivetrack.daemon.fleet.forwarder import Forwarder, SendResult
 from tests.components.traffic.documents import make_route
 from tests.daemon.fleet.scripted import (
@@ -33,13 +37,20 @@
 class ForwarderCase(unittest.TestCase):
     def setUp(self) -> None:
         self.kept = KeptConnections(read_clock=time.monotonic)
+        self.overdue = 0
+        self.is_silent = False
         self.forwarder = Forwarder(
             kept=self.kept,
             note_answer=lambda endpoint_id, facts: None,
             note_first_event=lambda call, choice: None,
+            note_overdue=self.note_overdue,
         )
         self.caller = Caller()
 
+    def note_overdue(self, call: Call) -> bool:
+        self.overdue += 1
+        return self.is_silent
+
     def open(self, *scripts: object) -> ScriptedEndpoint:
         endpoint = ScriptedEndpoint(*scripts)  # type: ignore[arg-type]
         self.addCleanup(endpoint.stop)
@@ -54,6 +65,63 @@
         )
 
 
+def make_placed() -> Placed:
+    return Placed(
+        endpoint_id="e",
+        service="portal",
+        missing_tokens=0,
+        ahead_tokens=0,
+        has_prompt=False,
+        started_at=0.0,
+        patience_s=0.1,
+    )
+
+
+def answer_after(delay_s: float, data: bytes) -> Callable[[socket.socket], None]:
+    """Return a script that answers late."""
+
+    def script(connection: socket.socket) -> None:
+        time.sleep(delay_s)
+        with contextlib.suppress(OSError):
+            connection.sendall(data)
+
+    return script
+
+
+class SilentEndpointTest(ForwarderCase):
+    def test_silent_endpoint_is_given_up_while_time_is_left(self) -> None:
+        """An endpoint takes a status request and loses power; its connection stays open.
+
+        The caller waits two seconds. Waited for to the end, the request is lost although
+        it may run again; given up after a tenth of a second, it is answered elsewhere.
+        """
+        self.is_silent = True
+        endpoint = self.open(answer_after(1.0, make_answer(b"late")))
+        began = time.monotonic()
+        result = self.send(endpoint, may_repeat=True, placed=make_placed())
+        self.assertEqual(result.end, SendEnd.MAYBE_RAN)
+        self.assertIn("silent", result.detail)
+        self.assertLess(time.monotonic() - began, 0.8)
+
+    def test_slow_endpoint_that_answers_others_is_waited_for(self) -> None:
+        endpoint = self.open(answer_after(0.35, make_answer(b"late")))
+        result = self.send(endpoint, may_repeat=True, placed=make_placed())
+        self.assertTrue(result.is_answered)
+        self.assertEqual(self.caller.body, b"late")
+        self.assertGreaterEqual(self.overdue, 2)
+
+    def test_what_must_not_run_twice_is_waited_for(self) -> None:
+        """The same endpoint has a quote; sent elsewhere it might be billed twice.
+
+        That it is overdue is noted at once, so that others keep away from the endpoint.
+        """
+        self.is_silent = True
+        endpoint = self.open(answer_after(0.3, make_answer(b"late")))
+        result = self.send(endpoint, may_repeat=False, placed=make_placed())
+        self.assertTrue(result.is_answered)
+        self.assertEqual(self.overdue, 1)
+
+
 class PlainAnswerTest(ForwarderCase):
     def test_request_and_answer_pass_unchanged(self) -> None:
         endpoint = self.open(make_answer(b"hello", "200 OK", SEAL, ECHO, "X-A: 1"))
