Model a fleet before engines, to judge policies on drawn deployments

Change: `python -m benchmarks.fleet` plays engines with batches, chunked reading, caches that evict and transfers, routers with the real `Placement` objects and news half a second late, callers with one retry; deployments given or drawn by seed; policies in a registry; a table.

Conclusion: kept for comparing policies, not for forecasting figures.

--- /dev/null
+++ b/benchmarks/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""A fleet of routers before model engines, modelled: policies compared on drawn deployments."""
--- /dev/null
+++ b/benchmarks/fleet/__main__.py
@@ -0,0 +1,47 @@
+"""Compare placement policies on modelled deployments: ``python -m benchmarks.fleet``."""
+
+from concurrent.futures import ProcessPoolExecutor
+from typing import Annotated
+
+import typer
+
+from benchmarks.fleet.deployment import Deployment, draw_deployment, make_boards
+from benchmarks.fleet.policies import POLICIES
+from benchmarks.fleet.report import HEADING, Figures, average, format_row, measure
+from benchmarks.fleet.world import World
+
+
+def play_one(deployment: Deployment, policy: str, seed: int) -> Figures:
+    """Play one deployment under one policy."""
+    return measure(World(deployment=deployment, policy=POLICIES[policy](), seed=seed).play())
+
+
+def main(
+    policy: Annotated[list[str] | None, typer.Option(help="Policies; default all.")] = None,
+    drawn: Annotated[int, typer.Option(help="How many drawn deployments.")] = 0,
+    seeds: Annotated[int, typer.Option(help="How many seeds of the given deployment.")] = 3,
+    burst: Annotated[float, typer.Option(help="Times the load in a fifth of a run.")] = 1.0,
+    load: Annotated[float, typer.Option(help="Requests a second.")] = 72.0,
+    jobs: Annotated[int, typer.Option(help="Processes to use.")] = 3,
+) -> None:
+    """Print a table with a row for each policy."""
+    names = policy or list(POLICIES)
+    if drawn:
+        cases = [(draw_deployment(seed), seed) for seed in range(1, drawn + 1)]
+    else:
+        cases = [
+            (make_boards(seed=seed, requests_per_s=load, burst=burst), seed)
+            for seed in range(1, seeds + 1)
+        ]
+    print(HEADING)
+    with ProcessPoolExecutor(max_workers=jobs) as pool:
+        runs = {
+            name: [pool.submit(play_one, case, name, seed) for case, seed in cases]
+            for name in names
+        }
+        for name, futures in runs.items():
+            print(format_row(name, average([one.result() for one in futures])), flush=True)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/benchmarks/fleet/engine.py
@@ -0,0 +1,154 @@
+"""A model engine: batched steps, chunked reading, a cache that evicts, transfers."""
+
+from collections import OrderedDict, deque
+from dataclasses import dataclass
+
+from benchmarks.fleet.deployment import EngineKind
+from chivetrack.components.traffic.requests import PromptPart
+
+
+@dataclass(slots=True, kw_only=True)
+class Job:
+    """One request at an engine; times in ms of the run."""
+
+    parts: tuple[PromptPart, ...]
+    prompt_tokens: int
+    answer_tokens: int
+    priority: int
+    number: int
+    to_read: float = 0.0
+    produced: int = 0
+    first_at: float | None = None
+    ended_at: float | None = None
+    cut: bool = False
+    gave_up: bool = False
+
+
+@dataclass(slots=True, kw_only=True)
+class Totals:
+    """Tokens that engines read, read though another engine had them, and moved."""
+
+    read: float = 0.0
+    read_again: float = 0.0
+    moved: float = 0.0
+
+
+class Engine:
+    """Plays one engine in steps; ``slowness`` multiplies every time."""
+
+    def __init__(self, *, kind: EngineKind, speed: float, totals: Totals) -> None:
+        """Start idle with an empty cache."""
+        self.kind = kind
+        self.speed = speed
+        self.slowness = 1.0
+        self.is_up = True
+        self.free_at = 0.0
+        self._totals = totals
+        self._cache: OrderedDict[str, int] = OrderedDict()
+        self._cached_tokens = 0
+        self._waiting: deque[Job] = deque()
+        self._reading: deque[Job] = deque()
+        self._running: list[Job] = []
+
+    @property
+    def in_flight(self) -> int:
+        """Return how many requests are here."""
+        return len(self._waiting) + len(self._reading) + len(self._running)
+
+    def count_cached(self, parts: tuple[PromptPart, ...]) -> int:
+        """Return how many tokens at the beginning of a prompt are cached."""
+        tokens = 0
+        for part in parts:
+            if part.part_id not in self._cache:
+                break
+            tokens += part.tokens
+        return tokens
+
+    def take(self, job: Job, *, known_elsewhere: int, fetch_from: "Engine | None") -> float:
+        """Admit a request; return by how many ms a transfer delays it.
+
+        ``known_elsewhere``: how many of its shared tokens some engine has cached.
+        """
+        cached = self.count_cached(job.parts)
+        delay_ms = 0.0
+        moved = 0
+        if fetch_from is not None and fetch_from.is_up:
+            moved = max(0, fetch_from.count_cached(job.parts) - cached)
+            if moved:
+                delay_ms = self.kind.fetch_setup_ms + moved / self.kind.fetch_tokens_per_ms
+        self._totals.moved += moved
+        job.to_read = max(1.0, job.prompt_tokens - cached - moved)
+        shared = sum(part.tokens for part in job.parts[:-1])
+        again = min(known_elsewhere, shared) - cached - moved
+        self._totals.read_again += max(0, again)
+        self._totals.read += job.to_read
+        for part in job.parts:
+            self._keep(part)
+        return delay_ms
+
+    def _keep(self, part: PromptPart) -> None:
+        if part.part_id in self._cache:
+            self._cache.move_to_end(part.part_id)
+            return
+        self._cache[part.part_id] = part.tokens
+        self._cached_tokens += part.tokens
+        while self._cached_tokens > self.kind.memory_tokens and len(self._cache) > 1:
+            _, tokens = self._cache.popitem(last=False)
+            self._cached_tokens -= tokens
+
+    def enqueue(self, job: Job) -> None:
+        """Let a request wait for a place in the batch; urgent ones go first."""
+        index = len(self._waiting)
+        while index and self._waiting[index - 1].priority > job.priority:
+            index -= 1
+        self._waiting.insert(index, job)
+
+    def step(self, now: float) -> float:
+        """Play one step and return its length in ms."""
+        while self._waiting and len(self._reading) + len(self._running) < self.kind.batch:
+            self._reading.append(self._waiting.popleft())
+        self._drop_left()
+        chunk = float(self.kind.chunk_tokens)
+        read = 0.0
+        ready: list[Job] = []
+        while self._reading and chunk > 0:
+            job = self._reading[0]
+            part = min(chunk, job.to_read)
+            job.to_read -= part
+            chunk -= part
+            read += part
+            if job.to_read > 0:
+                break
+            ready.append(self._reading.popleft())
+        count = len(self._running)
+        length = self.kind.step_ms + count * self.kind.step_ms_per_request
+        length += read / self.kind.read_tokens_per_ms
+        length *= self.speed * self.slowness
+        end = now + length
+        for job in self._running:
+            job.produced += 1
+            if job.produced >= job.answer_tokens:
+                job.ended_at = end
+        for job in ready:
+            job.first_at = end
+            job.produced = 1
+        self._running = [job for job in self._running if job.ended_at is None] + ready
+        return length
+
+    def _drop_left(self) -> None:
+        for queue in (self._waiting, self._reading):
+            left = [job for job in queue if job.gave_up]
+            for job in left:
+                queue.remove(job)
+        self._running = [job for job in self._running if not job.gave_up]
+
+    def crash(self) -> list[Job]:
+        """Lose all requests and the cache; return the requests."""
+        lost = [*self._waiting, *self._reading, *self._running]
+        self._waiting.clear()
+        self._reading.clear()
+        self._running = []
+        self._cache.clear()
+        self._cached_tokens = 0
+        self.is_up = False
+        return lost
--- /dev/null
+++ b/benchmarks/fleet/report.py
@@ -0,0 +1,75 @@
+"""What a run was worth to its callers, as figures and as a table."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from benchmarks.fleet.world import Result
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Figures:
+    """Shares of worth and requests, tokens per request, times in ms."""
+
+    worth: float
+    late: float
+    unserved: float
+    first_p50: float
+    first_p99: float
+    read_again: float
+    moved: float
+    other_zone: float
+    skew_p99: float
+    over: float
+
+
+def measure(result: Result) -> Figures:
+    """Return the figures of one run."""
+    owed = sum(one.kind.worth for one in result.outcomes)
+    earned = late = unserved = 0.0
+    times = []
+    for one in result.outcomes:
+        if one.first_ms is None:
+            unserved += 1
+            continue
+        times.append(one.first_ms)
+        is_late = one.first_ms > one.kind.aim_ms
+        late += is_late
+        earned += one.kind.late_worth if is_late else one.kind.worth
+    count = len(result.outcomes)
+    times.sort()
+    skews = sorted(result.skews) or [1.0]
+    return Figures(
+        worth=earned / owed,
+        late=late / count,
+        unserved=unserved / count,
+        first_p50=times[len(times) // 2],
+        first_p99=times[len(times) * 99 // 100],
+        read_again=result.totals.read_again / count,
+        moved=result.totals.moved / count,
+        other_zone=result.other_zone / max(1, result.placed),
+        over=result.over / max(1, result.placed),
+        skew_p99=skews[len(skews) * 99 // 100],
+    )
+
+
+def average(all_figures: Sequence[Figures]) -> Figures:
+    """Return the mean of each figure."""
+    names = Figures.__dataclass_fields__
+    count = len(all_figures)
+    return Figures(**{name: sum(getattr(f, name) for f in all_figures) / count for name in names})
+
+
+def format_row(name: str, figures: Figures) -> str:
+    """Return one line of the table."""
+    return (
+        f"{name:16} {figures.worth:6.3f} {figures.late:6.3f} {figures.unserved:8.4f} "
+        f"{figures.first_p50:7.0f} {figures.first_p99:7.0f} {figures.read_again:8.0f} "
+        f"{figures.moved:7.0f} {figures.other_zone:6.2f} {figures.skew_p99:6.2f} "
+        f"{figures.over:6.3f}"
+    )
+
+
+HEADING = (
+    f"{'policy':16} {'worth':>6} {'late':>6} {'unserved':>8} {'p50 ms':>7} {'p99 ms':>7} "
+    f"{'again':>8} {'moved':>7} {'zone':>6} {'skew':>6} {'over':>6}"
+)
--- /dev/null
+++ b/benchmarks/fleet/world.py
@@ -0,0 +1,364 @@
+"""Plays a deployment: callers, routers with the real decision objects, engines."""
+
+import heapq
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+from itertools import count
+from random import Random
+
+from benchmarks.fleet.deployment import Deployment, RequestKind
+from benchmarks.fleet.engine import Engine, Job, Totals
+from benchmarks.fleet.policies import Policy
+from chivetrack.components.announcements.models import EndpointRecord, EndpointState
+from chivetrack.components.distribution.messages import EndpointLoad, PlacedPart
+from chivetrack.components.placement.choice import Candidate, Choice, Source
+from chivetrack.components.placement.placement import Placed, Placement
+from chivetrack.components.traffic.models import EngineProfile, Service
+from chivetrack.components.traffic.requests import PromptPart, RequestFacts
+
+# Routers tell each other their counts this often, and hear of it so much later.
+NEWS_EVERY_MS = 300.0
+NEWS_LAG_MS = 150.0
+# A crashed engine is still believed to be there for so long.
+NOTICE_MS = 600.0
+ZONE_MS = 0.9
+EXCHANGES_FOR_S = 1.5
+
+
+@dataclass(slots=True, kw_only=True)
+class Outcome:
+    """How one request ended; ``first_ms`` is ``None`` if it was never served."""
+
+    kind: RequestKind
+    first_ms: float | None
+    refused: bool = False
+
+
+@dataclass(slots=True, kw_only=True)
+class Result:
+    """What a run measured."""
+
+    outcomes: list[Outcome] = field(default_factory=list)
+    totals: Totals = field(default_factory=Totals)
+    other_zone: int = 0
+    placed: int = 0
+    over: int = 0
+    skews: list[float] = field(default_factory=list)
+
+
+@dataclass(slots=True, kw_only=True)
+class _Router:
+    zone: str
+    placement: Placement
+
+
+@dataclass(slots=True, kw_only=True)
+class _Request:
+    kind: RequestKind
+    facts: RequestFacts
+    job: Job
+    router: _Router
+    came_at: float
+    tried: set[str] = field(default_factory=set)
+    placed: Placed | None = None
+    outcome: Outcome | None = None
+
+
+class World:
+    """One run of one policy on one deployment."""
+
+    def __init__(self, *, deployment: Deployment, policy: Policy, seed: int) -> None:
+        """Build routers and engines; nothing happens before ``play``."""
+        self._deployment = deployment
+        self._random = Random(seed)
+        self._events: list[tuple[float, int, Callable[[float], None]]] = []
+        self._numbers = count()
+        self.result = Result()
+        self._engines: dict[str, Engine] = {}
+        self._records: dict[str, EndpointRecord] = {}
+        self._gone_at: dict[str, float] = {}
+        self._jobs: dict[str, list[_Request]] = {}
+        profile = EngineProfile(
+            slots=deployment.engine.batch,
+            memory_tokens=deployment.engine.memory_tokens,
+            can_fetch=True,
+        )
+        self._service = Service(name="llm", engine=profile)
+        self._is_oracle = policy.is_oracle
+        self._routers = [
+            _Router(
+                zone=f"z{number % deployment.zones}",
+                placement=policy.make(zone=f"z{number % deployment.zones}"),
+            )
+            for number in range(deployment.routers)
+        ]
+        for number, speed in enumerate(deployment.speeds):
+            self._add_engine(number, speed)
+
+    def _add_engine(self, number: int, speed: float) -> None:
+        name = f"e{number}"
+        self._engines[name] = Engine(
+            kind=self._deployment.engine, speed=speed, totals=self.result.totals
+        )
+        self._records[name] = EndpointRecord(
+            endpoint_id=name,
+            service="llm",
+            address=name,
+            zone=f"z{number % self._deployment.zones}",
+            slots=self._deployment.engine.batch,
+            software="v1",
+            state=EndpointState.READY,
+            sequence=1,
+            born=1,
+        )
+        self._jobs[name] = []
+
+    def _join(self, number: int, now: float) -> None:
+        self._add_engine(number, 1.0)
+
+    def _at(self, when: float, do: Callable[[float], None]) -> None:
+        heapq.heappush(self._events, (when, next(self._numbers), do))
+
+    def play(self) -> Result:
+        """Play the whole run."""
+        deployment = self._deployment
+        for trouble in deployment.troubles:
+            name = f"e{trouble.engine}"
+            self._at(trouble.at_s * 1000, partial(self._harm, name, trouble.factor))
+            self._at((trouble.at_s + trouble.for_s) * 1000, partial(self._mend, name))
+        for index, at_s in enumerate(deployment.joins_at_s):
+            number = len(deployment.speeds) + index
+            self._at(at_s * 1000, partial(self._join, number))
+        self._at(NEWS_EVERY_MS, self._exchange)
+        self._at(0.0, self._arrive)
+        while self._events:
+            now, _, do = heapq.heappop(self._events)
+            do(now)
+        return self.result
+
+    # Callers
+
+    def _arrive(self, now: float) -> None:
+        deployment = self._deployment
+        if now >= deployment.seconds * 1000:
+            return
+        third = deployment.seconds * 1000 / 3
+        rate = deployment.requests_per_s * (deployment.burst if third < now < 1.6 * third else 1.0)
+        self._at(now + self._random.expovariate(rate) * 1000, self._arrive)
+        kind = self._random.choices(
+            deployment.kinds, weights=[one.share for one in deployment.kinds]
+        )[0]
+        self._start(self._make_request(kind, now), now)
+
+    def _make_request(self, kind: RequestKind, now: float) -> _Request:
+        random = self._random
+        number = next(self._numbers)
+        subject = random.randrange(kind.subjects)
+        parts = (
+            PromptPart(f"{kind.name}-c{subject % kind.commons}", kind.common_tokens),
+            PromptPart(f"{kind.name}-s{subject}", kind.subject_tokens),
+            PromptPart(f"o{number}", max(1, round(kind.own_tokens * random.uniform(0.5, 1.5)))),
+        )
+        tokens = sum(part.tokens for part in parts)
+        answer = max(1, round(kind.answer_tokens * random.lognormvariate(-0.3, 0.8)))
+        facts = RequestFacts(request_id=str(number), parts=parts, prompt_tokens=tokens)
+        job = Job(
+            parts=parts,
+            prompt_tokens=tokens,
+            answer_tokens=answer,
+            priority=kind.priority,
+            number=number,
+        )
+        router = random.choice(self._routers)
+        return _Request(kind=kind, facts=facts, job=job, router=router, came_at=now)
+
+    def _start(self, request: _Request, now: float) -> None:
+        choice = self._choose(request, now)
+        if choice is None:
+            self._end(request, None)
+            return
+        record = choice.record
+        self.result.placed += 1
+        self.result.other_zone += record.zone != request.router.zone
+        request.tried.add(record.endpoint_id)
+        request.placed = request.router.placement.start(
+            choice, request.facts, now=now / 1000, capacity=self._deployment.engine.memory_tokens
+        )
+        engine = self._engines[record.endpoint_id]
+        if not engine.is_up:
+            self._at(now + 2 * ZONE_MS, lambda at: self._retry(request, at))
+            return
+        known = max(
+            one.count_cached(request.facts.shared_parts)
+            for one in self._engines.values()
+            if one.is_up
+        )
+        self._note_over(engine)
+        source = self._engines.get(choice.fetch_from)
+        delay = engine.take(request.job, known_elsewhere=known, fetch_from=source)
+        self._jobs[record.endpoint_id].append(request)
+        name = record.endpoint_id
+        self._at(now + ZONE_MS + delay, lambda at: self._enqueue(name, request, at))
+        if not request.tried - {name}:
+            self._at(request.came_at + request.kind.timeout_ms, lambda at: self._time_out(request))
+
+    def _note_over(self, engine: Engine) -> None:
+        """Count a request that reaches an engine over twice the mean and three."""
+        up = [one.in_flight for one in self._engines.values() if one.is_up]
+        self.result.over += engine.in_flight + 1 > 2 * (sum(up) + 1) / len(up) + 3
+
+    def _choose(self, request: _Request, now: float) -> Choice | None:
+        candidates, sources = [], []
+        for name, record in self._records.items():
+            gone_at = self._gone_at.get(name)
+            if gone_at is not None and now - gone_at > NOTICE_MS:
+                continue
+            sources.append(Source(record=record))
+            if name not in request.tried:
+                candidates.append(Candidate(record=record))
+        return request.router.placement.choose(
+            candidates,
+            service=self._service,
+            facts=request.facts,
+            now=now / 1000,
+            sources=sources,
+            routers=len(self._routers),
+        )
+
+    def _time_out(self, request: _Request) -> None:
+        if request.outcome is None:
+            request.job.gave_up = True
+            self._end(request, None)
+
+    def _retry(self, request: _Request, now: float) -> None:
+        if request.placed is not None:
+            request.router.placement.finish(request.placed, now=now / 1000)
+            request.placed = None
+        if request.outcome is not None:
+            return
+        if len(request.tried) >= 2:
+            self._end(request, None)
+            return
+        old = request.job
+        request.job = Job(
+            parts=old.parts,
+            prompt_tokens=old.prompt_tokens,
+            answer_tokens=old.answer_tokens,
+            priority=old.priority,
+            number=old.number,
+        )
+        self._start(request, now)
+
+    def _end(self, request: _Request, first_ms: float | None) -> None:
+        request.outcome = Outcome(kind=request.kind, first_ms=first_ms)
+        self.result.outcomes.append(request.outcome)
+
+    # Engines
+
+    def _enqueue(self, name: str, request: _Request, now: float) -> None:
+        engine = self._engines[name]
+        if not engine.is_up:
+            return
+        engine.enqueue(request.job)
+        if engine.free_at <= now:
+            self._step(name, now)
+
+    def _step(self, name: str, now: float) -> None:
+        engine = self._engines[name]
+        if not engine.is_up or engine.free_at > now:
+            return
+        end = now + engine.step(now)
+        engine.free_at = end
+        self._at(end, lambda at: self._after_step(name, at))
+
+    def _after_step(self, name: str, now: float) -> None:
+        left = []
+        for request in self._jobs[name]:
+            placement = request.router.placement
+            if request.placed is not None and request.job.first_at is not None:
+                placement.note_first(request.placed, now=now / 1000)
+            is_over = request.job.ended_at is not None or request.job.gave_up
+            if is_over and request.placed is not None:
+                is_whole = request.job.ended_at is not None
+                request.placed.is_whole = is_whole
+                placement.finish(request.placed, now=now / 1000)
+                request.placed = None
+                if is_whole and request.outcome is None:
+                    assert request.job.first_at is not None
+                    self._end(request, request.job.first_at - request.came_at + ZONE_MS)
+            if not is_over:
+                left.append(request)
+        self._jobs[name] = left
+        if self._engines[name].in_flight:
+            self._step(name, now)
+
+    def _harm(self, name: str, factor: float, now: float) -> None:
+        if factor:
+            self._engines[name].slowness = factor
+            return
+        self._engines[name].crash()
+        self._gone_at[name] = now
+        lost, self._jobs[name] = self._jobs[name], []
+        for request in lost:
+            self._retry(request, now)
+
+    def _mend(self, name: str, now: float) -> None:
+        engine = self._engines[name]
+        engine.slowness = 1.0
+        if engine.is_up:
+            return
+        engine.is_up = True
+        engine.free_at = 0.0
+        self._gone_at.pop(name, None)
+        for router in self._routers:
+            router.placement.forget(name)
+
+    # What routers tell each other
+
+    def _exchange(self, now: float) -> None:
+        if now > (self._deployment.seconds + EXCHANGES_FOR_S) * 1000:
+            return
+        self._at(now + NEWS_EVERY_MS, self._exchange)
+        in_flight = [one.in_flight for one in self._engines.values() if one.is_up]
+        mean = sum(in_flight) / len(in_flight)
+        if mean >= 1:
+            self.result.skews.append(max(in_flight) / mean)
+        told = [list(one.placement.list_own()) for one in self._routers]
+        placed = [list(one.placement.list_news(now / 1000)) for one in self._routers]
+        sums = _add_up(told)
+        for number, router in enumerate(self._routers):
+            others = _subtract(sums, told[number])
+            news = [one for n, each in enumerate(placed) if n != number for one in each]
+            lag = 0.0 if self._is_oracle else NEWS_LAG_MS
+            self._at(now + lag, partial(self._hear, router, others, news))
+
+    def _hear(
+        self, router: _Router, loads: list[EndpointLoad], news: list[PlacedPart], now: float
+    ) -> None:
+        capacity = self._deployment.engine.memory_tokens
+        router.placement.take_others(loads, news, now=now / 1000, capacity=capacity)
+
+
+def _add_up(told: list[list[EndpointLoad]]) -> dict[str, tuple[int, int]]:
+    sums: dict[str, tuple[int, int]] = {}
+    for loads in told:
+        for load in loads:
+            running, tokens = sums.get(load.endpoint_id, (0, 0))
+            sums[load.endpoint_id] = (running + load.running, tokens + load.tokens)
+    return sums
+
+
+def _subtract(sums: dict[str, tuple[int, int]], own: list[EndpointLoad]) -> list[EndpointLoad]:
+    mine = {load.endpoint_id: load for load in own}
+    others = []
+    for name, (running, tokens) in sums.items():
+        load = mine.get(name)
+        others.append(
+            EndpointLoad(
+                endpoint_id=name,
+                running=running - (load.running if load else 0),
+                tokens=tokens - (load.tokens if load else 0),
+            )
+        )
+    return others
