Refuse at once what known work keeps from being begun in time

Cause: nothing on the deployed path refused; a request whose engine had a queue longer than the caller's patience was held to its deadline.

Change: `limits/hopeless.py` refuses, with the shared fault of `limits` and the time in which the queue drains, spread over callers, if half of the work that is known to be before a request takes longer than it has.

Slowness that is learned under overload is the queue, counted twice.

--- a/chivetrack/components/limits/faults.py
+++ b/chivetrack/components/limits/faults.py
@@ -9,7 +9,7 @@
     STATUS_OVERLOADED,
     STATUS_TOO_MANY,
 )
-from chivetrack.components.limits.gate import Cause, WaitEstimate
+from chivetrack.components.limits.models import Cause, WaitEstimate
 from chivetrack.exceptions import Fault, Ran
 
 _CODES = {
--- a/chivetrack/components/limits/gate.py
+++ b/chivetrack/components/limits/gate.py
@@ -1,31 +1,11 @@
 """The limits of one workspace, as far as this router may use them."""
 
-from dataclasses import dataclass
-from enum import StrEnum
-
 from chivetrack.components.limits.bucket import TokenBucket
 from chivetrack.components.limits.const import SHARE_WAIT_S
-from chivetrack.components.limits.models import WorkspaceLimit
+from chivetrack.components.limits.models import Cause, WaitEstimate, WorkspaceLimit
 from chivetrack.components.limits.shares import ShareBook
 
 
-class Cause(StrEnum):
-    """What a request waits for."""
-
-    NOTHING = "nothing"
-    RATE = "rate"
-    CONCURRENCY = "concurrency"
-    CAPACITY = "capacity"
-
-
-@dataclass(frozen=True, slots=True)
-class WaitEstimate:
-    """How long a request would wait, and for what."""
-
-    seconds: float
-    cause: Cause
-
-
 class WorkspaceGate:
     """Counts a workspace's requests against this router's share of its limits."""
 
--- a/chivetrack/components/limits/models.py
+++ b/chivetrack/components/limits/models.py
@@ -1,6 +1,7 @@
 """Shapes of the limits component."""
 
 from dataclasses import dataclass
+from enum import StrEnum
 
 from chivetrack.core import Effect
 from chivetrack.exceptions import Fault
@@ -67,3 +68,20 @@
 
     request_id: str
     fault: Fault
+
+
+class Cause(StrEnum):
+    """What a request waits for."""
+
+    NOTHING = "nothing"
+    RATE = "rate"
+    CONCURRENCY = "concurrency"
+    CAPACITY = "capacity"
+
+
+@dataclass(frozen=True, slots=True)
+class WaitEstimate:
+    """How long a request would wait, and for what."""
+
+    seconds: float
+    cause: Cause
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable, Iterable
+from random import Random
 from typing import Any
 
 import gevent
@@ -10,6 +11,7 @@
 from chivetrack.components.caller_api.body import read_body
 from chivetrack.components.caller_api.const import BODY_TIMEOUT_S, ENVIRON_SOCKET
 from chivetrack.components.caller_api.watch import CallerLeftError, watch_caller
+from chivetrack.components.limits.hopeless import judge_hope
 from chivetrack.components.placement.choice import Choice
 from chivetrack.components.retries.sending import (
     SendEnd,
@@ -63,6 +65,7 @@
         self.open_count = 0
         self.is_closed = False
         self._started_at = time.monotonic()
+        self._random = Random()
 
     def __call__(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
         """Serve one request as a WSGI application."""
@@ -182,12 +185,41 @@
             if choice is None:
                 self._give_up(call, "no_candidate")
                 return
+            if not call.tries and self._refuse_hopeless(call, choice):
+                return
             if self._send(call, choice):
                 return
             if not self._may_send_again(call):
                 self._give_up(call, "tries_used_up")
                 return
 
+    def _refuse_hopeless(self, call: Call, choice: Choice) -> bool:
+        """Refuse a request that even the best endpoint can't begin to answer in time."""
+        left_s = call.ends_at - time.monotonic()
+        fault = judge_hope(
+            expected_s=choice.certain_ms / 1000,
+            left_s=left_s,
+            target_s=call.route.target_s,
+            random=self._random,
+        )
+        if fault is None:
+            return False
+        self._events.write(
+            "request_rejected",
+            request=call.facts.request_id,
+            code=fault.code,
+            status=fault.status,
+            version=self._view.version,
+            path=call.target,
+            endpoint=choice.record.endpoint_id,
+            running=choice.running,
+            expected_ms=round(choice.certain_ms),
+            left_ms=round(left_s * 1000),
+            retry_after_s=fault.retry_after_s,
+        )
+        call.reply.refuse(fault)
+        return True
+
     def _may_send_again(self, call: Call) -> bool:
         left_s = call.ends_at - time.monotonic()
         has_budget = self._view.has_budget(call.service)
