Let a caller wait for half of its time again while a router starts

Cause: three quarters were tried, so that callers who come while routers start need not come twice.

Conclusion: reverted.

--- a/chivetrack/daemon/fleet/const.py
+++ b/chivetrack/daemon/fleet/const.py
@@ -31,10 +31,6 @@
 start with it: 0.8 s longer than its own start to a leader, two rounds of the exchange, and
 as much again."""
 
-START_WAIT_SHARE: Final = 0.75
-"""Of a caller's time: what is left is enough for an answer, and a caller that is sent away
-comes back with half of its time to another router that starts as well."""
-
 FLUSH_S: Final = 0.02
 """Changes of endpoints within so long go out to routers together."""
 
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -32,7 +32,6 @@
     NO_DOCUMENT_RETRY_S,
     NO_ENDPOINT_RETRY_S,
     START_WAIT_S,
-    START_WAIT_SHARE,
 )
 from chivetrack.daemon.fleet.fleet_view import FleetView
 from chivetrack.daemon.fleet.forwarder import AnswerCutError, Forwarder, make_tried
@@ -145,7 +144,7 @@
         left_s = self._started_at + START_WAIT_S - now
         wait_s = DEFAULT_WAIT_S if facts.wait_s is None else facts.wait_s
         if left_s > 0:
-            self._view.wait_until_ready(min(left_s, wait_s * START_WAIT_SHARE))
+            self._view.wait_until_ready(min(left_s, wait_s / 2))
         return self._view.table
 
     @staticmethod
