Doubt an endpoint only when two requests are overdue there

A router sends such an endpoint less than one request a second; one that takes its whole time limit leaves nothing else to be heard from it.

Change: an endpoint counts as silent once two requests are overdue and nothing has come since.

--- a/chivetrack/components/observation/silence.py
+++ b/chivetrack/components/observation/silence.py
@@ -9,6 +9,11 @@
 PATIENCE_FACTOR = 4.0
 MIN_PATIENCE_S = 0.3
 
+# So many requests have to be overdue at once: one alone may be a request that takes long, and
+# where a router sends an endpoint less than one a second nothing else shows that it lives. With
+# one, routers held back healthy endpoints of a plain service every few seconds of a calm day.
+MIN_OVERDUE = 2
+
 # While more than this share of a service's endpoints owe answers, the service is overloaded
 # and not its endpoints gone: left out, they would leave their load to the rest.
 MAX_SILENT_SHARE = 0.25
@@ -72,14 +77,15 @@
             endpoint.waiting.pop(number, None)
 
     def is_silent(self, endpoint_id: str, now: float) -> bool:
-        """Return whether a first byte is overdue and nothing was heard since its request."""
+        """Return whether first bytes are overdue and nothing was heard since their requests."""
         endpoint = self._endpoints.get(endpoint_id)
         if endpoint is None:
             return False
-        return any(
+        overdue = sum(
             now > due_at and endpoint.heard_at <= started_at
             for started_at, due_at in endpoint.waiting.values()
         )
+        return overdue >= MIN_OVERDUE
 
     def forget(self, endpoint_id: str) -> None:
         """Drop what is known of an endpoint: it has started again, or has gone."""
