Let one fading mean serve failures and slowness

Cause: the read of the whole change found the same fading sums written twice, in observation/failures and observation/speeds. Beside it a field of the model's outcomes that nothing sets, and a counter of samples that served as a flag.

Ruled out: other rows of the list of duplicates are alike in shape alone; `Placement.choose` repeats the arguments of `Chooser.choose`, which it adds what was learned to.

Change: `observation/fading.py`.

--- a/benchmarks/fleet/world.py
+++ b/benchmarks/fleet/world.py
@@ -32,7 +32,6 @@
 
     kind: RequestKind
     first_ms: float | None
-    refused: bool = False
 
 
 @dataclass(slots=True, kw_only=True)
--- /dev/null
+++ b/chivetrack/components/observation/fading.py
@@ -0,0 +1,35 @@
+"""A mean that forgets what is old."""
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, kw_only=True)
+class FadingMean:
+    """A weighted mean whose samples lose half of their weight in each half-life.
+
+    ``prior`` is the weight of a value of 0 that stands beside the samples and doesn't fade.
+    Times are in seconds.
+    """
+
+    half_life_s: float
+    prior: float
+    at: float
+    total: float = 0.0
+    weight: float = 0.0
+
+    def add(self, total: float, *, weight: float, now: float) -> None:
+        """Add samples: their weighted sum and their weight."""
+        self._fade(now)
+        self.total += total
+        self.weight += weight
+
+    def find(self, now: float) -> float:
+        """Return the mean."""
+        self._fade(now)
+        return self.total / (self.weight + self.prior)
+
+    def _fade(self, now: float) -> None:
+        factor = 0.5 ** (max(0.0, now - self.at) / self.half_life_s)
+        self.total *= factor
+        self.weight *= factor
+        self.at = now
--- a/chivetrack/components/observation/failures.py
+++ b/chivetrack/components/observation/failures.py
@@ -1,6 +1,6 @@
 """Which share of its tries each endpoint fails, learned from all routers' outcomes."""
 
-from dataclasses import dataclass
+from chivetrack.components.observation.fading import FadingMean
 
 # Outcomes are believed for about so long, in seconds: failures of a share of requests come
 # in spells of some seconds, and an endpoint that is avoided is seldom asked.
@@ -10,19 +10,6 @@
 PRIOR_TRIES = 12.0
 
 
-@dataclass(slots=True)
-class _Counts:
-    tries: float = 0.0
-    failures: float = 0.0
-    at: float = 0.0
-
-    def fade(self, now: float) -> None:
-        factor = 0.5 ** (max(0.0, now - self.at) / HALF_LIFE_S)
-        self.tries *= factor
-        self.failures *= factor
-        self.at = now
-
-
 class FailureBook:
     """Tells which share of its tries an endpoint fails.
 
@@ -34,23 +21,21 @@
 
     def __init__(self) -> None:
         """Start with a clean record of every endpoint."""
-        self._counts: dict[str, _Counts] = {}
+        self._shares: dict[str, FadingMean] = {}
 
     def note(self, endpoint_id: str, *, tries: float, failures: float, now: float) -> None:
         """Add outcomes; shares of a try are allowed."""
-        counts = self._counts.setdefault(endpoint_id, _Counts(at=now))
-        counts.fade(now)
-        counts.tries += tries
-        counts.failures += failures
+        share = self._shares.get(endpoint_id)
+        if share is None:
+            share = FadingMean(half_life_s=HALF_LIFE_S, prior=PRIOR_TRIES, at=now)
+            self._shares[endpoint_id] = share
+        share.add(failures, weight=tries, now=now)
 
     def find_share(self, endpoint_id: str, now: float) -> float:
         """Return the share of an endpoint's tries that fail, 0 to 1."""
-        counts = self._counts.get(endpoint_id)
-        if counts is None:
-            return 0.0
-        counts.fade(now)
-        return counts.failures / (counts.tries + PRIOR_TRIES)
+        share = self._shares.get(endpoint_id)
+        return 0.0 if share is None else share.find(now)
 
     def forget(self, endpoint_id: str) -> None:
         """Drop what is known of an endpoint: it has started again, or has gone."""
-        self._counts.pop(endpoint_id, None)
+        self._shares.pop(endpoint_id, None)
--- a/chivetrack/components/observation/median.py
+++ b/chivetrack/components/observation/median.py
@@ -18,19 +18,17 @@
     def __init__(self, start: float) -> None:
         """Begin at ``start``, in the unit of the samples."""
         self.value = start
-        self.samples = 0
         self._step = math.log(FIRST_STEP)
-        self._was_above = False
+        self._was_above: bool | None = None
 
     def add(self, sample: float) -> None:
         """Move towards a sample."""
         is_above = sample > self.value
-        if self.samples and is_above is self._was_above:
+        if is_above is self._was_above:
             self._step = min(self._step * 1.25, math.log(LAST_STEP))
         else:
             self._step = math.log(FIRST_STEP)
         self._was_above = is_above
-        self.samples += 1
         if sample <= 0:
             self.value /= math.exp(self._step)
             return
--- a/chivetrack/components/observation/speeds.py
+++ b/chivetrack/components/observation/speeds.py
@@ -1,8 +1,8 @@
 """How fast the endpoints of one service are, learned from the answers of its requests."""
 
 import math
-from dataclasses import dataclass
 
+from chivetrack.components.observation.fading import FadingMean
 from chivetrack.components.observation.median import RunningMedian, RunningQuantile
 
 # Where nothing has been seen yet: measured at engines of two deployments. What is seen
@@ -31,21 +31,6 @@
 START_SPREAD = 2.0
 
 
-@dataclass(slots=True)
-class _Slowness:
-    """Logarithms of observed over expected time, fading."""
-
-    total: float = 0.0
-    weight: float = 0.0
-    at: float = 0.0
-
-    def fade(self, now: float) -> None:
-        factor = 0.5 ** (max(0.0, now - self.at) / SLOWNESS_HALF_LIFE_S)
-        self.total *= factor
-        self.weight *= factor
-        self.at = now
-
-
 class ServiceSpeeds:
     """Learns reading rate, answer length and each endpoint's slowness of one service.
 
@@ -61,7 +46,8 @@
         self._answer = RunningMedian(START_ANSWER_MS)
         self._plain = RunningMedian(START_PLAIN_MS)
         self._spread = RunningQuantile(START_SPREAD, share=SPREAD_SHARE)
-        self._slowness: dict[str, _Slowness] = {}
+        # Of the logarithms of observed over expected times.
+        self._slowness: dict[str, FadingMean] = {}
 
     @property
     def spread(self) -> float:
@@ -95,10 +81,7 @@
     def find_slowness(self, endpoint_id: str, now: float) -> float:
         """Return by which factor an endpoint takes longer than its service does."""
         known = self._slowness.get(endpoint_id)
-        if known is None:
-            return 1.0
-        known.fade(now)
-        return math.exp(known.total / (known.weight + PRIOR_SAMPLES))
+        return 1.0 if known is None else math.exp(known.find(now))
 
     def note_first(self, endpoint_id: str, *, tokens: float, took_ms: float, now: float) -> None:
         """Learn from a first event that came after ``took_ms``; ``tokens`` were to be read."""
@@ -121,10 +104,12 @@
     def _note_ratio(self, endpoint_id: str, took_ms: float, usual_ms: float, now: float) -> None:
         ratio = took_ms / usual_ms
         self._spread.add(ratio / self.find_slowness(endpoint_id, now))
-        known = self._slowness.setdefault(endpoint_id, _Slowness(at=now))
-        known.fade(now)
-        known.total += math.log(min(MAX_SAMPLE, max(1.0 / MAX_SAMPLE, ratio)))
-        known.weight += 1.0
+        known = self._slowness.get(endpoint_id)
+        if known is None:
+            known = FadingMean(half_life_s=SLOWNESS_HALF_LIFE_S, prior=PRIOR_SAMPLES, at=now)
+            self._slowness[endpoint_id] = known
+        sample = min(MAX_SAMPLE, max(1.0 / MAX_SAMPLE, ratio))
+        known.add(math.log(sample), weight=1.0, now=now)
 
     def forget(self, endpoint_id: str) -> None:
         """Drop what is known of one endpoint: it has started again, or has gone."""
