Carry messages between the deployed processes as frames over plain sockets

Cause: under gRPC each stream between two processes waits in a thread of its own, in each direction, and each message takes over half a millisecond of processor time on both sides. At 195 routers and 5 replicas that is some 780 threads and 390 connections at the replicas' side and 260 questions a second at each replica with half a core; at rest nearly all of the fleet's work.

Ruled out: longer intervals alone (drains and loads get older, threads and connections stay), bidirectional streams of gRPC (half of the connections, the same threads).

Change: components/peers/frames (free of I/O) and links: one TCP connection a pair, both ways, answers over the connection of the question, no attempt to connect to a router that is gone; dead connections are found by the kernel's probes and its limit on what is not acknowledged. Routers wake when something is due and no longer each 75 ms. The other daemon keeps gRPC with TLS; both share the outbox. grpc and protobuf are no longer loaded by the deployed programs.

--- /dev/null
+++ b/benchmarks/links.py
@@ -0,0 +1,103 @@
+"""Processor time of a question and its answer between two instances, by transport.
+
+``python -m benchmarks.links`` prints it for streams of gRPC and for frames over sockets, both
+sides together, with views of as many endpoints as a large fleet has.
+"""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import grpc.experimental.gevent as grpc_gevent  # noqa: E402
+
+grpc_gevent.init_gevent()
+
+import time  # noqa: E402
+from collections.abc import Callable  # noqa: E402
+from typing import Final, Protocol  # noqa: E402
+
+import gevent  # noqa: E402
+
+from chivetrack.components.distribution.messages import EndpointLoad, Follow, View  # noqa: E402
+from chivetrack.components.peers.links import LinkTransport  # noqa: E402
+from chivetrack.components.peers.transport import ConnectionOptions, PeerTransport  # noqa: E402
+from chivetrack.helpers.codec import Message  # noqa: E402
+
+HOST: Final = "127.0.0.1"
+PORT: Final = 18890
+ENDPOINTS: Final = 64
+ROUNDS: Final = 500
+BETWEEN_S: Final = 0.004
+
+Take = Callable[[str, Message], None]
+
+
+class _Transport(Protocol):
+    def start(self) -> None: ...
+    def send(self, target: str, message: Message) -> None: ...
+
+
+def _make_grpc(address: str, take: Take) -> _Transport:
+    return PeerTransport(
+        instance_id=address,
+        listen=address,
+        advertised=address,
+        resolve=lambda target: target,
+        on_message=take,
+        on_error=print,
+        connection=ConnectionOptions(is_compressed=True),
+    )
+
+
+def _make_links(address: str, take: Take) -> _Transport:
+    return LinkTransport(address=address, on_message=take, on_error=print)
+
+
+def _make_view() -> View:
+    loads = tuple(EndpointLoad(f"i-{n:08x}", n % 9, 131 * n) for n in range(ENDPOINTS))
+    return View(
+        run="f00d",
+        base=0,
+        change=0,
+        version=7,
+        records=(),
+        replicas=(f"{HOST}:{PORT}",),
+        silent=(),
+        loads=loads,
+        routers=195,
+        has_loads=True,
+    )
+
+
+def measure(make: Callable[[str, Take], _Transport], port: int) -> float:
+    """Return the seconds of processor time of one question and its answer."""
+    router, replica = f"{HOST}:{port}", f"{HOST}:{port + 1}"
+    view = _make_view()
+    answers: list[Message] = []
+    asking = make(router, lambda _, message: answers.append(message))
+    answering = make(replica, lambda source, _: answering.send(source, view))
+    asking.start()
+    answering.start()
+    follow = Follow(router=router, run="f00d", change=0, version=7, is_close=True)
+    began = 0.0
+    for number in range(ROUNDS + 20):
+        if number == 20:
+            began = time.process_time()
+        asking.send(replica, follow)
+        gevent.sleep(BETWEEN_S)
+    assert len(answers) > ROUNDS
+    return (time.process_time() - began) / ROUNDS
+
+
+def main() -> None:
+    """Print one line for each transport."""
+    idle = time.process_time()
+    for _ in range(ROUNDS):
+        gevent.sleep(BETWEEN_S)
+    idle = (time.process_time() - idle) / ROUNDS
+    for name, make, port in (("grpc", _make_grpc, PORT), ("links", _make_links, PORT + 4)):
+        print(f"{name}: {(measure(make, port) - idle) * 1e6:.0f} us a question and answer")
+
+
+if __name__ == "__main__":
+    main()
--- a/chivetrack/components/peers/const.py
+++ b/chivetrack/components/peers/const.py
@@ -26,3 +26,26 @@
 # The HTTP/2 data frame, gRPC's prefix and the TCP/IP headers of one batch, and the
 # acknowledgement; charged so that the budget is one of the wire.
 BATCH_OVERHEAD_BYTES: Final = 130
+
+# Links of plain frames. The largest message is a snapshot of one document of 4 MiB.
+MAX_FRAME_BYTES: Final = 16 * MEBIBYTE
+# Shorter bodies hardly shrink.
+COMPRESS_FROM_BYTES: Final = 400
+# Fast: views shrink to a third, and processor time is dearer than the rest.
+COMPRESSION_LEVEL: Final = 1
+READ_BYTES: Final = 16 * 1024
+# All routers of a large fleet may connect in one moment.
+LINK_BACKLOG: Final = 1024
+CONNECT_TIMEOUT_S: Final = 0.5
+REDIAL_MIN_S: Final = 0.1
+REDIAL_MAX_S: Final = 0.4
+IDLE_LINK_S: Final = 30.0
+# A frozen process leaves bytes unread while its kernel goes on acknowledging probes.
+SEND_STALL_S: Final = 3.0
+# A silent cut is noticed in 2 s where something was sent, in 4 s on an idle link.
+UNACKNOWLEDGED_MS: Final = 1500
+PROBE_AFTER_S: Final = 2
+PROBE_EVERY_S: Final = 1
+PROBE_COUNT: Final = 2
+# The TCP/IP headers of a frame and of its acknowledgement.
+FRAME_OVERHEAD_BYTES: Final = 100
--- /dev/null
+++ b/chivetrack/components/peers/frames.py
@@ -0,0 +1,95 @@
+"""Frames of messages on a connection between two instances; free of I/O.
+
+A frame is a head of five bytes, the length of the body and whether it is compressed, and the
+body, an array of messages with their kinds.
+"""
+
+import struct
+import zlib
+from collections.abc import Sequence
+
+import msgspec
+
+from chivetrack.components.peers.const import (
+    COMPRESS_FROM_BYTES,
+    COMPRESSION_LEVEL,
+    MAX_FRAME_BYTES,
+)
+from chivetrack.helpers.codec import Message, message
+
+_HEAD = struct.Struct(">IB")
+_PLAIN = 0
+_COMPRESSED = 1
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(list[tuple[str, msgspec.Raw]])
+
+
+class FrameError(Exception):
+    """The bytes are not a frame; nothing that follows on the connection can be read."""
+
+
+@message("peers.hello")
+class Hello(Message, frozen=True, array_like=True):
+    """The first message of the side that connects: the address at which it listens."""
+
+    source: str
+
+
+def encode_frame(messages: Sequence[bytes]) -> bytes:
+    """Return a frame of messages that ``codec.pack`` has encoded."""
+    body = _ENCODER.encode([msgspec.Raw(one) for one in messages])
+    if len(body) < COMPRESS_FROM_BYTES:
+        return _HEAD.pack(len(body), _PLAIN) + body
+    packed = zlib.compress(body, COMPRESSION_LEVEL)
+    return _HEAD.pack(len(packed), _COMPRESSED) + packed
+
+
+class FrameReader:
+    """Takes bytes as they arrive and returns the messages of whole frames."""
+
+    def __init__(self) -> None:
+        """Start at the beginning of a connection."""
+        self._left = bytearray()
+
+    def feed(self, data: bytes) -> list[tuple[str, bytes]]:
+        """Return the messages that are complete now, as kind and payload.
+
+        Raises ``FrameError`` for bytes that can't be a frame.
+        """
+        self._left += data
+        messages: list[tuple[str, bytes]] = []
+        while (body := self._take_body()) is not None:
+            messages += _decode_body(body)
+        return messages
+
+    def _take_body(self) -> bytes | None:
+        if len(self._left) < _HEAD.size:
+            return None
+        length, coding = _HEAD.unpack_from(self._left)
+        if length > MAX_FRAME_BYTES:
+            raise FrameError(f"a frame of {length} bytes is over the limit")
+        end = _HEAD.size + length
+        if len(self._left) < end:
+            return None
+        body = bytes(self._left[_HEAD.size : end])
+        del self._left[:end]
+        return _decompress(body) if coding == _COMPRESSED else body
+
+
+def _decompress(body: bytes) -> bytes:
+    # Bounded: a few bytes of a broken sender may stand for gigabytes.
+    decoder = zlib.decompressobj()
+    try:
+        whole = decoder.decompress(body, MAX_FRAME_BYTES)
+    except zlib.error as error:
+        raise FrameError(f"a frame can't be decompressed: {error}") from error
+    if not decoder.eof:
+        raise FrameError("a compressed frame is not whole or over the limit")
+    return whole
+
+
+def _decode_body(body: bytes) -> list[tuple[str, bytes]]:
+    try:
+        return [(kind, bytes(payload)) for kind, payload in _DECODER.decode(body)]
+    except msgspec.MsgspecError as error:
+        raise FrameError(f"the body of a frame can't be read: {error}") from error
--- /dev/null
+++ b/chivetrack/components/peers/links.py
@@ -0,0 +1,254 @@
+"""The TCP edge between instances of a large fleet: messages in frames, one link a pair.
+
+A stream of gRPC takes a thread of its own in each direction under this event loop, and each
+message about a millisecond on both sides. A replica that hundreds of routers ask has half a
+core, so messages go as frames over plain sockets here, both ways on one connection.
+"""
+
+import contextlib
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import gevent
+from gevent import socket as gevent_socket
+from gevent.server import StreamServer
+
+from chivetrack.components.peers.const import (
+    BATCH_LIMIT,
+    CONNECT_TIMEOUT_S,
+    FRAME_OVERHEAD_BYTES,
+    IDLE_LINK_S,
+    LINK_BACKLOG,
+    MAX_WAIT_S,
+    PROBE_AFTER_S,
+    PROBE_COUNT,
+    PROBE_EVERY_S,
+    READ_BYTES,
+    REDIAL_MAX_S,
+    REDIAL_MIN_S,
+    SEND_STALL_S,
+    UNACKNOWLEDGED_MS,
+)
+from chivetrack.components.peers.frames import FrameError, FrameReader, Hello, encode_frame
+from chivetrack.components.peers.outbox import Outbox, TrafficCount
+from chivetrack.helpers.codec import DecodeError, Message, decode, get_kind, pack
+
+
+@dataclass(frozen=True, slots=True)
+class _Packed:
+    """A message that waits to be sent."""
+
+    kind: str
+    body: bytes
+
+
+@dataclass(slots=True, eq=False)
+class _Link:
+    """One connection; ``peer`` is the address at which the other side listens."""
+
+    socket: gevent_socket.socket
+    is_accepted: bool
+    peer: str = ""
+    is_open: bool = True
+
+    def close(self) -> None:
+        """End the connection and whoever waits for its bytes."""
+        if self.is_open:
+            self.is_open = False
+            # It may be gone already; closing it is all that is left then.
+            with contextlib.suppress(OSError):
+                self.socket.shutdown(socket.SHUT_RDWR)
+            self.socket.close()
+
+
+@dataclass(slots=True)
+class _Target:
+    """What waits for one instance, and who sends it."""
+
+    outbox: Outbox[_Packed]
+    sender: gevent.Greenlet | None = None
+
+
+class LinkTransport:
+    """Sends messages to other instances and receives theirs; an id is a ``host:port``.
+
+    Delivery is best effort: a message may be lost or late, and never waits for more than
+    ``QUEUE_LIMIT`` others or ``MAX_WAIT_S`` seconds. ``on_message`` gets the sender's
+    address and the message; messages of one sender come one after the other.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        on_message: Callable[[str, Message], None],
+        on_error: Callable[[str], None],
+    ) -> None:
+        """Take the own address; nothing is opened before ``start``."""
+        self._address = address
+        self._on_message = on_message
+        self._on_error = on_error
+        self._links: dict[str, _Link] = {}
+        self._targets: dict[str, _Target] = {}
+        self._readers: set[gevent.Greenlet] = set()
+        self.traffic = TrafficCount()
+        host, _, port = address.rpartition(":")
+        self._server = StreamServer((host, int(port)), self._accept, backlog=LINK_BACKLOG)
+
+    def start(self) -> None:
+        """Begin to listen; raise ``OSError`` where the address is taken."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stop listening, close all links and drop what waits."""
+        self._server.stop(timeout=0)
+        senders = [one.sender for one in self._targets.values() if one.sender is not None]
+        gevent.killall([*senders, *self._readers])
+        for link in list(self._links.values()):
+            self._close(link)
+
+    def send(self, target: str, message: Message) -> None:
+        """Queue a message; returns at once. A link is opened where there is none."""
+        known = self._targets.get(target)
+        if known is None:
+            known = self._targets[target] = _Target(Outbox(self.traffic))
+        known.outbox.put(_Packed(get_kind(message), pack(message)))
+        if known.sender is None:
+            known.sender = gevent.spawn(self._run_sender, target, known.outbox)
+
+    def answer(self, target: str, message: Message) -> None:
+        """Queue a message for an instance that has opened a link; drop it if that is gone.
+
+        An instance that was killed is asked for nothing: whoever wants an answer connects.
+        Without this, each change cost a replica one attempt to connect for each router
+        that was down.
+        """
+        if target in self._links:
+            self.send(target, message)
+        else:
+            self.traffic.dropped_messages += 1
+
+    # Sending
+
+    def _run_sender(self, target: str, outbox: Outbox[_Packed]) -> None:
+        wait_s = REDIAL_MIN_S
+        while outbox.ready.wait(IDLE_LINK_S):
+            link = self._links.get(target) or self._dial(target)
+            if link is None:
+                outbox.drop_old(max_wait_s=MAX_WAIT_S)
+                gevent.sleep(wait_s)
+                wait_s = min(REDIAL_MAX_S, 2 * wait_s)
+                continue
+            wait_s = REDIAL_MIN_S
+            self._send_waiting(link, outbox)
+        del self._targets[target]
+
+    def _send_waiting(self, link: _Link, outbox: Outbox[_Packed]) -> None:
+        outbox.drop_old(max_wait_s=MAX_WAIT_S)
+        batch = outbox.take(BATCH_LIMIT)
+        if not batch:
+            return
+        frame = encode_frame([one.body for one in batch])
+        self._count_sent(batch, frame)
+        try:
+            with gevent.Timeout(SEND_STALL_S, TimeoutError()):
+                link.socket.sendall(frame)
+        except OSError:
+            self.traffic.dropped_messages += len(batch)
+            self._close(link)
+
+    def _count_sent(self, batch: list[_Packed], frame: bytes) -> None:
+        self.traffic.sent_batches += 1
+        self.traffic.sent_bytes += len(frame) + FRAME_OVERHEAD_BYTES
+        for one in batch:
+            self.traffic.sent_by_kind[one.kind] += len(one.body)
+
+    def _dial(self, target: str) -> _Link | None:
+        host, _, port = target.rpartition(":")
+        try:
+            opened = gevent_socket.create_connection((host, int(port)), CONNECT_TIMEOUT_S)
+        except OSError:
+            return None
+        link = _Link(opened, is_accepted=False)
+        try:
+            _set_options(opened)
+            opened.sendall(encode_frame([pack(Hello(self._address))]))
+        except OSError:
+            link.close()
+            return None
+        self._adopt(link, target)
+        reader = gevent.spawn(self._read, link)
+        self._readers.add(reader)
+        reader.link(self._readers.discard)
+        return link
+
+    # Receiving
+
+    def _accept(self, accepted: gevent_socket.socket, _address: object) -> None:
+        link = _Link(accepted, is_accepted=True)
+        try:
+            _set_options(accepted)
+        except OSError:
+            link.close()
+            return
+        self._read(link)
+
+    def _adopt(self, link: _Link, peer: str) -> None:
+        """Use a link for what goes to ``peer`` from now on."""
+        link.peer = peer
+        before = self._links.get(peer)
+        self._links[peer] = link
+        if before is not None and before.is_accepted and link.is_accepted:
+            # The other side connects again only once its own end of the older one is dead.
+            # Without a reset on the way, this end would wait for nothing.
+            before.close()
+
+    def _read(self, link: _Link) -> None:
+        reader = FrameReader()
+        try:
+            while data := link.socket.recv(READ_BYTES):
+                self.traffic.received_bytes += len(data)
+                for kind, payload in reader.feed(data):
+                    self._take(link, kind, payload)
+        except FrameError as error:
+            self._on_error(f"bad frame from {link.peer or 'an unnamed instance'}: {error}")
+        except OSError:
+            pass  # The link is dead; whoever has something to say opens another.
+        finally:
+            self._close(link)
+
+    def _take(self, link: _Link, kind: str, payload: bytes) -> None:
+        try:
+            message = decode(kind, payload)
+        except DecodeError as error:
+            # One that can't be read does not hide the others.
+            self._on_error(f"bad message from {link.peer}: {error}")
+            return
+        if isinstance(message, Hello):
+            self._adopt(link, message.source)
+        elif link.peer:
+            self._on_message(link.peer, message)
+        else:
+            raise FrameError("the first message does not name its sender")
+
+    def _close(self, link: _Link) -> None:
+        link.close()
+        if self._links.get(link.peer) is link:
+            del self._links[link.peer]
+
+
+def _set_options(opened: gevent_socket.socket) -> None:
+    """Have a connection carry small messages at once, and end when the other side is gone.
+
+    Behind a cut, or after a reset that was lost, nothing arrives and nothing is refused.
+    The kernel ends a connection whose bytes or probes are not acknowledged, so an idle one
+    costs this process nothing.
+    """
+    opened.settimeout(None)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_AFTER_S)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_EVERY_S)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBE_COUNT)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
--- /dev/null
+++ b/chivetrack/components/peers/outbox.py
@@ -0,0 +1,61 @@
+"""What waits to be sent to one instance, oldest first; old messages are dropped."""
+
+import time
+from collections import Counter, deque
+from dataclasses import dataclass, field
+from typing import Generic, TypeVar
+
+from gevent.event import Event
+
+from chivetrack.components.peers.const import QUEUE_LIMIT
+
+ItemT = TypeVar("ItemT")
+
+
+@dataclass(slots=True, kw_only=True)
+class TrafficCount:
+    """What a transport has sent and received since its start."""
+
+    sent_bytes: int = 0
+    sent_batches: int = 0
+    received_bytes: int = 0
+    dropped_messages: int = 0
+    sent_by_kind: Counter[str] = field(default_factory=Counter)
+    """Bytes of the messages themselves, by their name on the wire."""
+
+
+@dataclass(slots=True)
+class Outbox(Generic[ItemT]):
+    """The messages for one target; ``ready`` is set while there are any."""
+
+    traffic: TrafficCount
+    ready: Event = field(default_factory=Event)
+    _waiting: deque[tuple[float, ItemT]] = field(
+        default_factory=lambda: deque(maxlen=QUEUE_LIMIT), init=False
+    )
+
+    def put(self, item: ItemT) -> None:
+        """Queue an item; the oldest gives way when too many wait."""
+        if len(self._waiting) == QUEUE_LIMIT:
+            self.traffic.dropped_messages += 1
+        self._waiting.append((time.monotonic(), item))
+        self.ready.set()
+
+    def take(self, limit: int) -> list[ItemT]:
+        """Remove and return the oldest items, at most ``limit``."""
+        count = min(len(self._waiting), limit)
+        items = [self._waiting.popleft()[1] for _ in range(count)]
+        self._note_empty()
+        return items
+
+    def drop_old(self, *, max_wait_s: float) -> None:
+        """Drop what has waited for ``max_wait_s`` or longer."""
+        oldest = time.monotonic() - max_wait_s
+        while self._waiting and self._waiting[0][0] <= oldest:
+            self._waiting.popleft()
+            self.traffic.dropped_messages += 1
+        self._note_empty()
+
+    def _note_empty(self) -> None:
+        if not self._waiting:
+            self.ready.clear()
--- a/chivetrack/components/peers/transport.py
+++ b/chivetrack/components/peers/transport.py
@@ -1,14 +1,11 @@
 """The gRPC edge between instances: one-way messages in batches per target."""
 
-import time
-from collections import Counter, deque
 from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import gevent
 import grpc
-from gevent.event import Event
 
 from chivetrack.components.peers.const import (
     BATCH_LIMIT,
@@ -18,13 +15,13 @@
     MAX_MESSAGE_BYTES,
     MAX_WAIT_S,
     PING_TIMEOUT_MS,
-    QUEUE_LIMIT,
     RECONNECT_MAX_MS,
     RECONNECT_MIN_MS,
     RETRY_STREAM_S,
     SERVER_WORKERS,
     STOP_GRACE_S,
 )
+from chivetrack.components.peers.outbox import Outbox, TrafficCount
 from chivetrack.helpers.codec import DecodeError, Message, decode, encode, get_kind
 from chivetrack.proto import peer_pb2, peer_pb2_grpc
 
@@ -82,34 +79,6 @@
         ]
 
 
-@dataclass(slots=True, kw_only=True)
-class TrafficCount:
-    """What the transport has sent and received since its start."""
-
-    sent_bytes: int = 0
-    sent_batches: int = 0
-    received_bytes: int = 0
-    dropped_messages: int = 0
-    sent_by_kind: Counter[str] = field(default_factory=Counter)
-    """Bytes of the messages themselves, by their name on the wire."""
-
-
-@dataclass(frozen=True, slots=True)
-class _Waiting:
-    """An envelope that waits, since a time of the transport's clock."""
-
-    envelope: peer_pb2.Envelope
-    since: float
-
-
-@dataclass(slots=True)
-class _Outbox:
-    """The messages that wait for one target, oldest first."""
-
-    waiting: deque[_Waiting] = field(default_factory=lambda: deque(maxlen=QUEUE_LIMIT))
-    ready: Event = field(default_factory=Event)
-
-
 @dataclass(slots=True)
 class _Stream:
     """One stream to a target; the library may still read from a dead one."""
@@ -165,7 +134,7 @@
         self._on_message = on_message
         self._on_error = on_error
         self._make_channel_credentials = make_channel_credentials
-        self._outboxes: dict[str, _Outbox] = {}
+        self._outboxes: dict[str, Outbox[peer_pb2.Envelope]] = {}
         self._channels: dict[str, grpc.Channel] = {}
         self._senders: list[gevent.Greenlet] = []
         self.traffic = TrafficCount()
@@ -197,20 +166,16 @@
         """Queue a message; returns at once, the oldest is dropped when too many wait."""
         outbox = self._outboxes.get(target)
         if outbox is None:
-            outbox = self._outboxes[target] = _Outbox()
+            outbox = self._outboxes[target] = Outbox(self.traffic)
             self._senders.append(gevent.spawn(self._run_sender, target, outbox))
-        if len(outbox.waiting) == QUEUE_LIMIT:
-            self.traffic.dropped_messages += 1
-        envelope = peer_pb2.Envelope(kind=get_kind(message), payload=encode(message))
-        outbox.waiting.append(_Waiting(envelope, time.monotonic()))
-        outbox.ready.set()
+        outbox.put(peer_pb2.Envelope(kind=get_kind(message), payload=encode(message)))
 
-    def _run_sender(self, target: str, outbox: _Outbox) -> None:
+    def _run_sender(self, target: str, outbox: Outbox[peer_pb2.Envelope]) -> None:
         while True:
             outbox.ready.wait()
             address = self._find_address(target)
             if address is None:
-                self._drop_old(outbox, max_wait_s=0.0)
+                outbox.drop_old(max_wait_s=0.0)
                 continue
             stream = _Stream(address)
             try:
@@ -228,7 +193,7 @@
         return self._resolve(target) or self._learned.get(target)
 
     def _make_batches(
-        self, target: str, outbox: _Outbox, stream: _Stream
+        self, target: str, outbox: Outbox[peer_pb2.Envelope], stream: _Stream
     ) -> Iterator[peer_pb2.Batch]:
         """Yield batches until the stream has failed, is idle or the target has moved."""
         while stream.is_open:
@@ -240,12 +205,9 @@
             if batch is not None:
                 yield batch
 
-    def _take_batch(self, outbox: _Outbox) -> peer_pb2.Batch | None:
-        self._drop_old(outbox, max_wait_s=MAX_WAIT_S)
-        count = min(len(outbox.waiting), BATCH_LIMIT)
-        envelopes = [outbox.waiting.popleft().envelope for _ in range(count)]
-        if not outbox.waiting:
-            outbox.ready.clear()
+    def _take_batch(self, outbox: Outbox[peer_pb2.Envelope]) -> peer_pb2.Batch | None:
+        outbox.drop_old(max_wait_s=MAX_WAIT_S)
+        envelopes = outbox.take(BATCH_LIMIT)
         if not envelopes:
             return None
         batch = peer_pb2.Batch(
@@ -257,14 +219,6 @@
         self.traffic.sent_bytes += batch.ByteSize() + BATCH_OVERHEAD_BYTES
         return batch
 
-    def _drop_old(self, outbox: _Outbox, *, max_wait_s: float) -> None:
-        oldest = time.monotonic() - max_wait_s
-        while outbox.waiting and outbox.waiting[0].since <= oldest:
-            outbox.waiting.popleft()
-            self.traffic.dropped_messages += 1
-        if not outbox.waiting:
-            outbox.ready.clear()
-
     def _get_stub(self, address: str) -> peer_pb2_grpc.PeerStub:
         channel = self._channels.get(address)
         if channel is None:
--- a/chivetrack/daemon/fleet/__main__.py
+++ b/chivetrack/daemon/fleet/__main__.py
@@ -10,17 +10,10 @@
 # Before all that takes time to load.
 EARLY_LISTENER = open_callers_listener()
 
-from gevent import get_hub, monkey  # noqa: E402
+from gevent import monkey  # noqa: E402
 
 monkey.patch_all()
 
-# Each stream to another process waits in a thread of this pool for as long as it is open.
-get_hub().threadpool.maxsize = 1024
-
-import grpc.experimental.gevent as grpc_gevent  # noqa: E402
-
-grpc_gevent.init_gevent()
-
 import os  # noqa: E402
 from pathlib import Path  # noqa: E402
 from typing import Annotated  # noqa: E402
--- a/chivetrack/daemon/fleet/const.py
+++ b/chivetrack/daemon/fleet/const.py
@@ -77,9 +77,3 @@
 
 MAX_REQUESTS: Final = 1500
 """Requests in flight at a router: half of its descriptors, for both sides of each."""
-
-KEEPALIVE_MS: Final = 1000
-PING_TIMEOUT_MS: Final = 1200
-RECONNECT_MAX_MS: Final = 400
-"""A silent cut between instances is noticed in 2.2 s and a returned one is found in half a
-second, so that three seconds after trouble all are in contact again."""
--- a/chivetrack/daemon/fleet/peering.py
+++ b/chivetrack/daemon/fleet/peering.py
@@ -1,34 +1,23 @@
 """The transport between the processes of a deployment; an id is an address."""
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from chivetrack.components.deployment.settings import DeploymentSettings
-from chivetrack.components.peers.transport import ConnectionOptions, PeerTransport
+from chivetrack.components.peers.links import LinkTransport
 from chivetrack.core import Effect, SendMessage
-from chivetrack.daemon.fleet.const import KEEPALIVE_MS, PING_TIMEOUT_MS, RECONNECT_MAX_MS
 from chivetrack.helpers.codec import Message
 from chivetrack.helpers.events import EventLog
 
 
 def make_transport(
     settings: DeploymentSettings, *, events: EventLog, take: Callable[[str, Message], None]
-) -> PeerTransport:
+) -> LinkTransport:
     """Return the transport of a process; messages that can't be read are logged."""
-    address = str(settings.listeners.peer)
-    return PeerTransport(
-        instance_id=address,
-        listen=address,
-        advertised=address,
-        resolve=lambda target: target,
+    return LinkTransport(
+        address=str(settings.listeners.peer),
         on_message=take,
         on_error=lambda text: events.write("message_unreadable", detail=text),
-        connection=ConnectionOptions(
-            keepalive_ms=KEEPALIVE_MS,
-            ping_timeout_ms=PING_TIMEOUT_MS,
-            reconnect_max_ms=RECONNECT_MAX_MS,
-            is_compressed=True,
-        ),
     )
 
 
@@ -41,7 +30,7 @@
 class TrafficLog:
     """Writes what the transport has carried since the line before."""
 
-    def __init__(self, *, transport: PeerTransport, events: EventLog) -> None:
+    def __init__(self, *, transport: LinkTransport, events: EventLog) -> None:
         """Take the transport that counts."""
         self._transport = transport
         self._events = events
@@ -73,8 +62,8 @@
         )
 
 
-def send_all(transport: PeerTransport, effects: list[Effect] | list[SendMessage]) -> None:
-    """Send the messages among effects."""
+def send_all(send: Callable[[str, Message], None], effects: Iterable[Effect]) -> None:
+    """Send the messages among effects by ``send``."""
     for effect in effects:
         if isinstance(effect, SendMessage):
-            transport.send(effect.target, effect.message)
+            send(effect.target, effect.message)
--- a/chivetrack/daemon/fleet/replica.py
+++ b/chivetrack/daemon/fleet/replica.py
@@ -120,12 +120,12 @@
     def _push(self) -> None:
         self._is_pushing = False
         self._file.write_soon()
-        send_all(self.transport, self._publisher.publish(now=time.monotonic()))
+        send_all(self.transport.answer, self._publisher.publish(now=time.monotonic()))
 
     def _take_message(self, source: str, message: Message) -> None:
         if isinstance(message, Follow):
             effects = self._publisher.take_follow(message, now=time.monotonic())
-            send_all(self.transport, effects)
+            send_all(self.transport.answer, effects)
         elif isinstance(message, FetchDocument):
             self._send_documents(source, message)
         elif isinstance(message, Exchange):
@@ -137,7 +137,7 @@
 
     def _send_documents(self, source: str, fetch: FetchDocument) -> None:
         for one in self._publisher.take_fetch(source, fetch, now=time.monotonic()):
-            gevent.spawn_later(one.delay_s, self.transport.send, one.target, one.message)
+            gevent.spawn_later(one.delay_s, self.transport.answer, one.target, one.message)
 
     def run(self) -> int:
         """Serve until SIGTERM; leadership is handed over first."""
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -12,11 +12,11 @@
 from gevent.event import Event as Signal
 
 from chivetrack.components.deployment.settings import DeploymentSettings
-from chivetrack.components.distribution.const import CLOSE_EVERY_S
 from chivetrack.components.distribution.messages import DocumentSent, View
 from chivetrack.components.distribution.subscriber import Subscriber
 from chivetrack.components.traffic.models import Document
 from chivetrack.components.upstream.kept import KeptConnections
+from chivetrack.core import WakeAt
 from chivetrack.daemon.fleet.const import (
     STOP_ACCEPT_S,
     STOP_IDLE_AFTER_S,
@@ -148,12 +148,16 @@
         if isinstance(message, View):
             effects = self.subscriber.take_view(source, message, now=now)
             self.view.take_view(message)
-            send_all(self.transport, effects)
+            send_all(self.transport.send, effects)
         elif isinstance(message, DocumentSent):
             self.subscriber.take_document(message)
 
     def _follow(self, now: float) -> None:
-        send_all(self.transport, self.subscriber.wake(now=now))
+        effects = self.subscriber.wake(now=now)
+        send_all(self.transport.send, effects)
+        for effect in effects:
+            if isinstance(effect, WakeAt):
+                self._timers.call_at(effect.at, self._follow)
 
     def _tidy(self, now: float) -> None:
         self._kept.close_old()
@@ -201,7 +205,7 @@
             if server is not None:
                 server.start()
         now = time.monotonic()
-        self._timers.call_every(CLOSE_EVERY_S / 4, self._follow, now=now)
+        self._timers.call_at(now, self._follow)
         self._timers.call_every(TIDY_EVERY_S, self._tidy, now=now)
         loop = gevent.spawn(self._run_timers)
         try:
--- a/chivetrack/daemon/server.py
+++ b/chivetrack/daemon/server.py
@@ -23,12 +23,13 @@
 )
 from chivetrack.daemon.headers import read_headers
 from chivetrack.exceptions import ChivetrackError, FaultError
+from chivetrack.helpers.handshakes import TlsServerMixin
 from chivetrack.helpers.log import get_logger
-from chivetrack.helpers.tls import Tls, TlsServerMixin
 
 if TYPE_CHECKING:
     # Loaded by the one program that has such settings.
     from chivetrack.components.settings.models import LimitSettings
+    from chivetrack.helpers.tls import Tls
 
 # The target and the header lines as they were sent; the standard keys of the environment
 # hold a decoded path and joined lines, which can't be passed on unchanged.
@@ -261,7 +262,7 @@
         address: tuple[str, int],
         application: Callable[..., Any],
         is_closing: Callable[[], bool],
-        tls: Tls | None = None,
+        tls: "Tls | None" = None,
         limits: ServerLimits | None = None,
         listener: socket.socket | None = None,
     ) -> None:
--- a/chivetrack/helpers/tls.py
+++ b/chivetrack/helpers/tls.py
@@ -15,8 +15,8 @@
 from expression import Error, Ok, Result
 
 from chivetrack.core import Unsubscribe
-from chivetrack.exceptions import ChivetrackError
 from chivetrack.helpers.finding import Findings
+from chivetrack.helpers.handshakes import HandshakeError
 from chivetrack.helpers.log import get_logger
 
 RELOAD_INTERVAL_S: Final = 30.0
@@ -25,10 +25,6 @@
 _LOGGER = get_logger("tls")
 
 
-class HandshakeError(ChivetrackError):
-    """A client did not complete the TLS handshake."""
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TlsFiles:
     """The PEM files of one listener; with authorities, clients need a certificate too."""
@@ -159,22 +155,6 @@
         )
 
 
-class TlsServerMixin:
-    """Goes before a gevent server class whose ``ssl_context`` is a ``Tls``.
-
-    A balancer's probe connects and closes, every second for each instance. The server
-    would print a traceback for each; this leaves a line at the level ``debug``.
-    """
-
-    def wrap_socket_and_handle(self, client_socket: socket.socket, address: Any) -> Any:
-        """Do the handshake and serve the connection."""
-        try:
-            return super().wrap_socket_and_handle(client_socket, address)  # type: ignore[misc]
-        except HandshakeError as error:
-            _LOGGER.debug("A client ended in the handshake: {}.", error)
-            return None
-
-
 def _read(files: TlsFiles) -> Result[_Content, Findings]:
     findings = Findings()
     certificate = _read_file(files.certificate_file, findings)
--- /dev/null
+++ b/tests/components/peers/test_links.py
@@ -0,0 +1,181 @@
+"""Links between instances: order, answers, restarts, bad messages, readers that stall."""
+
+import os
+import threading
+import unittest
+from collections.abc import Callable
+from unittest import mock
+
+import gevent
+from gevent import socket
+
+from chivetrack.components.peers import links as links_module
+from chivetrack.components.peers.const import QUEUE_LIMIT
+from chivetrack.components.peers.frames import Hello, encode_frame
+from chivetrack.components.peers.links import LinkTransport
+from chivetrack.components.proposals.models import ForwardRead
+from chivetrack.helpers.codec import Message, pack
+
+WAIT_S = 20.0
+
+
+class Side:
+    """One transport and what it has received."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.received: list[tuple[str, Message]] = []
+        self.errors: list[str] = []
+        self.transport = LinkTransport(
+            address=address,
+            on_message=lambda source, message: self.received.append((source, message)),
+            on_error=self.errors.append,
+        )
+        self.transport.start()
+
+    @property
+    def numbers(self) -> list[int]:
+        return [message.number for _, message in self.received]  # type: ignore[attr-defined]
+
+
+class LinksTest(unittest.TestCase):
+    def setUp(self) -> None:
+        pid = os.getpid()
+        self.host = f"127.{170 + (pid >> 8) % 40}.{pid % 256}.1"
+
+    def open_side(self, port: int) -> Side:
+        side = Side(f"{self.host}:{port}")
+        self.addCleanup(side.transport.stop)
+        return side
+
+    def wait_for(self, condition: Callable[[], bool]) -> None:
+        with gevent.Timeout(WAIT_S, AssertionError("not in time")):
+            while not condition():
+                gevent.sleep(0.01)
+
+    def test_messages_arrive_once_and_in_order(self) -> None:
+        a, b = self.open_side(18700), self.open_side(18701)
+        for number in range(200):
+            a.transport.send(b.address, ForwardRead(number))
+        self.wait_for(lambda: len(b.received) == 200)
+        self.assertEqual(b.numbers, list(range(200)))
+        self.assertEqual({source for source, _ in b.received}, {a.address})
+
+    def test_answers_take_the_link_of_the_question(self) -> None:
+        """Hundreds of routers ask a replica that has half of a core.
+
+        With a connection of its own for each answer, and a thread for each, all of them
+        starting at once kept the replica from electing a leader for seconds.
+        """
+        replica = self.open_side(18710)
+        routers = [self.open_side(18711 + number) for number in range(40)]
+        threads = threading.active_count()
+        for number, router in enumerate(routers):
+            router.transport.send(replica.address, ForwardRead(number))
+        self.wait_for(lambda: len(replica.received) == len(routers))
+        with mock.patch.object(socket, "create_connection") as connect:
+            for source, message in replica.received:
+                replica.transport.answer(source, message)
+            self.wait_for(lambda: all(router.received for router in routers))
+        connect.assert_not_called()
+        self.assertEqual(threading.active_count(), threads)
+        self.assertEqual(
+            [router.numbers for router in routers], [[number] for number in range(len(routers))]
+        )
+
+    def test_answer_to_an_instance_that_is_gone_opens_nothing(self) -> None:
+        """A third of the routers lose power while endpoints change.
+
+        Each change would have the replica connect to all of them, in vain, for seconds.
+        """
+        a, b = self.open_side(18760), self.open_side(18761)
+        a.transport.send(b.address, ForwardRead(1))
+        self.wait_for(lambda: b.numbers == [1])
+        a.transport.stop()
+        self.wait_for(lambda: not b.transport._links)
+        with mock.patch.object(socket, "create_connection") as connect:
+            b.transport.answer(a.address, ForwardRead(2))
+            gevent.sleep(0.1)
+        connect.assert_not_called()
+        self.assertEqual(b.transport.traffic.dropped_messages, 1)
+
+    def test_restarted_receiver_gets_what_is_new(self) -> None:
+        """An instance dies and comes back; the others went on sending meanwhile.
+
+        The first message after that must arrive without anybody's help, and none of
+        those that had waited for seconds: what they say is old.
+        """
+        a, b = self.open_side(18770), self.open_side(18771)
+        a.transport.send(b.address, ForwardRead(1))
+        self.wait_for(lambda: b.numbers == [1])
+        b.transport.stop()
+        with mock.patch.object(links_module, "MAX_WAIT_S", 0.2):
+            for number in range(2, 3 * QUEUE_LIMIT):
+                a.transport.send(b.address, ForwardRead(number))
+            gevent.sleep(1.0)
+        again = self.open_side(18771)
+        a.transport.send(b.address, ForwardRead(9999))
+        self.wait_for(lambda: 9999 in again.numbers)
+        self.assertEqual(again.numbers, [9999])
+        self.assertGreaterEqual(a.transport.traffic.dropped_messages, QUEUE_LIMIT)
+
+    def test_returned_instance_is_answered_on_its_new_link(self) -> None:
+        """An instance loses power without a reset, and connects anew after its start.
+
+        The older connection shows no sign of its end. Answers sent there are lost.
+        """
+        b = self.open_side(18780)
+        hello = encode_frame([pack(Hello("10.0.0.1:1")), pack(ForwardRead(1))])
+        before = socket.create_connection((self.host, 18780))
+        before.sendall(hello)
+        self.wait_for(lambda: len(b.received) == 1)
+        after = socket.create_connection((self.host, 18780))
+        after.sendall(hello)
+        self.wait_for(lambda: len(b.received) == 2)
+        b.transport.answer("10.0.0.1:1", ForwardRead(7))
+        expected = encode_frame([pack(ForwardRead(7))])
+        with gevent.Timeout(WAIT_S):
+            self.assertEqual(after.recv(1000), expected)
+            self.assertEqual(before.recv(1000), b"")
+
+    def test_bad_message_does_not_hide_the_others(self) -> None:
+        """An instance of another version sends a message that this one can't read."""
+        b = self.open_side(18790)
+        unknown = pack(ForwardRead(4)).replace(b"proposals.read", b"proposals.none")
+        with socket.create_connection((self.host, 18790)) as sender:
+            messages = [pack(Hello("10.0.0.1:1")), unknown, pack(ForwardRead(5))]
+            sender.sendall(encode_frame(messages))
+            self.wait_for(lambda: b.numbers == [5])
+        self.assertEqual(len(b.errors), 1)
+
+    def test_sender_without_a_name_is_cut_off(self) -> None:
+        b = self.open_side(18795)
+        with socket.create_connection((self.host, 18795)) as sender:
+            sender.sendall(encode_frame([pack(ForwardRead(5))]))
+            with gevent.Timeout(WAIT_S):
+                self.assertEqual(sender.recv(1000), b"")
+        self.assertEqual(b.received, [])
+        self.assertEqual(len(b.errors), 1)
+
+    def test_reader_that_stalls_holds_up_nobody_else(self) -> None:
+        """A machine freezes: its kernel takes bytes until its buffers are full, then none.
+
+        Messages for others go on, and the link is given up, so that the frozen instance
+        gets what is new once it wakes and connects.
+        """
+        a, b = self.open_side(18800), self.open_side(18801)
+        frozen = socket.create_server((self.host, 18802))
+        target = f"{self.host}:18802"
+        with mock.patch.object(links_module, "SEND_STALL_S", 0.3):
+            for number in range(60):
+                a.transport.send(target, Hello(os.urandom(200_000).hex()))
+                a.transport.send(b.address, ForwardRead(number))
+            self.wait_for(lambda: b.numbers == list(range(60)))
+            self.wait_for(lambda: a.transport.traffic.dropped_messages > 0)
+        frozen.close()
+
+    def test_target_that_nobody_listens_at_holds_up_nothing(self) -> None:
+        a, b = self.open_side(18810), self.open_side(18811)
+        a.transport.send(f"{self.host}:18812", ForwardRead(1))
+        a.transport.send(b.address, ForwardRead(2))
+        self.wait_for(lambda: b.numbers == [2])
--- a/tests/helpers/tls_under_gevent.py
+++ b/tests/helpers/tls_under_gevent.py
@@ -20,7 +20,8 @@
 import urllib3  # noqa: E402
 from gevent.pywsgi import WSGIServer  # noqa: E402
 
-from chivetrack.helpers.tls import Tls, TlsServerMixin, open_tls  # noqa: E402
+from chivetrack.helpers.handshakes import TlsServerMixin  # noqa: E402
+from chivetrack.helpers.tls import Tls, open_tls  # noqa: E402
 from chivetrack.proto import peer_pb2, peer_pb2_grpc  # noqa: E402
 from tests.helpers.certificates import Authority, write_files  # noqa: E402
 
