Let routers of a large fleet follow a majority of the replicas

Cause: a router asked every replica each 1.2 s beside the close one each 0.3 s. At 195 routers half of the questions at a replica were of the first kind.

Ruled out: following the close replica alone: a departure that a majority acknowledged may be unknown there.

Change: from MANY_ROUTERS on a router follows a majority of the replicas that it knows, the close one among them. Two majorities meet, so a departure that was acknowledged reaches it with the next question. One that leaves questions unanswered for 1.5 s is replaced, and asked again now and then.

Figures: three of five replicas are asked instead of five (test); its part of the processor time was not measured apart.

--- a/chivetrack/components/distribution/const.py
+++ b/chivetrack/components/distribution/const.py
@@ -21,6 +21,13 @@
 CLOSE_SILENT_S: Final = 1.0
 """After this long without an answer a router tells another replica instead."""
 
+WATCH_SILENT_S: Final = 1.5
+"""After this long without an answer another replica counts towards the majority that a router
+follows. With the next question that is within the 2.5 s that a drain may take."""
+
+PROBE_SILENT_S: Final = 3.0
+"""How often a router of a large fleet asks a silent replica again."""
+
 IN_FLIGHT_S: Final = 0.8
 """What was sent to a router so lately is taken as on its way, although the router does not
 confirm it yet. On a full link each question would otherwise have the same news sent once
--- a/chivetrack/components/distribution/subscriber.py
+++ b/chivetrack/components/distribution/subscriber.py
@@ -16,9 +16,12 @@
     FOLLOW_EVERY_S,
     FOLLOW_MAX_S,
     FOLLOW_PER_ROUTER_S,
+    MANY_ROUTERS,
+    PROBE_SILENT_S,
     REPLICA_FORGET_S,
     START_REPLICAS,
     START_S,
+    WATCH_SILENT_S,
 )
 from chivetrack.components.distribution.messages import (
     DocumentSent,
@@ -39,10 +42,24 @@
 
     named_at: float
     heard_at: float = float("-inf")
+    unanswered_since: float = float("inf")
     run: str = ""
     change: int = 0
     placed_change: int = 0
 
+    def note_asked(self, now: float) -> None:
+        """Note a question to it."""
+        self.unanswered_since = min(self.unanswered_since, now)
+
+    def note_heard(self, now: float) -> None:
+        """Note its word."""
+        self.heard_at = now
+        self.unanswered_since = float("inf")
+
+    def is_silent(self, now: float) -> bool:
+        """Return whether it has left questions unanswered for long."""
+        return now - self.unanswered_since > WATCH_SILENT_S
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class OwnNews:
@@ -53,7 +70,12 @@
 
 
 class Subscriber:
-    """Follows all replicas, so that no single one of them can keep news from a router.
+    """Follows several replicas, so that no single one of them can keep news from a router.
+
+    A few routers follow all replicas. Many follow a majority each: a departure is
+    acknowledged once a majority of replicas knows it, and two majorities meet. Asked by
+    all of 195 routers, a replica with half a core spent most of it on answers that nobody
+    needed.
 
     A document is taken only if its version is higher than the one held: a replica that
     lags, or has been cut off, can't take a router back.
@@ -87,6 +109,8 @@
         self._next_close = float("-inf")
         self._close = ""
         self._turn = -1
+        self._next_probe = float("-inf")
+        self._probes = 0
         self._routers = 1
         self._next_fetch = float("-inf")
         self._fetch_wait = FETCH_AGAIN_S
@@ -129,6 +153,7 @@
         name = self._close = self._choose_close(now)
         news = self._get_news()
         replica = self._replicas[name]
+        replica.note_asked(now)
         follow = Follow(
             router=self._router,
             run=replica.run,
@@ -143,14 +168,36 @@
         return [SendMessage(target=name, message=follow)]
 
     def _follow_others(self, now: float) -> list[Effect]:
-        names = self._list_order()
+        effects: list[Effect] = []
+        for name in self._list_watched(now):
+            replica = self._replicas[name]
+            replica.note_asked(now)
+            effects.append(SendMessage(target=name, message=self._make_follow(replica)))
+        return effects
+
+    def _list_watched(self, now: float) -> list[str]:
+        """Return the replicas to ask beside the close one."""
+        order = self._list_order()
         if now - self._started_at < START_S:
-            names = names[:START_REPLICAS]
-        return [
-            SendMessage(target=name, message=self._make_follow(self._replicas[name]))
-            for name in names
-            if name != self._close
-        ]
+            order = order[:START_REPLICAS]
+        others = [name for name in order if name != self._close]
+        if self._routers <= MANY_ROUTERS:
+            return others
+        # With the close one, a majority of all that are known, the silent ones among them.
+        needed = len(self._replicas) // 2
+        silent = [name for name in others if self._replicas[name].is_silent(now)]
+        heard = [name for name in others if name not in silent]
+        if len(heard) < needed:
+            return others
+        return heard[:needed] + self._choose_probe(silent, now)
+
+    def _choose_probe(self, silent: list[str], now: float) -> list[str]:
+        """Return a silent replica to ask, now and then, so that a returned one is found."""
+        if not silent or now < self._next_probe:
+            return []
+        self._next_probe = now + PROBE_SILENT_S
+        self._probes += 1
+        return [silent[self._probes % len(silent)]]
 
     def _refresh_names(self, now: float) -> None:
         for seed in self._seeds:
@@ -177,7 +224,7 @@
     def take_view(self, source: str, view: View, *, now: float) -> list[Effect]:
         """Merge what a replica tells; ask for its document if it is newer."""
         replica = self._name(source, now)
-        replica.heard_at = now
+        replica.note_heard(now)
         for record in view.records:
             self._table.merge(record, now=now)
         if view.run != replica.run:
--- a/tests/components/distribution/test_distribution.py
+++ b/tests/components/distribution/test_distribution.py
@@ -96,6 +96,50 @@
         return [one for one in effects if isinstance(one, SendMessage)]
 
 
+class Watch:
+    """A router of a large fleet and five replicas that answer at once unless frozen."""
+
+    replicas = ("p1", "p2", "p3", "p4", "p5")
+
+    def __init__(self, router: str) -> None:
+        self.frozen: set[str] = set()
+        self.subscriber = Subscriber(
+            router=router,
+            reads_at="",
+            seeds=self.replicas[:3],
+            table=EndpointTable(),
+            take_document=lambda version, body: None,
+            note_unreadable=lambda version, detail: None,
+            get_news=lambda: OwnNews(loads=(), placed=()),
+        )
+        self.run(0.0, 3.0)
+
+    def run(self, start: float, end: float) -> list[tuple[float, str]]:
+        """Return when each replica was asked."""
+        asked: list[tuple[float, str]] = []
+        for step in range(round((end - start) * 20)):
+            now = start + step * 0.05
+            for effect in self.subscriber.wake(now=now):
+                if isinstance(effect, SendMessage):
+                    asked.append((now, effect.target))
+                    if effect.target not in self.frozen:
+                        self.subscriber.take_view(effect.target, self.make_view(), now=now)
+        return asked
+
+    def make_view(self) -> View:
+        return View(
+            run="run",
+            base=0,
+            change=0,
+            version=0,
+            records=(),
+            replicas=self.replicas,
+            silent=(),
+            routers=195,
+            has_loads=True,
+        )
+
+
 class DistributionTest(unittest.TestCase):
     def test_push_that_was_lost_is_made_good(self) -> None:
         """An endpoint drains; the push to one router is lost on its way.
@@ -348,6 +392,43 @@
             asked |= first
         self.assertEqual(asked, {"p1", "p2", "p3"})
 
+    def test_two_majorities_meet_in_a_large_fleet(self) -> None:
+        """An endpoint drains; a majority of five replicas knows it and acknowledges.
+
+        195 routers that ask all replicas take half of a core of each. Each asks the close
+        one and so many others that one of them is among those that know.
+        """
+        asked_by_all: list[str] = []
+        for number in range(195):
+            watch = Watch(f"r{number}")
+            asked = {name for _, name in watch.run(3.0, 6.0)}
+            self.assertEqual(len(asked), 3)
+            asked_by_all += asked
+        for name in watch.replicas:
+            self.assertAlmostEqual(asked_by_all.count(name), 195 * 3 / 5, delta=35)
+
+    def test_silent_replica_is_replaced_and_found_again(self) -> None:
+        """One of the replicas that a router follows freezes, and wakes again seconds later.
+
+        Another one takes its part within two seconds, so that a departure acknowledged by
+        those that are left reaches the router in time. Now and then the frozen one is
+        asked, and once it answers it is followed as before.
+        """
+        watch = Watch("r1")
+        before = {name for _, name in watch.run(3.0, 6.0)}
+        for frozen in sorted(before):
+            watch.frozen = {frozen}
+            watch.run(6.0, 8.0)
+            answered = {name for _, name in watch.run(8.0, 12.0) if name != frozen}
+            self.assertEqual(len(answered), 3, frozen)
+            asked = [name for _, name in watch.run(12.0, 18.0)]
+            self.assertLessEqual(asked.count(frozen), 2)
+            watch.frozen = set()
+            watch.run(18.0, 22.0)
+            self.assertEqual({name for _, name in watch.run(22.0, 25.0)}, before)
+            watch = Watch("r1")
+            watch.run(0.0, 6.0)
+
     def test_loads_are_those_of_the_other_routers(self) -> None:
         """Three routers are close to one replica, a fourth one to another.
 
