Tell hundreds of routers in time what was sent where

The limit was reckoned at 45 bytes each; compressed, with ages in tenths of a second, they take 14, so the share of the link is the same. The model knows the limit now, and has a deployment of many routers.

--- a/benchmarks/fleet/__main__.py
+++ b/benchmarks/fleet/__main__.py
@@ -5,7 +5,7 @@
 
 import typer
 
-from benchmarks.fleet.deployment import Deployment, draw_deployment, make_boards
+from benchmarks.fleet.deployment import Deployment, draw_deployment, make_boards, make_many
 from benchmarks.fleet.policies import POLICIES
 from benchmarks.fleet.report import HEADING, Figures, average, format_row, measure
 from benchmarks.fleet.world import World
@@ -22,12 +22,15 @@
     seeds: Annotated[int, typer.Option(help="How many seeds of the given deployment.")] = 3,
     burst: Annotated[float, typer.Option(help="Times the load in a fifth of a run.")] = 1.0,
     load: Annotated[float, typer.Option(help="Requests a second.")] = 72.0,
+    many: Annotated[bool, typer.Option(help="Hundreds of routers instead of nine.")] = False,
     jobs: Annotated[int, typer.Option(help="Processes to use.")] = 3,
 ) -> None:
     """Print a table with a row for each policy."""
     names = policy or list(POLICIES)
     if drawn:
         cases = [(draw_deployment(seed), seed) for seed in range(1, drawn + 1)]
+    elif many:
+        cases = [(make_many(seed=seed, burst=burst), seed) for seed in range(1, seeds + 1)]
     else:
         cases = [
             (make_boards(seed=seed, requests_per_s=load, burst=burst), seed)
--- a/benchmarks/fleet/deployment.py
+++ b/benchmarks/fleet/deployment.py
@@ -107,6 +107,44 @@
     )
 
 
+def make_many(*, seed: int, requests_per_s: float = 310.0, burst: float = 1.0) -> Deployment:
+    """Return a deployment of hundreds of routers, each of which sees two requests a second."""
+    random = Random(seed)
+    kinds = (
+        RequestKind(
+            name="report", share=0.26, common_tokens=512, commons=1, subject_tokens=10_000,
+            subjects=314, own_tokens=1300, answer_tokens=380, aim_ms=800, timeout_ms=12_000,
+            worth=3.9, late_worth=1.2, priority=1,
+        ),
+        RequestKind(
+            name="question", share=0.30, common_tokens=119, commons=39, subject_tokens=580,
+            subjects=357, own_tokens=130, answer_tokens=290, aim_ms=300, timeout_ms=10_000,
+            worth=2.3, late_worth=0.68, priority=0,
+        ),
+        RequestKind(
+            name="tag", share=0.44, common_tokens=341, commons=15, subject_tokens=1700,
+            subjects=352, own_tokens=360, answer_tokens=22, aim_ms=400, timeout_ms=2500,
+            worth=0.37, late_worth=0.11, priority=2,
+        ),
+    )  # fmt: skip
+    engine = EngineKind(batch=16, chunk_tokens=1024, memory_tokens=317_000)
+    return Deployment(
+        name="many",
+        routers=195,
+        zones=5,
+        engine=engine,
+        speeds=tuple(random.choice((1.0, 1.0, 1.3)) for _ in range(59)),
+        kinds=kinds,
+        requests_per_s=requests_per_s,
+        burst=burst,
+        troubles=tuple(
+            Trouble(at_s=6.0, for_s=2.0, engine=number, factor=0.0) for number in range(0, 45, 4)
+        ),
+        joins_at_s=(14.0, 15.0, 16.0, 17.0),
+        seconds=24.0,
+    )
+
+
 def draw_deployment(seed: int) -> Deployment:
     """Draw sizes, speeds, routes and troubles at random."""
     random = Random(seed)
--- a/benchmarks/fleet/world.py
+++ b/benchmarks/fleet/world.py
@@ -1,7 +1,7 @@
 """Plays a deployment: callers, routers with the real decision objects, engines."""
 
 import heapq
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from functools import partial
 from itertools import count
@@ -11,7 +11,9 @@
 from benchmarks.fleet.engine import Engine, Job, Totals
 from benchmarks.fleet.policies import Policy
 from chivetrack.components.announcements.models import EndpointRecord, EndpointState
+from chivetrack.components.distribution.const import PLACED_IN_ROUND
 from chivetrack.components.distribution.messages import EndpointLoad, PlacedPart
+from chivetrack.components.distribution.placements import Placements
 from chivetrack.components.placement.choice import Candidate, Choice, Source
 from chivetrack.components.placement.placement import Placed, Placement
 from chivetrack.components.traffic.models import EngineProfile, Service
@@ -23,6 +25,8 @@
 # A crashed engine is still believed to be there for so long.
 NOTICE_MS = 600.0
 ZONE_MS = 0.9
+# Routers share them evenly; what each passes on to its own is limited.
+REPLICAS = 5
 EXCHANGES_FOR_S = 1.5
 
 
@@ -50,6 +54,7 @@
 class _Router:
     zone: str
     placement: Placement
+    told_change: int = 0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -83,6 +88,9 @@
             memory_tokens=deployment.engine.memory_tokens,
             can_fetch=True,
         )
+        self._placements = Placements()
+        close = max(1, deployment.routers // REPLICAS)
+        self._news_limit = max(1, PLACED_IN_ROUND // close)
         self._service = Service(name="llm", engine=profile)
         self._is_oracle = policy.is_oracle
         self._routers = [
@@ -324,16 +332,19 @@
         if mean >= 1:
             self.result.skews.append(max(in_flight) / mean)
         told = [list(one.placement.list_own()) for one in self._routers]
-        placed = [list(one.placement.list_news(now / 1000)) for one in self._routers]
+        for router in self._routers:
+            self._placements.note(router.placement.list_news(now / 1000), now=now / 1000)
         sums = _add_up(told)
+        lag = 0.0 if self._is_oracle else NEWS_LAG_MS
         for number, router in enumerate(self._routers):
             others = _subtract(sums, told[number])
-            news = [one for n, each in enumerate(placed) if n != number for one in each]
-            lag = 0.0 if self._is_oracle else NEWS_LAG_MS
+            news, router.told_change = self._placements.list_after(
+                router.told_change, now=now / 1000, limit=self._news_limit
+            )
             self._at(now + lag, partial(self._hear, router, others, news))
 
     def _hear(
-        self, router: _Router, loads: list[EndpointLoad], news: list[PlacedPart], now: float
+        self, router: _Router, loads: list[EndpointLoad], news: Sequence[PlacedPart], now: float
     ) -> None:
         capacity = self._deployment.engine.memory_tokens
         router.placement.take_others(loads, news, now=now / 1000, capacity=capacity)
--- a/chivetrack/components/distribution/placements.py
+++ b/chivetrack/components/distribution/placements.py
@@ -6,8 +6,10 @@
 
 from chivetrack.components.distribution.messages import PlacedPart
 
-# A router that starts is told of at most so many; 45 bytes each, 0.1 s on 3 Mbit/s.
+# A router that starts is told of at most so many; 14 bytes each, 0.04 s on 3 Mbit/s.
 MAX_PLACEMENTS = 1000
+# Few different ages compress well: tenths of a second.
+AGE_DIGITS = 1
 # Engines keep parts for minutes, yet what was not used for so long is rarely asked for.
 REMEMBER_S = 60.0
 
@@ -55,7 +57,7 @@
         newer.reverse()
         end = newer[limit - 1][1].change if len(newer) > limit else self.change
         placed = tuple(
-            PlacedPart(part=part, endpoint_id=endpoint_id, age_s=round(now - one.at, 2))
+            PlacedPart(part=part, endpoint_id=endpoint_id, age_s=round(now - one.at, AGE_DIGITS))
             for (part, endpoint_id), one in newer[:limit]
         )
         return placed, end
--- a/chivetrack/components/placement/parts.py
+++ b/chivetrack/components/placement/parts.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from chivetrack.components.distribution.messages import PlacedPart
+from chivetrack.components.distribution.placements import AGE_DIGITS
 from chivetrack.components.traffic.requests import PromptPart
 
 # Engines evict the least recently used parts, and running requests take memory too; an
@@ -127,7 +128,7 @@
             del self._news[key]
             if cached is not None:
                 name = f"{part_id}:{cached.tokens}"
-                age_s = round(max(0.0, now - cached.used_at), 2)
+                age_s = round(max(0.0, now - cached.used_at), AGE_DIGITS)
                 yield PlacedPart(part=name, endpoint_id=endpoint_id, age_s=age_s)
 
     def _find(self, endpoint_id: str, part_id: str) -> _Cached | None:
