Read the settings of the deployed processes without pydantic and typer

Cause: hundreds of processes start at once, also after each loss of power, and a router's start is nearly all imports. pydantic takes 94 of 360 ms (python -X importtime) for five small tables, typer 17 to 28 for one option that the platform never gives.

The page of the settings is written from either. Without arguments the process starts from the variable and loads no command line.

Ruled out: checking nothing at the start (a wrong file must be told), a second copy of the models (two places to keep in step).

--- a/chivetrack/components/deployment/settings.py
+++ b/chivetrack/components/deployment/settings.py
@@ -1,15 +1,18 @@
 """The settings of one process of a deployment that runs routers and replicas apart."""
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from enum import StrEnum
 from pathlib import Path
+from typing import Annotated
 
+import msgspec
 from expression import Result
-from pydantic import BaseModel, Field, StrictBool, StrictInt
+from msgspec import Meta
 
 from chivetrack.helpers.finding import Findings
-from chivetrack.helpers.sections.base import AddressField, LogLevel, Section
-from chivetrack.helpers.sections.reader import Problem, parse_sections, read_text
+from chivetrack.helpers.sections.structs import StructSection, parse_structs
+from chivetrack.helpers.sections.text import Problem, read_text
+from chivetrack.helpers.sections.values import Address, LogLevel
 
 Seconds = float
 
@@ -21,70 +24,73 @@
     REPLICA = "replica"
 
 
-class ProcessSettings(Section):
+class ProcessSettings(StructSection, frozen=True, kw_only=True):
     """What this process is and where it stands."""
 
-    name: str = Field(min_length=1, description="Name of this instance in logs and metrics.")
-    role: ProcessRole = Field(description="`router` or `replica`.")
-    availability_zone: str = Field(min_length=1, description="Where this instance stands.")
-    data_folder: Path | None = Field(
-        default=None, description="The one folder that a replica writes in."
-    )
+    name: Annotated[
+        str, Meta(min_length=1, description="Name of this instance in logs and metrics.")
+    ]
+    role: Annotated[ProcessRole, Meta(description="`router` or `replica`.")]
+    availability_zone: Annotated[str, Meta(min_length=1, description="Where this instance stands.")]
+    data_folder: Annotated[
+        Path | None, Meta(description="The one folder that a replica writes in.")
+    ] = None
 
 
-class ProcessListeners(Section):
+class ProcessListeners(StructSection, frozen=True, kw_only=True):
     """Addresses that this process listens on."""
 
-    peer: AddressField = Field(
-        description="Messages between processes; also the id of the process."
-    )
-    metrics: AddressField | None = Field(default=None, description="Metrics as text.")
-    callers: AddressField | None = Field(default=None, description="Requests; routers only.")
-    ready: AddressField | None = Field(
-        default=None, description="Readiness for the balancer; routers only."
-    )
-    control: AddressField | None = Field(
-        default=None, description="Operators and endpoints; replicas only."
-    )
+    peer: Annotated[
+        Address, Meta(description="Messages between processes; also the id of the process.")
+    ]
+    metrics: Annotated[Address | None, Meta(description="Metrics as text.")] = None
+    callers: Annotated[Address | None, Meta(description="Requests; routers only.")] = None
+    ready: Annotated[
+        Address | None, Meta(description="Readiness for the balancer; routers only.")
+    ] = None
+    control: Annotated[
+        Address | None, Meta(description="Operators and endpoints; replicas only.")
+    ] = None
 
 
-class FleetSettings(Section):
+class FleetSettings(StructSection, frozen=True, kw_only=True):
     """How this process finds the replicas."""
 
-    seeds: tuple[AddressField, ...] = Field(
-        min_length=1, description="Control addresses of some replicas."
-    )
-    is_first_start: StrictBool = Field(
-        default=False, description="Whether the deployment starts for the first time."
-    )
-    tolerated_losses: StrictInt = Field(
-        default=1, ge=0, description="Replicas that may be lost at once; twice that and one vote."
-    )
+    seeds: Annotated[
+        tuple[Address, ...], Meta(min_length=1, description="Control addresses of some replicas.")
+    ]
+    is_first_start: Annotated[
+        bool, Meta(description="Whether the deployment starts for the first time.")
+    ] = False
+    tolerated_losses: Annotated[
+        int,
+        Meta(ge=0, description="Replicas that may be lost at once; twice that and one vote."),
+    ] = 1
 
 
-class BoundSettings(Section):
+class BoundSettings(StructSection, frozen=True, kw_only=True):
     """Bounds that operators set; times in seconds."""
 
-    retry_ratio: float = Field(default=0.2, ge=0, description="Repeats for each request.")
-    retry_slack: float = Field(default=20.0, ge=0, description="Repeats on top, fleet-wide.")
-    retry_window_s: Seconds = Field(default=10.0, gt=0, description="Window of the budget.")
-    stop_within_s: Seconds = Field(default=8.0, gt=0, description="From SIGTERM to the kill.")
+    retry_ratio: Annotated[float, Meta(ge=0, description="Repeats for each request.")] = 0.2
+    retry_slack: Annotated[float, Meta(ge=0, description="Repeats on top, fleet-wide.")] = 20.0
+    retry_window_s: Annotated[Seconds, Meta(gt=0, description="Window of the budget.")] = 10.0
+    stop_within_s: Annotated[Seconds, Meta(gt=0, description="From SIGTERM to the kill.")] = 8.0
 
 
-class ProcessLogSettings(Section):
+class ProcessLogSettings(StructSection, frozen=True, kw_only=True):
     """Event lines on standard output."""
 
-    level: LogLevel = Field(default=LogLevel.INFO, description="Least important level written.")
+    level: Annotated[LogLevel, Meta(description="Least important level written.")] = LogLevel.INFO
 
 
-class DeploymentSettings(BaseModel):
+class DeploymentSettings(msgspec.Struct, frozen=True, kw_only=True):
     """All settings of one process."""
 
     process: ProcessSettings
     listeners: ProcessListeners
     fleet: FleetSettings
-    bounds: BoundSettings = BoundSettings()
-    log: ProcessLogSettings = ProcessLogSettings()
+    bounds: BoundSettings
+    log: ProcessLogSettings
 
 
 def load_deployment(path: Path) -> Result[DeploymentSettings, Findings]:
@@ -94,10 +100,10 @@
 
 def parse_deployment(text: str, *, source: str) -> Result[DeploymentSettings, Findings]:
     """Check a settings text; ``source`` names it in the findings' places."""
-    return parse_sections(text, source=source, model=DeploymentSettings, check=_check_roles)
+    return parse_structs(text, source=source, model=DeploymentSettings, check=_check_roles)
 
 
-def _check_roles(valid: dict[str, Section]) -> Iterator[Problem]:
+def _check_roles(valid: Mapping[str, StructSection]) -> Iterator[Problem]:
     process = valid.get("process")
     listeners = valid.get("listeners")
     if not isinstance(process, ProcessSettings) or not isinstance(listeners, ProcessListeners):
--- a/chivetrack/components/settings/checks.py
+++ b/chivetrack/components/settings/checks.py
@@ -16,9 +16,9 @@
     TlsSettings,
 )
 from chivetrack.helpers.registry import Registry
-from chivetrack.helpers.sections.base import Address
 from chivetrack.helpers.sections.places import KeyPath
-from chivetrack.helpers.sections.reader import Problem
+from chivetrack.helpers.sections.text import Problem
+from chivetrack.helpers.sections.values import Address
 
 LISTENERS = ("caller", "resources", "peer", "telemetry")
 
--- a/chivetrack/components/settings/config.py
+++ b/chivetrack/components/settings/config.py
@@ -12,13 +12,8 @@
 from chivetrack.components.settings.models import Settings
 from chivetrack.helpers.finding import Findings
 from chivetrack.helpers.sections.base import Section
-from chivetrack.helpers.sections.reader import (
-    Problem,
-    find_inner_model,
-    format_path,
-    parse_sections,
-    read_text,
-)
+from chivetrack.helpers.sections.reader import find_inner_model, parse_sections
+from chivetrack.helpers.sections.text import Problem, format_path, read_text
 
 __all__ = ["find_inner_model", "format_path", "load_settings", "parse_settings"]
 
--- a/chivetrack/components/settings/models.py
+++ b/chivetrack/components/settings/models.py
@@ -8,8 +8,9 @@
 
 from chivetrack.components.settings import const
 from chivetrack.helpers.log import LogFormat
-from chivetrack.helpers.sections.base import Address as Address
-from chivetrack.helpers.sections.base import AddressField, LogLevel, Section
+from chivetrack.helpers.sections.base import AddressField, Section
+from chivetrack.helpers.sections.values import Address as Address
+from chivetrack.helpers.sections.values import LogLevel
 
 Name = Annotated[str, Field(pattern=const.NAME_PATTERN, max_length=const.MAX_NAME_LENGTH)]
 KeyHash = Annotated[str, Field(pattern=const.KEY_HASH_PATTERN)]
--- a/chivetrack/daemon/fleet/__main__.py
+++ b/chivetrack/daemon/fleet/__main__.py
@@ -15,10 +15,8 @@
 monkey.patch_all()
 
 import os  # noqa: E402
+import sys  # noqa: E402
 from pathlib import Path  # noqa: E402
-from typing import Annotated  # noqa: E402
-
-import typer  # noqa: E402
 
 from chivetrack.components.deployment.settings import (  # noqa: E402
     DeploymentSettings,
@@ -29,8 +27,6 @@
 from chivetrack.helpers.events import EventLog, open_events  # noqa: E402
 from chivetrack.helpers.log import open_logs  # noqa: E402
 
-APP = typer.Typer(add_completion=False)
-
 
 def _run(settings: DeploymentSettings, events: EventLog) -> int:
     """Load and run the program of the role; each role needs half of the modules."""
@@ -61,24 +57,26 @@
     return EXIT_CUT if cut else EXIT_OK
 
 
-@APP.command()
-def run_process(
-    config: Annotated[Path, typer.Option(envvar=ENV_SETTINGS, help="The settings file (TOML).")],
-) -> None:
-    """Run one router or replica until SIGTERM.
-
-    Exit codes: 0 stopped and nothing cut; 1 stopped, requests were cut off; 3 the
-    settings have faults (all are printed); 4 a listener or a file could not be opened.
-    """
+def start(config: Path) -> None:
+    """Run the process of a settings file, and end with its exit code."""
     settings = load_deployment(config)
     if settings.is_error():
         for finding in settings.error:
-            typer.echo(str(finding), err=True)
-        raise typer.Exit(EXIT_SETTINGS)
-    # Threads of gRPC's own may outlive the last message by seconds; a stop that waits for
-    # them ends in a kill, although nothing is in flight any more.
+            print(finding, file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    # A thread that waits for a stalled disk would hold up the end until the kill, although
+    # nothing is in flight any more.
     os._exit(serve(settings.ok))
 
 
+def main() -> None:
+    """Read the command line, if there is any; loading what reads it takes time."""
+    if len(sys.argv) == 1 and ENV_SETTINGS in os.environ:
+        start(Path(os.environ[ENV_SETTINGS]))
+    from chivetrack.daemon.fleet.command import build_app
+
+    build_app(start)()
+
+
 if __name__ == "__main__":
-    APP()
+    main()
--- a/chivetrack/daemon/fleet/metrics.py
+++ b/chivetrack/daemon/fleet/metrics.py
@@ -10,7 +10,7 @@
 from chivetrack.components.traffic.requests import AnswerFacts
 from chivetrack.daemon.fleet.calls import Call
 from chivetrack.daemon.server import HttpServer
-from chivetrack.helpers.sections.base import Address
+from chivetrack.helpers.sections.values import Address
 
 if TYPE_CHECKING:
     from chivetrack.daemon.fleet.meters import Meters
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -36,7 +36,7 @@
 from chivetrack.daemon.server import HttpServer, ServerLimits
 from chivetrack.helpers.codec import Message
 from chivetrack.helpers.events import EventLog
-from chivetrack.helpers.sections.base import Address
+from chivetrack.helpers.sections.values import Address
 from chivetrack.helpers.timer import TimerService
 from chivetrack.platform.configuration import read_document
 from chivetrack.platform.control_api import add_document_route
--- a/chivetrack/daemon/listeners.py
+++ b/chivetrack/daemon/listeners.py
@@ -8,7 +8,7 @@
 from chivetrack.components.settings.models import ListenerSettings
 from chivetrack.daemon.encryption import Encryption
 from chivetrack.daemon.server import HttpServer, ServerLimits
-from chivetrack.helpers.sections.base import Address
+from chivetrack.helpers.sections.values import Address
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/chivetrack/helpers/sections/values.py
@@ -0,0 +1,45 @@
+"""Values that settings files of all programs have in common."""
+
+import ipaddress
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any
+
+MAX_PORT = 65535
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """An IP number and a port; port 0 lets the system choose one."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"[{self.host}]:{self.port}" if ":" in self.host else f"{self.host}:{self.port}"
+
+
+def parse_address(value: Any) -> Address:
+    """Read ``host:port`` with an IP number; raise ``ValueError`` for anything else."""
+    if isinstance(value, Address):
+        return value
+    if not isinstance(value, str):
+        raise ValueError('must be a text of the form "IP-number:port"')
+    host, colon, port = value.rpartition(":")
+    if not colon or not port.isascii() or not port.isdigit() or int(port) > MAX_PORT:
+        raise ValueError(f"must be IP-number:port with a port from 0 to {MAX_PORT}")
+    host = host[1:-1] if host.startswith("[") and host.endswith("]") else host
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        raise ValueError(f"{host!r} is not an IP number; names are not looked up") from None
+    return Address(host, int(port))
+
+
+class LogLevel(StrEnum):
+    """The least important level that is written."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
--- a/script/settings_reference.py
+++ b/script/settings_reference.py
@@ -1,17 +1,17 @@
 """Writes the reference of the settings from their models."""
 
 from collections.abc import Iterator
+from dataclasses import dataclass
 from enum import Enum
 from pathlib import Path
 from typing import Any, get_args
 
-from pydantic import BaseModel
-from pydantic.fields import FieldInfo
+import msgspec
 
 from chivetrack.components.deployment.settings import DeploymentSettings
 from chivetrack.components.settings.config import find_inner_model
 from chivetrack.components.settings.models import Settings
-from chivetrack.helpers.sections.base import Address
+from chivetrack.helpers.sections.values import Address
 
 FOLDER = Path(__file__).resolve().parent.parent / "docs" / "operators"
 TARGET = FOLDER / "settings.md"
@@ -33,7 +33,7 @@
 the line of each fault; the process runs the same checks before it starts.
 """
 
-PAGES: dict[str, tuple[type[BaseModel], str]] = {
+PAGES: dict[str, tuple[type[Any], str]] = {
     "settings.md": (Settings, INTRODUCTION),
     "deployment-settings.md": (DeploymentSettings, DEPLOYMENT_INTRODUCTION),
 }
@@ -41,33 +41,76 @@
 BOUNDS = {"gt": "more than", "ge": "at least", "lt": "less than", "le": "at most"}
 
 
-def write_reference(settings: type[BaseModel] = Settings, introduction: str = INTRODUCTION) -> str:
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Field:
+    """One setting, of a model of pydantic or of a struct."""
+
+    name: str
+    annotation: Any
+    metadata: tuple[Any, ...]
+    is_required: bool
+    default: Any
+    description: str
+
+
+def _list_fields(model: type[Any]) -> Iterator[_Field]:
+    if issubclass(model, msgspec.Struct):
+        for field in msgspec.structs.fields(model):
+            kind, *metadata = [field.type]
+            if hasattr(field.type, "__metadata__"):
+                kind, *metadata = get_args(field.type)
+            yield _Field(
+                name=field.name,
+                annotation=kind,
+                metadata=tuple(metadata),
+                is_required=field.required,
+                default=field.default,
+                description=getattr(metadata[0], "description", "") if metadata else "",
+            )
+        return
+    for name, info in model.model_fields.items():
+        yield _Field(
+            name=name,
+            annotation=info.annotation,
+            metadata=tuple(info.metadata),
+            is_required=info.is_required(),
+            default=info.default,
+            description=info.description or "",
+        )
+
+
+def _find_section(annotation: Any) -> type[Any] | None:
+    if isinstance(annotation, type) and issubclass(annotation, msgspec.Struct):
+        return annotation
+    return find_inner_model(annotation)
+
+
+def write_reference(settings: type[Any] = Settings, introduction: str = INTRODUCTION) -> str:
     """Return the whole page."""
     lines = [introduction]
-    for name, field in settings.model_fields.items():
-        model = find_inner_model(field.annotation)
+    for section in _list_fields(settings):
+        model = _find_section(section.annotation)
         assert model is not None
-        lines += [f"## `[{name}]`", "", model.__doc__ or "", ""]
+        lines += [f"## `[{section.name}]`", "", model.__doc__ or "", ""]
         lines += ["| key | form | default | meaning |", "| --- | --- | --- | --- |"]
         lines += [f"| {' | '.join(row)} |" for row in _list_rows(model, prefix="")]
         lines.append("")
     return "\n".join(lines).rstrip() + "\n"
 
 
-def _list_rows(model: type[BaseModel], *, prefix: str) -> Iterator[tuple[str, ...]]:
-    for name, field in model.model_fields.items():
-        key = f"{prefix}{name}"
+def _list_rows(model: type[Any], *, prefix: str) -> Iterator[tuple[str, ...]]:
+    for field in _list_fields(model):
+        key = f"{prefix}{field.name}"
         form = _name_form(field)
-        yield (f"`{key}`", form, _format_default(field), field.description or "")
-        inner = find_inner_model(field.annotation)
+        yield (f"`{key}`", form, _format_default(field), field.description)
+        inner = _find_section(field.annotation)
         if inner is not None:
             mark = "[]." if form.startswith("list") else "."
             yield from _list_rows(inner, prefix=f"{key}{mark}")
 
 
-def _name_form(field: FieldInfo) -> str:
-    annotation = field.annotation
-    words = _name_type(annotation)
+def _name_form(field: _Field) -> str:
+    words = _name_type(field.annotation)
     for entry in field.metadata:
         for bound, text in BOUNDS.items():
             value = getattr(entry, bound, None)
@@ -91,8 +134,8 @@
     return names[annotation]
 
 
-def _format_default(field: FieldInfo) -> str:
-    if field.is_required():
+def _format_default(field: _Field) -> str:
+    if field.is_required:
         return "required"
     value = field.default
     if value is None or value == ():
