--- a/chivetrack/components/distribution/subscriber.py
+++ b/chivetrack/components/distribution/subscriber.py
@@ -119,6 +119,11 @@
         self._started_at = float("inf")
         self.version = 0
 
+    @property
+    def close_replica(self) -> str:
+        """Return the replica that is told of this router's load, empty before the first."""
+        return self._close
+
     def wake(self, *, now: float) -> list[Effect]:
         """Ask the replicas when it is time to."""
         effects: list[Effect] = []
--- a/chivetrack/components/stories/story.py
+++ b/chivetrack/components/stories/story.py
@@ -16,6 +16,8 @@
 _CONTEXT_EVENTS = frozenset(
     (
         "configuration_in_force",
+        "configuration_asked_elsewhere",
+        "replica_followed",
         "endpoint_changed",
         "breaker_changed",
         "started",
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -157,12 +157,20 @@
         elif isinstance(message, DocumentSent):
             self.subscriber.take_document(message)
         elif isinstance(message, FetchElsewhere):
+            self._events.write(
+                "configuration_asked_elsewhere", version=message.version, holder=message.holder
+            )
             send_all(self.transport.send, self.subscriber.take_referral(message))
         elif isinstance(message, FetchDocument):
             send_all(self.transport.answer, self.subscriber.answer_fetch(source, message))
 
     def _follow(self, now: float) -> None:
+        before = self.subscriber.close_replica
         effects = self.subscriber.wake(now=now)
+        if self.subscriber.close_replica != before:
+            self._events.write(
+                "replica_followed", replica=self.subscriber.close_replica, before=before
+            )
         send_all(self.transport.send, effects)
         for effect in effects:
             if isinstance(effect, WakeAt):
