Tell routers the configuration before what was sent where

Change: a router is told placements once it says that it has the newest configuration.

Figures: the test fails before (placements in the first answer).

--- a/chivetrack/components/distribution/publisher.py
+++ b/chivetrack/components/distribution/publisher.py
@@ -10,6 +10,7 @@
 from chivetrack.components.distribution.const import (
     DOCUMENT_AGAIN_S,
     DOCUMENT_BYTES_PER_S,
+    ELECTION_FIRST_S,
     IN_FLIGHT_S,
     MANY_ROUTERS,
     PLACED_IN_ROUND,
@@ -92,6 +93,7 @@
     run: str
     table: EndpointTable
     list_replicas: Callable[[], tuple[str, ...]]
+    started_at: float = float("-inf")
     history: DocumentHistory = field(default_factory=DocumentHistory)
     placements: Placements = field(default_factory=Placements)
     _routers: dict[str, _Router] = field(default_factory=dict)
@@ -101,8 +103,17 @@
     _due: dict[str, _DueDocument] = field(default_factory=dict)
     _relays: Relays = field(default_factory=Relays)
 
-    def take_follow(self, follow: Follow, *, now: float) -> list[SendMessage]:
-        """Answer a router with what it lacks."""
+    def take_follow(
+        self, follow: Follow, *, now: float, knows_leader: bool = True
+    ) -> list[SendMessage]:
+        """Answer a router with what it lacks; just after a start only once there is a leader.
+
+        After all instances lost power, hundreds of routers ask in the moment in which the
+        replicas elect a leader. Votes that waited behind the answers came after the next
+        election had begun, several times in a row, and no configuration was sure meanwhile.
+        """
+        if not knows_leader and now - self.started_at < ELECTION_FIRST_S:
+            return []
         is_known = follow.run == self.run
         router = self._routers.get(follow.router)
         if router is None:
@@ -222,9 +233,7 @@
         close = self._list_close(now)
         peers = [one.exchange for one in self._list_peers(now)]
         others = [one.loads for other, one in close.items() if other != name]
-        placed, placed_change = self.placements.list_after(
-            router.placed_change, now=now, limit=max(1, PLACED_IN_ROUND // len(close))
-        )
+        placed, placed_change = self._list_placed(router, len(close), now)
         if placed:
             router.placed_at = now
         router.placed_change = placed_change
@@ -240,6 +249,20 @@
         )
         return SendMessage(target=name, message=view)
 
+    def _list_placed(
+        self, router: _Router, close: int, now: float
+    ) -> tuple[tuple[PlacedPart, ...], int]:
+        """Return the placements that a router lacks, none before it has the document.
+
+        After all instances lost power, every router lacks everything. With placements on
+        the link beside documents, those and the leader's heartbeats came seconds late, and
+        callers were refused meanwhile.
+        """
+        if router.version < self.history.version:
+            return (), router.placed_change
+        limit = max(1, PLACED_IN_ROUND // close)
+        return self.placements.list_after(router.placed_change, now=now, limit=limit)
+
     def _list_close(self, now: float) -> dict[str, _Router]:
         return {
             name: router
--- a/tests/components/distribution/test_distribution.py
+++ b/tests/components/distribution/test_distribution.py
@@ -421,6 +421,43 @@
         assert isinstance(answer.message, View)
         self.assertEqual(answer.message.placed, ())
 
+    def test_replica_that_starts_elects_before_it_answers(self) -> None:
+        """All instances lost power; hundreds of routers ask while replicas elect a leader.
+
+        Votes waited behind the answers, for longer than candidates wait before they try
+        again. Routers are answered once there is a leader, or after a second: a replica that
+        is cut off from the others still tells of endpoints and loads.
+        """
+        publisher = Fixture().publisher
+        publisher.started_at = 10.0
+        follow = make_close("r1")
+        for now, knows_leader, answers in (
+            (10.1, False, 0),
+            (10.3, True, 1),
+            (10.9, False, 0),
+            (11.1, False, 1),
+        ):
+            given = publisher.take_follow(follow, now=now, knows_leader=knows_leader)
+            self.assertEqual(len(given), answers, now)
+
+    def test_configuration_comes_before_placements(self) -> None:
+        """All instances lost power and start; 39 routers ask a replica for all that it has.
+
+        Until a router has the configuration it refuses its callers, and what was sent where
+        is of no use to it. It is told that once it says that it has the newest version.
+        """
+        fixture = Fixture()
+        fixture.put(7)
+        placed = (PlacedPart(part="d:10000", endpoint_id="e1", age_s=1.0),)
+        fixture.publisher.take_follow(make_close("r2", placed=placed), now=0.0)
+        told = []
+        for version in (0, 6, 7):
+            follow = make_close("r1", run="run1", version=version)
+            (answer,) = fixture.publisher.take_follow(follow, now=0.3)
+            assert isinstance(answer.message, View)
+            told.append(len(answer.message.placed))
+        self.assertEqual(told, [0, 0, 1])
+
     @mock.patch.object(publisher_module, "PLACED_IN_ROUND", 1200)
     def test_full_link_is_not_filled_further(self) -> None:
         """A replica's link is full, so its answers reach routers a second late.
@@ -624,6 +661,7 @@
     running: int = 0,
     *,
     run: str = "",
+    version: int = 0,
     placed: tuple[PlacedPart, ...] = (),
     placed_change: int = 0,
 ) -> Follow:
@@ -633,7 +671,7 @@
         router=router,
         run=run,
         change=0,
-        version=0,
+        version=version,
         loads=loads,
         placed=placed,
         is_close=True,
