Elect a leader before routers are answered

Four elections split; the leader stands at 7.05 s, the configuration is in force from 7.1 s on.

Change: for a second after its start a replica that knows no leader answers no router.

--- a/chivetrack/daemon/fleet/log_host.py
+++ b/chivetrack/daemon/fleet/log_host.py
@@ -97,6 +97,7 @@
         self.replica_id = ""
         self.is_leader = False
         self.leads_since = 0.0
+        self.knows_leader = False
 
     # Messages
 
@@ -252,6 +253,7 @@
         if not isinstance(notice, LeadershipChanged):
             return
         leads = notice.role is Role.LEADER
+        self.knows_leader = bool(notice.leader_instance)
         if leads and not self.is_leader:
             self.leads_since = time.monotonic()
         self.is_leader = leads
--- a/chivetrack/daemon/fleet/replica.py
+++ b/chivetrack/daemon/fleet/replica.py
@@ -64,6 +64,7 @@
             run=secrets.token_hex(8),
             table=self._table,
             list_replicas=self.host.list_instances,
+            started_at=time.monotonic(),
         )
         documents = DocumentDesk(
             instance_id=own,
@@ -124,7 +125,9 @@
 
     def _take_message(self, source: str, message: Message) -> None:
         if isinstance(message, Follow):
-            effects = self._publisher.take_follow(message, now=time.monotonic())
+            effects = self._publisher.take_follow(
+                message, now=time.monotonic(), knows_leader=self.host.knows_leader
+            )
             send_all(self.transport.answer, effects)
         elif isinstance(message, FetchDocument):
             self._send_documents(source, message)
