--- a/chivetrack/components/peers/const.py
+++ b/chivetrack/components/peers/const.py
@@ -29,9 +29,9 @@
 
 # Links of plain frames. The largest message is a snapshot of one document of 4 MiB.
 MAX_FRAME_BYTES: Final = 16 * MEBIBYTE
-# Shorter bodies hardly shrink.
+# Bytes; shorter bodies hardly shrink.
 COMPRESS_FROM_BYTES: Final = 400
-# Fast: views shrink to a third, and processor time is dearer than the rest.
+# The fastest: processor time is dearer than the bytes that a higher level would save.
 COMPRESSION_LEVEL: Final = 1
 READ_BYTES: Final = 16 * 1024
 # All routers of a large fleet may connect in one moment.
--- a/chivetrack/components/peers/links.py
+++ b/chivetrack/components/peers/links.py
@@ -1,8 +1,8 @@
 """The TCP edge between instances of a large fleet: messages in frames, one link a pair.
 
 A stream of gRPC takes a thread of its own in each direction under this event loop, and each
-message about a millisecond on both sides. A replica that hundreds of routers ask has half a
-core, so messages go as frames over plain sockets here, both ways on one connection.
+message several wakings of it. A replica that hundreds of routers ask has half a core, so
+messages go as frames over plain sockets here, both ways on one connection.
 """
 
 import contextlib
--- a/chivetrack/daemon/fleet/__main__.py
+++ b/chivetrack/daemon/fleet/__main__.py
@@ -14,12 +14,12 @@
 from gevent import events as gevent_events  # noqa: E402
 from gevent import monkey  # noqa: E402
 
-# All addresses are IP numbers. Handed to a thread, as names would have to be, each took longer
-# than the rest of a connection, and half of the requests need a new one.
+# All addresses are IP numbers. Handing each to a thread, as names would have to be, costs more
+# than the rest of a connection.
 gevent_config.resolver = "block"
 
-# Each step of the patching looks for plug-ins in the metadata of every installed package, a
-# fifth of the start; this program has none.
+# Each step of the patching would look for plug-ins in the metadata of every installed package;
+# this program has none, and callers wait for its start.
 gevent_events.notify_and_call_entry_points = gevent_events.notify
 monkey.patch_all()
 
--- a/chivetrack/helpers/sections/structs.py
+++ b/chivetrack/helpers/sections/structs.py
@@ -1,7 +1,7 @@
 """Checks a settings text against sections that are structs; all findings are reported.
 
 A process that is started in hundreds, and again after each loss of power, reads its settings
-before it serves: the models of pydantic take a quarter of such a start.
+before it serves; loading pydantic for a few small tables would delay every one of them.
 """
 
 import re
