Drop options of the gRPC transport that nobody sets, and a doubled question

Since the deployed processes use links, nobody gives the gRPC transport connection options of its own; its class of options became two constant lists with the same values. The question for a document was built in two places of the subscriber, and a target of the links kept a sender that might not be there, though it is started with the first message.

Ruled out: one format_path for settings and resources; the one counts list entries from 1, the other from 0. Behaviour is unchanged; no test changed.

--- a/chivetrack/components/distribution/subscriber.py
+++ b/chivetrack/components/distribution/subscriber.py
@@ -250,8 +250,10 @@
             return []
         self._next_fetch = now + self._fetch_wait
         self._fetch_wait = min(FETCH_AGAIN_MAX_S, 2 * self._fetch_wait)
-        held_version = self.version if self._body else 0
-        return [SendMessage(target=source, message=FetchDocument(held_version=held_version))]
+        return [SendMessage(target=source, message=self._make_fetch())]
+
+    def _make_fetch(self) -> FetchDocument:
+        return FetchDocument(held_version=self.version if self._body else 0)
 
     def take_document(self, sent: DocumentSent) -> None:
         """Put a newer document in force; an older one is dropped."""
@@ -277,8 +279,7 @@
         """Ask another router for a document that a replica has no time to send."""
         if referral.version <= self.version:
             return []
-        fetch = FetchDocument(held_version=self.version if self._body else 0)
-        return [SendMessage(target=referral.holder, message=fetch)]
+        return [SendMessage(target=referral.holder, message=self._make_fetch())]
 
     def answer_fetch(self, source: str, fetch: FetchDocument) -> list[Effect]:
         """Hand the document on to another router that holds an older one."""
--- a/chivetrack/components/peers/links.py
+++ b/chivetrack/components/peers/links.py
@@ -67,7 +67,7 @@
     """What waits for one instance, and who sends it."""
 
     outbox: Outbox[_Packed]
-    sender: gevent.Greenlet | None = None
+    sender: gevent.Greenlet
 
 
 class LinkTransport:
@@ -103,7 +103,7 @@
     def stop(self) -> None:
         """Stop listening, close all links and drop what waits."""
         self._server.stop(timeout=0)
-        senders = [one.sender for one in self._targets.values() if one.sender is not None]
+        senders = [one.sender for one in self._targets.values()]
         gevent.killall([*senders, *self._readers])
         for link in list(self._links.values()):
             self._close(link)
@@ -112,10 +112,10 @@
         """Queue a message; returns at once. A link is opened where there is none."""
         known = self._targets.get(target)
         if known is None:
-            known = self._targets[target] = _Target(Outbox(self.traffic))
+            outbox = Outbox[_Packed](self.traffic)
+            sender = gevent.spawn(self._run_sender, target, outbox)
+            known = self._targets[target] = _Target(outbox, sender)
         known.outbox.put(_Packed(get_kind(message), pack(message)))
-        if known.sender is None:
-            known.sender = gevent.spawn(self._run_sender, target, known.outbox)
 
     def answer(self, target: str, message: Message) -> None:
         """Queue a message for an instance that has opened a link; drop it if that is gone.
--- a/chivetrack/components/peers/transport.py
+++ b/chivetrack/components/peers/transport.py
@@ -29,47 +29,32 @@
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
 ]
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ConnectionOptions:
-    """How connections are kept.
-
-    Times are in milliseconds. A connection whose other side is behind a cut shows no sign
-    of it. A ping every ``keepalive_ms`` that stays without an answer for
-    ``ping_timeout_ms`` ends it.
-    """
-
-    keepalive_ms: int = KEEPALIVE_MS
-    ping_timeout_ms: int = PING_TIMEOUT_MS
-    reconnect_max_ms: int = RECONNECT_MAX_MS
-
-    def list_channel_options(self) -> list[tuple[str, int]]:
-        """Return the options of the side that connects."""
-        return [
-            ("grpc.min_reconnect_backoff_ms", RECONNECT_MIN_MS),
-            ("grpc.initial_reconnect_backoff_ms", RECONNECT_MIN_MS),
-            ("grpc.max_reconnect_backoff_ms", self.reconnect_max_ms),
-            ("grpc.keepalive_time_ms", self.keepalive_ms),
-            ("grpc.keepalive_timeout_ms", self.ping_timeout_ms),
-            ("grpc.http2.max_pings_without_data", 0),
-            ("grpc.enable_http_proxy", 0),
-            # Channels of two transports in one process must not share a connection: a
-            # test that stops one of them would see the other's traffic.
-            ("grpc.use_local_subchannel_pool", 1),
-            *_SIZE_OPTIONS,
-        ]
-
-    def list_server_options(self) -> list[tuple[str, int]]:
-        """Return the options of the side that accepts; it must not take pings for abuse."""
-        return [
-            ("grpc.so_reuseport", 0),
-            ("grpc.http2.min_ping_interval_without_data_ms", self.keepalive_ms // 2),
-            ("grpc.http2.max_ping_strikes", 0),
-            ("grpc.keepalive_time_ms", self.keepalive_ms),
-            ("grpc.keepalive_timeout_ms", self.ping_timeout_ms),
-            *_SIZE_OPTIONS,
-        ]
+# A connection whose other side is behind a cut shows no sign of it; a ping without an answer
+# ends it.
+_PING_OPTIONS = [
+    ("grpc.keepalive_time_ms", KEEPALIVE_MS),
+    ("grpc.keepalive_timeout_ms", PING_TIMEOUT_MS),
+]
+_CHANNEL_OPTIONS = [
+    ("grpc.min_reconnect_backoff_ms", RECONNECT_MIN_MS),
+    ("grpc.initial_reconnect_backoff_ms", RECONNECT_MIN_MS),
+    ("grpc.max_reconnect_backoff_ms", RECONNECT_MAX_MS),
+    ("grpc.http2.max_pings_without_data", 0),
+    ("grpc.enable_http_proxy", 0),
+    # Channels of two transports in one process must not share a connection: a test that
+    # stops one of them would see the other's traffic.
+    ("grpc.use_local_subchannel_pool", 1),
+    *_PING_OPTIONS,
+    *_SIZE_OPTIONS,
+]
+# The side that accepts must not take pings for abuse.
+_SERVER_OPTIONS = [
+    ("grpc.so_reuseport", 0),
+    ("grpc.http2.min_ping_interval_without_data_ms", KEEPALIVE_MS // 2),
+    ("grpc.http2.max_ping_strikes", 0),
+    *_PING_OPTIONS,
+    *_SIZE_OPTIONS,
+]
 
 
 @dataclass(slots=True)
@@ -118,11 +103,9 @@
         on_error: Callable[[str], None],
         server_credentials: grpc.ServerCredentials | None = None,
         make_channel_credentials: Callable[[], grpc.ChannelCredentials] | None = None,
-        connection: ConnectionOptions | None = None,
     ) -> None:
         """Bind the listener; nothing is served before ``start``."""
         self._instance_id = instance_id
-        self._connection = connection or ConnectionOptions()
         self._resolve = resolve
         self._on_message = on_message
         self._on_error = on_error
@@ -131,9 +114,7 @@
         self._channels: dict[str, grpc.Channel] = {}
         self._senders: list[gevent.Greenlet] = []
         self.traffic = TrafficCount()
-        self._server = grpc.server(
-            ThreadPoolExecutor(SERVER_WORKERS), options=self._connection.list_server_options()
-        )
+        self._server = grpc.server(ThreadPoolExecutor(SERVER_WORKERS), options=_SERVER_OPTIONS)
         peer_pb2_grpc.add_PeerServicer_to_server(_Servicer(transport=self), self._server)
         self._bind(listen, server_credentials)
         self._advertised = advertised
@@ -219,10 +200,11 @@
         return peer_pb2_grpc.PeerStub(channel)
 
     def _open_channel(self, address: str) -> grpc.Channel:
-        options = self._connection.list_channel_options()
         if self._make_channel_credentials is None:
-            return grpc.insecure_channel(address, options=options)
-        return grpc.secure_channel(address, self._make_channel_credentials(), options=options)
+            return grpc.insecure_channel(address, options=_CHANNEL_OPTIONS)
+        return grpc.secure_channel(
+            address, self._make_channel_credentials(), options=_CHANNEL_OPTIONS
+        )
 
     def reopen_channels(self) -> None:
         """Open channels anew, with the credentials of now, at the next message."""
