--- a/chivetrack/cli/__main__.py
+++ b/chivetrack/cli/__main__.py
@@ -4,10 +4,20 @@
 import traceback
 
 from chivetrack.cli.app import app
-from chivetrack.cli.commands import apply, backup, fleet, local, replicas, resources, story, watch
+from chivetrack.cli.commands import (
+    apply,
+    backup,
+    fleet,
+    local,
+    replicas,
+    resources,
+    story,
+    watch,
+    zones,
+)
 from chivetrack.cli.const import ExitCode
 
-COMMANDS = (resources, apply, watch, fleet, replicas, backup, local, story)
+COMMANDS = (resources, apply, watch, fleet, replicas, backup, local, story, zones)
 
 
 def main() -> None:
--- a/chivetrack/components/caller_api/watch.py
+++ b/chivetrack/components/caller_api/watch.py
@@ -30,6 +30,20 @@
         waiter.kill(CallerLeftError(), block=False)
 
 
+def has_left(caller_socket: socket.socket | None) -> bool:
+    """Return whether a caller has closed its connection by now; never waits."""
+    if not isinstance(caller_socket, gevent.socket.socket):
+        return False
+    try:
+        # Below gevent, whose own call waits for bytes whatever the flags say.
+        ahead = caller_socket._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    return not ahead
+
+
 @contextmanager
 def watch_caller(caller_socket: socket.socket | None) -> Iterator[None]:
     """Raise ``CallerLeftError`` in the body when the caller's connection ends.
--- a/chivetrack/components/deployment/settings.py
+++ b/chivetrack/components/deployment/settings.py
@@ -66,6 +66,10 @@
         int,
         Meta(ge=0, description="Replicas that may be lost at once; twice that and one vote."),
     ] = 1
+    zones: Annotated[
+        tuple[str, ...],
+        Meta(description="All availability zones; orders for others are refused. None: any."),
+    ] = ()
 
 
 class BoundSettings(StructSection, frozen=True, kw_only=True):
--- a/chivetrack/components/distribution/messages.py
+++ b/chivetrack/components/distribution/messages.py
@@ -1,6 +1,7 @@
 """Messages between routers and replicas, and between replicas about endpoints."""
 
 from chivetrack.components.announcements.models import EndpointRecord
+from chivetrack.components.evacuation.models import Evacuations
 from chivetrack.helpers.codec import Message, message
 
 
@@ -53,7 +54,8 @@
 class View(Message, frozen=True, array_like=True):
     """What a replica knows: records after change ``base``, and the state of the fleet.
 
-    ``version`` is that of the newest document applied there. With ``has_loads``, ``loads``
+    ``version`` is that of the newest document applied there, ``evacuations`` are the zone
+    orders applied there. With ``has_loads``, ``loads``
     are summed over all routers but the receiver, ``routers`` counts the routers, and
     ``placed`` are the placements after change ``placed_base``.
     """
@@ -70,6 +72,7 @@
     placed: tuple[PlacedPart, ...] = ()
     has_loads: bool = False
     placed_change: int = 0
+    evacuations: Evacuations = Evacuations()
 
 
 @message("distribution.exchange")
--- a/chivetrack/components/distribution/publisher.py
+++ b/chivetrack/components/distribution/publisher.py
@@ -32,6 +32,7 @@
 from chivetrack.components.distribution.placements import Placements
 from chivetrack.components.distribution.relays import Relays
 from chivetrack.components.document.history import DocumentHistory, DocumentUpdate
+from chivetrack.components.evacuation.models import Evacuations
 from chivetrack.core import SendMessage
 
 
@@ -96,6 +97,7 @@
     started_at: float = float("-inf")
     history: DocumentHistory = field(default_factory=DocumentHistory)
     placements: Placements = field(default_factory=Placements)
+    evacuations: Evacuations = field(default_factory=Evacuations)
     _routers: dict[str, _Router] = field(default_factory=dict)
     _peers: dict[str, _Peer] = field(default_factory=dict)
     _news: list[PlacedPart] = field(default_factory=list)
@@ -226,6 +228,7 @@
             records=tuple(self.table.list_changes(base)),
             replicas=self.list_replicas(),
             silent=tuple(self.table.list_silent(now)),
+            evacuations=self.evacuations,
         )
         return SendMessage(target=name, message=view)
 
--- a/chivetrack/components/document/store.py
+++ b/chivetrack/components/document/store.py
@@ -1,15 +1,25 @@
-"""The state machine that keeps the document with the highest version."""
+"""The state machine that keeps the document with the highest version, and evacuated zones."""
 
 import zlib
 from collections.abc import Callable
 from typing import Final
 
-from chivetrack.helpers.codec import Message, decode_as, encode, message
+from chivetrack.components.evacuation.models import Evacuations, OrderOutcome, ZoneOrder
+from chivetrack.helpers.codec import (
+    DecodeError,
+    Message,
+    decode_as,
+    encode,
+    message,
+    pack,
+    unpack,
+)
 
 PACK_LEVEL: Final = 6
 """A document of 600 routes, 90 kB, becomes 15 kB."""
 
 Listener = Callable[["StoredDocument"], None]
+EvacuationListener = Callable[[Evacuations], None]
 
 
 @message("document.stored")
@@ -31,6 +41,34 @@
     is_applied: bool
 
 
+@message("document.state")
+class StoredState(Message, frozen=True, array_like=True):
+    """A snapshot; it begins like a document, which is all that older ones hold."""
+
+    version: int = 0
+    payload: bytes = b""
+    evacuations: Evacuations = Evacuations()
+
+
+Command = StoredDocument | ZoneOrder
+
+
+def encode_command(command: Command) -> bytes:
+    """Return an entry of the log; a document's has no kind, as in all logs so far."""
+    return encode(command) if isinstance(command, StoredDocument) else pack(command)
+
+
+def decode_command(data: bytes) -> Command:
+    """Decode an entry of the log; raise ``DecodeError`` for other bytes."""
+    try:
+        command = unpack(data)
+    except DecodeError:
+        return decode_as(StoredDocument, data)
+    if not isinstance(command, ZoneOrder):
+        raise DecodeError(f"{type(command).__name__} is no command")
+    return command
+
+
 def pack_document(body: bytes) -> bytes:
     """Return a document as it is kept and sent."""
     return zlib.compress(body, PACK_LEVEL)
@@ -51,29 +89,59 @@
     def __init__(self) -> None:
         """Start without a document."""
         self.current = StoredDocument()
+        self.evacuations = Evacuations()
         self._listeners: list[Listener] = []
+        self._evacuation_listeners: list[EvacuationListener] = []
 
     def listen(self, listener: Listener) -> None:
         """Tell a listener of each document that takes effect."""
         self._listeners.append(listener)
 
+    def listen_to_evacuations(self, listener: EvacuationListener) -> None:
+        """Tell a listener of each change of the evacuated zones."""
+        self._evacuation_listeners.append(listener)
+
     def apply(self, index: int, data: bytes) -> bytes:
-        """Apply one committed document."""
-        document = decode_as(StoredDocument, data)
+        """Apply one committed command and return its outcome."""
+        command = decode_command(data)
+        if isinstance(command, ZoneOrder):
+            return encode(self._apply_order(index, command))
+        return encode(self._apply_document(command))
+
+    def _apply_order(self, index: int, order: ZoneOrder) -> OrderOutcome:
+        evacuations, outcome = self.evacuations.apply(order, index)
+        self._replace_evacuations(evacuations)
+        return outcome
+
+    def _apply_document(self, document: StoredDocument) -> PutOutcome:
         is_applied = document.version > self.current.version
         if is_applied:
             self._replace(document)
-        return encode(PutOutcome(version=self.current.version, is_applied=is_applied))
+        return PutOutcome(version=self.current.version, is_applied=is_applied)
 
     def take_snapshot(self) -> bytes:
-        """Return the document in force."""
-        return encode(self.current)
+        """Return the document and the zone orders in force."""
+        return encode(
+            StoredState(
+                version=self.current.version,
+                payload=self.current.payload,
+                evacuations=self.evacuations,
+            )
+        )
 
     def restore_snapshot(self, data: bytes) -> None:
-        """Take over a snapshot; a replica never goes back to a lower version."""
-        document = decode_as(StoredDocument, data) if data else StoredDocument()
-        if document.version > self.current.version:
-            self._replace(document)
+        """Take over a snapshot; a replica never goes back to an older state."""
+        state = decode_as(StoredState, data) if data else StoredState()
+        if state.version > self.current.version:
+            self._replace(StoredDocument(version=state.version, payload=state.payload))
+        self._replace_evacuations(state.evacuations)
+
+    def _replace_evacuations(self, evacuations: Evacuations) -> None:
+        if evacuations.revision <= self.evacuations.revision:
+            return
+        self.evacuations = evacuations
+        for listener in self._evacuation_listeners:
+            listener(evacuations)
 
     def _replace(self, document: StoredDocument) -> None:
         self.current = document
--- a/chivetrack/components/stories/story.py
+++ b/chivetrack/components/stories/story.py
@@ -19,6 +19,7 @@
         "configuration_asked_elsewhere",
         "replica_followed",
         "endpoint_changed",
+        "evacuation_in_force",
         "breaker_changed",
         "started",
         "stopping",
@@ -109,10 +110,18 @@
 @CAUSES.register("request_given_up")
 def _explain_given_up(event: Event) -> str:
     if event.get("why") == "no_candidate" and not event.get("tries"):
-        return f"no endpoint could be chosen; {event.get('candidates')} are known as ready"
+        return (
+            f"no endpoint could be chosen; {event.get('candidates')} are known as ready"
+            f"{_explain_zones(event)}"
+        )
     return f"{event.get('tries')} tries failed and no further one was allowed"
 
 
+def _explain_zones(event: Event) -> str:
+    zones = event.get("evacuated")
+    return f" outside the evacuated zones {', '.join(map(str, zones))}" if zones else ""
+
+
 @CAUSES.register("try_ended")
 def _explain_try(event: Event) -> str:
     return f"endpoint {event.get('endpoint')}: {event.get('outcome')} ({event.get('detail')})"
--- a/chivetrack/daemon/fleet/desk.py
+++ b/chivetrack/daemon/fleet/desk.py
@@ -2,7 +2,7 @@
 
 import itertools
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from expression import Error, Ok, Result
 from gevent.event import Event as Signal
@@ -15,6 +15,7 @@
 from chivetrack.components.announcements.table import EndpointTable
 from chivetrack.components.distribution.messages import RecordsTaken, SpreadRecords
 from chivetrack.components.document.store import StoredDocument
+from chivetrack.components.evacuation.models import Evacuations
 from chivetrack.components.traffic.models import Document
 from chivetrack.daemon.fleet.const import SPREAD_WAIT_S
 from chivetrack.daemon.fleet.documents import DocumentDesk, make_unavailable
@@ -46,15 +47,20 @@
         *,
         instance_id: str,
         documents: DocumentDesk,
+        zones: Collection[str],
         list_replicas: Callable[[], tuple[str, ...]],
         table: EndpointTable,
         send: Callable[[str, Message], None],
         push: Callable[[], None],
         events: EventLog,
     ) -> None:
-        """Take the table; ``push`` tells the routers of a change."""
+        """Take the table; ``push`` tells the routers of a change.
+
+        ``zones`` are those of the deployment; without any, orders name zones freely.
+        """
         self._instance_id = instance_id
         self._documents = documents
+        self._zones = frozenset(zones)
         self._list_replicas = list_replicas
         self._table = table
         self._send = send
@@ -71,6 +77,16 @@
         """Return the newest document."""
         return self._documents.read()
 
+    def order_evacuation(self, zone: str, *, is_evacuated: bool) -> Result[int, Fault | Elsewhere]:
+        """Commit that a zone is to be evacuated, or taken back; return the order's revision."""
+        if self._zones and zone not in self._zones:
+            return Error(_make_unknown_zone(zone, self._zones))
+        return self._documents.order(zone, is_evacuated=is_evacuated)
+
+    def read_evacuations(self) -> Result[Evacuations, Fault | Elsewhere]:
+        """Return the zone orders in force."""
+        return self._documents.read_evacuations()
+
     # Endpoints
 
     def announce(self, record: EndpointRecord) -> Result[None, Fault]:
@@ -148,6 +164,15 @@
         return True
 
 
+def _make_unknown_zone(zone: str, zones: Collection[str]) -> Fault:
+    known = ", ".join(sorted(zones))
+    return Fault(
+        code="unknown_zone",
+        message=f"no availability zone is named {zone!r}; there are {known}",
+        status=404,
+    )
+
+
 def _make_departure(endpoint_id: str, born: int | None) -> EndpointRecord:
     return EndpointRecord(
         endpoint_id=endpoint_id,
--- a/chivetrack/daemon/fleet/documents.py
+++ b/chivetrack/daemon/fleet/documents.py
@@ -1,4 +1,4 @@
-"""What a replica does for operators: it commits documents and reads the newest one."""
+"""What a replica does for operators: it commits documents and zone orders, and reads them."""
 
 import itertools
 import random
@@ -11,12 +11,16 @@
 from gevent.event import Event as Signal
 
 from chivetrack.components.document.store import (
+    Command,
     DocumentStore,
     PutOutcome,
     StoredDocument,
+    decode_command,
+    encode_command,
     pack_document,
     unpack_document,
 )
+from chivetrack.components.evacuation.models import Evacuations, OrderOutcome, ZoneOrder
 from chivetrack.components.proposals.models import (
     ForwardProposal,
     ForwardRead,
@@ -35,7 +39,7 @@
 )
 from chivetrack.daemon.fleet.log_host import LogHost
 from chivetrack.exceptions import Fault, Ran
-from chivetrack.helpers.codec import Message, decode_as, encode
+from chivetrack.helpers.codec import Message, decode_as
 from chivetrack.helpers.events import EventLog
 from chivetrack.platform.control_api import Elsewhere
 
@@ -94,21 +98,42 @@
     def put(self, document: Document, body: bytes) -> Result[int, Fault | Elsewhere]:
         """Commit a document and return the version in force."""
         stored = StoredDocument(version=document.version, payload=pack_document(body))
-        if self._host.is_leader:
-            outcome = self._commit(stored)
-        else:
-            number = next(self._numbers)
-            outcome = self._ask_leader(ForwardProposal(number=number, data=encode(stored)))
-        self._log("configuration_sent", document.version, outcome)
+        outcome = self._submit(stored)
+        self._log_change("configuration_sent", stored, outcome)
+        return outcome
+
+    def order(self, zone: str, *, is_evacuated: bool) -> Result[int, Fault | Elsewhere]:
+        """Commit that a zone is to be evacuated, or taken back; return the order's revision."""
+        order = ZoneOrder(
+            zone=zone,
+            is_evacuated=is_evacuated,
+            seen_revision=self._store.evacuations.find(zone).revision,
+            at=time.time(),
+        )
+        outcome = self._submit(order)
+        self._log_change("evacuation_ordered", order, outcome)
         return outcome
 
+    def read_evacuations(self) -> Result[Evacuations, Fault | Elsewhere]:
+        """Return the zone orders in force, for sure; a follower refers to the leader."""
+        if not self._host.is_leader:
+            return Error(self._refer())
+        return self._confirm().map(lambda version: self._store.evacuations)
+
+    def _submit(self, command: Command) -> Result[int, Fault | Elsewhere]:
+        if self._host.is_leader:
+            return self._commit(command)
+        number = next(self._numbers)
+        return self._ask_leader(ForwardProposal(number=number, data=encode_command(command)))
+
     def read(self) -> Result[StoredDocument, Fault | Elsewhere]:
         """Return the newest document, once a quorum has confirmed which one that is."""
         if self._host.is_leader:
             newest = self._confirm()
         else:
             newest = self._ask_leader(ForwardRead(number=next(self._numbers)))
-        self._log("configuration_read", self._store.current.version, newest)
+        held = self._store.current.version
+        self._log("configuration_read", newest, version=held, held=held)
         if newest.is_error():
             return Error(newest.error)
         if not newest.ok:
@@ -130,11 +155,26 @@
             return Ok(document)
         return Error(Elsewhere(address=random.choice(readers), min_version=document.version))
 
-    def _log(self, event: str, version: int, outcome: Result[int, Fault | Elsewhere]) -> None:
+    def _log_change(
+        self, event: str, command: Command, outcome: Result[int, Fault | Elsewhere]
+    ) -> None:
+        if isinstance(command, StoredDocument):
+            self._log(event, outcome, version=command.version, held=self._store.current.version)
+            return
+        self._log(
+            event,
+            outcome,
+            zone=command.zone,
+            is_evacuated=command.is_evacuated,
+            seen_revision=command.seen_revision,
+        )
+
+    def _log(
+        self, event: str, outcome: Result[int, Fault | Elsewhere], **fields: str | int
+    ) -> None:
         self._events.write(
             event,
-            version=version,
-            held=self._store.current.version,
+            **fields,
             leads=self._host.is_leader,
             outcome="done" if outcome.is_ok() else type(outcome.error).__name__,
             detail=str(outcome.ok if outcome.is_ok() else outcome.error)[:200],
@@ -148,19 +188,21 @@
 
     # At the leader
 
-    def _commit(self, stored: StoredDocument) -> Result[int, Fault | Elsewhere]:
+    def _commit(self, command: Command) -> Result[int, Fault | Elsewhere]:
         replica = self._host.replica
         if replica is None:
             return Error(self._refer())
         if self._is_founding():
             return Error(make_unavailable("founding", "not all replicas have joined yet"))
-        if stored.version <= self._store.current.version:
+        if isinstance(command, StoredDocument) and command.version <= self._store.current.version:
             # A resend, or an older one: nothing changes, so the log needs no entry.
             return self._confirm()
-        result = replica.propose(encode(stored), timeout_s=PROPOSE_TIMEOUT_S)
+        result = replica.propose(encode_command(command), timeout_s=PROPOSE_TIMEOUT_S)
         if result.is_error():
             return Error(self._refer_after(result.error))
-        return Ok(decode_as(PutOutcome, result.ok).version)
+        if isinstance(command, StoredDocument):
+            return Ok(decode_as(PutOutcome, result.ok).version)
+        return _read_order_outcome(result.ok)
 
     def _confirm(self) -> Result[int, Fault | Elsewhere]:
         """Return the version in force, after a quorum has confirmed that this replica leads."""
@@ -234,7 +276,16 @@
             return Error(self._refer())
         if isinstance(call, ForwardRead):
             return self._confirm()
-        stored = decode_as(StoredDocument, call.data)
-        outcome = self._commit(stored)
-        self._log("configuration_forwarded", stored.version, outcome)
+        command = decode_command(call.data)
+        outcome = self._commit(command)
+        is_document = isinstance(command, StoredDocument)
+        event = "configuration_forwarded" if is_document else "evacuation_forwarded"
+        self._log_change(event, command, outcome)
         return outcome
+
+
+def _read_order_outcome(data: bytes) -> Result[int, Fault | Elsewhere]:
+    outcome = decode_as(OrderOutcome, data)
+    if outcome.is_in_force:
+        return Ok(outcome.revision)
+    return Error(make_unavailable("overtaken", "a newer order for this zone came first"))
--- a/chivetrack/daemon/fleet/fleet_view.py
+++ b/chivetrack/daemon/fleet/fleet_view.py
@@ -1,7 +1,7 @@
 """What a router believes of the fleet: configuration, endpoints, their load and health."""
 
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator
 from contextlib import contextmanager
 
 from gevent.event import Event as Signal
@@ -11,6 +11,7 @@
 from chivetrack.components.deployment.settings import BoundSettings
 from chivetrack.components.distribution.messages import View
 from chivetrack.components.distribution.subscriber import OwnNews
+from chivetrack.components.evacuation.models import Evacuations
 from chivetrack.components.placement.choice import Candidate, Choice, Source
 from chivetrack.components.placement.placement import Placed, Placement
 from chivetrack.components.retries.window import RetryWindow
@@ -61,6 +62,7 @@
         self._born: dict[str, int] = {}
         self._seen_at: dict[str, float] = {}
         self._seen_change = -1
+        self.evacuations = Evacuations()
         self._routers = FIRST_ROUTERS
         self.has_view = False
         self._ready = Signal()
@@ -100,6 +102,7 @@
         self.has_view = True
         # Before the placements: what is known of an endpoint is dropped as it appears.
         self._note_changes()
+        self._note_evacuations(view.evacuations)
         if view.has_loads:
             self._routers = max(view.routers, self._routers * ROUTERS_KEPT)
             self._silent = frozenset(view.silent)
@@ -121,14 +124,47 @@
         for record in self.endpoints.list_changes(self._seen_change):
             self._note_change(record)
         self._seen_change = self.endpoints.change
+        self._sort_endpoints()
+
+    def _sort_endpoints(self) -> None:
+        """List the endpoints that get requests, and those that others may fetch parts from.
+
+        Engines fetch from each other without a request of ours, so those of an evacuated
+        zone are still of use to the others.
+        """
+        evacuated = self.evacuations.list_evacuated()
         self._by_service = {}
         self._sources = {}
         for record in self.endpoints.list_records():
             if record.state in (EndpointState.READY, EndpointState.DRAINING):
                 self._sources.setdefault(record.service, []).append(record)
-            if record.state is EndpointState.READY:
+            if record.state is EndpointState.READY and record.zone not in evacuated:
                 self._by_service.setdefault(record.service, []).append(record)
 
+    def _note_evacuations(self, evacuations: Evacuations) -> None:
+        """Put newer zone orders in force; a replica that lags can't take them back."""
+        if evacuations.revision <= self.evacuations.revision:
+            return
+        before = self.evacuations.list_evacuated()
+        self.evacuations = evacuations
+        self._sort_endpoints()
+        evacuated = evacuations.list_evacuated()
+        for record in self.endpoints.list_records():
+            if record.zone in evacuated:
+                self._forget_endpoint(record.endpoint_id)
+        self._events.write(
+            "evacuation_in_force",
+            revision=evacuations.revision,
+            zones=evacuated,
+            before=before,
+            running=self.count_running_in(evacuated),
+        )
+
+    def count_running_in(self, zones: Collection[str]) -> int:
+        """Return the requests of this router that still run at endpoints of these zones."""
+        ids = {one.endpoint_id for one in self.endpoints.list_records() if one.zone in zones}
+        return sum(one.running for one in self.placement.list_own() if one.endpoint_id in ids)
+
     def _note_change(self, record: EndpointRecord) -> None:
         self._events.write("endpoint_changed", **record.describe())
         if self._born.get(record.endpoint_id) != record.born:
--- a/chivetrack/daemon/fleet/meters.py
+++ b/chivetrack/daemon/fleet/meters.py
@@ -1,9 +1,13 @@
 """The instruments of the deployed processes, on the library's side."""
 
+from collections.abc import Callable, Iterable, Sequence
 from contextlib import ExitStack
 
+from opentelemetry.metrics import CallbackOptions, Observation
+
 from chivetrack.components.traffic.requests import AnswerFacts
 from chivetrack.daemon.fleet.calls import Call
+from chivetrack.daemon.fleet.metrics import Gauge
 from chivetrack.helpers.telemetry import METRICS_CONTENT_TYPE, Telemetry, open_telemetry
 from chivetrack.helpers.telemetry.const import DURATION_BOUNDS_S
 
@@ -15,7 +19,9 @@
     series bounds them where a configuration names many.
     """
 
-    def __init__(self, *, telemetry: Telemetry, lifetime: ExitStack) -> None:
+    def __init__(
+        self, *, telemetry: Telemetry, lifetime: ExitStack, gauges: Sequence[Gauge]
+    ) -> None:
         """Create the instruments; the telemetry closes when ``lifetime`` is collected."""
         self._lifetime = lifetime
         meter = telemetry.instruments.meter
@@ -43,6 +49,10 @@
         self._events = meter.create_counter(
             "chivetrack.replica.events", unit="{event}", description="Events by name."
         )
+        for one in gauges:
+            meter.create_observable_gauge(
+                one.name, [_observe(one)], unit=one.unit, description=one.description
+            )
 
     def record_end(self, call: Call, outcome: str, now: float) -> None:
         """Count a request that ended at ``now`` (seconds)."""
@@ -71,8 +81,12 @@
         return METRICS_CONTENT_TYPE, self._telemetry.render_metrics()
 
 
-def open_meters(*, instance: str, zone: str) -> Meters:
+def _observe(gauge: Gauge) -> Callable[[CallbackOptions], Iterable[Observation]]:
+    return lambda options: (Observation(gauge.read()),)
+
+
+def open_meters(*, instance: str, zone: str, gauges: Sequence[Gauge]) -> Meters:
     """Return meters that are read at the metrics address for as long as the process lives."""
     stack = ExitStack()
     telemetry = stack.enter_context(open_telemetry(instance_id=instance, availability_zone=zone))
-    return Meters(telemetry=telemetry, lifetime=stack)
+    return Meters(telemetry=telemetry, lifetime=stack, gauges=gauges)
--- a/chivetrack/daemon/fleet/metrics.py
+++ b/chivetrack/daemon/fleet/metrics.py
@@ -3,6 +3,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from bottle import Bottle, HTTPResponse
@@ -15,6 +16,17 @@
 if TYPE_CHECKING:
     from chivetrack.daemon.fleet.meters import Meters
 
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Gauge:
+    """A value that is read when somebody asks for metrics."""
+
+    name: str
+    unit: str
+    description: str
+    read: Callable[[], float]
+
+
 # Records that wait until somebody asks for metrics; more open the library by themselves.
 MAX_WAITING = 20_000
 
@@ -31,9 +43,14 @@
         """Take the names that metrics are kept under."""
         self._instance = instance
         self._zone = zone
+        self._gauges: list[Gauge] = []
         self._waiting: deque[Callable[[Meters], None]] = deque()
         self._meters: Meters | None = None
 
+    def add_gauges(self, *gauges: Gauge) -> None:
+        """Show values that are read off other parts; only before metrics are first asked for."""
+        self._gauges += gauges
+
     def record_end(self, call: Call, outcome: str) -> None:
         """Count a request that has ended."""
         now = time.monotonic()
@@ -60,7 +77,9 @@
         if self._meters is None:
             from chivetrack.daemon.fleet.meters import open_meters
 
-            self._meters = open_meters(instance=self._instance, zone=self._zone)
+            self._meters = open_meters(
+                instance=self._instance, zone=self._zone, gauges=self._gauges
+            )
         while self._waiting:
             self._waiting.popleft()(self._meters)
         return self._meters
--- a/chivetrack/daemon/fleet/replica.py
+++ b/chivetrack/daemon/fleet/replica.py
@@ -16,11 +16,12 @@
 from chivetrack.components.distribution.messages import Exchange, FetchDocument, Follow
 from chivetrack.components.distribution.publisher import Publisher
 from chivetrack.components.document.store import DocumentStore, StoredDocument, unpack_document
+from chivetrack.components.evacuation.models import Evacuations
 from chivetrack.daemon.fleet.const import FLUSH_S, TIDY_EVERY_S, TRAFFIC_EVERY
 from chivetrack.daemon.fleet.desk import Desk
 from chivetrack.daemon.fleet.documents import DocumentDesk
 from chivetrack.daemon.fleet.log_host import LogHost
-from chivetrack.daemon.fleet.metrics import Metrics, open_metrics_server
+from chivetrack.daemon.fleet.metrics import Gauge, Metrics, open_metrics_server
 from chivetrack.daemon.fleet.peering import TrafficLog, list_seed_peers, make_transport, send_all
 from chivetrack.daemon.fleet.restart_file import RestartFile
 from chivetrack.daemon.server import HttpServer
@@ -80,6 +81,7 @@
         self._desk = Desk(
             instance_id=own,
             documents=documents,
+            zones=settings.fleet.zones,
             list_replicas=self.host.list_instances,
             table=self._table,
             send=self.transport.send,
@@ -92,7 +94,16 @@
             placements=self._publisher.placements,
             events=events,
         )
+        self._metrics.add_gauges(
+            Gauge(
+                name="chivetrack.replica.evacuated_since",
+                unit="s",
+                description="Unix time of the oldest evacuation in force, 0 without any.",
+                read=lambda: self._store.evacuations.evacuated_since,
+            )
+        )
         self._store.listen(self._take_document)
+        self._store.listen_to_evacuations(self._take_evacuations)
         self._control = HttpServer(
             address=(listeners.control.host, listeners.control.port),
             application=build_control_app(
@@ -112,6 +123,15 @@
         self._events.write("configuration_applied", version=document.version)
         self._push_soon()
 
+    def _take_evacuations(self, evacuations: Evacuations) -> None:
+        self._publisher.evacuations = evacuations
+        self._events.write(
+            "evacuation_applied",
+            revision=evacuations.revision,
+            zones=evacuations.list_evacuated(),
+        )
+        self._push_soon()
+
     def _push_soon(self) -> None:
         """Tell the routers; changes that come together go out together."""
         if not self._is_pushing:
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -264,6 +264,7 @@
             status=fault.status,
             tries=len(call.tries),
             candidates=self._view.count_candidates(call.service),
+            evacuated=self._view.evacuations.list_evacuated(),
         )
         call.reply.refuse(fault)
 
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -30,7 +30,7 @@
 )
 from chivetrack.daemon.fleet.fleet_view import FleetView
 from chivetrack.daemon.fleet.forwarder import Forwarder
-from chivetrack.daemon.fleet.metrics import Metrics, open_metrics_server
+from chivetrack.daemon.fleet.metrics import Gauge, Metrics, open_metrics_server
 from chivetrack.daemon.fleet.peering import list_seed_peers, make_transport, send_all
 from chivetrack.daemon.fleet.requests import RequestDesk
 from chivetrack.daemon.server import HttpServer, ServerLimits
@@ -39,7 +39,7 @@
 from chivetrack.helpers.sections.values import Address
 from chivetrack.helpers.timer import TimerService
 from chivetrack.platform.configuration import read_document
-from chivetrack.platform.control_api import add_document_route
+from chivetrack.platform.control_api import add_document_route, make_app
 from chivetrack.platform.paths import PATH_READY
 
 _POLL_S = 0.02
@@ -81,6 +81,7 @@
             forget_endpoint=self._kept.forget,
         )
         self.view.listeners.append(self._take_limits)
+        self._metrics.add_gauges(*self._list_gauges())
         self.subscriber = Subscriber(
             router=str(settings.listeners.peer),
             reads_at=str(settings.listeners.ready),
@@ -108,6 +109,21 @@
         self._ready = self._make_server(settings.listeners.ready, self._build_ready_app())
         self._metrics_server = open_metrics_server(settings.listeners.metrics, self._metrics)
 
+    def _list_gauges(self) -> Iterator[Gauge]:
+        view = self.view
+        yield Gauge(
+            name="chivetrack.router.evacuated_zones",
+            unit="{zone}",
+            description="Zones whose endpoints get nothing new.",
+            read=lambda: len(view.evacuations.list_evacuated()),
+        )
+        yield Gauge(
+            name="chivetrack.router.requests_in_evacuated_zones",
+            unit="{request}",
+            description="Requests of this router that still run there.",
+            read=lambda: view.count_running_in(view.evacuations.list_evacuated()),
+        )
+
     def _make_server(
         self,
         address: Address,
@@ -124,7 +140,7 @@
         )
 
     def _build_ready_app(self) -> Bottle:
-        app = Bottle()
+        app = make_app()
 
         def show_ready() -> HTTPResponse:
             return HTTPResponse(body=b"", status=200 if self.is_ready() else 503)
--- a/chivetrack/platform/control_api.py
+++ b/chivetrack/platform/control_api.py
@@ -2,22 +2,28 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Any, Protocol
+from urllib.parse import quote
 
 import msgspec
-from bottle import Bottle, HTTPResponse, request
+from bottle import HTTP_CODES, Bottle, HTTPError, HTTPResponse, request
 from expression import Result
 
 from chivetrack.components.announcements.models import EndpointRecord
+from chivetrack.components.caller_api.const import ENVIRON_SOCKET
+from chivetrack.components.caller_api.watch import has_left
 from chivetrack.components.document.store import StoredDocument
+from chivetrack.components.evacuation.models import Evacuations, ZoneState
 from chivetrack.components.traffic.models import Document
 from chivetrack.exceptions import Fault
 from chivetrack.platform.announcements import read_departure, read_heartbeat
 from chivetrack.platform.configuration import read_document, render_findings
+from chivetrack.platform.paths import PATH_ZONES
 
 # Not the platform's: only a replica of ours sends operators to it.
 _QUERY_VERSION = "version"
 _JSON = {"Content-Type": "application/json"}
+_MAX_ERROR_TEXT = 300
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -42,6 +48,14 @@
         """Return the newest document for sure."""
         ...
 
+    def order_evacuation(self, zone: str, *, is_evacuated: bool) -> Result[int, Fault | Elsewhere]:
+        """Commit that a zone is evacuated, or taken back; return the order's revision."""
+        ...
+
+    def read_evacuations(self) -> Result[Evacuations, Fault | Elsewhere]:
+        """Return the zone orders in force for sure."""
+        ...
+
     def announce(self, record: EndpointRecord) -> Result[None, Fault]:
         """Take an endpoint's statement."""
         ...
@@ -55,8 +69,19 @@
     *, desk: ControlDesk, unpack: Callable[[bytes], bytes], note_bad: Callable[[str, str], None]
 ) -> Bottle:
     """Return the application of the control listener."""
-    app = Bottle()
+    app = make_app()
+    _add_configuration_calls(app, desk, unpack, note_bad)
+    _add_zone_calls(app, desk)
+    _add_endpoint_calls(app, desk, note_bad)
+    return app
+
 
+def _add_configuration_calls(
+    app: Bottle,
+    desk: ControlDesk,
+    unpack: Callable[[bytes], bytes],
+    note_bad: Callable[[str, str], None],
+) -> None:
     def put_config() -> HTTPResponse:
         body = request.environ["wsgi.input"].read()
         read = read_document(body)
@@ -74,6 +99,36 @@
             return _refuse(outcome.error, "/config")
         return HTTPResponse(body=unpack(outcome.ok.payload), status=200, headers=_JSON)
 
+    app.route("/config", "PUT", put_config)
+    app.route("/config", "GET", get_config)
+
+
+def _add_zone_calls(app: Bottle, desk: ControlDesk) -> None:
+    def order_zone(zone: str) -> HTTPResponse:
+        if request.environ["wsgi.input"].read(1):
+            return _answer(400, {"error": "body", "message": "this call takes no body"})
+        if has_left(request.environ.get(ENVIRON_SOCKET)):
+            # It has sent the order elsewhere since, and perhaps withdrawn it.
+            return _answer(503, {"error": "operator_left"})
+        is_evacuated = request.method == "POST"
+        outcome = desk.order_evacuation(zone, is_evacuated=is_evacuated)
+        if outcome.is_ok():
+            return _answer(200, {"revision": outcome.ok})
+        return _refuse(outcome.error, f"{PATH_ZONES}/{quote(zone, safe='')}")
+
+    def get_zones() -> HTTPResponse:
+        outcome = desk.read_evacuations()
+        if outcome.is_error():
+            return _refuse(outcome.error, PATH_ZONES)
+        return _answer(200, {"zones": [_render_zone(one) for one in outcome.ok.zones]})
+
+    app.route(f"{PATH_ZONES}/<zone>", ["POST", "DELETE"], order_zone)
+    app.route(PATH_ZONES, "GET", get_zones)
+
+
+def _add_endpoint_calls(
+    app: Bottle, desk: ControlDesk, note_bad: Callable[[str, str], None]
+) -> None:
     def put_endpoint(endpoint_id: str) -> HTTPResponse:
         record = read_heartbeat(endpoint_id, request.environ["wsgi.input"].read())
         if record.is_error():
@@ -87,10 +142,22 @@
         outcome = desk.leave(endpoint_id, born)
         return _answer(200, {}) if outcome.is_ok() else _refuse(outcome.error, "")
 
-    app.route("/config", "PUT", put_config)
-    app.route("/config", "GET", get_config)
     app.route("/instances/<endpoint_id>", "PUT", put_endpoint)
     app.route("/instances/<endpoint_id>", "DELETE", delete_endpoint)
+
+
+def make_app() -> Bottle:
+    """Return an application whose own errors are short and in JSON."""
+    app = Bottle()
+
+    def render_error(error: HTTPError) -> bytes:
+        error.content_type = "application/json"
+        name = HTTP_CODES.get(error.status_code, "error").lower().replace(" ", "_")
+        text = f"{request.method} {request.path} is not a call of this listener"
+        message = text if error.status_code in (404, 405) else str(error.body)
+        return msgspec.json.encode({"error": name, "message": message[:_MAX_ERROR_TEXT]})
+
+    app.default_error_handler = render_error
     return app
 
 
@@ -107,6 +174,15 @@
     app.route("/config", "GET", get_config)
 
 
+def _render_zone(state: ZoneState) -> dict[str, Any]:
+    return {
+        "zone": state.zone,
+        "evacuated": state.is_evacuated,
+        "since": state.since,
+        "revision": state.revision,
+    }
+
+
 def _answer(status: int, document: object) -> HTTPResponse:
     return HTTPResponse(body=msgspec.json.encode(document), status=status, headers=_JSON)
 
--- /dev/null
+++ b/chivetrack/platform/operator_calls.py
@@ -0,0 +1,132 @@
+"""What the command line asks of the control listeners of a deployment's replicas."""
+
+import random
+import time
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import dataclass
+from urllib.parse import quote
+
+import msgspec
+import urllib3
+from expression import Error, Ok, Result
+
+from chivetrack.components.evacuation.models import ZoneState
+from chivetrack.exceptions import Fault, Ran
+from chivetrack.platform.paths import PATH_ZONES
+
+# A replica waits 0.9 s for a majority; the answer needs a moment on top.
+CALL_TIMEOUT_S = 2.0
+BACKOFF_S = 0.1
+MAX_REDIRECTS = 2
+# The others speak of one moment only, as 408, 429 and 503 do.
+_FINAL_STATUSES = frozenset({400, 404, 405, 409, 412, 413, 422})
+
+
+class _Error(msgspec.Struct):
+    error: str = ""
+    message: str = ""
+
+
+class _Zone(msgspec.Struct):
+    zone: str
+    evacuated: bool
+    since: float
+    revision: int
+
+
+class _Zones(msgspec.Struct):
+    zones: list[_Zone]
+
+
+class _Ordered(msgspec.Struct):
+    revision: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Answer:
+    status: int
+    body: bytes
+
+
+class OperatorCalls:
+    """Asks one replica after the other until one of them answers for sure."""
+
+    def __init__(
+        self,
+        *,
+        replicas: Sequence[str],
+        timeout_s: float,
+        clock: Callable[[], float] = time.monotonic,
+        sleep: Callable[[float], None] = time.sleep,
+    ) -> None:
+        """Take control addresses (``host:port``) and how long to go on trying in all."""
+        self._replicas = tuple(replicas)
+        self._timeout_s = timeout_s
+        self._clock = clock
+        self._sleep = sleep
+        self._pool = urllib3.PoolManager(retries=False, timeout=CALL_TIMEOUT_S)
+
+    def order_evacuation(self, zone: str, *, is_evacuated: bool) -> Result[int, Fault]:
+        """Have a zone evacuated, or taken back; return the order's revision."""
+        method = "POST" if is_evacuated else "DELETE"
+        body = self._repeat(method, f"{PATH_ZONES}/{quote(zone, safe='')}")
+        return body.map(lambda one: msgspec.json.decode(one, type=_Ordered).revision)
+
+    def read_zones(self) -> Result[tuple[ZoneState, ...], Fault]:
+        """Return the last order for each zone."""
+        return self._repeat("GET", PATH_ZONES).map(_read_zones)
+
+    def _repeat(self, method: str, path: str) -> Result[bytes, Fault]:
+        """Try until there is an answer that stands; orders may be repeated."""
+        ends_at = self._clock() + self._timeout_s
+        last = _make_unreachable("no replica was asked")
+        for replica in self._list_turns():
+            answer = self._ask(method, f"http://{replica}{path}")
+            if isinstance(answer, Fault):
+                last = answer
+            elif answer.status < 300:
+                return Ok(answer.body)
+            else:
+                last = _read_fault(answer)
+                if answer.status in _FINAL_STATUSES:
+                    return Error(last)
+            if self._clock() >= ends_at:
+                break
+            self._sleep(BACKOFF_S)
+        return Error(last)
+
+    def _list_turns(self) -> Iterator[str]:
+        order = random.sample(self._replicas, len(self._replicas))
+        while order:
+            yield from order
+
+    def _ask(self, method: str, url: str) -> _Answer | Fault:
+        try:
+            for _ in range(MAX_REDIRECTS + 1):
+                response = self._pool.request(method, url, redirect=False)
+                if response.status != 307:
+                    return _Answer(status=response.status, body=response.data)
+                url = response.headers.get("Location", url)
+        except urllib3.exceptions.HTTPError as error:
+            return _make_unreachable(str(error))
+        return _make_unreachable("the replicas refer to each other")
+
+
+def _read_zones(body: bytes) -> tuple[ZoneState, ...]:
+    return tuple(
+        ZoneState(zone=one.zone, is_evacuated=one.evacuated, revision=one.revision, since=one.since)
+        for one in msgspec.json.decode(body, type=_Zones).zones
+    )
+
+
+def _read_fault(answer: _Answer) -> Fault:
+    try:
+        read = msgspec.json.decode(answer.body, type=_Error)
+    except msgspec.MsgspecError:
+        read = _Error()
+    code = read.error or f"status_{answer.status}"
+    return Fault(code=code, message=read.message or code, status=answer.status, ran=Ran.MAYBE)
+
+
+def _make_unreachable(detail: str) -> Fault:
+    return Fault(code="unreachable", message=detail, status=0, ran=Ran.MAYBE)
--- a/chivetrack/platform/paths.py
+++ b/chivetrack/platform/paths.py
@@ -1,3 +1,4 @@
 """The paths that the platform asks."""
 
 PATH_READY = "/ready"
+PATH_ZONES = "/evacuate"
--- a/tests/components/distribution/test_distribution.py
+++ b/tests/components/distribution/test_distribution.py
@@ -28,6 +28,7 @@
 from chivetrack.components.distribution.subscriber import OwnNews, Subscriber
 from chivetrack.components.document.patch import make_patch
 from chivetrack.components.document.store import StoredDocument
+from chivetrack.components.evacuation.models import Evacuations, ZoneState
 from chivetrack.components.peers.frames import encode_frame
 from chivetrack.core import SendMessage
 from chivetrack.helpers.codec import pack
@@ -106,6 +107,21 @@
     return len(paced.message.payload) if isinstance(paced.message, DocumentSent) else 0
 
 
+class ZoneOrderTest(unittest.TestCase):
+    def test_order_goes_out_with_every_word(self) -> None:
+        """A router that has missed the push learns of an evacuated zone with its next answer."""
+        fixture = Fixture()
+        fixture.exchange(0.0)
+        zones = (ZoneState(zone="z1", is_evacuated=True, revision=4, since=0.0),)
+        fixture.publisher.evacuations = Evacuations(zones=zones)
+        for sent in (
+            *fixture.publisher.publish(now=0.1),
+            *fixture.publisher.take_follow(fixture.follow(0.4), now=0.4),
+        ):
+            assert isinstance(sent.message, View)
+            self.assertEqual(sent.message.evacuations.list_evacuated(), ("z1",))
+
+
 class Watch:
     """A router of a large fleet and five replicas that answer at once unless frozen."""
 
--- a/tests/components/document/test_store.py
+++ b/tests/components/document/test_store.py
@@ -5,8 +5,15 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from chivetrack.components.document.store import DocumentStore, PutOutcome, StoredDocument
-from chivetrack.helpers.codec import decode_as, encode
+from chivetrack.components.document.store import (
+    DocumentStore,
+    PutOutcome,
+    StoredDocument,
+    decode_command,
+    encode_command,
+)
+from chivetrack.components.evacuation.models import OrderOutcome, ZoneOrder
+from chivetrack.helpers.codec import DecodeError, decode_as, encode
 
 
 def put(store: DocumentStore, version: int, payload: bytes) -> PutOutcome:
@@ -14,6 +21,48 @@
     return decode_as(PutOutcome, store.apply(1, data))
 
 
+def order(store: DocumentStore, index: int, zone: str, *, is_evacuated: bool) -> OrderOutcome:
+    seen = store.evacuations.find(zone).revision
+    command = ZoneOrder(zone=zone, is_evacuated=is_evacuated, seen_revision=seen, at=1.0)
+    return decode_as(OrderOutcome, store.apply(index, encode_command(command)))
+
+
+class ZoneOrderTest(unittest.TestCase):
+    def test_order_outlives_documents_and_snapshots(self) -> None:
+        """A zone is evacuated, a new document comes, and the log is compacted.
+
+        A replica that starts from the snapshot must know both.
+        """
+        store = DocumentStore()
+        self.assertTrue(order(store, 4, "z1", is_evacuated=True).is_in_force)
+        put(store, 7, b"seven")
+        other = DocumentStore()
+        heard: list[tuple[str, ...]] = []
+        other.listen_to_evacuations(lambda one: heard.append(one.list_evacuated()))
+        other.restore_snapshot(store.take_snapshot())
+        other.restore_snapshot(store.take_snapshot())
+        self.assertEqual(other.current.version, 7)
+        self.assertEqual(heard, [("z1",)])
+
+    def test_snapshot_of_an_older_state_takes_no_order_back(self) -> None:
+        store = DocumentStore()
+        order(store, 4, "z1", is_evacuated=True)
+        old = store.take_snapshot()
+        order(store, 6, "z1", is_evacuated=False)
+        store.restore_snapshot(old)
+        self.assertEqual(store.evacuations.list_evacuated(), ())
+
+    def test_folder_of_a_release_that_knew_no_orders(self) -> None:
+        """After an upgrade a replica opens the snapshot and the entries of the old release."""
+        old = StoredDocument(version=3, payload=b"three")
+        store = DocumentStore()
+        store.restore_snapshot(encode(old))
+        self.assertEqual(store.current, old)
+        self.assertEqual(decode_command(encode(old)), old)
+        with self.assertRaises(DecodeError):
+            decode_command(b"other")
+
+
 class DocumentStoreTest(unittest.TestCase):
     def test_other_content_under_the_version_held(self) -> None:
         """Two operators send different documents under one version number.
--- a/tests/daemon/fleet/test_documents.py
+++ b/tests/daemon/fleet/test_documents.py
@@ -35,11 +35,13 @@
         self.behind: set[str] = set()
         self.readers: list[str] = []
         self.lost: set[tuple[str, str]] = set()
+        self.index = 0
         self.nodes = {name: Node(name, self) for name in ("p1:1", "p2:1", "p3:1")}
 
     def commit(self, data: bytes) -> bytes:
+        self.index += 1
         results = {
-            name: node.store.apply(1, data)
+            name: node.store.apply(self.index, data)
             for name, node in self.nodes.items()
             if name not in self.behind
         }
@@ -91,7 +93,7 @@
     return Fault(code="timeout", message="no quorum", status=503)
 
 
-class DocumentDeskTest(unittest.TestCase):
+class DeskCase(unittest.TestCase):
     def setUp(self) -> None:
         self.log = Log()
         self.first, self.second, self.third = self.log.nodes.values()
@@ -103,6 +105,8 @@
         assert outcome.is_ok(), outcome
         return unpack_document(outcome.ok.payload)
 
+
+class DocumentDeskTest(DeskCase):
     def test_operator_is_served_at_any_replica(self) -> None:
         """The operator sends 480 kB to a follower, on links of 3 Mbit/s.
 
@@ -198,6 +202,45 @@
         self.assertEqual(self.first.put(5).error, Elsewhere(address="p3:9"))
 
 
+class ZoneOrderTest(DeskCase):
+    def order(self, node: Node, *, is_evacuated: bool = True) -> Result[int, Fault | Elsewhere]:
+        return node.desk.order("z1", is_evacuated=is_evacuated)
+
+    def test_order_is_served_at_any_replica(self) -> None:
+        self.assertEqual(self.order(self.second).ok, 1)
+        self.assertEqual(self.order(self.third).ok, 1)
+        for node in self.log.nodes.values():
+            self.assertEqual(node.store.evacuations.list_evacuated(), ("z1",))
+        self.assertTrue(self.order(self.third, is_evacuated=False).is_ok())
+        self.assertEqual(self.first.desk.read_evacuations().ok.list_evacuated(), ())
+
+    def test_order_from_a_replica_that_lags(self) -> None:
+        """A replica that missed the withdrawal hands on a resend of the first order.
+
+        The resend is refused as one that may pass later, and changes nothing.
+        """
+        self.order(self.first)
+        self.log.behind = {"p3:1"}
+        self.order(self.first, is_evacuated=False)
+        outcome = self.order(self.third)
+        assert outcome.is_error() and isinstance(outcome.error, Fault)
+        self.assertEqual(outcome.error.status, 503)
+        self.assertEqual(self.first.store.evacuations.list_evacuated(), ())
+
+    def test_what_may_pass_by_waiting_is_unavailable(self) -> None:
+        """Without a leader, a quorum or all voters, operators are told to come again."""
+        for name, value in (("is_quorate", False), ("leader", "")):
+            with self.subTest(name=name):
+                self.setUp()
+                setattr(self.log, name, value)
+                self.log.believed_leader = self.log.leader
+                for node in (self.first, self.second):
+                    outcome = self.order(node)
+                    assert outcome.is_error() and isinstance(outcome.error, Fault)
+                    self.assertEqual(outcome.error.status, 503)
+        self.assertEqual(self.third.desk.read_evacuations().is_error(), True)
+
+
 def encode_stored(document: StoredDocument) -> bytes:
     store = DocumentStore()
     store.current = document
--- a/tests/daemon/fleet/test_fleet_view.py
+++ b/tests/daemon/fleet/test_fleet_view.py
@@ -6,8 +6,11 @@
 from chivetrack.components.announcements.models import EndpointState
 from chivetrack.components.deployment.settings import BoundSettings
 from chivetrack.components.distribution.messages import EndpointLoad, PlacedPart, View
+from chivetrack.components.evacuation.models import Evacuations, ZoneState
 from chivetrack.components.retries.sending import SendEnd
+from chivetrack.components.traffic.models import EngineProfile, Service
 from chivetrack.components.traffic.requests import PromptPart, RequestFacts
+from chivetrack.components.traffic.table import RouteTable
 from chivetrack.daemon.fleet.fleet_view import FleetView
 from chivetrack.helpers.events import EventLog
 from tests.components.announcements.test_table import make_record
@@ -85,6 +88,72 @@
             self.assertEqual(self.choose("portal"), "")
         self.assertIn("e1", self.forgotten)
 
+    def evacuate(self, revision: int, *zones: str) -> None:
+        states = [
+            ZoneState(zone=one, is_evacuated=True, revision=revision, since=0) for one in zones
+        ]
+        last = ZoneState(zone="other", is_evacuated=False, revision=revision, since=0)
+        self.take(evacuations=Evacuations(zones=(*states, last)))
+
+    def test_evacuated_zone_gets_nothing_new(self) -> None:
+        """Operators empty a zone; its endpoints stay up and go on announcing themselves.
+
+        A replica that lags sends an older state, and an endpoint of the zone announces
+        itself anew: neither may bring requests back before the zone is taken back.
+        """
+        near = make_record(service="portal", zone="z1")
+        far = make_record(service="portal", endpoint_id="e2", zone="z2")
+        self.take(near, far)
+        self.evacuate(5, "z1")
+        self.assertIn("e1", self.forgotten)
+        self.evacuate(4)
+        self.take(make_record(3, service="portal", zone="z1", software="v2"), change=3)
+        self.assertEqual({self.choose("portal") for _ in range(9)}, {"e2"})
+        self.evacuate(6, "z1", "z2")
+        self.assertEqual(self.choose("portal"), "")
+        self.assertEqual(self.view.count_candidates("portal"), 0)
+        self.evacuate(7, "z2")
+        self.assertEqual(self.choose("portal"), "e1")
+
+    def test_running_requests_of_an_evacuated_zone_are_counted_and_stay(self) -> None:
+        self.take(make_record(service="portal", zone="z1"))
+        call = make_call(Caller(), service="portal")
+        choice = self.view.choose(call)
+        assert choice is not None
+        with self.view.use(call, choice):
+            self.evacuate(5, "z1")
+            self.assertEqual(self.view.count_running_in(("z1",)), 1)
+        self.assertEqual(self.view.count_running_in(("z1",)), 0)
+
+    def test_engine_of_an_evacuated_zone_hands_its_cache_on(self) -> None:
+        """Engines fetch from each other without a request of ours.
+
+        Left out as sources, the dossiers of a whole zone would be read again elsewhere.
+        """
+        self.take(make_record(zone="z1"), make_record(endpoint_id="e2", zone="z2"))
+        self.view.table = RouteTable(
+            document=make_document(
+                services=(
+                    Service(
+                        name="llm",
+                        engine=EngineProfile(slots=64, memory_tokens=500_000, can_fetch=True),
+                    ),
+                )
+            )
+        )
+        parts = (PromptPart("s", 512), PromptPart("d", 10_000), PromptPart("o", 3))
+        placed = (
+            PlacedPart(part="s:512", endpoint_id="e1", age_s=1.0),
+            PlacedPart(part="d:10000", endpoint_id="e1", age_s=1.0),
+        )
+        self.take(placed=placed)
+        self.evacuate(5, "z1")
+        facts = RequestFacts(request_id="q", parts=parts, prompt_tokens=10_515)
+        choice = self.view.choose(make_call(Caller(), service="llm", facts=facts))
+        assert choice is not None
+        self.assertEqual(choice.record.endpoint_id, "e2")
+        self.assertEqual(choice.fetch_from, "127.0.0.1:80")
+
     def test_breaker_of_an_endpoint_that_fails(self) -> None:
         """One of two endpoints fails and gets nothing; when both fail, both are tried.
 
--- a/tests/platform/test_deploy.py
+++ b/tests/platform/test_deploy.py
@@ -20,6 +20,7 @@
     "listen": {"front": "10.1.0.40:8227", "readyAddr": "10.1.0.40:8220"},
     "seeds": ["10.1.0.43:8229", "10.2.0.32:8229", "10.3.0.21:8229"],
     "bootstrap": True,
+    "zones": {"z1": "kyushu", "z2": "kyushu"},
     "faultTolerance": {"machines": 2},
     "bounds": {"retryBudgetRatio": 0.2, "retrySlack": 58, "budgetWindowS": 10, "graceS": 8},
 }
@@ -43,7 +44,14 @@
     """Fill in the part of the platform's template language that ours uses."""
 
     def fill_section(match: re.Match[str]) -> str:
-        return match[2] if find(fields, match[1]) else ""
+        section = find(fields, match[1])
+        if not isinstance(section, dict):
+            return match[2] if section else ""
+        last = list(section)[-1]
+        return "".join(
+            match[2].replace("{{@}}", key).replace("{{,}}", "" if key == last else ",")
+            for key in section
+        )
 
     def fill(match: re.Match[str]) -> str:
         value = find(fields, match[1])
@@ -68,6 +76,7 @@
             )
             self.assertIs(settings.ok.process.role, role)
             self.assertEqual(settings.ok.fleet.tolerated_losses, 2)
+            self.assertEqual(settings.ok.fleet.zones, ("z1", "z2"))
             self.assertEqual(settings.ok.bounds.retry_slack, 58)
 
     def test_faults_are_reported_together_with_their_lines(self) -> None:
--- a/tests/system/deployment.py
+++ b/tests/system/deployment.py
@@ -39,6 +39,7 @@
         self.address = f"{host}:{ENDPOINT_PORT}"
         self.seen: list[tuple[str, dict[str, str]]] = []
         self.work_s = 0.0
+        self.zone = "z1"
         self.sequence = 0
         self.born = int(time.time() * 1000)
         super().__init__((host, ENDPOINT_PORT), _Handler)
@@ -50,7 +51,7 @@
         return {
             "service": self.service,
             "address": self.address,
-            "zone": "z1",
+            "zone": self.zone,
             "version": "v1",
             "slots": 8,
             "state": state,
@@ -142,6 +143,7 @@
         lines += ["[fleet]", f"seeds = {json.dumps(seeds)}"]
         lines.append(f"is_first_start = {json.dumps(self.is_first_start)}")
         lines.append(f"tolerated_losses = {(self.replicas - 1) // 2}")
+        lines.append('zones = ["z1", "z2"]')
         return "\n".join(lines) + "\n"
 
     def start_all(self) -> None:
--- a/tests/system/test_deployment.py
+++ b/tests/system/test_deployment.py
@@ -1,10 +1,17 @@
 """Routers and replicas as processes: founding, losses, drains and stops."""
 
+import contextlib
+import io
+import json
 import threading
 import time
 import unittest
+from functools import partial
+from typing import Any
 
+from chivetrack.cli.__main__ import run
 from tests.system.deployment import (
+    CONTROL_PORT,
     METRICS_PORT,
     READY_PORT,
     Deployment,
@@ -126,6 +133,83 @@
         deployment.wait_served("r1", "/c/x")
 
 
+class EvacuationTest(DeploymentCase):
+    def count_seen(self, endpoint: Endpoint, deployment: Deployment, calls: int = 8) -> int:
+        before = len(endpoint.seen)
+        for _ in range(calls):
+            deployment.call("r1")
+        return len(endpoint.seen) - before
+
+    def test_order_outlives_the_loss_of_every_process_and_of_two_disks(self) -> None:
+        """A zone is evacuated; right after the acknowledgement all processes die.
+
+        Two replicas come back with empty disks. No router may send anything to the zone,
+        and the order has to be read back, until it is withdrawn.
+        """
+        deployment = self.open(replicas=5, routers=1)
+        near, far = (self.open_endpoint(deployment, number) for number in (1, 2))
+        far.zone = "z2"
+        deployment.put(make_config(3))
+        deployment.announce(near)
+        deployment.announce(far)
+        deployment.wait_served("r1")
+        self.assertGreater(self.count_seen(near, deployment), 0)
+        order = partial(self.run_command, deployment, "evacuation")
+        self.assertEqual(order("order", "z1")["evacuated"], True)
+        for name in list(deployment.processes):
+            deployment.kill(name)
+        deployment.wipe("p1")
+        deployment.wipe("p3")
+        deployment.is_first_start = False
+        deployment.start_all()
+        (zone,) = order("list")["zones"]
+        self.assertEqual((zone["zone"], zone["evacuated"]), ("z1", True))
+        deployment.announce(near)
+        deployment.announce(far)
+        deployment.wait_served("r1")
+        self.assertEqual(self.count_seen(near, deployment), 0)
+        for name, gauge in (
+            ("r1", b"chivetrack_router_evacuated_zones"),
+            ("p2", b"chivetrack_replica_evacuated_since_seconds"),
+        ):
+            url = f"http://{deployment.get_host(name)}:{METRICS_PORT}/metrics"
+            self.assertRegex(deployment.ask("GET", url)[1], gauge + rb" [1-9]")
+        order("withdraw", "z1")
+        wait_for(lambda: self.count_seen(near, deployment, 2) > 0, "the zone stays empty")
+
+    def run_command(self, deployment: Deployment, *words: str) -> dict[str, Any]:
+        replicas = [
+            f"--replica={deployment.get_host(name)}:{CONTROL_PORT}"
+            for name in deployment.list_names("p")
+        ]
+        output = io.StringIO()
+        with contextlib.redirect_stdout(output):
+            code = run([*words, *replicas, "-o", "json"])
+        self.assertEqual(code, 0, output.getvalue())
+        read: dict[str, Any] = json.loads(output.getvalue())
+        return read
+
+    def test_orders_that_name_nothing_to_evacuate(self) -> None:
+        """An unknown zone, a body or a wrong path is the operator's mistake.
+
+        It has to be told which, in JSON; an answer that asks it to come again would have it
+        resend the same mistake.
+        """
+        deployment = self.open(replicas=3, routers=1)
+        deployment.put(make_config(3))
+        cases = (
+            ("POST", "/evacuate/z9", None, 404, "unknown_zone"),
+            ("POST", "/evacuate/z1", {"zone": "z1"}, 400, "body"),
+            ("POST", "/evacuation/z1", None, 404, "not_found"),
+            ("PATCH", "/evacuate/z1", None, 405, "method_not_allowed"),
+        )
+        for method, path, body, status, code in cases:
+            with self.subTest(path=path, method=method):
+                answer = deployment.control(method, "p2", path, body)
+                self.assertEqual(answer[0], status)
+                self.assertEqual(json.loads(answer[1])["error"], code)
+
+
 class LeavingTest(DeploymentCase):
     def test_acknowledged_drain_reaches_every_router(self) -> None:
         """An endpoint says that it drains, to one replica; the word is acknowledged.
