Found the log whenever founders are killed, and never twice

Cause: `is_first_start` is true at the first start alone, and founders learnt from it that they found. One killed before that came to anything came back as a replica that waits to be let in, and the others waited for it: no log, every caller 503 for ever.

Now every blank replica takes part unless its folder says that others found. A folder of the first start remembers the founders. A founder that comes back with another disk begins a new round, since a late word of the lost disk could found a second log. Documents wait for all voters to have the log on their disks (not only to be named), which that conclusion rests on.

`leader_changed` is told only when it changed.

--- /dev/null
+++ b/benchmarks/founding.py
@@ -0,0 +1,101 @@
+"""Founds deployments whose replicas are killed at random moments of their first second.
+
+``python -m benchmarks.founding --patterns 200 --seed 1`` prints each pattern after which no
+configuration was acknowledged, and how long the others took.
+"""
+
+import argparse
+import random
+import statistics
+import time
+from dataclasses import dataclass
+
+from tests.system.deployment import Deployment, make_config, open_deployment
+
+REPLICAS = 5
+TOLERATED = 2
+# From the first start on: the programs are up after half a second, and have founded soon after.
+KILLS_WITHIN_S = 1.5
+FOUNDED_WITHIN_S = 20.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Kill:
+    """A replica is killed at ``at_s`` after the first start, and starts again."""
+
+    at_s: float
+    name: str
+    loses_disk: bool
+
+
+def draw_kills(rng: random.Random, *, replicas: int = REPLICAS) -> list[Kill]:
+    """Return kills of one, two or all replicas; at most as many disks as may be are lost."""
+    names = [f"p{number}" for number in range(1, replicas + 1)]
+    wipes = rng.choice((0, 0, 1))
+    kills = []
+    for _ in range(rng.choice((1, 1, 2, 3))):
+        at_s = rng.uniform(0.0, KILLS_WITHIN_S)
+        for name in rng.sample(names, rng.choice((1, 2, replicas))):
+            loses_disk = wipes > 0 and rng.random() < 0.5
+            wipes -= loses_disk
+            kills.append(Kill(at_s=at_s, name=name, loses_disk=loses_disk))
+    return sorted(kills, key=lambda one: one.at_s)
+
+
+def play(seed: int) -> float | None:
+    """Found a deployment under the kills of a seed; return how long it took after the last.
+
+    ``None`` stands for one that acknowledged no configuration, or not the same one twice.
+    """
+    kills = draw_kills(random.Random(seed))
+    with open_deployment(replicas=REPLICAS, routers=0) as deployment:
+        began = time.monotonic()
+        deployment.start_all()
+        for kill in kills:
+            time.sleep(max(0.0, began + kill.at_s - time.monotonic()))
+            _carry_out(deployment, kill)
+        return _wait_founded(deployment, time.monotonic())
+
+
+def _carry_out(deployment: Deployment, kill: Kill) -> None:
+    deployment.is_first_start = False
+    deployment.kill(kill.name)
+    if kill.loses_disk and (deployment.folder / f"{kill.name}-data").exists():
+        deployment.wipe(kill.name)
+    deployment.start(kill.name)
+
+
+def _wait_founded(deployment: Deployment, since: float) -> float | None:
+    while time.monotonic() - since < FOUNDED_WITHIN_S:
+        answers = [
+            deployment.control("PUT", name, "/config", make_config(3))[0]
+            for name in deployment.list_names("p")
+        ]
+        if answers.count(200) == REPLICAS:
+            return time.monotonic() - since
+        time.sleep(0.05)
+    return None
+
+
+def main() -> None:
+    """Play patterns one after the other."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--patterns", type=int, default=20)
+    parser.add_argument("--seed", type=int, default=1)
+    arguments = parser.parse_args()
+    seeds = range(arguments.seed, arguments.seed + arguments.patterns)
+    times = {seed: play(seed) for seed in seeds}
+    for seed, took_s in times.items():
+        if took_s is None:
+            print(f"seed {seed}: not founded, {draw_kills(random.Random(seed))}")
+    founded = [one for one in times.values() if one is not None]
+    print(f"{len(founded)} of {len(times)} founded")
+    if founded:
+        print(
+            f"seconds after the last kill: p50 {statistics.median(founded):.2f}, "
+            f"most {max(founded):.2f}"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/chivetrack/components/consensus/state.py
+++ b/chivetrack/components/consensus/state.py
@@ -40,6 +40,7 @@
         self.vote = recovered.hard_state.vote
         self.role = Role.FOLLOWER
         self.leader_id = ""
+        self._told: LeadershipChanged | None = None
         self.commit_index = recovered.snapshot.index
         self.durable_index = self.log.last_index
         self.leader_heard_at = float("-inf")
@@ -82,17 +83,18 @@
         self.out.change_hard_state()
 
     def set_role(self, role: Role, leader_id: str) -> None:
-        """Change the role and the known leader, and tell of it."""
+        """Change the role and the known leader, and tell of it unless that was told before."""
         self.role = role
         self.leader_id = leader_id
-        self.out.add(
-            LeadershipChanged(
-                term=self.term,
-                role=role,
-                leader_id=leader_id,
-                leader_instance=self.get_leader_instance(),
-            )
+        change = LeadershipChanged(
+            term=self.term,
+            role=role,
+            leader_id=leader_id,
+            leader_instance=self.get_leader_instance(),
         )
+        if change != self._told:
+            self._told = change
+            self.out.add(change)
 
     def send(self, message: PeerMessage, *, instance: str = "") -> None:
         """Send after the sync."""
--- a/chivetrack/components/replica/formation.py
+++ b/chivetrack/components/replica/formation.py
@@ -4,7 +4,7 @@
 as a stranger, not as the voter it was, and can't vote a second time in one term.
 """
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 
 from chivetrack.components.consensus.members import Member, Members
@@ -19,13 +19,20 @@
     """What one of the first instances knows before the log exists.
 
     ``seen`` are the blank replicas it knows of, itself among them. ``members`` is set
-    once the log exists.
+    once the log exists. ``founders`` are the instances that found the log together, as far
+    as the sender knows; with ``knows_founders`` it has that from the first start.
+    ``is_first``: its disk has been the same since the first start. ``round`` grows each
+    time that the disk of a founder is seen to be lost.
     """
 
     instance_id: str
     replica_id: str
     seen: tuple[Member, ...] = ()
     members: Members | None = None
+    founders: tuple[str, ...] = ()
+    knows_founders: bool = True
+    is_first: bool = True
+    round: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -37,7 +44,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Stranger(Effect):
-    """The log exists without this replica; an operator has to add it."""
+    """The log exists without this replica, which has to be added."""
 
     members: Members
 
@@ -46,20 +53,58 @@
     """Agrees on the first members among the instances that the settings name.
 
     A log is founded only when every one of them has said that it is blank and sees
-    the same set. Each sticks to the first whole set it has seen: with another one,
-    two logs could be founded that share members.
+    the same set. With different sets two logs could be founded that share members. So when a
+    founder comes back with another disk, all begin a new round. Whoever has founded in an
+    earlier round takes no part in the new one and says so, and without it nothing is
+    founded there.
+
+    An instance that was killed before it wrote anything comes back like one whose disk was
+    lost, and its settings do not say any more that the deployment starts. It takes part
+    again, but counts as one that may have lost its disk. A log that has acknowledged
+    anything was on the disks of all founders. So a blank founder whose disk is that of the
+    first start proves that there is no such log, and so do more blank founders than disks
+    may be lost at once; without either, nothing is founded.
     """
 
-    def __init__(self, *, instance_id: str, replica_id: str, instances: Sequence[str]) -> None:
-        """Take the own ids and the ids of all first instances."""
+    def __init__(
+        self,
+        *,
+        instance_id: str,
+        replica_id: str,
+        instances: Sequence[str],
+        contacts: Collection[str] = (),
+        is_first: bool = True,
+        tolerated_losses: int = 0,
+    ) -> None:
+        """Take the own ids and the ids of all first instances.
+
+        ``contacts`` are told as well. ``is_first``: this disk has been the same since the
+        first start, which ``instances`` are from; otherwise they are a guess.
+        ``tolerated_losses`` is how many disks may be lost at once.
+        """
         self._own = Member(replica_id=replica_id, instance_id=instance_id, voter=True)
+        self._contacts = set(contacts)
+        self._is_first = is_first
+        self._tolerated_losses = tolerated_losses
+        self._knows_founders = is_first
         self._instances = tuple(sorted(instances))
-        self._blank: dict[str, Member] = {instance_id: self._own}
-        self._seen_by: dict[str, tuple[Member, ...]] = {}
-        self._promised: tuple[Member, ...] = ()
+        self._start_round(0)
         self._next_hello = float("-inf")
         self._ended = False
 
+    def _start_round(self, number: int) -> None:
+        self._round = number
+        self._blank: dict[str, Member] = {}
+        if self._own.instance_id in self._instances:
+            self._blank[self._own.instance_id] = self._own
+        self._seen_by: dict[str, tuple[Member, ...]] = {}
+        self._first: set[str] = {self._own.instance_id} if self._is_first else set()
+
+    @property
+    def is_doubtful(self) -> bool:
+        """Return whether all founders are blank and a log may yet have been lost with them."""
+        return self._has_all_blank() and not self._is_provably_first()
+
     def handle(self, event: Event, *, now: float) -> list[Effect]:
         """Take a hello, or say the own when it is due."""
         if self._ended:
@@ -73,29 +118,66 @@
     def _take(self, hello: Hello) -> list[Effect]:
         if hello.members is not None:
             return self._follow(hello.members)
-        if hello.instance_id not in self._instances:
+        self._contacts.add(hello.instance_id)
+        self._agree_on_founders(hello)
+        if not self._is_of_founder(hello):
             return []
-        member = Member(replica_id=hello.replica_id, instance_id=hello.instance_id, voter=True)
-        self._blank[hello.instance_id] = member
-        self._seen_by[hello.instance_id] = hello.seen
+        self._note_blank(hello)
         return self._found()
 
+    def _agree_on_founders(self, hello: Hello) -> None:
+        """Believe whoever knows the founders, unless the own guess may have come true."""
+        if self._knows_founders or not hello.knows_founders or self._has_all_blank():
+            return
+        self._knows_founders = True
+        if hello.founders not in ((), self._instances):
+            self._instances = hello.founders
+            self._start_round(self._round)
+
+    def _is_of_founder(self, hello: Hello) -> bool:
+        is_named = hello.instance_id in self._instances
+        return is_named and hello.founders in ((), self._instances)
+
+    def _note_blank(self, hello: Hello) -> None:
+        if hello.round < self._round:
+            return
+        if hello.round > self._round:
+            self._start_round(hello.round)
+        before = self._blank.get(hello.instance_id)
+        if before is not None and before.replica_id != hello.replica_id:
+            # One of the two words is late and of the lost disk. Both have to speak again, and
+            # only the successor can.
+            self._start_round(self._round + 1)
+            return
+        self._blank[hello.instance_id] = Member(
+            replica_id=hello.replica_id, instance_id=hello.instance_id, voter=True
+        )
+        self._seen_by[hello.instance_id] = hello.seen
+        if hello.is_first:
+            self._first.add(hello.instance_id)
+
     def _follow(self, members: Members) -> list[Effect]:
         self._ended = True
         if members.find(self._own.replica_id) is None:
             return [Stranger(members=members)]
         return [Founded(members=members)]
 
+    def _has_all_blank(self) -> bool:
+        return len(self._blank) == len(self._instances)
+
+    def _is_provably_first(self) -> bool:
+        return bool(self._first) or len(self._instances) > self._tolerated_losses
+
     def _found(self) -> list[Effect]:
-        if len(self._blank) < len(self._instances):
+        is_founder = self._own.instance_id in self._instances
+        if not (is_founder and self._has_all_blank() and self._is_provably_first()):
             return []
-        if not self._promised:
-            self._promised = self._list_seen()
+        members = self._list_seen()
         others = [name for name in self._instances if name != self._own.instance_id]
-        if any(self._seen_by.get(name) != self._promised for name in others):
+        if any(self._seen_by.get(name) != members for name in others):
             return []
         self._ended = True
-        return [Founded(members=Members(members=self._promised))]
+        return [Founded(members=Members(members=members))]
 
     def _list_seen(self) -> tuple[Member, ...]:
         return tuple(self._blank[name] for name in sorted(self._blank))
@@ -107,12 +189,15 @@
         hello = Hello(
             instance_id=self._own.instance_id,
             replica_id=self._own.replica_id,
-            seen=self._promised or self._list_seen(),
+            seen=self._list_seen(),
+            founders=self._instances,
+            knows_founders=self._knows_founders,
+            is_first=self._is_first,
+            round=self._round,
         )
+        targets = (self._contacts | set(self._instances)) - {self._own.instance_id}
         effects: list[Effect] = [
-            SendMessage(target=name, message=hello)
-            for name in self._instances
-            if name != self._own.instance_id
+            SendMessage(target=name, message=hello) for name in sorted(targets)
         ]
         effects.extend(self._found())
         effects.append(WakeAt(at=self._next_hello))
--- a/chivetrack/components/storage/records.py
+++ b/chivetrack/components/storage/records.py
@@ -7,10 +7,15 @@
 
 @message("storage.identity")
 class Identity(Message, frozen=True, array_like=True):
-    """Whose folder it is."""
+    """Whose folder it is.
+
+    ``founders`` are the instances that were to found the log together, in a folder that was
+    made at the first start of the deployment.
+    """
 
     replica_id: str
     instance_id: str
+    founders: tuple[str, ...] = ()
 
 
 @message("storage.segment_header")
--- a/chivetrack/daemon/fleet/log_host.py
+++ b/chivetrack/daemon/fleet/log_host.py
@@ -22,13 +22,14 @@
 )
 from chivetrack.components.document.store import DocumentStore
 from chivetrack.components.replica import Replica
-from chivetrack.components.replica.formation import Hello
+from chivetrack.components.replica.formation import Formation, Hello
 from chivetrack.components.replica.repair import JoinAnswer, JoinRequest, Repair
 from chivetrack.components.storage import Storage
 from chivetrack.components.storage.const import IDENTITY_NAME
 from chivetrack.components.storage.exceptions import StorageError
 from chivetrack.core import SendMessage
 from chivetrack.daemon.fleet.const import (
+    DOUBT_EVERY_S,
     LEADER_SILENT_S,
     REOPEN_AFTER_S,
     REPAIR_EVERY_S,
@@ -70,24 +71,30 @@
         *,
         instance_id: str,
         folder: Path,
-        founders: list[str],
         seeds: list[str],
-        wanted_voters: int,
+        is_first_start: bool,
+        tolerated_losses: int,
         store: DocumentStore,
         send: Callable[[str, Message], None],
         events: EventLog,
     ) -> None:
-        """Take the folder and ways out; ``founders`` is empty unless the log is to begin."""
+        """Take the folder, ways out, and how many disks may be lost at once.
+
+        At the first start of the deployment the ``seeds`` found the log.
+        """
         self._instance_id = instance_id
         self._folder = folder / _FOLDER_NAME
-        self._founders = founders
+        self._seeds = seeds
+        self._is_first_start = is_first_start
+        self._tolerated_losses = tolerated_losses
         self._contacts: dict[str, None] = dict.fromkeys(seeds)
         self._store = store
         self._send = send
         self._events = events
         self._random = random.SystemRandom()
-        self._repair = Repair(wanted_voters=wanted_voters)
-        self._wanted_voters = wanted_voters
+        # A majority of these is left when as many as may be lost are.
+        self._wanted_voters = 2 * tolerated_losses + 1
+        self._repair = Repair(wanted_voters=self._wanted_voters)
         self._founding: Founding | None = None
         self._is_retired = False
         self._sources: dict[str, str] = {}
@@ -166,8 +173,16 @@
 
     @property
     def has_all_voters(self) -> bool:
-        """Return whether the log has as many voters as the losses to be borne ask for."""
-        return len(self.get_members().list_voters()) >= self._wanted_voters
+        """Return whether the log has as many voters as the losses to be borne ask for.
+
+        Only those count that have the log on their disks, as far as a leader knows: a founder
+        that has not heard of its founding yet would come back as one that knows of no log.
+        """
+        if self.replica is None:
+            return False
+        replicas = self.replica.get_status().consensus.replicas
+        voters = [one for one in replicas if one.voter and one.match_index > 0]
+        return len(voters) >= self._wanted_voters
 
     # Life
 
@@ -189,7 +204,7 @@
         self._is_retired = False
         with self._open_folder() as storage:
             recovered = storage.take_recovered()
-            if is_blank(recovered) and self._instance_id in self._founders:
+            if is_blank(recovered) and self._may_found(storage):
                 recovered = self._form(storage, recovered)
             self._serve(storage, recovered)
         if self._is_retired:
@@ -202,26 +217,55 @@
             # it has no identity yet, so nobody can have counted on it.
             shutil.rmtree(self._folder, ignore_errors=True)
         with open_replica_folder(
-            self._folder, instance_id=self._instance_id, random_source=self._random
+            self._folder,
+            instance_id=self._instance_id,
+            random_source=self._random,
+            founders=self._seeds if self._is_first_start else (),
         ) as storage:
             self.replica_id = storage.identity.replica_id
             self._events.write("replica_opened", replica=self.replica_id)
             yield storage
 
+    def _may_found(self, storage: Storage) -> bool:
+        """Return whether this blank replica may be one of those that found the log.
+
+        After the first start that is not known: the founders may have been killed before
+        any of them had written who they are.
+        """
+        founders = storage.identity.founders
+        return not founders or self._instance_id in founders
+
     def _form(self, storage: Storage, recovered: Recovered) -> Recovered:
-        """Found the log with the others; return the state to start from."""
-        self._founding = Founding(
+        """Found the log with the others, or learn that it exists; return the state to go on."""
+        founders = storage.identity.founders
+        formation = Formation(
             instance_id=self._instance_id,
             replica_id=self.replica_id,
-            instances=self._founders,
-            send=self._send,
+            instances=founders or self._seeds,
+            contacts=self._contacts,
+            is_first=bool(founders),
+            tolerated_losses=self._tolerated_losses,
         )
-        recovered = self._founding.run(storage, recovered)
-        self._events.write("log_founded", members=len(self._founding.members.members))
-        self._founding = None
-        self._founders = []
+        founding = self._founding = Founding(
+            formation=formation, replica_id=self.replica_id, send=self._send
+        )
+        watch = gevent.spawn(self._watch_doubt, founding)
+        try:
+            recovered = founding.run(storage, recovered)
+        finally:
+            watch.kill(block=False)
+            self._founding = None
+        event = "log_founded" if founding.is_member else "log_found"
+        self._events.write(event, members=len(founding.members.members))
         return recovered
 
+    def _watch_doubt(self, founding: Founding) -> None:
+        """Tell, now and then, that only an operator can know whether a log was lost."""
+        while True:
+            gevent.sleep(DOUBT_EVERY_S)
+            if founding.is_doubtful:
+                self._events.write("founding_doubtful", tolerated_losses=self._tolerated_losses)
+
     def _serve(self, storage: Storage, recovered: Recovered) -> None:
         replica = build_replica(
             replica_id=self.replica_id,
--- a/chivetrack/daemon/fleet/replica.py
+++ b/chivetrack/daemon/fleet/replica.py
@@ -54,9 +54,9 @@
         self.host = LogHost(
             instance_id=own,
             folder=settings.process.data_folder,
-            founders=seeds if settings.fleet.is_first_start else [],
             seeds=seeds,
-            wanted_voters=2 * settings.fleet.tolerated_losses + 1,
+            is_first_start=settings.fleet.is_first_start,
+            tolerated_losses=settings.fleet.tolerated_losses,
             store=self._store,
             send=self.transport.send,
             events=events,
@@ -167,7 +167,13 @@
         gevent.signal_handler(signal.SIGTERM, self._asked.set)
         gevent.signal_handler(signal.SIGHUP, self._note_reload)
         with self._serve():
-            self._events.write("started", role="replica", peer=str(self._settings.listeners.peer))
+            self._events.write(
+                "started",
+                role="replica",
+                peer=str(self._settings.listeners.peer),
+                is_first_start=self._settings.fleet.is_first_start,
+                seeds=[str(one) for one in self._settings.fleet.seeds],
+            )
             self._asked.wait()
             self._events.write("stopping", leads=self.host.is_leader)
             self.host.hand_over()
--- a/chivetrack/daemon/founding.py
+++ b/chivetrack/daemon/founding.py
@@ -2,7 +2,7 @@
 
 import random
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import ExitStack, contextmanager
 from pathlib import Path
 
@@ -29,15 +29,23 @@
 
 @contextmanager
 def open_replica_folder(
-    folder: Path, *, instance_id: str, random_source: random.Random
+    folder: Path,
+    *,
+    instance_id: str,
+    random_source: random.Random,
+    founders: Sequence[str] = (),
 ) -> Iterator[Storage]:
-    """Open a replica's folder; an empty one becomes that of a new replica."""
+    """Open a replica's folder; an empty one becomes that of a new replica.
+
+    A new folder remembers ``founders``: at a later start the settings do not name them.
+    """
     with ExitStack() as stack:
         try:
             storage = stack.enter_context(open_storage(path=folder))
         except FolderEmptyError:
             replica_id = make_replica_id(instance_id=instance_id, random=random_source)
-            create_folder(folder, identity=Identity(replica_id, instance_id))
+            identity = Identity(replica_id, instance_id, tuple(founders))
+            create_folder(folder, identity=identity)
             storage = stack.enter_context(open_storage(path=folder))
         yield storage
 
@@ -50,18 +58,19 @@
 class Founding:
     """Takes part in founding the log until it exists."""
 
-    def __init__(
-        self, *, instance_id: str, replica_id: str, instances: list[str], send: Send
-    ) -> None:
-        """Take the ids and the instances that found the log together."""
-        self._formation = Formation(
-            instance_id=instance_id, replica_id=replica_id, instances=instances
-        )
+    def __init__(self, *, formation: Formation, replica_id: str, send: Send) -> None:
+        """Take the decision, the own id and the way out."""
+        self._formation = formation
         self._replica_id = replica_id
         self._send = send
         self._ended = Signal()
         self.members = Members()
 
+    @property
+    def is_doubtful(self) -> bool:
+        """Return whether a log may have been lost with all founders' disks."""
+        return self._formation.is_doubtful
+
     @property
     def is_member(self) -> bool:
         """Return whether the log began with this replica."""
--- a/tests/components/consensus/test_core.py
+++ b/tests/components/consensus/test_core.py
@@ -25,6 +25,7 @@
 from chivetrack.components.consensus.models import (
     Apply,
     HardState,
+    LeadershipChanged,
     Limits,
     Outcome,
     Persist,
@@ -402,6 +403,22 @@
         self.assertLess(max(waits[:FIRST_TRIES]), 0.42)
         self.assertGreater(min(waits[FIRST_TRIES:]), 0.58)
 
+    def test_replica_that_belongs_to_no_log_tells_nothing_again(self) -> None:
+        """A replica waits to be let in; each election timeout it finds that it has no vote.
+
+        Its lines said each time that it knows no leader, which had not changed.
+        """
+        replica = Consensus(
+            replica_id="a", random=Random(1), timing=Timing(), recovered=Recovered()
+        )
+        told = [
+            effect
+            for step in range(100)
+            for effect in replica.handle(TimeReached(), now=step * 0.1)
+            if isinstance(effect, LeadershipChanged)
+        ]
+        self.assertLessEqual(len(told), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/components/replica/test_formation.py
+++ b/tests/components/replica/test_formation.py
@@ -2,9 +2,16 @@
 
 import random
 import unittest
+from dataclasses import dataclass
 
-from chivetrack.components.consensus.members import Members
-from chivetrack.components.replica.formation import Formation, Founded, Hello, Stranger
+from chivetrack.components.consensus.members import Member, Members
+from chivetrack.components.replica.formation import (
+    HELLO_INTERVAL_S,
+    Formation,
+    Founded,
+    Hello,
+    Stranger,
+)
 from chivetrack.core import Effect, MessageReceived, SendMessage, TimeReached
 
 NAMES = ("a", "b", "c")
@@ -122,3 +129,230 @@
                     if step < 10 and rng.random() < 0.4 and "b" not in net.founded:
                         net.formations["b"] = net.start("b")
                 self.assertLessEqual(len(set(map(str, net.founded.values()))), 1)
+
+
+@dataclass
+class Disk:
+    """What a power cut leaves: an id, whether it is of the first start, the log's members."""
+
+    replica_id: str
+    is_first: bool
+    members: Members | None = None
+
+
+class Life:
+    """One process of an instance, from its start to its kill."""
+
+    def __init__(self, disk: Disk, formation: Formation) -> None:
+        self.disk = disk
+        self.formation = formation
+
+
+class KilledFleet:
+    """Founders whose processes are killed and whose disks are lost at any step.
+
+    A message reaches only the process that its connection led to. The settings say that the
+    deployment starts at the first start alone.
+    """
+
+    def __init__(self, rng: random.Random, *, tolerated_losses: int = 2) -> None:
+        self.rng = rng
+        self.tolerated_losses = tolerated_losses
+        self.now = 0.0
+        self.ids = 0
+        self.disks: dict[str, Disk] = {}
+        self.lives: dict[str, Life] = {}
+        self.booting: dict[str, bool] = {}
+        self.mail: list[tuple[Life, Life, Hello]] = []
+        self.made: set[Members] = set()
+
+    def boot(self, name: str, *, is_first_start: bool) -> None:
+        """Begin a start; nothing is written before ``open_disk``."""
+        self.booting[name] = is_first_start
+
+    def open_disk(self, name: str) -> None:
+        """Read or make the folder, and say hello unless it holds a log."""
+        is_first_start = self.booting.pop(name)
+        disk = self.disks.get(name)
+        if disk is None:
+            self.ids += 1
+            disk = self.disks[name] = Disk(f"{name}.{self.ids}", is_first_start)
+        formation = Formation(
+            instance_id=name,
+            replica_id=disk.replica_id,
+            instances=NAMES,
+            is_first=disk.is_first,
+            tolerated_losses=self.tolerated_losses,
+        )
+        self.lives[name] = Life(disk, formation)
+
+    def kill(self, name: str, *, loses_disk: bool = False) -> None:
+        self.lives.pop(name, None)
+        self.booting.pop(name, None)
+        if loses_disk:
+            self.disks.pop(name, None)
+        self.boot(name, is_first_start=False)
+
+    def take(self, life: Life, effects: list[Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, SendMessage) and effect.target in self.lives:
+                assert isinstance(effect.message, Hello)
+                self.mail.append((life, self.lives[effect.target], effect.message))
+            elif isinstance(effect, Founded):
+                life.disk.members = effect.members
+                self.made.add(effect.members)
+
+    def tick(self) -> None:
+        self.now += HELLO_INTERVAL_S
+        for life in list(self.lives.values()):
+            if life.disk.members is None:
+                self.take(life, life.formation.handle(TimeReached(), now=self.now))
+
+    def deliver(self, loss: float) -> None:
+        """Deliver half of what is under way, in any order."""
+        self.rng.shuffle(self.mail)
+        for source, target, hello in [self.mail.pop() for _ in range((len(self.mail) + 1) // 2)]:
+            if self.rng.random() < loss or target not in self.lives.values():
+                continue
+            self.hand_over(source, target, hello)
+
+    def hand_over(self, source: Life, target: Life, hello: Hello) -> None:
+        if target.disk.members is None:
+            event = MessageReceived(source=hello.instance_id, message=hello)
+            self.take(target, target.formation.handle(event, now=self.now))
+        elif hello.members is None and source in self.lives.values():
+            own = target.disk.replica_id
+            answer = Hello(own.partition(".")[0], own, (), target.disk.members)
+            self.mail.append((target, source, answer))
+
+    def run(self, steps: int, *, kills: float = 0.0, wipes: int = 0, loss: float = 0.0) -> None:
+        """Let steps pass; each may kill an instance at whatever it has reached."""
+        for _ in range(steps):
+            for name in list(self.booting):
+                if self.rng.random() < 0.6:
+                    self.open_disk(name)
+            self.tick()
+            # At times nothing comes for a while, and what was said long ago comes then.
+            for _ in range(self.rng.choice((0, 0, 1, 3)) if kills else 3):
+                self.deliver(loss)
+            if self.rng.random() < kills:
+                name = self.rng.choice(NAMES)
+                is_wiped = wipes > 0 and self.rng.random() < 0.3
+                wipes -= is_wiped
+                self.kill(name, loses_disk=is_wiped)
+
+    def list_logs(self) -> list[Members]:
+        """Return the logs that can elect a leader: a majority of their members hold them."""
+        held = {one.replica_id: one.members for one in self.disks.values()}
+        return [
+            members
+            for members in self.made
+            if members.has_quorum([one for one, of in held.items() if of == members])
+        ]
+
+
+def start_fleet(seed: int, *, tolerated_losses: int = 2) -> KilledFleet:
+    fleet = KilledFleet(random.Random(seed), tolerated_losses=tolerated_losses)
+    for name in NAMES:
+        fleet.boot(name, is_first_start=True)
+    return fleet
+
+
+class KilledFoundersTest(unittest.TestCase):
+    def test_founders_killed_before_they_wrote_anything(self) -> None:
+        """Founders are killed in their first second; a start takes longer.
+
+        They come back with empty disks, and the settings do not say any more that the
+        deployment starts. Taken for replicas whose disk was lost, they wait for a log that
+        exists nowhere, and the others for them: every caller gets 503 for ever.
+        """
+        for killed in (("a",), ("a", "b"), NAMES):
+            with self.subTest(killed=killed):
+                fleet = start_fleet(1)
+                for name in killed:
+                    fleet.kill(name)
+                fleet.run(20)
+                self.assertEqual(len(fleet.list_logs()), 1)
+
+    def test_kills_at_any_step(self) -> None:
+        """Founders are killed before a folder, before the promise, after founding at some.
+
+        No disk is lost. A log must be there in the end, and never two.
+        """
+        for seed in range(600):
+            with self.subTest(seed=seed):
+                fleet = start_fleet(seed)
+                fleet.run(12, kills=0.7, loss=0.3)
+                fleet.run(30)
+                self.assertEqual(len(fleet.made), 1)
+                self.assertEqual({one.members for one in fleet.disks.values()}, fleet.made)
+
+    def test_kills_and_a_lost_disk_at_any_step(self) -> None:
+        """One founder also loses its disk, which three bear; its late words come after it.
+
+        Two members that hold different logs could each elect a leader.
+        """
+        for seed in range(1500):
+            with self.subTest(seed=seed):
+                fleet = start_fleet(seed)
+                fleet.run(20, kills=0.3, wipes=1, loss=0.2)
+                self.assertLessEqual(len(fleet.list_logs()), 1)
+                fleet.run(40)
+                self.assertEqual(len(fleet.list_logs()), 1)
+
+    def test_all_founders_may_have_lost_their_disks(self) -> None:
+        """Three disks may be lost at once, and three blank founders come back.
+
+        The log may live on with the four others, which are slow to answer. Founding a
+        second one would lose what the first has acknowledged.
+        """
+        fleet = start_fleet(1, tolerated_losses=3)
+        fleet.run(20)
+        (log,) = fleet.made
+        for name in NAMES:
+            fleet.kill(name, loses_disk=True)
+        fleet.run(40)
+        self.assertEqual(fleet.made, {log})
+        self.assertTrue(all(one.formation.is_doubtful for one in fleet.lives.values()))
+
+    def test_late_word_of_an_earlier_round(self) -> None:
+        """A founder lost its disk; what another one said before comes after the new round began.
+
+        That one may have changed its mind since. Only words of the same round count.
+        """
+        formation = Formation(instance_id="a", replica_id="a.1", instances=NAMES)
+        seen = tuple(Member(f"{name}.{1 + (name == 'b')}", name, True) for name in NAMES)
+
+        def hear(name: str, replica_id: str, round_number: int) -> list[Effect]:
+            hello = Hello(name, replica_id, seen, founders=NAMES, round=round_number)
+            return formation.handle(MessageReceived(source=name, message=hello), now=0.0)
+
+        words = (("b", "b.1", 0), ("b", "b.2", 0), ("b", "b.2", 1), ("c", "c.1", 0))
+        for word in words:
+            self.assertEqual(hear(*word), [])
+        self.assertEqual(hear("c", "c.1", 1), [Founded(members=Members(members=seen))])
+
+    def test_founder_whose_settings_name_others_by_now(self) -> None:
+        """A killed founder comes back, and its settings name newer seeds.
+
+        It takes part with those that the first start named, as the others tell it.
+        """
+        first = Formation(instance_id="a", replica_id="a.1", instances=("a", "b"))
+        late = Formation(
+            instance_id="b", replica_id="b.1", instances=("d", "e"), contacts=("a",), is_first=False
+        )
+        pair = {"a": first, "b": late}
+        founded: set[Members] = set()
+        mail: list[SendMessage] = []
+        for step in range(8):
+            for one in pair.values():
+                mail += self.list_sent(one.handle(TimeReached(), now=step * 0.3), founded)
+            for sent in [one for one in mail if one.target in pair]:
+                event = MessageReceived(source="", message=sent.message)
+                mail += self.list_sent(pair[sent.target].handle(event, now=step * 0.3), founded)
+            mail.clear()
+        self.assertEqual(len(founded), 1)
+
+    def list_sent(self, effects: list[Effect], founded: set[Members]) -> list[SendMessage]:
+        founded |= {one.members for one in effects if isinstance(one, Founded)}
+        return [one for one in effects if isinstance(one, SendMessage)]
