Let a cold endpoint get no more than it bears from the whole fleet

Cause: nothing but a weight of 200 ms kept routers from a cold endpoint.

Ruled out without a run: turns by the time of day (clocks step), one owner an endpoint (each router would need links to all replicas). The permit stays.

--- a/chivetrack/components/distribution/publisher.py
+++ b/chivetrack/components/distribution/publisher.py
@@ -33,6 +33,7 @@
 from chivetrack.components.distribution.relays import Relays
 from chivetrack.components.document.history import DocumentHistory, DocumentUpdate
 from chivetrack.components.evacuation.models import Evacuations
+from chivetrack.components.slow_start.permits import FleetShare
 from chivetrack.core import SendMessage
 
 
@@ -97,6 +98,7 @@
     started_at: float = float("-inf")
     history: DocumentHistory = field(default_factory=DocumentHistory)
     placements: Placements = field(default_factory=Placements)
+    close_share: FleetShare = field(default_factory=FleetShare)
     evacuations: Evacuations = field(default_factory=Evacuations)
     _routers: dict[str, _Router] = field(default_factory=dict)
     _peers: dict[str, _Peer] = field(default_factory=dict)
@@ -145,6 +147,8 @@
         """Return what the other replicas should know, and begin to gather anew."""
         news, self._news = self._news, []
         close = self._list_close(now)
+        others = sum(one.exchange.routers for one in self._list_peers(now))
+        self.close_share.note(len(close), others, now=now)
         return Exchange(
             routers=len(close),
             loads=_sum_loads(one.loads for one in close.values()),
--- a/chivetrack/components/placement/choice.py
+++ b/chivetrack/components/placement/choice.py
@@ -23,11 +23,13 @@
 class Candidate:
     """An endpoint that may be chosen.
 
-    ``failure_share``: of its latest tries, 0 to 1.
+    ``failure_share``: of its latest tries, 0 to 1. ``is_slow``: just started, and
+    nothing limits what it gets while it is cold.
     """
 
     record: EndpointRecord
     is_silent: bool = False
+    is_slow: bool = False
     failure_share: float = 0.0
 
 
@@ -234,7 +236,7 @@
         cost = 0.0
         if candidate.record.zone != self._zone:
             cost += self._weights.other_zone_ms
-        if candidate.record.cold_s > 0:
+        if candidate.is_slow:
             cost += self._weights.cold_ms
         if candidate.is_silent:
             cost += self._weights.silent_ms
--- /dev/null
+++ b/chivetrack/components/slow_start/cold.py
@@ -0,0 +1,50 @@
+"""Which endpoints are cold, as far as one router knows, and which it may ask permits for."""
+
+from collections.abc import Iterable
+
+from chivetrack.components.announcements.models import EndpointRecord
+
+
+class ColdTable:
+    """Joins what endpoints say, what a zone's return suggests and what replicas refused."""
+
+    def __init__(self) -> None:
+        """Start with nothing cold."""
+        self._told: dict[str, float] = {}
+        self._assumed: dict[str, float] = {}
+        self._refused: dict[str, float] = {}
+
+    def note_record(self, record: EndpointRecord, *, now: float) -> None:
+        """Take an endpoint's newest statement."""
+        if record.cold_s > 0:
+            self._told[record.endpoint_id] = now + record.cold_s
+        else:
+            self._told.pop(record.endpoint_id, None)
+
+    def assume(self, endpoint_ids: Iterable[str], *, until: float) -> None:
+        """Take endpoints as cold that may be so and have had no time to say it.
+
+        A zone that is taken back is idle, so that every router would choose it at once, and
+        its endpoints' next heartbeats are a second away.
+        """
+        self._assumed.update(dict.fromkeys(endpoint_ids, until))
+
+    def is_cold(self, endpoint_id: str, now: float) -> bool:
+        """Return whether an endpoint bears only a few requests a second."""
+        until = max(self._told.get(endpoint_id, 0.0), self._assumed.get(endpoint_id, 0.0))
+        return now < until
+
+    def note_refused(self, endpoint_id: str, *, until: float) -> None:
+        """Note until when no permit is to be asked for."""
+        self._refused[endpoint_id] = until
+
+    def find_wait(self, endpoint_id: str, now: float) -> float:
+        """Return for how many seconds no permit is to be asked for, 0 if one may be."""
+        if not self.is_cold(endpoint_id, now):
+            return 0.0
+        return max(0.0, self._refused.get(endpoint_id, 0.0) - now)
+
+    def forget(self, endpoint_id: str) -> None:
+        """Drop an endpoint that has gone."""
+        for known in (self._told, self._assumed, self._refused):
+            known.pop(endpoint_id, None)
--- /dev/null
+++ b/chivetrack/components/slow_start/permits.py
@@ -0,0 +1,85 @@
+"""A replica's part of the requests that a fleet may send to each cold endpoint."""
+
+from dataclasses import dataclass
+
+from chivetrack.components.slow_start.const import (
+    EARLY_SHARE,
+    FLEET_HALVES_S,
+    MAX_WAIT_S,
+    SETTLE_S,
+)
+
+# An endpoint that nobody has asked for since is forgotten.
+_FORGET_AFTER_S = 10.0
+
+
+@dataclass(slots=True)
+class _Turns:
+    """When the next permit is due, and up to when turns were told to routers that wait."""
+
+    next_at: float
+    told_until: float
+
+
+class FleetShare:
+    """What part of the fleet's routers is close to one replica."""
+
+    def __init__(self) -> None:
+        """Start with no routers."""
+        self._fleet = 0.0
+        self._at = 0.0
+        self.value = 0.0
+
+    def note(self, close: int, others: int, *, now: float) -> None:
+        """Take how many routers are close to this replica and to all others."""
+        kept = self._fleet * 0.5 ** ((now - self._at) / FLEET_HALVES_S)
+        self._fleet = max(float(close + others), kept)
+        self._at = now
+        self.value = close / self._fleet if self._fleet else 0.0
+
+
+class PermitBook:
+    """Grants single requests to cold endpoints; free of I/O.
+
+    It answers a zone that comes back cold in a burst, to hundreds of routers at once. Each
+    sends a sliver, and in the same instant all find an idle engine: the sum is many times
+    what a cold one bears, and it crashes. Each replica has the part of the rate that its
+    close routers are of all routers, so that parts add up without a word between replicas.
+    A permit that is not used is not kept, and in any second there are no more than the rate
+    and one and a half for each replica.
+    """
+
+    def __init__(self, *, started_at: float) -> None:
+        """Take the start of this process."""
+        self._settled_at = started_at + SETTLE_S
+        self._turns: dict[str, _Turns] = {}
+
+    def ask(self, endpoint_id: str, *, per_s: float, share: float, now: float) -> float:
+        """Return 0 if a request may go out now, otherwise after how many seconds to ask again.
+
+        ``per_s`` is what the endpoint bears from the whole fleet, ``share`` this replica's
+        part of it.
+        """
+        if now < self._settled_at:
+            return self._settled_at - now
+        if per_s * share <= 0:
+            return MAX_WAIT_S
+        interval = 1.0 / (per_s * share)
+        turns = self._turns.get(endpoint_id)
+        if turns is None:
+            self._forget_old(now)
+            turns = self._turns[endpoint_id] = _Turns(now, now)
+        if now >= turns.next_at:
+            turns.next_at = max(turns.next_at, now - EARLY_SHARE * interval) + interval
+            return 0.0
+        # Those who wait are told one turn after the other, or all would ask at the same time.
+        turn_at = max(turns.told_until, turns.next_at)
+        if turn_at - now > MAX_WAIT_S:
+            return MAX_WAIT_S
+        turns.told_until = turn_at + interval
+        return turn_at - now
+
+    def _forget_old(self, now: float) -> None:
+        old = [name for name, turns in self._turns.items() if now - turns.next_at > _FORGET_AFTER_S]
+        for name in old:
+            del self._turns[name]
--- a/chivetrack/daemon/fleet/calls.py
+++ b/chivetrack/daemon/fleet/calls.py
@@ -77,7 +77,10 @@
 
 @dataclass(slots=True, kw_only=True)
 class Call:
-    """One request on its way; times are of the steady clock in seconds."""
+    """One request on its way; times are of the steady clock in seconds.
+
+    ``passed_over`` are cold endpoints that may not be sent this request just now.
+    """
 
     facts: RequestFacts
     route: Route
@@ -94,6 +97,7 @@
     last_event_id: str = ""
     first_event_at: float | None = None
     placed: Placed | None = None
+    passed_over: set[str] = field(default_factory=set)
 
     @property
     def priority(self) -> int:
--- a/chivetrack/daemon/fleet/fleet_view.py
+++ b/chivetrack/daemon/fleet/fleet_view.py
@@ -15,6 +15,8 @@
 from chivetrack.components.placement.choice import Candidate, Choice, Source
 from chivetrack.components.placement.placement import Placed, Placement
 from chivetrack.components.retries.window import RetryWindow
+from chivetrack.components.slow_start.cold import ColdTable
+from chivetrack.components.slow_start.const import HEARD_AGAIN_S, MAX_ASKS
 from chivetrack.components.traffic.models import Document
 from chivetrack.components.traffic.table import RouteTable
 from chivetrack.daemon.fleet.calls import Call
@@ -54,6 +56,7 @@
         self._memory_tokens = DEFAULT_MEMORY_TOKENS
         self.endpoints = EndpointTable()
         self.placement = Placement(zone=zone)
+        self.cold = ColdTable()
         self.health = EndpointHealth(events=events, is_silent=self.placement.is_silent)
         self._windows: dict[str, RetryWindow] = {}
         self._silent: frozenset[str] = frozenset()
@@ -149,9 +152,13 @@
         self.evacuations = evacuations
         self._sort_endpoints()
         evacuated = evacuations.list_evacuated()
+        returned = set(before) - set(evacuated)
+        until = time.monotonic() + HEARD_AGAIN_S
         for record in self.endpoints.list_records():
             if record.zone in evacuated:
                 self._forget_endpoint(record.endpoint_id)
+            elif record.zone in returned:
+                self.cold.assume([record.endpoint_id], until=until)
         self._events.write(
             "evacuation_in_force",
             revision=evacuations.revision,
@@ -176,11 +183,13 @@
             self.placement.forget(record.endpoint_id, emptied_at=now if has_restarted else None)
             self.health.forget(record.endpoint_id)
             self._forget_endpoint(record.endpoint_id)
+        self.cold.note_record(record, now=time.monotonic())
         if record.state is not EndpointState.READY:
             self._forget_endpoint(record.endpoint_id)
         if record.state is EndpointState.LEFT:
             self.health.forget(record.endpoint_id)
             self.placement.forget(record.endpoint_id)
+            self.cold.forget(record.endpoint_id)
 
     def get_news(self) -> OwnNews:
         """Return what the other routers should know of this one."""
@@ -207,11 +216,52 @@
     def _list_candidates(self, call: Call, now: float) -> list[Candidate]:
         tried = {one.endpoint_id for one in call.tries}
         left = [
-            Candidate(record=record, is_silent=record.endpoint_id in self._silent)
+            Candidate(
+                record=record,
+                is_silent=record.endpoint_id in self._silent,
+                is_slow=record.cold_s > 0 and not self.find_cold_rate(call.service),
+            )
+            for record in self._by_service.get(call.service, ())
+            if record.endpoint_id not in tried
+        ]
+        return self.health.choose_sound(self._leave_out_cold(left, call, now), now=now)
+
+    def _leave_out_cold(
+        self, candidates: list[Candidate], call: Call, now: float
+    ) -> list[Candidate]:
+        """Leave out cold endpoints that no permit can be had for just now."""
+        if not self.find_cold_rate(call.service):
+            return candidates
+        cold = {
+            one.record.endpoint_id
+            for one in candidates
+            if self.cold.is_cold(one.record.endpoint_id, now)
+        }
+        shut = {one for one in cold if self.cold.find_wait(one, now)} | call.passed_over
+        if len(call.passed_over) >= MAX_ASKS:
+            shut = cold
+        return [one for one in candidates if one.record.endpoint_id not in shut]
+
+    def is_cold(self, service: str, endpoint_id: str, now: float) -> bool:
+        """Return whether an endpoint is cold and its service limits what it gets then."""
+        return self.find_cold_rate(service) > 0 and self.cold.is_cold(endpoint_id, now)
+
+    def find_cold_rate(self, service: str) -> float:
+        """Return how many requests a second a cold endpoint bears, 0 without a limit."""
+        known = None if self.table is None else self.table.find_service(service)
+        return 0.0 if known is None else known.cold_per_s
+
+    def find_permit_wait(self, call: Call) -> float | None:
+        """Return when to ask again (s) if all endpoints are cold, ``None`` if none are left."""
+        now = time.monotonic()
+        tried = {one.endpoint_id for one in call.tries}
+        waits = [
+            self.cold.find_wait(record.endpoint_id, now)
             for record in self._by_service.get(call.service, ())
             if record.endpoint_id not in tried
+            and self.is_cold(call.service, record.endpoint_id, now)
         ]
-        return self.health.choose_sound(left, now=now)
+        return min(waits, default=None)
 
     def _list_sources(self, service: str, now: float) -> list[Source]:
         return [
--- /dev/null
+++ b/chivetrack/daemon/fleet/permits.py
@@ -0,0 +1,74 @@
+"""Asks the replica that a router is close to whether a cold endpoint may get a request."""
+
+import itertools
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from gevent.event import Event as Signal
+
+from chivetrack.components.slow_start.const import ASK_TIMEOUT_S, UNANSWERED_S
+from chivetrack.components.slow_start.messages import AskPermit, PermitAnswer
+from chivetrack.daemon.fleet.fleet_view import FleetView
+from chivetrack.helpers.codec import Message
+from chivetrack.helpers.events import EventLog
+
+
+@dataclass(slots=True)
+class _Question:
+    done: Signal = field(default_factory=Signal)
+    answer: PermitAnswer | None = None
+
+
+class PermitDesk:
+    """Asks for one request at a time, and remembers refusals until their end."""
+
+    def __init__(
+        self,
+        *,
+        view: FleetView,
+        find_replica: Callable[[], str],
+        send: Callable[[str, Message], None],
+        events: EventLog,
+    ) -> None:
+        """Take what is known of endpoints, whom to ask, and the way out."""
+        self._view = view
+        self._find_replica = find_replica
+        self._send = send
+        self._events = events
+        self._numbers = itertools.count(1)
+        self._questions: dict[int, _Question] = {}
+
+    def allows(self, service: str, endpoint_id: str) -> bool:
+        """Return whether a request may go to an endpoint now; waits a moment where it is cold."""
+        if not self._view.is_cold(service, endpoint_id, time.monotonic()):
+            return True
+        wait_s = self._ask(endpoint_id, self._view.find_cold_rate(service))
+        if wait_s == 0:
+            return True
+        self._view.cold.note_refused(endpoint_id, until=time.monotonic() + wait_s)
+        self._events.write(
+            "permit_refused",
+            endpoint=endpoint_id,
+            replica=self._find_replica(),
+            wait_s=round(wait_s, 3),
+        )
+        return False
+
+    def _ask(self, endpoint_id: str, per_s: float) -> float:
+        replica = self._find_replica()
+        if not replica:
+            return UNANSWERED_S
+        number = next(self._numbers)
+        question = self._questions[number] = _Question()
+        self._send(replica, AskPermit(number=number, endpoint_id=endpoint_id, per_s=per_s))
+        question.done.wait(ASK_TIMEOUT_S)
+        del self._questions[number]
+        return UNANSWERED_S if question.answer is None else question.answer.wait_s
+
+    def take(self, answer: PermitAnswer) -> None:
+        """Take a replica's answer; one that comes too late is dropped with its permit."""
+        question = self._questions.get(answer.number)
+        if question is not None:
+            question.answer = answer
+            question.done.set()
--- a/chivetrack/daemon/fleet/replica.py
+++ b/chivetrack/daemon/fleet/replica.py
@@ -17,6 +17,8 @@
 from chivetrack.components.distribution.publisher import Publisher
 from chivetrack.components.document.store import DocumentStore, StoredDocument, unpack_document
 from chivetrack.components.evacuation.models import Evacuations
+from chivetrack.components.slow_start.messages import AskPermit, PermitAnswer
+from chivetrack.components.slow_start.permits import PermitBook
 from chivetrack.daemon.fleet.const import FLUSH_S, TIDY_EVERY_S, TRAFFIC_EVERY
 from chivetrack.daemon.fleet.desk import Desk
 from chivetrack.daemon.fleet.documents import DocumentDesk
@@ -67,6 +69,7 @@
             list_replicas=self.host.list_instances,
             started_at=time.monotonic(),
         )
+        self._permits = PermitBook(started_at=time.monotonic())
         documents = DocumentDesk(
             instance_id=own,
             control_port=listeners.control.port,
@@ -151,6 +154,8 @@
             send_all(self.transport.answer, effects)
         elif isinstance(message, FetchDocument):
             self._send_documents(source, message)
+        elif isinstance(message, AskPermit):
+            self._answer_permit(source, message)
         elif isinstance(message, Exchange):
             self._publisher.take_exchange(source, message, now=time.monotonic())
         elif self.host.takes(message):
@@ -158,6 +163,15 @@
         else:
             self._desk.take(source, message)
 
+    def _answer_permit(self, source: str, asked: AskPermit) -> None:
+        wait_s = self._permits.ask(
+            asked.endpoint_id,
+            per_s=asked.per_s,
+            share=self._publisher.close_share.value,
+            now=time.monotonic(),
+        )
+        self.transport.answer(source, PermitAnswer(number=asked.number, wait_s=wait_s))
+
     def _send_documents(self, source: str, fetch: FetchDocument) -> None:
         for one in self._publisher.take_fetch(source, fetch, now=time.monotonic()):
             gevent.spawn_later(one.delay_s, self.transport.answer, one.target, one.message)
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -35,6 +35,7 @@
 )
 from chivetrack.daemon.fleet.fleet_view import FleetView
 from chivetrack.daemon.fleet.forwarder import AnswerCutError, Forwarder, make_tried
+from chivetrack.daemon.fleet.permits import PermitDesk
 from chivetrack.daemon.server import ENVIRON_HEADERS, ENVIRON_TARGET
 from chivetrack.exceptions import Fault, FaultError, Ran
 from chivetrack.helpers.events import EventLog
@@ -53,12 +54,14 @@
         *,
         view: FleetView,
         forwarder: Forwarder,
+        permits: PermitDesk,
         events: EventLog,
         record: Callable[[Call, str], None],
     ) -> None:
         """Take what requests need; ``record`` counts how each one ended."""
         self._view = view
         self._forwarder = forwarder
+        self._permits = permits
         self._events = events
         self._record = record
         self.open_count = 0
@@ -180,7 +183,7 @@
 
     def _try_endpoints(self, call: Call) -> None:
         while True:
-            choice = self._view.choose(call)
+            choice = self._choose(call)
             if choice is None:
                 self._give_up(call, "no_candidate")
                 return
@@ -192,6 +195,24 @@
                 self._give_up(call, "tries_used_up")
                 return
 
+    def _choose(self, call: Call) -> Choice | None:
+        """Return where a request goes next; to a cold endpoint only by permit.
+
+        Where all endpoints are cold, a request waits for its turn, as long as it has time.
+        """
+        while True:
+            choice = self._view.choose(call)
+            if choice is not None:
+                if self._permits.allows(call.service, choice.record.endpoint_id):
+                    return choice
+                call.passed_over.add(choice.record.endpoint_id)
+                continue
+            wait_s = self._view.find_permit_wait(call)
+            if wait_s is None or wait_s >= call.ends_at - time.monotonic():
+                return None
+            call.passed_over.clear()
+            gevent.sleep(wait_s)
+
     def _refuse_hopeless(self, call: Call, choice: Choice) -> bool:
         """Refuse a request that even the best endpoint can't begin to answer in time."""
         left_s = call.ends_at - time.monotonic()
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -19,6 +19,7 @@
     View,
 )
 from chivetrack.components.distribution.subscriber import Subscriber
+from chivetrack.components.slow_start.messages import PermitAnswer
 from chivetrack.components.traffic.models import Document
 from chivetrack.components.upstream.kept import KeptConnections
 from chivetrack.core import WakeAt
@@ -32,6 +33,7 @@
 from chivetrack.daemon.fleet.forwarder import Forwarder
 from chivetrack.daemon.fleet.metrics import Gauge, Metrics, open_metrics_server
 from chivetrack.daemon.fleet.peering import list_seed_peers, make_transport, send_all
+from chivetrack.daemon.fleet.permits import PermitDesk
 from chivetrack.daemon.fleet.requests import RequestDesk
 from chivetrack.daemon.server import HttpServer, ServerLimits
 from chivetrack.helpers.codec import Message
@@ -92,8 +94,15 @@
             get_news=self.view.get_news,
         )
         self.transport = make_transport(settings, events=events, take=self._take_message)
+        self._permits = PermitDesk(
+            view=self.view,
+            find_replica=lambda: self.subscriber.close_replica,
+            send=self.transport.send,
+            events=events,
+        )
         self.desk = RequestDesk(
             view=self.view,
+            permits=self._permits,
             forwarder=Forwarder(
                 kept=self._kept,
                 note_answer=self._metrics.note_answer,
@@ -170,6 +179,8 @@
             effects = self.subscriber.take_view(source, message, now=now)
             self.view.take_view(message)
             send_all(self.transport.send, effects)
+        elif isinstance(message, PermitAnswer):
+            self._permits.take(message)
         elif isinstance(message, DocumentSent):
             self.subscriber.take_document(message)
         elif isinstance(message, FetchElsewhere):
--- a/chivetrack/platform/configuration.py
+++ b/chivetrack/platform/configuration.py
@@ -57,6 +57,8 @@
     name: str
     health_path: str = ""
     max_connections: int = 0
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
     engine: _Engine | None = None
 
 
@@ -155,6 +157,8 @@
         name=service.name,
         health_path=service.health_path,
         max_connections=service.max_connections,
+        cold_start_s=service.cold_start_s,
+        cold_per_s=service.cold_per_s,
         engine=engine,
     )
 
--- a/tests/daemon/fleet/test_fleet_view.py
+++ b/tests/daemon/fleet/test_fleet_view.py
@@ -34,7 +34,7 @@
     return View(**{**fields, **changes})
 
 
-class FleetViewTest(unittest.TestCase):
+class FleetViewCase(unittest.TestCase):
     def setUp(self) -> None:
         self.forgotten: list[str] = []
         self.view = FleetView(
@@ -57,6 +57,15 @@
         choice = self.view.choose(call)
         return "" if choice is None else choice.record.endpoint_id
 
+    def evacuate(self, revision: int, *zones: str) -> None:
+        states = [
+            ZoneState(zone=one, is_evacuated=True, revision=revision, since=0) for one in zones
+        ]
+        last = ZoneState(zone="other", is_evacuated=False, revision=revision, since=0)
+        self.take(evacuations=Evacuations(zones=(*states, last)))
+
+
+class FleetViewTest(FleetViewCase):
     def test_first_word_brings_endpoints_and_what_they_have_cached(self) -> None:
         """A router has just started; one message names the engines and their dossiers.
 
@@ -88,13 +97,6 @@
             self.assertEqual(self.choose("portal"), "")
         self.assertIn("e1", self.forgotten)
 
-    def evacuate(self, revision: int, *zones: str) -> None:
-        states = [
-            ZoneState(zone=one, is_evacuated=True, revision=revision, since=0) for one in zones
-        ]
-        last = ZoneState(zone="other", is_evacuated=False, revision=revision, since=0)
-        self.take(evacuations=Evacuations(zones=(*states, last)))
-
     def test_evacuated_zone_gets_nothing_new(self) -> None:
         """Operators empty a zone; its endpoints stay up and go on announcing themselves.
 
--- /dev/null
+++ b/tests/daemon/fleet/test_permits.py
@@ -0,0 +1,121 @@
+"""Requests for cold endpoints: who may send one, and what becomes of the others."""
+
+import unittest
+from typing import Any
+
+import gevent
+
+from chivetrack.components.slow_start.messages import AskPermit, PermitAnswer
+from chivetrack.components.traffic.models import Service
+from chivetrack.components.traffic.table import RouteTable
+from chivetrack.daemon.fleet.permits import PermitDesk
+from chivetrack.helpers.codec import Message
+from chivetrack.helpers.events import EventLog
+from tests.components.announcements.test_table import make_record
+from tests.components.traffic.documents import make_document
+from tests.daemon.fleet.scripted import Caller, make_call
+from tests.daemon.fleet.test_fleet_view import FleetViewCase
+
+LIMITED = Service(name="portal", cold_start_s=3.0, cold_per_s=10.0)
+
+
+class PermitCase(FleetViewCase):
+    """A router beside one replica that answers as the test says."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.view.table = RouteTable(document=make_document(services=(LIMITED,)))
+        self.waits: dict[str, float] = {}
+        self.asked: list[str] = []
+        self.is_lost = False
+        self.desk = PermitDesk(
+            view=self.view,
+            find_replica=lambda: "p1",
+            send=self.send,
+            events=EventLog(instance="r1"),
+        )
+
+    def send(self, target: str, message: Message) -> None:
+        assert isinstance(message, AskPermit)
+        self.asked.append(message.endpoint_id)
+        wait_s = self.waits.get(message.endpoint_id, 0.0)
+        if not self.is_lost:
+            gevent.spawn(self.desk.take, PermitAnswer(number=message.number, wait_s=wait_s))
+
+    def take_cold(self, *endpoint_ids: str, **changes: Any) -> None:
+        records = [
+            make_record(service="portal", endpoint_id=one, cold_s=3.0, **changes)
+            for one in endpoint_ids
+        ]
+        self.take(*records)
+
+
+class PermitDeskTest(PermitCase):
+    def test_warm_endpoints_are_not_asked_for(self) -> None:
+        self.take(make_record(service="portal"))
+        self.assertTrue(self.desk.allows("portal", "e1"))
+        self.assertEqual(self.asked, [])
+
+    def test_cold_endpoint_of_a_service_without_a_limit(self) -> None:
+        self.view.table = RouteTable(document=make_document())
+        self.take_cold("e1")
+        self.assertTrue(self.desk.allows("portal", "e1"))
+        self.assertEqual(self.asked, [])
+
+    def test_refused_endpoint_is_left_out_until_its_turn(self) -> None:
+        """The replica says when to ask again; every request until then goes elsewhere at once."""
+        self.take_cold("e1")
+        self.take(make_record(service="portal", endpoint_id="e2"))
+        self.waits["e1"] = 0.2
+        self.assertFalse(self.desk.allows("portal", "e1"))
+        self.assertEqual({self.choose("portal") for _ in range(9)}, {"e2"})
+        self.assertEqual(self.asked, ["e1"])
+        gevent.sleep(0.25)
+        self.view.health.note_other_instance("e2")
+        self.assertEqual(self.choose("portal"), "e1")
+
+    def test_replica_that_does_not_answer(self) -> None:
+        """A router that is cut off from its replica sends nothing to cold endpoints.
+
+        What it sent on its own would come on top of what the others are granted.
+        """
+        self.take_cold("e1")
+        self.is_lost = True
+        self.assertFalse(self.desk.allows("portal", "e1"))
+        self.assertEqual(self.choose("portal"), "")
+
+    def test_request_asks_twice_and_then_goes_to_a_warm_endpoint(self) -> None:
+        self.take_cold("e1", "e2", "e3")
+        self.take(make_record(service="portal", endpoint_id="e4"))
+        call = make_call(Caller(), service="portal")
+        call.passed_over |= {"e1", "e2"}
+        choice = self.view.choose(call)
+        assert choice is not None
+        self.assertEqual(choice.record.endpoint_id, "e4")
+
+    def test_all_endpoints_are_cold(self) -> None:
+        """A request waits for the first turn, and is given up where there is no endpoint."""
+        self.take_cold("e1", "e2")
+        call = make_call(Caller(), service="portal")
+        for endpoint_id, wait_s in (("e1", 0.4), ("e2", 0.2)):
+            self.waits[endpoint_id] = wait_s
+            self.desk.allows("portal", endpoint_id)
+        wait = self.view.find_permit_wait(call)
+        assert wait is not None
+        self.assertAlmostEqual(wait, 0.2, delta=0.1)
+        self.assertIsNone(self.view.find_permit_wait(make_call(Caller(), service="llm")))
+
+    def test_zone_that_is_taken_back_counts_as_cold(self) -> None:
+        """The operators take a zone back; its endpoints became cold a moment before.
+
+        Their heartbeats will say so in a second. All routers find them idle at once.
+        """
+        self.take(make_record(service="portal", zone="z1"))
+        self.evacuate(5, "z1")
+        self.evacuate(6)
+        self.waits["e1"] = 0.5
+        self.assertFalse(self.desk.allows("portal", "e1"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/system/deployment.py
+++ b/tests/system/deployment.py
@@ -40,6 +40,7 @@
         self.seen: list[tuple[str, dict[str, str]]] = []
         self.work_s = 0.0
         self.zone = "z1"
+        self.cold_ms = 0
         self.sequence = 0
         self.born = int(time.time() * 1000)
         super().__init__((host, ENDPOINT_PORT), _Handler)
@@ -55,7 +56,7 @@
             "version": "v1",
             "slots": 8,
             "state": state,
-            "coldRemainingMs": 0,
+            "coldRemainingMs": self.cold_ms,
             "sequence": self.sequence,
             "born": self.born,
         }
--- a/tests/system/fleets.py
+++ b/tests/system/fleets.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from typing import Any
@@ -24,6 +25,10 @@
     """A condition did not come true in time."""
 
 
+def _holds(path: Path, text: str) -> bool:
+    return path.exists() and path.read_text() == text
+
+
 def wait_for(condition: Callable[[], Any], what: str, *, within_s: float = WAIT_S) -> Any:
     """Wait until a condition returns something true, and return that."""
     deadline = time.monotonic() + within_s
@@ -82,7 +87,7 @@
             self._write_cuts(name, text)
         for name, text in cuts.items():
             taken = get_taken(self.get_cuts(name))
-            wait_for(lambda t=taken, c=text: t.exists() and t.read_text() == c, "cut not taken")
+            wait_for(partial(_holds, taken, text), "cut not taken")
 
     def _write_cuts(self, name: str, text: str) -> None:
         aside = self.get_cuts(name).with_suffix(".new")
--- a/tests/system/test_deployment.py
+++ b/tests/system/test_deployment.py
@@ -210,6 +210,44 @@
                 self.assertEqual(json.loads(answer[1])["error"], code)
 
 
+class ColdEndpointTest(DeploymentCase):
+    def test_cold_endpoint_gets_what_it_bears_and_nothing_is_refused(self) -> None:
+        """One of two endpoints comes back cold and idle, and three routers are busy.
+
+        Together they may send it ten requests a second. The rest goes to the warm one.
+        """
+        deployment = self.open(routers=3)
+        warm, cold = (self.open_endpoint(deployment, number) for number in (1, 2))
+        config = make_config(3)
+        config["services"][0] |= {"coldStartS": 3.0, "coldPerS": 10.0}
+        deployment.put(config)
+        deployment.announce(warm)
+        for router in deployment.list_names("r"):
+            deployment.wait_served(router)
+        warm.work_s = 0.02
+        cold.cold_ms = 3000
+        deployment.announce(cold)
+        statuses: list[int] = []
+
+        def call(router: str) -> None:
+            ends_at = time.monotonic() + 2.0
+            while time.monotonic() < ends_at:
+                statuses.append(deployment.call(router)[0])
+
+        callers = [
+            threading.Thread(target=call, args=(router,))
+            for router in deployment.list_names("r") * 3
+        ]
+        for one in callers:
+            one.start()
+        for one in callers:
+            one.join()
+        self.assertEqual(set(statuses), {200})
+        self.assertGreater(len(statuses), 150)
+        self.assertLessEqual(len(cold.seen), 2 * 15 + 5)
+        self.assertGreaterEqual(len(cold.seen), 10)
+
+
 class LeavingTest(DeploymentCase):
     def test_acknowledged_drain_reaches_every_router(self) -> None:
         """An endpoint says that it drains, to one replica; the word is acknowledged.
