--- /dev/null
+++ b/chivetrack/components/announcements/directory.py
@@ -0,0 +1,92 @@
+"""The endpoints of each service that requests may go to just now; free of I/O."""
+
+from collections.abc import Collection, Iterator, Sequence
+
+from chivetrack.components.announcements.models import EndpointRecord, EndpointState
+from chivetrack.components.announcements.table import EndpointTable
+from chivetrack.components.evacuation.models import Evacuations
+from chivetrack.components.slow_start.cold import ColdTable
+from chivetrack.components.slow_start.const import HEARD_AGAIN_S, MAX_ASKS
+
+
+class EndpointDirectory:
+    """Sorts the table of endpoints by service, without the zones that are evacuated."""
+
+    def __init__(self) -> None:
+        """Start with no endpoints and no evacuated zones."""
+        self.table = EndpointTable()
+        self.cold = ColdTable()
+        self.evacuations = Evacuations()
+        self._ready: dict[str, list[EndpointRecord]] = {}
+        self._sources: dict[str, list[EndpointRecord]] = {}
+        self._seen_change = -1
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no endpoint may get requests."""
+        return not self._ready
+
+    def take_changes(self, *, now: float) -> Sequence[EndpointRecord]:
+        """Take over what has changed in the table; return the changed records."""
+        if self._seen_change == self.table.change:
+            return ()
+        changed = self.table.list_changes(self._seen_change)
+        for record in changed:
+            self.cold.note_record(record, now=now)
+        self._seen_change = self.table.change
+        self._sort()
+        return changed
+
+    def take_evacuations(self, evacuations: Evacuations, *, now: float) -> bool:
+        """Put newer zone orders in force; a replica that lags can't take them back."""
+        if evacuations.revision <= self.evacuations.revision:
+            return False
+        returned = set(self.evacuations.list_evacuated()) - set(evacuations.list_evacuated())
+        self.evacuations = evacuations
+        self.cold.assume(self.list_ids_in(returned), until=now + HEARD_AGAIN_S)
+        self._sort()
+        return True
+
+    def _sort(self) -> None:
+        """List the endpoints that get requests, and those that others may fetch parts from.
+
+        Engines fetch from each other without a request of ours, so those of an evacuated
+        zone are still of use to the others.
+        """
+        evacuated = self.evacuations.list_evacuated()
+        self._ready = {}
+        self._sources = {}
+        for record in self.table.list_records():
+            if record.state in (EndpointState.READY, EndpointState.DRAINING):
+                self._sources.setdefault(record.service, []).append(record)
+            if record.state is EndpointState.READY and record.zone not in evacuated:
+                self._ready.setdefault(record.service, []).append(record)
+
+    def list_ids_in(self, zones: Collection[str]) -> Iterator[str]:
+        """Yield the ids of the endpoints of some zones."""
+        return (one.endpoint_id for one in self.table.list_records() if one.zone in zones)
+
+    def list_ready(self, service: str) -> Sequence[EndpointRecord]:
+        """Return the endpoints that may get requests, cold ones among them."""
+        return self._ready.get(service, ())
+
+    def list_sources(self, service: str) -> Sequence[EndpointRecord]:
+        """Return the endpoints that cached parts of prompts may be fetched from."""
+        return self._sources.get(service, ())
+
+    def list_open(
+        self, service: str, *, passed_over: Collection[str], is_limited: bool, now: float
+    ) -> list[EndpointRecord]:
+        """Return the endpoints that a request may go to, or ask a permit for.
+
+        ``is_limited``: the service limits what cold endpoints get. ``passed_over`` are those
+        that refused this request; after a few it asks for no further one.
+        """
+        ready = self.list_ready(service)
+        if not is_limited:
+            return list(ready)
+        cold = {one.endpoint_id for one in ready if self.cold.is_cold(one.endpoint_id, now)}
+        shut = {one for one in cold if self.cold.find_wait(one, now)} | set(passed_over)
+        if len(passed_over) >= MAX_ASKS:
+            shut = cold
+        return [one for one in ready if one.endpoint_id not in shut]
--- a/chivetrack/components/distribution/publisher.py
+++ b/chivetrack/components/distribution/publisher.py
@@ -98,7 +98,6 @@
     started_at: float = float("-inf")
     history: DocumentHistory = field(default_factory=DocumentHistory)
     placements: Placements = field(default_factory=Placements)
-    close_share: FleetShare = field(default_factory=FleetShare)
     evacuations: Evacuations = field(default_factory=Evacuations)
     _routers: dict[str, _Router] = field(default_factory=dict)
     _peers: dict[str, _Peer] = field(default_factory=dict)
@@ -106,6 +105,7 @@
     _pacer: Pacer = field(default_factory=lambda: Pacer(bytes_per_s=DOCUMENT_BYTES_PER_S))
     _due: dict[str, _DueDocument] = field(default_factory=dict)
     _relays: Relays = field(default_factory=Relays)
+    _fleet_share: FleetShare = field(default_factory=FleetShare)
 
     def take_follow(
         self, follow: Follow, *, now: float, knows_leader: bool = True
@@ -148,7 +148,7 @@
         news, self._news = self._news, []
         close = self._list_close(now)
         others = sum(one.exchange.routers for one in self._list_peers(now))
-        self.close_share.note(len(close), others, now=now)
+        self._fleet_share.note(len(close) + others, now=now)
         return Exchange(
             routers=len(close),
             loads=_sum_loads(one.loads for one in close.values()),
@@ -192,6 +192,10 @@
         )
         return PacedDocument(target=source, message=sent, delay_s=delay_s)
 
+    def find_share(self, *, now: float) -> float:
+        """Return what part of the fleet's routers is close to this replica."""
+        return self._fleet_share.find(len(self._list_close(now)), now=now)
+
     def list_readers(self, version: int, *, now: float) -> list[str]:
         """Return where close routers hand out a document of this version or a newer one."""
         return [
--- a/chivetrack/components/slow_start/permits.py
+++ b/chivetrack/components/slow_start/permits.py
@@ -28,14 +28,22 @@
         """Start with no routers."""
         self._fleet = 0.0
         self._at = 0.0
-        self.value = 0.0
 
-    def note(self, close: int, others: int, *, now: float) -> None:
-        """Take how many routers are close to this replica and to all others."""
-        kept = self._fleet * 0.5 ** ((now - self._at) / FLEET_HALVES_S)
-        self._fleet = max(float(close + others), kept)
+    def note(self, routers: int, *, now: float) -> None:
+        """Take how many routers the fleet has, as far as this replica is told."""
+        self._fleet = max(float(routers), self._count_kept(now))
         self._at = now
-        self.value = close / self._fleet if self._fleet else 0.0
+
+    def _count_kept(self, now: float) -> float:
+        return self._fleet * 0.5 ** ((now - self._at) / FLEET_HALVES_S)
+
+    def find(self, close: int, *, now: float) -> float:
+        """Return the part that the routers close to this replica are now.
+
+        Whoever asks is close, although it may have come so lately that nobody counted it.
+        """
+        own = max(1, close)
+        return own / max(float(own), self._count_kept(now))
 
 
 class PermitBook:
@@ -62,8 +70,6 @@
         """
         if now < self._settled_at:
             return self._settled_at - now
-        if per_s * share <= 0:
-            return MAX_WAIT_S
         interval = 1.0 / (per_s * share)
         turns = self._turns.get(endpoint_id)
         if turns is None:
--- a/chivetrack/daemon/fleet/fleet_view.py
+++ b/chivetrack/daemon/fleet/fleet_view.py
@@ -6,17 +6,15 @@
 
 from gevent.event import Event as Signal
 
+from chivetrack.components.announcements.directory import EndpointDirectory
 from chivetrack.components.announcements.models import EndpointRecord, EndpointState
-from chivetrack.components.announcements.table import EndpointTable
 from chivetrack.components.deployment.settings import BoundSettings
 from chivetrack.components.distribution.messages import View
 from chivetrack.components.distribution.subscriber import OwnNews
 from chivetrack.components.evacuation.models import Evacuations
 from chivetrack.components.placement.choice import Candidate, Choice, Source
 from chivetrack.components.placement.placement import Placed, Placement
-from chivetrack.components.retries.window import RetryWindow
-from chivetrack.components.slow_start.cold import ColdTable
-from chivetrack.components.slow_start.const import HEARD_AGAIN_S, MAX_ASKS
+from chivetrack.components.retries.budgets import RetryBudgets
 from chivetrack.components.traffic.models import Document
 from chivetrack.components.traffic.table import RouteTable
 from chivetrack.daemon.fleet.calls import Call
@@ -48,24 +46,20 @@
         forget_endpoint: Callable[[str], None],
     ) -> None:
         """Start knowing nothing; ``decode`` reads a document as the operator sent it."""
-        self._bounds = bounds
         self._events = events
         self._decode = decode
         self._forget_endpoint = forget_endpoint
         self.table: RouteTable | None = None
         self._memory_tokens = DEFAULT_MEMORY_TOKENS
-        self.endpoints = EndpointTable()
+        self.directory = EndpointDirectory()
         self.placement = Placement(zone=zone)
-        self.cold = ColdTable()
         self.health = EndpointHealth(events=events, is_silent=self.placement.is_silent)
-        self._windows: dict[str, RetryWindow] = {}
+        self.budgets = RetryBudgets(
+            ratio=bounds.retry_ratio, slack=bounds.retry_slack, window_s=bounds.retry_window_s
+        )
         self._silent: frozenset[str] = frozenset()
-        self._by_service: dict[str, list[EndpointRecord]] = {}
-        self._sources: dict[str, list[EndpointRecord]] = {}
         self._born: dict[str, int] = {}
         self._seen_at: dict[str, float] = {}
-        self._seen_change = -1
-        self.evacuations = Evacuations()
         self._routers = FIRST_ROUTERS
         self.has_view = False
         self._ready = Signal()
@@ -113,7 +107,7 @@
             self.placement.take_others(
                 view.loads, view.placed, now=now, capacity=self._memory_tokens
             )
-        if self.table is not None and self._by_service:
+        if self.table is not None and not self.directory.is_empty:
             self._ready.set()
 
     def wait_until_ready(self, timeout_s: float) -> None:
@@ -121,44 +115,16 @@
         self._ready.wait(timeout_s)
 
     def _note_changes(self) -> None:
-        """Sort the endpoints by service again after a change."""
-        if self._seen_change == self.endpoints.change:
-            return
-        for record in self.endpoints.list_changes(self._seen_change):
+        for record in self.directory.take_changes(now=time.monotonic()):
             self._note_change(record)
-        self._seen_change = self.endpoints.change
-        self._sort_endpoints()
-
-    def _sort_endpoints(self) -> None:
-        """List the endpoints that get requests, and those that others may fetch parts from.
-
-        Engines fetch from each other without a request of ours, so those of an evacuated
-        zone are still of use to the others.
-        """
-        evacuated = self.evacuations.list_evacuated()
-        self._by_service = {}
-        self._sources = {}
-        for record in self.endpoints.list_records():
-            if record.state in (EndpointState.READY, EndpointState.DRAINING):
-                self._sources.setdefault(record.service, []).append(record)
-            if record.state is EndpointState.READY and record.zone not in evacuated:
-                self._by_service.setdefault(record.service, []).append(record)
 
     def _note_evacuations(self, evacuations: Evacuations) -> None:
-        """Put newer zone orders in force; a replica that lags can't take them back."""
-        if evacuations.revision <= self.evacuations.revision:
+        before = self.directory.evacuations.list_evacuated()
+        if not self.directory.take_evacuations(evacuations, now=time.monotonic()):
             return
-        before = self.evacuations.list_evacuated()
-        self.evacuations = evacuations
-        self._sort_endpoints()
         evacuated = evacuations.list_evacuated()
-        returned = set(before) - set(evacuated)
-        until = time.monotonic() + HEARD_AGAIN_S
-        for record in self.endpoints.list_records():
-            if record.zone in evacuated:
-                self._forget_endpoint(record.endpoint_id)
-            elif record.zone in returned:
-                self.cold.assume([record.endpoint_id], until=until)
+        for endpoint_id in self.directory.list_ids_in(evacuated):
+            self._forget_endpoint(endpoint_id)
         self._events.write(
             "evacuation_in_force",
             revision=evacuations.revision,
@@ -169,7 +135,7 @@
 
     def count_running_in(self, zones: Collection[str]) -> int:
         """Return the requests of this router that still run at endpoints of these zones."""
-        ids = {one.endpoint_id for one in self.endpoints.list_records() if one.zone in zones}
+        ids = set(self.directory.list_ids_in(zones))
         return sum(one.running for one in self.placement.list_own() if one.endpoint_id in ids)
 
     def _note_change(self, record: EndpointRecord) -> None:
@@ -183,13 +149,12 @@
             self.placement.forget(record.endpoint_id, emptied_at=now if has_restarted else None)
             self.health.forget(record.endpoint_id)
             self._forget_endpoint(record.endpoint_id)
-        self.cold.note_record(record, now=time.monotonic())
         if record.state is not EndpointState.READY:
             self._forget_endpoint(record.endpoint_id)
         if record.state is EndpointState.LEFT:
             self.health.forget(record.endpoint_id)
             self.placement.forget(record.endpoint_id)
-            self.cold.forget(record.endpoint_id)
+            self.directory.cold.forget(record.endpoint_id)
 
     def get_news(self) -> OwnNews:
         """Return what the other routers should know of this one."""
@@ -215,36 +180,36 @@
 
     def _list_candidates(self, call: Call, now: float) -> list[Candidate]:
         tried = {one.endpoint_id for one in call.tries}
+        is_limited = self.find_cold_rate(call.service) > 0
         left = [
             Candidate(
                 record=record,
                 is_silent=record.endpoint_id in self._silent,
-                is_slow=record.cold_s > 0 and not self.find_cold_rate(call.service),
+                is_slow=record.cold_s > 0 and not is_limited,
+            )
+            for record in self.directory.list_open(
+                call.service, passed_over=call.passed_over, is_limited=is_limited, now=now
             )
-            for record in self._by_service.get(call.service, ())
             if record.endpoint_id not in tried
         ]
-        return self.health.choose_sound(self._leave_out_cold(left, call, now), now=now)
+        return self.health.choose_sound(left, now=now)
 
-    def _leave_out_cold(
-        self, candidates: list[Candidate], call: Call, now: float
-    ) -> list[Candidate]:
-        """Leave out cold endpoints that no permit can be had for just now."""
-        if not self.find_cold_rate(call.service):
-            return candidates
-        cold = {
-            one.record.endpoint_id
-            for one in candidates
-            if self.cold.is_cold(one.record.endpoint_id, now)
-        }
-        shut = {one for one in cold if self.cold.find_wait(one, now)} | call.passed_over
-        if len(call.passed_over) >= MAX_ASKS:
-            shut = cold
-        return [one for one in candidates if one.record.endpoint_id not in shut]
+    def _list_sources(self, service: str, now: float) -> list[Source]:
+        return [
+            Source(
+                record=record,
+                is_new=now - self._seen_at.get(record.endpoint_id, now) < NEW_FOR_S,
+            )
+            for record in self.directory.list_sources(service)
+        ]
+
+    def count_candidates(self, service: str) -> int:
+        """Return how many endpoints of a service may get requests."""
+        return len(self.directory.list_ready(service))
 
     def is_cold(self, service: str, endpoint_id: str, now: float) -> bool:
         """Return whether an endpoint is cold and its service limits what it gets then."""
-        return self.find_cold_rate(service) > 0 and self.cold.is_cold(endpoint_id, now)
+        return self.find_cold_rate(service) > 0 and self.directory.cold.is_cold(endpoint_id, now)
 
     def find_cold_rate(self, service: str) -> float:
         """Return how many requests a second a cold endpoint bears, 0 without a limit."""
@@ -256,26 +221,13 @@
         now = time.monotonic()
         tried = {one.endpoint_id for one in call.tries}
         waits = [
-            self.cold.find_wait(record.endpoint_id, now)
-            for record in self._by_service.get(call.service, ())
+            self.directory.cold.find_wait(record.endpoint_id, now)
+            for record in self.directory.list_ready(call.service)
             if record.endpoint_id not in tried
             and self.is_cold(call.service, record.endpoint_id, now)
         ]
         return min(waits, default=None)
 
-    def _list_sources(self, service: str, now: float) -> list[Source]:
-        return [
-            Source(
-                record=record,
-                is_new=now - self._seen_at.get(record.endpoint_id, now) < NEW_FOR_S,
-            )
-            for record in self._sources.get(service, ())
-        ]
-
-    def count_candidates(self, service: str) -> int:
-        """Return how many endpoints of a service are known as ready."""
-        return len(self._by_service.get(service, ()))
-
     @contextmanager
     def use(self, call: Call, choice: Choice) -> Iterator[Placed]:
         """Count a request at an endpoint for as long as it is there.
@@ -318,27 +270,6 @@
         self.health.note_overdue(endpoint_id)
         return True
 
-    # Retry budget
-
-    def _get_window(self, service: str) -> RetryWindow:
-        window = self._windows.get(service)
-        if window is None:
-            bounds = self._bounds
-            window = self._windows[service] = RetryWindow(
-                ratio=bounds.retry_ratio,
-                slack=bounds.retry_slack,
-                window_s=bounds.retry_window_s,
-            )
-        return window
-
-    def note_request(self, service: str) -> None:
-        """Count a caller's request for a service."""
-        self._get_window(service).note_request(time.monotonic())
-
-    def note_repeat(self, service: str) -> None:
-        """Count a request that is sent once more."""
-        self._get_window(service).note_repeat(time.monotonic())
-
     def has_budget(self, service: str) -> bool:
         """Return whether the fleet's budget leaves room for another repeat."""
-        return self._get_window(service).may_repeat(time.monotonic(), routers=round(self._routers))
+        return self.budgets[service].may_repeat(time.monotonic(), routers=round(self._routers))
--- a/chivetrack/daemon/fleet/replica.py
+++ b/chivetrack/daemon/fleet/replica.py
@@ -164,12 +164,9 @@
             self._desk.take(source, message)
 
     def _answer_permit(self, source: str, asked: AskPermit) -> None:
-        wait_s = self._permits.ask(
-            asked.endpoint_id,
-            per_s=asked.per_s,
-            share=self._publisher.close_share.value,
-            now=time.monotonic(),
-        )
+        now = time.monotonic()
+        share = self._publisher.find_share(now=now)
+        wait_s = self._permits.ask(asked.endpoint_id, per_s=asked.per_s, share=share, now=now)
         self.transport.answer(source, PermitAnswer(number=asked.number, wait_s=wait_s))
 
     def _send_documents(self, source: str, fetch: FetchDocument) -> None:
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -160,7 +160,7 @@
         return workspace
 
     def _see_through(self, call: Call) -> None:
-        self._view.note_request(call.service)
+        self._view.budgets[call.service].note_request(time.monotonic())
         try:
             with gevent.Timeout(max(0.001, call.ends_at - time.monotonic()), RouteTimeoutError):
                 self._try_endpoints(call)
@@ -250,7 +250,7 @@
         endpoint_id = choice.record.endpoint_id
         reached = any(one.end is not SendEnd.NOT_SENT for one in call.tries)
         if reached:
-            self._view.note_repeat(call.service)
+            self._view.budgets[call.service].note_repeat(time.monotonic())
         may_repeat = allows_another(
             call.route, count_runs(call.tries) + 1
         ) and self._view.has_budget(call.service)
@@ -285,7 +285,7 @@
             status=fault.status,
             tries=len(call.tries),
             candidates=self._view.count_candidates(call.service),
-            evacuated=self._view.evacuations.list_evacuated(),
+            evacuated=self._view.directory.evacuations.list_evacuated(),
         )
         call.reply.refuse(fault)
 
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -88,7 +88,7 @@
             router=str(settings.listeners.peer),
             reads_at=str(settings.listeners.ready),
             seeds=list_seed_peers(settings),
-            table=self.view.endpoints,
+            table=self.view.directory.table,
             take_document=self.view.take_document,
             note_unreadable=self._note_unreadable,
             get_news=self.view.get_news,
@@ -124,13 +124,13 @@
             name="chivetrack.router.evacuated_zones",
             unit="{zone}",
             description="Zones whose endpoints get nothing new.",
-            read=lambda: len(view.evacuations.list_evacuated()),
+            read=lambda: len(view.directory.evacuations.list_evacuated()),
         )
         yield Gauge(
             name="chivetrack.router.requests_in_evacuated_zones",
             unit="{request}",
             description="Requests of this router that still run there.",
-            read=lambda: view.count_running_in(view.evacuations.list_evacuated()),
+            read=lambda: view.count_running_in(view.directory.evacuations.list_evacuated()),
         )
 
     def _make_server(
@@ -205,7 +205,7 @@
 
     def _tidy(self, now: float) -> None:
         self._kept.close_old()
-        self.view.endpoints.forget_old(now)
+        self.view.directory.table.forget_old(now)
 
     def _run_timers(self) -> None:
         while True:
--- /dev/null
+++ b/tests/components/announcements/test_directory.py
@@ -0,0 +1,63 @@
+"""Which endpoints requests may go to after zone orders, statements and refused permits."""
+
+import unittest
+
+from chivetrack.components.announcements.directory import EndpointDirectory
+from chivetrack.components.announcements.models import EndpointState
+from chivetrack.components.evacuation.models import Evacuations, ZoneState
+from tests.components.announcements.test_table import make_record
+
+
+def make_evacuations(revision: int, **zones: bool) -> Evacuations:
+    return Evacuations(
+        zones=tuple(
+            ZoneState(zone=zone, is_evacuated=is_evacuated, revision=revision, since=0.0)
+            for zone, is_evacuated in zones.items()
+        )
+    )
+
+
+class EndpointDirectoryTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.directory = EndpointDirectory()
+
+    def merge(self, sequence: int, endpoint_id: str, zone: str, cold_s: float = 0.0) -> None:
+        record = make_record(sequence, endpoint_id=endpoint_id, zone=zone, cold_s=cold_s)
+        self.directory.table.merge(record, now=0.0)
+        self.directory.take_changes(now=0.0)
+
+    def list_open(self, now: float = 0.0, passed_over: tuple[str, ...] = ()) -> list[str]:
+        records = self.directory.list_open("llm", passed_over=passed_over, is_limited=True, now=now)
+        return [one.endpoint_id for one in records]
+
+    def test_leaving_endpoint_gets_nothing_and_is_fetched_from(self) -> None:
+        self.merge(1, "e1", "z1")
+        record = make_record(2, zone="z1", state=EndpointState.DRAINING)
+        self.directory.table.merge(record, now=0.0)
+        self.assertEqual([one.state for one in self.directory.take_changes(now=0.0)], ["draining"])
+        self.assertEqual(self.directory.take_changes(now=0.0), ())
+        self.assertTrue(self.directory.is_empty)
+        self.assertEqual(len(self.directory.list_sources("llm")), 1)
+
+    def test_endpoint_that_appears_in_an_evacuated_zone(self) -> None:
+        """A release goes on while its zone is empty; the new endpoints must get nothing."""
+        self.assertTrue(self.directory.take_evacuations(make_evacuations(4, z1=True), now=0.0))
+        self.merge(1, "e1", "z1")
+        self.assertEqual(self.list_open(), [])
+        self.assertFalse(self.directory.take_evacuations(make_evacuations(3, z1=False), now=0.0))
+        self.assertEqual(self.list_open(), [])
+
+    def test_cold_endpoints_after_refusals(self) -> None:
+        """A refused one is left out until its turn, and after two no cold one is asked for."""
+        for number in (1, 2, 3):
+            self.merge(1, f"e{number}", "z1", cold_s=3.0)
+        self.merge(1, "e4", "z1")
+        self.directory.cold.note_refused("e1", until=1.0)
+        self.assertEqual(self.list_open(), ["e2", "e3", "e4"])
+        self.assertEqual(self.list_open(passed_over=("e2",)), ["e3", "e4"])
+        self.assertEqual(self.list_open(passed_over=("e1", "e2")), ["e4"])
+        self.assertEqual(self.list_open(now=1.0), ["e1", "e2", "e3", "e4"])
+
+
+if __name__ == "__main__":
+    unittest.main()
