Take an endpoint's word that it is cold from its answers as well

A heartbeat brings it up to 1.2 s late, and an endpoint may become cold again at any moment. Answers that carry the remaining time are decoded in the platform's folder and count like a statement.

The start-up time of a service is not read any more: what an endpoint says itself decides.

--- a/chivetrack/components/slow_start/cold.py
+++ b/chivetrack/components/slow_start/cold.py
@@ -17,10 +17,14 @@
     def note_record(self, record: EndpointRecord, *, now: float) -> None:
         """Take an endpoint's newest statement."""
         if record.cold_s > 0:
-            self._told[record.endpoint_id] = now + record.cold_s
+            self.note_told(record.endpoint_id, record.cold_s, now=now)
         else:
             self._told.pop(record.endpoint_id, None)
 
+    def note_told(self, endpoint_id: str, cold_s: float, *, now: float) -> None:
+        """Take an endpoint's word that it is cold, which an answer may bring early."""
+        self._told[endpoint_id] = now + cold_s
+
     def assume(self, endpoint_ids: Iterable[str], *, until: float) -> None:
         """Take endpoints as cold that may be so and have had no time to say it.
 
--- a/chivetrack/components/traffic/models.py
+++ b/chivetrack/components/traffic/models.py
@@ -63,14 +63,13 @@
 class Service(msgspec.Struct, frozen=True, kw_only=True):
     """A group of endpoints; ``engine`` is set where they are model engines.
 
-    An endpoint is cold for ``cold_start_s`` after its start and bears ``cold_per_s`` requests
-    a second then, from all routers together; 0 stands for no limit.
+    An endpoint that is cold bears ``cold_per_s`` requests a second, from all routers together;
+    0 stands for no limit.
     """
 
     name: str
     health_path: str = ""
     max_connections: int = 0
-    cold_start_s: float = 0.0
     cold_per_s: float = 0.0
     engine: EngineProfile | None = None
 
--- a/chivetrack/components/traffic/requests.py
+++ b/chivetrack/components/traffic/requests.py
@@ -50,7 +50,8 @@
     """What the head of an endpoint's answer says about the request.
 
     ``is_sealed``: the answer carries the endpoint's mark of origin. ``did_not_run``: the
-    endpoint states that it did not run the request and never will.
+    endpoint states that it did not run the request and never will. ``cold_s``: for how long
+    the endpoint stays cold, 0 if it does not say.
     """
 
     request_id: str | None
@@ -62,3 +63,4 @@
     keep_alive_s: float | None
     load: EndpointLoadFacts | None = None
     retry_after_s: float | None = None
+    cold_s: float = 0.0
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -21,6 +21,7 @@
 from chivetrack.components.distribution.subscriber import Subscriber
 from chivetrack.components.slow_start.messages import PermitAnswer
 from chivetrack.components.traffic.models import Document
+from chivetrack.components.traffic.requests import AnswerFacts
 from chivetrack.components.upstream.kept import KeptConnections
 from chivetrack.core import WakeAt
 from chivetrack.daemon.fleet.const import (
@@ -105,7 +106,7 @@
             permits=self._permits,
             forwarder=Forwarder(
                 kept=self._kept,
-                note_answer=self._metrics.note_answer,
+                note_answer=self._note_answer,
                 note_first_event=lambda call, choice: self.view.note_first_event(call),
                 hear=self.view.hear,
                 note_overdue=self.view.note_overdue,
@@ -162,6 +163,11 @@
         """Return whether the balancer may send connections here."""
         return not self._asked.is_set() and self.view.table is not None and self.view.has_view
 
+    def _note_answer(self, endpoint_id: str, facts: AnswerFacts) -> None:
+        self._metrics.note_answer(endpoint_id, facts)
+        if facts.cold_s > 0:
+            self.view.directory.cold.note_told(endpoint_id, facts.cold_s, now=time.monotonic())
+
     def _take_limits(self, document: Document) -> None:
         limits = document.limits
         self._callers.limits = ServerLimits(
--- a/chivetrack/platform/configuration.py
+++ b/chivetrack/platform/configuration.py
@@ -57,7 +57,6 @@
     name: str
     health_path: str = ""
     max_connections: int = 0
-    cold_start_s: float = 0.0
     cold_per_s: float = 0.0
     engine: _Engine | None = None
 
@@ -157,7 +156,6 @@
         name=service.name,
         health_path=service.health_path,
         max_connections=service.max_connections,
-        cold_start_s=service.cold_start_s,
         cold_per_s=service.cold_per_s,
         engine=engine,
     )
--- a/tests/components/slow_start/test_permits.py
+++ b/tests/components/slow_start/test_permits.py
@@ -84,6 +84,13 @@
         table.note_record(make_record(3), now=12.5)
         self.assertFalse(table.is_cold("e1", 12.5))
 
+    def test_endpoint_that_becomes_cold_again_and_says_so_in_an_answer(self) -> None:
+        table = ColdTable()
+        table.note_record(make_record(), now=9.0)
+        table.note_told("e1", 1.5, now=10.0)
+        self.assertTrue(table.is_cold("e1", 11.4))
+        self.assertFalse(table.is_cold("e1", 11.5))
+
     def test_zone_that_is_taken_back(self) -> None:
         """Its endpoints became cold a moment ago, and their heartbeats say so a second late."""
         table = ColdTable()
--- a/tests/daemon/fleet/test_permits.py
+++ b/tests/daemon/fleet/test_permits.py
@@ -16,7 +16,7 @@
 from tests.daemon.fleet.scripted import Caller, make_call
 from tests.daemon.fleet.test_fleet_view import FleetViewCase
 
-LIMITED = Service(name="portal", cold_start_s=3.0, cold_per_s=10.0)
+LIMITED = Service(name="portal", cold_per_s=10.0)
 
 
 class PermitCase(FleetViewCase):
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -132,6 +132,14 @@
         self.assertIsNone(odd.load)
         self.assertIsNone(odd.keep_alive_s)
 
+    def test_cold_endpoint(self) -> None:
+        facts = read_answer_facts(200, make_headers(X_Chivetrack_Cold_Ms="1500"))
+        self.assertEqual(facts.cold_s, 1.5)
+        for text in ("", "soon", "-3"):
+            self.assertEqual(
+                read_answer_facts(200, make_headers(X_Chivetrack_Cold_Ms=text)).cold_s, 0
+            )
+
     def test_what_goes_back(self) -> None:
         headers = [("X-Chivetrack-Server-Seal", "s"), ("Connection", "close"), ("X-A", "1")]
         self.assertEqual(
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -36,7 +36,14 @@
 }
 SERVICES = [
     {"name": "llm", "engine": {"slots": 64, "kvCapacity": 5000, "models": [{"name": "m"}]}},
-    {"name": "portal", "healthPath": "/health", "maxConnections": 110, "protocol": "h1"},
+    {
+        "name": "portal",
+        "healthPath": "/health",
+        "maxConnections": 110,
+        "protocol": "h1",
+        "coldStartS": 3.0,
+        "coldPerS": 10.0,
+    },
 ]
 BEAT = {
     "service": "llm",
@@ -77,6 +84,7 @@
         engine = document.services[0].engine
         assert engine is not None
         self.assertEqual(engine.memory_tokens, 5000)
+        self.assertEqual([one.cold_per_s for one in document.services], [0.0, 10.0])
 
     def test_invalid_documents(self) -> None:
         same = [ROUTE, {**ROUTE, "name": "q"}]
