Hold an endpoint within what operators allow while a zone gets nothing

Operators measure an endpoint's load against the mean of its whole service. Where a zone is evacuated or comes back cold, that mean falls by a third, and the bound of placement did not: at 9 routers 1.7 times the mean of the others is 2.55 times that of the service, of which twice (and 3) is allowed. The bound is now also at most 1.75 times the service's mean, so nothing changes while no zone is idle. (A bound against the service's mean alone, tried before, was so tight that few engines were left and all routers chose them.)

Also: a replica that the log has retired empties its folder, and the new folder is not one of the first start any more. Taken for a founder that never lost its disk, it would have proved to others that no log was ever founded.

--- a/chivetrack/components/announcements/directory.py
+++ b/chivetrack/components/announcements/directory.py
@@ -19,6 +19,7 @@
         self.evacuations = Evacuations()
         self._ready: dict[str, list[EndpointRecord]] = {}
         self._sources: dict[str, list[EndpointRecord]] = {}
+        self._mates: dict[str, list[str]] = {}
         self._seen_change = -1
 
     @property
@@ -56,10 +57,14 @@
         evacuated = self.evacuations.list_evacuated()
         self._ready = {}
         self._sources = {}
+        self._mates = {}
         for record in self.table.list_records():
             if record.state in (EndpointState.READY, EndpointState.DRAINING):
                 self._sources.setdefault(record.service, []).append(record)
-            if record.state is EndpointState.READY and record.zone not in evacuated:
+            if record.state is not EndpointState.READY:
+                continue
+            self._mates.setdefault(record.service, []).append(record.endpoint_id)
+            if record.zone not in evacuated:
                 self._ready.setdefault(record.service, []).append(record)
 
     def list_ids_in(self, zones: Collection[str]) -> Iterator[str]:
@@ -70,6 +75,10 @@
         """Return the endpoints that may get requests, cold ones among them."""
         return self._ready.get(service, ())
 
+    def list_mates(self, service: str) -> Sequence[str]:
+        """Return the ids of all endpoints of a service, those of evacuated zones among them."""
+        return self._mates.get(service, ())
+
     def list_sources(self, service: str) -> Sequence[EndpointRecord]:
         """Return the endpoints that cached parts of prompts may be fetched from."""
         return self._sources.get(service, ())
--- a/chivetrack/components/placement/choice.py
+++ b/chivetrack/components/placement/choice.py
@@ -1,7 +1,7 @@
 """Chooses among the endpoints of a service."""
 
 import heapq
-from collections.abc import Sequence
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
 
 import xxhash
@@ -106,12 +106,14 @@
         sources: Sequence[Source] = (),
         routers: int = 1,
         speeds: ServiceSpeeds | None = None,
+        mates: Collection[str] = (),
     ) -> Choice | None:
         """Return the cheapest endpoint, ``None`` without candidates.
 
         ``sources`` are engines that cached parts may be taken from, also leaving ones;
         ``routers`` is how many choose at the same time; ``speeds`` is what has been learned
-        of the service's endpoints.
+        of the service's endpoints. ``mates`` are the ids of all that count towards the mean
+        load of the service, also of those that may get nothing now.
         """
         if not candidates:
             return None
@@ -120,8 +122,7 @@
             one.record.endpoint_id: self._loads.count_running(one.record.endpoint_id, now)
             for one in candidates
         }
-        bound = find_bound(sum(running.values()) / len(running), routers, self._weights)
-        within = [one for one in candidates if running[one.record.endpoint_id] + 1 <= bound]
+        within = self._keep_within_bound(candidates, running, mates, routers, now)
         engine = None if service is None else service.engine
         prompt = None
         if engine is not None and facts.parts:
@@ -131,10 +132,30 @@
                 within = self._narrow(within, prompt, facts)
         choices = [
             self._weigh(one, facts, running[one.record.endpoint_id], prompt, speeds, now)
-            for one in within or candidates
+            for one in within
         ]
         return min(choices, key=lambda one: one.cost_ms)
 
+    def _keep_within_bound(
+        self,
+        candidates: Sequence[Candidate],
+        running: Mapping[str, int],
+        mates: Collection[str],
+        routers: int,
+        now: float,
+    ) -> list[Candidate]:
+        """Keep the endpoints that hold no more than the bound; the least loaded always do."""
+        idle = [self._loads.count_running(one, now) for one in mates if one not in running]
+        total = sum(running.values())
+        mean = total / len(running)
+        service_mean = (total + sum(idle)) / (len(running) + len(idle))
+        bound = find_bound(mean, routers, self._weights, service_mean=service_mean)
+        within = [one for one in candidates if running[one.record.endpoint_id] + 1 <= bound]
+        if within:
+            return within
+        least = min(running.values()) + self._weights.bound_slack
+        return [one for one in candidates if running[one.record.endpoint_id] <= least]
+
     def _narrow(
         self, within: list[Candidate], prompt: _Prompt, facts: RequestFacts
     ) -> list[Candidate]:
@@ -260,15 +281,26 @@
         return self._weights.home_chance * unknown, prompt.old_home.address
 
 
-def find_bound(mean: float, routers: int, weights: PlacementWeights = DEFAULT_WEIGHTS) -> float:
-    """Return how many requests an endpoint may hold, given the mean of its service.
+def find_bound(
+    mean: float,
+    routers: int,
+    weights: PlacementWeights = DEFAULT_WEIGHTS,
+    *,
+    service_mean: float | None = None,
+) -> float:
+    """Return how many requests an endpoint may hold, given the mean of those to choose from.
 
     Each router sees its own requests at once and those of all others half a second late.
     Among many routers nearly all is late, so that the same bound is overshot by more.
+    ``service_mean`` is that of the whole service. Where a zone is empty or comes back cold it
+    is lower by a third, and so is what operators allow.
     """
     share = min(1.0, FEW_ROUTERS / max(1, routers))
     factor = weights.bound_many + (weights.bound_few - weights.bound_many) * share
-    return factor * mean + weights.bound_slack
+    bound = factor * mean
+    if service_mean is not None:
+        bound = min(bound, weights.bound_service * service_mean)
+    return bound + weights.bound_slack
 
 
 def _count_queued_turns(record: EndpointRecord, running: int) -> float:
--- a/chivetrack/components/placement/placement.py
+++ b/chivetrack/components/placement/placement.py
@@ -1,6 +1,6 @@
 """Where requests go, and what is learned from how they end; free of I/O."""
 
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Collection, Iterable, Iterator, Sequence
 from dataclasses import dataclass
 
 from chivetrack.components.distribution.const import MANY_ROUTERS
@@ -63,6 +63,7 @@
         now: float,
         sources: Sequence[Source] = (),
         routers: int = 1,
+        mates: Collection[str] = (),
     ) -> Choice | None:
         """Return the best endpoint, ``None`` without candidates; see ``Chooser``."""
         if not candidates:
@@ -75,6 +76,7 @@
             sources=sources,
             routers=routers,
             speeds=self.get_speeds(candidates[0].record.service),
+            mates=mates,
         )
 
     def start(
--- a/chivetrack/components/placement/weights.py
+++ b/chivetrack/components/placement/weights.py
@@ -30,8 +30,9 @@
     replica hears any more.
     ``failure_ms``: a failed try costs its caller a new one, half a second later, or all.
     ``bound_few``, ``bound_many``, ``bound_slack``: whatever a prompt would save, no endpoint
-    gets more than this factor (with few routers, with many) over the mean of its service,
-    and so many. Operators allow twice the mean and 3; lagging counts need room.
+    gets more than this factor (with few routers, with many) over the mean of those to choose
+    from, and so many; ``bound_service``: nor than this factor over the mean of its service.
+    Operators allow twice that mean and 3; lagging counts need room.
     """
 
     running_share: float = 0.006
@@ -47,6 +48,7 @@
     failure_ms: float = 500.0
     bound_few: float = 1.7
     bound_many: float = 1.3
+    bound_service: float = 1.75
     bound_slack: float = 2.0
 
 
--- a/chivetrack/daemon/fleet/fleet_view.py
+++ b/chivetrack/daemon/fleet/fleet_view.py
@@ -176,6 +176,7 @@
             now=now,
             sources=self._list_sources(call.service, now),
             routers=round(self._routers),
+            mates=self.directory.list_mates(call.service),
         )
 
     def _list_candidates(self, call: Call, now: float) -> list[Candidate]:
--- a/chivetrack/daemon/fleet/log_host.py
+++ b/chivetrack/daemon/fleet/log_host.py
@@ -193,6 +193,7 @@
                 self._run_once()
             except RetiredError:
                 shutil.rmtree(self._folder, ignore_errors=True)
+                self._is_first_start = False
             except StorageError as error:
                 self._events.write("storage_failed", detail=str(error))
                 gevent.sleep(REOPEN_AFTER_S)
--- a/tests/components/placement/test_choice.py
+++ b/tests/components/placement/test_choice.py
@@ -4,6 +4,8 @@
 from random import Random
 from typing import Any
 
+import msgspec
+
 from chivetrack.components.distribution.messages import EndpointLoad, PlacedPart
 from chivetrack.components.placement.choice import (
     Candidate,
@@ -56,6 +58,7 @@
             now=0.0,
             sources=extra.get("sources", ()),
             routers=extra.get("routers", 1),
+            mates=extra.get("mates", ()),
         )
         assert choice is not None
         return choice
@@ -210,6 +213,38 @@
         choice = world.choose(facts, routers=87)
         self.assertNotIn(choice.record.endpoint_id, homes)
 
+    def test_bound_while_a_zone_gets_nothing(self) -> None:
+        """A third of the engines is evacuated; the others hold 20, 20, 20 and 31 requests.
+
+        Operators allow twice the mean of all six, 30, and three. Against the mean of those
+        four alone nine routers would let the fullest rise to 40.
+        """
+        world = World()
+        left = [
+            Candidate(record=msgspec.structs.replace(one.record, slots=64))
+            for one in world.candidates[:4]
+        ]
+        loads = [EndpointLoad(f"e{n}", running) for n, running in enumerate((31, 20, 20, 20))]
+        world.loads.take_others(loads, now=0.0)
+        facts = make_facts()
+        world.parts.note("e0", facts.shared_parts, now=0.0, capacity=500_000)
+        mates = [one.record.endpoint_id for one in world.candidates]
+        stays = world.choose(facts, candidates=left, routers=9)
+        self.assertEqual(stays.record.endpoint_id, "e0")
+        moves = world.choose(facts, candidates=left, routers=9, mates=mates)
+        self.assertNotEqual(moves.record.endpoint_id, "e0")
+
+    def test_least_loaded_stay_where_all_are_over_the_bound(self) -> None:
+        """Half of the engines is cold and idle, the others hold 60 and more each."""
+        world = World()
+        loads = [EndpointLoad(f"e{n}", running) for n, running in enumerate((61, 62, 70))]
+        world.loads.take_others(loads, now=0.0)
+        mates = [one.record.endpoint_id for one in world.candidates]
+        facts = make_facts()
+        world.parts.note("e2", facts.shared_parts, now=0.0, capacity=500_000)
+        choice = world.choose(facts, candidates=world.candidates[:3], routers=9, mates=mates)
+        self.assertIn(choice.record.endpoint_id, ("e0", "e1"))
+
     def test_bound_leaves_room_for_what_other_routers_send_meanwhile(self) -> None:
         for routers in (1, 9, 87, 380):
             for mean in (0.0, 5.0, 15.0, 60.0):
