--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -1,26 +1,21 @@
-"""Measure the slopes of control: processor time, memory and bytes a second of an instance.
+"""Measure the slopes of control of ``chivetrackd``: processor time, memory, bytes a second.
 
-Run with: python -m benchmarks.capacity [--write]
+Run with: python -m benchmarks.capacity
 Local fleets of real processes, idle but for what is varied: instances, endpoints,
-changes a minute. ``--write`` puts the table into docs/CAPACITY.md.
+changes a minute. The deployed processes are measured by the users' sweep, see
+docs/CAPACITY.md.
 """
 
 import re
 import threading
 import time
 from dataclasses import dataclass
-from pathlib import Path
-from typing import Annotated
 
-import typer
 import urllib3
 
 from benchmarks.path import read_usage
 from standins.fleet import CALLER_PORT, TELEMETRY_PORT, Fleet, open_fleet
 
-PAGE = Path(__file__).resolve().parents[1] / "docs" / "CAPACITY.md"
-BEGIN = "<!-- measured slopes: python -m benchmarks.capacity --write -->"
-END = "<!-- end of measured slopes -->"
 SETTLE_S = 6.0
 MEASURE_S = 10.0
 CONTROL = re.compile(r"^chivetrack_control_bytes_total\{.*direction=\"sent\".*\} (\S+)", re.M)
@@ -131,30 +126,16 @@
     return "\n".join([head, *(reading.format() for reading in readings)])
 
 
-def write_table(table: str) -> None:
-    """Replace the table in the page."""
-    text = PAGE.read_text()
-    before, _, rest = text.partition(BEGIN)
-    _, _, after = rest.partition(END)
-    PAGE.write_text(f"{before}{BEGIN}\n{table}\n{END}{after}")
-
-
-def main(
-    write: Annotated[bool, typer.Option(help="Put the table into docs/CAPACITY.md.")] = False,
-) -> None:
-    """Measure the slopes."""
+def main() -> None:
+    """Measure the slopes and print them."""
     readings = []
     for count in (3, 6, 9, 15):
         readings.append(measure_instances(count))
-        print(readings[-1].format(), flush=True)
     for count in (6, 60, 600):
         readings.append(measure_endpoints(count))
-        print(readings[-1].format(), flush=True)
     readings.append(measure_changes(100))
-    print(readings[-1].format(), flush=True)
-    if write:
-        write_table(make_table(readings))
+    print(make_table(readings))
 
 
 if __name__ == "__main__":
-    typer.run(main)
+    main()
