Count among the idle only endpoints that rest by order, and divide them in one place

Found on reading the change: the service's mean counted all endpoints that say they are ready, crashed and held ones among them. With half of the engines dark, the bound would have been under the mean of the others, which floods the few below it (as measured before with the bound against the service's mean alone). Now only sound endpoints that rest, in evacuated zones or cold without a permit, count.

`EndpointDirectory.divide` tells which endpoints are open to a request and which rest. A question for a permit without a limit is answered yes, whatever a peer sends.

--- a/chivetrack/components/announcements/directory.py
+++ b/chivetrack/components/announcements/directory.py
@@ -1,6 +1,7 @@
 """The endpoints of each service that requests may go to just now; free of I/O."""
 
 from collections.abc import Collection, Iterator, Sequence
+from dataclasses import dataclass
 
 from chivetrack.components.announcements.models import EndpointRecord, EndpointState
 from chivetrack.components.announcements.table import EndpointTable
@@ -9,6 +10,17 @@
 from chivetrack.components.slow_start.const import HEARD_AGAIN_S, MAX_ASKS
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Division:
+    """The endpoints of a service as one request finds them.
+
+    ``resting`` are sound and get nothing now, by an operator's order or since they are cold.
+    """
+
+    open: Sequence[EndpointRecord]
+    resting: Sequence[EndpointRecord]
+
+
 class EndpointDirectory:
     """Sorts the table of endpoints by service, without the zones that are evacuated."""
 
@@ -18,8 +30,8 @@
         self.cold = ColdTable()
         self.evacuations = Evacuations()
         self._ready: dict[str, list[EndpointRecord]] = {}
+        self._evacuated: dict[str, list[EndpointRecord]] = {}
         self._sources: dict[str, list[EndpointRecord]] = {}
-        self._mates: dict[str, list[str]] = {}
         self._seen_change = -1
 
     @property
@@ -56,16 +68,15 @@
         """
         evacuated = self.evacuations.list_evacuated()
         self._ready = {}
+        self._evacuated = {}
         self._sources = {}
-        self._mates = {}
         for record in self.table.list_records():
             if record.state in (EndpointState.READY, EndpointState.DRAINING):
                 self._sources.setdefault(record.service, []).append(record)
             if record.state is not EndpointState.READY:
                 continue
-            self._mates.setdefault(record.service, []).append(record.endpoint_id)
-            if record.zone not in evacuated:
-                self._ready.setdefault(record.service, []).append(record)
+            listed = self._evacuated if record.zone in evacuated else self._ready
+            listed.setdefault(record.service, []).append(record)
 
     def list_ids_in(self, zones: Collection[str]) -> Iterator[str]:
         """Yield the ids of the endpoints of some zones."""
@@ -75,27 +86,27 @@
         """Return the endpoints that may get requests, cold ones among them."""
         return self._ready.get(service, ())
 
-    def list_mates(self, service: str) -> Sequence[str]:
-        """Return the ids of all endpoints of a service, those of evacuated zones among them."""
-        return self._mates.get(service, ())
-
     def list_sources(self, service: str) -> Sequence[EndpointRecord]:
         """Return the endpoints that cached parts of prompts may be fetched from."""
         return self._sources.get(service, ())
 
-    def list_open(
+    def divide(
         self, service: str, *, passed_over: Collection[str], is_limited: bool, now: float
-    ) -> list[EndpointRecord]:
-        """Return the endpoints that a request may go to, or ask a permit for.
+    ) -> Division:
+        """Return which endpoints a request may go to or ask a permit for, and which rest.
 
         ``is_limited``: the service limits what cold endpoints get. ``passed_over`` are those
         that refused this request; after a few it asks for no further one.
         """
         ready = self.list_ready(service)
+        evacuated = self._evacuated.get(service, ())
         if not is_limited:
-            return list(ready)
+            return Division(open=ready, resting=evacuated)
         cold = {one.endpoint_id for one in ready if self.cold.is_cold(one.endpoint_id, now)}
         shut = {one for one in cold if self.cold.find_wait(one, now)} | set(passed_over)
         if len(passed_over) >= MAX_ASKS:
             shut = cold
-        return [one for one in ready if one.endpoint_id not in shut]
+        return Division(
+            open=[one for one in ready if one.endpoint_id not in shut],
+            resting=[*evacuated, *(one for one in ready if one.endpoint_id in shut)],
+        )
--- a/chivetrack/components/placement/choice.py
+++ b/chivetrack/components/placement/choice.py
@@ -106,14 +106,14 @@
         sources: Sequence[Source] = (),
         routers: int = 1,
         speeds: ServiceSpeeds | None = None,
-        mates: Collection[str] = (),
+        resting: Collection[str] = (),
     ) -> Choice | None:
         """Return the cheapest endpoint, ``None`` without candidates.
 
         ``sources`` are engines that cached parts may be taken from, also leaving ones;
         ``routers`` is how many choose at the same time; ``speeds`` is what has been learned
-        of the service's endpoints. ``mates`` are the ids of all that count towards the mean
-        load of the service, also of those that may get nothing now.
+        of the service's endpoints. ``resting`` are the ids of sound endpoints that get
+        nothing now; they count towards the mean load of the service.
         """
         if not candidates:
             return None
@@ -122,7 +122,7 @@
             one.record.endpoint_id: self._loads.count_running(one.record.endpoint_id, now)
             for one in candidates
         }
-        within = self._keep_within_bound(candidates, running, mates, routers, now)
+        within = self._keep_within_bound(candidates, running, resting, routers, now)
         engine = None if service is None else service.engine
         prompt = None
         if engine is not None and facts.parts:
@@ -140,15 +140,15 @@
         self,
         candidates: Sequence[Candidate],
         running: Mapping[str, int],
-        mates: Collection[str],
+        resting: Collection[str],
         routers: int,
         now: float,
     ) -> list[Candidate]:
         """Keep the endpoints that hold no more than the bound; the least loaded always do."""
-        idle = [self._loads.count_running(one, now) for one in mates if one not in running]
         total = sum(running.values())
         mean = total / len(running)
-        service_mean = (total + sum(idle)) / (len(running) + len(idle))
+        rest = sum(self._loads.count_running(one, now) for one in resting)
+        service_mean = (total + rest) / (len(running) + len(resting))
         bound = find_bound(mean, routers, self._weights, service_mean=service_mean)
         within = [one for one in candidates if running[one.record.endpoint_id] + 1 <= bound]
         if within:
@@ -292,8 +292,8 @@
 
     Each router sees its own requests at once and those of all others half a second late.
     Among many routers nearly all is late, so that the same bound is overshot by more.
-    ``service_mean`` is that of the whole service. Where a zone is empty or comes back cold it
-    is lower by a third, and so is what operators allow.
+    ``service_mean`` is that of the whole service. Where one of three zones is empty or comes
+    back cold it is lower by a third, and so is what operators allow.
     """
     share = min(1.0, FEW_ROUTERS / max(1, routers))
     factor = weights.bound_many + (weights.bound_few - weights.bound_many) * share
--- a/chivetrack/components/placement/placement.py
+++ b/chivetrack/components/placement/placement.py
@@ -63,7 +63,7 @@
         now: float,
         sources: Sequence[Source] = (),
         routers: int = 1,
-        mates: Collection[str] = (),
+        resting: Collection[str] = (),
     ) -> Choice | None:
         """Return the best endpoint, ``None`` without candidates; see ``Chooser``."""
         if not candidates:
@@ -76,7 +76,7 @@
             sources=sources,
             routers=routers,
             speeds=self.get_speeds(candidates[0].record.service),
-            mates=mates,
+            resting=resting,
         )
 
     def start(
--- a/chivetrack/components/slow_start/permits.py
+++ b/chivetrack/components/slow_start/permits.py
@@ -65,9 +65,11 @@
     def ask(self, endpoint_id: str, *, per_s: float, share: float, now: float) -> float:
         """Return 0 if a request may go out now, otherwise after how many seconds to ask again.
 
-        ``per_s`` is what the endpoint bears from the whole fleet, ``share`` this replica's
-        part of it.
+        ``per_s`` is what the endpoint bears from the whole fleet, 0 without a limit; ``share``
+        is this replica's part of it.
         """
+        if per_s <= 0:
+            return 0.0
         if now < self._settled_at:
             return self._settled_at - now
         interval = 1.0 / (per_s * share)
--- a/chivetrack/daemon/fleet/fleet_view.py
+++ b/chivetrack/daemon/fleet/fleet_view.py
@@ -1,7 +1,7 @@
 """What a router believes of the fleet: configuration, endpoints, their load and health."""
 
 import time
-from collections.abc import Callable, Collection, Iterator
+from collections.abc import Callable, Collection, Iterator, Sequence
 from contextlib import contextmanager
 
 from gevent.event import Event as Signal
@@ -167,7 +167,11 @@
     def choose(self, call: Call) -> Choice | None:
         """Return where a request goes next."""
         now = time.monotonic()
-        candidates = self._list_candidates(call, now)
+        is_limited = self.find_cold_rate(call.service) > 0
+        division = self.directory.divide(
+            call.service, passed_over=call.passed_over, is_limited=is_limited, now=now
+        )
+        candidates = self._list_candidates(call, division.open, is_limited, now)
         service = None if self.table is None else self.table.find_service(call.service)
         return self.placement.choose(
             candidates,
@@ -176,21 +180,20 @@
             now=now,
             sources=self._list_sources(call.service, now),
             routers=round(self._routers),
-            mates=self.directory.list_mates(call.service),
+            resting=[one.endpoint_id for one in division.resting],
         )
 
-    def _list_candidates(self, call: Call, now: float) -> list[Candidate]:
+    def _list_candidates(
+        self, call: Call, records: Sequence[EndpointRecord], is_limited: bool, now: float
+    ) -> list[Candidate]:
         tried = {one.endpoint_id for one in call.tries}
-        is_limited = self.find_cold_rate(call.service) > 0
         left = [
             Candidate(
                 record=record,
                 is_silent=record.endpoint_id in self._silent,
                 is_slow=record.cold_s > 0 and not is_limited,
             )
-            for record in self.directory.list_open(
-                call.service, passed_over=call.passed_over, is_limited=is_limited, now=now
-            )
+            for record in records
             if record.endpoint_id not in tried
         ]
         return self.health.choose_sound(left, now=now)
--- a/tests/components/announcements/test_directory.py
+++ b/tests/components/announcements/test_directory.py
@@ -27,8 +27,9 @@
         self.directory.take_changes(now=0.0)
 
     def list_open(self, now: float = 0.0, passed_over: tuple[str, ...] = ()) -> list[str]:
-        records = self.directory.list_open("llm", passed_over=passed_over, is_limited=True, now=now)
-        return [one.endpoint_id for one in records]
+        division = self.directory.divide("llm", passed_over=passed_over, is_limited=True, now=now)
+        self.resting = [one.endpoint_id for one in division.resting]
+        return [one.endpoint_id for one in division.open]
 
     def test_leaving_endpoint_gets_nothing_and_is_fetched_from(self) -> None:
         self.merge(1, "e1", "z1")
@@ -46,6 +47,7 @@
         self.assertEqual(self.list_open(), [])
         self.assertFalse(self.directory.take_evacuations(make_evacuations(3, z1=False), now=0.0))
         self.assertEqual(self.list_open(), [])
+        self.assertEqual(self.resting, ["e1"])
 
     def test_cold_endpoints_after_refusals(self) -> None:
         """A refused one is left out until its turn, and after two no cold one is asked for."""
@@ -56,6 +58,7 @@
         self.assertEqual(self.list_open(), ["e2", "e3", "e4"])
         self.assertEqual(self.list_open(passed_over=("e2",)), ["e3", "e4"])
         self.assertEqual(self.list_open(passed_over=("e1", "e2")), ["e4"])
+        self.assertEqual(self.resting, ["e1", "e2", "e3"])
         self.assertEqual(self.list_open(now=1.0), ["e1", "e2", "e3", "e4"])
 
 
--- a/tests/components/placement/test_choice.py
+++ b/tests/components/placement/test_choice.py
@@ -58,7 +58,7 @@
             now=0.0,
             sources=extra.get("sources", ()),
             routers=extra.get("routers", 1),
-            mates=extra.get("mates", ()),
+            resting=extra.get("resting", ()),
         )
         assert choice is not None
         return choice
@@ -228,10 +228,10 @@
         world.loads.take_others(loads, now=0.0)
         facts = make_facts()
         world.parts.note("e0", facts.shared_parts, now=0.0, capacity=500_000)
-        mates = [one.record.endpoint_id for one in world.candidates]
+        resting = [one.record.endpoint_id for one in world.candidates[4:]]
         stays = world.choose(facts, candidates=left, routers=9)
         self.assertEqual(stays.record.endpoint_id, "e0")
-        moves = world.choose(facts, candidates=left, routers=9, mates=mates)
+        moves = world.choose(facts, candidates=left, routers=9, resting=resting)
         self.assertNotEqual(moves.record.endpoint_id, "e0")
 
     def test_least_loaded_stay_where_all_are_over_the_bound(self) -> None:
@@ -239,10 +239,10 @@
         world = World()
         loads = [EndpointLoad(f"e{n}", running) for n, running in enumerate((61, 62, 70))]
         world.loads.take_others(loads, now=0.0)
-        mates = [one.record.endpoint_id for one in world.candidates]
+        resting = [one.record.endpoint_id for one in world.candidates[3:]]
         facts = make_facts()
         world.parts.note("e2", facts.shared_parts, now=0.0, capacity=500_000)
-        choice = world.choose(facts, candidates=world.candidates[:3], routers=9, mates=mates)
+        choice = world.choose(facts, candidates=world.candidates[:3], routers=9, resting=resting)
         self.assertIn(choice.record.endpoint_id, ("e0", "e1"))
 
     def test_bound_leaves_room_for_what_other_routers_send_meanwhile(self) -> None:
--- a/tests/components/slow_start/test_permits.py
+++ b/tests/components/slow_start/test_permits.py
@@ -54,6 +54,10 @@
         self.assertGreater(book.ask("e", per_s=PER_S, share=1.0, now=10.0 + SETTLE_S / 2), 0)
         self.assertEqual(book.ask("e", per_s=PER_S, share=1.0, now=10.0 + SETTLE_S), 0)
 
+    def test_endpoint_without_a_limit(self) -> None:
+        book = PermitBook(started_at=-9.0)
+        self.assertEqual([book.ask("e", per_s=0, share=0.2, now=0.0) for _ in range(9)], [0.0] * 9)
+
     def test_routers_that_wait_are_told_different_times(self) -> None:
         book = PermitBook(started_at=-9.0)
         waits = [book.ask("e", per_s=PER_S, share=0.5, now=0.0) for _ in range(4)]
