--- a/tests/components/distribution/test_news.py
+++ b/tests/components/distribution/test_news.py
@@ -135,6 +135,27 @@
             assert isinstance(sent.message, View)
             self.assertEqual(sent.message.evacuations.list_evacuated(), ("z1",))
 
+    def test_order_reaches_each_of_200_routers_at_once(self) -> None:
+        """A zone is evacuated; five replicas apply the order within a heartbeat.
+
+        Each pushes it to the routers that are close to it, so that nobody waits for the
+        next question, which many routers ask rarely.
+        """
+        zones = (ZoneState(zone="z1", is_evacuated=True, revision=4, since=0.0),)
+        told: set[str] = set()
+        for replica in range(5):
+            fixture = Fixture()
+            for number in range(200):
+                is_close = number % 5 == replica
+                ask = Follow(router=f"r{number}", run="", change=0, version=0, is_close=is_close)
+                fixture.publisher.take_follow(ask, now=0.0)
+            fixture.publisher.evacuations = Evacuations(zones=zones)
+            for sent in fixture.publisher.publish(now=0.1):
+                assert isinstance(sent.message, View)
+                self.assertEqual(sent.message.evacuations.list_evacuated(), ("z1",))
+                told.add(sent.target)
+        self.assertEqual(len(told), 200)
+
 
 if __name__ == "__main__":
     unittest.main()
