Keep questions to other processes in one place, and drop those whose asker is gone

Found on reading the change: `PermitDesk` waited for answers by number as `DocumentDesk` did, each with a class of its own. The copy also left a question behind for ever when the waiting greenlet was killed, as by a caller that leaves while a permit is asked for.

What is shown of a zone was written twice, for the control listener and the command line; `ZoneState.describe` serves both.

--- a/chivetrack/cli/commands/zones.py
+++ b/chivetrack/cli/commands/zones.py
@@ -10,7 +10,6 @@
 from chivetrack.cli.const import ExitCode
 from chivetrack.cli.output import Output, format_document, print_error, print_json, print_line
 from chivetrack.cli.session import OutputOption, ValueT
-from chivetrack.components.evacuation.models import ZoneState
 from chivetrack.exceptions import Fault
 from chivetrack.platform.operator_calls import OperatorCalls
 
@@ -65,7 +64,7 @@
 ) -> None:
     """List the zones that there was an order for, and since when it holds."""
     zones = _take(OperatorCalls(replicas=replica, timeout_s=timeout).read_zones())
-    document = {"zones": [_describe(one) for one in zones]}
+    document = {"zones": [one.describe() for one in zones]}
     if output is Output.JSON:
         print_json(document)
     else:
@@ -83,15 +82,6 @@
     print_line(f"{zone} {'evacuated' if is_evacuated else 'taken back'}: revision {revision}")
 
 
-def _describe(state: ZoneState) -> dict[str, object]:
-    return {
-        "zone": state.zone,
-        "evacuated": state.is_evacuated,
-        "since": state.since,
-        "revision": state.revision,
-    }
-
-
 def _take(result: Result[ValueT, Fault]) -> ValueT:
     """Return the value, or end the command with what is known about the fault."""
     if result.is_ok():
--- a/chivetrack/components/evacuation/models.py
+++ b/chivetrack/components/evacuation/models.py
@@ -40,6 +40,15 @@
     revision: int
     since: float
 
+    def describe(self) -> dict[str, str | bool | int | float]:
+        """Return what is shown of a zone to operators."""
+        return {
+            "zone": self.zone,
+            "evacuated": self.is_evacuated,
+            "since": self.since,
+            "revision": self.revision,
+        }
+
 
 @message("evacuation.zones")
 class Evacuations(Message, frozen=True, array_like=True):
--- a/chivetrack/daemon/fleet/documents.py
+++ b/chivetrack/daemon/fleet/documents.py
@@ -1,14 +1,11 @@
 """What a replica does for operators: it commits documents and zone orders, and reads them."""
 
-import itertools
 import random
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 import gevent
 from expression import Error, Ok, Result
-from gevent.event import Event as Signal
 
 from chivetrack.components.document.store import (
     Command,
@@ -38,6 +35,7 @@
     READ_TIMEOUT_S,
 )
 from chivetrack.daemon.fleet.log_host import LogHost
+from chivetrack.daemon.fleet.questions import Questions
 from chivetrack.exceptions import Fault, Ran
 from chivetrack.helpers.codec import Message, decode_as
 from chivetrack.helpers.events import EventLog
@@ -52,14 +50,6 @@
     return Fault(code=code, message=message, status=503, ran=Ran.NO, retry_after_s=_RETRY_S)
 
 
-@dataclass(slots=True)
-class _Waiting:
-    """A call that the leader has not answered yet."""
-
-    done: Signal = field(default_factory=Signal)
-    answer: ProposalAnswer | None = None
-
-
 class DocumentDesk:
     """Serves operators at any replica; a revision of the log is a document's version here.
 
@@ -92,8 +82,7 @@
         self._send = send
         self._list_readers = list_readers
         self._events = events
-        self._numbers = itertools.count(1)
-        self._waiting: dict[int, _Waiting] = {}
+        self._questions = Questions[ProposalAnswer]()
 
     def put(self, document: Document, body: bytes) -> Result[int, Fault | Elsewhere]:
         """Commit a document and return the version in force."""
@@ -123,15 +112,15 @@
     def _submit(self, command: Command) -> Result[int, Fault | Elsewhere]:
         if self._host.is_leader:
             return self._commit(command)
-        number = next(self._numbers)
-        return self._ask_leader(ForwardProposal(number=number, data=encode_command(command)))
+        data = encode_command(command)
+        return self._ask_leader(lambda number: ForwardProposal(number=number, data=data))
 
     def read(self) -> Result[StoredDocument, Fault | Elsewhere]:
         """Return the newest document, once a quorum has confirmed which one that is."""
         if self._host.is_leader:
             newest = self._confirm()
         else:
-            newest = self._ask_leader(ForwardRead(number=next(self._numbers)))
+            newest = self._ask_leader(lambda number: ForwardRead(number=number))
         held = self._store.current.version
         self._log("configuration_read", newest, version=held, held=held)
         if newest.is_error():
@@ -221,15 +210,15 @@
 
     # At a follower
 
-    def _ask_leader(self, call: ForwardProposal | ForwardRead) -> Result[int, Fault | Elsewhere]:
+    def _ask_leader(
+        self, make_call: Callable[[int], ForwardProposal | ForwardRead]
+    ) -> Result[int, Fault | Elsewhere]:
         leader = self._host.get_leader()
         if not leader or leader == self._instance_id:
             return Error(self._refer())
-        waiting = self._waiting[call.number] = _Waiting()
-        self._send(leader, call)
-        waiting.done.wait(FORWARD_TIMEOUT_S)
-        del self._waiting[call.number]
-        answer = waiting.answer
+        answer = self._questions.ask(
+            lambda number: self._send(leader, make_call(number)), timeout_s=FORWARD_TIMEOUT_S
+        )
         if answer is None:
             return Error(self._refer())
         if answer.verdict is not Verdict.ACCEPTED:
@@ -255,10 +244,7 @@
             return True
         if not isinstance(message, ProposalAnswer):
             return False
-        waiting = self._waiting.get(message.number)
-        if waiting is not None:
-            waiting.answer = message
-            waiting.done.set()
+        self._questions.take(message.number, message)
         return True
 
     def _answer(self, source: str, call: ForwardProposal | ForwardRead) -> None:
--- a/chivetrack/daemon/fleet/permits.py
+++ b/chivetrack/daemon/fleet/permits.py
@@ -1,25 +1,16 @@
 """Asks the replica that a router is close to whether a cold endpoint may get a request."""
 
-import itertools
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
-
-from gevent.event import Event as Signal
 
 from chivetrack.components.slow_start.const import ASK_TIMEOUT_S, UNANSWERED_S
 from chivetrack.components.slow_start.messages import AskPermit, PermitAnswer
 from chivetrack.daemon.fleet.fleet_view import FleetView
+from chivetrack.daemon.fleet.questions import Questions
 from chivetrack.helpers.codec import Message
 from chivetrack.helpers.events import EventLog
 
 
-@dataclass(slots=True)
-class _Question:
-    done: Signal = field(default_factory=Signal)
-    answer: PermitAnswer | None = None
-
-
 class PermitDesk:
     """Asks for one request at a time, and remembers refusals until their end."""
 
@@ -36,8 +27,7 @@
         self._find_replica = find_replica
         self._send = send
         self._events = events
-        self._numbers = itertools.count(1)
-        self._questions: dict[int, _Question] = {}
+        self._questions = Questions[PermitAnswer]()
 
     def allows(self, service: str, endpoint_id: str) -> bool:
         """Return whether a request may go to an endpoint now; waits a moment where it is cold."""
@@ -59,16 +49,14 @@
         replica = self._find_replica()
         if not replica:
             return UNANSWERED_S
-        number = next(self._numbers)
-        question = self._questions[number] = _Question()
-        self._send(replica, AskPermit(number=number, endpoint_id=endpoint_id, per_s=per_s))
-        question.done.wait(ASK_TIMEOUT_S)
-        del self._questions[number]
-        return UNANSWERED_S if question.answer is None else question.answer.wait_s
+        answer = self._questions.ask(
+            lambda number: self._send(
+                replica, AskPermit(number=number, endpoint_id=endpoint_id, per_s=per_s)
+            ),
+            timeout_s=ASK_TIMEOUT_S,
+        )
+        return UNANSWERED_S if answer is None else answer.wait_s
 
     def take(self, answer: PermitAnswer) -> None:
         """Take a replica's answer; one that comes too late is dropped with its permit."""
-        question = self._questions.get(answer.number)
-        if question is not None:
-            question.answer = answer
-            question.done.set()
+        self._questions.take(answer.number, answer)
--- a/chivetrack/platform/control_api.py
+++ b/chivetrack/platform/control_api.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Protocol
 from urllib.parse import quote
 
 import msgspec
@@ -13,7 +13,7 @@
 from chivetrack.components.caller_api.const import ENVIRON_SOCKET
 from chivetrack.components.caller_api.watch import has_left
 from chivetrack.components.document.store import StoredDocument
-from chivetrack.components.evacuation.models import Evacuations, ZoneState
+from chivetrack.components.evacuation.models import Evacuations
 from chivetrack.components.traffic.models import Document
 from chivetrack.exceptions import Fault
 from chivetrack.platform.announcements import read_departure, read_heartbeat
@@ -120,7 +120,7 @@
         outcome = desk.read_evacuations()
         if outcome.is_error():
             return _refuse(outcome.error, PATH_ZONES)
-        return _answer(200, {"zones": [_render_zone(one) for one in outcome.ok.zones]})
+        return _answer(200, {"zones": [one.describe() for one in outcome.ok.zones]})
 
     app.route(f"{PATH_ZONES}/<zone>", ["POST", "DELETE"], order_zone)
     app.route(PATH_ZONES, "GET", get_zones)
@@ -174,15 +174,6 @@
     app.route("/config", "GET", get_config)
 
 
-def _render_zone(state: ZoneState) -> dict[str, Any]:
-    return {
-        "zone": state.zone,
-        "evacuated": state.is_evacuated,
-        "since": state.since,
-        "revision": state.revision,
-    }
-
-
 def _answer(status: int, document: object) -> HTTPResponse:
     return HTTPResponse(body=msgspec.json.encode(document), status=status, headers=_JSON)
 
