Detect endpoint crashes and fingerprint requests

Cause: when an endpoint broke off its running requests, the event log did not show whether the endpoint had crashed or a connection had been reset. It also did not show that attempts by different callers carried the same request. Without both, a request that crashes the endpoints running it could not be distinguished from endpoints that exit by themselves.

Alternatives ruled out: identifying equal requests by prompt (plain services have no prompt, and different requests share prompts); detecting a crash by the endpoint's next announcement (it arrives seconds later, or never).

Change: add a fingerprint of method, target, workspace and body to the events try_ended and request_ended. No decision depends on them yet.

--- /dev/null
+++ b/chivetrack/components/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Fingerprints that identify repeated requests across routers."""
--- a/chivetrack/daemon/fleet/calls.py
+++ b/chivetrack/daemon/fleet/calls.py
@@ -80,6 +80,7 @@
     """One request on its way; times are of the steady clock in seconds.
 
     ``passed_over`` are cold endpoints that may not be sent this request just now.
+    ``fingerprint`` is equal for requests with the same method, target, workspace and body.
     """
 
     facts: RequestFacts
@@ -93,6 +94,7 @@
     came_at: float
     ends_at: float
     service: str
+    fingerprint: bytes = b""
     tries: list[Tried] = field(default_factory=list)
     last_event_id: str = ""
     first_event_at: float | None = None
--- a/chivetrack/daemon/fleet/meters.py
+++ b/chivetrack/daemon/fleet/meters.py
@@ -46,6 +46,11 @@
             unit="{answer}",
             description="Heads of answers by what they say of the request.",
         )
+        self._crashes = meter.create_counter(
+            "chivetrack.router.endpoint_crashes",
+            unit="{crash}",
+            description="Endpoints that crashed while they had requests of this router.",
+        )
         self._events = meter.create_counter(
             "chivetrack.replica.events", unit="{event}", description="Events by name."
         )
@@ -72,6 +77,10 @@
         """Count the head of an endpoint's answer."""
         self._answers.add(1, {"ran": "no" if facts.did_not_run else "yes"})
 
+    def count_crash(self) -> None:
+        """Count an endpoint crash."""
+        self._crashes.add(1)
+
     def count(self, event: str) -> None:
         """Count an event."""
         self._events.add(1, {"event": event})
--- a/chivetrack/daemon/fleet/metrics.py
+++ b/chivetrack/daemon/fleet/metrics.py
@@ -60,6 +60,10 @@
         """Count the head of an endpoint's answer."""
         self._record(lambda meters: meters.note_answer(facts))
 
+    def count_crash(self) -> None:
+        """Count an endpoint crash that interrupted requests of this router."""
+        self._record(lambda meters: meters.count_crash())
+
     def count(self, event: str) -> None:
         """Count an event of a replica."""
         self._record(lambda meters: meters.count(event))
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -13,6 +13,7 @@
 from chivetrack.components.caller_api.watch import CallerLeftError, watch_caller
 from chivetrack.components.limits.hopeless import judge_hope
 from chivetrack.components.placement.choice import Choice
+from chivetrack.components.quarantine.fingerprint import make_fingerprint
 from chivetrack.components.retries.sending import (
     SendEnd,
     Tried,
@@ -33,6 +34,7 @@
     NO_ENDPOINT_RETRY_S,
     START_WAIT_S,
 )
+from chivetrack.daemon.fleet.crashes import CrashDetector
 from chivetrack.daemon.fleet.fleet_view import FleetView
 from chivetrack.daemon.fleet.forwarder import AnswerCutError, Forwarder, make_tried
 from chivetrack.daemon.fleet.permits import PermitDesk
@@ -55,6 +57,7 @@
         view: FleetView,
         forwarder: Forwarder,
         permits: PermitDesk,
+        crash_detector: CrashDetector,
         events: EventLog,
         record: Callable[[Call, str], None],
     ) -> None:
@@ -62,6 +65,7 @@
         self._view = view
         self._forwarder = forwarder
         self._permits = permits
+        self._crash_detector = crash_detector
         self._events = events
         self._record = record
         self.open_count = 0
@@ -133,6 +137,12 @@
             came_at=came_at,
             ends_at=came_at + min(wait_s, route.timeout_s),
             service=choose_service(route, facts.request_id),
+            fingerprint=make_fingerprint(
+                method=environ["REQUEST_METHOD"],
+                target=target,
+                workspace="" if workspace is None else workspace.name,
+                body=body,
+            ),
             last_event_id=facts.last_event_id,
         )
 
@@ -272,6 +282,8 @@
             self._view.health.note_other_instance(endpoint_id)
         self._view.health.note_outcome(endpoint_id, result.end)
         self._log_try(call, choice, result.end.value, result.detail)
+        if result.end is SendEnd.MAYBE_RAN:
+            self._crash_detector.note_broken_answer(call, choice.record)
         return False
 
     def _give_up(self, call: Call, why: str) -> None:
@@ -315,6 +327,7 @@
             address=choice.record.address,
             outcome=outcome,
             detail=detail[:200],
+            fingerprint=call.fingerprint.hex(),
             running=choice.running,
             last_event=call.last_event_id,
         )
@@ -330,6 +343,7 @@
             service=call.service,
             outcome=outcome,
             status=call.reply.status,
+            fingerprint=call.fingerprint.hex(),
             tries=len(call.tries),
             sent=call.reply.bytes_sent,
             ms=round((now - call.came_at) * 1000),
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -3,7 +3,7 @@
 import signal
 import socket
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
 from typing import Any
 
@@ -11,6 +11,7 @@
 from bottle import Bottle, HTTPResponse
 from gevent.event import Event as Signal
 
+from chivetrack.components.announcements.models import EndpointRecord
 from chivetrack.components.deployment.settings import DeploymentSettings
 from chivetrack.components.distribution.messages import (
     DocumentSent,
@@ -24,12 +25,14 @@
 from chivetrack.components.traffic.requests import AnswerFacts
 from chivetrack.components.upstream.kept import KeptConnections
 from chivetrack.core import WakeAt
+from chivetrack.daemon.fleet.calls import Call
 from chivetrack.daemon.fleet.const import (
     STOP_ACCEPT_S,
     STOP_IDLE_AFTER_S,
     STOP_MARGIN_S,
     TIDY_EVERY_S,
 )
+from chivetrack.daemon.fleet.crashes import CrashDetector
 from chivetrack.daemon.fleet.fleet_view import FleetView
 from chivetrack.daemon.fleet.forwarder import Forwarder
 from chivetrack.daemon.fleet.metrics import Gauge, Metrics, open_metrics_server
@@ -104,6 +107,7 @@
         self.desk = RequestDesk(
             view=self.view,
             permits=self._permits,
+            crash_detector=CrashDetector(events=events, note_crash=self._note_crash),
             forwarder=Forwarder(
                 kept=self._kept,
                 note_answer=self._note_answer,
@@ -168,6 +172,9 @@
         if facts.cold_s > 0:
             self.view.directory.cold.note_told(endpoint_id, facts.cold_s, now=time.monotonic())
 
+    def _note_crash(self, record: EndpointRecord, calls: Sequence[Call]) -> None:
+        self._metrics.count_crash()
+
     def _take_limits(self, document: Document) -> None:
         limits = document.limits
         self._callers.limits = ServerLimits(
