Reproduce a request that crashes every endpoint running it

Ruled out as a fault of the test: an endpoint whose listening socket is closed but not shut down keeps accepting connections for up to 0.5 s, so that its crash can't be told from a reset connection; the endpoints here shut it down first.

--- /dev/null
+++ b/tests/system/crashing.py
@@ -0,0 +1,126 @@
+"""Endpoints that crash when they receive given request bodies and restart with a new id."""
+
+import contextlib
+import socket
+import threading
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Any
+
+from tests.system.deployment import Deployment, Endpoint, EndpointHandler
+
+RESTART_DELAY_S = 1.6
+HEARTBEAT_S = 0.5
+
+
+class _Lifetime(Endpoint):
+    """One lifetime of the endpoint's process; a crash closes all its connections."""
+
+    allow_reuse_address = True
+
+    def __init__(self, *, host: str, name: str, service: str, owner: "CrashingEndpoint") -> None:
+        self.owner = owner
+        self.connections: set[socket.socket] = set()
+        super().__init__(host=host, name=name, service=service)
+        self.RequestHandlerClass = _Handler
+
+    def get_request(self) -> Any:
+        connection, address = super().get_request()
+        self.connections.add(connection)
+        return connection, address
+
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """Suppress tracebacks: connections are broken on purpose."""
+
+    def crash(self) -> None:
+        """Stop listening, then shut down every connection."""
+        self.socket.shutdown(socket.SHUT_RDWR)
+        self.socket.close()
+        for connection in self.connections:
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+
+
+class _Handler(EndpointHandler):
+    server: _Lifetime
+
+    def _serve(self, body: bytes) -> None:
+        if self.headers.get("X-Chivetrack-Expect-Instance") != self.server.name:
+            self.send_response(421)
+            self.send_header("Content-Length", "0")
+            self.end_headers()
+            return
+        self.server.owner.run(self.server, body)
+        if body not in self.server.owner.crash_bodies:
+            self._answer()
+
+
+class CrashingEndpoint:
+    """One address whose process restarts with a new id after each crash."""
+
+    def __init__(self, deployment: Deployment, number: int) -> None:
+        """Start the first lifetime and announce it."""
+        self.crash_bodies: set[bytes] = set()
+        self.runs: list[tuple[float, bytes]] = []
+        self.crashes: list[float] = []
+        self._deployment = deployment
+        self._host = f"{deployment.network}.{200 + number}"
+        self._number = number
+        self._starts = 0
+        self._lock = threading.Lock()
+        self._stopped = threading.Event()
+        self._start()
+        threading.Thread(target=self._announce, daemon=True).start()
+
+    def _start(self) -> None:
+        self._starts += 1
+        self._lifetime: _Lifetime | None = _Lifetime(
+            host=self._host, name=f"i-{self._number}-{self._starts}", service="portal", owner=self
+        )
+
+    def run(self, lifetime: _Lifetime, body: bytes) -> None:
+        """Record the run of a request; crash if its body is in ``crash_bodies``."""
+        with self._lock:
+            self.runs.append((time.monotonic(), body))
+            if body not in self.crash_bodies or self._lifetime is not lifetime:
+                return
+            self._lifetime = None
+            self.crashes.append(time.monotonic())
+        threading.Thread(target=self._replace, args=(lifetime,), daemon=True).start()
+        time.sleep(0.1)
+
+    def _replace(self, lifetime: _Lifetime) -> None:
+        lifetime.crash()
+        lifetime.shutdown()
+        if not self._stopped.wait(RESTART_DELAY_S):
+            self._start()
+
+    def _announce(self) -> None:
+        while not self._stopped.wait(HEARTBEAT_S):
+            lifetime = self._lifetime
+            if lifetime is None:
+                continue
+            heartbeat = lifetime.make_heartbeat()
+            for name in self._deployment.list_names("p"):
+                path = f"/instances/{lifetime.name}"
+                if self._deployment.control("PUT", name, path, heartbeat)[0] == 200:
+                    break
+
+    def stop(self) -> None:
+        """Stop the current lifetime and its heartbeats."""
+        self._stopped.set()
+        if self._lifetime is not None:
+            self._lifetime.shutdown()
+            self._lifetime.server_close()
+
+
+@contextmanager
+def open_crashing_endpoints(deployment: Deployment, count: int) -> Iterator[list[CrashingEndpoint]]:
+    """Open endpoints that crash when they run a body listed in their ``crash_bodies``."""
+    endpoints = [CrashingEndpoint(deployment, number) for number in range(1, count + 1)]
+    try:
+        yield endpoints
+    finally:
+        for one in endpoints:
+            one.stop()
--- a/tests/system/deployment.py
+++ b/tests/system/deployment.py
@@ -43,7 +43,7 @@
         self.cold_ms = 0
         self.sequence = 0
         self.born = int(time.time() * 1000)
-        super().__init__((host, ENDPOINT_PORT), _Handler)
+        super().__init__((host, ENDPOINT_PORT), EndpointHandler)
         threading.Thread(target=self.serve_forever, daemon=True).start()
 
     def make_heartbeat(self, state: str = "ready") -> dict[str, Any]:
@@ -62,7 +62,9 @@
         }
 
 
-class _Handler(http.server.BaseHTTPRequestHandler):
+class EndpointHandler(http.server.BaseHTTPRequestHandler):
+    """Answers with the name of the endpoint."""
+
     protocol_version = "HTTP/1.1"
     server: Endpoint
 
@@ -70,7 +72,9 @@
         self._answer()
 
     def do_POST(self) -> None:
-        self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        self._serve(self.rfile.read(int(self.headers.get("Content-Length", 0))))
+
+    def _serve(self, body: bytes) -> None:
         self._answer()
 
     def _answer(self) -> None:
@@ -238,7 +242,9 @@
 
         wait_for(attempt, "nobody acknowledges the endpoint")
 
-    def call(self, router: str, path: str = "/a/x", **headers: str) -> tuple[int, bytes]:
+    def call(
+        self, router: str, path: str = "/a/x", *, body: bytes = b"body", **headers: str
+    ) -> tuple[int, bytes]:
         """Send a caller's request."""
         given = {key.replace("_", "-"): value for key, value in headers.items()}
         lines = {
@@ -249,7 +255,7 @@
             **given,
         }
         url = f"http://{self.get_host(router)}:{CALLER_PORT}{path}"
-        return self.ask("POST", url, body=b"body", headers=lines)
+        return self.ask("POST", url, body=body, headers=lines)
 
     def wait_served(self, router: str, path: str = "/a/x") -> None:
         """Wait until a router serves a path."""
