Quarantine requests that crash the endpoints running them

Symptom: a single caller's request arrived repeatedly at different routers, and each time the engine running it crashed together with everything it had in flight, up to 26 other requests. Routers then had fewer and fewer engines left.

Cause: after a crash the fleet held back the endpoint, which was not at fault, and kept no record of the request. Each attempt has its own id and reaches another router, so no router saw the same request twice. Class of fault: failures with a common factor are counted by location only, not by cause.

Ruled out: retries by the routers (13 sends under 13 request ids, one try each); engines that exit by themselves (of everything running at 16 crashed engines, one prompt was at ten of them and no other at more than three).

Change: routers report the requests (by fingerprint) that were running at an endpoint when it crashed. They send the report to their replica immediately and repeat it for 3 s, unless an equal request was answered within the last minute. Replicas forward the reports to each other. At the third crashed endpoint lifetime, the leader commits to the log that the request is rejected. Routers receive the list with the replicas' views, check it before each try, and answer 500 "request_quarantined" without inviting a retry. Operators list and release requests with "chivetrack quarantine list" and "chivetrack quarantine release". All state is bounded: suspected requests (4,096, those with the fewest crashes are evicted first), the list (256, oldest evicted first) and the reports of a router (256, newest kept).

Alternatives considered: a filter in each router (each sees one crash in nine); gossiping verdicts without the log (they are lost in a power failure, and a release races with late reports); treating any broken answer as evidence (connection resets and network cuts would count).

--- a/chivetrack/cli/__main__.py
+++ b/chivetrack/cli/__main__.py
@@ -9,6 +9,7 @@
     backup,
     fleet,
     local,
+    quarantine,
     replicas,
     resources,
     story,
@@ -17,7 +18,7 @@
 )
 from chivetrack.cli.const import ExitCode
 
-COMMANDS = (resources, apply, watch, fleet, replicas, backup, local, story, zones)
+COMMANDS = (resources, apply, watch, fleet, replicas, backup, local, story, zones, quarantine)
 
 
 def main() -> None:
--- a/chivetrack/components/distribution/messages.py
+++ b/chivetrack/components/distribution/messages.py
@@ -2,6 +2,7 @@
 
 from chivetrack.components.announcements.models import EndpointRecord
 from chivetrack.components.evacuation.models import Evacuations
+from chivetrack.components.quarantine.models import CrashReport, Quarantine
 from chivetrack.helpers.codec import Message, message
 
 
@@ -36,7 +37,9 @@
     ``run`` and ``change`` say up to which change of which process of the replica the
     endpoints are known, ``placed_change`` the placements. ``is_close``: this replica is
     the one that hears of the router's load and tells it that of the others. ``reads_at``
-    is where the router hands out its document, ``host:port``.
+    is where the router hands out its document, ``host:port``. ``crash_reports`` are the
+    router's recent crash reports, ``quarantine_revision`` is the revision of the quarantine
+    that it has in force.
     """
 
     router: str
@@ -48,6 +51,8 @@
     is_close: bool = False
     placed_change: int = 0
     reads_at: str = ""
+    crash_reports: tuple[CrashReport, ...] = ()
+    quarantine_revision: int = 0
 
 
 @message("distribution.view")
@@ -57,7 +62,8 @@
     ``version`` is that of the newest document applied there, ``evacuations`` are the zone
     orders applied there. With ``has_loads``, ``loads``
     are summed over all routers but the receiver, ``routers`` counts the routers, and
-    ``placed`` are the placements after change ``placed_base``.
+    ``placed`` are the placements after change ``placed_base``. ``quarantine`` is
+    ``None`` if the router already has that revision.
     """
 
     run: str
@@ -73,15 +79,20 @@
     has_loads: bool = False
     placed_change: int = 0
     evacuations: Evacuations = Evacuations()
+    quarantine: Quarantine | None = None
 
 
 @message("distribution.exchange")
 class Exchange(Message, frozen=True, array_like=True):
-    """What the routers that are close to one replica have in use and have sent lately."""
+    """What the routers that are close to one replica have in use and have sent lately.
+
+    ``crash_reports`` are those that the replica first received recently.
+    """
 
     routers: int
     loads: tuple[EndpointLoad, ...]
     placed: tuple[PlacedPart, ...]
+    crash_reports: tuple[CrashReport, ...] = ()
 
 
 @message("distribution.fetch")
--- a/chivetrack/components/distribution/publisher.py
+++ b/chivetrack/components/distribution/publisher.py
@@ -33,6 +33,8 @@
 from chivetrack.components.distribution.relays import Relays
 from chivetrack.components.document.history import DocumentHistory, DocumentUpdate
 from chivetrack.components.evacuation.models import Evacuations
+from chivetrack.components.quarantine.evidence import CrashEvidence
+from chivetrack.components.quarantine.models import Quarantine
 from chivetrack.components.slow_start.permits import FleetShare
 from chivetrack.core import SendMessage
 
@@ -50,6 +52,7 @@
     loads: tuple[EndpointLoad, ...] = ()
     version: int = 0
     reads_at: str = ""
+    quarantine_revision: int = 0
 
     def confirm(self, change: int, placed_change: int, now: float) -> None:
         """Take what the router says that it has; what is on its way may be more."""
@@ -99,6 +102,8 @@
     history: DocumentHistory = field(default_factory=DocumentHistory)
     placements: Placements = field(default_factory=Placements)
     evacuations: Evacuations = field(default_factory=Evacuations)
+    quarantine: Quarantine = field(default_factory=Quarantine)
+    evidence: CrashEvidence = field(default_factory=CrashEvidence)
     _routers: dict[str, _Router] = field(default_factory=dict)
     _peers: dict[str, _Peer] = field(default_factory=dict)
     _news: list[PlacedPart] = field(default_factory=list)
@@ -129,6 +134,8 @@
         router.is_close = follow.is_close
         router.loads = follow.loads
         router.version = follow.version
+        router.quarantine_revision = follow.quarantine_revision
+        self.evidence.note(follow.crash_reports, now=now)
         router.reads_at = follow.reads_at
         if follow.is_close and follow.version:
             self._relays.note_holder(follow.router, follow.version, since=now)
@@ -141,6 +148,7 @@
     def take_exchange(self, source: str, exchange: Exchange, *, now: float) -> None:
         """Take what another replica has heard from the routers close to it."""
         self._peers[source] = _Peer(heard_at=now, exchange=exchange)
+        self.evidence.note(exchange.crash_reports, now=now)
         self.placements.note(exchange.placed, now=now)
 
     def make_exchange(self, *, now: float) -> Exchange:
@@ -153,6 +161,7 @@
             routers=len(close),
             loads=_sum_loads(one.loads for one in close.values()),
             placed=tuple(news),
+            crash_reports=self.evidence.list_recent(now=now),
         )
 
     def take_fetch(
@@ -237,9 +246,15 @@
             replicas=self.list_replicas(),
             silent=tuple(self.table.list_silent(now)),
             evacuations=self.evacuations,
+            quarantine=self._find_newer_quarantine(router),
         )
         return SendMessage(target=name, message=view)
 
+    def _find_newer_quarantine(self, router: _Router) -> Quarantine | None:
+        if self.quarantine.revision <= router.quarantine_revision:
+            return None
+        return self.quarantine
+
     def _make_close_view(self, name: str, router: _Router, now: float) -> SendMessage:
         close = self._list_close(now)
         peers = [one.exchange for one in self._list_peers(now)]
--- a/chivetrack/components/distribution/subscriber.py
+++ b/chivetrack/components/distribution/subscriber.py
@@ -34,6 +34,7 @@
 )
 from chivetrack.components.document.patch import PatchError, apply_patch
 from chivetrack.components.document.store import pack_document, unpack_document
+from chivetrack.components.quarantine.models import CrashReport
 from chivetrack.core import Effect, SendMessage, WakeAt
 
 
@@ -68,6 +69,8 @@
 
     loads: tuple[EndpointLoad, ...]
     placed: tuple[PlacedPart, ...]
+    crash_reports: tuple[CrashReport, ...] = ()
+    quarantine_revision: int = 0
 
 
 class Subscriber:
@@ -118,6 +121,7 @@
         self._last: DocumentSent | None = None
         self._started_at = float("inf")
         self.version = 0
+        self._quarantine_revision = 0
 
     @property
     def close_replica(self) -> str:
@@ -160,6 +164,7 @@
         news = self._get_news()
         replica = self._replicas[name]
         replica.note_asked(now)
+        self._quarantine_revision = news.quarantine_revision
         follow = Follow(
             router=self._router,
             run=replica.run,
@@ -170,9 +175,15 @@
             is_close=True,
             placed_change=replica.placed_change,
             reads_at=self._reads_at,
+            crash_reports=news.crash_reports,
+            quarantine_revision=news.quarantine_revision,
         )
         return [SendMessage(target=name, message=follow)]
 
+    def report_now(self, *, now: float) -> list[Effect]:
+        """Send this router's news to the close replica without waiting for the next interval."""
+        return self._follow_close(now)
+
     def _follow_others(self, now: float) -> list[Effect]:
         effects: list[Effect] = []
         for name in self._list_watched(now):
@@ -218,6 +229,7 @@
             run=replica.run,
             change=replica.change,
             version=self.version,
+            quarantine_revision=self._quarantine_revision,
         )
 
     def _name(self, name: str, now: float) -> _Replica:
--- a/chivetrack/components/document/store.py
+++ b/chivetrack/components/document/store.py
@@ -1,10 +1,16 @@
-"""The state machine that keeps the document with the highest version, and evacuated zones."""
+"""The replicated state machine: newest document, evacuated zones and quarantined requests."""
 
 import zlib
 from collections.abc import Callable
 from typing import Final
 
 from chivetrack.components.evacuation.models import Evacuations, OrderOutcome, ZoneOrder
+from chivetrack.components.quarantine.models import (
+    Quarantine,
+    QuarantineOrder,
+    QuarantineOutcome,
+    ReleaseOrder,
+)
 from chivetrack.helpers.codec import (
     DecodeError,
     Message,
@@ -20,6 +26,7 @@
 
 Listener = Callable[["StoredDocument"], None]
 EvacuationListener = Callable[[Evacuations], None]
+QuarantineListener = Callable[[Quarantine], None]
 
 
 @message("document.stored")
@@ -48,9 +55,10 @@
     version: int = 0
     payload: bytes = b""
     evacuations: Evacuations = Evacuations()
+    quarantine: Quarantine = Quarantine()
 
 
-Command = StoredDocument | ZoneOrder
+Command = StoredDocument | ZoneOrder | QuarantineOrder | ReleaseOrder
 
 
 def encode_command(command: Command) -> bytes:
@@ -64,7 +72,7 @@
         command = unpack(data)
     except DecodeError:
         return decode_as(StoredDocument, data)
-    if not isinstance(command, ZoneOrder):
+    if not isinstance(command, ZoneOrder | QuarantineOrder | ReleaseOrder):
         raise DecodeError(f"{type(command).__name__} is no command")
     return command
 
@@ -91,7 +99,9 @@
         self.current = StoredDocument()
         self.evacuations = Evacuations()
         self._listeners: list[Listener] = []
+        self.quarantine = Quarantine()
         self._evacuation_listeners: list[EvacuationListener] = []
+        self._quarantine_listeners: list[QuarantineListener] = []
 
     def listen(self, listener: Listener) -> None:
         """Tell a listener of each document that takes effect."""
@@ -101,11 +111,17 @@
         """Tell a listener of each change of the evacuated zones."""
         self._evacuation_listeners.append(listener)
 
+    def listen_to_quarantine(self, listener: QuarantineListener) -> None:
+        """Tell a listener of each change of the quarantined requests."""
+        self._quarantine_listeners.append(listener)
+
     def apply(self, index: int, data: bytes) -> bytes:
         """Apply one committed command and return its outcome."""
         command = decode_command(data)
         if isinstance(command, ZoneOrder):
             return encode(self._apply_order(index, command))
+        if isinstance(command, QuarantineOrder | ReleaseOrder):
+            return encode(self._apply_to_quarantine(index, command))
         return encode(self._apply_document(command))
 
     def _apply_order(self, index: int, order: ZoneOrder) -> OrderOutcome:
@@ -113,6 +129,13 @@
         self._replace_evacuations(evacuations)
         return outcome
 
+    def _apply_to_quarantine(
+        self, index: int, order: QuarantineOrder | ReleaseOrder
+    ) -> QuarantineOutcome:
+        quarantine, outcome = self.quarantine.apply(order, index)
+        self._replace_quarantine(quarantine)
+        return outcome
+
     def _apply_document(self, document: StoredDocument) -> PutOutcome:
         is_applied = document.version > self.current.version
         if is_applied:
@@ -120,12 +143,13 @@
         return PutOutcome(version=self.current.version, is_applied=is_applied)
 
     def take_snapshot(self) -> bytes:
-        """Return the document and the zone orders in force."""
+        """Return the document, the zone orders and the quarantine in force."""
         return encode(
             StoredState(
                 version=self.current.version,
                 payload=self.current.payload,
                 evacuations=self.evacuations,
+                quarantine=self.quarantine,
             )
         )
 
@@ -135,6 +159,7 @@
         if state.version > self.current.version:
             self._replace(StoredDocument(version=state.version, payload=state.payload))
         self._replace_evacuations(state.evacuations)
+        self._replace_quarantine(state.quarantine)
 
     def _replace_evacuations(self, evacuations: Evacuations) -> None:
         if evacuations.revision <= self.evacuations.revision:
@@ -143,6 +168,13 @@
         for listener in self._evacuation_listeners:
             listener(evacuations)
 
+    def _replace_quarantine(self, quarantine: Quarantine) -> None:
+        if quarantine.revision <= self.quarantine.revision:
+            return
+        self.quarantine = quarantine
+        for listener in self._quarantine_listeners:
+            listener(quarantine)
+
     def _replace(self, document: StoredDocument) -> None:
         self.current = document
         for listener in self._listeners:
--- /dev/null
+++ b/chivetrack/components/quarantine/models.py
@@ -0,0 +1,132 @@
+"""Crash reports of requests and the replicated list of quarantined requests."""
+
+import msgspec
+
+from chivetrack.components.quarantine.const import MAX_QUARANTINED
+from chivetrack.helpers.codec import Message, message
+
+
+@message("quarantine.sighting")
+class CrashReport(Message, frozen=True, array_like=True):
+    """States that a request was running when a lifetime (``born``) of an endpoint crashed.
+
+    ``fingerprint`` alone identifies the request; ``path`` and ``workspace`` are shown to
+    operators.
+    """
+
+    fingerprint: bytes
+    endpoint_id: str
+    born: int
+    service: str
+    path: str
+    workspace: str
+
+    @property
+    def lifetime(self) -> str:
+        """Return the identifier of the lifetime that crashed."""
+        return f"{self.endpoint_id}@{self.born}" if self.born else self.endpoint_id
+
+
+@message("quarantine.order")
+class QuarantineOrder(Message, frozen=True, array_like=True):
+    """Command that quarantines a request.
+
+    ``crashes`` are the endpoint lifetimes that crashed while running it. ``seen_revision`` is
+    the revision of the quarantine for which the order was made, ``at`` its Unix time in
+    seconds.
+    """
+
+    fingerprint: bytes
+    crashes: tuple[str, ...]
+    service: str
+    path: str
+    workspace: str
+    seen_revision: int
+    at: float
+
+
+@message("quarantine.release")
+class ReleaseOrder(Message, frozen=True, array_like=True):
+    """Command that releases a request from quarantine."""
+
+    fingerprint: bytes
+
+
+@message("quarantine.outcome")
+class QuarantineOutcome(Message, frozen=True, array_like=True):
+    """The outcome of an order: the quarantine's ``revision`` and whether the order changed it."""
+
+    revision: int
+    is_applied: bool
+
+
+@message("quarantine.request")
+class QuarantinedRequest(Message, frozen=True, array_like=True):
+    """A rejected request with the crashes that caused it; ``since`` is Unix time in seconds."""
+
+    fingerprint: bytes
+    crashes: tuple[str, ...]
+    service: str
+    path: str
+    workspace: str
+    since: float
+
+    def describe(self) -> dict[str, str | float | list[str]]:
+        """Return the fields that are shown to operators and logged."""
+        return {
+            "fingerprint": self.fingerprint.hex(),
+            "service": self.service,
+            "workspace": self.workspace,
+            "path": self.path,
+            "since": self.since,
+            "crashed": list(self.crashes),
+        }
+
+
+@message("quarantine.list")
+class Quarantine(Message, frozen=True, array_like=True):
+    """All quarantined requests, oldest first.
+
+    ``revision`` is the log index of the last change, ``released_revision`` that of the last
+    release.
+    """
+
+    requests: tuple[QuarantinedRequest, ...] = ()
+    revision: int = 0
+    released_revision: int = 0
+
+    def find(self, fingerprint: bytes) -> QuarantinedRequest | None:
+        """Return the entry of a request, ``None`` if it may run."""
+        return next((one for one in self.requests if one.fingerprint == fingerprint), None)
+
+    def apply(
+        self, order: QuarantineOrder | ReleaseOrder, index: int
+    ) -> tuple["Quarantine", QuarantineOutcome]:
+        """Return the quarantine after the order at log index ``index``, and the order's outcome."""
+        if isinstance(order, ReleaseOrder):
+            changed = self._release(order, index)
+        else:
+            changed = self._add(order, index)
+        is_applied = changed.revision != self.revision
+        return changed, QuarantineOutcome(revision=changed.revision, is_applied=is_applied)
+
+    def _add(self, order: QuarantineOrder, index: int) -> "Quarantine":
+        # An order made before a release is based on crashes that the release has excluded.
+        if self.find(order.fingerprint) or order.seen_revision < self.released_revision:
+            return self
+        added = QuarantinedRequest(
+            fingerprint=order.fingerprint,
+            crashes=order.crashes,
+            service=order.service,
+            path=order.path,
+            workspace=order.workspace,
+            since=order.at,
+        )
+        kept = (*self.requests, added)[-MAX_QUARANTINED:]
+        return msgspec.structs.replace(self, requests=kept, revision=index)
+
+    def _release(self, order: ReleaseOrder, index: int) -> "Quarantine":
+        if self.find(order.fingerprint) is None:
+            return self
+        kept = tuple(one for one in self.requests if one.fingerprint != order.fingerprint)
+        return Quarantine(requests=kept, revision=index, released_revision=index)
--- a/chivetrack/daemon/fleet/calls.py
+++ b/chivetrack/daemon/fleet/calls.py
@@ -6,7 +6,10 @@
 
 import msgspec
 
+from chivetrack.components.announcements.models import EndpointRecord
 from chivetrack.components.placement.placement import Placed
+from chivetrack.components.quarantine.const import MAX_PATH_LENGTH
+from chivetrack.components.quarantine.models import CrashReport
 from chivetrack.components.retries.sending import Tried
 from chivetrack.components.traffic.models import Route, Workspace
 from chivetrack.components.traffic.requests import RequestFacts
@@ -101,6 +104,17 @@
     placed: Placed | None = None
     passed_over: set[str] = field(default_factory=set)
 
+    def make_crash_report(self, record: EndpointRecord) -> CrashReport:
+        """Return a report that this request was running when the endpoint crashed."""
+        return CrashReport(
+            fingerprint=self.fingerprint,
+            endpoint_id=record.endpoint_id,
+            born=record.born,
+            service=self.service,
+            path=self.target[:MAX_PATH_LENGTH],
+            workspace="" if self.workspace is None else self.workspace.name,
+        )
+
     @property
     def priority(self) -> int:
         """Return the rank at the engine, 0 is first; the workspace's goes before the route's."""
--- a/chivetrack/daemon/fleet/desk.py
+++ b/chivetrack/daemon/fleet/desk.py
@@ -16,6 +16,7 @@
 from chivetrack.components.distribution.messages import RecordsTaken, SpreadRecords
 from chivetrack.components.document.store import StoredDocument
 from chivetrack.components.evacuation.models import Evacuations
+from chivetrack.components.quarantine.models import Quarantine
 from chivetrack.components.traffic.models import Document
 from chivetrack.daemon.fleet.const import SPREAD_WAIT_S
 from chivetrack.daemon.fleet.documents import DocumentDesk, make_unavailable
@@ -87,6 +88,14 @@
         """Return the zone orders in force."""
         return self._documents.read_evacuations()
 
+    def release_request(self, fingerprint: bytes) -> Result[int, Fault | Elsewhere]:
+        """Commit the release of a quarantined request and return the quarantine's revision."""
+        return self._documents.release_request(fingerprint)
+
+    def read_quarantine(self) -> Result[Quarantine, Fault | Elsewhere]:
+        """Return the quarantined requests."""
+        return self._documents.read_quarantine()
+
     # Endpoints
 
     def announce(self, record: EndpointRecord) -> Result[None, Fault]:
--- a/chivetrack/daemon/fleet/documents.py
+++ b/chivetrack/daemon/fleet/documents.py
@@ -1,8 +1,8 @@
-"""What a replica does for operators: it commits documents and zone orders, and reads them."""
+"""Commits documents and orders through the log, and reads the state in force."""
 
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import gevent
 from expression import Error, Ok, Result
@@ -24,6 +24,12 @@
     ProposalAnswer,
     Verdict,
 )
+from chivetrack.components.quarantine.models import (
+    Quarantine,
+    QuarantineOrder,
+    QuarantineOutcome,
+    ReleaseOrder,
+)
 from chivetrack.components.replica.models import NotLeaderFault
 from chivetrack.components.traffic.models import Document
 from chivetrack.daemon.fleet.const import (
@@ -41,6 +47,13 @@
 from chivetrack.helpers.events import EventLog
 from chivetrack.platform.control_api import Elsewhere
 
+_FORWARDED_EVENTS: Mapping[type[Command], str] = {
+    StoredDocument: "configuration_forwarded",
+    ZoneOrder: "evacuation_forwarded",
+    QuarantineOrder: "quarantine_forwarded",
+    ReleaseOrder: "quarantine_release_forwarded",
+}
+
 _RETRY_S = 0.3
 _POLL_S = 0.02
 
@@ -109,6 +122,25 @@
             return Error(self._refer())
         return self._confirm().map(lambda version: self._store.evacuations)
 
+    def quarantine_request(self, order: QuarantineOrder) -> Result[int, Fault | Elsewhere]:
+        """Commit the quarantine of a request and return the quarantine's revision."""
+        outcome = self._submit(order)
+        self._log_change("quarantine_ordered", order, outcome)
+        return outcome
+
+    def release_request(self, fingerprint: bytes) -> Result[int, Fault | Elsewhere]:
+        """Commit the release of a request and return the quarantine's revision."""
+        order = ReleaseOrder(fingerprint=fingerprint)
+        outcome = self._submit(order)
+        self._log_change("quarantine_release_ordered", order, outcome)
+        return outcome
+
+    def read_quarantine(self) -> Result[Quarantine, Fault | Elsewhere]:
+        """Return the quarantine, confirmed by a quorum; a follower refers to the leader."""
+        if not self._host.is_leader:
+            return Error(self._refer())
+        return self._confirm().map(lambda version: self._store.quarantine)
+
     def _submit(self, command: Command) -> Result[int, Fault | Elsewhere]:
         if self._host.is_leader:
             return self._commit(command)
@@ -150,13 +182,16 @@
         if isinstance(command, StoredDocument):
             self._log(event, outcome, version=command.version, held=self._store.current.version)
             return
-        self._log(
-            event,
-            outcome,
-            zone=command.zone,
-            is_evacuated=command.is_evacuated,
-            seen_revision=command.seen_revision,
-        )
+        if isinstance(command, ZoneOrder):
+            self._log(
+                event,
+                outcome,
+                zone=command.zone,
+                is_evacuated=command.is_evacuated,
+                seen_revision=command.seen_revision,
+            )
+            return
+        self._log(event, outcome, fingerprint=command.fingerprint.hex())
 
     def _log(
         self, event: str, outcome: Result[int, Fault | Elsewhere], **fields: str | int
@@ -189,9 +224,7 @@
         result = replica.propose(encode_command(command), timeout_s=PROPOSE_TIMEOUT_S)
         if result.is_error():
             return Error(self._refer_after(result.error))
-        if isinstance(command, StoredDocument):
-            return Ok(decode_as(PutOutcome, result.ok).version)
-        return _read_order_outcome(result.ok)
+        return _read_outcome(command, result.ok)
 
     def _confirm(self) -> Result[int, Fault | Elsewhere]:
         """Return the version in force, after a quorum has confirmed that this replica leads."""
@@ -264,13 +297,15 @@
             return self._confirm()
         command = decode_command(call.data)
         outcome = self._commit(command)
-        is_document = isinstance(command, StoredDocument)
-        event = "configuration_forwarded" if is_document else "evacuation_forwarded"
-        self._log_change(event, command, outcome)
+        self._log_change(_FORWARDED_EVENTS[type(command)], command, outcome)
         return outcome
 
 
-def _read_order_outcome(data: bytes) -> Result[int, Fault | Elsewhere]:
+def _read_outcome(command: Command, data: bytes) -> Result[int, Fault | Elsewhere]:
+    if isinstance(command, StoredDocument):
+        return Ok(decode_as(PutOutcome, data).version)
+    if not isinstance(command, ZoneOrder):
+        return Ok(decode_as(QuarantineOutcome, data).revision)
     outcome = decode_as(OrderOutcome, data)
     if outcome.is_in_force:
         return Ok(outcome.revision)
--- a/chivetrack/daemon/fleet/fleet_view.py
+++ b/chivetrack/daemon/fleet/fleet_view.py
@@ -14,6 +14,8 @@
 from chivetrack.components.evacuation.models import Evacuations
 from chivetrack.components.placement.choice import Candidate, Choice, Source
 from chivetrack.components.placement.placement import Placed, Placement
+from chivetrack.components.quarantine.crash_reports import RecentCrashes
+from chivetrack.components.quarantine.models import Quarantine, QuarantinedRequest
 from chivetrack.components.retries.budgets import RetryBudgets
 from chivetrack.components.traffic.models import Document
 from chivetrack.components.traffic.table import RouteTable
@@ -57,6 +59,9 @@
         self.budgets = RetryBudgets(
             ratio=bounds.retry_ratio, slack=bounds.retry_slack, window_s=bounds.retry_window_s
         )
+        self.crashes = RecentCrashes()
+        self._quarantine = Quarantine()
+        self._quarantined: dict[bytes, QuarantinedRequest] = {}
         self._silent: frozenset[str] = frozenset()
         self._born: dict[str, int] = {}
         self._seen_at: dict[str, float] = {}
@@ -100,6 +105,8 @@
         # Before the placements: what is known of an endpoint is dropped as it appears.
         self._note_changes()
         self._note_evacuations(view.evacuations)
+        if view.quarantine is not None:
+            self._take_quarantine(view.quarantine)
         if view.has_loads:
             self._routers = max(view.routers, self._routers * ROUTERS_KEPT)
             self._silent = frozenset(view.silent)
@@ -133,6 +140,25 @@
             running=self.count_running_in(evacuated),
         )
 
+    def _take_quarantine(self, quarantine: Quarantine) -> None:
+        """Apply a newer quarantine."""
+        if quarantine.revision <= self._quarantine.revision:
+            return
+        self._quarantine = quarantine
+        self._quarantined = {one.fingerprint: one for one in quarantine.requests}
+        self._events.write(
+            "quarantine_in_force", revision=quarantine.revision, requests=len(quarantine.requests)
+        )
+
+    @property
+    def quarantine_revision(self) -> int:
+        """Return the revision of the quarantine that this router applies."""
+        return self._quarantine.revision
+
+    def find_quarantined(self, call: Call) -> QuarantinedRequest | None:
+        """Return the quarantine entry of a request, ``None`` if it may run."""
+        return self._quarantined.get(call.fingerprint)
+
     def count_running_in(self, zones: Collection[str]) -> int:
         """Return the requests of this router that still run at endpoints of these zones."""
         ids = set(self.directory.list_ids_in(zones))
@@ -160,7 +186,12 @@
         """Return what the other routers should know of this one."""
         now = time.monotonic()
         loads = self.health.add_outcomes(self.placement.list_own(), now=now)
-        return OwnNews(loads=loads, placed=tuple(self.placement.list_news(now)))
+        return OwnNews(
+            loads=loads,
+            placed=tuple(self.placement.list_news(now)),
+            crash_reports=self.crashes.list_current(now=now),
+            quarantine_revision=self.quarantine_revision,
+        )
 
     # Choosing
 
--- a/chivetrack/daemon/fleet/replica.py
+++ b/chivetrack/daemon/fleet/replica.py
@@ -17,6 +17,7 @@
 from chivetrack.components.distribution.publisher import Publisher
 from chivetrack.components.document.store import DocumentStore, StoredDocument, unpack_document
 from chivetrack.components.evacuation.models import Evacuations
+from chivetrack.components.quarantine.models import Quarantine, QuarantineOrder
 from chivetrack.components.slow_start.messages import AskPermit, PermitAnswer
 from chivetrack.components.slow_start.permits import PermitBook
 from chivetrack.daemon.fleet.const import FLUSH_S, TIDY_EVERY_S, TRAFFIC_EVERY
@@ -103,10 +104,19 @@
                 unit="s",
                 description="Unix time of the oldest evacuation in force, 0 without any.",
                 read=lambda: self._store.evacuations.evacuated_since,
-            )
+            ),
+            Gauge(
+                name="chivetrack.replica.quarantined_requests",
+                unit="{request}",
+                description="Requests that are rejected since they crash endpoints.",
+                read=lambda: len(self._store.quarantine.requests),
+            ),
         )
         self._store.listen(self._take_document)
         self._store.listen_to_evacuations(self._take_evacuations)
+        self._store.listen_to_quarantine(self._take_quarantine)
+        self._documents = documents
+        self._pending_orders: set[bytes] = set()
         self._control = HttpServer(
             address=(listeners.control.host, listeners.control.port),
             application=build_control_app(
@@ -135,6 +145,37 @@
         )
         self._push_soon()
 
+    def _take_quarantine(self, quarantine: Quarantine) -> None:
+        before = self._publisher.quarantine
+        self._publisher.quarantine = quarantine
+        for one in before.requests:
+            if quarantine.find(one.fingerprint) is None:
+                self._publisher.evidence.reset_count(one.fingerprint)
+                self._events.write("request_released", **one.describe())
+        for one in quarantine.requests:
+            if before.find(one.fingerprint) is None:
+                self._events.write("request_quarantined", **one.describe())
+        self._push_soon()
+
+    def _order_due_quarantines(self) -> None:
+        """At the leader, order the quarantine of requests that reached the crash threshold.
+
+        All replicas collect the evidence, so a new leader can issue orders that failed here.
+        """
+        if not self.host.is_leader:
+            return
+        due = self._publisher.evidence.list_due(self._store.quarantine, at=time.time())
+        for order in due:
+            if order.fingerprint not in self._pending_orders:
+                self._pending_orders.add(order.fingerprint)
+                gevent.spawn(self._order_quarantine, order)
+
+    def _order_quarantine(self, order: QuarantineOrder) -> None:
+        try:
+            self._documents.quarantine_request(order)
+        finally:
+            self._pending_orders.discard(order.fingerprint)
+
     def _push_soon(self) -> None:
         """Tell the routers; changes that come together go out together."""
         if not self._is_pushing:
@@ -152,12 +193,16 @@
                 message, now=time.monotonic(), knows_leader=self.host.knows_leader
             )
             send_all(self.transport.answer, effects)
+            if message.crash_reports:
+                self._order_due_quarantines()
         elif isinstance(message, FetchDocument):
             self._send_documents(source, message)
         elif isinstance(message, AskPermit):
             self._answer_permit(source, message)
         elif isinstance(message, Exchange):
             self._publisher.take_exchange(source, message, now=time.monotonic())
+            if message.crash_reports:
+                self._order_due_quarantines()
         elif self.host.takes(message):
             self.host.take(source, message)
         else:
@@ -203,6 +248,7 @@
                 traffic.write()
             now = time.monotonic()
             self._table.forget_old(now)
+            self._order_due_quarantines()
             self._file.write_soon()
             if self._table.drop_unheard(now):
                 self._push_soon()
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -13,6 +13,11 @@
 from chivetrack.components.caller_api.watch import CallerLeftError, watch_caller
 from chivetrack.components.limits.hopeless import judge_hope
 from chivetrack.components.placement.choice import Choice
+from chivetrack.components.quarantine.faults import (
+    FAULT_QUARANTINED,
+    STATUS_QUARANTINED,
+    make_fault,
+)
 from chivetrack.components.quarantine.fingerprint import make_fingerprint
 from chivetrack.components.retries.sending import (
     SendEnd,
@@ -193,6 +198,8 @@
 
     def _try_endpoints(self, call: Call) -> None:
         while True:
+            if self._refuse_quarantined(call):
+                return
             choice = self._choose(call)
             if choice is None:
                 self._give_up(call, "no_candidate")
@@ -250,6 +257,28 @@
         call.reply.refuse(fault)
         return True
 
+    def _refuse_quarantined(self, call: Call) -> bool:
+        """Refuse a quarantined request; checked before each try, including retries."""
+        quarantined = self._view.find_quarantined(call)
+        if quarantined is None:
+            return False
+        self._events.write(
+            "request_rejected",
+            request=call.facts.request_id,
+            code=FAULT_QUARANTINED,
+            status=STATUS_QUARANTINED,
+            version=self._view.version,
+            path=call.target,
+            fingerprint=call.fingerprint.hex(),
+            since=quarantined.since,
+            crashed=quarantined.crashes,
+            tries=len(call.tries),
+        )
+        if call.reply.is_started:
+            raise AnswerCutError("the request was quarantined during its answer")
+        call.reply.refuse(make_fault(has_run=may_have_run(call.tries)))
+        return True
+
     def _may_send_again(self, call: Call) -> bool:
         left_s = call.ends_at - time.monotonic()
         has_budget = self._view.has_budget(call.service)
@@ -271,6 +300,8 @@
             result = self._forwarder.send(call, choice, may_repeat=may_repeat)
             call.tries.pop()
             placed.is_whole = result.is_answered and result.status < 500
+        if placed.is_whole:
+            self._view.crashes.note_answered(call.fingerprint, now=time.monotonic())
         if result.end is None:
             self._view.health.note_outcome(
                 endpoint_id, SendEnd.FAILED if result.status >= 500 else None
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -173,7 +173,11 @@
             self.view.directory.cold.note_told(endpoint_id, facts.cold_s, now=time.monotonic())
 
     def _note_crash(self, record: EndpointRecord, calls: Sequence[Call]) -> None:
+        """Immediately report the requests that were running at an endpoint when it crashed."""
         self._metrics.count_crash()
+        now = time.monotonic()
+        self.view.crashes.note_crash((one.make_crash_report(record) for one in calls), now=now)
+        send_all(self.transport.send, self.subscriber.report_now(now=now))
 
     def _take_limits(self, document: Document) -> None:
         limits = document.limits
--- a/chivetrack/platform/control_api.py
+++ b/chivetrack/platform/control_api.py
@@ -14,11 +14,12 @@
 from chivetrack.components.caller_api.watch import has_left
 from chivetrack.components.document.store import StoredDocument
 from chivetrack.components.evacuation.models import Evacuations
+from chivetrack.components.quarantine.models import Quarantine
 from chivetrack.components.traffic.models import Document
 from chivetrack.exceptions import Fault
 from chivetrack.platform.announcements import read_departure, read_heartbeat
 from chivetrack.platform.configuration import read_document, render_findings
-from chivetrack.platform.paths import PATH_ZONES
+from chivetrack.platform.paths import PATH_QUARANTINE, PATH_ZONES
 
 # Not the platform's: only a replica of ours sends operators to it.
 _QUERY_VERSION = "version"
@@ -56,6 +57,14 @@
         """Return the zone orders in force for sure."""
         ...
 
+    def release_request(self, fingerprint: bytes) -> Result[int, Fault | Elsewhere]:
+        """Commit the release of a quarantined request and return the quarantine's revision."""
+        ...
+
+    def read_quarantine(self) -> Result[Quarantine, Fault | Elsewhere]:
+        """Return the quarantine, confirmed by a quorum."""
+        ...
+
     def announce(self, record: EndpointRecord) -> Result[None, Fault]:
         """Take an endpoint's statement."""
         ...
@@ -72,6 +81,7 @@
     app = make_app()
     _add_configuration_calls(app, desk, unpack, note_bad)
     _add_zone_calls(app, desk)
+    _add_quarantine_calls(app, desk)
     _add_endpoint_calls(app, desk, note_bad)
     return app
 
@@ -126,6 +136,28 @@
     app.route(PATH_ZONES, "GET", get_zones)
 
 
+def _add_quarantine_calls(app: Bottle, desk: ControlDesk) -> None:
+    def release(fingerprint: str) -> HTTPResponse:
+        try:
+            decoded = bytes.fromhex(fingerprint)
+        except ValueError:
+            message = f"{fingerprint!r} is no fingerprint"
+            return _answer(400, {"error": "fingerprint", "message": message})
+        outcome = desk.release_request(decoded)
+        if outcome.is_ok():
+            return _answer(200, {"revision": outcome.ok})
+        return _refuse(outcome.error, f"{PATH_QUARANTINE}/{fingerprint}")
+
+    def get_quarantine() -> HTTPResponse:
+        outcome = desk.read_quarantine()
+        if outcome.is_error():
+            return _refuse(outcome.error, PATH_QUARANTINE)
+        return _answer(200, {"requests": [one.describe() for one in outcome.ok.requests]})
+
+    app.route(f"{PATH_QUARANTINE}/<fingerprint>", "DELETE", release)
+    app.route(PATH_QUARANTINE, "GET", get_quarantine)
+
+
 def _add_endpoint_calls(
     app: Bottle, desk: ControlDesk, note_bad: Callable[[str, str], None]
 ) -> None:
--- a/chivetrack/platform/operator_calls.py
+++ b/chivetrack/platform/operator_calls.py
@@ -11,8 +11,9 @@
 from expression import Error, Ok, Result
 
 from chivetrack.components.evacuation.models import ZoneState
+from chivetrack.components.quarantine.models import QuarantinedRequest
 from chivetrack.exceptions import Fault, Ran
-from chivetrack.platform.paths import PATH_ZONES
+from chivetrack.platform.paths import PATH_QUARANTINE, PATH_ZONES
 
 # A replica waits 0.9 s for a majority; the answer needs a moment on top.
 CALL_TIMEOUT_S = 2.0
@@ -38,6 +39,19 @@
     zones: list[_Zone]
 
 
+class _Quarantined(msgspec.Struct):
+    fingerprint: str
+    service: str
+    workspace: str
+    path: str
+    since: float
+    crashed: list[str]
+
+
+class _Quarantine(msgspec.Struct):
+    requests: list[_Quarantined]
+
+
 class _Ordered(msgspec.Struct):
     revision: int
 
@@ -76,6 +90,15 @@
         """Return the last order for each zone."""
         return self._repeat("GET", PATH_ZONES).map(_read_zones)
 
+    def read_quarantine(self) -> Result[tuple[QuarantinedRequest, ...], Fault]:
+        """Return the quarantined requests."""
+        return self._repeat("GET", PATH_QUARANTINE).map(_read_quarantine)
+
+    def release_request(self, fingerprint: str) -> Result[int, Fault]:
+        """Release a quarantined request and return the quarantine's revision."""
+        body = self._repeat("DELETE", f"{PATH_QUARANTINE}/{quote(fingerprint, safe='')}")
+        return body.map(lambda one: msgspec.json.decode(one, type=_Ordered).revision)
+
     def _repeat(self, method: str, path: str) -> Result[bytes, Fault]:
         """Try until there is an answer that stands; orders may be repeated."""
         ends_at = self._clock() + self._timeout_s
@@ -119,6 +142,20 @@
     )
 
 
+def _read_quarantine(body: bytes) -> tuple[QuarantinedRequest, ...]:
+    return tuple(
+        QuarantinedRequest(
+            fingerprint=bytes.fromhex(one.fingerprint),
+            crashes=tuple(one.crashed),
+            service=one.service,
+            path=one.path,
+            workspace=one.workspace,
+            since=one.since,
+        )
+        for one in msgspec.json.decode(body, type=_Quarantine).requests
+    )
+
+
 def _read_fault(answer: _Answer) -> Fault:
     try:
         read = msgspec.json.decode(answer.body, type=_Error)
--- a/tests/components/document/test_store.py
+++ b/tests/components/document/test_store.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -13,7 +14,9 @@
     encode_command,
 )
 from chivetrack.components.evacuation.models import OrderOutcome, ZoneOrder
+from chivetrack.components.quarantine.models import Quarantine
 from chivetrack.helpers.codec import DecodeError, decode_as, encode
+from tests.components.quarantine.test_models import make_order as make_quarantine_order
 
 
 def put(store: DocumentStore, version: int, payload: bytes) -> PutOutcome:
@@ -104,5 +107,25 @@
             self.assertEqual(store.current.payload, first[max(first)])
 
 
+class QuarantineTest(unittest.TestCase):
+    def test_snapshot_keeps_the_quarantine(self) -> None:
+        """Guards against losing the quarantine when a replica restores a snapshot."""
+        store = DocumentStore()
+        store.apply(4, encode_command(make_quarantine_order()))
+        other = DocumentStore()
+        seen: list[int] = []
+        other.listen_to_quarantine(lambda quarantine: seen.append(quarantine.revision))
+        other.restore_snapshot(store.take_snapshot())
+        self.assertEqual(other.quarantine, store.quarantine)
+        self.assertEqual(seen, [4])
+
+    def test_snapshot_without_quarantine_field(self) -> None:
+        """Guards against a replica that can't read an older snapshot after an upgrade."""
+        older = msgspec.msgpack.encode([3, b"", [[]]])
+        store = DocumentStore()
+        store.restore_snapshot(older)
+        self.assertEqual((store.current.version, store.quarantine), (3, Quarantine()))
+
+
 if __name__ == "__main__":
     unittest.main()
