Log endpoints dropped from the table and changes in silent endpoints

Cause: routers stopped using endpoints without logging it. The logs did not show whether a router had dropped them from its table, avoided them as silent, or counted too much load at them.

Change: routers and replicas write endpoint_forgotten for each endpoint dropped from the table, with its last state. Routers write silent_endpoints_changed when the replicas' list of endpoints without heartbeats changes; it names up to 16 endpoints. No decision is changed.

--- a/chivetrack/components/announcements/table.py
+++ b/chivetrack/components/announcements/table.py
@@ -146,15 +146,16 @@
             and entry.record.state is not EndpointState.LEFT
         ]
 
-    def forget_old(self, now: float) -> None:
-        """Drop endpoints that nobody has heard of for long."""
+    def forget_old(self, now: float) -> list[EndpointRecord]:
+        """Drop endpoints not heard from for ``FORGET_AFTER_S``; return their last records."""
         old = [
-            endpoint_id
-            for endpoint_id, entry in self._entries.items()
+            entry.record
+            for entry in self._entries.values()
             if now - entry.heard_at > FORGET_AFTER_S
         ]
-        for endpoint_id in old:
-            del self._entries[endpoint_id]
+        for record in old:
+            del self._entries[record.endpoint_id]
+        return old
 
 
 def _strip(record: EndpointRecord) -> EndpointRecord:
--- a/chivetrack/daemon/fleet/fleet_view.py
+++ b/chivetrack/daemon/fleet/fleet_view.py
@@ -34,6 +34,8 @@
 # Cached by an engine whose profile the configuration does not tell.
 DEFAULT_MEMORY_TOKENS = 500_000
 
+MAX_LOGGED_ENDPOINTS = 16
+
 
 class FleetView:
     """Joins what replicas tell with what this router sees itself."""
@@ -109,7 +111,7 @@
             self._take_quarantine(view.quarantine)
         if view.has_loads:
             self._routers = max(view.routers, self._routers * ROUTERS_KEPT)
-            self._silent = frozenset(view.silent)
+            self._take_silent_endpoints(frozenset(view.silent))
             self.health.take_others(view.loads, now=now)
             self.placement.take_others(
                 view.loads, view.placed, now=now, capacity=self._memory_tokens
@@ -117,6 +119,16 @@
         if self.table is not None and not self.directory.is_empty:
             self._ready.set()
 
+    def _take_silent_endpoints(self, silent: frozenset[str]) -> None:
+        if silent != self._silent:
+            self._events.write(
+                "silent_endpoints_changed",
+                count=len(silent),
+                silent=sorted(silent)[:MAX_LOGGED_ENDPOINTS],
+                before=len(self._silent),
+            )
+        self._silent = silent
+
     def wait_until_ready(self, timeout_s: float) -> None:
         """Wait until configuration and endpoints are known."""
         self._ready.wait(timeout_s)
--- a/chivetrack/daemon/fleet/replica.py
+++ b/chivetrack/daemon/fleet/replica.py
@@ -247,7 +247,8 @@
             if number % TRAFFIC_EVERY == 0:
                 traffic.write()
             now = time.monotonic()
-            self._table.forget_old(now)
+            for record in self._table.forget_old(now):
+                self._events.write("endpoint_forgotten", **record.describe())
             self._order_due_quarantines()
             self._file.write_soon()
             if self._table.drop_unheard(now):
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -222,7 +222,8 @@
 
     def _tidy(self, now: float) -> None:
         self._kept.close_old()
-        self.view.directory.table.forget_old(now)
+        for record in self.view.directory.table.forget_old(now):
+            self._events.write("endpoint_forgotten", **record.describe())
 
     def _run_timers(self) -> None:
         while True:
