Reproduce endpoints vanishing from routers after a minute

A test in simulated time, red: five endpoints send heartbeats to a replica and say nothing new for 120 s, a router follows it, then a sixth endpoint starts. The router knows 1 of 6.

--- a/tests/components/distribution/test_news.py
+++ b/tests/components/distribution/test_news.py
@@ -3,8 +3,9 @@
 import unittest
 import zlib
 
+from chivetrack.components.announcements.directory import EndpointDirectory
 from chivetrack.components.announcements.models import EndpointState
-from chivetrack.components.announcements.table import EndpointTable
+from chivetrack.components.announcements.table import FORGET_AFTER_S, EndpointTable
 from chivetrack.components.distribution.const import (
     FOLLOW_EVERY_S,
     IN_FLIGHT_S,
@@ -18,6 +19,35 @@
 from tests.components.announcements.test_table import make_record
 from tests.components.distribution.world import Fixture, make_close
 
+HEARTBEAT_S = 1.2
+
+
+class UnchangedEndpointsTest(unittest.TestCase):
+    def simulate_heartbeats(
+        self, fixture: Fixture, directory: EndpointDirectory, duration_s: float
+    ) -> None:
+        """Send heartbeats of five endpoints; after each round the router polls and cleans up."""
+        for step in range(round(duration_s / HEARTBEAT_S)):
+            now = step * HEARTBEAT_S
+            for number in range(5):
+                fixture.table.merge(make_record(step + 1, endpoint_id=f"e{number}"), now=now)
+            fixture.exchange(now)
+            directory.take_changes(now=now)
+            directory.table.forget_old(now)
+
+    def test_unchanged_endpoints_are_kept(self) -> None:
+        """Guards against routers dropping endpoints unchanged for over ``FORGET_AFTER_S``."""
+        directory = EndpointDirectory()
+        fixture = Fixture(own=directory.table)
+        fixture.publisher.list_replicas = lambda: ("p1",)
+        end_s = 2 * FORGET_AFTER_S
+        self.simulate_heartbeats(fixture, directory, end_s)
+        fixture.table.merge(make_record(1, endpoint_id="new"), now=end_s)
+        fixture.exchange(end_s)
+        directory.take_changes(now=end_s)
+        names = {record.endpoint_id for record in directory.list_ready("llm")}
+        self.assertEqual(names, {"e0", "e1", "e2", "e3", "e4", "new"})
+
 
 class NewsTest(unittest.TestCase):
     def test_push_that_was_lost_is_made_good(self) -> None:
--- a/tests/components/distribution/world.py
+++ b/tests/components/distribution/world.py
@@ -29,13 +29,13 @@
 class Fixture:
     """A replica and a router that talk by hand."""
 
-    def __init__(self, run: str = "run1") -> None:
+    def __init__(self, run: str = "run1", own: EndpointTable | None = None) -> None:
         self.table = EndpointTable()
         self.taken: list[int] = []
         self.unreadable: list[int] = []
         self.bodies: dict[int, bytes] = {}
         self.publisher = self.make_publisher(run)
-        self.own = EndpointTable()
+        self.own = EndpointTable() if own is None else own
         self.subscriber = Subscriber(
             router="r1",
             reads_at="r1:80",
