Keep unchanged running endpoints in the routers' tables

Symptom: starting one minute after startup, the next change of any endpoint removed all endpoints without a change in the last 60 s from the candidate lists of all routers.

Cause: replicas send routers only changes; heartbeats without a change stay on the replicas. A router's table treated the last change as the last sign of life and dropped the endpoint 60 s later. Candidate lists are rebuilt on the next change of any endpoint, so the loss became visible only then, for all dropped endpoints at once, and lasted until a replica restarted and sent its full state. Fault class: a receiver of incremental updates expires state whose refreshes are visible only to the sender.

Ruled out: - Silence after the core network cut: a simulation without any cut shows the same failure. - Running-request counts: dropped endpoints are in no list, whatever their count.

Fix: a table drops only endpoints that left or were lost, after 60 s. Replicas, which receive the heartbeats, mark endpoints silent for 60 s as lost, provided that they know a leader. This is a change, so it is sent to the routers.

A replica that misses an endpoint's heartbeats for 60 s while other replicas receive them would take the endpoint out of use at routers. It therefore sends the records that it marks lost to the other replicas. A replica with a newer record numbers that record as a change again, so that routers receive it. Found by the reviewer of this change, using bare tables.

Alternatives considered: - Forwarding heartbeats to routers: some hundred bytes per endpoint and router each second; the links are full at 300 instances. - Sending all live endpoint ids with each answer: grows with the fleet.

Changed test: test_silence required silent endpoints to be forgotten immediately. They are now marked lost, reported to followers and later forgotten by both. The new test checks each step.

--- a/chivetrack/components/announcements/table.py
+++ b/chivetrack/components/announcements/table.py
@@ -14,7 +14,9 @@
 # Three heartbeats of 1.2 s and one that comes late: an endpoint that is silent for longer
 # has crashed or is cut off from every replica.
 SILENT_AFTER_S = 5.0
-# A statement that was delayed on its way is forgotten elsewhere by then.
+# Longer than any network partition that an endpoint is expected to survive.
+LOST_AFTER_S = 60.0
+# Delayed statements have arrived by then and can't add a removed endpoint again.
 FORGET_AFTER_S = 60.0
 # Endpoints that a replica knows from before its restart have to be heard again: two
 # heartbeats of 1.2 s. Their last word, a departure perhaps, may not have been kept.
@@ -76,10 +78,10 @@
             for entry in self._entries.values()
             if entry.is_restored and now - entry.heard_at > RESTORED_FOR_S
         ]
+        self._mark_lost(unheard, now)
         for entry in unheard:
-            lost = msgspec.structs.replace(entry.record, state=EndpointState.LOST)
+            # The merge doesn't clear the flag if the endpoint was lost before the restart.
             entry.is_restored = False
-            self.merge(lost, now=now)
         return bool(unheard)
 
     def supersede(self, record: EndpointRecord, *, now: float) -> list[EndpointRecord]:
@@ -97,10 +99,7 @@
             and entry.record.state in (EndpointState.READY, EndpointState.DRAINING)
             and now - entry.heard_at > SUPERSEDED_AFTER_S
         ]
-        lost = [msgspec.structs.replace(one.record, state=EndpointState.LOST) for one in older]
-        for one in lost:
-            self.merge(one, now=now)
-        return lost
+        return self._mark_lost(older, now)
 
     def close(self, endpoint_id: str, *, born: int | None, now: float) -> EndpointRecord | None:
         """Note that an endpoint has left; return its last record, ``None`` if unknown.
@@ -146,12 +145,55 @@
             and entry.record.state is not EndpointState.LEFT
         ]
 
+    def mark_silent_lost(self, now: float) -> list[EndpointRecord]:
+        """Mark endpoints silent for ``LOST_AFTER_S`` as lost; return their new records.
+
+        Call this only on tables that receive heartbeats. Followers receive only changes, so
+        they can't detect silence themselves; the transition to lost is sent to them.
+        """
+        silent = [
+            entry
+            for entry in self._entries.values()
+            if entry.record.state in (EndpointState.READY, EndpointState.DRAINING)
+            and now - entry.heard_at > LOST_AFTER_S
+        ]
+        return self._mark_lost(silent, now)
+
+    def _mark_lost(self, entries: Iterable[_Entry], now: float) -> list[EndpointRecord]:
+        lost = [
+            msgspec.structs.replace(entry.record, state=EndpointState.LOST) for entry in entries
+        ]
+        for record in lost:
+            self.merge(record, now=now)
+        return lost
+
+    def refute_lost(self, lost: EndpointRecord) -> bool:
+        """Number a newer live record as a change if another replica marked it lost.
+
+        Followers may have merged the lost record, because theirs dates from the last
+        change. Heartbeats alone are not a change here, so they would not correct it.
+        """
+        entry = self._entries.get(lost.endpoint_id)
+        if entry is None or lost.state is not EndpointState.LOST:
+            return False
+        is_live = entry.record.state in (EndpointState.READY, EndpointState.DRAINING)
+        if not is_live or entry.record.position <= lost.position:
+            return False
+        self.change += 1
+        entry.change = self.change
+        return True
+
     def forget_old(self, now: float) -> list[EndpointRecord]:
-        """Drop endpoints not heard from for ``FORGET_AFTER_S``; return their last records."""
+        """Drop endpoints left or lost for ``FORGET_AFTER_S``; return their last records.
+
+        Ready and draining endpoints are kept regardless of age: followers receive only
+        changes, so a running endpoint whose state doesn't change is never refreshed there.
+        """
         old = [
             entry.record
             for entry in self._entries.values()
-            if now - entry.heard_at > FORGET_AFTER_S
+            if entry.record.state in (EndpointState.LEFT, EndpointState.LOST)
+            and now - entry.heard_at > FORGET_AFTER_S
         ]
         for record in old:
             del self._entries[record.endpoint_id]
--- a/chivetrack/daemon/fleet/desk.py
+++ b/chivetrack/daemon/fleet/desk.py
@@ -125,6 +125,18 @@
         self._push()
         return self._spread_for_sure(known)
 
+    def mark_silent_lost(self) -> None:
+        """Mark endpoints without recent heartbeats as lost and send this to other replicas.
+
+        A replica that still receives the heartbeats refutes it to its followers.
+        """
+        lost = self._table.mark_silent_lost(time.monotonic())
+        for record in lost:
+            self._log(record)
+            self._spread(record)
+        if lost:
+            self._push()
+
     def _log(self, record: EndpointRecord) -> None:
         self._events.write("endpoint_said", **record.describe())
 
@@ -166,6 +178,7 @@
             return False
         now = time.monotonic()
         changes = [self._table.merge(record, now=now) for record in message.records]
+        changes += [self._table.refute_lost(record) for record in message.records]
         if any(changes):
             self._push()
         if message.number:
--- a/chivetrack/daemon/fleet/replica.py
+++ b/chivetrack/daemon/fleet/replica.py
@@ -251,6 +251,9 @@
                 self._events.write("endpoint_forgotten", **record.describe())
             self._order_due_quarantines()
             self._file.write_soon()
+            # Without a leader, this replica may be partitioned and miss all heartbeats.
+            if self.host.knows_leader:
+                self._desk.mark_silent_lost()
             if self._table.drop_unheard(now):
                 self._push_soon()
 
--- a/tests/components/announcements/test_table.py
+++ b/tests/components/announcements/test_table.py
@@ -7,7 +7,13 @@
 import msgspec
 
 from chivetrack.components.announcements.models import EndpointRecord, EndpointState
-from chivetrack.components.announcements.table import SILENT_AFTER_S, EndpointTable
+from chivetrack.components.announcements.table import (
+    FORGET_AFTER_S,
+    LOST_AFTER_S,
+    RESTORED_FOR_S,
+    SILENT_AFTER_S,
+    EndpointTable,
+)
 
 
 def make_record(sequence: int = 1, **changes: Any) -> EndpointRecord:
@@ -128,8 +134,71 @@
         table.merge(make_record(1), now=0.0)
         self.assertEqual(table.list_silent(SILENT_AFTER_S), [])
         self.assertEqual(table.list_silent(SILENT_AFTER_S + 0.1), ["e1"])
-        table.forget_old(100.0)
-        self.assertIsNone(table.find("e1"))
+
+    def test_silent_endpoint_is_lost_and_then_forgotten(self) -> None:
+        """Guards against keeping crashed endpoints forever, on replicas or on followers."""
+        table, follower = EndpointTable(), EndpointTable()
+        table.merge(make_record(1), now=0.0)
+        follower.merge(make_record(1), now=0.0)
+        self.assertEqual(table.mark_silent_lost(LOST_AFTER_S), [])
+        before = table.change
+        (lost,) = table.mark_silent_lost(LOST_AFTER_S + 1.0)
+        self.assertEqual(table.list_changes(before), [lost])
+        self.assertIs(lost.state, EndpointState.LOST)
+        follower.merge(lost, now=LOST_AFTER_S + 1.0)
+        for each in (table, follower):
+            self.assertEqual(each.forget_old(LOST_AFTER_S + FORGET_AFTER_S), [])
+            self.assertEqual(each.forget_old(LOST_AFTER_S + FORGET_AFTER_S + 2.0), [lost])
+            self.assertIsNone(each.find("e1"))
+
+    def test_replica_with_newer_record_refutes_lost_endpoint(self) -> None:
+        """Guards against losing a live endpoint because one replica misses its heartbeats."""
+        isolated, current, follower = EndpointTable(), EndpointTable(), EndpointTable()
+        for each in (isolated, current, follower):
+            each.merge(make_record(1), now=0.0)
+        current.merge(make_record(50), now=LOST_AFTER_S)
+        isolated.merge(make_record(20), now=0.5)
+        (lost,) = isolated.mark_silent_lost(LOST_AFTER_S + 1.0)
+        follower.merge(lost, now=LOST_AFTER_S + 1.0)
+        before = current.change
+        self.assertFalse(current.merge(lost, now=LOST_AFTER_S + 1.0))
+        self.assertTrue(current.refute_lost(lost))
+        (refutation,) = current.list_changes(before)
+        for each in (follower, isolated):
+            each.merge(refutation, now=LOST_AFTER_S + 1.0)
+            record = each.find("e1")
+            assert record is not None
+            self.assertIs(record.state, EndpointState.READY)
+
+    def test_older_record_does_not_refute_lost_endpoint(self) -> None:
+        """Guards against returning a lost endpoint to use because of an outdated record."""
+        table = EndpointTable()
+        table.merge(make_record(1), now=0.0)
+        lost = make_record(1, state=EndpointState.LOST)
+        self.assertFalse(table.refute_lost(lost))
+        self.assertFalse(table.refute_lost(make_record(0)))
+        self.assertFalse(table.refute_lost(make_record(0, endpoint_id="e2")))
+        unknown = make_record(0, endpoint_id="e2", state=EndpointState.LOST)
+        self.assertFalse(table.refute_lost(unknown))
+        table.merge(make_record(9, state=EndpointState.LEFT), now=1.0)
+        self.assertFalse(table.refute_lost(lost))
+
+    def test_restored_lost_endpoint_is_dropped_only_once(self) -> None:
+        """Guards against pushing to all routers every second after a replica restarts."""
+        table = EndpointTable()
+        table.restore([make_record(1, state=EndpointState.LOST)], now=0.0)
+        self.assertTrue(table.drop_unheard(RESTORED_FOR_S + 0.1))
+        self.assertFalse(table.drop_unheard(RESTORED_FOR_S + 1.1))
+
+    def test_lost_endpoint_is_ready_after_next_heartbeat(self) -> None:
+        """Guards against endpoints staying unused after a long network partition."""
+        table = EndpointTable()
+        table.merge(make_record(1), now=0.0)
+        table.mark_silent_lost(LOST_AFTER_S + 1.0)
+        self.assertTrue(table.merge(make_record(2), now=LOST_AFTER_S + 2.0))
+        record = table.find("e1")
+        assert record is not None
+        self.assertIs(record.state, EndpointState.READY)
 
 
 if __name__ == "__main__":
