Stop routing to endpoints that announce their departure in an answer

Symptom: requests were sent to an endpoint that had announced in its answers that it was leaving and that was gone soon after. Its heartbeats may report the departure late or never.

Cause: routers learned of departures only from the replicas. They passed the Server-Leaving header of answers on without reading it.

Fix: the router reads the header from the head of each answer. From then on, this lifetime of the endpoint is in none of this router's candidate lists, even if a heartbeat sent earlier still reports it as ready. Idle connections to the endpoint are closed, and the one that carried the header is not kept. Cached prompts may still be fetched from it.

Alternative considered: notifying the other routers. Each learns of the departure from its own first answer from the endpoint, and the heartbeats inform all of them.

Test: an endpoint keeps announcing itself as ready while its answers say that it is leaving.

--- a/chivetrack/components/announcements/directory.py
+++ b/chivetrack/components/announcements/directory.py
@@ -9,6 +9,9 @@
 from chivetrack.components.slow_start.cold import ColdTable
 from chivetrack.components.slow_start.const import HEARD_AGAIN_S, MAX_ASKS
 
+# Endpoint id and ``born`` of its record.
+_Lifetime = tuple[str, int]
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Division:
@@ -33,6 +36,7 @@
         self._evacuated: dict[str, list[EndpointRecord]] = {}
         self._sources: dict[str, list[EndpointRecord]] = {}
         self._seen_change = -1
+        self._leaving: set[_Lifetime] = set()
 
     @property
     def is_empty(self) -> bool:
@@ -50,6 +54,20 @@
         self._sort()
         return changed
 
+    def note_leaving(self, record: EndpointRecord) -> bool:
+        """Exclude an endpoint that announced its departure in an answer; return if this is new.
+
+        Applies to the whole lifetime: heartbeats may report the departure late or never, and
+        an earlier heartbeat that arrives afterwards still reports the endpoint as ready.
+        """
+        lifetime = (record.endpoint_id, record.born)
+        known = self.table.find(record.endpoint_id)
+        if lifetime in self._leaving or known is None or known.born != record.born:
+            return False
+        self._leaving.add(lifetime)
+        self._sort()
+        return True
+
     def take_evacuations(self, evacuations: Evacuations, *, now: float) -> bool:
         """Put newer zone orders in force; a replica that lags can't take them back."""
         if evacuations.revision <= self.evacuations.revision:
@@ -70,11 +88,14 @@
         self._ready = {}
         self._evacuated = {}
         self._sources = {}
+        self._leaving &= {(record.endpoint_id, record.born) for record in self.table.list_records()}
         for record in self.table.list_records():
             if record.state in (EndpointState.READY, EndpointState.DRAINING):
                 self._sources.setdefault(record.service, []).append(record)
             if record.state is not EndpointState.READY:
                 continue
+            if (record.endpoint_id, record.born) in self._leaving:
+                continue
             listed = self._evacuated if record.zone in evacuated else self._ready
             listed.setdefault(record.service, []).append(record)
 
--- a/chivetrack/components/traffic/requests.py
+++ b/chivetrack/components/traffic/requests.py
@@ -51,7 +51,7 @@
 
     ``is_sealed``: the answer carries the endpoint's mark of origin. ``did_not_run``: the
     endpoint states that it did not run the request and never will. ``cold_s``: for how long
-    the endpoint stays cold, 0 if it does not say.
+    the endpoint stays cold, 0 if it does not say. ``is_leaving``: it must get no new requests.
     """
 
     request_id: str | None
@@ -64,3 +64,4 @@
     load: EndpointLoadFacts | None = None
     retry_after_s: float | None = None
     cold_s: float = 0.0
+    is_leaving: bool = False
--- a/chivetrack/daemon/fleet/fleet_view.py
+++ b/chivetrack/daemon/fleet/fleet_view.py
@@ -18,6 +18,7 @@
 from chivetrack.components.quarantine.models import Quarantine, QuarantinedRequest
 from chivetrack.components.retries.budgets import RetryBudgets
 from chivetrack.components.traffic.models import Document
+from chivetrack.components.traffic.requests import AnswerFacts
 from chivetrack.components.traffic.table import RouteTable
 from chivetrack.daemon.fleet.calls import Call
 from chivetrack.daemon.fleet.health import EndpointHealth
@@ -194,6 +195,14 @@
             self.placement.forget(record.endpoint_id)
             self.directory.cold.forget(record.endpoint_id)
 
+    def note_answer(self, record: EndpointRecord, facts: AnswerFacts) -> None:
+        """Apply the endpoint state reported in the headers of an answer."""
+        if facts.cold_s > 0:
+            self.directory.cold.note_told(record.endpoint_id, facts.cold_s, now=time.monotonic())
+        if facts.is_leaving and self.directory.note_leaving(record):
+            self._events.write("endpoint_leaving", endpoint=record.endpoint_id, born=record.born)
+            self._forget_endpoint(record.endpoint_id)
+
     def get_news(self) -> OwnNews:
         """Return what the other routers should know of this one."""
         now = time.monotonic()
--- a/chivetrack/daemon/fleet/forwarder.py
+++ b/chivetrack/daemon/fleet/forwarder.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from chivetrack.components.announcements.models import EndpointRecord
 from chivetrack.components.placement.choice import Choice
 from chivetrack.components.retries.sending import SendEnd, Tried
 from chivetrack.components.traffic.models import RouteKind
@@ -64,7 +65,7 @@
         self,
         *,
         kept: KeptConnections,
-        note_answer: Callable[[str, AnswerFacts], None],
+        note_answer: Callable[[EndpointRecord, AnswerFacts], None],
         note_first_event: Callable[[Call, Choice], None],
         hear: Callable[[Call], None] | None = None,
         note_overdue: Callable[[Call], bool] | None = None,
@@ -93,9 +94,10 @@
         is_kept = False
         try:
             answer, facts = self._ask(connection, call, choice, may_repeat)
-            self._note_answer(record.endpoint_id, facts)
+            self._note_answer(record, facts)
             result = self._take_answer(connection, call, choice, answer, facts, may_repeat)
-            is_kept = answer.keeps_connection and not facts.closes and connection.end_request()
+            ends = facts.closes or facts.is_leaving
+            is_kept = answer.keeps_connection and not ends and connection.end_request()
             if is_kept:
                 self._kept.put(record.endpoint_id, connection, facts.keep_alive_s)
             return result
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -167,10 +167,9 @@
         """Return whether the balancer may send connections here."""
         return not self._asked.is_set() and self.view.table is not None and self.view.has_view
 
-    def _note_answer(self, endpoint_id: str, facts: AnswerFacts) -> None:
-        self._metrics.note_answer(endpoint_id, facts)
-        if facts.cold_s > 0:
-            self.view.directory.cold.note_told(endpoint_id, facts.cold_s, now=time.monotonic())
+    def _note_answer(self, record: EndpointRecord, facts: AnswerFacts) -> None:
+        self._metrics.note_answer(record.endpoint_id, facts)
+        self.view.note_answer(record, facts)
 
     def _note_crash(self, record: EndpointRecord, calls: Sequence[Call]) -> None:
         """Immediately report the requests that were running at an endpoint when it crashed."""
--- a/chivetrack/platform/headers.py
+++ b/chivetrack/platform/headers.py
@@ -26,6 +26,7 @@
 HEADER_DID_NOT_RUN = "X-Chivetrack-Not-Executed"
 HEADER_LOAD = "X-Chivetrack-Server-Load"
 HEADER_COLD = "X-Chivetrack-Cold-Ms"
+HEADER_LEAVING = "Server-Leaving"
 
 STATUS_OTHER_INSTANCE = 421
 
@@ -130,6 +131,7 @@
         keep_alive_s=_read_keep_alive(headers.get("Keep-Alive", "")),
         load=_read_load(headers.get(HEADER_LOAD, "")),
         retry_after_s=retry_after,
+        is_leaving=headers.get(HEADER_LEAVING, "").strip() == "1",
         cold_s=(_read_number(headers.get(HEADER_COLD, "")) or 0.0) / 1000.0,
     )
 
--- a/tests/system/deployment.py
+++ b/tests/system/deployment.py
@@ -41,6 +41,7 @@
         self.work_s = 0.0
         self.zone = "z1"
         self.cold_ms = 0
+        self.extra_headers: dict[str, str] = {}
         self.sequence = 0
         self.born = int(time.time() * 1000)
         super().__init__((host, ENDPOINT_PORT), EndpointHandler)
@@ -85,6 +86,8 @@
         self.send_header("X-Chivetrack-Server-Seal", "seal")
         attempt = self.headers.get("X-Chivetrack-Attempt-Id", "")
         self.send_header("X-Chivetrack-Attempt-Id", attempt)
+        for name, value in self.server.extra_headers.items():
+            self.send_header(name, value)
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
         self.wfile.write(body)
--- a/tests/system/test_deployment.py
+++ b/tests/system/test_deployment.py
@@ -271,6 +271,29 @@
                 self.assertEqual(deployment.call(router)[0], 200)
         self.assertEqual(len(leaving.seen), before)
 
+    def test_leaving_header_stops_new_requests(self) -> None:
+        """Guards against sending requests to a leaving endpoint that heartbeats report as ready."""
+        deployment = self.open(routers=1)
+        leaving = self.open_endpoint(deployment, 1)
+        staying = self.open_endpoint(deployment, 2)
+        deployment.put(make_config(3))
+        deployment.announce(leaving)
+        deployment.announce(staying)
+        deployment.wait_served("r1")
+        leaving.extra_headers["Server-Leaving"] = "1"
+        before = len(leaving.seen)
+        wait_for(
+            lambda: deployment.call("r1")[0] == 200 and len(leaving.seen) > before,
+            "the leaving endpoint receives no request",
+        )
+        before = len(leaving.seen)
+        for _ in range(20):
+            self.assertEqual(deployment.call("r1")[0], 200)
+        deployment.announce(leaving)
+        for _ in range(20):
+            self.assertEqual(deployment.call("r1")[0], 200)
+        self.assertEqual(len(leaving.seen), before)
+
     def test_stop_cuts_nothing(self) -> None:
         """A router gets SIGTERM while requests are in flight and more come.
 
