Stop sending requests to endpoints until their Retry-After has passed

Symptom: routers kept sending requests to an endpoint that had just refused others and stated when it would accept requests again. Each one cost the caller an attempt and the endpoint work.

Cause: the Retry-After of a 503 was used only for the answer to that caller. The router did not store which endpoint had sent it or until when it applied.

Change: a router stores, per endpoint lifetime, the time until which the endpoint accepts no requests, and excludes it until then. A paused endpoint counts as resting, so that the mean load of the service, which bounds the load of the other endpoints, does not drop. Any 503 with the header counts.

A refused permit of a cold endpoint now leaves it out in every case, also where the service sets no cold limit; without such a limit no permit is asked for.

Rejected alternative: holding requests in the router until a pause ends. The caller's deadline keeps running meanwhile, and all held requests would be sent at once.

Tests: one endpoint refuses requests for 3 s at a time beside one that answers. It receives no further request within 2.5 s and is used again afterwards. With a single endpoint that sends a Retry-After of 4 s, the next caller is refused with a Retry-After of more than 3 s and the endpoint receives no request.

--- a/chivetrack/components/announcements/directory.py
+++ b/chivetrack/components/announcements/directory.py
@@ -17,7 +17,7 @@
 class Division:
     """The endpoints of a service as one request finds them.
 
-    ``resting`` are sound and get nothing now, by an operator's order or since they are cold.
+    ``resting`` are sound and get nothing now: evacuated, cold or paused.
     """
 
     open: Sequence[EndpointRecord]
@@ -37,6 +37,7 @@
         self._sources: dict[str, list[EndpointRecord]] = {}
         self._seen_change = -1
         self._leaving: set[_Lifetime] = set()
+        self._paused_until: dict[_Lifetime, float] = {}
 
     @property
     def is_empty(self) -> bool:
@@ -68,6 +69,21 @@
         self._sort()
         return True
 
+    def note_pause(self, record: EndpointRecord, *, until: float) -> None:
+        """Exclude an endpoint until a time; an earlier time does not shorten its pause."""
+        lifetime = (record.endpoint_id, record.born)
+        self._paused_until[lifetime] = max(until, self._paused_until.get(lifetime, until))
+
+    def find_pause(self, record: EndpointRecord, now: float) -> float:
+        """Return for how many seconds an endpoint stays paused, 0 if it is not."""
+        until = self._paused_until.get((record.endpoint_id, record.born))
+        return 0.0 if until is None else max(0.0, until - now)
+
+    def find_shortest_pause(self, service: str, now: float) -> float:
+        """Return the shortest pause (s) among the ready endpoints, 0 if one is not paused."""
+        pauses = [self.find_pause(record, now) for record in self.list_ready(service)]
+        return min(pauses, default=0.0)
+
     def take_evacuations(self, evacuations: Evacuations, *, now: float) -> bool:
         """Put newer zone orders in force; a replica that lags can't take them back."""
         if evacuations.revision <= self.evacuations.revision:
@@ -88,7 +104,13 @@
         self._ready = {}
         self._evacuated = {}
         self._sources = {}
-        self._leaving &= {(record.endpoint_id, record.born) for record in self.table.list_records()}
+        lifetimes = {(record.endpoint_id, record.born) for record in self.table.list_records()}
+        self._leaving &= lifetimes
+        self._paused_until = {
+            lifetime: until
+            for lifetime, until in self._paused_until.items()
+            if lifetime in lifetimes
+        }
         for record in self.table.list_records():
             if record.state in (EndpointState.READY, EndpointState.DRAINING):
                 self._sources.setdefault(record.service, []).append(record)
@@ -121,12 +143,25 @@
         """
         ready = self.list_ready(service)
         evacuated = self._evacuated.get(service, ())
+        shut = set(passed_over)
+        if self._paused_until:
+            shut |= {one.endpoint_id for one in ready if self.find_pause(one, now)}
         if not is_limited:
-            return Division(open=ready, resting=evacuated)
+            return self._make_division(ready, evacuated, shut)
         cold = {one.endpoint_id for one in ready if self.cold.is_cold(one.endpoint_id, now)}
-        shut = {one for one in cold if self.cold.find_wait(one, now)} | set(passed_over)
+        shut |= {one for one in cold if self.cold.find_wait(one, now)}
         if len(passed_over) >= MAX_ASKS:
-            shut = cold
+            shut |= cold
+        return self._make_division(ready, evacuated, shut)
+
+    @staticmethod
+    def _make_division(
+        ready: Sequence[EndpointRecord],
+        evacuated: Sequence[EndpointRecord],
+        shut: Collection[str],
+    ) -> Division:
+        if not shut:
+            return Division(open=ready, resting=evacuated)
         return Division(
             open=[one for one in ready if one.endpoint_id not in shut],
             resting=[*evacuated, *(one for one in ready if one.endpoint_id in shut)],
--- a/chivetrack/components/traffic/requests.py
+++ b/chivetrack/components/traffic/requests.py
@@ -52,6 +52,7 @@
     ``is_sealed``: the answer carries the endpoint's mark of origin. ``did_not_run``: the
     endpoint states that it did not run the request and never will. ``cold_s``: for how long
     the endpoint stays cold, 0 if it does not say. ``is_leaving``: it must get no new requests.
+    ``pause_s``: for how long it must get no requests from this router, 0 without a pause.
     """
 
     request_id: str | None
@@ -65,3 +66,4 @@
     retry_after_s: float | None = None
     cold_s: float = 0.0
     is_leaving: bool = False
+    pause_s: float = 0.0
--- a/chivetrack/daemon/fleet/fleet_view.py
+++ b/chivetrack/daemon/fleet/fleet_view.py
@@ -199,6 +199,11 @@
         """Apply the endpoint state reported in the headers of an answer."""
         if facts.cold_s > 0:
             self.directory.cold.note_told(record.endpoint_id, facts.cold_s, now=time.monotonic())
+        if facts.pause_s > 0:
+            self.directory.note_pause(record, until=time.monotonic() + facts.pause_s)
+            self._events.write(
+                "endpoint_paused", endpoint=record.endpoint_id, pause_s=facts.pause_s
+            )
         if facts.is_leaving and self.directory.note_leaving(record):
             self._events.write("endpoint_leaving", endpoint=record.endpoint_id, born=record.born)
             self._forget_endpoint(record.endpoint_id)
@@ -259,6 +264,10 @@
             for record in self.directory.list_sources(service)
         ]
 
+    def find_shortest_pause(self, service: str) -> float:
+        """Return the shortest pause (s) of a service's ready endpoints, 0 if one is not paused."""
+        return self.directory.find_shortest_pause(service, time.monotonic())
+
     def count_candidates(self, service: str) -> int:
         """Return how many endpoints of a service may get requests."""
         return len(self.directory.list_ready(service))
@@ -280,6 +289,7 @@
             self.directory.cold.find_wait(record.endpoint_id, now)
             for record in self.directory.list_ready(call.service)
             if record.endpoint_id not in tried
+            and not self.directory.find_pause(record, now)
             and self.is_cold(call.service, record.endpoint_id, now)
         ]
         return min(waits, default=None)
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -320,7 +320,9 @@
     def _give_up(self, call: Call, why: str) -> None:
         if call.reply.is_started:
             raise AnswerCutError("the stream can't go on elsewhere")
-        fault = make_final_fault(call.tries, retry_after_s=NO_ENDPOINT_RETRY_S)
+        pause_s = self._view.find_shortest_pause(call.service)
+        retry_after_s = max(NO_ENDPOINT_RETRY_S, pause_s)
+        fault = make_final_fault(call.tries, retry_after_s=retry_after_s)
         self._events.write(
             "request_given_up",
             request=call.facts.request_id,
@@ -329,6 +331,7 @@
             tries=len(call.tries),
             candidates=self._view.count_candidates(call.service),
             evacuated=self._view.directory.evacuations.list_evacuated(),
+            pause_s=round(pause_s, 2),
         )
         call.reply.refuse(fault)
 
--- a/chivetrack/platform/headers.py
+++ b/chivetrack/platform/headers.py
@@ -29,6 +29,7 @@
 HEADER_LEAVING = "Server-Leaving"
 
 STATUS_OTHER_INSTANCE = 421
+STATUS_UNAVAILABLE = 503
 
 # Of one connection only, or set anew by this router. A hold, a pin or a continuation that
 # a caller names is not its to ask for: an endpoint would refuse the request for it.
@@ -131,6 +132,7 @@
         keep_alive_s=_read_keep_alive(headers.get("Keep-Alive", "")),
         load=_read_load(headers.get(HEADER_LOAD, "")),
         retry_after_s=retry_after,
+        pause_s=(retry_after or 0.0) if status == STATUS_UNAVAILABLE else 0.0,
         is_leaving=headers.get(HEADER_LEAVING, "").strip() == "1",
         cold_s=(_read_number(headers.get(HEADER_COLD, "")) or 0.0) / 1000.0,
     )
--- a/tests/components/announcements/test_directory.py
+++ b/tests/components/announcements/test_directory.py
@@ -40,6 +40,34 @@
         self.assertTrue(self.directory.is_empty)
         self.assertEqual(len(self.directory.list_sources("llm")), 1)
 
+    def test_departure_announced_in_an_answer(self) -> None:
+        """Guards against an old lifetime's answer taking its successor out of use."""
+        self.merge(1, "e1", "z1")
+        record = make_record(1, zone="z1")
+        self.assertTrue(self.directory.note_leaving(record))
+        self.assertFalse(self.directory.note_leaving(record))
+        self.assertEqual(self.list_open(), [])
+        self.assertEqual(len(self.directory.list_sources("llm")), 1)
+        successor = make_record(1, zone="z1", born=record.born + 1)
+        self.directory.table.merge(successor, now=0.0)
+        self.directory.take_changes(now=0.0)
+        self.assertFalse(self.directory.note_leaving(record))
+        self.assertEqual(self.list_open(), ["e1"])
+
+    def test_paused_endpoint_rests_until_pause_ends(self) -> None:
+        """Guards against paused endpoints being excluded from the mean load of the service."""
+        for number in (1, 2):
+            self.merge(1, f"e{number}", "z1")
+        record = make_record(1, zone="z1")
+        self.directory.note_pause(record, until=5.0)
+        self.directory.note_pause(record, until=3.0)
+        self.assertEqual((self.list_open(now=4.9), self.resting), (["e2"], ["e1"]))
+        self.assertEqual(self.directory.find_shortest_pause("llm", 4.0), 0.0)
+        self.directory.note_pause(make_record(1, endpoint_id="e2", zone="z1"), until=6.0)
+        self.assertEqual(self.list_open(now=4.0), [])
+        self.assertEqual(self.directory.find_shortest_pause("llm", 4.0), 1.0)
+        self.assertEqual((self.list_open(now=5.0), self.resting), (["e1"], ["e2"]))
+
     def test_endpoint_that_appears_in_an_evacuated_zone(self) -> None:
         """A release goes on while its zone is empty; the new endpoints must get nothing."""
         self.assertTrue(self.directory.take_evacuations(make_evacuations(4, z1=True), now=0.0))
--- a/tests/system/deployment.py
+++ b/tests/system/deployment.py
@@ -42,6 +42,7 @@
         self.zone = "z1"
         self.cold_ms = 0
         self.extra_headers: dict[str, str] = {}
+        self.retry_after_s = 0.0
         self.sequence = 0
         self.born = int(time.time() * 1000)
         super().__init__((host, ENDPOINT_PORT), EndpointHandler)
@@ -80,6 +81,9 @@
 
     def _answer(self) -> None:
         self.server.seen.append((self.path, dict(self.headers.items())))
+        if self.server.retry_after_s:
+            self._refuse()
+            return
         time.sleep(self.server.work_s)
         body = self.server.name.encode()
         self.send_response(200)
@@ -92,6 +96,13 @@
         self.end_headers()
         self.wfile.write(body)
 
+    def _refuse(self) -> None:
+        self.send_response(503)
+        self.send_header("X-Chivetrack-Not-Executed", "1")
+        self.send_header("Retry-After", f"{self.server.retry_after_s:g}")
+        self.send_header("Content-Length", "0")
+        self.end_headers()
+
     def log_message(self, format: str, *args: Any) -> None:
         """Write nothing."""
 
--- a/tests/system/test_deployment.py
+++ b/tests/system/test_deployment.py
@@ -11,6 +11,7 @@
 
 from chivetrack.cli.__main__ import run
 from tests.system.deployment import (
+    CALLER_PORT,
     CONTROL_PORT,
     METRICS_PORT,
     READY_PORT,
@@ -294,6 +295,48 @@
             self.assertEqual(deployment.call("r1")[0], 200)
         self.assertEqual(len(leaving.seen), before)
 
+    def test_retry_after_pauses_endpoint(self) -> None:
+        """Guards against sending requests to an endpoint before its Retry-After has passed."""
+        deployment = self.open(routers=1)
+        paused, other = (self.open_endpoint(deployment, number) for number in (1, 2))
+        deployment.put(make_config(3))
+        deployment.announce(paused)
+        deployment.announce(other)
+        deployment.wait_served("r1")
+        paused.retry_after_s = 3.0
+        before = len(paused.seen)
+        wait_for(
+            lambda: deployment.call("r1")[0] == 200 and len(paused.seen) > before,
+            "the paused endpoint receives no request",
+        )
+        paused_at = time.monotonic()
+        before = len(paused.seen)
+        while time.monotonic() < paused_at + 2.5:
+            self.assertEqual(deployment.call("r1")[0], 200)
+        self.assertEqual(len(paused.seen), before)
+        paused.retry_after_s = 0.0
+        wait_for(
+            lambda: deployment.call("r1")[0] == 200 and len(paused.seen) > before,
+            "the endpoint receives no request after its pause",
+        )
+
+    def test_retry_after_when_all_endpoints_are_paused(self) -> None:
+        """Guards against a Retry-After to callers shorter than that of every endpoint."""
+        deployment = self.open(routers=1)
+        endpoint = self.open_endpoint(deployment, 1)
+        deployment.put(make_config(3))
+        deployment.announce(endpoint)
+        deployment.wait_served("r1")
+        endpoint.retry_after_s = 4.0
+        self.assertEqual(deployment.call("r1")[0], 503)
+        before = len(endpoint.seen)
+        url = f"http://{deployment.get_host('r1')}:{CALLER_PORT}/a/x"
+        headers = {"Host": "one.example", "X-Chivetrack-Key": "key"}
+        response = deployment.http.request("POST", url, body=b"body", headers=headers)
+        self.assertEqual(response.status, 503)
+        self.assertGreater(float(response.headers["Retry-After"]), 3.0)
+        self.assertEqual(len(endpoint.seen), before)
+
     def test_stop_cuts_nothing(self) -> None:
         """A router gets SIGTERM while requests are in flight and more come.
 
