Detect crashes of endpoints whose port still accepts connections

Symptom (seen in a test): a request that crashes the endpoints running it kept being routed for seconds if a supervisor holds the port of the crashed process or restarts the process immediately.

Cause: a crash was counted only if a connection was refused 20 ms after answers broke off.

Change: if the connection is not refused, the requests whose answers broke off are kept in memory for 10 s (256 requests per endpoint lifetime, only their crash reports). If the lifetime is marked lost or another one starts under its id within that time, the crash is reported then; if the lifetime is known to have ended before the probe, it is reported immediately. A departure that arrives within that time discards them.

--- a/chivetrack/components/announcements/directory.py
+++ b/chivetrack/components/announcements/directory.py
@@ -69,6 +69,13 @@
         self._sort()
         return True
 
+    def is_lost_or_replaced(self, record: EndpointRecord) -> bool:
+        """Return whether a lifetime is marked lost or a later one has started under its id."""
+        known = self.table.find(record.endpoint_id)
+        if known is None:
+            return False
+        return known.born > record.born or known.state is EndpointState.LOST
+
     def note_pause(self, record: EndpointRecord, *, until: float) -> None:
         """Exclude an endpoint until a time; an earlier time does not shorten its pause."""
         lifetime = (record.endpoint_id, record.born)
--- a/chivetrack/daemon/fleet/crashes.py
+++ b/chivetrack/daemon/fleet/crashes.py
@@ -2,6 +2,7 @@
 
 import errno
 import socket
+import time
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -9,14 +10,22 @@
 import gevent
 
 from chivetrack.components.announcements.models import EndpointRecord
+from chivetrack.components.quarantine.models import CrashReport
 from chivetrack.daemon.fleet.calls import Call
 from chivetrack.helpers.events import EventLog
 
 # A crash breaks all answers of an endpoint within a few milliseconds; one probe covers them.
 COLLECT_WINDOW_S = 0.02
 PROBE_TIMEOUT_S = 1.0
+# If the probe is not refused, a lifetime that is lost or replaced within this time has crashed.
+CONFIRMATION_WINDOW_S = 10.0
+# Limits the reports kept per lifetime when further answers break; the oldest are dropped.
+MAX_UNCONFIRMED_REPORTS = 256
 _MAX_LOGGED_FINGERPRINTS = 16
 
+# Endpoint id and ``born`` of its record.
+_Lifetime = tuple[str, int]
+
 
 class ProbeResult(StrEnum):
     """The result of a connection attempt to an endpoint."""
@@ -44,24 +53,36 @@
     """Requests without a usable answer from one lifetime of an endpoint."""
 
     record: EndpointRecord
-    calls: list[Call] = field(default_factory=list)
+    reports: list[CrashReport] = field(default_factory=list)
+    probed_at: float = 0.0
 
 
 class CrashDetector:
-    """Probes endpoints after broken answers and reports those that refuse connections."""
+    """Reports endpoints that broke answers and then refuse connections or are lost or replaced.
+
+    The probe succeeds if a supervisor holds the listening socket or restarts the process
+    immediately. In that case the crash is detected when the lifetime is lost or replaced.
+    """
 
     def __init__(
         self,
         *,
         events: EventLog,
-        note_crash: Callable[[EndpointRecord, Sequence[Call]], None],
+        note_crash: Callable[[Sequence[CrashReport]], None],
+        is_lost_or_replaced: Callable[[EndpointRecord], bool],
         probe: Callable[[str], ProbeResult] = probe_address,
     ) -> None:
-        """Call ``note_crash`` with a crashed endpoint and its requests without a usable answer."""
+        """Call ``note_crash`` with the requests that a crash left without a usable answer.
+
+        ``is_lost_or_replaced`` returns whether a lifetime is marked lost or a later one has
+        started under its id.
+        """
         self._events = events
         self._note_crash = note_crash
+        self._is_lost_or_replaced = is_lost_or_replaced
         self._probe = probe
-        self._broken: dict[tuple[str, int], _BrokenAnswers] = {}
+        self._broken: dict[_Lifetime, _BrokenAnswers] = {}
+        self._unconfirmed: dict[_Lifetime, _BrokenAnswers] = {}
 
     def note_broken_answer(self, call: Call, record: EndpointRecord) -> None:
         """Note a request that was sent to an endpoint and received no usable answer."""
@@ -70,22 +91,53 @@
         if broken is None:
             broken = self._broken[key] = _BrokenAnswers(record)
             gevent.spawn(self._probe_endpoint, key)
-        broken.calls.append(call)
+        broken.reports.append(call.make_crash_report(record))
+
+    def note_lifetime_end(self, endpoint_id: str, born: int, is_departure: bool) -> None:
+        """Note that a lifetime was lost or replaced or, if ``is_departure``, drains or has left."""
+        broken = self._unconfirmed.pop((endpoint_id, born), None)
+        if broken is None or is_departure:
+            return
+        if time.monotonic() - broken.probed_at > CONFIRMATION_WINDOW_S:
+            return
+        self._events.write(
+            "endpoint_crash_confirmed",
+            endpoint=endpoint_id,
+            born=born,
+            requests=len(broken.reports),
+        )
+        self._note_crash(broken.reports)
 
-    def _probe_endpoint(self, key: tuple[str, int]) -> None:
+    def _probe_endpoint(self, key: _Lifetime) -> None:
         gevent.sleep(COLLECT_WINDOW_S)
         broken = self._broken.pop(key)
         result = self._probe(broken.record.address)
+        has_crashed = result is ProbeResult.REFUSED or self._is_lost_or_replaced(broken.record)
         self._events.write(
             "answers_broken_off",
             endpoint=broken.record.endpoint_id,
             born=broken.record.born,
             address=broken.record.address,
             listening=result.value,
-            requests=len(broken.calls),
+            has_crashed=has_crashed,
+            requests=len(broken.reports),
             fingerprints=[
-                call.fingerprint.hex() for call in broken.calls[:_MAX_LOGGED_FINGERPRINTS]
+                report.fingerprint.hex() for report in broken.reports[:_MAX_LOGGED_FINGERPRINTS]
             ],
         )
-        if result is ProbeResult.REFUSED:
-            self._note_crash(broken.record, broken.calls)
+        if has_crashed:
+            self._note_crash(broken.reports)
+        else:
+            self._keep_unconfirmed(key, broken)
+
+    def _keep_unconfirmed(self, key: _Lifetime, broken: _BrokenAnswers) -> None:
+        broken.probed_at = now = time.monotonic()
+        self._unconfirmed = {
+            lifetime: unconfirmed
+            for lifetime, unconfirmed in self._unconfirmed.items()
+            if now - unconfirmed.probed_at <= CONFIRMATION_WINDOW_S
+        }
+        earlier = self._unconfirmed.pop(key, None)
+        reports = broken.reports if earlier is None else [*earlier.reports, *broken.reports]
+        broken.reports = reports[-MAX_UNCONFIRMED_REPORTS:]
+        self._unconfirmed[key] = broken
--- a/chivetrack/daemon/fleet/fleet_view.py
+++ b/chivetrack/daemon/fleet/fleet_view.py
@@ -72,6 +72,7 @@
         self.has_view = False
         self._ready = Signal()
         self.listeners: list[Callable[[Document], None]] = []
+        self.lifetime_end_listeners: list[Callable[[str, int, bool], None]] = []
 
     # What replicas tell
 
@@ -183,6 +184,9 @@
             # A new lifetime under the id starts with an empty memory and a clean record.
             now = time.monotonic()
             has_restarted = record.endpoint_id in self._born
+            if has_restarted:
+                previous_born = self._born[record.endpoint_id]
+                self._notify_lifetime_end(record.endpoint_id, previous_born, is_departure=False)
             self._born[record.endpoint_id] = record.born
             self._seen_at[record.endpoint_id] = now
             self.placement.forget(record.endpoint_id, emptied_at=now if has_restarted else None)
@@ -190,11 +194,17 @@
             self._forget_endpoint(record.endpoint_id)
         if record.state is not EndpointState.READY:
             self._forget_endpoint(record.endpoint_id)
+            is_departure = record.state is not EndpointState.LOST
+            self._notify_lifetime_end(record.endpoint_id, record.born, is_departure=is_departure)
         if record.state is EndpointState.LEFT:
             self.health.forget(record.endpoint_id)
             self.placement.forget(record.endpoint_id)
             self.directory.cold.forget(record.endpoint_id)
 
+    def _notify_lifetime_end(self, endpoint_id: str, born: int, *, is_departure: bool) -> None:
+        for listener in self.lifetime_end_listeners:
+            listener(endpoint_id, born, is_departure)
+
     def note_answer(self, record: EndpointRecord, facts: AnswerFacts) -> None:
         """Apply the endpoint state reported in the headers of an answer."""
         if facts.cold_s > 0:
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -20,12 +20,12 @@
     View,
 )
 from chivetrack.components.distribution.subscriber import Subscriber
+from chivetrack.components.quarantine.models import CrashReport
 from chivetrack.components.slow_start.messages import PermitAnswer
 from chivetrack.components.traffic.models import Document
 from chivetrack.components.traffic.requests import AnswerFacts
 from chivetrack.components.upstream.kept import KeptConnections
 from chivetrack.core import WakeAt
-from chivetrack.daemon.fleet.calls import Call
 from chivetrack.daemon.fleet.const import (
     STOP_ACCEPT_S,
     STOP_IDLE_AFTER_S,
@@ -104,10 +104,16 @@
             send=self.transport.send,
             events=events,
         )
+        crash_detector = CrashDetector(
+            events=events,
+            note_crash=self._note_crash,
+            is_lost_or_replaced=self.view.directory.is_lost_or_replaced,
+        )
+        self.view.lifetime_end_listeners.append(crash_detector.note_lifetime_end)
         self.desk = RequestDesk(
             view=self.view,
             permits=self._permits,
-            crash_detector=CrashDetector(events=events, note_crash=self._note_crash),
+            crash_detector=crash_detector,
             forwarder=Forwarder(
                 kept=self._kept,
                 note_answer=self._note_answer,
@@ -171,11 +177,11 @@
         self._metrics.note_answer(record.endpoint_id, facts)
         self.view.note_answer(record, facts)
 
-    def _note_crash(self, record: EndpointRecord, calls: Sequence[Call]) -> None:
+    def _note_crash(self, reports: Sequence[CrashReport]) -> None:
         """Immediately report the requests that were running at an endpoint when it crashed."""
         self._metrics.count_crash()
         now = time.monotonic()
-        self.view.crashes.note_crash((one.make_crash_report(record) for one in calls), now=now)
+        self.view.crashes.note_crash(reports, now=now)
         send_all(self.transport.send, self.subscriber.report_now(now=now))
 
     def _take_limits(self, document: Document) -> None:
--- a/tests/daemon/fleet/test_crashes.py
+++ b/tests/daemon/fleet/test_crashes.py
@@ -1,11 +1,14 @@
 """Tests of endpoint crash detection."""
 
 import unittest
-from typing import Any, cast
+from collections.abc import Sequence
+from typing import cast
 
 import gevent
 
 from chivetrack.components.announcements.models import EndpointRecord, EndpointState
+from chivetrack.components.quarantine.models import CrashReport
+from chivetrack.daemon.fleet import crashes as crashes_module
 from chivetrack.daemon.fleet.calls import Call
 from chivetrack.daemon.fleet.crashes import CrashDetector, ProbeResult, probe_address
 from chivetrack.helpers.events import EventLog
@@ -27,23 +30,37 @@
 
 
 class FakeCall:
-    fingerprint = b"f"
+    def make_crash_report(self, record: EndpointRecord) -> CrashReport:
+        return CrashReport(
+            fingerprint=b"f",
+            endpoint_id=record.endpoint_id,
+            born=record.born,
+            service=record.service,
+            path="/a/x",
+            workspace="w",
+        )
 
 
 class CrashDetectorTest(unittest.TestCase):
     def setUp(self) -> None:
         self.crashes: list[tuple[str, int]] = []
         self.probed: list[str] = []
+        self.is_lost_or_replaced = False
 
     def make_detector(self, result: ProbeResult) -> CrashDetector:
         def probe(address: str) -> ProbeResult:
             self.probed.append(address)
             return result
 
-        def note(record: EndpointRecord, calls: Any) -> None:
-            self.crashes.append((record.endpoint_id, len(calls)))
+        def note(reports: Sequence[CrashReport]) -> None:
+            self.crashes.append((reports[0].endpoint_id, len(reports)))
 
-        return CrashDetector(events=EventLog(instance="r"), note_crash=note, probe=probe)
+        return CrashDetector(
+            events=EventLog(instance="r"),
+            note_crash=note,
+            is_lost_or_replaced=lambda record: self.is_lost_or_replaced,
+            probe=probe,
+        )
 
     def break_answers(self, detector: CrashDetector, *records: EndpointRecord) -> None:
         for record in records:
@@ -72,6 +89,39 @@
         self.break_answers(self.make_detector(ProbeResult.UNKNOWN), make_record())
         self.assertEqual(self.crashes, [])
 
+    def test_replaced_endpoint_has_crashed(self) -> None:
+        """Guards against missing the crash of an endpoint whose port accepts the probe."""
+        detector = self.make_detector(ProbeResult.ACCEPTED)
+        self.break_answers(detector, make_record(born=1), make_record(born=1))
+        detector.note_lifetime_end("i-1", 7, False)
+        self.assertEqual(self.crashes, [])
+        detector.note_lifetime_end("i-1", 1, False)
+        detector.note_lifetime_end("i-1", 1, False)
+        self.assertEqual(self.crashes, [("i-1", 2)])
+
+    def test_endpoint_replaced_before_the_probe_has_crashed(self) -> None:
+        """Guards against waiting for the end of a lifetime that has already ended."""
+        self.is_lost_or_replaced = True
+        self.break_answers(self.make_detector(ProbeResult.ACCEPTED), make_record())
+        self.assertEqual(self.crashes, [("i-1", 1)])
+
+    def test_endpoint_that_leaves_has_not_crashed(self) -> None:
+        """Guards against counting a planned stop that breaks answers as a crash."""
+        detector = self.make_detector(ProbeResult.ACCEPTED)
+        self.break_answers(detector, make_record(born=1))
+        detector.note_lifetime_end("i-1", 1, True)
+        detector.note_lifetime_end("i-1", 1, False)
+        self.assertEqual(self.crashes, [])
+
+    def test_lifetime_end_after_the_confirmation_window_is_no_crash(self) -> None:
+        """Guards against attributing an unrelated later restart to a request."""
+        self.addCleanup(setattr, crashes_module, "CONFIRMATION_WINDOW_S", 10.0)
+        crashes_module.CONFIRMATION_WINDOW_S = 0.05
+        detector = self.make_detector(ProbeResult.UNKNOWN)
+        self.break_answers(detector, make_record(born=1))
+        detector.note_lifetime_end("i-1", 1, False)
+        self.assertEqual(self.crashes, [])
+
 
 class ProbeAddressTest(unittest.TestCase):
     def test_open_and_closed_port(self) -> None:
--- a/tests/system/crashing.py
+++ b/tests/system/crashing.py
@@ -22,6 +22,7 @@
     def __init__(self, *, host: str, name: str, service: str, owner: "CrashingEndpoint") -> None:
         self.owner = owner
         self.connections: set[socket.socket] = set()
+        self.retained_listener: socket.socket | None = None
         super().__init__(host=host, name=name, service=service)
         self.RequestHandlerClass = _Handler
 
@@ -34,8 +35,15 @@
         """Suppress tracebacks: connections are broken on purpose."""
 
     def crash(self) -> None:
-        """Stop listening, then shut down every connection."""
-        self.socket.shutdown(socket.SHUT_RDWR)
+        """Stop listening, then shut down every connection.
+
+        With ``keeps_port_open``, a duplicate of the listening socket stays open, as held by a
+        supervisor: connections are established but never accepted.
+        """
+        if self.owner.keeps_port_open:
+            self.retained_listener = self.socket.dup()
+        else:
+            self.socket.shutdown(socket.SHUT_RDWR)
         self.socket.close()
         for connection in self.connections:
             with contextlib.suppress(OSError):
@@ -59,8 +67,9 @@
 class CrashingEndpoint:
     """One address whose process restarts with a new id after each crash."""
 
-    def __init__(self, deployment: Deployment, number: int) -> None:
+    def __init__(self, deployment: Deployment, number: int, *, keeps_port_open: bool) -> None:
         """Start the first lifetime and announce it."""
+        self.keeps_port_open = keeps_port_open
         self.crash_bodies: set[bytes] = set()
         self.runs: list[tuple[float, bytes]] = []
         self.crashes: list[float] = []
@@ -93,7 +102,10 @@
     def _replace(self, lifetime: _Lifetime) -> None:
         lifetime.crash()
         lifetime.shutdown()
-        if not self._stopped.wait(RESTART_DELAY_S):
+        is_stopped = self._stopped.wait(RESTART_DELAY_S)
+        if lifetime.retained_listener is not None:
+            lifetime.retained_listener.close()
+        if not is_stopped:
             self._start()
 
     def _announce(self) -> None:
@@ -116,9 +128,14 @@
 
 
 @contextmanager
-def open_crashing_endpoints(deployment: Deployment, count: int) -> Iterator[list[CrashingEndpoint]]:
+def open_crashing_endpoints(
+    deployment: Deployment, count: int, *, keeps_port_open: bool = False
+) -> Iterator[list[CrashingEndpoint]]:
     """Open endpoints that crash when they run a body listed in their ``crash_bodies``."""
-    endpoints = [CrashingEndpoint(deployment, number) for number in range(1, count + 1)]
+    endpoints = [
+        CrashingEndpoint(deployment, number, keeps_port_open=keeps_port_open)
+        for number in range(1, count + 1)
+    ]
     try:
         yield endpoints
     finally:
--- a/tests/system/test_quarantine.py
+++ b/tests/system/test_quarantine.py
@@ -14,11 +14,15 @@
 
 
 class QuarantineTest(unittest.TestCase):
-    def start_deployment(self, endpoints: int) -> tuple[Deployment, list[CrashingEndpoint]]:
+    def start_deployment(
+        self, endpoints: int, *, keeps_port_open: bool = False
+    ) -> tuple[Deployment, list[CrashingEndpoint]]:
         deployment = self.enterContext(open_deployment(replicas=3, routers=3))
         deployment.start_all()
         deployment.put(make_config(3))
-        opened = self.enterContext(open_crashing_endpoints(deployment, endpoints))
+        opened = self.enterContext(
+            open_crashing_endpoints(deployment, endpoints, keeps_port_open=keeps_port_open)
+        )
         for router in deployment.list_names("r"):
             deployment.wait_served(router)
         for one in opened:
@@ -52,6 +56,13 @@
         for router in deployment.list_names("r"):
             self.assertEqual(deployment.call(router, body=b"innocent")[0], 200)
 
+    def test_crashing_request_is_rejected_although_ports_stay_open(self) -> None:
+        """Guards against missing crashes of endpoints whose listening socket stays open."""
+        deployment, endpoints = self.start_deployment(5, keeps_port_open=True)
+        statuses = self.repeat_poison(deployment, time.monotonic() + 14.0)
+        self.assertLessEqual(self.count_late_runs(endpoints), 3)
+        self.assertEqual(statuses[-1], 500)
+
     def test_quarantine_survives_restart_of_all_processes_and_can_be_released(self) -> None:
         """Guards against losing the quarantine when all processes are killed at once."""
         deployment, endpoints = self.start_deployment(5)
