Move Gauge into its own module

Cause: daemon/fleet/meters.py imported Gauge from metrics.py, which imports Meters from meters.py for type annotations.

Change: Gauge moves to daemon/fleet/gauges.py, which both modules import.

--- a/chivetrack/daemon/fleet/meters.py
+++ b/chivetrack/daemon/fleet/meters.py
@@ -7,7 +7,7 @@
 
 from chivetrack.components.traffic.requests import AnswerFacts
 from chivetrack.daemon.fleet.calls import Call
-from chivetrack.daemon.fleet.metrics import Gauge
+from chivetrack.daemon.fleet.gauges import Gauge
 from chivetrack.helpers.telemetry import METRICS_CONTENT_TYPE, Telemetry, open_telemetry
 from chivetrack.helpers.telemetry.const import DURATION_BOUNDS_S
 
--- a/chivetrack/daemon/fleet/metrics.py
+++ b/chivetrack/daemon/fleet/metrics.py
@@ -3,13 +3,13 @@
 import time
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from bottle import Bottle, HTTPResponse
 
 from chivetrack.components.traffic.requests import AnswerFacts
 from chivetrack.daemon.fleet.calls import Call
+from chivetrack.daemon.fleet.gauges import Gauge
 from chivetrack.daemon.server import HttpServer
 from chivetrack.helpers.sections.values import Address
 
@@ -17,16 +17,6 @@
     from chivetrack.daemon.fleet.meters import Meters
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Gauge:
-    """A value that is read when somebody asks for metrics."""
-
-    name: str
-    unit: str
-    description: str
-    read: Callable[[], float]
-
-
 # Records that wait until somebody asks for metrics; more open the library by themselves.
 MAX_WAITING = 20_000
 
--- a/chivetrack/daemon/fleet/replica.py
+++ b/chivetrack/daemon/fleet/replica.py
@@ -23,8 +23,9 @@
 from chivetrack.daemon.fleet.const import FLUSH_S, TIDY_EVERY_S, TRAFFIC_EVERY
 from chivetrack.daemon.fleet.desk import Desk
 from chivetrack.daemon.fleet.documents import DocumentDesk
+from chivetrack.daemon.fleet.gauges import Gauge
 from chivetrack.daemon.fleet.log_host import LogHost
-from chivetrack.daemon.fleet.metrics import Gauge, Metrics, open_metrics_server
+from chivetrack.daemon.fleet.metrics import Metrics, open_metrics_server
 from chivetrack.daemon.fleet.peering import TrafficLog, list_seed_peers, make_transport, send_all
 from chivetrack.daemon.fleet.restart_file import RestartFile
 from chivetrack.daemon.server import HttpServer
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -35,7 +35,8 @@
 from chivetrack.daemon.fleet.crashes import CrashDetector
 from chivetrack.daemon.fleet.fleet_view import FleetView
 from chivetrack.daemon.fleet.forwarder import Forwarder
-from chivetrack.daemon.fleet.metrics import Gauge, Metrics, open_metrics_server
+from chivetrack.daemon.fleet.gauges import Gauge
+from chivetrack.daemon.fleet.metrics import Metrics, open_metrics_server
 from chivetrack.daemon.fleet.peering import list_seed_peers, make_transport, send_all
 from chivetrack.daemon.fleet.permits import PermitDesk
 from chivetrack.daemon.fleet.requests import RequestDesk
