--- a/chivetrack/components/quarantine/__init__.py
+++ b/chivetrack/components/quarantine/__init__.py
@@ -1,1 +1,1 @@
-"""Fingerprints that identify repeated requests across routers."""
+"""Detects requests that crash endpoints and keeps the list of requests that routers reject."""
