Log how long messages between processes wait, by kind

At 300 instances the log waits although the outboxes drop nothing: what waits must lie in the sockets or on the link, and no line showed it. Neither did any line show how far the replicas of the log had come, as the leader knows.

peer_traffic now has received bytes by kind and the longest time from the queue until the kernel had taken a message; the leader writes replica_contacts, the age of each replica's last answer and how far its log matches.

--- a/chivetrack/components/peers/links.py
+++ b/chivetrack/components/peers/links.py
@@ -7,6 +7,7 @@
 
 import contextlib
 import socket
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -150,9 +151,10 @@
 
     def _send_waiting(self, link: _Link, outbox: Outbox[_Packed]) -> None:
         outbox.drop_old(max_wait_s=MAX_WAIT_S)
-        batch = outbox.take(BATCH_LIMIT)
-        if not batch:
+        queued = outbox.take(BATCH_LIMIT)
+        if not queued:
             return
+        batch = [one for _, one in queued]
         frame = encode_frame([one.body for one in batch])
         self._count_sent(batch, frame)
         try:
@@ -161,6 +163,9 @@
         except OSError:
             self.traffic.dropped_messages += len(batch)
             self._close(link)
+        now = time.monotonic()
+        for queued_at, one in queued:
+            self.traffic.note_wait(one.kind, now - queued_at)
 
     def _count_sent(self, batch: list[_Packed], frame: bytes) -> None:
         self.traffic.sent_batches += 1
@@ -214,6 +219,7 @@
             while data := link.socket.recv(READ_BYTES):
                 self.traffic.received_bytes += len(data)
                 for kind, payload in reader.feed(data):
+                    self.traffic.received_by_kind[kind] += len(payload)
                     self._take(link, kind, payload)
         except FrameError as error:
             self._on_error(f"bad frame from {link.peer or 'an unnamed instance'}: {error}")
--- a/chivetrack/components/peers/outbox.py
+++ b/chivetrack/components/peers/outbox.py
@@ -22,6 +22,19 @@
     dropped_messages: int = 0
     sent_by_kind: Counter[str] = field(default_factory=Counter)
     """Bytes of the messages themselves, by their name on the wire."""
+    received_by_kind: Counter[str] = field(default_factory=Counter)
+    """Bytes of the messages themselves, by their name on the wire."""
+    _longest_waits: dict[str, float] = field(default_factory=dict)
+
+    def note_wait(self, kind: str, wait_s: float) -> None:
+        """Note how long a message waited until the kernel had taken all of it."""
+        if wait_s > self._longest_waits.get(kind, 0.0):
+            self._longest_waits[kind] = wait_s
+
+    def take_longest_waits(self) -> dict[str, float]:
+        """Return the longest wait (s) by kind since the last call."""
+        waits, self._longest_waits = self._longest_waits, {}
+        return waits
 
 
 @dataclass(slots=True)
@@ -41,10 +54,10 @@
         self._waiting.append((time.monotonic(), item))
         self.ready.set()
 
-    def take(self, limit: int) -> list[ItemT]:
-        """Remove and return the oldest items, at most ``limit``."""
+    def take(self, limit: int) -> list[tuple[float, ItemT]]:
+        """Remove and return the oldest items, at most ``limit``, with when they were queued."""
         count = min(len(self._waiting), limit)
-        items = [self._waiting.popleft()[1] for _ in range(count)]
+        items = [self._waiting.popleft() for _ in range(count)]
         self._note_empty()
         return items
 
--- a/chivetrack/daemon/fleet/log_host.py
+++ b/chivetrack/daemon/fleet/log_host.py
@@ -171,6 +171,25 @@
         """Return the instances of all members."""
         return tuple(member.instance_id for member in self.get_members().members)
 
+    def write_contacts(self) -> None:
+        """On the leader, write when each replica last answered and how far its log reaches."""
+        if self.replica is None or not self.is_leader:
+            return
+        status = self.replica.get_status().consensus
+        self._events.write(
+            "replica_contacts",
+            commit=status.commit_index,
+            replicas=[
+                {
+                    "instance": one.instance_id,
+                    "voter": one.voter,
+                    "match": one.match_index,
+                    "age_s": round(one.last_contact_age_s, 3),
+                }
+                for one in status.replicas
+            ],
+        )
+
     @property
     def has_all_voters(self) -> bool:
         """Return whether the log has as many voters as the losses to be borne ask for.
--- a/chivetrack/daemon/fleet/peering.py
+++ b/chivetrack/daemon/fleet/peering.py
@@ -36,6 +36,7 @@
         self._events = events
         self._before = (0, 0, 0, 0)
         self._kinds_before: Counter[str] = Counter()
+        self._received_before: Counter[str] = Counter()
 
     def write(self) -> None:
         """Write one line."""
@@ -52,6 +53,9 @@
         self._before = counts
         by_kind = traffic.sent_by_kind - self._kinds_before
         self._kinds_before = traffic.sent_by_kind.copy()
+        received_by_kind = traffic.received_by_kind - self._received_before
+        self._received_before = traffic.received_by_kind.copy()
+        waits = traffic.take_longest_waits()
         self._events.write(
             "peer_traffic",
             sent=sent,
@@ -59,6 +63,8 @@
             received=received,
             dropped=dropped,
             by_kind=dict(by_kind),
+            received_by_kind=dict(received_by_kind),
+            longest_wait_s={kind: round(wait_s, 3) for kind, wait_s in waits.items()},
         )
 
 
--- a/chivetrack/daemon/fleet/replica.py
+++ b/chivetrack/daemon/fleet/replica.py
@@ -247,6 +247,7 @@
             gevent.sleep(TIDY_EVERY_S)
             if number % TRAFFIC_EVERY == 0:
                 traffic.write()
+                self.host.write_contacts()
             now = time.monotonic()
             for record in self._table.forget_old(now):
                 self._events.write("endpoint_forgotten", **record.describe())
