Send endpoints to routers packed, paced and through each other

Each router was sent every endpoint as records of some 85 bytes by each of the three replicas that it follows, at each of dozens of pushes a second, and again while the earlier ones, which lay in socket buffers, were unconfirmed. Ruled out: heartbeats (0.06 to 0.18 MB in that time), drops in the outboxes (0), the processor (25 % of a core).

In simulated time on the code before, 59 routers close to a replica, 3,000 endpoints within 1.2 s, a link of 525 kB/s: 6.4 MB sent after 3 s, 62 MB after 20 s, the next message waits 9.1 s and 98 s. That is the first test of tests.components.distribution.test_endpoint_feed, which fails there (0.3 s allowed); with 76 routers (380 instances) 13.3 s and 140 s.

Change: more than 16 changed endpoints go out in rounds, four a second at most. A round packs them once for all routers that lack the same, column by column, 10 bytes an endpoint; where many routers lack them, a few get them and hand them on; a round hands the kernel no more than a quarter of a second of the documents' pace, which both share. A replica that is not the close one sends departures alone, since only those need a majority. Fewer changes are pushed at once as before while the link has room. The list of silent endpoints went out with every answer to every router; now only when it has changed, and in rounds where it is long. A table lists its newest changes without a look at all entries.

Also mended, same class: an update that was lost was never sent again while newer ones kept going out, as each one moved the time from which it counted as lost.

--- a/chivetrack/components/announcements/table.py
+++ b/chivetrack/components/announcements/table.py
@@ -37,34 +37,53 @@
     """Keeps the newest statement of each endpoint and numbers the changes.
 
     A heartbeat that says nothing new moves only the time at which the endpoint was last
-    heard; followers are sent changes alone.
+    heard; followers are sent changes alone. Entries are kept in the order of their changes,
+    so that listing the newest ones doesn't take longer as the fleet grows.
     """
 
     def __init__(self) -> None:
         """Start with no endpoints."""
         self._entries: dict[str, _Entry] = {}
+        self._ids_at: dict[str, set[str]] = {}
         self.change = 0
 
     def merge(self, record: EndpointRecord, *, now: float) -> bool:
         """Take a statement; return whether it changes what followers have to know."""
         entry = self._entries.get(record.endpoint_id)
         if entry is None:
-            self.change += 1
-            self._entries[record.endpoint_id] = _Entry(
-                record=record, change=self.change, heard_at=now
-            )
+            entry = _Entry(record=record, change=0, heard_at=now)
+            self._note_address(record)
+            self._number(entry)
             return True
         if record.position <= entry.record.position:
             return False
         is_change = _strip(record) != _strip(entry.record)
+        if record.address != entry.record.address:
+            self._drop_address(entry.record)
+            self._note_address(record)
         entry.record = record
         entry.heard_at = now
         entry.is_restored = False
         if is_change:
-            self.change += 1
-            entry.change = self.change
+            self._number(entry)
         return is_change
 
+    def _number(self, entry: _Entry) -> None:
+        """Give an entry the next change number and move it to the end of the order."""
+        self.change += 1
+        entry.change = self.change
+        self._entries.pop(entry.record.endpoint_id, None)
+        self._entries[entry.record.endpoint_id] = entry
+
+    def _note_address(self, record: EndpointRecord) -> None:
+        self._ids_at.setdefault(record.address, set()).add(record.endpoint_id)
+
+    def _drop_address(self, record: EndpointRecord) -> None:
+        ids = self._ids_at[record.address]
+        ids.discard(record.endpoint_id)
+        if not ids:
+            del self._ids_at[record.address]
+
     def restore(self, records: Iterable[EndpointRecord], *, now: float) -> None:
         """Take over what was known before a restart, until it is heard again or lost."""
         for record in records:
@@ -91,11 +110,11 @@
         then routers would send to it what its successor refuses. One that was heard
         lately is left alone: the word of the other may have been late.
         """
+        at_address = sorted(self._ids_at.get(record.address, ()))
         older = [
             entry
-            for endpoint_id, entry in self._entries.items()
-            if endpoint_id != record.endpoint_id
-            and entry.record.address == record.address
+            for entry in (self._entries[endpoint_id] for endpoint_id in at_address)
+            if entry.record.endpoint_id != record.endpoint_id
             and entry.record.state in (EndpointState.READY, EndpointState.DRAINING)
             and now - entry.heard_at > SUPERSEDED_AFTER_S
         ]
@@ -133,8 +152,23 @@
             yield entry.record
 
     def list_changes(self, after: int) -> list[EndpointRecord]:
-        """Return the statements that changed after a numbered change."""
-        return [entry.record for entry in self._entries.values() if entry.change > after]
+        """Return the statements that changed after a numbered change, oldest change first."""
+        newer: list[EndpointRecord] = []
+        for entry in reversed(self._entries.values()):
+            if entry.change <= after:
+                break
+            newer.append(entry.record)
+        newer.reverse()
+        return newer
+
+    def count_changes(self, after: int, *, limit: int) -> int:
+        """Return how many statements changed after a numbered change, at most ``limit``."""
+        count = 0
+        for entry in reversed(self._entries.values()):
+            if entry.change <= after or count == limit:
+                break
+            count += 1
+        return count
 
     def list_silent(self, now: float) -> list[str]:
         """Return the endpoints that were not heard of lately and did not say that they left."""
@@ -179,8 +213,7 @@
         is_live = entry.record.state in (EndpointState.READY, EndpointState.DRAINING)
         if not is_live or entry.record.position <= lost.position:
             return False
-        self.change += 1
-        entry.change = self.change
+        self._number(entry)
         return True
 
     def forget_old(self, now: float) -> list[EndpointRecord]:
@@ -197,6 +230,7 @@
         ]
         for record in old:
             del self._entries[record.endpoint_id]
+            self._drop_address(record)
         return old
 
 
--- a/chivetrack/components/distribution/const.py
+++ b/chivetrack/components/distribution/const.py
@@ -83,3 +83,36 @@
 RELAY_MARGIN_S: Final = 0.05
 """Between the moment at which a document has left a replica and the one at which the router
 that it went to can hand it on."""
+
+INLINE_RECORDS: Final = 16
+"""Changed endpoints that go out within an answer to a router; more are packed and sent in
+rounds, in a third of the bytes."""
+
+PUSH_BYTES: Final = 250
+RECORD_BYTES: Final = 100
+"""What one push and each record in it take on the link, for pacing."""
+
+ROUND_EVERY_S: Final = 0.25
+"""Changes within so long go out in one round; a tenth of the time that a drain may take."""
+
+ROUND_AHEAD_S: Final = 0.25
+"""So much of its pace a replica hands to the kernel at once. What lies in the socket buffers
+of hundreds of connections can't be overtaken by the log."""
+
+SNAPSHOT_KEPT_S: Final = 1.0
+"""Routers that start within so long get the same packed table, and what is newer after it."""
+
+SMALL_TABLE_RECORDS: Final = 300
+"""Up to so many endpoints are sent by every replica that a router follows, some 4 kB."""
+
+DIRECT_BYTES: Final = 30_000.0
+"""Up to so many bytes for a whole round, every router gets it from the replica itself."""
+
+MAX_FORWARDS: Final = 16
+"""Routers that one router hands an update on to."""
+
+SILENT_EVERY_S: Final = 0.2
+"""How often a replica looks for silent endpoints; one is silent after 5 s."""
+
+SILENT_BYTES: Final = 12
+"""What the id of one silent endpoint takes on the link, for pacing."""
--- /dev/null
+++ b/chivetrack/components/distribution/endpoint_feed.py
@@ -0,0 +1,236 @@
+"""Decides how changes of many endpoints reach many routers; free of I/O."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from chivetrack.components.announcements.models import EndpointState
+from chivetrack.components.announcements.packing import pack_records
+from chivetrack.components.announcements.table import EndpointTable
+from chivetrack.components.distribution.const import (
+    IN_FLIGHT_S,
+    ROUND_EVERY_S,
+    ROUTER_SILENT_S,
+    SILENT_BYTES,
+    SMALL_TABLE_RECORDS,
+    SNAPSHOT_KEPT_S,
+)
+from chivetrack.components.distribution.fanout import Fanout
+from chivetrack.components.distribution.messages import EndpointUpdate, SilentUpdate
+from chivetrack.components.distribution.pacing import Pacer
+from chivetrack.components.distribution.silent import SilentList
+from chivetrack.core import SendMessage
+
+_DEPARTURES = (EndpointState.DRAINING, EndpointState.LEFT)
+
+
+@dataclass(slots=True)
+class EndpointProgress:
+    """Up to which change a router has the endpoints, and what is on its way to it."""
+
+    confirmed: int = 0
+    sent: int = 0
+    is_partial: bool = False
+    resend_at: float = float("-inf")
+    heard_at: float = float("-inf")
+
+    def note_sent(self, change: int, *, arrives_at: float) -> None:
+        """Note that the changes up to ``change`` are under way."""
+        if self.sent <= self.confirmed:
+            self.resend_at = arrives_at + IN_FLIGHT_S
+        self.sent = change
+
+    def confirm(self, change: int, *, now: float) -> None:
+        """Take what the router says that it has.
+
+        Without any progress for some time, what is on its way counts as lost, also while
+        newer changes keep going out.
+        """
+        self.heard_at = now
+        if change >= self.sent:
+            self.sent = self.confirmed = change
+        elif change > self.confirmed:
+            self.confirmed = change
+            self.resend_at = max(self.resend_at, now + IN_FLIGHT_S)
+        elif now > self.resend_at:
+            self.sent = self.confirmed = change
+
+
+class _Group(NamedTuple):
+    """Which changes some routers lack: all after ``base``, or departures alone."""
+
+    is_whole_table: bool
+    is_partial: bool
+    base: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Packed:
+    change: int
+    payload: bytes
+    made_at: float
+
+
+@dataclass(slots=True, kw_only=True)
+class EndpointFeed:
+    """Sends endpoints in rounds: packed once for all routers, paced, handed on by routers.
+
+    It answers a fleet that starts: each of 60 routers close to a replica lacks 3,000
+    endpoints. Sent to each one as records they take a link of 4 Mbit/s for many seconds, and
+    votes, the log and operators wait behind them. Packed they take a tenth; a few routers
+    get them from the replica and hand them on, and no more is handed to the kernel at once
+    than the link drains in a moment.
+
+    A router gets the whole table from the replica that it is close to. From the others it
+    needs departures alone: those are acknowledged once a majority of replicas knows them.
+    """
+
+    replica: str
+    run: str
+    table: EndpointTable
+    pacer: Pacer
+    silent: SilentList = field(default_factory=SilentList)
+    _progress: dict[str, EndpointProgress] = field(default_factory=dict)
+    _waiting: dict[str, None] = field(default_factory=dict)
+    _lacks_silent: dict[str, None] = field(default_factory=dict)
+    _packed: dict[_Group, _Packed] = field(default_factory=dict)
+    _next_round_at: float = float("-inf")
+    _fanout: Fanout = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Share the pace of the link with whoever else has the pacer."""
+        self._fanout = Fanout(pacer=self.pacer)
+
+    def get_progress(self, router: str) -> EndpointProgress:
+        """Return how far a router is, which may be a new one."""
+        progress = self._progress.get(router)
+        if progress is None:
+            progress = self._progress[router] = EndpointProgress()
+        return progress
+
+    def confirm(self, router: str, change: int, *, needs_whole: bool, now: float) -> None:
+        """Take up to which change a router is; ``needs_whole``: it lacks more than departures."""
+        progress = self.get_progress(router)
+        if needs_whole and progress.is_partial:
+            progress = self._progress[router] = EndpointProgress()
+        progress.confirm(0 if needs_whole else change, now=now)
+
+    def forget(self, router: str) -> None:
+        """Drop a router that has gone."""
+        self._progress.pop(router, None)
+        self._waiting.pop(router, None)
+        self._lacks_silent.pop(router, None)
+
+    def enqueue(self, router: str, *, is_close: bool) -> None:
+        """Have a router sent what it lacks with the next rounds."""
+        progress = self.get_progress(router)
+        if progress.sent == 0:
+            limit = SMALL_TABLE_RECORDS + 1
+            is_large = self.table.count_changes(0, limit=limit) == limit
+            progress.is_partial = is_large and not is_close
+        self._waiting[router] = None
+
+    def enqueue_silent(self, router: str) -> None:
+        """Have a router sent the list of silent endpoints with the next rounds."""
+        self._lacks_silent[router] = None
+
+    def send_round(self, *, now: float) -> list[SendMessage]:
+        """Return what is due, as far as the link has room: first changes, whole tables last."""
+        if now < self._next_round_at:
+            return []
+        groups = list(self._list_groups(now))
+        changes = [one for one in groups if not one[0].is_whole_table]
+        tables = [one for one in groups if one[0].is_whole_table]
+        messages: list[SendMessage] = []
+        for group, routers in changes:
+            messages += self._send_group(group, routers, now)
+        messages += self._send_silent(now)
+        for group, routers in tables:
+            messages += self._send_group(group, routers, now)
+        if messages:
+            self._next_round_at = now + ROUND_EVERY_S
+        return messages
+
+    def _list_groups(self, now: float) -> Iterator[tuple[_Group, list[str]]]:
+        """Yield the waiting routers by what they lack, those that lack least first."""
+        groups: dict[_Group, list[str]] = {}
+        for router in list(self._waiting):
+            progress = self._progress[router]
+            if progress.sent >= self.table.change or not self._is_alive(router, now):
+                # One that is heard again asks again.
+                del self._waiting[router]
+                continue
+            is_whole_table = progress.sent == 0
+            is_partial = is_whole_table and progress.is_partial
+            group = _Group(is_whole_table, is_partial, progress.sent)
+            groups.setdefault(group, []).append(router)
+        for group in sorted(groups, key=lambda one: -one.base):
+            yield group, groups[group]
+
+    def _is_alive(self, router: str, now: float) -> bool:
+        return now - self._progress[router].heard_at <= ROUTER_SILENT_S
+
+    def _order(self, routers: Iterable[str]) -> list[str]:
+        """Return routers with those heard last first: they are the least likely to be gone."""
+        return sorted(routers, key=lambda one: -self._progress[one].heard_at)
+
+    def _send_group(
+        self, group: _Group, routers: Iterable[str], now: float
+    ) -> Iterator[SendMessage]:
+        if not self._fanout.has_room(now=now):
+            return
+        packed = self._pack(group, now)
+        for leg in self._fanout.plan(self._order(routers), len(packed.payload), now=now):
+            for router in (leg.first, *leg.others):
+                self._progress[router].note_sent(packed.change, arrives_at=leg.arrives_at)
+                del self._waiting[router]
+            update = EndpointUpdate(
+                replica=self.replica,
+                run=self.run,
+                base=group.base,
+                change=packed.change,
+                payload=packed.payload,
+                is_partial=group.is_partial,
+                forward_to=leg.others,
+            )
+            yield SendMessage(target=leg.first, message=update)
+
+    def _send_silent(self, now: float) -> Iterator[SendMessage]:
+        routers = self._order(one for one in self._lacks_silent if self._is_alive(one, now))
+        self._lacks_silent = dict.fromkeys(routers)
+        size = len(self.silent.endpoint_ids) * SILENT_BYTES
+        for leg in self._fanout.plan(routers, size, now=now):
+            for router in (leg.first, *leg.others):
+                del self._lacks_silent[router]
+            update = SilentUpdate(
+                replica=self.replica,
+                run=self.run,
+                revision=self.silent.revision,
+                endpoint_ids=self.silent.endpoint_ids,
+                forward_to=leg.others,
+            )
+            yield SendMessage(target=leg.first, message=update)
+
+    def _pack(self, group: _Group, now: float) -> _Packed:
+        known = self._packed.get(group)
+        if known is not None and self._is_fresh(group, known, now):
+            return known
+        self._drop_old(now)
+        records = self.table.list_changes(group.base)
+        if group.is_partial:
+            records = [one for one in records if one.state in _DEPARTURES]
+        packed = _Packed(change=self.table.change, payload=pack_records(records), made_at=now)
+        self._packed[group] = packed
+        return packed
+
+    def _is_fresh(self, group: _Group, packed: _Packed, now: float) -> bool:
+        if packed.change == self.table.change:
+            return True
+        return group.is_whole_table and now - packed.made_at <= SNAPSHOT_KEPT_S
+
+    def _drop_old(self, now: float) -> None:
+        self._packed = {
+            group: packed
+            for group, packed in self._packed.items()
+            if self._is_fresh(group, packed, now)
+        }
--- a/chivetrack/components/distribution/messages.py
+++ b/chivetrack/components/distribution/messages.py
@@ -39,7 +39,8 @@
     the one that hears of the router's load and tells it that of the others. ``reads_at``
     is where the router hands out its document, ``host:port``. ``crash_reports`` are the
     router's recent crash reports, ``quarantine_revision`` is the revision of the quarantine
-    that it has in force.
+    that it has in force. ``is_partial``: up to ``change`` only departures are known.
+    ``silent_revision`` is that of the list of silent endpoints held from this replica.
     """
 
     router: str
@@ -53,6 +54,8 @@
     reads_at: str = ""
     crash_reports: tuple[CrashReport, ...] = ()
     quarantine_revision: int = 0
+    is_partial: bool = False
+    silent_revision: int = 0
 
 
 @message("distribution.view")
@@ -63,7 +66,10 @@
     orders applied there. With ``has_loads``, ``loads``
     are summed over all routers but the receiver, ``routers`` counts the routers, and
     ``placed`` are the placements after change ``placed_base``. ``quarantine`` is
-    ``None`` if the router already has that revision.
+    ``None`` if the router already has that revision. ``is_pending``: more endpoints have
+    changed than fit; they follow as ``EndpointUpdate``. ``silent`` is ``None`` if the router
+    has the newest list, or that is long and follows as ``SilentUpdate``; ``silent_revision``
+    is the one that the router has then.
     """
 
     run: str
@@ -72,7 +78,7 @@
     version: int
     records: tuple[EndpointRecord, ...]
     replicas: tuple[str, ...]
-    silent: tuple[str, ...]
+    silent: tuple[str, ...] | None
     loads: tuple[EndpointLoad, ...] = ()
     routers: int = 0
     placed: tuple[PlacedPart, ...] = ()
@@ -80,6 +86,40 @@
     placed_change: int = 0
     evacuations: Evacuations = Evacuations()
     quarantine: Quarantine | None = None
+    is_pending: bool = False
+    silent_revision: int = 0
+
+
+@message("distribution.endpoints")
+class EndpointUpdate(Message, frozen=True, array_like=True):
+    """Many endpoints that changed at a replica between two numbered changes, packed.
+
+    ``replica`` is the address of the replica and ``run`` names its process; both hold also
+    where a router hands the update on. The receiver sends it to each of ``forward_to``.
+    ``is_partial``: of the endpoints, only those that are leaving or have left.
+    """
+
+    replica: str
+    run: str
+    base: int
+    change: int
+    payload: bytes
+    is_partial: bool = False
+    forward_to: tuple[str, ...] = ()
+
+
+@message("distribution.silent")
+class SilentUpdate(Message, frozen=True, array_like=True):
+    """The endpoints that a replica has not heard of lately, where they are many.
+
+    ``replica``, ``run`` and ``forward_to`` are as in ``EndpointUpdate``.
+    """
+
+    replica: str
+    run: str
+    revision: int
+    endpoint_ids: tuple[str, ...]
+    forward_to: tuple[str, ...] = ()
 
 
 @message("distribution.exchange")
--- a/chivetrack/components/distribution/publisher.py
+++ b/chivetrack/components/distribution/publisher.py
@@ -1,7 +1,7 @@
 """A replica's side: who follows, what each one has, what is sent to whom."""
 
 import itertools
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
 import msgspec
@@ -12,12 +12,17 @@
     DOCUMENT_BYTES_PER_S,
     ELECTION_FIRST_S,
     IN_FLIGHT_S,
+    INLINE_RECORDS,
     MANY_ROUTERS,
     PLACED_IN_ROUND,
+    PUSH_BYTES,
+    RECORD_BYTES,
     RELAY_AFTER_S,
+    ROUND_AHEAD_S,
     ROUTER_GONE_S,
     ROUTER_SILENT_S,
 )
+from chivetrack.components.distribution.endpoint_feed import EndpointFeed
 from chivetrack.components.distribution.messages import (
     DocumentSent,
     EndpointLoad,
@@ -45,19 +50,16 @@
 
     heard_at: float
     is_close: bool
-    sent_change: int = 0
-    sent_at: float = float("-inf")
     placed_change: int = 0
     placed_at: float = float("-inf")
     loads: tuple[EndpointLoad, ...] = ()
     version: int = 0
     reads_at: str = ""
     quarantine_revision: int = 0
+    silent_revision: int = 0
 
-    def confirm(self, change: int, placed_change: int, now: float) -> None:
+    def confirm(self, placed_change: int, now: float) -> None:
         """Take what the router says that it has; what is on its way may be more."""
-        if change >= self.sent_change or now - self.sent_at > IN_FLIGHT_S:
-            self.sent_change = change
         if placed_change >= self.placed_change or now - self.placed_at > IN_FLIGHT_S:
             self.placed_change = placed_change
 
@@ -89,12 +91,14 @@
 
 @dataclass(slots=True, kw_only=True)
 class Publisher:
-    """Decides what routers are sent; ``run`` names this process of the replica.
+    """Decides what routers are sent.
 
-    Each router is close to one replica, which hears of its load. Replicas exchange the
-    sums, so that the work of each grows with its own routers and not with all of them.
+    ``replica`` is the own address, ``run`` names this process of the replica. Each router is
+    close to one replica, which hears of its load. Replicas exchange the sums, so that the
+    work of each grows with its own routers and not with all of them.
     """
 
+    replica: str
     run: str
     table: EndpointTable
     list_replicas: Callable[[], tuple[str, ...]]
@@ -111,6 +115,14 @@
     _due: dict[str, _DueDocument] = field(default_factory=dict)
     _relays: Relays = field(default_factory=Relays)
     _fleet_share: FleetShare = field(default_factory=FleetShare)
+    _endpoints: EndpointFeed = field(init=False)
+    _published_orders: tuple[int, int, int] = (0, 0, 0)
+
+    def __post_init__(self) -> None:
+        """Let endpoints and documents share the pace of the link."""
+        self._endpoints = EndpointFeed(
+            replica=self.replica, run=self.run, table=self.table, pacer=self._pacer
+        )
 
     def take_follow(
         self, follow: Follow, *, now: float, knows_leader: bool = True
@@ -128,13 +140,18 @@
         if router is None:
             router = self._routers[follow.router] = _Router(heard_at=now, is_close=False)
         router.heard_at = now
-        router.confirm(
-            follow.change if is_known else 0, follow.placed_change if is_known else 0, now
+        router.confirm(follow.placed_change if is_known else 0, now)
+        self._endpoints.confirm(
+            follow.router,
+            follow.change if is_known else 0,
+            needs_whole=is_known and follow.is_close and follow.is_partial,
+            now=now,
         )
         router.is_close = follow.is_close
         router.loads = follow.loads
         router.version = follow.version
         router.quarantine_revision = follow.quarantine_revision
+        router.silent_revision = follow.silent_revision if is_known else 0
         self.evidence.note(follow.crash_reports, now=now)
         router.reads_at = follow.reads_at
         if follow.is_close and follow.version:
@@ -225,31 +242,76 @@
         for one in gone:
             del self._routers[one]
             self._due.pop(one, None)
+            self._endpoints.forget(one)
         is_large = len(self._routers) > MANY_ROUTERS
-        return [
-            self._make_view(one, router, now)
-            for one, router in self._routers.items()
-            if router.is_close or not is_large
+        targets = {
+            one: router for one, router in self._routers.items() if router.is_close or not is_large
+        }
+        orders = (self.history.version, self.evacuations.revision, self.quarantine.revision)
+        has_orders = orders != self._published_orders
+        self._published_orders = orders
+        is_light = self._is_light(targets, now)
+        if is_light or has_orders:
+            return [self._make_view(one, router, now) for one, router in targets.items()]
+        for one, router in targets.items():
+            self._endpoints.enqueue(one, is_close=router.is_close)
+        return []
+
+    def send_round(self, *, now: float) -> list[SendMessage]:
+        """Return the packed updates of endpoints that are due; call this several times a second."""
+        return self._endpoints.send_round(now=now)
+
+    def _is_light(self, targets: Mapping[str, _Router], now: float) -> bool:
+        """Return whether the newest changes are few and the link has room for their push."""
+        counts = [
+            self.table.count_changes(
+                self._endpoints.get_progress(one).sent, limit=INLINE_RECORDS + 1
+            )
+            for one in targets
         ]
+        is_many = any(count > INLINE_RECORDS for count in counts)
+        if is_many or self._pacer.find_delay(now=now) > ROUND_AHEAD_S:
+            return False
+        self._pacer.reserve(len(targets) * PUSH_BYTES + sum(counts) * RECORD_BYTES, now=now)
+        return True
 
     def _make_view(self, name: str, router: _Router, now: float) -> SendMessage:
-        base = router.sent_change
-        if base < self.table.change:
-            router.sent_at = now
-        router.sent_change = self.table.change
+        progress = self._endpoints.get_progress(name)
+        base = progress.sent
+        count = self.table.count_changes(base, limit=INLINE_RECORDS + 1)
+        is_pending = count > INLINE_RECORDS
+        if is_pending:
+            self._endpoints.enqueue(name, is_close=router.is_close)
+        elif count:
+            progress.is_partial = progress.is_partial and base > 0
+            progress.note_sent(self.table.change, arrives_at=now)
         view = View(
             run=self.run,
             base=base,
-            change=self.table.change,
+            change=progress.sent,
             version=self.history.version,
-            records=tuple(self.table.list_changes(base)),
+            records=() if is_pending else tuple(self.table.list_changes(base)),
             replicas=self.list_replicas(),
-            silent=tuple(self.table.list_silent(now)),
+            silent=None,
             evacuations=self.evacuations,
             quarantine=self._find_newer_quarantine(router),
+            is_pending=is_pending,
         )
         return SendMessage(target=name, message=view)
 
+    def _find_newer_silent(
+        self, name: str, router: _Router, now: float
+    ) -> tuple[tuple[str, ...] | None, int]:
+        """Return the silent endpoints, ``None`` if nothing is new or the list comes later."""
+        silent = self._endpoints.silent
+        silent.refresh(self.table, now=now)
+        if router.silent_revision == silent.revision:
+            return None, router.silent_revision
+        if len(silent.endpoint_ids) > INLINE_RECORDS:
+            self._endpoints.enqueue_silent(name)
+            return None, router.silent_revision
+        return silent.endpoint_ids, silent.revision
+
     def _find_newer_quarantine(self, router: _Router) -> Quarantine | None:
         if self.quarantine.revision <= router.quarantine_revision:
             return None
@@ -265,8 +327,11 @@
         router.placed_change = placed_change
         sent = self._make_view(name, router, now)
         assert isinstance(sent.message, View)
+        silent, silent_revision = self._find_newer_silent(name, router, now)
         view = msgspec.structs.replace(
             sent.message,
+            silent=silent,
+            silent_revision=silent_revision,
             has_loads=True,
             loads=_sum_loads([*others, *(one.loads for one in peers)]),
             routers=len(close) + sum(one.routers for one in peers),
--- a/chivetrack/components/distribution/subscriber.py
+++ b/chivetrack/components/distribution/subscriber.py
@@ -5,8 +5,10 @@
 from dataclasses import dataclass
 from random import Random
 
+import msgspec
 from expression import Error, Ok, Result
 
+from chivetrack.components.announcements.packing import unpack_records
 from chivetrack.components.announcements.table import EndpointTable
 from chivetrack.components.distribution.const import (
     CLOSE_EVERY_S,
@@ -26,10 +28,12 @@
 from chivetrack.components.distribution.messages import (
     DocumentSent,
     EndpointLoad,
+    EndpointUpdate,
     FetchDocument,
     FetchElsewhere,
     Follow,
     PlacedPart,
+    SilentUpdate,
     View,
 )
 from chivetrack.components.document.patch import PatchError, apply_patch
@@ -47,7 +51,24 @@
     unanswered_since: float = float("inf")
     run: str = ""
     change: int = 0
+    is_partial: bool = False
     placed_change: int = 0
+    silent_revision: int = 0
+
+    def note_run(self, run: str) -> None:
+        """Note which process of the replica speaks; each one numbers its changes anew."""
+        if run != self.run:
+            self.run, self.change, self.placed_change = run, 0, 0
+            self.is_partial = False
+            self.silent_revision = 0
+
+    def note_changes(self, base: int, change: int, *, is_partial: bool = False) -> None:
+        """Note what came after change ``base``; after one that was lost it has to come again."""
+        if base > self.change:
+            return
+        if base == 0 and change > 0:
+            self.is_partial = is_partial and (self.is_partial or self.change == 0)
+        self.change = max(self.change, change)
 
     def note_asked(self, now: float) -> None:
         """Note a question to it."""
@@ -93,12 +114,14 @@
         table: EndpointTable,
         take_document: Callable[[int, bytes], None],
         note_unreadable: Callable[[int, str], None],
+        note_bad_update: Callable[[str, str], None],
         get_news: Callable[[], OwnNews],
     ) -> None:
         """Take the own addresses, those of the first replicas and the ways out.
 
         ``take_document`` gets the version and the document as the operator sent it,
-        ``note_unreadable`` the version and what was wrong with what a replica sent.
+        ``note_unreadable`` the version and what was wrong with what a replica sent, and
+        ``note_bad_update`` the replica and what was wrong with packed endpoints.
         """
         self._router = router
         self._reads_at = reads_at
@@ -106,6 +129,7 @@
         self._table = table
         self._take_document = take_document
         self._note_unreadable = note_unreadable
+        self._note_bad_update = note_bad_update
         self._get_news = get_news
         self._replicas: dict[str, _Replica] = {}
         self._next_follow = float("-inf")
@@ -160,9 +184,13 @@
 
     def _follow_close(self, now: float) -> list[Effect]:
         self._refresh_names(now)
-        name = self._close = self._choose_close(now)
+        name = self._choose_close(now)
         news = self._get_news()
         replica = self._replicas[name]
+        if name != self._close:
+            # The list held now is that of the replica before.
+            replica.silent_revision = 0
+        self._close = name
         replica.note_asked(now)
         self._quarantine_revision = news.quarantine_revision
         follow = Follow(
@@ -177,6 +205,8 @@
             reads_at=self._reads_at,
             crash_reports=news.crash_reports,
             quarantine_revision=news.quarantine_revision,
+            is_partial=replica.is_partial,
+            silent_revision=replica.silent_revision,
         )
         return [SendMessage(target=name, message=follow)]
 
@@ -230,6 +260,7 @@
             change=replica.change,
             version=self.version,
             quarantine_revision=self._quarantine_revision,
+            is_partial=replica.is_partial,
         )
 
     def _name(self, name: str, now: float) -> _Replica:
@@ -245,18 +276,38 @@
         replica.note_heard(now)
         for record in view.records:
             self._table.merge(record, now=now)
-        if view.run != replica.run:
-            replica.run, replica.change, replica.placed_change = view.run, 0, 0
+        replica.note_run(view.run)
         if view.has_loads:
             self._routers = view.routers
             replica.placed_change = view.placed_change
-        if view.base <= replica.change:
-            # After a push that was lost the next answer begins where this router is.
-            replica.change = max(replica.change, view.change)
+            replica.silent_revision = view.silent_revision
+        replica.note_changes(view.base, view.change)
         for name in view.replicas:
             self._name(name, now)
         return self._fetch(source, view.version, now)
 
+    def take_endpoints(self, update: EndpointUpdate, *, now: float) -> list[Effect]:
+        """Merge what a replica has packed and hand it on as it wishes."""
+        read = unpack_records(update.payload)
+        if read.is_error():
+            self._note_bad_update(update.replica, read.error)
+            return []
+        for record in read.ok:
+            self._table.merge(record, now=now)
+        replica = self._name(update.replica, now)
+        replica.note_run(update.run)
+        replica.note_changes(update.base, update.change, is_partial=update.is_partial)
+        passed_on = msgspec.structs.replace(update, forward_to=())
+        return [SendMessage(target=one, message=passed_on) for one in update.forward_to]
+
+    def take_silent(self, update: SilentUpdate) -> list[Effect]:
+        """Note which list of silent endpoints is held from a replica and hand it on."""
+        replica = self._replicas.get(update.replica)
+        if replica is not None and replica.run == update.run:
+            replica.silent_revision = update.revision
+        passed_on = msgspec.structs.replace(update, forward_to=())
+        return [SendMessage(target=one, message=passed_on) for one in update.forward_to]
+
     def _fetch(self, source: str, version: int, now: float) -> list[Effect]:
         if version <= self.version or now < self._next_fetch:
             return []
--- a/chivetrack/daemon/fleet/fleet_view.py
+++ b/chivetrack/daemon/fleet/fleet_view.py
@@ -1,7 +1,7 @@
 """What a router believes of the fleet: configuration, endpoints, their load and health."""
 
 import time
-from collections.abc import Callable, Collection, Iterator, Sequence
+from collections.abc import Callable, Collection, Iterable, Iterator, Sequence
 from contextlib import contextmanager
 
 from gevent.event import Event as Signal
@@ -105,7 +105,7 @@
     def take_view(self, view: View) -> None:
         """Take what one replica knows of loads and silent endpoints."""
         now = time.monotonic()
-        self.has_view = True
+        self.has_view = self.has_view or not view.is_pending
         # Before the placements: what is known of an endpoint is dropped as it appears.
         self._note_changes()
         self._note_evacuations(view.evacuations)
@@ -113,15 +113,27 @@
             self._take_quarantine(view.quarantine)
         if view.has_loads:
             self._routers = max(view.routers, self._routers * ROUTERS_KEPT)
-            self._take_silent_endpoints(frozenset(view.silent))
+            if view.silent is not None:
+                self.take_silent_endpoints(view.silent)
             self.health.take_others(view.loads, now=now)
             self.placement.take_others(
                 view.loads, view.placed, now=now, capacity=self._memory_tokens
             )
+        self._note_ready()
+
+    def take_endpoints(self) -> None:
+        """Put in force the endpoints that a replica has packed."""
+        self.has_view = True
+        self._note_changes()
+        self._note_ready()
+
+    def _note_ready(self) -> None:
         if self.table is not None and not self.directory.is_empty:
             self._ready.set()
 
-    def _take_silent_endpoints(self, silent: frozenset[str]) -> None:
+    def take_silent_endpoints(self, endpoint_ids: Iterable[str]) -> None:
+        """Take which endpoints the close replica has not heard of lately."""
+        silent = frozenset(endpoint_ids)
         if silent != self._silent:
             self._events.write(
                 "silent_endpoints_changed",
--- a/chivetrack/daemon/fleet/replica.py
+++ b/chivetrack/daemon/fleet/replica.py
@@ -12,7 +12,10 @@
 
 from chivetrack.components.announcements.table import EndpointTable
 from chivetrack.components.deployment.settings import DeploymentSettings
-from chivetrack.components.distribution.const import CLOSE_EVERY_S
+from chivetrack.components.distribution.const import (
+    CLOSE_EVERY_S,
+    ROUND_EVERY_S,
+)
 from chivetrack.components.distribution.messages import Exchange, FetchDocument, Follow
 from chivetrack.components.distribution.publisher import Publisher
 from chivetrack.components.document.store import DocumentStore, StoredDocument, unpack_document
@@ -66,6 +69,7 @@
             events=events,
         )
         self._publisher = Publisher(
+            replica=own,
             run=secrets.token_hex(8),
             table=self._table,
             list_replicas=self.host.list_instances,
@@ -269,6 +273,12 @@
                 if target != own:
                     self.transport.send(target, exchange)
 
+    def _send_endpoints(self) -> None:
+        """Send routers in rounds what has changed at many endpoints."""
+        while True:
+            gevent.sleep(ROUND_EVERY_S / 2)
+            send_all(self.transport.answer, self._publisher.send_round(now=time.monotonic()))
+
     @contextmanager
     def _serve(self) -> Iterator[None]:
         self._file.load(now=time.monotonic())
@@ -276,7 +286,8 @@
         self._control.start()
         if self._metrics_server is not None:
             self._metrics_server.start()
-        loops = [gevent.spawn(one) for one in (self.host.run, self._tidy, self._exchange)]
+        jobs = (self.host.run, self._tidy, self._exchange, self._send_endpoints)
+        loops = [gevent.spawn(one) for one in jobs]
         try:
             yield
         finally:
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -15,8 +15,10 @@
 from chivetrack.components.deployment.settings import DeploymentSettings
 from chivetrack.components.distribution.messages import (
     DocumentSent,
+    EndpointUpdate,
     FetchDocument,
     FetchElsewhere,
+    SilentUpdate,
     View,
 )
 from chivetrack.components.distribution.subscriber import Subscriber
@@ -96,6 +98,7 @@
             table=self.view.directory.table,
             take_document=self.view.take_document,
             note_unreadable=self._note_unreadable,
+            note_bad_update=self._note_bad_update,
             get_news=self.view.get_news,
         )
         self.transport = make_transport(settings, events=events, take=self._take_message)
@@ -196,12 +199,23 @@
     def _note_unreadable(self, version: int, detail: str) -> None:
         self._events.write("configuration_unreadable", version=version, detail=detail)
 
+    def _note_bad_update(self, replica: str, detail: str) -> None:
+        self._events.write("endpoints_unreadable", replica=replica, detail=detail)
+
     def _take_message(self, source: str, message: Message) -> None:
         now = time.monotonic()
         if isinstance(message, View):
             effects = self.subscriber.take_view(source, message, now=now)
             self.view.take_view(message)
             send_all(self.transport.send, effects)
+        elif isinstance(message, EndpointUpdate):
+            effects = self.subscriber.take_endpoints(message, now=now)
+            self.view.take_endpoints()
+            send_all(self.transport.send, effects)
+        elif isinstance(message, SilentUpdate):
+            if message.replica == self.subscriber.close_replica:
+                self.view.take_silent_endpoints(message.endpoint_ids)
+            send_all(self.transport.send, self.subscriber.take_silent(message))
         elif isinstance(message, PermitAnswer):
             self._permits.take(message)
         elif isinstance(message, DocumentSent):
--- /dev/null
+++ b/tests/components/distribution/links.py
@@ -0,0 +1,156 @@
+"""A replica and its routers over links with a rate, in simulated time."""
+
+import heapq
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from chivetrack.components.announcements.table import EndpointTable
+from chivetrack.components.distribution.messages import EndpointUpdate, Follow, SilentUpdate, View
+from chivetrack.components.distribution.publisher import Publisher
+from chivetrack.components.distribution.subscriber import OwnNews, Subscriber
+from chivetrack.components.peers.const import FRAME_OVERHEAD_BYTES
+from chivetrack.components.peers.frames import encode_frame
+from chivetrack.core import Effect, SendMessage
+from chivetrack.helpers.codec import Message, pack
+from tests.components.announcements.test_packing import make_fleet
+
+REPLICA = "p1"
+REPLICA_BYTES_PER_S = 525_000.0
+ROUTER_BYTES_PER_S = 625_000.0
+DELAY_S = 0.001
+PUSH_AFTER_S = 0.02
+ROUND_S = 0.125
+
+
+@dataclass
+class Link:
+    """What leaves one instance goes out in turn."""
+
+    bytes_per_s: float
+    free_at: float = 0.0
+    sent_bytes: int = 0
+    longest_wait_s: float = 0.0
+
+    def send(self, size: int, now: float) -> float:
+        """Return when the last byte has arrived."""
+        start = max(now, self.free_at)
+        self.longest_wait_s = max(self.longest_wait_s, start - now)
+        self.free_at = start + size / self.bytes_per_s
+        self.sent_bytes += size
+        return self.free_at + DELAY_S
+
+
+@dataclass
+class Router:
+    subscriber: Subscriber
+    table: EndpointTable
+    link: Link
+    is_down: bool = False
+    complete_at: float | None = None
+
+
+@dataclass
+class Fleet:
+    """One replica, ``routers`` that are close to it, and endpoints that come to know it.
+
+    The other replicas don't answer, so that all routers follow this one.
+    """
+
+    routers: int
+    lost_share: float = 0.0
+    now: float = 0.0
+    known: dict[str, Router] = field(default_factory=dict)
+    random: Random = field(default_factory=lambda: Random(1))
+
+    def __post_init__(self) -> None:
+        self.table = EndpointTable()
+        self.link = Link(REPLICA_BYTES_PER_S)
+        self.publisher = Publisher(
+            replica=REPLICA, run="run1", table=self.table, list_replicas=lambda: (REPLICA,)
+        )
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = itertools.count()
+        self._pushed_change = 0
+        for number in range(self.routers):
+            self._add_router(f"r{number}")
+        self._schedule(ROUND_S, self._run_rounds)
+        self._schedule(PUSH_AFTER_S, self._push)
+
+    def _add_router(self, name: str) -> None:
+        table = EndpointTable()
+        subscriber = Subscriber(
+            router=name,
+            reads_at="",
+            seeds=[REPLICA],
+            table=table,
+            take_document=lambda version, body: None,
+            note_unreadable=lambda version, detail: None,
+            note_bad_update=lambda replica, detail: None,
+            get_news=lambda: OwnNews(loads=(), placed=()),
+        )
+        self.known[name] = Router(subscriber, table, Link(ROUTER_BYTES_PER_S))
+        self._schedule(self.random.uniform(0.0, 0.3), lambda: self._wake(name))
+
+    def announce(self, count: int, *, within_s: float) -> None:
+        """Have endpoints announce themselves for the first time, spread evenly."""
+        for number, record in enumerate(make_fleet(count)):
+            at = self.now + within_s * number / count
+            self._schedule(at, lambda one=record: self.table.merge(one, now=self.now))
+
+    def run_until(self, end: float) -> None:
+        """Let time pass."""
+        while self._events and self._events[0][0] <= end:
+            self.now, _, act = heapq.heappop(self._events)
+            act()
+        self.now = end
+
+    def _schedule(self, at: float, act: Callable[[], object]) -> None:
+        heapq.heappush(self._events, (at, next(self._numbers), act))
+
+    def _run_rounds(self) -> None:
+        self._send(self.link, self.publisher.send_round(now=self.now))
+        self._schedule(self.now + ROUND_S, self._run_rounds)
+
+    def _push(self) -> None:
+        if self._pushed_change != self.table.change:
+            self._pushed_change = self.table.change
+            self._send(self.link, self.publisher.publish(now=self.now))
+        self._schedule(self.now + PUSH_AFTER_S, self._push)
+
+    def _wake(self, name: str) -> None:
+        router = self.known[name]
+        if not router.is_down:
+            self._send(router.link, router.subscriber.wake(now=self.now))
+        self._schedule(self.now + 0.3, lambda: self._wake(name))
+
+    def _send(self, link: Link, effects: list[SendMessage] | list[Effect]) -> None:
+        for effect in effects:
+            if not isinstance(effect, SendMessage):
+                continue
+            frame = encode_frame([pack(effect.message)])
+            arrives_at = link.send(len(frame) + FRAME_OVERHEAD_BYTES, self.now)
+            if self.random.random() >= self.lost_share:
+                self._schedule(arrives_at, lambda one=effect: self._take(one.target, one.message))
+
+    def _take(self, target: str, message: Message) -> None:
+        if target == REPLICA:
+            assert isinstance(message, Follow)
+            self._send(self.link, list(self.publisher.take_follow(message, now=self.now)))
+            return
+        router = self.known[target]
+        if router.is_down:
+            return
+        if isinstance(message, View):
+            effects = router.subscriber.take_view(REPLICA, message, now=self.now)
+        elif isinstance(message, SilentUpdate):
+            effects = router.subscriber.take_silent(message)
+        else:
+            assert isinstance(message, EndpointUpdate)
+            effects = router.subscriber.take_endpoints(message, now=self.now)
+        self._send(router.link, effects)
+
+    def count_known(self) -> list[int]:
+        """Return how many endpoints each router knows."""
+        return [len(list(one.table.list_records())) for one in self.known.values()]
--- /dev/null
+++ b/tests/components/distribution/test_endpoint_feed.py
@@ -0,0 +1,142 @@
+"""How many endpoints reach many routers over a slow link of their replica."""
+
+import unittest
+
+from chivetrack.components.announcements.models import EndpointState
+from chivetrack.components.announcements.packing import pack_records
+from chivetrack.components.distribution.const import (
+    DOCUMENT_BYTES_PER_S,
+    IN_FLIGHT_S,
+    ROUND_AHEAD_S,
+)
+from chivetrack.components.distribution.endpoint_feed import EndpointProgress
+from chivetrack.components.distribution.messages import EndpointUpdate, Follow
+from tests.components.announcements.test_packing import make_fleet
+from tests.components.distribution.links import Fleet
+from tests.components.distribution.world import Fixture, make_close
+
+ENDPOINTS = 3000
+# Close to one of five replicas in a fleet of 295 and of 380 routers.
+SIZES = (59, 76)
+VITAL_WAIT_S = 0.3
+
+
+class StartTest(unittest.TestCase):
+    def test_log_does_not_wait_behind_endpoints(self) -> None:
+        """Guards against a fleet whose start keeps its first configuration from a quorum."""
+        for routers in SIZES:
+            with self.subTest(routers=routers):
+                fleet = Fleet(routers=routers)
+                fleet.announce(ENDPOINTS, within_s=1.2)
+                fleet.run_until(6.0)
+                self.assertEqual(set(fleet.count_known()), {ENDPOINTS})
+                self.assertLess(fleet.link.longest_wait_s, VITAL_WAIT_S)
+
+    def test_departures_of_a_third_reach_all_routers_in_time(self) -> None:
+        """Guards against requests sent to endpoints that left seconds before."""
+        fleet = Fleet(routers=SIZES[0])
+        fleet.announce(ENDPOINTS, within_s=0.1)
+        fleet.run_until(8.0)
+        before = fleet.link.sent_bytes
+        for record in make_fleet(ENDPOINTS)[:1000]:
+            fleet.table.close(record.endpoint_id, born=record.born, now=fleet.now)
+        fleet.run_until(10.0)
+        left = [
+            sum(one.state is EndpointState.LEFT for one in router.table.list_records())
+            for router in fleet.known.values()
+        ]
+        self.assertEqual(set(left), {1000})
+        self.assertLess(fleet.link.sent_bytes - before, 2 * 525_000)
+
+    def test_lost_messages_are_made_good(self) -> None:
+        """Guards against routers that lack endpoints for good after a lost update."""
+        fleet = Fleet(routers=SIZES[0], lost_share=0.2)
+        fleet.announce(ENDPOINTS, within_s=1.2)
+        fleet.run_until(15.0)
+        self.assertEqual(set(fleet.count_known()), {ENDPOINTS})
+
+    def test_routers_that_go_down_keep_the_table_from_no_other(self) -> None:
+        """Guards against routers without endpoints because those before them were killed."""
+        fleet = Fleet(routers=SIZES[0])
+        fleet.announce(ENDPOINTS, within_s=0.1)
+        fleet.run_until(0.4)
+        for number in range(0, SIZES[0], 3):
+            fleet.known[f"r{number}"].is_down = True
+        fleet.run_until(10.0)
+        known = {
+            len(list(one.table.list_records())) for one in fleet.known.values() if not one.is_down
+        }
+        self.assertEqual(known, {ENDPOINTS})
+
+
+class ProgressTest(unittest.TestCase):
+    def test_lost_update_is_sent_again_while_changes_go_on(self) -> None:
+        """Guards against a router that lacks an endpoint for as long as others change."""
+        progress = EndpointProgress()
+        for step in range(1, 20):
+            now = 0.25 * step
+            progress.note_sent(step, arrives_at=now)
+            progress.confirm(0, now=now + 0.1)
+            if progress.sent == 0:
+                self.assertLessEqual(now, 2 * IN_FLIGHT_S)
+                return
+        self.fail("the lost changes are never sent again")
+
+
+class OtherReplicaTest(unittest.TestCase):
+    def make_fixture(self) -> Fixture:
+        fixture = Fixture()
+        for record in make_fleet(ENDPOINTS):
+            fixture.table.merge(record, now=0.0)
+        fixture.table.close(make_fleet(ENDPOINTS)[7].endpoint_id, born=None, now=0.0)
+        return fixture
+
+    def take_update(self, fixture: Fixture, follow: Follow, now: float) -> EndpointUpdate:
+        fixture.publisher.take_follow(follow, now=now)
+        updates = [one.message for one in fixture.publisher.send_round(now=now)]
+        (update,) = updates
+        assert isinstance(update, EndpointUpdate)
+        return update
+
+    def test_other_replicas_send_departures_alone(self) -> None:
+        """Guards against a table that each router is sent by every replica that it follows."""
+        fixture = self.make_fixture()
+        follow = Follow(router="r1", run="", change=0, version=0)
+        update = self.take_update(fixture, follow, 0.0)
+        self.assertTrue(update.is_partial)
+        self.assertLess(len(update.payload), 500)
+        fixture.subscriber.take_endpoints(update, now=0.1)
+        (left,) = fixture.own.list_records()
+        self.assertIs(left.state, EndpointState.LEFT)
+
+    def test_replica_that_becomes_the_close_one_sends_the_rest(self) -> None:
+        """Guards against a router that keeps departures alone from its new close replica."""
+        fixture = self.make_fixture()
+        follow = Follow(router="r1", run="", change=0, version=0)
+        update = self.take_update(fixture, follow, 0.0)
+        fixture.subscriber.take_endpoints(update, now=0.1)
+        now = 1.0
+        close = fixture.follow(now)
+        self.assertTrue(close.is_close and close.is_partial)
+        update = self.take_update(fixture, close, now)
+        self.assertFalse(update.is_partial)
+        fixture.subscriber.take_endpoints(update, now=now)
+        self.assertEqual(len(list(fixture.own.list_records())), ENDPOINTS)
+        self.assertFalse(fixture.follow(2.0).is_partial)
+
+    def test_rounds_go_no_faster_than_their_pace(self) -> None:
+        """Guards against socket buffers full of endpoints, which the log can't overtake."""
+        fixture = self.make_fixture()
+        sent = 0
+        for number in range(60):
+            fixture.publisher.take_follow(make_close(f"r{number}"), now=0.0)
+        for step in range(8):
+            for one in fixture.publisher.send_round(now=step * 0.125):
+                assert isinstance(one.message, EndpointUpdate)
+                sent += len(one.message.payload)
+        largest = len(pack_records(fixture.table.list_records()))
+        self.assertLessEqual(sent, DOCUMENT_BYTES_PER_S * (1.0 + ROUND_AHEAD_S) + largest)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/components/distribution/world.py
+++ b/tests/components/distribution/world.py
@@ -43,11 +43,13 @@
             table=self.own,
             take_document=self.take_document,
             note_unreadable=lambda version, detail: self.unreadable.append(version),
+            note_bad_update=lambda replica, detail: None,
             get_news=lambda: OwnNews(loads=(), placed=()),
         )
 
     def make_publisher(self, run: str) -> Publisher:
         return Publisher(
+            replica="p1",
             run=run,
             table=self.table,
             list_replicas=lambda: ("p1", "p2"),
@@ -103,6 +105,7 @@
             table=EndpointTable(),
             take_document=lambda version, body: None,
             note_unreadable=lambda version, detail: None,
+            note_bad_update=lambda replica, detail: None,
             get_news=lambda: OwnNews(loads=(), placed=()),
         )
         self.run(0.0, 3.0)
