Pass heartbeats on to the other replicas together, and without what is known

What operators saw: reads that answer 503 for seconds (no quorum confirmed the read in time) and endpoints' departures acknowledged after 0.9 s, on a fleet of 300 instances that is at rest.

The leader's append requests waited 0.37 s in its outbox, the answers of its followers were up to 0.6 s old, and four reads of the configuration between second 2 and 6 failed with read_timeout.

Change: records that changed go out together each 0.1 s. Of all others the replicas tell each other each 0.4 s only that they were heard: id, sequence, and a checksum of the rest. Who does not hold a record with that checksum asks for it, so that a message that was lost is made good with the next heartbeat, as before. A departure is still passed on at once and acknowledged by a majority.

--- a/chivetrack/components/announcements/table.py
+++ b/chivetrack/components/announcements/table.py
@@ -1,5 +1,6 @@
 """The endpoints that an instance knows of, merged from statements in any order."""
 
+import zlib
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
@@ -30,6 +31,7 @@
     record: EndpointRecord
     change: int
     heard_at: float
+    checksum: int
     is_restored: bool = False
 
 
@@ -51,7 +53,8 @@
         """Take a statement; return whether it changes what followers have to know."""
         entry = self._entries.get(record.endpoint_id)
         if entry is None:
-            entry = _Entry(record=record, change=0, heard_at=now)
+            checksum = _make_checksum(record)
+            entry = _Entry(record=record, change=0, heard_at=now, checksum=checksum)
             self._note_address(record)
             self._number(entry)
             return True
@@ -65,9 +68,30 @@
         entry.heard_at = now
         entry.is_restored = False
         if is_change:
+            entry.checksum = _make_checksum(record)
             self._number(entry)
         return is_change
 
+    def hear(self, endpoint_id: str, sequence: int, checksum: int, *, now: float) -> bool:
+        """Take a heartbeat that another replica got; return whether its record is known here.
+
+        ``checksum`` is that of the record there (see ``find_checksum``). Where it differs, or
+        the endpoint is not known, the whole record is needed.
+        """
+        entry = self._entries.get(endpoint_id)
+        if entry is None or entry.checksum != checksum:
+            return False
+        if sequence > entry.record.sequence:
+            entry.record = msgspec.structs.replace(entry.record, sequence=sequence)
+            entry.heard_at = now
+            entry.is_restored = False
+        return True
+
+    def find_checksum(self, endpoint_id: str) -> int:
+        """Return a checksum of what an endpoint says beside its sequence, 0 if unknown."""
+        entry = self._entries.get(endpoint_id)
+        return 0 if entry is None else entry.checksum
+
     def _number(self, entry: _Entry) -> None:
         """Give an entry the next change number and move it to the end of the order."""
         self.change += 1
@@ -237,3 +261,7 @@
 def _strip(record: EndpointRecord) -> EndpointRecord:
     """Leave out what changes with every heartbeat."""
     return msgspec.structs.replace(record, sequence=0, cold_s=float(record.cold_s > 0))
+
+
+def _make_checksum(record: EndpointRecord) -> int:
+    return zlib.crc32(msgspec.msgpack.encode(_strip(record)))
--- a/chivetrack/components/distribution/const.py
+++ b/chivetrack/components/distribution/const.py
@@ -111,6 +111,14 @@
 MAX_FORWARDS: Final = 16
 """Routers that one router hands an update on to."""
 
+SPREAD_EVERY_S: Final = 0.1
+"""Changed endpoints that announce themselves to one replica within so long reach the others
+together."""
+
+HEARTBEATS_EVERY_S: Final = 0.4
+"""Likewise those that say nothing new: a third of the time between two heartbeats, a tenth of
+the silence after which an endpoint is doubted."""
+
 SILENT_EVERY_S: Final = 0.2
 """How often a replica looks for silent endpoints; one is silent after 5 s."""
 
--- a/chivetrack/components/distribution/messages.py
+++ b/chivetrack/components/distribution/messages.py
@@ -172,3 +172,22 @@
     """The statements of a ``SpreadRecords`` are known here."""
 
     number: int
+
+
+@message("distribution.heard")
+class SpreadHeartbeats(Message, frozen=True, array_like=True):
+    """Heartbeats without news that a replica got, one in each place of the three sequences.
+
+    ``checksums`` are those of the records, so that a replica that lacks one asks for it.
+    """
+
+    endpoint_ids: tuple[str, ...]
+    sequences: tuple[int, ...]
+    checksums: tuple[int, ...]
+
+
+@message("distribution.ask_records")
+class AskRecords(Message, frozen=True, array_like=True):
+    """Ask another replica for the whole records of some endpoints."""
+
+    endpoint_ids: tuple[str, ...]
--- a/chivetrack/daemon/fleet/desk.py
+++ b/chivetrack/daemon/fleet/desk.py
@@ -13,7 +13,13 @@
     EndpointState,
 )
 from chivetrack.components.announcements.table import EndpointTable
-from chivetrack.components.distribution.messages import RecordsTaken, SpreadRecords
+from chivetrack.components.distribution.messages import (
+    AskRecords,
+    RecordsTaken,
+    SpreadHeartbeats,
+    SpreadRecords,
+)
+from chivetrack.components.distribution.spreading import Spreading
 from chivetrack.components.document.store import StoredDocument
 from chivetrack.components.evacuation.models import Evacuations
 from chivetrack.components.quarantine.models import Quarantine
@@ -67,6 +73,7 @@
         self._send = send
         self._push = push
         self._events = events
+        self._spreading = Spreading(table=table)
         self._numbers = itertools.count(1)
         self._spreads: dict[int, _Spread] = {}
 
@@ -105,12 +112,15 @@
         if is_change:
             for lost in self._table.supersede(record, now=time.monotonic()):
                 self._log(lost)
-                self._spread(lost)
+                self._spreading.note_change(lost)
             self._log(record)
             self._push()
         if known is not None and known.state is not EndpointState.READY and is_change:
             return self._spread_for_sure(known)
-        self._spread(record)
+        if is_change:
+            self._spreading.note_change(record)
+        elif known is record:
+            self._spreading.note_heartbeat(record.endpoint_id)
         return Ok(None)
 
     def leave(self, endpoint_id: str, born: int | None) -> Result[None, Fault]:
@@ -133,7 +143,7 @@
         lost = self._table.mark_silent_lost(time.monotonic())
         for record in lost:
             self._log(record)
-            self._spread(record)
+            self._spreading.note_change(record)
         if lost:
             self._push()
 
@@ -143,9 +153,12 @@
     def _list_others(self) -> list[str]:
         return [one for one in self._list_replicas() if one != self._instance_id]
 
-    def _spread(self, record: EndpointRecord) -> None:
+    def spread(self) -> None:
+        """Tell the other replicas what endpoints have announced here since the last call."""
+        messages = self._spreading.make_messages(now=time.monotonic())
         for target in self._list_others():
-            self._send(target, SpreadRecords(number=0, records=(record,)))
+            for message in messages:
+                self._send(target, message)
 
     def _spread_for_sure(self, record: EndpointRecord) -> Result[None, Fault]:
         """Return once a majority knows; a single replica might be lost with the news.
@@ -174,8 +187,24 @@
             if spread is not None:
                 spread.take(source)
             return True
+        if isinstance(message, SpreadHeartbeats):
+            self._send_if_any(
+                source, self._spreading.take_heartbeats(message, now=time.monotonic())
+            )
+            return True
+        if isinstance(message, AskRecords):
+            self._send_if_any(source, self._spreading.answer(message))
+            return True
         if not isinstance(message, SpreadRecords):
             return False
+        self._take_records(source, message)
+        return True
+
+    def _send_if_any(self, target: str, message: Message | None) -> None:
+        if message is not None:
+            self._send(target, message)
+
+    def _take_records(self, source: str, message: SpreadRecords) -> None:
         now = time.monotonic()
         changes = [self._table.merge(record, now=now) for record in message.records]
         changes += [self._table.refute_lost(record) for record in message.records]
@@ -183,7 +212,6 @@
             self._push()
         if message.number:
             self._send(source, RecordsTaken(number=message.number))
-        return True
 
 
 def _make_unknown_zone(zone: str, zones: Collection[str]) -> Fault:
--- a/chivetrack/daemon/fleet/replica.py
+++ b/chivetrack/daemon/fleet/replica.py
@@ -15,6 +15,7 @@
 from chivetrack.components.distribution.const import (
     CLOSE_EVERY_S,
     ROUND_EVERY_S,
+    SPREAD_EVERY_S,
 )
 from chivetrack.components.distribution.messages import Exchange, FetchDocument, Follow
 from chivetrack.components.distribution.publisher import Publisher
@@ -279,6 +280,12 @@
             gevent.sleep(ROUND_EVERY_S / 2)
             send_all(self.transport.answer, self._publisher.send_round(now=time.monotonic()))
 
+    def _spread(self) -> None:
+        """Tell the other replicas what endpoints say here."""
+        while True:
+            gevent.sleep(SPREAD_EVERY_S)
+            self._desk.spread()
+
     @contextmanager
     def _serve(self) -> Iterator[None]:
         self._file.load(now=time.monotonic())
@@ -286,7 +293,7 @@
         self._control.start()
         if self._metrics_server is not None:
             self._metrics_server.start()
-        jobs = (self.host.run, self._tidy, self._exchange, self._send_endpoints)
+        jobs = (self.host.run, self._tidy, self._exchange, self._send_endpoints, self._spread)
         loops = [gevent.spawn(one) for one in jobs]
         try:
             yield
