Send the loads of a busy fleet packed, and no faster than routers may take them

Change: where loads times routers are many, a replica sums and packs them once for all of its routers and sends them in the rounds of the endpoints: the same bytes to all, handed on by a few, within the pace of the link, and at intervals that rise with their size up to 1.5 s. A router takes off what it told of itself. Few loads come with each answer as before.

The columns' codec is shared with that of the endpoints, and a router's messages are looked up by their type.

--- a/benchmarks/fleet/world.py
+++ b/benchmarks/fleet/world.py
@@ -347,7 +347,8 @@
         self, router: _Router, loads: list[EndpointLoad], news: Sequence[PlacedPart], now: float
     ) -> None:
         capacity = self._deployment.engine.memory_tokens
-        router.placement.take_others(loads, news, now=now / 1000, capacity=capacity)
+        router.placement.take_others(loads, now=now / 1000)
+        router.placement.take_news(news, now=now / 1000, capacity=capacity)
 
 
 def _add_up(told: list[list[EndpointLoad]]) -> dict[str, tuple[int, int]]:
--- a/chivetrack/components/announcements/packing.py
+++ b/chivetrack/components/announcements/packing.py
@@ -1,24 +1,19 @@
 """Packs many records of endpoints into few bytes, column by column."""
 
-import zlib
 from collections.abc import Iterable, Sequence
 from operator import attrgetter
 
 import msgspec
-from expression import Error, Ok, Result
+from expression import Result
 
 from chivetrack.components.announcements.models import EndpointRecord, EndpointState
+from chivetrack.helpers.columns import pack_columns, unpack_columns
 
-_MAX_UNPACKED_BYTES = 16 * 1024 * 1024
 _MS_PER_S = 1000.0
 
 
 class _Columns(msgspec.Struct, array_like=True, frozen=True):
-    """One sequence for each field; ``born`` counts from ``first_born``, ``cold_ms`` in ms.
-
-    Neighbours in a column are alike, so that it compresses to a fraction of the same values
-    spread over records.
-    """
+    """One sequence for each field; ``born`` counts from ``first_born``, ``cold_ms`` in ms."""
 
     first_born: int
     endpoint_ids: Sequence[str]
@@ -34,7 +29,6 @@
     models: Sequence[tuple[str, ...]]
 
 
-_ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(_Columns)
 
 
@@ -56,20 +50,12 @@
         cold_ms=[round(one.cold_s * _MS_PER_S) for one in ordered],
         models=[one.models for one in ordered],
     )
-    return zlib.compress(_ENCODER.encode(columns))
+    return pack_columns(columns)
 
 
 def unpack_records(payload: bytes) -> Result[list[EndpointRecord], str]:
     """Return the records that ``pack_records`` was given; the error side says what is wrong."""
-    # Bounded: a few bytes of a broken sender may stand for gigabytes.
-    decoder = zlib.decompressobj()
-    try:
-        data = decoder.decompress(payload, _MAX_UNPACKED_BYTES)
-        if not decoder.eof:
-            return Error("the packed records are not whole or over the limit")
-        return Ok(_join(_DECODER.decode(data)))
-    except (zlib.error, msgspec.MsgspecError, ValueError) as error:
-        return Error(f"the packed records can't be read: {error}")
+    return unpack_columns(payload, _DECODER, _join)
 
 
 def _join(columns: _Columns) -> list[EndpointRecord]:
--- a/chivetrack/components/distribution/const.py
+++ b/chivetrack/components/distribution/const.py
@@ -124,3 +124,14 @@
 
 SILENT_BYTES: Final = 12
 """What the id of one silent endpoint takes on the link, for pacing."""
+
+INLINE_LOADS: Final = 4000
+"""Loads times close routers up to which each answer to a router holds all loads; beyond, they
+go out in rounds like endpoints. 4,000 are 200 kB a second."""
+
+LOAD_BYTES_PER_S: Final = 10_000.0
+"""What a router gets of packed loads, half of the 19 kB that it may take for control. The more
+endpoints are in use, the older are the counts of others."""
+
+LOADS_MAX_S: Final = 1.5
+"""Packed loads come this often at least; routers believe what they were told for 2 s."""
--- a/chivetrack/components/distribution/endpoint_feed.py
+++ b/chivetrack/components/distribution/endpoint_feed.py
@@ -17,7 +17,6 @@
 )
 from chivetrack.components.distribution.fanout import Fanout
 from chivetrack.components.distribution.messages import EndpointUpdate, SilentUpdate
-from chivetrack.components.distribution.pacing import Pacer
 from chivetrack.components.distribution.silent import SilentList
 from chivetrack.core import SendMessage
 
@@ -88,18 +87,13 @@
     replica: str
     run: str
     table: EndpointTable
-    pacer: Pacer
+    fanout: Fanout
     silent: SilentList = field(default_factory=SilentList)
     _progress: dict[str, EndpointProgress] = field(default_factory=dict)
     _waiting: dict[str, None] = field(default_factory=dict)
     _lacks_silent: dict[str, None] = field(default_factory=dict)
     _packed: dict[_Group, _Packed] = field(default_factory=dict)
     _next_round_at: float = float("-inf")
-    _fanout: Fanout = field(init=False)
-
-    def __post_init__(self) -> None:
-        """Share the pace of the link with whoever else has the pacer."""
-        self._fanout = Fanout(pacer=self.pacer)
 
     def get_progress(self, router: str) -> EndpointProgress:
         """Return how far a router is, which may be a new one."""
@@ -177,10 +171,10 @@
     def _send_group(
         self, group: _Group, routers: Iterable[str], now: float
     ) -> Iterator[SendMessage]:
-        if not self._fanout.has_room(now=now):
+        if not self.fanout.has_room(now=now):
             return
         packed = self._pack(group, now)
-        for leg in self._fanout.plan(self._order(routers), len(packed.payload), now=now):
+        for leg in self.fanout.plan(self._order(routers), len(packed.payload), now=now):
             for router in (leg.first, *leg.others):
                 self._progress[router].note_sent(packed.change, arrives_at=leg.arrives_at)
                 del self._waiting[router]
@@ -199,7 +193,7 @@
         routers = self._order(one for one in self._lacks_silent if self._is_alive(one, now))
         self._lacks_silent = dict.fromkeys(routers)
         size = len(self.silent.endpoint_ids) * SILENT_BYTES
-        for leg in self._fanout.plan(routers, size, now=now):
+        for leg in self.fanout.plan(routers, size, now=now):
             for router in (leg.first, *leg.others):
                 del self._lacks_silent[router]
             update = SilentUpdate(
--- /dev/null
+++ b/chivetrack/components/distribution/load_feed.py
@@ -0,0 +1,61 @@
+"""Decides how the loads of many endpoints reach many routers; free of I/O."""
+
+from collections.abc import Callable, Collection, Iterator
+from dataclasses import dataclass, field
+
+from chivetrack.components.distribution.const import (
+    CLOSE_EVERY_S,
+    INLINE_LOADS,
+    LOAD_BYTES_PER_S,
+    LOADS_MAX_S,
+)
+from chivetrack.components.distribution.fanout import Fanout
+from chivetrack.components.distribution.load_packing import pack_loads
+from chivetrack.components.distribution.messages import EndpointLoad, LoadUpdate
+from chivetrack.core import SendMessage
+
+
+@dataclass(slots=True, kw_only=True)
+class LoadFeed:
+    """Sends the same packed loads to all close routers, at intervals that rise with their size.
+
+    With 3,000 endpoints in use, each answer to each of 60 routers would hold kilobytes of
+    loads, several times what a link of 4 Mbit/s carries, and the log would wait behind them.
+    """
+
+    replica: str
+    fanout: Fanout
+    is_shared: bool = False
+    _next_at: float = float("-inf")
+    _sent_at: dict[str, float] = field(default_factory=dict)
+
+    def send_due(
+        self,
+        routers: Collection[str],
+        sum_loads: Callable[[], tuple[EndpointLoad, ...]],
+        *,
+        now: float,
+    ) -> Iterator[SendMessage]:
+        """Yield the loads for ``routers`` if they are due and too many for the answers."""
+        if now < self._next_at:
+            return
+        loads = sum_loads()
+        self.is_shared = len(loads) * len(routers) > INLINE_LOADS
+        self._next_at = now + CLOSE_EVERY_S
+        if not self.is_shared:
+            self._sent_at.clear()
+            return
+        payload = pack_loads(loads)
+        interval_s = min(LOADS_MAX_S, max(CLOSE_EVERY_S, len(payload) / LOAD_BYTES_PER_S))
+        self._next_at = now + interval_s
+        yield from self._send(routers, payload, now)
+
+    def _send(self, routers: Collection[str], payload: bytes, now: float) -> Iterator[SendMessage]:
+        # Whoever had no room in the last round comes first in this one.
+        never = float("-inf")
+        ordered = sorted(routers, key=lambda one: self._sent_at.get(one, never))
+        self._sent_at = {one: self._sent_at.get(one, never) for one in ordered}
+        for leg in self.fanout.plan(ordered, len(payload), now=now):
+            self._sent_at.update(dict.fromkeys((leg.first, *leg.others), now))
+            update = LoadUpdate(replica=self.replica, payload=payload, forward_to=leg.others)
+            yield SendMessage(target=leg.first, message=update)
--- a/chivetrack/components/distribution/messages.py
+++ b/chivetrack/components/distribution/messages.py
@@ -64,7 +64,8 @@
 
     ``version`` is that of the newest document applied there, ``evacuations`` are the zone
     orders applied there. With ``has_loads``, ``loads``
-    are summed over all routers but the receiver, ``routers`` counts the routers, and
+    are summed over all routers but the receiver, or ``None`` if they are many and come as
+    ``LoadUpdate``, ``routers`` counts the routers, and
     ``placed`` are the placements after change ``placed_base``. ``quarantine`` is
     ``None`` if the router already has that revision. ``is_pending``: more endpoints have
     changed than fit; they follow as ``EndpointUpdate``. ``silent`` is ``None`` if the router
@@ -79,7 +80,7 @@
     records: tuple[EndpointRecord, ...]
     replicas: tuple[str, ...]
     silent: tuple[str, ...] | None
-    loads: tuple[EndpointLoad, ...] = ()
+    loads: tuple[EndpointLoad, ...] | None = ()
     routers: int = 0
     placed: tuple[PlacedPart, ...] = ()
     has_loads: bool = False
@@ -122,6 +123,18 @@
     forward_to: tuple[str, ...] = ()
 
 
+@message("distribution.loads")
+class LoadUpdate(Message, frozen=True, array_like=True):
+    """The packed loads of all routers, the receiver among them.
+
+    ``replica`` and ``forward_to`` are as in ``EndpointUpdate``.
+    """
+
+    replica: str
+    payload: bytes
+    forward_to: tuple[str, ...] = ()
+
+
 @message("distribution.exchange")
 class Exchange(Message, frozen=True, array_like=True):
     """What the routers that are close to one replica have in use and have sent lately.
--- a/chivetrack/components/distribution/publisher.py
+++ b/chivetrack/components/distribution/publisher.py
@@ -23,6 +23,8 @@
     ROUTER_SILENT_S,
 )
 from chivetrack.components.distribution.endpoint_feed import EndpointFeed
+from chivetrack.components.distribution.fanout import Fanout
+from chivetrack.components.distribution.load_feed import LoadFeed
 from chivetrack.components.distribution.messages import (
     DocumentSent,
     EndpointLoad,
@@ -116,13 +118,16 @@
     _relays: Relays = field(default_factory=Relays)
     _fleet_share: FleetShare = field(default_factory=FleetShare)
     _endpoints: EndpointFeed = field(init=False)
+    _loads: LoadFeed = field(init=False)
     _published_orders: tuple[int, int, int] = (0, 0, 0)
 
     def __post_init__(self) -> None:
-        """Let endpoints and documents share the pace of the link."""
+        """Let endpoints, loads and documents share the pace of the link."""
+        fanout = Fanout(pacer=self._pacer)
         self._endpoints = EndpointFeed(
-            replica=self.replica, run=self.run, table=self.table, pacer=self._pacer
+            replica=self.replica, run=self.run, table=self.table, fanout=fanout
         )
+        self._loads = LoadFeed(replica=self.replica, fanout=fanout)
 
     def take_follow(
         self, follow: Follow, *, now: float, knows_leader: bool = True
@@ -258,8 +263,17 @@
         return []
 
     def send_round(self, *, now: float) -> list[SendMessage]:
-        """Return the packed updates of endpoints that are due; call this several times a second."""
-        return self._endpoints.send_round(now=now)
+        """Return the packed endpoints and loads that are due; call this several times a second."""
+        messages = self._endpoints.send_round(now=now)
+        close = self._list_close(now)
+        messages += self._loads.send_due(close, lambda: self._sum_all_loads(close, now), now=now)
+        return messages
+
+    def _sum_all_loads(
+        self, close: Mapping[str, _Router], now: float, *, without: str = ""
+    ) -> tuple[EndpointLoad, ...]:
+        own = [router.loads for name, router in close.items() if name != without]
+        return _sum_loads([*own, *(one.exchange.loads for one in self._list_peers(now))])
 
     def _is_light(self, targets: Mapping[str, _Router], now: float) -> bool:
         """Return whether the newest changes are few and the link has room for their push."""
@@ -320,20 +334,21 @@
     def _make_close_view(self, name: str, router: _Router, now: float) -> SendMessage:
         close = self._list_close(now)
         peers = [one.exchange for one in self._list_peers(now)]
-        others = [one.loads for other, one in close.items() if other != name]
         placed, placed_change = self._list_placed(router, len(close), now)
         if placed:
             router.placed_at = now
         router.placed_change = placed_change
         sent = self._make_view(name, router, now)
         assert isinstance(sent.message, View)
+        is_shared = self._loads.is_shared
+        loads = None if is_shared else self._sum_all_loads(close, now, without=name)
         silent, silent_revision = self._find_newer_silent(name, router, now)
         view = msgspec.structs.replace(
             sent.message,
             silent=silent,
             silent_revision=silent_revision,
             has_loads=True,
-            loads=_sum_loads([*others, *(one.loads for one in peers)]),
+            loads=loads,
             routers=len(close) + sum(one.routers for one in peers),
             placed=placed,
             placed_change=placed_change,
--- a/chivetrack/components/distribution/subscriber.py
+++ b/chivetrack/components/distribution/subscriber.py
@@ -32,6 +32,7 @@
     FetchDocument,
     FetchElsewhere,
     Follow,
+    LoadUpdate,
     PlacedPart,
     SilentUpdate,
     View,
@@ -297,14 +298,17 @@
         replica = self._name(update.replica, now)
         replica.note_run(update.run)
         replica.note_changes(update.base, update.change, is_partial=update.is_partial)
-        passed_on = msgspec.structs.replace(update, forward_to=())
-        return [SendMessage(target=one, message=passed_on) for one in update.forward_to]
+        return self.hand_on(update)
 
     def take_silent(self, update: SilentUpdate) -> list[Effect]:
         """Note which list of silent endpoints is held from a replica and hand it on."""
         replica = self._replicas.get(update.replica)
         if replica is not None and replica.run == update.run:
             replica.silent_revision = update.revision
+        return self.hand_on(update)
+
+    def hand_on(self, update: EndpointUpdate | SilentUpdate | LoadUpdate) -> list[Effect]:
+        """Send an update on to the routers that it names."""
         passed_on = msgspec.structs.replace(update, forward_to=())
         return [SendMessage(target=one, message=passed_on) for one in update.forward_to]
 
--- a/chivetrack/components/placement/placement.py
+++ b/chivetrack/components/placement/placement.py
@@ -151,16 +151,12 @@
 
     # What routers tell each other
 
-    def take_others(
-        self,
-        loads: Iterable[EndpointLoad],
-        placed: Iterable[PlacedPart],
-        *,
-        now: float,
-        capacity: int,
-    ) -> None:
-        """Take what the other routers have in use and have sent where."""
+    def take_others(self, loads: Iterable[EndpointLoad], *, now: float) -> None:
+        """Take what the other routers have in use."""
         self.loads.take_others(loads, now=now)
+
+    def take_news(self, placed: Iterable[PlacedPart], *, now: float, capacity: int) -> None:
+        """Take what the other routers have sent where; ``capacity`` of a cache in tokens."""
         self.parts.take_news(placed, now=now, capacity=capacity)
 
     def list_own(self) -> Iterator[EndpointLoad]:
--- a/chivetrack/daemon/fleet/fleet_view.py
+++ b/chivetrack/daemon/fleet/fleet_view.py
@@ -9,7 +9,8 @@
 from chivetrack.components.announcements.directory import EndpointDirectory
 from chivetrack.components.announcements.models import EndpointRecord, EndpointState
 from chivetrack.components.deployment.settings import BoundSettings
-from chivetrack.components.distribution.messages import View
+from chivetrack.components.distribution.load_packing import subtract_load, unpack_loads
+from chivetrack.components.distribution.messages import EndpointLoad, View
 from chivetrack.components.distribution.subscriber import OwnNews
 from chivetrack.components.evacuation.models import Evacuations
 from chivetrack.components.placement.choice import Candidate, Choice, Source
@@ -66,6 +67,7 @@
         self._quarantine = Quarantine()
         self._quarantined: dict[bytes, QuarantinedRequest] = {}
         self._silent: frozenset[str] = frozenset()
+        self._told_loads: dict[str, EndpointLoad] = {}
         self._born: dict[str, int] = {}
         self._seen_at: dict[str, float] = {}
         self._routers = FIRST_ROUTERS
@@ -115,12 +117,24 @@
             self._routers = max(view.routers, self._routers * ROUTERS_KEPT)
             if view.silent is not None:
                 self.take_silent_endpoints(view.silent)
-            self.health.take_others(view.loads, now=now)
-            self.placement.take_others(
-                view.loads, view.placed, now=now, capacity=self._memory_tokens
-            )
+            if view.loads is not None:
+                self._take_loads(view.loads, now)
+            self.placement.take_news(view.placed, now=now, capacity=self._memory_tokens)
         self._note_ready()
 
+    def _take_loads(self, loads: Sequence[EndpointLoad], now: float) -> None:
+        self.health.take_others(loads, now=now)
+        self.placement.take_others(loads, now=now)
+
+    def take_loads(self, payload: bytes) -> None:
+        """Take the packed loads of all routers; what this one told of itself is taken off."""
+        read = unpack_loads(payload)
+        if read.is_error():
+            self._events.write("loads_unreadable", detail=read.error)
+            return
+        loads = [subtract_load(one, self._told_loads.get(one.endpoint_id)) for one in read.ok]
+        self._take_loads(loads, time.monotonic())
+
     def take_endpoints(self) -> None:
         """Put in force the endpoints that a replica has packed."""
         self.has_view = True
@@ -234,6 +248,7 @@
         """Return what the other routers should know of this one."""
         now = time.monotonic()
         loads = self.health.add_outcomes(self.placement.list_own(), now=now)
+        self._told_loads = {one.endpoint_id: one for one in loads}
         return OwnNews(
             loads=loads,
             placed=tuple(self.placement.list_news(now)),
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -18,6 +18,7 @@
     EndpointUpdate,
     FetchDocument,
     FetchElsewhere,
+    LoadUpdate,
     SilentUpdate,
     View,
 )
@@ -101,6 +102,7 @@
             note_bad_update=self._note_bad_update,
             get_news=self.view.get_news,
         )
+        self._takers = dict(self._list_takers())
         self.transport = make_transport(settings, events=events, take=self._take_message)
         self._permits = PermitDesk(
             view=self.view,
@@ -203,30 +205,48 @@
         self._events.write("endpoints_unreadable", replica=replica, detail=detail)
 
     def _take_message(self, source: str, message: Message) -> None:
-        now = time.monotonic()
-        if isinstance(message, View):
-            effects = self.subscriber.take_view(source, message, now=now)
-            self.view.take_view(message)
-            send_all(self.transport.send, effects)
-        elif isinstance(message, EndpointUpdate):
-            effects = self.subscriber.take_endpoints(message, now=now)
-            self.view.take_endpoints()
-            send_all(self.transport.send, effects)
-        elif isinstance(message, SilentUpdate):
-            if message.replica == self.subscriber.close_replica:
-                self.view.take_silent_endpoints(message.endpoint_ids)
-            send_all(self.transport.send, self.subscriber.take_silent(message))
-        elif isinstance(message, PermitAnswer):
-            self._permits.take(message)
-        elif isinstance(message, DocumentSent):
-            self.subscriber.take_document(message)
-        elif isinstance(message, FetchElsewhere):
-            self._events.write(
-                "configuration_asked_elsewhere", version=message.version, holder=message.holder
-            )
-            send_all(self.transport.send, self.subscriber.take_referral(message))
-        elif isinstance(message, FetchDocument):
-            send_all(self.transport.answer, self.subscriber.answer_fetch(source, message))
+        take = self._takers.get(type(message))
+        if take is not None:
+            take(source, message)
+
+    def _list_takers(self) -> Iterator[tuple[type[Message], Callable[[str, Any], None]]]:
+        yield View, self._take_view
+        yield EndpointUpdate, self._take_endpoints
+        yield SilentUpdate, self._take_silent
+        yield LoadUpdate, self._take_loads
+        yield PermitAnswer, lambda source, answer: self._permits.take(answer)
+        yield DocumentSent, lambda source, sent: self.subscriber.take_document(sent)
+        yield FetchElsewhere, self._take_referral
+        yield FetchDocument, self._answer_fetch
+
+    def _take_view(self, source: str, view: View) -> None:
+        effects = self.subscriber.take_view(source, view, now=time.monotonic())
+        self.view.take_view(view)
+        send_all(self.transport.send, effects)
+
+    def _take_endpoints(self, _source: str, update: EndpointUpdate) -> None:
+        effects = self.subscriber.take_endpoints(update, now=time.monotonic())
+        self.view.take_endpoints()
+        send_all(self.transport.send, effects)
+
+    def _take_silent(self, _source: str, update: SilentUpdate) -> None:
+        if update.replica == self.subscriber.close_replica:
+            self.view.take_silent_endpoints(update.endpoint_ids)
+        send_all(self.transport.send, self.subscriber.take_silent(update))
+
+    def _take_loads(self, _source: str, update: LoadUpdate) -> None:
+        if update.replica == self.subscriber.close_replica:
+            self.view.take_loads(update.payload)
+        send_all(self.transport.send, self.subscriber.hand_on(update))
+
+    def _take_referral(self, _source: str, referral: FetchElsewhere) -> None:
+        self._events.write(
+            "configuration_asked_elsewhere", version=referral.version, holder=referral.holder
+        )
+        send_all(self.transport.send, self.subscriber.take_referral(referral))
+
+    def _answer_fetch(self, source: str, fetch: FetchDocument) -> None:
+        send_all(self.transport.answer, self.subscriber.answer_fetch(source, fetch))
 
     def _follow(self, now: float) -> None:
         before = self.subscriber.close_replica
