Write the code of a failed change or read in a field of its own

configuration_sent, configuration_read and the lines of orders held the whole fault, or the referral, as Python prints it, so that on-call had to search within a text. outcome is done, failed or referred now, code is that of the fault, detail its message. The new test fails on the code before (outcome was Fault, and there was no code).

--- a/chivetrack/daemon/fleet/documents.py
+++ b/chivetrack/daemon/fleet/documents.py
@@ -197,11 +197,7 @@
         self, event: str, outcome: Result[int, Fault | Elsewhere], **fields: str | int
     ) -> None:
         self._events.write(
-            event,
-            **fields,
-            leads=self._host.is_leader,
-            outcome="done" if outcome.is_ok() else type(outcome.error).__name__,
-            detail=str(outcome.ok if outcome.is_ok() else outcome.error)[:200],
+            event, **fields, leads=self._host.is_leader, **_describe_outcome(outcome)
         )
 
     def _wait_until_applied(self, version: int) -> bool:
@@ -301,6 +297,15 @@
         return outcome
 
 
+def _describe_outcome(outcome: Result[int, Fault | Elsewhere]) -> dict[str, str | int]:
+    """Return what a line says of an outcome; ``code`` is what on-call searches for."""
+    if outcome.is_ok():
+        return {"outcome": "done", "code": "", "revision": outcome.ok}
+    if isinstance(outcome.error, Elsewhere):
+        return {"outcome": "referred", "code": "elsewhere", "address": outcome.error.address}
+    return {"outcome": "failed", "code": outcome.error.code, "detail": outcome.error.message}
+
+
 def _read_outcome(command: Command, data: bytes) -> Result[int, Fault | Elsewhere]:
     if isinstance(command, StoredDocument):
         return Ok(decode_as(PutOutcome, data).version)
--- a/tests/daemon/fleet/test_documents.py
+++ b/tests/daemon/fleet/test_documents.py
@@ -2,6 +2,7 @@
 
 import unittest
 from typing import Any, cast
+from unittest import mock
 
 import gevent
 from expression import Error, Ok, Result
@@ -202,6 +203,17 @@
         self.assertEqual(self.first.put(5).error, Elsewhere(address="p3:9"))
 
 
+class OutcomeLineTest(DeskCase):
+    def test_lines_have_the_code_of_a_failure(self) -> None:
+        """Guards against failures that on-call can't search for by their code."""
+        self.log.is_quorate = False
+        with mock.patch.object(EventLog, "write") as write:
+            self.first.put(5)
+        fields = write.call_args.kwargs
+        self.assertEqual((fields["outcome"], fields["code"]), ("failed", "timeout"))
+        self.assertEqual(fields["detail"], "no quorum")
+
+
 class ZoneOrderTest(DeskCase):
     def order(self, node: Node, *, is_evacuated: bool = True) -> Result[int, Fault | Elsewhere]:
         return node.desk.order("z1", is_evacuated=is_evacuated)
