--- /dev/null
+++ b/chivetrack/daemon/fleet/request_log.py
@@ -0,0 +1,99 @@
+"""The lines about one request: where it went, how its tries ended, why it was refused."""
+
+from typing import Any
+
+from chivetrack.components.placement.choice import Choice
+from chivetrack.components.traffic.requests import RequestFacts
+from chivetrack.daemon.fleet.calls import Call
+from chivetrack.daemon.fleet.fleet_view import FleetView
+from chivetrack.exceptions import Fault
+from chivetrack.helpers.events import EventLog
+
+_MAX_DETAIL = 200
+
+
+class RequestLog:
+    """Writes what a router decides on requests; each line has the request's id."""
+
+    def __init__(self, *, view: FleetView, events: EventLog) -> None:
+        """Take the view, whose version and endpoints lines name."""
+        self._view = view
+        self._events = events
+
+    def write_rejected(
+        self, facts: RequestFacts, fault: Fault, *, path: str, **evidence: Any
+    ) -> None:
+        """Write why a request gets an answer of the router's own before it is sent."""
+        self._events.write(
+            "request_rejected",
+            request=facts.request_id,
+            code=fault.code,
+            status=fault.status,
+            version=self._view.version,
+            path=path,
+            **evidence,
+        )
+
+    def write_placed(self, call: Call, choice: Choice) -> None:
+        """Write where a request goes next, and what that was weighed by."""
+        self._events.write(
+            "request_placed",
+            request=call.facts.request_id,
+            service=call.service,
+            endpoint=choice.record.endpoint_id,
+            part=call.facts.shared_parts[-1].part_id if call.facts.shared_parts else "",
+            prompt=call.facts.prompt_tokens,
+            missing=choice.missing_tokens,
+            fetch_from=choice.fetch_from,
+            running=choice.running,
+            cost_ms=round(choice.cost_ms),
+            tries=len(call.tries),
+        )
+
+    def write_try(self, call: Call, choice: Choice, outcome: str, detail: str) -> None:
+        """Write how a try ended; a first try that was answered needs no line of its own."""
+        if outcome == "answered" and not call.tries:
+            return
+        self._events.write(
+            "try_ended",
+            request=call.facts.request_id,
+            service=call.service,
+            endpoint=choice.record.endpoint_id,
+            address=choice.record.address,
+            outcome=outcome,
+            detail=detail[:_MAX_DETAIL],
+            fingerprint=call.fingerprint.hex(),
+            running=choice.running,
+            last_event=call.last_event_id,
+        )
+
+    def write_given_up(self, call: Call, fault: Fault, *, why: str, pause_s: float) -> None:
+        """Write why no further try is made."""
+        self._events.write(
+            "request_given_up",
+            request=call.facts.request_id,
+            why=why,
+            status=fault.status,
+            tries=len(call.tries),
+            candidates=self._view.count_candidates(call.service),
+            evacuated=self._view.directory.evacuations.list_evacuated(),
+            pause_s=round(pause_s, 2),
+        )
+
+    def write_ended(self, call: Call, outcome: str, *, now: float) -> None:
+        """Write how a request ended at ``now`` (seconds)."""
+        first = call.first_event_at
+        self._events.write(
+            "request_ended",
+            request=call.facts.request_id,
+            route=call.route.name,
+            service=call.service,
+            outcome=outcome,
+            status=call.reply.status,
+            fingerprint=call.fingerprint.hex(),
+            tries=len(call.tries),
+            sent=call.reply.bytes_sent,
+            ms=round((now - call.came_at) * 1000),
+            first_ms=None if first is None else round((first - call.came_at) * 1000),
+            version=self._view.version,
+        )
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -13,11 +13,7 @@
 from chivetrack.components.caller_api.watch import CallerLeftError, watch_caller
 from chivetrack.components.limits.hopeless import judge_hope
 from chivetrack.components.placement.choice import Choice
-from chivetrack.components.quarantine.faults import (
-    FAULT_QUARANTINED,
-    STATUS_QUARANTINED,
-    make_fault,
-)
+from chivetrack.components.quarantine.faults import make_fault
 from chivetrack.components.quarantine.fingerprint import make_fingerprint
 from chivetrack.components.retries.sending import (
     SendEnd,
@@ -43,6 +39,7 @@
 from chivetrack.daemon.fleet.fleet_view import FleetView
 from chivetrack.daemon.fleet.forwarder import AnswerCutError, Forwarder, make_tried
 from chivetrack.daemon.fleet.permits import PermitDesk
+from chivetrack.daemon.fleet.request_log import RequestLog
 from chivetrack.daemon.server import ENVIRON_HEADERS, ENVIRON_TARGET
 from chivetrack.exceptions import Fault, FaultError, Ran
 from chivetrack.helpers.events import EventLog
@@ -71,7 +68,7 @@
         self._forwarder = forwarder
         self._permits = permits
         self._crash_detector = crash_detector
-        self._events = events
+        self._log = RequestLog(view=view, events=events)
         self._record = record
         self.open_count = 0
         self.is_closed = False
@@ -97,14 +94,7 @@
         try:
             call = self._admit(environ, facts, reply, came_at)
         except FaultError as error:
-            self._events.write(
-                "request_rejected",
-                request=facts.request_id,
-                code=error.fault.code,
-                status=error.fault.status,
-                version=self._view.version,
-                path=environ["PATH_INFO"],
-            )
+            self._log.write_rejected(facts, error.fault, path=environ["PATH_INFO"])
             raise
         try:
             with watch_caller(environ.get(ENVIRON_SOCKET)):
@@ -241,12 +231,9 @@
         )
         if fault is None:
             return False
-        self._events.write(
-            "request_rejected",
-            request=call.facts.request_id,
-            code=fault.code,
-            status=fault.status,
-            version=self._view.version,
+        self._log.write_rejected(
+            call.facts,
+            fault,
             path=call.target,
             endpoint=choice.record.endpoint_id,
             running=choice.running,
@@ -262,12 +249,10 @@
         quarantined = self._view.find_quarantined(call)
         if quarantined is None:
             return False
-        self._events.write(
-            "request_rejected",
-            request=call.facts.request_id,
-            code=FAULT_QUARANTINED,
-            status=STATUS_QUARANTINED,
-            version=self._view.version,
+        fault = make_fault(has_run=may_have_run(call.tries))
+        self._log.write_rejected(
+            call.facts,
+            fault,
             path=call.target,
             fingerprint=call.fingerprint.hex(),
             since=quarantined.since,
@@ -276,7 +261,7 @@
         )
         if call.reply.is_started:
             raise AnswerCutError("the request was quarantined during its answer")
-        call.reply.refuse(make_fault(has_run=may_have_run(call.tries)))
+        call.reply.refuse(fault)
         return True
 
     def _may_send_again(self, call: Call) -> bool:
@@ -293,7 +278,7 @@
         may_repeat = allows_another(
             call.route, count_runs(call.tries) + 1
         ) and self._view.has_budget(call.service)
-        self._log_choice(call, choice)
+        self._log.write_placed(call, choice)
         with self._view.use(call, choice) as placed:
             # If the time is up or the caller leaves, this try may have run.
             call.tries.append(Tried(endpoint_id=endpoint_id, end=SendEnd.MAYBE_RAN))
@@ -306,13 +291,13 @@
             self._view.health.note_outcome(
                 endpoint_id, SendEnd.FAILED if result.status >= 500 else None
             )
-            self._log_try(call, choice, "answered", f"status {result.status}")
+            self._log.write_try(call, choice, "answered", f"status {result.status}")
             return True
         call.tries.append(make_tried(choice, result))
         if result.is_other_instance:
             self._view.health.note_other_instance(endpoint_id)
         self._view.health.note_outcome(endpoint_id, result.end)
-        self._log_try(call, choice, result.end.value, result.detail)
+        self._log.write_try(call, choice, result.end.value, result.detail)
         if result.end is SendEnd.MAYBE_RAN:
             self._crash_detector.note_broken_answer(call, choice.record)
         return False
@@ -323,67 +308,13 @@
         pause_s = self._view.find_shortest_pause(call.service)
         retry_after_s = max(NO_ENDPOINT_RETRY_S, pause_s)
         fault = make_final_fault(call.tries, retry_after_s=retry_after_s)
-        self._events.write(
-            "request_given_up",
-            request=call.facts.request_id,
-            why=why,
-            status=fault.status,
-            tries=len(call.tries),
-            candidates=self._view.count_candidates(call.service),
-            evacuated=self._view.directory.evacuations.list_evacuated(),
-            pause_s=round(pause_s, 2),
-        )
+        self._log.write_given_up(call, fault, why=why, pause_s=pause_s)
         call.reply.refuse(fault)
 
-    def _log_choice(self, call: Call, choice: Choice) -> None:
-        self._events.write(
-            "request_placed",
-            request=call.facts.request_id,
-            service=call.service,
-            endpoint=choice.record.endpoint_id,
-            part=call.facts.shared_parts[-1].part_id if call.facts.shared_parts else "",
-            prompt=call.facts.prompt_tokens,
-            missing=choice.missing_tokens,
-            fetch_from=choice.fetch_from,
-            running=choice.running,
-            cost_ms=round(choice.cost_ms),
-            tries=len(call.tries),
-        )
-
-    def _log_try(self, call: Call, choice: Choice, outcome: str, detail: str) -> None:
-        if outcome == "answered" and not call.tries:
-            return
-        self._events.write(
-            "try_ended",
-            request=call.facts.request_id,
-            service=call.service,
-            endpoint=choice.record.endpoint_id,
-            address=choice.record.address,
-            outcome=outcome,
-            detail=detail[:200],
-            fingerprint=call.fingerprint.hex(),
-            running=choice.running,
-            last_event=call.last_event_id,
-        )
-
     def _end(self, call: Call, outcome: str) -> None:
         now = time.monotonic()
-        first = call.first_event_at
         self._record(call, outcome)
-        self._events.write(
-            "request_ended",
-            request=call.facts.request_id,
-            route=call.route.name,
-            service=call.service,
-            outcome=outcome,
-            status=call.reply.status,
-            fingerprint=call.fingerprint.hex(),
-            tries=len(call.tries),
-            sent=call.reply.bytes_sent,
-            ms=round((now - call.came_at) * 1000),
-            first_ms=None if first is None else round((first - call.came_at) * 1000),
-            version=self._view.version,
-        )
+        self._log.write_ended(call, outcome, now=now)
 
 
 def choose_service(route: Route, request_id: str) -> str:
