--- a/chivetrack/components/announcements/directory.py
+++ b/chivetrack/components/announcements/directory.py
@@ -3,15 +3,12 @@
 from collections.abc import Collection, Iterator, Sequence
 from dataclasses import dataclass
 
-from chivetrack.components.announcements.models import EndpointRecord, EndpointState
+from chivetrack.components.announcements.models import EndpointRecord, EndpointState, Lifetime
 from chivetrack.components.announcements.table import EndpointTable
 from chivetrack.components.evacuation.models import Evacuations
 from chivetrack.components.slow_start.cold import ColdTable
 from chivetrack.components.slow_start.const import HEARD_AGAIN_S, MAX_ASKS
 
-# Endpoint id and ``born`` of its record.
-_Lifetime = tuple[str, int]
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Division:
@@ -36,8 +33,8 @@
         self._evacuated: dict[str, list[EndpointRecord]] = {}
         self._sources: dict[str, list[EndpointRecord]] = {}
         self._seen_change = -1
-        self._leaving: set[_Lifetime] = set()
-        self._paused_until: dict[_Lifetime, float] = {}
+        self._leaving: set[Lifetime] = set()
+        self._paused_until: dict[Lifetime, float] = {}
 
     @property
     def is_empty(self) -> bool:
@@ -61,7 +58,7 @@
         Applies to the whole lifetime: heartbeats may report the departure late or never, and
         an earlier heartbeat that arrives afterwards still reports the endpoint as ready.
         """
-        lifetime = (record.endpoint_id, record.born)
+        lifetime = record.lifetime
         known = self.table.find(record.endpoint_id)
         if lifetime in self._leaving or known is None or known.born != record.born:
             return False
@@ -78,12 +75,12 @@
 
     def note_pause(self, record: EndpointRecord, *, until: float) -> None:
         """Exclude an endpoint until a time; an earlier time does not shorten its pause."""
-        lifetime = (record.endpoint_id, record.born)
+        lifetime = record.lifetime
         self._paused_until[lifetime] = max(until, self._paused_until.get(lifetime, until))
 
     def find_pause(self, record: EndpointRecord, now: float) -> float:
         """Return for how many seconds an endpoint stays paused, 0 if it is not."""
-        until = self._paused_until.get((record.endpoint_id, record.born))
+        until = self._paused_until.get(record.lifetime)
         return 0.0 if until is None else max(0.0, until - now)
 
     def find_shortest_pause(self, service: str, now: float) -> float:
@@ -111,7 +108,7 @@
         self._ready = {}
         self._evacuated = {}
         self._sources = {}
-        lifetimes = {(record.endpoint_id, record.born) for record in self.table.list_records()}
+        lifetimes = {record.lifetime for record in self.table.list_records()}
         self._leaving &= lifetimes
         self._paused_until = {
             lifetime: until
@@ -123,7 +120,7 @@
                 self._sources.setdefault(record.service, []).append(record)
             if record.state is not EndpointState.READY:
                 continue
-            if (record.endpoint_id, record.born) in self._leaving:
+            if record.lifetime in self._leaving:
                 continue
             listed = self._evacuated if record.zone in evacuated else self._ready
             listed.setdefault(record.service, []).append(record)
--- a/chivetrack/components/announcements/models.py
+++ b/chivetrack/components/announcements/models.py
@@ -7,6 +7,9 @@
 # A departure closes its lifetime: no statement of the same lifetime comes after it.
 LAST_SEQUENCE = 2**62
 
+# Endpoint id and ``born`` of its record.
+Lifetime = tuple[str, int]
+
 
 class EndpointState(StrEnum):
     """What an endpoint says that it is; ``LOST`` is said of one that is not heard any more."""
@@ -39,6 +42,11 @@
     cold_s: float = 0.0
     models: tuple[str, ...] = ()
 
+    @property
+    def lifetime(self) -> Lifetime:
+        """Return what tells this start of the endpoint from all others."""
+        return (self.endpoint_id, self.born)
+
     @property
     def position(self) -> tuple[int, int, bool]:
         """Return what orders two statements of one endpoint.
--- a/chivetrack/daemon/fleet/crashes.py
+++ b/chivetrack/daemon/fleet/crashes.py
@@ -9,7 +9,7 @@
 
 import gevent
 
-from chivetrack.components.announcements.models import EndpointRecord
+from chivetrack.components.announcements.models import EndpointRecord, Lifetime
 from chivetrack.components.quarantine.models import CrashReport
 from chivetrack.daemon.fleet.calls import Call
 from chivetrack.helpers.events import EventLog
@@ -23,9 +23,6 @@
 MAX_UNCONFIRMED_REPORTS = 256
 _MAX_LOGGED_FINGERPRINTS = 16
 
-# Endpoint id and ``born`` of its record.
-_Lifetime = tuple[str, int]
-
 
 class ProbeResult(StrEnum):
     """The result of a connection attempt to an endpoint."""
@@ -81,12 +78,12 @@
         self._note_crash = note_crash
         self._is_lost_or_replaced = is_lost_or_replaced
         self._probe = probe
-        self._broken: dict[_Lifetime, _BrokenAnswers] = {}
-        self._unconfirmed: dict[_Lifetime, _BrokenAnswers] = {}
+        self._broken: dict[Lifetime, _BrokenAnswers] = {}
+        self._unconfirmed: dict[Lifetime, _BrokenAnswers] = {}
 
     def note_broken_answer(self, call: Call, record: EndpointRecord) -> None:
         """Note a request that was sent to an endpoint and received no usable answer."""
-        key = (record.endpoint_id, record.born)
+        key = record.lifetime
         broken = self._broken.get(key)
         if broken is None:
             broken = self._broken[key] = _BrokenAnswers(record)
@@ -108,7 +105,7 @@
         )
         self._note_crash(broken.reports)
 
-    def _probe_endpoint(self, key: _Lifetime) -> None:
+    def _probe_endpoint(self, key: Lifetime) -> None:
         gevent.sleep(COLLECT_WINDOW_S)
         broken = self._broken.pop(key)
         result = self._probe(broken.record.address)
@@ -130,7 +127,7 @@
         else:
             self._keep_unconfirmed(key, broken)
 
-    def _keep_unconfirmed(self, key: _Lifetime, broken: _BrokenAnswers) -> None:
+    def _keep_unconfirmed(self, key: Lifetime, broken: _BrokenAnswers) -> None:
         broken.probed_at = now = time.monotonic()
         self._unconfirmed = {
             lifetime: unconfirmed
--- a/chivetrack/daemon/fleet/desk.py
+++ b/chivetrack/daemon/fleet/desk.py
@@ -2,7 +2,7 @@
 
 import itertools
 import time
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 
 from expression import Error, Ok, Result
 from gevent.event import Event as Signal
@@ -110,9 +110,7 @@
         is_change = self._table.merge(record, now=time.monotonic())
         known = self._table.find(record.endpoint_id)
         if is_change:
-            for lost in self._table.supersede(record, now=time.monotonic()):
-                self._log(lost)
-                self._spreading.note_change(lost)
+            self._pass_on_lost(self._table.supersede(record, now=time.monotonic()))
             self._log(record)
             self._push()
         if known is not None and known.state is not EndpointState.READY and is_change:
@@ -141,11 +139,14 @@
         A replica that still receives the heartbeats refutes it to its followers.
         """
         lost = self._table.mark_silent_lost(time.monotonic())
+        self._pass_on_lost(lost)
+        if lost:
+            self._push()
+
+    def _pass_on_lost(self, lost: Iterable[EndpointRecord]) -> None:
         for record in lost:
             self._log(record)
             self._spreading.note_change(record)
-        if lost:
-            self._push()
 
     def _log(self, record: EndpointRecord) -> None:
         self._events.write("endpoint_said", **record.describe())
