--- a/chivetrack/components/distribution/const.py
+++ b/chivetrack/components/distribution/const.py
@@ -85,8 +85,12 @@
 that it went to can hand it on."""
 
 INLINE_RECORDS: Final = 16
-"""Changed endpoints that go out within an answer to a router; more are packed and sent in
-rounds, in a third of the bytes."""
+"""Changed endpoints that always go out within an answer to a router; more are packed and sent
+in rounds, in a third of the bytes."""
+
+MAX_INLINE_RECORDS: Final = 100
+"""Up to so many do as well while the link has room, so that a router that starts in a fleet of
+tens of endpoints knows them at once."""
 
 PUSH_BYTES: Final = 250
 RECORD_BYTES: Final = 100
--- a/chivetrack/components/distribution/publisher.py
+++ b/chivetrack/components/distribution/publisher.py
@@ -14,6 +14,7 @@
     IN_FLIGHT_S,
     INLINE_RECORDS,
     MANY_ROUTERS,
+    MAX_INLINE_RECORDS,
     PLACED_IN_ROUND,
     PUSH_BYTES,
     RECORD_BYTES,
@@ -293,8 +294,8 @@
     def _make_view(self, name: str, router: _Router, now: float) -> SendMessage:
         progress = self._endpoints.get_progress(name)
         base = progress.sent
-        count = self.table.count_changes(base, limit=INLINE_RECORDS + 1)
-        is_pending = count > INLINE_RECORDS
+        count = self.table.count_changes(base, limit=MAX_INLINE_RECORDS + 1)
+        is_pending = not self._fits_inline(count, now)
         if is_pending:
             self._endpoints.enqueue(name, is_close=router.is_close)
         elif count:
@@ -314,6 +315,15 @@
         )
         return SendMessage(target=name, message=view)
 
+    def _fits_inline(self, records: int, now: float) -> bool:
+        """Return whether changed endpoints go out within an answer, and pace them if so."""
+        if records <= INLINE_RECORDS:
+            return True
+        if records > MAX_INLINE_RECORDS or self._pacer.find_delay(now=now) > ROUND_AHEAD_S:
+            return False
+        self._pacer.reserve(records * RECORD_BYTES, now=now)
+        return True
+
     def _find_newer_silent(
         self, name: str, router: _Router, now: float
     ) -> tuple[tuple[str, ...] | None, int]:
--- a/tests/components/distribution/test_endpoint_feed.py
+++ b/tests/components/distribution/test_endpoint_feed.py
@@ -10,7 +10,7 @@
     ROUND_AHEAD_S,
 )
 from chivetrack.components.distribution.endpoint_feed import EndpointProgress
-from chivetrack.components.distribution.messages import EndpointUpdate, Follow
+from chivetrack.components.distribution.messages import EndpointUpdate, Follow, View
 from tests.components.announcements.test_packing import make_fleet
 from tests.components.distribution.links import Fleet
 from tests.components.distribution.world import Fixture, make_close
@@ -137,6 +137,16 @@
         self.assertEqual(len(list(fixture.own.list_records())), ENDPOINTS)
         self.assertFalse(fixture.follow(2.0).is_partial)
 
+    def test_router_of_a_small_fleet_knows_all_endpoints_at_once(self) -> None:
+        """Guards against requests that wait for a round after all instances were killed."""
+        fixture = Fixture()
+        for record in make_fleet(64):
+            fixture.table.merge(record, now=0.0)
+        (answer,) = fixture.publisher.take_follow(make_close("r1"), now=0.0)
+        assert isinstance(answer.message, View)
+        self.assertEqual(len(answer.message.records), 64)
+        self.assertFalse(answer.message.is_pending)
+
     def test_rounds_go_no_faster_than_their_pace(self) -> None:
         """Guards against socket buffers full of endpoints, which the log can't overtake."""
         fixture = self.make_fixture()
