--- a/chivetrack/components/distribution/publisher.py
+++ b/chivetrack/components/distribution/publisher.py
@@ -8,7 +8,6 @@
 
 from chivetrack.components.announcements.table import EndpointTable
 from chivetrack.components.distribution.const import (
-    DOCUMENT_AGAIN_S,
     DOCUMENT_BYTES_PER_S,
     ELECTION_FIRST_S,
     IN_FLIGHT_S,
@@ -18,28 +17,25 @@
     PLACED_IN_ROUND,
     PUSH_BYTES,
     RECORD_BYTES,
-    RELAY_AFTER_S,
     ROUND_AHEAD_S,
     ROUTER_GONE_S,
     ROUTER_SILENT_S,
 )
+from chivetrack.components.distribution.document_feed import DocumentFeed, PacedDocument
 from chivetrack.components.distribution.endpoint_feed import EndpointFeed
 from chivetrack.components.distribution.fanout import Fanout
 from chivetrack.components.distribution.load_feed import LoadFeed
 from chivetrack.components.distribution.messages import (
-    DocumentSent,
     EndpointLoad,
     Exchange,
     FetchDocument,
-    FetchElsewhere,
     Follow,
     PlacedPart,
     View,
 )
 from chivetrack.components.distribution.pacing import Pacer
 from chivetrack.components.distribution.placements import Placements
-from chivetrack.components.distribution.relays import Relays
-from chivetrack.components.document.history import DocumentHistory, DocumentUpdate
+from chivetrack.components.document.history import DocumentHistory
 from chivetrack.components.evacuation.models import Evacuations
 from chivetrack.components.quarantine.evidence import CrashEvidence
 from chivetrack.components.quarantine.models import Quarantine
@@ -75,23 +71,6 @@
     exchange: Exchange
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class PacedDocument:
-    """A document, or who has it, that goes to a router after ``delay_s`` seconds."""
-
-    target: str
-    message: DocumentSent | FetchElsewhere
-    delay_s: float
-
-
-@dataclass(frozen=True, slots=True)
-class _DueDocument:
-    """Which version a router is being sent, and until when asking again brings nothing."""
-
-    version: int
-    again_at: float
-
-
 @dataclass(slots=True, kw_only=True)
 class Publisher:
     """Decides what routers are sent.
@@ -115,15 +94,15 @@
     _peers: dict[str, _Peer] = field(default_factory=dict)
     _news: list[PlacedPart] = field(default_factory=list)
     _pacer: Pacer = field(default_factory=lambda: Pacer(bytes_per_s=DOCUMENT_BYTES_PER_S))
-    _due: dict[str, _DueDocument] = field(default_factory=dict)
-    _relays: Relays = field(default_factory=Relays)
     _fleet_share: FleetShare = field(default_factory=FleetShare)
+    _documents: DocumentFeed = field(init=False)
     _endpoints: EndpointFeed = field(init=False)
     _loads: LoadFeed = field(init=False)
     _published_orders: tuple[int, int, int] = (0, 0, 0)
 
     def __post_init__(self) -> None:
         """Let endpoints, loads and documents share the pace of the link."""
+        self._documents = DocumentFeed(history=self.history, pacer=self._pacer)
         fanout = Fanout(pacer=self._pacer)
         self._endpoints = EndpointFeed(
             replica=self.replica, run=self.run, table=self.table, fanout=fanout
@@ -161,7 +140,7 @@
         self.evidence.note(follow.crash_reports, now=now)
         router.reads_at = follow.reads_at
         if follow.is_close and follow.version:
-            self._relays.note_holder(follow.router, follow.version, since=now)
+            self._documents.note_holder(follow.router, follow.version, now=now)
         if not follow.is_close:
             return [self._make_view(follow.router, router, now)]
         self.placements.note(follow.placed, now=now)
@@ -191,38 +170,7 @@
         self, source: str, fetch: FetchDocument, *, now: float
     ) -> tuple[PacedDocument, ...]:
         """Send the newest document to a router that lacks it, when it is its turn."""
-        update = self.history.make_update(fetch.held_version)
-        if update is None:
-            return ()
-        due = self._due.get(source)
-        is_again = due is not None and due.version == update.version
-        if due is not None and is_again and now < due.again_at:
-            return ()
-        paced = None if is_again else self._refer(source, update, now)
-        paced = paced or self._send_update(source, update, now)
-        self._due[source] = _DueDocument(update.version, now + paced.delay_s + DOCUMENT_AGAIN_S)
-        return (paced,)
-
-    def _refer(self, source: str, update: DocumentUpdate, now: float) -> PacedDocument | None:
-        """Name a router that hands the document on; one that asks again is not referred."""
-        if self._pacer.find_delay(now=now) <= RELAY_AFTER_S:
-            return None
-        size = len(update.payload)
-        relay = self._relays.choose(source, update.version, size=size, now=now)
-        if relay is None:
-            return None
-        elsewhere = FetchElsewhere(version=update.version, holder=relay.holder)
-        return PacedDocument(target=source, message=elsewhere, delay_s=relay.delay_s)
-
-    def _send_update(self, source: str, update: DocumentUpdate, now: float) -> PacedDocument:
-        size = len(update.payload)
-        delay_s = self._pacer.reserve(size, now=now)
-        since = now + delay_s + size / DOCUMENT_BYTES_PER_S
-        self._relays.note_holder(source, update.version, since=since)
-        sent = DocumentSent(
-            version=update.version, payload=update.payload, base_version=update.base_version
-        )
-        return PacedDocument(target=source, message=sent, delay_s=delay_s)
+        return self._documents.take_fetch(source, fetch, now=now)
 
     def find_share(self, *, now: float) -> float:
         """Return what part of the fleet's routers is close to this replica."""
@@ -247,7 +195,7 @@
         ]
         for one in gone:
             del self._routers[one]
-            self._due.pop(one, None)
+            self._documents.forget(one)
             self._endpoints.forget(one)
         is_large = len(self._routers) > MANY_ROUTERS
         targets = {
--- a/tests/components/distribution/world.py
+++ b/tests/components/distribution/world.py
@@ -4,6 +4,7 @@
 import zlib
 
 from chivetrack.components.announcements.table import EndpointTable
+from chivetrack.components.distribution.document_feed import PacedDocument
 from chivetrack.components.distribution.messages import (
     DocumentSent,
     EndpointLoad,
@@ -11,7 +12,7 @@
     PlacedPart,
     View,
 )
-from chivetrack.components.distribution.publisher import PacedDocument, Publisher
+from chivetrack.components.distribution.publisher import Publisher
 from chivetrack.components.distribution.subscriber import OwnNews, Subscriber
 from chivetrack.components.document.store import StoredDocument
 from chivetrack.core import SendMessage
