Let placements share the pace of the link with endpoints and documents

Evidence, from the lines of 17 to 22 s: each replica sent 2.03 to 2.24 MB to its peers in these 5 s, on links that carry 2.6, and answers to endpoints beside. Of that endpoints, documents and loads, which are paced, were 0.7 to 0.8 MB of messages; views 2.1 to 2.8 MB before compression. Before the kill, under the same traffic, views were 0.9 to 1.2 MB and reads done. What is new in views after it are the placements that every router lacks (729 to 737 at each replica), a budget of their own of 187 kB/s beside the 300 kB/s of the pace. Ruled out: tables of endpoints within views (over 100, so none).

Change: placements go out only while the link has room, after endpoints, and are paced like these.

--- a/chivetrack/components/distribution/const.py
+++ b/chivetrack/components/distribution/const.py
@@ -145,3 +145,10 @@
 
 HEADS_KEPT_S: Final = 5.0
 """For so long the same routers hand updates on."""
+
+PLACED_BYTES: Final = 14
+"""What one placement takes in a compressed frame, for pacing."""
+
+PLACED_AHEAD_S: Final = ROUND_AHEAD_S / 2
+"""Placements go out only while less of the pace than this is used up ahead: endpoints come
+first."""
--- a/chivetrack/components/distribution/publisher.py
+++ b/chivetrack/components/distribution/publisher.py
@@ -14,6 +14,8 @@
     INLINE_RECORDS,
     MANY_ROUTERS,
     MAX_INLINE_RECORDS,
+    PLACED_AHEAD_S,
+    PLACED_BYTES,
     PLACED_IN_ROUND,
     PUSH_BYTES,
     RECORD_BYTES,
@@ -320,13 +322,16 @@
         """Return the placements that a router lacks, none before it has the document.
 
         After all instances lost power, every router lacks everything. With placements on
-        the link beside documents, those and the leader's heartbeats came seconds late, and
-        callers were refused meanwhile.
+        the link beside documents and endpoints, those and the leader's heartbeats came seconds
+        late, and callers were refused meanwhile. So placements wait for room on the link.
         """
-        if router.version < self.history.version:
+        is_behind = router.version < self.history.version
+        if is_behind or self._pacer.find_delay(now=now) > PLACED_AHEAD_S:
             return (), router.placed_change
         limit = max(1, PLACED_IN_ROUND // close)
-        return self.placements.list_after(router.placed_change, now=now, limit=limit)
+        placed, change = self.placements.list_after(router.placed_change, now=now, limit=limit)
+        self._pacer.reserve(len(placed) * PLACED_BYTES, now=now)
+        return placed, change
 
     def _list_close(self, now: float) -> dict[str, _Router]:
         return {
--- a/tests/components/distribution/test_placements.py
+++ b/tests/components/distribution/test_placements.py
@@ -4,15 +4,19 @@
 from random import Random
 from unittest import mock
 
+from chivetrack.components.announcements.packing import pack_records
 from chivetrack.components.distribution import publisher as publisher_module
+from chivetrack.components.distribution.const import DOCUMENT_BYTES_PER_S, ROUND_AHEAD_S
 from chivetrack.components.distribution.messages import (
     EndpointLoad,
+    EndpointUpdate,
     Follow,
     PlacedPart,
     View,
 )
 from chivetrack.components.peers.frames import encode_frame
 from chivetrack.helpers.codec import pack
+from tests.components.announcements.test_packing import make_fleet
 from tests.components.distribution.world import Fixture, make_close
 
 
@@ -118,6 +122,31 @@
                 self.assertEqual(changes[number], publisher.placements.change)
         self.assertLess(sent_bytes / 6.0, 262_000)
 
+    def test_placements_and_endpoints_share_the_pace_of_the_link(self) -> None:
+        """Guards against a log that waits behind both after all instances were killed."""
+        fixture = Fixture()
+        for record in make_fleet(3000):
+            fixture.table.merge(record, now=0.0)
+        placed = tuple(
+            PlacedPart(part=f"{n:08x}:5000", endpoint_id=f"e{n}", age_s=0.0) for n in range(737)
+        )
+        fixture.publisher.placements.note(placed, now=0.0)
+        sent_bytes = 0
+        changes = [0] * 59
+        for step in range(12):
+            now = step * 0.15
+            for number in range(step % 2, 59, 2):
+                follow = make_close(f"r{number}", run="run1", placed_change=changes[number])
+                (answer,) = fixture.publisher.take_follow(follow, now=now)
+                assert isinstance(answer.message, View)
+                changes[number] = answer.message.placed_change
+                sent_bytes += 14 * len(answer.message.placed)
+            for one in fixture.publisher.send_round(now=now):
+                assert isinstance(one.message, EndpointUpdate)
+                sent_bytes += len(one.message.payload)
+        largest = len(pack_records(fixture.table.list_records()))
+        self.assertLessEqual(sent_bytes, DOCUMENT_BYTES_PER_S * (now + ROUND_AHEAD_S) + largest)
+
     def test_loads_are_those_of_the_other_routers(self) -> None:
         """Three routers are close to one replica, a fourth one to another.
 
