Count changes from the table when it is older than the departures

Found by reading: a router that holds departures of a replica up to one change and then gets a whole table packed up to a second earlier counted both as the later change, so endpoints that had appeared between them were never sent again. The same the other way round, where departures arrive after the table. The new test fails before (3,002 instead of 3,001).

--- a/chivetrack/components/distribution/subscriber.py
+++ b/chivetrack/components/distribution/subscriber.py
@@ -65,10 +65,17 @@
 
     def note_changes(self, base: int, change: int, *, is_partial: bool = False) -> None:
         """Note what came after change ``base``; after one that was lost it has to come again."""
-        if base > self.change:
+        if base > self.change or base == change:
             return
-        if base == 0 and change > 0:
-            self.is_partial = is_partial and (self.is_partial or self.change == 0)
+        is_first = self.change == 0
+        if is_partial and not (is_first or self.is_partial):
+            # Departures that come late say nothing of the others since the whole table.
+            return
+        if base == 0 and self.is_partial and not is_partial:
+            # The table may be older than the departures; what changed between is still lacked.
+            self.change, self.is_partial = change, False
+            return
+        self.is_partial = self.is_partial or is_partial
         self.change = max(self.change, change)
 
     def note_asked(self, now: float) -> None:
--- a/tests/components/distribution/test_endpoint_feed.py
+++ b/tests/components/distribution/test_endpoint_feed.py
@@ -12,6 +12,7 @@
 from chivetrack.components.distribution.endpoint_feed import EndpointProgress
 from chivetrack.components.distribution.messages import EndpointUpdate, Follow, View
 from tests.components.announcements.test_packing import make_fleet
+from tests.components.announcements.test_table import make_record
 from tests.components.distribution.links import Fleet
 from tests.components.distribution.world import Fixture, make_close
 
@@ -137,6 +138,21 @@
         self.assertEqual(len(list(fixture.own.list_records())), ENDPOINTS)
         self.assertFalse(fixture.follow(2.0).is_partial)
 
+    def test_table_that_is_older_than_the_departures(self) -> None:
+        """Guards against endpoints that a router never hears of after it got both."""
+        fixture = self.make_fixture()
+        follow = Follow(router="r1", run="", change=0, version=0)
+        table = self.take_update(fixture, make_close("r2"), 0.0)
+        fixture.table.merge(make_record(1, endpoint_id="new"), now=0.3)
+        departures = self.take_update(fixture, follow, 0.3)
+        for order in ((departures, table), (table, departures)):
+            router = Fixture()
+            for update in order:
+                router.subscriber.take_endpoints(update, now=0.4)
+            known = router.follow(0.5)
+            self.assertFalse(known.is_partial)
+            self.assertEqual(known.change, table.change)
+
     def test_router_of_a_small_fleet_knows_all_endpoints_at_once(self) -> None:
         """Guards against requests that wait for a round after all instances were killed."""
         fixture = Fixture()
