--- a/chivetrack/components/distribution/const.py
+++ b/chivetrack/components/distribution/const.py
@@ -64,10 +64,10 @@
 REPLICA_FORGET_S: Final = 30.0
 """A replica that no other names any more is asked for this much longer."""
 
-DOCUMENT_BYTES_PER_S: Final = 300_000.0
-"""At which documents leave a replica: four fifths of a link of 3 Mbit/s, so that heartbeats
-find room beside them. 17 routers get 24 kB each, 1,600 routes, within 1.4 s of the 2.5 s in
-which a change has to be in force."""
+BULK_BYTES_PER_S: Final = 300_000.0
+"""At which documents, endpoints, loads and placements leave a replica together: four fifths of a
+link of 3 Mbit/s, so that heartbeats and the log find room beside them. 17 routers get 24 kB
+each, 1,600 routes, within 1.4 s of the 2.5 s in which a change has to be in force."""
 
 DOCUMENT_AGAIN_S: Final = 0.5
 """A router that asks again so soon after its document has left is not sent it twice."""
--- a/chivetrack/components/distribution/document_feed.py
+++ b/chivetrack/components/distribution/document_feed.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass, field
 
 from chivetrack.components.distribution.const import (
+    BULK_BYTES_PER_S,
     DOCUMENT_AGAIN_S,
-    DOCUMENT_BYTES_PER_S,
     RELAY_AFTER_S,
 )
 from chivetrack.components.distribution.messages import (
@@ -81,7 +81,7 @@
     def _send_update(self, source: str, update: DocumentUpdate, now: float) -> PacedDocument:
         size = len(update.payload)
         delay_s = self.pacer.reserve(size, now=now)
-        since = now + delay_s + size / DOCUMENT_BYTES_PER_S
+        since = now + delay_s + size / BULK_BYTES_PER_S
         self._relays.note_holder(source, update.version, since=since)
         sent = DocumentSent(
             version=update.version, payload=update.payload, base_version=update.base_version
--- a/chivetrack/components/distribution/fanout.py
+++ b/chivetrack/components/distribution/fanout.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass
 
 from chivetrack.components.distribution.const import (
+    BULK_BYTES_PER_S,
     DIRECT_BYTES,
-    DOCUMENT_BYTES_PER_S,
     MAX_FORWARDS,
     RELAY_BYTES,
     ROUND_AHEAD_S,
@@ -50,7 +50,7 @@
                 return
             whole = size + _OVERHEAD_BYTES + _ADDRESS_BYTES * len(others)
             sent_at = now + self.pacer.reserve(whole, now=now) + whole / self.pacer.bytes_per_s
-            arrives_at = sent_at + len(others) * whole / DOCUMENT_BYTES_PER_S
+            arrives_at = sent_at + len(others) * whole / BULK_BYTES_PER_S
             yield Leg(first=first, others=tuple(others), arrives_at=arrives_at)
 
 
--- a/chivetrack/components/distribution/publisher.py
+++ b/chivetrack/components/distribution/publisher.py
@@ -8,7 +8,7 @@
 
 from chivetrack.components.announcements.table import EndpointTable
 from chivetrack.components.distribution.const import (
-    DOCUMENT_BYTES_PER_S,
+    BULK_BYTES_PER_S,
     ELECTION_FIRST_S,
     IN_FLIGHT_S,
     INLINE_RECORDS,
@@ -95,7 +95,7 @@
     _routers: dict[str, _Router] = field(default_factory=dict)
     _peers: dict[str, _Peer] = field(default_factory=dict)
     _news: list[PlacedPart] = field(default_factory=list)
-    _pacer: Pacer = field(default_factory=lambda: Pacer(bytes_per_s=DOCUMENT_BYTES_PER_S))
+    _pacer: Pacer = field(default_factory=lambda: Pacer(bytes_per_s=BULK_BYTES_PER_S))
     _fleet_share: FleetShare = field(default_factory=FleetShare)
     _documents: DocumentFeed = field(init=False)
     _endpoints: EndpointFeed = field(init=False)
--- a/tests/components/distribution/test_endpoint_feed.py
+++ b/tests/components/distribution/test_endpoint_feed.py
@@ -5,7 +5,7 @@
 from chivetrack.components.announcements.models import EndpointState
 from chivetrack.components.announcements.packing import pack_records
 from chivetrack.components.distribution.const import (
-    DOCUMENT_BYTES_PER_S,
+    BULK_BYTES_PER_S,
     IN_FLIGHT_S,
     ROUND_AHEAD_S,
 )
@@ -174,7 +174,7 @@
                 assert isinstance(one.message, EndpointUpdate)
                 sent += len(one.message.payload)
         largest = len(pack_records(fixture.table.list_records()))
-        self.assertLessEqual(sent, DOCUMENT_BYTES_PER_S * (1.0 + ROUND_AHEAD_S) + largest)
+        self.assertLessEqual(sent, BULK_BYTES_PER_S * (1.0 + ROUND_AHEAD_S) + largest)
 
 
 if __name__ == "__main__":
