Test two requests that crash their endpoints at once

This test keeps the cause, counting by what crashes have in common: two requests crash three endpoints each, by turns, and those that ran beside them, also those moved to the next one that crashes, are not quarantined.

--- /dev/null
+++ b/tests/components/quarantine/test_two_requests.py
@@ -0,0 +1,38 @@
+"""Two requests that crash their endpoints at once, among requests that do no harm."""
+
+import unittest
+
+from chivetrack.components.quarantine.const import CRASHES_TO_QUARANTINE
+from chivetrack.components.quarantine.evidence import CrashEvidence
+from chivetrack.components.quarantine.models import CrashReport, Quarantine
+
+
+def make_report(name: str, lifetime: int) -> CrashReport:
+    return CrashReport(
+        fingerprint=name.encode(),
+        endpoint_id=f"e{lifetime}",
+        born=lifetime,
+        service="llm",
+        path="/",
+        workspace="w",
+    )
+
+
+class TwoRequestsTest(unittest.TestCase):
+    def test_each_is_quarantined_and_their_neighbours_are_not(self) -> None:
+        """Guards against endpoint after endpoint lost to two kinds of requests at once."""
+        evidence = CrashEvidence()
+        for lifetime in range(2 * CRASHES_TO_QUARANTINE):
+            crashing = "first" if lifetime % 2 else "second"
+            neighbours = [f"n{lifetime}-{number}" for number in range(20)]
+            moved = [f"n{lifetime - 1}-{number}" for number in range(20)] if lifetime else []
+            reports = [make_report(one, lifetime) for one in (crashing, *neighbours, *moved)]
+            evidence.note(reports, now=float(lifetime))
+        due = evidence.list_due(Quarantine(), at=10.0)
+        self.assertEqual({one.fingerprint for one in due}, {b"first", b"second"})
+        for order in due:
+            self.assertEqual(len(order.crashes), CRASHES_TO_QUARANTINE)
+
+
+if __name__ == "__main__":
+    unittest.main()
