--- a/chivetrack/components/distribution/publisher.py
+++ b/chivetrack/components/distribution/publisher.py
@@ -19,7 +19,6 @@
     PLACED_IN_ROUND,
     PUSH_BYTES,
     RECORD_BYTES,
-    ROUND_AHEAD_S,
     ROUTER_GONE_S,
     ROUTER_SILENT_S,
 )
@@ -97,6 +96,7 @@
     _news: list[PlacedPart] = field(default_factory=list)
     _pacer: Pacer = field(default_factory=lambda: Pacer(bytes_per_s=BULK_BYTES_PER_S))
     _fleet_share: FleetShare = field(default_factory=FleetShare)
+    _fanout: Fanout = field(init=False)
     _documents: DocumentFeed = field(init=False)
     _endpoints: EndpointFeed = field(init=False)
     _loads: LoadFeed = field(init=False)
@@ -105,11 +105,11 @@
     def __post_init__(self) -> None:
         """Let endpoints, loads and documents share the pace of the link."""
         self._documents = DocumentFeed(history=self.history, pacer=self._pacer)
-        fanout = Fanout(pacer=self._pacer)
+        self._fanout = Fanout(pacer=self._pacer)
         self._endpoints = EndpointFeed(
-            replica=self.replica, run=self.run, table=self.table, fanout=fanout
+            replica=self.replica, run=self.run, table=self.table, fanout=self._fanout
         )
-        self._loads = LoadFeed(replica=self.replica, fanout=fanout)
+        self._loads = LoadFeed(replica=self.replica, fanout=self._fanout)
 
     def take_follow(
         self, follow: Follow, *, now: float, knows_leader: bool = True
@@ -236,7 +236,7 @@
             for one in targets
         ]
         is_many = any(count > INLINE_RECORDS for count in counts)
-        if is_many or self._pacer.find_delay(now=now) > ROUND_AHEAD_S:
+        if is_many or not self._fanout.has_room(now=now):
             return False
         self._pacer.reserve(len(targets) * PUSH_BYTES + sum(counts) * RECORD_BYTES, now=now)
         return True
@@ -269,7 +269,7 @@
         """Return whether changed endpoints go out within an answer, and pace them if so."""
         if records <= INLINE_RECORDS:
             return True
-        if records > MAX_INLINE_RECORDS or self._pacer.find_delay(now=now) > ROUND_AHEAD_S:
+        if records > MAX_INLINE_RECORDS or not self._fanout.has_room(now=now):
             return False
         self._pacer.reserve(records * RECORD_BYTES, now=now)
         return True
