Log the end of each request that a router's stop cuts

Seen: of streams cut by a router's exit there was a number ("stopped", cut) and no line with a request id: on-call found where such a request was placed and never how it ended. Whether it came by a kept connection, by one opened before the balancer took the instance out, or by a new one, no line told.

Before: tests.system.test_stop found no request_ended for the cut request. After: it passes.

--- a/chivetrack/components/stories/story.py
+++ b/chivetrack/components/stories/story.py
@@ -138,5 +138,6 @@
         "timeout": "the time of the caller or the route was up",
         "cut": "the answer broke off and could not go on elsewhere",
         "caller_left": "the caller closed its connection",
+        "cut_by_stop": "its router stopped before the answer was whole",
     }
     return f"{causes.get(str(outcome), outcome)} after {event.get('ms')} ms"
--- a/chivetrack/daemon/fleet/calls.py
+++ b/chivetrack/daemon/fleet/calls.py
@@ -84,6 +84,7 @@
 
     ``passed_over`` are cold endpoints that may not be sent this request just now.
     ``fingerprint`` is equal for requests with the same method, target, workspace and body.
+    ``connected_at`` is when the caller opened its connection.
     """
 
     facts: RequestFacts
@@ -97,6 +98,7 @@
     came_at: float
     ends_at: float
     service: str
+    connected_at: float = 0.0
     fingerprint: bytes = b""
     tries: list[Tried] = field(default_factory=list)
     last_event_id: str = ""
--- a/chivetrack/daemon/fleet/request_log.py
+++ b/chivetrack/daemon/fleet/request_log.py
@@ -19,6 +19,7 @@
         """Take the view, whose version and endpoints lines name."""
         self._view = view
         self._events = events
+        self.stopping_since: float | None = None
 
     def write_rejected(
         self, facts: RequestFacts, fault: Fault, *, path: str, **evidence: Any
@@ -48,8 +49,21 @@
             running=choice.running,
             cost_ms=round(choice.cost_ms),
             tries=len(call.tries),
+            max_output=call.facts.max_output_tokens,
+            expected_output=call.facts.expected_tokens,
+            **self._describe_stop(call),
         )
 
+    def _describe_stop(self, call: Call) -> dict[str, int]:
+        """Return how long (ms) after the stop began a request and its connection came."""
+        since = self.stopping_since
+        if since is None:
+            return {}
+        return {
+            "came_after_stop_ms": round((call.came_at - since) * 1000),
+            "connected_after_stop_ms": round((call.connected_at - since) * 1000),
+        }
+
     def write_try(self, call: Call, choice: Choice, outcome: str, detail: str) -> None:
         """Write how a try ended; a first try that was answered needs no line of its own."""
         if outcome == "answered" and not call.tries:
@@ -96,4 +110,5 @@
             ms=round((now - call.came_at) * 1000),
             first_ms=None if first is None else round((first - call.came_at) * 1000),
             version=self._view.version,
+            **self._describe_stop(call),
         )
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -40,7 +40,7 @@
 from chivetrack.daemon.fleet.forwarder import AnswerCutError, Forwarder, make_tried
 from chivetrack.daemon.fleet.permits import PermitDesk
 from chivetrack.daemon.fleet.request_log import RequestLog
-from chivetrack.daemon.server import ENVIRON_HEADERS, ENVIRON_TARGET
+from chivetrack.daemon.server import ENVIRON_CONNECTED_AT, ENVIRON_HEADERS, ENVIRON_TARGET
 from chivetrack.exceptions import Fault, FaultError, Ran
 from chivetrack.helpers.events import EventLog
 from chivetrack.platform.headers import read_request_facts
@@ -71,6 +71,7 @@
         self._log = RequestLog(view=view, events=events)
         self._record = record
         self.open_count = 0
+        self._open_calls: dict[int, Call] = {}
         self.is_closed = False
         self._started_at = time.monotonic()
         self._random = Random()
@@ -96,12 +97,24 @@
         except FaultError as error:
             self._log.write_rejected(facts, error.fault, path=environ["PATH_INFO"])
             raise
+        self._open_calls[id(call)] = call
         try:
             with watch_caller(environ.get(ENVIRON_SOCKET)):
                 self._see_through(call)
         except CallerLeftError:
             self._end(call, "caller_left")
             raise AnswerCutError("the caller left") from None
+        finally:
+            del self._open_calls[id(call)]
+
+    def begin_stop(self, now: float) -> None:
+        """Note that the instance began to stop at ``now`` (seconds)."""
+        self._log.stopping_since = now
+
+    def end_stop(self) -> None:
+        """Record the requests that the end of the process cuts."""
+        for call in list(self._open_calls.values()):
+            self._end(call, "cut_by_stop")
 
     def _admit(
         self, environ: dict[str, Any], facts: RequestFacts, reply: Reply, came_at: float
@@ -132,6 +145,7 @@
             came_at=came_at,
             ends_at=came_at + min(wait_s, route.timeout_s),
             service=choose_service(route, facts.request_id),
+            connected_at=environ.get(ENVIRON_CONNECTED_AT, came_at),
             fingerprint=make_fingerprint(
                 method=environ["REQUEST_METHOD"],
                 target=target,
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -287,6 +287,7 @@
     def _stop(self) -> int:
         began = time.monotonic()
         ends_at = began + self._settings.bounds.stop_within_s - STOP_MARGIN_S
+        self.desk.begin_stop(began)
         self._events.write("stopping", open=self.desk.open_count)
         gevent.sleep(STOP_IDLE_AFTER_S)
         self._callers.close_idle()
@@ -297,6 +298,7 @@
         while self.desk.open_count and time.monotonic() < ends_at:
             gevent.sleep(_POLL_S)
         cut = self.desk.open_count
+        self.desk.end_stop()
         self._events.write("stopped", cut=cut, after_s=round(time.monotonic() - began, 2))
         return cut
 
--- a/chivetrack/daemon/server.py
+++ b/chivetrack/daemon/server.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
@@ -35,6 +36,8 @@
 # hold a decoded path and joined lines, which can't be passed on unchanged.
 ENVIRON_TARGET = "chivetrack.target"
 ENVIRON_HEADERS = "chivetrack.headers"
+# When the connection was opened, in seconds of the steady clock.
+ENVIRON_CONNECTED_AT = "chivetrack.connected_at"
 
 _LOGGER = get_logger("http")
 
@@ -88,9 +91,11 @@
 
     server: "HttpServer"
     is_reading_ended = False
+    connected_at = 0.0
 
     def handle(self) -> None:
         """Serve a connection until it is closed."""
+        self.connected_at = time.monotonic()
         # Head and body of an answer are separate packets at times; delayed, the second
         # waits up to 40 ms for the caller's acknowledgement.
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -158,6 +163,7 @@
         # Where this side has ended reading, the end says nothing about the caller. Taken for
         # a caller that has left, the last request of the connection was given up unanswered.
         environ[ENVIRON_SOCKET] = None if self.is_reading_ended else self.socket
+        environ[ENVIRON_CONNECTED_AT] = self.connected_at
         environ[ENVIRON_TARGET] = self.path
         environ[ENVIRON_HEADERS] = self.headers.list_lines()
         return environ
--- a/tests/system/deployment.py
+++ b/tests/system/deployment.py
@@ -117,6 +117,7 @@
     routers: int
     processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
     is_first_start: bool = True
+    stop_within_s: float | None = None
     http: urllib3.PoolManager = field(
         default_factory=lambda: urllib3.PoolManager(retries=False, timeout=5.0)
     )
@@ -163,6 +164,8 @@
         lines.append(f"is_first_start = {json.dumps(self.is_first_start)}")
         lines.append(f"tolerated_losses = {(self.replicas - 1) // 2}")
         lines.append('zones = ["z1", "z2"]')
+        if self.stop_within_s is not None:
+            lines += ["[bounds]", f"stop_within_s = {self.stop_within_s}"]
         return "\n".join(lines) + "\n"
 
     def start_all(self) -> None:
@@ -182,9 +185,13 @@
 
     def stop(self, name: str) -> int:
         """Stop a process by SIGTERM and return its exit code."""
+        return self.begin_stop(name).wait(timeout=20)
+
+    def begin_stop(self, name: str) -> subprocess.Popen[bytes]:
+        """Send SIGTERM to a process and return it."""
         process = self.processes.pop(name)
         process.send_signal(signal.SIGTERM)
-        return process.wait(timeout=20)
+        return process
 
     def stop_all(self) -> None:
         """Kill what is left."""
--- /dev/null
+++ b/tests/system/test_stop.py
@@ -0,0 +1,60 @@
+"""The stop of a deployed router: what it still takes, and what becomes of it."""
+
+import threading
+import time
+import unittest
+from typing import Any
+
+from tests.system.deployment import Deployment, Endpoint, make_config, open_deployment
+from tests.system.deployment import open_endpoint as open_endpoint_of
+
+LONG_TIMEOUT_MS = 15_000
+
+
+class StopCase(unittest.TestCase):
+    """Starts one router and one endpoint of a service whose route has a long timeout."""
+
+    def open(self, *, stop_within_s: float) -> tuple[Deployment, Endpoint]:
+        deployment = self.enterContext(open_deployment(replicas=1, routers=1))
+        deployment.stop_within_s = stop_within_s
+        deployment.start_all()
+        endpoint = self.enterContext(open_endpoint_of(deployment, 1))
+        config = make_config(3)
+        config["routes"][0]["timeoutMs"] = LONG_TIMEOUT_MS
+        deployment.put(config)
+        deployment.announce(endpoint)
+        deployment.wait_served("r1")
+        return deployment, endpoint
+
+    def call_soon(self, deployment: Deployment, **headers: str) -> threading.Thread:
+        """Start a request that waits for a long time, and return its thread."""
+        headers.setdefault("X_Chivetrack_Deadline_Ms", str(LONG_TIMEOUT_MS))
+        caller = threading.Thread(target=lambda: deployment.call("r1", **headers))
+        caller.start()
+        self.addCleanup(caller.join)
+        return caller
+
+    @staticmethod
+    def find_events(deployment: Deployment, event: str, request: str) -> list[dict[str, Any]]:
+        events = deployment.read_events("r1")
+        return [
+            one for one in events if one.get("event") == event and one.get("request") == request
+        ]
+
+
+class CutRequestTest(StopCase):
+    def test_request_cut_by_the_exit_has_its_end_logged(self) -> None:
+        """Guards against a request that is cut by the exit and has no line of its end."""
+        deployment, endpoint = self.open(stop_within_s=2.0)
+        endpoint.work_s = 6.0
+        caller = self.call_soon(deployment, X_Chivetrack_Attempt_Id="cut-1")
+        time.sleep(0.3)
+        deployment.begin_stop("r1").wait(timeout=20)
+        caller.join()
+        (ended,) = self.find_events(deployment, "request_ended", "cut-1")
+        self.assertEqual(ended["outcome"], "cut_by_stop")
+        self.assertLess(ended["came_after_stop_ms"], 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
