Answer callers that connect to a router late in its stop

Cause: 3.2 s after SIGTERM the router stopped accepting and kept its listening socket open. The balancer goes on sending connections where fewer than half of a zone's instances are in rotation, so callers waited in the kernel's queue until the process exited, up to 4.3 s later. Requests on open connections were refused throughout, whatever time they needed, with a Retry-After of 0.5 s.

Change: connections are accepted until the exit. What must end before the exit by its own timeout is served at any time, since the exit can't cut it; the rest is refused at once after the window as not run (instance_stopping, a Retry-After of 0.05 s: another instance can take it), and the connection is closed. Decided by limits/stopping without I/O.

Before: two of the three tests of tests.system.test_stop failed (no answer within 0.5 s; no answer to a request of 1.5 s). After: they pass.

--- /dev/null
+++ b/chivetrack/components/limits/stopping.py
@@ -0,0 +1,43 @@
+"""Requests that come to an instance that is stopping: which it still takes, free of I/O."""
+
+from dataclasses import dataclass
+
+from chivetrack.exceptions import Fault, Ran
+
+# Another instance can take the request at once.
+RETRY_AFTER_S = 0.05
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StopWindow:
+    """The phases of a stop; times are of the steady clock in seconds.
+
+    Until ``accepts_until`` the balancer may still choose this instance; at ``exits_at``
+    what still runs is cut.
+    """
+
+    accepts_until: float
+    exits_at: float
+
+    def takes(self, *, ends_at: float, expected_s: float, now: float) -> bool:
+        """Return whether a request is taken that must end by ``ends_at``.
+
+        Whatever its own timeout ends before the exit can't be cut. Other requests are
+        taken while the balancer sends them here, if they are expected to end in time;
+        afterwards they come only because the balancer has no better choice or on a
+        connection that was open before, and the caller's next try reaches another instance.
+        """
+        if ends_at <= self.exits_at:
+            return True
+        return now < self.accepts_until and now + expected_s <= self.exits_at
+
+
+def make_stopping_fault() -> Fault:
+    """Return the answer to a request that a stopping instance does not take."""
+    return Fault(
+        code="instance_stopping",
+        message="The instance is stopping; the request has not run.",
+        status=503,
+        ran=Ran.NO,
+        retry_after_s=RETRY_AFTER_S,
+    )
--- a/chivetrack/daemon/fleet/request_log.py
+++ b/chivetrack/daemon/fleet/request_log.py
@@ -35,6 +35,20 @@
             **evidence,
         )
 
+    def write_stopping(
+        self, call: Call, choice: Choice, fault: Fault, *, expected_s: float, left_s: float
+    ) -> None:
+        """Write that a request is not taken since the instance stops too soon for it."""
+        self.write_rejected(
+            call.facts,
+            fault,
+            path=call.target,
+            endpoint=choice.record.endpoint_id,
+            expected_ms=round(expected_s * 1000),
+            left_ms=round(left_s * 1000),
+            **self._describe_stop(call),
+        )
+
     def write_placed(self, call: Call, choice: Choice) -> None:
         """Write where a request goes next, and what that was weighed by."""
         self._events.write(
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -12,6 +12,7 @@
 from chivetrack.components.caller_api.const import BODY_TIMEOUT_S, ENVIRON_SOCKET
 from chivetrack.components.caller_api.watch import CallerLeftError, watch_caller
 from chivetrack.components.limits.hopeless import judge_hope
+from chivetrack.components.limits.stopping import StopWindow, make_stopping_fault
 from chivetrack.components.placement.choice import Choice
 from chivetrack.components.quarantine.faults import make_fault
 from chivetrack.components.quarantine.fingerprint import make_fingerprint
@@ -72,7 +73,7 @@
         self._record = record
         self.open_count = 0
         self._open_calls: dict[int, Call] = {}
-        self.is_closed = False
+        self._stop: StopWindow | None = None
         self._started_at = time.monotonic()
         self._random = Random()
 
@@ -107,8 +108,9 @@
         finally:
             del self._open_calls[id(call)]
 
-    def begin_stop(self, now: float) -> None:
-        """Note that the instance began to stop at ``now`` (seconds)."""
+    def begin_stop(self, window: StopWindow, *, now: float) -> None:
+        """Take only what can end within ``window``; the stop began at ``now`` (seconds)."""
+        self._stop = window
         self._log.stopping_since = now
 
     def end_stop(self) -> None:
@@ -123,7 +125,7 @@
         table = self._view.table or self._wait_for_table(facts, came_at)
         if table is None:
             raise FaultError(_refuse("no_configuration", 503, NO_DOCUMENT_RETRY_S))
-        if self.is_closed or self.open_count > MAX_REQUESTS:
+        if self.open_count > MAX_REQUESTS:
             raise FaultError(_refuse("instance_full", 503, NO_ENDPOINT_RETRY_S))
         target = environ[ENVIRON_TARGET]
         route = table.find_route(environ.get("HTTP_HOST", ""), target.partition("?")[0])
@@ -208,6 +210,8 @@
             if choice is None:
                 self._give_up(call, "no_candidate")
                 return
+            if self._refuse_during_stop(call, choice):
+                return
             if not call.tries and self._refuse_hopeless(call, choice):
                 return
             if self._send(call, choice):
@@ -258,6 +262,21 @@
         call.reply.refuse(fault)
         return True
 
+    def _refuse_during_stop(self, call: Call, choice: Choice) -> bool:
+        """Refuse a request that has not run and that the exit would probably cut."""
+        if self._stop is None or may_have_run(call.tries):
+            return False
+        now = time.monotonic()
+        expected_s = choice.expected_ms / 1000
+        if self._stop.takes(ends_at=call.ends_at, expected_s=expected_s, now=now):
+            return False
+        fault = make_stopping_fault()
+        self._log.write_stopping(
+            call, choice, fault, expected_s=expected_s, left_s=self._stop.exits_at - now
+        )
+        call.reply.refuse(fault)
+        return True
+
     def _refuse_quarantined(self, call: Call) -> bool:
         """Refuse a quarantined request; checked before each try, including retries."""
         quarantined = self._view.find_quarantined(call)
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -23,6 +23,7 @@
     View,
 )
 from chivetrack.components.distribution.subscriber import Subscriber
+from chivetrack.components.limits.stopping import StopWindow
 from chivetrack.components.quarantine.models import CrashReport
 from chivetrack.components.slow_start.messages import PermitAnswer
 from chivetrack.components.traffic.models import Document
@@ -287,14 +288,15 @@
     def _stop(self) -> int:
         began = time.monotonic()
         ends_at = began + self._settings.bounds.stop_within_s - STOP_MARGIN_S
-        self.desk.begin_stop(began)
+        window = StopWindow(accepts_until=began + STOP_ACCEPT_S, exits_at=ends_at)
+        self.desk.begin_stop(window, now=began)
         self._events.write("stopping", open=self.desk.open_count)
         gevent.sleep(STOP_IDLE_AFTER_S)
         self._callers.close_idle()
         gevent.sleep(STOP_ACCEPT_S - STOP_IDLE_AFTER_S)
-        self.desk.is_closed = True
-        self._callers.stop_accepting()
         self._callers.close_idle()
+        # New connections are still accepted: left in the kernel's queue, their callers
+        # would wait for the exit.
         while self.desk.open_count and time.monotonic() < ends_at:
             gevent.sleep(_POLL_S)
         cut = self.desk.open_count
--- a/tests/system/crashing.py
+++ b/tests/system/crashing.py
@@ -31,9 +31,6 @@
         self.connections.add(connection)
         return connection, address
 
-    def handle_error(self, request: Any, client_address: Any) -> None:
-        """Suppress tracebacks: connections are broken on purpose."""
-
     def crash(self) -> None:
         """Stop listening, then shut down every connection.
 
--- a/tests/system/deployment.py
+++ b/tests/system/deployment.py
@@ -48,6 +48,9 @@
         super().__init__((host, ENDPOINT_PORT), EndpointHandler)
         threading.Thread(target=self.serve_forever, daemon=True).start()
 
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """Suppress tracebacks: tests break connections on purpose."""
+
     def make_heartbeat(self, state: str = "ready") -> dict[str, Any]:
         """Return the next word of this endpoint about itself."""
         self.sequence += 1
--- a/tests/system/test_stop.py
+++ b/tests/system/test_stop.py
@@ -5,7 +5,13 @@
 import unittest
 from typing import Any
 
-from tests.system.deployment import Deployment, Endpoint, make_config, open_deployment
+from tests.system.deployment import (
+    CALLER_PORT,
+    Deployment,
+    Endpoint,
+    make_config,
+    open_deployment,
+)
 from tests.system.deployment import open_endpoint as open_endpoint_of
 
 LONG_TIMEOUT_MS = 15_000
@@ -56,5 +62,38 @@
         self.assertLess(ended["came_after_stop_ms"], 0)
 
 
+class LateRequestTest(StopCase):
+    def open_stopping(self) -> tuple[Deployment, Endpoint]:
+        """Return a router that has got SIGTERM with a request in flight to its end."""
+        deployment, endpoint = self.open(stop_within_s=8.0)
+        endpoint.work_s = 9.0
+        self.call_soon(deployment)
+        time.sleep(0.3)
+        self.addCleanup(deployment.begin_stop("r1").wait)
+        endpoint.work_s = 0.0
+        return deployment, endpoint
+
+    def test_connection_after_the_window_is_answered_at_once(self) -> None:
+        """Guards against connections that nobody accepts until the process exits."""
+        deployment, endpoint = self.open_stopping()
+        time.sleep(4.0)
+        before = len(endpoint.seen)
+        started_at = time.monotonic()
+        url = f"http://{deployment.get_host('r1')}:{CALLER_PORT}/a/x"
+        headers = {"Host": "one.example", "X-Chivetrack-Key": "key"}
+        response = deployment.http.request("POST", url, body=b"body", headers=headers)
+        self.assertLess(time.monotonic() - started_at, 0.5)
+        self.assertEqual(response.status, 503)
+        self.assertEqual(response.headers["Connection"], "close")
+        self.assertLess(float(response.headers["Retry-After"]), 0.5)
+        self.assertEqual(len(endpoint.seen), before)
+
+    def test_request_that_ends_before_the_exit_is_served_after_the_window(self) -> None:
+        """Guards against refusing what its own timeout ends before the exit."""
+        deployment, _ = self.open_stopping()
+        time.sleep(4.0)
+        self.assertEqual(deployment.call("r1", X_Chivetrack_Deadline_Ms="1500")[0], 200)
+
+
 if __name__ == "__main__":
     unittest.main()
