Take no long request once the balancer must have seen a router's stop

Cause: STOP_ACCEPT_S was 3.2 s, counted as three rounds of the balancer. It asks each second and needs two misses, so its last choice of this instance on its own accord is 2 s after SIGTERM, and a connection sent then needs a moment.

Ruled out: a slow exit (each of the stops ended at 7.5 s); a late signal.

Change: 2.5 s. Later requests are served if their own timeout ends them before the exit, and else refused at once as not run.

Before: of the two new tests one had no answer (cut at the exit), the other ran the request. After: both pass.

--- a/chivetrack/daemon/fleet/const.py
+++ b/chivetrack/daemon/fleet/const.py
@@ -42,9 +42,10 @@
 STOP_IDLE_AFTER_S: Final = 1.0
 """From SIGTERM until idle connections are closed: callers then open one elsewhere."""
 
-STOP_ACCEPT_S: Final = 3.2
-"""From SIGTERM until nothing new is taken: the balancer asks each second and believes the
-second no, and a connection that it had just sent needs a moment."""
+STOP_ACCEPT_S: Final = 2.5
+"""From SIGTERM until only requests are taken that must end before the exit: the balancer
+asks each second and believes the second no, and a connection that it had just sent needs
+a moment."""
 
 STOP_MARGIN_S: Final = 0.5
 """Between the end of what is in flight and the kill."""
--- a/tests/system/test_stop.py
+++ b/tests/system/test_stop.py
@@ -1,5 +1,6 @@
 """The stop of a deployed router: what it still takes, and what becomes of it."""
 
+import http.client
 import threading
 import time
 import unittest
@@ -15,6 +16,7 @@
 from tests.system.deployment import open_endpoint as open_endpoint_of
 
 LONG_TIMEOUT_MS = 15_000
+HEADERS = {"Host": "one.example", "X-Chivetrack-Key": "key"}
 
 
 class StopCase(unittest.TestCase):
@@ -80,8 +82,7 @@
         before = len(endpoint.seen)
         started_at = time.monotonic()
         url = f"http://{deployment.get_host('r1')}:{CALLER_PORT}/a/x"
-        headers = {"Host": "one.example", "X-Chivetrack-Key": "key"}
-        response = deployment.http.request("POST", url, body=b"body", headers=headers)
+        response = deployment.http.request("POST", url, body=b"body", headers=HEADERS)
         self.assertLess(time.monotonic() - started_at, 0.5)
         self.assertEqual(response.status, 503)
         self.assertEqual(response.headers["Connection"], "close")
@@ -94,6 +95,34 @@
         time.sleep(4.0)
         self.assertEqual(deployment.call("r1", X_Chivetrack_Deadline_Ms="1500")[0], 200)
 
+    def test_late_request_on_an_open_connection_is_not_run(self) -> None:
+        """Guards against a request taken 3 s after SIGTERM and cut at the exit."""
+        deployment, endpoint = self.open_stopping()
+        time.sleep(1.5)
+        connection = http.client.HTTPConnection(deployment.get_host("r1"), CALLER_PORT, timeout=20)
+        self.addCleanup(connection.close)
+        connection.connect()
+        time.sleep(1.6)
+        endpoint.work_s = 6.0
+        before = len(endpoint.seen)
+        started_at = time.monotonic()
+        with self.assertRaises(ConnectionError):
+            connection.request("POST", "/a/x", b"body", HEADERS)
+            connection.getresponse()
+        self.assertLess(time.monotonic() - started_at, 0.5)
+        self.assertEqual(len(endpoint.seen), before)
+
+    def test_late_request_on_a_new_connection_is_not_run(self) -> None:
+        """Guards against a request taken 3 s after SIGTERM and cut at the exit."""
+        deployment, endpoint = self.open_stopping()
+        time.sleep(3.0)
+        endpoint.work_s = 6.0
+        before = len(endpoint.seen)
+        url = f"http://{deployment.get_host('r1')}:{CALLER_PORT}/a/x"
+        response = deployment.http.request("POST", url, body=b"body", headers=HEADERS)
+        self.assertEqual((response.status, response.json()["error"]["ran"]), (503, "no"))
+        self.assertEqual(len(endpoint.seen), before)
+
 
 if __name__ == "__main__":
     unittest.main()
