Tell routers how many of them stop, for callers that a stop turns away

Cause: a stopping router knew of its own stop alone.

Change: a router says in its next word, sent at SIGTERM at once, that it stops. Replicas sum this as they sum the routers and tell each router. Where more than half of the routers stop, a request that may not end in time is still taken while the balancer sends here, and what is refused later gets a Retry-After of 1 s, so that the caller meets an instance that is back.

Ruled out: a later window (3.2 s): fewer are refused, and streams taken at 3 s are cut.

Before: the new tests fail (View has no such count; every refusal names 0.05 s). After: they pass. The tests of tests.system.test_stop now run three routers, since the stop of a fleet of one is the stop of most; their checks are as before.

--- a/chivetrack/components/distribution/messages.py
+++ b/chivetrack/components/distribution/messages.py
@@ -41,6 +41,7 @@
     router's recent crash reports, ``quarantine_revision`` is the revision of the quarantine
     that it has in force. ``is_partial``: up to ``change`` only departures are known.
     ``silent_revision`` is that of the list of silent endpoints held from this replica.
+    ``is_stopping``: the router has got SIGTERM.
     """
 
     router: str
@@ -56,6 +57,7 @@
     quarantine_revision: int = 0
     is_partial: bool = False
     silent_revision: int = 0
+    is_stopping: bool = False
 
 
 @message("distribution.view")
@@ -65,7 +67,7 @@
     ``version`` is that of the newest document applied there, ``evacuations`` are the zone
     orders applied there. With ``has_loads``, ``loads``
     are summed over all routers but the receiver, or ``None`` if they are many and come as
-    ``LoadUpdate``, ``routers`` counts the routers, and
+    ``LoadUpdate``, ``routers`` counts the routers, ``stopping`` those of them that stop, and
     ``placed`` are the placements after change ``placed_base``. ``quarantine`` is
     ``None`` if the router already has that revision. ``is_pending``: more endpoints have
     changed than fit; they follow as ``EndpointUpdate``. ``silent`` is ``None`` if the router
@@ -89,6 +91,7 @@
     quarantine: Quarantine | None = None
     is_pending: bool = False
     silent_revision: int = 0
+    stopping: int = 0
 
 
 @message("distribution.endpoints")
@@ -139,13 +142,15 @@
 class Exchange(Message, frozen=True, array_like=True):
     """What the routers that are close to one replica have in use and have sent lately.
 
-    ``crash_reports`` are those that the replica first received recently.
+    ``crash_reports`` are those that the replica first received recently. ``stopping`` of
+    the ``routers`` stop.
     """
 
     routers: int
     loads: tuple[EndpointLoad, ...]
     placed: tuple[PlacedPart, ...]
     crash_reports: tuple[CrashReport, ...] = ()
+    stopping: int = 0
 
 
 @message("distribution.fetch")
--- a/chivetrack/components/distribution/publisher.py
+++ b/chivetrack/components/distribution/publisher.py
@@ -57,6 +57,7 @@
     reads_at: str = ""
     quarantine_revision: int = 0
     silent_revision: int = 0
+    is_stopping: bool = False
 
     def confirm(self, placed_change: int, now: float) -> None:
         """Take what the router says that it has; what is on its way may be more."""
@@ -135,6 +136,7 @@
             now=now,
         )
         router.is_close = follow.is_close
+        router.is_stopping = follow.is_stopping
         router.loads = follow.loads
         router.version = follow.version
         router.quarantine_revision = follow.quarantine_revision
@@ -166,6 +168,7 @@
             loads=_sum_loads(one.loads for one in close.values()),
             placed=tuple(news),
             crash_reports=self.evidence.list_recent(now=now),
+            stopping=_count_stopping(close),
         )
 
     def take_fetch(
@@ -311,6 +314,7 @@
             has_loads=True,
             loads=loads,
             routers=len(close) + sum(one.routers for one in peers),
+            stopping=_count_stopping(close) + sum(one.stopping for one in peers),
             placed=placed,
             placed_change=placed_change,
         )
@@ -344,6 +348,10 @@
         return [one for one in self._peers.values() if now - one.heard_at <= ROUTER_SILENT_S]
 
 
+def _count_stopping(routers: Mapping[str, _Router]) -> int:
+    return sum(1 for one in routers.values() if one.is_stopping)
+
+
 def _sum_loads(loads: Iterable[tuple[EndpointLoad, ...]]) -> tuple[EndpointLoad, ...]:
     sums: dict[str, EndpointLoad] = {}
     for load in itertools.chain.from_iterable(loads):
--- a/chivetrack/components/distribution/subscriber.py
+++ b/chivetrack/components/distribution/subscriber.py
@@ -100,6 +100,7 @@
     placed: tuple[PlacedPart, ...]
     crash_reports: tuple[CrashReport, ...] = ()
     quarantine_revision: int = 0
+    is_stopping: bool = False
 
 
 class Subscriber:
@@ -215,6 +216,7 @@
             quarantine_revision=news.quarantine_revision,
             is_partial=replica.is_partial,
             silent_revision=replica.silent_revision,
+            is_stopping=news.is_stopping,
         )
         return [SendMessage(target=name, message=follow)]
 
--- a/chivetrack/components/limits/stopping.py
+++ b/chivetrack/components/limits/stopping.py
@@ -6,6 +6,8 @@
 
 # Another instance can take the request at once.
 RETRY_AFTER_S = 0.05
+# Most instances stop: the first of them needs a moment to be back.
+RETRY_AFTER_MOST_STOP_S = 1.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -19,25 +21,30 @@
     accepts_until: float
     exits_at: float
 
-    def takes(self, *, ends_at: float, expected_s: float, now: float) -> bool:
+    def takes(
+        self, *, ends_at: float, expected_s: float, do_others_accept: bool, now: float
+    ) -> bool:
         """Return whether a request is taken that must end by ``ends_at``.
 
         Whatever its own timeout ends before the exit can't be cut. Other requests are
-        taken while the balancer sends them here, if they are expected to end in time;
-        afterwards they come only because the balancer has no better choice or on a
-        connection that was open before, and the caller's next try reaches another instance.
+        taken while the balancer sends them here, if they are expected to end in time or
+        would only be turned away elsewhere too. Afterwards they come only because the
+        balancer has no better choice or on a connection that was open before.
         """
         if ends_at <= self.exits_at:
             return True
-        return now < self.accepts_until and now + expected_s <= self.exits_at
+        if now >= self.accepts_until:
+            return False
+        return now + expected_s <= self.exits_at or not do_others_accept
 
 
-def make_stopping_fault() -> Fault:
+def make_stopping_fault(*, do_others_accept: bool) -> Fault:
     """Return the answer to a request that a stopping instance does not take."""
+    retry_after_s = RETRY_AFTER_S if do_others_accept else RETRY_AFTER_MOST_STOP_S
     return Fault(
         code="instance_stopping",
         message="The instance is stopping; the request has not run.",
         status=503,
         ran=Ran.NO,
-        retry_after_s=RETRY_AFTER_S,
+        retry_after_s=retry_after_s,
     )
--- a/chivetrack/daemon/fleet/fleet_view.py
+++ b/chivetrack/daemon/fleet/fleet_view.py
@@ -33,6 +33,8 @@
 NEW_FOR_S = 20.0
 # Before the first word.
 FIRST_ROUTERS = 20.0
+# A caller that comes back reaches any router that the balancer may still choose.
+MAX_STOPPING_SHARE = 0.5
 # Cached by an engine whose profile the configuration does not tell.
 DEFAULT_MEMORY_TOKENS = 500_000
 
@@ -71,6 +73,8 @@
         self._born: dict[str, int] = {}
         self._seen_at: dict[str, float] = {}
         self._routers = FIRST_ROUTERS
+        self._stopping_share = 0.0
+        self.is_stopping = False
         self.has_view = False
         self._ready = Signal()
         self.listeners: list[Callable[[Document], None]] = []
@@ -115,6 +119,7 @@
             self._take_quarantine(view.quarantine)
         if view.has_loads:
             self._routers = max(view.routers, self._routers * ROUTERS_KEPT)
+            self._stopping_share = view.stopping / max(1, view.routers)
             if view.silent is not None:
                 self.take_silent_endpoints(view.silent)
             if view.loads is not None:
@@ -190,6 +195,11 @@
             "quarantine_in_force", revision=quarantine.revision, requests=len(quarantine.requests)
         )
 
+    @property
+    def do_others_accept(self) -> bool:
+        """Return whether a caller that comes back will probably reach a router that stays."""
+        return self._stopping_share <= MAX_STOPPING_SHARE
+
     @property
     def quarantine_revision(self) -> int:
         """Return the revision of the quarantine that this router applies."""
@@ -254,6 +264,7 @@
             placed=tuple(self.placement.list_news(now)),
             crash_reports=self.crashes.list_current(now=now),
             quarantine_revision=self.quarantine_revision,
+            is_stopping=self.is_stopping,
         )
 
     # Choosing
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -111,6 +111,7 @@
     def begin_stop(self, window: StopWindow, *, now: float) -> None:
         """Take only what can end within ``window``; the stop began at ``now`` (seconds)."""
         self._stop = window
+        self._view.is_stopping = True
         self._log.stopping_since = now
 
     def end_stop(self) -> None:
@@ -268,9 +269,15 @@
             return False
         now = time.monotonic()
         expected_s = choice.expected_ms / 1000
-        if self._stop.takes(ends_at=call.ends_at, expected_s=expected_s, now=now):
+        do_others_accept = self._view.do_others_accept
+        if self._stop.takes(
+            ends_at=call.ends_at,
+            expected_s=expected_s,
+            do_others_accept=do_others_accept,
+            now=now,
+        ):
             return False
-        fault = make_stopping_fault()
+        fault = make_stopping_fault(do_others_accept=do_others_accept)
         self._log.write_stopping(
             call, choice, fault, expected_s=expected_s, left_s=self._stop.exits_at - now
         )
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -290,6 +290,7 @@
         ends_at = began + self._settings.bounds.stop_within_s - STOP_MARGIN_S
         window = StopWindow(accepts_until=began + STOP_ACCEPT_S, exits_at=ends_at)
         self.desk.begin_stop(window, now=began)
+        send_all(self.transport.send, self.subscriber.report_now(now=began))
         self._events.write("stopping", open=self.desk.open_count)
         gevent.sleep(STOP_IDLE_AFTER_S)
         self._callers.close_idle()
--- a/tests/components/distribution/test_news.py
+++ b/tests/components/distribution/test_news.py
@@ -12,9 +12,11 @@
 )
 from chivetrack.components.distribution.messages import (
     DocumentSent,
+    Exchange,
     Follow,
     View,
 )
+from chivetrack.components.distribution.subscriber import OwnNews
 from chivetrack.components.evacuation.models import Evacuations, ZoneState
 from tests.components.announcements.test_table import make_record
 from tests.components.distribution.world import Fixture, make_close
@@ -87,6 +89,18 @@
         fixture.exchange_until(0.2 + IN_FLIGHT_S + FOLLOW_EVERY_S)
         self.assertIsNotNone(fixture.own.find("e1"))
 
+    def test_routers_are_told_how_many_of_them_stop(self) -> None:
+        """Guards against callers sent from one stopping router to another that stops too."""
+        fixture = Fixture()
+        fixture.exchange(0.0)
+        fixture.news = OwnNews(loads=(), placed=(), is_stopping=True)
+        other = Exchange(routers=3, loads=(), placed=(), stopping=2)
+        fixture.publisher.take_exchange("p2", other, now=1.0)
+        (answer,) = fixture.publisher.take_follow(fixture.follow(1.0), now=1.0)
+        assert isinstance(answer.message, View)
+        self.assertEqual((answer.message.routers, answer.message.stopping), (4, 3))
+        self.assertEqual(fixture.publisher.make_exchange(now=1.0).stopping, 1)
+
     def test_restarted_replica_numbers_anew(self) -> None:
         fixture = Fixture()
         for number in range(5):
--- a/tests/components/distribution/world.py
+++ b/tests/components/distribution/world.py
@@ -35,6 +35,7 @@
         self.taken: list[int] = []
         self.unreadable: list[int] = []
         self.bodies: dict[int, bytes] = {}
+        self.news = OwnNews(loads=(), placed=())
         self.publisher = self.make_publisher(run)
         self.own = EndpointTable() if own is None else own
         self.subscriber = Subscriber(
@@ -45,7 +46,7 @@
             take_document=self.take_document,
             note_unreadable=lambda version, detail: self.unreadable.append(version),
             note_bad_update=lambda replica, detail: None,
-            get_news=lambda: OwnNews(loads=(), placed=()),
+            get_news=lambda: self.news,
         )
 
     def make_publisher(self, run: str) -> Publisher:
--- a/tests/daemon/fleet/test_fleet_view.py
+++ b/tests/daemon/fleet/test_fleet_view.py
@@ -84,6 +84,13 @@
             parts = (PromptPart("s", 512), PromptPart("d", 10_000), PromptPart("o", 3))
             self.assertEqual(self.choose("llm", *parts), f"e{number}")
 
+    def test_callers_are_sent_elsewhere_only_while_half_of_the_routers_stay(self) -> None:
+        """Guards against callers sent from one stopping router to another that stops too."""
+        self.take(routers=8, stopping=4)
+        self.assertTrue(self.view.do_others_accept)
+        self.take(routers=8, stopping=5)
+        self.assertFalse(self.view.do_others_accept)
+
     def test_leaving_lost_and_misdirected_endpoints_get_nothing(self) -> None:
         record = make_record(service="portal")
         self.take(record)
--- a/tests/system/test_stop.py
+++ b/tests/system/test_stop.py
@@ -20,10 +20,10 @@
 
 
 class StopCase(unittest.TestCase):
-    """Starts one router and one endpoint of a service whose route has a long timeout."""
+    """Starts three routers and one endpoint of a service whose route has a long timeout."""
 
     def open(self, *, stop_within_s: float) -> tuple[Deployment, Endpoint]:
-        deployment = self.enterContext(open_deployment(replicas=1, routers=1))
+        deployment = self.enterContext(open_deployment(replicas=1, routers=3))
         deployment.stop_within_s = stop_within_s
         deployment.start_all()
         endpoint = self.enterContext(open_endpoint_of(deployment, 1))
@@ -31,7 +31,8 @@
         config["routes"][0]["timeoutMs"] = LONG_TIMEOUT_MS
         deployment.put(config)
         deployment.announce(endpoint)
-        deployment.wait_served("r1")
+        for name in deployment.list_names("r"):
+            deployment.wait_served(name)
         return deployment, endpoint
 
     def call_soon(self, deployment: Deployment, **headers: str) -> threading.Thread:
