Count what routers are sent of endpoints, and log packed endpoints that come

Which of them were tables, changes, or sent again, and when they came, no line told.

Test: tests.components.distribution.test_news, failed before for lack of the counts.

--- a/chivetrack/components/distribution/endpoint_feed.py
+++ b/chivetrack/components/distribution/endpoint_feed.py
@@ -61,6 +61,17 @@
             self.was_lost = True
 
 
+@dataclass(slots=True, kw_only=True)
+class FeedCounts:
+    """Updates sent by what they hold; ``resent`` of them go again to single routers."""
+
+    tables: int = 0
+    table_bytes: int = 0
+    changes: int = 0
+    change_bytes: int = 0
+    resent: int = 0
+
+
 class _Group(NamedTuple):
     """Which changes some routers lack: all after ``base``, or departures alone."""
 
@@ -100,6 +111,16 @@
     _lacks_silent: dict[str, None] = field(default_factory=dict)
     _packed: dict[_Group, _Packed] = field(default_factory=dict)
     _next_round_at: float = float("-inf")
+    _counts: FeedCounts = field(default_factory=FeedCounts)
+
+    def take_counts(self) -> FeedCounts:
+        """Return what was sent since the last call."""
+        counts, self._counts = self._counts, FeedCounts()
+        return counts
+
+    def count_waiting(self) -> int:
+        """Return how many routers wait for endpoints."""
+        return len(self._waiting)
 
     def get_progress(self, router: str) -> EndpointProgress:
         """Return how far a router is, which may be a new one."""
@@ -188,6 +209,7 @@
             return
         packed = self._pack(group, now)
         for leg in self._plan(routers, len(packed.payload), now):
+            self._count(group, len(packed.payload), self._progress[leg.first].was_lost)
             for router in (leg.first, *leg.others):
                 self._progress[router].note_sent(packed.change, arrives_at=leg.arrives_at)
                 del self._waiting[router]
@@ -202,6 +224,16 @@
             )
             yield SendMessage(target=leg.first, message=update)
 
+    def _count(self, group: _Group, size: int, was_lost: bool) -> None:
+        counts = self._counts
+        counts.resent += was_lost
+        if group.is_whole_table:
+            counts.tables += 1
+            counts.table_bytes += size
+        else:
+            counts.changes += 1
+            counts.change_bytes += size
+
     def _plan(self, routers: Iterable[str], size: int, now: float) -> Iterator[Leg]:
         """Yield the ways to routers; one that has missed an update gets it from here."""
         ordered = self.order(routers, now=now)
--- a/chivetrack/components/distribution/publisher.py
+++ b/chivetrack/components/distribution/publisher.py
@@ -2,7 +2,7 @@
 
 import itertools
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 
 import msgspec
 
@@ -102,6 +102,8 @@
     _endpoints: EndpointFeed = field(init=False)
     _loads: LoadFeed = field(init=False)
     _published_orders: tuple[int, int, int] = (0, 0, 0)
+    _placed_sent: int = 0
+    _records_inline: int = 0
 
     def __post_init__(self) -> None:
         """Let endpoints, loads and documents share the pace of the link."""
@@ -171,6 +173,17 @@
             stopping=_count_stopping(close),
         )
 
+    def take_counts(self) -> dict[str, int]:
+        """Return what routers were sent since the last call, and how many wait."""
+        placed, self._placed_sent = self._placed_sent, 0
+        records, self._records_inline = self._records_inline, 0
+        return {
+            **asdict(self._endpoints.take_counts()),
+            "waiting": self._endpoints.count_waiting(),
+            "inline_records": records,
+            "placed": placed,
+        }
+
     def take_fetch(
         self, source: str, fetch: FetchDocument, *, now: float
     ) -> tuple[PacedDocument, ...]:
@@ -254,12 +267,14 @@
         elif count:
             progress.is_partial = progress.is_partial and base > 0
             progress.note_sent(self.table.change, arrives_at=now)
+        records = () if is_pending else tuple(self.table.list_changes(base))
+        self._records_inline += len(records)
         view = View(
             run=self.run,
             base=base,
             change=progress.sent,
             version=self.history.version,
-            records=() if is_pending else tuple(self.table.list_changes(base)),
+            records=records,
             replicas=self.list_replicas(),
             silent=None,
             evacuations=self.evacuations,
@@ -298,15 +313,14 @@
     def _make_close_view(self, name: str, router: _Router, now: float) -> SendMessage:
         close = self._list_close(now)
         peers = [one.exchange for one in self._list_peers(now)]
-        placed, placed_change = self._list_placed(router, len(close), now)
-        if placed:
-            router.placed_at = now
-        router.placed_change = placed_change
         sent = self._make_view(name, router, now)
         assert isinstance(sent.message, View)
+        placed, router.placed_change = self._list_placed(router, len(close), now)
+        silent, silent_revision = self._find_newer_silent(name, router, now)
+        if placed:
+            router.placed_at = now
         is_shared = self._loads.is_shared
         loads = None if is_shared else self._sum_all_loads(close, now, without=name)
-        silent, silent_revision = self._find_newer_silent(name, router, now)
         view = msgspec.structs.replace(
             sent.message,
             silent=silent,
@@ -316,7 +330,7 @@
             routers=len(close) + sum(one.routers for one in peers),
             stopping=_count_stopping(close) + sum(one.stopping for one in peers),
             placed=placed,
-            placed_change=placed_change,
+            placed_change=router.placed_change,
         )
         return SendMessage(target=name, message=view)
 
@@ -334,6 +348,7 @@
             return (), router.placed_change
         limit = max(1, PLACED_IN_ROUND // close)
         placed, change = self.placements.list_after(router.placed_change, now=now, limit=limit)
+        self._placed_sent += len(placed)
         self._pacer.reserve(len(placed) * PLACED_BYTES, now=now)
         return placed, change
 
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -228,6 +228,15 @@
     def _take_endpoints(self, _source: str, update: EndpointUpdate) -> None:
         effects = self.subscriber.take_endpoints(update, now=time.monotonic())
         self.view.take_endpoints()
+        self._events.write(
+            "endpoints_taken",
+            replica=update.replica,
+            base=update.base,
+            change=update.change,
+            is_partial=update.is_partial,
+            bytes=len(update.payload),
+            handed_on=len(update.forward_to),
+        )
         send_all(self.transport.send, effects)
 
     def _take_silent(self, _source: str, update: SilentUpdate) -> None:
--- a/tests/components/distribution/test_news.py
+++ b/tests/components/distribution/test_news.py
@@ -18,6 +18,7 @@
 )
 from chivetrack.components.distribution.subscriber import OwnNews
 from chivetrack.components.evacuation.models import Evacuations, ZoneState
+from tests.components.announcements.test_packing import make_fleet
 from tests.components.announcements.test_table import make_record
 from tests.components.distribution.world import Fixture, make_close
 
@@ -89,6 +90,19 @@
         fixture.exchange_until(0.2 + IN_FLIGHT_S + FOLLOW_EVERY_S)
         self.assertIsNotNone(fixture.own.find("e1"))
 
+    def test_what_routers_were_sent_is_counted(self) -> None:
+        """Guards against a full link of which nobody can say what it carries."""
+        fixture = Fixture()
+        for record in make_fleet(400):
+            fixture.table.merge(record, now=0.0)
+        fixture.publisher.take_follow(make_close("r1"), now=0.0)
+        self.assertEqual(fixture.publisher.take_counts()["waiting"], 1)
+        fixture.publisher.send_round(now=0.0)
+        counts = fixture.publisher.take_counts()
+        self.assertEqual((counts["tables"], counts["waiting"], counts["resent"]), (1, 0, 0))
+        self.assertGreater(counts["table_bytes"], 1000)
+        self.assertEqual(fixture.publisher.take_counts()["tables"], 0)
+
     def test_routers_are_told_how_many_of_them_stop(self) -> None:
         """Guards against callers sent from one stopping router to another that stops too."""
         fixture = Fixture()
