Send a router placements only once it knows the endpoints

What callers saw: after a start of many routers, prompts were read again that endpoints still had cached, and the tables of endpoints came late.

Cause: a router that starts in a large fleet is sent the placements (1,000 of 14 bytes) with its first answers and the endpoints later, packed. It drops what it knows of an endpoint as this appears, and has confirmed the placements by then, so they are not sent again. Meanwhile they took part of the pace that the tables need.

Change: a replica tells a router placements and silent endpoints once the router has confirmed endpoints, or with the answer that brings them all.

After: none before the table, all after it.

--- a/chivetrack/components/distribution/publisher.py
+++ b/chivetrack/components/distribution/publisher.py
@@ -315,8 +315,11 @@
         peers = [one.exchange for one in self._list_peers(now)]
         sent = self._make_view(name, router, now)
         assert isinstance(sent.message, View)
-        placed, router.placed_change = self._list_placed(router, len(close), now)
-        silent, silent_revision = self._find_newer_silent(name, router, now)
+        placed: tuple[PlacedPart, ...] = ()
+        silent, silent_revision = None, router.silent_revision
+        if self._knows_endpoints(name, sent.message):
+            placed, router.placed_change = self._list_placed(router, len(close), now)
+            silent, silent_revision = self._find_newer_silent(name, router, now)
         if placed:
             router.placed_at = now
         is_shared = self._loads.is_shared
@@ -334,6 +337,15 @@
         )
         return SendMessage(target=name, message=view)
 
+    def _knows_endpoints(self, name: str, view: View) -> bool:
+        """Return whether a router has the table of endpoints, at the latest with this view.
+
+        Before, it drops placements as the endpoints appear, and has no use for the list of
+        silent ones; both would delay the table on the link.
+        """
+        brings_table = view.base == 0 and not view.is_pending
+        return brings_table or self._endpoints.get_progress(name).confirmed > 0
+
     def _list_placed(
         self, router: _Router, close: int, now: float
     ) -> tuple[tuple[PlacedPart, ...], int]:
--- a/tests/components/distribution/test_placements.py
+++ b/tests/components/distribution/test_placements.py
@@ -37,6 +37,22 @@
         assert isinstance(answer.message, View)
         self.assertEqual(answer.message.placed, ())
 
+    def test_endpoints_come_before_placements(self) -> None:
+        """Guards against placements that a router drops, since it gets the endpoints later."""
+        fixture = Fixture()
+        for record in make_fleet(400):
+            fixture.table.merge(record, now=0.0)
+        placed = (PlacedPart(part="d:10000", endpoint_id="e1", age_s=1.0),)
+        fixture.publisher.take_follow(make_close("r2", placed=placed), now=0.0)
+        told = []
+        for change in (0, 0, fixture.table.change):
+            follow = make_close("r1", run="run1", change=change)
+            (answer,) = fixture.publisher.take_follow(follow, now=0.3)
+            fixture.publisher.send_round(now=0.3)
+            assert isinstance(answer.message, View)
+            told.append((len(answer.message.placed), answer.message.placed_change))
+        self.assertEqual(told, [(0, 0), (0, 0), (1, 1)])
+
     def test_configuration_comes_before_placements(self) -> None:
         """All instances lost power and start; 39 routers ask a replica for all that it has.
 
--- a/tests/components/distribution/world.py
+++ b/tests/components/distribution/world.py
@@ -143,6 +143,7 @@
     running: int = 0,
     *,
     run: str = "",
+    change: int = 0,
     version: int = 0,
     placed: tuple[PlacedPart, ...] = (),
     placed_change: int = 0,
@@ -152,7 +153,7 @@
     return Follow(
         router=router,
         run=run,
-        change=0,
+        change=change,
         version=version,
         loads=loads,
         placed=placed,
