Count a router as ready only once it has the whole table of endpoints

The departures, mostly none, made it ready, and the balancer sent it callers whom it refused with no_candidate.

Change: only a whole table, or changes after one, make a router ready. Before: the new test failed (no such distinction). After: it passes.

--- a/chivetrack/daemon/fleet/fleet_view.py
+++ b/chivetrack/daemon/fleet/fleet_view.py
@@ -140,9 +140,9 @@
         loads = [subtract_load(one, self._told_loads.get(one.endpoint_id)) for one in read.ok]
         self._take_loads(loads, time.monotonic())
 
-    def take_endpoints(self) -> None:
-        """Put in force the endpoints that a replica has packed."""
-        self.has_view = True
+    def take_endpoints(self, *, is_partial: bool) -> None:
+        """Put in force the endpoints that a replica has packed, all or departures alone."""
+        self.has_view = self.has_view or not is_partial
         self._note_changes()
         self._note_ready()
 
--- a/tests/daemon/fleet/test_fleet_view.py
+++ b/tests/daemon/fleet/test_fleet_view.py
@@ -84,6 +84,13 @@
             parts = (PromptPart("s", 512), PromptPart("d", 10_000), PromptPart("o", 3))
             self.assertEqual(self.choose("llm", *parts), f"e{number}")
 
+    def test_departures_alone_are_no_view(self) -> None:
+        """Guards against a router that is ready before it knows any endpoint."""
+        self.view.take_endpoints(is_partial=True)
+        self.assertFalse(self.view.has_view)
+        self.view.take_endpoints(is_partial=False)
+        self.assertTrue(self.view.has_view)
+
     def test_callers_are_sent_elsewhere_only_while_half_of_the_routers_stay(self) -> None:
         """Guards against callers sent from one stopping router to another that stops too."""
         self.take(routers=8, stopping=4)
