Finish the calls in progress when a replica stops

What operators and endpoints saw: a change, read, heartbeat or departure at a replica that got SIGTERM ended with a closed connection; whether a change was committed they could not know.

A router finishes what it has taken; a replica exited 0.2 s after it had handed leadership over, whatever it had in progress, although a change takes up to 0.9 s and a departure 0.6 s, and took new calls until then. A leader without a successor waits 1.5 s for one, so its calls mostly ended in time; a follower's did not.

Change: from SIGTERM on new calls are refused at once (503, stopping), those in progress are finished for up to 2 s, and the count of what was cut is logged.

A first form of the test, at the leader, was dropped: it passed without the change, and failed at times because it took the wrong replica for the leader.

--- a/chivetrack/daemon/fleet/replica.py
+++ b/chivetrack/daemon/fleet/replica.py
@@ -24,7 +24,8 @@
 from chivetrack.components.quarantine.models import Quarantine, QuarantineOrder
 from chivetrack.components.slow_start.messages import AskPermit, PermitAnswer
 from chivetrack.components.slow_start.permits import PermitBook
-from chivetrack.daemon.fleet.const import FLUSH_S, TIDY_EVERY_S, TRAFFIC_EVERY
+from chivetrack.daemon.fleet.call_gate import CallGate
+from chivetrack.daemon.fleet.const import FLUSH_S, STOP_CALLS_S, TIDY_EVERY_S, TRAFFIC_EVERY
 from chivetrack.daemon.fleet.desk import Desk
 from chivetrack.daemon.fleet.documents import DocumentDesk
 from chivetrack.daemon.fleet.gauges import Gauge
@@ -38,6 +39,7 @@
 from chivetrack.platform.control_api import build_control_app
 
 _LAST_WORDS_S = 0.2
+_POLL_S = 0.02
 
 
 class ReplicaProcess:
@@ -123,11 +125,14 @@
         self._store.listen_to_quarantine(self._take_quarantine)
         self._documents = documents
         self._pending_orders: set[bytes] = set()
-        self._control = HttpServer(
-            address=(listeners.control.host, listeners.control.port),
+        self._gate = CallGate(
             application=build_control_app(
                 desk=self._desk, unpack=unpack_document, note_bad=self._note_bad
-            ),
+            )
+        )
+        self._control = HttpServer(
+            address=(listeners.control.host, listeners.control.port),
+            application=self._gate,
             is_closing=self._asked.is_set,
         )
         self._metrics_server = open_metrics_server(listeners.metrics, self._metrics)
@@ -237,11 +242,20 @@
                 seeds=[str(one) for one in self._settings.fleet.seeds],
             )
             self._asked.wait()
-            self._events.write("stopping", leads=self.host.is_leader)
-            self.host.hand_over()
-            gevent.sleep(_LAST_WORDS_S)
-            self._events.write("stopped", cut=0)
-        return 0
+            return self._stop()
+
+    def _stop(self) -> int:
+        """Hand leadership over, finish the calls in progress, and return how many were cut."""
+        began = time.monotonic()
+        self._events.write("stopping", leads=self.host.is_leader, open=self._gate.open_count)
+        self._gate.is_closed = True
+        self.host.hand_over()
+        while self._gate.open_count and time.monotonic() < began + STOP_CALLS_S:
+            gevent.sleep(_POLL_S)
+        gevent.sleep(_LAST_WORDS_S)
+        cut = self._gate.open_count
+        self._events.write("stopped", cut=cut, after_s=round(time.monotonic() - began, 2))
+        return cut
 
     def _note_reload(self) -> None:
         self._events.write("reload", detail="settings are read at the next start")
--- a/tests/system/test_stop.py
+++ b/tests/system/test_stop.py
@@ -1,6 +1,8 @@
 """The stop of a deployed router: what it still takes, and what becomes of it."""
 
 import http.client
+import json
+import signal
 import threading
 import time
 import unittest
@@ -8,12 +10,14 @@
 
 from tests.system.deployment import (
     CALLER_PORT,
+    CONTROL_PORT,
     Deployment,
     Endpoint,
     make_config,
     open_deployment,
 )
 from tests.system.deployment import open_endpoint as open_endpoint_of
+from tests.system.fleets import wait_for
 
 LONG_TIMEOUT_MS = 15_000
 HEADERS = {"Host": "one.example", "X-Chivetrack-Key": "key"}
@@ -145,5 +149,43 @@
         self.assertEqual(len(endpoint.seen), before)
 
 
+class ReplicaStopTest(unittest.TestCase):
+    def test_call_in_progress_gets_its_answer(self) -> None:
+        """Guards against a change whose operator never learns what became of it."""
+        deployment = self.enterContext(open_deployment(replicas=3, routers=0))
+        deployment.start_all()
+        deployment.put(make_config(3))
+        leader = self.find_leader(deployment)
+        follower, other = (name for name in deployment.list_names("p") if name != leader)
+        deployment.kill(other)
+        deployment.processes[leader].send_signal(signal.SIGSTOP)
+        url = f"http://{deployment.get_host(follower)}:{CONTROL_PORT}/config"
+        body = json.dumps(make_config(4))
+        answers: list[int] = []
+        caller = threading.Thread(
+            target=lambda: answers.append(deployment.ask("PUT", url, body=body)[0])
+        )
+        caller.start()
+        time.sleep(0.2)
+        self.assertEqual(deployment.stop(follower), 0)
+        caller.join()
+        self.assertIn(answers, ([307], [503]))
+
+    @staticmethod
+    def find_leader(deployment: Deployment) -> str:
+        """Return the replica that has last become the leader, by its lines."""
+
+        def find() -> str:
+            led_at = {
+                one["at"]: name
+                for name in deployment.list_names("p")
+                for one in deployment.read_events(name)
+                if one.get("event") == "leader_changed" and one["role"] == "leader"
+            }
+            return led_at[max(led_at)] if led_at else ""
+
+        return str(wait_for(find, "no replica says that it leads"))
+
+
 if __name__ == "__main__":
     unittest.main()
