Refer no router to one that has restarted or that stops

What was seen at 296 instances after all routers were killed (22 with lines): the nine that were not referred to another router had the configuration within 0.5 s of their start's first line; of the 13 that were, five at once and eight after 0.6 to 1.6 s, the last three after two and three referrals.

Cause: a replica keeps a router as a holder of a document for as long as the version is the newest. One that restarted holds nothing, all of them after a kill, and does not answer; whoever is referred to it asks again after 0.3 s or more. Likewise a router that stops is named until it is gone, to routers, to operators, and as the first that hands endpoints on: what it was to hand on is taken as lost only 0.8 s later.

Change: a router that names an older version, or that says that it stops, is no holder; nobody is referred to it, and it is the last to hand endpoints on.

Before: test_routers_that_can_not_hand_on_are_not_named, test_routers_that_hand_out_a_version and test_router_that_stops_hands_nothing_on failed, each without its part of the change. After: they pass.

--- a/chivetrack/components/distribution/document_feed.py
+++ b/chivetrack/components/distribution/document_feed.py
@@ -43,9 +43,12 @@
     _due: dict[str, _DueDocument] = field(default_factory=dict)
     _relays: Relays = field(default_factory=Relays)
 
-    def note_holder(self, router: str, version: int, *, now: float) -> None:
-        """Note that a router has a version and can hand it on."""
-        self._relays.note_holder(router, version, since=now)
+    def note_version(self, router: str, version: int, *, is_stopping: bool, now: float) -> None:
+        """Note which version a router has, 0 if none, and whether it can hand it on."""
+        if is_stopping or version < self.history.version:
+            self._relays.drop_holder(router, now=now)
+        else:
+            self._relays.note_holder(router, version, since=now)
 
     def forget(self, router: str) -> None:
         """Drop a router that has gone."""
--- a/chivetrack/components/distribution/endpoint_feed.py
+++ b/chivetrack/components/distribution/endpoint_feed.py
@@ -34,6 +34,7 @@
     is_partial: bool = False
     resend_at: float = float("-inf")
     was_lost: bool = False
+    is_stopping: bool = False
     heard_at: float = float("-inf")
 
     def note_sent(self, change: int, *, arrives_at: float) -> None:
@@ -201,7 +202,7 @@
         return now - self._progress[router].heard_at <= ROUTER_SILENT_S
 
     def order(self, routers: Iterable[str], *, now: float) -> list[str]:
-        """Return routers with those first that are surely alive; the first hand updates on.
+        """Return routers with those first that are surely alive and stay; the first hand on.
 
         The order stays for some seconds: with others each time, all would connect to all. It
         does not stay for ever, since a router may not reach the one that it depends on.
@@ -209,7 +210,11 @@
         names = sorted(routers)
         turn = int(now / HEADS_KEPT_S) % max(1, len(names))
         turned = names[turn:] + names[:turn]
-        return sorted(turned, key=lambda one: now - self._progress[one].heard_at > HEARD_LATELY_S)
+        return sorted(turned, key=lambda one: self._may_be_gone_soon(one, now))
+
+    def _may_be_gone_soon(self, router: str, now: float) -> bool:
+        progress = self._progress[router]
+        return progress.is_stopping or now - progress.heard_at > HEARD_LATELY_S
 
     def _send_group(
         self, group: _Group, routers: Iterable[str], now: float
--- a/chivetrack/components/distribution/publisher.py
+++ b/chivetrack/components/distribution/publisher.py
@@ -145,8 +145,11 @@
         router.silent_revision = follow.silent_revision if is_known else 0
         self.evidence.note(follow.crash_reports, now=now)
         router.reads_at = follow.reads_at
-        if follow.is_close and follow.version:
-            self._documents.note_holder(follow.router, follow.version, now=now)
+        if follow.is_close:
+            self._documents.note_version(
+                follow.router, follow.version, is_stopping=follow.is_stopping, now=now
+            )
+            self._endpoints.get_progress(follow.router).is_stopping = follow.is_stopping
         if not follow.is_close:
             return [self._make_view(follow.router, router, now)]
         self.placements.note(follow.placed, now=now)
@@ -199,7 +202,7 @@
         return [
             one.reads_at
             for one in self._list_close(now).values()
-            if one.reads_at and one.version >= version
+            if one.reads_at and one.version >= version and not one.is_stopping
         ]
 
     def publish(self, *, now: float) -> list[SendMessage]:
--- a/chivetrack/components/distribution/relays.py
+++ b/chivetrack/components/distribution/relays.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from chivetrack.components.distribution.const import RELAY_BYTES, RELAY_MARGIN_S
+from chivetrack.components.distribution.const import IN_FLIGHT_S, RELAY_BYTES, RELAY_MARGIN_S
 
 
 @dataclass(slots=True)
@@ -44,6 +44,15 @@
         if version == self._version and router not in self._holders:
             self._holders[router] = _Holder(since)
 
+    def drop_holder(self, router: str, *, now: float) -> None:
+        """Note that a router can't hand its version on: it lacks it, or will be gone soon.
+
+        What is on its way to it may still come.
+        """
+        holder = self._holders.get(router)
+        if holder is not None and holder.since + IN_FLIGHT_S <= now:
+            del self._holders[router]
+
     def choose(self, asker: str, version: int, *, size: int, now: float) -> Relay | None:
         """Return the holder that is ready first and has handed out least, if there is one."""
         if version != self._version:
--- a/tests/components/distribution/test_documents.py
+++ b/tests/components/distribution/test_documents.py
@@ -5,6 +5,8 @@
 from collections import Counter
 from random import Random
 
+import msgspec
+
 from chivetrack.components.distribution.const import (
     FETCH_AGAIN_S,
     FOLLOW_EVERY_S,
@@ -19,7 +21,7 @@
 from chivetrack.components.document.patch import make_patch
 from chivetrack.components.document.store import StoredDocument
 from chivetrack.core import SendMessage
-from tests.components.distribution.world import Fixture, count_bytes, make_body
+from tests.components.distribution.world import Fixture, count_bytes, make_body, make_close
 
 
 class DocumentTest(unittest.TestCase):
@@ -153,6 +155,27 @@
         (again,) = publisher.take_fetch(referred, ask, now=1.2)
         self.assertIsInstance(again.message, DocumentSent)
 
+    def refer(self, *, is_stopping: bool, version: int) -> str:
+        """Return to whom routers are referred once ``r0``, which had the document, says this."""
+        fixture = Fixture()
+        fixture.put(1, make_body(1600, quota=1))
+        publisher = fixture.publisher
+        publisher.take_follow(make_close("r0", version=1), now=0.0)
+        word = make_close("r0", version=version, is_stopping=is_stopping)
+        publisher.take_follow(word, now=5.0)
+        ask = FetchDocument(held_version=0)
+        for number in range(1, 12):
+            (paced,) = publisher.take_fetch(f"r{number}", ask, now=5.0)
+            if isinstance(paced.message, FetchElsewhere):
+                return paced.message.holder
+        return ""
+
+    def test_routers_that_can_not_hand_on_are_not_named(self) -> None:
+        """Guards against a document asked of a router that has restarted, or is gone."""
+        self.assertEqual(self.refer(is_stopping=False, version=1), "r0")
+        self.assertNotEqual(self.refer(is_stopping=False, version=0), "r0")
+        self.assertNotEqual(self.refer(is_stopping=True, version=1), "r0")
+
     def test_router_hands_on_what_fits(self) -> None:
         """One router holds the version that the patch was made for, another an older one."""
         fixture = Fixture()
@@ -195,6 +218,9 @@
             )
         self.assertEqual(publisher.list_readers(5, now=0.5), ["a:80"])
         self.assertEqual(publisher.list_readers(5, now=60.0), [])
+        stopping = make_close("a", version=5, is_stopping=True)
+        publisher.take_follow(msgspec.structs.replace(stopping, reads_at="a:80"), now=1.0)
+        self.assertEqual(publisher.list_readers(5, now=1.0), [])
 
 
 if __name__ == "__main__":
--- a/tests/components/distribution/test_endpoint_feed.py
+++ b/tests/components/distribution/test_endpoint_feed.py
@@ -179,6 +179,20 @@
         self.assertEqual(len(answer.message.records), 64)
         self.assertFalse(answer.message.is_pending)
 
+    def test_router_that_stops_hands_nothing_on(self) -> None:
+        """Guards against endpoints that end with the router which should hand them on."""
+        fixture = self.make_fixture()
+        for number in range(60):
+            follow = make_close(f"r{number}", is_stopping=number < 30)
+            fixture.publisher.take_follow(follow, now=0.0)
+        heads = []
+        for step in range(8):
+            for one in fixture.publisher.send_round(now=step * 0.125):
+                assert isinstance(one.message, EndpointUpdate)
+                heads += [one.target] if one.message.forward_to else []
+        self.assertGreater(len(heads), 3)
+        self.assertTrue(all(int(one[1:]) >= 30 for one in heads), heads)
+
     def test_rounds_go_no_faster_than_their_pace(self) -> None:
         """Guards against socket buffers full of endpoints, which the log can't overtake."""
         fixture = self.make_fixture()
--- a/tests/components/distribution/world.py
+++ b/tests/components/distribution/world.py
@@ -147,6 +147,7 @@
     version: int = 0,
     placed: tuple[PlacedPart, ...] = (),
     placed_change: int = 0,
+    is_stopping: bool = False,
 ) -> Follow:
     """Return the word of a router to the replica that it is close to."""
     loads = (EndpointLoad(endpoint_id="e1", running=running, tokens=10),) if running else ()
@@ -159,4 +160,5 @@
         placed=placed,
         is_close=True,
         placed_change=placed_change,
+        is_stopping=is_stopping,
     )
