Move what refuses a request before it is sent to a module of its own

No behaviour changes. Before and after: tests.system.test_stop, test_quarantine and test_deployment pass (22).

--- /dev/null
+++ b/chivetrack/daemon/fleet/refusals.py
@@ -0,0 +1,93 @@
+"""Refuses requests before they are sent to an endpoint."""
+
+import time
+from random import Random
+
+from chivetrack.components.limits.hopeless import judge_hope
+from chivetrack.components.limits.stopping import StopWindow, make_stopping_fault
+from chivetrack.components.placement.choice import Choice
+from chivetrack.components.quarantine.faults import make_fault
+from chivetrack.components.retries.sending import may_have_run
+from chivetrack.daemon.fleet.calls import Call
+from chivetrack.daemon.fleet.fleet_view import FleetView
+from chivetrack.daemon.fleet.forwarder import AnswerCutError
+from chivetrack.daemon.fleet.request_log import RequestLog
+
+
+class Refusals:
+    """Answers requests that must not or need not be tried, and logs why.
+
+    ``window`` is that of the stop under way, if there is one.
+    """
+
+    def __init__(self, *, view: FleetView, log: RequestLog) -> None:
+        """Take what is known of the fleet and where lines go."""
+        self._view = view
+        self._log = log
+        self._random = Random()
+        self.window: StopWindow | None = None
+
+    def refuse_hopeless(self, call: Call, choice: Choice) -> bool:
+        """Refuse a request that even the best endpoint can't begin to answer in time."""
+        left_s = call.ends_at - time.monotonic()
+        fault = judge_hope(
+            expected_s=choice.certain_ms / 1000,
+            left_s=left_s,
+            target_s=call.route.target_s,
+            random=self._random,
+        )
+        if fault is None:
+            return False
+        self._log.write_rejected(
+            call.facts,
+            fault,
+            path=call.target,
+            endpoint=choice.record.endpoint_id,
+            running=choice.running,
+            expected_ms=round(choice.certain_ms),
+            left_ms=round(left_s * 1000),
+            retry_after_s=fault.retry_after_s,
+        )
+        call.reply.refuse(fault)
+        return True
+
+    def refuse_during_stop(self, call: Call, choice: Choice) -> bool:
+        """Refuse a request that has not run and that the exit would probably cut."""
+        if self.window is None or may_have_run(call.tries):
+            return False
+        now = time.monotonic()
+        expected_s = self._view.placement.expect_whole_s(choice, call.facts)
+        do_others_accept = self._view.do_others_accept
+        if self.window.takes(
+            ends_at=call.ends_at,
+            expected_s=expected_s,
+            do_others_accept=do_others_accept,
+            now=now,
+        ):
+            return False
+        fault = make_stopping_fault(do_others_accept=do_others_accept)
+        self._log.write_stopping(
+            call, choice, fault, expected_s=expected_s, left_s=self.window.exits_at - now
+        )
+        call.reply.refuse(fault)
+        return True
+
+    def refuse_quarantined(self, call: Call) -> bool:
+        """Refuse a quarantined request; checked before each try, including retries."""
+        quarantined = self._view.find_quarantined(call)
+        if quarantined is None:
+            return False
+        fault = make_fault(has_run=may_have_run(call.tries))
+        self._log.write_rejected(
+            call.facts,
+            fault,
+            path=call.target,
+            fingerprint=call.fingerprint.hex(),
+            since=quarantined.since,
+            crashed=quarantined.crashes,
+            tries=len(call.tries),
+        )
+        if call.reply.is_started:
+            raise AnswerCutError("the request was quarantined during its answer")
+        call.reply.refuse(fault)
+        return True
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -2,7 +2,6 @@
 
 import time
 from collections.abc import Callable, Iterable
-from random import Random
 from typing import Any
 
 import gevent
@@ -11,10 +10,8 @@
 from chivetrack.components.caller_api.body import read_body
 from chivetrack.components.caller_api.const import BODY_TIMEOUT_S, ENVIRON_SOCKET
 from chivetrack.components.caller_api.watch import CallerLeftError, watch_caller
-from chivetrack.components.limits.hopeless import judge_hope
-from chivetrack.components.limits.stopping import StopWindow, make_stopping_fault
+from chivetrack.components.limits.stopping import StopWindow
 from chivetrack.components.placement.choice import Choice
-from chivetrack.components.quarantine.faults import make_fault
 from chivetrack.components.quarantine.fingerprint import make_fingerprint
 from chivetrack.components.retries.sending import (
     SendEnd,
@@ -40,6 +37,7 @@
 from chivetrack.daemon.fleet.fleet_view import FleetView
 from chivetrack.daemon.fleet.forwarder import AnswerCutError, Forwarder, make_tried
 from chivetrack.daemon.fleet.permits import PermitDesk
+from chivetrack.daemon.fleet.refusals import Refusals
 from chivetrack.daemon.fleet.request_log import RequestLog
 from chivetrack.daemon.server import ENVIRON_CONNECTED_AT, ENVIRON_HEADERS, ENVIRON_TARGET
 from chivetrack.exceptions import Fault, FaultError, Ran
@@ -70,12 +68,11 @@
         self._permits = permits
         self._crash_detector = crash_detector
         self._log = RequestLog(view=view, events=events)
+        self._refusals = Refusals(view=view, log=self._log)
         self._record = record
         self.open_count = 0
         self._open_calls: dict[int, Call] = {}
-        self._stop: StopWindow | None = None
         self._started_at = time.monotonic()
-        self._random = Random()
 
     def __call__(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
         """Serve one request as a WSGI application."""
@@ -110,7 +107,7 @@
 
     def begin_stop(self, window: StopWindow, *, now: float) -> None:
         """Take only what can end within ``window``; the stop began at ``now`` (seconds)."""
-        self._stop = window
+        self._refusals.window = window
         self._view.is_stopping = True
         self._log.stopping_since = now
 
@@ -205,15 +202,15 @@
 
     def _try_endpoints(self, call: Call) -> None:
         while True:
-            if self._refuse_quarantined(call):
+            if self._refusals.refuse_quarantined(call):
                 return
             choice = self._choose(call)
             if choice is None:
                 self._give_up(call, "no_candidate")
                 return
-            if self._refuse_during_stop(call, choice):
+            if self._refusals.refuse_during_stop(call, choice):
                 return
-            if not call.tries and self._refuse_hopeless(call, choice):
+            if not call.tries and self._refusals.refuse_hopeless(call, choice):
                 return
             if self._send(call, choice):
                 return
@@ -239,71 +236,6 @@
             call.passed_over.clear()
             gevent.sleep(wait_s)
 
-    def _refuse_hopeless(self, call: Call, choice: Choice) -> bool:
-        """Refuse a request that even the best endpoint can't begin to answer in time."""
-        left_s = call.ends_at - time.monotonic()
-        fault = judge_hope(
-            expected_s=choice.certain_ms / 1000,
-            left_s=left_s,
-            target_s=call.route.target_s,
-            random=self._random,
-        )
-        if fault is None:
-            return False
-        self._log.write_rejected(
-            call.facts,
-            fault,
-            path=call.target,
-            endpoint=choice.record.endpoint_id,
-            running=choice.running,
-            expected_ms=round(choice.certain_ms),
-            left_ms=round(left_s * 1000),
-            retry_after_s=fault.retry_after_s,
-        )
-        call.reply.refuse(fault)
-        return True
-
-    def _refuse_during_stop(self, call: Call, choice: Choice) -> bool:
-        """Refuse a request that has not run and that the exit would probably cut."""
-        if self._stop is None or may_have_run(call.tries):
-            return False
-        now = time.monotonic()
-        expected_s = self._view.placement.expect_whole_s(choice, call.facts)
-        do_others_accept = self._view.do_others_accept
-        if self._stop.takes(
-            ends_at=call.ends_at,
-            expected_s=expected_s,
-            do_others_accept=do_others_accept,
-            now=now,
-        ):
-            return False
-        fault = make_stopping_fault(do_others_accept=do_others_accept)
-        self._log.write_stopping(
-            call, choice, fault, expected_s=expected_s, left_s=self._stop.exits_at - now
-        )
-        call.reply.refuse(fault)
-        return True
-
-    def _refuse_quarantined(self, call: Call) -> bool:
-        """Refuse a quarantined request; checked before each try, including retries."""
-        quarantined = self._view.find_quarantined(call)
-        if quarantined is None:
-            return False
-        fault = make_fault(has_run=may_have_run(call.tries))
-        self._log.write_rejected(
-            call.facts,
-            fault,
-            path=call.target,
-            fingerprint=call.fingerprint.hex(),
-            since=quarantined.since,
-            crashed=quarantined.crashes,
-            tries=len(call.tries),
-        )
-        if call.reply.is_started:
-            raise AnswerCutError("the request was quarantined during its answer")
-        call.reply.refuse(fault)
-        return True
-
     def _may_send_again(self, call: Call) -> bool:
         left_s = call.ends_at - time.monotonic()
         has_budget = self._view.has_budget(call.service)
