--- a/chivetrack/components/distribution/spreading.py
+++ b/chivetrack/components/distribution/spreading.py
@@ -47,13 +47,12 @@
 
     def _take_heartbeats(self) -> SpreadHeartbeats:
         # Neighbours that are alike compress best.
-        endpoint_ids = tuple(sorted(one for one in self._heard if self.table.find(one)))
+        known = [record for one in sorted(self._heard) if (record := self.table.find(one))]
         self._heard.clear()
-        records = [self.table.find(one) for one in endpoint_ids]
         return SpreadHeartbeats(
-            endpoint_ids=endpoint_ids,
-            sequences=tuple(one.sequence for one in records if one is not None),
-            checksums=tuple(self.table.find_checksum(one) for one in endpoint_ids),
+            endpoint_ids=tuple(one.endpoint_id for one in known),
+            sequences=tuple(one.sequence for one in known),
+            checksums=tuple(self.table.find_checksum(one.endpoint_id) for one in known),
         )
 
     def take_heartbeats(self, heard: SpreadHeartbeats, *, now: float) -> AskRecords | None:
