Have callers return after the stop where most routers stop

A refused caller came back after 1 s, met another router that stops, and had used its only retry.

Change: where most routers stop it is the time to the exit and a second for the start: those that stop first are back by then.

Before: the test of that Retry-After fails (no such time). After: it passes.

--- a/chivetrack/components/limits/stopping.py
+++ b/chivetrack/components/limits/stopping.py
@@ -6,8 +6,8 @@
 
 # Another instance can take the request at once.
 RETRY_AFTER_S = 0.05
-# Most instances stop: the first of them needs a moment to be back.
-RETRY_AFTER_MOST_STOP_S = 1.0
+# From an exit until the instance is back.
+RESTART_S = 1.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -38,9 +38,12 @@
         return now + expected_s <= self.exits_at or not do_others_accept
 
 
-def make_stopping_fault(*, do_others_accept: bool) -> Fault:
-    """Return the answer to a request that a stopping instance does not take."""
-    retry_after_s = RETRY_AFTER_S if do_others_accept else RETRY_AFTER_MOST_STOP_S
+def make_stopping_fault(*, do_others_accept: bool, left_s: float) -> Fault:
+    """Return the answer to a request that an instance does not take ``left_s`` before its exit.
+
+    Where most instances stop, a caller that came back earlier would only meet another of them.
+    """
+    retry_after_s = RETRY_AFTER_S if do_others_accept else max(0.0, left_s) + RESTART_S
     return Fault(
         code="instance_stopping",
         message="The instance is stopping; the request has not run.",
--- a/chivetrack/daemon/fleet/refusals.py
+++ b/chivetrack/daemon/fleet/refusals.py
@@ -65,10 +65,9 @@
             now=now,
         ):
             return False
-        fault = make_stopping_fault(do_others_accept=do_others_accept)
-        self._log.write_stopping(
-            call, choice, fault, expected_s=expected_s, left_s=self.window.exits_at - now
-        )
+        left_s = self.window.exits_at - now
+        fault = make_stopping_fault(do_others_accept=do_others_accept, left_s=left_s)
+        self._log.write_stopping(call, choice, fault, expected_s=expected_s, left_s=left_s)
         call.reply.refuse(fault)
         return True
 
--- a/tests/components/limits/test_stopping.py
+++ b/tests/components/limits/test_stopping.py
@@ -30,7 +30,7 @@
         self.assertTrue(takes(ends_at=107.5, expected_s=60.0, now=106.0))
 
     def test_refusal_promises_that_nothing_ran_and_names_an_early_return(self) -> None:
-        fault = make_stopping_fault(do_others_accept=True)
+        fault = make_stopping_fault(do_others_accept=True, left_s=5.0)
         self.assertEqual((fault.status, fault.ran), (503, Ran.NO))
         assert fault.retry_after_s is not None
         self.assertLess(fault.retry_after_s, 0.5)
@@ -42,6 +42,7 @@
     def test_late_caller_returns_when_another_instance_may_be_back(self) -> None:
         """Guards against a last try that only meets instances that stop."""
         self.assertFalse(takes(ends_at=116.0, expected_s=1.0, now=103.0, do_others_accept=False))
-        fault = make_stopping_fault(do_others_accept=False)
-        assert fault.retry_after_s is not None
-        self.assertGreaterEqual(fault.retry_after_s, 1.0)
+        for left_s in (4.5, 0.0):
+            fault = make_stopping_fault(do_others_accept=False, left_s=left_s)
+            assert fault.retry_after_s is not None
+            self.assertGreaterEqual(fault.retry_after_s, left_s + 1.0)
