Let a gate at a listener refuse in the words of its own interface

A gate counted the calls of control listeners and held their refusal. Routers and the older daemon need the same count and the same point after which nothing is passed on, with other answers. The gate gets the refusing application as an argument and moves out of the replica's folder; the control listener's refusal stands with the other answers of its interface, unchanged. Its tests moved with it, checks unchanged.

--- a/chivetrack/daemon/fleet/replica.py
+++ b/chivetrack/daemon/fleet/replica.py
@@ -24,7 +24,7 @@
 from chivetrack.components.quarantine.models import Quarantine, QuarantineOrder
 from chivetrack.components.slow_start.messages import PermitAnswer, PermitRequest
 from chivetrack.components.slow_start.permits import PermitLedger
-from chivetrack.daemon.fleet.call_gate import CallGate
+from chivetrack.daemon.call_gate import CallGate
 from chivetrack.daemon.fleet.const import (
     PRUNE_INTERVAL_S,
     PRUNE_ROUNDS_PER_TRAFFIC_LINE,
@@ -41,7 +41,7 @@
 from chivetrack.daemon.server import HttpServer
 from chivetrack.helpers.codec import Message
 from chivetrack.helpers.events import EventLog
-from chivetrack.platform.control_api import build_control_app
+from chivetrack.platform.control_api import build_control_app, refuse_during_stop
 
 _FINAL_SENDS_WAIT_S = 0.2
 _POLL_S = 0.02
@@ -137,7 +137,8 @@
                 handler=self._control_handler,
                 unpack=unpack_document,
                 report_invalid=self._log_rejected,
-            )
+            ),
+            refuse=refuse_during_stop,
         )
         self._control = HttpServer(
             address=(listeners.control.host, listeners.control.port),
--- a/chivetrack/platform/control_api.py
+++ b/chivetrack/platform/control_api.py
@@ -1,8 +1,8 @@
 """HTTP API of the control listener, for operators and endpoints."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Any, Protocol
 from urllib.parse import quote
 
 import msgspec
@@ -14,6 +14,7 @@
 from chivetrack.components.caller_api.watch import has_left
 from chivetrack.components.document.store import StoredDocument
 from chivetrack.components.evacuation.models import Evacuations
+from chivetrack.components.limits.stopping import RETRY_AFTER_S
 from chivetrack.components.quarantine.models import Quarantine
 from chivetrack.components.traffic.models import Document
 from chivetrack.exceptions import Fault
@@ -23,6 +24,9 @@
 
 # Not part of the platform's API: only redirects sent by replicas contain this parameter.
 _QUERY_VERSION = "version"
+_STOPPING = msgspec.json.encode(
+    {"error": "stopping", "message": "this replica is stopping; use another replica"}
+)
 _JSON = {"Content-Type": "application/json"}
 _MAX_ERROR_TEXT = 300
 
@@ -94,6 +98,17 @@
     return app
 
 
+def refuse_during_stop(_environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
+    """Answer as a WSGI application that a call has not run because the replica stops."""
+    headers = [
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(_STOPPING))),
+        ("Retry-After", f"{RETRY_AFTER_S:.2f}"),
+    ]
+    start_response("503 Service Unavailable", headers)
+    return [_STOPPING]
+
+
 def _add_configuration_calls(
     app: Bottle,
     handler: ControlRequestHandler,
--- a/tests/daemon/fleet/test_call_gate.py
+++ b/tests/daemon/test_call_gate.py
@@ -1,17 +1,18 @@
-"""Tests of calls at a control listener while its replica stops."""
+"""Tests of requests at a listener while its process stops."""
 
 import unittest
 from collections.abc import Iterable
 from typing import Any
 
-from chivetrack.daemon.fleet.call_gate import CallGate
+from chivetrack.daemon.call_gate import CallGate
+from chivetrack.platform.control_api import refuse_during_stop
 
 
 class CallGateTest(unittest.TestCase):
     def setUp(self) -> None:
         self.counts: list[int] = []
         self.statuses: list[str] = []
-        self.gate = CallGate(application=self.serve)
+        self.gate = CallGate(application=self.serve, refuse=refuse_during_stop)
 
     def serve(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
         self.counts.append(self.gate.open_count)
