Log when a stopping process decides to exit

What callers saw: a whole request that a router passed on while it exited got neither an answer nor a refusal.

Cause: no line was written at the end of the wait.

Change: `exit_decided`, written by routers and replicas where the stop ends its wait, with the number of requests or calls that are open and the time since SIGTERM. Nothing else changes.

Before: tests.system.test_stop_lines, without the line, for r1 and for p1: ValueError: not enough values to unpack (expected 1, got 0) After: it passes.

--- a/chivetrack/daemon/fleet/replica.py
+++ b/chivetrack/daemon/fleet/replica.py
@@ -264,6 +264,9 @@
         self.host.transfer_leadership()
         while self._gate.open_count and time.monotonic() < began + STOP_CALLS_TIMEOUT_S:
             gevent.sleep(_POLL_S)
+        self._events.write(
+            "exit_decided", open=self._gate.open_count, after_s=round(time.monotonic() - began, 3)
+        )
         gevent.sleep(_FINAL_SENDS_WAIT_S)
         cut = self._gate.open_count
         self._events.write("stopped", cut=cut, after_s=round(time.monotonic() - began, 2))
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -314,6 +314,11 @@
         # accept queue would get no answer until the process exits.
         while self.request_handler.open_count and time.monotonic() < ends_at:
             gevent.sleep(_POLL_S)
+        self._events.write(
+            "exit_decided",
+            open=self.request_handler.open_count,
+            after_s=round(time.monotonic() - began, 3),
+        )
         cut = self.request_handler.open_count
         self.request_handler.end_stop()
         self._events.write("stopped", cut=cut, after_s=round(time.monotonic() - began, 2))
