Name a router's exit as the cause in the story of a request

What callers saw: a whole request was run and got no answer. What the operator saw of it: `chivetrack story` called it "no event shows how it ended; the process may have crashed", although the router had stopped in order, and showed no `stopped`, since the context ended with the request's last event.

Cause: the story looked at the request's own lines only.

Ruled out: an exit of another instance, and of an earlier or later process of the same name, is no cause (a test each).

Change: `exit_decided` and `stopped` of the request's router belong to the story, also after its last event. A placed request without an end is compared with them: passed on after the decision, exited while it ran, or neither as before. A request refused with `instance_stopping` after the decision is told with whether it has run. `cut_by_stop` has words by its status.

--- a/chivetrack/components/stories/story.py
+++ b/chivetrack/components/stories/story.py
@@ -2,18 +2,24 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from typing import Any
 
 import msgspec
 
+from chivetrack.components.stories.exits import (
+    Event,
+    explain_exit,
+    find_unanswered,
+    list_exits,
+)
 from chivetrack.helpers.registry import Registry
 
-Event = dict[str, Any]
 Cause = Callable[[Event], str]
 
 # Context events of an instance are included from this long before the first event of a
 # request until its last event: a change of state shortly before may explain its end.
 CONTEXT_WINDOW_S = 10.0
+# The exit of an instance is included until this long after the last event of a request.
+EXIT_WINDOW_S = 10.0
 _CONTEXT_EVENTS = frozenset(
     (
         "configuration_in_force",
@@ -78,27 +84,46 @@
         and event.get("instance") in instances
         and first - CONTEXT_WINDOW_S <= float(event.get("at", 0.0)) <= last
     ]
+    context += _list_exits_near(own, ordered)
     return RequestStory(
-        request=request, events=tuple(own), context=tuple(context), cause=_find_cause(own)
+        request=request,
+        events=tuple(own),
+        context=tuple(sorted(context, key=_get_position)),
+        cause=_find_cause(own, explain_exit(own, ordered)),
     )
 
 
+def _list_exits_near(own: list[Event], ordered: list[Event]) -> list[Event]:
+    """Return the exit events that may concern a request: all of them if its end is unknown."""
+    first, last = own[0], own[-1]
+    exits = list_exits(last, ordered)
+    if find_unanswered(own) is not None:
+        return exits
+    earliest = float(first.get("at", 0.0)) - CONTEXT_WINDOW_S
+    latest = float(last.get("at", 0.0)) + EXIT_WINDOW_S
+    return [event for event in exits if earliest <= float(event.get("at", 0.0)) <= latest]
+
+
 def _get_position(event: Event) -> tuple[float, float]:
     # Events of one instance with equal wall-clock times are ordered by its monotonic clock.
     return (float(event.get("at", 0.0)), float(event.get("up", 0.0)))
 
 
-def _find_cause(events: list[Event]) -> str:
-    last = next((event for event in reversed(events) if event["event"] in CAUSES), None)
-    if last is None:
-        return "no event shows how it ended; the process may have crashed"
-    cause = CAUSES[last["event"]](last)
+def _find_cause(events: list[Event], exit_cause: str | None) -> str:
+    cause = exit_cause or _explain_last(events)
     attempts = [event for event in events if event["event"] == "try_ended"]
-    if last["event"] == "try_ended" or not attempts or cause.startswith("answered"):
+    if cause.startswith(("answered", "endpoint")) or not attempts:
         return cause
     return f"{cause}; {_explain_attempt(attempts[-1])}"
 
 
+def _explain_last(events: list[Event]) -> str:
+    last = next((event for event in reversed(events) if event["event"] in CAUSES), None)
+    if last is None:
+        return "no event shows how it ended; the process may have crashed"
+    return CAUSES[last["event"]](last)
+
+
 def format_event(event: Event) -> str:
     """Format an event as one human-readable line."""
     fields = [f"{key}={value}" for key, value in event.items() if key not in _HIDDEN]
@@ -141,10 +166,21 @@
         return f"answered with {event.get('status')} after {event.get('ms')} ms"
     if outcome == "answered":
         return f"ended with status {event.get('status')} after {event.get('tries')} tries"
+    if outcome == "cut_by_stop":
+        return f"{_explain_cut_by_stop(event)} after {event.get('ms')} ms"
     causes = {
         "timeout": "the deadline of the caller or the route expired",
         "cut": "the answer broke off and could not go on elsewhere",
         "caller_left": "the caller closed its connection",
-        "cut_by_stop": "its router stopped before the answer was complete",
     }
     return f"{causes.get(str(outcome), outcome)} after {event.get('ms')} ms"
+
+
+def _explain_cut_by_stop(event: Event) -> str:
+    status = int(event.get("status") or 0)
+    causes = {
+        0: "its router stopped before it had an answer",
+        502: "its router stopped before its answer began, with 502; it may have run",
+        503: "its router stopped before it was sent, with 503; it has not run",
+    }
+    return causes.get(status, "its router stopped before the answer was complete")
--- a/tests/components/stories/test_story.py
+++ b/tests/components/stories/test_story.py
@@ -3,7 +3,7 @@
 import json
 import unittest
 
-from chivetrack.components.stories.story import build_story, read_events
+from chivetrack.components.stories.story import RequestStory, build_story, read_events
 
 
 def make_line(at: float, event: str, **fields: object) -> str:
@@ -53,6 +53,72 @@
             assert story is not None
             self.assertIn(expected, story.cause)
 
+    def test_request_that_a_router_runs_at_its_exit(self) -> None:
+        """Guards against a request without an end whose story does not name the router's exit."""
+        cases = [
+            (["exit_decided", "request_placed", "stopped"], "on 1000 ms after it had decided to"),
+            (["stopped", "request_placed"], "passed it on 1000 ms after it had decided to exit"),
+            (["request_placed", "exit_decided", "stopped"], "exited 1000 ms after it was placed"),
+            (["request_placed", "stopped"], "exited 1000 ms after it was placed, while it ran"),
+            (["exit_decided", "stopped", "started", "request_placed"], "no event shows"),
+            (["request_placed", "started", "stopped"], "no event shows"),
+        ]
+        for names, expected in cases:
+            with self.subTest(names):
+                story = self.build([(name, {}) for name in names])
+                self.assertIn(expected, story.cause)
+
+    def test_exit_between_two_tries(self) -> None:
+        """Guards against a story that takes a failed try for the end of a request."""
+        tried = {"endpoint": "e1", "outcome": "refused"}
+        story = self.build([("request_placed", {}), ("try_ended", tried), ("stopped", {})])
+        self.assertTrue(story.cause.startswith("its router exited 2000 ms after"), story.cause)
+        self.assertIn("endpoint e1: refused", story.cause)
+
+    def test_exit_after_the_last_event_is_shown(self) -> None:
+        """Guards against a story that leaves out the exit that followed a request."""
+        ended = ("request_ended", {"outcome": "cut_by_stop", "status": 0, "ms": 9})
+        story = self.build([("exit_decided", {}), ended, ("stopped", {}), ("started", {})])
+        self.assertEqual([event["event"] for event in story.context], ["exit_decided", "stopped"])
+
+    def test_exit_of_another_instance_is_no_cause(self) -> None:
+        """Guards against blaming the exit of a router that never had the request."""
+        lines = [make_line(2.0, "request_placed", request="q")]
+        lines.append(make_line(1.0, "stopped", instance="r2"))
+        story = build_story("q", read_events(lines))
+        assert story is not None
+        self.assertIn("no event shows", story.cause)
+        self.assertEqual(story.context, ())
+
+    def test_request_that_is_refused_behind_the_decision_to_exit(self) -> None:
+        """Guards against a story that does not tell whether a late request has run."""
+        cases = [(503, "refused with 503 1000 ms after its"), (502, "it may have run")]
+        for status, expected in cases:
+            rejected = ("request_rejected", {"code": "instance_stopping", "status": status})
+            ended = ("request_ended", {"outcome": "answered", "status": status})
+            story = self.build([("exit_decided", {}), rejected, ended])
+            self.assertIn(expected, story.cause)
+        early = self.build([rejected, ("exit_decided", {})])
+        self.assertEqual(early.cause, "rejected by the router itself: instance_stopping")
+
+    def test_ends_that_a_stop_cuts(self) -> None:
+        """Guards against one wording for cut requests that have run and that have not."""
+        cases = [(503, "it has not run"), (502, "it may have run"), (200, "was complete")]
+        for status, expected in cases:
+            ended = {"outcome": "cut_by_stop", "status": status, "ms": 9}
+            self.assertIn(expected, self.build([("request_ended", ended)]).cause)
+
+    @staticmethod
+    def build(events: list[tuple[str, dict[str, object]]]) -> RequestStory:
+        """Return the story of request ``q`` from events of one router, a second apart."""
+        lines = []
+        for at, (name, fields) in enumerate(events):
+            own = {} if name in ("exit_decided", "stopped", "started") else {"request": "q"}
+            lines.append(make_line(float(at), name, **own, **fields))
+        story = build_story("q", read_events(lines))
+        assert story is not None
+        return story
+
     def test_unknown_request(self) -> None:
         self.assertIsNone(build_story("q", read_events([make_line(1.0, "started")])))
 
