Count the requests that a router refuses, by code

What callers saw: refusals in a stop. What the operator saw of them: `request_rejected` lines, of which 150 a second are kept, and no counter. `chivetrack_router_requests` counts requests that were admitted.

Cause: only the end of an admitted request was recorded.

Change: `chivetrack_router_rejections` counts each `request_rejected` by `code` and `status`, where the line is written, so that the two agree; the lines are bounded, the counter is not. A refusal of an admitted request stands in both counters.

--- a/chivetrack/daemon/fleet/meters.py
+++ b/chivetrack/daemon/fleet/meters.py
@@ -8,6 +8,7 @@
 from chivetrack.components.traffic.requests import AnswerFacts
 from chivetrack.daemon.fleet.calls import Call
 from chivetrack.daemon.fleet.gauges import Gauge
+from chivetrack.exceptions import Fault
 from chivetrack.helpers.telemetry import METRICS_CONTENT_TYPE, Telemetry, open_telemetry
 from chivetrack.helpers.telemetry.const import DURATION_BOUNDS_S
 
@@ -29,6 +30,11 @@
         self._requests = meter.create_counter(
             "chivetrack.router.requests", unit="{request}", description="Requests by outcome."
         )
+        self._rejections = meter.create_counter(
+            "chivetrack.router.rejections",
+            unit="{request}",
+            description="Requests that the router refused without sending them, by code.",
+        )
         self._duration = meter.create_histogram(
             "chivetrack.router.duration",
             unit="s",
@@ -73,6 +79,10 @@
         if call.first_event_at is not None:
             self._first_event.record(call.first_event_at - call.came_at, kinds)
 
+    def record_rejection(self, fault: Fault) -> None:
+        """Count a request that the router itself refused."""
+        self._rejections.add(1, {"code": fault.code, "status": str(fault.status)})
+
     def record_answer(self, facts: AnswerFacts) -> None:
         """Count an endpoint's answer by whether the request ran."""
         self._answers.add(1, {"ran": "no" if facts.did_not_run else "yes"})
--- a/chivetrack/daemon/fleet/metrics.py
+++ b/chivetrack/daemon/fleet/metrics.py
@@ -11,6 +11,7 @@
 from chivetrack.daemon.fleet.calls import Call
 from chivetrack.daemon.fleet.gauges import Gauge
 from chivetrack.daemon.server import HttpServer
+from chivetrack.exceptions import Fault
 from chivetrack.helpers.sections.values import Address
 
 if TYPE_CHECKING:
@@ -46,6 +47,10 @@
         now = time.monotonic()
         self._record(lambda meters: meters.record_end(call, outcome, now))
 
+    def record_rejection(self, fault: Fault) -> None:
+        """Count a request that the router itself refused."""
+        self._record(lambda meters: meters.record_rejection(fault))
+
     def record_answer(self, endpoint_id: str, facts: AnswerFacts) -> None:
         """Count an endpoint's answer by whether the request ran."""
         self._record(lambda meters: meters.record_answer(facts))
--- a/chivetrack/daemon/fleet/request_log.py
+++ b/chivetrack/daemon/fleet/request_log.py
@@ -1,5 +1,6 @@
 """Log lines about requests: placement, results of attempts, refusals and the end."""
 
+from collections.abc import Callable
 from typing import Any
 
 from chivetrack.components.placement.choice import Choice
@@ -15,16 +16,27 @@
 class RequestLog:
     """Write the router's decisions on requests; each line has the request id."""
 
-    def __init__(self, *, view: FleetView, events: EventLog) -> None:
-        """Store the view, which provides the configuration version and endpoint counts."""
+    def __init__(
+        self,
+        *,
+        view: FleetView,
+        events: EventLog,
+        record_rejection: Callable[[Fault], None],
+    ) -> None:
+        """Store the view, which provides the configuration version and endpoint counts.
+
+        ``record_rejection`` receives the fault of each request that is refused.
+        """
         self._view = view
         self._events = events
+        self._record_rejection = record_rejection
         self.stopping_since: float | None = None
 
     def write_rejected(
         self, facts: RequestFacts, fault: Fault, *, path: str, **evidence: Any
     ) -> None:
         """Write why the router refuses a request instead of sending it to an endpoint."""
+        self._record_rejection(fault)
         self._events.write(
             "request_rejected",
             request=facts.request_id,
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -61,16 +61,18 @@
         crash_detector: CrashDetector,
         events: EventLog,
         record_end: Callable[[Call, str], None],
+        record_rejection: Callable[[Fault], None],
     ) -> None:
         """Store the components that requests need.
 
-        ``record_end`` receives each finished request and its outcome.
+        ``record_end`` receives each finished request and its outcome, ``record_rejection``
+        the fault of each request that is refused without being sent.
         """
         self._view = view
         self._forwarder = forwarder
         self._permits = permits
         self._crash_detector = crash_detector
-        self._log = RequestLog(view=view, events=events)
+        self._log = RequestLog(view=view, events=events, record_rejection=record_rejection)
         self._refusals = Refusals(view=view, log=self._log)
         self._record_end = record_end
         self.open_count = 0
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -132,6 +132,7 @@
             ),
             events=events,
             record_end=self._metrics.record_end,
+            record_rejection=self._metrics.record_rejection,
         )
         assert settings.listeners.callers is not None and settings.listeners.ready is not None
         self._callers = self._make_server(
--- a/tests/system/test_deployment.py
+++ b/tests/system/test_deployment.py
@@ -58,6 +58,9 @@
         status, text = deployment.send_request("GET", f"http://{host}:{METRICS_PORT}/metrics")
         self.assertEqual(status, 200)
         self.assertIn(b"chivetrack_router_requests", text)
+        for code in (b"unknown_route", b"unknown_key"):
+            with self.subTest(code):
+                self.assertRegex(text, rb'chivetrack_router_rejections_total{code="%b"' % code)
 
     def test_newer_configuration_reaches_all_and_an_older_one_nobody(self) -> None:
         deployment = self.open(routers=2)
