Wait for a full pipe before a process exits, so that its last lines are kept

What operators saw: an exit whose own lines are missing, also those of the requests that it cut, when whoever reads the log is slow at that moment.

Cause: the end of the event log had a limit of 0.5 s, but nothing in it waited: a pipe that was full at that instant ended it, and all queued lines were lost with the process.

Ruled out: lines that other greenlets write between `stopped` and the end of the log are written; a test shows it, and passes before the change too. The log is flushed until its queue is empty, and nothing runs between that and the exit of the process.

Change: the end of the log waits for room in the pipe, up to 0.25 s, half of what a stop leaves until SIGKILL. A reader that hangs does not hold the exit for longer.

--- a/chivetrack/helpers/events.py
+++ b/chivetrack/helpers/events.py
@@ -21,6 +21,9 @@
 WRITE_INTERVAL_S = 0.25
 # Wait while the queue is empty; the delay of the event loop is measured after each wait.
 IDLE_INTERVAL_S = 1.0
+# Limit of the wait for a full pipe at the exit; it must leave time until SIGKILL.
+CLOSE_TIMEOUT_S = 0.25
+CLOSE_POLL_S = 0.01
 # Limit for each event name, with bursts of twice as many lines. A router with 40 requests per
 # second and three lines each stays below the limit; a flood of refusals does not.
 MAX_LINES_PER_S = 150.0
@@ -115,6 +118,13 @@
             dropped, self.dropped = self.dropped, 0
             self._queue({"event": "lines_dropped", "count": dropped}, time.monotonic())
 
+    def drain(self) -> None:
+        """Write all queued lines; wait while the pipe is full."""
+        self.flush()
+        while self._lines:
+            gevent.sleep(CLOSE_POLL_S)
+            self.flush()
+
     def _is_writable(self) -> bool:
         return any(flags & select.POLLOUT for _, flags in self._poll.poll(0))
 
@@ -136,13 +146,17 @@
 
 
 @contextmanager
-def open_events(*, instance: str) -> Iterator[EventLog]:
-    """Open an event log whose queue is written in the background until the block ends."""
-    events = EventLog(instance=instance)
+def open_events(*, instance: str, descriptor: int = 1) -> Iterator[EventLog]:
+    """Open an event log whose queue is written in the background until the block ends.
+
+    The lines of the last moments tell what an exit cut, so a reader that is slow gets
+    ``CLOSE_TIMEOUT_S`` to take them.
+    """
+    events = EventLog(instance=instance, descriptor=descriptor)
     writer = gevent.spawn(events.run)
     try:
         yield events
     finally:
         writer.kill()
-        with gevent.Timeout(0.5, False):
-            events.flush()
+        with gevent.Timeout(CLOSE_TIMEOUT_S, False):
+            events.drain()
--- a/tests/helpers/test_events.py
+++ b/tests/helpers/test_events.py
@@ -9,15 +9,21 @@
 
 import gevent
 
-from chivetrack.helpers.events import MAX_LINES_PER_S, MAX_QUEUED_LINES, EventLog
+from chivetrack.helpers.events import (
+    CLOSE_TIMEOUT_S,
+    MAX_LINES_PER_S,
+    MAX_QUEUED_LINES,
+    EventLog,
+    open_events,
+)
 
 
 class EventsTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.reader, writer = os.pipe()
+        self.reader, self.writer = os.pipe()
         self.addCleanup(os.close, self.reader)
-        self.addCleanup(os.close, writer)
-        self.events = EventLog(instance="r1", descriptor=writer)
+        self.addCleanup(os.close, self.writer)
+        self.events = EventLog(instance="r1", descriptor=self.writer)
 
     def read_lines(self, size: int = 1 << 20) -> list[dict[str, Any]]:
         return [json.loads(line) for line in os.read(self.reader, size).splitlines()]
@@ -65,6 +71,53 @@
             [line["count"] for line in written if line["event"] == "lines_dropped"], [dropped]
         )
 
+    def test_last_lines_reach_a_reader_that_is_slow(self) -> None:
+        """Guards against an exit whose own line is lost because the pipe is full at that moment."""
+        source, descriptor = os.pipe()
+        lines: list[bytes] = []
+
+        def read() -> None:
+            time.sleep(CLOSE_TIMEOUT_S / 4)
+            with os.fdopen(source, "rb") as stream:
+                lines.extend(stream)
+
+        reader = threading.Thread(target=read)
+        with open_events(instance="r1", descriptor=descriptor) as events:
+            self.fill_pipe(events)
+            events.write("request_placed", request="q")
+            events.write("stopped", cut=0)
+            reader.start()
+        os.close(descriptor)
+        reader.join()
+        written = [json.loads(line)["event"] for line in lines]
+        self.assertEqual(written[-2:], ["request_placed", "stopped"])
+
+    def test_reader_that_hangs_does_not_hold_the_exit(self) -> None:
+        """Guards against an exit that waits for a log collector until SIGKILL."""
+        started = time.monotonic()
+        with open_events(instance="r1", descriptor=self.writer) as events:
+            self.fill_pipe(events)
+            events.write("stopped", cut=0)
+        self.assertLess(time.monotonic() - started, CLOSE_TIMEOUT_S + 0.5)
+
+    def test_line_of_another_greenlet_during_the_close_is_written(self) -> None:
+        """Guards against losing what a request writes while its process exits."""
+        with open_events(instance="r1", descriptor=self.writer) as events:
+            gevent.sleep(0)
+            events.write("stopped", cut=0)
+            gevent.spawn(events.write, "request_placed", request="q")
+        written = [line["event"] for line in self.read_lines()]
+        self.assertEqual(written, ["stopped", "request_placed"])
+
+    @staticmethod
+    def fill_pipe(events: EventLog) -> None:
+        number = 0
+        while not events._lines:
+            for _ in range(10):
+                events.write(f"kind-{number}", detail="z" * 4000)
+            events.flush()
+            number += 1
+
     def test_line_longer_than_one_write_is_complete(self) -> None:
         self.events.write("configuration_unreadable", detail="y" * 9000)
         self.events.flush()
