Refuse what a router reads after its decision to exit, and answer it

Cause: the stop ends when no request is open, and nothing refused after that last look. What was read between it and the end of the process was passed on, and the exit cut it without a line of its own.

Change: the callers' listener stands behind a CallGate that is closed in the same step as the last look, so no greenlet runs in between. Behind it a request is answered 503, instance_stopping, not run, and logged as request_rejected with its id and with when it and its connection came. `exit_decided` is written there. Then all listeners and connections are drained, until 0.15 s before SIGKILL at the latest, and only then `stopped` is written, with the requests refused and the connections left. The moment at which a router decides is as before; no time was changed.

Conclusion: for the way out with nothing open the fault is gone. Requests that are open at the end of the time are still cut without an answer; that is another fault.

--- a/chivetrack/daemon/fleet/const.py
+++ b/chivetrack/daemon/fleet/const.py
@@ -50,6 +50,9 @@
 STOP_MARGIN_S: Final = 0.5
 """Between the end of the requests in flight and SIGKILL."""
 
+STOP_DRAINED_S: Final = 0.15
+"""Between the end of the connections and SIGKILL, for the last log lines."""
+
 STOP_CALLS_TIMEOUT_S: Final = 2.0
 """From SIGTERM until a replica cuts the calls in progress: twice the longest wait of a call."""
 
--- /dev/null
+++ b/chivetrack/daemon/fleet/late_requests.py
@@ -0,0 +1,39 @@
+"""Refuses the requests that a router reads after its decision to exit."""
+
+import time
+from collections.abc import Iterable
+from typing import Any
+
+from chivetrack.components.limits.stopping import make_stopping_fault
+from chivetrack.daemon.fleet.calls import Reply
+from chivetrack.daemon.fleet.fleet_view import FleetView
+from chivetrack.daemon.fleet.request_log import RequestLog
+from chivetrack.daemon.server import ENVIRON_CONNECTED_AT, ENVIRON_HEADERS
+from chivetrack.platform.headers import read_request_facts
+
+
+class LateRequests:
+    """WSGI application that answers each request that it has not run; counts and logs them."""
+
+    def __init__(self, *, view: FleetView, log: RequestLog) -> None:
+        """Store the view of the fleet and the request log."""
+        self._view = view
+        self._log = log
+        self.refused_count = 0
+
+    def __call__(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
+        """Refuse one request."""
+        now = time.monotonic()
+        headers = environ[ENVIRON_HEADERS]
+        facts = read_request_facts({name.lower(): value for name, value in headers})
+        fault = make_stopping_fault(do_others_accept=self._view.do_others_accept, left_s=0.0)
+        self.refused_count += 1
+        self._log.write_late(
+            facts,
+            fault,
+            path=environ["PATH_INFO"],
+            came_at=now,
+            connected_at=environ.get(ENVIRON_CONNECTED_AT, now),
+        )
+        Reply(start_response=start_response).refuse(fault)
+        return ()
--- a/chivetrack/daemon/fleet/request_log.py
+++ b/chivetrack/daemon/fleet/request_log.py
@@ -46,9 +46,16 @@
             endpoint=choice.record.endpoint_id,
             expected_ms=round(expected_s * 1000),
             left_ms=round(left_s * 1000),
-            **self._describe_stop(call),
+            **self._describe_stop(came_at=call.came_at, connected_at=call.connected_at),
         )
 
+    def write_late(
+        self, facts: RequestFacts, fault: Fault, *, path: str, came_at: float, connected_at: float
+    ) -> None:
+        """Write that a request is refused because it was read after the decision to exit."""
+        times = self._describe_stop(came_at=came_at, connected_at=connected_at)
+        self.write_rejected(facts, fault, path=path, **times)
+
     def write_placed(self, call: Call, choice: Choice) -> None:
         """Write the chosen endpoint and the values that its score is based on."""
         self._events.write(
@@ -65,17 +72,17 @@
             tries=len(call.attempts),
             max_output=call.facts.max_output_tokens,
             expected_output=call.facts.expected_tokens,
-            **self._describe_stop(call),
+            **self._describe_stop(came_at=call.came_at, connected_at=call.connected_at),
         )
 
-    def _describe_stop(self, call: Call) -> dict[str, int]:
+    def _describe_stop(self, *, came_at: float, connected_at: float) -> dict[str, int]:
         """Return the times (ms) from the stop signal to the request and to its connection."""
         since = self.stopping_since
         if since is None:
             return {}
         return {
-            "came_after_stop_ms": round((call.came_at - since) * 1000),
-            "connected_after_stop_ms": round((call.connected_at - since) * 1000),
+            "came_after_stop_ms": round((came_at - since) * 1000),
+            "connected_after_stop_ms": round((connected_at - since) * 1000),
         }
 
     def write_attempt(self, call: Call, choice: Choice, outcome: str, detail: str) -> None:
@@ -124,5 +131,5 @@
             ms=round((now - call.came_at) * 1000),
             first_ms=None if first is None else round((first - call.came_at) * 1000),
             version=self._view.version,
-            **self._describe_stop(call),
+            **self._describe_stop(came_at=call.came_at, connected_at=call.connected_at),
         )
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -36,6 +36,7 @@
 from chivetrack.daemon.fleet.crashes import CrashDetector
 from chivetrack.daemon.fleet.fleet_view import FleetView
 from chivetrack.daemon.fleet.forwarder import AnswerCutError, Forwarder, make_tried
+from chivetrack.daemon.fleet.late_requests import LateRequests
 from chivetrack.daemon.fleet.permits import PermitClient
 from chivetrack.daemon.fleet.refusals import Refusals
 from chivetrack.daemon.fleet.request_log import RequestLog
@@ -72,6 +73,7 @@
         self._crash_detector = crash_detector
         self._log = RequestLog(view=view, events=events)
         self._refusals = Refusals(view=view, log=self._log)
+        self.late_requests = LateRequests(view=view, log=self._log)
         self._record_end = record_end
         self.open_count = 0
         self._open_calls: dict[int, Call] = {}
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -30,9 +30,11 @@
 from chivetrack.components.traffic.requests import AnswerFacts
 from chivetrack.components.upstream.idle_connections import IdleConnections
 from chivetrack.core import WakeAt
+from chivetrack.daemon.call_gate import CallGate
 from chivetrack.daemon.fleet.const import (
     PRUNE_INTERVAL_S,
     STOP_ACCEPT_S,
+    STOP_DRAINED_S,
     STOP_IDLE_AFTER_S,
     STOP_MARGIN_S,
 )
@@ -56,6 +58,11 @@
 _POLL_S = 0.02
 
 
+def _round_since(began: float) -> float:
+    """Return the time (s) since ``began`` as it is logged."""
+    return round(time.monotonic() - began, 2)
+
+
 def decode_document(body: bytes) -> Document | None:
     """Decode a configuration as the operator sent it; return ``None`` if it is invalid."""
     decoded = read_document(body)
@@ -134,9 +141,10 @@
             record_end=self._metrics.record_end,
         )
         assert settings.listeners.callers is not None and settings.listeners.ready is not None
-        self._callers = self._make_server(
-            settings.listeners.callers, self.request_handler, listener
+        self._gate = CallGate(
+            application=self.request_handler, refuse=self.request_handler.late_requests
         )
+        self._callers = self._make_server(settings.listeners.callers, self._gate, listener)
         self._ready = self._make_server(settings.listeners.ready, self._build_ready_app())
         self._metrics_server = open_metrics_server(settings.listeners.metrics, self._metrics)
 
@@ -302,29 +310,52 @@
 
     def _stop(self) -> int:
         began = time.monotonic()
-        ends_at = began + self._settings.bounds.stop_within_s - STOP_MARGIN_S
+        killed_at = began + self._settings.bounds.stop_within_s
+        ends_at = killed_at - STOP_MARGIN_S
         window = StopWindow(accepts_until=min(began + STOP_ACCEPT_S, ends_at), exits_at=ends_at)
         self.request_handler.begin_stop(window, now=began)
         send_all(self.transport.send, self.subscriber.report_load(now=began))
-        self._events.write("stopping", open=self.request_handler.open_count)
+        self._events.write("stopping", open=self._gate.open_count)
         for at in (began + STOP_IDLE_AFTER_S, window.accepts_until):
             gevent.sleep(max(0.0, min(at, ends_at) - time.monotonic()))
             self._callers.close_idle()
         # Keep accepting new connections: callers whose connections stayed in the kernel's
         # accept queue would get no answer until the process exits.
-        while self.request_handler.open_count and time.monotonic() < ends_at:
+        while self._gate.open_count and time.monotonic() < ends_at:
             gevent.sleep(_POLL_S)
-        cut = self.request_handler.open_count
+        # No other greenlet may run between the last look at the count and this line: what it
+        # would pass on could not be awaited any more.
+        self._gate.is_closed = True
+        cut = self._gate.open_count
         self.request_handler.end_stop()
-        self._events.write("stopped", cut=cut, after_s=round(time.monotonic() - began, 2))
+        self._events.write("exit_decided", open=cut, after_s=_round_since(began))
+        left = self._drain(ends_at=killed_at - STOP_DRAINED_S)
+        self._events.write(
+            "stopped",
+            cut=cut,
+            refused=self.request_handler.late_requests.refused_count,
+            connections_left=left,
+            after_s=_round_since(began),
+        )
         return cut
 
+    def _drain(self, *, ends_at: float) -> int:
+        """Close all listeners and connections; return how many are still open at ``ends_at``."""
+        drains = [gevent.spawn(one.drain, ends_at=ends_at) for one in self._list_servers()]
+        gevent.joinall(drains)
+        return sum(drain.get() for drain in drains)
+
+    def _list_servers(self) -> Iterator[HttpServer]:
+        yield self._callers
+        yield self._ready
+        if self._metrics_server is not None:
+            yield self._metrics_server
+
     @contextmanager
     def _serve(self) -> Iterator[None]:
         self.transport.start()
-        for server in (self._callers, self._ready, self._metrics_server):
-            if server is not None:
-                server.start()
+        for server in self._list_servers():
+            server.start()
         now = time.monotonic()
         self._timers.call_at(now, self._wake_subscriber)
         self._timers.call_every(PRUNE_INTERVAL_S, self._prune, now=now)
--- a/tests/daemon/fleet/test_router_exit.py
+++ b/tests/daemon/fleet/test_router_exit.py
@@ -90,13 +90,16 @@
         self.process.communicate()
 
     def has_started(self) -> bool:
-        return any(event["event"] == "started" for event in self.read_events())
+        return bool(self.find_events("started"))
 
     def read_events(self) -> list[dict[str, Any]]:
         if not self.log.exists():
             return []
         return [json.loads(line) for line in self.log.read_text().splitlines(keepends=True)]
 
+    def find_events(self, name: str) -> list[dict[str, Any]]:
+        return [event for event in self.read_events() if event["event"] == name]
+
     def connect(self, data: bytes = b"") -> socket.socket:
         connection = socket.create_connection((self.host, CALLER_PORT), timeout=LIMIT_S)
         self.addCleanup(connection.close)
@@ -178,6 +181,13 @@
         self.assertEqual(self.list_passed_on(), ["stream"])
         self.assertEqual(answers, dict.fromkeys(callers, (503, "instance_stopping", "no")))
         self.assertEqual(self.process.wait(LIMIT_S), 0)
+        refused = ["idle", "kept", "partial", "queued"]
+        rejected = self.find_events("request_rejected")
+        self.assertEqual(sorted(event["request"] for event in rejected), refused)
+        self.assertGreater(min(event["came_after_stop_ms"] for event in rejected), 0)
+        (decided,), (stopped,) = self.find_events("exit_decided"), self.find_events("stopped")
+        self.assertEqual((decided["open"], stopped["cut"], stopped["refused"]), (0, 0, 4))
+        self.assertEqual(stopped["connections_left"], 0)
 
 
 if __name__ == "__main__":
