Answer the calls that a stopping replica has taken before it exits

What callers saw: an operator whose call was half sent when a replica got SIGTERM was disconnected without a byte, and one that read a large document slowly got part of it.

Cause: a replica counted a call from the moment at which its head was read to the return of the application, and exited 0.2 s after the count was zero. A call whose head is not complete and an answer whose last bytes are not written were counted by nobody.

Ruled out: that the answers are only late. The process is gone, and the connections end with it.

Change: the gate closes at the decision to exit (`exit_decided`), leadership is transferred meanwhile, and the listener is drained: every connection gets its answer whole, and what is read after the decision is refused with a line of its own (`call_refused`). `stopped` is written after that, with the connections that were left.

Before, tests.system.test_replica_exit on the same tests without the change:

test_document_is_sent_whole_to_a_slow_reader: JSONDecodeError: Unterminated string starting at: line 1 column 2807686 (of 3897950 bytes) test_call_that_is_half_sent_is_refused: IndexError: list index out of range (no byte of an answer)

After: both pass, and so does tests.system.test_stop.ReplicaStopTest. Its search for the leader moved to Deployment, since both test files need it.

Conclusion: a stop ends when the connections are served, not when a count of calls is zero.

--- a/chivetrack/daemon/fleet/replica.py
+++ b/chivetrack/daemon/fleet/replica.py
@@ -25,6 +25,7 @@
 from chivetrack.components.slow_start.messages import PermitAnswer, PermitRequest
 from chivetrack.components.slow_start.permits import PermitLedger
 from chivetrack.daemon.call_gate import CallGate
+from chivetrack.daemon.fleet.call_refusals import CallRefuser
 from chivetrack.daemon.fleet.const import (
     PRUNE_INTERVAL_S,
     PRUNE_ROUNDS_PER_TRAFFIC_LINE,
@@ -41,10 +42,9 @@
 from chivetrack.daemon.server import HttpServer
 from chivetrack.helpers.codec import Message
 from chivetrack.helpers.events import EventLog
-from chivetrack.platform.control_api import build_control_app, refuse_during_stop
+from chivetrack.platform.control_api import build_control_app
 
 _FINAL_SENDS_WAIT_S = 0.2
-_POLL_S = 0.02
 
 
 class ReplicaProcess:
@@ -132,13 +132,14 @@
         self._store.listen_to_quarantine(self._apply_quarantine)
         self._documents = documents
         self._pending_orders: set[bytes] = set()
+        self._refuser = CallRefuser(events=events)
         self._gate = CallGate(
             application=build_control_app(
                 handler=self._control_handler,
                 unpack=unpack_document,
                 report_invalid=self._log_rejected,
             ),
-            refuse=refuse_during_stop,
+            refuse=self._refuser,
         )
         self._control = HttpServer(
             address=(listeners.control.host, listeners.control.port),
@@ -257,16 +258,24 @@
             return self._stop()
 
     def _stop(self) -> int:
-        """Transfer leadership, finish the calls in progress and return the number cut."""
+        """Transfer leadership, answer the calls and return the number of those cut."""
         began = time.monotonic()
+        ends_at = began + STOP_CALLS_TIMEOUT_S
         self._events.write("stopping", leads=self.host.is_leader, open=self._gate.open_count)
         self._gate.is_closed = True
-        self.host.transfer_leadership()
-        while self._gate.open_count and time.monotonic() < began + STOP_CALLS_TIMEOUT_S:
-            gevent.sleep(_POLL_S)
+        self._events.write("exit_decided", open=self._gate.open_count, after_s=0.0)
+        transfer = gevent.spawn(self.host.transfer_leadership)
+        connections_left = self._control.drain(ends_at=ends_at)
+        transfer.join()
         gevent.sleep(_FINAL_SENDS_WAIT_S)
         cut = self._gate.open_count
-        self._events.write("stopped", cut=cut, after_s=round(time.monotonic() - began, 2))
+        self._events.write(
+            "stopped",
+            cut=cut,
+            refused=self._refuser.count,
+            connections_left=connections_left,
+            after_s=round(time.monotonic() - began, 2),
+        )
         return cut
 
     def _log_reload(self) -> None:
--- a/tests/system/deployment.py
+++ b/tests/system/deployment.py
@@ -209,6 +209,20 @@
                 events.append(json.loads(line))
         return events
 
+    def find_leader(self) -> str:
+        """Return the replica with the latest ``leader_changed`` event as leader."""
+
+        def find() -> str:
+            led_at = {
+                event["at"]: name
+                for name in self.list_names("p")
+                for event in self.read_events(name)
+                if event.get("event") == "leader_changed" and event["role"] == "leader"
+            }
+            return led_at[max(led_at)] if led_at else ""
+
+        return str(wait_for(find, "no replica has logged that it leads"))
+
     def send_request(self, method: str, url: str, **options: Any) -> tuple[int, bytes]:
         """Send an HTTP request and return status and body; status 0 means no answer."""
         try:
--- /dev/null
+++ b/tests/system/test_replica_exit.py
@@ -0,0 +1,86 @@
+"""System tests of the exit of a replica: what its callers were promised, they get."""
+
+import json
+import socket
+import time
+import unittest
+from typing import Any
+
+from tests.system.deployment import CONTROL_PORT, Deployment, make_config, open_deployment
+
+LARGE_ROUTES = 20_000
+SMALL_BUFFER_BYTES = 4096
+EXIT_TIMEOUT_S = 20.0
+
+
+class ExitCase(unittest.TestCase):
+    """Starts replicas with a configuration, and sends calls over sockets of its own."""
+
+    def open(self, *, config: dict[str, Any] | None = None) -> tuple[Deployment, str]:
+        """Return replicas that have committed a configuration, and the name of a follower."""
+        deployment = self.enterContext(open_deployment(replicas=3, routers=0))
+        deployment.start_all()
+        deployment.put(config or make_config(3))
+        leader = deployment.find_leader()
+        return deployment, next(one for one in deployment.list_names("p") if one != leader)
+
+    def connect(self, deployment: Deployment, name: str) -> socket.socket:
+        """Return a connection to a replica's control listener."""
+        opened = socket.socket()
+        self.addCleanup(opened.close)
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+        opened.settimeout(EXIT_TIMEOUT_S)
+        opened.connect((deployment.get_host(name), CONTROL_PORT))
+        return opened
+
+    @staticmethod
+    def read_answer(opened: socket.socket) -> tuple[int, bytes]:
+        """Return status and body of the answer on a connection, up to the end of the stream."""
+        received = b""
+        while data := opened.recv(65536):
+            received += data
+        head, _, body = received.partition(b"\r\n\r\n")
+        return (int(head.split()[1]), body)
+
+    @staticmethod
+    def find_events(deployment: Deployment, name: str, event: str) -> list[dict[str, Any]]:
+        """Return the events of a replica that have the name ``event``."""
+        return [one for one in deployment.read_events(name) if one.get("event") == event]
+
+
+class AnswerTest(ExitCase):
+    def test_document_is_sent_whole_to_a_slow_reader(self) -> None:
+        """Guards against an answer that is cut since its call is over before it is sent."""
+        prefixes = [f"/a{number}/" for number in range(LARGE_ROUTES)]
+        deployment, name = self.open(config=make_config(3, *prefixes))
+        reader = self.connect(deployment, name)
+        reader.sendall(b"GET /config HTTP/1.1\r\nHost: replica\r\n\r\n")
+        time.sleep(0.5)
+        process = deployment.begin_stop(name)
+        time.sleep(0.7)
+        status, body = self.read_answer(reader)
+        self.assertEqual(process.wait(EXIT_TIMEOUT_S), 0)
+        self.assertEqual(status, 200)
+        self.assertEqual(len(json.loads(body)["routes"]), LARGE_ROUTES)
+
+    def test_call_that_is_half_sent_is_refused(self) -> None:
+        """Guards against a call that gets no answer since the exit comes while it is sent."""
+        deployment, name = self.open()
+        caller = self.connect(deployment, name)
+        caller.sendall(b"GET /config HTTP/1.1\r\nHost: ")
+        time.sleep(0.2)
+        process = deployment.begin_stop(name)
+        time.sleep(0.5)
+        caller.sendall(b"replica\r\n\r\n")
+        status, body = self.read_answer(caller)
+        self.assertEqual(process.wait(EXIT_TIMEOUT_S), 0)
+        self.assertEqual((status, json.loads(body)["error"]), (503, "stopping"))
+        (refused,) = self.find_events(deployment, name, "call_refused")
+        self.assertEqual((refused["method"], refused["path"]), ("GET", "/config"))
+        (stopped,) = self.find_events(deployment, name, "stopped")
+        counts = (stopped["cut"], stopped["refused"], stopped["connections_left"])
+        self.assertEqual(counts, (0, 1, 0))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/system/test_stop.py
+++ b/tests/system/test_stop.py
@@ -17,7 +17,6 @@
     open_deployment,
 )
 from tests.system.deployment import open_endpoint as open_endpoint_of
-from tests.system.fleets import wait_for
 
 ROUTE_TIMEOUT_MS = 15_000
 HEADERS = {"Host": "one.example", "X-Chivetrack-Key": "key"}
@@ -159,7 +158,7 @@
         deployment = self.enterContext(open_deployment(replicas=3, routers=0))
         deployment.start_all()
         deployment.put(make_config(3))
-        leader = self.find_leader(deployment)
+        leader = deployment.find_leader()
         follower, other = (name for name in deployment.list_names("p") if name != leader)
         deployment.kill(other)
         deployment.processes[leader].send_signal(signal.SIGSTOP)
@@ -175,21 +174,6 @@
         caller.join()
         self.assertIn(answers, ([307], [503]))
 
-    @staticmethod
-    def find_leader(deployment: Deployment) -> str:
-        """Return the replica with the latest ``leader_changed`` event as leader."""
-
-        def find() -> str:
-            led_at = {
-                event["at"]: name
-                for name in deployment.list_names("p")
-                for event in deployment.read_events(name)
-                if event.get("event") == "leader_changed" and event["role"] == "leader"
-            }
-            return led_at[max(led_at)] if led_at else ""
-
-        return str(wait_for(find, "no replica has logged that it leads"))
-
 
 if __name__ == "__main__":
     unittest.main()
