Refuse a change whose body arrives after a replica decided to exit

What callers saw: an operator sent a change slowly to a replica that was stopping, got no byte, and the change was committed.

Cause: the gate looks at a call when its head is read. A call whose body arrives later was begun up to the last moment of the stop, and the exit cut the wait for its answer, while the forwarded change went on.

Ruled out: that the wait for an answer alone is too short. With the last byte at any moment before the end of the stop the wait can be longer than what is left.

Change: after the decision to exit nothing is begun. The handlers of changes, heartbeats and departures refuse with 503, "stopping", which says that the call has not run; what was begun before goes on and is answered. The longest wait of a call that was begun before is shorter than the limit of the stop.

Conclusion: closing a gate in front of an application does not stop the calls that are behind it already.

--- a/chivetrack/daemon/fleet/control_handler.py
+++ b/chivetrack/daemon/fleet/control_handler.py
@@ -25,7 +25,11 @@
 from chivetrack.components.quarantine.models import Quarantine
 from chivetrack.components.traffic.models import Document
 from chivetrack.daemon.fleet.const import BROADCAST_WAIT_S
-from chivetrack.daemon.fleet.documents import DocumentHandler, make_unavailable
+from chivetrack.daemon.fleet.documents import (
+    DocumentHandler,
+    make_stopping,
+    make_unavailable,
+)
 from chivetrack.exceptions import Fault
 from chivetrack.helpers.codec import Message
 from chivetrack.helpers.events import EventLog
@@ -76,6 +80,12 @@
         self._endpoint_broadcaster = EndpointBroadcaster(table=table)
         self._numbers = itertools.count(1)
         self._pending_broadcasts: dict[int, _PendingBroadcast] = {}
+        self._is_stopping = False
+
+    def begin_stop(self) -> None:
+        """Refuse what would have to be sent to other replicas; what is in progress goes on."""
+        self._is_stopping = True
+        self._documents.begin_stop()
 
     def put(self, document: Document, body: bytes) -> Result[int, Fault | RedirectTo]:
         """Commit a document and return the version in force."""
@@ -110,6 +120,8 @@
 
         A change to a state other than ready is acknowledged once a majority knows it.
         """
+        if self._is_stopping:
+            return Error(make_stopping())
         is_change = self._table.merge(record, now=time.monotonic())
         known = self._table.find(record.endpoint_id)
         if is_change:
@@ -126,6 +138,8 @@
 
     def leave(self, endpoint_id: str, born: int | None) -> Result[None, Fault]:
         """Handle an endpoint's departure; acknowledged once a majority knows it."""
+        if self._is_stopping:
+            return Error(make_stopping())
         now = time.monotonic()
         known = self._table.close(endpoint_id, born=born, now=now)
         if known is None:
--- a/chivetrack/daemon/fleet/documents.py
+++ b/chivetrack/daemon/fleet/documents.py
@@ -63,6 +63,11 @@
     return Fault(code=code, message=message, status=503, ran=Ran.NO, retry_after_s=_RETRY_S)
 
 
+def make_stopping() -> Fault:
+    """Return the fault for a call that has not run and succeeds at another replica."""
+    return make_unavailable("stopping", "this replica is stopping; use another replica")
+
+
 class DocumentHandler:
     """Serve operators' calls at any replica; a revision of the log is a document's version.
 
@@ -96,6 +101,11 @@
         self._list_readers = list_readers
         self._events = events
         self._pending = PendingRequests[ProposalAnswer]()
+        self._is_stopping = False
+
+    def begin_stop(self) -> None:
+        """Refuse all changes from now on; those in progress go on."""
+        self._is_stopping = True
 
     def put(self, document: Document, body: bytes) -> Result[int, Fault | RedirectTo]:
         """Commit a document and return the version in force."""
@@ -142,6 +152,8 @@
         return self._confirm().map(lambda version: self._store.quarantine)
 
     def _submit(self, command: Command) -> Result[int, Fault | RedirectTo]:
+        if self._is_stopping:
+            return Error(make_stopping())
         if self._host.is_leader:
             return self._commit(command)
         data = encode_command(command)
--- a/chivetrack/daemon/fleet/replica.py
+++ b/chivetrack/daemon/fleet/replica.py
@@ -263,6 +263,7 @@
         ends_at = began + STOP_CALLS_TIMEOUT_S
         self._events.write("stopping", leads=self.host.is_leader, open=self._gate.open_count)
         self._gate.is_closed = True
+        self._control_handler.begin_stop()
         self._events.write("exit_decided", open=self._gate.open_count, after_s=0.0)
         transfer = gevent.spawn(self.host.transfer_leadership)
         connections_left = self._control.drain(ends_at=ends_at)
--- a/tests/daemon/fleet/test_documents.py
+++ b/tests/daemon/fleet/test_documents.py
@@ -17,7 +17,7 @@
 from chivetrack.daemon.fleet import documents as documents_module
 from chivetrack.daemon.fleet.documents import DocumentHandler
 from chivetrack.daemon.fleet.log_host import LogHost
-from chivetrack.exceptions import Fault
+from chivetrack.exceptions import Fault, Ran
 from chivetrack.helpers.codec import Message, decode_as
 from chivetrack.helpers.events import EventLog
 from chivetrack.platform.control_api import RedirectTo
@@ -205,6 +205,18 @@
         self.assertEqual(self.first.put(5).error, RedirectTo(address="p3:9"))
 
 
+class StopTest(DeskCase):
+    def test_change_that_arrives_during_the_stop_is_refused(self) -> None:
+        """Guards against a change that is begun after the decision to exit."""
+        for node in (self.first, self.second):
+            with self.subTest(node=node.name):
+                node.handler.begin_stop()
+                outcome = node.put(5)
+                assert outcome.is_error() and isinstance(outcome.error, Fault)
+                self.assertEqual((outcome.error.code, outcome.error.ran), ("stopping", Ran.NO))
+                self.assertEqual(self.log.index, 0)
+
+
 class OutcomeLineTest(DeskCase):
     def test_lines_have_the_code_of_a_failure(self) -> None:
         """Guards against log lines of failures without the code to search for."""
--- a/tests/system/test_replica_exit.py
+++ b/tests/system/test_replica_exit.py
@@ -1,6 +1,8 @@
 """System tests of the exit of a replica: what its callers were promised, they get."""
 
+import contextlib
 import json
+import signal
 import socket
 import time
 import unittest
@@ -35,12 +37,12 @@
 
     @staticmethod
     def read_answer(opened: socket.socket) -> tuple[int, bytes]:
-        """Return status and body of the answer on a connection, up to the end of the stream."""
+        """Return status and body of the answer up to the end of the stream; status 0 is none."""
         received = b""
         while data := opened.recv(65536):
             received += data
         head, _, body = received.partition(b"\r\n\r\n")
-        return (int(head.split()[1]), body)
+        return (int(head.split()[1]) if head else 0, body)
 
     @staticmethod
     def find_events(deployment: Deployment, name: str, event: str) -> list[dict[str, Any]]:
@@ -82,5 +84,35 @@
         self.assertEqual(counts, (0, 1, 0))
 
 
+class LateBodyTest(ExitCase):
+    def begin_change(self, deployment: Deployment, name: str) -> tuple[socket.socket, bytes]:
+        """Send a change without its last byte; return the connection and that byte."""
+        body = json.dumps(make_config(4)).encode()
+        caller = self.connect(deployment, name)
+        head = f"PUT /config HTTP/1.1\r\nHost: replica\r\nContent-Length: {len(body)}\r\n\r\n"
+        caller.sendall(head.encode() + body[:-1])
+        time.sleep(0.2)
+        return caller, body[-1:]
+
+    def test_change_that_arrives_during_the_stop_is_not_made(self) -> None:
+        """Guards against a change that is committed and whose operator is cut by the exit."""
+        deployment, name = self.open()
+        caller, last_byte = self.begin_change(deployment, name)
+        others = [deployment.processes[one] for one in deployment.list_names("p") if one != name]
+        process = deployment.begin_stop(name)
+        time.sleep(1.6)
+        for other in others:
+            other.send_signal(signal.SIGSTOP)
+        with contextlib.suppress(OSError):
+            caller.sendall(last_byte)
+        status, body = self.read_answer(caller)
+        process.wait(EXIT_TIMEOUT_S)
+        for other in others:
+            other.send_signal(signal.SIGCONT)
+        time.sleep(2.0)
+        error = json.loads(body or b"{}").get("error")
+        self.assertEqual((status, error, deployment.read()), (503, "stopping", 3))
+
+
 if __name__ == "__main__":
     unittest.main()
