Say that a forwarded change may be committed if the leader does not know

What callers saw: an operator at a follower got 503 `leader_failed`, "the leader could not execute the call", for a change that was committed afterwards. A leader that loses its quorum or its leadership in a stop is one way to it; at the leader itself the same change is answered with `outcome_unknown`.

Cause: the leader's answer to a follower had one verdict for every failure, and the follower read it as "not run".

Ruled out: that the commit is withdrawn. An entry of a change whose wait has ended stays in the log.

Change: the leader says "refused" only for what is in no log and never will be, and "unknown" otherwise; the follower passes both on.

Conclusion: a 503 of a follower promises no more than the leader knows.

--- a/chivetrack/daemon/fleet/documents.py
+++ b/chivetrack/daemon/fleet/documents.py
@@ -30,6 +30,7 @@
     QuarantineOutcome,
     ReleaseOrder,
 )
+from chivetrack.components.replica.faults import make_unknown
 from chivetrack.components.replica.models import NotLeaderFault
 from chivetrack.components.traffic.models import Document
 from chivetrack.daemon.fleet.const import (
@@ -267,7 +268,9 @@
         )
         if answer is None:
             return Error(self._redirect())
-        if answer.verdict is not Verdict.ACCEPTED:
+        if answer.verdict is Verdict.UNKNOWN:
+            return Error(make_unknown())
+        if answer.verdict is Verdict.REFUSED:
             return Error(make_unavailable("leader_failed", "the leader could not execute the call"))
         return Ok(answer.revision)
 
@@ -295,12 +298,11 @@
 
     def _answer(self, source: str, call: ForwardProposal | ForwardRead) -> None:
         outcome = self._execute(call)
-        if outcome.is_error():
-            answer = ProposalAnswer(number=call.number, verdict=Verdict.UNKNOWN)
-        else:
-            answer = ProposalAnswer(
-                number=call.number, verdict=Verdict.ACCEPTED, revision=outcome.ok
-            )
+        answer = ProposalAnswer(
+            number=call.number,
+            verdict=_choose_verdict(outcome),
+            revision=outcome.ok if outcome.is_ok() else 0,
+        )
         self._send(source, answer)
 
     def _execute(self, call: ForwardProposal | ForwardRead) -> Result[int, Fault | RedirectTo]:
@@ -314,6 +316,14 @@
         return outcome
 
 
+def _choose_verdict(outcome: Result[int, Fault | RedirectTo]) -> Verdict:
+    if outcome.is_ok():
+        return Verdict.ACCEPTED
+    if isinstance(outcome.error, Fault) and outcome.error.ran is not Ran.NO:
+        return Verdict.UNKNOWN
+    return Verdict.REFUSED
+
+
 def _describe_outcome(outcome: Result[int, Fault | RedirectTo]) -> dict[str, str | int]:
     """Return the log fields of an outcome; on-call engineers search for ``code``."""
     if outcome.is_ok():
--- a/tests/daemon/fleet/test_documents.py
+++ b/tests/daemon/fleet/test_documents.py
@@ -205,6 +205,24 @@
         self.assertEqual(self.first.put(5).error, RedirectTo(address="p3:9"))
 
 
+class ForwardedChangeTest(DeskCase):
+    def test_follower_does_not_call_an_unknown_outcome_a_failure(self) -> None:
+        """Guards against "could not execute" for a change that is committed later."""
+        fault = Fault(code="outcome_unknown", message="", status=503, ran=Ran.MAYBE)
+        self.first.propose = lambda data, *, timeout_s: Error(fault)  # type: ignore[method-assign]
+        outcome = self.second.put(5)
+        assert outcome.is_error() and isinstance(outcome.error, Fault)
+        codes = (outcome.error.status, outcome.error.code, outcome.error.ran)
+        self.assertEqual(codes, (503, "outcome_unknown", Ran.MAYBE))
+
+    def test_follower_says_that_a_refused_change_is_not_made(self) -> None:
+        """Guards against doubt about a change that the leader has never begun."""
+        self.log.leader = "p3:1"
+        outcome = self.second.put(5)
+        assert outcome.is_error() and isinstance(outcome.error, Fault)
+        self.assertEqual((outcome.error.code, outcome.error.ran), ("leader_failed", Ran.NO))
+
+
 class StopTest(DeskCase):
     def test_change_that_arrives_during_the_stop_is_refused(self) -> None:
         """Guards against a change that is begun after the decision to exit."""
