Answer the requests that are open when a router exits, and pass none on

What callers saw: a request that was open at the end of a router's grace time got no byte; its connection was closed by the exit. Requests that waited for a permit, for the configuration, for the rest of a body or for a retry could still be sent to an endpoint after the router had decided to exit.

Cause: at the end of its time the stop wrote `cut_by_stop` for the admitted requests and left their greenlets running until the process was gone. Nothing told them, and nothing asked before a send whether the router still passes requests on.

Ruled out: that the gate covers them; it is passed once, when a request is read.

Change: each request in progress is tracked by its greenlet (open_requests.py). In the step of the decision all of them get an error, scheduled so that it is dropped if the request ends first, and none is sent from then on: it is asked before each attempt and again right before the first byte, for greenlets that were ready to run before their error. Not sent: 503, not run. Sent, without an answer: 502, may have run. Answer begun: closed in the middle, as before. A body that is still arriving: 503, logged as request_rejected. `request_ended` keeps the outcome cut_by_stop and has the status that the caller got; `cut` of `stopped` counts these lines, and `exit_decided` has the number of all that were open.

Conclusion: both ways out of a router's stop refuse, answer and then exit. A whole buffered answer whose caller does not read it is cut at the end of the time as before.

--- a/chivetrack/daemon/fleet/forwarder.py
+++ b/chivetrack/daemon/fleet/forwarder.py
@@ -69,18 +69,21 @@
         handle_first_event: Callable[[Call, Choice], None],
         handle_bytes: Callable[[Call], None] | None = None,
         record_overdue: Callable[[Call], bool] | None = None,
+        may_send: Callable[[], bool] | None = None,
     ) -> None:
         """Store the idle connections and the callbacks.
 
         ``handle_bytes`` is called when bytes of an answer arrive. ``record_overdue`` is
         called when none arrived within the wait limit; it returns whether the endpoint is
-        silent to all of this router's requests.
+        silent to all of this router's requests. ``may_send`` returns whether the router still
+        passes requests on; it is asked right before the first byte.
         """
         self._idle_connections = idle_connections
         self._record_answer = record_answer
         self._handle_first_event = handle_first_event
         self._handle_bytes = handle_bytes or (lambda call: None)
         self._record_overdue = record_overdue or (lambda call: False)
+        self._may_send = may_send or (lambda: True)
 
     def send(self, call: Call, choice: Choice, *, may_retry: bool) -> SendResult:
         """Send a request to one endpoint and relay the answer.
@@ -138,6 +141,8 @@
         request = EndpointRequest(
             method=call.method, target=call.target, headers=headers, body=call.body
         )
+        if not self._may_send():
+            raise NotSentError("the router has decided to exit")
         connection.send(request, timeout_s=remaining_s)
         self._await_answer(connection, call, may_retry)
         remaining_s = max(0.01, call.ends_at - time.monotonic())
--- a/chivetrack/daemon/fleet/late_requests.py
+++ b/chivetrack/daemon/fleet/late_requests.py
@@ -1,4 +1,4 @@
-"""Refuses the requests that a router reads after its decision to exit."""
+"""Refuses the requests that a router has not yet admitted when it decides to exit."""
 
 import time
 from collections.abc import Iterable
@@ -23,7 +23,12 @@
 
     def __call__(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
         """Refuse one request."""
-        now = time.monotonic()
+        reply = Reply(start_response=start_response)
+        self.refuse(environ, reply, came_at=time.monotonic())
+        return ()
+
+    def refuse(self, environ: dict[str, Any], reply: Reply, *, came_at: float) -> None:
+        """Refuse a request that came at ``came_at`` (s, monotonic) and has not been passed on."""
         headers = environ[ENVIRON_HEADERS]
         facts = read_request_facts({name.lower(): value for name, value in headers})
         fault = make_stopping_fault(do_others_accept=self._view.do_others_accept, left_s=0.0)
@@ -32,8 +37,7 @@
             facts,
             fault,
             path=environ["PATH_INFO"],
-            came_at=now,
-            connected_at=environ.get(ENVIRON_CONNECTED_AT, now),
+            came_at=came_at,
+            connected_at=environ.get(ENVIRON_CONNECTED_AT, came_at),
         )
-        Reply(start_response=start_response).refuse(fault)
-        return ()
+        reply.refuse(fault)
--- a/chivetrack/daemon/fleet/refusals.py
+++ b/chivetrack/daemon/fleet/refusals.py
@@ -4,7 +4,11 @@
 from random import Random
 
 from chivetrack.components.limits.infeasible import refuse_infeasible
-from chivetrack.components.limits.stopping import StopWindow, make_stopping_fault
+from chivetrack.components.limits.stopping import (
+    StopWindow,
+    make_cut_fault,
+    make_stopping_fault,
+)
 from chivetrack.components.placement.choice import Choice
 from chivetrack.components.quarantine.faults import make_fault
 from chivetrack.components.retries.sending import may_have_run
@@ -71,6 +75,16 @@
         call.reply.refuse(fault)
         return True
 
+    def refuse_at_exit(self, call: Call) -> None:
+        """Answer a request that is open when the router exits."""
+        if call.reply.is_started:
+            raise AnswerCutError("the router exits during the answer")
+        if may_have_run(call.attempts):
+            call.reply.refuse(make_cut_fault())
+            return
+        do_others_accept = self._view.do_others_accept
+        call.reply.refuse(make_stopping_fault(do_others_accept=do_others_accept, left_s=0.0))
+
     def refuse_quarantined(self, call: Call) -> bool:
         """Refuse a quarantined request; checked before each attempt, including retries."""
         quarantined = self._view.find_quarantined(call)
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -37,6 +37,7 @@
 from chivetrack.daemon.fleet.fleet_view import FleetView
 from chivetrack.daemon.fleet.forwarder import AnswerCutError, Forwarder, make_tried
 from chivetrack.daemon.fleet.late_requests import LateRequests
+from chivetrack.daemon.fleet.open_requests import ExitDecidedError, OpenRequests
 from chivetrack.daemon.fleet.permits import PermitClient
 from chivetrack.daemon.fleet.refusals import Refusals
 from chivetrack.daemon.fleet.request_log import RequestLog
@@ -75,20 +76,18 @@
         self._refusals = Refusals(view=view, log=self._log)
         self.late_requests = LateRequests(view=view, log=self._log)
         self._record_end = record_end
-        self.open_count = 0
-        self._open_calls: dict[int, Call] = {}
+        self.open_requests = OpenRequests()
+        self.cut_count = 0
         self._started_at = time.monotonic()
 
     def __call__(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
         """Serve one request as a WSGI application."""
         reply = Reply(start_response=start_response)
-        self.open_count += 1
-        try:
-            self._serve(environ, reply)
-        except FaultError as error:
-            reply.refuse(error.fault)
-        finally:
-            self.open_count -= 1
+        with self.open_requests.track():
+            try:
+                self._serve(environ, reply)
+            except FaultError as error:
+                reply.refuse(error.fault)
         return ()
 
     def _serve(self, environ: dict[str, Any], reply: Reply) -> None:
@@ -100,15 +99,17 @@
         except FaultError as error:
             self._log.write_rejected(facts, error.fault, path=environ["PATH_INFO"])
             raise
-        self._open_calls[id(call)] = call
+        except ExitDecidedError:
+            self.late_requests.refuse(environ, reply, came_at=came_at)
+            return
         try:
             with watch_caller(environ.get(ENVIRON_SOCKET)):
                 self._process(call)
         except CallerLeftError:
             self._end(call, "caller_left")
             raise AnswerCutError("the caller disconnected") from None
-        finally:
-            del self._open_calls[id(call)]
+        except ExitDecidedError:
+            self._end_by_exit(call)
 
     def begin_stop(self, window: StopWindow, *, now: float) -> None:
         """Accept only requests that can end within ``window``; the stop began at ``now`` (s)."""
@@ -117,8 +118,14 @@
         self._log.stopping_since = now
 
     def end_stop(self) -> None:
-        """Record the requests in flight as cut by the exit of the process."""
-        for call in list(self._open_calls.values()):
+        """End the requests in progress, with an answer wherever one is possible."""
+        self.open_requests.end()
+
+    def _end_by_exit(self, call: Call) -> None:
+        self.cut_count += 1
+        try:
+            self._refusals.refuse_at_exit(call)
+        finally:
             self._end(call, "cut_by_stop")
 
     def _admit(
@@ -128,7 +135,7 @@
         table = self._view.table or self._wait_for_table(facts, came_at)
         if table is None:
             raise FaultError(_make_refusal("no_configuration", 503, NO_DOCUMENT_RETRY_S))
-        if self.open_count > MAX_REQUESTS:
+        if len(self.open_requests) > MAX_REQUESTS:
             raise FaultError(_make_refusal("instance_full", 503, NO_ENDPOINT_RETRY_S))
         target = environ[ENVIRON_TARGET]
         route = table.find_route(environ.get("HTTP_HOST", ""), target.partition("?")[0])
@@ -217,6 +224,7 @@
                 return
             if not call.attempts and self._refusals.refuse_infeasible(call, choice):
                 return
+            self.open_requests.raise_if_ended()
             if self._send(call, choice):
                 return
             if not self._may_send_again(call):
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -136,6 +136,7 @@
                 handle_first_event=lambda call, choice: self.view.handle_first_event(call),
                 handle_bytes=self.view.handle_bytes,
                 record_overdue=self.view.record_overdue,
+                may_send=lambda: not self._gate.is_closed,
             ),
             events=events,
             record_end=self._metrics.record_end,
@@ -326,18 +327,17 @@
         # No other greenlet may run between the last look at the count and this line: what it
         # would pass on could not be awaited any more.
         self._gate.is_closed = True
-        cut = self._gate.open_count
         self.request_handler.end_stop()
-        self._events.write("exit_decided", open=cut, after_s=_round_since(began))
+        self._events.write("exit_decided", open=self._gate.open_count, after_s=_round_since(began))
         left = self._drain(ends_at=killed_at - STOP_DRAINED_S)
         self._events.write(
             "stopped",
-            cut=cut,
+            cut=self.request_handler.cut_count,
             refused=self.request_handler.late_requests.refused_count,
             connections_left=left,
             after_s=_round_since(began),
         )
-        return cut
+        return self.request_handler.cut_count
 
     def _drain(self, *, ends_at: float) -> int:
         """Close all listeners and connections; return how many are still open at ``ends_at``."""
--- a/tests/daemon/fleet/test_forwarder.py
+++ b/tests/daemon/fleet/test_forwarder.py
@@ -26,6 +26,7 @@
     make_chunks,
     reset_after,
 )
+from tests.system.fleets import wait_for
 
 STREAM = make_route(kind=RouteKind.STREAM, is_resumable=True)
 ONCE = make_route(kind=RouteKind.STREAM, max_attempts=1)
@@ -66,6 +67,21 @@
         )
 
 
+class ExitTest(ForwarderCase):
+    def test_connection_that_opens_after_the_decision_to_exit_is_not_used(self) -> None:
+        """Guards against a request that is sent while the router decides to exit."""
+        self.forwarder = Forwarder(
+            idle_connections=self.idle_connections,
+            record_answer=lambda record, facts: None,
+            handle_first_event=lambda call, choice: None,
+            may_send=lambda: False,
+        )
+        endpoint = self.open(make_answer())
+        self.assertEqual(self.send(endpoint).end, SendEnd.NOT_SENT)
+        wait_for(lambda: endpoint.connections == 1, "the endpoint accepts no connection")
+        self.assertEqual(endpoint.requests, [])
+
+
 def make_placed() -> Placed:
     return Placed(
         endpoint_id="e",
--- a/tests/daemon/fleet/test_router_exit.py
+++ b/tests/daemon/fleet/test_router_exit.py
@@ -190,5 +190,37 @@
         self.assertEqual(stopped["connections_left"], 0)
 
 
+class OpenRequestTest(RouterExitCase):
+    def test_request_open_at_the_end_of_the_stop_is_answered(self) -> None:
+        """Guards against the close of connections whose requests are open at the exit."""
+        ends = threading.Event()
+        self.addCleanup(ends.set)
+
+        def stream(connection: socket.socket) -> None:
+            connection.sendall(STREAM_HEAD + b"%x\r\n%b\r\n" % (len(EVENT), EVENT))
+            ends.wait(LIMIT_S)
+
+        self.start(stream, lambda connection: ends.wait(LIMIT_S), stop_within_s=2.0)
+        begun = self.connect(make_request("begun", "/s/x", 15_000))
+        self.receive_until(begun, EVENT + b"\r\n")
+        sent = self.connect(make_request("sent", "/a/x", 15_000))
+        reading = self.connect(make_request("reading", "/a/x", 15_000)[:-2])
+        wait_for(lambda: len(self.endpoint.requests) == 2, "the endpoint has not both requests")
+        self.process.terminate()
+        self.await_decision()
+        self.go_on()
+        self.assertEqual(self.describe(sent), (502, "instance_stopping", "maybe"))
+        self.assertEqual(self.describe(reading), (503, "instance_stopping", "no"))
+        self.assertEqual(self.receive(begun), b"")
+        self.assertEqual(self.process.wait(LIMIT_S), 2)
+        ended = {event["request"]: event for event in self.find_events("request_ended")}
+        ends_logged = {name: (one["outcome"], one["status"]) for name, one in ended.items()}
+        self.assertEqual(ends_logged, {"sent": ("cut_by_stop", 502), "begun": ("cut_by_stop", 200)})
+        (rejected,) = self.find_events("request_rejected")
+        self.assertEqual((rejected["request"], rejected["code"]), ("reading", "instance_stopping"))
+        (decided,), (stopped,) = self.find_events("exit_decided"), self.find_events("stopped")
+        self.assertEqual((decided["open"], stopped["cut"], stopped["refused"]), (3, 2, 1))
+
+
 if __name__ == "__main__":
     unittest.main()
