Leave time in a drain for refusing what is half received

What callers saw: at the end of a router's grace time 0.35 s are left for the drain. A caller whose request was half received then got no answer: its connection was closed by the exit.

Cause: the drain waits up to a second for the rest of such requests, but no longer than until its own end, and refuses them only after that wait. With less than a second left nothing remained for the refusals.

Ruled out: that the refusal itself is missing; with five seconds left the same request gets its 503.

Change: the wait for the rest takes at most half of the time that is left.

Before: test_incomplete_request_is_answered_when_little_time_is_left failed, AssertionError: 1 != 0, the connection was still open at the end of the drain.

--- a/chivetrack/daemon/server.py
+++ b/chivetrack/daemon/server.py
@@ -324,14 +324,16 @@
 
         The application must refuse new requests already. Connections that wait in the accept
         queue are accepted, and requests that are not received completely within
-        ``RECEIVE_TIMEOUT_S`` are refused. Return the number of connections that are still open
-        at ``ends_at`` (s, monotonic), because their callers do not read.
+        ``RECEIVE_TIMEOUT_S`` or half of the time are refused. Return the number of connections
+        that are still open at ``ends_at`` (s, monotonic), because their callers do not read.
         """
         self.is_draining = True
         self._accept_queued()
         self.close()
         self.close_idle()
-        self.pool.join(timeout=min(RECEIVE_TIMEOUT_S, max(0.0, ends_at - time.monotonic())))
+        # The other half is for sending the refusals.
+        left_s = max(0.0, ends_at - time.monotonic())
+        self.pool.join(timeout=min(RECEIVE_TIMEOUT_S, left_s / 2))
         for handler in list(self.receiving_handlers):
             handler.end_reading()
         self.pool.join(timeout=max(0.0, ends_at - time.monotonic()))
--- a/tests/daemon/test_server.py
+++ b/tests/daemon/test_server.py
@@ -240,6 +240,18 @@
                 self.assertTrue(answer.startswith(b"HTTP/1.1 503"), answer)
                 self.assertIn(b'"ran":"no"', answer)
 
+    def test_incomplete_request_is_answered_when_little_time_is_left(self) -> None:
+        """Guards against a drain that waits for the rest of a request until its own end."""
+        for sent in (b"GET / HT", self.REQUEST[:-2]):
+            with self.subTest(sent):
+                self.serve(self.answer).close()
+                caller = self.connect()
+                caller.sendall(sent)
+                gevent.sleep(0.02)
+                self.assertEqual(self.drain(0.3), 0)
+                answer = self.receive(caller)
+                self.assertTrue(answer.startswith(b"HTTP/1.1 503"), answer)
+
     def test_rest_of_a_request_is_awaited(self) -> None:
         """Guards against refusing a request unread while the rest of it is on its way."""
         self.serve(self.answer).close()
