Don't blame a caller for a body that a stopping server cuts off

What callers saw: a request whose body arrived in pieces while its connection was closed as idle got 400, malformed_body, which says that the same request would fail again.

Cause: closing an idle connection ends reading from it. A head that was in its receive buffer is still read and passed to the application, and the rest of the body, which comes later, is not; the short body counted as the caller's mistake.

Ruled out: that the head alone is enough for it; a head cut off this way is refused 503 already.

Change: the server says in the WSGI environment that it has ended reading, and an incomplete body is then refused as instance_stopping, 503, not run. A body that its caller cuts short stays malformed_body.

Before: test_body_that_the_server_stops_reading_is_not_malformed failed, for a body with a length and for a chunked one: AssertionError: Lists differ: [('malformed_body', 400, <Ran.NO: 'no'>), ... After: tests.daemon.test_server three of three runs.

--- a/chivetrack/components/caller_api/body.py
+++ b/chivetrack/components/caller_api/body.py
@@ -4,8 +4,10 @@
 
 import gevent
 
+from chivetrack.components.caller_api.const import ENVIRON_READING_ENDED
+from chivetrack.components.limits.stopping import make_stopping_fault
 from chivetrack.components.pipeline import faults
-from chivetrack.exceptions import FaultError
+from chivetrack.exceptions import Fault, FaultError
 
 
 def read_body(environ: dict[str, Any], *, limit: int, timeout_s: float) -> bytes:
@@ -23,9 +25,15 @@
         try:
             body: bytes = environ["wsgi.input"].read(limit + 1)
         except (OSError, ValueError) as error:
-            raise FaultError(faults.malformed_body(f"cannot read the body: {error}")) from error
+            raise FaultError(_make_incomplete(environ, f"cannot read the body: {error}")) from error
     if len(body) > limit:
         raise FaultError(faults.body_too_large(limit))
     if length.isdigit() and len(body) < int(length):
-        raise FaultError(faults.malformed_body("the body is shorter than its Content-Length"))
+        raise FaultError(_make_incomplete(environ, "the body is shorter than its Content-Length"))
     return body
+
+
+def _make_incomplete(environ: dict[str, Any], detail: str) -> Fault:
+    if environ.get(ENVIRON_READING_ENDED):
+        return make_stopping_fault(do_others_accept=True, left_s=0.0)
+    return faults.malformed_body(detail)
--- a/chivetrack/components/caller_api/const.py
+++ b/chivetrack/components/caller_api/const.py
@@ -23,6 +23,8 @@
 
 # WSGI environment key of the caller's socket.
 ENVIRON_SOCKET: Final = "chivetrack.socket"
+# WSGI environment key: whether the server itself has stopped reading from the caller.
+ENVIRON_READING_ENDED: Final = "chivetrack.reading_ended"
 HEADER_REQUEST_ID: Final = "X-Request-Id"
 HEADER_ENDPOINT: Final = "X-Served-By"
 JSON_TYPE: Final = "application/json"
--- a/chivetrack/daemon/server.py
+++ b/chivetrack/daemon/server.py
@@ -11,7 +11,7 @@
 from gevent.pool import Pool
 from gevent.pywsgi import Input, WSGIHandler, WSGIServer
 
-from chivetrack.components.caller_api.const import ENVIRON_SOCKET
+from chivetrack.components.caller_api.const import ENVIRON_READING_ENDED, ENVIRON_SOCKET
 from chivetrack.components.caller_api.errors import make_raw_error
 from chivetrack.components.limits.stopping import make_stopping_fault
 from chivetrack.components.pipeline import faults
@@ -178,6 +178,7 @@
         # the caller left. It would be mistaken for that, and the last request of the
         # connection would be abandoned without an answer.
         environ[ENVIRON_SOCKET] = None if self.is_reading_ended else self.socket
+        environ[ENVIRON_READING_ENDED] = self.is_reading_ended
         environ[ENVIRON_CONNECTED_AT] = self.connected_at
         environ[ENVIRON_TARGET] = self.path
         environ[ENVIRON_HEADERS] = self.headers.list_lines()
--- a/tests/daemon/test_server.py
+++ b/tests/daemon/test_server.py
@@ -12,11 +12,13 @@
 from gevent.event import Event
 
 from chivetrack.components.caller_api.app import CallerApi
+from chivetrack.components.caller_api.body import read_body
 from chivetrack.components.caller_api.const import ENVIRON_SOCKET
 from chivetrack.components.caller_api.gateway import Gateway
 from chivetrack.components.caller_api.watch import watch_caller
 from chivetrack.components.upstream.client import UpstreamClient
 from chivetrack.daemon.server import AbortConnectionError, HttpServer, ServerLimits
+from chivetrack.exceptions import FaultError, Ran
 from chivetrack.helpers.telemetry import open_telemetry
 
 LIMITS = ServerLimits(header_timeout_s=0.2, idle_timeout_s=0.3)
@@ -168,6 +170,31 @@
         self.server.close_idle()
         self.assertIn(b"done", connection.recv(65536))
 
+    def test_body_that_the_server_stops_reading_is_not_malformed(self) -> None:
+        """Guards against blaming a caller for a body that the server itself cut off."""
+
+        def answer(environ: Any, start_response: Any) -> Any:
+            try:
+                read_body(environ, limit=100, timeout_s=5.0)
+            except FaultError as error:
+                codes.append((error.fault.code, error.fault.status, error.fault.ran))
+            start_response("503 Service Unavailable", [("Content-Length", "0")])
+            return []
+
+        head = b"POST / HTTP/1.1\r\nHost: x\r\n"
+        bodies = (b"Content-Length: 4\r\n\r\nbo", b"Transfer-Encoding: chunked\r\n\r\n4\r\nbo")
+        codes: list[tuple[str, int, Ran]] = []
+        for body in bodies:
+            self.serve(answer).close()
+            address = ("127.0.0.1", self.server.server_port)
+            caller = stdlib_socket.create_connection(address, timeout=10)
+            self.addCleanup(caller.close)
+            gevent.sleep(0.02)
+            caller.sendall(head + body)
+            self.server.close_idle()
+            gevent.sleep(0.05)
+        self.assertEqual(codes, [("instance_stopping", 503, Ran.NO)] * len(bodies))
+
 
 class DrainTest(ServerCase):
     """Holds the moment still: callers send while the server's greenlets do not run."""
