--- a/chivetrack/daemon/server.py
+++ b/chivetrack/daemon/server.py
@@ -11,7 +11,7 @@
 from gevent.pool import Pool
 from gevent.pywsgi import Input, WSGIHandler, WSGIServer
 
-from chivetrack.components.caller_api.const import ENVIRON_SOCKET
+from chivetrack.components.caller_api.const import ENVIRON_READING_ENDED, ENVIRON_SOCKET
 from chivetrack.components.caller_api.errors import make_raw_error
 from chivetrack.components.limits.stopping import make_stopping_fault
 from chivetrack.components.pipeline import faults
@@ -178,6 +178,7 @@
         # the caller left. It would be mistaken for that, and the last request of the
         # connection would be abandoned without an answer.
         environ[ENVIRON_SOCKET] = None if self.is_reading_ended else self.socket
+        environ[ENVIRON_READING_ENDED] = self.is_reading_ended
         environ[ENVIRON_CONNECTED_AT] = self.connected_at
         environ[ENVIRON_TARGET] = self.path
         environ[ENVIRON_HEADERS] = self.headers.list_lines()
@@ -324,14 +325,16 @@
 
         The application must refuse new requests already. Connections that wait in the accept
         queue are accepted, and requests that are not received completely within
-        ``RECEIVE_TIMEOUT_S`` are refused. Return the number of connections that are still open
-        at ``ends_at`` (s, monotonic), because their callers do not read.
+        ``RECEIVE_TIMEOUT_S`` or half of the time are refused. Return the number of connections
+        that are still open at ``ends_at`` (s, monotonic), because their callers do not read.
         """
         self.is_draining = True
         self._accept_queued()
         self.close()
         self.close_idle()
-        self.pool.join(timeout=min(RECEIVE_TIMEOUT_S, max(0.0, ends_at - time.monotonic())))
+        # The other half is for sending the refusals.
+        left_s = max(0.0, ends_at - time.monotonic())
+        self.pool.join(timeout=min(RECEIVE_TIMEOUT_S, left_s / 2))
         for handler in list(self.receiving_handlers):
             handler.end_reading()
         self.pool.join(timeout=max(0.0, ends_at - time.monotonic()))
