--- a/tests/daemon/fleet/test_open_requests.py
+++ b/tests/daemon/fleet/test_open_requests.py
@@ -89,6 +89,7 @@
             crash_detector=create_autospec(CrashDetector, instance=True),
             events=self.events,
             record_end=lambda call, outcome: self.ended.append(outcome),
+            record_rejection=lambda fault: None,
         )
         self.caller = Caller()
 
