Keep the wait for a full pipe within the time that a drain leaves

A router's drain ends 0.15 s before SIGKILL (STOP_DRAINED_S). With a log reader that hangs, a wait of 0.25 s at the end of the event log would reach SIGKILL, and the exit code would tell a kill.

--- a/chivetrack/helpers/events.py
+++ b/chivetrack/helpers/events.py
@@ -21,8 +21,8 @@
 WRITE_INTERVAL_S = 0.25
 # Wait while the queue is empty; the delay of the event loop is measured after each wait.
 IDLE_INTERVAL_S = 1.0
-# Limit of the wait for a full pipe at the exit; it must leave time until SIGKILL.
-CLOSE_TIMEOUT_S = 0.25
+# Limit of the wait for a full pipe at the exit; a router has 0.15 s left until SIGKILL then.
+CLOSE_TIMEOUT_S = 0.1
 CLOSE_POLL_S = 0.01
 # Limit for each event name, with bursts of twice as many lines. A router with 40 requests per
 # second and three lines each stays below the limit; a flood of refusals does not.
