Compare the threads in the event log's test by identity

test_lines_are_written_in_order_and_without_a_thread failed in two of two runs behind tests.daemon.fleet. test_router_exit: 1 != 2 threads. A thread that an earlier test had left behind ended during this one; the log started none. The test compared numbers, so it also failed for a thread that ended, and would have passed for one that began while another ended. It compares the threads themselves now, which is stricter for what it guards against.

--- a/tests/helpers/test_events.py
+++ b/tests/helpers/test_events.py
@@ -37,7 +37,7 @@
         Hundreds of processes on one machine each log a few lines per second; their writer
         threads took more processor time than the lines.
         """
-        threads = threading.active_count()
+        threads = set(threading.enumerate())
         writer = gevent.spawn(self.events.run)
         self.addCleanup(writer.kill)
         for number in range(100):
@@ -48,7 +48,7 @@
         gevent.sleep(0.4)
         self.assertEqual(numbers, list(range(100)))
         self.assertEqual([line["event"] for line in self.read_lines()], ["started"])
-        self.assertEqual(threading.active_count(), threads)
+        self.assertEqual(set(threading.enumerate()) - threads, set())
 
     def test_stalled_reader_does_not_block_the_process(self) -> None:
         """Guards against writes that block when the log collector hangs and the pipe fills up.
