Refuse what the daemon reads after its decision to exit

Callers saw: requests on kept connections, sent in the last half second of a planned stop, were run by an endpoint and then cut: 500 "internal_error, ran maybe", or a closed connection. Callers in the accept queue were reset at the exit.

Cause: the stop of chivetrackd decided to exit when no request was open, announced its departure for 0.5 s, and went on serving what it read meanwhile; the exit killed it. It had stopped accepting, but its listening socket stayed open. A request whose body was still being read was counted by nobody, nor was an operator's change that waited for the log.

Ruled out: the end of the time (the log says "Stopped, nothing cut off"), a caller taken for gone (the answer is GreenletExit of the exit). A longer quiet period would only move the moment.

Change: a gate before the application of callers and one before that of operators count requests from their heads on. Both close in the step that counts nothing open, with no switch of greenlets in between. What is read later is refused as a typed error (503, instance_stopping, not run, with an id that is logged); readiness is still answered. Then the callers' listener is drained, leases and leadership are given up, and the other two listeners are drained before the writer of the replica stops. Connections are accepted until the drain; after the settle time requests on new ones are refused, since otherwise a stop would never be quiet while callers keep coming (it did not accept them before).

Conclusion: nothing is passed on after the decision.

--- a/chivetrack/components/caller_api/gateway.py
+++ b/chivetrack/components/caller_api/gateway.py
@@ -118,12 +118,18 @@
         self._read_clock = read_clock
         self._make_id = make_id
         self._mailboxes: dict[str, SimpleQueue] = {}
+        self._streaming_ids: set[str] = set()
 
     @property
     def open_count(self) -> int:
         """Return the number of requests that wait for an answer or are receiving one."""
         return len(self._mailboxes)
 
+    @property
+    def streaming_count(self) -> int:
+        """Return the number of requests whose streamed answer has begun."""
+        return len(self._streaming_ids)
+
     def handle_effect(self, effect: RequestEffect) -> None:
         """Forward an effect to the greenlet of its request; ignore a finished request."""
         mailbox = self._mailboxes.get(effect.request_id)
@@ -146,6 +152,8 @@
             self._post(RequestArrived(request_id=request_id, request=request))
             answer = self._execute_effects(pending)
             stays_open = isinstance(answer.body, RelayBody)
+            if stays_open:
+                self._streaming_ids.add(request_id)
             if answer.fault is not None:
                 pending.hop.mark_failed(answer.fault.code)
             return answer
@@ -181,6 +189,7 @@
     def _close(self, pending: _PendingRequest) -> None:
         if self._mailboxes.pop(pending.request_id, None) is None:
             return
+        self._streaming_ids.discard(pending.request_id)
         self._instruments.change_in_flight(-1)
         pending.hops.close()
 
--- a/chivetrack/daemon/const.py
+++ b/chivetrack/daemon/const.py
@@ -17,6 +17,8 @@
 # Graceful stop; it is complete after the quiet period without an open request.
 STOP_POLL_INTERVAL_S: Final = 0.02
 STOP_QUIET_PERIOD_S: Final = 0.2
+# Least time for callers to receive their answers after the decision to exit.
+STOP_DRAIN_TIMEOUT_S: Final = 2.0
 
 # Longest sleep of the runner between two checks of the timers.
 MAX_SLEEP_S: Final = 0.5
--- a/chivetrack/daemon/instance.py
+++ b/chivetrack/daemon/instance.py
@@ -12,6 +12,7 @@
 
 from chivetrack.assembly import Router, RouterIdentity, RouterOptions, assemble_router
 from chivetrack.components.caller_api.app import CallerApi
+from chivetrack.components.caller_api.const import PATH_HEALTH, PATH_READY
 from chivetrack.components.caller_api.gateway import Gateway
 from chivetrack.components.configuration.models import ConfigurationSettings, WhenUnconfirmed
 from chivetrack.components.management.app import build_management_app
@@ -26,14 +27,18 @@
 from chivetrack.const import MILLISECONDS_PER_SECOND
 from chivetrack.core import SendMessage
 from chivetrack.daemon.announcements import AnnouncementHandler
+from chivetrack.daemon.call_gate import CallGate
+from chivetrack.daemon.const import STOP_DRAIN_TIMEOUT_S
 from chivetrack.daemon.encryption import Encryption
 from chivetrack.daemon.explanations import Explanations
 from chivetrack.daemon.gauges import GAUGE_INTERVAL_S, Gauges
 from chivetrack.daemon.listeners import Applications, Listeners
 from chivetrack.daemon.management import Management
 from chivetrack.daemon.metrics import build_metrics_app
+from chivetrack.daemon.open_requests import InstanceRequests
 from chivetrack.daemon.peering import MessageDispatcher
 from chivetrack.daemon.recorder import RequestRecorder
+from chivetrack.daemon.refusals import ConnectionGate, StopRefusal
 from chivetrack.daemon.replica_host import ReplicaHost
 from chivetrack.daemon.resources import ResourceHandler, build_resources_app, make_key_ring
 from chivetrack.daemon.runner import Runner
@@ -95,12 +100,29 @@
         self.transport = self._build_transport()
         self._replica = self._build_replica()
         self.dispatcher.replica = self._replica
-        self._listeners = self._build_listeners()
+        connection_gate, caller_gate = self._build_caller_gates()
+        operator_gate = self._build_operator_gate()
+        self._listeners = Listeners(
+            settings=settings.listeners,
+            applications=Applications(
+                caller=caller_gate,
+                resources=operator_gate,
+                telemetry=build_metrics_app(telemetry=telemetry),
+            ),
+            encryption=encryption,
+            is_closing=self.is_stopping,
+            limits=make_server_limits(settings.limits),
+        )
         self._stop = GracefulStop(
             settle_s=settings.stop.settle_s,
             deadline_s=settings.stop.deadline_s,
-            count_open=lambda: self.gateway.open_count,
-            close_listeners=self._listeners.close_caller,
+            requests=InstanceRequests(
+                gateway=self.gateway,
+                connection_gate=connection_gate,
+                caller_gate=caller_gate,
+                operator_gate=operator_gate,
+                listeners=self._listeners,
+            ),
             read_clock=time.monotonic,
         )
         self._connect_effects()
@@ -192,8 +214,7 @@
             system_random=random.SystemRandom(),
         )
 
-    def _build_listeners(self) -> Listeners:
-        operators = make_key_ring(self._settings.operators.keys)
+    def _build_caller_gates(self) -> tuple[ConnectionGate, CallGate]:
         announcements = AnnouncementHandler(
             registry=self.router.registry,
             keys=make_key_ring(self._settings.announcers.keys),
@@ -205,6 +226,17 @@
             is_ready=self.is_ready,
             max_body=self._settings.limits.max_body_bytes,
         )
+        application = caller_api.build()
+        refuse = StopRefusal(
+            application=application,
+            make_id=_make_id,
+            answered_paths=(PATH_HEALTH, PATH_READY),
+        )
+        connection_gate = ConnectionGate(application=application, refuse=refuse)
+        return connection_gate, CallGate(application=connection_gate, refuse=refuse)
+
+    def _build_operator_gate(self) -> CallGate:
+        operators = make_key_ring(self._settings.operators.keys)
         resources = build_resources_app(
             handler=ResourceHandler(submissions=self.submissions, registry=self.router.registry),
             view=self.router.configuration.view,
@@ -229,18 +261,8 @@
         operators_app = build_management_app(management.make_ports())
         operators_app.merge(resources)
         operators_app.default_error_handler = resources.default_error_handler
-        applications = Applications(
-            caller=caller_api.build(),
-            resources=operators_app,
-            telemetry=build_metrics_app(telemetry=self._telemetry),
-        )
-        return Listeners(
-            settings=self._settings.listeners,
-            applications=applications,
-            encryption=self._encryption,
-            is_closing=self.is_stopping,
-            limits=make_server_limits(self._settings.limits),
-        )
+        refuse = StopRefusal(application=operators_app, make_id=_make_id)
+        return CallGate(application=operators_app, refuse=refuse)
 
     def _connect_effects(self) -> None:
         self.runner.register_handler(SendMessage, self._send)
@@ -274,6 +296,8 @@
             _LOGGER.info("Instance {} has started.", self.instance_id)
             report = self._stop.wait()
             self._leave()
+            # The metrics and the refusals of operators' requests are answered until now.
+            self._listeners.drain_rest(ends_at=time.monotonic() + STOP_DRAIN_TIMEOUT_S)
             return report
 
     def _leave(self) -> None:
--- a/chivetrack/daemon/listeners.py
+++ b/chivetrack/daemon/listeners.py
@@ -3,9 +3,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from bottle import Bottle
+import gevent
 
 from chivetrack.components.settings.models import ListenerSettings
+from chivetrack.daemon.call_gate import Application
 from chivetrack.daemon.encryption import Encryption
 from chivetrack.daemon.server import HttpServer, ServerLimits
 from chivetrack.helpers.sections.values import Address
@@ -15,9 +16,9 @@
 class Applications:
     """The application of each HTTP listener."""
 
-    caller: Bottle
-    resources: Bottle
-    telemetry: Bottle
+    caller: Application
+    resources: Application
+    telemetry: Application
 
 
 class Listeners:
@@ -42,7 +43,7 @@
             "telemetry": self._create("telemetry", settings.telemetry, applications.telemetry),
         }
 
-    def _create(self, name: str, address: Address, application: Bottle) -> HttpServer:
+    def _create(self, name: str, address: Address, application: Application) -> HttpServer:
         return HttpServer(
             address=(address.host, address.port),
             application=application,
@@ -56,9 +57,26 @@
         for server in self._servers.values():
             server.start()
 
-    def close_caller(self) -> None:
-        """Accept no new connections from callers; open connections continue."""
-        self._servers["caller"].stop_accepting()
+    def get_port(self, name: str) -> int:
+        """Return the port of a listener that has been opened."""
+        return int(self._servers[name].server_port)
+
+    def drain_caller(self, *, ends_at: float) -> int:
+        """Answer what callers have sent, then close their listener and connections.
+
+        Return the number of connections that are still open at ``ends_at`` (s, monotonic).
+        """
+        return self._servers["caller"].drain(ends_at=ends_at)
+
+    def count_caller_connections(self) -> int:
+        """Return the number of open connections of callers."""
+        return len(self._servers["caller"].pool)
+
+    def drain_rest(self, *, ends_at: float) -> int:
+        """Drain the listeners that serve no callers, as ``drain_caller`` does."""
+        servers = [self._servers["resources"], self._servers["telemetry"]]
+        draining = [gevent.spawn(server.drain, ends_at=ends_at) for server in servers]
+        return sum(greenlet.get() for greenlet in draining)
 
     def stop(self) -> None:
         """Close all listeners and their connections."""
--- a/tests/system/test_stop_graceful.py
+++ b/tests/system/test_stop_graceful.py
@@ -2,15 +2,18 @@
 
 import http.client
 import signal
+import time
 import unittest
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack
 
 from standins.demo import CALLER_KEY, CHAT_PATH, MODEL, apply_workspace, chat, wait_routed
 from standins.fleet import Fleet, Member, open_fleet
-from tests.system.test_path_own_answer import make_chat, wait_until
+from tests.system.test_path_own_answer import make_chat, make_head, wait_until
 
 STREAMS = 6
+LATE_REQUESTS = 12
+LATE_INTERVAL_S = 0.04
 TOKENS = 40
 END_MARK = b"data: [DONE]"
 
@@ -81,6 +84,51 @@
         self.assertIn("nothing cut off", leaving.read_log())
 
 
+class LateRequestTest(StopCase):
+    """Sends requests on kept connections from the decision to exit until the exit."""
+
+    def keep_connection(self, member: Member) -> http.client.HTTPConnection:
+        connection = http.client.HTTPConnection(member.address, timeout=60)
+        self.addCleanup(connection.close)
+        self.assertEqual(self.exchange(connection, "warm"), 200)
+        return connection
+
+    def exchange(self, connection: http.client.HTTPConnection, chat_id: str) -> int:
+        """Return the status of the answer to a chat, or 0 if there was no answer."""
+        body = make_chat("late", stream=False)
+        lines = [f"X-Chat-Id: {chat_id}", "X-Idempotent: false", f"Content-Length: {len(body)}"]
+        try:
+            if connection.sock is None:
+                connection.connect()
+            connection.sock.sendall(make_head(CHAT_PATH, *lines) + body)
+            response = http.client.HTTPResponse(connection.sock, method="POST")
+            response.begin()
+            response.read()
+        except (http.client.HTTPException, ConnectionError):
+            return 0
+        return response.status
+
+    def test_request_after_the_decision_to_exit_is_not_run_and_cut(self) -> None:
+        """Guards against a request that is read after the decision to exit and cut by the exit."""
+        fleet = self.open(deadline_s=30.0, token_ms=10, balancer=False)
+        leaving = fleet.members["entry-2"]
+        connections = [self.keep_connection(leaving) for _ in range(LATE_REQUESTS)]
+        leaving.send(signal.SIGTERM)
+        wait_until(lambda: "Stopped, nothing cut off" in leaving.read_log(), "the decision")
+
+        def send_late(number: int) -> int:
+            time.sleep(number * LATE_INTERVAL_S)
+            return self.exchange(connections[number], f"late-{number}")
+
+        with ThreadPoolExecutor(LATE_REQUESTS) as workers:
+            statuses = list(workers.map(send_late, range(LATE_REQUESTS)))
+        self.assertEqual(leaving.process.wait(30), 0)
+        seen = {entry["chat"] for entry in fleet.read_seen(fleet.members["engine-1"])}
+        cut = [n for n, status in enumerate(statuses) if f"late-{n}" in seen and status != 200]
+        self.assertEqual(cut, [], statuses)
+        self.assertLessEqual(set(statuses), {0, 200, 503})
+
+
 class ForcedStopTest(StopCase):
     def assert_cut(self, leaving: Member, stream: http.client.HTTPResponse) -> None:
         with self.assertRaises((http.client.IncompleteRead, ConnectionError)):
