Answer the requests that a forced stop of the daemon ends

Callers saw: at the deadline of a stop or at a second signal, a request that waited for its endpoint got 500 "internal_error", a half-sent one a closed connection, and an operator's change that waited for the log got 500, from which nobody can tell whether it was made.

Cause: the exit killed the greenlets of open requests, wherever they were. Retries went on until then.

Ruled out: answering from the listener alone. It does not know whether an attempt was sent; the request flow does.

Change: after the decision to exit, each open request gets an error raised in its greenlet, and the flow is told which attempt was sent. Not sent: 503, not run, and its idempotency key is released. Sent, with no answer: 502, instance_stopping, may have run. An answer that has begun is left incomplete; an event stream says so in its last event. A body that is still arriving: 503, not run. Nothing is sent any more by requests that go on for a step. Submissions of operators end likewise: a change may have been made (the resource API says outcome_unknown, to be resent with the same id), a read has not run, and a result that has come is kept.

Conclusion: a forced stop cuts only answers that have begun, and says of the others whether they ran.

--- a/chivetrack/components/caller_api/app.py
+++ b/chivetrack/components/caller_api/app.py
@@ -17,8 +17,10 @@
     PATH_SERVICE,
 )
 from chivetrack.components.caller_api.errors import make_error_response
+from chivetrack.components.caller_api.exit import ExitDecidedError
 from chivetrack.components.caller_api.gateway import Gateway, GatewayAnswer
 from chivetrack.components.caller_api.watch import CallerLeftError, watch_caller
+from chivetrack.components.limits.stopping import make_stopping_fault
 from chivetrack.components.pipeline import faults
 from chivetrack.components.pipeline.models import CallerRequest, RequestKind
 from chivetrack.exceptions import Fault, FaultError
@@ -93,7 +95,7 @@
 
     def _serve(self, kind: RequestKind, path: str, service: str) -> HTTPResponse:
         try:
-            body = read_body(request.environ, limit=self._max_body, timeout_s=self._body_timeout_s)
+            body = self._read_body()
             caller_request = CallerRequest(
                 kind=kind,
                 method=request.method,
@@ -110,9 +112,20 @@
             return make_error_response(faults.caller_gone(error.ran))
         return make_response(answer)
 
+    def _read_body(self) -> bytes:
+        """Return the body of the current request; raise ``FaultError`` if it cannot be read."""
+        try:
+            with self._gateway.open_requests.track():
+                return read_body(
+                    request.environ, limit=self._max_body, timeout_s=self._body_timeout_s
+                )
+        except ExitDecidedError:
+            fault = make_stopping_fault(do_others_accept=True, left_s=0.0)
+            raise FaultError(fault) from None
+
     def _handle_announcement(self) -> HTTPResponse:
         try:
-            body = read_body(request.environ, limit=self._max_body, timeout_s=self._body_timeout_s)
+            body = self._read_body()
         except FaultError as error:
             return make_error_response(error.fault)
         fault = self._announce(body, read_headers().get("authorization", ""))
--- a/chivetrack/components/caller_api/gateway.py
+++ b/chivetrack/components/caller_api/gateway.py
@@ -1,6 +1,6 @@
 """Executes the effects of the request flow on behalf of callers."""
 
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Mapping
 from contextlib import ExitStack
 from dataclasses import dataclass, field, replace
 
@@ -16,7 +16,10 @@
     OVERLOAD_RETRY_AFTER_S,
     STREAM_TYPE,
 )
+from chivetrack.components.caller_api.exit import ExitDecidedError, OpenRequests
 from chivetrack.components.caller_api.relay import RelayBody
+from chivetrack.components.caller_api.upstream_request import make_upstream_request
+from chivetrack.components.limits.stopping import make_stopping_fault
 from chivetrack.components.pipeline import faults
 from chivetrack.components.pipeline.models import (
     AnswerEnded,
@@ -25,6 +28,7 @@
     CallerGone,
     CallerRequest,
     DeadlineReached,
+    ExitDecided,
     Refuse,
     RelayAnswer,
     ReplayAnswer,
@@ -34,18 +38,10 @@
     StartAttempt,
 )
 from chivetrack.components.upstream.client import UpstreamAnswer, UpstreamClient
-from chivetrack.components.upstream.const import (
-    ATTEMPT_HEADER,
-    DEADLINE_HEADER,
-    NOT_FORWARDED_HEADERS,
-    PRIORITY_HEADER,
-)
 from chivetrack.components.upstream.models import (
     AttemptOutcome,
     BrokenAnswerError,
-    UpstreamRequest,
 )
-from chivetrack.const import MILLISECONDS_PER_SECOND
 from chivetrack.exceptions import Fault
 from chivetrack.helpers.telemetry import Hop, Telemetry, extract_context
 
@@ -119,6 +115,7 @@
         self._make_id = make_id
         self._mailboxes: dict[str, SimpleQueue] = {}
         self._streaming_ids: set[str] = set()
+        self.open_requests = OpenRequests()
 
     @property
     def open_count(self) -> int:
@@ -143,17 +140,17 @@
         if self.open_count >= self._max_open:
             fault = faults.too_many_requests(self._max_open, OVERLOAD_RETRY_AFTER_S)
             return GatewayAnswer(request_id=self._make_id(), fault=fault)
+        if self.open_requests.is_ended:
+            fault = make_stopping_fault(do_others_accept=True, left_s=0.0)
+            return GatewayAnswer(request_id=self._make_id(), fault=fault)
         pending = self._open(request)
         headers = {**request.headers, **pending.hop.write_headers()}
         request = replace(request, headers=headers)
         request_id = pending.request_id
         stays_open = False
         try:
-            self._post(RequestArrived(request_id=request_id, request=request))
-            answer = self._execute_effects(pending)
+            answer = self._get_answer(pending, request)
             stays_open = isinstance(answer.body, RelayBody)
-            if stays_open:
-                self._streaming_ids.add(request_id)
             if answer.fault is not None:
                 pending.hop.mark_failed(answer.fault.code)
             return answer
@@ -166,6 +163,31 @@
             if not stays_open:
                 self._close(pending)
 
+    def _get_answer(self, pending: _PendingRequest, request: CallerRequest) -> GatewayAnswer:
+        """Return the answer, or the fault of a request that the exit of the instance ends."""
+        request_id = pending.request_id
+        self._post(RequestArrived(request_id=request_id, request=request))
+        try:
+            with self.open_requests.track():
+                answer = self._execute_effects(pending)
+            if isinstance(answer.body, RelayBody):
+                self.open_requests.add(request_id)
+                self._streaming_ids.add(request_id)
+            return answer
+        except ExitDecidedError:
+            if pending.answer is not None:
+                pending.answer.cancel()
+            return self._end_by_exit(pending)
+
+    def _end_by_exit(self, pending: _PendingRequest) -> GatewayAnswer:
+        self._post(ExitDecided(request_id=pending.request_id, sent_attempt=pending.attempt_number))
+        while True:
+            effect = pending.mailbox.get_nowait()
+            if isinstance(effect, Refuse):
+                return GatewayAnswer(request_id=pending.request_id, fault=effect.fault)
+            if isinstance(effect, ReplayAnswer):
+                return self._replay(effect)
+
     def _open(self, request: CallerRequest) -> _PendingRequest:
         hops = ExitStack()
         parent = extract_context(request.headers)
@@ -190,6 +212,7 @@
         if self._mailboxes.pop(pending.request_id, None) is None:
             return
         self._streaming_ids.discard(pending.request_id)
+        self.open_requests.discard(pending.request_id)
         self._instruments.change_in_flight(-1)
         pending.hops.close()
 
@@ -229,6 +252,7 @@
         )
 
     def _start_attempt(self, pending: _PendingRequest, effect: StartAttempt) -> None:
+        self.open_requests.raise_if_ended()
         if pending.answer is not None:
             pending.answer.cancel()
             pending.answer = None
@@ -363,35 +387,3 @@
         if pending.last_start is not None:
             headers[HEADER_ENDPOINT] = pending.last_start.attempt.endpoint_id
         return headers
-
-
-def make_upstream_request(effect: StartAttempt, hop: Hop) -> UpstreamRequest:
-    """Return the request as it goes to the endpoint of an attempt."""
-    exchange = effect.exchange
-    assert exchange.policy is not None
-    assert exchange.workspace is not None
-    headers = dict(_keep_end_to_end(exchange.request.headers))
-    headers[ATTEMPT_HEADER] = exchange.request_id
-    headers[DEADLINE_HEADER] = str(int(effect.timeout_s * MILLISECONDS_PER_SECOND))
-    headers[PRIORITY_HEADER] = str(exchange.priority)
-    headers.update(hop.write_headers())
-    headers["X-Chat-Id"] = exchange.affinity
-    headers["X-Workspace"] = exchange.workspace.name
-    return UpstreamRequest(
-        request_id=exchange.request_id,
-        address=effect.attempt.address,
-        method=exchange.request.method,
-        path=exchange.request.path,
-        headers=headers,
-        body=exchange.request.body,
-        timeout_s=effect.timeout_s,
-        stall_timeout_s=min(exchange.policy.stall_timeout_s, effect.timeout_s),
-        idempotent=exchange.idempotent,
-        expects_stream_end=exchange.stream,
-    )
-
-
-def _keep_end_to_end(headers: Mapping[str, str]) -> Iterator[tuple[str, str]]:
-    for name, value in headers.items():
-        if name not in NOT_FORWARDED_HEADERS and not name.startswith("x-request-"):
-            yield name.title(), value
--- a/chivetrack/components/caller_api/relay.py
+++ b/chivetrack/components/caller_api/relay.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterator
 
 from chivetrack.components.caller_api.errors import make_stream_error
+from chivetrack.components.caller_api.exit import ExitDecidedError
 from chivetrack.components.pipeline import faults
 from chivetrack.components.upstream.client import UpstreamAnswer
 from chivetrack.components.upstream.models import BrokenAnswerError
@@ -64,7 +65,7 @@
         except StopIteration:
             self._finish(whole=True)
             raise
-        except BrokenAnswerError as error:
+        except (BrokenAnswerError, ExitDecidedError) as error:
             self._finish(whole=False)
             if not self._is_event_stream:
                 raise AnswerCutError(self._request_id) from error
--- a/chivetrack/components/limits/stopping.py
+++ b/chivetrack/components/limits/stopping.py
@@ -39,6 +39,16 @@
         return now + expected_s <= self.exits_at or not do_others_accept
 
 
+def make_cut_fault() -> Fault:
+    """Return the fault for a request that an endpoint may be running when the instance exits."""
+    return Fault(
+        code="instance_stopping",
+        message="The instance stopped before the answer came; the request may have run.",
+        status=502,
+        ran=Ran.MAYBE,
+    )
+
+
 def make_stopping_fault(*, do_others_accept: bool, left_s: float) -> Fault:
     """Return the fault for a request that is refused ``left_s`` seconds before the exit.
 
--- a/chivetrack/components/pipeline/flow.py
+++ b/chivetrack/components/pipeline/flow.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, replace
 from typing import Any, Protocol
 
+from chivetrack.components.limits.stopping import make_cut_fault, make_stopping_fault
 from chivetrack.components.pipeline import faults
 from chivetrack.components.pipeline.chain import FilterChain, Proceed, Refused, Step
 from chivetrack.components.pipeline.models import (
@@ -17,6 +18,7 @@
     DeadlineReached,
     EndClaim,
     Exchange,
+    ExitDecided,
     QueueLeft,
     Refuse,
     RelayAnswer,
@@ -92,6 +94,7 @@
             AnswerEnded: self._handle_answer_end,
             CallerGone: self._handle_caller_gone,
             DeadlineReached: self._handle_deadline,
+            ExitDecided: self._handle_exit,
         }
 
     @property
@@ -178,6 +181,16 @@
     ) -> list[Effect]:
         return self._refuse(exchange, faults.deadline_exceeded(ran=exchange.ran), now)
 
+    def _handle_exit(self, exchange: Exchange, event: ExitDecided, now: float) -> list[Effect]:
+        is_open = len(exchange.attempts) > len(exchange.outcomes)
+        if is_open and event.sent_attempt < exchange.attempt.number:
+            exchange.outcomes.append(AttemptOutcome.NOT_SENT)
+        if exchange.ran is Ran.NO:
+            fault = make_stopping_fault(do_others_accept=True, left_s=0.0)
+        else:
+            fault = make_cut_fault()
+        return self._refuse(exchange, fault, now)
+
     def _handle_failure(self, exchange: Exchange, event: AttemptFailed, now: float) -> list[Effect]:
         # If the head of an answer has arrived, the endpoint has started the request, whatever
         # outcome the failure reports.
--- a/chivetrack/components/pipeline/models.py
+++ b/chivetrack/components/pipeline/models.py
@@ -219,6 +219,16 @@
     """The request's deadline has passed before its answer."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ExitDecided(RequestEvent):
+    """The instance exits before the request has its answer.
+
+    ``sent_attempt`` is the number of the newest attempt of which bytes may have been sent, or 0.
+    """
+
+    sent_attempt: int
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class AttemptEvent(RequestEvent):
     """Base of the events of one attempt; those of an earlier attempt are ignored."""
--- a/chivetrack/daemon/instance.py
+++ b/chivetrack/daemon/instance.py
@@ -118,6 +118,7 @@
             deadline_s=settings.stop.deadline_s,
             requests=InstanceRequests(
                 gateway=self.gateway,
+                submissions=self.submissions,
                 connection_gate=connection_gate,
                 caller_gate=caller_gate,
                 operator_gate=operator_gate,
--- a/chivetrack/daemon/open_requests.py
+++ b/chivetrack/daemon/open_requests.py
@@ -4,6 +4,7 @@
 from chivetrack.daemon.call_gate import CallGate
 from chivetrack.daemon.listeners import Listeners
 from chivetrack.daemon.refusals import ConnectionGate
+from chivetrack.daemon.submissions import Submissions
 
 
 class InstanceRequests:
@@ -13,6 +14,7 @@
         self,
         *,
         gateway: Gateway,
+        submissions: Submissions,
         connection_gate: ConnectionGate,
         caller_gate: CallGate,
         operator_gate: CallGate,
@@ -24,6 +26,7 @@
         """
         self._connection_gate = connection_gate
         self._gateway = gateway
+        self._submissions = submissions
         self._gates = (caller_gate, operator_gate)
         self._listeners = listeners
 
@@ -44,6 +47,11 @@
         for gate in self._gates:
             gate.is_closed = True
 
+    def end_open(self) -> None:
+        """End the open requests: they get a typed error, or their answer is left incomplete."""
+        self._gateway.open_requests.end()
+        self._submissions.end_open()
+
     def drain(self, *, ends_at: float) -> int:
         """Drain the listener for callers; return the connections open at ``ends_at``."""
         return self._listeners.drain_caller(ends_at=ends_at)
--- a/chivetrack/daemon/stop.py
+++ b/chivetrack/daemon/stop.py
@@ -55,6 +55,10 @@
         """Refuse every request that is read from now on; does not switch greenlets."""
         ...
 
+    def end_open(self) -> None:
+        """End the open requests: they get a typed error, or their answer is left incomplete."""
+        ...
+
     def drain(self, *, ends_at: float) -> int:
         """Answer what callers have sent, then close their listener and connections.
 
@@ -118,8 +122,10 @@
         self.phase = Phase.FINISHING
         self._requests.refuse_connections(opened_after=self._read_clock())
         cut = self._finish(ends_at)
+        if cut:
+            self._requests.end_open()
         _LOGGER.info("The exit is decided with {} requests open.", cut)
-        cut = max(cut, self._drain(ends_at))
+        cut += self._drain(ends_at)
         self.phase = Phase.ENDED
         if cut:
             _LOGGER.error("Stopped with {} requests cut off.", cut)
--- a/chivetrack/daemon/submissions.py
+++ b/chivetrack/daemon/submissions.py
@@ -1,10 +1,12 @@
 """Blocking submission of commands and confirmed reads from a greenlet."""
 
 from collections.abc import Callable
+from dataclasses import dataclass, field
 
 from expression import Error, Ok, Result
 from gevent.event import AsyncResult
 
+from chivetrack.components.limits.stopping import make_cut_fault, make_stopping_fault
 from chivetrack.components.proposals.models import SubmissionEnded, Submit, SubmitRead
 from chivetrack.core import Event
 from chivetrack.exceptions import Fault
@@ -12,6 +14,14 @@
 SUBMISSION_PREFIX = "api:"
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Waiting:
+    """A submission without a result; only a command has an effect."""
+
+    is_command: bool
+    result: AsyncResult = field(default_factory=AsyncResult)
+
+
 class Submissions:
     """Posts submissions and returns the result of each to its greenlet."""
 
@@ -26,7 +36,8 @@
         self._post = post
         self._read_clock = read_clock
         self.make_id = make_id
-        self._waiting: dict[str, AsyncResult] = {}
+        self._waiting: dict[str, _Waiting] = {}
+        self._is_ended = False
 
     def submit(self, data: bytes, *, timeout_s: float) -> Result[bytes, Fault]:
         """Submit a command to the log and return the bytes of its outcome."""
@@ -44,16 +55,31 @@
         return Ok(ended) if ended.fault is None else Error(ended.fault)
 
     def _wait(self, submission: Submit | SubmitRead) -> SubmissionEnded:
-        waiter = self._waiting[submission.submission_id] = AsyncResult()
+        if self._is_ended:
+            return SubmissionEnded(submission_id=submission.submission_id, fault=_make_refusal())
+        waiting = _Waiting(is_command=isinstance(submission, Submit))
+        self._waiting[submission.submission_id] = waiting
         try:
             self._post(submission)
-            ended: SubmissionEnded = waiter.get()
+            ended: SubmissionEnded = waiting.result.get()
             return ended
         finally:
             del self._waiting[submission.submission_id]
 
     def handle_end(self, ended: SubmissionEnded) -> None:
         """Wake the greenlet that waits for this submission; ignore an unknown one."""
-        waiter = self._waiting.get(ended.submission_id)
-        if waiter is not None:
-            waiter.set(ended)
+        waiting = self._waiting.get(ended.submission_id)
+        if waiting is not None:
+            waiting.result.set(ended)
+
+    def end_open(self) -> None:
+        """End all submissions because the instance exits; a command may have been committed."""
+        self._is_ended = True
+        for submission_id, waiting in self._waiting.items():
+            if not waiting.result.ready():
+                fault = make_cut_fault() if waiting.is_command else _make_refusal()
+                waiting.result.set(SubmissionEnded(submission_id=submission_id, fault=fault))
+
+
+def _make_refusal() -> Fault:
+    return make_stopping_fault(do_others_accept=True, left_s=0.0)
--- a/tests/components/pipeline/test_flow.py
+++ b/tests/components/pipeline/test_flow.py
@@ -13,6 +13,7 @@
     ClaimAnswered,
     DeadlineReached,
     EndClaim,
+    ExitDecided,
     QueueLeft,
     Refuse,
     RelayAnswer,
@@ -116,6 +117,23 @@
         self.assertEqual(effect.answer, stored)
         self.assert_idle()
 
+    def test_exit_says_whether_the_request_may_have_run(self) -> None:
+        """Guards against an exit that hides a run, or that denies a safe retry."""
+        table = [(0, 503, Ran.NO), (1, 502, Ran.MAYBE)]
+        for sent_attempt, status, ran in table:
+            with self.subTest(ran):
+                self.bench = FlowBench()
+                self.arrive(**KEYED)
+                self.answer_claim()
+                refuse, end = self.send(ExitDecided(request_id="r", sent_attempt=sent_attempt))
+                assert isinstance(refuse, Refuse)
+                assert isinstance(end, EndClaim)
+                fault = refuse.fault
+                self.assertEqual((fault.status, fault.ran), (status, ran))
+                self.assertEqual(fault.code, "instance_stopping")
+                self.assertEqual(end.did_not_run, ran is Ran.NO)
+                self.assert_idle()
+
     def test_claim_is_released_only_if_no_attempt_ran(self) -> None:
         """A request with a key fails, and its caller sends it again to another router.
 
--- a/tests/daemon/test_stop.py
+++ b/tests/daemon/test_stop.py
@@ -5,35 +5,34 @@
 import time
 import unittest
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 from typing import Any
 
 import gevent
-from gevent.event import Event
+from gevent.event import Event as Signal
 from gevent.socket import wait_read
 
 from chivetrack.components.caller_api.const import PATH_READY
+from chivetrack.components.caller_api.gateway import Gateway
+from chivetrack.components.proposals.models import SubmissionEnded
 from chivetrack.components.settings.models import ListenerSettings
+from chivetrack.components.upstream.client import UpstreamClient
+from chivetrack.core import Event
 from chivetrack.daemon.call_gate import CallGate
 from chivetrack.daemon.encryption import Encryption
 from chivetrack.daemon.listeners import Applications, Listeners
 from chivetrack.daemon.open_requests import InstanceRequests
 from chivetrack.daemon.refusals import ConnectionGate, StopRefusal
 from chivetrack.daemon.stop import GracefulStop, StopReport
+from chivetrack.daemon.submissions import Submissions
+from chivetrack.exceptions import Ran
 from chivetrack.helpers.sections.values import Address
+from chivetrack.helpers.telemetry import open_telemetry
 
 REQUEST = b"POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody"
 READY_REQUEST = b"GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n"
 CHUNK_BYTES = 65536
 
 
-@dataclass(slots=True, kw_only=True)
-class IdleGateway:
-    """A gateway without requests of its own."""
-
-    streaming_count: int = 0
-
-
 class HeldRequests(InstanceRequests):
     """Calls ``at_decision`` after the last count, while no greenlet of the server can run."""
 
@@ -48,7 +47,7 @@
     def setUp(self) -> None:
         self.served: list[str] = []
         self.work_s = 0.0
-        self.may_answer = Event()
+        self.may_answer = Signal()
         self.may_answer.set()
         self.refuse = StopRefusal(
             application=self.answer, make_id=lambda: "r1", answered_paths=[PATH_READY]
@@ -59,8 +58,13 @@
             CallGate(application=self.answer, refuse=self.refuse),
         ]
         self.listeners = self.open_listeners()
+        self.posted: list[Event] = []
+        self.submissions = Submissions(
+            post=self.posted.append, read_clock=time.monotonic, make_id=lambda: "s1"
+        )
         self.requests = HeldRequests(
-            gateway=IdleGateway(),  # type: ignore[arg-type]
+            gateway=self.make_gateway(),
+            submissions=self.submissions,
             connection_gate=self.connection_gate,
             caller_gate=self.gates[0],
             operator_gate=self.gates[1],
@@ -70,6 +74,15 @@
             settle_s=0.0, deadline_s=5.0, requests=self.requests, read_clock=time.monotonic
         )
 
+    def make_gateway(self) -> Gateway:
+        return Gateway(
+            post=self.posted.append,
+            client=UpstreamClient(),
+            telemetry=self.enterContext(open_telemetry(instance_id="entry-1")),
+            read_clock=time.monotonic,
+            make_id=lambda: "r1",
+        )
+
     def answer(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
         self.served.append(environ["PATH_INFO"])
         environ["wsgi.input"].read()
@@ -219,5 +232,35 @@
         self.assertEqual(self.served, [PATH_READY])
 
 
+class SubmissionEndTest(StopCase):
+    """Submissions that wait for the log when a stop is forced."""
+
+    def test_change_may_have_been_made_and_a_read_has_not_run(self) -> None:
+        """Guards against an operator without an answer, or told that a change was not made."""
+        self.submissions.make_id = iter(("s1", "s2")).__next__
+        change = gevent.spawn(self.submissions.submit, b"", timeout_s=10.0)
+        read = gevent.spawn(self.submissions.read, b"", timeout_s=10.0)
+        gevent.sleep(0)
+        self.submissions.end_open()
+        faults = [waiting.get(timeout=5).error for waiting in (change, read)]
+        self.assertEqual([fault.status for fault in faults], [502, 503])
+        self.assertEqual([fault.ran for fault in faults], [Ran.MAYBE, Ran.NO])
+
+    def test_result_that_has_come_is_kept(self) -> None:
+        """Guards against a committed change that is reported as unknown."""
+        waiting = gevent.spawn(self.submissions.submit, b"", timeout_s=10.0)
+        gevent.sleep(0)
+        self.submissions.handle_end(SubmissionEnded(submission_id="api:s1", result=b"done"))
+        self.submissions.end_open()
+        self.assertEqual(waiting.get(timeout=5).ok, b"done")
+
+    def test_nothing_is_submitted_after_the_end(self) -> None:
+        """Guards against a change that an open request submits after the decision to exit."""
+        self.submissions.end_open()
+        fault = self.submissions.submit(b"", timeout_s=10.0).error
+        self.assertEqual((fault.code, fault.ran), ("instance_stopping", Ran.NO))
+        self.assertEqual(self.posted, [])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/system/test_stop_graceful.py
+++ b/tests/system/test_stop_graceful.py
@@ -1,14 +1,17 @@
 """System tests of graceful and forced stops: requests complete, or are logged as cut off."""
 
 import http.client
+import json
 import signal
 import time
 import unittest
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack
 
 from standins.demo import CALLER_KEY, CHAT_PATH, MODEL, apply_workspace, chat, wait_routed
 from standins.fleet import Fleet, Member, open_fleet
+from tests.system.fleets import make_workspace
 from tests.system.test_path_own_answer import make_chat, make_head, wait_until
 
 STREAMS = 6
@@ -129,7 +132,19 @@
         self.assertLessEqual(set(statuses), {0, 200, 503})
 
 
+def count_in_flight(fleet: Fleet, member: Member) -> int:
+    """Return the number of requests in flight at an instance."""
+    return int(fleet.manage("GET", member, "/api/v1/status").json()["requests_in_flight"])
+
+
 class ForcedStopTest(StopCase):
+    def force_stop(self, leaving: Member, condition: Callable[[], bool]) -> None:
+        """Stop an instance by two signals once a condition holds."""
+        wait_until(condition, "the request is in progress")
+        leaving.send(signal.SIGTERM)
+        wait_until(lambda: "settling" in leaving.read_log(), "the stop has begun")
+        leaving.send(signal.SIGTERM)
+
     def assert_cut(self, leaving: Member, stream: http.client.HTTPResponse) -> None:
         with self.assertRaises((http.client.IncompleteRead, ConnectionError)):
             stream.read()
@@ -147,6 +162,52 @@
         leaving.send(signal.SIGTERM)
         self.assert_cut(leaving, stream)
 
+    def test_request_without_an_answer_may_have_run(self) -> None:
+        """Guards against a forced stop that cuts a running request without a typed error."""
+        fleet = self.open(deadline_s=60.0, token_ms=5, balancer=False)
+        leaving, engine = fleet.members["entry-2"], fleet.members["engine-1"]
+        fleet.inject_fault(engine, "late", delay_s=60.0)
+        with ThreadPoolExecutor(1) as workers:
+            running = workers.submit(chat, fleet, leaving, "x", stream=False)
+            self.force_stop(leaving, lambda: count_in_flight(fleet, leaving) == 1)
+            reply = running.result()
+        self.assertEqual((reply.status, reply.error["ran"]), (502, "maybe"))
+        self.assertEqual(reply.error["code"], "instance_stopping")
+        self.assertEqual(leaving.process.wait(30), 1)
+        self.assertIn("Stopped with 1 requests cut off", leaving.read_log())
+
+    def test_request_that_is_still_arriving_has_not_run(self) -> None:
+        """Guards against a forced stop that cuts a half-sent request without a typed error."""
+        fleet = self.open(deadline_s=60.0, token_ms=5, balancer=False)
+        leaving = fleet.members["entry-2"]
+        connection = http.client.HTTPConnection(leaving.address, timeout=60)
+        self.addCleanup(connection.close)
+        connection.connect()
+        connection.sock.sendall(make_head(CHAT_PATH, "Content-Length: 9") + b"half")
+        self.force_stop(leaving, lambda: True)
+        response = http.client.HTTPResponse(connection.sock, method="POST")
+        response.begin()
+        error = json.loads(response.read())["error"]
+        self.assertEqual((response.status, error["ran"]), (503, "no"))
+        self.assertEqual(error["code"], "instance_stopping")
+        self.assertEqual(leaving.process.wait(30), 1)
+
+    def test_change_that_waits_for_the_log_is_of_unknown_outcome(self) -> None:
+        """Guards against a forced stop that cuts an operator's change without an answer."""
+        fleet = self.open(deadline_s=60.0, token_ms=5, balancer=False)
+        leaving = fleet.members["entry-2"]
+        for name in ("entry-1", "entry-3"):
+            fleet.members[name].freeze()
+        with ThreadPoolExecutor(1) as workers:
+            path = "/api/v1/workspace"
+            value = make_workspace("late", priority=1)
+            running = workers.submit(fleet.manage, "POST", leaving, path, value)
+            time.sleep(0.5)
+            self.force_stop(leaving, lambda: not running.done())
+            reply = running.result()
+        self.assertEqual(reply.status, 504, reply.data)
+        self.assertEqual(reply.json()["error"]["code"], "outcome_unknown")
+
     def test_stop_deadline_ends_the_process(self) -> None:
         """Guards against a stop that waits longer than its deadline for a stream."""
         fleet = self.open(deadline_s=2.0, token_ms=5, balancer=False)
