--- a/tests/system/stop_probes.py
+++ b/tests/system/stop_probes.py
@@ -35,6 +35,7 @@
     MAY_HAVE_RUN = "answered 502"
     OTHER = "other answer"
     CUT = "cut"
+    NOT_CONNECTED = "not connected"
     NOT_READ = "reset, not read"
     RUN_UNANSWERED = "run and no answer"
     READ_UNANSWERED = "read and no answer"
@@ -133,18 +134,22 @@
         """Compare the answer with the ids that an endpoint ran and that the router logged."""
         has_run = self.request_id in runs
         status = self.read_status()
-        if status is None and self.data:
-            return Outcome.CUT
-        if status is None and has_run:
-            return Outcome.RUN_UNANSWERED
         if status is None:
-            is_read = self.request_id in logged
-            return Outcome.READ_UNANSWERED if is_read else Outcome.NOT_READ
+            return self._find_failure(has_run=has_run, is_read=self.request_id in logged)
         if status == 503:
             return Outcome.RUN_REFUSED if has_run else Outcome.REFUSED
         outcomes = {200: Outcome.ANSWERED, 502: Outcome.MAY_HAVE_RUN}
         return outcomes.get(status, Outcome.OTHER)
 
+    def _find_failure(self, *, has_run: bool, is_read: bool) -> Outcome:
+        if self.data:
+            return Outcome.CUT
+        if has_run:
+            return Outcome.RUN_UNANSWERED
+        if is_read:
+            return Outcome.READ_UNANSWERED
+        return Outcome.NOT_CONNECTED if self.connection is None else Outcome.NOT_READ
+
 
 class _Received:
     """Bytes in the place of a socket, for the reader of answers."""
