Let a caller that has just connected send its first request to a stopping server

What callers saw: a whole request, sent 2 ms after its connection was opened, was reset without an answer when the router decided to exit in between, or closed its idle connections. It was not run, but its caller can't know that.

Cause: a connection that waits for its first request counted as idle like one that waits for its next one, and was closed at once. A drain accepted what waits in the accept queue and closed it before its request could arrive.

Ruled out: that the accept queue was left (it is emptied), and that the requests had arrived before the close (those are answered).

Change: a connection without a request so far is closed RECEIVE_TIMEOUT_S (1 s) after it was opened, in a drain with the half received ones. Connections that have had a request are closed at once, as before: when their next one crosses the close, HTTP leaves it to the caller.

test_body_that_the_server_stops_reading_is_not_malformed closed a connection before its first request, which is now left open. Its requests come on a connection that has had one; without the change that it guards it fails as before. A stop lasts up to a second longer while somebody holds a new connection and sends nothing.

--- a/chivetrack/daemon/const.py
+++ b/chivetrack/daemon/const.py
@@ -11,7 +11,8 @@
 # Limits on reading the rest of a request before its connection is closed.
 LINGER_TIMEOUT_S: Final = 1.0
 MAX_LINGER_BYTES: Final = 1024 * 1024
-# Limit on receiving the rest of a request that a stopping server refuses.
+# Limits of a stopping server: on receiving the rest of a request that it refuses, and on the
+# time from the opening of a connection to its first request.
 RECEIVE_TIMEOUT_S: Final = 1.0
 
 # Graceful stop; it is complete after the quiet period without an open request.
--- a/chivetrack/daemon/server.py
+++ b/chivetrack/daemon/server.py
@@ -94,6 +94,7 @@
 
     server: "HttpServer"
     is_reading_ended = False
+    has_received = False
     connected_at = 0.0
 
     def handle(self) -> None:
@@ -127,7 +128,7 @@
 
     def read_requestline(self) -> Any:
         """Wait for the next request; the connection counts as idle during the wait."""
-        if self.server.is_draining:
+        if self.server.is_draining and self.has_received:
             self.end_reading()
         self.server.receiving_handlers.add(self)
         self.server.idle_handlers.add(self)
@@ -136,6 +137,12 @@
         finally:
             self.server.idle_handlers.discard(self)
 
+    def find_opening_s(self) -> float:
+        """Return how long (s) the caller may still take to send its first request."""
+        if self.has_received:
+            return 0.0
+        return max(0.0, self.connected_at + RECEIVE_TIMEOUT_S - time.monotonic())
+
     def end_reading(self) -> None:
         """Stop reading after a request that was already received.
 
@@ -187,6 +194,7 @@
     def run_application(self) -> None:
         """Run the application; during a stop, close the connection afterwards."""
         self.server.receiving_handlers.discard(self)
+        self.has_received = True
         if self.server.is_ending:
             self.close_connection = True
         is_answered = False
@@ -352,7 +360,16 @@
         """Close the connections that wait for their next request.
 
         Only the reading side is shut down, so a request that was already received is still
-        read and answered.
+        read and answered. A caller that has just connected is about to send its first request,
+        so such a connection is closed ``RECEIVE_TIMEOUT_S`` after it was opened.
         """
         for handler in list(self.idle_handlers):
+            opening_s = handler.find_opening_s()
+            if opening_s:
+                gevent.spawn_later(opening_s, self._close_unused, handler)
+            else:
+                handler.end_reading()
+
+    def _close_unused(self, handler: _RequestHandler) -> None:
+        if handler in self.idle_handlers and not handler.has_received:
             handler.end_reading()
--- a/tests/daemon/test_server.py
+++ b/tests/daemon/test_server.py
@@ -17,6 +17,7 @@
 from chivetrack.components.caller_api.gateway import Gateway
 from chivetrack.components.caller_api.watch import watch_caller
 from chivetrack.components.upstream.client import UpstreamClient
+from chivetrack.daemon.const import RECEIVE_TIMEOUT_S
 from chivetrack.daemon.server import AbortConnectionError, HttpServer, ServerLimits
 from chivetrack.exceptions import FaultError, Ran
 from chivetrack.helpers.telemetry import open_telemetry
@@ -178,19 +179,18 @@
                 read_body(environ, limit=100, timeout_s=5.0)
             except FaultError as error:
                 codes.append((error.fault.code, error.fault.status, error.fault.ran))
-            start_response("503 Service Unavailable", [("Content-Length", "0")])
+            start_response("200 OK", [("Content-Length", "0")])
             return []
 
         head = b"POST / HTTP/1.1\r\nHost: x\r\n"
         bodies = (b"Content-Length: 4\r\n\r\nbo", b"Transfer-Encoding: chunked\r\n\r\n4\r\nbo")
         codes: list[tuple[str, int, Ran]] = []
         for body in bodies:
-            self.serve(answer).close()
-            address = ("127.0.0.1", self.server.server_port)
-            caller = stdlib_socket.create_connection(address, timeout=10)
-            self.addCleanup(caller.close)
+            connection = self.serve(answer)
+            connection.sendall(head + b"Content-Length: 0\r\n\r\n")
+            self.assertIn(b" 200 ", connection.recv(65536))
             gevent.sleep(0.02)
-            caller.sendall(head + body)
+            stdlib_socket.socket.sendall(connection._sock, head + body)
             self.server.close_idle()
             gevent.sleep(0.05)
         self.assertEqual(codes, [("instance_stopping", 503, Ran.NO)] * len(bodies))
@@ -279,6 +279,38 @@
                 answer = self.receive(caller)
                 self.assertTrue(answer.startswith(b"HTTP/1.1 503"), answer)
 
+    def test_first_request_of_a_new_connection_is_awaited(self) -> None:
+        """Guards against a reset of a request whose connection was opened just before the exit."""
+        self.serve(self.answer).close()
+        accepted = self.connect()
+        gevent.sleep(0.02)
+        callers = [accepted, self.connect()]
+        for caller in callers:
+            gevent.spawn_later(0.05, caller.sendall, self.REQUEST)
+        self.server.close_idle()
+        self.assertEqual(self.drain(), 0)
+        for caller in callers:
+            self.assertIn(b"refused", self.receive(caller))
+
+    def test_connection_that_had_a_request_is_closed_at_once(self) -> None:
+        """Guards against a stop that waits for the next request of an idle connection."""
+        connection = self.serve(self.answer)
+        connection.sendall(self.REQUEST)
+        self.assertIn(b"served", connection.recv(CHUNK_BYTES))
+        gevent.sleep(0.02)
+        started_at = time.monotonic()
+        self.assertEqual(self.drain(), 0)
+        self.assertLess(time.monotonic() - started_at, RECEIVE_TIMEOUT_S / 2)
+
+    def test_new_connection_without_a_request_is_closed_in_time(self) -> None:
+        """Guards against a router that keeps an unused connection although it stops."""
+        connection = self.serve(self.answer)
+        gevent.sleep(0.02)
+        self.server.close_idle()
+        started_at = time.monotonic()
+        self.assertEqual(connection.recv(1), b"")
+        self.assertLess(time.monotonic() - started_at, 2 * RECEIVE_TIMEOUT_S)
+
     def test_rest_of_a_request_is_awaited(self) -> None:
         """Guards against refusing a request unread while the rest of it is on its way."""
         self.serve(self.answer).close()
