Keep one registry of open requests for routers and the daemon

Two modules of the same idea had been written side by side, daemon/fleet/open_requests.py and caller_api/exit.py.

--- a/chivetrack/components/caller_api/app.py
+++ b/chivetrack/components/caller_api/app.py
@@ -17,8 +17,8 @@
     PATH_SERVICE,
 )
 from chivetrack.components.caller_api.errors import make_error_response
-from chivetrack.components.caller_api.exit import ExitDecidedError
 from chivetrack.components.caller_api.gateway import Gateway, GatewayAnswer
+from chivetrack.components.caller_api.open_requests import ExitDecidedError
 from chivetrack.components.caller_api.watch import CallerLeftError, watch_caller
 from chivetrack.components.limits.stopping import make_stopping_fault
 from chivetrack.components.pipeline import faults
--- a/chivetrack/components/caller_api/gateway.py
+++ b/chivetrack/components/caller_api/gateway.py
@@ -16,7 +16,7 @@
     OVERLOAD_RETRY_AFTER_S,
     STREAM_TYPE,
 )
-from chivetrack.components.caller_api.exit import ExitDecidedError, OpenRequests
+from chivetrack.components.caller_api.open_requests import ExitDecidedError, OpenRequests
 from chivetrack.components.caller_api.relay import RelayBody
 from chivetrack.components.caller_api.upstream_request import make_upstream_request
 from chivetrack.components.limits.stopping import make_stopping_fault
--- a/chivetrack/components/caller_api/exit.py
+++ b/chivetrack/components/caller_api/open_requests.py
@@ -22,6 +22,10 @@
         self._greenlets: dict[object, greenlet] = {}
         self.is_ended = False
 
+    def __len__(self) -> int:
+        """Return the number of requests in progress."""
+        return len(self._greenlets)
+
     def add(self, key: object) -> None:
         """Register the current greenlet; raise ``ExitDecidedError`` after ``end``."""
         self.raise_if_ended()
--- a/chivetrack/components/caller_api/relay.py
+++ b/chivetrack/components/caller_api/relay.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterator
 
 from chivetrack.components.caller_api.errors import make_stream_error
-from chivetrack.components.caller_api.exit import ExitDecidedError
+from chivetrack.components.caller_api.open_requests import ExitDecidedError
 from chivetrack.components.pipeline import faults
 from chivetrack.components.upstream.client import UpstreamAnswer
 from chivetrack.components.upstream.models import BrokenAnswerError
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -9,6 +9,7 @@
 
 from chivetrack.components.caller_api.body import read_body
 from chivetrack.components.caller_api.const import BODY_TIMEOUT_S, ENVIRON_SOCKET
+from chivetrack.components.caller_api.open_requests import ExitDecidedError, OpenRequests
 from chivetrack.components.caller_api.watch import CallerLeftError, watch_caller
 from chivetrack.components.limits.stopping import StopWindow
 from chivetrack.components.placement.choice import Choice
@@ -37,7 +38,6 @@
 from chivetrack.daemon.fleet.fleet_view import FleetView
 from chivetrack.daemon.fleet.forwarder import AnswerCutError, Forwarder, make_tried
 from chivetrack.daemon.fleet.late_requests import LateRequests
-from chivetrack.daemon.fleet.open_requests import ExitDecidedError, OpenRequests
 from chivetrack.daemon.fleet.permits import PermitClient
 from chivetrack.daemon.fleet.refusals import Refusals
 from chivetrack.daemon.fleet.request_log import RequestLog
--- a/chivetrack/daemon/instance.py
+++ b/chivetrack/daemon/instance.py
@@ -32,10 +32,10 @@
 from chivetrack.daemon.encryption import Encryption
 from chivetrack.daemon.explanations import Explanations
 from chivetrack.daemon.gauges import GAUGE_INTERVAL_S, Gauges
+from chivetrack.daemon.instance_requests import InstanceRequests
 from chivetrack.daemon.listeners import Applications, Listeners
 from chivetrack.daemon.management import Management
 from chivetrack.daemon.metrics import build_metrics_app
-from chivetrack.daemon.open_requests import InstanceRequests
 from chivetrack.daemon.peering import MessageDispatcher
 from chivetrack.daemon.recorder import RequestRecorder
 from chivetrack.daemon.refusals import ConnectionGate, StopRefusal
--- a/tests/daemon/test_stop.py
+++ b/tests/daemon/test_stop.py
@@ -19,8 +19,8 @@
 from chivetrack.core import Event
 from chivetrack.daemon.call_gate import CallGate
 from chivetrack.daemon.encryption import Encryption
+from chivetrack.daemon.instance_requests import InstanceRequests
 from chivetrack.daemon.listeners import Applications, Listeners
-from chivetrack.daemon.open_requests import InstanceRequests
 from chivetrack.daemon.refusals import ConnectionGate, StopRefusal
 from chivetrack.daemon.stop import GracefulStop, StopReport
 from chivetrack.daemon.submissions import Submissions
