Wait until a replica's last messages are sent, in place of 0.2 s

What other instances saw: a message that a replica had queued for a slow link was cut by its exit, for example the document that a router had requested.

Cause: at the end of a stop the replica slept for 0.2 s, whether or not its messages had left by then, and a kernel drops what it has not sent yet when bytes arrive for a process that is gone. Changes that followers had forwarded were counted by nobody; their answers were covered by the same sleep.

Ruled out: that the operators of a follower stay without an answer. The follower waits for 0.7 s (FORWARD_TIMEOUT_S) and redirects them then; what they lost is that time.

Change: the transport can be asked to wait until each open link's queue is empty and the other machine has acknowledged all bytes (`LinkTransport.flush`). The replica waits for the forwarded changes that it has begun, refuses those that arrive later as "not run", broadcasts the announcements that it has acknowledged, and then waits for the links. The wait is limited by the time after which a message is dropped anyway and by the grace time. `stopped` has the number of links that were not empty.

Before, tests.system.test_replica_exit.SentMessageTest (a reader that begins 0.7 s after SIGTERM):

AssertionError: 'distribution.document' not found in []

and in tests.daemon.fleet.test_documents.StopTest a change forwarded after the decision to exit was begun. After: both pass, with tests.components.peers.test_links, test_outbox and the rest of test_replica_exit.

Conclusion: the exit waits for a condition; a replica without messages in a queue exits earlier than before.

--- a/chivetrack/components/peers/const.py
+++ b/chivetrack/components/peers/const.py
@@ -48,5 +48,6 @@
 KEEPALIVE_IDLE_S: Final = 2
 KEEPALIVE_INTERVAL_S: Final = 1
 KEEPALIVE_PROBES: Final = 2
+FLUSH_POLL_S: Final = 0.01
 # TCP/IP headers of a frame and of its acknowledgement.
 FRAME_OVERHEAD_BYTES: Final = 100
--- a/chivetrack/components/peers/links.py
+++ b/chivetrack/components/peers/links.py
@@ -6,7 +6,10 @@
 """
 
 import contextlib
+import fcntl
 import socket
+import struct
+import termios
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -18,6 +21,7 @@
 from chivetrack.components.peers.const import (
     BATCH_LIMIT,
     CONNECT_TIMEOUT_S,
+    FLUSH_POLL_S,
     FRAME_OVERHEAD_BYTES,
     KEEPALIVE_IDLE_S,
     KEEPALIVE_INTERVAL_S,
@@ -35,6 +39,8 @@
 from chivetrack.components.peers.outbox import Outbox, TrafficCount
 from chivetrack.helpers.codec import DecodeError, Message, decode, get_kind, pack
 
+_INT = struct.Struct("i")
+
 
 @dataclass(frozen=True, slots=True)
 class _EncodedMessage:
@@ -52,6 +58,12 @@
     is_accepted: bool
     peer: str = ""
     is_open: bool = True
+    is_sending: bool = False
+
+    def count_unacknowledged(self) -> int:
+        """Return the number of sent bytes that the other side's kernel has not acknowledged."""
+        queued = fcntl.ioctl(self.socket.fileno(), termios.TIOCOUTQ, bytes(_INT.size))
+        return int(_INT.unpack(queued)[0])
 
     def close(self) -> None:
         """Close the connection and wake the greenlets that wait for its bytes."""
@@ -129,6 +141,26 @@
         else:
             self.traffic.dropped_messages += 1
 
+    def flush(self, *, ends_at: float) -> int:
+        """Wait until the messages queued for open links have reached the other machines.
+
+        The kernel of this process drops what it has not sent yet if bytes arrive after the exit.
+        Return the number of links that still hold messages at ``ends_at`` (s, monotonic).
+        """
+        waiting = list(self._links.values())
+        while waiting := [link for link in waiting if self._has_unsent(link)]:
+            if time.monotonic() >= ends_at:
+                break
+            gevent.sleep(FLUSH_POLL_S)
+        return len(waiting)
+
+    def _has_unsent(self, link: _Link) -> bool:
+        if not link.is_open:
+            return False
+        target = self._targets.get(link.peer)
+        has_queued = target is not None and len(target.outbox) > 0
+        return has_queued or link.is_sending or link.count_unacknowledged() > 0
+
     # Sending
 
     def _run_sender(self, target: str, outbox: Outbox[_EncodedMessage]) -> None:
@@ -156,12 +188,15 @@
         batch = [message for _, message in queued]
         frame = encode_frame([message.body for message in batch])
         self._count_sent(batch, frame)
+        link.is_sending = True
         try:
             with gevent.Timeout(SEND_TIMEOUT_S, TimeoutError()):
                 link.socket.sendall(frame)
         except OSError:
             self.traffic.dropped_messages += len(batch)
             self._close(link)
+        finally:
+            link.is_sending = False
         now = time.monotonic()
         for queued_at, message in queued:
             self.traffic.record_wait(message.kind, now - queued_at)
--- a/chivetrack/components/peers/outbox.py
+++ b/chivetrack/components/peers/outbox.py
@@ -47,6 +47,10 @@
         default_factory=lambda: deque(maxlen=QUEUE_LIMIT), init=False
     )
 
+    def __len__(self) -> int:
+        """Return the number of waiting items."""
+        return len(self._waiting)
+
     def put(self, item: ItemT) -> None:
         """Queue an item; drop the oldest one if the queue is full."""
         if len(self._waiting) == QUEUE_LIMIT:
--- a/chivetrack/daemon/fleet/documents.py
+++ b/chivetrack/daemon/fleet/documents.py
@@ -103,6 +103,7 @@
         self._events = events
         self._pending = PendingRequests[ProposalAnswer]()
         self._is_stopping = False
+        self.forwarded_count = 0
 
     def begin_stop(self) -> None:
         """Refuse all changes from now on; those in progress go on."""
@@ -297,6 +298,13 @@
         return True
 
     def _answer(self, source: str, call: ForwardProposal | ForwardRead) -> None:
+        self.forwarded_count += 1
+        try:
+            self._execute_and_answer(source, call)
+        finally:
+            self.forwarded_count -= 1
+
+    def _execute_and_answer(self, source: str, call: ForwardProposal | ForwardRead) -> None:
         outcome = self._execute(call)
         answer = ProposalAnswer(
             number=call.number,
@@ -306,6 +314,8 @@
         self._send(source, answer)
 
     def _execute(self, call: ForwardProposal | ForwardRead) -> Result[int, Fault | RedirectTo]:
+        if self._is_stopping:
+            return Error(make_stopping())
         if not self._host.is_leader:
             return Error(self._redirect())
         if isinstance(call, ForwardRead):
--- a/chivetrack/daemon/fleet/replica.py
+++ b/chivetrack/daemon/fleet/replica.py
@@ -21,6 +21,7 @@
 from chivetrack.components.distribution.publisher import Publisher
 from chivetrack.components.document.store import DocumentStore, StoredDocument, unpack_document
 from chivetrack.components.evacuation.models import Evacuations
+from chivetrack.components.peers.const import MAX_WAIT_S
 from chivetrack.components.quarantine.models import Quarantine, QuarantineOrder
 from chivetrack.components.slow_start.messages import PermitAnswer, PermitRequest
 from chivetrack.components.slow_start.permits import PermitLedger
@@ -31,6 +32,7 @@
     PRUNE_ROUNDS_PER_TRAFFIC_LINE,
     PUSH_DELAY_S,
     STOP_CALLS_TIMEOUT_S,
+    STOP_MARGIN_S,
 )
 from chivetrack.daemon.fleet.control_handler import ControlHandler
 from chivetrack.daemon.fleet.documents import DocumentHandler
@@ -44,7 +46,7 @@
 from chivetrack.helpers.events import EventLog
 from chivetrack.platform.control_api import build_control_app
 
-_FINAL_SENDS_WAIT_S = 0.2
+_POLL_S = 0.02
 
 
 class ReplicaProcess:
@@ -268,17 +270,26 @@
         transfer = gevent.spawn(self.host.transfer_leadership)
         connections_left = self._control.drain(ends_at=ends_at)
         transfer.join()
-        gevent.sleep(_FINAL_SENDS_WAIT_S)
-        cut = self._gate.open_count
+        while self._documents.forwarded_count and time.monotonic() < ends_at:
+            gevent.sleep(_POLL_S)
+        self._control_handler.broadcast()
+        links_left = self.transport.flush(ends_at=self._get_sends_end(began))
+        cut = self._gate.open_count + self._documents.forwarded_count
         self._events.write(
             "stopped",
             cut=cut,
             refused=self._refuser.count,
             connections_left=connections_left,
+            links_left=links_left,
             after_s=round(time.monotonic() - began, 2),
         )
         return cut
 
+    def _get_sends_end(self, began: float) -> float:
+        """Return until when the last messages may be sent (s, monotonic)."""
+        exits_at = began + self._settings.bounds.stop_within_s - STOP_MARGIN_S
+        return min(time.monotonic() + MAX_WAIT_S, exits_at)
+
     def _log_reload(self) -> None:
         self._events.write("reload", detail="settings are read at the next start")
 
--- a/tests/components/peers/test_links.py
+++ b/tests/components/peers/test_links.py
@@ -2,6 +2,7 @@
 
 import os
 import threading
+import time
 import unittest
 from collections.abc import Callable
 from unittest import mock
@@ -11,7 +12,7 @@
 
 from chivetrack.components.peers import links as links_module
 from chivetrack.components.peers.const import QUEUE_LIMIT
-from chivetrack.components.peers.frames import Hello, encode_frame
+from chivetrack.components.peers.frames import FrameReader, Hello, encode_frame
 from chivetrack.components.peers.links import LinkTransport
 from chivetrack.components.proposals.models import ForwardRead
 from chivetrack.helpers.codec import Message, pack
@@ -180,3 +181,29 @@
         a.transport.send(f"{self.host}:18812", ForwardRead(1))
         a.transport.send(b.address, ForwardRead(2))
         self.wait_for(lambda: b.numbers == [2])
+
+    def test_flush_waits_until_a_slow_reader_has_everything(self) -> None:
+        """Guards against messages that are lost with the process that has queued them."""
+        a = self.open_side(18820)
+        listener = socket.socket()
+        self.addCleanup(listener.close)
+        listener.bind((self.host, 18821))
+        listener.listen()
+        for number in range(30):
+            a.transport.send(f"{self.host}:18821", Hello(f"{number}" + os.urandom(200_000).hex()))
+        accepted, _ = listener.accept()
+        self.addCleanup(accepted.close)
+        self.wait_for(lambda: a.transport.traffic.sent_batches > 0)
+        self.assertEqual(a.transport.flush(ends_at=time.monotonic() + 0.1), 1)
+        received: list[bytes] = []
+        reading = gevent.spawn(self.receive_all, accepted, received)
+        self.assertEqual(a.transport.flush(ends_at=time.monotonic() + WAIT_S), 0)
+        a.transport.stop()
+        reading.join(WAIT_S)
+        reader = FrameReader()
+        self.assertEqual(len(reader.feed(b"".join(received))), 31)
+
+    @staticmethod
+    def receive_all(accepted: socket.socket, received: list[bytes]) -> None:
+        while data := accepted.recv(65536):
+            received.append(data)
--- a/tests/daemon/fleet/test_documents.py
+++ b/tests/daemon/fleet/test_documents.py
@@ -234,6 +234,30 @@
                 self.assertEqual((outcome.error.code, outcome.error.ran), ("stopping", Ran.NO))
                 self.assertEqual(self.log.index, 0)
 
+    def test_forwarded_change_in_progress_is_counted_until_it_is_answered(self) -> None:
+        """Guards against a leader's exit between a forwarded change and its answer."""
+        commit = self.first.propose
+
+        def propose_slowly(data: bytes, *, timeout_s: float) -> Result[bytes, Any]:
+            gevent.sleep(0.03)
+            return commit(data, timeout_s=timeout_s)
+
+        self.first.propose = propose_slowly  # type: ignore[method-assign]
+        call = gevent.spawn(self.second.put, 5)
+        gevent.sleep(0.01)
+        self.first.handler.begin_stop()
+        self.assertEqual(self.first.handler.forwarded_count, 1)
+        self.assertEqual(call.get().ok, 5)
+        self.assertEqual(self.first.handler.forwarded_count, 0)
+
+    def test_change_forwarded_to_a_stopping_leader_is_refused(self) -> None:
+        """Guards against a forwarded change that is begun after the decision to exit."""
+        self.first.handler.begin_stop()
+        outcome = self.second.put(5)
+        assert outcome.is_error() and isinstance(outcome.error, Fault)
+        self.assertEqual((outcome.error.code, outcome.error.ran), ("leader_failed", Ran.NO))
+        self.assertEqual(self.log.index, 0)
+
 
 class OutcomeLineTest(DeskCase):
     def test_lines_have_the_code_of_a_failure(self) -> None:
--- a/tests/system/test_replica_exit.py
+++ b/tests/system/test_replica_exit.py
@@ -2,13 +2,24 @@
 
 import contextlib
 import json
+import random
 import signal
 import socket
 import time
 import unittest
 from typing import Any
 
-from tests.system.deployment import CONTROL_PORT, Deployment, make_config, open_deployment
+from chivetrack.components.distribution.messages import DocumentSent, FetchDocument
+from chivetrack.components.peers.frames import FrameReader, Hello, encode_frame
+from chivetrack.components.slow_start.messages import PermitRequest
+from chivetrack.helpers.codec import get_kind, pack
+from tests.system.deployment import (
+    CONTROL_PORT,
+    PEER_PORT,
+    Deployment,
+    make_config,
+    open_deployment,
+)
 
 LARGE_ROUTES = 20_000
 SMALL_BUFFER_BYTES = 4096
@@ -26,13 +37,15 @@
         leader = deployment.find_leader()
         return deployment, next(one for one in deployment.list_names("p") if one != leader)
 
-    def connect(self, deployment: Deployment, name: str) -> socket.socket:
-        """Return a connection to a replica's control listener."""
+    def connect(
+        self, deployment: Deployment, name: str, *, port: int = CONTROL_PORT
+    ) -> socket.socket:
+        """Return a connection to a listener of a replica, with a small receive buffer."""
         opened = socket.socket()
         self.addCleanup(opened.close)
         opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
         opened.settimeout(EXIT_TIMEOUT_S)
-        opened.connect((deployment.get_host(name), CONTROL_PORT))
+        opened.connect((deployment.get_host(name), port))
         return opened
 
     @staticmethod
@@ -114,5 +127,26 @@
         self.assertEqual((status, error, deployment.read()), (503, "stopping", 3))
 
 
+class SentMessageTest(ExitCase):
+    def test_message_reaches_an_instance_on_a_slow_link(self) -> None:
+        """Guards against a message that is lost since its link is slower than the exit."""
+        prefixes = [f"/{random.getrandbits(256):x}/" for _ in range(LARGE_ROUTES)]
+        deployment, name = self.open(config=make_config(3, *prefixes))
+        peer = self.connect(deployment, name, port=PEER_PORT)
+        hello = Hello(f"{deployment.network}.250:{PEER_PORT}")
+        peer.sendall(encode_frame([pack(hello)]) + encode_frame([pack(FetchDocument(0))]))
+        time.sleep(1.0)
+        process = deployment.begin_stop(name)
+        time.sleep(0.7)
+        peer.sendall(encode_frame([pack(PermitRequest(1, "i-1", 1.0))]))
+        reader = FrameReader()
+        kinds: list[str] = []
+        with contextlib.suppress(ConnectionError):
+            while data := peer.recv(65536):
+                kinds += [kind for kind, _ in reader.feed(data)]
+        self.assertIn(get_kind(DocumentSent(0, b"")), kinds)
+        self.assertEqual(process.wait(EXIT_TIMEOUT_S), 0)
+
+
 if __name__ == "__main__":
     unittest.main()
