Answer an operator whose call has not arrived whole at a replica's exit

What callers saw: an operator whose body was still on its way when a replica stopped got no byte.

Cause: the application of the control listener answered only once it had the whole body, or with 500 for an error that is none of the replica's.

Ruled out: that such a call may have run. The body is read before anything is decided.

Change: a body that ends early is answered with 503 `incomplete_body`, "the call has not run".

Before, tests.system.test_replica_exit.LateBodyTest.test_call_whose_body_does_not_end_is_refused:

AssertionError: Tuples differ: (0, None) != (503, 'incomplete_body')

After: tests.system.test_replica_exit.LateBodyTest passes.

Conclusion: every call that reaches a stopping replica is answered with what is true of it.

--- a/chivetrack/platform/control_api.py
+++ b/chivetrack/platform/control_api.py
@@ -116,7 +116,7 @@
     report_invalid: Callable[[str, str], None],
 ) -> None:
     def put_config() -> HTTPResponse:
-        body = request.environ["wsgi.input"].read()
+        body = _read_body()
         read = read_document(body)
         if read.is_error():
             report_invalid("configuration", "; ".join(str(one) for one in read.error)[:500])
@@ -138,7 +138,7 @@
 
 def _add_zone_calls(app: Bottle, handler: ControlRequestHandler) -> None:
     def order_zone(zone: str) -> HTTPResponse:
-        if request.environ["wsgi.input"].read(1):
+        if _read_body(1):
             return _make_response(400, {"error": "body", "message": "this call takes no body"})
         if has_left(request.environ.get(ENVIRON_SOCKET)):
             # The operator has closed the connection. It may have sent the order to another
@@ -186,7 +186,7 @@
     app: Bottle, handler: ControlRequestHandler, report_invalid: Callable[[str, str], None]
 ) -> None:
     def put_endpoint(endpoint_id: str) -> HTTPResponse:
-        record = read_heartbeat(endpoint_id, request.environ["wsgi.input"].read())
+        record = read_heartbeat(endpoint_id, _read_body())
         if record.is_error():
             report_invalid("heartbeat", record.error)
             return _make_response(400, {"error": record.error})
@@ -194,7 +194,7 @@
         return _make_response(200, {}) if outcome.is_ok() else _make_refusal(outcome.error, "")
 
     def delete_endpoint(endpoint_id: str) -> HTTPResponse:
-        born = read_departure(request.environ["wsgi.input"].read())
+        born = read_departure(_read_body())
         outcome = handler.leave(endpoint_id, born)
         return _make_response(200, {}) if outcome.is_ok() else _make_refusal(outcome.error, "")
 
@@ -233,6 +233,18 @@
     app.route("/config", "GET", get_config)
 
 
+def _read_body(max_bytes: int | None = None) -> bytes:
+    """Return the body of a call; one that does not arrive whole ends the call unexecuted."""
+    try:
+        body: bytes = request.environ["wsgi.input"].read(max_bytes)
+    except OSError as error:
+        message = "the rest of the call has not arrived; the call has not run"
+        response = _make_response(503, {"error": "incomplete_body", "message": message})
+        response.set_header("Retry-After", f"{RETRY_AFTER_S:.2f}")
+        raise response from error
+    return body
+
+
 def _make_response(status: int, document: object) -> HTTPResponse:
     return HTTPResponse(body=msgspec.json.encode(document), status=status, headers=_JSON)
 
