Answer a reading of a replica's metrics before the replica exits

What callers saw: a collector whose request was on its way when a replica got SIGTERM was disconnected without a byte.

Cause: the listener of the metrics took no part in the stop.

Ruled out: that it has to refuse. A reading changes nothing and is answered from memory.

Change: the control and the metrics listener are drained together, and `connections_left` counts both.

Before, tests.system.test_replica_exit.AnswerTest.test_metrics_are_sent_whole:

- (0, False) + (200, True)

After: tests.system.test_replica_exit.AnswerTest passes.

Conclusion: every listener of a replica ends in the same way.

--- a/chivetrack/daemon/fleet/replica.py
+++ b/chivetrack/daemon/fleet/replica.py
@@ -268,7 +268,7 @@
         self._control_handler.begin_stop()
         self._events.write("exit_decided", open=self._gate.open_count, after_s=0.0)
         transfer = gevent.spawn(self.host.transfer_leadership)
-        connections_left = self._control.drain(ends_at=ends_at)
+        connections_left = self._drain_listeners(ends_at)
         transfer.join()
         while self._documents.forwarded_count and time.monotonic() < ends_at:
             gevent.sleep(_POLL_S)
@@ -285,6 +285,12 @@
         )
         return cut
 
+    def _drain_listeners(self, ends_at: float) -> int:
+        """Answer what callers have sent; return the number of connections left at the end."""
+        servers = [one for one in (self._control, self._metrics_server) if one is not None]
+        drains = [gevent.spawn(one.drain, ends_at=ends_at) for one in servers]
+        return sum(one.get() for one in drains)
+
     def _get_sends_end(self, began: float) -> float:
         """Return until when the last messages may be sent (s, monotonic)."""
         exits_at = began + self._settings.bounds.stop_within_s - STOP_MARGIN_S
--- a/tests/system/test_replica_exit.py
+++ b/tests/system/test_replica_exit.py
@@ -15,6 +15,7 @@
 from chivetrack.helpers.codec import get_kind, pack
 from tests.system.deployment import (
     CONTROL_PORT,
+    METRICS_PORT,
     PEER_PORT,
     Deployment,
     make_config,
@@ -96,6 +97,20 @@
         counts = (stopped["cut"], stopped["refused"], stopped["connections_left"])
         self.assertEqual(counts, (0, 1, 0))
 
+    def test_metrics_are_sent_whole(self) -> None:
+        """Guards against a reading of the metrics that the exit cuts."""
+        deployment, name = self.open()
+        reader = self.connect(deployment, name, port=METRICS_PORT)
+        reader.sendall(b"GET /metrics HTTP/1.1\r\nHost: ")
+        time.sleep(0.2)
+        process = deployment.begin_stop(name)
+        time.sleep(0.5)
+        with contextlib.suppress(OSError):
+            reader.sendall(b"replica\r\n\r\n")
+        status, body = self.read_answer(reader)
+        self.assertEqual((status, b"configuration_applied" in body), (200, True))
+        self.assertEqual(process.wait(EXIT_TIMEOUT_S), 0)
+
 
 class LateBodyTest(ExitCase):
     def begin_change(self, deployment: Deployment, name: str) -> tuple[socket.socket, bytes]:
