--- a/tests/daemon/test_server_bodies.py
+++ b/tests/daemon/test_server_bodies.py
@@ -7,7 +7,7 @@
 import gevent
 from gevent import socket
 
-from chivetrack.components.caller_api.const import ENVIRON_SOCKET
+from chivetrack.components.caller_api.const import ENVIRON_READING_ENDED, ENVIRON_SOCKET
 from chivetrack.components.caller_api.watch import has_left
 from chivetrack.daemon.const import RECEIVE_TIMEOUT_S
 from chivetrack.daemon.server import ServerLimits
@@ -40,7 +40,8 @@
             try:
                 return answer(start_response, environ["wsgi.input"].read())
             except OSError:
-                return answer(start_response, b"incomplete")
+                is_ended = environ[ENVIRON_READING_ENDED]
+                return answer(start_response, b"incomplete" if is_ended else b"malformed")
 
         connection = self.serve(read_body)
         connection.sendall(HEAD + b"x")
