Count a number that only looks like one as absent

What callers saw: a request whose X-Chivetrack-Token-Counts is "²,1" got a 500 of the router instead of being served without the counts; an endpoint's load header of that kind failed the answer it came with.

Cause: str.isdigit accepts digits that int rejects, and int raises for more than 4,300 digits, which fit into a header. It stood in five places: counts and prompt parts of callers, loads of endpoints, the version in a redirected read at the ready listener, Retry-After and Content-Length of endpoints' answers. Other uses are safe: the port of a Host header is not converted, and the server rejects a Content-Length that int rejects.

--- a/chivetrack/components/caller_api/gateway.py
+++ b/chivetrack/components/caller_api/gateway.py
@@ -47,6 +47,7 @@
 )
 from chivetrack.const import MILLISECONDS_PER_SECOND
 from chivetrack.exceptions import Fault
+from chivetrack.helpers.numbers import read_count
 from chivetrack.helpers.telemetry import Hop, Telemetry, extract_context
 
 # Longest wait for the first attempt; afterwards the deadline of the attempt applies.
@@ -279,8 +280,8 @@
     def _is_small(answer: UpstreamAnswer) -> bool:
         if answer.status in (204, 304):
             return True
-        length = answer.headers.get("Content-Length", "")
-        return length.isdigit() and int(length) <= MAX_BUFFERED_ANSWER_BYTES
+        length = read_count(answer.headers.get("Content-Length", ""))
+        return length is not None and length <= MAX_BUFFERED_ANSWER_BYTES
 
     def _relay_buffered(self, pending: _PendingRequest, answer: UpstreamAnswer) -> GatewayAnswer:
         body = b"".join(answer.read_chunks())
--- a/chivetrack/components/upstream/client.py
+++ b/chivetrack/components/upstream/client.py
@@ -25,6 +25,7 @@
     UpstreamFault,
     UpstreamRequest,
 )
+from chivetrack.helpers.numbers import read_count
 
 _CONNECT_ERRORS = (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError)
 _TRANSFER_ERRORS = (urllib3.exceptions.HTTPError, ChunkError, OSError)
@@ -207,11 +208,11 @@
     @staticmethod
     def _read_refusal(answer: UpstreamAnswer, response: urllib3.HTTPResponse) -> UpstreamFault:
         answer.cancel()
-        retry_after = response.headers.get("Retry-After", "")
+        retry_after_s = read_count(response.headers.get("Retry-After", ""))
         return UpstreamFault(
             outcome=AttemptOutcome.REFUSED,
             message=f"the endpoint refused the request with status {response.status}",
-            retry_after_s=float(retry_after) if retry_after.isdigit() else None,
+            retry_after_s=None if retry_after_s is None else float(retry_after_s),
         )
 
     @staticmethod
--- a/chivetrack/platform/control_api.py
+++ b/chivetrack/platform/control_api.py
@@ -17,6 +17,7 @@
 from chivetrack.components.quarantine.models import Quarantine
 from chivetrack.components.traffic.models import Document
 from chivetrack.exceptions import Fault
+from chivetrack.helpers.numbers import read_count
 from chivetrack.platform.announcements import read_departure, read_heartbeat
 from chivetrack.platform.configuration import read_document, render_findings
 from chivetrack.platform.paths import PATH_QUARANTINE, PATH_ZONES
@@ -209,8 +210,8 @@
     """
 
     def get_config() -> HTTPResponse:
-        min_version = request.query.get(_QUERY_VERSION, "")
-        body = find_body(int(min_version)) if min_version.isdigit() else None
+        min_version = read_count(request.query.get(_QUERY_VERSION, ""))
+        body = None if min_version is None else find_body(min_version)
         if body is None:
             return _make_response(503, {"error": "behind"})
         return HTTPResponse(body=body, status=200, headers=_JSON)
--- a/chivetrack/platform/headers.py
+++ b/chivetrack/platform/headers.py
@@ -9,6 +9,7 @@
     PromptPart,
     RequestFacts,
 )
+from chivetrack.helpers.numbers import read_count
 
 HEADER_ATTEMPT = "X-Chivetrack-Attempt-Id"
 HEADER_DEADLINE = "X-Chivetrack-Deadline-Ms"
@@ -148,24 +149,27 @@
 
 
 def _read_counts(text: str) -> tuple[int, int]:
-    fields = [field.strip() for field in text.split(",")]
-    if len(fields) != 2 or not all(field.isdigit() for field in fields):
+    counts = [read_count(field.strip()) for field in text.split(",")]
+    if len(counts) != 2 or counts[0] is None or counts[1] is None:
         return (0, 0)
-    return (int(fields[0]), int(fields[1]))
+    return (counts[0], counts[1])
 
 
 def _read_parts(text: str) -> Iterator[PromptPart]:
     for field in filter(None, text.split(",")):
-        part_id, _, tokens = field.strip().partition(":")
-        if part_id and tokens.isdigit():
-            yield PromptPart(part_id, int(tokens))
+        part_id, _, text_of_tokens = field.strip().partition(":")
+        tokens = read_count(text_of_tokens)
+        if part_id and tokens is not None:
+            yield PromptPart(part_id, tokens)
 
 
 def _read_load(text: str) -> EndpointLoadFacts | None:
-    fields = [field.strip() for field in text.split(",")]
-    if len(fields) != 3 or not all(field.isdigit() for field in fields):
+    counts = [read_count(field.strip()) for field in text.split(",")]
+    if len(counts) != 3:
+        return None
+    running, waiting, slots = counts
+    if running is None or waiting is None or slots is None:
         return None
-    running, waiting, slots = map(int, fields)
     return EndpointLoadFacts(running=running, waiting=waiting, slots=slots)
 
 
--- a/tests/components/upstream/test_client.py
+++ b/tests/components/upstream/test_client.py
@@ -58,6 +58,14 @@
                 if outcome is AttemptOutcome.REFUSED:
                     self.assertEqual(result.error.retry_after_s, 7.0)
 
+    def test_pause_that_is_no_number_counts_as_absent(self) -> None:
+        """Guards against a ``ValueError`` for a Retry-After that only looks like a number."""
+        refusal = b"HTTP/1.1 503 X\r\nX-Did-Not-Run: true\r\nRetry-After: \xb2\r\n\r\n"
+        with open_server(Script([[refusal]])) as server:
+            result = UpstreamClient().send(make_request(server.address))
+        self.assertIs(result.error.outcome, AttemptOutcome.REFUSED)
+        self.assertIsNone(result.error.retry_after_s)
+
     def test_connection_is_refused(self) -> None:
         with socket.create_server(("127.0.0.1", 0)) as unused_socket:
             address = f"http://127.0.0.1:{unused_socket.getsockname()[1]}"
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -46,7 +46,10 @@
             ("x-chivetrack-deadline-ms", "nan"),
             ("x-chivetrack-token-counts", "1460"),
             ("x-chivetrack-token-counts", "a,b"),
+            ("x-chivetrack-token-counts", "²,1"),
+            ("x-chivetrack-token-counts", f"{'9' * 5000},1"),
             ("x-chivetrack-prompt-prefix", "5c1e,:3,x:y,,"),
+            ("x-chivetrack-prompt-prefix", "5c1e:²"),
             ("x-chivetrack-length-hint", "?"),
         ]
         for name, value in cases:
@@ -126,6 +129,8 @@
         )
         self.assertEqual(facts.load, EndpointLoadFacts(running=3, waiting=0, slots=8))
         self.assertEqual(facts.keep_alive_s, 4.0)
+        look_alike = read_answer_facts(200, make_headers(X_Chivetrack_Server_Load="3,²,8"))
+        self.assertIsNone(look_alike.load)
         malformed = read_answer_facts(
             200, make_headers(X_Chivetrack_Server_Load="3,0", Keep_Alive="max=9")
         )
