Reject heartbeats whose port does not exist

Every send to such an endpoint fails, so callers lose a try each time it is chosen, while it goes on announcing itself.

Cause: the port was only checked to consist of digits, superscripts among them. Change: it must be a number from 1 to 65535.

--- a/chivetrack/platform/announcements.py
+++ b/chivetrack/platform/announcements.py
@@ -4,6 +4,8 @@
 from expression import Error, Ok, Result
 
 from chivetrack.components.announcements.models import EndpointRecord, EndpointState
+from chivetrack.helpers.numbers import read_count
+from chivetrack.helpers.sections.values import MAX_PORT
 
 _STATES = {"ready": EndpointState.READY, "draining": EndpointState.DRAINING}
 
@@ -49,9 +51,8 @@
     state = _STATES.get(beat.state)
     if state is None:
         return Error(f"the state {beat.state!r} is not known")
-    host, colon, port = beat.address.rpartition(":")
-    if not (host and colon and port.isdigit() and endpoint_id and beat.service):
-        return Error("the id, the service or the address is missing")
+    if not (endpoint_id and beat.service and _is_address(beat.address)):
+        return Error("the id, the service or the address is missing or invalid")
     return Ok(
         EndpointRecord(
             endpoint_id=endpoint_id,
@@ -69,6 +70,12 @@
     )
 
 
+def _is_address(text: str) -> bool:
+    host, _, port_text = text.rpartition(":")
+    port = read_count(port_text)
+    return bool(host) and port is not None and 0 < port <= MAX_PORT
+
+
 def read_departure(body: bytes) -> int | None:
     """Return the start time (Unix ms) of the incarnation that ends, ``None`` if not given."""
     if not body:
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -132,6 +132,10 @@
             json.dumps({**BEAT, "sequence": "4"}).encode(),
             json.dumps({**BEAT, "address": 9}).encode(),
             json.dumps({**BEAT, "address": "nowhere"}).encode(),
+            json.dumps({**BEAT, "address": ":8281"}).encode(),
+            json.dumps({**BEAT, "address": "10.4.64.43:0"}).encode(),
+            json.dumps({**BEAT, "address": "10.4.64.43:65536"}).encode(),
+            json.dumps({**BEAT, "address": "10.4.64.43:²"}).encode(),
             json.dumps({**BEAT, "models": "m"}).encode(),
         ]
         for body in bodies:
