Stop the transports of the link benchmark

Suspected cause: the benchmark never stopped its transports, so senders and streams were open when the interpreter shut down its thread pools. Change: they run in a context that stops them, also between gRPC and links, so that neither is measured beside the other.

--- a/benchmarks/links.py
+++ b/benchmarks/links.py
@@ -13,7 +13,8 @@
 grpc_gevent.init_gevent()
 
 import time  # noqa: E402
-from collections.abc import Callable  # noqa: E402
+from collections.abc import Callable, Iterator  # noqa: E402
+from contextlib import contextmanager  # noqa: E402
 from typing import Final, Protocol  # noqa: E402
 
 import gevent  # noqa: E402
@@ -34,9 +35,20 @@
 
 class _Transport(Protocol):
     def start(self) -> None: ...
+    def stop(self) -> None: ...
     def send(self, target: str, message: Message) -> None: ...
 
 
+@contextmanager
+def _run(transport: _Transport) -> Iterator[None]:
+    """Run a transport; one that still has senders at the exit fails in them."""
+    transport.start()
+    try:
+        yield
+    finally:
+        transport.stop()
+
+
 def _make_grpc(address: str, on_message: OnMessage) -> _Transport:
     return PeerTransport(
         instance_id=address,
@@ -75,17 +87,17 @@
     answers: list[Message] = []
     requester = make(router, lambda _, message: answers.append(message))
     responder = make(replica, lambda source, _: responder.send(source, view))
-    requester.start()
-    responder.start()
     follow = Follow(router=router, run="f00d", change=0, version=7, is_assigned=True)
     began = 0.0
-    for number in range(ROUNDS + 20):
-        if number == 20:
-            began = time.process_time()
-        requester.send(replica, follow)
-        gevent.sleep(REQUEST_INTERVAL_S)
+    with _run(requester), _run(responder):
+        for number in range(ROUNDS + 20):
+            if number == 20:
+                began = time.process_time()
+            requester.send(replica, follow)
+            gevent.sleep(REQUEST_INTERVAL_S)
+        took_s = time.process_time() - began
     assert len(answers) > ROUNDS
-    return (time.process_time() - began) / ROUNDS
+    return took_s / ROUNDS
 
 
 def main() -> None:
