Answer what waits for a router that is stopped while it starts

What callers saw: a connection was accepted, a whole request was sent on it, and it was reset. A request like this is not run, but its caller can't know that.

Cause: the listener of a router is open before the program is loaded, and SIGTERM and SIGHUP have no handler until then, so they ended the process at once.

Ruled out: the replicas.

Change: both signals are held from before the listener is opened until they have handlers. A stop at the start is then a stop like any other, in routers and replicas.

Conclusion: what opens a listener has to be able to answer on it.

--- a/chivetrack/daemon/fleet/__main__.py
+++ b/chivetrack/daemon/fleet/__main__.py
@@ -5,9 +5,14 @@
 # Imports create no garbage; collections during the imports would take a fifth of the start.
 gc.disable()
 
-from chivetrack.daemon.fleet.early import ENV_SETTINGS, open_callers_listener  # noqa: E402
+from chivetrack.daemon.fleet.early import (  # noqa: E402
+    ENV_SETTINGS,
+    hold_signals,
+    open_callers_listener,
+)
 
 # Open the listener before the imports that take time.
+hold_signals()
 EARLY_LISTENER = open_callers_listener()
 
 from gevent import config as gevent_config  # noqa: E402
--- a/chivetrack/daemon/fleet/early.py
+++ b/chivetrack/daemon/fleet/early.py
@@ -5,6 +5,7 @@
 """
 
 import os
+import signal
 import socket
 import tomllib
 from pathlib import Path
@@ -12,6 +13,7 @@
 from chivetrack.daemon.const import BACKLOG
 
 ENV_SETTINGS = "CHIVETRACK_SETTINGS"
+_HELD_SIGNALS = (signal.SIGTERM, signal.SIGHUP)
 
 
 def open_callers_listener() -> socket.socket | None:
@@ -30,6 +32,20 @@
         return None
 
 
+def hold_signals() -> None:
+    """Hold the signals of an operator until ``release_signals``.
+
+    Without a handler, a signal would end the process and reset the connections that wait in
+    the accept queue.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, _HELD_SIGNALS)
+
+
+def release_signals() -> None:
+    """Receive the signals that were held; they must have handlers now."""
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, _HELD_SIGNALS)
+
+
 def _listen(host: str, port: int) -> socket.socket:
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
--- a/chivetrack/daemon/fleet/replica.py
+++ b/chivetrack/daemon/fleet/replica.py
@@ -36,6 +36,7 @@
 )
 from chivetrack.daemon.fleet.control_handler import ControlHandler
 from chivetrack.daemon.fleet.documents import DocumentHandler
+from chivetrack.daemon.fleet.early import release_signals
 from chivetrack.daemon.fleet.gauges import Gauge
 from chivetrack.daemon.fleet.log_host import LogHost
 from chivetrack.daemon.fleet.metrics import Metrics, open_metrics_server
@@ -248,6 +249,7 @@
         """Serve until SIGTERM, then stop; return the number of calls cut by the exit."""
         gevent.signal_handler(signal.SIGTERM, self._stop_requested.set)
         gevent.signal_handler(signal.SIGHUP, self._log_reload)
+        release_signals()
         with self._serve():
             self._events.write(
                 "started",
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -39,6 +39,7 @@
     STOP_MARGIN_S,
 )
 from chivetrack.daemon.fleet.crashes import CrashDetector
+from chivetrack.daemon.fleet.early import release_signals
 from chivetrack.daemon.fleet.fleet_view import FleetView
 from chivetrack.daemon.fleet.forwarder import Forwarder
 from chivetrack.daemon.fleet.gauges import Gauge
@@ -301,6 +302,7 @@
         """Serve until SIGTERM, then stop; return the number of requests cut by the exit."""
         gevent.signal_handler(signal.SIGTERM, self._stop_requested.set)
         gevent.signal_handler(signal.SIGHUP, self._log_reload)
+        release_signals()
         with self._serve():
             self._events.write("started", role="router", peer=str(self._settings.listeners.peer))
             self._stop_requested.wait()
