Guard the stop of a replica against further signals

What callers would see: a call in progress that is cut by a second SIGTERM or a reload (SIGHUP) during a stop.

The test passes without a change to the code: both signals have handlers that begin nothing anew. It is kept since operators stop and reload in series.

--- a/tests/system/test_replica_exit.py
+++ b/tests/system/test_replica_exit.py
@@ -97,6 +97,20 @@
         counts = (stopped["cut"], stopped["refused"], stopped["connections_left"])
         self.assertEqual(counts, (0, 1, 0))
 
+    def test_further_signals_do_not_cut_the_stop(self) -> None:
+        """Guards against a second SIGTERM, or a reload, that ends a stop early."""
+        deployment, name = self.open()
+        caller = self.connect(deployment, name)
+        caller.sendall(b"GET /config HTTP/1.1\r\nHost: ")
+        time.sleep(0.2)
+        process = deployment.begin_stop(name)
+        for number in (signal.SIGHUP, signal.SIGTERM):
+            time.sleep(0.2)
+            process.send_signal(number)
+        caller.sendall(b"replica\r\n\r\n")
+        self.assertEqual(self.read_answer(caller)[0], 503)
+        self.assertEqual(process.wait(EXIT_TIMEOUT_S), 0)
+
     def test_metrics_are_sent_whole(self) -> None:
         """Guards against a reading of the metrics that the exit cuts."""
         deployment, name = self.open()
