Show the events of a story in the order in which they were written

What operators saw: `chivetrack story` showed `stopped` before `request_placed` when both were written in the same millisecond, whichever came first. Which of the two came first tells a request that was cut by an exit from one that was passed on after it.

Cause: the command sorted the context before the request's own events, by the time of day alone.

Change: the story has a timeline in the order of the lines, and the command prints it.

Before, two lines of one millisecond, `request_placed` and then `stopped`: printed the other way round. After: in order; tests.components.stories.test_story holds both orders.

--- a/chivetrack/cli/commands/story.py
+++ b/chivetrack/cli/commands/story.py
@@ -41,8 +41,7 @@
 
 
 def _print_story(story: RequestStory) -> None:
-    events = sorted([*story.context, *story.events], key=lambda one: float(one.get("at", 0.0)))
-    for event in events:
-        mark = " " if event in story.context else "*"
+    for event in story.timeline:
+        mark = "*" if event.get("request") == story.request else " "
         print_line(f"{mark} {format_event(event)}")
     print_line(f"cause: {story.cause}")
--- a/chivetrack/components/stories/story.py
+++ b/chivetrack/components/stories/story.py
@@ -44,12 +44,13 @@
     """The events of a request in order, related events, and the cause of its end.
 
     ``context`` holds the events of the involved instances that may explain its end, such
-    as changes of state.
+    as changes of state. ``timeline`` holds both, in order.
     """
 
     request: str
     events: tuple[Event, ...]
     context: tuple[Event, ...]
+    timeline: tuple[Event, ...]
     cause: str
 
 
@@ -85,10 +86,12 @@
         and first - CONTEXT_WINDOW_S <= float(event.get("at", 0.0)) <= last
     ]
     context += _list_exits_near(own, ordered)
+    shown = {id(event) for event in (*own, *context)}
     return RequestStory(
         request=request,
         events=tuple(own),
         context=tuple(sorted(context, key=_get_position)),
+        timeline=tuple(event for event in ordered if id(event) in shown),
         cause=_find_cause(own, explain_exit(own, ordered)),
     )
 
--- a/tests/components/stories/test_story.py
+++ b/tests/components/stories/test_story.py
@@ -101,6 +101,15 @@
         early = self.build([rejected, ("exit_decided", {})])
         self.assertEqual(early.cause, "rejected by the router itself: instance_stopping")
 
+    def test_events_of_the_same_millisecond_keep_their_order(self) -> None:
+        """Guards against a story that shows an exit before what the router wrote before it."""
+        for names in (["request_placed", "stopped"], ["stopped", "request_placed"]):
+            owners = [{"request": "q"} if name == "request_placed" else {} for name in names]
+            lines = [make_line(1.0, name, **own) for name, own in zip(names, owners, strict=True)]
+            story = build_story("q", read_events(lines))
+            assert story is not None
+            self.assertEqual([event["event"] for event in story.timeline], names)
+
     def test_ends_that_a_stop_cuts(self) -> None:
         """Guards against one wording for cut requests that have run and that have not."""
         cases = [(503, "it has not run"), (502, "it may have run"), (200, "was complete")]
