Tell in a story when a stop cut a request, and whether it has run

Seen in the story of a request that a stop answered with 502: "it may have run after 4 ms", which reads as a time of the run. Now "its router stopped after 4 ms, before its answer began: 502, it may have run". Words only; tests.components.stories.test_story passes.

--- a/chivetrack/components/stories/story.py
+++ b/chivetrack/components/stories/story.py
@@ -170,7 +170,7 @@
     if outcome == "answered":
         return f"ended with status {event.get('status')} after {event.get('tries')} tries"
     if outcome == "cut_by_stop":
-        return f"{_explain_cut_by_stop(event)} after {event.get('ms')} ms"
+        return _explain_cut_by_stop(event)
     causes = {
         "timeout": "the deadline of the caller or the route expired",
         "cut": "the answer broke off and could not go on elsewhere",
@@ -182,8 +182,9 @@
 def _explain_cut_by_stop(event: Event) -> str:
     status = int(event.get("status") or 0)
     causes = {
-        0: "its router stopped before it had an answer",
-        502: "its router stopped before its answer began, with 502; it may have run",
-        503: "its router stopped before it was sent, with 503; it has not run",
+        0: "without an answer",
+        502: "before its answer began: 502, it may have run",
+        503: "before it was sent: 503, it has not run",
     }
-    return causes.get(status, "its router stopped before the answer was complete")
+    cause = causes.get(status, "before the answer was complete")
+    return f"its router stopped after {event.get('ms')} ms, {cause}"
