--- a/tests/system/test_stop_at_start.py
+++ b/tests/system/test_stop_at_start.py
@@ -1,8 +1,9 @@
 """System tests of a router that is stopped while it starts."""
 
+import signal
 import socket
-import time
 import unittest
+from pathlib import Path
 
 from tests.system.deployment import CALLER_PORT, Deployment, open_deployment
 from tests.system.fleets import wait_for
@@ -11,6 +12,13 @@
 EXIT_TIMEOUT_S = 20.0
 
 
+def is_held(pid: int) -> bool:
+    """Return whether a process has blocked SIGTERM."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    (blocked,) = (line for line in status.splitlines() if line.startswith("SigBlk:"))
+    return bool(int(blocked.split()[1], 16) & 1 << (signal.SIGTERM - 1))
+
+
 class StopAtStartTest(unittest.TestCase):
     def connect(self, deployment: Deployment) -> socket.socket:
         """Return a connection to a router as soon as its listener is open."""
@@ -44,7 +52,8 @@
         deployment = self.enterContext(open_deployment(replicas=1, routers=0))
         deployment.start("p1")
         log = deployment.folder / "p1.log"
-        time.sleep(0.3)
+        pid = deployment.processes["p1"].pid
+        wait_for(lambda: is_held(pid), "the replica does not hold SIGTERM")
         process = deployment.begin_stop("p1")
         self.assertEqual(process.wait(EXIT_TIMEOUT_S), 0)
         self.assertIn('"stopped"', log.read_text())
