Don't call a forwarded change refused when its leader has not answered

What callers saw: an operator at a follower got 503 no_leader, "not run", for a change that the leader had committed. It comes when the leader exits, or loses its links, between the commit and its answer, and no other leader is known to the follower yet, or the follower itself has become the leader.

Cause: after a wait without an answer the follower answered as if it had never sent the change: with a redirect to the leader, or, without one, with the fault for a call that nobody took.

Ruled out: the answers that do come; a leader says "refused" only for what is in no log. Reads: they change nothing, and keep no_leader. A redirect promises nothing and stays.

Change: a change that was sent and not answered is outcome_unknown, 503, may have run, if there is no leader to redirect to.

Before, tests.daemon.fleet.test_documents.ForwardedChangeTest, for both cases:

AssertionError: Tuples differ: ('no_leader', <Ran.NO: 'no'>) != ('outcome_unknown', <Ran.MAYBE: 'maybe'>)

Conclusion: a follower's "not run" holds for what it has not sent, or what the leader has refused.

--- a/chivetrack/daemon/fleet/documents.py
+++ b/chivetrack/daemon/fleet/documents.py
@@ -159,7 +159,9 @@
         if self._host.is_leader:
             return self._commit(command)
         data = encode_command(command)
-        return self._request_from_leader(lambda number: ForwardProposal(number=number, data=data))
+        return self._request_from_leader(
+            lambda number: ForwardProposal(number=number, data=data), no_answer=make_unknown()
+        )
 
     def read(self) -> Result[StoredDocument, Fault | RedirectTo]:
         """Return the newest document after a quorum has confirmed its version.
@@ -169,7 +171,9 @@
         if self._host.is_leader:
             newest = self._confirm()
         else:
-            newest = self._request_from_leader(lambda number: ForwardRead(number=number))
+            newest = self._request_from_leader(
+                lambda number: ForwardRead(number=number), no_answer=_make_no_leader()
+            )
         held = self._store.current.version
         self._log("configuration_read", newest, version=held, held=held)
         if newest.is_error():
@@ -259,8 +263,9 @@
     # At a follower
 
     def _request_from_leader(
-        self, make_call: Callable[[int], ForwardProposal | ForwardRead]
+        self, make_call: Callable[[int], ForwardProposal | ForwardRead], *, no_answer: Fault
     ) -> Result[int, Fault | RedirectTo]:
+        """Return the leader's answer; ``no_answer`` if none comes and no other replica leads."""
         leader = self._host.get_leader()
         if not leader or leader == self._instance_id:
             return Error(self._redirect())
@@ -268,7 +273,8 @@
             lambda number: self._send(leader, make_call(number)), timeout_s=FORWARD_TIMEOUT_S
         )
         if answer is None:
-            return Error(self._redirect())
+            redirect = self._redirect()
+            return Error(redirect if isinstance(redirect, RedirectTo) else no_answer)
         if answer.verdict is Verdict.UNKNOWN:
             return Error(make_unknown())
         if answer.verdict is Verdict.REFUSED:
@@ -278,7 +284,7 @@
     def _redirect(self) -> Fault | RedirectTo:
         leader = self._host.get_leader()
         if not leader or leader == self._instance_id:
-            return make_unavailable("no_leader", "no replica leads at the moment")
+            return _make_no_leader()
         host = leader.rpartition(":")[0]
         return RedirectTo(address=f"{host}:{self._control_port}")
 
@@ -326,6 +332,10 @@
         return outcome
 
 
+def _make_no_leader() -> Fault:
+    return make_unavailable("no_leader", "no replica leads at the moment")
+
+
 def _choose_verdict(outcome: Result[int, Fault | RedirectTo]) -> Verdict:
     if outcome.is_ok():
         return Verdict.ACCEPTED
--- a/tests/daemon/fleet/test_documents.py
+++ b/tests/daemon/fleet/test_documents.py
@@ -222,6 +222,22 @@
         assert outcome.is_error() and isinstance(outcome.error, Fault)
         self.assertEqual((outcome.error.code, outcome.error.ran), ("leader_failed", Ran.NO))
 
+    def test_follower_does_not_call_an_unanswered_change_not_made(self) -> None:
+        """Guards against "not run" for a change whose leader exits after it was committed."""
+        self.log.lost.add((self.first.name, self.second.name))
+        for believed_leader in ("", self.second.name):
+            with self.subTest(believed_leader=believed_leader):
+                self.log.believed_leader = self.first.name
+                call = gevent.spawn(self.second.put, 5)
+                gevent.sleep(0.01)
+                self.assertEqual(self.log.index, 1)
+                self.log.believed_leader = believed_leader
+                outcome = call.get()
+                assert outcome.is_error() and isinstance(outcome.error, Fault)
+                self.assertEqual(
+                    (outcome.error.code, outcome.error.ran), ("outcome_unknown", Ran.MAYBE)
+                )
+
 
 class StopTest(DeskCase):
     def test_change_that_arrives_during_the_stop_is_refused(self) -> None:
