Report a refusal by the leader to the caller as a fault

Callers saw no refusal where the leader had refused a malformed command at once: its answer is accepted and holds a LeaderRefusal, and only a change of replicas looked for one. A write through the resource API took it for the outcome and failed at an assertion; a backup would have stored it as the state.

Cause: each user of Submissions had to look for a refusal in the result. Now Submissions does it once, and its callers get an error with the leader's code, message and status, "has not run". The claims coordinator and the controllers check the type of a result already and are not changed.

Ruled out: that the leader does not answer.

--- a/chivetrack/components/replica/administration.py
+++ b/chivetrack/components/replica/administration.py
@@ -1,7 +1,8 @@
 """Administrative requests to the replicated log, sent like commands and queries."""
 
 from chivetrack.components.consensus.members import ChangeKind
-from chivetrack.helpers.codec import Message, message
+from chivetrack.exceptions import Fault, Ran
+from chivetrack.helpers.codec import DecodeError, Message, message, pack, unpack
 
 
 @message("replica.change")
@@ -34,3 +35,19 @@
     code: str
     text: str
     status: int
+
+
+def pack_refusal(fault: Fault) -> bytes:
+    """Return the fault as the packed result of a submission."""
+    return pack(LeaderRefusal(fault.code, fault.message, fault.status))
+
+
+def find_refusal(result: bytes) -> Fault | None:
+    """Return the fault that the result of a submission reports; ``None`` for an answer."""
+    try:
+        refusal = unpack(result)
+    except DecodeError:
+        return None
+    if not isinstance(refusal, LeaderRefusal):
+        return None
+    return Fault(code=refusal.code, message=refusal.text, status=refusal.status, ran=Ran.NO)
--- a/chivetrack/daemon/leader_requests.py
+++ b/chivetrack/daemon/leader_requests.py
@@ -16,10 +16,10 @@
 from chivetrack.components.replica import Replica
 from chivetrack.components.replica.administration import (
     ChangeReplica,
-    LeaderRefusal,
     ReadLogStatus,
     TakeBackup,
     get_instance_id,
+    pack_refusal,
 )
 from chivetrack.components.replica.models import NotLeaderFault
 from chivetrack.components.storage.snapshots import encode_snapshot
@@ -84,11 +84,11 @@
         try:
             command = unpack(data)
         except DecodeError as error:
-            return Ok(_pack_fault(_make_malformed_command(str(error))))
+            return Ok(pack_refusal(_make_malformed_command(str(error))))
         if isinstance(command, ChangeReplica):
             return self._change_members(replica, command)
         if not isinstance(command, Command):
-            return Ok(_pack_fault(_make_malformed_command("the message is not a command")))
+            return Ok(pack_refusal(_make_malformed_command("the message is not a command")))
         if self.clock is not None:
             command = stamp_time(command, self.clock.read(time.monotonic()))
         return replica.propose(pack(command), timeout_s=PROPOSE_TIMEOUT_S)
@@ -104,7 +104,7 @@
             return Ok(b"")
         if isinstance(result.error, NotLeaderFault) or result.error.ran is not Ran.NO:
             return result.map(lambda index: b"")
-        return Ok(_pack_fault(result.error))
+        return Ok(pack_refusal(result.error))
 
     def _read(self, replica: Replica, data: bytes) -> Result[bytes, Fault]:
         confirmed = replica.confirm_read(timeout_s=READ_TIMEOUT_S)
@@ -127,7 +127,3 @@
         for member in replica.get_status().consensus.members.members:
             if not member.voter:
                 replica.change_members(ChangeKind.PROMOTE, member, timeout_s=PROPOSE_TIMEOUT_S)
-
-
-def _pack_fault(fault: Fault) -> bytes:
-    return pack(LeaderRefusal(fault.code, fault.message, fault.status))
--- a/chivetrack/daemon/management.py
+++ b/chivetrack/daemon/management.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 import msgspec
-from expression import Error, Ok, Result
+from expression import Result
 
 from chivetrack.assembly import Router
 from chivetrack.components.consensus.members import ChangeKind
@@ -14,14 +14,13 @@
 from chivetrack.components.membership.models import Instance, InstanceStatus
 from chivetrack.components.replica.administration import (
     ChangeReplica,
-    LeaderRefusal,
     ReadLogStatus,
     TakeBackup,
 )
 from chivetrack.daemon.explanations import Explanations
 from chivetrack.daemon.submissions import Submissions
-from chivetrack.exceptions import Fault, Ran
-from chivetrack.helpers.codec import pack, unpack
+from chivetrack.exceptions import Fault
+from chivetrack.helpers.codec import pack
 from chivetrack.helpers.keys import KeyRing
 
 STATUS_TIMEOUT_S = 1.5
@@ -115,14 +114,7 @@
 
     def _change(self, change: ChangeReplica) -> Result[None, Fault]:
         result = self._submissions.submit(pack(change), timeout_s=CHANGE_TIMEOUT_S)
-        if result.is_error():
-            return Error(result.error)
-        if not result.ok:
-            return Ok(None)
-        refusal = unpack(result.ok)
-        assert isinstance(refusal, LeaderRefusal)
-        fault = Fault(code=refusal.code, message=refusal.text, status=refusal.status, ran=Ran.NO)
-        return Error(fault)
+        return result.map(lambda outcome: None)
 
     def read_backup(self) -> Result[bytes, Fault]:
         """Return the durable state as the content of a backup file."""
--- a/chivetrack/daemon/submissions.py
+++ b/chivetrack/daemon/submissions.py
@@ -1,13 +1,14 @@
 """Blocking submission of commands and confirmed reads from a greenlet."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from expression import Error, Ok, Result
 from gevent.event import AsyncResult
 
 from chivetrack.components.limits.stopping import make_cut_fault, make_stopping_fault
 from chivetrack.components.proposals.models import SubmissionEnded, Submit, SubmitRead
+from chivetrack.components.replica.administration import find_refusal
 from chivetrack.core import Event
 from chivetrack.exceptions import Fault
 
@@ -61,8 +62,7 @@
         self._waiting[submission.submission_id] = waiting
         try:
             self._post(submission)
-            ended: SubmissionEnded = waiting.result.get()
-            return ended
+            return _apply_refusal(waiting.result.get())
         finally:
             del self._waiting[submission.submission_id]
 
@@ -81,5 +81,11 @@
                 waiting.result.set(SubmissionEnded(submission_id=submission_id, fault=fault))
 
 
+def _apply_refusal(ended: SubmissionEnded) -> SubmissionEnded:
+    """Turn a refusal by the leader, which arrives as a result, into a fault."""
+    refusal = find_refusal(ended.result)
+    return ended if refusal is None else replace(ended, result=b"", fault=refusal)
+
+
 def _make_refusal() -> Fault:
     return make_stopping_fault(do_others_accept=True, left_s=0.0)
