Answer a malformed forwarded query at once

Callers whose query the leader could not decode got no answer: each attempt ran into its timeout and was sent again, and at the deadline the read ended as 503 no_leader, "no leader could be reached", with a Retry-After.

Cause: a forwarded read is answered in a greenlet of its own. Decoding its query raised there (DecodeError), or packing the answer to a message that is no query did (KeyError), and nothing was sent. A forwarded command of the same kind was refused already.

The query is still decoded only after the read is confirmed, so that the leader alone decides: an older follower may not know a query that the leader knows.

--- a/chivetrack/daemon/leader_requests.py
+++ b/chivetrack/daemon/leader_requests.py
@@ -25,7 +25,7 @@
 from chivetrack.components.storage.snapshots import encode_snapshot
 from chivetrack.components.store.clock import ProposerClock
 from chivetrack.components.store.commands import Command, stamp_time
-from chivetrack.components.store.queries import answer_query
+from chivetrack.components.store.queries import Query, answer_query
 from chivetrack.components.store.store import Store
 from chivetrack.daemon.log_status import describe_log
 from chivetrack.exceptions import Fault, Ran
@@ -42,6 +42,10 @@
     return Fault(code="malformed_command", message=detail, status=400, ran=Ran.NO)
 
 
+def _make_malformed_query(detail: str) -> Fault:
+    return Fault(code="malformed_query", message=detail, status=400, ran=Ran.NO)
+
+
 class LeaderRequestHandler:
     """Executes forwarded commands and queries.
 
@@ -108,16 +112,22 @@
 
     def _read(self, replica: Replica, data: bytes) -> Result[bytes, Fault]:
         confirmed = replica.confirm_read(timeout_s=READ_TIMEOUT_S)
-        if confirmed.is_error():
-            return confirmed.map(lambda index: b"")
+        return confirmed.map(lambda index: self._answer_read(replica, data))
+
+    def _answer_read(self, replica: Replica, data: bytes) -> bytes:
         if not data:
-            return Ok(b"")
-        query = unpack(data)
+            return b""
+        try:
+            query = unpack(data)
+        except DecodeError as error:
+            return pack_refusal(_make_malformed_query(str(error)))
         if isinstance(query, TakeBackup):
-            return Ok(b"".join(encode_snapshot(replica.take_backup())))
+            return b"".join(encode_snapshot(replica.take_backup()))
         if isinstance(query, ReadLogStatus):
-            return Ok(msgspec.json.encode(describe_log(replica.get_status())))
-        return Ok(pack(answer_query(self._store, query)))  # type: ignore[arg-type]
+            return msgspec.json.encode(describe_log(replica.get_status()))
+        if not isinstance(query, Query):
+            return pack_refusal(_make_malformed_query("the message is not a query"))
+        return pack(answer_query(self._store, query))
 
     def promote_learners(self) -> None:
         """Promote every learner to a voter; the log refuses those that have not caught up."""
--- a/tests/daemon/test_leader_requests.py
+++ b/tests/daemon/test_leader_requests.py
@@ -81,6 +81,21 @@
         answer = self.answer(ForwardRead(NUMBER))
         self.assertEqual((answer.verdict, answer.result), (Verdict.ACCEPTED, b""))
 
+    def test_malformed_query_is_answered(self) -> None:
+        """Guards against a read that is never answered because its query cannot be decoded."""
+        for name, data in MALFORMED.items():
+            with self.subTest(name):
+                answer = self.answer(ForwardRead(NUMBER, data))
+                self.assertEqual((answer.number, answer.verdict), (NUMBER, Verdict.ACCEPTED))
+
+    def test_sender_learns_that_its_query_is_malformed(self) -> None:
+        """Guards against a refusal by the leader that its sender takes for the answer."""
+        for name, data in MALFORMED.items():
+            with self.subTest(name):
+                ended = self.submissions.read(data, timeout_s=1.0)
+                self.assertTrue(ended.is_error())
+                self.check_fault(ended.error, "malformed_query")
+
     def test_sender_learns_that_its_command_is_malformed(self) -> None:
         """Guards against a refusal by the leader that its sender takes for the outcome."""
         for name, data in MALFORMED.items():
