Move the contact of absent instances out of the membership

The greeting of seeds and dead instances stands by itself: it has its own interval, reads the members and only sends through gossip. The source of random numbers is the same and is drawn from in the same order.

A pure move; no test is changed.

--- a/chivetrack/components/membership/membership.py
+++ b/chivetrack/components/membership/membership.py
@@ -6,9 +6,9 @@
 
 from chivetrack.components.gossip.gossip import Gossip
 from chivetrack.components.gossip.models import Peer, Urgency, ValueUpdate
+from chivetrack.components.membership.absent_contacts import AbsentContacts
 from chivetrack.components.membership.const import (
     ALIVE_INTERVAL_S,
-    CONTACT_ABSENT_INTERVAL_S,
     FROZEN_AFTER_S,
     MAX_PROBE_JITTER_S,
     MAX_PROBE_ROUNDS,
@@ -71,6 +71,9 @@
         self._seeds = {seed.instance_id: seed for seed in seeds}
         self._random = random
         self._regions = Regions(gossip=gossip, own_region=own.region, seeds=seeds)
+        self._absent_contacts = AbsentContacts(
+            gossip=gossip, own_address=own.address, seeds=self._seeds.values(), random=random
+        )
         self._members: dict[str, Member] = {}
         self._prober = Prober(
             gossip=gossip,
@@ -82,7 +85,6 @@
         self._callbacks: list[InstanceCallback] = []
         self._last_event: float | None = None
         self._next_tick = float("-inf")
-        self._contacted_absent_at = float("-inf")
         self._joined_at: float | None = None
         self._leaving = False
         self._isolated = False
@@ -178,7 +180,7 @@
         self._prober.tick(now)
         for member in list(self._members.values()):
             self._check_member(member, now)
-        self._contact_absent(now)
+        self._absent_contacts.tick(self._members.values(), now)
         self._regions.publish(self._own.instance_id, self.list_instances(), now)
         self._set_peers(now)
 
@@ -249,28 +251,6 @@
         reason = f"silent here, not reached by {', '.join(witnesses)}"
         self._change(member, InstanceStatus.DEAD, reason, now)
 
-    def _contact_absent(self, now: float) -> None:
-        """Contact up to two seeds or dead instances at regular intervals.
-
-        Otherwise two sides of a partition that declared each other dead would never
-        reconnect.
-        """
-        if now < self._contacted_absent_at + CONTACT_ABSENT_INTERVAL_S:
-            return
-        self._contacted_absent_at = now
-        dead = [m for m in self._members.values() if m.status is InstanceStatus.DEAD]
-        # The settings name seeds by address; the instance id is known only after contact.
-        known_addresses = {member.record.address for member in self._members.values()}
-        known_addresses.add(self._own.address)
-        absent = [
-            Peer(instance_id=seed.instance_id, region=seed.region)
-            for seed in self._seeds.values()
-            if seed.address not in known_addresses
-        ]
-        absent.extend(Peer(instance_id=m.instance_id, region=m.record.region) for m in dead)
-        for peer in self._random.sample(absent, min(2, len(absent))):
-            self._gossip.greet(peer)
-
     def _set_peers(self, now: float) -> None:
         peers = [
             Peer(instance_id=member.instance_id, region=member.record.region)
