Count a message that is nested too deeply as malformed

Callers whose forwarded command or query is nested some thousand arrays deep got no answer until their deadline: the leader's greenlet ended with a RecursionError.

Cause: msgspec raises RecursionError for such bytes, not one of its own errors, and the codec turned only those into DecodeError. Every reader of messages catches DecodeError alone. Read in the code, not run: the same bytes directly on a link end the link, although a message that cannot be decoded must not affect the others.

Ruled out: text that is not UTF-8, truncated data, a length beyond the data. They raise DecodeError already.

Change: the codec counts a RecursionError as malformed bytes, so that a refusal is sent as for the other cases.

--- a/chivetrack/helpers/codec.py
+++ b/chivetrack/helpers/codec.py
@@ -24,6 +24,8 @@
 _KINDS: dict[type[Message], str] = {}
 _DECODERS: dict[str, msgspec.msgpack.Decoder] = {}
 _ENCODER = msgspec.msgpack.Encoder()
+# Bytes that are nested too deeply raise a RecursionError in msgspec.
+_MALFORMED = (msgspec.MsgspecError, RecursionError)
 
 
 class DecodeError(Exception):
@@ -59,7 +61,7 @@
         raise DecodeError(f"no message is named {kind!r}")
     try:
         return decoder.decode(payload)
-    except msgspec.MsgspecError as error:
+    except _MALFORMED as error:
         raise DecodeError(f"{kind}: {error}") from error
 
 
@@ -79,6 +81,6 @@
     """Decode the output of ``pack``; raise ``DecodeError`` for anything else."""
     try:
         kind, payload = msgspec.msgpack.decode(data, type=tuple[str, msgspec.Raw])
-    except msgspec.MsgspecError as error:
+    except _MALFORMED as error:
         raise DecodeError(str(error)) from error
     return decode(kind, bytes(payload))
--- a/tests/daemon/test_leader_requests.py
+++ b/tests/daemon/test_leader_requests.py
@@ -28,6 +28,7 @@
     "unknown kind": b"\x92\xa4none\x90",
     "missing fields": b"\x92\xa9store/get\x90",
     "invalid text": b"\x92\xa9store/get\x92\xa1\xff\xa1a",
+    "deep nesting": b"\x92\xa9store/get" + b"\x91" * 10_000 + b"\x90",
     "another message": pack(Answer(1)),
 }
 NUMBER = 7
