Handle SIGTERM before the daemon opens its listeners

What callers saw: a whole request, sent to an instance of chivetrackd that had just opened its listeners, was reset without an answer or a refusal when the instance got SIGTERM at that moment.

Cause: the handlers of SIGTERM and SIGINT were installed after the listeners were opened. In between the signal had its default action, which kills the process and resets the accept queues.

Ruled out: that the stop itself misses such a signal; a request to stop that comes before `wait` is kept.

Change: the handlers are installed first.

Before: tests.system.test_daemon_stop_at_start, which holds the process still when the listeners are open: ConnectionResetError: [Errno 104] Connection reset by peer After: it passes in three of three runs.

--- a/chivetrack/daemon/instance.py
+++ b/chivetrack/daemon/instance.py
@@ -291,9 +291,10 @@
 
     def run(self) -> StopReport:
         """Serve until a graceful stop is complete, and return its report."""
+        # Before the listeners: the default action would reset their accept queues.
+        gevent.signal_handler(signal.SIGTERM, self._stop.request)
+        gevent.signal_handler(signal.SIGINT, self._stop.request)
         with self._serve():
-            gevent.signal_handler(signal.SIGTERM, self._stop.request)
-            gevent.signal_handler(signal.SIGINT, self._stop.request)
             _LOGGER.info("Instance {} has started.", self.instance_id)
             report = self._stop.wait()
             self._leave()
