Refuse the callers in a router's accept queue when its start fails

What callers saw: a whole request, sent to a router whose start failed because another of its addresses was in use, was reset without an answer or a refusal. It had not run, but its caller couldn't know.

Cause: the callers' listener is open before the other addresses are bound. A start that fails there ended the process, and the exit reset what waited in the accept queue.

Ruled out: a callers' address that is in use itself; the early listener is then not open, and nothing waits.

Change: the callers' server starts first; if another listener can't be opened, the gate closes and the server is drained, which refuses what waits, before the process exits as before with `start_failed`.

Conclusion: a start that fails after its settings were accepted refuses. With settings that have faults the process still exits without serving, and its queue is reset.

--- a/chivetrack/daemon/fleet/const.py
+++ b/chivetrack/daemon/fleet/const.py
@@ -39,6 +39,9 @@
 PRUNE_ROUNDS_PER_TRAFFIC_LINE: Final = 5
 """Pruning rounds from one log line about the traffic with other processes to the next."""
 
+START_FAILED_DRAIN_S: Final = 2.0
+"""Limit for refusing the callers of a start that fails."""
+
 STOP_IDLE_AFTER_S: Final = 1.0
 """From SIGTERM until idle connections are closed, so that callers connect to other routers."""
 
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -33,6 +33,7 @@
 from chivetrack.daemon.call_gate import CallGate
 from chivetrack.daemon.fleet.const import (
     PRUNE_INTERVAL_S,
+    START_FAILED_DRAIN_S,
     STOP_ACCEPT_S,
     STOP_DRAINED_S,
     STOP_IDLE_AFTER_S,
@@ -354,11 +355,23 @@
         if self._metrics_server is not None:
             yield self._metrics_server
 
+    def _open_listeners(self) -> None:
+        """Open all listeners; raise ``OSError`` if an address is in use."""
+        callers, *others = self._list_servers()
+        callers.start()
+        try:
+            self.transport.start()
+            for server in others:
+                server.start()
+        except OSError:
+            # Callers may wait in the accept queue since the process has opened the listener.
+            self._gate.is_closed = True
+            callers.drain(ends_at=time.monotonic() + START_FAILED_DRAIN_S)
+            raise
+
     @contextmanager
     def _serve(self) -> Iterator[None]:
-        self.transport.start()
-        for server in self._list_servers():
-            server.start()
+        self._open_listeners()
         now = time.monotonic()
         self._timers.call_at(now, self._wake_subscriber)
         self._timers.call_every(PRUNE_INTERVAL_S, self._prune, now=now)
--- a/tests/daemon/fleet/test_start.py
+++ b/tests/daemon/fleet/test_start.py
@@ -1,11 +1,21 @@
 """Tests of the modules and threads that a deployed process has loaded at its start."""
 
+import os
+import socket
 import subprocess
 import sys
+import tempfile
+import time
 import unittest
 from pathlib import Path
 
+from chivetrack.daemon.const import EXIT_START
+from chivetrack.daemon.fleet.early import ENV_SETTINGS
+from tests.daemon.fleet.test_router_exit import make_request, make_settings
+from tests.system.deployment import CALLER_PORT, PEER_PORT, READY_PORT
+
 ROOT = Path(__file__).resolve().parents[3]
+LIMIT_S = 20.0
 
 _PROGRAM = """
 import os, socket, sys
@@ -40,3 +50,49 @@
             cwd=ROOT,
         )
         self.assertEqual(ended.stdout.split("\n")[:2], ["1", ""], ended.stdout + ended.stderr)
+
+
+class AcceptQueueTest(unittest.TestCase):
+    def setUp(self) -> None:
+        pid = os.getpid()
+        self.host = f"127.{210 + (pid >> 8) % 40}.{pid % 256}.3"
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        self.settings = Path(folder) / "router.toml"
+        self.settings.write_text(make_settings(self.host, 8.0))
+
+    def start_router(self) -> subprocess.Popen[bytes]:
+        process = subprocess.Popen(
+            [sys.executable, "-m", "chivetrack.daemon.fleet"],
+            cwd=ROOT,
+            env={**os.environ, ENV_SETTINGS: str(self.settings)},
+            stdout=subprocess.DEVNULL,
+        )
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        return process
+
+    def connect(self) -> socket.socket:
+        """Connect as soon as the listener is open, long before the program is loaded."""
+        ends_at = time.monotonic() + LIMIT_S
+        while True:
+            try:
+                return socket.create_connection((self.host, CALLER_PORT), timeout=LIMIT_S)
+            except ConnectionRefusedError:
+                self.assertLess(time.monotonic(), ends_at)
+                time.sleep(0.001)
+
+    def assert_refused(self, caller: socket.socket) -> None:
+        with caller.makefile("rb") as stream:
+            answer = stream.read()
+        self.assertEqual(answer.partition(b"\r\n")[0], b"HTTP/1.1 503 Service Unavailable")
+        self.assertIn(b'"ran":"no"', answer)
+
+    def test_caller_of_a_start_that_fails_is_answered(self) -> None:
+        """Guards against a reset of a whole request when another address is in use."""
+        for port in (PEER_PORT, READY_PORT):
+            with self.subTest(port=port), socket.create_server((self.host, port)):
+                process = self.start_router()
+                with self.connect() as caller:
+                    caller.sendall(make_request("early"))
+                    self.assert_refused(caller)
+                self.assertEqual(process.wait(LIMIT_S), EXIT_START)
