Refuse what is half received when a second signal comes during the drain

What callers saw: a second signal to chivetrackd, while it drained the callers' listener, closed the connections of requests that were still arriving without an answer. A second signal before the decision to exit refused the same requests.

Cause: the signal killed the drain, and nothing refused after it.

Ruled out: the gate, which is closed and refuses each request that is read whole.

Change: the signal ends the long drain and begins one of `STOP_DRAIN_TIMEOUT_S`, as for a signal that comes earlier. A drain can be continued by a second call; it accepts and closes the listener once. The count of connections, which only this way out read, is gone.

--- a/chivetrack/daemon/instance_requests.py
+++ b/chivetrack/daemon/instance_requests.py
@@ -55,7 +55,3 @@
     def drain(self, *, ends_at: float) -> int:
         """Drain the listener for callers; return the connections open at ``ends_at``."""
         return self._listeners.drain_caller(ends_at=ends_at)
-
-    def count_connections(self) -> int:
-        """Return the number of open connections of callers."""
-        return self._listeners.count_caller_connections()
--- a/chivetrack/daemon/listeners.py
+++ b/chivetrack/daemon/listeners.py
@@ -68,10 +68,6 @@
         """
         return self._servers["caller"].drain(ends_at=ends_at)
 
-    def count_caller_connections(self) -> int:
-        """Return the number of open connections of callers."""
-        return len(self._servers["caller"].pool)
-
     def drain_rest(self, *, ends_at: float) -> int:
         """Drain the listeners that serve no callers, as ``drain_caller`` does."""
         servers = [self._servers["resources"], self._servers["telemetry"]]
--- a/chivetrack/daemon/server.py
+++ b/chivetrack/daemon/server.py
@@ -344,12 +344,14 @@
         queue are accepted, and requests that are not received completely within
         ``RECEIVE_TIMEOUT_S`` or half of the time are refused; an application that still reads
         a body gets an ``OSError``. Return the number of connections that are still open at
-        ``ends_at`` (s, monotonic), because their callers do not read.
+        ``ends_at`` (s, monotonic), because their callers do not read. A drain that was ended
+        before its time may be continued by another call.
         """
-        self.is_draining = True
-        self._accept_queued()
-        self.close()
-        self.close_idle()
+        if not self.is_draining:
+            self.is_draining = True
+            self._accept_queued()
+            self.close()
+            self.close_idle()
         # The other half is for sending the refusals.
         left_s = max(0.0, ends_at - time.monotonic())
         self.pool.join(timeout=min(RECEIVE_TIMEOUT_S, left_s / 2))
--- a/chivetrack/daemon/stop.py
+++ b/chivetrack/daemon/stop.py
@@ -66,10 +66,6 @@
         """
         ...
 
-    def count_connections(self) -> int:
-        """Return the number of open connections of callers."""
-        ...
-
 
 class GracefulStop:
     """Runs the stop; a second signal or the deadline ends it immediately.
@@ -153,13 +149,12 @@
             gevent.sleep(STOP_POLL_INTERVAL_S)
 
     def _drain(self, ends_at: float) -> int:
-        """Drain until ``ends_at`` or a second signal, but at least for the drain timeout."""
-        earliest = self._read_clock() + STOP_DRAIN_TIMEOUT_S
-        if self._forced.is_set():
-            return self._requests.drain(ends_at=earliest)
-        draining = gevent.spawn(self._requests.drain, ends_at=max(ends_at, earliest))
-        gevent.wait([draining, self._forced], count=1)
-        if draining.ready():
-            return int(draining.get())
-        draining.kill()
-        return self._requests.count_connections()
+        """Drain until ``ends_at``, and for the drain timeout after the decision or a signal."""
+        if not self._forced.is_set():
+            longest = max(ends_at, self._read_clock() + STOP_DRAIN_TIMEOUT_S)
+            draining = gevent.spawn(self._requests.drain, ends_at=longest)
+            gevent.wait([draining, self._forced], count=1)
+            if draining.ready():
+                return int(draining.get())
+            draining.kill()
+        return self._requests.drain(ends_at=self._read_clock() + STOP_DRAIN_TIMEOUT_S)
--- a/tests/daemon/test_stop.py
+++ b/tests/daemon/test_stop.py
@@ -223,6 +223,18 @@
         for caller in callers[1:]:
             self.assert_refused(caller)
 
+    def test_second_signal_refuses_what_is_half_received(self) -> None:
+        """Guards against a second signal that closes a connection without an answer."""
+        caller = self.connect()
+
+        def send() -> None:
+            caller.sendall(REQUEST[:-1])
+            gevent.spawn_later(0.1, self.stop.request)
+
+        self.requests.at_decision = send
+        self.assertEqual(self.run_stop(), StopReport(cut=0))
+        self.assert_refused(caller)
+
     def test_readiness_is_answered_to_the_end(self) -> None:
         """Guards against a readiness check without an answer during the last step of a stop."""
         prober = self.connect()
