--- a/tests/system/held_daemon.py
+++ b/tests/system/held_daemon.py
@@ -1,4 +1,4 @@
-"""An instance that holds still when its listeners are open; run by ``test_daemon_stop_at_start``."""
+"""An instance that holds still with open listeners; run by ``test_daemon_stop_at_start``."""
 
 from chivetrack.daemon import __main__ as program  # isort: skip  # patches the standard library
 
