--- a/chivetrack/daemon/fleet/documents.py
+++ b/chivetrack/daemon/fleet/documents.py
@@ -30,6 +30,7 @@
     QuarantineOutcome,
     ReleaseOrder,
 )
+from chivetrack.components.replica.faults import make_unknown
 from chivetrack.components.replica.models import NotLeaderFault
 from chivetrack.components.traffic.models import Document
 from chivetrack.daemon.fleet.const import (
@@ -63,6 +64,11 @@
     return Fault(code=code, message=message, status=503, ran=Ran.NO, retry_after_s=_RETRY_S)
 
 
+def make_stopping() -> Fault:
+    """Return the fault for a call that has not run and succeeds at another replica."""
+    return make_unavailable("stopping", "this replica is stopping; use another replica")
+
+
 class DocumentHandler:
     """Serve operators' calls at any replica; a revision of the log is a document's version.
 
@@ -96,6 +102,11 @@
         self._list_readers = list_readers
         self._events = events
         self._pending = PendingRequests[ProposalAnswer]()
+        self._is_stopping = False
+
+    def begin_stop(self) -> None:
+        """Refuse all changes from now on; those in progress go on."""
+        self._is_stopping = True
 
     def put(self, document: Document, body: bytes) -> Result[int, Fault | RedirectTo]:
         """Commit a document and return the version in force."""
@@ -142,6 +153,8 @@
         return self._confirm().map(lambda version: self._store.quarantine)
 
     def _submit(self, command: Command) -> Result[int, Fault | RedirectTo]:
+        if self._is_stopping:
+            return Error(make_stopping())
         if self._host.is_leader:
             return self._commit(command)
         data = encode_command(command)
@@ -255,7 +268,9 @@
         )
         if answer is None:
             return Error(self._redirect())
-        if answer.verdict is not Verdict.ACCEPTED:
+        if answer.verdict is Verdict.UNKNOWN:
+            return Error(make_unknown())
+        if answer.verdict is Verdict.REFUSED:
             return Error(make_unavailable("leader_failed", "the leader could not execute the call"))
         return Ok(answer.revision)
 
@@ -283,12 +298,11 @@
 
     def _answer(self, source: str, call: ForwardProposal | ForwardRead) -> None:
         outcome = self._execute(call)
-        if outcome.is_error():
-            answer = ProposalAnswer(number=call.number, verdict=Verdict.UNKNOWN)
-        else:
-            answer = ProposalAnswer(
-                number=call.number, verdict=Verdict.ACCEPTED, revision=outcome.ok
-            )
+        answer = ProposalAnswer(
+            number=call.number,
+            verdict=_choose_verdict(outcome),
+            revision=outcome.ok if outcome.is_ok() else 0,
+        )
         self._send(source, answer)
 
     def _execute(self, call: ForwardProposal | ForwardRead) -> Result[int, Fault | RedirectTo]:
@@ -302,6 +316,14 @@
         return outcome
 
 
+def _choose_verdict(outcome: Result[int, Fault | RedirectTo]) -> Verdict:
+    if outcome.is_ok():
+        return Verdict.ACCEPTED
+    if isinstance(outcome.error, Fault) and outcome.error.ran is not Ran.NO:
+        return Verdict.UNKNOWN
+    return Verdict.REFUSED
+
+
 def _describe_outcome(outcome: Result[int, Fault | RedirectTo]) -> dict[str, str | int]:
     """Return the log fields of an outcome; on-call engineers search for ``code``."""
     if outcome.is_ok():
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -36,6 +36,7 @@
 from chivetrack.daemon.fleet.crashes import CrashDetector
 from chivetrack.daemon.fleet.fleet_view import FleetView
 from chivetrack.daemon.fleet.forwarder import AnswerCutError, Forwarder, make_tried
+from chivetrack.daemon.fleet.late_requests import LateRequests
 from chivetrack.daemon.fleet.permits import PermitClient
 from chivetrack.daemon.fleet.refusals import Refusals
 from chivetrack.daemon.fleet.request_log import RequestLog
@@ -61,17 +62,20 @@
         crash_detector: CrashDetector,
         events: EventLog,
         record_end: Callable[[Call, str], None],
+        record_rejection: Callable[[Fault], None],
     ) -> None:
         """Store the components that requests need.
 
-        ``record_end`` receives each finished request and its outcome.
+        ``record_end`` receives each finished request and its outcome, ``record_rejection``
+        the fault of each request that is refused without being sent.
         """
         self._view = view
         self._forwarder = forwarder
         self._permits = permits
         self._crash_detector = crash_detector
-        self._log = RequestLog(view=view, events=events)
+        self._log = RequestLog(view=view, events=events, record_rejection=record_rejection)
         self._refusals = Refusals(view=view, log=self._log)
+        self.late_requests = LateRequests(view=view, log=self._log)
         self._record_end = record_end
         self.open_count = 0
         self._open_calls: dict[int, Call] = {}
