--- a/chivetrack/daemon/const.py
+++ b/chivetrack/daemon/const.py
@@ -11,12 +11,15 @@
 # Limits on reading the rest of a request before its connection is closed.
 LINGER_TIMEOUT_S: Final = 1.0
 MAX_LINGER_BYTES: Final = 1024 * 1024
-# Limit on receiving the rest of a request that a stopping server refuses.
+# Limits of a stopping server: on receiving the rest of a request that it refuses, and on the
+# time from the opening of a connection to its first request.
 RECEIVE_TIMEOUT_S: Final = 1.0
 
 # Graceful stop; it is complete after the quiet period without an open request.
 STOP_POLL_INTERVAL_S: Final = 0.02
 STOP_QUIET_PERIOD_S: Final = 0.2
+# Least time for callers to receive their answers after the decision to exit.
+STOP_DRAIN_TIMEOUT_S: Final = 2.0
 
 # Longest sleep of the runner between two checks of the timers.
 MAX_SLEEP_S: Final = 0.5
--- a/chivetrack/daemon/server.py
+++ b/chivetrack/daemon/server.py
@@ -11,7 +11,7 @@
 from gevent.pool import Pool
 from gevent.pywsgi import Input, WSGIHandler, WSGIServer
 
-from chivetrack.components.caller_api.const import ENVIRON_SOCKET
+from chivetrack.components.caller_api.const import ENVIRON_READING_ENDED, ENVIRON_SOCKET
 from chivetrack.components.caller_api.errors import make_raw_error
 from chivetrack.components.limits.stopping import make_stopping_fault
 from chivetrack.components.pipeline import faults
@@ -94,6 +94,7 @@
 
     server: "HttpServer"
     is_reading_ended = False
+    has_received = False
     connected_at = 0.0
 
     def handle(self) -> None:
@@ -127,7 +128,7 @@
 
     def read_requestline(self) -> Any:
         """Wait for the next request; the connection counts as idle during the wait."""
-        if self.server.is_draining:
+        if self.server.is_draining and self.has_received:
             self.end_reading()
         self.server.receiving_handlers.add(self)
         self.server.idle_handlers.add(self)
@@ -136,6 +137,12 @@
         finally:
             self.server.idle_handlers.discard(self)
 
+    def find_opening_s(self) -> float:
+        """Return how long (s) the caller may still take to send its first request."""
+        if self.has_received:
+            return 0.0
+        return max(0.0, self.connected_at + RECEIVE_TIMEOUT_S - time.monotonic())
+
     def end_reading(self) -> None:
         """Stop reading after a request that was already received.
 
@@ -178,6 +185,7 @@
         # the caller left. It would be mistaken for that, and the last request of the
         # connection would be abandoned without an answer.
         environ[ENVIRON_SOCKET] = None if self.is_reading_ended else self.socket
+        environ[ENVIRON_READING_ENDED] = self.is_reading_ended
         environ[ENVIRON_CONNECTED_AT] = self.connected_at
         environ[ENVIRON_TARGET] = self.path
         environ[ENVIRON_HEADERS] = self.headers.list_lines()
@@ -186,6 +194,7 @@
     def run_application(self) -> None:
         """Run the application; during a stop, close the connection afterwards."""
         self.server.receiving_handlers.discard(self)
+        self.has_received = True
         if self.server.is_ending:
             self.close_connection = True
         is_answered = False
@@ -324,14 +333,16 @@
 
         The application must refuse new requests already. Connections that wait in the accept
         queue are accepted, and requests that are not received completely within
-        ``RECEIVE_TIMEOUT_S`` are refused. Return the number of connections that are still open
-        at ``ends_at`` (s, monotonic), because their callers do not read.
+        ``RECEIVE_TIMEOUT_S`` or half of the time are refused. Return the number of connections
+        that are still open at ``ends_at`` (s, monotonic), because their callers do not read.
         """
         self.is_draining = True
         self._accept_queued()
         self.close()
         self.close_idle()
-        self.pool.join(timeout=min(RECEIVE_TIMEOUT_S, max(0.0, ends_at - time.monotonic())))
+        # The other half is for sending the refusals.
+        left_s = max(0.0, ends_at - time.monotonic())
+        self.pool.join(timeout=min(RECEIVE_TIMEOUT_S, left_s / 2))
         for handler in list(self.receiving_handlers):
             handler.end_reading()
         self.pool.join(timeout=max(0.0, ends_at - time.monotonic()))
@@ -349,7 +360,16 @@
         """Close the connections that wait for their next request.
 
         Only the reading side is shut down, so a request that was already received is still
-        read and answered.
+        read and answered. A caller that has just connected is about to send its first request,
+        so such a connection is closed ``RECEIVE_TIMEOUT_S`` after it was opened.
         """
         for handler in list(self.idle_handlers):
+            opening_s = handler.find_opening_s()
+            if opening_s:
+                gevent.spawn_later(opening_s, self._close_unused, handler)
+            else:
+                handler.end_reading()
+
+    def _close_unused(self, handler: _RequestHandler) -> None:
+        if handler in self.idle_handlers and not handler.has_received:
             handler.end_reading()
--- a/tests/helpers/test_events.py
+++ b/tests/helpers/test_events.py
@@ -6,6 +6,7 @@
 import time
 import unittest
 from typing import Any
+from unittest.mock import patch
 
 import gevent
 
@@ -17,6 +18,8 @@
     open_events,
 )
 
+READER_DELAY_S = 0.05
+
 
 class EventsTest(unittest.TestCase):
     def setUp(self) -> None:
@@ -34,7 +37,7 @@
         Hundreds of processes on one machine each log a few lines per second; their writer
         threads took more processor time than the lines.
         """
-        threads = threading.active_count()
+        threads = set(threading.enumerate())
         writer = gevent.spawn(self.events.run)
         self.addCleanup(writer.kill)
         for number in range(100):
@@ -45,7 +48,7 @@
         gevent.sleep(0.4)
         self.assertEqual(numbers, list(range(100)))
         self.assertEqual([line["event"] for line in self.read_lines()], ["started"])
-        self.assertEqual(threading.active_count(), threads)
+        self.assertEqual(set(threading.enumerate()) - threads, set())
 
     def test_stalled_reader_does_not_block_the_process(self) -> None:
         """Guards against writes that block when the log collector hangs and the pipe fills up.
@@ -71,13 +74,14 @@
             [line["count"] for line in written if line["event"] == "lines_dropped"], [dropped]
         )
 
+    @patch("chivetrack.helpers.events.CLOSE_TIMEOUT_S", 10.0)
     def test_last_lines_reach_a_reader_that_is_slow(self) -> None:
         """Guards against an exit whose own line is lost because the pipe is full at that moment."""
         source, descriptor = os.pipe()
         lines: list[bytes] = []
 
         def read() -> None:
-            time.sleep(CLOSE_TIMEOUT_S / 4)
+            time.sleep(READER_DELAY_S)
             with os.fdopen(source, "rb") as stream:
                 lines.extend(stream)
 
--- a/tests/system/test_stop_graceful.py
+++ b/tests/system/test_stop_graceful.py
@@ -1,16 +1,22 @@
 """System tests of graceful and forced stops: requests complete, or are logged as cut off."""
 
 import http.client
+import json
 import signal
+import time
 import unittest
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack
 
 from standins.demo import CALLER_KEY, CHAT_PATH, MODEL, apply_workspace, chat, wait_routed
 from standins.fleet import Fleet, Member, open_fleet
-from tests.system.test_path_own_answer import make_chat, wait_until
+from tests.system.fleets import make_workspace
+from tests.system.test_path_own_answer import make_chat, make_head, wait_until
 
 STREAMS = 6
+LATE_REQUESTS = 12
+LATE_INTERVAL_S = 0.04
 TOKENS = 40
 END_MARK = b"data: [DONE]"
 
@@ -81,7 +87,64 @@
         self.assertIn("nothing cut off", leaving.read_log())
 
 
+class LateRequestTest(StopCase):
+    """Sends requests on kept connections from the decision to exit until the exit."""
+
+    def keep_connection(self, member: Member) -> http.client.HTTPConnection:
+        connection = http.client.HTTPConnection(member.address, timeout=60)
+        self.addCleanup(connection.close)
+        self.assertEqual(self.exchange(connection, "warm"), 200)
+        return connection
+
+    def exchange(self, connection: http.client.HTTPConnection, chat_id: str) -> int:
+        """Return the status of the answer to a chat, or 0 if there was no answer."""
+        body = make_chat("late", stream=False)
+        lines = [f"X-Chat-Id: {chat_id}", "X-Idempotent: false", f"Content-Length: {len(body)}"]
+        try:
+            if connection.sock is None:
+                connection.connect()
+            connection.sock.sendall(make_head(CHAT_PATH, *lines) + body)
+            response = http.client.HTTPResponse(connection.sock, method="POST")
+            response.begin()
+            response.read()
+        except (http.client.HTTPException, ConnectionError):
+            return 0
+        return response.status
+
+    def test_request_after_the_decision_to_exit_is_not_run_and_cut(self) -> None:
+        """Guards against a request that is read after the decision to exit and cut by the exit."""
+        fleet = self.open(deadline_s=30.0, token_ms=10, balancer=False)
+        leaving = fleet.members["entry-2"]
+        connections = [self.keep_connection(leaving) for _ in range(LATE_REQUESTS)]
+        leaving.send(signal.SIGTERM)
+        wait_until(lambda: "Stopped, nothing cut off" in leaving.read_log(), "the decision")
+
+        def send_late(number: int) -> int:
+            time.sleep(number * LATE_INTERVAL_S)
+            return self.exchange(connections[number], f"late-{number}")
+
+        with ThreadPoolExecutor(LATE_REQUESTS) as workers:
+            statuses = list(workers.map(send_late, range(LATE_REQUESTS)))
+        self.assertEqual(leaving.process.wait(30), 0)
+        seen = {entry["chat"] for entry in fleet.read_seen(fleet.members["engine-1"])}
+        cut = [n for n, status in enumerate(statuses) if f"late-{n}" in seen and status != 200]
+        self.assertEqual(cut, [], statuses)
+        self.assertLessEqual(set(statuses), {0, 200, 503})
+
+
+def count_in_flight(fleet: Fleet, member: Member) -> int:
+    """Return the number of requests in flight at an instance."""
+    return int(fleet.manage("GET", member, "/api/v1/status").json()["requests_in_flight"])
+
+
 class ForcedStopTest(StopCase):
+    def force_stop(self, leaving: Member, condition: Callable[[], bool]) -> None:
+        """Stop an instance by two signals once a condition holds."""
+        wait_until(condition, "the request is in progress")
+        leaving.send(signal.SIGTERM)
+        wait_until(lambda: "settling" in leaving.read_log(), "the stop has begun")
+        leaving.send(signal.SIGTERM)
+
     def assert_cut(self, leaving: Member, stream: http.client.HTTPResponse) -> None:
         with self.assertRaises((http.client.IncompleteRead, ConnectionError)):
             stream.read()
@@ -99,6 +162,52 @@
         leaving.send(signal.SIGTERM)
         self.assert_cut(leaving, stream)
 
+    def test_request_without_an_answer_may_have_run(self) -> None:
+        """Guards against a forced stop that cuts a running request without a typed error."""
+        fleet = self.open(deadline_s=60.0, token_ms=5, balancer=False)
+        leaving, engine = fleet.members["entry-2"], fleet.members["engine-1"]
+        fleet.inject_fault(engine, "late", delay_s=60.0)
+        with ThreadPoolExecutor(1) as workers:
+            running = workers.submit(chat, fleet, leaving, "x", stream=False)
+            self.force_stop(leaving, lambda: count_in_flight(fleet, leaving) == 1)
+            reply = running.result()
+        self.assertEqual((reply.status, reply.error["ran"]), (502, "maybe"))
+        self.assertEqual(reply.error["code"], "instance_stopping")
+        self.assertEqual(leaving.process.wait(30), 1)
+        self.assertIn("Stopped with 1 requests cut off", leaving.read_log())
+
+    def test_request_that_is_still_arriving_has_not_run(self) -> None:
+        """Guards against a forced stop that cuts a half-sent request without a typed error."""
+        fleet = self.open(deadline_s=60.0, token_ms=5, balancer=False)
+        leaving = fleet.members["entry-2"]
+        connection = http.client.HTTPConnection(leaving.address, timeout=60)
+        self.addCleanup(connection.close)
+        connection.connect()
+        connection.sock.sendall(make_head(CHAT_PATH, "Content-Length: 9") + b"half")
+        self.force_stop(leaving, lambda: True)
+        response = http.client.HTTPResponse(connection.sock, method="POST")
+        response.begin()
+        error = json.loads(response.read())["error"]
+        self.assertEqual((response.status, error["ran"]), (503, "no"))
+        self.assertEqual(error["code"], "instance_stopping")
+        self.assertEqual(leaving.process.wait(30), 1)
+
+    def test_change_that_waits_for_the_log_is_of_unknown_outcome(self) -> None:
+        """Guards against a forced stop that cuts an operator's change without an answer."""
+        fleet = self.open(deadline_s=60.0, token_ms=5, balancer=False)
+        leaving = fleet.members["entry-2"]
+        for name in ("entry-1", "entry-3"):
+            fleet.members[name].freeze()
+        with ThreadPoolExecutor(1) as workers:
+            path = "/api/v1/workspace"
+            value = make_workspace("late", priority=1)
+            running = workers.submit(fleet.manage, "POST", leaving, path, value)
+            time.sleep(0.5)
+            self.force_stop(leaving, lambda: not running.done())
+            reply = running.result()
+        self.assertEqual(reply.status, 504, reply.data)
+        self.assertEqual(reply.json()["error"]["code"], "outcome_unknown")
+
     def test_stop_deadline_ends_the_process(self) -> None:
         """Guards against a stop that waits longer than its deadline for a stream."""
         fleet = self.open(deadline_s=2.0, token_ms=5, balancer=False)
