--- a/chivetrack/components/stories/story.py
+++ b/chivetrack/components/stories/story.py
@@ -44,12 +44,13 @@
     """The events of a request in order, related events, and the cause of its end.
 
     ``context`` holds the events of the involved instances that may explain its end, such
-    as changes of state.
+    as changes of state. ``timeline`` holds both, in order.
     """
 
     request: str
     events: tuple[Event, ...]
     context: tuple[Event, ...]
+    timeline: tuple[Event, ...]
     cause: str
 
 
@@ -85,10 +86,12 @@
         and first - CONTEXT_WINDOW_S <= float(event.get("at", 0.0)) <= last
     ]
     context += _list_exits_near(own, ordered)
+    shown = {id(event) for event in (*own, *context)}
     return RequestStory(
         request=request,
         events=tuple(own),
         context=tuple(sorted(context, key=_get_position)),
+        timeline=tuple(event for event in ordered if id(event) in shown),
         cause=_find_cause(own, explain_exit(own, ordered)),
     )
 
@@ -167,7 +170,7 @@
     if outcome == "answered":
         return f"ended with status {event.get('status')} after {event.get('tries')} tries"
     if outcome == "cut_by_stop":
-        return f"{_explain_cut_by_stop(event)} after {event.get('ms')} ms"
+        return _explain_cut_by_stop(event)
     causes = {
         "timeout": "the deadline of the caller or the route expired",
         "cut": "the answer broke off and could not go on elsewhere",
@@ -179,8 +182,9 @@
 def _explain_cut_by_stop(event: Event) -> str:
     status = int(event.get("status") or 0)
     causes = {
-        0: "its router stopped before it had an answer",
-        502: "its router stopped before its answer began, with 502; it may have run",
-        503: "its router stopped before it was sent, with 503; it has not run",
+        0: "without an answer",
+        502: "before its answer began: 502, it may have run",
+        503: "before it was sent: 503, it has not run",
     }
-    return causes.get(status, "its router stopped before the answer was complete")
+    cause = causes.get(status, "before the answer was complete")
+    return f"its router stopped after {event.get('ms')} ms, {cause}"
--- a/chivetrack/daemon/server.py
+++ b/chivetrack/daemon/server.py
@@ -94,6 +94,7 @@
 
     server: "HttpServer"
     is_reading_ended = False
+    is_running = False
     has_received = False
     connected_at = 0.0
 
@@ -150,6 +151,8 @@
         read with an error even if a received request is still unread.
         """
         self.is_reading_ended = True
+        if self.is_running:
+            self.environ[ENVIRON_READING_ENDED] = True
         with contextlib.suppress(OSError):
             self.socket._sock.shutdown(socket.SHUT_RD)
 
@@ -193,7 +196,7 @@
 
     def run_application(self) -> None:
         """Run the application; during a stop, close the connection afterwards."""
-        self.server.receiving_handlers.discard(self)
+        self.is_running = True
         self.has_received = True
         if self.server.is_ending:
             self.close_connection = True
@@ -202,10 +205,16 @@
             super().run_application()
             is_answered = True
         finally:
+            self.is_running = False
+            self.server.receiving_handlers.discard(self)
             ends = is_answered and self.close_connection and self.server.is_ending
             if ends or self._has_unread_body():
                 self._linger()
 
+    def is_receiving(self) -> bool:
+        """Return whether a part of the request is still on its way."""
+        return not self.is_running or (self._has_unread_body() and not self.headers_sent)
+
     def _has_unread_body(self) -> bool:
         body = self.wsgi_input
         if body.chunked_input:
@@ -319,7 +328,7 @@
         self.is_closing = is_closing
         self.limits = limits or ServerLimits()
         self.is_draining = False
-        # Connections whose next request is not received; the idle ones wait for its first line.
+        # Connections whose request may be incomplete; the idle ones wait for its first line.
         self.receiving_handlers: set[_RequestHandler] = set()
         self.idle_handlers: set[_RequestHandler] = set()
 
@@ -333,8 +342,9 @@
 
         The application must refuse new requests already. Connections that wait in the accept
         queue are accepted, and requests that are not received completely within
-        ``RECEIVE_TIMEOUT_S`` or half of the time are refused. Return the number of connections
-        that are still open at ``ends_at`` (s, monotonic), because their callers do not read.
+        ``RECEIVE_TIMEOUT_S`` or half of the time are refused; an application that still reads
+        a body gets an ``OSError``. Return the number of connections that are still open at
+        ``ends_at`` (s, monotonic), because their callers do not read.
         """
         self.is_draining = True
         self._accept_queued()
@@ -344,7 +354,8 @@
         left_s = max(0.0, ends_at - time.monotonic())
         self.pool.join(timeout=min(RECEIVE_TIMEOUT_S, left_s / 2))
         for handler in list(self.receiving_handlers):
-            handler.end_reading()
+            if handler.is_receiving():
+                handler.end_reading()
         self.pool.join(timeout=max(0.0, ends_at - time.monotonic()))
         return len(self.pool)
 
