Say that a request has not run if the exit ends the connecting to its endpoint

What callers saw: a request whose router was still connecting to an endpoint when it exited got 502, "may have run". A caller of a request that is not idempotent can't send that again, although no byte was sent.

Cause: an attempt counts as one that may have run from the choice of the endpoint on, so that whatever ends it later is told from a request that was not sent. That covers the wait for the connection too.

Ruled out: a connection that can't be opened; that is reported as not sent.

Change: if something other than a failed connection ends the connecting, the attempt is marked as not sent before the error goes on. The same holds for the timeout of the route. Everything after it stays "may have run".

Before, test_request_whose_connection_is_being_opened_is_not_sent: AssertionError: 502 != 503 After: tests.daemon.fleet.test_open_requests and test_forwarder pass, 32 tests, once.

--- a/chivetrack/daemon/fleet/calls.py
+++ b/chivetrack/daemon/fleet/calls.py
@@ -10,7 +10,7 @@
 from chivetrack.components.placement.placement import Placed
 from chivetrack.components.quarantine.const import MAX_PATH_LENGTH
 from chivetrack.components.quarantine.models import CrashReport
-from chivetrack.components.retries.sending import SendAttempt
+from chivetrack.components.retries.sending import SendAttempt, SendEnd
 from chivetrack.components.traffic.models import Route, Workspace
 from chivetrack.components.traffic.requests import RequestFacts
 from chivetrack.exceptions import Fault
@@ -117,6 +117,12 @@
             workspace="" if self.workspace is None else self.workspace.name,
         )
 
+    def mark_not_sent(self) -> None:
+        """Record that the newest attempt ends before a byte of it was sent."""
+        if self.attempts:
+            endpoint_id = self.attempts.pop().endpoint_id
+            self.attempts.append(SendAttempt(endpoint_id=endpoint_id, end=SendEnd.NOT_SENT))
+
     @property
     def priority(self) -> int:
         """Return the priority at the engine, 0 is first; the workspace overrides the route."""
--- a/chivetrack/daemon/fleet/forwarder.py
+++ b/chivetrack/daemon/fleet/forwarder.py
@@ -95,6 +95,10 @@
             connection = self._connect(call, choice)
         except NotSentError as error:
             return SendResult(end=SendEnd.NOT_SENT, detail=str(error))
+        except BaseException:
+            # The exit or the end of the caller's wait, which ends the request here.
+            call.mark_not_sent()
+            raise
         is_reused = False
         try:
             answer, facts = self._exchange(connection, call, choice, may_retry)
--- a/tests/daemon/fleet/test_open_requests.py
+++ b/tests/daemon/fleet/test_open_requests.py
@@ -13,6 +13,7 @@
 from chivetrack.components.limits.stopping import StopWindow
 from chivetrack.components.placement.choice import Choice
 from chivetrack.components.retries.sending import SendEnd
+from chivetrack.components.upstream.idle_connections import IdleConnections
 from chivetrack.daemon.fleet.calls import Call
 from chivetrack.daemon.fleet.crashes import CrashDetector
 from chivetrack.daemon.fleet.fleet_view import FleetView
@@ -204,6 +205,23 @@
         (rejected,) = [one for one in self.events.written if one["event"] == "request_rejected"]
         self.assertEqual((rejected["request"], rejected["code"]), ("q1", "instance_stopping"))
 
+    def test_request_whose_connection_is_being_opened_is_not_sent(self) -> None:
+        """Guards against "may have run" for a request of which no byte was sent."""
+        self.configure()
+        forwarder = Forwarder(
+            idle_connections=IdleConnections(read_clock=lambda: 0.0),
+            record_answer=lambda record, facts: None,
+            handle_first_event=lambda call, choice: None,
+        )
+        self.forwarder.send.side_effect = forwarder.send
+        with patch("chivetrack.daemon.fleet.forwarder.EndpointConnection") as connect:
+            connect.side_effect = lambda **options: self.go_on.wait(LIMIT_S)
+            serving = self.start()
+            connect.assert_called_once()
+            self.decide_exit(serving, goes_on=False)
+        self.check(NOT_RUN, sent=0)
+        self.assertEqual(self.find_end(), ("cut_by_stop", 503))
+
 
 class SentRequestTest(OpenRequestCase):
     def test_request_is_not_sent_again(self) -> None:
