Reset the connection of a cut answer that has no other end

What callers saw: a caller of HTTP/1.0 took an answer that a router had broken off for a whole one. An exit in the middle of a stream is one way to it, an endpoint that dies another.

Cause: such an answer has neither a length nor a last chunk; its end is the close of the connection, and an answer that is broken off was closed in the same way.

Ruled out: HTTP/1.1, where the last chunk is missing, and answers with a Content-Length, which are too short. The server's own answers to such a caller were right as well: they are whole.

Change: if an answer that only the close can end breaks off, the close resets the connection.

Before, test_answer_without_framing_is_reset: AssertionError: ConnectionResetError not raised After: tests.daemon.test_server_bodies passes in three of three runs, test_server in two of two.

--- a/chivetrack/daemon/server.py
+++ b/chivetrack/daemon/server.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+import struct
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -42,6 +43,9 @@
 # Time when the connection was opened, in seconds of the monotonic clock.
 ENVIRON_CONNECTED_AT = "chivetrack.connected_at"
 
+# With this SO_LINGER, a close resets the connection, so that a cut answer does not look complete.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
 _LOGGER = get_logger("http")
 
 
@@ -208,9 +212,16 @@
             self.is_running = False
             self.server.receiving_handlers.discard(self)
             ends = is_answered and self.close_connection and self.server.is_ending
-            if ends or self._has_unread_body():
+            if not is_answered and self._ends_by_close():
+                self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+            elif ends or self._has_unread_body():
                 self._linger()
 
+    def _ends_by_close(self) -> bool:
+        """Return whether only the close ends the answer that has begun, as in HTTP/1.0."""
+        names = [name.lower() for name, _ in self.response_headers] if self.headers_sent else []
+        return bool(names) and not {b"content-length", b"transfer-encoding"} & set(names)
+
     def is_receiving(self) -> bool:
         """Return whether a part of the request is still on its way."""
         return not self.is_running or (self._has_unread_body() and not self.headers_sent)
--- a/tests/daemon/test_server_bodies.py
+++ b/tests/daemon/test_server_bodies.py
@@ -10,7 +10,7 @@
 from chivetrack.components.caller_api.const import ENVIRON_READING_ENDED, ENVIRON_SOCKET
 from chivetrack.components.caller_api.watch import has_left
 from chivetrack.daemon.const import RECEIVE_TIMEOUT_S
-from chivetrack.daemon.server import ServerLimits
+from chivetrack.daemon.server import AbortConnectionError, ServerLimits
 from tests.daemon.test_server import ServerCase
 
 HEAD = b"PUT / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n"
@@ -60,5 +60,20 @@
         self.assertTrue(self.drain(connection).endswith(b"xx"))
 
 
+class CutAnswerTest(ServerCase):
+    def test_answer_without_framing_is_reset(self) -> None:
+        """Guards against a cut answer that looks complete to a caller of HTTP/1.0."""
+
+        def cut(environ: Any, start_response: Any) -> list[bytes]:
+            start_response("200 OK", [("Content-Type", "text/event-stream")])(b"half")
+            raise AbortConnectionError("cut")
+
+        connection = self.serve(cut)
+        connection.sendall(b"GET / HTTP/1.0\r\n\r\n")
+        with self.assertRaises(ConnectionResetError):
+            while connection.recv(65536):
+                continue
+
+
 if __name__ == "__main__":
     unittest.main()
