Don't take an answer to an earlier process for the answer to a new call

What callers saw, in tests only: a change was acknowledged that no log has, and a departure that no other replica has, because an answer to a call from before a restart came after it.

Cause: each process numbered its calls to other replicas from 1, and an answer names only the number. Messages wait up to 2 s for a link, longer than a restart takes, so an exit with a call in flight can leave an answer for the next process at the same address.

Ruled out: late answers within one process; its numbers don't come twice.

Change: the numbers of a process start at a random one of 2^48.

--- a/chivetrack/daemon/fleet/control_handler.py
+++ b/chivetrack/daemon/fleet/control_handler.py
@@ -1,6 +1,5 @@
 """Handles the control API calls of operators and endpoints at a replica."""
 
-import itertools
 import time
 from collections.abc import Callable, Collection, Iterable
 
@@ -30,6 +29,7 @@
     make_stopping,
     make_unavailable,
 )
+from chivetrack.daemon.fleet.pending_requests import count_requests
 from chivetrack.exceptions import Fault
 from chivetrack.helpers.codec import Message
 from chivetrack.helpers.events import EventLog
@@ -78,7 +78,7 @@
         self._push = push
         self._events = events
         self._endpoint_broadcaster = EndpointBroadcaster(table=table)
-        self._numbers = itertools.count(1)
+        self._numbers = count_requests()
         self._pending_broadcasts: dict[int, _PendingBroadcast] = {}
         self._is_stopping = False
 
--- a/chivetrack/daemon/fleet/pending_requests.py
+++ b/chivetrack/daemon/fleet/pending_requests.py
@@ -1,7 +1,8 @@
 """Requests to other processes whose answers greenlets wait for."""
 
 import itertools
-from collections.abc import Callable
+import secrets
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from typing import Generic, TypeVar
 
@@ -9,6 +10,17 @@
 
 AnswerT = TypeVar("AnswerT")
 
+_START_BITS = 48
+
+
+def count_requests() -> Iterator[int]:
+    """Number the requests of one process.
+
+    The start is random: an answer to an earlier process at this address may still be on its way,
+    and must not be taken for the answer to a request of this one.
+    """
+    return itertools.count(1 + secrets.randbits(_START_BITS))
+
 
 @dataclass(slots=True)
 class _PendingRequest(Generic[AnswerT]):
@@ -21,7 +33,7 @@
 
     def __init__(self) -> None:
         """Start without pending requests."""
-        self._numbers = itertools.count(1)
+        self._numbers = count_requests()
         self._open: dict[int, _PendingRequest[AnswerT]] = {}
 
     def __len__(self) -> int:
--- a/tests/daemon/fleet/test_documents.py
+++ b/tests/daemon/fleet/test_documents.py
@@ -13,10 +13,12 @@
     pack_document,
     unpack_document,
 )
+from chivetrack.components.proposals.models import ProposalAnswer, Verdict
 from chivetrack.components.replica.models import NotLeaderFault
 from chivetrack.daemon.fleet import documents as documents_module
 from chivetrack.daemon.fleet.documents import DocumentHandler
 from chivetrack.daemon.fleet.log_host import LogHost
+from chivetrack.daemon.fleet.pending_requests import PendingRequests
 from chivetrack.exceptions import Fault, Ran
 from chivetrack.helpers.codec import Message, decode_as
 from chivetrack.helpers.events import EventLog
@@ -238,6 +240,17 @@
                     (outcome.error.code, outcome.error.ran), ("outcome_unknown", Ran.MAYBE)
                 )
 
+    def test_answer_to_an_earlier_process_is_ignored(self) -> None:
+        """Guards against a change acknowledged by the answer to a call before a restart."""
+        self.log.lost.add((self.second.name, self.first.name))
+        earlier, numbers = PendingRequests[ProposalAnswer](), list[int]()
+        earlier.request(numbers.append, timeout_s=0.0)
+        call = gevent.spawn(self.second.put, 5)
+        gevent.sleep(0.01)
+        answer = ProposalAnswer(numbers[0], Verdict.ACCEPTED, revision=4)
+        self.second.handler.handle_message(self.first.name, answer)
+        self.assertTrue(call.get().is_error())
+
 
 class StopTest(DeskCase):
     def test_change_that_arrives_during_the_stop_is_refused(self) -> None:
