Don't take an answer to an earlier daemon for the answer to a new submission

What callers saw, in a test only: a submission of chivetrackd ended as accepted, with the result of another one, by an answer to an attempt from before a restart. For a claim on an idempotency key that means a request that runs although the key was not granted.

Ruled out: answers to earlier attempts of the same process; their numbers are forgotten.

Change: the numbers of a process start at a random one of 2^48.

--- a/chivetrack/components/proposals/client.py
+++ b/chivetrack/components/proposals/client.py
@@ -7,6 +7,7 @@
 from chivetrack.components.proposals.const import (
     ANSWER_TIMEOUT_S,
     MAX_PENDING,
+    NUMBER_START_BITS,
     RETRY_AFTER_S,
     RETRY_DELAY_S,
 )
@@ -64,7 +65,8 @@
         self._leader = ""
         self._pending: dict[str, _Pending] = {}
         self._submission_by_attempt: dict[int, str] = {}
-        self._next_number = 1
+        # An answer to an earlier process of this instance must not be taken for one to this one.
+        self._next_number = 1 + random.getrandbits(NUMBER_START_BITS)
 
     @property
     def leader(self) -> str:
--- a/chivetrack/components/proposals/const.py
+++ b/chivetrack/components/proposals/const.py
@@ -9,3 +9,5 @@
 RETRY_DELAY_S: Final = 0.1
 RETRY_AFTER_S: Final = 1.0
 MAX_PENDING: Final = 4096
+# The numbers of the attempts start below two to this power.
+NUMBER_START_BITS: Final = 48
--- a/tests/components/proposals/test_client.py
+++ b/tests/components/proposals/test_client.py
@@ -45,6 +45,15 @@
         ended = self.get_end(self.answer(self.submit(), Verdict.ACCEPTED))
         self.assertEqual((ended.result, ended.revision, ended.fault), (b"result", 7, None))
 
+    def test_answer_to_an_earlier_process_is_ignored(self) -> None:
+        """Guards against a command acknowledged by the answer to a call before a restart."""
+        earlier = self.submit()
+        self.client = ProposalClient(
+            instance_id="r", replicas=["a", "b", "c"], random=random.Random(2)
+        )
+        self.submit()
+        self.assertEqual(self.answer(earlier, Verdict.ACCEPTED), [])
+
     def test_follows_the_hint_at_once(self) -> None:
         sent = self.submit()
         other = "b" if sent.target != "b" else "c"
