Tell in a story why a stop refused a request

What operators saw: `chivetrack story` of a request that a stopping router had admitted and then refused said "ended with status 503 after 0 tries", although the line before names the reason.

Cause: the last line of the request decided alone. Change: a refusal by the router itself is the cause of an end that follows it.

Before, the new test: 'ended with status 503 after 0 tries' != 'rejected by the router itself: instance_stopping'. After: tests.components.stories.test_story passes.

--- a/chivetrack/components/stories/story.py
+++ b/chivetrack/components/stories/story.py
@@ -124,6 +124,9 @@
     last = next((event for event in reversed(events) if event["event"] in CAUSES), None)
     if last is None:
         return "no event shows how it ended; the process may have crashed"
+    rejected = [event for event in events if event["event"] == "request_rejected"]
+    if rejected and last["event"] == "request_ended":
+        return CAUSES["request_rejected"](rejected[-1])
     return CAUSES[last["event"]](last)
 
 
--- a/tests/components/stories/test_story.py
+++ b/tests/components/stories/test_story.py
@@ -101,6 +101,13 @@
         early = self.build([rejected, ("exit_decided", {})])
         self.assertEqual(early.cause, "rejected by the router itself: instance_stopping")
 
+    def test_refusal_of_an_admitted_request_is_the_cause(self) -> None:
+        """Guards against a story that tells the status of a refusal and not its reason."""
+        rejected = ("request_rejected", {"code": "instance_stopping", "status": 503})
+        ended = ("request_ended", {"outcome": "answered", "status": 503, "tries": 0})
+        story = self.build([rejected, ended, ("exit_decided", {})])
+        self.assertEqual(story.cause, "rejected by the router itself: instance_stopping")
+
     def test_events_of_the_same_millisecond_keep_their_order(self) -> None:
         """Guards against a story that shows an exit before what the router wrote before it."""
         for names in (["request_placed", "stopped"], ["stopped", "request_placed"]):
