Count a router's grace time from a SIGTERM that its start held

What callers saw, in a trial with a slow start: a router that is told to stop while it loads was still stopping when its grace time was over. SIGKILL would then cut the drain and reset what waits for it.

Cause: the start holds the signal, and the stop counted its time from the moment at which it got it. The time that the start took was added.

Ruled out: a start that is quick; it takes 0.3 to 0.5 s, less than the stop leaves with nothing open. With requests open until the end of the time, or on a machine that loads slowly, it is not.

Change: if SIGTERM is pending when the signals are released, the grace time counts from the start of the process, the earliest moment at which the signal can have come.

The test looks at the router's own line and not at a clock beside it, so that a busy machine does not decide it.

--- a/chivetrack/daemon/fleet/early.py
+++ b/chivetrack/daemon/fleet/early.py
@@ -7,12 +7,14 @@
 import os
 import signal
 import socket
+import time
 import tomllib
 from pathlib import Path
 
 from chivetrack.daemon.const import BACKLOG
 
 ENV_SETTINGS = "CHIVETRACK_SETTINGS"
+_STARTED_AT = time.monotonic()
 _HELD_SIGNALS = (signal.SIGTERM, signal.SIGHUP)
 
 
@@ -41,9 +43,15 @@
     signal.pthread_sigmask(signal.SIG_BLOCK, _HELD_SIGNALS)
 
 
-def release_signals() -> None:
-    """Receive the signals that were held; they must have handlers now."""
+def release_signals() -> float | None:
+    """Receive the signals that were held; they must have handlers now.
+
+    Return the earliest time (s, monotonic) at which a SIGTERM that was held may have come. The
+    grace time until SIGKILL counts from the signal.
+    """
+    is_stopped = signal.SIGTERM in signal.sigpending()
     signal.pthread_sigmask(signal.SIG_UNBLOCK, _HELD_SIGNALS)
+    return _STARTED_AT if is_stopped else None
 
 
 def _listen(host: str, port: int) -> socket.socket:
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -304,17 +304,16 @@
         """Serve until SIGTERM, then stop; return the number of requests cut by the exit."""
         gevent.signal_handler(signal.SIGTERM, self._stop_requested.set)
         gevent.signal_handler(signal.SIGHUP, self._log_reload)
-        release_signals()
+        stopped_at = release_signals()
         with self._serve():
             self._events.write("started", role="router", peer=str(self._settings.listeners.peer))
             self._stop_requested.wait()
-            return self._stop()
+            return self._stop(began=time.monotonic() if stopped_at is None else stopped_at)
 
     def _log_reload(self) -> None:
         self._events.write("reload", detail="settings are read at the next start")
 
-    def _stop(self) -> int:
-        began = time.monotonic()
+    def _stop(self, *, began: float) -> int:
         killed_at = began + self._settings.bounds.stop_within_s
         ends_at = killed_at - STOP_MARGIN_S
         window = StopWindow(accepts_until=min(began + STOP_ACCEPT_S, ends_at), exits_at=ends_at)
--- a/tests/daemon/fleet/test_start.py
+++ b/tests/daemon/fleet/test_start.py
@@ -1,6 +1,8 @@
 """Tests of the modules and threads that a deployed process has loaded at its start."""
 
+import json
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -9,7 +11,7 @@
 import unittest
 from pathlib import Path
 
-from chivetrack.daemon.const import EXIT_START
+from chivetrack.daemon.const import EXIT_OK, EXIT_START
 from chivetrack.daemon.fleet.early import ENV_SETTINGS
 from tests.daemon.fleet.test_router_exit import make_request, make_settings
 from tests.system.deployment import CALLER_PORT, PEER_PORT, READY_PORT
@@ -33,6 +35,15 @@
 print(*[name for name in heavy if name in sys.modules])
 """
 
+# As a machine without much processor time loads it.
+SLOW_START_S = 2.6
+_SLOW_PROGRAM = f"""
+import time
+from chivetrack.daemon.fleet import __main__ as program
+time.sleep({SLOW_START_S})
+program.main()
+"""
+
 
 class StartTest(unittest.TestCase):
     def test_start_loads_little_and_connecting_starts_no_thread(self) -> None:
@@ -59,13 +70,16 @@
         folder = self.enterContext(tempfile.TemporaryDirectory())
         self.settings = Path(folder) / "router.toml"
         self.settings.write_text(make_settings(self.host, 8.0))
+        self.log = Path(folder) / "router.log"
 
-    def start_router(self) -> subprocess.Popen[bytes]:
+    def start_router(self, *program: str) -> subprocess.Popen[bytes]:
+        output = self.log.open("wb")
+        self.addCleanup(output.close)
         process = subprocess.Popen(
-            [sys.executable, "-m", "chivetrack.daemon.fleet"],
+            [sys.executable, *(program or ("-m", "chivetrack.daemon.fleet"))],
             cwd=ROOT,
             env={**os.environ, ENV_SETTINGS: str(self.settings)},
-            stdout=subprocess.DEVNULL,
+            stdout=output,
         )
         self.addCleanup(process.wait)
         self.addCleanup(process.kill)
@@ -96,3 +110,15 @@
                     caller.sendall(make_request("early"))
                     self.assert_refused(caller)
                 self.assertEqual(process.wait(LIMIT_S), EXIT_START)
+
+    def test_grace_time_counts_from_the_signal(self) -> None:
+        """Guards against SIGKILL in the stop of a router whose start held SIGTERM for long."""
+        process = self.start_router("-c", _SLOW_PROGRAM)
+        with self.connect() as caller:
+            caller.sendall(make_request("early"))
+            process.send_signal(signal.SIGTERM)
+            self.assert_refused(caller)
+        self.assertEqual(process.wait(LIMIT_S), EXIT_OK)
+        events = [json.loads(line) for line in self.log.read_text().splitlines()]
+        (decided,) = (event for event in events if event["event"] == "exit_decided")
+        self.assertGreaterEqual(decided["after_s"], SLOW_START_S)
