--- a/tests/components/limits/test_hopeless.py
+++ b/tests/components/limits/test_infeasible.py
@@ -7,7 +7,7 @@
 from chivetrack.exceptions import Ran
 
 
-class HopelessTest(unittest.TestCase):
+class InfeasibleTest(unittest.TestCase):
     def get_retry_after(self, expected_s: float, left_s: float, seed: int = 1) -> float | None:
         fault = refuse_infeasible(
             expected_s=expected_s, left_s=left_s, target_s=0.5, random=Random(seed)
