--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -217,7 +217,8 @@
     poll_request = find_sent(router.handle(peers, now=1.0))
     delivered = MessageReceived(source="router-1", message=poll_request)
     answer = find_sent(leader.handle(delivered, now=1.0))
-    print(f"poll without changes: {len(pack(poll_request))} bytes, answer {len(pack(answer))} bytes")
+    sizes = f"{len(pack(poll_request))} bytes, answer {len(pack(answer))} bytes"
+    print(f"poll without changes: {sizes}")
 
     def serve() -> None:
         for _ in range(POLLS):
