--- a/chivetrack/daemon/fleet/early.py
+++ b/chivetrack/daemon/fleet/early.py
@@ -1,4 +1,4 @@
-"""Opens the callers' listener before the rest of the program is loaded.
+"""Opens the callers' listener and holds signals before the rest of the program is loaded.
 
 Imports only small modules of the standard library: a start takes 0.4 s, nearly all of it for
 imports, and until the listener is open each new connection is reset.
