Tell the software version of endpoints and what is continued in lines and a counter

endpoint_changed and endpoint_said, request_placed, try_ended and request_ended have them now, callers' values cut at 64 characters; chivetrack.router.stream_continuations counts placements that continue a stream, by who continues it and whether the version is the one that began it. No decision changes.

--- a/chivetrack/components/announcements/models.py
+++ b/chivetrack/components/announcements/models.py
@@ -28,6 +28,7 @@
     incarnations with the same id. ``sequence`` counts the announcements of an incarnation.
     ``slots`` is the number of requests that the endpoint runs concurrently. ``cold_s`` is the
     remaining time (s) during which it is slow after its start, as of the announcement.
+    ``software`` is the version of its software, empty if the announcement does not state it.
     """
 
     endpoint_id: str
@@ -65,4 +66,5 @@
             "state": self.state.value,
             "born": self.born,
             "sequence": self.sequence,
+            "software": self.software,
         }
--- /dev/null
+++ b/chivetrack/components/origins/__init__.py
@@ -0,0 +1,1 @@
+"""Keeps streams at the software version that began them."""
--- a/chivetrack/components/traffic/requests.py
+++ b/chivetrack/components/traffic/requests.py
@@ -18,6 +18,8 @@
     ``wait_s`` is how long the caller waits, ``None`` if not stated. ``parts`` are in the
     order of the prompt; the last part is specific to this request or its session.
     ``expected_tokens`` is the caller's estimate of the answer's length, 0 if unknown.
+    ``last_event_id`` is the last event that the caller has of a stream that it takes up again,
+    ``resumes`` the id of the request that brought the first one; both are empty if not stated.
     """
 
     request_id: str
@@ -29,6 +31,7 @@
     max_output_tokens: int = 0
     expected_tokens: int = 0
     last_event_id: str = ""
+    resumes: str = ""
 
     @property
     def shared_parts(self) -> tuple[PromptPart, ...]:
--- a/chivetrack/daemon/fleet/calls.py
+++ b/chivetrack/daemon/fleet/calls.py
@@ -84,7 +84,8 @@
 
     ``passed_over`` are cold endpoints without a permit for this request at the moment.
     ``fingerprint`` is equal for requests with the same method, target, workspace and body.
-    ``connected_at`` is the time when the caller opened its connection.
+    ``connected_at`` is the time when the caller opened its connection. ``first_software`` is the
+    software version of the endpoint that made the first event of this answer.
     """
 
     facts: RequestFacts
@@ -103,6 +104,7 @@
     attempts: list[SendAttempt] = field(default_factory=list)
     last_event_id: str = ""
     first_event_at: float | None = None
+    first_software: str = ""
     placed: Placed | None = None
     passed_over: set[str] = field(default_factory=set)
 
--- a/chivetrack/daemon/fleet/forwarder.py
+++ b/chivetrack/daemon/fleet/forwarder.py
@@ -284,6 +284,7 @@
                 self._handle_first_event(call, choice)
                 if call.first_event_at is None:
                     call.first_event_at = time.monotonic()
+                    call.first_software = choice.record.software
                 if call.route.is_resumable:
                     connection.set_timeout(self._get_stall_timeout(call))
             data = splitter.feed(chunk)
--- a/chivetrack/daemon/fleet/meters.py
+++ b/chivetrack/daemon/fleet/meters.py
@@ -5,6 +5,7 @@
 
 from opentelemetry.metrics import CallbackOptions, Observation
 
+from chivetrack.components.origins.models import Continuation
 from chivetrack.components.traffic.requests import AnswerFacts
 from chivetrack.daemon.fleet.calls import Call
 from chivetrack.daemon.fleet.gauges import Gauge
@@ -52,6 +53,12 @@
             unit="{answer}",
             description="Heads of answers by what they say of the request.",
         )
+        self._continuations = meter.create_counter(
+            "chivetrack.router.stream_continuations",
+            unit="{placement}",
+            description="Placements that continue a stream, by who continues it and whether the"
+            " software version is the one that began it.",
+        )
         self._carried = meter.create_counter(
             "chivetrack.router.carried_dials",
             unit="{connection}",
@@ -92,6 +99,11 @@
         """Count an endpoint's answer by whether the request ran."""
         self._answers.add(1, {"ran": "no" if facts.did_not_run else "yes"})
 
+    def record_continuation(self, continuation: Continuation) -> None:
+        """Count a placement that continues a stream."""
+        by = "caller" if continuation.is_by_caller else "router"
+        self._continuations.add(1, {"by": by, "software": continuation.match.value})
+
     def count_crash(self) -> None:
         """Count an endpoint crash."""
         self._crashes.add(1)
--- a/chivetrack/daemon/fleet/metrics.py
+++ b/chivetrack/daemon/fleet/metrics.py
@@ -7,6 +7,7 @@
 
 from bottle import Bottle, HTTPResponse
 
+from chivetrack.components.origins.models import Continuation
 from chivetrack.components.traffic.requests import AnswerFacts
 from chivetrack.daemon.fleet.calls import Call
 from chivetrack.daemon.fleet.gauges import Gauge
@@ -55,6 +56,10 @@
         """Count an endpoint's answer by whether the request ran."""
         self._record(lambda meters: meters.record_answer(facts))
 
+    def record_continuation(self, continuation: Continuation) -> None:
+        """Count a placement that continues a stream."""
+        self._record(lambda meters: meters.record_continuation(continuation))
+
     def count_crash(self) -> None:
         """Count an endpoint crash that interrupted requests of this router."""
         self._record(lambda meters: meters.count_crash())
--- a/chivetrack/daemon/fleet/request_log.py
+++ b/chivetrack/daemon/fleet/request_log.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from chivetrack.components.origins.models import Continuation, match_software
 from chivetrack.components.placement.choice import Choice
 from chivetrack.components.traffic.requests import RequestFacts
 from chivetrack.daemon.fleet.calls import Call
@@ -11,6 +12,7 @@
 from chivetrack.helpers.events import EventLog
 
 _MAX_DETAIL = 200
+_MAX_ID = 64
 
 
 class RequestLog:
@@ -22,14 +24,17 @@
         view: FleetView,
         events: EventLog,
         record_rejection: Callable[[Fault], None],
+        record_continuation: Callable[[Continuation], None] = lambda continuation: None,
     ) -> None:
         """Store the view, which provides the configuration version and endpoint counts.
 
-        ``record_rejection`` receives the fault of each request that is refused.
+        ``record_rejection`` receives the fault of each request that is refused, and
+        ``record_continuation`` each placement that continues a stream.
         """
         self._view = view
         self._events = events
         self._record_rejection = record_rejection
+        self._record_continuation = record_continuation
         self.stopping_since: float | None = None
 
     def write_rejected(
@@ -70,11 +75,21 @@
 
     def write_placed(self, call: Call, choice: Choice) -> None:
         """Write the chosen endpoint and the values that its score is based on."""
+        if call.last_event_id:
+            self._record_continuation(
+                Continuation(
+                    is_by_caller=call.first_event_at is None,
+                    match=match_software(call.first_software, choice.record.software),
+                )
+            )
         self._events.write(
             "request_placed",
             request=call.facts.request_id,
             service=call.service,
             endpoint=choice.record.endpoint_id,
+            software=choice.record.software,
+            last_event=call.last_event_id[:_MAX_ID],
+            resumes=call.facts.resumes[:_MAX_ID],
             part=call.facts.shared_parts[-1].part_id if call.facts.shared_parts else "",
             prompt=call.facts.prompt_tokens,
             missing=choice.missing_tokens,
@@ -107,11 +122,12 @@
             service=call.service,
             endpoint=choice.record.endpoint_id,
             address=choice.record.address,
+            software=choice.record.software,
             outcome=outcome,
             detail=detail[:_MAX_DETAIL],
             fingerprint=call.fingerprint.hex(),
             running=choice.running,
-            last_event=call.last_event_id,
+            last_event=call.last_event_id[:_MAX_ID],
         )
 
     def write_given_up(self, call: Call, fault: Fault, *, why: str, pause_s: float) -> None:
@@ -142,6 +158,7 @@
             sent=call.reply.bytes_sent,
             ms=round((now - call.came_at) * 1000),
             first_ms=None if first is None else round((first - call.came_at) * 1000),
+            first_software=call.first_software,
             version=self._view.version,
             **self._describe_stop(came_at=call.came_at, connected_at=call.connected_at),
         )
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -13,6 +13,7 @@
 from chivetrack.components.caller_api.watch import CallerLeftError, watch_caller
 from chivetrack.components.distribution.document_receiver import DocumentReceiver
 from chivetrack.components.limits.stopping import StopWindow
+from chivetrack.components.origins.models import Continuation
 from chivetrack.components.placement.choice import Choice
 from chivetrack.components.quarantine.fingerprint import make_fingerprint
 from chivetrack.components.retries.sending import (
@@ -66,18 +67,25 @@
         events: EventLog,
         record_end: Callable[[Call, str], None],
         record_rejection: Callable[[Fault], None],
+        record_continuation: Callable[[Continuation], None],
     ) -> None:
         """Store the components that requests need.
 
         ``record_end`` receives each finished request and its outcome, ``record_rejection``
-        the fault of each request that is refused without being sent.
+        the fault of each request that is refused without being sent, ``record_continuation``
+        each placement that continues a stream.
         """
         self._view = view
         self._forwarder = forwarder
         self._permits = permits
         self._crash_detector = crash_detector
         self._documents = documents
-        self._log = RequestLog(view=view, events=events, record_rejection=record_rejection)
+        self._log = RequestLog(
+            view=view,
+            events=events,
+            record_rejection=record_rejection,
+            record_continuation=record_continuation,
+        )
         self._refusals = Refusals(view=view, log=self._log)
         self.late_requests = LateRequests(view=view, log=self._log)
         self._record_end = record_end
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -178,6 +178,7 @@
             events=events,
             record_end=self._metrics.record_end,
             record_rejection=self._metrics.record_rejection,
+            record_continuation=self._metrics.record_continuation,
         )
         assert settings.listeners.callers is not None and settings.listeners.ready is not None
         self._gate = CallGate(
--- a/chivetrack/platform/headers.py
+++ b/chivetrack/platform/headers.py
@@ -23,6 +23,7 @@
 HEADER_LENGTH_HINT = "X-Chivetrack-Length-Hint"
 HEADER_FETCH_FROM = "Kv-Fetch"
 HEADER_LAST_EVENT = "Last-Event-Id"
+HEADER_RESUMES = "Resumes"
 HEADER_SEAL = "X-Chivetrack-Server-Seal"
 HEADER_DID_NOT_RUN = "X-Chivetrack-Not-Executed"
 HEADER_LOAD = "X-Chivetrack-Server-Load"
@@ -88,6 +89,7 @@
         max_output_tokens=max_output,
         expected_tokens=int(_read_number(headers.get(HEADER_LENGTH_HINT.lower(), "")) or 0),
         last_event_id=headers.get(HEADER_LAST_EVENT.lower(), ""),
+        resumes=headers.get(HEADER_RESUMES.lower(), ""),
     )
 
 
--- a/tests/daemon/fleet/test_open_requests.py
+++ b/tests/daemon/fleet/test_open_requests.py
@@ -96,6 +96,7 @@
             events=self.events,
             record_end=lambda call, outcome: self.ended.append(outcome),
             record_rejection=lambda fault: None,
+            record_continuation=lambda continuation: None,
         )
         self.caller = Caller()
 
--- a/tests/daemon/fleet/test_request_log.py
+++ b/tests/daemon/fleet/test_request_log.py
@@ -1,7 +1,9 @@
 """Tests of the lines and counters of refused requests."""
 
+import json
 import os
 import unittest
+from typing import Any
 from unittest.mock import Mock
 
 from chivetrack.components.limits.stopping import make_stopping_fault
@@ -9,6 +11,7 @@
 from chivetrack.daemon.fleet.metrics import Metrics
 from chivetrack.daemon.fleet.request_log import RequestLog
 from chivetrack.helpers.events import EventLog
+from tests.daemon.fleet.scripted import Caller, make_call, make_choice
 
 
 class RejectionTest(unittest.TestCase):
@@ -37,5 +40,40 @@
         self.assertTrue(line.endswith(" 2.0"), line)
 
 
+class ContinuationTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.metrics = Metrics(instance="r1", zone="z1")
+        self.events = Mock()
+        self.log = RequestLog(
+            view=Mock(version=3),
+            events=self.events,
+            record_rejection=self.metrics.record_rejection,
+            record_continuation=self.metrics.record_continuation,
+        )
+
+    def get_fields(self) -> dict[str, Any]:
+        return dict(self.events.write.call_args.kwargs)
+
+    def test_lines_tell_the_version_and_what_is_continued(self) -> None:
+        """Guards against streams continued at another version that no line and counter shows."""
+        facts = RequestFacts(request_id="q2", last_event_id="7", resumes="q1" * 99)
+        call = make_call(Caller(), facts=facts, last_event_id="7")
+        choice = make_choice("127.0.0.1:1")
+        self.log.write_placed(call, choice)
+        fields = self.get_fields()
+        self.assertEqual((fields["software"], fields["last_event"]), ("v1", "7"))
+        self.assertEqual(fields["resumes"], ("q1" * 99)[:64])
+        call.first_event_at, call.first_software = 1.0, "v2"
+        self.log.write_placed(call, choice)
+        self.log.write_ended(call, "cut", now=2.0)
+        self.assertEqual(self.get_fields()["first_software"], "v2")
+        json.dumps(self.get_fields())
+        _, text = self.metrics.open().render()
+        lines = [one for one in text.decode().splitlines() if "stream_continuations_total{" in one]
+        self.assertEqual(len(lines), 2)
+        self.assertIn('by="caller"', "".join(one for one in lines if 'software="unknown"' in one))
+        self.assertIn('by="router"', "".join(one for one in lines if 'software="other"' in one))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -31,9 +31,11 @@
                 "x-chivetrack-prompt-prefix": "5c1e:800,91bd:410,e440:250",
                 "x-chivetrack-length-hint": "33",
                 "last-event-id": "12",
+                "resumes": "8b30",
             }
         )
         self.assertEqual(facts.wait_s, 1.5)
+        self.assertEqual(facts.resumes, "8b30")
         self.assertEqual((facts.prompt_tokens, facts.max_output_tokens), (1460, 80))
         self.assertEqual(facts.shared_parts, (PromptPart("5c1e", 800), PromptPart("91bd", 410)))
         self.assertEqual((facts.expected_tokens, facts.last_event_id), (33, "12"))
