--- a/tests/system/deployment.py
+++ b/tests/system/deployment.py
@@ -35,9 +35,17 @@
 
     daemon_threads = True
 
-    def __init__(self, *, host: str, name: str, service: str) -> None:
-        """Listen on ``host``."""
+    def __init__(
+        self,
+        *,
+        host: str,
+        name: str,
+        service: str,
+        handler: "type[EndpointHandler] | None" = None,
+    ) -> None:
+        """Listen on ``host``; ``handler`` answers in place of ``EndpointHandler``."""
         self.name = name
+        self.version = "v1"
         self.service = service
         self.address = f"{host}:{ENDPOINT_PORT}"
         self.seen: list[tuple[str, dict[str, str]]] = []
@@ -48,7 +56,7 @@
         self.retry_after_s = 0.0
         self.sequence = 0
         self.born = int(time.time() * 1000)
-        super().__init__((host, ENDPOINT_PORT), EndpointHandler)
+        super().__init__((host, ENDPOINT_PORT), handler or EndpointHandler)
         threading.Thread(target=self.serve_forever, daemon=True).start()
 
     def handle_error(self, request: Any, client_address: Any) -> None:
@@ -61,7 +69,7 @@
             "service": self.service,
             "address": self.address,
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "slots": 8,
             "state": state,
             "coldRemainingMs": self.cold_ms,
