Hold the version of an endpoint unknown once one lifetime has announced two

X-Chivetrack-Expect-Instance can't tell, and a departure without a version erased the known one.

Which of two versions announced by one lifetime is the newer can't be known, since announcements of an earlier process may arrive late. From then on the version is unknown, on every replica and router, until a later start is stated or the endpoint is forgotten. A departure without a version keeps the known one. Heartbeats of such an endpoint are still passed on to the other replicas: the record kept is no longer the announcement itself, so numbers are compared.

--- a/chivetrack/components/announcements/table.py
+++ b/chivetrack/components/announcements/table.py
@@ -60,8 +60,12 @@
             self._add_address(record)
             self._assign_change_number(entry)
             return True
+        if _contradicts(record, entry.record):
+            return self._merge_contradiction(entry, record, now=now)
         if record.position <= entry.record.position:
             return False
+        if record.state is EndpointState.LEFT and not record.software:
+            record = msgspec.structs.replace(record, software=entry.record.software)
         is_change = _normalize(record) != _normalize(entry.record)
         if record.address != entry.record.address:
             self._remove_address(entry.record)
@@ -74,6 +78,29 @@
             self._assign_change_number(entry)
         return is_change
 
+    def _merge_contradiction(self, entry: _Entry, record: EndpointRecord, *, now: float) -> bool:
+        """Merge an announcement of another software version by the same incarnation.
+
+        The endpoint has started again and does not state when, so the order of the two is not
+        known: the other version may also be a delayed announcement of an earlier process. Its
+        version is unknown from then on, until it states a later start or is forgotten.
+        """
+        newest = max(record, entry.record, key=lambda one: one.position)
+        is_newer = newest is record
+        unknown = msgspec.structs.replace(newest, software="")
+        is_change = _normalize(unknown) != _normalize(entry.record)
+        if unknown.address != entry.record.address:
+            self._remove_address(entry.record)
+            self._add_address(unknown)
+        entry.record = unknown
+        if is_newer:
+            entry.last_seen_at = now
+            entry.is_restored = False
+        if is_change:
+            entry.checksum = _make_checksum(unknown)
+            self._assign_change_number(entry)
+        return is_change
+
     def handle_relayed_heartbeat(
         self, endpoint_id: str, sequence: int, checksum: int, *, now: float
     ) -> bool:
@@ -263,6 +290,19 @@
         return expired
 
 
+def _contradicts(record: EndpointRecord, known: EndpointRecord) -> bool:
+    """Return whether two announcements of one incarnation state different software versions.
+
+    Departures are no contradiction: they may come without a version, and end the incarnation.
+    """
+    states = (record.state, known.state)
+    return (
+        record.born == known.born
+        and record.software != known.software
+        and EndpointState.LEFT not in states
+    )
+
+
 def _normalize(record: EndpointRecord) -> EndpointRecord:
     """Return the record without the values that change with every heartbeat."""
     return msgspec.structs.replace(record, sequence=0, cold_s=float(record.cold_s > 0))
--- a/chivetrack/daemon/fleet/control_handler.py
+++ b/chivetrack/daemon/fleet/control_handler.py
@@ -124,15 +124,17 @@
             return Error(make_stopping())
         is_change = self._table.merge(record, now=time.monotonic())
         known = self._table.find(record.endpoint_id)
+        if known is None:
+            return Ok(None)
         if is_change:
             self._broadcast_lost(self._table.mark_superseded_lost(record, now=time.monotonic()))
-            self._log(record)
+            self._log(known)
             self._push()
-        if known is not None and known.state is not EndpointState.READY and is_change:
+        if is_change and known.state is not EndpointState.READY:
             return self._broadcast_to_majority(known)
         if is_change:
-            self._endpoint_broadcaster.record_change(record)
-        elif known is record:
+            self._endpoint_broadcaster.record_change(known)
+        elif known.position == record.position:
             self._endpoint_broadcaster.record_heartbeat(record.endpoint_id)
         return Ok(None)
 
--- a/tests/components/announcements/test_table.py
+++ b/tests/components/announcements/test_table.py
@@ -6,7 +6,11 @@
 
 import msgspec
 
-from chivetrack.components.announcements.models import EndpointRecord, EndpointState
+from chivetrack.components.announcements.models import (
+    LAST_SEQUENCE,
+    EndpointRecord,
+    EndpointState,
+)
 from chivetrack.components.announcements.table import (
     FORGET_AFTER_S,
     LOST_AFTER_S,
@@ -201,5 +205,58 @@
         self.assertIs(record.state, EndpointState.READY)
 
 
+class SoftwareTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.table = EndpointTable()
+        self.table.merge(make_record(5, born=0), now=0.0)
+
+    def get_software(self) -> str:
+        record = self.table.find("e1")
+        assert record is not None
+        return record.software
+
+    def test_endpoint_that_starts_again_with_another_version_has_an_unknown_one(self) -> None:
+        """Guards against trusting the version of an endpoint that does not state when it started.
+
+        Its announcements count from 1 again, and those of the process before may still arrive.
+        """
+        restarted = make_record(1, born=0, software="v2")
+        self.assertTrue(self.table.merge(restarted, now=1.0))
+        self.assertEqual(self.get_software(), "")
+        for sequence, software in ((6, "v1"), (2, "v2"), (7, "v2")):
+            record = make_record(sequence, born=0, software=software)
+            self.assertFalse(self.table.merge(record, now=2.0))
+            self.assertEqual(self.get_software(), "")
+        self.assertTrue(self.table.merge(make_record(1, born=9, software="v2"), now=3.0))
+        self.assertEqual(self.get_software(), "v2")
+
+    def test_unknown_version_spreads_among_replicas(self) -> None:
+        """Guards against replicas that correct each other's record of a version forever."""
+        other = EndpointTable()
+        other.merge(make_record(9, born=0, software="v2"), now=0.0)
+        for _ in range(3):
+            mine, theirs = self.table.find("e1"), other.find("e1")
+            assert mine is not None and theirs is not None
+            self.table.merge(theirs, now=1.0)
+            other.merge(mine, now=1.0)
+        change = self.table.change
+        self.assertEqual(self.table.find("e1"), other.find("e1"))
+        self.assertEqual(self.get_software(), "")
+        self.assertEqual(self.table.find_checksum("e1"), other.find_checksum("e1"))
+        self.table.merge(make_record(10, born=0, software=""), now=2.0)
+        self.assertEqual(self.table.change, change)
+
+    def test_departure_without_a_version_keeps_the_known_one(self) -> None:
+        """Guards against a version that is forgotten as its endpoint leaves."""
+        left = make_record(LAST_SEQUENCE, born=0, software="", state=EndpointState.LEFT)
+        self.assertTrue(self.table.merge(left, now=1.0))
+        self.assertEqual(self.get_software(), "v1")
+
+    def test_new_lifetime_without_a_version_does_not_inherit_one(self) -> None:
+        """Guards against the version of an earlier lifetime for a record without one."""
+        self.table.merge(make_record(1, born=9, software=""), now=1.0)
+        self.assertEqual(self.get_software(), "")
+
+
 if __name__ == "__main__":
     unittest.main()
