Let an answer go on only at the software version that made its first event

Cause: a call did not remember at which version its first event was made, and nothing read the version of an endpoint's record. Now the call keeps service and version of the first event that is sent to the caller (before the first whole event an answer may still begin anywhere), and afterwards only endpoints are candidates whose record states that version, which send heartbeats, and only while the router's view is at most 5 s old. Two records without a version do not match. Where none is left the answer ends at once, with a line (request_given_up, with the version) that it did not have before.

An endpoint that starts again under its id with another version, a record without one, a version that leaves and an outdated view: tests.daemon.fleet.test_fleet_view.StreamVersionTest. The placement and connections of such an endpoint are forgotten too. The way over a caller's tries is still open.

--- a/chivetrack/daemon/fleet/calls.py
+++ b/chivetrack/daemon/fleet/calls.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from chivetrack.components.announcements.models import EndpointRecord
+from chivetrack.components.origins.models import Origin, OriginBasis
 from chivetrack.components.placement.placement import Placed
 from chivetrack.components.quarantine.const import MAX_PATH_LENGTH
 from chivetrack.components.quarantine.models import CrashReport
@@ -84,8 +85,9 @@
 
     ``passed_over`` are cold endpoints without a permit for this request at the moment.
     ``fingerprint`` is equal for requests with the same method, target, workspace and body.
-    ``connected_at`` is the time when the caller opened its connection. ``first_software`` is the
-    software version of the endpoint that made the first event of this answer.
+    ``connected_at`` is the time when the caller opened its connection. ``origin`` is where the
+    stream began, ``None`` before its first event; from then on only endpoints of that version may
+    continue it. ``origin_basis`` and ``origin_age_s`` tell how it is known.
     """
 
     facts: RequestFacts
@@ -104,10 +106,20 @@
     attempts: list[SendAttempt] = field(default_factory=list)
     last_event_id: str = ""
     first_event_at: float | None = None
-    first_software: str = ""
+    origin: Origin | None = None
+    origin_basis: OriginBasis | None = None
+    origin_age_s: float = 0.0
     placed: Placed | None = None
     passed_over: set[str] = field(default_factory=set)
 
+    def begin_stream(self, record: EndpointRecord) -> bool:
+        """Set the origin when an endpoint makes the first event; return whether it was not set."""
+        if self.origin is not None:
+            return False
+        self.origin = Origin(record.service, record.software)
+        self.origin_basis = OriginBasis.OWN
+        return True
+
     def make_crash_report(self, record: EndpointRecord) -> CrashReport:
         """Return a report that this request was running when the endpoint crashed."""
         return CrashReport(
--- a/chivetrack/daemon/fleet/fleet_view.py
+++ b/chivetrack/daemon/fleet/fleet_view.py
@@ -13,6 +13,8 @@
 from chivetrack.components.distribution.messages import EndpointLoad, View
 from chivetrack.components.distribution.subscriber import RouterReport
 from chivetrack.components.evacuation.models import Evacuations
+from chivetrack.components.origins.const import VIEW_CURRENT_S
+from chivetrack.components.origins.fitting import list_continuing
 from chivetrack.components.placement.choice import Candidate, Choice, Source
 from chivetrack.components.placement.placement import Placed, Placement
 from chivetrack.components.quarantine.crash_reports import RecentCrashes
@@ -64,6 +66,7 @@
         self._events = events
         self._decode = decode
         self._forget_endpoint = forget_endpoint
+        self._viewed_at = float("-inf")
         self.table: RouteTable | None = None
         self._memory_tokens = DEFAULT_MEMORY_TOKENS
         self.directory = EndpointDirectory()
@@ -77,7 +80,7 @@
         self._quarantined: dict[bytes, QuarantinedRequest] = {}
         self._silent: frozenset[str] = frozenset()
         self._reported_loads: dict[str, EndpointLoad] = {}
-        self._born: dict[str, int] = {}
+        self._lifetimes: dict[str, tuple[int, str]] = {}
         self._first_seen_at: dict[str, float] = {}
         self._router_count = INITIAL_ROUTER_COUNT
         self._stopping_share = 0.0
@@ -117,7 +120,7 @@
 
     def handle_view(self, view: View) -> None:
         """Apply the loads, silent endpoints, evacuations and quarantine that a replica sent."""
-        now = time.monotonic()
+        now = self._viewed_at = time.monotonic()
         self.has_view = self.has_view or not view.is_pending
         # Endpoint changes come before placements: when an endpoint appears, the placements
         # recorded for its id are dropped.
@@ -229,14 +232,16 @@
 
     def _apply_change(self, record: EndpointRecord) -> None:
         self._events.write("endpoint_changed", **record.describe())
-        if self._born.get(record.endpoint_id) != record.born:
-            # A new incarnation under the id starts with an empty cache and no failures.
+        lifetime = (record.born, record.software)
+        previous = self._lifetimes.get(record.endpoint_id)
+        if previous != lifetime:
+            # A new incarnation under the id starts with an empty cache and no failures. Another
+            # version is one as well, also where the endpoint does not state when it started.
             now = time.monotonic()
-            has_restarted = record.endpoint_id in self._born
-            if has_restarted:
-                previous_born = self._born[record.endpoint_id]
-                self._notify_incarnation_end(record.endpoint_id, previous_born, is_departure=False)
-            self._born[record.endpoint_id] = record.born
+            has_restarted = previous is not None
+            if previous is not None:
+                self._notify_incarnation_end(record.endpoint_id, previous[0], is_departure=False)
+            self._lifetimes[record.endpoint_id] = lifetime
             self._first_seen_at[record.endpoint_id] = now
             self.placement.forget(record.endpoint_id, emptied_at=now if has_restarted else None)
             self.health.forget(record.endpoint_id)
@@ -289,7 +294,8 @@
         division = self.directory.partition(
             call.service, passed_over=call.passed_over, is_limited=is_limited, now=now
         )
-        candidates = self._list_candidates(call, division.open, is_limited, now)
+        fitting = self._list_fitting(call, division.open, now)
+        candidates = self._list_candidates(call, fitting, is_limited, now)
         service = None if self.table is None else self.table.find_service(call.service)
         return self.placement.choose(
             candidates,
@@ -301,6 +307,17 @@
             resting=[one.endpoint_id for one in division.resting],
         )
 
+    def _list_fitting(
+        self, call: Call, records: Sequence[EndpointRecord], now: float
+    ) -> Sequence[EndpointRecord]:
+        """Return the endpoints that may get a request; a begun stream stays at its version."""
+        if call.origin is not None:
+            is_current = now - self._viewed_at <= VIEW_CURRENT_S
+            return list_continuing(
+                records, origin=call.origin, silent=self._silent, is_current=is_current
+            )
+        return records
+
     def _list_candidates(
         self, call: Call, records: Sequence[EndpointRecord], is_limited: bool, now: float
     ) -> list[Candidate]:
@@ -358,7 +375,7 @@
         tried = {one.endpoint_id for one in call.attempts}
         waits = [
             self.directory.cold.find_wait(record.endpoint_id, now)
-            for record in self.directory.list_ready(call.service)
+            for record in self._list_fitting(call, self.directory.list_ready(call.service), now)
             if record.endpoint_id not in tried
             and not self.directory.find_pause(record, now)
             and self.is_cold(call.service, record.endpoint_id, now)
--- a/chivetrack/daemon/fleet/forwarder.py
+++ b/chivetrack/daemon/fleet/forwarder.py
@@ -284,11 +284,11 @@
                 self._handle_first_event(call, choice)
                 if call.first_event_at is None:
                     call.first_event_at = time.monotonic()
-                    call.first_software = choice.record.software
                 if call.route.is_resumable:
                     connection.set_timeout(self._get_stall_timeout(call))
             data = splitter.feed(chunk)
             if data:
+                call.begin_stream(choice.record)
                 self._start_reply(call, answer)
                 call.reply.write(data)
                 call.last_event_id = splitter.last_id
--- a/chivetrack/daemon/fleet/meters.py
+++ b/chivetrack/daemon/fleet/meters.py
@@ -56,8 +56,8 @@
         self._continuations = meter.create_counter(
             "chivetrack.router.stream_continuations",
             unit="{placement}",
-            description="Placements that continue a stream, by who continues it and whether the"
-            " software version is the one that began it.",
+            description="Placements that continue a stream, by who continues it and how the version"
+            " that began it is known.",
         )
         self._carried = meter.create_counter(
             "chivetrack.router.carried_dials",
@@ -102,7 +102,7 @@
     def record_continuation(self, continuation: Continuation) -> None:
         """Count a placement that continues a stream."""
         by = "caller" if continuation.is_by_caller else "router"
-        self._continuations.add(1, {"by": by, "software": continuation.match.value})
+        self._continuations.add(1, {"by": by, "known_by": continuation.basis.value})
 
     def count_crash(self) -> None:
         """Count an endpoint crash."""
--- a/chivetrack/daemon/fleet/request_log.py
+++ b/chivetrack/daemon/fleet/request_log.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from chivetrack.components.origins.models import Continuation, match_software
+from chivetrack.components.origins.models import Continuation
 from chivetrack.components.placement.choice import Choice
 from chivetrack.components.traffic.requests import RequestFacts
 from chivetrack.daemon.fleet.calls import Call
@@ -75,12 +75,9 @@
 
     def write_placed(self, call: Call, choice: Choice) -> None:
         """Write the chosen endpoint and the values that its score is based on."""
-        if call.last_event_id:
+        if call.last_event_id and call.origin_basis is not None:
             self._record_continuation(
-                Continuation(
-                    is_by_caller=call.first_event_at is None,
-                    match=match_software(call.first_software, choice.record.software),
-                )
+                Continuation(is_by_caller=call.first_event_at is None, basis=call.origin_basis)
             )
         self._events.write(
             "request_placed",
@@ -88,6 +85,7 @@
             service=call.service,
             endpoint=choice.record.endpoint_id,
             software=choice.record.software,
+            **_describe_origin(call),
             last_event=call.last_event_id[:_MAX_ID],
             resumes=call.facts.resumes[:_MAX_ID],
             part=call.facts.shared_parts[-1].part_id if call.facts.shared_parts else "",
@@ -123,6 +121,7 @@
             endpoint=choice.record.endpoint_id,
             address=choice.record.address,
             software=choice.record.software,
+            **_describe_origin(call),
             outcome=outcome,
             detail=detail[:_MAX_DETAIL],
             fingerprint=call.fingerprint.hex(),
@@ -138,6 +137,7 @@
             why=why,
             status=fault.status,
             tries=len(call.attempts),
+            **_describe_origin(call),
             candidates=self._view.count_candidates(call.service),
             evacuated=self._view.directory.evacuations.list_evacuated(),
             pause_s=round(pause_s, 2),
@@ -158,7 +158,17 @@
             sent=call.reply.bytes_sent,
             ms=round((now - call.came_at) * 1000),
             first_ms=None if first is None else round((first - call.came_at) * 1000),
-            first_software=call.first_software,
+            **_describe_origin(call),
             version=self._view.version,
             **self._describe_stop(came_at=call.came_at, connected_at=call.connected_at),
         )
+
+
+def _describe_origin(call: Call) -> dict[str, Any]:
+    """Return the version that began a stream, how it is known, and for how long (s)."""
+    origin, basis = call.origin, call.origin_basis
+    return {
+        "began_at": None if origin is None else origin.software,
+        "known_by": None if basis is None else basis.value,
+        "known_s": round(call.origin_age_s, 2),
+    }
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -313,12 +313,12 @@
         return False
 
     def _abandon(self, call: Call, why: str) -> None:
-        if call.reply.is_started:
-            raise AnswerCutError("the stream can't be resumed at another endpoint")
         pause_s = self._view.find_shortest_pause(call.service)
         retry_after_s = max(NO_ENDPOINT_RETRY_S, pause_s)
         fault = make_final_fault(call.attempts, retry_after_s=retry_after_s)
         self._log.write_given_up(call, fault, why=why, pause_s=pause_s)
+        if call.reply.is_started:
+            raise AnswerCutError("the stream can't be resumed at another endpoint")
         call.reply.refuse(fault)
 
     def _end(self, call: Call, outcome: str) -> None:
--- a/tests/daemon/fleet/test_fleet_view.py
+++ b/tests/daemon/fleet/test_fleet_view.py
@@ -1,20 +1,23 @@
 """Tests of the router's view after messages of replicas and its own attempts."""
 
+import time
 import unittest
 from typing import Any
+from unittest import mock
 
 from chivetrack.components.announcements.models import EndpointState
 from chivetrack.components.deployment.settings import BoundSettings
 from chivetrack.components.distribution.messages import EndpointLoad, PlacedPart, View
 from chivetrack.components.evacuation.models import Evacuations, ZoneState
+from chivetrack.components.origins.const import VIEW_CURRENT_S
 from chivetrack.components.retries.sending import SendEnd
-from chivetrack.components.traffic.models import EngineProfile, Service
+from chivetrack.components.traffic.models import EngineProfile, RouteKind, Service
 from chivetrack.components.traffic.requests import PromptPart, RequestFacts
 from chivetrack.components.traffic.table import RouteTable
 from chivetrack.daemon.fleet.fleet_view import FleetView
 from chivetrack.helpers.events import EventLog
 from tests.components.announcements.test_table import make_record
-from tests.components.traffic.documents import make_document
+from tests.components.traffic.documents import make_document, make_route
 from tests.daemon.fleet.scripted import Caller, make_call
 
 
@@ -219,5 +222,68 @@
         self.view.wait_until_ready(5.0)
 
 
+class StreamVersionTest(FleetViewCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.apply_view(
+            make_record(service="portal"),
+            make_record(service="portal", endpoint_id="e2", software="v2"),
+        )
+        self.call = make_call(Caller(), route=make_route(kind=RouteKind.STREAM))
+
+    def choose_for_stream(self) -> str:
+        choice = self.view.choose(self.call)
+        return "" if choice is None else choice.record.endpoint_id
+
+    def begin(self, endpoint_id: str) -> None:
+        record = self.view.directory.table.find(endpoint_id)
+        assert record is not None
+        self.assertTrue(self.call.begin_stream(record))
+
+    def test_begun_stream_goes_on_at_its_version_only(self) -> None:
+        self.assertIn(self.choose_for_stream(), ("e1", "e2"))
+        self.begin("e2")
+        self.assertEqual({self.choose_for_stream() for _ in range(9)}, {"e2"})
+
+    def test_endpoint_that_started_again_with_another_version(self) -> None:
+        """Guards against a stream that goes on at a new process under the id of its endpoint.
+
+        Whether the announcement states a later start or not, the version of the stream is the one
+        at its first event.
+        """
+        for changes in ({"born": 2000}, {"sequence": 2}):
+            with self.subTest(changes):
+                self.setUp()
+                self.begin("e1")
+                restarted = make_record(service="portal", software="v2", **changes)
+                self.apply_view(restarted, change=2)
+                self.assertEqual(self.choose_for_stream(), "")
+                self.assertIn("e1", self.forgotten)
+
+    def test_record_without_a_version_continues_nothing(self) -> None:
+        """Guards against streams that go on at an endpoint of which no version is known."""
+        self.begin("e1")
+        self.apply_view(make_record(2, service="portal", born=2000, software=""), change=2)
+        self.assertEqual(self.choose_for_stream(), "")
+        other = make_call(Caller(), route=make_route(kind=RouteKind.STREAM))
+        record = self.view.directory.table.find("e1")
+        assert record is not None
+        other.begin_stream(record)
+        self.assertIsNone(self.view.choose(other))
+
+    def test_version_that_leaves_continues_nothing(self) -> None:
+        """Guards against a stream that goes on elsewhere when its version has left."""
+        self.begin("e1")
+        self.apply_view(make_record(2, service="portal", state=EndpointState.LEFT), change=2)
+        self.assertEqual(self.choose_for_stream(), "")
+
+    def test_outdated_view_continues_nothing(self) -> None:
+        """Guards against a router that was cut off and goes by versions of long ago."""
+        self.begin("e1")
+        later = time.monotonic() + VIEW_CURRENT_S
+        with mock.patch("chivetrack.daemon.fleet.fleet_view.time.monotonic", return_value=later):
+            self.assertEqual(self.choose_for_stream(), "")
+
+
 if __name__ == "__main__":
     unittest.main()
