Let callers take streams up only at the software version that began them

Cause: no process knew after a moment at which version a stream began. A router's call ends with its connection and dies with the router, which is when streams are taken up; Resumes was read nowhere.

Now replicas remember the versions of each service and, where there may be several, origins of streams by the id of the request that brought the first event (components/origins). A router begins streams only at versions that a majority of replicas has confirmed to remember. So a majority that remembers one version proves, asked after the caller has come, that no other one began the stream, also to a router that has just started, was cut off or frozen: its own view is not used. With one version nothing is told. With several, the origin leaves for three replicas right before the first event does, and those of open streams when a second version appears. A replica that restarts counts only once a majority of the others has told it what they remember. What is not known within 0.25 s is refused with 503 and has not run. Several versions announced by unknown records count as one more version, two streams with one id as unknown. While most replicas are of an earlier release of this program, which says so in no view, routers begin streams without confirmation and continue none that others began. A stream stays at its service too: a route's share is chosen by the id in Resumes, and a record of another service refuses.

Replicas' message handlers are a table now, as the routers' are.

--- a/chivetrack/components/announcements/directory.py
+++ b/chivetrack/components/announcements/directory.py
@@ -6,6 +6,7 @@
 from chivetrack.components.announcements.models import EndpointRecord, EndpointState, Incarnation
 from chivetrack.components.announcements.table import EndpointTable
 from chivetrack.components.evacuation.models import Evacuations
+from chivetrack.components.origins.models import Origin
 from chivetrack.components.slow_start.cold import ColdEndpointTracker
 from chivetrack.components.slow_start.const import ASSUMED_COLD_S, MAX_PERMIT_REQUESTS
 
@@ -34,6 +35,8 @@
         self._evacuated: dict[str, list[EndpointRecord]] = {}
         self._sources: dict[str, list[EndpointRecord]] = {}
         self._applied_change = -1
+        self.origins: frozenset[Origin] = frozenset()
+        """The versions of the services' endpoints that may get requests."""
         self._leaving: set[Incarnation] = set()
         self._paused_until: dict[Incarnation, float] = {}
 
@@ -128,6 +131,11 @@
                 continue
             listed = self._evacuated if record.zone in evacuated else self._ready
             listed.setdefault(record.service, []).append(record)
+        self.origins = frozenset(
+            Origin(record.service, record.software)
+            for records in self._ready.values()
+            for record in records
+        )
 
     def list_ids_in(self, zones: Collection[str]) -> Iterator[str]:
         """Yield the ids of all endpoints in the given zones."""
--- a/chivetrack/components/distribution/messages.py
+++ b/chivetrack/components/distribution/messages.py
@@ -88,6 +88,8 @@
     ``silent_revision`` is the revision that the router holds after this message.
     ``acknowledged`` is the highest version that an operator was acknowledged, as far as known.
     ``carriers`` are routers that carry connections to endpoints, if the receiver needs any.
+    ``keeps_origins``: the replica remembers versions and the origins of streams; replicas of
+    earlier releases do not.
     """
 
     run: str
@@ -109,6 +111,7 @@
     stopping: int = 0
     acknowledged: int = 0
     carriers: tuple[Carrier, ...] = ()
+    keeps_origins: bool = False
 
 
 @message("distribution.endpoints")
--- a/chivetrack/components/distribution/publisher.py
+++ b/chivetrack/components/distribution/publisher.py
@@ -336,6 +336,7 @@
             quarantine=self._find_newer_quarantine(router),
             is_pending=is_pending,
             acknowledged=self.rollout.acknowledged,
+            keeps_origins=True,
         )
         return SendMessage(target=name, message=view)
 
--- a/chivetrack/components/distribution/subscriber.py
+++ b/chivetrack/components/distribution/subscriber.py
@@ -47,6 +47,7 @@
     is_partial: bool = False
     placed_change: int = 0
     silent_revision: int = 0
+    keeps_origins: bool | None = None
 
     def record_run(self, run: str) -> None:
         """Record which process of the replica answers; each process numbers its changes anew."""
@@ -154,6 +155,28 @@
         """Return the replica to which this router reports its load, empty before the first one."""
         return self._assigned
 
+    def list_nearest(self) -> list[str]:
+        """Return all replicas, the assigned one first, then in an order specific to this router."""
+        return sorted(self._list_order(), key=lambda name: name != self._assigned)
+
+    @property
+    def do_replicas_keep_origins(self) -> bool:
+        """Return whether most of the replicas that have answered remember origins of streams."""
+        answers = [
+            one.keeps_origins for one in self._replicas.values() if one.keeps_origins is not None
+        ]
+        return 2 * sum(answers) > len(answers)
+
+    @property
+    def last_view_at(self) -> float:
+        """Return when the newest view came (s, monotonic)."""
+        return max((one.last_seen_at for one in self._replicas.values()), default=float("-inf"))
+
+    @property
+    def router_count(self) -> int:
+        """Return the number of routers in the fleet, as the assigned replica counts them."""
+        return self._router_count
+
     def wake(self, *, now: float) -> list[Effect]:
         """Poll the replicas that are due."""
         effects: list[Effect] = []
@@ -284,6 +307,7 @@
         """Merge the state sent by a replica."""
         replica = self._record_named(source, now)
         replica.record_answer(now)
+        replica.keeps_origins = view.keeps_origins
         for record in view.records:
             self._table.merge(record, now=now)
         replica.record_run(view.run)
--- a/chivetrack/components/origins/fitting.py
+++ b/chivetrack/components/origins/fitting.py
@@ -1,11 +1,18 @@
-"""Selects the endpoints that may continue a stream; performs no I/O."""
+"""Selects the endpoints that may begin or continue a stream; performs no I/O."""
 
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 from chivetrack.components.announcements.models import EndpointRecord
 from chivetrack.components.origins.models import Origin
 
 
+def list_beginning(
+    records: Sequence[EndpointRecord], *, may_begin: Callable[[Origin], bool]
+) -> Sequence[EndpointRecord]:
+    """Return the endpoints at whose versions streams may begin."""
+    return [record for record in records if may_begin(Origin(record.service, record.software))]
+
+
 def list_continuing(
     records: Sequence[EndpointRecord], *, origin: Origin, silent: Collection[str], is_current: bool
 ) -> Sequence[EndpointRecord]:
--- /dev/null
+++ b/chivetrack/components/origins/ledger.py
@@ -0,0 +1,148 @@
+"""What a replica remembers of software versions and of the origins of streams; performs no I/O."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from chivetrack.components.announcements.models import EndpointRecord, EndpointState
+from chivetrack.components.origins.const import (
+    LOST_VERSION_MEMORY_S,
+    MAX_RECORD_TTL_S,
+    MAX_RECORDS,
+    MAX_REQUEST_ID,
+    RECORD_BUCKET_S,
+    VERSION_MEMORY_S,
+)
+from chivetrack.components.origins.messages import (
+    OriginAnswer,
+    OriginGroup,
+    OriginQuery,
+    OriginRecords,
+)
+from chivetrack.components.origins.models import Origin
+from chivetrack.components.origins.quorum import covers_majority
+
+
+@dataclass(frozen=True, slots=True)
+class _Entry:
+    origin: Origin
+    recorded_at: float
+
+
+class RecordStore:
+    """Origins of streams by the id of their first request; each expires after its time to live.
+
+    Ids come from callers. If two streams have the same id, the origin of neither is known.
+    """
+
+    def __init__(self) -> None:
+        """Start without records."""
+        self._buckets: dict[int, dict[str, _Entry]] = {}
+        self._count = 0
+
+    def __len__(self) -> int:
+        """Return the number of records, including those that are about to be dropped."""
+        return self._count
+
+    def record(self, group: OriginGroup, *, now: float) -> None:
+        """Keep the records of a group; drop them if there are too many."""
+        self._drop_expired(now)
+        entry = _Entry(group.origin, now)
+        ttl_s = min(max(0.0, group.ttl_s), MAX_RECORD_TTL_S)
+        bucket = self._buckets.setdefault(int((now + ttl_s) // RECORD_BUCKET_S) + 1, {})
+        for request in group.requests:
+            if len(request) > MAX_REQUEST_ID:
+                continue
+            known = self._find(request)
+            if known is not None and known.origin != group.origin:
+                self._overwrite(request, _Entry(Origin(group.origin.service, ""), now))
+            elif known is None and self._count < MAX_RECORDS:
+                bucket[request] = entry
+                self._count += 1
+
+    def find(self, request: str, *, now: float) -> tuple[Origin, float] | None:
+        """Return the origin of a stream and the age of its record in seconds."""
+        self._drop_expired(now)
+        entry = self._find(request)
+        return None if entry is None else (entry.origin, now - entry.recorded_at)
+
+    def _find(self, request: str) -> _Entry | None:
+        for bucket in self._buckets.values():
+            if request in bucket:
+                return bucket[request]
+        return None
+
+    def _overwrite(self, request: str, entry: _Entry) -> None:
+        for bucket in self._buckets.values():
+            if request in bucket:
+                bucket[request] = entry
+
+    def _drop_expired(self, now: float) -> None:
+        current = int(now // RECORD_BUCKET_S)
+        for number in [number for number in self._buckets if number < current]:
+            self._count -= len(self._buckets.pop(number))
+
+
+@dataclass(slots=True, kw_only=True)
+class OriginLedger:
+    """Answers the queries of routers about versions and the origins of streams.
+
+    A router begins streams only at versions that a majority of replicas remembers, so a majority
+    that remembers a single version proves that no other one has begun a stream. A restart
+    would break this: a replica without its memory says so (``is_complete``) until it has what a
+    majority of the others remembers, or has run for as long as versions are remembered.
+    """
+
+    started_at: float
+    is_complete: bool = False
+    records: RecordStore = field(default_factory=RecordStore)
+    _expires: dict[Origin, float] = field(default_factory=dict)
+
+    def refresh(self, endpoints: Iterable[EndpointRecord], *, now: float) -> None:
+        """Remember the versions of announced endpoints, and forget those that are gone."""
+        for record in endpoints:
+            if record.state is EndpointState.LEFT or not record.service:
+                continue
+            is_lost = record.state is EndpointState.LOST
+            memory_s = LOST_VERSION_MEMORY_S if is_lost else VERSION_MEMORY_S
+            self._remember(Origin(record.service, record.software), now + memory_s)
+        for origin in [origin for origin, until in self._expires.items() if until <= now]:
+            del self._expires[origin]
+        self.is_complete = self.is_complete or now - self.started_at >= VERSION_MEMORY_S
+
+    def _remember(self, origin: Origin, until: float) -> None:
+        self._expires[origin] = max(until, self._expires.get(origin, until))
+
+    def handle_records(self, records: OriginRecords, *, now: float) -> None:
+        """Keep the records of a router."""
+        for group in records.groups:
+            self.records.record(group, now=now)
+
+    def answer(self, query: OriginQuery, *, members: tuple[str, ...], now: float) -> OriginAnswer:
+        """Register the versions of a query and answer it."""
+        for origin in query.registers:
+            self._remember(origin, now + VERSION_MEMORY_S)
+        found = self.records.find(query.request, now=now) if query.request else None
+        return OriginAnswer(
+            number=query.number,
+            members=members,
+            is_complete=self.is_complete,
+            origins=self._list_origins(query.services),
+            found=None if found is None else found[0],
+            age_s=0.0 if found is None else found[1],
+        )
+
+    def _list_origins(self, services: tuple[str, ...]) -> tuple[Origin, ...]:
+        return tuple(one for one in self._expires if not services or one.service in services)
+
+    def count_origins(self) -> int:
+        """Return how many versions of services are remembered."""
+        return len(self._expires)
+
+    def merge(self, answers: Mapping[str, OriginAnswer], *, now: float) -> bool:
+        """Take over what other replicas remember; return whether the memory is complete now."""
+        for answer in answers.values():
+            for origin in answer.origins:
+                self._remember(origin, now + VERSION_MEMORY_S)
+        complete = {source: one for source, one in answers.items() if one.is_complete}
+        self.is_complete = self.is_complete or covers_majority(complete)
+        return self.is_complete
--- /dev/null
+++ b/chivetrack/components/origins/tracker.py
@@ -0,0 +1,173 @@
+"""What a router knows of versions and of the origins of its own streams; performs no I/O."""
+
+from collections.abc import Collection, Iterable, Mapping
+from dataclasses import dataclass
+
+from chivetrack.components.origins.const import (
+    MAX_OWN_RECORDS,
+    MAX_RECORD_TTL_S,
+    REGISTER_INTERVAL_S,
+    REGISTER_RETRY_S,
+)
+from chivetrack.components.origins.messages import OriginAnswer, OriginGroup, OriginRecords
+from chivetrack.components.origins.models import Origin
+from chivetrack.components.origins.quorum import covers_majority
+
+
+@dataclass(slots=True)
+class _OwnRecord:
+    """The origin of a stream that this router began or continued."""
+
+    origin: Origin
+    recorded_at: float
+    expires_at: float
+    is_sent: bool = False
+
+
+class OriginTracker:
+    """Knows which versions are registered, and which streams other routers must be able to find.
+
+    While a majority of replicas remembers a single version of a service, nothing is sent: every
+    stream began there. As soon as there may be another one, the origins of the streams that are
+    open, and of those that begin, go to some replicas, where they outlive this router.
+    """
+
+    def __init__(self) -> None:
+        """Start without versions and streams."""
+        self.is_enforced = False
+        """Whether streams begin at registered versions only; replicas of an earlier release of
+        this program register none."""
+        self._announced: frozenset[Origin] = frozenset()
+        self._registered: set[Origin] = set()
+        self._single: frozenset[Origin] = frozenset()
+        self._register_at = float("-inf")
+        self._own: dict[str, _OwnRecord] = {}
+        self._unsent: dict[str, _OwnRecord] = {}
+
+    # Versions
+
+    @property
+    def announced(self) -> frozenset[Origin]:
+        """Return the versions of the endpoints that may get requests."""
+        return self._announced
+
+    def update_announced(self, origins: Collection[Origin], *, now: float) -> bool:
+        """Replace the versions of the endpoints that may get requests; return if one is new.
+
+        One that has gone must be registered again before streams begin there again.
+        """
+        added = frozenset(origins) - self._announced
+        self._announced = frozenset(origins)
+        self._registered &= self._announced
+        if added - self._registered:
+            self._register_at = now
+        self._send_records_of({one.service for one in added})
+        return bool(added)
+
+    def may_begin(self, origin: Origin) -> bool:
+        """Return whether a stream may begin at a version."""
+        return not self.is_enforced or origin in self._registered
+
+    @property
+    def register_at(self) -> float:
+        """Return when the announced versions are to be registered next."""
+        return self._register_at
+
+    def handle_registration(
+        self, origins: Collection[Origin], answers: Mapping[str, OriginAnswer], *, now: float
+    ) -> bool:
+        """Apply the answers to a registration; return whether a majority has confirmed it."""
+        is_confirmed = covers_majority(answers)
+        if is_confirmed:
+            self._registered |= self._announced.intersection(origins)
+        self._single = frozenset(self._list_single(answers))
+        self._send_records_of({one.service for one in self._announced - self._single})
+        is_done = is_confirmed and self._announced <= self._registered
+        self._register_at = now + (REGISTER_INTERVAL_S if is_done else REGISTER_RETRY_S)
+        return is_confirmed
+
+    def _list_single(self, answers: Mapping[str, OriginAnswer]) -> Iterable[Origin]:
+        """Yield the announced versions that alone can have begun their services' streams."""
+        complete = {source: one for source, one in answers.items() if one.is_complete}
+        if not covers_majority(complete):
+            return
+        remembered = {origin for answer in answers.values() for origin in answer.origins}
+        for origin in self._announced:
+            known = {one for one in remembered | self._announced if one.service == origin.service}
+            if known == {origin}:
+                yield origin
+
+    def is_single(self, origin: Origin) -> bool:
+        """Return whether no other version of its service can have begun a stream."""
+        return origin in self._single and all(
+            one == origin for one in self._announced if one.service == origin.service
+        )
+
+    # Streams
+
+    def record_begin(
+        self, request: str, origin: Origin, *, ttl_s: float, is_only_service: bool, now: float
+    ) -> None:
+        """Record the origin of a stream for ``ttl_s`` seconds.
+
+        ``is_only_service``: the route of the stream leads to no other service. Ids come from
+        callers; if two streams have the same one, the origin of neither is known.
+        """
+        self._drop_expired(now)
+        known = self._own.get(request)
+        if known is not None and known.origin == origin:
+            return
+        if known is not None:
+            origin = Origin(origin.service, "")
+        record = _OwnRecord(origin, now, now + min(ttl_s, MAX_RECORD_TTL_S))
+        self._own[request] = record
+        if not (is_only_service and self.is_single(origin)):
+            self._unsent[request] = record
+
+    def find_own(self, request: str, *, now: float) -> tuple[Origin, float] | None:
+        """Return the origin of a stream of this router and the age of its record in seconds."""
+        record = self._own.get(request)
+        if record is None or record.expires_at <= now:
+            return None
+        return record.origin, now - record.recorded_at
+
+    def _drop_expired(self, now: float) -> None:
+        """Drop the oldest records while they have expired or there are too many."""
+        while self._own:
+            request, record = next(iter(self._own.items()))
+            if record.expires_at > now and len(self._own) < MAX_OWN_RECORDS:
+                return
+            del self._own[request]
+            self._unsent.pop(request, None)
+
+    def _send_records_of(self, services: Collection[str]) -> None:
+        if not services:
+            return
+        for request, record in self._own.items():
+            if not record.is_sent and record.origin.service in services:
+                self._unsent[request] = record
+
+    def send_all_records(self) -> None:
+        """Send the records of all streams: what the configuration says no longer tells origins."""
+        self._send_records_of({record.origin.service for record in self._own.values()})
+
+    @property
+    def has_unsent(self) -> bool:
+        """Return whether there are records to send."""
+        return bool(self._unsent)
+
+    def pop_records(self, *, now: float) -> OriginRecords:
+        """Return the records to send, grouped by origin and time to live."""
+        groups: dict[tuple[Origin, float], list[str]] = {}
+        for request, record in self._unsent.items():
+            record.is_sent = True
+            ttl_s = float(round(record.expires_at - now))
+            if ttl_s > 0:
+                groups.setdefault((record.origin, ttl_s), []).append(request)
+        self._unsent = {}
+        return OriginRecords(
+            groups=tuple(
+                OriginGroup(origin=origin, requests=tuple(requests), ttl_s=ttl_s)
+                for (origin, ttl_s), requests in groups.items()
+            )
+        )
--- a/chivetrack/daemon/fleet/calls.py
+++ b/chivetrack/daemon/fleet/calls.py
@@ -7,12 +7,12 @@
 import msgspec
 
 from chivetrack.components.announcements.models import EndpointRecord
-from chivetrack.components.origins.models import Origin, OriginBasis
+from chivetrack.components.origins.models import Origin, OriginBasis, OriginVerdict
 from chivetrack.components.placement.placement import Placed
 from chivetrack.components.quarantine.const import MAX_PATH_LENGTH
 from chivetrack.components.quarantine.models import CrashReport
 from chivetrack.components.retries.sending import SendAttempt, SendEnd
-from chivetrack.components.traffic.models import Route, Workspace
+from chivetrack.components.traffic.models import Route, RouteKind, Workspace
 from chivetrack.components.traffic.requests import RequestFacts
 from chivetrack.exceptions import Fault
 
@@ -112,6 +112,11 @@
     placed: Placed | None = None
     passed_over: set[str] = field(default_factory=set)
 
+    @property
+    def is_taken_up(self) -> bool:
+        """Return whether the caller takes up a stream of which it has events."""
+        return self.route.kind is RouteKind.STREAM and bool(self.facts.last_event_id)
+
     def begin_stream(self, record: EndpointRecord) -> bool:
         """Set the origin when an endpoint makes the first event; return whether it was not set."""
         if self.origin is not None:
@@ -120,6 +125,12 @@
         self.origin_basis = OriginBasis.OWN
         return True
 
+    def take_up(self, verdict: OriginVerdict) -> None:
+        """Set the origin of a stream that the caller takes up."""
+        assert verdict.origin is not None
+        self.origin, self.service = verdict.origin, verdict.origin.service
+        self.origin_basis, self.origin_age_s = verdict.basis, verdict.age_s
+
     def make_crash_report(self, record: EndpointRecord) -> CrashReport:
         """Return a report that this request was running when the endpoint crashed."""
         return CrashReport(
--- a/chivetrack/daemon/fleet/fleet_view.py
+++ b/chivetrack/daemon/fleet/fleet_view.py
@@ -14,13 +14,14 @@
 from chivetrack.components.distribution.subscriber import RouterReport
 from chivetrack.components.evacuation.models import Evacuations
 from chivetrack.components.origins.const import VIEW_CURRENT_S
-from chivetrack.components.origins.fitting import list_continuing
+from chivetrack.components.origins.fitting import list_beginning, list_continuing
+from chivetrack.components.origins.models import Origin
 from chivetrack.components.placement.choice import Candidate, Choice, Source
 from chivetrack.components.placement.placement import Placed, Placement
 from chivetrack.components.quarantine.crash_reports import RecentCrashes
 from chivetrack.components.quarantine.models import Quarantine, QuarantinedRequest
 from chivetrack.components.retries.service_budgets import ServiceRetryBudgets
-from chivetrack.components.traffic.models import Document
+from chivetrack.components.traffic.models import Document, RouteKind
 from chivetrack.components.traffic.requests import AnswerFacts
 from chivetrack.components.traffic.table import RouteTable
 from chivetrack.daemon.fleet.calls import Call
@@ -57,15 +58,18 @@
         events: EventLog,
         decode: Callable[[bytes], Document | None],
         forget_endpoint: Callable[[str], None],
+        may_begin: Callable[[Origin], bool] | None = None,
     ) -> None:
         """Start without configuration and endpoints.
 
         ``decode`` decodes a configuration as the operator sent it, ``forget_endpoint`` closes
-        the idle connections to an endpoint.
+        the idle connections to an endpoint, ``may_begin`` returns whether streams may begin at a
+        version.
         """
         self._events = events
         self._decode = decode
         self._forget_endpoint = forget_endpoint
+        self._may_begin = may_begin or (lambda origin: True)
         self._viewed_at = float("-inf")
         self.table: RouteTable | None = None
         self._memory_tokens = DEFAULT_MEMORY_TOKENS
@@ -89,6 +93,7 @@
         self._ready = Signal()
         self.document_listeners: list[Callable[[Document], None]] = []
         self.incarnation_end_listeners: list[Callable[[str, int, bool], None]] = []
+        self.origin_listeners: list[Callable[[frozenset[Origin]], None]] = []
 
     # State received from replicas
 
@@ -183,8 +188,12 @@
         self._ready.wait(timeout_s)
 
     def _apply_changes(self) -> None:
-        for record in self.directory.apply_changes(now=time.monotonic()):
+        changed = self.directory.apply_changes(now=time.monotonic())
+        for record in changed:
             self._apply_change(record)
+        if changed:
+            for listener in self.origin_listeners:
+                listener(self.directory.origins)
 
     def _apply_evacuations(self, evacuations: Evacuations) -> None:
         before = self.directory.evacuations.list_evacuated()
@@ -310,14 +319,23 @@
     def _list_fitting(
         self, call: Call, records: Sequence[EndpointRecord], now: float
     ) -> Sequence[EndpointRecord]:
-        """Return the endpoints that may get a request; a begun stream stays at its version."""
+        """Return the endpoints whose version may begin the stream, or continue it once begun."""
         if call.origin is not None:
             is_current = now - self._viewed_at <= VIEW_CURRENT_S
             return list_continuing(
                 records, origin=call.origin, silent=self._silent, is_current=is_current
             )
+        if call.route.kind is RouteKind.STREAM:
+            return list_beginning(records, may_begin=self._may_begin)
         return records
 
+    def awaits_registration(self, call: Call) -> bool:
+        """Return whether a stream can't begin only because no version is registered yet."""
+        if call.origin is not None or call.route.kind is not RouteKind.STREAM:
+            return False
+        ready = self.directory.list_ready(call.service)
+        return bool(ready) and not list_beginning(ready, may_begin=self._may_begin)
+
     def _list_candidates(
         self, call: Call, records: Sequence[EndpointRecord], is_limited: bool, now: float
     ) -> list[Candidate]:
--- a/chivetrack/daemon/fleet/forwarder.py
+++ b/chivetrack/daemon/fleet/forwarder.py
@@ -74,9 +74,12 @@
         handle_bytes: Callable[[Call], None] | None = None,
         record_overdue: Callable[[Call], bool] | None = None,
         may_send: Callable[[], bool] | None = None,
+        handle_begin: Callable[[Call], None] | None = None,
     ) -> None:
         """Store the idle connections, the dialer of new ones, and the callbacks.
 
+        ``handle_begin`` is called when the origin of a stream is known, before the caller gets its
+        first event.
         ``handle_bytes`` is called when bytes of an answer arrive. ``record_overdue`` is
         called when none arrived within the wait limit; it returns whether the endpoint is
         silent to all of this router's requests. ``may_send`` returns whether the router still
@@ -89,6 +92,7 @@
         self._handle_bytes = handle_bytes or (lambda call: None)
         self._record_overdue = record_overdue or (lambda call: False)
         self._may_send = may_send or (lambda: True)
+        self._handle_begin = handle_begin or (lambda call: None)
 
     def send(self, call: Call, choice: Choice, *, may_retry: bool) -> SendResult:
         """Send a request to one endpoint and relay the answer.
@@ -288,7 +292,8 @@
                     connection.set_timeout(self._get_stall_timeout(call))
             data = splitter.feed(chunk)
             if data:
-                call.begin_stream(choice.record)
+                if call.begin_stream(choice.record):
+                    self._handle_begin(call)
                 self._start_reply(call, answer)
                 call.reply.write(data)
                 call.last_event_id = splitter.last_id
--- a/chivetrack/daemon/fleet/refusals.py
+++ b/chivetrack/daemon/fleet/refusals.py
@@ -9,13 +9,16 @@
     make_cut_fault,
     make_stopping_fault,
 )
+from chivetrack.components.origins.models import OriginVerdict
 from chivetrack.components.placement.choice import Choice
 from chivetrack.components.quarantine.faults import make_fault
 from chivetrack.components.retries.sending import may_have_run
 from chivetrack.daemon.fleet.calls import Call
+from chivetrack.daemon.fleet.const import NO_ENDPOINT_RETRY_S
 from chivetrack.daemon.fleet.fleet_view import FleetView
 from chivetrack.daemon.fleet.forwarder import AnswerCutError
 from chivetrack.daemon.fleet.request_log import RequestLog
+from chivetrack.exceptions import Fault, Ran
 
 
 class Refusals:
@@ -85,6 +88,18 @@
         do_others_accept = self._view.do_others_accept
         call.reply.refuse(make_stopping_fault(do_others_accept=do_others_accept, left_s=0.0))
 
+    def refuse_unknown_origin(self, call: Call, verdict: OriginVerdict) -> None:
+        """Refuse to continue a stream of which it is not known at which version it began."""
+        fault = Fault(
+            code="stream_origin_unknown",
+            message="The request has not run: it is not known at which version the stream began.",
+            status=503,
+            ran=Ran.NO,
+            retry_after_s=NO_ENDPOINT_RETRY_S,
+        )
+        self._log.write_unknown_origin(call, verdict, fault)
+        call.reply.refuse(fault)
+
     def refuse_quarantined(self, call: Call) -> bool:
         """Refuse a quarantined request; checked before each attempt, including retries."""
         quarantined = self._view.find_quarantined(call)
--- a/chivetrack/daemon/fleet/replica.py
+++ b/chivetrack/daemon/fleet/replica.py
@@ -4,8 +4,9 @@
 import secrets
 import signal
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from typing import Any
 
 import gevent
 from gevent.event import Event as Signal
@@ -27,6 +28,7 @@
 from chivetrack.components.distribution.publisher import Publisher
 from chivetrack.components.document.store import DocumentStore, StoredDocument, unpack_document
 from chivetrack.components.evacuation.models import Evacuations
+from chivetrack.components.origins.messages import OriginAnswer, OriginQuery, OriginRecords
 from chivetrack.components.peers.const import MAX_WAIT_S
 from chivetrack.components.quarantine.models import Quarantine, QuarantineOrder
 from chivetrack.components.slow_start.messages import PermitAnswer, PermitRequest
@@ -46,6 +48,7 @@
 from chivetrack.daemon.fleet.gauges import Gauge
 from chivetrack.daemon.fleet.log_host import LogHost
 from chivetrack.daemon.fleet.metrics import Metrics, open_metrics_server
+from chivetrack.daemon.fleet.origin_host import OriginHost
 from chivetrack.daemon.fleet.peering import TrafficLog, list_seed_peers, make_transport, send_all
 from chivetrack.daemon.fleet.restart_file import RestartFile
 from chivetrack.daemon.server import HttpServer
@@ -128,6 +131,16 @@
             placements=self._publisher.placements,
             events=events,
         )
+        self._origins = OriginHost(
+            instance_id=own,
+            is_first_start=settings.fleet.is_first_start and not self._restart_file.exists,
+            table=self._table,
+            list_replicas=self.host.list_instances,
+            send=self.transport.send,
+            answer=self.transport.answer,
+            events=events,
+        )
+        self._message_handlers = dict(self._list_message_handlers())
         self._metrics.add_gauges(
             Gauge(
                 name="chivetrack.replica.evacuated_since",
@@ -245,33 +258,50 @@
         self._serve_documents()
 
     def _handle_message(self, source: str, message: Message) -> None:
-        if isinstance(message, Follow):
-            effects = self._publisher.handle_follow(
-                message, now=time.monotonic(), knows_leader=self.host.knows_leader
-            )
-            send_all(self.transport.answer, effects)
-            if message.crash_reports:
-                self._order_due_quarantines()
-            self._serve_documents()
-        elif isinstance(message, FetchDocument):
-            self._publisher.handle_fetch(source, message, now=time.monotonic())
-            self._serve_documents()
-        elif isinstance(message, DocumentApplied):
-            self._publisher.handle_applied(source, message, now=time.monotonic())
-            self._serve_documents()
-        elif isinstance(message, RolloutState):
-            self._publisher.rollout.record_peer(source, message, now=time.monotonic())
-        elif isinstance(message, PermitRequest):
-            self._answer_permit(source, message)
-        elif isinstance(message, Exchange):
-            self._publisher.handle_exchange(source, message, now=time.monotonic())
-            if message.crash_reports:
-                self._order_due_quarantines()
+        handler = self._message_handlers.get(type(message))
+        if handler is not None:
+            handler(source, message)
         elif self.host.accepts(message):
             self.host.handle_message(source, message)
         else:
             self._control_handler.handle_message(source, message)
 
+    def _list_message_handlers(self) -> Iterator[tuple[type[Message], Callable[[str, Any], None]]]:
+        yield Follow, self._handle_follow
+        yield FetchDocument, self._handle_fetch
+        yield DocumentApplied, self._handle_applied
+        yield RolloutState, self._handle_rollout
+        yield OriginRecords, self._origins.handle_records
+        yield OriginQuery, self._origins.handle_query
+        yield OriginAnswer, self._origins.handle_answer
+        yield PermitRequest, self._answer_permit
+        yield Exchange, self._handle_exchange
+
+    def _handle_follow(self, _source: str, follow: Follow) -> None:
+        effects = self._publisher.handle_follow(
+            follow, now=time.monotonic(), knows_leader=self.host.knows_leader
+        )
+        send_all(self.transport.answer, effects)
+        if follow.crash_reports:
+            self._order_due_quarantines()
+        self._serve_documents()
+
+    def _handle_fetch(self, source: str, fetch: FetchDocument) -> None:
+        self._publisher.handle_fetch(source, fetch, now=time.monotonic())
+        self._serve_documents()
+
+    def _handle_applied(self, source: str, applied: DocumentApplied) -> None:
+        self._publisher.handle_applied(source, applied, now=time.monotonic())
+        self._serve_documents()
+
+    def _handle_rollout(self, source: str, state: RolloutState) -> None:
+        self._publisher.rollout.record_peer(source, state, now=time.monotonic())
+
+    def _handle_exchange(self, source: str, exchange: Exchange) -> None:
+        self._publisher.handle_exchange(source, exchange, now=time.monotonic())
+        if exchange.crash_reports:
+            self._order_due_quarantines()
+
     def _answer_permit(self, source: str, request: PermitRequest) -> None:
         now = time.monotonic()
         share = self._publisher.get_fleet_share(now=now)
@@ -367,6 +397,7 @@
                 self.host.write_contacts()
                 self._events.write("distribution_sent", **self._publisher.pop_counts())
             now = time.monotonic()
+            self._origins.refresh()
             for record in self._table.remove_expired(now):
                 self._events.write("endpoint_forgotten", **record.describe())
             self._order_due_quarantines()
@@ -427,6 +458,7 @@
             self._run_exchange,
             self._run_endpoint_rounds,
             self._run_broadcasts,
+            self._origins.run,
         )
         loops = [gevent.spawn(one) for one in jobs]
         try:
--- a/chivetrack/daemon/fleet/request_log.py
+++ b/chivetrack/daemon/fleet/request_log.py
@@ -1,9 +1,10 @@
 """Log lines about requests: placement, results of attempts, refusals and the end."""
 
+import time
 from collections.abc import Callable
 from typing import Any
 
-from chivetrack.components.origins.models import Continuation
+from chivetrack.components.origins.models import Continuation, OriginVerdict
 from chivetrack.components.placement.choice import Choice
 from chivetrack.components.traffic.requests import RequestFacts
 from chivetrack.daemon.fleet.calls import Call
@@ -129,6 +130,20 @@
             last_event=call.last_event_id[:_MAX_ID],
         )
 
+    def write_unknown_origin(self, call: Call, verdict: OriginVerdict, fault: Fault) -> None:
+        """Write why a stream that the caller takes up is refused."""
+        self._record_rejection(fault)
+        self._events.write(
+            "stream_refused",
+            request=call.facts.request_id,
+            route=call.route.name,
+            why=verdict.basis.value,
+            status=fault.status,
+            last_event=call.last_event_id[:_MAX_ID],
+            resumes=call.facts.resumes[:_MAX_ID],
+            asked_ms=round((time.monotonic() - call.came_at) * 1000),
+        )
+
     def write_given_up(self, call: Call, fault: Fault, *, why: str, pause_s: float) -> None:
         """Write why a request is abandoned without a further attempt."""
         self._events.write(
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -40,6 +40,7 @@
 from chivetrack.daemon.fleet.fleet_view import FleetView
 from chivetrack.daemon.fleet.forwarder import AnswerCutError, Forwarder, make_tried
 from chivetrack.daemon.fleet.late_requests import LateRequests
+from chivetrack.daemon.fleet.origins import OriginClient
 from chivetrack.daemon.fleet.permits import PermitClient
 from chivetrack.daemon.fleet.refusals import Refusals
 from chivetrack.daemon.fleet.request_log import RequestLog
@@ -64,6 +65,7 @@
         permits: PermitClient,
         crash_detector: CrashDetector,
         documents: DocumentReceiver,
+        origins: OriginClient,
         events: EventLog,
         record_end: Callable[[Call, str], None],
         record_rejection: Callable[[Fault], None],
@@ -80,6 +82,7 @@
         self._permits = permits
         self._crash_detector = crash_detector
         self._documents = documents
+        self._origins = origins
         self._log = RequestLog(
             view=view,
             events=events,
@@ -171,7 +174,7 @@
             reply=reply,
             came_at=came_at,
             ends_at=came_at + min(wait_s, route.timeout_s),
-            service=choose_service(route, facts.request_id),
+            service=choose_service(route, facts.resumes or facts.request_id),
             connected_at=environ.get(ENVIRON_CONNECTED_AT, came_at),
             fingerprint=make_fingerprint(
                 method=environ["REQUEST_METHOD"],
@@ -217,7 +220,8 @@
         self._view.budgets[call.service].record_request(time.monotonic())
         try:
             with gevent.Timeout(max(0.001, call.ends_at - time.monotonic()), RouteTimeoutError):
-                self._try_endpoints(call)
+                if self._find_origin(call):
+                    self._try_endpoints(call)
             self._end(call, "answered")
         except RouteTimeoutError:
             self._handle_timeout(call)
@@ -235,6 +239,18 @@
         message = "The request timed out; it may have run."
         call.reply.refuse(Fault(code="timeout", message=message, status=504, ran=Ran.MAYBE))
 
+    def _find_origin(self, call: Call) -> bool:
+        """Find out where a stream began that the caller takes up; refuse it if that is unknown."""
+        if not call.is_taken_up:
+            return True
+        verdict = self._origins.find(call)
+        if verdict.origin is None:
+            self._refusals.refuse_unknown_origin(call, verdict)
+            return False
+        call.take_up(verdict)
+        self._origins.record_begin(call)
+        return True
+
     def _try_endpoints(self, call: Call) -> None:
         while True:
             if self._refusals.refuse_quarantined(call):
@@ -257,9 +273,12 @@
     def _choose(self, call: Call) -> Choice | None:
         """Return the endpoint for the next attempt; a cold endpoint needs a permit.
 
+        While no version is registered, as right after the start, wait for that.
         If all endpoints are cold and refuse, wait until a permit may be requested again,
         unless the request would time out before that.
         """
+        if self._view.awaits_registration(call):
+            self._origins.wait_registered()
         while True:
             choice = self._view.choose(call)
             if choice is not None:
@@ -330,7 +349,8 @@
 def choose_service(route: Route, request_id: str) -> str:
     """Return the service for a request by the weights of the route's shares.
 
-    The choice depends on the request id only, so retries of a caller get the same service.
+    The choice depends on the request id only: of a caller that takes up a stream on the id of
+    the request that began it, so that it gets the same service.
     """
     total = sum(share.weight for share in route.shares)
     point = xxhash.xxh64_intdigest(request_id.encode()) / 2**64 * total
--- a/chivetrack/daemon/fleet/restart_file.py
+++ b/chivetrack/daemon/fleet/restart_file.py
@@ -51,6 +51,11 @@
         self._written = (0, 0)
         self._is_write_scheduled = False
 
+    @property
+    def exists(self) -> bool:
+        """Return whether an earlier process of this replica has written the file."""
+        return self._path.exists()
+
     def load(self, *, now: float) -> None:
         """Restore the content of the file; ``now`` is the monotonic time (s)."""
         try:
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -26,6 +26,7 @@
 )
 from chivetrack.components.distribution.subscriber import RouterReport, Subscriber
 from chivetrack.components.limits.stopping import StopWindow
+from chivetrack.components.origins.messages import OriginAnswer
 from chivetrack.components.paths.const import MAX_CARRIED
 from chivetrack.components.paths.messages import CarryRequest
 from chivetrack.components.quarantine.models import CrashReport
@@ -51,6 +52,7 @@
 from chivetrack.daemon.fleet.forwarder import Forwarder
 from chivetrack.daemon.fleet.gauges import Gauge
 from chivetrack.daemon.fleet.metrics import Metrics, open_metrics_server
+from chivetrack.daemon.fleet.origins import OriginClient
 from chivetrack.daemon.fleet.paths import EndpointPaths
 from chivetrack.daemon.fleet.peering import list_seed_peers, make_transport, send_all
 from chivetrack.daemon.fleet.permits import PermitClient
@@ -108,6 +110,7 @@
             events=events,
             decode=decode_document,
             forget_endpoint=self._forget_endpoint,
+            may_begin=lambda origin: self._origins.tracker.may_begin(origin),
         )
         self.view.document_listeners.append(self._apply_limits)
         self._metrics.add_gauges(*self._list_gauges())
@@ -148,6 +151,14 @@
             handle_message=self._handle_message,
             stream_handlers={CarryRequest: self._carrier.serve},
         )
+        self._origins = OriginClient(
+            list_replicas=self.subscriber.list_nearest,
+            count_routers=lambda: self.subscriber.router_count,
+            send=self.transport.send,
+            events=events,
+        )
+        self.view.origin_listeners.append(self._origins.handle_endpoints)
+        self.view.document_listeners.append(self._origins.handle_document)
         self._permits = PermitClient(
             view=self.view,
             find_replica=lambda: self.subscriber.assigned_replica,
@@ -173,8 +184,10 @@
                 handle_bytes=self.view.handle_bytes,
                 record_overdue=self.view.record_overdue,
                 may_send=lambda: not self._gate.is_closed,
+                handle_begin=self._origins.record_begin,
             ),
             documents=self.subscriber.documents,
+            origins=self._origins,
             events=events,
             record_end=self._metrics.record_end,
             record_rejection=self._metrics.record_rejection,
@@ -304,6 +317,7 @@
         yield EndpointUpdate, self._handle_endpoints
         yield SilentUpdate, self._handle_silent
         yield LoadUpdate, self._handle_loads
+        yield OriginAnswer, lambda source, answer: self._origins.handle_answer(source, answer)
         yield PermitAnswer, lambda source, answer: self._permits.handle_answer(answer)
         yield DocumentSent, self._handle_document
         yield FetchElsewhere, self._handle_referral
@@ -311,6 +325,7 @@
 
     def _handle_view(self, source: str, view: View) -> None:
         self.subscriber.handle_view(source, view, now=time.monotonic())
+        self._origins.tracker.is_enforced = self.subscriber.do_replicas_keep_origins
         self.view.handle_view(view)
         self._paths.handle_carriers(view.carriers)
 
@@ -465,7 +480,10 @@
         now = time.monotonic()
         self._timers.call_at(now, self._wake_subscriber)
         self._timers.call_every(PRUNE_INTERVAL_S, self._prune, now=now)
-        loops = [gevent.spawn(one) for one in (self._run_timers, self._paths.run_probes)]
+        loops = [
+            gevent.spawn(one)
+            for one in (self._run_timers, self._paths.run_probes, self._origins.run)
+        ]
         try:
             yield
         finally:
--- a/tests/components/origins/test_fitting.py
+++ b/tests/components/origins/test_fitting.py
@@ -1,8 +1,8 @@
-"""Which endpoints may continue a stream."""
+"""Which endpoints may begin or continue a stream."""
 
 import unittest
 
-from chivetrack.components.origins.fitting import list_continuing
+from chivetrack.components.origins.fitting import list_beginning, list_continuing
 from chivetrack.components.origins.models import Origin
 from tests.components.announcements.test_table import make_record
 
@@ -35,6 +35,10 @@
         self.assertEqual(self.list_ids(Origin("llm", "v1"), silent=("e1",)), ["e4"])
         self.assertEqual(self.list_ids(Origin("llm", "v1"), is_current=False), [])
 
+    def test_streams_begin_at_any_version_that_is_allowed(self) -> None:
+        listed = list_beginning(RECORDS, may_begin=lambda origin: origin.software != "v2")
+        self.assertEqual([record.endpoint_id for record in listed], ["e1", "e3", "e4"])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/daemon/fleet/test_fleet_view.py
+++ b/tests/daemon/fleet/test_fleet_view.py
@@ -10,6 +10,7 @@
 from chivetrack.components.distribution.messages import EndpointLoad, PlacedPart, View
 from chivetrack.components.evacuation.models import Evacuations, ZoneState
 from chivetrack.components.origins.const import VIEW_CURRENT_S
+from chivetrack.components.origins.models import Origin
 from chivetrack.components.retries.sending import SendEnd
 from chivetrack.components.traffic.models import EngineProfile, RouteKind, Service
 from chivetrack.components.traffic.requests import PromptPart, RequestFacts
@@ -276,6 +277,7 @@
         self.begin("e1")
         self.apply_view(make_record(2, service="portal", state=EndpointState.LEFT), change=2)
         self.assertEqual(self.choose_for_stream(), "")
+        self.assertEqual(self.view.directory.origins, {Origin("portal", "v2")})
 
     def test_outdated_view_continues_nothing(self) -> None:
         """Guards against a router that was cut off and goes by versions of long ago."""
@@ -284,6 +286,25 @@
         with mock.patch("chivetrack.daemon.fleet.fleet_view.time.monotonic", return_value=later):
             self.assertEqual(self.choose_for_stream(), "")
 
+    def test_stream_waits_for_a_version_to_be_registered(self) -> None:
+        """Guards against streams at a version of which a majority of replicas does not know."""
+        registered: set[Origin] = set()
+        self.view = FleetView(
+            zone="z",
+            bounds=BoundSettings(),
+            events=EventLog(instance="r1"),
+            decode=lambda body: make_document(),
+            forget_endpoint=self.forgotten.append,
+            may_begin=registered.__contains__,
+        )
+        self.apply_view(make_record(service="portal"))
+        self.assertTrue(self.view.awaits_registration(self.call))
+        self.assertEqual(self.choose_for_stream(), "")
+        self.assertEqual(self.choose("portal"), "e1")
+        registered.add(Origin("portal", "v1"))
+        self.assertFalse(self.view.awaits_registration(self.call))
+        self.assertEqual(self.choose_for_stream(), "e1")
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/daemon/fleet/test_open_requests.py
+++ b/tests/daemon/fleet/test_open_requests.py
@@ -19,6 +19,7 @@
 from chivetrack.daemon.fleet.crashes import CrashDetector
 from chivetrack.daemon.fleet.fleet_view import FleetView
 from chivetrack.daemon.fleet.forwarder import AnswerCutError, Forwarder, SendResult
+from chivetrack.daemon.fleet.origins import OriginClient
 from chivetrack.daemon.fleet.permits import PermitClient
 from chivetrack.daemon.fleet.requests import RequestHandler
 from chivetrack.daemon.server import ENVIRON_HEADERS, ENVIRON_TARGET
@@ -93,6 +94,7 @@
             permits=self.permits,
             crash_detector=create_autospec(CrashDetector, instance=True),
             documents=self.documents,
+            origins=create_autospec(OriginClient, instance=True),
             events=self.events,
             record_end=lambda call, outcome: self.ended.append(outcome),
             record_rejection=lambda fault: None,
--- /dev/null
+++ b/tests/daemon/fleet/test_origins.py
@@ -0,0 +1,207 @@
+"""Tests of the lookup of origins at replicas, over messages that may get lost."""
+
+import time
+import unittest
+from typing import Any
+from unittest import mock
+
+import gevent
+
+from chivetrack.components.announcements.table import EndpointTable
+from chivetrack.components.origins.messages import OriginQuery, OriginRecords
+from chivetrack.components.origins.models import Origin, OriginBasis, OriginVerdict
+from chivetrack.components.traffic.models import RouteKind, Share
+from chivetrack.components.traffic.requests import RequestFacts
+from chivetrack.daemon.fleet.calls import Call
+from chivetrack.daemon.fleet.origin_host import OriginHost
+from chivetrack.daemon.fleet.origins import OriginClient
+from chivetrack.helpers.codec import Message
+from chivetrack.helpers.events import EventLog
+from tests.components.announcements.test_table import make_record
+from tests.components.traffic.documents import make_document, make_route
+from tests.daemon.fleet.scripted import Caller, make_call
+
+REPLICAS = ("p1", "p2", "p3")
+V1, V2 = Origin("portal", "v1"), Origin("portal", "v2")
+STREAM = make_route(kind=RouteKind.STREAM, is_resumable=True)
+
+
+class OriginsCase(unittest.TestCase):
+    """Three replicas and routers; messages to instances in ``cut`` are lost."""
+
+    def setUp(self) -> None:
+        self.cut: set[str] = set()
+        self.sent: list[Message] = []
+        self.hosts = {name: self.make_host(name) for name in REPLICAS}
+        self.clients: dict[str, OriginClient] = {}
+        self.open_router("r1")
+        self.open_router("r2")
+
+    def make_host(self, name: str, *, is_first_start: bool = True) -> OriginHost:
+        return OriginHost(
+            instance_id=name,
+            is_first_start=is_first_start,
+            table=EndpointTable(),
+            list_replicas=lambda: REPLICAS,
+            send=lambda target, message: self.deliver(name, target, message),
+            answer=lambda target, message: self.deliver(name, target, message),
+            events=EventLog(instance=name),
+        )
+
+    def open_router(self, name: str) -> None:
+        client = OriginClient(
+            list_replicas=lambda: REPLICAS,
+            count_routers=lambda: 2,
+            send=lambda target, message: self.deliver(name, target, message),
+            events=EventLog(instance=name),
+        )
+        client.tracker.is_enforced = True
+        self.clients[name] = client
+        running = gevent.spawn(client.run)
+        self.addCleanup(running.kill)
+
+    def deliver(self, source: str, target: str, message: Message) -> None:
+        self.sent.append(message)
+        if target not in self.cut and source not in self.cut:
+            gevent.spawn(self.handle, source, target, message)
+
+    def handle(self, source: str, target: str, message: Any) -> None:
+        if target in self.clients:
+            self.clients[target].handle_answer(source, message)
+        elif isinstance(message, OriginRecords):
+            self.hosts[target].handle_records(source, message)
+        elif isinstance(message, OriginQuery):
+            self.hosts[target].handle_query(source, message)
+        else:
+            self.hosts[target].handle_answer(source, message)
+
+    def announce(self, *origins: Origin) -> None:
+        for client in self.clients.values():
+            client.handle_endpoints(frozenset(origins))
+        for client in self.clients.values():
+            self.wait_registered(client, *origins)
+
+    def wait_registered(self, client: OriginClient, *origins: Origin) -> None:
+        with gevent.Timeout(5.0):
+            while not all(map(client.tracker.may_begin, origins)):
+                gevent.sleep(0.01)
+
+    def begin(self, router: str, request: str, origin: Origin = V1, **changes: Any) -> Call:
+        facts = RequestFacts(request_id=request, wait_s=15.0)
+        call = make_call(Caller(), **{"route": STREAM, "facts": facts, **changes})
+        call.begin_stream(make_record(service=origin.service, software=origin.software))
+        self.clients[router].record_begin(call)
+        gevent.sleep(0.05)
+        return call
+
+    def find(self, router: str, request: str, **changes: Any) -> OriginVerdict:
+        facts = RequestFacts(request_id="next", last_event_id="7", resumes=request)
+        call = make_call(Caller(), **{"route": STREAM, "facts": facts, **changes})
+        return self.clients[router].find(call)
+
+    def count_records(self) -> int:
+        return sum(isinstance(one, OriginRecords) for one in self.sent)
+
+
+class OriginLookupTest(OriginsCase):
+    def test_one_version_needs_no_records(self) -> None:
+        self.announce(V1)
+        self.begin("r1", "a")
+        self.assertEqual(self.count_records(), 0)
+        self.assertEqual(self.find("r1", "a").basis, OriginBasis.OWN)
+        verdict = self.find("r2", "a")
+        self.assertEqual((verdict.origin, verdict.basis), (V1, OriginBasis.ONLY_VERSION))
+
+    def test_stream_of_a_router_that_is_gone_is_found_among_two_versions(self) -> None:
+        """Guards against streams that can't go on since the router that began them was killed."""
+        self.announce(V1)
+        self.begin("r1", "a", V1)
+        self.announce(V1, V2)
+        self.begin("r1", "b", V2)
+        self.cut.add("r1")
+        found = [self.find("r2", request) for request in ("a", "b")]
+        self.assertEqual([one.origin for one in found], [V1, V2])
+        self.assertEqual({one.basis for one in found}, {OriginBasis.TOLD})
+
+    def test_unknown_stream_among_two_versions_is_refused_at_once(self) -> None:
+        """Guards against a guess, and against waiting although every replica has answered."""
+        self.announce(V1, V2)
+        began = time.monotonic()
+        verdict = self.find("r2", "never")
+        self.assertEqual((verdict.origin, verdict.basis), (None, OriginBasis.NO_RECORD))
+        self.assertLess(time.monotonic() - began, 0.1)
+
+    def test_router_that_was_cut_off_does_not_go_by_its_old_view(self) -> None:
+        """Guards against a stream of a new version at a router that knows only the old one."""
+        self.announce(V1)
+        self.cut.add("r2")
+        self.clients["r1"].handle_endpoints(frozenset((V1, V2)))
+        self.wait_registered(self.clients["r1"], V2)
+        self.begin("r1", "b", V2)
+        began = time.monotonic()
+        self.assertEqual(self.find("r2", "b").basis, OriginBasis.NO_MAJORITY)
+        self.assertLess(time.monotonic() - began, 0.5)
+        self.cut.clear()
+        self.assertEqual(self.find("r2", "b").origin, V2)
+
+    def test_router_that_has_just_started_finds_a_stream(self) -> None:
+        """Guards against a router that starts in a release and knows of one version only."""
+        self.announce(V1, V2)
+        self.begin("r1", "b", V2)
+        self.open_router("r2")
+        self.clients["r2"].handle_endpoints(frozenset((V1,)))
+        self.assertEqual(self.find("r2", "b").origin, V2)
+        self.assertIsNone(self.find("r2", "never").origin)
+
+    def test_restarted_replica_does_not_vouch_for_what_it_has_forgotten(self) -> None:
+        """Guards against a majority of replicas that lost their memory in a restart."""
+        self.announce(V1, V2)
+        for name in ("p1", "p2"):
+            self.hosts[name] = self.make_host(name, is_first_start=False)
+        self.assertEqual(self.find("r2", "never").origin, None)
+        self.cut.add("p3")
+        self.hosts["p1"].ledger.merge({}, now=0.0)
+        self.assertEqual(self.find("r2", "never").basis, OriginBasis.NO_MAJORITY)
+
+    def test_restarted_replica_fetches_what_the_others_remember(self) -> None:
+        self.announce(V1, V2)
+        self.hosts["p1"] = self.make_host("p1", is_first_start=False)
+        with mock.patch("chivetrack.daemon.fleet.origin_host.SYNC_INTERVAL_S", 0.02):
+            gevent.spawn(self.hosts["p1"].run).join(timeout=5.0)
+        self.assertTrue(self.hosts["p1"].ledger.is_complete)
+        self.assertEqual(self.hosts["p1"].ledger.count_origins(), 2)
+
+    def test_stream_of_a_route_that_leads_to_another_service_now_is_refused(self) -> None:
+        """Guards against a stream that goes on at another service than the one that began it."""
+        self.announce(V1)
+        self.clients["r1"].handle_document(make_document(1, STREAM))
+        self.begin("r1", "a")
+        moved = make_route(kind=RouteKind.STREAM, shares=(Share(service="llm", weight=1.0),))
+        self.clients["r1"].handle_document(make_document(2, moved))
+        gevent.sleep(0.05)
+        for router in ("r1", "r2"):
+            verdict = self.find(router, "a", route=moved)
+            self.assertEqual((verdict.origin, verdict.basis), (None, OriginBasis.OTHER_SERVICE))
+
+    def test_route_to_two_services_keeps_streams_at_their_service(self) -> None:
+        split = (Share(service="portal", weight=1.0), Share(service="llm", weight=1.0))
+        route = make_route(kind=RouteKind.STREAM, shares=split)
+        other = Origin("llm", "v1")
+        self.announce(V1, other)
+        self.begin("r1", "a", other, route=route)
+        self.assertEqual(self.find("r2", "a", route=route).origin, other)
+        self.assertIsNone(self.find("r2", "never", route=route).origin)
+
+    def test_caller_that_comes_back_twice_names_the_first_request(self) -> None:
+        self.announce(V1, V2)
+        self.begin("r1", "a", V2)
+        again = RequestFacts(request_id="second", last_event_id="7", resumes="a")
+        call = make_call(Caller(), route=STREAM, facts=again)
+        call.take_up(self.find("r2", "a"))
+        self.clients["r2"].record_begin(call)
+        self.cut |= set(REPLICAS)
+        self.assertEqual(self.find("r2", "a").basis, OriginBasis.OWN)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/daemon/fleet/test_request_log.py
+++ b/tests/daemon/fleet/test_request_log.py
@@ -7,7 +7,7 @@
 from unittest.mock import Mock
 
 from chivetrack.components.limits.stopping import make_stopping_fault
-from chivetrack.components.origins.models import Origin, OriginBasis
+from chivetrack.components.origins.models import Origin, OriginBasis, OriginVerdict
 from chivetrack.components.traffic.requests import RequestFacts
 from chivetrack.daemon.fleet.metrics import Metrics
 from chivetrack.daemon.fleet.request_log import RequestLog
@@ -64,8 +64,7 @@
         fields = self.get_fields()
         self.assertEqual((fields["software"], fields["last_event"]), ("v1", "7"))
         self.assertEqual(fields["resumes"], ("q1" * 99)[:64])
-        call.origin, call.origin_basis = Origin("s", "v1"), OriginBasis.TOLD
-        call.origin_age_s = 1.5
+        call.take_up(OriginVerdict(origin=Origin("s", "v1"), basis=OriginBasis.TOLD, age_s=1.5))
         self.log.write_placed(call, choice)
         fields = self.get_fields()
         self.assertEqual((fields["known_by"], fields["known_s"]), ("told", 1.5))
