Fetch cached parts of prompts from engines of the same software version only

With Kv-Fetch an engine goes on from memory that another one wrote; with two versions beside each other the router named the engine with most of the prompt, whatever its version. Whether memory fits across versions is not said; "what two versions write doesn't fit together" is, so it is not crossed, and an unknown version fits none.

With one version nothing changes. In a release the first engines of a new version read prompts themselves, or fetch them from each other; that others have them cached still counts as before where reading again is weighed.

Tests: test_parts_are_fetched_from_the_same_version_only and test_engine_of_an_unknown_version_fetches_nothing fail without the change.

--- a/chivetrack/components/placement/choice.py
+++ b/chivetrack/components/placement/choice.py
@@ -63,22 +63,33 @@
     certain_ms: float = 0.0
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _VersionSources:
+    """Where engines of one software version may fetch a prompt's parts.
+
+    ``best``, ``best_at``: the most cached tokens, and the engine that has them. ``old_home``: the
+    first engine in the prompt's rendezvous order that is not new.
+    """
+
+    best: int
+    best_at: EndpointRecord
+    old_home: EndpointRecord
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class _PromptState:
     """The state of a prompt across all engines.
 
-    ``shared``: its tokens in shared parts. ``best``, ``best_at``: the most cached tokens, and
-    the engine that has them. ``homes``: the first candidates in its rendezvous order.
-    ``old_home``: the first engine in that order that is not new.
+    ``shared``: its tokens in shared parts. ``best``: the most cached tokens at any engine.
+    ``homes``: the first candidates in its rendezvous order. ``sources``: what is cached at the
+    engines of each known software version.
     """
 
     tokens: int
     shared: int
     best: int
-    best_at: EndpointRecord
     homes: tuple[EndpointRecord, ...]
-    old_home: EndpointRecord
-    can_fetch: bool
+    sources: Mapping[str, _VersionSources]
 
 
 class Chooser:
@@ -210,24 +221,21 @@
         sources: Sequence[Source],
         can_fetch: bool,
     ) -> _PromptState:
-        records = [source.record for source in sources]
+        key = (facts.shared_parts or facts.parts)[-1].part_id
         cached = {
-            record.endpoint_id: self._parts.count_cached(record.endpoint_id, facts.shared_parts)
-            for record in records
+            source.record.endpoint_id: self._parts.count_cached(
+                source.record.endpoint_id, facts.shared_parts
+            )
+            for source in sources
         }
-        best_at = max(records, key=lambda record: cached[record.endpoint_id])
-        established = [source.record for source in sources if not source.is_new]
-        key = (facts.shared_parts or facts.parts)[-1].part_id
         return _PromptState(
             tokens=facts.prompt_tokens,
             shared=sum(part.tokens for part in facts.shared_parts),
-            best=cached[best_at.endpoint_id],
-            best_at=best_at,
+            best=max(cached.values()),
             homes=_find_homes(
                 [candidate.record for candidate in candidates], key, self._weights.homes
             ),
-            old_home=_find_homes(established or records, key, 1)[0],
-            can_fetch=can_fetch,
+            sources=_group_sources(sources, cached, key) if can_fetch else {},
         )
 
     def _score_engine(
@@ -303,19 +311,21 @@
     def _find_source(
         self, record: EndpointRecord, cached: int, prompt: _PromptState
     ) -> tuple[float, str]:
-        """Return the expected number of fetched tokens, and the address to fetch them from."""
-        cached_elsewhere = prompt.best - cached
-        if prompt.can_fetch and cached_elsewhere >= self._weights.min_fetch_tokens:
-            return cached_elsewhere, prompt.best_at.address
+        """Return the expected number of fetched tokens, and the address to fetch them from.
+
+        Cached parts are fetched only from engines of the same software version.
+        """
+        sources = prompt.sources.get(record.software)
+        if sources is None:
+            return 0.0, ""
+        cached_elsewhere = sources.best - cached
+        if cached_elsewhere >= self._weights.min_fetch_tokens:
+            return cached_elsewhere, sources.best_at.address
         # Shared tokens without a known cached copy; the old home probably has them.
-        unlocated = prompt.shared - max(cached, prompt.best)
-        if (
-            not prompt.can_fetch
-            or record is prompt.old_home
-            or unlocated < self._weights.min_fetch_tokens
-        ):
+        unlocated = prompt.shared - max(cached, sources.best)
+        if record is sources.old_home or unlocated < self._weights.min_fetch_tokens:
             return 0.0, ""
-        return self._weights.home_chance * unlocated, prompt.old_home.address
+        return self._weights.home_chance * unlocated, sources.old_home.address
 
 
 def find_bound(
@@ -343,6 +353,27 @@
     return bound + weights.bound_slack
 
 
+def _group_sources(
+    sources: Sequence[Source], cached: Mapping[str, int], key: str
+) -> dict[str, _VersionSources]:
+    """Return where the engines of each known software version may fetch a prompt's parts."""
+    by_version: dict[str, list[Source]] = {}
+    for source in sources:
+        if source.record.software:
+            by_version.setdefault(source.record.software, []).append(source)
+    grouped: dict[str, _VersionSources] = {}
+    for software, members in by_version.items():
+        records = [source.record for source in members]
+        established = [source.record for source in members if not source.is_new]
+        best_at = max(records, key=lambda record: cached[record.endpoint_id])
+        grouped[software] = _VersionSources(
+            best=cached[best_at.endpoint_id],
+            best_at=best_at,
+            old_home=_find_homes(established or records, key, 1)[0],
+        )
+    return grouped
+
+
 def _count_queued_turns(record: EndpointRecord, running: int) -> float:
     """Return the number of service times that a further request would wait for a free slot."""
     return max(0, running + 1 - record.slots) / max(1, record.slots)
--- a/tests/components/placement/test_choice.py
+++ b/tests/components/placement/test_choice.py
@@ -124,6 +124,43 @@
         plain = world.choose(make_facts(own="o2"), candidates=remaining, sources=sources)
         self.assertEqual(plain.fetch_from, "")
 
+    def test_parts_are_fetched_from_the_same_version_only(self) -> None:
+        """Guards against an engine that goes on from memory which another version wrote.
+
+        The engine that has the dossier is of another version, or of an unknown one: nothing tells
+        that what it sends fits.
+        """
+        facts = make_facts()
+        for software in ("v2", ""):
+            with self.subTest(software):
+                world = World()
+                first, *others = [one.record for one in world.candidates]
+                holder = msgspec.structs.replace(first, software=software)
+                world.parts.record_sent(
+                    holder.endpoint_id, facts.shared_parts, now=0.0, capacity=500_000
+                )
+                sources = [Source(record=one) for one in (holder, *others)]
+                candidates = [Candidate(record=one) for one in others]
+                choice = world.choose(facts, FETCHING, candidates=candidates, sources=sources)
+                self.assertNotEqual(choice.fetch_from, holder.address)
+                sources[0] = Source(record=first)
+                choice = world.choose(facts, FETCHING, candidates=candidates, sources=sources)
+                self.assertEqual(choice.fetch_from, first.address)
+
+    def test_engine_of_an_unknown_version_fetches_nothing(self) -> None:
+        """Guards against two unknown versions that are taken for the same one."""
+        facts = make_facts()
+        world = World()
+        unknown = [msgspec.structs.replace(one.record, software="") for one in world.candidates]
+        world.parts.record_sent("e0", facts.shared_parts, now=0.0, capacity=500_000)
+        choice = world.choose(
+            facts,
+            FETCHING,
+            candidates=[Candidate(record=one) for one in unknown[1:]],
+            sources=[Source(record=one) for one in unknown],
+        )
+        self.assertEqual(choice.fetch_from, "")
+
     def test_new_home_fetches_from_the_previous_home(self) -> None:
         """An engine joins and becomes the home of a dossier that another engine has cached.
 
