Let the product's retry decision resume an answer only at the version that began it

Attempts name the version now; Resume does too, and an answer of which the version is not known, or more than one, is cut as one that is not resumable. The test over every history also demands that what nobody may have run is not resumed.

--- a/chivetrack/components/retries/decision.py
+++ b/chivetrack/components/retries/decision.py
@@ -55,7 +55,9 @@
         return Abandon(fault=make_fault("retry_budget_exhausted", attempts, traits))
     excluded = frozenset(attempt.endpoint_id for attempt in attempts)
     if traits.caller_bytes:
-        return Resume(offset=traits.caller_bytes, excluded=excluded)
+        return Resume(
+            offset=traits.caller_bytes, excluded=excluded, software=_find_software(attempts)
+        )
     return Retry(excluded=excluded)
 
 
@@ -76,11 +78,21 @@
         return "outcome_unknown"
     # The caller has received the first bytes of an answer. Unless the engine resumes at
     # exactly that offset, bytes of a different answer would be appended to them.
-    if traits.caller_bytes and not (traits.idempotent and traits.resumable):
+    if traits.caller_bytes and not _may_resume(attempts, traits):
         return "answer_cut"
     return ""
 
 
+def _may_resume(attempts: Sequence[Attempt], traits: RequestTraits) -> bool:
+    return traits.idempotent and traits.resumable and bool(_find_software(attempts))
+
+
+def _find_software(attempts: Sequence[Attempt]) -> str:
+    """Return the version of the endpoints that may have answered, empty if not known or several."""
+    versions = {attempt.software for attempt in attempts if attempt.outcome not in _DID_NOT_RUN}
+    return versions.pop() if len(versions) == 1 else ""
+
+
 def find_ran(attempts: Sequence[Attempt], *, caller_bytes: int = 0) -> Ran:
     """Return whether any of the attempts ran or may have run."""
     outcomes = {attempt.outcome for attempt in attempts}
--- a/chivetrack/components/retries/models.py
+++ b/chivetrack/components/retries/models.py
@@ -24,10 +24,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Attempt:
-    """One attempt that ended without a complete answer."""
+    """One attempt that ended without a complete answer.
+
+    ``software`` is the endpoint's software version, empty if it is not known.
+    """
 
     endpoint_id: str
     outcome: Outcome
+    software: str = ""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -55,10 +59,15 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Resume:
-    """Request the answer from byte ``offset`` on and append it to the bytes already sent."""
+    """Request the answer from byte ``offset`` on and append it to the bytes already sent.
+
+    Only endpoints of the version ``software`` may be asked: what two versions write does not fit
+    together.
+    """
 
     offset: int
     excluded: frozenset[str]
+    software: str
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/components/retries/test_decision.py
+++ b/tests/components/retries/test_decision.py
@@ -25,7 +25,10 @@
 
 
 def make_attempts(outcomes: tuple[Outcome, ...]) -> list[Attempt]:
-    return [Attempt(endpoint_id=f"e{n}", outcome=outcome) for n, outcome in enumerate(outcomes)]
+    return [
+        Attempt(endpoint_id=f"e{n}", outcome=outcome, software="v1")
+        for n, outcome in enumerate(outcomes)
+    ]
 
 
 class DecisionTest(unittest.TestCase):
@@ -56,7 +59,7 @@
                 is_retried = (
                     Outcome.RAN not in outcomes
                     and (idempotent or did_not_run)
-                    and (not caller_bytes or (idempotent and resumable))
+                    and (not caller_bytes or (idempotent and resumable and not did_not_run))
                     and deadline > 5.0
                     and len(outcomes) < MAX_ATTEMPTS
                 )
@@ -71,9 +74,35 @@
                 excluded = frozenset(attempt.endpoint_id for attempt in attempts)
                 expected = Retry(excluded=excluded)
                 if caller_bytes:
-                    expected = Resume(offset=caller_bytes, excluded=excluded)
+                    expected = Resume(offset=caller_bytes, excluded=excluded, software="v1")
                 self.assertEqual(decision, expected)
 
+    def test_answer_goes_on_only_at_the_version_that_began_it(self) -> None:
+        """Guards against an answer that goes on at an endpoint that may have another version."""
+        traits = make_traits(resumable=True, caller_bytes=7)
+        for versions, software in (
+            (("v1",), "v1"),
+            (("v1", "v1"), "v1"),
+            (("",), None),
+            (("v1", "v2"), None),
+            (("v1", ""), None),
+        ):
+            with self.subTest(versions):
+                attempts = [
+                    Attempt(endpoint_id=f"e{n}", outcome=Outcome.MAYBE_RAN, software=one)
+                    for n, one in enumerate(versions)
+                ]
+                if len(attempts) == 1:
+                    not_sent = Attempt(endpoint_id="e9", outcome=Outcome.NOT_SENT, software="v7")
+                    attempts.append(not_sent)
+                decision = decide_retry(attempts, traits, budgets=RetryBudgets(), now=0.0)
+                if software is None:
+                    assert isinstance(decision, Abandon)
+                    self.assertEqual(decision.fault.code, "answer_cut")
+                    continue
+                assert isinstance(decision, Resume)
+                self.assertEqual(decision.software, software)
+
     def test_codes(self) -> None:
         maybe, not_sent = (Outcome.MAYBE_RAN,), (Outcome.NOT_SENT,)
         cases = [
