Count only replicas that bootstrap the log as having their memory at the first start

Found by reading: at the first start every replica vouched for its memory of versions, also one that joined the log after two of three bootstrap replicas had confirmed a version; it and two others that had not heard of it would have been a majority. Replicas that join fetch what the others remember first. Before its first view a router takes it that replicas remember versions; a relayed update of endpoints may come earlier. The line of a request that is given up says if no endpoint of its version is left, or if its versions are not confirmed.

--- a/chivetrack/components/distribution/subscriber.py
+++ b/chivetrack/components/distribution/subscriber.py
@@ -161,11 +161,14 @@
 
     @property
     def do_replicas_keep_origins(self) -> bool:
-        """Return whether most of the replicas that have answered remember origins of streams."""
+        """Return whether most of the replicas that have answered remember origins of streams.
+
+        Before the first answer, they are taken to do so.
+        """
         answers = [
             one.keeps_origins for one in self._replicas.values() if one.keeps_origins is not None
         ]
-        return 2 * sum(answers) > len(answers)
+        return not answers or 2 * sum(answers) > len(answers)
 
     @property
     def last_view_at(self) -> float:
--- a/chivetrack/components/origins/tracker.py
+++ b/chivetrack/components/origins/tracker.py
@@ -34,7 +34,7 @@
 
     def __init__(self) -> None:
         """Start without versions and streams."""
-        self.is_enforced = False
+        self.is_enforced = True
         """Whether streams begin at registered versions only; replicas of an earlier release of
         this program register none."""
         self._announced: frozenset[Origin] = frozenset()
--- a/chivetrack/daemon/fleet/origin_host.py
+++ b/chivetrack/daemon/fleet/origin_host.py
@@ -21,21 +21,25 @@
         self,
         *,
         instance_id: str,
-        is_first_start: bool,
+        is_founder: bool,
         table: EndpointTable,
         list_replicas: Callable[[], Sequence[str]],
         send: Callable[[str, Message], None],
         answer: Callable[[str, Message], None],
         events: EventLog,
     ) -> None:
-        """Store the callbacks; before the first start of a deployment no stream has begun."""
+        """Store the callbacks.
+
+        ``is_founder``: this replica bootstraps the log with others at the first start of the
+        deployment, before any stream has begun. One that joins later has missed registrations.
+        """
         self._instance_id = instance_id
         self._table = table
         self._list_replicas = list_replicas
         self._send = send
         self._answer = answer
         self._events = events
-        self.ledger = OriginLedger(started_at=time.monotonic(), is_complete=is_first_start)
+        self.ledger = OriginLedger(started_at=time.monotonic(), is_complete=is_founder)
         self._numbers = count_requests()
         self._number = 0
         self._answers: dict[str, OriginAnswer] = {}
--- a/chivetrack/daemon/fleet/replica.py
+++ b/chivetrack/daemon/fleet/replica.py
@@ -133,7 +133,9 @@
         )
         self._origins = OriginHost(
             instance_id=own,
-            is_first_start=settings.fleet.is_first_start and not self._restart_file.exists,
+            is_founder=settings.fleet.is_first_start
+            and own in seeds
+            and not self._restart_file.exists,
             table=self._table,
             list_replicas=self.host.list_instances,
             send=self.transport.send,
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -257,7 +257,7 @@
                 return
             choice = self._choose(call)
             if choice is None:
-                self._abandon(call, "no_candidate")
+                self._abandon(call, self._explain_no_choice(call))
                 return
             if self._refusals.refuse_during_stop(call, choice):
                 return
@@ -292,6 +292,11 @@
             call.passed_over.clear()
             gevent.sleep(wait_s)
 
+    def _explain_no_choice(self, call: Call) -> str:
+        if call.origin is not None:
+            return "no_endpoint_of_version"
+        return "version_unconfirmed" if self._view.awaits_registration(call) else "no_candidate"
+
     def _may_send_again(self, call: Call) -> bool:
         left_s = call.ends_at - time.monotonic()
         has_budget = self._view.has_budget(call.service)
--- a/tests/components/origins/test_tracker.py
+++ b/tests/components/origins/test_tracker.py
@@ -12,7 +12,6 @@
 class TrackerCase(unittest.TestCase):
     def setUp(self) -> None:
         self.tracker = OriginTracker()
-        self.tracker.is_enforced = True
 
     def register(
         self, *origins: Origin, now: float = 0.0, remembered: Origin | None = None
--- a/tests/components/origins/world.py
+++ b/tests/components/origins/world.py
@@ -39,9 +39,6 @@
     tracker: OriginTracker = field(default_factory=OriginTracker)
     known: list[EndpointRecord] = field(default_factory=list)
 
-    def __post_init__(self) -> None:
-        self.tracker.is_enforced = True
-
 
 @dataclass(slots=True)
 class Stream:
--- a/tests/daemon/fleet/test_origins.py
+++ b/tests/daemon/fleet/test_origins.py
@@ -37,10 +37,10 @@
         self.open_router("r1")
         self.open_router("r2")
 
-    def make_host(self, name: str, *, is_first_start: bool = True) -> OriginHost:
+    def make_host(self, name: str, *, is_founder: bool = True) -> OriginHost:
         return OriginHost(
             instance_id=name,
-            is_first_start=is_first_start,
+            is_founder=is_founder,
             table=EndpointTable(),
             list_replicas=lambda: REPLICAS,
             send=lambda target, message: self.deliver(name, target, message),
@@ -55,7 +55,6 @@
             send=lambda target, message: self.deliver(name, target, message),
             events=EventLog(instance=name),
         )
-        client.tracker.is_enforced = True
         self.clients[name] = client
         running = gevent.spawn(client.run)
         self.addCleanup(running.kill)
@@ -157,7 +156,7 @@
         """Guards against a majority of replicas that lost their memory in a restart."""
         self.announce(V1, V2)
         for name in ("p1", "p2"):
-            self.hosts[name] = self.make_host(name, is_first_start=False)
+            self.hosts[name] = self.make_host(name, is_founder=False)
         self.assertEqual(self.find("r2", "never").origin, None)
         self.cut.add("p3")
         self.hosts["p1"].ledger.merge({}, now=0.0)
@@ -165,7 +164,7 @@
 
     def test_restarted_replica_fetches_what_the_others_remember(self) -> None:
         self.announce(V1, V2)
-        self.hosts["p1"] = self.make_host("p1", is_first_start=False)
+        self.hosts["p1"] = self.make_host("p1", is_founder=False)
         with mock.patch("chivetrack.daemon.fleet.origin_host.SYNC_INTERVAL_S", 0.02):
             gevent.spawn(self.hosts["p1"].run).join(timeout=5.0)
         self.assertTrue(self.hosts["p1"].ledger.is_complete)
