Look at the versions of a service, not at each endpoint, before a stream begins

Whether streams may begin at a version was asked for each endpoint of the service with each request; with 571 of them that is some 0.2 ms. All versions of a service are looked at first, one or two (0.6 us for one, busy machine), and only while one of them is unconfirmed are endpoints left out. Sets of versions are built from names before objects: rebuilding the lists of 4,000 endpoints takes 7.6 ms, a replica's refresh of its memory 3.0 ms a second (timed alone, busy machine).

--- a/chivetrack/components/announcements/directory.py
+++ b/chivetrack/components/announcements/directory.py
@@ -35,8 +35,7 @@
         self._evacuated: dict[str, list[EndpointRecord]] = {}
         self._sources: dict[str, list[EndpointRecord]] = {}
         self._applied_change = -1
-        self.origins: frozenset[Origin] = frozenset()
-        """The versions of the services' endpoints that may get requests."""
+        self._origins: dict[str, list[Origin]] = {}
         self._leaving: set[Incarnation] = set()
         self._paused_until: dict[Incarnation, float] = {}
 
@@ -131,11 +130,10 @@
                 continue
             listed = self._evacuated if record.zone in evacuated else self._ready
             listed.setdefault(record.service, []).append(record)
-        self.origins = frozenset(
-            Origin(record.service, record.software)
-            for records in self._ready.values()
-            for record in records
-        )
+        self._origins = {
+            service: [Origin(service, one) for one in {record.software for record in records}]
+            for service, records in self._ready.items()
+        }
 
     def list_ids_in(self, zones: Collection[str]) -> Iterator[str]:
         """Yield the ids of all endpoints in the given zones."""
@@ -145,6 +143,15 @@
         """Return the endpoints that may get requests, including cold ones."""
         return self._ready.get(service, ())
 
+    def list_origins(self, service: str) -> Sequence[Origin]:
+        """Return the versions of a service's endpoints that may get requests."""
+        return self._origins.get(service, ())
+
+    @property
+    def all_origins(self) -> frozenset[Origin]:
+        """Return the versions of all endpoints that may get requests."""
+        return frozenset(origin for origins in self._origins.values() for origin in origins)
+
     def list_sources(self, service: str) -> Sequence[EndpointRecord]:
         """Return the endpoints from which cached parts of prompts may be fetched."""
         return self._sources.get(service, ())
--- a/chivetrack/components/origins/ledger.py
+++ b/chivetrack/components/origins/ledger.py
@@ -99,12 +99,14 @@
 
     def refresh(self, endpoints: Iterable[EndpointRecord], *, now: float) -> None:
         """Remember the versions of announced endpoints, and forget those that are gone."""
-        for record in endpoints:
-            if record.state is EndpointState.LEFT or not record.service:
-                continue
-            is_lost = record.state is EndpointState.LOST
+        present = {
+            (record.service, record.software, record.state is EndpointState.LOST)
+            for record in endpoints
+            if record.state is not EndpointState.LEFT and record.service
+        }
+        for service, software, is_lost in present:
             memory_s = LOST_VERSION_MEMORY_S if is_lost else VERSION_MEMORY_S
-            self._remember(Origin(record.service, record.software), now + memory_s)
+            self._remember(Origin(service, software), now + memory_s)
         for origin in [origin for origin, until in self._expires.items() if until <= now]:
             del self._expires[origin]
         self.is_complete = self.is_complete or now - self.started_at >= VERSION_MEMORY_S
--- a/chivetrack/daemon/fleet/fleet_view.py
+++ b/chivetrack/daemon/fleet/fleet_view.py
@@ -193,7 +193,7 @@
             self._apply_change(record)
         if changed:
             for listener in self.origin_listeners:
-                listener(self.directory.origins)
+                listener(self.directory.all_origins)
 
     def _apply_evacuations(self, evacuations: Evacuations) -> None:
         before = self.directory.evacuations.list_evacuated()
@@ -325,16 +325,19 @@
             return list_continuing(
                 records, origin=call.origin, silent=self._silent, is_current=is_current
             )
-        if call.route.kind is RouteKind.STREAM:
+        if call.route.kind is RouteKind.STREAM and not self._may_begin_anywhere(call.service):
             return list_beginning(records, may_begin=self._may_begin)
         return records
 
+    def _may_begin_anywhere(self, service: str) -> bool:
+        return all(map(self._may_begin, self.directory.list_origins(service)))
+
     def awaits_registration(self, call: Call) -> bool:
         """Return whether a stream can't begin only because no version is registered yet."""
         if call.origin is not None or call.route.kind is not RouteKind.STREAM:
             return False
-        ready = self.directory.list_ready(call.service)
-        return bool(ready) and not list_beginning(ready, may_begin=self._may_begin)
+        origins = self.directory.list_origins(call.service)
+        return bool(origins) and not any(map(self._may_begin, origins))
 
     def _list_candidates(
         self, call: Call, records: Sequence[EndpointRecord], is_limited: bool, now: float
--- a/tests/daemon/fleet/test_fleet_view.py
+++ b/tests/daemon/fleet/test_fleet_view.py
@@ -277,7 +277,7 @@
         self.begin("e1")
         self.apply_view(make_record(2, service="portal", state=EndpointState.LEFT), change=2)
         self.assertEqual(self.choose_for_stream(), "")
-        self.assertEqual(self.view.directory.origins, {Origin("portal", "v2")})
+        self.assertEqual(self.view.directory.all_origins, {Origin("portal", "v2")})
 
     def test_outdated_view_continues_nothing(self) -> None:
         """Guards against a router that was cut off and goes by versions of long ago."""
