Tell the way of a stream over requests, endpoints and versions in its story

A stream of which a caller got events of two versions could not be followed: its parts are in the lines of several requests at several routers. chivetrack story finds the request that brought the first event (resumes) and all that took the stream up, and prints a line for each placement, with the version and how it was known, or the refusal. The cause of a refused stream names why.

--- a/chivetrack/cli/commands/story.py
+++ b/chivetrack/cli/commands/story.py
@@ -35,7 +35,10 @@
         print_error(f"no line names the request {request!r}")
         raise typer.Exit(ExitCode.FINDINGS)
     if output is Output.JSON:
-        print_json({"request": request, "events": story.events, "cause": story.cause})
+        steps = [step.describe() for step in story.steps]
+        print_json(
+            {"request": request, "events": story.events, "steps": steps, "cause": story.cause}
+        )
         return
     _print_story(story)
 
@@ -44,4 +47,6 @@
     for event in story.timeline:
         mark = "*" if event.get("request") == story.request else " "
         print_line(f"{mark} {format_event(event)}")
+    for number, step in enumerate(story.steps, start=1):
+        print_line(f"stream {number}: {step.describe()}")
     print_line(f"cause: {story.cause}")
--- a/chivetrack/components/stories/story.py
+++ b/chivetrack/components/stories/story.py
@@ -11,6 +11,7 @@
     find_unanswered,
     list_exits,
 )
+from chivetrack.components.stories.streams import StreamStep, list_steps
 from chivetrack.helpers.registry import Registry
 
 Cause = Callable[[Event], str]
@@ -35,6 +36,7 @@
         "lines_dropped",
     )
 )
+_REFUSALS = frozenset(("request_rejected", "stream_refused"))
 _HIDDEN = frozenset(("at", "up", "instance", "event", "request"))
 
 CAUSES: Registry[Cause] = Registry(name="cause")
@@ -45,7 +47,8 @@
     """The events of a request in order, related events, and the cause of its end.
 
     ``context`` holds the events of the involved instances that may explain its end, such
-    as changes of state. ``timeline`` holds both, in order.
+    as changes of state. ``timeline`` holds both, in order. ``steps`` are those of the stream that
+    the request belongs to, if a router or the caller continued it.
     """
 
     request: str
@@ -53,6 +56,7 @@
     context: tuple[Event, ...]
     timeline: tuple[Event, ...]
     cause: str
+    steps: tuple[StreamStep, ...] = ()
 
 
 def read_events(lines: Iterable[str]) -> list[Event]:
@@ -96,6 +100,7 @@
         context=tuple(sorted(context, key=_get_position)),
         timeline=tuple(event for event in ordered if id(event) in shown),
         cause=_find_cause(decisive, explain_exit(decisive, ordered)),
+        steps=list_steps(request, ordered),
     )
 
 
@@ -133,9 +138,9 @@
     last = next((event for event in reversed(events) if event["event"] in CAUSES), None)
     if last is None:
         return "no event shows how it ended; the process may have crashed"
-    rejected = [event for event in events if event["event"] == "request_rejected"]
+    rejected = [event for event in events if event["event"] in _REFUSALS]
     if rejected and last["event"] == "request_ended":
-        return CAUSES["request_rejected"](rejected[-1])
+        return CAUSES[rejected[-1]["event"]](rejected[-1])
     return CAUSES[last["event"]](last)
 
 
@@ -154,6 +159,17 @@
     return f"rejected by the router itself: {code}"
 
 
+@CAUSES.register("stream_refused")
+def _explain_stream_refused(event: Event) -> str:
+    causes = {
+        "no_record": "several versions may have begun it, and no replica has a record of it",
+        "no_majority": "too few replicas answered in time",
+        "other_service": "its route no longer leads to the service that began it",
+    }
+    why = causes.get(str(event.get("why")), event.get("why"))
+    return f"the stream does not go on, it has not run: {why}"
+
+
 @CAUSES.register("connection_carried")
 def _explain_carried(event: Event) -> str:
     return f"only carried by {event.get('instance')}; its router's log tells how it ended"
@@ -166,6 +182,10 @@
             f"no endpoint could be chosen; {event.get('candidates')} are known to be ready"
             f"{_explain_zones(event)}"
         )
+    if event.get("why") == "no_endpoint_of_version":
+        return f"no endpoint of version {event.get('began_at')} is left, at which the stream began"
+    if event.get("why") == "version_unconfirmed":
+        return "too few replicas have confirmed the versions at which the stream could begin"
     return f"{event.get('tries')} tries failed and no further one was allowed"
 
 
--- a/tests/components/stories/test_story.py
+++ b/tests/components/stories/test_story.py
@@ -44,6 +44,8 @@
             (("request_rejected", {"code": "unknown_route", "version": 4}), "version 4"),
             (("request_rejected", {"code": "instance_full"}), "instance_full"),
             (("request_given_up", {"why": "no_candidate", "tries": 0, "candidates": 3}), "3 are"),
+            (("request_given_up", {"why": "no_endpoint_of_version", "began_at": "v1"}), "n v1 is"),
+            (("request_given_up", {"why": "version_unconfirmed"}), "too few replicas"),
             (("request_ended", {"outcome": "timeout", "ms": 800}), "deadline"),
             (("request_ended", {"outcome": "answered", "status": 200, "ms": 8}), "with 200"),
             (("request_placed", {}), "no event shows"),
@@ -53,6 +55,38 @@
             assert story is not None
             self.assertIn(expected, story.cause)
 
+    def test_way_of_a_stream_over_requests_and_versions(self) -> None:
+        """Guards against a stream on two versions that the story of one request does not show."""
+
+        def place(at: float, request: str, endpoint: str, **fields: object) -> str:
+            values = {"software": "v1", "resumes": "", "last_event": "", **fields}
+            return make_line(at, "request_placed", request=request, endpoint=endpoint, **values)
+
+        lines = [
+            place(1.0, "q1", "e1"),
+            place(2.0, "q1", "e2", last_event="7", known_by="own"),
+            place(3.0, "q2", "e3", last_event="9", resumes="q1", known_by="told"),
+            make_line(
+                4.0, "stream_refused", request="q3", resumes="q1", last_event="12", why="no_record"
+            ),
+            make_line(4.1, "request_ended", request="q3", outcome="answered", status=503, ms=4),
+            place(5.0, "other", "e1", software="v2"),
+        ]
+        expected = [
+            "q1 at r1: placed at version v1 on e1",
+            "q1 at r1: goes on after event 7 at version v1 on e2 (own)",
+            "q2 at r1: goes on after event 9 at version v1 on e3 (told)",
+            "q3 at r1: refused after event 12 (no_record)",
+        ]
+        for request in ("q1", "q2", "q3"):
+            story = build_story(request, read_events(lines))
+            assert story is not None
+            self.assertEqual([step.describe() for step in story.steps], expected)
+        self.assertIn("it has not run: several versions may have begun it", story.cause)
+        other = build_story("other", read_events(lines))
+        assert other is not None
+        self.assertEqual(other.steps, ())
+
     def test_request_that_a_router_runs_at_its_exit(self) -> None:
         """Guards against a request without an end whose story does not name the router's exit."""
         cases = [
