Make streams known at once when replicas have restarted

Found by reading: a router learned only with its next regular registration, up to 30 s later, that too few replicas vouch for the single version, as after most of the core was killed at once. Streams that began meanwhile were recorded nowhere, and were refused when their callers took them up (no_majority). A view from another process of a replica makes a registration due now; its answers show that streams have to be recorded, those that are open first. A registration that is requested while another one waits for its answers stays due.

Tests: test_streams_are_made_known_once_most_replicas_have_restarted, without the change it fails with no_majority; test_version_that_appears_during_a_registration_is_registered_next. tests.components.origins.test_releases covers replicas of an earlier release beside new ones.

--- a/benchmarks/origins.py
+++ b/benchmarks/origins.py
@@ -76,7 +76,7 @@
             for name in MEMBERS
         }
         tracker.update_announced(origins, now=0.0)
-        tracker.handle_registration(origins, answers, now=0.0)
+        tracker.handle_registration(origins, answers, began_at=0.0, now=0.0)
 
         def begin(number: int, tracker: OriginTracker = tracker) -> None:
             now = number / 32
--- a/chivetrack/components/distribution/subscriber.py
+++ b/chivetrack/components/distribution/subscriber.py
@@ -140,6 +140,8 @@
         self._on_bad_update = on_bad_update
         self._get_report = get_report
         self._replicas: dict[str, _Replica] = {}
+        self.restart_count = 0
+        """How often a replica that had answered came back as another process."""
         self._next_follow = float("-inf")
         self._next_report = float("-inf")
         self._assigned = ""
@@ -313,6 +315,7 @@
         replica.keeps_origins = view.keeps_origins
         for record in view.records:
             self._table.merge(record, now=now)
+        self.restart_count += bool(replica.run) and view.run != replica.run
         replica.record_run(view.run)
         if view.has_loads:
             self._router_count = view.routers
--- a/chivetrack/components/origins/tracker.py
+++ b/chivetrack/components/origins/tracker.py
@@ -73,17 +73,30 @@
         """Return when the announced versions are to be registered next."""
         return self._register_at
 
+    def request_registration(self, *, now: float) -> None:
+        """Register the announced versions again now."""
+        self._register_at = now
+
     def handle_registration(
-        self, origins: Collection[Origin], answers: Mapping[str, OriginAnswer], *, now: float
+        self,
+        origins: Collection[Origin],
+        answers: Mapping[str, OriginAnswer],
+        *,
+        began_at: float,
+        now: float,
     ) -> bool:
-        """Apply the answers to a registration; return whether a majority has confirmed it."""
+        """Apply the answers to a registration; return whether a majority has confirmed it.
+
+        One that was requested after this one began at ``began_at`` stays due.
+        """
         is_confirmed = covers_majority(answers)
         if is_confirmed:
             self._registered |= self._announced.intersection(origins)
         self._single = frozenset(self._list_single(answers))
         self._send_records_of({one.service for one in self._announced - self._single})
         is_done = is_confirmed and self._announced <= self._registered
-        self._register_at = now + (REGISTER_INTERVAL_S if is_done else REGISTER_RETRY_S)
+        if self._register_at <= began_at:
+            self._register_at = now + (REGISTER_INTERVAL_S if is_done else REGISTER_RETRY_S)
         return is_confirmed
 
     def _list_single(self, answers: Mapping[str, OriginAnswer]) -> Iterable[Origin]:
--- a/chivetrack/daemon/fleet/origins.py
+++ b/chivetrack/daemon/fleet/origins.py
@@ -59,6 +59,7 @@
         self._registered = Signal()
         self._is_send_scheduled = False
         self._sent_at = float("-inf")
+        self._restart_count = 0
         self._services: dict[str, frozenset[str]] = {}
 
     # Queries
@@ -163,6 +164,18 @@
             self._schedule_records()
             self._changed.set()
 
+    def handle_view(self, *, keeps_origins: bool, restart_count: int) -> None:
+        """Apply what a replica's view says about the replicas.
+
+        ``restart_count`` rises when a replica has restarted. If too many have lost their memory,
+        streams have to be made known from now on, not from the next regular registration on.
+        """
+        self.tracker.is_enforced = keeps_origins
+        if restart_count != self._restart_count:
+            self._restart_count = restart_count
+            self.tracker.request_registration(now=time.monotonic())
+            self._changed.set()
+
     def wait_registered(self) -> None:
         """Wait for the end of the registration in progress, at most ``LOOKUP_TIMEOUT_S``."""
         self._registered.wait(LOOKUP_TIMEOUT_S)
@@ -178,6 +191,7 @@
     def _register(self) -> None:
         origins = tuple(sorted(self.tracker.announced, key=lambda one: (one.service, one.software)))
         answers: dict[str, OriginAnswer] = {}
+        began_at = time.monotonic()
 
         def handle_answer(source: str, answer: OriginAnswer) -> bool:
             answers[source] = answer
@@ -190,7 +204,9 @@
             registers=origins,
         )
         self._ask(query, handle_answer)
-        is_confirmed = self.tracker.handle_registration(origins, answers, now=time.monotonic())
+        is_confirmed = self.tracker.handle_registration(
+            origins, answers, began_at=began_at, now=time.monotonic()
+        )
         self._schedule_records()
         self._log_registration(origins, answers, is_confirmed)
         if is_confirmed:
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -325,7 +325,10 @@
 
     def _handle_view(self, source: str, view: View) -> None:
         self.subscriber.handle_view(source, view, now=time.monotonic())
-        self._origins.tracker.is_enforced = self.subscriber.do_replicas_keep_origins
+        self._origins.handle_view(
+            keeps_origins=self.subscriber.do_replicas_keep_origins,
+            restart_count=self.subscriber.restart_count,
+        )
         self.view.handle_view(view)
         self._paths.handle_carriers(view.carriers)
 
--- a/tests/components/origins/test_tracker.py
+++ b/tests/components/origins/test_tracker.py
@@ -20,7 +20,7 @@
         known = origins if remembered is None else (*origins, remembered)
         answers: dict[str, OriginAnswer] = {f"p{n}": make_answer(*known) for n in (1, 2, 3)}
         self.tracker.update_announced(origins, now=now)
-        self.tracker.handle_registration(origins, answers, now=now)
+        self.tracker.handle_registration(origins, answers, began_at=now, now=now)
 
     def begin(self, request: str, origin: Origin = V1, *, now: float = 0.0, **facts: bool) -> None:
         fields = {"is_only_service": True, **facts}
@@ -40,13 +40,24 @@
         self.assertFalse(self.tracker.may_begin(V2))
         self.assertEqual(self.tracker.register_at, 5.0)
         few = {"p1": make_answer(V1, V2), "p2": make_answer(V1, V2)}
-        self.assertFalse(self.tracker.handle_registration({V1, V2}, few, now=5.1))
+        self.assertFalse(self.tracker.handle_registration({V1, V2}, few, began_at=5.0, now=5.1))
         self.assertFalse(self.tracker.may_begin(V2))
         self.assertEqual(self.tracker.register_at, 5.1 + REGISTER_RETRY_S)
         self.register(V1, V2, now=6.0)
         self.assertTrue(self.tracker.may_begin(V2))
         self.assertEqual(self.tracker.register_at, 6.0 + REGISTER_INTERVAL_S)
 
+    def test_version_that_appears_during_a_registration_is_registered_next(self) -> None:
+        """Guards against a version that waits half a minute for the next registration."""
+        self.register(V1)
+        self.tracker.update_announced({V1, V2}, now=30.1)
+        answers = {f"p{n}": make_answer(V1) for n in (1, 2, 3)}
+        self.tracker.handle_registration({V1}, answers, began_at=30.0, now=30.2)
+        self.assertEqual(self.tracker.register_at, 30.1)
+        self.tracker.request_registration(now=31.0)
+        self.tracker.handle_registration({V1, V2}, answers, began_at=30.5, now=31.1)
+        self.assertEqual(self.tracker.register_at, 31.0)
+
     def test_version_that_comes_back_is_registered_again(self) -> None:
         """Guards against a rollback to a version that replicas have forgotten."""
         self.register(V1)
@@ -92,7 +103,7 @@
         """Guards against unknown streams after a power loss of all replicas."""
         answers = {f"p{n}": make_answer(V1, is_complete=False) for n in range(1, 6)}
         self.tracker.update_announced({V1}, now=0.0)
-        self.assertTrue(self.tracker.handle_registration({V1}, answers, now=0.0))
+        self.assertTrue(self.tracker.handle_registration({V1}, answers, began_at=0.0, now=0.0))
         self.begin("a")
         self.assertEqual(self.pop(), {"a": V1})
 
--- a/tests/components/origins/world.py
+++ b/tests/components/origins/world.py
@@ -235,5 +235,8 @@
             self.verdicts.append((pending.stream, verdict))
             return
         self.routers[pending.router].tracker.handle_registration(
-            pending.query.registers, pending.registration, now=self.now
+            pending.query.registers,
+            pending.registration,
+            began_at=pending.ends_at - LOOKUP_TIMEOUT_S,
+            now=self.now,
         )
--- a/tests/daemon/fleet/test_origins.py
+++ b/tests/daemon/fleet/test_origins.py
@@ -162,6 +162,24 @@
         self.hosts["p1"].ledger.merge({}, now=0.0)
         self.assertEqual(self.find("r2", "never").basis, OriginBasis.NO_MAJORITY)
 
+    def test_streams_are_made_known_once_most_replicas_have_restarted(self) -> None:
+        """Guards against streams that can't go on for half a minute after replicas were killed.
+
+        Two of three replicas lose their memory at once; no majority vouches for the one version,
+        and streams that are not recorded can't be taken up.
+        """
+        self.announce(V1)
+        self.begin("r1", "a")
+        for name in ("p1", "p2"):
+            self.hosts[name] = self.make_host(name, is_founder=False)
+        self.assertEqual(self.find("r2", "a").basis, OriginBasis.NO_MAJORITY)
+        self.clients["r1"].handle_view(keeps_origins=True, restart_count=2)
+        gevent.sleep(0.05)
+        self.begin("r1", "b")
+        for request in ("a", "b"):
+            verdict = self.find("r2", request)
+            self.assertEqual((verdict.origin, verdict.basis), (V1, OriginBasis.TOLD))
+
     def test_restarted_replica_fetches_what_the_others_remember(self) -> None:
         self.announce(V1, V2)
         self.hosts["p1"] = self.make_host("p1", is_founder=False)
