Give the held router of a test the view of a replica

tests.daemon.fleet.test_router_exit runs a router without replicas, whose view was put in by hand. The view now comes as a replica of an earlier release would send it, by the same way as any view. What the tests check is unchanged.

--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -313,7 +313,7 @@
             handler(source, message)
 
     def _list_message_handlers(self) -> Iterator[tuple[type[Message], Callable[[str, Any], None]]]:
-        yield View, self._handle_view
+        yield View, self.handle_view
         yield EndpointUpdate, self._handle_endpoints
         yield SilentUpdate, self._handle_silent
         yield LoadUpdate, self._handle_loads
@@ -323,7 +323,8 @@
         yield FetchElsewhere, self._handle_referral
         yield FetchDocument, self._answer_fetch
 
-    def _handle_view(self, source: str, view: View) -> None:
+    def handle_view(self, source: str, view: View) -> None:
+        """Apply the view of a replica."""
         self.subscriber.handle_view(source, view, now=time.monotonic())
         self._origins.handle_view(
             keeps_origins=self.subscriber.do_replicas_keep_origins,
--- a/tests/daemon/fleet/held_router.py
+++ b/tests/daemon/fleet/held_router.py
@@ -6,7 +6,6 @@
 
 import os  # noqa: E402
 import sys  # noqa: E402
-import time  # noqa: E402
 from pathlib import Path  # noqa: E402
 from typing import Any  # noqa: E402
 
@@ -20,6 +19,7 @@
 
 # The first event that a router writes after its last look at the number of open requests.
 DECISIONS = ("exit_decided", "stopped")
+REPLICA = "127.0.0.1:1"
 # Time for greenlets that are ready to run before the exit continues.
 RUN_ON_S = 0.1
 
@@ -47,8 +47,8 @@
     router = Router(settings=parsed.ok, events=events)
     router.view.apply_document(1, configuration.read_bytes())
     record = make_record(service="portal", address=endpoint, zone="z1")
-    router.view.directory.table.merge(record, now=time.monotonic())
-    router.view.handle_view(make_view(record))
+    # The view of a replica of an earlier release: no replica runs here that confirms versions.
+    router.handle_view(REPLICA, make_view(record, replicas=(), keeps_origins=False))
     gevent.spawn(events.run)
     cut = router.run()
     events.flush()
