Give the filter by version a class of its own, and merge records in one place

FleetView had grown by the choice of versions; VersionFilter holds it, without I/O. EndpointTable replaced a record in two places with the same steps.

--- a/chivetrack/components/announcements/table.py
+++ b/chivetrack/components/announcements/table.py
@@ -66,13 +66,17 @@
             return False
         if record.state is EndpointState.LEFT and not record.software:
             record = msgspec.structs.replace(record, software=entry.record.software)
+        entry.last_seen_at = now
+        entry.is_restored = False
+        return self._replace(entry, record)
+
+    def _replace(self, entry: _Entry, record: EndpointRecord) -> bool:
+        """Replace the record of an entry; return whether followers must receive it."""
         is_change = _normalize(record) != _normalize(entry.record)
         if record.address != entry.record.address:
             self._remove_address(entry.record)
             self._add_address(record)
         entry.record = record
-        entry.last_seen_at = now
-        entry.is_restored = False
         if is_change:
             entry.checksum = _make_checksum(record)
             self._assign_change_number(entry)
@@ -86,20 +90,10 @@
         version is unknown from then on, until it states a later start or is forgotten.
         """
         newest = max(record, entry.record, key=lambda one: one.position)
-        is_newer = newest is record
-        unknown = msgspec.structs.replace(newest, software="")
-        is_change = _normalize(unknown) != _normalize(entry.record)
-        if unknown.address != entry.record.address:
-            self._remove_address(entry.record)
-            self._add_address(unknown)
-        entry.record = unknown
-        if is_newer:
+        if newest is record:
             entry.last_seen_at = now
             entry.is_restored = False
-        if is_change:
-            entry.checksum = _make_checksum(unknown)
-            self._assign_change_number(entry)
-        return is_change
+        return self._replace(entry, msgspec.structs.replace(newest, software=""))
 
     def handle_relayed_heartbeat(
         self, endpoint_id: str, sequence: int, checksum: int, *, now: float
--- a/chivetrack/daemon/fleet/fleet_view.py
+++ b/chivetrack/daemon/fleet/fleet_view.py
@@ -13,8 +13,7 @@
 from chivetrack.components.distribution.messages import EndpointLoad, View
 from chivetrack.components.distribution.subscriber import RouterReport
 from chivetrack.components.evacuation.models import Evacuations
-from chivetrack.components.origins.const import VIEW_CURRENT_S
-from chivetrack.components.origins.fitting import list_beginning, list_continuing
+from chivetrack.components.origins.fitting import VersionFilter
 from chivetrack.components.origins.models import Origin
 from chivetrack.components.placement.choice import Candidate, Choice, Source
 from chivetrack.components.placement.placement import Placed, Placement
@@ -69,11 +68,12 @@
         self._events = events
         self._decode = decode
         self._forget_endpoint = forget_endpoint
-        self._may_begin = may_begin or (lambda origin: True)
-        self._viewed_at = float("-inf")
         self.table: RouteTable | None = None
         self._memory_tokens = DEFAULT_MEMORY_TOKENS
         self.directory = EndpointDirectory()
+        self._versions = VersionFilter(
+            directory=self.directory, may_begin=may_begin or (lambda origin: True)
+        )
         self.placement = Placement(zone=zone)
         self.health = EndpointHealth(events=events, is_silent=self.placement.is_silent)
         self.budgets = ServiceRetryBudgets(
@@ -82,7 +82,6 @@
         self.crashes = RecentCrashes()
         self._quarantine = Quarantine()
         self._quarantined: dict[bytes, QuarantinedRequest] = {}
-        self._silent: frozenset[str] = frozenset()
         self._reported_loads: dict[str, EndpointLoad] = {}
         self._lifetimes: dict[str, tuple[int, str]] = {}
         self._first_seen_at: dict[str, float] = {}
@@ -125,7 +124,7 @@
 
     def handle_view(self, view: View) -> None:
         """Apply the loads, silent endpoints, evacuations and quarantine that a replica sent."""
-        now = self._viewed_at = time.monotonic()
+        now = self._versions.viewed_at = time.monotonic()
         self.has_view = self.has_view or not view.is_pending
         # Endpoint changes come before placements: when an endpoint appears, the placements
         # recorded for its id are dropped.
@@ -174,14 +173,14 @@
     def update_silent_endpoints(self, endpoint_ids: Iterable[str]) -> None:
         """Replace the silent endpoints: those without a recent heartbeat at the replica."""
         silent = frozenset(endpoint_ids)
-        if silent != self._silent:
+        if silent != self._versions.silent:
             self._events.write(
                 "silent_endpoints_changed",
                 count=len(silent),
                 silent=sorted(silent)[:MAX_LOGGED_ENDPOINTS],
-                before=len(self._silent),
+                before=len(self._versions.silent),
             )
-        self._silent = silent
+        self._versions.silent = silent
 
     def wait_until_ready(self, timeout_s: float) -> None:
         """Wait until configuration and endpoints are known, at most ``timeout_s``."""
@@ -320,24 +319,18 @@
         self, call: Call, records: Sequence[EndpointRecord], now: float
     ) -> Sequence[EndpointRecord]:
         """Return the endpoints whose version may begin the stream, or continue it once begun."""
-        if call.origin is not None:
-            is_current = now - self._viewed_at <= VIEW_CURRENT_S
-            return list_continuing(
-                records, origin=call.origin, silent=self._silent, is_current=is_current
-            )
-        if call.route.kind is RouteKind.STREAM and not self._may_begin_anywhere(call.service):
-            return list_beginning(records, may_begin=self._may_begin)
-        return records
-
-    def _may_begin_anywhere(self, service: str) -> bool:
-        return all(map(self._may_begin, self.directory.list_origins(service)))
+        return self._versions.list_fitting(
+            call.service,
+            records,
+            origin=call.origin,
+            is_stream=call.route.kind is RouteKind.STREAM,
+            now=now,
+        )
 
     def awaits_registration(self, call: Call) -> bool:
         """Return whether a stream can't begin only because no version is registered yet."""
-        if call.origin is not None or call.route.kind is not RouteKind.STREAM:
-            return False
-        origins = self.directory.list_origins(call.service)
-        return bool(origins) and not any(map(self._may_begin, origins))
+        is_new = call.origin is None and call.route.kind is RouteKind.STREAM
+        return is_new and self._versions.awaits_registration(call.service)
 
     def _list_candidates(
         self, call: Call, records: Sequence[EndpointRecord], is_limited: bool, now: float
@@ -346,7 +339,7 @@
         untried = [
             Candidate(
                 record=record,
-                is_silent=record.endpoint_id in self._silent,
+                is_silent=record.endpoint_id in self._versions.silent,
                 is_slow=record.cold_s > 0 and not is_limited,
             )
             for record in records
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -282,6 +282,16 @@
         is_outdated = self.subscriber.documents.is_long_outdated(time.monotonic())
         return is_serving and not is_outdated and not self._stop_requested.is_set()
 
+    def handle_view(self, source: str, view: View) -> None:
+        """Apply the view of a replica."""
+        self.subscriber.handle_view(source, view, now=time.monotonic())
+        self._origins.handle_view(
+            keeps_origins=self.subscriber.do_replicas_keep_origins,
+            restart_count=self.subscriber.restart_count,
+        )
+        self.view.handle_view(view)
+        self._paths.handle_carriers(view.carriers)
+
     def _record_answer(self, record: EndpointRecord, facts: AnswerFacts) -> None:
         self._metrics.record_answer(record.endpoint_id, facts)
         self.view.record_answer(record, facts)
@@ -323,16 +333,6 @@
         yield FetchElsewhere, self._handle_referral
         yield FetchDocument, self._answer_fetch
 
-    def handle_view(self, source: str, view: View) -> None:
-        """Apply the view of a replica."""
-        self.subscriber.handle_view(source, view, now=time.monotonic())
-        self._origins.handle_view(
-            keeps_origins=self.subscriber.do_replicas_keep_origins,
-            restart_count=self.subscriber.restart_count,
-        )
-        self.view.handle_view(view)
-        self._paths.handle_carriers(view.carriers)
-
     def _handle_endpoints(self, _source: str, update: EndpointUpdate) -> None:
         effects = self.subscriber.handle_endpoints(update, now=time.monotonic())
         self.view.apply_endpoints(is_partial=update.is_partial)
