Record no origin for a request without an id

Found by reading: callers may send no id, and such streams were recorded under the empty one. A caller that took a stream up without Resumes at the same router would have gone on at the version of somebody else's. Ids that are empty or over 64 characters are not recorded. Test: test_streams_without_an_id_are_not_recorded, which failed before.

--- a/chivetrack/components/origins/ledger.py
+++ b/chivetrack/components/origins/ledger.py
@@ -8,7 +8,6 @@
     LOST_VERSION_MEMORY_S,
     MAX_RECORD_TTL_S,
     MAX_RECORDS,
-    MAX_REQUEST_ID,
     RECORD_BUCKET_S,
     VERSION_MEMORY_S,
 )
@@ -18,7 +17,7 @@
     OriginQuery,
     OriginRecords,
 )
-from chivetrack.components.origins.models import Origin
+from chivetrack.components.origins.models import Origin, is_recordable
 from chivetrack.components.origins.quorum import covers_majority
 
 
@@ -50,7 +49,7 @@
         ttl_s = min(max(0.0, group.ttl_s), MAX_RECORD_TTL_S)
         bucket = self._buckets.setdefault(int((now + ttl_s) // RECORD_BUCKET_S) + 1, {})
         for request in group.requests:
-            if len(request) > MAX_REQUEST_ID:
+            if not is_recordable(request):
                 continue
             known = self._find(request)
             if known is not None and known.origin != group.origin:
--- a/chivetrack/components/origins/models.py
+++ b/chivetrack/components/origins/models.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from chivetrack.components.origins.const import MAX_REQUEST_ID
 from chivetrack.helpers.codec import Message, message
 
 
@@ -19,6 +20,11 @@
         return bool(self.software)
 
 
+def is_recordable(request: str) -> bool:
+    """Return whether a request id names a request; ids come from callers, who may send none."""
+    return 0 < len(request) <= MAX_REQUEST_ID
+
+
 class OriginBasis(StrEnum):
     """How the origin of a stream is known, or why it is not.
 
--- a/chivetrack/components/origins/tracker.py
+++ b/chivetrack/components/origins/tracker.py
@@ -10,7 +10,7 @@
     REGISTER_RETRY_S,
 )
 from chivetrack.components.origins.messages import OriginAnswer, OriginGroup, OriginRecords
-from chivetrack.components.origins.models import Origin
+from chivetrack.components.origins.models import Origin, is_recordable
 from chivetrack.components.origins.quorum import covers_majority
 
 
@@ -126,6 +126,8 @@
         ``is_only_service``: the route of the stream leads to no other service. Ids come from
         callers; if two streams have the same one, the origin of neither is known.
         """
+        if not is_recordable(request):
+            return
         self._drop_expired(now)
         known = self._own.get(request)
         if known is not None and known.origin == origin:
--- a/tests/components/origins/test_ledger.py
+++ b/tests/components/origins/test_ledger.py
@@ -57,7 +57,7 @@
 
     def test_records_are_bounded(self) -> None:
         """Guards against a replica whose memory callers fill with ids."""
-        self.store.record(make_group(V1, "x" * (MAX_REQUEST_ID + 1)), now=0.0)
+        self.store.record(make_group(V1, "", "x" * (MAX_REQUEST_ID + 1)), now=0.0)
         self.assertEqual(len(self.store), 0)
         with mock.patch.object(ledger_module, "MAX_RECORDS", 3):
             self.store.record(make_group(V1, "a", "b", "c", "d"), now=0.0)
--- a/tests/components/origins/test_tracker.py
+++ b/tests/components/origins/test_tracker.py
@@ -119,6 +119,14 @@
         self.begin("a", V2)
         self.assertEqual(self.tracker.find_own("a", now=0.0), (Origin("llm", ""), 0.0))
 
+    def test_streams_without_an_id_are_not_recorded(self) -> None:
+        """Guards against a caller without ``Resumes`` who gets the origin of another caller."""
+        self.register(V1, V2)
+        self.begin("", V1)
+        self.begin("x" * 99, V1)
+        self.assertIsNone(self.tracker.find_own("", now=0.0))
+        self.assertEqual(self.pop(), {})
+
     def test_records_expire(self) -> None:
         self.register(V1)
         self.begin("a")
