--- a/tests/system/streams.py
+++ b/tests/system/streams.py
@@ -40,7 +40,7 @@
                 self.close_connection = True
                 return
             self._write_chunk(b"id: %d\ndata: %b\n\n" % (number, self.server.version.encode()))
-            time.sleep(EVENT_INTERVAL_S)
+            time.sleep(self.server.interval_s)
         self._write_chunk(b"")
 
     def _write_chunk(self, data: bytes) -> None:
@@ -56,6 +56,7 @@
     def __init__(self, *, host: str, name: str, version: str) -> None:
         """Listen on ``host``."""
         self.breaks_after = -1
+        self.interval_s = EVENT_INTERVAL_S
         super().__init__(host=host, name=name, service="portal", handler=StreamHandler)
         self.version = version
 
@@ -116,10 +117,10 @@
             self.events = [(int(number), version.decode()) for number, version in found]
         self.is_complete = True
 
-    def take_up(self, deployment: Deployment, router: str) -> "CallerStream":
-        """Return a next request that goes on after the last event, and read it."""
-        headers = {"Last-Event-Id": str(self.events[-1][0]), "Resumes": self.attempt}
-        return CallerStream().read(deployment, router, **headers)
+    def take_up(self, first: "CallerStream", deployment: Deployment, router: str) -> None:
+        """Request the rest of a stream that ``first`` began, and read it."""
+        headers = {"Last-Event-Id": str(first.events[-1][0]), "Resumes": first.attempt}
+        self.read(deployment, router, **headers)
 
 
 def run_together(functions: Sequence[Any]) -> None:
--- a/tests/system/test_stream_versions.py
+++ b/tests/system/test_stream_versions.py
@@ -2,6 +2,7 @@
 
 import time
 import unittest
+from collections.abc import Callable
 from functools import partial
 
 from tests.system.deployment import Deployment, open_deployment
@@ -16,6 +17,8 @@
 
 STREAMS = 8
 BREAKS_AFTER = 4
+# Streams that last longer than a router takes to restart.
+SLOW_INTERVAL_S = 0.2
 
 
 class StreamVersionsTest(unittest.TestCase):
@@ -73,32 +76,84 @@
         self.assertEqual(len(stream.versions), 1)
         self.assertEqual((len(stream.events), stream.is_complete), (EVENTS, True))
 
-    def test_caller_goes_on_at_its_version_after_its_router_was_killed(self) -> None:
-        """Guards against a next try, at another router, that goes on at another version."""
-        self.open_endpoints("v1", "v2", "v1", "v2")
-        self.serve()
+    def open_streams_and_kill(self, router: str, *then: Callable[[], object]) -> list[CallerStream]:
+        """Open streams at a router, call ``then`` once all have begun, and kill the router."""
         streams = [CallerStream() for _ in range(STREAMS)]
 
         def kill_router() -> None:
             wait_for(lambda: all(len(one.events) > 3 for one in streams), "no stream has begun")
+            for function in then:
+                function()
             time.sleep(0.2)
-            self.deployment.kill("r1")
+            self.deployment.kill(router)
 
-        reads = [partial(one.read, self.deployment, "r1") for one in streams]
+        reads = [partial(one.read, self.deployment, router) for one in streams]
         run_together([*reads, kill_router])
+        return streams
+
+    def take_up(self, streams: list[CallerStream], router: str) -> list[CallerStream]:
+        """Let callers take their streams up at a router; return what they get, in order."""
+        taken_up = [CallerStream() for _ in streams]
+
+        def read(first: CallerStream, second: CallerStream) -> None:
+            second.take_up(first, self.deployment, router)
+
+        run_together([partial(read, *pair) for pair in zip(streams, taken_up, strict=True)])
+        return taken_up
+
+    def test_caller_goes_on_at_its_version_after_its_router_was_killed(self) -> None:
+        """Guards against a next try, at another router, that goes on at another version."""
+        self.open_endpoints("v1", "v2", "v1", "v2")
+        self.serve()
+        streams = self.open_streams_and_kill("r1")
         self.assertEqual({version for one in streams for version in one.versions}, {"v1", "v2"})
-        taken_up: list[tuple[CallerStream, CallerStream]] = []
+        taken_up = self.take_up(streams, "r2")
+        pairs = [(a.versions, b.versions) for a, b in zip(streams, taken_up, strict=True)]
+        self.assertEqual([pair for pair in pairs if len(pair[0] | pair[1]) > 1], [])
+        went_on = [one for one in taken_up if one.is_complete and one.status == 200]
+        self.assertGreater(len(went_on), STREAMS // 2)
 
-        def take_up(first: CallerStream) -> None:
-            taken_up.append((first, first.take_up(self.deployment, "r2")))
+    def test_streams_go_on_when_a_release_begins_while_they_are_open(self) -> None:
+        """Guards against streams that nobody knows since they began before the second version.
 
-        run_together([partial(take_up, one) for one in streams])
-        self.assertEqual(len(taken_up), STREAMS)
-        joined = [(a.versions, b.versions) for a, b in taken_up if len(a.versions | b.versions) > 1]
-        self.assertEqual(joined, [])
-        went_on = [second for _, second in taken_up if second.is_complete and second.status == 200]
+        The router that the callers come to has just started, and their first one is gone.
+        """
+        self.open_endpoints("v1", "v1")
+        self.serve()
+        for endpoint in self.endpoints:
+            endpoint.interval_s = SLOW_INTERVAL_S
+
+        def release() -> None:
+            self.open_endpoints("v2", "v2")
+            for endpoint in self.endpoints:
+                self.deployment.announce(endpoint)
+            self.deployment.kill("r2")
+            self.deployment.start("r2")
+            self.deployment.wait_served("r2")
+
+        streams = self.open_streams_and_kill("r1", release)
+        taken_up = self.take_up(streams, "r2")
+        self.assertEqual({version for one in taken_up for version in one.versions}, {"v1"})
+        went_on = [one for one in taken_up if one.is_complete and one.status == 200]
         self.assertGreater(len(went_on), STREAMS // 2)
 
+    def test_streams_of_a_version_that_has_left_are_refused_as_not_run(self) -> None:
+        """Guards against streams that go on at the version which has replaced their own."""
+        self.open_endpoints("v1", "v1")
+        self.serve()
+
+        def replace() -> None:
+            self.open_endpoints("v2")
+            self.deployment.announce(self.endpoints[2])
+            for endpoint in self.endpoints[:2]:
+                self.deployment.announce(endpoint, "draining")
+
+        streams = self.open_streams_and_kill("r1", replace)
+        taken_up = self.take_up(streams, "r2")
+        self.assertEqual({one.status for one in taken_up}, {503})
+        self.assertTrue(all(b'"ran":"no"' in one.body for one in taken_up))
+        self.assertEqual([one.continued for one in self.endpoints], [0, 0, 0])
+
 
 if __name__ == "__main__":
     unittest.main()
