Let streams begin as soon as a majority has confirmed their version

Cause, read in the code: a router that starts waits for the confirmation of its versions. The registration ended only when a majority with its whole memory or all replicas had answered; after a loss of all power no replica has its memory, and a lost one does not answer, so it took the whole 0.25 s, as long as callers wait for it: they were refused just before it ended. A registration that came too early was repeated after 0.5 s only.

Now versions are confirmed with the answer that makes a majority; whether there is a single one is settled later. A repeat comes after 0.1 s, and in the first 2 s of a router streams wait for it as they wait for the configuration. Test: test_streams_begin_once_a_majority_has_confirmed_their_version.

--- a/chivetrack/components/origins/const.py
+++ b/chivetrack/components/origins/const.py
@@ -17,7 +17,7 @@
 """Between two registrations of a router's versions, so that replicas which have lost their memory
 have it again long before they may rely on it."""
 
-REGISTER_RETRY_S: Final = 0.5
+REGISTER_RETRY_S: Final = 0.1
 """Between two registrations while a version lacks a majority of replicas."""
 
 SYNC_INTERVAL_S: Final = 0.5
--- a/chivetrack/components/origins/tracker.py
+++ b/chivetrack/components/origins/tracker.py
@@ -77,6 +77,13 @@
         """Register the announced versions again now."""
         self._register_at = now
 
+    def confirm(self, origins: Collection[Origin], answers: Mapping[str, OriginAnswer]) -> bool:
+        """Let streams begin at versions if a majority remembers them; return whether it does."""
+        is_confirmed = covers_majority(answers)
+        if is_confirmed:
+            self._registered |= self._announced.intersection(origins)
+        return is_confirmed
+
     def handle_registration(
         self,
         origins: Collection[Origin],
@@ -89,9 +96,7 @@
 
         One that was requested after this one began at ``began_at`` stays due.
         """
-        is_confirmed = covers_majority(answers)
-        if is_confirmed:
-            self._registered |= self._announced.intersection(origins)
+        is_confirmed = self.confirm(origins, answers)
         self._single = frozenset(self._list_single(answers))
         self._send_records_of({one.service for one in self._announced - self._single})
         is_done = is_confirmed and self._announced <= self._registered
--- a/chivetrack/daemon/fleet/origins.py
+++ b/chivetrack/daemon/fleet/origins.py
@@ -176,9 +176,9 @@
             self.tracker.request_registration(now=time.monotonic())
             self._changed.set()
 
-    def wait_registered(self) -> None:
-        """Wait for the end of the registration in progress, at most ``LOOKUP_TIMEOUT_S``."""
-        self._registered.wait(LOOKUP_TIMEOUT_S)
+    def wait_registered(self, timeout_s: float) -> None:
+        """Wait until a majority has confirmed versions, at most ``timeout_s``."""
+        self._registered.wait(timeout_s)
 
     def run(self) -> None:
         """Register the announced versions whenever that is due, until the greenlet is killed."""
@@ -195,6 +195,9 @@
 
         def handle_answer(source: str, answer: OriginAnswer) -> bool:
             answers[source] = answer
+            # Callers may wait for the confirmation; whether there is only one version can wait.
+            if self.tracker.confirm(origins, answers):
+                self._release_waiting()
             complete = {one: held for one, held in answers.items() if held.is_complete}
             return covers_majority(complete) or has_all_members(answers)
 
@@ -209,9 +212,10 @@
         )
         self._schedule_records()
         self._log_registration(origins, answers, is_confirmed)
-        if is_confirmed:
-            self._registered.set()
-            self._registered = Signal()
+
+    def _release_waiting(self) -> None:
+        self._registered.set()
+        self._registered = Signal()
 
     def _log_registration(
         self, origins: Iterable[Origin], answers: dict[str, OriginAnswer], is_confirmed: bool
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -13,6 +13,7 @@
 from chivetrack.components.caller_api.watch import CallerLeftError, watch_caller
 from chivetrack.components.distribution.document_receiver import DocumentReceiver
 from chivetrack.components.limits.stopping import StopWindow
+from chivetrack.components.origins.const import LOOKUP_TIMEOUT_S
 from chivetrack.components.origins.models import Continuation
 from chivetrack.components.placement.choice import Choice
 from chivetrack.components.quarantine.fingerprint import make_fingerprint
@@ -278,7 +279,7 @@
         unless the request would time out before that.
         """
         if self._view.awaits_registration(call):
-            self._origins.wait_registered()
+            self._origins.wait_registered(self._find_start_wait(call))
         while True:
             choice = self._view.choose(call)
             if choice is not None:
@@ -292,6 +293,15 @@
             call.passed_over.clear()
             gevent.sleep(wait_s)
 
+    def _find_start_wait(self, call: Call) -> float:
+        """Return how long (s) a stream waits for its versions to be confirmed.
+
+        As for the configuration, longer right after the start, when replicas may start as well.
+        """
+        now = time.monotonic()
+        start_s = min(self._started_at + START_WAIT_S - now, (call.ends_at - now) / 2)
+        return max(LOOKUP_TIMEOUT_S, start_s)
+
     def _explain_no_choice(self, call: Call) -> str:
         if call.origin is not None:
             return "no_endpoint_of_version"
--- a/tests/daemon/fleet/test_origins.py
+++ b/tests/daemon/fleet/test_origins.py
@@ -8,6 +8,7 @@
 import gevent
 
 from chivetrack.components.announcements.table import EndpointTable
+from chivetrack.components.origins.const import LOOKUP_TIMEOUT_S
 from chivetrack.components.origins.messages import OriginQuery, OriginRecords
 from chivetrack.components.origins.models import Origin, OriginBasis, OriginVerdict
 from chivetrack.components.traffic.models import RouteKind, Share
@@ -180,6 +181,22 @@
             verdict = self.find("r2", request)
             self.assertEqual((verdict.origin, verdict.basis), (V1, OriginBasis.TOLD))
 
+    def test_streams_begin_once_a_majority_has_confirmed_their_version(self) -> None:
+        """Guards against callers refused after a power loss while one replica does not answer.
+
+        No replica has its memory and one is gone, so whether there is a single version is not known
+        before the time limit; that a majority remembers the version is.
+        """
+        for name in REPLICAS:
+            self.hosts[name] = self.make_host(name, is_founder=False)
+        self.cut.add("p3")
+        client = self.clients["r1"]
+        client.handle_endpoints(frozenset((V1,)))
+        began = time.monotonic()
+        client.wait_registered(5.0)
+        self.assertTrue(client.tracker.may_begin(V1))
+        self.assertLess(time.monotonic() - began, LOOKUP_TIMEOUT_S / 2)
+
     def test_restarted_replica_fetches_what_the_others_remember(self) -> None:
         self.announce(V1, V2)
         self.hosts["p1"] = self.make_host("p1", is_founder=False)
