Keep the versions that a replica has confirmed on its disk

Cause: no replica had its memory of versions after a loss of all power, so no majority could vouch for the single version for 15 min, although most disks were intact. A version is now on the replica's disk before its registration is confirmed, and a replica that starts with that file has its memory at once. Only one without it fetches what the others remember. A disk that refuses the write confirms nothing new, and what was confirmed stays so.

Tests: test_replicas_that_lost_power_still_remember_what_they_confirmed (fails without the file: no_majority), test_version_is_confirmed_only_once_it_is_on_the_disk.

--- a/chivetrack/components/origins/ledger.py
+++ b/chivetrack/components/origins/ledger.py
@@ -86,7 +86,7 @@
     """Answers the queries of routers about versions and the origins of streams.
 
     A router begins streams only at versions that a majority of replicas remembers, so a majority
-    that remembers a single version proves that no other one has begun a stream. A restart
+    that remembers a single version proves that no other one has begun a stream. A lost disk
     would break this: a replica without its memory says so (``is_complete``) until it has what a
     majority of the others remembers, or has run for as long as versions are remembered.
     """
@@ -118,10 +118,19 @@
         for group in records.groups:
             self.records.record(group, now=now)
 
+    @property
+    def origins(self) -> frozenset[Origin]:
+        """Return the versions that are remembered."""
+        return frozenset(self._expires)
+
+    def register(self, origins: Iterable[Origin], *, now: float) -> None:
+        """Remember versions at which a router is going to begin streams, or began some."""
+        for origin in origins:
+            self._remember(origin, now + VERSION_MEMORY_S)
+
     def answer(self, query: OriginQuery, *, members: tuple[str, ...], now: float) -> OriginAnswer:
         """Register the versions of a query and answer it."""
-        for origin in query.registers:
-            self._remember(origin, now + VERSION_MEMORY_S)
+        self.register(query.registers, now=now)
         found = self.records.find(query.request, now=now) if query.request else None
         return OriginAnswer(
             number=query.number,
@@ -135,15 +144,10 @@
     def _list_origins(self, services: tuple[str, ...]) -> tuple[Origin, ...]:
         return tuple(one for one in self._expires if not services or one.service in services)
 
-    def count_origins(self) -> int:
-        """Return how many versions of services are remembered."""
-        return len(self._expires)
-
     def merge(self, answers: Mapping[str, OriginAnswer], *, now: float) -> bool:
         """Take over what other replicas remember; return whether the memory is complete now."""
         for answer in answers.values():
-            for origin in answer.origins:
-                self._remember(origin, now + VERSION_MEMORY_S)
+            self.register(answer.origins, now=now)
         complete = {source: one for source, one in answers.items() if one.is_complete}
         self.is_complete = self.is_complete or covers_majority(complete)
         return self.is_complete
--- a/chivetrack/daemon/fleet/origin_host.py
+++ b/chivetrack/daemon/fleet/origin_host.py
@@ -4,11 +4,14 @@
 from collections.abc import Callable, Sequence
 
 import gevent
+from gevent.lock import BoundedSemaphore
 
 from chivetrack.components.announcements.table import EndpointTable
 from chivetrack.components.origins.const import SYNC_INTERVAL_S
 from chivetrack.components.origins.ledger import OriginLedger
 from chivetrack.components.origins.messages import OriginAnswer, OriginQuery, OriginRecords
+from chivetrack.components.origins.models import Origin
+from chivetrack.daemon.fleet.origin_file import OriginFile
 from chivetrack.daemon.fleet.pending_requests import count_requests
 from chivetrack.helpers.codec import Message
 from chivetrack.helpers.events import EventLog
@@ -22,6 +25,7 @@
         *,
         instance_id: str,
         is_founder: bool,
+        file: OriginFile,
         table: EndpointTable,
         list_replicas: Callable[[], Sequence[str]],
         send: Callable[[str, Message], None],
@@ -32,6 +36,7 @@
 
         ``is_founder``: this replica bootstraps the log with others at the first start of the
         deployment, before any stream has begun. One that joins later has missed registrations.
+        ``file`` keeps what this replica has confirmed.
         """
         self._instance_id = instance_id
         self._table = table
@@ -40,6 +45,11 @@
         self._answer = answer
         self._events = events
         self.ledger = OriginLedger(started_at=time.monotonic(), is_complete=is_founder)
+        self._file = file
+        self._save_lock = BoundedSemaphore()
+        self._saved: frozenset[Origin] = frozenset()
+        self._is_flag_unsaved = True
+        self._restore()
         self._numbers = count_requests()
         self._number = 0
         self._answers: dict[str, OriginAnswer] = {}
@@ -49,11 +59,43 @@
         self.ledger.handle_records(records, now=time.monotonic())
 
     def handle_query(self, source: str, query: OriginQuery) -> None:
-        """Answer a router or another replica."""
+        """Answer a router or another replica; confirm a version only once it is on the disk."""
+        if self._saved.issuperset(query.registers):
+            self._answer_now(source, query)
+        else:
+            self.ledger.register(query.registers, now=time.monotonic())
+            gevent.spawn(self._save_and_answer, source, query)
+
+    def _answer_now(self, source: str, query: OriginQuery) -> None:
         now = time.monotonic()
         members = tuple(self._list_replicas())
         self._answer(source, self.ledger.answer(query, members=members, now=now))
 
+    def _save_and_answer(self, source: str, query: OriginQuery) -> None:
+        self._save()
+        if self._saved.issuperset(query.registers):
+            self._answer_now(source, query)
+
+    def _restore(self) -> None:
+        stored = self._file.load()
+        if stored is None:
+            return
+        self.ledger.register(stored.origins, now=time.monotonic())
+        self.ledger.is_complete = stored.is_complete
+        self._is_flag_unsaved = not stored.is_complete
+        self._saved = self.ledger.origins
+
+    def _save(self) -> None:
+        """Write the versions that are remembered, unless another greenlet has just done so."""
+        with self._save_lock:
+            origins = self.ledger.origins
+            if origins <= self._saved and not self._is_flag_unsaved:
+                return
+            is_complete = self.ledger.is_complete
+            if self._file.save(origins, is_complete=is_complete):
+                self._saved = origins
+                self._is_flag_unsaved = not is_complete
+
     def handle_answer(self, source: str, answer: OriginAnswer) -> None:
         """Take over what another replica remembers, unless the answer is to an earlier query."""
         if answer.number == self._number:
@@ -73,4 +115,6 @@
                 if target != self._instance_id:
                     self._send(target, OriginQuery(number=self._number))
             gevent.sleep(SYNC_INTERVAL_S)
-        self._events.write("versions_complete", origins=self.ledger.count_origins())
+        self._events.write("versions_complete", origins=len(self.ledger.origins))
+        if self._saved:
+            self._save()
--- a/chivetrack/daemon/fleet/replica.py
+++ b/chivetrack/daemon/fleet/replica.py
@@ -48,6 +48,7 @@
 from chivetrack.daemon.fleet.gauges import Gauge
 from chivetrack.daemon.fleet.log_host import LogHost
 from chivetrack.daemon.fleet.metrics import Metrics, open_metrics_server
+from chivetrack.daemon.fleet.origin_file import OriginFile
 from chivetrack.daemon.fleet.origin_host import OriginHost
 from chivetrack.daemon.fleet.peering import TrafficLog, list_seed_peers, make_transport, send_all
 from chivetrack.daemon.fleet.restart_file import RestartFile
@@ -136,6 +137,7 @@
             is_founder=settings.fleet.is_first_start
             and own in seeds
             and not self._restart_file.exists,
+            file=OriginFile(folder=settings.process.data_folder, events=events),
             table=self._table,
             list_replicas=self.host.list_instances,
             send=self.transport.send,
--- a/tests/daemon/fleet/test_origins.py
+++ b/tests/daemon/fleet/test_origins.py
@@ -1,7 +1,10 @@
 """Tests of the lookup of origins at replicas, over messages that may get lost."""
 
+import shutil
 import time
 import unittest
+from pathlib import Path
+from tempfile import TemporaryDirectory
 from typing import Any
 from unittest import mock
 
@@ -14,6 +17,7 @@
 from chivetrack.components.traffic.models import RouteKind, Share
 from chivetrack.components.traffic.requests import RequestFacts
 from chivetrack.daemon.fleet.calls import Call
+from chivetrack.daemon.fleet.origin_file import OriginFile
 from chivetrack.daemon.fleet.origin_host import OriginHost
 from chivetrack.daemon.fleet.origins import OriginClient
 from chivetrack.helpers.codec import Message
@@ -31,6 +35,9 @@
     """Three replicas and routers; messages to instances in ``cut`` are lost."""
 
     def setUp(self) -> None:
+        self.folder = Path(self.enterContext(TemporaryDirectory(prefix="chivetrack-")))
+        for name in REPLICAS:
+            (self.folder / name).mkdir()
         self.cut: set[str] = set()
         self.sent: list[Message] = []
         self.hosts = {name: self.make_host(name) for name in REPLICAS}
@@ -38,10 +45,18 @@
         self.open_router("r1")
         self.open_router("r2")
 
+    def restart(self, name: str, *, keeps_disk: bool = False) -> None:
+        """Replace a replica by a new process, which has its disk or an empty one."""
+        if not keeps_disk:
+            shutil.rmtree(self.folder / name)
+            (self.folder / name).mkdir()
+        self.hosts[name] = self.make_host(name, is_founder=False)
+
     def make_host(self, name: str, *, is_founder: bool = True) -> OriginHost:
         return OriginHost(
             instance_id=name,
             is_founder=is_founder,
+            file=OriginFile(folder=self.folder / name, events=EventLog(instance=name)),
             table=EndpointTable(),
             list_replicas=lambda: REPLICAS,
             send=lambda target, message: self.deliver(name, target, message),
@@ -157,7 +172,7 @@
         """Guards against a majority of replicas that lost their memory in a restart."""
         self.announce(V1, V2)
         for name in ("p1", "p2"):
-            self.hosts[name] = self.make_host(name, is_founder=False)
+            self.restart(name)
         self.assertEqual(self.find("r2", "never").origin, None)
         self.cut.add("p3")
         self.hosts["p1"].ledger.merge({}, now=0.0)
@@ -172,7 +187,7 @@
         self.announce(V1)
         self.begin("r1", "a")
         for name in ("p1", "p2"):
-            self.hosts[name] = self.make_host(name, is_founder=False)
+            self.restart(name)
         self.assertEqual(self.find("r2", "a").basis, OriginBasis.NO_MAJORITY)
         self.clients["r1"].handle_view(keeps_origins=True, restart_count=2)
         gevent.sleep(0.05)
@@ -181,6 +196,29 @@
             verdict = self.find("r2", request)
             self.assertEqual((verdict.origin, verdict.basis), (V1, OriginBasis.TOLD))
 
+    def test_replicas_that_lost_power_still_remember_what_they_confirmed(self) -> None:
+        """Guards against all streams refused that are taken up after a loss of all power."""
+        self.announce(V1)
+        for name in REPLICAS:
+            self.restart(name, keeps_disk=True)
+        self.open_router("r2")
+        verdict = self.find("r2", "a")
+        self.assertEqual((verdict.origin, verdict.basis), (V1, OriginBasis.ONLY_VERSION))
+
+    def test_version_is_confirmed_only_once_it_is_on_the_disk(self) -> None:
+        """Guards against a version that replicas have confirmed and forget with their power."""
+        self.announce(V1)
+        for name in ("p1", "p2"):
+            shutil.rmtree(self.folder / name)
+        client = self.clients["r1"]
+        client.handle_endpoints(frozenset((V1, V2)))
+        gevent.sleep(0.4)
+        self.assertTrue(client.tracker.may_begin(V1))
+        self.assertFalse(client.tracker.may_begin(V2))
+        for name in ("p1", "p2"):
+            (self.folder / name).mkdir()
+        self.wait_registered(client, V2)
+
     def test_streams_begin_once_a_majority_has_confirmed_their_version(self) -> None:
         """Guards against callers refused after a power loss while one replica does not answer.
 
@@ -188,7 +226,7 @@
         before the time limit; that a majority remembers the version is.
         """
         for name in REPLICAS:
-            self.hosts[name] = self.make_host(name, is_founder=False)
+            self.restart(name)
         self.cut.add("p3")
         client = self.clients["r1"]
         client.handle_endpoints(frozenset((V1,)))
@@ -199,11 +237,11 @@
 
     def test_restarted_replica_fetches_what_the_others_remember(self) -> None:
         self.announce(V1, V2)
-        self.hosts["p1"] = self.make_host("p1", is_founder=False)
+        self.restart("p1")
         with mock.patch("chivetrack.daemon.fleet.origin_host.SYNC_INTERVAL_S", 0.02):
             gevent.spawn(self.hosts["p1"].run).join(timeout=5.0)
         self.assertTrue(self.hosts["p1"].ledger.is_complete)
-        self.assertEqual(self.hosts["p1"].ledger.count_origins(), 2)
+        self.assertEqual(len(self.hosts["p1"].ledger.origins), 2)
 
     def test_stream_of_a_route_that_leads_to_another_service_now_is_refused(self) -> None:
         """Guards against a stream that goes on at another service than the one that began it."""
