--- a/chivetrack/daemon/fleet/origin_host.py
+++ b/chivetrack/daemon/fleet/origin_host.py
@@ -48,7 +48,7 @@
         self._file = file
         self._save_lock = BoundedSemaphore()
         self._saved: frozenset[Origin] = frozenset()
-        self._is_flag_unsaved = True
+        self._is_saved_as_complete = False
         self._restore()
         self._numbers = count_requests()
         self._number = 0
@@ -82,19 +82,22 @@
             return
         self.ledger.register(stored.origins, now=time.monotonic())
         self.ledger.is_complete = stored.is_complete
-        self._is_flag_unsaved = not stored.is_complete
+        self._is_saved_as_complete = stored.is_complete
         self._saved = self.ledger.origins
 
     def _save(self) -> None:
         """Write the versions that are remembered, unless another greenlet has just done so."""
         with self._save_lock:
-            origins = self.ledger.origins
-            if origins <= self._saved and not self._is_flag_unsaved:
+            if not self._is_unsaved:
                 return
-            is_complete = self.ledger.is_complete
+            origins, is_complete = self.ledger.origins, self.ledger.is_complete
             if self._file.save(origins, is_complete=is_complete):
-                self._saved = origins
-                self._is_flag_unsaved = not is_complete
+                self._saved, self._is_saved_as_complete = origins, is_complete
+
+    @property
+    def _is_unsaved(self) -> bool:
+        saved = (self._saved, self._is_saved_as_complete)
+        return saved != (self.ledger.origins, self.ledger.is_complete)
 
     def handle_answer(self, source: str, answer: OriginAnswer) -> None:
         """Take over what another replica remembers, unless the answer is to an earlier query."""
@@ -105,6 +108,8 @@
     def refresh(self) -> None:
         """Remember the versions of the announced endpoints, and forget those that are gone."""
         self.ledger.refresh(self._table.list_records(), now=time.monotonic())
+        if self._is_unsaved:
+            gevent.spawn(self._save)
 
     def run(self) -> None:
         """Fetch what the others remember until the ledger is complete."""
@@ -116,5 +121,3 @@
                     self._send(target, OriginQuery(number=self._number))
             gevent.sleep(SYNC_INTERVAL_S)
         self._events.write("versions_complete", origins=len(self.ledger.origins))
-        if self._saved:
-            self._save()
--- a/tests/daemon/fleet/test_origins.py
+++ b/tests/daemon/fleet/test_origins.py
@@ -11,7 +11,7 @@
 import gevent
 
 from chivetrack.components.announcements.table import EndpointTable
-from chivetrack.components.origins.const import LOOKUP_TIMEOUT_S
+from chivetrack.components.origins.const import LOOKUP_TIMEOUT_S, VERSION_MEMORY_S
 from chivetrack.components.origins.messages import OriginQuery, OriginRecords
 from chivetrack.components.origins.models import Origin, OriginBasis, OriginVerdict
 from chivetrack.components.traffic.models import RouteKind, Share
@@ -205,6 +205,17 @@
         verdict = self.find("r2", "a")
         self.assertEqual((verdict.origin, verdict.basis), (V1, OriginBasis.ONLY_VERSION))
 
+    def test_version_that_is_forgotten_is_taken_off_the_disk(self) -> None:
+        """Guards against a version of long ago that comes back with a restarted replica."""
+        self.announce(V1, V2)
+        host = self.hosts["p1"]
+        host.ledger.refresh([], now=time.monotonic() + VERSION_MEMORY_S)
+        host.ledger.register([V2], now=time.monotonic())
+        host.refresh()
+        gevent.sleep(0.1)
+        self.restart("p1", keeps_disk=True)
+        self.assertEqual(self.hosts["p1"].ledger.origins, {V2})
+
     def test_version_is_confirmed_only_once_it_is_on_the_disk(self) -> None:
         """Guards against a version that replicas have confirmed and forget with their power."""
         self.announce(V1)
