Let tests of lookups tell a wait for the limit from a busy machine

Three tests compared times of 0.1 to 0.5 s with a limit of 0.25 s, which a busy machine may exceed. They now raise the limit to 6 s, or lower it to 0.01 s, and allow 3 s: what waits for the limit fails as before, and what does not has room.

--- a/tests/daemon/fleet/test_origins.py
+++ b/tests/daemon/fleet/test_origins.py
@@ -11,7 +11,7 @@
 import gevent
 
 from chivetrack.components.announcements.table import EndpointTable
-from chivetrack.components.origins.const import LOOKUP_TIMEOUT_S, VERSION_MEMORY_S
+from chivetrack.components.origins.const import VERSION_MEMORY_S
 from chivetrack.components.origins.messages import OriginQuery, OriginRecords
 from chivetrack.components.origins.models import Origin, OriginBasis, OriginVerdict
 from chivetrack.components.traffic.models import RouteKind, Share
@@ -28,6 +28,9 @@
 
 REPLICAS = ("p1", "p2", "p3")
 V1, V2 = Origin("portal", "v1"), Origin("portal", "v2")
+# A wait that lasts as long as its limit exceeds this, also on a busy machine.
+LIMIT_S = 3.0
+TIMEOUT = "chivetrack.daemon.fleet.origins.LOOKUP_TIMEOUT_S"
 STREAM = make_route(kind=RouteKind.STREAM, is_resumable=True)
 
 
@@ -142,9 +145,10 @@
         """Guards against a guess, and against waiting although every replica has answered."""
         self.announce(V1, V2)
         began = time.monotonic()
-        verdict = self.find("r2", "never")
+        with mock.patch(TIMEOUT, 2 * LIMIT_S):
+            verdict = self.find("r2", "never")
         self.assertEqual((verdict.origin, verdict.basis), (None, OriginBasis.NO_RECORD))
-        self.assertLess(time.monotonic() - began, 0.1)
+        self.assertLess(time.monotonic() - began, LIMIT_S)
 
     def test_router_that_was_cut_off_does_not_go_by_its_old_view(self) -> None:
         """Guards against a stream of a new version at a router that knows only the old one."""
@@ -154,8 +158,9 @@
         self.wait_registered(self.clients["r1"], V2)
         self.begin("r1", "b", V2)
         began = time.monotonic()
-        self.assertEqual(self.find("r2", "b").basis, OriginBasis.NO_MAJORITY)
-        self.assertLess(time.monotonic() - began, 0.5)
+        with mock.patch(TIMEOUT, 0.01):
+            self.assertEqual(self.find("r2", "b").basis, OriginBasis.NO_MAJORITY)
+        self.assertLess(time.monotonic() - began, LIMIT_S)
         self.cut.clear()
         self.assertEqual(self.find("r2", "b").origin, V2)
 
@@ -240,11 +245,12 @@
             self.restart(name)
         self.cut.add("p3")
         client = self.clients["r1"]
-        client.handle_endpoints(frozenset((V1,)))
         began = time.monotonic()
-        client.wait_registered(5.0)
+        with mock.patch(TIMEOUT, 2 * LIMIT_S):
+            client.handle_endpoints(frozenset((V1,)))
+            client.wait_registered(2 * LIMIT_S)
         self.assertTrue(client.tracker.may_begin(V1))
-        self.assertLess(time.monotonic() - began, LOOKUP_TIMEOUT_S / 2)
+        self.assertLess(time.monotonic() - began, LIMIT_S)
 
     def test_restarted_replica_fetches_what_the_others_remember(self) -> None:
         self.announce(V1, V2)
