Hear a majority before the record of a stream's origin is believed

Ids come from callers; if two streams have one id and other replicas hold the second record, the stream went on by whichever answer came first, perhaps at the other's version. With five replicas and three copies a majority sees both records. Test: test_records_that_differ_tell_nothing, which failed before. Two tests of the lookup gave one answer and expected the verdict; they give three now, what they expect is unchanged.

--- a/chivetrack/components/origins/lookup.py
+++ b/chivetrack/components/origins/lookup.py
@@ -1,6 +1,6 @@
 """Decides from the answers of replicas at which version a stream began; performs no I/O."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Sequence
 
 from chivetrack.components.origins.messages import OriginAnswer
 from chivetrack.components.origins.models import Origin, OriginBasis, OriginVerdict
@@ -10,9 +10,10 @@
 class OriginLookup:
     """Collects the answers to one query until they decide.
 
-    A record decides at once: it was written when the stream began, and that never changes.
-    Without one, a majority of replicas with a complete memory decides if all of them together
-    remember one version only. The query must be sent after the caller's request has come: every
+    A record decides: it was written when the stream began, and that never changes. As ids come
+    from callers, a majority is heard before, and records that differ tell nothing. Without one, a
+    majority of replicas with a complete memory decides if all of them together remember one
+    version only. The query must be sent after the caller's request has come: every
     version that can have begun the stream was registered by then.
     """
 
@@ -24,8 +25,8 @@
     def handle_answer(self, source: str, answer: OriginAnswer) -> OriginVerdict | None:
         """Record an answer; return the verdict, ``None`` while others may change it."""
         self.answers[source] = answer
-        if answer.found is not None:
-            return self._judge_found(answer)
+        if self._list_found():
+            return self.conclude() if covers_majority(self.answers) else None
         only = self._find_only_origin()
         if only is not None:
             return OriginVerdict(origin=only, basis=OriginBasis.ONLY_VERSION)
@@ -33,17 +34,26 @@
 
     def conclude(self) -> OriginVerdict:
         """Return the verdict if no further answer comes."""
+        found = self._list_found()
+        if found:
+            return self._judge_found(found)
         has_majority = covers_majority(self._list_complete())
         basis = OriginBasis.NO_RECORD if has_majority else OriginBasis.NO_MAJORITY
         return OriginVerdict(origin=None, basis=basis)
 
-    def _judge_found(self, answer: OriginAnswer) -> OriginVerdict:
-        found = answer.found
-        if found is None or not found.is_known:
+    def _list_found(self) -> list[tuple[Origin, float]]:
+        """Return the recorded origins and the ages of their records."""
+        answers = self.answers.values()
+        return [(one.found, one.age_s) for one in answers if one.found is not None]
+
+    def _judge_found(self, found: Sequence[tuple[Origin, float]]) -> OriginVerdict:
+        origins = {origin for origin, _ in found}
+        origin, age_s = found[0]
+        if len(origins) > 1 or not origin.is_known:
             return OriginVerdict(origin=None, basis=OriginBasis.NO_RECORD)
-        if found.service not in self._services:
-            return OriginVerdict(origin=None, basis=OriginBasis.OTHER_SERVICE, age_s=answer.age_s)
-        return OriginVerdict(origin=found, basis=OriginBasis.TOLD, age_s=answer.age_s)
+        if origin.service not in self._services:
+            return OriginVerdict(origin=None, basis=OriginBasis.OTHER_SERVICE, age_s=age_s)
+        return OriginVerdict(origin=origin, basis=OriginBasis.TOLD, age_s=age_s)
 
     def _find_only_origin(self) -> Origin | None:
         complete = self._list_complete()
--- a/tests/components/origins/test_lookup.py
+++ b/tests/components/origins/test_lookup.py
@@ -11,11 +11,25 @@
     def setUp(self) -> None:
         self.lookup = OriginLookup(services=["llm"])
 
-    def test_one_record_decides(self) -> None:
-        self.assertIsNone(self.lookup.handle_answer("p1", make_answer(V1, V2)))
-        verdict = self.lookup.handle_answer("p2", make_answer(V1, V2, found=V2, age_s=3.0))
+    def answer_with(self, *found: Origin | None) -> OriginVerdict | None:
+        """Let replicas answer, each with the record that it has; return the last verdict."""
+        verdict: OriginVerdict | None = None
+        for number, one in enumerate(found, start=1):
+            answer = make_answer(V1, V2, found=one, age_s=3.0)
+            verdict = self.lookup.handle_answer(f"p{number}", answer)
+        return verdict
+
+    def test_one_record_among_a_majority_decides(self) -> None:
+        self.assertIsNone(self.answer_with(None, V2))
         expected = OriginVerdict(origin=V2, basis=OriginBasis.TOLD, age_s=3.0)
-        self.assertEqual(verdict, expected)
+        self.assertEqual(self.lookup.conclude(), expected)
+        self.assertEqual(self.answer_with(None, V2, None), expected)
+
+    def test_records_that_differ_tell_nothing(self) -> None:
+        """Guards against a stream that goes on by the record of another one with the same id."""
+        expected = OriginVerdict(origin=None, basis=OriginBasis.NO_RECORD)
+        self.assertEqual(self.answer_with(V1, V1, V2), expected)
+        self.assertEqual(self.lookup.conclude(), expected)
 
     def test_majority_that_remembers_one_version_decides(self) -> None:
         """Guards against a guess from one replica, which may not know of the newest version."""
@@ -52,12 +66,12 @@
         self.assertIsNone(self.lookup.conclude().origin)
 
     def test_record_of_an_unknown_version_refuses(self) -> None:
-        verdict = self.lookup.handle_answer("p1", make_answer(V1, found=Origin("llm", "")))
+        verdict = self.answer_with(Origin("llm", ""), None, None)
         self.assertEqual(verdict, OriginVerdict(origin=None, basis=OriginBasis.NO_RECORD))
 
     def test_stream_of_a_service_that_the_route_has_left_is_refused(self) -> None:
         """Guards against a stream that goes on at another service than the one that began it."""
-        verdict = self.lookup.handle_answer("p1", make_answer(found=Origin("old", "v1")))
+        verdict = self.answer_with(Origin("old", "v1"), None, None)
         assert verdict is not None
         self.assertEqual((verdict.origin, verdict.basis), (None, OriginBasis.OTHER_SERVICE))
 
