--- a/chivetrack/components/distribution/subscriber.py
+++ b/chivetrack/components/distribution/subscriber.py
@@ -157,9 +157,13 @@
         """Return the replica to which this router reports its load, empty before the first one."""
         return self._assigned
 
-    def list_nearest(self) -> list[str]:
-        """Return all replicas, the assigned one first, then in an order specific to this router."""
-        return sorted(self._list_order(), key=lambda name: name != self._assigned)
+    def list_origin_keepers(self) -> list[str]:
+        """Return the replicas that may remember origins of streams, the assigned one first.
+
+        One of an earlier release could not read what it is asked.
+        """
+        order = sorted(self._list_order(), key=lambda name: name != self._assigned)
+        return [name for name in order if self._replicas[name].keeps_origins is not False]
 
     @property
     def do_replicas_keep_origins(self) -> bool:
@@ -172,11 +176,6 @@
         ]
         return not answers or 2 * sum(answers) > len(answers)
 
-    @property
-    def last_view_at(self) -> float:
-        """Return when the newest view came (s, monotonic)."""
-        return max((one.last_seen_at for one in self._replicas.values()), default=float("-inf"))
-
     @property
     def router_count(self) -> int:
         """Return the number of routers in the fleet, as the assigned replica counts them."""
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -152,7 +152,7 @@
             stream_handlers={CarryRequest: self._carrier.serve},
         )
         self._origins = OriginClient(
-            list_replicas=self.subscriber.list_nearest,
+            list_replicas=self.subscriber.list_origin_keepers,
             count_routers=lambda: self.subscriber.router_count,
             send=self.transport.send,
             events=events,
--- a/tests/components/origins/test_releases.py
+++ b/tests/components/origins/test_releases.py
@@ -57,6 +57,13 @@
         self.answer("p3")
         self.assertTrue(self.subscriber.do_replicas_keep_origins)
 
+    def test_replicas_of_an_earlier_release_are_asked_nothing(self) -> None:
+        """Guards against messages that such a replica can't read, several times a second."""
+        self.answer("p1", "p2", keeps_origins=False)
+        self.answer("p3")
+        self.subscriber.wake(now=1.0)
+        self.assertEqual(self.subscriber.list_origin_keepers(), ["p3"])
+
     def test_restarts_of_replicas_are_counted(self) -> None:
         self.answer("p1", "p2")
         self.answer("p1")
