Bound what routers ask and replicas hold while versions can't be confirmed

Found by reading: a registration without a majority was repeated 0.1 s later for ever, some thousand queries a second at each replica that is left of a fleet of 380 routers, and a replica whose disk hangs started a greenlet for each of them and one more each second. Repeats double from 0.1 to 3.2 s, those of a replica that fetches the others' memory from 0.5 to 8 s; one save runs at a time, and one query of each router waits for it. Tests: test_registrations_without_a_majority_become_rare, test_disk_that_hangs_holds_one_query_of_each_router (failed before).

--- a/chivetrack/components/origins/const.py
+++ b/chivetrack/components/origins/const.py
@@ -18,10 +18,16 @@
 have it again long before they may rely on it."""
 
 REGISTER_RETRY_S: Final = 0.1
-"""Between two registrations while a version lacks a majority of replicas."""
+"""From a registration that lacks a majority of replicas to the next one; doubled each time."""
+
+MAX_REGISTER_RETRY_S: Final = 3.2
+"""Limit of the same, so that routers do not flood the replicas that are left."""
 
 SYNC_INTERVAL_S: Final = 0.5
-"""Between two attempts of a restarted replica to fetch what the others remember."""
+"""From an attempt of a replica to fetch what the others remember to the next one; doubled each
+time."""
+
+MAX_SYNC_INTERVAL_S: Final = 8.0
 
 RECORD_COPIES: Final = 3
 """Replicas that get the record of a stream's origin; two of them may be lost."""
@@ -43,7 +49,7 @@
 """Records that expire within the same span are dropped together."""
 
 MAX_RECORDS: Final = 400_000
-"""Records kept by a replica; at 12,000 requests a second and nine replicas, 100 s of them."""
+"""Records that a replica keeps at most; further ones are dropped."""
 
 MAX_OWN_RECORDS: Final = 20_000
 """Records of a router's own streams, which it sends when a second version appears."""
--- a/chivetrack/components/origins/tracker.py
+++ b/chivetrack/components/origins/tracker.py
@@ -6,6 +6,7 @@
 from chivetrack.components.origins.const import (
     MAX_OWN_RECORDS,
     MAX_RECORD_TTL_S,
+    MAX_REGISTER_RETRY_S,
     REGISTER_INTERVAL_S,
     REGISTER_RETRY_S,
 )
@@ -41,6 +42,7 @@
         self._registered: set[Origin] = set()
         self._single: frozenset[Origin] = frozenset()
         self._register_at = float("-inf")
+        self._retry_s = REGISTER_RETRY_S
         self._own: dict[str, _OwnRecord] = {}
         self._unsent: dict[str, _OwnRecord] = {}
 
@@ -51,8 +53,8 @@
         """Return the versions of the endpoints that may get requests."""
         return self._announced
 
-    def update_announced(self, origins: Collection[Origin], *, now: float) -> bool:
-        """Replace the versions of the endpoints that may get requests; return if one is new.
+    def update_announced(self, origins: Collection[Origin], *, now: float) -> None:
+        """Replace the versions of the endpoints that may get requests.
 
         One that has gone must be registered again before streams begin there again.
         """
@@ -60,9 +62,8 @@
         self._announced = frozenset(origins)
         self._registered &= self._announced
         if added - self._registered:
-            self._register_at = now
+            self.request_registration(now=now)
         self._send_records_of({one.service for one in added})
-        return bool(added)
 
     def may_begin(self, origin: Origin) -> bool:
         """Return whether a stream may begin at a version."""
@@ -76,6 +77,7 @@
     def request_registration(self, *, now: float) -> None:
         """Register the announced versions again now."""
         self._register_at = now
+        self._retry_s = REGISTER_RETRY_S
 
     def confirm(self, origins: Collection[Origin], answers: Mapping[str, OriginAnswer]) -> bool:
         """Let streams begin at versions if a majority remembers them; return whether it does."""
@@ -99,11 +101,20 @@
         is_confirmed = self.confirm(origins, answers)
         self._single = frozenset(self._list_single(answers))
         self._send_records_of({one.service for one in self._announced - self._single})
-        is_done = is_confirmed and self._announced <= self._registered
         if self._register_at <= began_at:
-            self._register_at = now + (REGISTER_INTERVAL_S if is_done else REGISTER_RETRY_S)
+            self._schedule_next(
+                is_done=is_confirmed and self._announced <= self._registered, now=now
+            )
         return is_confirmed
 
+    def _schedule_next(self, *, is_done: bool, now: float) -> None:
+        if is_done:
+            self._register_at = now + REGISTER_INTERVAL_S
+            self._retry_s = REGISTER_RETRY_S
+            return
+        self._register_at = now + self._retry_s
+        self._retry_s = min(MAX_REGISTER_RETRY_S, 2 * self._retry_s)
+
     def _list_single(self, answers: Mapping[str, OriginAnswer]) -> Iterable[Origin]:
         """Yield the announced versions that alone can have begun their services' streams."""
         complete = {source: one for source, one in answers.items() if one.is_complete}
--- a/chivetrack/daemon/fleet/origin_host.py
+++ b/chivetrack/daemon/fleet/origin_host.py
@@ -4,10 +4,9 @@
 from collections.abc import Callable, Sequence
 
 import gevent
-from gevent.lock import BoundedSemaphore
 
 from chivetrack.components.announcements.table import EndpointTable
-from chivetrack.components.origins.const import SYNC_INTERVAL_S
+from chivetrack.components.origins.const import MAX_SYNC_INTERVAL_S, SYNC_INTERVAL_S
 from chivetrack.components.origins.ledger import OriginLedger
 from chivetrack.components.origins.messages import OriginAnswer, OriginQuery, OriginRecords
 from chivetrack.components.origins.models import Origin
@@ -46,7 +45,8 @@
         self._events = events
         self.ledger = OriginLedger(started_at=time.monotonic(), is_complete=is_founder)
         self._file = file
-        self._save_lock = BoundedSemaphore()
+        self._unconfirmed: dict[str, OriginQuery] = {}
+        self._is_saving = False
         self._saved: frozenset[Origin] = frozenset()
         self._is_saved_as_complete = False
         self._restore()
@@ -62,19 +62,21 @@
         """Answer a router or another replica; confirm a version only once it is on the disk."""
         if self._saved.issuperset(query.registers):
             self._answer_now(source, query)
-        else:
-            self.ledger.register(query.registers, now=time.monotonic())
-            gevent.spawn(self._save_and_answer, source, query)
+            return
+        self.ledger.register(query.registers, now=time.monotonic())
+        # One query for each router: a disk may hang, and routers ask again meanwhile.
+        self._unconfirmed[source] = query
+        self._start_save()
 
     def _answer_now(self, source: str, query: OriginQuery) -> None:
         now = time.monotonic()
         members = tuple(self._list_replicas())
         self._answer(source, self.ledger.answer(query, members=members, now=now))
 
-    def _save_and_answer(self, source: str, query: OriginQuery) -> None:
-        self._save()
-        if self._saved.issuperset(query.registers):
-            self._answer_now(source, query)
+    def _start_save(self) -> None:
+        if not self._is_saving:
+            self._is_saving = True
+            gevent.spawn(self._save)
 
     def _restore(self) -> None:
         stored = self._file.load()
@@ -86,13 +88,19 @@
         self._saved = self.ledger.origins
 
     def _save(self) -> None:
-        """Write the versions that are remembered, unless another greenlet has just done so."""
-        with self._save_lock:
-            if not self._is_unsaved:
-                return
-            origins, is_complete = self.ledger.origins, self.ledger.is_complete
+        """Write the versions that are remembered, and answer the queries that wait for that."""
+        origins, is_complete = self.ledger.origins, self.ledger.is_complete
+        unconfirmed, self._unconfirmed = self._unconfirmed, {}
+        try:
             if self._file.save(origins, is_complete=is_complete):
                 self._saved, self._is_saved_as_complete = origins, is_complete
+        finally:
+            self._is_saving = False
+        for source, query in unconfirmed.items():
+            if self._saved.issuperset(query.registers):
+                self._answer_now(source, query)
+        if self._unconfirmed:
+            self._start_save()
 
     @property
     def _is_unsaved(self) -> bool:
@@ -109,15 +117,17 @@
         """Remember the versions of the announced endpoints, and forget those that are gone."""
         self.ledger.refresh(self._table.list_records(), now=time.monotonic())
         if self._is_unsaved:
-            gevent.spawn(self._save)
+            self._start_save()
 
     def run(self) -> None:
         """Fetch what the others remember until the ledger is complete."""
+        interval_s = SYNC_INTERVAL_S
         while not self.ledger.is_complete:
             self._number = next(self._numbers)
             self._answers.clear()
             for target in self._list_replicas():
                 if target != self._instance_id:
                     self._send(target, OriginQuery(number=self._number))
-            gevent.sleep(SYNC_INTERVAL_S)
+            gevent.sleep(interval_s)
+            interval_s = min(MAX_SYNC_INTERVAL_S, 2 * interval_s)
         self._events.write("versions_complete", origins=len(self.ledger.origins))
--- a/tests/components/origins/test_tracker.py
+++ b/tests/components/origins/test_tracker.py
@@ -2,7 +2,11 @@
 
 import unittest
 
-from chivetrack.components.origins.const import REGISTER_INTERVAL_S, REGISTER_RETRY_S
+from chivetrack.components.origins.const import (
+    MAX_REGISTER_RETRY_S,
+    REGISTER_INTERVAL_S,
+    REGISTER_RETRY_S,
+)
 from chivetrack.components.origins.messages import OriginAnswer
 from chivetrack.components.origins.models import Origin
 from chivetrack.components.origins.tracker import OriginTracker
@@ -47,6 +51,20 @@
         self.assertTrue(self.tracker.may_begin(V2))
         self.assertEqual(self.tracker.register_at, 6.0 + REGISTER_INTERVAL_S)
 
+    def test_registrations_without_a_majority_become_rare(self) -> None:
+        """Guards against routers that flood the replicas that are left with registrations."""
+        self.tracker.update_announced({V1}, now=0.0)
+        waits: list[float] = []
+        for _ in range(9):
+            now = self.tracker.register_at
+            self.tracker.handle_registration({V1}, {}, began_at=now, now=now)
+            waits.append(self.tracker.register_at - now)
+        self.assertAlmostEqual(waits[0], REGISTER_RETRY_S)
+        self.assertAlmostEqual(waits[-1], MAX_REGISTER_RETRY_S)
+        self.tracker.request_registration(now=50.0)
+        self.tracker.handle_registration({V1}, {}, began_at=50.0, now=50.0)
+        self.assertAlmostEqual(self.tracker.register_at, 50.0 + REGISTER_RETRY_S)
+
     def test_version_that_appears_during_a_registration_is_registered_next(self) -> None:
         """Guards against a version that waits half a minute for the next registration."""
         self.register(V1)
--- a/tests/daemon/fleet/test_origins.py
+++ b/tests/daemon/fleet/test_origins.py
@@ -9,10 +9,11 @@
 from unittest import mock
 
 import gevent
+from gevent.event import Event
 
 from chivetrack.components.announcements.table import EndpointTable
 from chivetrack.components.origins.const import VERSION_MEMORY_S
-from chivetrack.components.origins.messages import OriginQuery, OriginRecords
+from chivetrack.components.origins.messages import OriginAnswer, OriginQuery, OriginRecords
 from chivetrack.components.origins.models import Origin, OriginBasis, OriginVerdict
 from chivetrack.components.traffic.models import RouteKind, Share
 from chivetrack.components.traffic.requests import RequestFacts
@@ -221,6 +222,22 @@
         self.restart("p1", keeps_disk=True)
         self.assertEqual(self.hosts["p1"].ledger.origins, {V2})
 
+    def test_disk_that_hangs_holds_one_query_of_each_router(self) -> None:
+        """Guards against queries that pile up at a replica while its disk hangs."""
+        host, released = self.hosts["p1"], Event()
+        with mock.patch.object(
+            OriginFile, "save", side_effect=lambda *args, **kwargs: released.wait()
+        ):
+            for number in range(50):
+                host.handle_query("r1", OriginQuery(number=number, registers=(V2,)))
+                gevent.sleep(0)
+            self.sent.clear()
+            released.set()
+            gevent.sleep(0.05)
+        numbers = [one.number for one in self.sent if isinstance(one, OriginAnswer)]
+        self.assertEqual(len(numbers), 2)
+        self.assertEqual(numbers[-1], 49)
+
     def test_version_is_confirmed_only_once_it_is_on_the_disk(self) -> None:
         """Guards against a version that replicas have confirmed and forget with their power."""
         self.announce(V1)
