Count no late confirmations, and record no stream that only a caller names

A router that wakes from a freeze may read answers before it sees that its wait has ended, and counted confirmations of replicas that may have lost their disks since; the time is compared now. A stream taken up while there was one version was recorded under the id that the caller named, whether or not it exists; a later stream with that id, at another version, would have gone on at the first. Tests: test_answers_that_are_read_after_the_wait_do_not_count (failed before), test_stream_that_only_a_caller_names_is_not_recorded.

--- a/chivetrack/daemon/fleet/origins.py
+++ b/chivetrack/daemon/fleet/origins.py
@@ -33,6 +33,7 @@
     """A query whose answers ``handle_answer`` takes; it returns whether no other is needed."""
 
     handle_answer: Callable[[str, OriginAnswer], bool]
+    ends_at: float
     done: Signal = field(default_factory=Signal)
 
 
@@ -67,7 +68,10 @@
     def handle_answer(self, source: str, answer: OriginAnswer) -> None:
         """Deliver a replica's answer; drop it if its query has ended."""
         pending = self._pending.get(answer.number)
-        if pending is not None and pending.handle_answer(source, answer):
+        # After a freeze, answers may be read before the wait is seen to have ended.
+        if pending is None or time.monotonic() > pending.ends_at:
+            return
+        if pending.handle_answer(source, answer):
             pending.done.set()
 
     def _ask(self, query: OriginQuery, handle_answer: Callable[[str, OriginAnswer], bool]) -> None:
@@ -76,9 +80,13 @@
         Answers that come later do not count: a replica that restarts meanwhile may have forgotten
         what it confirmed, and needs more time than this to start.
         """
-        pending = self._pending[query.number] = _PendingQuery(handle_answer)
+        replicas = self._list_replicas()
+        if not replicas:
+            return
+        ends_at = time.monotonic() + LOOKUP_TIMEOUT_S
+        pending = self._pending[query.number] = _PendingQuery(handle_answer, ends_at)
         try:
-            for replica in self._list_replicas():
+            for replica in replicas:
                 self._send(replica, query)
             pending.done.wait(LOOKUP_TIMEOUT_S)
         finally:
@@ -115,6 +123,9 @@
         """Record the origin of a stream whose first event is about to be sent to the caller."""
         if call.origin is None or not call.origin.is_known:
             return
+        if call.origin_basis is OriginBasis.ONLY_VERSION:
+            # The caller names the stream, and nothing else tells that it exists.
+            return
         wait_s = call.facts.wait_s or DEFAULT_CALLER_WAIT_S
         self.tracker.record_begin(
             call.facts.resumes or call.facts.request_id,
--- a/tests/daemon/fleet/test_origins.py
+++ b/tests/daemon/fleet/test_origins.py
@@ -12,7 +12,7 @@
 from gevent.event import Event
 
 from chivetrack.components.announcements.table import EndpointTable
-from chivetrack.components.origins.const import VERSION_MEMORY_S
+from chivetrack.components.origins.const import LOOKUP_TIMEOUT_S, VERSION_MEMORY_S
 from chivetrack.components.origins.messages import OriginAnswer, OriginQuery, OriginRecords
 from chivetrack.components.origins.models import Origin, OriginBasis, OriginVerdict
 from chivetrack.components.traffic.models import RouteKind, Share
@@ -222,6 +222,28 @@
         self.restart("p1", keeps_disk=True)
         self.assertEqual(self.hosts["p1"].ledger.origins, {V2})
 
+    def test_answers_that_are_read_after_the_wait_do_not_count(self) -> None:
+        """Guards against confirmations that a router counts when it wakes from a freeze."""
+        self.announce(V1)
+        client = self.clients["r1"]
+        self.cut |= set(REPLICAS)
+        client.handle_endpoints(frozenset((V1, V2)))
+        gevent.sleep(0.01)
+        (query,) = {
+            one for one in self.sent if isinstance(one, OriginQuery) and V2 in one.registers
+        }
+        ledger = self.hosts["p1"].ledger
+        answer = ledger.answer(query, members=REPLICAS, now=time.monotonic())
+        later = time.monotonic() + LOOKUP_TIMEOUT_S
+        with mock.patch("chivetrack.daemon.fleet.origins.time") as clock:
+            clock.monotonic.return_value = later
+            for name in REPLICAS:
+                client.handle_answer(name, answer)
+        self.assertFalse(client.tracker.may_begin(V2))
+        client.handle_answer("p1", answer)
+        client.handle_answer("p2", answer)
+        self.assertTrue(client.tracker.may_begin(V2))
+
     def test_disk_that_hangs_holds_one_query_of_each_router(self) -> None:
         """Guards against queries that pile up at a replica while its disk hangs."""
         host, released = self.hosts["p1"], Event()
@@ -298,6 +320,17 @@
         self.assertEqual(self.find("r2", "a", route=route).origin, other)
         self.assertIsNone(self.find("r2", "never", route=route).origin)
 
+    def test_stream_that_only_a_caller_names_is_not_recorded(self) -> None:
+        """Guards against an id that a caller made up, and that a later stream has."""
+        self.announce(V1)
+        facts = RequestFacts(request_id="next", last_event_id="7", resumes="a")
+        call = make_call(Caller(), route=STREAM, facts=facts)
+        call.take_up(self.find("r2", "a"))
+        self.clients["r2"].record_begin(call)
+        self.announce(V1, V2)
+        self.begin("r1", "a", V2)
+        self.assertEqual(self.find("r2", "a").origin, V2)
+
     def test_caller_that_comes_back_twice_names_the_first_request(self) -> None:
         self.announce(V1, V2)
         self.begin("r1", "a", V2)
