Let the story of a stream name the version that is missing

A request that is given up ends with request_ended, whose cause hid why: "the answer broke off" or "status 503", not that no endpoint of its version is left. The line of an answer that has begun and breaks off gave a status that nobody got; it gives the one that the answer began with. Test: test_stream_that_ends_with_its_version_says_so (failed before).

--- a/chivetrack/components/stories/story.py
+++ b/chivetrack/components/stories/story.py
@@ -37,6 +37,7 @@
     )
 )
 _REFUSALS = frozenset(("request_rejected", "stream_refused"))
+_VERSION_REASONS = frozenset(("no_endpoint_of_version", "version_unconfirmed"))
 _HIDDEN = frozenset(("at", "up", "instance", "event", "request"))
 
 CAUSES: Registry[Cause] = Registry(name="cause")
@@ -138,12 +139,17 @@
     last = next((event for event in reversed(events) if event["event"] in CAUSES), None)
     if last is None:
         return "no event shows how it ended; the process may have crashed"
-    rejected = [event for event in events if event["event"] in _REFUSALS]
+    rejected = [event for event in events if _is_refusal(event)]
     if rejected and last["event"] == "request_ended":
         return CAUSES[rejected[-1]["event"]](rejected[-1])
     return CAUSES[last["event"]](last)
 
 
+def _is_refusal(event: Event) -> bool:
+    is_version = event["event"] == "request_given_up" and event.get("why") in _VERSION_REASONS
+    return is_version or event["event"] in _REFUSALS
+
+
 def format_event(event: Event) -> str:
     """Format an event as one human-readable line."""
     fields = [f"{key}={value}" for key, value in event.items() if key not in _HIDDEN]
--- a/chivetrack/daemon/fleet/request_log.py
+++ b/chivetrack/daemon/fleet/request_log.py
@@ -150,7 +150,7 @@
             "request_given_up",
             request=call.facts.request_id,
             why=why,
-            status=fault.status,
+            status=call.reply.status if call.reply.is_started else fault.status,
             tries=len(call.attempts),
             **_describe_origin(call),
             candidates=self._view.count_candidates(call.service),
--- a/tests/components/stories/test_story.py
+++ b/tests/components/stories/test_story.py
@@ -87,6 +87,18 @@
         assert other is not None
         self.assertEqual(other.steps, ())
 
+    def test_stream_that_ends_with_its_version_says_so(self) -> None:
+        """Guards against a broken answer whose story does not name the version that is missing."""
+        lines = [
+            make_line(
+                1.0, "request_given_up", request="q", why="no_endpoint_of_version", began_at="v1"
+            ),
+            make_line(1.1, "request_ended", request="q", outcome="cut", status=200, ms=40),
+        ]
+        story = build_story("q", read_events(lines))
+        assert story is not None
+        self.assertIn("no endpoint of version v1 is left", story.cause)
+
     def test_request_that_a_router_runs_at_its_exit(self) -> None:
         """Guards against a request without an end whose story does not name the router's exit."""
         cases = [
