Let two greenlets flush an event log at once

Its log ends with 'IndexError: pop from an empty deque' in EventLog._write_some.

Cause: in a patched process the poll with a timeout of 0 is gevent's and lets other greenlets run. That test's program flushes at its exit beside the greenlet that writes periodically; when the exit meets a poll, one writes all lines and the other pops from the empty queue. The new test lets two greenlets flush and failed with the same traceback each time. The queue is now looked at again after the poll; the write itself doesn't yield, so the order of the lines stays.

The deployed processes were not affected: open_events ends the periodic writer before it flushes.

--- a/chivetrack/helpers/events.py
+++ b/chivetrack/helpers/events.py
@@ -113,7 +113,9 @@
     def flush(self) -> None:
         """Write as many queued lines as the pipe has room for, without blocking."""
         while self._lines and self._is_writable():
-            self._write_some()
+            # Another greenlet may have written the lines while this one polled.
+            if self._lines:
+                self._write_some()
         if self.dropped and len(self._lines) < MAX_QUEUED_LINES:
             dropped, self.dropped = self.dropped, 0
             self._queue({"event": "lines_dropped", "count": dropped}, time.monotonic())
--- a/tests/helpers/test_events.py
+++ b/tests/helpers/test_events.py
@@ -9,6 +9,7 @@
 from unittest.mock import patch
 
 import gevent
+import gevent.select
 
 from chivetrack.helpers.events import (
     CLOSE_TIMEOUT_S,
@@ -113,6 +114,18 @@
         written = [line["event"] for line in self.read_lines()]
         self.assertEqual(written, ["stopped", "request_placed"])
 
+    @patch("select.poll", gevent.select.poll)
+    def test_two_greenlets_flush_at_once(self) -> None:
+        """Guards against a flush that fails because another one emptied the queue meanwhile.
+
+        The poll of a patched process lets other greenlets run before it returns.
+        """
+        events = EventLog(instance="r1", descriptor=self.writer)
+        events.write("stopped", cut=0)
+        flushes = [gevent.spawn(events.flush) for _ in range(2)]
+        gevent.joinall(flushes, timeout=5.0, raise_error=True)
+        self.assertEqual([line["event"] for line in self.read_lines()], ["stopped"])
+
     @staticmethod
     def fill_pipe(events: EventLog) -> None:
         number = 0
