Deliver the error that an endpoint answered when no retry follows

Cause: whether a failure may be retried is decided before the send. If it may, the answer was discarded when it came; budget, time and endpoints were looked at only then. With the budget used up meanwhile, no other endpoint, or one that refuses, breaks off or is silent until the caller's time ends or the router exits, nothing was left to deliver.

An answer that has begun is still cut.

--- a/chivetrack/daemon/fleet/calls.py
+++ b/chivetrack/daemon/fleet/calls.py
@@ -37,6 +37,15 @@
 }
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReadyAnswer:
+    """A whole answer of an endpoint, with the headers that callers get."""
+
+    status: int
+    headers: Sequence[tuple[str, str]]
+    body: bytes
+
+
 class Reply:
     """The reply to one caller; status and headers are sent once."""
 
@@ -87,7 +96,8 @@
     ``fingerprint`` is equal for requests with the same method, target, workspace and body.
     ``connected_at`` is the time when the caller opened its connection. ``origin`` is where the
     stream began, ``None`` before its first event; from then on only endpoints of that version may
-    continue it. ``origin_basis`` and ``origin_age_s`` tell how it is known.
+    continue it. ``origin_basis`` and ``origin_age_s`` tell how it is known. ``failure`` is the
+    newest answer with an error that was held back for a retry.
     """
 
     facts: RequestFacts
@@ -111,12 +121,20 @@
     origin_age_s: float = 0.0
     placed: Placed | None = None
     passed_over: set[str] = field(default_factory=set)
+    failure: ReadyAnswer | None = None
 
     @property
     def is_taken_up(self) -> bool:
         """Return whether the caller takes up a stream of which it has events."""
         return self.route.kind is RouteKind.STREAM and bool(self.facts.last_event_id)
 
+    def deliver_failure(self) -> bool:
+        """Send the answer that was held back, if there is one; return whether it was sent."""
+        if self.failure is None or self.reply.is_started:
+            return False
+        self.reply.send(self.failure.status, self.failure.headers, self.failure.body)
+        return True
+
     def begin_stream(self, record: EndpointRecord) -> bool:
         """Set the origin when an endpoint makes the first event; return whether it was not set."""
         if self.origin is not None:
--- a/chivetrack/daemon/fleet/forwarder.py
+++ b/chivetrack/daemon/fleet/forwarder.py
@@ -20,7 +20,7 @@
 from chivetrack.components.upstream.events import EventSplitter
 from chivetrack.components.upstream.idle_connections import IdleConnections
 from chivetrack.components.upstream.models import BrokenAnswerError
-from chivetrack.daemon.fleet.calls import Call
+from chivetrack.daemon.fleet.calls import Call, ReadyAnswer
 from chivetrack.daemon.fleet.const import (
     LATE_ANSWER_GRACE_S,
     MAX_BUFFERED_ANSWER_BYTES,
@@ -45,12 +45,16 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SendResult:
-    """Result of one attempt; ``end`` is ``None`` if the caller has its answer."""
+    """Result of one attempt; ``end`` is ``None`` if the caller has its answer.
+
+    ``failure`` is the endpoint's answer with an error that the caller did not get.
+    """
 
     end: SendEnd | None = None
     detail: str = ""
     retry_after_s: float | None = None
     status: int = 0
+    failure: ReadyAnswer | None = None
     is_other_instance: bool = False
     is_path_suspected: bool = False
     """Whether the failure may be one of this router's path, of which the endpoint knows nothing."""
@@ -97,7 +101,8 @@
     def send(self, call: Call, choice: Choice, *, may_retry: bool) -> SendResult:
         """Send a request to one endpoint and relay the answer.
 
-        A failure answered by the endpoint is relayed to the caller unless ``may_retry``.
+        A failure answered by the endpoint is relayed to the caller unless ``may_retry``; then
+        it is part of the result, so that the caller gets it if no other endpoint answers.
         """
         record = choice.record
         try:
@@ -256,14 +261,16 @@
     def _relay_buffered(
         self, call: Call, answer: EndpointAnswer, facts: AnswerFacts, is_retried: bool
     ) -> SendResult:
-        """Read the complete answer, then send it or, if ``is_retried``, discard it."""
+        """Read the complete answer, then send it or, if ``is_retried``, return it."""
         body = self._read_whole(answer)
         status = answer.status
+        headers = list_answer_headers(answer.headers.items())
         if is_retried:
-            return SendResult(end=SendEnd.FAILED, detail=f"status {status}", status=status)
+            failure = ReadyAnswer(status=status, headers=headers, body=body)
+            detail = f"status {status}"
+            return SendResult(end=SendEnd.FAILED, detail=detail, status=status, failure=failure)
         if call.reply.is_started:
             raise AnswerCutError(f"status {status} in the middle of a stream")
-        headers = list_answer_headers(answer.headers.items())
         call.reply.send(status, headers, body)
         return SendResult(status=status)
 
--- a/chivetrack/daemon/fleet/refusals.py
+++ b/chivetrack/daemon/fleet/refusals.py
@@ -82,6 +82,8 @@
         """Answer a request that is open when the router exits."""
         if call.reply.is_started:
             raise AnswerCutError("the router exits during the answer")
+        if call.deliver_failure():
+            return
         if may_have_run(call.attempts):
             call.reply.refuse(make_cut_fault())
             return
--- a/chivetrack/daemon/fleet/request_log.py
+++ b/chivetrack/daemon/fleet/request_log.py
@@ -144,13 +144,13 @@
             asked_ms=round((time.monotonic() - call.came_at) * 1000),
         )
 
-    def write_given_up(self, call: Call, fault: Fault, *, why: str, pause_s: float) -> None:
-        """Write why a request is abandoned without a further attempt."""
+    def write_given_up(self, call: Call, status: int, *, why: str, pause_s: float) -> None:
+        """Write why a request is abandoned; ``status`` answers it unless its answer has begun."""
         self._events.write(
             "request_given_up",
             request=call.facts.request_id,
             why=why,
-            status=call.reply.status if call.reply.is_started else fault.status,
+            status=call.reply.status if call.reply.is_started else status,
             tries=len(call.attempts),
             **_describe_origin(call),
             candidates=self._view.count_candidates(call.service),
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -234,6 +234,8 @@
         self._end(call, "timeout")
         if call.reply.is_started:
             raise AnswerCutError("the request timed out during its answer")
+        if call.deliver_failure():
+            return
         if not may_have_run(call.attempts):
             call.reply.refuse(_make_refusal("timeout", 503, NO_ENDPOINT_RETRY_S))
             return
@@ -337,6 +339,7 @@
             self._log.write_attempt(call, choice, "answered", f"status {result.status}")
             return True
         call.attempts.append(make_tried(choice, result))
+        call.failure = result.failure or call.failure
         if result.is_other_instance:
             self._view.health.record_misdirected(endpoint_id)
         self._log.write_attempt(call, choice, result.end.value, result.detail)
@@ -350,10 +353,12 @@
         pause_s = self._view.find_shortest_pause(call.service)
         retry_after_s = max(NO_ENDPOINT_RETRY_S, pause_s)
         fault = make_final_fault(call.attempts, retry_after_s=retry_after_s)
-        self._log.write_given_up(call, fault, why=why, pause_s=pause_s)
+        status = fault.status if call.failure is None else call.failure.status
+        self._log.write_given_up(call, status, why=why, pause_s=pause_s)
         if call.reply.is_started:
             raise AnswerCutError("the stream can't be resumed at another endpoint")
-        call.reply.refuse(fault)
+        if not call.deliver_failure():
+            call.reply.refuse(fault)
 
     def _end(self, call: Call, outcome: str) -> None:
         now = time.monotonic()
--- a/tests/daemon/fleet/test_forwarder.py
+++ b/tests/daemon/fleet/test_forwarder.py
@@ -225,6 +225,7 @@
             result = self.send(self.open(failure), may_retry=may_retry)
             self.assertEqual(result.is_answered, not may_retry)
             self.assertEqual(self.caller.status, 0 if may_retry else 500)
+            self.assertEqual(result.failure is not None, may_retry)
 
     def test_refused_connection_is_not_sent(self) -> None:
         endpoint = self.open(b"")
