Wait again for a router that confirmed a document late

An operator could be acknowledged a change that a router in contact did not serve yet. A router whose copy was given up (slower than 0.5 s and the copy's time on the link) before it confirmed kept the time of that first copy for good. 3 s later it counted as one that confirms nothing, so acknowledgements of later documents did not wait for it; its own 503 while it lacks an acknowledged version still held.

Cause: the time was forgotten only with the delivery that it belongs to, and an expired delivery is gone. A router that has the newest version has confirmed it, whenever its copy came. The new test failed before (is_stalled for a router that confirmed in 1 s, 6 s later).

--- a/chivetrack/components/distribution/document_feed.py
+++ b/chivetrack/components/distribution/document_feed.py
@@ -69,8 +69,11 @@
         """Record which version a router has, 0 if none, and whether it can relay it."""
         self._end_expired(now)
         delivery = self._deliveries.get(router)
-        if delivery is not None and version >= delivery.version:
+        is_confirmed = delivery is not None and version >= delivery.version
+        if is_confirmed:
             self._end_delivery(router)
+        if is_confirmed or version >= self.history.version:
+            # A copy may be confirmed after it was given up.
             self._first_sent_at.pop(router, None)
         if version < self.history.version or is_stopping:
             self._relays.remove(router)
