Confirm no version while a write takes it off a replica's disk

If a router registered that version again during the write, the replica confirmed it at once, as the old file still had it; the write then removed it, for up to a second. A replica that lost its power in that second came back with a complete memory that lacked a version it had confirmed, and with enough of them a stream could be continued as if there had been no such version.

What is about to be removed counts as not saved from the start of the write, so the confirmation waits for the next write. That also holds if a write fails halfway, where either file may be found. The new test failed before: the answer came while the write hung.

--- a/chivetrack/daemon/fleet/origin_host.py
+++ b/chivetrack/daemon/fleet/origin_host.py
@@ -91,6 +91,8 @@
         """Write the versions that are remembered, and answer the queries that wait for that."""
         origins, is_complete = self.ledger.origins, self.ledger.is_complete
         unconfirmed, self._unconfirmed = self._unconfirmed, {}
+        # What this write removes must not be confirmed meanwhile.
+        self._saved &= origins
         try:
             if self._file.save(origins, is_complete=is_complete):
                 self._saved, self._is_saved_as_complete = origins, is_complete
--- a/tests/daemon/fleet/test_origins.py
+++ b/tests/daemon/fleet/test_origins.py
@@ -260,6 +260,30 @@
         self.assertEqual(len(numbers), 2)
         self.assertEqual(numbers[-1], 49)
 
+    def test_version_that_comes_back_while_it_is_taken_off_the_disk(self) -> None:
+        """Guards against a confirmed version that the write of an older state removes."""
+        self.announce(V1, V2)
+        host, released = self.hosts["p1"], Event()
+        save = OriginFile.save
+
+        def save_late(file: OriginFile, *args: Any, **kwargs: Any) -> bool:
+            released.wait()
+            return save(file, *args, **kwargs)
+
+        host.ledger.refresh([], now=time.monotonic() + VERSION_MEMORY_S)
+        host.ledger.register([V2], now=time.monotonic())
+        self.sent.clear()
+        with mock.patch.object(OriginFile, "save", save_late):
+            host.refresh()
+            gevent.sleep(0)
+            host.handle_query("r1", OriginQuery(number=1, registers=(V1,)))
+            self.assertEqual(self.sent, [])
+            released.set()
+            gevent.sleep(0.1)
+        self.assertEqual([one.number for one in self.sent if isinstance(one, OriginAnswer)], [1])
+        self.restart("p1", keeps_disk=True)
+        self.assertEqual(self.hosts["p1"].ledger.origins, {V1, V2})
+
     def test_version_is_confirmed_only_once_it_is_on_the_disk(self) -> None:
         """Guards against a version that replicas have confirmed and forget with their power."""
         self.announce(V1)
