Date a router's view of versions by its poll and by the boot clock

It took the time at which it read a view. A router that was frozen reads views of long ago when it wakes, and the monotonic clock does not count the time for which a machine is suspended, so in both cases records of before looked new for up to 5 s more, and a stream that broke meanwhile could go on at an endpoint that had started again under its id with another version. In the same way, answers to a registration that had waited in the socket during a suspension counted as in time, though it is the 0.25 s that keep a restarted replica from being counted twice.

Polls now carry the router's time by the boot clock, which counts suspensions, and views return it; a view is dated by the poll that it answers, pushed views date nothing. Replicas of an earlier release return no time; their views are dated by their arrival, as before, so streams go on during an update. Limits of waits for answers go by the boot clock as well.

--- a/chivetrack/components/distribution/messages.py
+++ b/chivetrack/components/distribution/messages.py
@@ -51,7 +51,8 @@
     departures are known. ``silent_revision`` is the revision of the list of silent endpoints held
     from this replica. ``is_stopping``: the router has received SIGTERM. ``can_carry``: it carries
     connections to endpoints for others, except to ``lost_services``, to which its own paths are
-    broken. ``needs_carriers``: it needs such routers.
+    broken. ``needs_carriers``: it needs such routers. ``polled_at`` is the time of the poll by the
+    boot clock of the router (s).
     """
 
     router: str
@@ -71,6 +72,7 @@
     can_carry: bool = False
     needs_carriers: bool = False
     lost_services: tuple[str, ...] = ()
+    polled_at: float = 0.0
 
 
 @message("distribution.view")
@@ -89,7 +91,8 @@
     ``acknowledged`` is the highest version that an operator was acknowledged, as far as known.
     ``carriers`` are routers that carry connections to endpoints, if the receiver needs any.
     ``keeps_origins``: the replica remembers versions and the origins of streams; replicas of
-    earlier releases do not.
+    earlier releases do not. ``polled_at`` is that of the poll which this answers, 0 if it answers
+    none.
     """
 
     run: str
@@ -112,6 +115,7 @@
     acknowledged: int = 0
     carriers: tuple[Carrier, ...] = ()
     keeps_origins: bool = False
+    polled_at: float = 0.0
 
 
 @message("distribution.endpoints")
--- a/chivetrack/components/distribution/publisher.py
+++ b/chivetrack/components/distribution/publisher.py
@@ -141,11 +141,14 @@
                 follow.router, router.version, is_stopping=follow.is_stopping, now=now
             )
             self._endpoints.get_progress(follow.router).is_stopping = follow.is_stopping
-        if not follow.is_assigned:
-            return [self._make_view(follow.router, router, now)]
-        self.placements.record(follow.placed, now=now)
-        self._new_placements += follow.placed
-        return [self._make_assigned_view(follow.router, router, now)]
+        if follow.is_assigned:
+            self.placements.record(follow.placed, now=now)
+            self._new_placements += follow.placed
+            view = self._make_assigned_view(follow.router, router, now)
+        else:
+            view = self._make_view(follow.router, router, now)
+        answer = msgspec.structs.replace(view, polled_at=follow.polled_at)
+        return [SendMessage(target=follow.router, message=answer)]
 
     def handle_exchange(self, source: str, exchange: Exchange, *, now: float) -> None:
         """Record the loads, crash reports and placements that another replica has collected."""
@@ -264,7 +267,10 @@
         fits_push = self._fits_push(targets, now)
         if fits_push or (self._has_new_revision and not self.is_congested()):
             self._published_revisions = self._revisions
-            return [self._make_view(name, router, now) for name, router in targets.items()]
+            return [
+                SendMessage(target=name, message=self._make_view(name, router, now))
+                for name, router in targets.items()
+            ]
         for name, router in targets.items():
             self._endpoints.enqueue(name, is_assigned=router.is_assigned)
         return []
@@ -312,7 +318,7 @@
         self._pacer.reserve(len(targets) * PUSH_BYTES + sum(counts) * RECORD_BYTES, now=now)
         return True
 
-    def _make_view(self, name: str, router: RouterState, now: float) -> SendMessage:
+    def _make_view(self, name: str, router: RouterState, now: float) -> View:
         progress = self._endpoints.get_progress(name)
         base = progress.sent
         count = self.table.count_changes(base, limit=MAX_INLINE_RECORDS + 1)
@@ -324,7 +330,7 @@
             progress.record_sent(self.table.change, arrives_at=now)
         records = () if is_pending else tuple(self.table.list_changes(base))
         self._records_inline += len(records)
-        view = View(
+        return View(
             run=self.run,
             base=base,
             change=progress.sent,
@@ -338,7 +344,6 @@
             acknowledged=self.rollout.acknowledged,
             keeps_origins=True,
         )
-        return SendMessage(target=name, message=view)
 
     def _fits_inline(self, records: int, now: float) -> bool:
         """Return whether changed endpoints fit into an answer, and reserve their bytes if so."""
@@ -369,22 +374,21 @@
             return None
         return self.quarantine
 
-    def _make_assigned_view(self, name: str, router: RouterState, now: float) -> SendMessage:
+    def _make_assigned_view(self, name: str, router: RouterState, now: float) -> View:
         assigned = self._list_assigned(now)
         peers = [peer.exchange for peer in self._list_peers(now)]
-        sent = self._make_view(name, router, now)
-        assert isinstance(sent.message, View)
+        view = self._make_view(name, router, now)
         placed: tuple[PlacedPart, ...] = ()
         silent, silent_revision = None, router.silent_revision
-        if self._knows_endpoints(name, sent.message):
+        if self._knows_endpoints(name, view):
             placed, router.placed_change = self._list_placed(router, len(assigned), now)
             silent, silent_revision = self._find_newer_silent(name, router, now)
         if placed:
             router.placements_sent_at = now
         is_separate = self._loads.is_broadcast or self.is_congested()
         loads = None if is_separate else self._sum_all_loads(assigned, now, without=name)
-        view = msgspec.structs.replace(
-            sent.message,
+        return msgspec.structs.replace(
+            view,
             silent=silent,
             silent_revision=silent_revision,
             has_loads=True,
@@ -395,7 +399,6 @@
             placed_change=router.placed_change,
             carriers=self._choose_carriers(name, router, now) if router.needs_carriers else (),
         )
-        return SendMessage(target=name, message=view)
 
     def _choose_carriers(self, name: str, router: RouterState, now: float) -> tuple[Carrier, ...]:
         """Return some routers of the fleet that carry connections for the router ``name``."""
--- a/chivetrack/components/distribution/subscriber.py
+++ b/chivetrack/components/distribution/subscriber.py
@@ -33,6 +33,7 @@
 )
 from chivetrack.components.quarantine.models import CrashReport
 from chivetrack.core import Effect, SendMessage, WakeAt
+from chivetrack.helpers.clock import read_boot_clock
 
 
 @dataclass(slots=True)
@@ -124,6 +125,7 @@
         on_unreadable: Callable[[int, str], None],
         on_bad_update: Callable[[str, str], None],
         get_report: Callable[[], RouterReport],
+        read_boot_clock: Callable[[], float] = read_boot_clock,
     ) -> None:
         """Set the router's own addresses, the seed replicas and the callbacks.
 
@@ -139,6 +141,10 @@
         self.documents = DocumentReceiver(apply=apply_document, on_unreadable=on_unreadable)
         self._on_bad_update = on_bad_update
         self._get_report = get_report
+        self._read_boot_clock = read_boot_clock
+        self._began_at = read_boot_clock()
+        self.viewed_at = float("-inf")
+        """A time (s, boot clock) that the newest view of a replica is not older than."""
         self._replicas: dict[str, _Replica] = {}
         self.restart_count = 0
         """How often a replica that had answered came back as another process."""
@@ -244,6 +250,7 @@
             can_carry=report.can_carry,
             needs_carriers=report.needs_carriers,
             lost_services=report.lost_services,
+            polled_at=self._read_boot_clock(),
         )
         return [SendMessage(target=name, message=follow)]
 
@@ -298,6 +305,7 @@
             version=self.documents.version,
             quarantine_revision=self._quarantine_revision,
             is_partial=replica.is_partial,
+            polled_at=self._read_boot_clock(),
         )
 
     def _record_named(self, name: str, now: float) -> _Replica:
@@ -312,6 +320,7 @@
         replica = self._record_named(source, now)
         replica.record_answer(now)
         replica.keeps_origins = view.keeps_origins
+        self._record_age(view)
         for record in view.records:
             self._table.merge(record, now=now)
         self.restart_count += bool(replica.run) and view.run != replica.run
@@ -327,6 +336,19 @@
         self.documents.handle_version(source, view.version, is_assigned=is_assigned, now=now)
         self.documents.record_acknowledged(view.acknowledged, now=now)
 
+    def _record_age(self, view: View) -> None:
+        """Record how old a view can be at most.
+
+        A router that was frozen, or whose machine was suspended, reads views of long ago when it
+        wakes; its poll is the only event that the view is known to come after. Replicas of an
+        earlier release do not return the time of the poll.
+        """
+        now = self._read_boot_clock()
+        if not view.keeps_origins:
+            self.viewed_at = now
+        elif self._began_at <= view.polled_at <= now:
+            self.viewed_at = max(self.viewed_at, view.polled_at)
+
     def handle_endpoints(self, update: EndpointUpdate, *, now: float) -> list[Effect]:
         """Merge the packed endpoints of a replica and forward the update."""
         unpacked = unpack_records(update.payload)
--- a/chivetrack/components/origins/const.py
+++ b/chivetrack/components/origins/const.py
@@ -59,4 +59,4 @@
 
 VIEW_CURRENT_S: Final = 5.0
 """Age of the newest view beyond which a router does not trust its records of versions; replicas
-mark an endpoint silent after as long."""
+mark an endpoint silent after as long. It includes the time for which the router was suspended."""
--- a/chivetrack/components/origins/fitting.py
+++ b/chivetrack/components/origins/fitting.py
@@ -35,8 +35,8 @@
 class VersionFilter:
     """Leaves out the endpoints whose version may not get a request.
 
-    ``viewed_at`` is when the newest view of a replica came (s, monotonic); ``silent`` are the ids
-    of endpoints whose heartbeats the replicas miss.
+    ``viewed_at`` is a time that the newest view of a replica is not older than (s, boot clock);
+    ``silent`` are the ids of endpoints whose heartbeats the replicas miss.
     """
 
     def __init__(
@@ -59,7 +59,8 @@
     ) -> Sequence[EndpointRecord]:
         """Return those of a service's endpoints that may begin a request.
 
-        Once a stream has begun at ``origin``, return those that may continue it.
+        Once a stream has begun at ``origin``, return those that may continue it. ``now`` is a time
+        of the boot clock.
         """
         if origin is not None:
             is_current = now - self.viewed_at <= VIEW_CURRENT_S
--- a/chivetrack/daemon/fleet/fleet_view.py
+++ b/chivetrack/daemon/fleet/fleet_view.py
@@ -25,6 +25,7 @@
 from chivetrack.components.traffic.table import RouteTable
 from chivetrack.daemon.fleet.calls import Call
 from chivetrack.daemon.fleet.health import EndpointHealth
+from chivetrack.helpers.clock import read_boot_clock
 from chivetrack.helpers.events import EventLog
 
 # Factor by which the number of routers may fall with each view. A router that is partitioned,
@@ -122,9 +123,13 @@
         for listener in self.document_listeners:
             listener(document)
 
-    def handle_view(self, view: View) -> None:
-        """Apply the loads, silent endpoints, evacuations and quarantine that a replica sent."""
-        now = self._versions.viewed_at = time.monotonic()
+    def handle_view(self, view: View, *, viewed_at: float) -> None:
+        """Apply the loads, silent endpoints, evacuations and quarantine that a replica sent.
+
+        The newest view is not older than ``viewed_at`` (s, boot clock).
+        """
+        now = time.monotonic()
+        self._versions.viewed_at = viewed_at
         self.has_view = self.has_view or not view.is_pending
         # Endpoint changes come before placements: when an endpoint appears, the placements
         # recorded for its id are dropped.
@@ -302,7 +307,7 @@
         division = self.directory.partition(
             call.service, passed_over=call.passed_over, is_limited=is_limited, now=now
         )
-        fitting = self._list_fitting(call, division.open, now)
+        fitting = self._list_fitting(call, division.open)
         candidates = self._list_candidates(call, fitting, is_limited, now)
         service = None if self.table is None else self.table.find_service(call.service)
         return self.placement.choose(
@@ -316,7 +321,7 @@
         )
 
     def _list_fitting(
-        self, call: Call, records: Sequence[EndpointRecord], now: float
+        self, call: Call, records: Sequence[EndpointRecord]
     ) -> Sequence[EndpointRecord]:
         """Return the endpoints whose version may begin the stream, or continue it once begun."""
         return self._versions.list_fitting(
@@ -324,7 +329,7 @@
             records,
             origin=call.origin,
             is_stream=call.route.kind is RouteKind.STREAM,
-            now=now,
+            now=read_boot_clock(),
         )
 
     def awaits_registration(self, call: Call) -> bool:
@@ -389,7 +394,7 @@
         tried = {one.endpoint_id for one in call.attempts}
         waits = [
             self.directory.cold.find_wait(record.endpoint_id, now)
-            for record in self._list_fitting(call, self.directory.list_ready(call.service), now)
+            for record in self._list_fitting(call, self.directory.list_ready(call.service))
             if record.endpoint_id not in tried
             and not self.directory.find_pause(record, now)
             and self.is_cold(call.service, record.endpoint_id, now)
--- a/chivetrack/daemon/fleet/origins.py
+++ b/chivetrack/daemon/fleet/origins.py
@@ -24,13 +24,17 @@
 from chivetrack.daemon.fleet.calls import Call
 from chivetrack.daemon.fleet.const import DEFAULT_CALLER_WAIT_S
 from chivetrack.daemon.fleet.pending_requests import count_requests
+from chivetrack.helpers.clock import read_boot_clock
 from chivetrack.helpers.codec import Message
 from chivetrack.helpers.events import EventLog
 
 
 @dataclass(slots=True)
 class _PendingQuery:
-    """A query whose answers ``handle_answer`` takes; it returns whether no other is needed."""
+    """A query whose answers ``handle_answer`` takes; it returns whether no other is needed.
+
+    ``ends_at`` is a time of the boot clock (s).
+    """
 
     handle_answer: Callable[[str, OriginAnswer], bool]
     ends_at: float
@@ -68,8 +72,8 @@
     def handle_answer(self, source: str, answer: OriginAnswer) -> None:
         """Deliver a replica's answer; drop it if its query has ended."""
         pending = self._pending.get(answer.number)
-        # After a freeze, answers may be read before the wait is seen to have ended.
-        if pending is None or time.monotonic() > pending.ends_at:
+        # After a freeze or suspension, answers may be read before the wait is seen to have ended.
+        if pending is None or read_boot_clock() > pending.ends_at:
             return
         if pending.handle_answer(source, answer):
             pending.done.set()
@@ -83,7 +87,7 @@
         replicas = self._list_replicas()
         if not replicas:
             return
-        ends_at = time.monotonic() + LOOKUP_TIMEOUT_S
+        ends_at = read_boot_clock() + LOOKUP_TIMEOUT_S
         pending = self._pending[query.number] = _PendingQuery(handle_answer, ends_at)
         try:
             for replica in replicas:
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -289,7 +289,7 @@
             keeps_origins=self.subscriber.do_replicas_keep_origins,
             restart_count=self.subscriber.restart_count,
         )
-        self.view.handle_view(view)
+        self.view.handle_view(view, viewed_at=self.subscriber.viewed_at)
         self._paths.handle_carriers(view.carriers)
 
     def _record_answer(self, record: EndpointRecord, facts: AnswerFacts) -> None:
--- a/tests/components/distribution/world.py
+++ b/tests/components/distribution/world.py
@@ -30,7 +30,9 @@
 class Fixture:
     """A replica and a router whose messages a test delivers step by step."""
 
-    def __init__(self, run: str = "run1", own: EndpointTable | None = None) -> None:
+    def __init__(
+        self, run: str = "run1", own: EndpointTable | None = None, boot_now: float = 0.0
+    ) -> None:
         self.table = EndpointTable()
         self.taken: list[int] = []
         self.unreadable: list[int] = []
@@ -38,6 +40,7 @@
         self.report = RouterReport(loads=(), placed=())
         self.publisher = self.make_publisher(run)
         self.own = EndpointTable() if own is None else own
+        self.boot_now = boot_now
         self.subscriber = Subscriber(
             router="r1",
             document_address="r1:80",
@@ -47,6 +50,7 @@
             on_unreadable=lambda version, detail: self.unreadable.append(version),
             on_bad_update=lambda replica, detail: None,
             get_report=lambda: self.report,
+            read_boot_clock=lambda: self.boot_now,
         )
 
     def make_publisher(self, run: str) -> Publisher:
--- a/tests/components/origins/test_releases.py
+++ b/tests/components/origins/test_releases.py
@@ -8,6 +8,7 @@
 from chivetrack.components.announcements.table import EndpointTable
 from chivetrack.components.distribution.messages import View
 from chivetrack.components.distribution.subscriber import RouterReport, Subscriber
+from chivetrack.helpers.clock import read_boot_clock
 from chivetrack.helpers.codec import decode, encode, get_kind
 from tests.daemon.fleet.test_fleet_view import make_view
 
@@ -41,11 +42,12 @@
 
         Such a replica ends its view with the carriers.
         """
-        view = make_view(keeps_origins=True)
+        view = make_view(keeps_origins=True, polled_at=1.0)
         fields = msgspec.msgpack.decode(encode(view))
-        earlier = decode(get_kind(view), msgspec.msgpack.encode(fields[:-1]))
+        earlier = decode(get_kind(view), msgspec.msgpack.encode(fields[:-2]))
         assert isinstance(earlier, View)
-        self.assertEqual(earlier, msgspec.structs.replace(view, keeps_origins=False))
+        expected = msgspec.structs.replace(view, keeps_origins=False, polled_at=0.0)
+        self.assertEqual(earlier, expected)
 
     def test_confirmations_are_needed_once_most_replicas_can_give_them(self) -> None:
         """Guards against routers that begin no stream while replicas are updated one by one."""
@@ -57,6 +59,12 @@
         self.answer("p3")
         self.assertTrue(self.subscriber.do_replicas_keep_origins)
 
+    def test_replica_of_an_earlier_release_has_no_time_of_the_poll(self) -> None:
+        """Guards against streams that never go on while replicas are updated one by one."""
+        began_at = read_boot_clock()
+        self.answer("p1", keeps_origins=False)
+        self.assertGreaterEqual(self.subscriber.viewed_at, began_at)
+
     def test_replicas_of_an_earlier_release_are_asked_nothing(self) -> None:
         """Guards against messages that such a replica can't read, several times a second."""
         self.answer("p1", "p2", keeps_origins=False)
--- a/tests/daemon/fleet/test_fleet_view.py
+++ b/tests/daemon/fleet/test_fleet_view.py
@@ -1,6 +1,5 @@
 """Tests of the router's view after messages of replicas and its own attempts."""
 
-import time
 import unittest
 from typing import Any
 from unittest import mock
@@ -16,6 +15,7 @@
 from chivetrack.components.traffic.requests import PromptPart, RequestFacts
 from chivetrack.components.traffic.table import RouteTable
 from chivetrack.daemon.fleet.fleet_view import FleetView
+from chivetrack.helpers.clock import read_boot_clock
 from chivetrack.helpers.events import EventLog
 from tests.components.announcements.test_table import make_record
 from tests.components.traffic.documents import make_document, make_route
@@ -53,7 +53,7 @@
     def apply_view(self, *records: Any, **changes: Any) -> None:
         for record in records:
             self.view.directory.table.merge(record, now=0.0)
-        self.view.handle_view(make_view(*records, **changes))
+        self.view.handle_view(make_view(*records, **changes), viewed_at=read_boot_clock())
 
     def choose(self, service: str = "llm", *parts: PromptPart) -> str:
         facts = RequestFacts(request_id="q", parts=parts, prompt_tokens=20_000)
@@ -280,10 +280,10 @@
         self.assertEqual(self.view.directory.all_origins, {Origin("portal", "v2")})
 
     def test_outdated_view_continues_nothing(self) -> None:
-        """Guards against a router that was cut off and goes by versions of long ago."""
+        """Guards against a router that was cut off, or suspended, and goes by old versions."""
         self.begin("e1")
-        later = time.monotonic() + VIEW_CURRENT_S
-        with mock.patch("chivetrack.daemon.fleet.fleet_view.time.monotonic", return_value=later):
+        later = read_boot_clock() + VIEW_CURRENT_S
+        with mock.patch("chivetrack.daemon.fleet.fleet_view.read_boot_clock", return_value=later):
             self.assertEqual(self.choose_for_stream(), "")
 
     def test_stream_waits_for_a_version_to_be_registered(self) -> None:
--- a/tests/daemon/fleet/test_open_requests.py
+++ b/tests/daemon/fleet/test_open_requests.py
@@ -23,6 +23,7 @@
 from chivetrack.daemon.fleet.permits import PermitClient
 from chivetrack.daemon.fleet.requests import RequestHandler
 from chivetrack.daemon.server import ENVIRON_HEADERS, ENVIRON_TARGET
+from chivetrack.helpers.clock import read_boot_clock
 from chivetrack.helpers.events import EventLog
 from tests.components.announcements.test_table import make_record
 from tests.components.traffic.documents import make_document, make_route
@@ -110,7 +111,7 @@
         ]
         for record in records:
             self.view.directory.table.merge(record, now=0.0)
-        self.view.handle_view(make_view(*records))
+        self.view.handle_view(make_view(*records), viewed_at=read_boot_clock())
 
     def send(self, call: Call, choice: Choice, *, may_retry: bool) -> SendResult:
         self.sent.append(choice.record.endpoint_id)
--- a/tests/daemon/fleet/test_origins.py
+++ b/tests/daemon/fleet/test_origins.py
@@ -21,6 +21,7 @@
 from chivetrack.daemon.fleet.origin_file import OriginFile
 from chivetrack.daemon.fleet.origin_host import OriginHost
 from chivetrack.daemon.fleet.origins import OriginClient
+from chivetrack.helpers.clock import read_boot_clock
 from chivetrack.helpers.codec import Message
 from chivetrack.helpers.events import EventLog
 from tests.components.announcements.test_table import make_record
@@ -223,7 +224,10 @@
         self.assertEqual(self.hosts["p1"].ledger.origins, {V2})
 
     def test_answers_that_are_read_after_the_wait_do_not_count(self) -> None:
-        """Guards against confirmations that a router counts when it wakes from a freeze."""
+        """Guards against confirmations that a router counts when it wakes from a freeze.
+
+        Only the boot clock counts the time if its machine was suspended.
+        """
         self.announce(V1)
         client = self.clients["r1"]
         self.cut |= set(REPLICAS)
@@ -234,9 +238,8 @@
         }
         ledger = self.hosts["p1"].ledger
         answer = ledger.answer(query, members=REPLICAS, now=time.monotonic())
-        later = time.monotonic() + LOOKUP_TIMEOUT_S
-        with mock.patch("chivetrack.daemon.fleet.origins.time") as clock:
-            clock.monotonic.return_value = later
+        later = read_boot_clock() + LOOKUP_TIMEOUT_S
+        with mock.patch("chivetrack.daemon.fleet.origins.read_boot_clock", return_value=later):
             for name in REPLICAS:
                 client.handle_answer(name, answer)
         self.assertFalse(client.tracker.may_begin(V2))
