Forget what a router has observed of endpoints that were lost long ago

A router's memory grew with each endpoint that it had ever seen: who ran under which id was kept for good, and of endpoints that were lost without a departure also their outcomes, breakers, speeds and caches. A hundred thousand of them would take a good part of a router's 128 MB. Noticed by reading.

The table forgets an endpoint 60 s after it was lost or left; what the router has observed goes with it now. An endpoint that comes back after that counts as new, which it is to the table already. The new test failed before for what it counts: nothing of it was dropped.

--- a/chivetrack/daemon/fleet/fleet_view.py
+++ b/chivetrack/daemon/fleet/fleet_view.py
@@ -264,9 +264,21 @@
             is_departure = record.state is not EndpointState.LOST
             self._notify_incarnation_end(record.endpoint_id, record.born, is_departure=is_departure)
         if record.state is EndpointState.LEFT:
-            self.health.forget(record.endpoint_id)
-            self.placement.forget(record.endpoint_id)
-            self.directory.cold.remove(record.endpoint_id)
+            self._drop_observations(record.endpoint_id)
+
+    def _drop_observations(self, endpoint_id: str) -> None:
+        self.health.forget(endpoint_id)
+        self.placement.forget(endpoint_id)
+        self.directory.cold.remove(endpoint_id)
+
+    def forget_expired(self, *, now: float) -> list[EndpointRecord]:
+        """Forget the endpoints that left or were lost long ago; return their last records."""
+        expired = self.directory.table.remove_expired(now)
+        for record in expired:
+            self._drop_observations(record.endpoint_id)
+            self._lifetimes.pop(record.endpoint_id, None)
+            self._first_seen_at.pop(record.endpoint_id, None)
+        return expired
 
     def _notify_incarnation_end(self, endpoint_id: str, born: int, *, is_departure: bool) -> None:
         for listener in self.incarnation_end_listeners:
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -395,7 +395,7 @@
 
     def _prune(self, now: float) -> None:
         self._idle_connections.close_expired()
-        for record in self.view.directory.table.remove_expired(now):
+        for record in self.view.forget_expired(now=now):
             self._events.write("endpoint_forgotten", **record.describe())
 
     def _run_timers(self) -> None:
--- a/tests/daemon/fleet/test_fleet_view.py
+++ b/tests/daemon/fleet/test_fleet_view.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 from chivetrack.components.announcements.models import EndpointState
+from chivetrack.components.announcements.table import FORGET_AFTER_S
 from chivetrack.components.deployment.settings import BoundSettings
 from chivetrack.components.distribution.messages import EndpointLoad, PlacedPart, View
 from chivetrack.components.evacuation.models import Evacuations, ZoneState
@@ -223,6 +224,24 @@
         self.view.wait_until_ready(5.0)
 
 
+class ForgottenEndpointTest(FleetViewCase):
+    def count_kept(self) -> int:
+        """Return the number of the view's entries about the endpoint ``e1``."""
+        kept = [self.view._lifetimes, self.view._first_seen_at, self.view.health._breakers]
+        return sum("e1" in one for one in kept)
+
+    def test_endpoint_that_was_lost_is_forgotten(self) -> None:
+        """Guards against memory that grows with each endpoint that is lost without a departure."""
+        self.apply_view(make_record(service="portal"))
+        self.view.health.record_outcome("e1", SendEnd.FAILED)
+        self.apply_view(make_record(2, service="portal", state=EndpointState.LOST), change=2)
+        self.assertEqual(self.view.forget_expired(now=FORGET_AFTER_S), [])
+        self.assertEqual(self.count_kept(), 3)
+        (expired,) = self.view.forget_expired(now=FORGET_AFTER_S + 1.0)
+        self.assertEqual(expired.endpoint_id, "e1")
+        self.assertEqual(self.count_kept(), 0)
+
+
 class StreamVersionTest(FleetViewCase):
     def setUp(self) -> None:
         super().setUp()
