Tell what a retry budget's window holds and by what it is divided

Whoever looked into retries beyond the budget could not tell from lines or metrics whether a router's window was empty after a restart, whether a check was older than the count, or whether the slack was divided by too few routers. No decision changes.

--- a/chivetrack/components/retries/sending.py
+++ b/chivetrack/components/retries/sending.py
@@ -49,6 +49,11 @@
     return count_possible_runs(attempts) > 0
 
 
+def has_reached(attempts: Sequence[SendAttempt]) -> bool:
+    """Return whether any attempt has reached an endpoint, so that another one is a retry."""
+    return any(attempt.end is not SendEnd.NOT_SENT for attempt in attempts)
+
+
 def allows_retry(route: Route, runs: int) -> bool:
     """Return whether the route allows an attempt after ``runs`` that may have run."""
     return not runs or (route.is_repeatable and runs < route.max_attempts)
@@ -70,8 +75,7 @@
         return False
     if not allows_retry(route, count_possible_runs(attempts)):
         return False
-    reached = any(end is not SendEnd.NOT_SENT for end in ends)
-    return has_budget or not reached
+    return has_budget or not has_reached(attempts)
 
 
 def make_final_fault(attempts: Sequence[SendAttempt], *, retry_after_s: float) -> Fault:
--- a/chivetrack/components/retries/window.py
+++ b/chivetrack/components/retries/window.py
@@ -1,6 +1,7 @@
 """A router's share of the retry budget of the fleet."""
 
 from collections import deque
+from dataclasses import dataclass
 
 # The budget belongs to the fleet. Each router uses an equal part of the fixed slack and the
 # ratio of its own requests, so that the parts add up to the budget without messages between
@@ -8,6 +9,15 @@
 SAFETY_FACTOR = 0.9
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WindowCounts:
+    """What a window holds, and how many retries it allows."""
+
+    requests: int
+    retries: int
+    allowed: float
+
+
 class RetryWindow:
     """Counts the requests and retries of one service in a sliding window.
 
@@ -37,8 +47,17 @@
 
     def may_retry(self, now: float, *, routers: int) -> bool:
         """Return whether the fleet, of ``routers`` routers, stays in budget with a retry."""
+        counts = self.count(now, routers=routers)
+        return counts.retries + 1 <= counts.allowed
+
+    def count(self, now: float, *, routers: int) -> WindowCounts:
+        """Return what the window holds at ``now`` (s)."""
         for times in (self._requests, self._retries):
             while times and times[0] <= now - self._window_s:
                 times.popleft()
         allowed = self._ratio * len(self._requests) + self._slack / max(1, routers)
-        return len(self._retries) + 1 <= SAFETY_FACTOR * allowed
+        return WindowCounts(
+            requests=len(self._requests),
+            retries=len(self._retries),
+            allowed=SAFETY_FACTOR * allowed,
+        )
--- a/chivetrack/daemon/fleet/fleet_view.py
+++ b/chivetrack/daemon/fleet/fleet_view.py
@@ -462,3 +462,14 @@
     def has_budget(self, service: str) -> bool:
         """Return whether the fleet's retry budget of a service allows another retry."""
         return self.budgets[service].may_retry(time.monotonic(), routers=round(self._router_count))
+
+    def describe_budget(self, service: str) -> dict[str, float]:
+        """Return what this router's window of a service holds and by what it is divided."""
+        routers = round(self._router_count)
+        counts = self.budgets[service].count(time.monotonic(), routers=routers)
+        return {
+            "window_requests": counts.requests,
+            "window_retries": counts.retries,
+            "window_allowed": round(counts.allowed, 1),
+            "routers": routers,
+        }
--- a/chivetrack/daemon/fleet/meters.py
+++ b/chivetrack/daemon/fleet/meters.py
@@ -64,6 +64,11 @@
             unit="{connection}",
             description="Connections that other routers were asked to carry.",
         )
+        self._budget = meter.create_counter(
+            "chivetrack.router.retry_budget",
+            unit="{retry}",
+            description="Retries that needed the retry budget, by whether it allowed them.",
+        )
         self._crashes = meter.create_counter(
             "chivetrack.router.endpoint_crashes",
             unit="{crash}",
@@ -104,6 +109,10 @@
         by = "caller" if continuation.is_by_caller else "router"
         self._continuations.add(1, {"by": by, "known_by": continuation.basis.value})
 
+    def record_budget(self, has_budget: bool) -> None:
+        """Count a decision of the retry budget."""
+        self._budget.add(1, {"is_allowed": has_budget})
+
     def count_crash(self) -> None:
         """Count an endpoint crash."""
         self._crashes.add(1)
--- a/chivetrack/daemon/fleet/metrics.py
+++ b/chivetrack/daemon/fleet/metrics.py
@@ -60,6 +60,10 @@
         """Count a placement that continues a stream."""
         self._record(lambda meters: meters.record_continuation(continuation))
 
+    def record_budget(self, has_budget: bool) -> None:
+        """Count a decision of the retry budget."""
+        self._record(lambda meters: meters.record_budget(has_budget))
+
     def count_crash(self) -> None:
         """Count an endpoint crash that interrupted requests of this router."""
         self._record(lambda meters: meters.count_crash())
--- a/chivetrack/daemon/fleet/request_log.py
+++ b/chivetrack/daemon/fleet/request_log.py
@@ -6,6 +6,7 @@
 
 from chivetrack.components.origins.models import Continuation, OriginVerdict
 from chivetrack.components.placement.choice import Choice
+from chivetrack.components.retries.sending import has_reached
 from chivetrack.components.traffic.requests import RequestFacts
 from chivetrack.daemon.fleet.calls import Call
 from chivetrack.daemon.fleet.fleet_view import FleetView
@@ -26,16 +27,20 @@
         events: EventLog,
         record_rejection: Callable[[Fault], None],
         record_continuation: Callable[[Continuation], None] = lambda continuation: None,
+        record_budget: Callable[[bool], None] = lambda has_budget: None,
     ) -> None:
         """Store the view, which provides the configuration version and endpoint counts.
 
         ``record_rejection`` receives the fault of each request that is refused, and
-        ``record_continuation`` each placement that continues a stream.
+        ``record_continuation`` each placement that continues a stream, ``record_budget`` whether
+        the retry budget allowed a retry.
         """
         self._view = view
         self._events = events
         self._record_rejection = record_rejection
         self._record_continuation = record_continuation
+        self._record_budget = record_budget
+        self._started_at = time.monotonic()
         self.stopping_since: float | None = None
 
     def write_rejected(
@@ -130,6 +135,20 @@
             last_event=call.last_event_id[:_MAX_ID],
         )
 
+    def write_budget(self, call: Call, *, has_budget: bool) -> None:
+        """Write what the retry budget of the service holds when a retry needs it."""
+        if not has_reached(call.attempts):
+            return
+        self._record_budget(has_budget)
+        self._events.write(
+            "retry_budget",
+            request=call.facts.request_id,
+            service=call.service,
+            has_budget=has_budget,
+            life_s=round(time.monotonic() - self._started_at, 1),
+            **self._view.describe_budget(call.service),
+        )
+
     def write_unknown_origin(self, call: Call, verdict: OriginVerdict, fault: Fault) -> None:
         """Write why a stream that the caller takes up is refused."""
         self._record_rejection(fault)
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -22,6 +22,7 @@
     SendEnd,
     allows_retry,
     count_possible_runs,
+    has_reached,
     make_final_fault,
     may_have_run,
     may_send_again,
@@ -71,12 +72,14 @@
         record_end: Callable[[Call, str], None],
         record_rejection: Callable[[Fault], None],
         record_continuation: Callable[[Continuation], None],
+        record_budget: Callable[[bool], None] = lambda has_budget: None,
     ) -> None:
         """Store the components that requests need.
 
         ``record_end`` receives each finished request and its outcome, ``record_rejection``
         the fault of each request that is refused without being sent, ``record_continuation``
-        each placement that continues a stream.
+        each placement that continues a stream, ``record_budget`` whether the retry budget allowed
+        a retry.
         """
         self._view = view
         self._forwarder = forwarder
@@ -89,6 +92,7 @@
             events=events,
             record_rejection=record_rejection,
             record_continuation=record_continuation,
+            record_budget=record_budget,
         )
         self._refusals = Refusals(view=view, log=self._log)
         self.late_requests = LateRequests(view=view, log=self._log)
@@ -312,13 +316,13 @@
     def _may_send_again(self, call: Call) -> bool:
         left_s = call.ends_at - time.monotonic()
         has_budget = self._view.has_budget(call.service)
+        self._log.write_budget(call, has_budget=has_budget)
         return may_send_again(call.route, call.attempts, left_s=left_s, has_budget=has_budget)
 
     def _send(self, call: Call, choice: Choice) -> bool:
         """Send the request to one endpoint; return whether the caller has its answer."""
         endpoint_id = choice.record.endpoint_id
-        reached = any(one.end is not SendEnd.NOT_SENT for one in call.attempts)
-        if reached:
+        if has_reached(call.attempts):
             self._view.budgets[call.service].record_retry(time.monotonic())
         may_retry = allows_retry(
             call.route, count_possible_runs(call.attempts) + 1
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -192,6 +192,7 @@
             record_end=self._metrics.record_end,
             record_rejection=self._metrics.record_rejection,
             record_continuation=self._metrics.record_continuation,
+            record_budget=self._metrics.record_budget,
         )
         assert settings.listeners.callers is not None and settings.listeners.ready is not None
         self._gate = CallGate(
