Reserve a retry in the budget before its router waits

Callers' back ends got more retries than the budget allows when retries had to wait. Cause: the budget was asked before the choice of an endpoint, which may wait for a permit of a cold endpoint or for versions, and the retry was counted only when it was sent; all calls that waited had passed the same check. Evidence: test_retry_budget, 40 calls that fail together and wait 50 ms for permits: 40 sent again, 9 allowed. Now the check reserves the retry; the reservation counts until the retry is sent or given back, however the call ends.

--- a/chivetrack/components/retries/window.py
+++ b/chivetrack/components/retries/window.py
@@ -36,6 +36,7 @@
         self._window_s = window_s
         self._requests: deque[float] = deque()
         self._retries: deque[float] = deque()
+        self._reserved = 0
 
     def record_request(self, now: float) -> None:
         """Count a request of a caller."""
@@ -45,6 +46,22 @@
         """Count a retry."""
         self._retries.append(now)
 
+    def reserve(self, now: float, *, routers: int) -> bool:
+        """Reserve a retry until it is sent or released; return whether there was room."""
+        if not self.may_retry(now, routers=routers):
+            return False
+        self._reserved += 1
+        return True
+
+    def release(self) -> None:
+        """Give back a reserved retry that was not sent."""
+        self._reserved -= 1
+
+    def commit(self, now: float) -> None:
+        """Count a reserved retry that is sent now."""
+        self._reserved -= 1
+        self.record_retry(now)
+
     def may_retry(self, now: float, *, routers: int) -> bool:
         """Return whether the fleet, of ``routers`` routers, stays in budget with a retry."""
         counts = self.count(now, routers=routers)
@@ -58,6 +75,6 @@
         allowed = self._ratio * len(self._requests) + self._slack / max(1, routers)
         return WindowCounts(
             requests=len(self._requests),
-            retries=len(self._retries),
+            retries=len(self._retries) + self._reserved,
             allowed=SAFETY_FACTOR * allowed,
         )
--- a/chivetrack/daemon/fleet/calls.py
+++ b/chivetrack/daemon/fleet/calls.py
@@ -97,7 +97,8 @@
     ``connected_at`` is the time when the caller opened its connection. ``origin`` is where the
     stream began, ``None`` before its first event; from then on only endpoints of that version may
     continue it. ``origin_basis`` and ``origin_age_s`` tell how it is known. ``failure`` is the
-    newest answer with an error that was held back for a retry.
+    newest answer with an error that was held back for a retry. With ``has_reservation``, the retry
+    that may be sent next is reserved in the budget.
     """
 
     facts: RequestFacts
@@ -122,6 +123,7 @@
     placed: Placed | None = None
     passed_over: set[str] = field(default_factory=set)
     failure: ReadyAnswer | None = None
+    has_reservation: bool = False
 
     @property
     def is_taken_up(self) -> bool:
--- a/chivetrack/daemon/fleet/fleet_view.py
+++ b/chivetrack/daemon/fleet/fleet_view.py
@@ -463,6 +463,10 @@
         """Return whether the fleet's retry budget of a service allows another retry."""
         return self.budgets[service].may_retry(time.monotonic(), routers=round(self._router_count))
 
+    def reserve_retry(self, service: str) -> bool:
+        """Reserve a retry in the budget of a service; return whether it has room."""
+        return self.budgets[service].reserve(time.monotonic(), routers=round(self._router_count))
+
     def describe_budget(self, service: str) -> dict[str, float]:
         """Return what this router's window of a service holds and by what it is divided."""
         routers = round(self._router_count)
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -233,6 +233,8 @@
         except AnswerCutError:
             self._end(call, "cut")
             raise
+        finally:
+            self._release_retry(call)
 
     def _handle_timeout(self, call: Call) -> None:
         self._end(call, "timeout")
@@ -314,16 +316,27 @@
         return "version_unconfirmed" if self._view.awaits_registration(call) else "no_candidate"
 
     def _may_send_again(self, call: Call) -> bool:
+        """Return whether there may be another attempt; a retry is reserved in the budget."""
         left_s = call.ends_at - time.monotonic()
-        has_budget = self._view.has_budget(call.service)
-        self._log.write_budget(call, has_budget=has_budget)
-        return may_send_again(call.route, call.attempts, left_s=left_s, has_budget=has_budget)
+        if not may_send_again(call.route, call.attempts, left_s=left_s, has_budget=True):
+            return False
+        if not has_reached(call.attempts):
+            return True
+        call.has_reservation = self._view.reserve_retry(call.service)
+        self._log.write_budget(call, has_budget=call.has_reservation)
+        return call.has_reservation
+
+    def _release_retry(self, call: Call) -> None:
+        if call.has_reservation:
+            self._view.budgets[call.service].release()
+            call.has_reservation = False
 
     def _send(self, call: Call, choice: Choice) -> bool:
         """Send the request to one endpoint; return whether the caller has its answer."""
         endpoint_id = choice.record.endpoint_id
-        if has_reached(call.attempts):
-            self._view.budgets[call.service].record_retry(time.monotonic())
+        if call.has_reservation:
+            call.has_reservation = False
+            self._view.budgets[call.service].commit(time.monotonic())
         may_retry = allows_retry(
             call.route, count_possible_runs(call.attempts) + 1
         ) and self._view.has_budget(call.service)
--- a/tests/daemon/fleet/test_ready_failures.py
+++ b/tests/daemon/fleet/test_ready_failures.py
@@ -38,7 +38,7 @@
         self.assertEqual(self.caller.headers["X-Reason"], "ready")
 
     def test_budget_is_used_up_while_the_endpoint_works(self) -> None:
-        with patch.object(self.view, "has_budget", side_effect=[True, False]):
+        with patch.object(self.view, "reserve_retry", return_value=False):
             self.start().join()
         self.check_delivered(sent=1)
         (given_up,) = [one for one in self.events.written if one["event"] == "request_given_up"]
@@ -46,6 +46,7 @@
 
     def test_no_other_endpoint_answers(self) -> None:
         self.enterContext(patch.object(self.view, "has_budget", return_value=True))
+        self.enterContext(patch.object(self.view, "reserve_retry", return_value=True))
         for end in (SendEnd.NOT_SENT, SendEnd.REFUSED, SendEnd.MAYBE_RAN):
             with self.subTest(end=end):
                 self.sent.clear()
