Tell on which parts of prompts a crashed endpoint worked

Whoever looked into endpoints that ended under different requests could not see what these had in common: answers_broken_off had fingerprints of whole requests only. It now counts the shared parts of the requests that broke off, 32 at most. No decision changes.

--- a/chivetrack/daemon/fleet/crashes.py
+++ b/chivetrack/daemon/fleet/crashes.py
@@ -3,6 +3,7 @@
 import errno
 import socket
 import time
+from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -22,6 +23,7 @@
 # Limits the reports kept per incarnation when further answers break; the oldest are dropped.
 MAX_UNCONFIRMED_REPORTS = 256
 _MAX_LOGGED_FINGERPRINTS = 16
+_MAX_LOGGED_PARTS = 32
 
 
 class ProbeResult(StrEnum):
@@ -51,6 +53,7 @@
 
     record: EndpointRecord
     reports: list[CrashReport] = field(default_factory=list)
+    parts: Counter[str] = field(default_factory=Counter)
     probed_at: float = 0.0
 
 
@@ -92,6 +95,7 @@
             broken = self._broken[key] = _BrokenAnswers(record)
             gevent.spawn(self._probe_endpoint, key)
         broken.reports.append(call.make_crash_report(record))
+        broken.parts.update({part.part_id for part in call.facts.shared_parts})
 
     def handle_incarnation_end(self, endpoint_id: str, born: int, is_departure: bool) -> None:
         """Handle that an incarnation was lost or replaced.
@@ -128,6 +132,7 @@
             fingerprints=[
                 report.fingerprint.hex() for report in broken.reports[:_MAX_LOGGED_FINGERPRINTS]
             ],
+            parts=dict(broken.parts.most_common(_MAX_LOGGED_PARTS)),
         )
         if has_crashed:
             self._on_crash(broken.reports)
--- a/tests/daemon/fleet/test_crashes.py
+++ b/tests/daemon/fleet/test_crashes.py
@@ -8,6 +8,7 @@
 
 from chivetrack.components.announcements.models import EndpointRecord, EndpointState
 from chivetrack.components.quarantine.models import CrashReport
+from chivetrack.components.traffic.requests import RequestFacts
 from chivetrack.daemon.fleet import crashes as crashes_module
 from chivetrack.daemon.fleet.calls import Call
 from chivetrack.daemon.fleet.crashes import CrashDetector, ProbeResult, probe_address
@@ -30,6 +31,8 @@
 
 
 class FakeCall:
+    facts = RequestFacts(request_id="q")
+
     def make_crash_report(self, record: EndpointRecord) -> CrashReport:
         return CrashReport(
             fingerprint=b"f",
