--- a/tests/system/crashing.py
+++ b/tests/system/crashing.py
@@ -1,10 +1,11 @@
-"""Endpoints that crash when they receive given request bodies and restart with a new id."""
+"""Endpoints that crash on given bodies or parts of prompts, and restart with a new id."""
 
 import contextlib
 import socket
 import threading
 import time
 from collections.abc import Iterator
+from collections.abc import Set as AbstractSet
 from contextlib import contextmanager
 from typing import Any
 
@@ -56,10 +57,15 @@
             self.send_header("Content-Length", "0")
             self.end_headers()
             return
-        self.server.owner.run(self.server, body)
-        if body not in self.server.owner.crash_bodies:
+        parts = self._read_parts()
+        self.server.owner.run(self.server, body, parts)
+        if not self.server.owner.is_crashed_by(body, parts):
             self._answer()
 
+    def _read_parts(self) -> frozenset[str]:
+        listed = self.headers.get("X-Chivetrack-Prompt-Prefix", "")
+        return frozenset(entry.partition(":")[0] for entry in listed.split(","))
+
 
 class CrashingEndpoint:
     """One address whose process restarts with a new id after each crash."""
@@ -68,6 +74,7 @@
         """Start the first incarnation and send its heartbeats."""
         self.keeps_port_open = keeps_port_open
         self.crash_bodies: set[bytes] = set()
+        self.crash_parts: set[str] = set()
         self.runs: list[tuple[float, bytes]] = []
         self.crashes: list[float] = []
         self._deployment = deployment
@@ -85,11 +92,17 @@
             host=self._host, name=f"i-{self._number}-{self._starts}", service="portal", owner=self
         )
 
-    def run(self, incarnation: _Incarnation, body: bytes) -> None:
-        """Record the run of a request; crash if its body is in ``crash_bodies``."""
+    def is_crashed_by(self, body: bytes, parts: AbstractSet[str]) -> bool:
+        """Return whether a request with this body and these parts of its prompt crashes it."""
+        return body in self.crash_bodies or not self.crash_parts.isdisjoint(parts)
+
+    def run(
+        self, incarnation: _Incarnation, body: bytes, parts: AbstractSet[str] = frozenset()
+    ) -> None:
+        """Record the run of a request; crash if the request does that."""
         with self._lock:
             self.runs.append((time.monotonic(), body))
-            if body not in self.crash_bodies or self._incarnation is not incarnation:
+            if not self.is_crashed_by(body, parts) or self._incarnation is not incarnation:
                 return
             self._incarnation = None
             self.crashes.append(time.monotonic())
@@ -128,7 +141,7 @@
 def open_crashing_endpoints(
     deployment: Deployment, count: int, *, keeps_port_open: bool = False
 ) -> Iterator[list[CrashingEndpoint]]:
-    """Open endpoints that crash when they run a body listed in their ``crash_bodies``."""
+    """Open endpoints that crash on what their ``crash_bodies`` and ``crash_parts`` list."""
     endpoints = [
         CrashingEndpoint(deployment, number, keeps_port_open=keeps_port_open)
         for number in range(1, count + 1)
