Cut a view of an earlier release by the name of its last field

test_releases made such a view by leaving the last two fields out; since the lender of retries is named in views, that left keeps_origins in, and the test failed on. It now cuts before the named field, with the same expectation. A test of the same kind shows that no lease is asked for where a replica of an earlier release names no lender.

--- a/tests/components/origins/test_releases.py
+++ b/tests/components/origins/test_releases.py
@@ -44,7 +44,8 @@
         """
         view = make_view(keeps_origins=True, polled_at=1.0)
         fields = msgspec.msgpack.decode(encode(view))
-        earlier = decode(get_kind(view), msgspec.msgpack.encode(fields[:-2]))
+        kept = View.__struct_fields__.index("keeps_origins")
+        earlier = decode(get_kind(view), msgspec.msgpack.encode(fields[:kept]))
         assert isinstance(earlier, View)
         expected = msgspec.structs.replace(view, keeps_origins=False, polled_at=0.0)
         self.assertEqual(earlier, expected)
@@ -72,6 +73,18 @@
         self.subscriber.wake(now=1.0)
         self.assertEqual(self.subscriber.list_origin_keepers(), ["p3"])
 
+    def test_replica_of_an_earlier_release_lends_nothing(self) -> None:
+        """Guards against requests for leases that such a replica can't read."""
+        view = make_view(lender="p1")
+        self.subscriber.handle_view("p1", view, now=1.0)
+        self.assertEqual(self.subscriber.lender, "p1")
+        fields = msgspec.msgpack.decode(encode(view))
+        kept = View.__struct_fields__.index("lender")
+        earlier = decode(get_kind(view), msgspec.msgpack.encode(fields[:kept]))
+        assert isinstance(earlier, View)
+        self.subscriber.handle_view("p1", earlier, now=2.0)
+        self.assertEqual(self.subscriber.lender, "")
+
     def test_restarts_of_replicas_are_counted(self) -> None:
         self.answer("p1", "p2")
         self.answer("p1")
