Hold the part of prompts that crashes endpoints, not only whole requests

Cause: crashes were counted by the whole request (method, path, workspace, body), where they showed, not by what the requests had in common; each request was counted once. Besides, evidence ended with the processes that held it.

Now a crash is reported under the request and under each shared part of its prompt, in one mechanism. An answer that began anywhere excuses a suspect; replicas ask the routers for answers to the few suspects with two crashes. Routers keep reports for a minute and send them again to a replica that starts anew. A request under which two endpoints ended is not sent to a third.

Tests: evidence is judged at the latest time at which an order for the last crash is due, 1.5 s after it, since crashes at one moment are asked about first; the counts that tests expect are unchanged. Entries and messages of the release before are read as whole requests.

--- a/chivetrack/components/distribution/messages.py
+++ b/chivetrack/components/distribution/messages.py
@@ -2,7 +2,7 @@
 
 from chivetrack.components.announcements.models import EndpointRecord
 from chivetrack.components.evacuation.models import Evacuations
-from chivetrack.components.quarantine.models import CrashReport, Quarantine
+from chivetrack.components.quarantine.models import AnsweredReport, CrashReport, Quarantine
 from chivetrack.helpers.codec import Message, Priority, message
 
 
@@ -52,7 +52,8 @@
     from this replica. ``is_stopping``: the router has received SIGTERM. ``can_carry``: it carries
     connections to endpoints for others, except to ``lost_services``, to which its own paths are
     broken. ``needs_carriers``: it needs such routers. ``polled_at`` is the time of the poll by the
-    boot clock of the router (s).
+    boot clock of the router (s). ``answered`` tells of the suspects in the last view when answers
+    to them began here.
     """
 
     router: str
@@ -73,6 +74,7 @@
     needs_carriers: bool = False
     lost_services: tuple[str, ...] = ()
     polled_at: float = 0.0
+    answered: tuple[AnsweredReport, ...] = ()
 
 
 @message("distribution.view")
@@ -93,6 +95,7 @@
     ``keeps_origins``: the replica remembers versions and the origins of streams; replicas of
     earlier releases do not. ``polled_at`` is that of the poll which this answers, 0 if it answers
     none. ``lender`` is the replica that lends the slack of the retry budgets, as far as known.
+    ``suspects`` are fingerprints of what was running during several crashes.
     """
 
     run: str
@@ -117,6 +120,7 @@
     keeps_origins: bool = False
     polled_at: float = 0.0
     lender: str = ""
+    suspects: tuple[bytes, ...] = ()
 
 
 @message("distribution.endpoints")
@@ -168,8 +172,8 @@
     """Summed loads and new placements of the routers assigned to the sending replica.
 
     ``routers`` counts these routers, ``stopping`` those of them that are stopping.
-    ``crash_reports`` are those that the replica first received recently, ``carriers`` some of these
-    routers that carry connections to endpoints for others.
+    ``crash_reports`` and ``answered`` are those that the replica first received recently,
+    ``carriers`` some of these routers that carry connections to endpoints for others.
     """
 
     routers: int
@@ -178,6 +182,7 @@
     crash_reports: tuple[CrashReport, ...] = ()
     stopping: int = 0
     carriers: tuple[Carrier, ...] = ()
+    answered: tuple[AnsweredReport, ...] = ()
 
 
 @message("distribution.fetch")
--- a/chivetrack/components/distribution/publisher.py
+++ b/chivetrack/components/distribution/publisher.py
@@ -137,6 +137,7 @@
         router.quarantine_revision = follow.quarantine_revision
         router.silent_revision = follow.silent_revision if is_known else 0
         self.evidence.record(follow.crash_reports, now=now)
+        self.evidence.record_answered(follow.answered, now=now)
         router.document_address = follow.document_address
         if follow.is_assigned:
             self._documents.record_version(
@@ -156,6 +157,7 @@
         """Record the loads, crash reports and placements that another replica has collected."""
         self._peers[source] = PeerState(last_seen_at=now, exchange=exchange)
         self.evidence.record(exchange.crash_reports, now=now)
+        self.evidence.record_answered(exchange.answered, now=now)
         self.placements.record(exchange.placed, now=now)
 
     def make_exchange(self, *, now: float) -> Exchange:
@@ -169,6 +171,7 @@
             loads=sum_loads(router.loads for router in assigned.values()),
             placed=tuple(placed),
             crash_reports=self.evidence.list_recent(now=now),
+            answered=self.evidence.list_answered(now=now),
             stopping=count_stopping(assigned),
             carriers=choose_carriers(list_carriers(assigned), random=self._random),
         )
@@ -395,6 +398,7 @@
             silent_revision=silent_revision,
             has_loads=True,
             lender=self.find_leader(),
+            suspects=self.evidence.list_asked(),
             loads=loads,
             routers=len(assigned) + sum(exchange.routers for exchange in peers),
             stopping=count_stopping(assigned) + sum(exchange.stopping for exchange in peers),
--- a/chivetrack/components/distribution/subscriber.py
+++ b/chivetrack/components/distribution/subscriber.py
@@ -31,7 +31,7 @@
     SilentUpdate,
     View,
 )
-from chivetrack.components.quarantine.models import CrashReport
+from chivetrack.components.quarantine.models import AnsweredReport, CrashReport
 from chivetrack.core import Effect, SendMessage, WakeAt
 from chivetrack.helpers.clock import read_boot_clock
 
@@ -101,6 +101,7 @@
     can_carry: bool = False
     needs_carriers: bool = False
     lost_services: tuple[str, ...] = ()
+    answered: tuple[AnsweredReport, ...] = ()
 
 
 class Subscriber:
@@ -251,6 +252,7 @@
             can_carry=report.can_carry,
             needs_carriers=report.needs_carriers,
             lost_services=report.lost_services,
+            answered=report.answered,
             polled_at=self._read_boot_clock(),
         )
         return [SendMessage(target=name, message=follow)]
--- a/chivetrack/components/quarantine/faults.py
+++ b/chivetrack/components/quarantine/faults.py
@@ -13,7 +13,8 @@
     """Return the fault; ``has_run`` means that this attempt may have run at an endpoint."""
     return Fault(
         code=FAULT_QUARANTINED,
-        message="Endpoints crashed each time they ran this request. Don't send it again.",
+        message="Endpoints crashed each time they ran this request or one with the same part of"
+        " its prompt. Don't send it again.",
         status=STATUS_QUARANTINED,
         ran=Ran.MAYBE if has_run else Ran.NO,
     )
--- a/chivetrack/components/quarantine/models.py
+++ b/chivetrack/components/quarantine/models.py
@@ -1,4 +1,4 @@
-"""Crash reports of requests and the replicated list of quarantined requests."""
+"""Crash reports of requests and parts, and the replicated list of what is quarantined."""
 
 import msgspec
 
@@ -8,11 +8,12 @@
 
 @message("quarantine.sighting")
 class CrashReport(Message, frozen=True, array_like=True):
-    """States that a request was running when an incarnation of an endpoint crashed.
+    """States that a request, or a part of its prompt, was running when an endpoint crashed.
 
     ``born`` identifies the incarnation among those with the same endpoint id, 0 if unknown.
-    ``fingerprint`` alone identifies the request; ``path`` and ``workspace`` are shown to
-    operators.
+    ``fingerprint`` alone identifies what was running; ``path`` and ``workspace`` are shown to
+    operators. ``part`` is the id of a part, empty for a whole request, and ``request`` the
+    fingerprint of the whole request that it was part of. The crash was ``age_s`` seconds ago.
     """
 
     fingerprint: bytes
@@ -21,6 +22,9 @@
     service: str
     path: str
     workspace: str
+    part: str = ""
+    request: bytes = b""
+    age_s: float = 0.0
 
     @property
     def incarnation(self) -> str:
@@ -28,9 +32,17 @@
         return f"{self.endpoint_id}@{self.born}" if self.born else self.endpoint_id
 
 
+@message("quarantine.answered")
+class AnsweredReport(Message, frozen=True, array_like=True):
+    """States that an answer to a request, or to one with a part, began ``age_s`` seconds ago."""
+
+    fingerprint: bytes
+    age_s: float
+
+
 @message("quarantine.order")
 class QuarantineOrder(Message, frozen=True, array_like=True):
-    """Command that quarantines a request.
+    """Command that quarantines a request, or all requests with a part if ``part`` is not empty.
 
     ``crashes`` are the endpoint incarnations that crashed while running it. ``seen_revision``
     is the revision of the quarantine for which the order was made, ``at`` its Unix time in
@@ -44,6 +56,7 @@
     workspace: str
     seen_revision: int
     at: float
+    part: str = ""
 
 
 @message("quarantine.release")
@@ -63,7 +76,10 @@
 
 @message("quarantine.request")
 class QuarantinedRequest(Message, frozen=True, array_like=True):
-    """A rejected request with the crashes that caused it; ``since`` is Unix time in seconds."""
+    """A rejected request, or part of prompts, with the crashes that caused it.
+
+    ``since`` is Unix time in seconds; ``part`` is empty for a whole request.
+    """
 
     fingerprint: bytes
     crashes: tuple[str, ...]
@@ -71,6 +87,7 @@
     path: str
     workspace: str
     since: float
+    part: str = ""
 
     def describe(self) -> dict[str, str | float | list[str]]:
         """Return the fields that are shown to operators and logged."""
@@ -79,6 +96,7 @@
             "service": self.service,
             "workspace": self.workspace,
             "path": self.path,
+            "part": self.part,
             "since": self.since,
             "crashed": list(self.crashes),
         }
@@ -122,6 +140,7 @@
             path=order.path,
             workspace=order.workspace,
             since=order.at,
+            part=order.part,
         )
         kept = (*self.requests, added)[-MAX_QUARANTINED:]
         return msgspec.structs.replace(self, requests=kept, revision=index)
--- a/chivetrack/daemon/fleet/calls.py
+++ b/chivetrack/daemon/fleet/calls.py
@@ -9,7 +9,8 @@
 from chivetrack.components.announcements.models import EndpointRecord
 from chivetrack.components.origins.models import Origin, OriginBasis, OriginVerdict
 from chivetrack.components.placement.placement import Placed
-from chivetrack.components.quarantine.const import MAX_PATH_LENGTH
+from chivetrack.components.quarantine.const import MAX_PART_LENGTH, MAX_PATH_LENGTH
+from chivetrack.components.quarantine.fingerprint import make_part_fingerprint
 from chivetrack.components.quarantine.models import CrashReport
 from chivetrack.components.retries.sending import SendAttempt, SendEnd
 from chivetrack.components.retries.service_budgets import Reservation
@@ -99,7 +100,8 @@
     stream began, ``None`` before its first event; from then on only endpoints of that version may
     continue it. ``origin_basis`` and ``origin_age_s`` tell how it is known. ``failure`` is the
     newest answer with an error that was held back for a retry, ``reservation`` the retry that may
-    be sent next.
+    be sent next, ``answer_began_at`` when the endpoint of the newest attempt began its answer.
+    ``is_sound``: such an answer went on.
     """
 
     facts: RequestFacts
@@ -125,6 +127,8 @@
     passed_over: set[str] = field(default_factory=set)
     failure: ReadyAnswer | None = None
     reservation: Reservation | None = None
+    answer_began_at: float | None = None
+    is_sound: bool = False
 
     @property
     def is_taken_up(self) -> bool:
@@ -152,16 +156,32 @@
         self.origin, self.service = verdict.origin, verdict.origin.service
         self.origin_basis, self.origin_age_s = verdict.basis, verdict.age_s
 
-    def make_crash_report(self, record: EndpointRecord) -> CrashReport:
-        """Return a report that this request was running when the endpoint crashed."""
-        return CrashReport(
+    def list_fingerprints(self) -> list[bytes]:
+        """Return the fingerprints of the request and of the shared parts of its prompt."""
+        return [self.fingerprint, *self._fingerprint_parts().values()]
+
+    def _fingerprint_parts(self) -> dict[str, bytes]:
+        return {
+            part.part_id: make_part_fingerprint(service=self.service, part=part.part_id)
+            for part in self.facts.shared_parts
+        }
+
+    def make_crash_reports(self, record: EndpointRecord) -> list[CrashReport]:
+        """Return reports that this request and its parts were running when the endpoint crashed."""
+        whole = CrashReport(
             fingerprint=self.fingerprint,
             endpoint_id=record.endpoint_id,
             born=record.born,
             service=self.service,
             path=self.target[:MAX_PATH_LENGTH],
             workspace="" if self.workspace is None else self.workspace.name,
+            request=self.fingerprint,
         )
+        parts = [
+            msgspec.structs.replace(whole, fingerprint=fingerprint, part=part[:MAX_PART_LENGTH])
+            for part, fingerprint in self._fingerprint_parts().items()
+        ]
+        return [whole, *parts]
 
     def mark_not_sent(self) -> None:
         """Record that the newest attempt ends before a byte of it was sent."""
--- a/chivetrack/daemon/fleet/crashes.py
+++ b/chivetrack/daemon/fleet/crashes.py
@@ -53,9 +53,14 @@
 
     record: EndpointRecord
     reports: list[CrashReport] = field(default_factory=list)
+    requests: int = 0
     parts: Counter[str] = field(default_factory=Counter)
     probed_at: float = 0.0
 
+    def list_fingerprints(self) -> list[str]:
+        """Return the fingerprints of the whole requests, as they are logged."""
+        return [report.fingerprint.hex() for report in self.reports if not report.part]
+
 
 class CrashDetector:
     """Report endpoints that broke answers and then refuse connections or are lost or replaced.
@@ -94,7 +99,8 @@
         if broken is None:
             broken = self._broken[key] = _BrokenAnswers(record)
             gevent.spawn(self._probe_endpoint, key)
-        broken.reports.append(call.make_crash_report(record))
+        broken.reports += call.make_crash_reports(record)
+        broken.requests += 1
         broken.parts.update({part.part_id for part in call.facts.shared_parts})
 
     def handle_incarnation_end(self, endpoint_id: str, born: int, is_departure: bool) -> None:
@@ -111,7 +117,7 @@
             "endpoint_crash_confirmed",
             endpoint=endpoint_id,
             born=born,
-            requests=len(broken.reports),
+            requests=broken.requests,
         )
         self._on_crash(broken.reports)
 
@@ -128,10 +134,8 @@
             address=broken.record.address,
             listening=result.value,
             has_crashed=has_crashed,
-            requests=len(broken.reports),
-            fingerprints=[
-                report.fingerprint.hex() for report in broken.reports[:_MAX_LOGGED_FINGERPRINTS]
-            ],
+            requests=broken.requests,
+            fingerprints=broken.list_fingerprints()[:_MAX_LOGGED_FINGERPRINTS],
             parts=dict(broken.parts.most_common(_MAX_LOGGED_PARTS)),
         )
         if has_crashed:
@@ -147,6 +151,8 @@
             if now - unconfirmed.probed_at <= CONFIRMATION_WINDOW_S
         }
         earlier = self._unconfirmed.pop(key, None)
-        reports = broken.reports if earlier is None else [*earlier.reports, *broken.reports]
-        broken.reports = reports[-MAX_UNCONFIRMED_REPORTS:]
+        if earlier is not None:
+            broken.reports = [*earlier.reports, *broken.reports]
+            broken.requests += earlier.requests
+        broken.reports = broken.reports[-MAX_UNCONFIRMED_REPORTS:]
         self._unconfirmed[key] = broken
--- a/chivetrack/daemon/fleet/replica.py
+++ b/chivetrack/daemon/fleet/replica.py
@@ -235,7 +235,7 @@
         self._publisher.quarantine = quarantine
         for one in before.requests:
             if quarantine.find(one.fingerprint) is None:
-                self._publisher.evidence.reset_count(one.fingerprint)
+                self._publisher.evidence.reset_count(one, now=time.monotonic())
                 self._events.write("request_released", **one.describe())
         for one in quarantine.requests:
             if before.find(one.fingerprint) is None:
@@ -243,13 +243,15 @@
         self._schedule_push()
 
     def _order_due_quarantines(self) -> None:
-        """At the leader, order the quarantine of requests that reached the crash threshold.
+        """At the leader, order the quarantine of what reached the crash threshold.
 
         All replicas collect the evidence, so a new leader can issue orders that failed here.
         """
         if not self.host.is_leader:
             return
-        due = self._publisher.evidence.list_due(self._store.quarantine, at=time.time())
+        due = self._publisher.evidence.list_due(
+            self._store.quarantine, at=time.time(), now=time.monotonic()
+        )
         for order in due:
             if order.fingerprint not in self._pending_orders:
                 self._pending_orders.add(order.fingerprint)
@@ -433,6 +435,7 @@
             exchange = self._publisher.make_exchange(now=now)
             for target in self._list_others():
                 self.transport.send(target, exchange)
+            self._order_due_quarantines()
             self._tell_rollout(self._publisher.make_rollout_state(now=now))
 
     def _run_endpoint_rounds(self) -> None:
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -334,6 +334,8 @@
             return False
         if not has_reached(call.attempts):
             return True
+        if self._view.is_suspected(call):
+            return False
         call.reservation = self._retry_budget.reserve(call.service)
         self._log.write_budget(call)
         return call.reservation is not None
@@ -358,11 +360,12 @@
         with self._view.track_request(call, choice) as placed:
             # If the request times out or the caller disconnects, this attempt may have run.
             call.attempts.append(SendAttempt(endpoint_id=endpoint_id, end=SendEnd.MAYBE_RAN))
+            call.answer_began_at = None
             result = self._forwarder.send(call, choice, may_retry=may_retry)
             call.attempts.pop()
             placed.is_complete = result.is_answered and result.status < 500
         if placed.is_complete:
-            self._view.crashes.record_answered(call.fingerprint, now=time.monotonic())
+            self._view.record_sound(call)
         if result.end is None:
             self._view.health.record_outcome(
                 endpoint_id, SendEnd.FAILED if result.status >= 500 else None
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -299,6 +299,7 @@
             restart_count=self.subscriber.restart_count,
         )
         self.view.handle_view(view, viewed_at=self.subscriber.viewed_at)
+        self.view.handle_replica_restarts(self.subscriber.restart_count)
         self._paths.handle_carriers(view.carriers)
 
     def _record_answer(self, record: EndpointRecord, facts: AnswerFacts) -> None:
--- a/chivetrack/platform/operator_calls.py
+++ b/chivetrack/platform/operator_calls.py
@@ -47,6 +47,7 @@
     path: str
     since: float
     crashed: list[str]
+    part: str = ""
 
 
 class _Quarantine(msgspec.Struct):
@@ -155,6 +156,7 @@
             path=one.path,
             workspace=one.workspace,
             since=one.since,
+            part=one.part,
         )
         for one in msgspec.json.decode(body, type=_Quarantine).requests
     )
--- a/tests/components/quarantine/test_models.py
+++ b/tests/components/quarantine/test_models.py
@@ -2,8 +2,11 @@
 
 import unittest
 
+import msgspec
+
 from chivetrack.components.quarantine.const import MAX_QUARANTINED
 from chivetrack.components.quarantine.models import Quarantine, QuarantineOrder, ReleaseOrder
+from chivetrack.helpers.codec import decode_as
 
 
 def make_order(fingerprint: bytes = b"p", *, seen: int = 0) -> QuarantineOrder:
@@ -26,6 +29,16 @@
         self.assertEqual((second.revision, second.is_applied), (7, False))
         self.assertEqual(twice, once)
 
+    def test_part_is_shown_to_operators(self) -> None:
+        order = msgspec.structs.replace(make_order(), part="5eed")
+        (quarantined,) = Quarantine().apply(order, 7)[0].requests
+        self.assertEqual(quarantined.describe()["part"], "5eed")
+
+    def test_entries_of_the_release_before_are_whole_requests(self) -> None:
+        """Guards against a log or snapshot that can't be read after an upgrade."""
+        data = msgspec.msgpack.encode([b"p", ["i-1"], "llm", "/a/x", "w", 0, 5.0])
+        self.assertEqual(decode_as(QuarantineOrder, data).part, "")
+
     def test_order_made_before_a_release_is_ignored(self) -> None:
         """Guards against a delayed order that reverts an operator's release."""
         quarantined, _ = Quarantine().apply(make_order(), 7)
--- /dev/null
+++ b/tests/components/quarantine/test_random_fleet.py
@@ -0,0 +1,32 @@
+"""Random fleets against the bounds on a part of prompts that crashes endpoints."""
+
+import unittest
+
+from tests.components.quarantine.fleet import BAD_PART, CrashingFleet
+
+SEEDS = range(25)
+MAX_LATE_SENDS = 3
+
+
+class RandomFleetTest(unittest.TestCase):
+    def check(self, *, has_kills: bool) -> None:
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                fleet = CrashingFleet(seed, has_kills=has_kills).play()
+                self.assertLessEqual(fleet.count_late_sends(), MAX_LATE_SENDS)
+                self.assertEqual(fleet.list_sound_held(), [])
+                self.assertEqual(fleet.held_requests, 0)
+                self.assertIn(BAD_PART, fleet.held)
+                self.assertGreater(fleet.answered, 100)
+
+    def test_bad_part_is_held_and_nothing_else(self) -> None:
+        """Guards against endpoints that end one after the other, and sound requests refused."""
+        self.check(has_kills=False)
+
+    def test_bad_part_is_held_while_routers_and_replicas_are_killed(self) -> None:
+        """Guards against evidence that ends with the processes that hold it."""
+        self.check(has_kills=True)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/components/quarantine/test_two_requests.py
+++ b/tests/components/quarantine/test_two_requests.py
@@ -31,7 +31,7 @@
             moved = [f"n{incarnation - 1}-{number}" for number in range(20)] if incarnation else []
             reports = [make_report(name, incarnation) for name in (crashing, *concurrent, *moved)]
             evidence.record(reports, now=float(incarnation))
-        due = evidence.list_due(Quarantine(), at=10.0)
+        due = evidence.list_due(Quarantine(), at=10.0, now=10.0)
         self.assertEqual({order.fingerprint for order in due}, {b"first", b"second"})
         for order in due:
             self.assertEqual(len(order.crashes), CRASHES_TO_QUARANTINE)
--- a/tests/daemon/fleet/test_crashes.py
+++ b/tests/daemon/fleet/test_crashes.py
@@ -33,8 +33,8 @@
 class FakeCall:
     facts = RequestFacts(request_id="q")
 
-    def make_crash_report(self, record: EndpointRecord) -> CrashReport:
-        return CrashReport(
+    def make_crash_reports(self, record: EndpointRecord) -> list[CrashReport]:
+        report = CrashReport(
             fingerprint=b"f",
             endpoint_id=record.endpoint_id,
             born=record.born,
@@ -42,6 +42,7 @@
             path="/a/x",
             workspace="w",
         )
+        return [report]
 
 
 class CrashDetectorTest(unittest.TestCase):
