Bound what is read of an endpoint that writes without end

Cause: only single lines and whole buffered bodies were bounded; events, trailers, interim answers and late answers to other requests were read until the caller's time ended.

--- a/chivetrack/components/upstream/chunks.py
+++ b/chivetrack/components/upstream/chunks.py
@@ -2,8 +2,9 @@
 
 from enum import StrEnum
 
+from chivetrack.components.upstream.const import MAX_TRAILER_BYTES
+
 MAX_SIZE_LINE_BYTES = 64
-MAX_TRAILER_LINE_BYTES = 8192
 
 
 class ChunkError(Exception):
@@ -30,6 +31,7 @@
         self._buffer = b""
         self._part = _Part.SIZE
         self._bytes_left = 0
+        self._trailer_bytes_left = MAX_TRAILER_BYTES
 
     @property
     def is_ended(self) -> bool:
@@ -101,9 +103,10 @@
         return True
 
     def _read_trailer_line(self) -> bool:
-        line = self._read_line(MAX_TRAILER_LINE_BYTES)
+        line = self._read_line(self._trailer_bytes_left)
         if line is None:
             return False
+        self._trailer_bytes_left -= len(line) + 2
         if not line:
             self._part = _Part.ENDED
         return True
--- a/chivetrack/components/upstream/connection.py
+++ b/chivetrack/components/upstream/connection.py
@@ -14,7 +14,7 @@
 
 from chivetrack.components.upstream.carried import CarriedSocket
 from chivetrack.components.upstream.chunks import ChunkDecoder, ChunkError
-from chivetrack.components.upstream.const import READ_SIZE
+from chivetrack.components.upstream.const import MAX_HEAD_BYTES, READ_SIZE
 from chivetrack.components.upstream.models import BrokenAnswerError
 from chivetrack.helpers.sockets import count_unacknowledged
 
@@ -24,6 +24,8 @@
 # Larger bodies are sent by a separate greenlet, so that an answer that arrives before the
 # endpoint has read the body is detected immediately.
 MAX_INLINE_BODY_BYTES = 16 * 1024
+# Other interim answers than 101, after which the connection speaks another protocol.
+_INTERIM_STATUSES = frozenset(range(100, 200)) - {101}
 SOCKET_OPTIONS: list[tuple[int, int, int | bytes]] = [
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS),
@@ -59,6 +61,11 @@
     def __init__(self, sock: socket.socket | CarriedSocket) -> None:
         self._socket = sock
         self._buffer = b""
+        self._head_bytes_left = 0
+
+    def begin_head(self) -> None:
+        """Allow the next ``MAX_HEAD_BYTES`` to be read as lines."""
+        self._head_bytes_left = MAX_HEAD_BYTES
 
     @property
     def has_buffered_data(self) -> bool:
@@ -74,7 +81,11 @@
                 break
             self._buffer += data
         end = self._buffer.find(b"\n") + 1 or len(self._buffer)
-        return self._read_buffered(end if limit < 0 else min(end, limit))
+        line = self._read_buffered(end if limit < 0 else min(end, limit))
+        self._head_bytes_left -= len(line)
+        if self._head_bytes_left < 0:
+            raise http.client.HTTPException("the head of the answer is too large")
+        return line
 
     def read1(self, size: int) -> bytes:
         return self._read_buffered(size) if self._buffer else self._socket.recv(size)
@@ -250,13 +261,20 @@
     def read_answer(self, method: str, *, timeout_s: float) -> EndpointAnswer:
         """Read the head of the next answer; raise ``MaybeRanError`` if there is none."""
         self._socket.settimeout(timeout_s)
-        response = http.client.HTTPResponse(self._reader, method=method)  # type: ignore[arg-type]
+        self._reader.begin_head()
         try:
-            response.begin()
+            response = self._read_head(method)
+            while response.status in _INTERIM_STATUSES:
+                response = self._read_head(method)
         except (OSError, http.client.HTTPException, ValueError) as error:
             raise MaybeRanError(f"no answer: {type(error).__name__}: {error}") from error
         return EndpointAnswer(response=response)
 
+    def _read_head(self, method: str) -> http.client.HTTPResponse:
+        response = http.client.HTTPResponse(self._reader, method=method)  # type: ignore[arg-type]
+        response.begin()
+        return response
+
     def set_timeout(self, timeout_s: float) -> None:
         """Set the longest wait for the next bytes, in seconds."""
         self._socket.settimeout(timeout_s)
--- a/chivetrack/components/upstream/const.py
+++ b/chivetrack/components/upstream/const.py
@@ -12,6 +12,10 @@
 # Shortest time between two reads of a stream, so that one read returns several chunks.
 # A seventh of the 75 ms that are allowed between two tokens.
 MIN_READ_INTERVAL_S: Final = 0.01
+# An endpoint in trouble may write bytes without end; what is read of it is bounded everywhere.
+MAX_HEAD_BYTES: Final = 128 * 1024
+MAX_TRAILER_BYTES: Final = 64 * 1024
+MAX_EVENT_BYTES: Final = 256 * 1024
 POOL_SIZE: Final = 256
 # Last event of a complete stream; it is searched for in the last bytes of the body.
 STREAM_END: Final = b"data: [DONE]"
--- a/chivetrack/components/upstream/events.py
+++ b/chivetrack/components/upstream/events.py
@@ -1,5 +1,8 @@
 """Splitter of a server-sent event stream into complete events."""
 
+from chivetrack.components.upstream.const import MAX_EVENT_BYTES
+from chivetrack.components.upstream.models import BrokenAnswerError
+
 _BLANK_LINES = (b"\n\n", b"\r\n\r\n")
 
 
@@ -22,9 +25,14 @@
         return bool(self._buffer)
 
     def feed(self, data: bytes) -> bytes:
-        """Append ``data`` and return the events that are complete now, joined."""
+        """Append ``data`` and return the events that are complete now, joined.
+
+        Raise ``BrokenAnswerError`` if an event has no end within ``MAX_EVENT_BYTES``.
+        """
         self._buffer += data
         end = max(self._find_end(blank) for blank in _BLANK_LINES)
+        if len(self._buffer) - max(0, end) > MAX_EVENT_BYTES:
+            raise BrokenAnswerError("an event is too large")
         if end <= 0:
             return b""
         events, self._buffer = self._buffer[:end], self._buffer[end:]
--- a/chivetrack/daemon/fleet/forwarder.py
+++ b/chivetrack/daemon/fleet/forwarder.py
@@ -222,12 +222,11 @@
             raise MaybeRanError(f"not acknowledged for {UNACKNOWLEDGED_S} s")
         self._dialer.handle_broken_connection(choice.record, connection.carrier)
 
-    @staticmethod
-    def _discard(answer: EndpointAnswer) -> None:
+    @classmethod
+    def _discard(cls, answer: EndpointAnswer) -> None:
         if not answer.is_framed:
             raise MaybeRanError("the answer belongs to another request")
-        for _ in answer.read_chunks():
-            continue
+        cls._read_whole(answer)
 
     def _handle_answer(
         self,
