Stop the watcher of a caller before its descriptor is closed

Cause: the watcher of a caller ran in a greenlet that was killed without waiting, so its watcher went on until the next round of the loop; the server closes the descriptor itself at once. If a round is cut short since it takes more than 5 ms, the loop finds a watcher of a closed descriptor. Now the watcher is stopped in the same step in which the watch ends.

--- a/chivetrack/components/caller_api/watch.py
+++ b/chivetrack/components/caller_api/watch.py
@@ -3,12 +3,15 @@
 import socket
 from collections.abc import Iterator
 from contextlib import contextmanager
+from typing import Final
 
 import gevent
-from gevent.socket import wait_read
 
 from chivetrack.exceptions import Ran
 
+# The event mask of the event loop for a readable descriptor.
+_READ: Final = 1
+
 
 class CallerLeftError(Exception):
     """The caller closed its connection, so the answer would not be read."""
@@ -19,17 +22,6 @@
         self.ran = Ran.MAYBE
 
 
-def _wait_for_end(caller_socket: socket.socket, waiter: gevent.Greenlet) -> None:
-    wait_read(caller_socket.fileno())
-    try:
-        unread = socket.socket.recv(caller_socket, 1, socket.MSG_PEEK)
-    except OSError:
-        unread = b""
-    # Unread bytes belong to the next request of the caller, so it is still connected.
-    if not unread:
-        waiter.kill(CallerLeftError(), block=False)
-
-
 def has_left(caller_socket: socket.socket | None) -> bool:
     """Return whether a caller has closed its connection; does not block."""
     if not isinstance(caller_socket, gevent.socket.socket):
@@ -54,8 +46,20 @@
     if not isinstance(caller_socket, gevent.socket.socket):
         yield
         return
-    watcher = gevent.spawn(_wait_for_end, caller_socket, gevent.getcurrent())
+    waiter = gevent.getcurrent()
+    watcher = gevent.get_hub().loop.io(caller_socket.fileno(), _READ)
+
+    def handle_readable() -> None:
+        # Unread bytes belong to the next request of the caller, so it is still connected.
+        watcher.stop()
+        if has_left(caller_socket):
+            waiter.throw(CallerLeftError())
+
+    watcher.start(handle_readable)
     try:
         yield
     finally:
-        watcher.kill(block=False)
+        # At once: the server closes the descriptor next, and the event loop aborts the process
+        # if it finds a watcher of a closed one.
+        watcher.stop()
+        watcher.close()
