Close new connections unread while a router is behind

Callers whose connection is closed unread may send any request again, and their next attempt meets another router. Cause: nothing told a router that it is behind; requests were read as fast as the loop could, and each then waited for several late rounds of it.

--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -25,6 +25,7 @@
     View,
 )
 from chivetrack.components.distribution.subscriber import RouterReport, Subscriber
+from chivetrack.components.limits.shedding import ConnectionShedder
 from chivetrack.components.limits.stopping import StopWindow
 from chivetrack.components.origins.messages import OriginAnswer
 from chivetrack.components.paths.const import MAX_CARRIED
@@ -59,6 +60,7 @@
 from chivetrack.daemon.fleet.permits import PermitClient
 from chivetrack.daemon.fleet.requests import RequestHandler
 from chivetrack.daemon.fleet.retry_budget import RetryBudgetClient
+from chivetrack.daemon.fleet.shedding import LoopMonitor
 from chivetrack.daemon.fleet.stream_carrier import StreamCarrier
 from chivetrack.daemon.server import HttpServer
 from chivetrack.daemon.server_limits import ServerLimits
@@ -206,7 +208,13 @@
         self._gate = CallGate(
             application=self.request_handler, refuse=self.request_handler.late_requests
         )
-        self._callers = self._make_server(settings.listeners.callers, self._gate, listener)
+        self._shedder = ConnectionShedder()
+        self._callers = self._make_server(
+            settings.listeners.callers,
+            self._gate,
+            listener,
+            may_accept=self._shedder.may_accept,
+        )
         self._ready = self._make_server(settings.listeners.ready, self._build_ready_app())
         self._metrics_server = open_metrics_server(settings.listeners.metrics, self._metrics)
 
@@ -241,6 +249,12 @@
 
     def _list_gauges(self) -> Iterator[Gauge]:
         view = self.view
+        yield Gauge(
+            name="chivetrack.router.shed_connections",
+            unit="{connection}",
+            description="Connections of callers that were closed unread while the router was late.",
+            read=lambda: self._shedder.closed_count,
+        )
         yield Gauge(
             name="chivetrack.router.carried_connections",
             unit="{connection}",
@@ -265,6 +279,7 @@
         address: Address,
         application: Callable[..., Any],
         listener: socket.socket | None = None,
+        may_accept: Callable[[], bool] = lambda: True,
     ) -> HttpServer:
         host_and_port = (address.host, address.port)
         is_open = listener is not None and listener.getsockname() == host_and_port
@@ -273,6 +288,7 @@
             application=application,
             is_closing=self._stop_requested.is_set,
             listener=listener if is_open else None,
+            may_accept=may_accept,
         )
 
     def _build_ready_app(self) -> Bottle:
@@ -497,7 +513,12 @@
         self._timers.call_every(PRUNE_INTERVAL_S, self._prune, now=now)
         loops = [
             gevent.spawn(one)
-            for one in (self._run_timers, self._paths.run_probes, self._origins.run)
+            for one in (
+                self._run_timers,
+                self._paths.run_probes,
+                self._origins.run,
+                LoopMonitor(shedder=self._shedder, events=self._events).run,
+            )
         ]
         try:
             yield
--- a/chivetrack/daemon/server.py
+++ b/chivetrack/daemon/server.py
@@ -283,12 +283,14 @@
         limits: ServerLimits | None = None,
         listener: socket.socket | None = None,
         pace: Callable[[Any, bytes], Iterable[bytes]] = write_at_once,
+        may_accept: Callable[[], bool] = lambda: True,
     ) -> None:
         """Create a server that binds ``address`` at ``start``.
 
         With ``tls`` all connections are encrypted. A ``listener`` that already listens at
         ``address`` is used instead of a new one. ``pace`` returns the pieces of what is
-        written to a caller's socket, each once it may be written.
+        written to a caller's socket, each once it may be written. ``may_accept`` returns whether
+        a new connection is served; otherwise it is closed unread.
         """
         options: dict[str, Any] = {} if tls is None else {"ssl_context": tls}
         super().__init__(
@@ -304,6 +306,7 @@
         self.is_closing = is_closing
         self.limits = limits or ServerLimits()
         self.pace = pace
+        self._may_accept = may_accept
         self.is_draining = False
         # Connections whose request may be incomplete; the idle ones wait for its first line.
         self.receiving_handlers: set[_RequestHandler] = set()
@@ -314,6 +317,11 @@
         """Return whether connections close after their request."""
         return self.is_draining or self.is_closing()
 
+    def handle(self, *args: Any) -> None:
+        """Serve a new connection, or return so that it is closed unread."""
+        if self.is_ending or self._may_accept():
+            super().handle(*args)
+
     def drain(self, *, ends_at: float) -> int:
         """Answer what callers have sent, then close the listener and all connections.
 
--- a/tests/daemon/test_server.py
+++ b/tests/daemon/test_server.py
@@ -147,6 +147,37 @@
         self.assertTrue(data.endswith(b"\r\n\r\nhalf"))
 
 
+class UnacceptedConnectionTest(unittest.TestCase):
+    def test_connection_that_is_not_accepted_is_closed_unread(self) -> None:
+        """Guards against reading requests of which a router that is behind answers none in time."""
+        read: list[Any] = []
+
+        def application(environ: dict[str, Any], start_response: Any) -> list[bytes]:
+            read.append(environ)
+            start_response("200 OK", [("Content-Length", "1")])
+            return [b"x"]
+
+        is_behind = True
+        server = HttpServer(
+            address=("127.0.0.1", 0),
+            application=application,
+            is_closing=lambda: False,
+            may_accept=lambda: not is_behind,
+        )
+        server.start()
+        self.addCleanup(server.stop, timeout=0)
+        for is_behind in (True, False):
+            connection = socket.create_connection(("127.0.0.1", server.server_port), timeout=10)
+            self.addCleanup(connection.close)
+            try:
+                connection.sendall(b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n")
+                answer = connection.recv(100)
+            except OSError:
+                answer = b""
+            self.assertEqual(answer == b"", is_behind)
+        self.assertEqual(len(read), 1)
+
+
 class ClosedIdleTest(ServerCase):
     def test_request_that_crosses_the_close_of_an_idle_connection(self) -> None:
         """A router stops and closes its idle connections; one has just received a request.
