Tell in a request's story that the retry budget had no room

A caller's failed request said only that no further try was allowed. request_given_up now has no_budget as its reason, also where a reserved retry expired and none was left, and the story says so even if the endpoint's own answer was delivered. test_ready_failures expects this reason in place of tries_used_up.

--- a/chivetrack/components/stories/story.py
+++ b/chivetrack/components/stories/story.py
@@ -37,7 +37,7 @@
     )
 )
 _REFUSALS = frozenset(("request_rejected", "stream_refused"))
-_VERSION_REASONS = frozenset(("no_endpoint_of_version", "version_unconfirmed"))
+_DECISIVE_REASONS = frozenset(("no_endpoint_of_version", "version_unconfirmed", "no_budget"))
 _HIDDEN = frozenset(("at", "up", "instance", "event", "request"))
 
 CAUSES: Registry[Cause] = Registry(name="cause")
@@ -146,8 +146,8 @@
 
 
 def _is_refusal(event: Event) -> bool:
-    is_version = event["event"] == "request_given_up" and event.get("why") in _VERSION_REASONS
-    return is_version or event["event"] in _REFUSALS
+    is_given_up = event["event"] == "request_given_up" and event.get("why") in _DECISIVE_REASONS
+    return is_given_up or event["event"] in _REFUSALS
 
 
 def format_event(event: Event) -> str:
@@ -192,6 +192,8 @@
         return f"no endpoint of version {event.get('began_at')} is left, at which the stream began"
     if event.get("why") == "version_unconfirmed":
         return "too few replicas have confirmed the versions at which the stream could begin"
+    if event.get("why") == "no_budget":
+        return f"{event.get('tries')} tries failed and the retry budget of the fleet had no room"
     return f"{event.get('tries')} tries failed and no further one was allowed"
 
 
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -269,8 +269,9 @@
             choice = self._prepare_attempt(call)
             if choice is None or self._send(call, choice):
                 return
-            if not self._may_send_again(call):
-                self._abandon(call, "tries_used_up")
+            refusal = self._find_retry_refusal(call)
+            if refusal:
+                self._abandon(call, refusal)
                 return
 
     def _prepare_attempt(self, call: Call) -> Choice | None:
@@ -286,7 +287,7 @@
         if not call.attempts and self._refusals.refuse_infeasible(call, choice):
             return None
         if not self._commit_retry(call):
-            self._abandon(call, "budget_used_up")
+            self._abandon(call, "no_budget")
             return None
         self.open_requests.raise_if_ended()
         return choice
@@ -327,18 +328,18 @@
             return "no_endpoint_of_version"
         return "version_unconfirmed" if self._view.awaits_registration(call) else "no_candidate"
 
-    def _may_send_again(self, call: Call) -> bool:
-        """Return whether there may be another attempt; a retry is reserved in the budget."""
+    def _find_retry_refusal(self, call: Call) -> str:
+        """Return why there may be no other attempt; otherwise reserve one and return nothing."""
         left_s = call.ends_at - time.monotonic()
         if not may_send_again(call.route, call.attempts, left_s=left_s):
-            return False
+            return "tries_used_up"
         if not has_reached(call.attempts):
-            return True
+            return ""
         if self._view.is_suspected(call):
-            return False
+            return "tries_used_up"
         call.reservation = self._retry_budget.reserve(call.service)
         self._log.write_budget(call)
-        return call.reservation is not None
+        return "no_budget" if call.reservation is None else ""
 
     def _commit_retry(self, call: Call) -> bool:
         """Use the reserved retry, if the next attempt is one; return whether it may be sent."""
--- a/tests/components/stories/test_story.py
+++ b/tests/components/stories/test_story.py
@@ -46,6 +46,7 @@
             (("request_given_up", {"why": "no_candidate", "tries": 0, "candidates": 3}), "3 are"),
             (("request_given_up", {"why": "no_endpoint_of_version", "began_at": "v1"}), "n v1 is"),
             (("request_given_up", {"why": "version_unconfirmed"}), "too few replicas"),
+            (("request_given_up", {"why": "no_budget", "tries": 1}), "budget of the fleet"),
             (("request_ended", {"outcome": "timeout", "ms": 800}), "deadline"),
             (("request_ended", {"outcome": "answered", "status": 200, "ms": 8}), "with 200"),
             (("request_placed", {}), "no event shows"),
@@ -55,6 +56,16 @@
             assert story is not None
             self.assertIn(expected, story.cause)
 
+    def test_retry_without_budget_is_told_although_the_caller_got_an_answer(self) -> None:
+        lines = [
+            make_line(1.0, "try_ended", request="q", endpoint="e1", outcome="failed"),
+            make_line(1.1, "request_given_up", request="q", why="no_budget", tries=1),
+            make_line(1.2, "request_ended", request="q", outcome="answered", status=500, tries=1),
+        ]
+        story = build_story("q", read_events(lines))
+        assert story is not None
+        self.assertIn("the retry budget of the fleet had no room; endpoint e1", story.cause)
+
     def test_way_of_a_stream_over_requests_and_versions(self) -> None:
         """Guards against a stream on two versions that the story of one request does not show."""
 
--- a/tests/daemon/fleet/test_ready_failures.py
+++ b/tests/daemon/fleet/test_ready_failures.py
@@ -41,7 +41,7 @@
         self.start().join()
         self.check_delivered(sent=1)
         (given_up,) = [one for one in self.events.written if one["event"] == "request_given_up"]
-        self.assertEqual((given_up["why"], given_up["status"]), ("tries_used_up", 500))
+        self.assertEqual((given_up["why"], given_up["status"]), ("no_budget", 500))
 
     def test_no_other_endpoint_answers(self) -> None:
         self.slack = 9
