Tell in a request's story which part of its prompt is quarantined

A caller that got request_quarantined, or whose request was not sent again because endpoints had crashed under it, found neither the endpoints nor the part in the story. Both are named now.

--- a/chivetrack/components/stories/story.py
+++ b/chivetrack/components/stories/story.py
@@ -37,7 +37,9 @@
     )
 )
 _REFUSALS = frozenset(("request_rejected", "stream_refused"))
-_DECISIVE_REASONS = frozenset(("no_endpoint_of_version", "version_unconfirmed", "no_budget"))
+_DECISIVE_REASONS = frozenset(
+    ("no_endpoint_of_version", "version_unconfirmed", "no_budget", "suspected")
+)
 _HIDDEN = frozenset(("at", "up", "instance", "event", "request"))
 
 CAUSES: Registry[Cause] = Registry(name="cause")
@@ -162,9 +164,18 @@
     code = event.get("code")
     if code in ("unknown_route", "unknown_key"):
         return f"{code} under version {event.get('version')} of the configuration on this router"
+    if code == "request_quarantined":
+        return _explain_quarantined(event)
     return f"rejected by the router itself: {code}"
 
 
+def _explain_quarantined(event: Event) -> str:
+    crashed = event.get("crashed")
+    endpoints = ", ".join(map(str, crashed)) if isinstance(crashed, list) else "endpoints"
+    what = f"requests with the part {event['part']}" if event.get("part") else "it"
+    return f"quarantined: {endpoints} crashed under {what}"
+
+
 @CAUSES.register("stream_refused")
 def _explain_stream_refused(event: Event) -> str:
     causes = {
@@ -194,6 +205,8 @@
         return "too few replicas have confirmed the versions at which the stream could begin"
     if event.get("why") == "no_budget":
         return f"{event.get('tries')} tries failed and the retry budget of the fleet had no room"
+    if event.get("why") == "suspected":
+        return "several endpoints crashed under it or under a part of it, so it was not sent again"
     return f"{event.get('tries')} tries failed and no further one was allowed"
 
 
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -336,7 +336,7 @@
         if not has_reached(call.attempts):
             return ""
         if self._view.is_suspected(call):
-            return "tries_used_up"
+            return "suspected"
         call.reservation = self._retry_budget.reserve(call.service)
         self._log.write_budget(call)
         return "no_budget" if call.reservation is None else ""
--- a/tests/components/stories/test_story.py
+++ b/tests/components/stories/test_story.py
@@ -47,6 +47,15 @@
             (("request_given_up", {"why": "no_endpoint_of_version", "began_at": "v1"}), "n v1 is"),
             (("request_given_up", {"why": "version_unconfirmed"}), "too few replicas"),
             (("request_given_up", {"why": "no_budget", "tries": 1}), "budget of the fleet"),
+            (("request_given_up", {"why": "suspected", "tries": 1}), "so it was not sent again"),
+            (
+                ("request_rejected", {"code": "request_quarantined", "crashed": ["e1", "e2"]}),
+                "e1, e2 crashed under it",
+            ),
+            (
+                ("request_rejected", {"code": "request_quarantined", "part": "5eed"}),
+                "crashed under requests with the part 5eed",
+            ),
             (("request_ended", {"outcome": "timeout", "ms": 800}), "deadline"),
             (("request_ended", {"outcome": "answered", "status": 200, "ms": 8}), "with 200"),
             (("request_placed", {}), "no event shows"),
