Judge whether a router is behind by the time for which its loop works

Cause: the share of a core came from two clocks, the processor's and the machine's, which need not run alike; it read 1.0 on routers that were idle.

--- a/chivetrack/components/limits/shedding.py
+++ b/chivetrack/components/limits/shedding.py
@@ -3,9 +3,9 @@
 from typing import Final
 
 MAX_LAG_S: Final = 0.02
-MAX_PROCESSOR_SHARE: Final = 0.9
-"""Mean delay of the event loop, and mean share of a core used, above which new connections are
-closed unread. On a share of a core, the delay shows first."""
+MAX_BUSY_SHARE: Final = 0.9
+"""Mean delay of the event loop, and mean share of the time for which it works, above which new
+connections are closed unread. On a share of a core, the delay shows first."""
 
 SAMPLE_WEIGHT: Final = 0.2
 """Weight of the newest sample in the means; samples come 50 times a second."""
@@ -37,17 +37,17 @@
 
     @property
     def mean_share(self) -> float:
-        """Return the mean share of a core that this process uses."""
+        """Return the mean share of the time for which the event loop works."""
         return self._mean_share
 
-    def record_sample(self, *, lag_s: float, processor_share: float) -> None:
-        """Record by how much a timer was late, and which share of a core was used meanwhile."""
+    def record_sample(self, *, lag_s: float, busy_share: float) -> None:
+        """Record by how much a timer was late, and for which share of the time the loop worked."""
         self._mean_lag_s += SAMPLE_WEIGHT * (lag_s - self._mean_lag_s)
-        self._mean_share += SAMPLE_WEIGHT * (processor_share - self._mean_share)
+        self._mean_share += SAMPLE_WEIGHT * (busy_share - self._mean_share)
 
     def may_accept(self) -> bool:
         """Return whether the next connection is taken."""
-        is_behind = self._mean_lag_s > MAX_LAG_S or self._mean_share > MAX_PROCESSOR_SHARE
+        is_behind = self._mean_lag_s > MAX_LAG_S or self._mean_share > MAX_BUSY_SHARE
         if not is_behind or self._closed_in_a_row + 1 >= KEPT_CONNECTIONS:
             self._closed_in_a_row = 0
             return True
--- a/tests/components/limits/test_shedding.py
+++ b/tests/components/limits/test_shedding.py
@@ -7,8 +7,8 @@
 
 from chivetrack.components.limits.shedding import (
     KEPT_CONNECTIONS,
+    MAX_BUSY_SHARE,
     MAX_LAG_S,
-    MAX_PROCESSOR_SHARE,
     ConnectionShedder,
 )
 
@@ -26,13 +26,13 @@
 
     def record(self, *, lag_s: float = 0.0, share: float = 0.0, samples: int = 50) -> None:
         for _ in range(samples):
-            self.shedder.record_sample(lag_s=lag_s, processor_share=share)
+            self.shedder.record_sample(lag_s=lag_s, busy_share=share)
 
     def accept(self, count: int) -> int:
         return sum(self.shedder.may_accept() for _ in range(count))
 
     def test_router_that_is_not_behind_takes_all(self) -> None:
-        self.record(lag_s=MAX_LAG_S / 2, share=MAX_PROCESSOR_SHARE / 2)
+        self.record(lag_s=MAX_LAG_S / 2, share=MAX_BUSY_SHARE / 2)
         self.assertEqual(self.accept(100), 100)
 
     def test_single_late_sample_closes_nothing(self) -> None:
@@ -75,7 +75,7 @@
             in_time += now - self.due.popleft() <= TIME_LIMIT_S
             self.credit_s -= work_s
         share = 1.0 if self.due else 1.0 - max(0.0, self.credit_s) / SAMPLE_S
-        self.shedder.record_sample(lag_s=0.0, processor_share=share)
+        self.shedder.record_sample(lag_s=0.0, busy_share=share)
         return in_time
 
 
