--- a/chivetrack/daemon/fleet/fleet_view.py
+++ b/chivetrack/daemon/fleet/fleet_view.py
@@ -17,16 +17,13 @@
 from chivetrack.components.origins.models import Origin
 from chivetrack.components.placement.choice import Candidate, Choice, Source
 from chivetrack.components.placement.placement import Placed, Placement
-from chivetrack.components.quarantine.const import ANSWER_PROOF_S
-from chivetrack.components.quarantine.crash_reports import RecentCrashes
-from chivetrack.components.quarantine.fingerprint import make_service_fingerprint
-from chivetrack.components.quarantine.models import Quarantine, QuarantinedRequest
 from chivetrack.components.retries.service_budgets import ServiceRetryBudgets
 from chivetrack.components.traffic.models import Document, RouteKind
 from chivetrack.components.traffic.requests import AnswerFacts
 from chivetrack.components.traffic.table import RouteTable
 from chivetrack.daemon.fleet.calls import Call
 from chivetrack.daemon.fleet.health import EndpointHealth
+from chivetrack.daemon.fleet.quarantine_view import QuarantineView
 from chivetrack.helpers.clock import read_boot_clock
 from chivetrack.helpers.events import EventLog
 
@@ -79,11 +76,7 @@
         self.placement = Placement(zone=zone)
         self.health = EndpointHealth(events=events, is_silent=self.placement.is_silent)
         self.budgets = ServiceRetryBudgets(ratio=bounds.retry_ratio, window_s=bounds.retry_window_s)
-        self.crashes = RecentCrashes()
-        self._quarantine = Quarantine()
-        self._quarantined: dict[bytes, QuarantinedRequest] = {}
-        self._suspects: frozenset[bytes] = frozenset()
-        self._replica_restarts = 0
+        self.quarantine = QuarantineView(events=events)
         self._reported_loads: dict[str, EndpointLoad] = {}
         self._lifetimes: dict[str, tuple[int, str]] = {}
         self._first_seen_at: dict[str, float] = {}
@@ -137,11 +130,11 @@
         self._apply_changes()
         self._apply_evacuations(view.evacuations)
         if view.quarantine is not None:
-            self._apply_quarantine(view.quarantine)
+            self.quarantine.apply(view.quarantine)
         if view.has_loads:
             self._router_count = max(view.routers, self._router_count * ROUTER_COUNT_DECAY)
             self._stopping_share = view.stopping / max(1, view.routers)
-            self._suspects = frozenset(view.suspects)
+            self.quarantine.update_suspects(view.suspects)
             if view.silent is not None:
                 self.update_silent_endpoints(view.silent)
             if view.loads is not None:
@@ -216,48 +209,11 @@
             running=self.count_running_in(evacuated),
         )
 
-    def _apply_quarantine(self, quarantine: Quarantine) -> None:
-        """Apply a quarantine if its revision is newer."""
-        if quarantine.revision <= self._quarantine.revision:
-            return
-        self._quarantine = quarantine
-        self._quarantined = {one.fingerprint: one for one in quarantine.requests}
-        self._events.write(
-            "quarantine_in_force", revision=quarantine.revision, requests=len(quarantine.requests)
-        )
-
     @property
     def do_others_accept(self) -> bool:
         """Return whether a caller's retry will probably reach a router that is not stopping."""
         return self._stopping_share <= MAX_STOPPING_SHARE
 
-    @property
-    def quarantine_revision(self) -> int:
-        """Return the revision of the quarantine that this router applies."""
-        return self._quarantine.revision
-
-    def find_quarantined(self, call: Call) -> QuarantinedRequest | None:
-        """Return the quarantine entry of a request or of a part of it, ``None`` if it may run."""
-        if not self._quarantined:
-            return None
-        held = (self._quarantined.get(each) for each in call.list_fingerprints())
-        return next((each for each in held if each is not None), None)
-
-    def is_suspected(self, call: Call) -> bool:
-        """Return whether several endpoints crashed under a request or a part of it."""
-        return bool(self._suspects) and not self._suspects.isdisjoint(call.list_fingerprints())
-
-    def record_sound(self, call: Call) -> None:
-        """Record that an endpoint has begun to answer a request and did not crash."""
-        fingerprints = [*call.list_fingerprints(), make_service_fingerprint(call.service)]
-        self.crashes.record_answered(fingerprints, now=call.answer_began_at or time.monotonic())
-
-    def handle_replica_restarts(self, count: int) -> None:
-        """Report recent crashes again if a replica has restarted, of ``count`` so far."""
-        if count != self._replica_restarts:
-            self._replica_restarts = count
-            self.crashes.report_again(now=time.monotonic())
-
     def count_running_in(self, zones: Collection[str]) -> int:
         """Return the number of this router's requests running at endpoints of ``zones``."""
         ids = set(self.directory.list_ids_in(zones))
@@ -330,9 +286,9 @@
         return RouterReport(
             loads=loads,
             placed=tuple(self.placement.pop_placements(now)),
-            crash_reports=self.crashes.list_current(now=now),
-            answered=self.crashes.list_answered(self._suspects, now=now),
-            quarantine_revision=self.quarantine_revision,
+            crash_reports=self.quarantine.list_crash_reports(now=now),
+            answered=self.quarantine.list_answered(now=now),
+            quarantine_revision=self.quarantine.revision,
             is_stopping=self.is_stopping,
         )
 
@@ -463,14 +419,9 @@
 
     def handle_bytes(self, call: Call) -> None:
         """Record that the endpoint at which a request runs has sent bytes."""
-        if call.placed is None:
-            return
-        now = time.monotonic()
-        self.placement.record_bytes(call.placed, now=now)
-        began_at = call.answer_began_at
-        if began_at is not None and not call.is_sound and now - began_at >= ANSWER_PROOF_S:
-            call.is_sound = True
-            self.record_sound(call)
+        if call.placed is not None:
+            self.placement.record_bytes(call.placed, now=time.monotonic())
+            self.quarantine.handle_bytes(call)
 
     def handle_first_event(self, call: Call) -> None:
         """Record that the engine has processed the prompt, as its first event shows."""
--- a/chivetrack/daemon/fleet/refusals.py
+++ b/chivetrack/daemon/fleet/refusals.py
@@ -104,7 +104,7 @@
 
     def refuse_quarantined(self, call: Call) -> bool:
         """Refuse a quarantined request; checked before each attempt, including retries."""
-        quarantined = self._view.find_quarantined(call)
+        quarantined = self._view.quarantine.find(call)
         if quarantined is None:
             return False
         fault = make_fault(has_run=may_have_run(call.attempts))
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -335,7 +335,7 @@
             return "tries_used_up"
         if not has_reached(call.attempts):
             return ""
-        if self._view.is_suspected(call):
+        if self._view.quarantine.is_suspected(call):
             return "suspected"
         call.reservation = self._retry_budget.reserve(call.service)
         self._log.write_budget(call)
@@ -366,7 +366,7 @@
             call.attempts.pop()
             placed.is_complete = result.is_answered and result.status < 500
         if placed.is_complete:
-            self._view.record_sound(call)
+            self._view.quarantine.record_sound(call)
         if result.end is None:
             self._view.health.record_outcome(
                 endpoint_id, SendEnd.FAILED if result.status >= 500 else None
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -315,7 +315,7 @@
             restart_count=self.subscriber.restart_count,
         )
         self.view.handle_view(view, viewed_at=self.subscriber.viewed_at)
-        self.view.handle_replica_restarts(self.subscriber.restart_count)
+        self.view.quarantine.handle_replica_restarts(self.subscriber.restart_count)
         self._paths.handle_carriers(view.carriers)
 
     def _record_answer(self, record: EndpointRecord, facts: AnswerFacts) -> None:
@@ -325,8 +325,7 @@
     def _handle_crash(self, reports: Sequence[CrashReport]) -> None:
         """Report the requests that were running at a crashed endpoint without delay."""
         self._metrics.count_crash()
-        now = time.monotonic()
-        self.view.crashes.record_crash(reports, now=now)
+        self.view.quarantine.record_crash(reports)
         self._report_now()
 
     def _apply_limits(self, document: Document) -> None:
