Bound how many parts of one prompt are fingerprinted

A caller that lists thousands of parts would have cost its router milliseconds an attempt, and driven out what it remembers of all other callers' answers. The first 32 shared parts are looked at; prompts at hand have a few. Found by reading the change; a test holds it.

--- a/chivetrack/components/quarantine/const.py
+++ b/chivetrack/components/quarantine/const.py
@@ -59,5 +59,8 @@
 MAX_PATH_LENGTH: Final = 100
 """Maximum number of characters of a request path in a crash report."""
 
+MAX_PARTS: Final = 32
+"""Maximum number of shared parts of a prompt that are looked at; callers may list any number."""
+
 MAX_PART_LENGTH: Final = 64
 """Maximum number of characters of the id of a part in a crash report."""
--- a/chivetrack/daemon/fleet/calls.py
+++ b/chivetrack/daemon/fleet/calls.py
@@ -9,7 +9,11 @@
 from chivetrack.components.announcements.models import EndpointRecord
 from chivetrack.components.origins.models import Origin, OriginBasis, OriginVerdict
 from chivetrack.components.placement.placement import Placed
-from chivetrack.components.quarantine.const import MAX_PART_LENGTH, MAX_PATH_LENGTH
+from chivetrack.components.quarantine.const import (
+    MAX_PART_LENGTH,
+    MAX_PARTS,
+    MAX_PATH_LENGTH,
+)
 from chivetrack.components.quarantine.fingerprint import make_part_fingerprint
 from chivetrack.components.quarantine.models import CrashReport
 from chivetrack.components.retries.sending import SendAttempt, SendEnd
@@ -163,7 +167,7 @@
     def _fingerprint_parts(self) -> dict[str, bytes]:
         return {
             part.part_id: make_part_fingerprint(service=self.service, part=part.part_id)
-            for part in self.facts.shared_parts
+            for part in self.facts.shared_parts[:MAX_PARTS]
         }
 
     def make_crash_reports(self, record: EndpointRecord) -> list[CrashReport]:
--- a/tests/daemon/fleet/test_quarantine_view.py
+++ b/tests/daemon/fleet/test_quarantine_view.py
@@ -3,7 +3,7 @@
 import time
 import unittest
 
-from chivetrack.components.quarantine.const import ANSWER_PROOF_S
+from chivetrack.components.quarantine.const import ANSWER_PROOF_S, MAX_PARTS
 from chivetrack.components.quarantine.fingerprint import make_part_fingerprint
 from chivetrack.components.quarantine.models import Quarantine, QuarantineOrder
 from chivetrack.components.traffic.requests import PromptPart, RequestFacts
@@ -69,6 +69,12 @@
         sent = self.view.list_crash_reports(now=time.monotonic())
         self.assertEqual([report.part for report in sent], [""])
 
+    def test_prompt_of_very_many_parts_stays_bounded(self) -> None:
+        """Guards against one caller's request that drives out what is known of all others."""
+        call = make_prompt(*(f"p{number}" for number in range(10 * MAX_PARTS)))
+        self.assertEqual(len(call.list_fingerprints()), 1 + MAX_PARTS)
+        self.assertEqual(len(call.make_crash_reports(make_record())), 1 + MAX_PARTS)
+
     def test_suspected_parts_are_known(self) -> None:
         self.assertFalse(self.view.is_suspected(make_prompt("bad")))
         self.view.update_suspects([BAD])
