Let the first leader of a new deployment lend retries at once

Cause: a leader lends nothing for 13 s, since it does not know what was lent before; a router with few requests has no retry of its own meanwhile. The leader whose first entry follows the bootstrap is the first one ever: a confirmed leader has an entry on a majority, and each later one holds it.

--- a/chivetrack/components/consensus/core.py
+++ b/chivetrack/components/consensus/core.py
@@ -324,4 +324,5 @@
             members=state.log.members,
             halted=state.halted,
             replicas=() if leadership is None else leadership.list_replicas(now),
+            first_index=0 if leadership is None else leadership.first_index,
         )
--- a/chivetrack/components/consensus/leadership.py
+++ b/chivetrack/components/consensus/leadership.py
@@ -76,7 +76,7 @@
         self._confirmed_round = 0
         self._transfer: _LeadershipTransfer | None = None
         self.heartbeat_at = state.now + state.timing.heartbeat_s
-        self._first_index = state.log.last_index + 1
+        self.first_index = state.log.last_index + 1
         self._append(EntryKind.NOOP, b"")
         self._replication.start_round()
 
@@ -129,7 +129,7 @@
         """Append a member change, which takes effect at once, or refuse it."""
         state = self._state
         refusal = self._find_refusal()
-        if refusal is Refusal.NONE and state.commit_index < self._first_index:
+        if refusal is Refusal.NONE and state.commit_index < self.first_index:
             # Until an entry of this term is committed, a member change of an earlier
             # leader may be undecided; two changes at once can have disjoint quorums.
             refusal = Refusal.NOT_READY
@@ -152,7 +152,7 @@
         """
         replication = self._replication
         no_round_pending = self._confirmed_round == replication.round
-        index = max(self._state.commit_index, self._first_index)
+        index = max(self._state.commit_index, self.first_index)
         self._reads.append(_Read(read_id=read_id, round=replication.round + 1, index=index))
         if no_round_pending:
             replication.start_round()
--- a/chivetrack/components/consensus/models.py
+++ b/chivetrack/components/consensus/models.py
@@ -300,3 +300,4 @@
     members: Members
     halted: bool
     replicas: tuple[ReplicaStatus, ...] = ()
+    first_index: int = 0
--- a/chivetrack/components/retries/lender.py
+++ b/chivetrack/components/retries/lender.py
@@ -31,8 +31,8 @@
     no window can hold both that retry and a new one.
 
     The leader of a new term does not know what was lent before, so it waits until all of that has
-    expired. A replaced leader lends nothing once its last confirmation is too old, which is before
-    the next one begins.
+    expired, unless it is the first leader of a new deployment. A replaced leader lends nothing
+    once its last confirmation is too old, which is before the next one begins.
     """
 
     def __init__(self, *, slack: float, window_s: float) -> None:
@@ -44,11 +44,15 @@
         self._lends_from = float("inf")
         self._services: dict[str, _ServiceLeases] = {}
 
-    def confirm_leadership(self, term: int, *, at: float) -> None:
-        """Record that a majority confirmed, after ``at`` (s), that this replica leads ``term``."""
+    def confirm_leadership(self, term: int, *, at: float, is_first: bool = False) -> None:
+        """Record that a majority confirmed, after ``at`` (s), that this replica leads ``term``.
+
+        ``is_first``: no replica has led before.
+        """
         if term != self._term:
             self._term = term
-            self._lends_from = at + self._retention_s + MAX_CONFIRMATION_AGE_S
+            wait_s = 0.0 if is_first else self._retention_s + MAX_CONFIRMATION_AGE_S
+            self._lends_from = at + wait_s
         self._confirmed_at = at
 
     def lend(self, service: str, *, now: float) -> float:
--- a/chivetrack/daemon/fleet/lending.py
+++ b/chivetrack/daemon/fleet/lending.py
@@ -7,6 +7,7 @@
 from chivetrack.components.retries.const import CONFIRMATION_INTERVAL_S, MAX_CONFIRMATION_AGE_S
 from chivetrack.components.retries.lender import SlackLender
 from chivetrack.components.retries.messages import LeaseAnswer, LeaseRequest
+from chivetrack.daemon.fleet.log_host import ConfirmedLeadership
 from chivetrack.helpers.clock import read_boot_clock
 from chivetrack.helpers.codec import Message
 from chivetrack.helpers.events import EventLog
@@ -19,14 +20,14 @@
         self,
         *,
         lender: SlackLender,
-        confirm_leadership: Callable[[float], int | None],
+        confirm_leadership: Callable[[float], ConfirmedLeadership | None],
         answer: Callable[[str, Message], None],
         events: EventLog,
     ) -> None:
         """Store the lender and the callbacks.
 
-        ``confirm_leadership`` returns the term that this replica leads, confirmed within the given
-        number of seconds, or ``None``.
+        ``confirm_leadership`` returns what this replica leads, confirmed within the given number of
+        seconds, or ``None``.
         """
         self._lender = lender
         self._confirm_leadership = confirm_leadership
@@ -42,9 +43,11 @@
     def confirm(self) -> None:
         """Have the leadership confirmed once, if this replica leads."""
         asked_at = read_boot_clock()
-        term = self._confirm_leadership(MAX_CONFIRMATION_AGE_S)
-        if term is not None:
-            self._lender.confirm_leadership(term, at=asked_at)
+        confirmed = self._confirm_leadership(MAX_CONFIRMATION_AGE_S)
+        if confirmed is not None:
+            self._lender.confirm_leadership(
+                confirmed.term, at=asked_at, is_first=confirmed.is_first
+            )
 
     def handle_request(self, source: str, request: LeaseRequest) -> None:
         """Answer a router that asks for a retry."""
--- a/chivetrack/daemon/fleet/log_host.py
+++ b/chivetrack/daemon/fleet/log_host.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from dataclasses import dataclass
 from pathlib import Path
 
 import gevent
@@ -36,6 +37,7 @@
     REPAIR_INTERVAL_S,
 )
 from chivetrack.daemon.log_bootstrap import (
+    BOOTSTRAP_INDEX,
     POLL_INTERVAL_S,
     LogBootstrapRunner,
     build_replica,
@@ -55,6 +57,14 @@
 TIMING = Timing(first_election_min_s=0.1, first_election_max_s=0.4)
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ConfirmedLeadership:
+    """The term that a replica leads, and whether no other replica has led before."""
+
+    term: int
+    is_first: bool
+
+
 class RetiredError(Exception):
     """The log has permanently removed this replica; it must rejoin under a new replica id."""
 
@@ -169,14 +179,21 @@
         leader = self.replica.get_status().consensus.leader_instance
         return self._address_by_replica.get(leader, leader)
 
-    def confirm_leadership(self, *, timeout_s: float) -> int | None:
-        """Return the term that this replica leads, confirmed by a quorum after the call began."""
+    def confirm_leadership(self, *, timeout_s: float) -> ConfirmedLeadership | None:
+        """Return what this replica leads, confirmed by a quorum after the call began.
+
+        A confirmed leader has an entry of its term on a majority, and each later one has it. So the
+        first leader is the one whose first entry follows the bootstrap.
+        """
         replica = self.replica
         if replica is None or not self.is_leader:
             return None
-        term = replica.get_status().consensus.term
+        before = replica.get_status().consensus
         is_confirmed = replica.confirm_read(timeout_s=timeout_s).is_ok()
-        return term if is_confirmed and replica.get_status().consensus.term == term else None
+        if not is_confirmed or replica.get_status().consensus.term != before.term:
+            return None
+        is_first = before.first_index == BOOTSTRAP_INDEX + 1
+        return ConfirmedLeadership(term=before.term, is_first=is_first)
 
     def list_instances(self) -> tuple[str, ...]:
         """Return the instances of all members."""
--- a/chivetrack/daemon/log_bootstrap.py
+++ b/chivetrack/daemon/log_bootstrap.py
@@ -22,6 +22,9 @@
 from chivetrack.core import Effect, MessageReceived, SendMessage, TimeReached, WakeAt
 from chivetrack.helpers.codec import Message
 
+# Index of the entry that the bootstrap stands for; the first leader's own entry follows it.
+BOOTSTRAP_INDEX = 1
+
 POLL_INTERVAL_S = 0.02
 
 Send = Callable[[str, Message], None]
@@ -90,8 +93,10 @@
             self._ended.wait(max(POLL_INTERVAL_S, wake_at - now))
         if not self.is_member:
             return recovered
-        snapshot = Snapshot(index=1, term=1, members=self.members)
-        storage.save([Persist(snapshot=snapshot, reset=True, last_index=1, last_term=1)])
+        snapshot = Snapshot(index=BOOTSTRAP_INDEX, term=1, members=self.members)
+        storage.save(
+            [Persist(snapshot=snapshot, reset=True, last_index=BOOTSTRAP_INDEX, last_term=1)]
+        )
         return Recovered(hard_state=recovered.hard_state, snapshot=snapshot)
 
     def _execute(self, effects: list[Effect]) -> float:
--- a/tests/components/retries/test_lender.py
+++ b/tests/components/retries/test_lender.py
@@ -31,6 +31,12 @@
         self.assertFalse(self.lend(WAIT_S - 0.1))
         self.assertTrue(self.lend(WAIT_S))
 
+    def test_first_leader_of_a_deployment_lends_at_once(self) -> None:
+        """Guards against streams that break off in a new deployment although others could go on."""
+        self.lender.confirm_leadership(1, at=0.0, is_first=True)
+        self.assertEqual(self.lender.lend("llm", now=0.0), 0.0)
+        self.assertFalse(self.lend(1.0, term=2))
+
     def test_leader_that_was_replaced_meanwhile_waits_again(self) -> None:
         """Guards against a leader that leads again and does not know what others have lent."""
         self.lend(0.0)
