--- a/tests/components/retries/fleet.py
+++ b/tests/components/retries/fleet.py
@@ -35,10 +35,9 @@
 
 @dataclass(slots=True)
 class _Replica:
-    """One life of a replica; it leads ``term``, or believes so, until ``leads_until``."""
+    """One life of a replica."""
 
     lender: SlackLender
-    term: int = 0
 
 
 @dataclass(slots=True)
