Wait for every replica before a test counts answers

Cause: announce() returns once a majority has confirmed.

The test now waits for the answers of all replicas to both routers before it counts, and for the answer itself at the end. What it compares is unchanged.

--- a/tests/daemon/fleet/test_origins.py
+++ b/tests/daemon/fleet/test_origins.py
@@ -106,6 +106,11 @@
             while not all(map(client.tracker.may_begin, origins)):
                 gevent.sleep(0.01)
 
+    def wait_answers(self, count: int) -> None:
+        with gevent.Timeout(5.0):
+            while self.count_answers() < count:
+                gevent.sleep(0.01)
+
     def begin(self, router: str, request: str, origin: Origin = V1, **changes: Any) -> Call:
         facts = RequestFacts(request_id=request, wait_s=15.0)
         call = make_call(Caller(), **{"route": STREAM, "facts": facts, **changes})
@@ -122,6 +127,9 @@
     def count_records(self) -> int:
         return sum(isinstance(one, OriginRecords) for one in self.sent)
 
+    def count_answers(self) -> int:
+        return sum(isinstance(one, OriginAnswer) for one in self.sent)
+
 
 class OriginLookupTest(OriginsCase):
     def test_one_version_needs_no_records(self) -> None:
@@ -266,6 +274,7 @@
     def test_version_that_comes_back_while_it_is_taken_off_the_disk(self) -> None:
         """Guards against a confirmed version that the write of an older state removes."""
         self.announce(V1, V2)
+        self.wait_answers(len(REPLICAS) * len(self.clients))
         host, released = self.hosts["p1"], Event()
         save = OriginFile.save
 
@@ -282,7 +291,7 @@
             host.handle_query("r1", OriginQuery(number=1, registers=(V1,)))
             self.assertEqual(self.sent, [])
             released.set()
-            gevent.sleep(0.1)
+            self.wait_answers(1)
         self.assertEqual([one.number for one in self.sent if isinstance(one, OriginAnswer)], [1])
         self.restart("p1", keeps_disk=True)
         self.assertEqual(self.hosts["p1"].ledger.origins, {V1, V2})
