Give no silent endpoint up for a retry that nobody lends

Callers saw, while the replicas elected a leader: a request whose endpoint is silent is given up early and then ends with no_budget, although the endpoint might have answered before the deadline.

Cause: a router took a retry for likely as long as no lender had refused it. Without a lender nobody refuses, and nobody lends either. may_retry now asks whether the router holds a retry (a lease or room in its window) or knows a lender that may be asked.

The test fails before: with no lender known, may_retry is True.

--- a/chivetrack/components/retries/service_budgets.py
+++ b/chivetrack/components/retries/service_budgets.py
@@ -88,11 +88,11 @@
         """Return whether the lender may be asked for a retry."""
         return now >= self._find(service).refused_until
 
-    def may_retry(self, service: str, now: float) -> bool:
-        """Return whether a retry of the service is likely to be reserved when it is needed."""
+    def has_retry(self, service: str, now: float) -> bool:
+        """Return whether a retry of the service could be reserved now without a new lease."""
         budget = self._find(service)
         has_lease = any(now < expires_at for expires_at in budget.leases)
-        return has_lease or now >= budget.refused_until or budget.window.has_room(now)
+        return has_lease or budget.window.has_room(now)
 
     def describe(self, service: str, now: float) -> dict[str, float]:
         """Return what the window of a service holds, for a log line."""
--- a/chivetrack/daemon/fleet/retry_budget.py
+++ b/chivetrack/daemon/fleet/retry_budget.py
@@ -35,7 +35,10 @@
 
     def may_retry(self, service: str) -> bool:
         """Return whether a retry is likely to have room in the budget when it is needed."""
-        return self._budgets.may_retry(service, read_boot_clock())
+        now = read_boot_clock()
+        if self._budgets.has_retry(service, now):
+            return True
+        return bool(self._find_lender()) and self._budgets.may_lease(service, now)
 
     def describe(self, service: str) -> dict[str, float]:
         """Return what the budget of a service holds, for a log line."""
--- a/tests/daemon/fleet/test_open_requests.py
+++ b/tests/daemon/fleet/test_open_requests.py
@@ -88,8 +88,9 @@
         self.permits = create_autospec(PermitClient, instance=True)
         self.permits.allows.return_value = True
         self.slack = LENT
+        self.lender = "p1"
         self.retry_budget = RetryBudgetClient(
-            budgets=self.view.budgets, find_lender=lambda: "p1", send=self.lend
+            budgets=self.view.budgets, find_lender=lambda: self.lender, send=self.lend
         )
         self.forwarder = create_autospec(Forwarder, instance=True)
         self.forwarder.send.side_effect = self.send
--- a/tests/daemon/fleet/test_retry_budget.py
+++ b/tests/daemon/fleet/test_retry_budget.py
@@ -65,6 +65,19 @@
                 self.start().join()
                 self.assertEqual(len(self.sent), sent)
 
+    def test_silent_endpoint_is_not_given_up_for_a_retry_that_nobody_lends(self) -> None:
+        """Guards against requests lost while the replicas elect a leader.
+
+        An endpoint that is silent is given up early only if the request may be sent again.
+        """
+        self.configure()
+        self.go_on.set()
+        for lender, may_retry in (("p1", True), ("", False)):
+            with self.subTest(lender=lender):
+                self.lender = lender
+                self.start().join()
+                self.assertIs(self.forwarder.send.call_args.kwargs["may_retry"], may_retry)
+
     def test_reservation_is_given_back_when_no_endpoint_is_left(self) -> None:
         """Guards against retries that were reserved, never sent, and count until the restart."""
         self.configure()
