Hold a part of prompts at the threshold only with a clear lead

What callers would see: requests with a sound part of their prompts, one that few use, are rejected beside those with the bad part.

The postmortem blamed killed routers that had forgotten answers. Each ran in an earlier crash that had another reason, or whose bad request nobody reported, and then beside the bad part: four crashes against the three known of the cause.

At the threshold of four a part now has to lead the other suspects of the same crashes by two; with five it is enough that none has more. That is still within the users' bound, which begins after the fifth crash. Whole requests are decided as before.

--- a/chivetrack/components/quarantine/const.py
+++ b/chivetrack/components/quarantine/const.py
@@ -9,6 +9,14 @@
 CRASHES_TO_QUARANTINE_PART: Final = 4
 """A sound part that few requests use may run during three unrelated crashes without an answer."""
 
+LEAD_OF_REQUEST: Final = 1
+LEAD_OF_PART: Final = 2
+"""How many crashes more than any other suspect of the same crashes are needed at the threshold.
+
+A part of a few requests that has not been answered yet may run beside the cause and in one more
+crash.
+"""
+
 REPORT_DURATION_S: Final = 3.0
 """How long a crash report is repeated, so that it survives lost messages and the loss of a
 replica."""
--- a/chivetrack/components/quarantine/evidence.py
+++ b/chivetrack/components/quarantine/evidence.py
@@ -13,6 +13,8 @@
     CRASHES_TO_QUARANTINE_PART,
     CRASHES_TO_SUSPECT,
     EVIDENCE_RETENTION_S,
+    LEAD_OF_PART,
+    LEAD_OF_REQUEST,
     MAX_ASKED,
     MAX_SUSPECTS,
     PART_EVIDENCE_RETENTION_S,
@@ -66,6 +68,11 @@
     def threshold(self) -> int:
         return CRASHES_TO_QUARANTINE_PART if self.report.part else CRASHES_TO_QUARANTINE
 
+    @property
+    def lead(self) -> int:
+        """Return how many crashes more than any other the threshold alone has to be."""
+        return LEAD_OF_PART if self.report.part else LEAD_OF_REQUEST
+
     @property
     def retention_s(self) -> float:
         return PART_EVIDENCE_RETENTION_S if self.report.part else EVIDENCE_RETENTION_S
@@ -188,7 +195,7 @@
 
         What runs beside the cause of several crashes may reach it as well. So a crash is explained
         by what is held already and was running then, and of suspects with crashes in common only
-        the one with the most is due. Equal ones wait for one more crash.
+        the one with the most is due. Those that don't lead clearly wait for one more crash.
 
         ``at`` is the current Unix time in seconds, ``now`` the monotonic one.
         """
@@ -208,14 +215,21 @@
         ]
 
     def _is_leading(self, fingerprint: bytes, suspects: Mapping[bytes, Sequence[str]]) -> bool:
-        """Return whether no other suspect has more of the same crashes, or as many of the least."""
+        """Return whether this suspect leads those that have crashes in common with it.
+
+        With more crashes than the threshold, it is enough that none has more.
+        """
         crashes = suspects[fingerprint]
-        overlapping = [each for each in suspects.values() if not set(crashes).isdisjoint(each)]
-        most = max(len(each) for each in overlapping)
-        if len(crashes) < most:
-            return False
-        is_alone = sum(len(each) == most for each in overlapping) == 1
-        return is_alone or most > self._suspects[fingerprint].threshold
+        others = [
+            len(each)
+            for other, each in suspects.items()
+            if other != fingerprint and not set(crashes).isdisjoint(each)
+        ]
+        runner_up = max(others, default=0)
+        suspect = self._suspects[fingerprint]
+        if len(crashes) > suspect.threshold:
+            return len(crashes) >= runner_up
+        return len(crashes) - runner_up >= suspect.lead
 
     def _list_explained(self, quarantine: Quarantine) -> frozenset[str]:
         """Return the crashes during which something was running that is held by now."""
--- a/tests/components/quarantine/test_evidence.py
+++ b/tests/components/quarantine/test_evidence.py
@@ -196,6 +196,22 @@
         self.evidence.reset_count(quarantine.requests[0], now=9.0)
         self.assertFalse(self.is_due(9.0))
 
+    def test_part_that_leads_by_one_crash_waits_for_another(self) -> None:
+        """Guards against holding a sound part in one crash more than the cause it ran beside."""
+        other = make_part_fingerprint(service="llm", part="50a1")
+        held = []
+        for number in range(CRASHES_TO_QUARANTINE_PART + 2):
+            if number:
+                self.crash(float(number))
+            if number < CRASHES_TO_QUARANTINE_PART:
+                report = make_part_report(f"i-{number}", b"%d" % number)
+                beside = msgspec.structs.replace(report, fingerprint=other, part="50a1")
+                self.evidence.record([beside], now=float(number))
+            self.answer(number + 0.5, SERVICE)
+            orders = self.evidence.list_due(Quarantine(), at=0.0, now=number + 0.9)
+            held.append([order.part for order in orders])
+        self.assertEqual(held, [[]] * (CRASHES_TO_QUARANTINE_PART + 1) + [["5eed"]])
+
     def test_two_parts_of_all_crashing_requests_are_held_after_one_more_crash(self) -> None:
         """Guards against a part that is never held since another one is always beside it."""
         other = make_part_fingerprint(service="llm", part="50a1")
