--- a/chivetrack/daemon/fleet/restart_file.py
+++ b/chivetrack/daemon/fleet/restart_file.py
@@ -3,15 +3,13 @@
 import time
 from pathlib import Path
 
-import gevent
 import msgspec
-from gevent.threadpool import ThreadPool
 
 from chivetrack.components.announcements.models import EndpointRecord
 from chivetrack.components.announcements.table import EndpointTable
 from chivetrack.components.distribution.messages import PlacedPart
 from chivetrack.components.distribution.placements import Placements
-from chivetrack.components.storage.files import SystemCalls, write_file
+from chivetrack.daemon.fleet.state_file import StateContent, StateFile
 from chivetrack.helpers.events import EventLog
 
 _FILE_NAME = "restart"
@@ -19,13 +17,9 @@
 _WRITE_DELAY_S = 0.3
 
 
-class _Content(msgspec.Struct, array_like=True):
-    """The content of the file.
+class _Content(StateContent, array_like=True):
+    """The content of the file; the ages of placements are as of the write."""
 
-    ``written_at`` is the Unix time (s) of the write; the ages of placements are as of then.
-    """
-
-    written_at: float
     records: list[EndpointRecord]
     placed: list[PlacedPart]
 
@@ -43,30 +37,31 @@
         self, *, folder: Path, table: EndpointTable, placements: Placements, events: EventLog
     ) -> None:
         """Set the folder of the file and the state to store."""
-        self._path = folder / _FILE_NAME
         self._table = table
         self._placements = placements
         self._events = events
-        self._pool = ThreadPool(1)
-        self._written = (0, 0)
-        self._is_write_scheduled = False
+        self._file = StateFile(
+            folder=folder,
+            name=_FILE_NAME,
+            content_type=_Content,
+            write_delay_s=_WRITE_DELAY_S,
+            get_change=lambda: (table.change, placements.change),
+            make_content=self._make_content,
+            events=events,
+        )
+        self.schedule_write = self._file.schedule_write
 
     @property
     def exists(self) -> bool:
         """Return whether an earlier process of this replica has written the file."""
-        return self._path.exists()
+        return self._file.exists
 
     def load(self, *, now: float) -> None:
         """Restore the content of the file; ``now`` is the monotonic time (s)."""
-        try:
-            content = msgspec.msgpack.decode(self._path.read_bytes(), type=_Content)
-        except FileNotFoundError:
+        content = self._file.load()
+        if content is None:
             return
-        except (OSError, msgspec.MsgspecError) as error:
-            self._events.write("restart_file_not_read", detail=str(error))
-            return
-        # The wall clock may have been set back since the write.
-        passed_s = max(0.0, time.time() - content.written_at)
+        passed_s = content.get_age()
         placed = [
             msgspec.structs.replace(one, age_s=one.age_s + passed_s) for one in content.placed
         ]
@@ -76,27 +71,10 @@
             "restart_file_read", endpoints=len(content.records), placements=len(placed)
         )
 
-    def schedule_write(self) -> None:
-        """Schedule a write after ``_WRITE_DELAY_S`` if the state has changed."""
-        if not self._is_write_scheduled and self._get_state() != self._written:
-            self._is_write_scheduled = True
-            gevent.spawn_later(_WRITE_DELAY_S, self._write)
-
-    def _get_state(self) -> tuple[int, int]:
-        return (self._table.change, self._placements.change)
-
-    def _write(self) -> None:
-        self._is_write_scheduled = False
-        self._written = self._get_state()
+    def _make_content(self) -> _Content:
         placed, _ = self._placements.list_after(0, now=time.monotonic())
-        content = _Content(
+        return _Content(
             written_at=time.time(),
             records=list(self._table.list_records()),
             placed=list(placed),
         )
-        try:
-            data = msgspec.msgpack.encode(content)
-            self._pool.apply(write_file, (self._path, [data], SystemCalls()))
-        except OSError as error:
-            # The disk may be full. The copy is outdated then; no other component relies on it.
-            self._events.write("restart_file_not_written", detail=str(error))
