Keep the evidence of crashes on the replicas' disks

What callers and endpoints would see: a part of prompts goes on ending endpoints for seconds after routers and replicas were killed together.

Routers tell a crash again for a minute when a replica has started anew, and replicas tell routers; killed together, both forget.

Ages are kept, so that old crashes stay old. Crashes that a release has excluded stay excluded; one that was made while the replica was down, and that it can't assign, excludes all that it knows. At its start a replica passes the crashes of the last minute on, so that the leader knows what only a follower had on its disk.

Ordering a quarantine moves from replica.py to QuarantineHost, beside the file.

--- a/chivetrack/components/quarantine/const.py
+++ b/chivetrack/components/quarantine/const.py
@@ -41,11 +41,15 @@
 replicas there and back. Several endpoints may crash at one moment for another reason, while a
 frequent part runs on all of them."""
 
+MAX_STORED: Final = 1024
+"""Maximum number of crash reports in a replica's file; those of the most frequent suspects are."""
+
 MAX_ASKED: Final = 64
 """Maximum number of suspects of which routers are asked; those with the most crashes are."""
 
 RESEND_WINDOW_S: Final = 60.0
-"""A router reports the crashes of this time again when a replica has started anew."""
+"""A router reports the crashes of this time again when a replica has started anew, and that replica
+passes on those of this time that it finds in its file."""
 
 ANSWER_PROOF_S: Final = 0.2
 """Time after its first event for which an answer must go on to show that its request is sound: an
--- a/chivetrack/components/quarantine/evidence.py
+++ b/chivetrack/components/quarantine/evidence.py
@@ -1,6 +1,7 @@
 """Counts the endpoint crashes under each request and each part of prompts, without I/O."""
 
-from collections.abc import Iterable, Mapping, Sequence
+import itertools
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from collections.abc import Set as AbstractSet
 from dataclasses import dataclass, field
 
@@ -16,27 +17,31 @@
     LEAD_OF_PART,
     LEAD_OF_REQUEST,
     MAX_ASKED,
+    MAX_STORED,
     MAX_SUSPECTS,
     PART_EVIDENCE_RETENTION_S,
     PRUNE_INTERVAL_S,
     REPORT_DURATION_S,
+    RESEND_WINDOW_S,
 )
 from chivetrack.components.quarantine.fingerprint import make_service_fingerprint
 from chivetrack.components.quarantine.models import (
     AnsweredReport,
     CrashReport,
+    ExcludedCrash,
     Quarantine,
     QuarantinedRequest,
     QuarantineOrder,
+    StoredEvidence,
 )
 
 
 @dataclass(frozen=True, slots=True)
 class _Crash:
-    """When an endpoint crashed, and the whole request that was running there."""
+    """When an endpoint crashed, and the first report of that."""
 
     at: float
-    request: bytes
+    report: CrashReport
 
 
 @dataclass(slots=True)
@@ -85,7 +90,7 @@
 
     def may_be_cause(self, counted: Sequence[str]) -> bool:
         """Return whether a part, and not one repeated request, may have caused the crashes."""
-        requests = {self.crashes[incarnation].request for incarnation in counted}
+        requests = {self.crashes[incarnation].report.request for incarnation in counted}
         return not self.report.part or len(requests) > 1
 
     def is_due(self, counted: Sequence[str], service_answered_at: float, now: float) -> bool:
@@ -119,9 +124,47 @@
         self._candidates: set[bytes] = set()
         self._services: dict[bytes, float] = {}
         self._pruned_at = float("-inf")
+        self.change = 0
         self._recent: dict[tuple[bytes, str], tuple[float, CrashReport]] = {}
         self._recent_answers: dict[bytes, tuple[float, float]] = {}
 
+    def store(self, *, now: float) -> StoredEvidence:
+        """Return what a replica that starts again goes on from, with a bounded size."""
+        by_count = sorted(self._suspects.values(), key=lambda each: len(each.crashes), reverse=True)
+        stored = list(itertools.islice(_list_crashes(by_count), MAX_STORED))
+        kept = {suspect.report.fingerprint: suspect for suspect, _ in stored}
+        answered_at = {each: suspect.answered_at for each, suspect in kept.items()}
+        answered_at.update(self._services)
+        return StoredEvidence(
+            crash_reports=tuple(
+                msgspec.structs.replace(crash.report, age_s=now - crash.at) for _, crash in stored
+            ),
+            answered=tuple(
+                AnsweredReport(fingerprint, now - at)
+                for fingerprint, at in answered_at.items()
+                if at > float("-inf")
+            ),
+            excluded=tuple(
+                ExcludedCrash(fingerprint, incarnation)
+                for fingerprint, suspect in kept.items()
+                for incarnation in sorted(suspect.excluded)
+            ),
+        )
+
+    def restore(self, stored: StoredEvidence, *, age_s: float, now: float) -> None:
+        """Take over what was stored ``age_s`` seconds ago."""
+        reports = (
+            msgspec.structs.replace(one, age_s=one.age_s + age_s) for one in stored.crash_reports
+        )
+        self.record(reports, now=now)
+        for one in stored.excluded:
+            suspect = self._suspects.get(one.fingerprint)
+            if suspect is not None:
+                suspect.excluded.add(one.incarnation)
+                self._update(one.fingerprint, now)
+        answered = (AnsweredReport(one.fingerprint, one.age_s + age_s) for one in stored.answered)
+        self.record_answered(answered, now=now)
+
     def __len__(self) -> int:
         """Return the number of tracked requests and parts."""
         return len(self._suspects)
@@ -134,9 +177,10 @@
             if suspect is None:
                 suspect = self._suspects[report.fingerprint] = _Suspect(report)
             if report.incarnation not in suspect.crashes:
-                crash = _Crash(at=now - report.age_s, request=report.request)
+                crash = _Crash(at=now - report.age_s, report=report)
                 suspect.crashes[report.incarnation] = crash
-                self._recent[report.fingerprint, report.incarnation] = (now, report)
+                if report.age_s <= RESEND_WINDOW_S:
+                    self._recent[report.fingerprint, report.incarnation] = (now, report)
                 self._update(report.fingerprint, now)
                 is_new = True
         if now - self._pruned_at > PRUNE_INTERVAL_S:
@@ -274,7 +318,14 @@
                 each.excluded |= excluded
                 self._update(fingerprint, now)
 
+    def reset_all(self, *, now: float) -> None:
+        """Exclude all known crashes from the counts, after a release that is not known closer."""
+        for fingerprint, suspect in list(self._suspects.items()):
+            suspect.excluded |= suspect.crashes.keys()
+            self._update(fingerprint, now)
+
     def _update(self, fingerprint: bytes, now: float) -> None:
+        self.change += 1
         suspect = self._suspects[fingerprint]
         suspect.update_asked(now)
         if suspect.asked_since is None:
@@ -311,3 +362,9 @@
         by_crash_count = sorted(self._suspects, key=lambda each: len(self._suspects[each].crashes))
         for fingerprint in by_crash_count[:extra]:
             self._drop(fingerprint)
+
+
+def _list_crashes(suspects: Iterable[_Suspect]) -> Iterator[tuple[_Suspect, _Crash]]:
+    for suspect in suspects:
+        for crash in suspect.crashes.values():
+            yield suspect, crash
--- a/chivetrack/components/quarantine/models.py
+++ b/chivetrack/components/quarantine/models.py
@@ -40,6 +40,23 @@
     age_s: float
 
 
+@message("quarantine.excluded")
+class ExcludedCrash(Message, frozen=True, array_like=True):
+    """States that a release has removed a crash from the count of a request or part."""
+
+    fingerprint: bytes
+    incarnation: str
+
+
+@message("quarantine.evidence")
+class StoredEvidence(Message, frozen=True, array_like=True):
+    """What a replica knows of crashes; ages are as of the time at which this was made."""
+
+    crash_reports: tuple[CrashReport, ...] = ()
+    answered: tuple[AnsweredReport, ...] = ()
+    excluded: tuple[ExcludedCrash, ...] = ()
+
+
 @message("quarantine.order")
 class QuarantineOrder(Message, frozen=True, array_like=True):
     """Command that quarantines a request, or all requests with a part if ``part`` is not empty.
--- a/chivetrack/daemon/fleet/replica.py
+++ b/chivetrack/daemon/fleet/replica.py
@@ -30,7 +30,7 @@
 from chivetrack.components.evacuation.models import Evacuations
 from chivetrack.components.origins.messages import OriginAnswer, OriginQuery, OriginRecords
 from chivetrack.components.peers.const import MAX_WAIT_S
-from chivetrack.components.quarantine.models import Quarantine, QuarantineOrder
+from chivetrack.components.quarantine.models import Quarantine
 from chivetrack.components.retries.lender import SlackLender
 from chivetrack.components.retries.messages import LeaseRequest
 from chivetrack.components.slow_start.messages import PermitAnswer, PermitRequest
@@ -54,6 +54,7 @@
 from chivetrack.daemon.fleet.origin_file import OriginFile
 from chivetrack.daemon.fleet.origin_host import OriginHost
 from chivetrack.daemon.fleet.peering import TrafficLog, list_seed_peers, make_transport, send_all
+from chivetrack.daemon.fleet.quarantine_host import QuarantineHost
 from chivetrack.daemon.fleet.restart_file import RestartFile
 from chivetrack.daemon.server import HttpServer
 from chivetrack.helpers.codec import Message
@@ -189,11 +190,18 @@
                 read=lambda: int(self.transport.room.is_congested),
             ),
         )
+        self._quarantine = QuarantineHost(
+            folder=settings.process.data_folder,
+            evidence=self._publisher.evidence,
+            is_leader=lambda: self.host.is_leader,
+            get_quarantine=lambda: self._store.quarantine,
+            order=documents.quarantine_request,
+            events=events,
+        )
         self._store.listen(self._apply_document)
         self._store.listen_to_evacuations(self._apply_evacuations)
         self._store.listen_to_quarantine(self._apply_quarantine)
         self._documents = documents
-        self._pending_orders: set[bytes] = set()
         self._refuser = CallRefuser(events=events)
         self._gate = CallGate(
             application=build_control_app(
@@ -231,38 +239,10 @@
         self._schedule_push()
 
     def _apply_quarantine(self, quarantine: Quarantine) -> None:
-        before = self._publisher.quarantine
         self._publisher.quarantine = quarantine
-        for one in before.requests:
-            if quarantine.find(one.fingerprint) is None:
-                self._publisher.evidence.reset_count(one, now=time.monotonic())
-                self._events.write("request_released", **one.describe())
-        for one in quarantine.requests:
-            if before.find(one.fingerprint) is None:
-                self._events.write("request_quarantined", **one.describe())
+        self._quarantine.handle_quarantine(quarantine)
         self._schedule_push()
 
-    def _order_due_quarantines(self) -> None:
-        """At the leader, order the quarantine of what reached the crash threshold.
-
-        All replicas collect the evidence, so a new leader can issue orders that failed here.
-        """
-        if not self.host.is_leader:
-            return
-        due = self._publisher.evidence.list_due(
-            self._store.quarantine, at=time.time(), now=time.monotonic()
-        )
-        for order in due:
-            if order.fingerprint not in self._pending_orders:
-                self._pending_orders.add(order.fingerprint)
-                gevent.spawn(self._order_quarantine, order)
-
-    def _order_quarantine(self, order: QuarantineOrder) -> None:
-        try:
-            self._documents.quarantine_request(order)
-        finally:
-            self._pending_orders.discard(order.fingerprint)
-
     def _schedule_push(self) -> None:
         """Schedule an update to the routers; changes within ``PUSH_DELAY_S`` are batched."""
         if not self._is_push_scheduled:
@@ -302,7 +282,7 @@
         )
         send_all(self.transport.answer, effects)
         if follow.crash_reports:
-            self._order_due_quarantines()
+            self._quarantine.order_due()
         self._serve_documents()
 
     def _handle_fetch(self, source: str, fetch: FetchDocument) -> None:
@@ -319,7 +299,7 @@
     def _handle_exchange(self, source: str, exchange: Exchange) -> None:
         self._publisher.handle_exchange(source, exchange, now=time.monotonic())
         if exchange.crash_reports:
-            self._order_due_quarantines()
+            self._quarantine.order_due()
 
     def _answer_permit(self, source: str, request: PermitRequest) -> None:
         now = time.monotonic()
@@ -419,7 +399,7 @@
             self._origins.refresh()
             for record in self._table.remove_expired(now):
                 self._events.write("endpoint_forgotten", **record.describe())
-            self._order_due_quarantines()
+            self._quarantine.order_due()
             self._restart_file.schedule_write()
             # Without a leader, this replica may be partitioned and miss all heartbeats.
             if self.host.knows_leader:
@@ -435,7 +415,7 @@
             exchange = self._publisher.make_exchange(now=now)
             for target in self._list_others():
                 self.transport.send(target, exchange)
-            self._order_due_quarantines()
+            self._quarantine.order_due()
             self._tell_rollout(self._publisher.make_rollout_state(now=now))
 
     def _run_endpoint_rounds(self) -> None:
@@ -468,6 +448,7 @@
     @contextmanager
     def _serve(self) -> Iterator[None]:
         self._restart_file.load(now=time.monotonic())
+        self._quarantine.load()
         self.transport.start()
         self._control.start()
         if self._metrics_server is not None:
--- a/chivetrack/daemon/fleet/state_file.py
+++ b/chivetrack/daemon/fleet/state_file.py
@@ -63,6 +63,11 @@
         """Return whether an earlier process of this replica has written the file."""
         return self._path.exists()
 
+    @property
+    def is_outdated(self) -> bool:
+        """Return whether the last change has not been written yet."""
+        return self._is_writing or self._get_change() != self._written
+
     def load(self) -> ContentT | None:
         """Return the content, ``None`` without a readable file."""
         try:
--- a/tests/components/quarantine/fleet.py
+++ b/tests/components/quarantine/fleet.py
@@ -13,7 +13,12 @@
     make_part_fingerprint,
     make_service_fingerprint,
 )
-from chivetrack.components.quarantine.models import AnsweredReport, CrashReport, Quarantine
+from chivetrack.components.quarantine.models import (
+    AnsweredReport,
+    CrashReport,
+    Quarantine,
+    StoredEvidence,
+)
 
 SERVICE = "llm"
 BAD_PART = "bad"
@@ -23,6 +28,7 @@
 CONTACT_S = 3.0
 REQUESTS_PER_S = 23.0
 LOSS_RATE = 0.05
+SAVE_S = 0.1
 MAX_SENDS = 2
 
 _PARTS = {
@@ -78,9 +84,12 @@
 
 @dataclass(slots=True)
 class _Replica:
-    """One life of a replica."""
+    """One life of a replica; ``disk`` has its evidence as of the time ``saved_at`` (s)."""
 
     life: int
+    disk: StoredEvidence = StoredEvidence()
+    saved_at: float = 0.0
+    is_saving: bool = False
     evidence: CrashEvidence = field(default_factory=CrashEvidence)
     is_alive: bool = True
 
@@ -269,6 +278,7 @@
         replica.evidence.record(reports, now=now)
         replica.evidence.record_answered(answered, now=now)
         self._order_due(now)
+        self._schedule_save(replica, now)
         if not self._is_lost():
             asked = replica.evidence.list_asked()
             held = frozenset(one.fingerprint for one in self._quarantine.requests)
@@ -299,8 +309,21 @@
                 if target is not source and not self._is_lost():
                     target.evidence.record(reports, now=now)
                     target.evidence.record_answered(answered, now=now)
+                    self._schedule_save(target, now)
         self._order_due(now)
 
+    def _schedule_save(self, replica: _Replica, now: float) -> None:
+        if not replica.is_saving:
+            replica.is_saving = True
+            content = replica.evidence.store(now=now)
+            self._call_at(now + SAVE_S, lambda _: self._save(replica, content, now))
+
+    @staticmethod
+    def _save(replica: _Replica, content: StoredEvidence, made_at: float) -> None:
+        replica.is_saving = False
+        if replica.is_alive:
+            replica.disk, replica.saved_at = content, made_at
+
     def _order_due(self, now: float) -> None:
         leader = self._replicas[self._leader]
         if not leader.is_alive or now < self._leads_from:
@@ -357,13 +380,16 @@
         self._replica_killed_at = now
         for index in indexes:
             self._replicas[index].is_alive = False
-            self._call_at(now + 0.5, lambda at, index=index: self._start_replica(index))
+            self._call_at(now + 0.5, lambda at, index=index: self._start_replica(index, at))
         self._leader = self._random.randrange(REPLICAS)
         self._leads_from = now + self._random.uniform(1.0, 1.5)
 
-    def _start_replica(self, index: int) -> None:
+    def _start_replica(self, index: int, now: float) -> None:
         self._lives += 1
-        self._replicas[index] = _Replica(life=self._lives)
+        before = self._replicas[index]
+        started = _Replica(life=self._lives, disk=before.disk, saved_at=before.saved_at)
+        started.evidence.restore(before.disk, age_s=now - before.saved_at, now=now)
+        self._replicas[index] = started
 
     # Judgement
 
--- a/tests/components/quarantine/test_evidence.py
+++ b/tests/components/quarantine/test_evidence.py
@@ -13,9 +13,11 @@
     CRASHES_TO_QUARANTINE_PART,
     EVIDENCE_RETENTION_S,
     MAX_ASKED,
+    MAX_STORED,
     MAX_SUSPECTS,
     PART_EVIDENCE_RETENTION_S,
     REPORT_DURATION_S,
+    RESEND_WINDOW_S,
 )
 from chivetrack.components.quarantine.evidence import CrashEvidence
 from chivetrack.components.quarantine.fingerprint import (
@@ -320,5 +322,34 @@
                 self.assertEqual(len(due[0].crashes), CRASHES_TO_QUARANTINE)
 
 
+class StoredEvidenceTest(unittest.TestCase):
+    """A replica that goes on from what it had stored."""
+
+    def restore(self, evidence: CrashEvidence, *, age_s: float) -> CrashEvidence:
+        restored = CrashEvidence()
+        restored.restore(evidence.store(now=0.0), age_s=age_s, now=0.0)
+        return restored
+
+    def test_stored_reports_stay_bounded_and_hold_the_most_frequent_suspects(self) -> None:
+        """Guards against a file that grows with each crash, and a suspect pushed out of it."""
+        evidence = CrashEvidence()
+        for number in range(MAX_STORED + 100):
+            report = make_crash_report(b"%016d" % number, f"i-{number}")
+            evidence.record([report], now=0.0)
+        evidence.record([make_part_report(f"e-{n}", b"%d" % n) for n in range(2)], now=0.0)
+        stored = evidence.store(now=0.0)
+        self.assertEqual(len(stored.crash_reports), MAX_STORED)
+        self.assertEqual([one.part for one in stored.crash_reports[:2]], ["5eed", "5eed"])
+
+    def test_only_crashes_of_the_last_minute_are_passed_on(self) -> None:
+        """Guards against hours of reports sent to all replicas after each restart."""
+        evidence = CrashEvidence()
+        evidence.record([make_part_report("i-1", b"1")], now=0.0)
+        for age_s, count in ((RESEND_WINDOW_S, 1), (RESEND_WINDOW_S + 1.0, 0)):
+            restored = self.restore(evidence, age_s=age_s)
+            self.assertEqual(len(restored.list_recent(now=0.0)), count)
+            self.assertEqual(len(restored), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/components/quarantine/test_random_fleet.py
+++ b/tests/components/quarantine/test_random_fleet.py
@@ -6,6 +6,7 @@
 from tests.components.quarantine.fleet import BAD_PART, CrashingFleet
 
 SEEDS = range(25)
+SEEDS_WITH_CRASHES_OF_KILLED_PROCESSES = (901, 2339)
 SEEDS_WITH_A_RARE_PART_BESIDE = (1116, 1832)
 MAX_LATE_SENDS = 3
 
@@ -29,6 +30,10 @@
         """Guards against evidence that ends with the processes that hold it."""
         self.check(SEEDS, has_kills=True)
 
+    def test_bad_part_is_held_although_all_that_saw_its_crashes_are_killed(self) -> None:
+        """Guards against crashes counted anew once routers and replicas are killed together."""
+        self.check(SEEDS_WITH_CRASHES_OF_KILLED_PROCESSES, has_kills=True)
+
     def test_rare_part_that_was_never_answered_is_not_held_beside_the_bad_one(self) -> None:
         """Guards against a sound part held since it ran in one crash more than the cause."""
         self.check(SEEDS_WITH_A_RARE_PART_BESIDE, has_kills=True)
