Hold equal parts of different requests two crashes past the threshold

What callers would see: a sound part rejected together with the bad one.

Two suspects with the same crashes were both held after the fifth, since a part that always comes with another one could else never be held. That is right where the same requests have both. Where different requests had them, the next crash mostly tells them apart, so they wait for it; with six both are held.

--- a/chivetrack/components/quarantine/evidence.py
+++ b/chivetrack/components/quarantine/evidence.py
@@ -93,6 +93,14 @@
         requests = {self.crashes[incarnation].report.request for incarnation in counted}
         return not self.report.part or len(requests) > 1
 
+    def is_beside(self, other: "_Suspect") -> bool:
+        """Return whether the same requests had both when endpoints crashed."""
+        return all(
+            crash.report.request == other.crashes[incarnation].report.request
+            for incarnation, crash in self.crashes.items()
+            if incarnation in other.crashes
+        )
+
     def is_due(self, counted: Sequence[str], service_answered_at: float, now: float) -> bool:
         """Return whether there were enough crashes and no answer that excuses them.
 
@@ -259,21 +267,26 @@
         ]
 
     def _is_leading(self, fingerprint: bytes, suspects: Mapping[bytes, Sequence[str]]) -> bool:
-        """Return whether this suspect leads those that have crashes in common with it.
+        """Return whether this suspect leads its rivals, which have crashes in common with it.
 
-        With more crashes than the threshold, it is enough that none has more.
+        At the threshold it needs a clear lead, and with one crash more none. Equal parts that were
+        in different requests wait for yet another crash, which may tell them apart.
         """
         crashes = suspects[fingerprint]
-        others = [
-            len(each)
+        rivals = {
+            other: len(each)
             for other, each in suspects.items()
             if other != fingerprint and not set(crashes).isdisjoint(each)
-        ]
-        runner_up = max(others, default=0)
+        }
         suspect = self._suspects[fingerprint]
-        if len(crashes) > suspect.threshold:
-            return len(crashes) >= runner_up
-        return len(crashes) - runner_up >= suspect.lead
+        lead = len(crashes) - max(rivals.values(), default=0)
+        beyond = len(crashes) - suspect.threshold
+        if beyond <= 0:
+            return lead >= suspect.lead
+        if lead != 0 or beyond > 1 or not suspect.report.part:
+            return lead >= 0
+        equal = (self._suspects[each] for each, count in rivals.items() if count == len(crashes))
+        return all(suspect.is_beside(each) for each in equal)
 
     def _list_explained(self, quarantine: Quarantine) -> frozenset[str]:
         """Return the crashes during which something was running that is held by now."""
