--- a/tests/system/test_replica_exit.py
+++ b/tests/system/test_replica_exit.py
@@ -26,6 +26,7 @@
 LARGE_ROUTES = 20_000
 SMALL_BUFFER_BYTES = 4096
 EXIT_TIMEOUT_S = 20.0
+LAST_METRIC = b"chivetrack_replica_link_congested"
 
 
 class ExitCase(unittest.TestCase):
@@ -123,8 +124,12 @@
         with contextlib.suppress(OSError):
             reader.sendall(b"replica\r\n\r\n")
         status, body = self.read_answer(reader)
-        self.assertEqual((status, b"configuration_applied" in body), (200, True))
+        applied = self.find_events(deployment, name, "configuration_applied")
         self.assertEqual(process.wait(EXIT_TIMEOUT_S), 0)
+        self.assertEqual(status, 200)
+        self.assertIn(LAST_METRIC, body.splitlines()[-1], "the answer is cut")
+        self.assertEqual(len(applied), 1, "the follower has not applied the configuration")
+        self.assertIn(b"configuration_applied", body)
 
 
 class LateBodyTest(ExitCase):
