Lend retries as soon as a replica leads

Evidence: the leader was elected at 18.444, a router asked it at 18.622 and was refused for 1 s, since the leader has its leadership confirmed each 0.25 s and had not yet. LogHost now wakes the lender when it begins to lead, which then has itself confirmed at once. The interval is as before, and so is the wait of every later leader.

The test sent 17 requests a second: after that second the router's own requests paid for all retries, and nothing was ever lent. It asks each 0.3 s now, within the same 5 s, so that a retry has to be lent.

--- a/chivetrack/daemon/fleet/lending.py
+++ b/chivetrack/daemon/fleet/lending.py
@@ -2,8 +2,6 @@
 
 from collections.abc import Callable
 
-import gevent
-
 from chivetrack.components.retries.const import CONFIRMATION_INTERVAL_S, MAX_CONFIRMATION_AGE_S
 from chivetrack.components.retries.lender import SlackLender
 from chivetrack.components.retries.messages import LeaseAnswer, LeaseRequest
@@ -21,16 +19,18 @@
         *,
         lender: SlackLender,
         confirm_leadership: Callable[[float], ConfirmedLeadership | None],
+        wait_elected: Callable[[float], None],
         answer: Callable[[str, Message], None],
         events: EventLog,
     ) -> None:
         """Store the lender and the callbacks.
 
         ``confirm_leadership`` returns what this replica leads, confirmed within the given number of
-        seconds, or ``None``.
+        seconds, or ``None``. ``wait_elected`` waits until it begins to lead, at most that long.
         """
         self._lender = lender
         self._confirm_leadership = confirm_leadership
+        self._wait_elected = wait_elected
         self._answer = answer
         self._events = events
 
@@ -38,7 +38,7 @@
         """Confirm the leadership until killed."""
         while True:
             self.confirm()
-            gevent.sleep(CONFIRMATION_INTERVAL_S)
+            self._wait_elected(CONFIRMATION_INTERVAL_S)
 
     def confirm(self) -> None:
         """Have the leadership confirmed once, if this replica leads."""
--- a/chivetrack/daemon/fleet/log_host.py
+++ b/chivetrack/daemon/fleet/log_host.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 import gevent
+from gevent.event import Event as Signal
 from gevent.threadpool import ThreadPool
 
 from chivetrack.components.consensus.members import Members
@@ -114,6 +115,7 @@
         self.replica: Replica | None = None
         self.replica_id = ""
         self.is_leader = False
+        self._elected = Signal()
         self.leads_since = 0.0
         self.knows_leader = False
 
@@ -179,6 +181,11 @@
         leader = self.replica.get_status().consensus.leader_instance
         return self._address_by_replica.get(leader, leader)
 
+    def wait_elected(self, timeout_s: float) -> None:
+        """Wait until this replica begins to lead, at most ``timeout_s``."""
+        self._elected.wait(timeout_s)
+        self._elected.clear()
+
     def confirm_leadership(self, *, timeout_s: float) -> ConfirmedLeadership | None:
         """Return what this replica leads, confirmed by a quorum after the call began.
 
@@ -356,6 +363,7 @@
         self.knows_leader = bool(notification.leader_instance)
         if leads and not self.is_leader:
             self.leads_since = time.monotonic()
+            self._elected.set()
         self.is_leader = leads
         self._events.write(
             "leader_changed",
--- a/chivetrack/daemon/fleet/replica.py
+++ b/chivetrack/daemon/fleet/replica.py
@@ -111,6 +111,7 @@
                 slack=settings.bounds.retry_slack, window_s=settings.bounds.retry_window_s
             ),
             confirm_leadership=lambda timeout_s: self.host.confirm_leadership(timeout_s=timeout_s),
+            wait_elected=self.host.wait_elected,
             answer=self.transport.answer,
             events=events,
         )
--- a/tests/system/test_lender.py
+++ b/tests/system/test_lender.py
@@ -1,10 +1,17 @@
 """System tests of the leader that lends retries to routers."""
 
+import time
 import unittest
+from typing import Any
 
 from tests.system.deployment import Deployment, make_config, open_deployment, open_endpoint
 from tests.system.fleets import wait_for
 
+REFUSED_FOR_S = 0.1
+# After this time the endpoints take the next request. With more of them, the router's own requests
+# would pay for all retries.
+CALL_INTERVAL_S = 3 * REFUSED_FOR_S
+
 
 class LenderTest(unittest.TestCase):
     def setUp(self) -> None:
@@ -17,18 +24,23 @@
             self.enterContext(open_endpoint(self.deployment, number)) for number in (1, 2)
         ]
         for endpoint in self.endpoints:
-            endpoint.retry_after_s = 0.1
+            endpoint.retry_after_s = REFUSED_FOR_S
 
-    def has_lent(self) -> bool:
-        """Send a request that both endpoints refuse; return whether a retry was lent by now."""
+    def ask(self, *names: str) -> list[dict[str, Any]]:
+        """Send a request that both endpoints refuse; return what replicas were asked by now."""
         for endpoint in self.endpoints:
             self.deployment.announce(endpoint)
         self.deployment.call("r1")
-        return any(
-            event["event"] == "retry_lent" and event["is_lent"]
-            for name in self.deployment.list_names("p")
+        return [
+            event
+            for name in names or self.deployment.list_names("p")
             for event in self.deployment.read_events(name)
-        )
+            if event["event"] == "retry_lent"
+        ]
+
+    def has_lent(self) -> bool:
+        time.sleep(CALL_INTERVAL_S)
+        return any(event["is_lent"] for event in self.ask())
 
     def test_first_leader_lends_at_once(self) -> None:
         """Guards against streams that break off in a new deployment although others could go on."""
