Test over processes that the next leader lends nothing at first

A new leader does not know what the one before has lent. That it waits was tested with the decisions alone. The test kills the leader, and finds the next one refusing for longer than 8 s and lending nothing; with a lender that never waits it fails (is_lent).

--- a/tests/system/test_lender.py
+++ b/tests/system/test_lender.py
@@ -11,6 +11,7 @@
 # After this time the endpoints take the next request. With more of them, the router's own requests
 # would pay for all retries.
 CALL_INTERVAL_S = 3 * REFUSED_FOR_S
+MIN_WAIT_S = 8.0
 
 
 class LenderTest(unittest.TestCase):
@@ -42,10 +43,27 @@
         time.sleep(CALL_INTERVAL_S)
         return any(event["is_lent"] for event in self.ask())
 
+    def is_refused_by(self, *names: str) -> bool:
+        """Ask again later; return whether a replica of ``names`` has refused for a long time."""
+        time.sleep(CALL_INTERVAL_S)
+        asked = self.ask(*names)
+        self.assertFalse(any(event["is_lent"] for event in asked))
+        return any(event["wait_s"] > MIN_WAIT_S for event in asked)
+
     def test_first_leader_lends_at_once(self) -> None:
         """Guards against streams that break off in a new deployment although others could go on."""
         wait_for(self.has_lent, "the first leader lends nothing", within_s=5.0)
 
+    def test_next_leader_waits_until_all_leases_have_expired(self) -> None:
+        """Guards against a slack that is lent twice since a new leader knows no earlier leases."""
+        wait_for(self.has_lent, "the first leader lends nothing", within_s=5.0)
+        killed = self.deployment.find_leader()
+        self.deployment.kill(killed)
+        others = [name for name in self.deployment.list_names("p") if name != killed]
+        wait_for(
+            lambda: self.is_refused_by(*others), "the next leader does not wait", within_s=10.0
+        )
+
 
 if __name__ == "__main__":
     unittest.main()
