--- a/chivetrack/components/quarantine/const.py
+++ b/chivetrack/components/quarantine/const.py
@@ -11,7 +11,7 @@
 
 LEAD_OF_REQUEST: Final = 1
 LEAD_OF_PART: Final = 2
-"""How many crashes more than any other suspect of the same crashes are needed at the threshold.
+"""By how many crashes a suspect has to lead the others of the same crashes at the threshold.
 
 A part of a few requests that has not been answered yet may run beside the cause and in one more
 crash.
@@ -42,7 +42,7 @@
 frequent part runs on all of them."""
 
 MAX_STORED: Final = 1024
-"""Maximum number of crash reports in a replica's file; those of the most frequent suspects are."""
+"""Maximum number of crash reports in a replica's file, those of the suspects with the most."""
 
 MAX_ASKED: Final = 64
 """Maximum number of suspects of which routers are asked; those with the most crashes are."""
--- a/chivetrack/components/quarantine/evidence.py
+++ b/chivetrack/components/quarantine/evidence.py
@@ -75,7 +75,7 @@
 
     @property
     def lead(self) -> int:
-        """Return how many crashes more than any other the threshold alone has to be."""
+        """Return by how many crashes it has to lead its rivals to be held at the threshold."""
         return LEAD_OF_PART if self.report.part else LEAD_OF_REQUEST
 
     @property
@@ -93,8 +93,8 @@
         requests = {self.crashes[incarnation].report.request for incarnation in counted}
         return not self.report.part or len(requests) > 1
 
-    def is_beside(self, other: "_Suspect") -> bool:
-        """Return whether the same requests had both when endpoints crashed."""
+    def has_same_requests(self, other: "_Suspect") -> bool:
+        """Return whether the requests of their common crashes were the same ones."""
         return all(
             crash.report.request == other.crashes[incarnation].report.request
             for incarnation, crash in self.crashes.items()
@@ -124,18 +124,24 @@
     different endpoints; only the combined reports show what they have in common. What only ran
     beside it is usually involved in one crash, or is answered elsewhere: routers are asked for
     answers to the few suspects with several crashes.
+
+    ``change`` is a number that rises with each change.
     """
 
     def __init__(self) -> None:
         """Initialize without crash reports."""
+        self.change = 0
         self._suspects: dict[bytes, _Suspect] = {}
         self._candidates: set[bytes] = set()
         self._services: dict[bytes, float] = {}
         self._pruned_at = float("-inf")
-        self.change = 0
         self._recent: dict[tuple[bytes, str], tuple[float, CrashReport]] = {}
         self._recent_answers: dict[bytes, tuple[float, float]] = {}
 
+    def __len__(self) -> int:
+        """Return the number of tracked requests and parts."""
+        return len(self._suspects)
+
     def store(self, *, now: float) -> StoredEvidence:
         """Return what a replica that starts again goes on from, with a bounded size."""
         by_count = sorted(self._suspects.values(), key=lambda each: len(each.crashes), reverse=True)
@@ -173,10 +179,6 @@
         answered = (AnsweredReport(one.fingerprint, one.age_s + age_s) for one in stored.answered)
         self.record_answered(answered, now=now)
 
-    def __len__(self) -> int:
-        """Return the number of tracked requests and parts."""
-        return len(self._suspects)
-
     def record(self, crash_reports: Iterable[CrashReport], *, now: float) -> bool:
         """Count crash reports and return whether any is new; duplicates and order don't matter."""
         is_new = False
@@ -286,7 +288,7 @@
         if lead != 0 or beyond > 1 or not suspect.report.part:
             return lead >= 0
         equal = (self._suspects[each] for each, count in rivals.items() if count == len(crashes))
-        return all(suspect.is_beside(each) for each in equal)
+        return all(suspect.has_same_requests(each) for each in equal)
 
     def _list_explained(self, quarantine: Quarantine) -> frozenset[str]:
         """Return the crashes during which something was running that is held by now."""
@@ -332,7 +334,7 @@
                 self._update(fingerprint, now)
 
     def reset_all(self, *, now: float) -> None:
-        """Exclude all known crashes from the counts, after a release that is not known closer."""
+        """Exclude all known crashes, after releases that this replica has not seen."""
         for fingerprint, suspect in list(self._suspects.items()):
             suspect.excluded |= suspect.crashes.keys()
             self._update(fingerprint, now)
