Write a replica's file as often as that is asked for, and not without a pause

Placements change with each poll, so a busy replica would write all of them each 0.3 s, where it did at most each second and at pushes: disk and processor time that nobody asked for.

A request that comes during the delay is served by that write, one that comes while the disk works by one more after it.

--- a/chivetrack/daemon/fleet/state_file.py
+++ b/chivetrack/daemon/fleet/state_file.py
@@ -56,7 +56,9 @@
         self._events = events
         self._pool = ThreadPool(1)
         self._written = get_change()
+        self._is_scheduled = False
         self._is_writing = False
+        self._is_requested = False
 
     @property
     def exists(self) -> bool:
@@ -66,7 +68,8 @@
     @property
     def is_outdated(self) -> bool:
         """Return whether the last change has not been written yet."""
-        return self._is_writing or self._get_change() != self._written
+        is_under_way = self._is_scheduled or self._is_writing
+        return is_under_way or self._get_change() != self._written
 
     def load(self) -> ContentT | None:
         """Return the content, ``None`` without a readable file."""
@@ -80,11 +83,17 @@
 
     def schedule_write(self) -> None:
         """Schedule a write if the state has changed; only one is under way at a time."""
-        if not self._is_writing and self._get_change() != self._written:
-            self._is_writing = True
-            gevent.spawn_later(self._write_delay_s, self._write)
+        if self._is_scheduled or self._get_change() == self._written:
+            return
+        if self._is_writing:
+            self._is_requested = True
+            return
+        self._is_scheduled = True
+        gevent.spawn_later(self._write_delay_s, self._write)
 
     def _write(self) -> None:
+        self._is_scheduled = False
+        self._is_writing = True
         self._written = self._get_change()
         data = msgspec.msgpack.encode(self._make_content())
         try:
@@ -94,4 +103,7 @@
             self._events.write(f"{self._name}_file_not_written", detail=str(error))
         finally:
             self._is_writing = False
-        self.schedule_write()
+        # State that changes all the time is written as often as that is asked for, not more often.
+        if self._is_requested:
+            self._is_requested = False
+            self.schedule_write()
