Wait for the writes of all replicas before a test kills one

Ten parts of the tests at a time, for a last check, failed three tests of test_origins: a folder that was removed while the replica of the process before still wrote to it (twice), and a fixed wait of 50 ms for writes that had not ended. The cause is that of: announce() returned once a majority had confirmed, while the third replica still wrote.

What is compared is unchanged.

--- a/tests/daemon/fleet/test_origins.py
+++ b/tests/daemon/fleet/test_origins.py
@@ -100,6 +100,13 @@
             client.handle_endpoints(frozenset(origins))
         for client in self.clients.values():
             self.wait_registered(client, *origins)
+        self.wait_saved()
+
+    def wait_saved(self) -> None:
+        """Wait until no replica writes; a majority confirms before the others have."""
+        with gevent.Timeout(5.0):
+            while any(host._is_saving for host in self.hosts.values()):
+                gevent.sleep(0.01)
 
     def wait_registered(self, client: OriginClient, *origins: Origin) -> None:
         with gevent.Timeout(5.0):
@@ -205,7 +212,9 @@
             self.restart(name)
         self.assertEqual(self.find("r2", "a").basis, OriginBasis.NO_MAJORITY)
         self.clients["r1"].handle_view(keeps_origins=True, restart_count=2)
-        gevent.sleep(0.05)
+        with gevent.Timeout(LIMIT_S):
+            while self.find("r2", "a").basis is not OriginBasis.TOLD:
+                gevent.sleep(0.01)
         self.begin("r1", "b")
         for request in ("a", "b"):
             verdict = self.find("r2", request)
