Hand out the slots of plain services at the leading replica

Cause: dozens of routers before three endpoints of six slots choose by counts that are older than a request lasts. All find the same endpoint idle and fill it together; it rejects, and what it queues is answered after its latency target. No router knows how full a service is, so none can tell which request to refuse, nor when its caller should return.

Change: the leading replica grants slots one by one, with weighted fair queueing by workspace and rank, a wait that ends within the latency target, and refusals at once whose Retry-After is spread over callers. Only with [admission] schedules_slots, and while a service runs short of slots. A silent leader costs one wait of 0.1 s a second; then requests go as before.

--- /dev/null
+++ b/chivetrack/components/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission of requests to plain services with few slots."""
--- /dev/null
+++ b/chivetrack/components/admission/const.py
@@ -0,0 +1,56 @@
+"""Constants of the admission component; times in seconds unless a name says otherwise."""
+
+from typing import Final
+
+MAX_ENDPOINTS: Final = 16
+"""Services with more endpoints are not scheduled: many random choices level out over them, and
+each request would name all of them."""
+
+ENGAGED_S: Final = 5.0
+"""Time for which a service stays scheduled after its load was last at the limit of the settings."""
+
+ANSWER_TIMEOUT_S: Final = 0.1
+"""Time that a router waits for the first answer; the farthest regions are 0.15 s apart both ways,
+a scheduler there costs more than its order is worth."""
+
+SUSPENDED_S: Final = 1.0
+"""Time for which a router sends without slots after a scheduler did not answer."""
+
+WAIT_MARGIN_S: Final = 0.1
+"""Time beyond the longest wait that a router allows for the answer's way."""
+
+EXTRA_SLOTS: Final = 1
+"""Requests that may wait at an endpoint, so that a slot is not idle while the next request is on
+its way from the router."""
+
+SLOW_FACTOR: Final = 3.0
+"""An endpoint whose requests take longer than this multiple of the fastest one's gets a single
+request at a time, which shows when it has recovered."""
+
+START_SERVICE_S: Final = 0.05
+"""Service time that is assumed until requests have ended."""
+
+SAMPLE_WEIGHT: Final = 0.1
+"""Weight of one request in the mean service time of an endpoint."""
+
+TAIL_FACTOR: Final = 1.5
+"""Multiple of the mean service time within which most requests end."""
+
+MIN_LEASE_S: Final = 0.5
+LEASE_FACTOR: Final = 6.0
+"""A slot that was not released is free again after this multiple of the mean service time, and
+``MIN_LEASE_S`` at least: its router was probably killed."""
+
+RANK_WEIGHT: Final = 2.0
+"""Factor between the weights of two successive ranks."""
+
+MIN_RETRY_AFTER_S: Final = 0.1
+MAX_RETRY_AFTER_S: Final = 1.0
+HONOURED_HOLD_SHARE: Final = 1 / 3
+"""Callers honour ``Retry-After`` up to this share of the time that they still wait."""
+
+RETURN_SHARE: Final = 0.5
+"""Part of a service's rate at which refused callers are told to return; the rest is for others."""
+
+IDLE_S: Final = 60.0
+"""Time after which a service without requests is forgotten."""
--- /dev/null
+++ b/chivetrack/components/admission/scheduler.py
@@ -0,0 +1,196 @@
+"""Schedules the slots of one plain service for the whole fleet; without I/O."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from random import Random
+
+from chivetrack.components.admission.const import (
+    HONOURED_HOLD_SHARE,
+    MAX_RETRY_AFTER_S,
+    MIN_RETRY_AFTER_S,
+    RETURN_SHARE,
+    SLOW_FACTOR,
+    START_SERVICE_S,
+    TAIL_FACTOR,
+)
+from chivetrack.components.admission.endpoint_slots import EndpointSlots
+from chivetrack.components.admission.messages import (
+    SlotAnswer,
+    SlotCandidate,
+    SlotRelease,
+    SlotRequest,
+    SlotState,
+)
+from chivetrack.components.admission.waiting import WaitingList, WaitingRequest
+
+
+@dataclass(frozen=True, slots=True)
+class AddressedAnswer:
+    """An answer and the router that it goes to."""
+
+    target: str
+    answer: SlotAnswer
+
+
+class SlotScheduler:
+    """Grants slots one by one, queues requests for a short time and refuses the rest at once.
+
+    Load that it answers: dozens of routers before a few endpoints with few slots, each router with
+    one or two requests per second. Counts that routers exchange are older than a request lasts, so
+    all routers find the same endpoint idle and fill it together, while others stand idle; full
+    endpoints then reject, and what they queue is answered after its latency target.
+
+    A request waits only while it can still be answered within its latency target; one that can't
+    is refused when that shows, and its caller is told a time at which there is room. Requests of
+    different workspaces and ranks share the slots as ``WaitingList`` tells.
+    """
+
+    def __init__(self, *, random: Random) -> None:
+        """Initialize without endpoints; they are known from requests."""
+        self._random = random
+        self._endpoints: dict[str, EndpointSlots] = {}
+        self._waiting = WaitingList()
+        self._next_return_at = 0.0
+        self.last_used_at = float("-inf")
+        self.granted = 0
+        self.refused = 0
+
+    @property
+    def waiting_count(self) -> int:
+        """Return how many requests wait."""
+        return len(self._waiting)
+
+    def count_running(self) -> int:
+        """Return how many slots are in use."""
+        return sum(len(one.leases) for one in self._endpoints.values())
+
+    def request(self, source: str, request: SlotRequest, *, now: float) -> list[AddressedAnswer]:
+        """Handle a request of a router; return answers, also to requests that waited before."""
+        self.last_used_at = now
+        self._refresh(request.candidates, now)
+        wait_s = self._find_longest_wait(request)
+        self._waiting.add(source, request, now=now, expires_at=now + wait_s)
+        answers = [*self._grant_free(now), *self._refuse_late(now)]
+        key = (source, request.number)
+        for place, waiting in enumerate(self._waiting):
+            if waiting.key == key:
+                queued = SlotAnswer(
+                    number=request.number,
+                    state=SlotState.QUEUED,
+                    wait_s=self._expect_wait_s(waiting, place),
+                )
+                answers.append(AddressedAnswer(source, queued))
+        return answers
+
+    def release(self, source: str, release: SlotRelease, *, now: float) -> list[AddressedAnswer]:
+        """Free a slot or withdraw a request; return the answers to those that waited for it."""
+        key = (source, release.number)
+        self._waiting.remove(*key)
+        for endpoint in self._endpoints.values():
+            if endpoint.leases.pop(key, None) is None:
+                continue
+            if release.took_s > 0:
+                endpoint.record_end(release.took_s)
+            if release.is_rejected:
+                endpoint.record_full(now)
+        return self.wake(now=now)
+
+    def wake(self, *, now: float) -> list[AddressedAnswer]:
+        """Grant slots whose leases have expired and refuse what waits in vain."""
+        for endpoint in self._endpoints.values():
+            endpoint.drop_expired(now)
+        return [*self._grant_free(now), *self._refuse_late(now)]
+
+    def _refresh(self, candidates: tuple[SlotCandidate, ...], now: float) -> None:
+        for candidate in candidates:
+            known = self._endpoints.get(candidate.endpoint_id)
+            if known is None:
+                self._endpoints[candidate.endpoint_id] = EndpointSlots(
+                    slots=candidate.slots, mean_s=self._find_usual_s()
+                )
+            else:
+                known.slots = candidate.slots
+        for endpoint in self._endpoints.values():
+            endpoint.drop_expired(now)
+
+    def _find_usual_s(self) -> float:
+        """Return the service time (s) of the fastest endpoint."""
+        return min((one.mean_s for one in self._endpoints.values()), default=START_SERVICE_S)
+
+    def _find_longest_wait(self, request: SlotRequest) -> float:
+        """Return how long (s) a request may wait.
+
+        One that is late already, such as a retry, may still wait for one service time: its caller
+        would come back no sooner.
+        """
+        usual_s = self._find_usual_s()
+        return min(request.hold_s, max(usual_s, request.target_s - TAIL_FACTOR * usual_s))
+
+    def _grant_free(self, now: float) -> Iterator[AddressedAnswer]:
+        for waiting in self._waiting:
+            candidate = self._find_free(waiting.request, now)
+            if candidate is None:
+                continue
+            self._waiting.serve(waiting)
+            self._endpoints[candidate.endpoint_id].lease(
+                waiting.key, now=now, hold_s=waiting.request.hold_s
+            )
+            self.granted += 1
+            answer = SlotAnswer(
+                number=waiting.request.number,
+                state=SlotState.GRANTED,
+                endpoint_id=candidate.endpoint_id,
+            )
+            yield AddressedAnswer(waiting.source, answer)
+
+    def _find_free(self, request: SlotRequest, now: float) -> SlotCandidate | None:
+        """Return the candidate with room that answers first, ``None`` if all are full."""
+        fastest_s = min(self._endpoints[one.endpoint_id].mean_s for one in request.candidates)
+        free = [one for one in request.candidates if self._has_room(one, fastest_s, now)]
+        return min(free, key=self._expect_cost_ms, default=None)
+
+    def _has_room(self, candidate: SlotCandidate, fastest_s: float, now: float) -> bool:
+        endpoint = self._endpoints[candidate.endpoint_id]
+        is_slow = endpoint.mean_s > SLOW_FACTOR * fastest_s
+        return endpoint.has_room(now=now, is_slow=is_slow)
+
+    def _expect_cost_ms(self, candidate: SlotCandidate) -> float:
+        return candidate.cost_ms + self._endpoints[candidate.endpoint_id].expect_s() * 1000
+
+    def _refuse_late(self, now: float) -> Iterator[AddressedAnswer]:
+        """Refuse the waiting requests that would get a slot too late."""
+        place = 0
+        for waiting in self._waiting:
+            wait_s = self._expect_wait_s(waiting, place)
+            if now + wait_s <= waiting.expires_at:
+                place += 1
+                continue
+            self._waiting.remove(*waiting.key)
+            self.refused += 1
+            answer = SlotAnswer(
+                number=waiting.request.number,
+                state=SlotState.REFUSED,
+                wait_s=self._find_return_s(waiting.request, now),
+            )
+            yield AddressedAnswer(waiting.source, answer)
+
+    def _expect_wait_s(self, waiting: WaitingRequest, place: int) -> float:
+        """Return the expected wait (s) of a request with ``place`` others before it."""
+        rate = sum(self._endpoints[one.endpoint_id].rate for one in waiting.request.candidates)
+        return (place + 1) / rate
+
+    def _find_return_s(self, request: SlotRequest, now: float) -> float:
+        """Return after what time (s) the caller of a refused request finds room.
+
+        Refused callers get successive times at a part of the service's rate. Otherwise those that
+        were refused together return together and are refused again.
+        """
+        rate = sum(self._endpoints[one.endpoint_id].rate for one in request.candidates)
+        longest_s = max(
+            MIN_RETRY_AFTER_S, min(MAX_RETRY_AFTER_S, request.hold_s * HONOURED_HOLD_SHARE)
+        )
+        return_at = max(self._next_return_at, now + MIN_RETRY_AFTER_S)
+        if return_at > now + longest_s:
+            return self._random.uniform(MIN_RETRY_AFTER_S, longest_s)
+        self._next_return_at = return_at + 1 / (RETURN_SHARE * rate)
+        return return_at - now
--- a/chivetrack/components/deployment/settings.py
+++ b/chivetrack/components/deployment/settings.py
@@ -81,6 +81,16 @@
     stop_within_s: Annotated[Seconds, Meta(gt=0, description="From SIGTERM to the kill.")] = 8.0
 
 
+class AdmissionSettings(StructSection, frozen=True, kw_only=True):
+    """Whether the leading replica hands out the slots of plain services one by one."""
+
+    schedules_slots: Annotated[bool, Meta(description="Whether slots are handed out.")] = False
+    min_load: Annotated[
+        float,
+        Meta(ge=0, description="Share of a service's slots in use from which they are."),
+    ] = 0.3
+
+
 class ProcessLogSettings(StructSection, frozen=True, kw_only=True):
     """Event lines on standard output."""
 
@@ -94,6 +104,7 @@
     listeners: ProcessListeners
     fleet: FleetSettings
     bounds: BoundSettings
+    admission: AdmissionSettings
     log: ProcessLogSettings
 
 
--- a/chivetrack/components/placement/choice.py
+++ b/chivetrack/components/placement/choice.py
@@ -1,8 +1,9 @@
 """Choice of an endpoint of a service by estimated cost."""
 
 import heapq
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass
+from enum import StrEnum
 
 import xxhash
 
@@ -50,7 +51,8 @@
     ``fetch_from``: the address of an engine that probably has more of the prompt cached.
     ``is_home``: the endpoint is the prompt's first home, where other routers expect the
     prompt without a report. ``expected_ms``: the expected time to the first event, or to a
-    plain answer; ``certain_ms``: its part that is taken by known work.
+    plain answer; ``certain_ms``: its part that is taken by known work. ``location_ms``: the part
+    of the cost that does not depend on the load.
     """
 
     record: EndpointRecord
@@ -61,6 +63,7 @@
     is_home: bool = False
     expected_ms: float = 0.0
     certain_ms: float = 0.0
+    location_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -92,6 +95,38 @@
     sources: Mapping[str, _VersionSources]
 
 
+class Exclusion(StrEnum):
+    """Why a candidate may not be chosen."""
+
+    OVER_BOUND = "over_bound"
+    NOT_HOME = "not_home"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ComparedChoice:
+    """A candidate with its cost; ``exclusion`` is set if it may not be chosen."""
+
+    choice: Choice
+    exclusion: Exclusion | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Ranking:
+    """The candidates within the bound on requests, those of them that are allowed, their cost."""
+
+    within: Sequence[Candidate]
+    allowed: Sequence[Candidate]
+    score: Callable[[Candidate], Choice]
+
+    def list_choices(self, candidates: Sequence[Candidate]) -> list[Choice]:
+        return [self.score(candidate) for candidate in candidates]
+
+    def find_exclusion(self, candidate: Candidate) -> Exclusion | None:
+        if candidate in self.allowed:
+            return None
+        return Exclusion.NOT_HOME if candidate in self.within else Exclusion.OVER_BOUND
+
+
 class Chooser:
     """Selects endpoints by cached prompts, load and distance; without I/O.
 
@@ -135,7 +170,63 @@
         """
         if not candidates:
             return None
-        speeds = speeds or ServiceSpeeds()
+        ranking = self._rank(
+            candidates,
+            service=service,
+            facts=facts,
+            now=now,
+            sources=sources,
+            routers=routers,
+            speeds=speeds or ServiceSpeeds(),
+            resting=resting,
+        )
+        return min(ranking.list_choices(ranking.allowed), key=lambda choice: choice.cost_ms)
+
+    def compare(
+        self,
+        candidates: Sequence[Candidate],
+        *,
+        service: Service | None,
+        facts: RequestFacts,
+        now: float,
+        sources: Sequence[Source] = (),
+        routers: int = 1,
+        speeds: ServiceSpeeds | None = None,
+        resting: Collection[str] = (),
+    ) -> list[ComparedChoice]:
+        """Return all candidates with their cost, and why some may not be chosen.
+
+        See ``choose`` for the parameters.
+        """
+        if not candidates:
+            return []
+        ranking = self._rank(
+            candidates,
+            service=service,
+            facts=facts,
+            now=now,
+            sources=sources,
+            routers=routers,
+            speeds=speeds or ServiceSpeeds(),
+            resting=resting,
+        )
+        return [
+            ComparedChoice(choice=choice, exclusion=ranking.find_exclusion(candidate))
+            for candidate, choice in zip(candidates, ranking.list_choices(candidates), strict=True)
+        ]
+
+    def _rank(
+        self,
+        candidates: Sequence[Candidate],
+        *,
+        service: Service | None,
+        facts: RequestFacts,
+        now: float,
+        sources: Sequence[Source],
+        routers: int,
+        speeds: ServiceSpeeds,
+        resting: Collection[str],
+    ) -> _Ranking:
         running = {
             candidate.record.endpoint_id: self._loads.count_running(
                 candidate.record.endpoint_id, now
@@ -143,22 +234,22 @@
             for candidate in candidates
         }
         within = self._keep_within_bound(candidates, running, resting, routers, now)
+        allowed = within
         engine = None if service is None else service.engine
-        prompt = None
+        prompt: _PromptState | None = None
         if engine is not None and facts.parts:
             prompt_sources = sources or [
                 Source(record=candidate.record) for candidate in candidates
             ]
             prompt = self._describe_prompt(facts, candidates, prompt_sources, engine.can_fetch)
             if routers > 1:
-                within = self._keep_homes(within, prompt, facts)
-        choices = [
-            self._score_engine(
-                candidate, facts, running[candidate.record.endpoint_id], prompt, speeds, now
-            )
-            for candidate in within
-        ]
-        return min(choices, key=lambda choice: choice.cost_ms)
+                allowed = self._keep_homes(within, prompt, facts)
+
+        def score(candidate: Candidate) -> Choice:
+            count = running[candidate.record.endpoint_id]
+            return self._score_engine(candidate, facts, count, prompt, speeds, now)
+
+        return _Ranking(within=within, allowed=allowed, score=score)
 
     def _keep_within_bound(
         self,
@@ -264,8 +355,8 @@
             tokens_to_read + waiting_tokens + reread * weights.read_again_factor
         ) / read_rate + queued_ms
         work += running * weights.running_share * speeds.answer_ms
-        cost = self._score_location(candidate)
-        cost += work * slowness + fetched * weights.fetch_share / read_rate
+        location_ms = self._score_location(candidate)
+        cost = location_ms + (work * slowness + fetched * weights.fetch_share / read_rate)
         is_home = record is prompt.homes[0]
         if not cached and is_home:
             cost -= weights.home_chance * min(prompt.shared, missing) / read_rate
@@ -279,6 +370,7 @@
             is_home=is_home,
             expected_ms=first_ms + queued_ms * slowness,
             certain_ms=(tokens_to_read + waiting_tokens) / read_rate + queued_ms,
+            location_ms=location_ms,
         )
 
     def _score_plain(
@@ -288,13 +380,15 @@
         plain_ms = speeds.expect_plain_ms(record.endpoint_id, now)
         turns = 1 + running * self._weights.plain_turns / max(1, record.slots)
         queued = _count_queued_turns(record, running)
+        location_ms = self._score_location(candidate)
         return Choice(
             record=record,
             missing_tokens=0,
             running=running,
-            cost_ms=self._score_location(candidate) + turns * plain_ms,
+            cost_ms=location_ms + turns * plain_ms,
             expected_ms=(1 + queued) * plain_ms,
             certain_ms=queued * speeds.plain_ms,
+            location_ms=location_ms,
         )
 
     def _score_location(self, candidate: Candidate) -> float:
--- a/chivetrack/components/placement/placement.py
+++ b/chivetrack/components/placement/placement.py
@@ -7,7 +7,13 @@
 from chivetrack.components.distribution.messages import EndpointLoad, PlacedPart
 from chivetrack.components.observation.silence import SilenceTable, find_wait_limit
 from chivetrack.components.observation.speeds import ServiceSpeeds
-from chivetrack.components.placement.choice import Candidate, Choice, Chooser, Source
+from chivetrack.components.placement.choice import (
+    Candidate,
+    Choice,
+    Chooser,
+    ComparedChoice,
+    Source,
+)
 from chivetrack.components.placement.loads import LoadTable
 from chivetrack.components.placement.parts import (
     MIN_REPORTED_HOME_TOKENS,
@@ -89,6 +95,31 @@
             resting=resting,
         )
 
+    def compare(
+        self,
+        candidates: Sequence[Candidate],
+        *,
+        service: Service | None,
+        facts: RequestFacts,
+        now: float,
+        sources: Sequence[Source] = (),
+        routers: int = 1,
+        resting: Collection[str] = (),
+    ) -> list[ComparedChoice]:
+        """Return all candidates with their cost, and why some may not be chosen."""
+        if not candidates:
+            return []
+        return self._chooser.compare(
+            candidates,
+            service=service,
+            facts=facts,
+            now=now,
+            sources=sources,
+            routers=routers,
+            speeds=self.get_speeds(candidates[0].record.service),
+            resting=resting,
+        )
+
     def expect_complete_s(self, choice: Choice, facts: RequestFacts) -> float:
         """Return the time in seconds within which most such answers are complete."""
         speeds = self.get_speeds(choice.record.service)
--- /dev/null
+++ b/chivetrack/daemon/fleet/admission.py
@@ -0,0 +1,195 @@
+"""Requests slots of plain services from the leading replica."""
+
+import time
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+from gevent.event import Event as Signal
+
+from chivetrack.components.admission.const import (
+    ANSWER_TIMEOUT_S,
+    MAX_ENDPOINTS,
+    SUSPENDED_S,
+    WAIT_MARGIN_S,
+)
+from chivetrack.components.admission.engagement import Engagement
+from chivetrack.components.admission.messages import (
+    SlotAnswer,
+    SlotCandidate,
+    SlotRelease,
+    SlotRequest,
+    SlotState,
+)
+from chivetrack.components.placement.choice import Choice
+from chivetrack.daemon.fleet.calls import Call
+from chivetrack.daemon.fleet.fleet_view import FleetView
+from chivetrack.daemon.fleet.pending_requests import count_requests
+from chivetrack.helpers.codec import Message
+from chivetrack.helpers.events import EventLog
+
+
+@dataclass(slots=True, kw_only=True)
+class Slot:
+    """What was decided on a slot for one attempt.
+
+    ``choice`` is the endpoint to send to. ``retry_after_s`` is set if the request is refused.
+    ``took_s`` and ``is_rejected`` are set by the attempt, see ``SlotRelease``.
+    """
+
+    choice: Choice
+    retry_after_s: float | None = None
+    took_s: float = 0.0
+    is_rejected: bool = False
+
+
+@dataclass(slots=True)
+class _PendingSlot:
+    changed: Signal = field(default_factory=Signal)
+    answer: SlotAnswer | None = None
+
+
+class AdmissionClient:
+    """Hold a slot of a plain service during an attempt, if the service runs short of them.
+
+    Without a leading replica, or if it does not answer in time, requests are sent without a slot.
+    """
+
+    def __init__(
+        self,
+        *,
+        engagement: Engagement,
+        view: FleetView,
+        find_leader: Callable[[], str],
+        send: Callable[[str, Message], None],
+        events: EventLog,
+        record_slot: Callable[[str], None],
+    ) -> None:
+        """Store the components; ``record_slot`` counts a decision by its state.
+
+        ``find_leader`` returns the address of the leading replica, or an empty string.
+        """
+        self._engagement = engagement
+        self._view = view
+        self._find_leader = find_leader
+        self._send = send
+        self._events = events
+        self._record_slot = record_slot
+        self._numbers = count_requests()
+        self._pending: dict[int, _PendingSlot] = {}
+        self._suspended_until = float("-inf")
+
+    @contextmanager
+    def hold_slot(self, call: Call, choice: Choice) -> Iterator[Slot]:
+        """Hold a slot for an attempt in the context; ``choice`` is used if none is needed."""
+        choices = self._list_scheduled(call)
+        leader = self._find_leader() if choices else ""
+        if not leader or time.monotonic() < self._suspended_until:
+            yield Slot(choice=choice)
+            return
+        number = next(self._numbers)
+        slot = Slot(choice=choice)
+        try:
+            self._request(slot, number, leader, call, choices)
+            yield slot
+        finally:
+            release = SlotRelease(
+                number=number,
+                service=call.service,
+                took_s=slot.took_s,
+                is_rejected=slot.is_rejected,
+            )
+            self._send(leader, release)
+
+    def record_rejection(self, service: str) -> None:
+        """Record that an endpoint of a service rejected a request as full."""
+        self._engagement.record_rejection(service, time.monotonic())
+
+    def _list_scheduled(self, call: Call) -> Sequence[Choice]:
+        """Return the endpoints among which the slot is granted, none without scheduling."""
+        if not self._engagement.is_enabled or not self._view.is_plain(call):
+            return ()
+        choices = [one.choice for one in self._view.compare(call)]
+        if not 0 < len(choices) <= MAX_ENDPOINTS:
+            return ()
+        now = time.monotonic()
+        self._engagement.record_load(
+            call.service,
+            running=sum(one.running for one in choices),
+            slots=sum(one.record.slots for one in choices),
+            now=now,
+        )
+        return choices if self._engagement.is_engaged(call.service, now) else ()
+
+    def _request(
+        self, slot: Slot, number: int, leader: str, call: Call, choices: Sequence[Choice]
+    ) -> None:
+        """Request a slot and wait for the decision."""
+        asked_at = time.monotonic()
+        answer = self._exchange(leader, _make_request(number, call, choices, now=asked_at))
+        state = "unanswered" if answer is None else answer.state.value
+        if answer is None or answer.state is SlotState.NOT_LEADING:
+            self._suspended_until = time.monotonic() + SUSPENDED_S
+        elif answer.state is SlotState.REFUSED:
+            slot.retry_after_s = answer.wait_s
+        else:
+            granted = [one for one in choices if one.record.endpoint_id == answer.endpoint_id]
+            slot.choice = granted[0] if granted else slot.choice
+        self._record_slot(state)
+        self._events.write(
+            "slot_decided",
+            request=call.facts.request_id,
+            service=call.service,
+            state=state,
+            endpoint=slot.choice.record.endpoint_id,
+            candidates=len(choices),
+            leader=leader,
+            waited_ms=round((time.monotonic() - asked_at) * 1000),
+            retry_after_s=slot.retry_after_s,
+        )
+
+    def _exchange(self, leader: str, request: SlotRequest) -> SlotAnswer | None:
+        """Return the final answer to a request, ``None`` if there is none in time."""
+        pending = self._pending[request.number] = _PendingSlot()
+        try:
+            self._send(leader, request)
+            pending.changed.wait(ANSWER_TIMEOUT_S)
+            queued = pending.answer
+            if queued is not None and queued.state is SlotState.QUEUED:
+                pending.changed.clear()
+                pending.changed.wait(max(request.target_s, queued.wait_s) + WAIT_MARGIN_S)
+            answer = pending.answer
+        finally:
+            del self._pending[request.number]
+        is_final = answer is not None and answer.state is not SlotState.QUEUED
+        return answer if is_final else None
+
+    def handle_answer(self, answer: SlotAnswer) -> None:
+        """Handle an answer; one that comes too late was released with its request."""
+        pending = self._pending.get(answer.number)
+        if pending is None:
+            return
+        if pending.answer is None or pending.answer.state is SlotState.QUEUED:
+            pending.answer = answer
+        pending.changed.set()
+
+
+def _make_request(number: int, call: Call, choices: Sequence[Choice], *, now: float) -> SlotRequest:
+    left_s = max(0.0, call.ends_at - now)
+    target_s = call.route.target_s or left_s
+    return SlotRequest(
+        number=number,
+        service=call.service,
+        workspace="" if call.workspace is None else call.workspace.name,
+        rank=call.priority,
+        target_s=max(0.0, call.came_at + target_s - now),
+        hold_s=left_s,
+        candidates=tuple(
+            SlotCandidate(
+                endpoint_id=one.record.endpoint_id,
+                slots=one.record.slots,
+                cost_ms=one.location_ms,
+            )
+            for one in choices
+        ),
+    )
--- a/chivetrack/daemon/fleet/fleet_view.py
+++ b/chivetrack/daemon/fleet/fleet_view.py
@@ -3,6 +3,8 @@
 import time
 from collections.abc import Callable, Collection, Iterable, Iterator, Sequence
 from contextlib import contextmanager
+from dataclasses import dataclass
+from typing import Any
 
 from gevent.event import Event as Signal
 
@@ -15,11 +17,11 @@
 from chivetrack.components.evacuation.models import Evacuations
 from chivetrack.components.origins.fitting import VersionFilter
 from chivetrack.components.origins.models import Origin
-from chivetrack.components.placement.choice import Candidate, Choice, Source
+from chivetrack.components.placement.choice import Candidate, Choice, ComparedChoice, Source
 from chivetrack.components.placement.placement import Placed, Placement
 from chivetrack.components.retries.service_budgets import ServiceRetryBudgets
-from chivetrack.components.traffic.models import Document, RouteKind
-from chivetrack.components.traffic.requests import AnswerFacts
+from chivetrack.components.traffic.models import Document, RouteKind, Service
+from chivetrack.components.traffic.requests import AnswerFacts, RequestFacts
 from chivetrack.components.traffic.table import RouteTable
 from chivetrack.daemon.fleet.calls import Call
 from chivetrack.daemon.fleet.health import EndpointHealth
@@ -45,6 +47,30 @@
 MAX_LOGGED_ENDPOINTS = 16
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _ChoiceInputs:
+    """What the choice of an endpoint depends on; see ``Chooser.choose``."""
+
+    candidates: Sequence[Candidate]
+    service: Service | None
+    facts: RequestFacts
+    now: float
+    sources: Sequence[Source]
+    routers: int
+    resting: Sequence[str]
+
+    def describe(self) -> dict[str, Any]:
+        """Return the keyword arguments of a choice besides the candidates."""
+        return {
+            "service": self.service,
+            "facts": self.facts,
+            "now": self.now,
+            "sources": self.sources,
+            "routers": self.routers,
+            "resting": self.resting,
+        }
+
+
 class FleetView:
     """Combine the state received from replicas with this router's own observations."""
 
@@ -296,17 +322,24 @@
 
     def choose(self, call: Call) -> Choice | None:
         """Return the endpoint for the next attempt of a request, ``None`` if there is none."""
+        inputs = self._list_inputs(call)
+        return self.placement.choose(inputs.candidates, **inputs.describe())
+
+    def compare(self, call: Call) -> list[ComparedChoice]:
+        """Return all candidates for a request with their cost, without choosing one."""
+        inputs = self._list_inputs(call)
+        return self.placement.compare(inputs.candidates, **inputs.describe())
+
+    def _list_inputs(self, call: Call) -> _ChoiceInputs:
         now = time.monotonic()
         is_limited = self.find_cold_rate(call.service) > 0
         division = self.directory.partition(
             call.service, passed_over=call.passed_over, is_limited=is_limited, now=now
         )
         fitting = self._list_fitting(call, division.open)
-        candidates = self._list_candidates(call, fitting, is_limited, now)
-        service = None if self.table is None else self.table.find_service(call.service)
-        return self.placement.choose(
-            candidates,
-            service=service,
+        return _ChoiceInputs(
+            candidates=self._list_candidates(call, fitting, is_limited, now),
+            service=None if self.table is None else self.table.find_service(call.service),
             facts=call.facts,
             now=now,
             sources=self._list_sources(call.service, now),
@@ -314,6 +347,12 @@
             resting=[one.endpoint_id for one in division.resting],
         )
 
+    def is_plain(self, call: Call) -> bool:
+        """Return whether a request goes to a service without engines, prompts and cold limits."""
+        service = None if self.table is None else self.table.find_service(call.service)
+        is_simple = service is not None and service.engine is None and service.cold_per_s == 0
+        return is_simple and not call.facts.parts and call.route.kind is not RouteKind.STREAM
+
     def _list_fitting(
         self, call: Call, records: Sequence[EndpointRecord]
     ) -> Sequence[EndpointRecord]:
--- a/chivetrack/daemon/fleet/meters.py
+++ b/chivetrack/daemon/fleet/meters.py
@@ -69,6 +69,11 @@
             unit="{retry}",
             description="Retries that needed the retry budget, by whether it allowed them.",
         )
+        self._slots = meter.create_counter(
+            "chivetrack.router.slots",
+            unit="{request}",
+            description="Requests for slots of plain services by what was decided.",
+        )
         self._crashes = meter.create_counter(
             "chivetrack.router.endpoint_crashes",
             unit="{crash}",
@@ -113,6 +118,10 @@
         """Count a decision of the retry budget."""
         self._budget.add(1, {"is_allowed": has_budget})
 
+    def record_slot(self, state: str) -> None:
+        """Count a decision on a slot of a plain service."""
+        self._slots.add(1, {"state": state})
+
     def count_crash(self) -> None:
         """Count an endpoint crash."""
         self._crashes.add(1)
--- a/chivetrack/daemon/fleet/metrics.py
+++ b/chivetrack/daemon/fleet/metrics.py
@@ -64,6 +64,10 @@
         """Count a decision of the retry budget."""
         self._record(lambda meters: meters.record_budget(has_budget))
 
+    def record_slot(self, state: str) -> None:
+        """Count a decision on a slot of a plain service."""
+        self._record(lambda meters: meters.record_slot(state))
+
     def count_crash(self) -> None:
         """Count an endpoint crash that interrupted requests of this router."""
         self._record(lambda meters: meters.count_crash())
--- a/chivetrack/daemon/fleet/refusals.py
+++ b/chivetrack/daemon/fleet/refusals.py
@@ -3,6 +3,7 @@
 import time
 from random import Random
 
+from chivetrack.components.admission.faults import make_no_slot_fault
 from chivetrack.components.limits.infeasible import refuse_infeasible
 from chivetrack.components.limits.stopping import (
     StopWindow,
@@ -58,6 +59,19 @@
         call.reply.refuse(fault)
         return True
 
+    def refuse_without_slot(self, call: Call, retry_after_s: float) -> None:
+        """Refuse a request that gets no slot of its service in time."""
+        fault = make_no_slot_fault(retry_after_s)
+        self._log.write_rejected(
+            call.facts,
+            fault,
+            path=call.target,
+            service=call.service,
+            retry_after_s=retry_after_s,
+            tries=len(call.attempts),
+        )
+        call.reply.refuse(fault)
+
     def refuse_during_stop(self, call: Call, choice: Choice) -> bool:
         """Refuse a request that has not run and would probably be cut by the exit."""
         if self.window is None or may_have_run(call.attempts):
--- a/chivetrack/daemon/fleet/replica.py
+++ b/chivetrack/daemon/fleet/replica.py
@@ -6,11 +6,14 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from random import Random
 from typing import Any
 
 import gevent
 from gevent.event import Event as Signal
 
+from chivetrack.components.admission.messages import SlotRelease, SlotRequest
+from chivetrack.components.admission.schedulers import SlotSchedulers
 from chivetrack.components.announcements.table import EndpointTable
 from chivetrack.components.deployment.settings import DeploymentSettings
 from chivetrack.components.distribution.const import (
@@ -36,6 +39,7 @@
 from chivetrack.components.slow_start.messages import PermitAnswer, PermitRequest
 from chivetrack.components.slow_start.permits import PermitLedger
 from chivetrack.daemon.call_gate import CallGate
+from chivetrack.daemon.fleet.admission_host import AdmissionHost
 from chivetrack.daemon.fleet.call_refusals import CallRefuser
 from chivetrack.daemon.fleet.const import (
     PRUNE_INTERVAL_S,
@@ -115,6 +119,12 @@
             answer=self.transport.answer,
             events=events,
         )
+        self._admission = AdmissionHost(
+            schedulers=SlotSchedulers(random=Random()),
+            is_leader=lambda: self.host.is_leader,
+            answer=self.transport.answer,
+            events=events,
+        )
         self._permits = PermitLedger(started_at=time.monotonic())
         documents = DocumentHandler(
             instance_id=own,
@@ -275,6 +285,8 @@
         yield OriginAnswer, self._origins.handle_answer
         yield PermitRequest, self._answer_permit
         yield LeaseRequest, self._lending.handle_request
+        yield SlotRequest, self._admission.handle_request
+        yield SlotRelease, self._admission.handle_release
         yield Exchange, self._handle_exchange
 
     def _handle_follow(self, _source: str, follow: Follow) -> None:
@@ -462,6 +474,7 @@
             self._run_broadcasts,
             self._origins.run,
             self._lending.run,
+            self._admission.run,
         )
         loops = [gevent.spawn(one) for one in jobs]
         try:
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -30,6 +30,7 @@
 from chivetrack.components.traffic.models import Route, Workspace
 from chivetrack.components.traffic.requests import RequestFacts
 from chivetrack.components.traffic.table import RouteTable
+from chivetrack.daemon.fleet.admission import AdmissionClient, Slot
 from chivetrack.daemon.fleet.calls import Call, Reply
 from chivetrack.daemon.fleet.const import (
     DEFAULT_CALLER_WAIT_S,
@@ -66,6 +67,7 @@
         view: FleetView,
         forwarder: Forwarder,
         permits: PermitClient,
+        admission: AdmissionClient,
         retry_budget: RetryBudgetClient,
         crash_detector: CrashDetector,
         documents: DocumentReceiver,
@@ -86,6 +88,7 @@
         self._view = view
         self._forwarder = forwarder
         self._permits = permits
+        self._admission = admission
         self._retry_budget = retry_budget
         self._crash_detector = crash_detector
         self._documents = documents
@@ -267,7 +270,7 @@
     def _try_endpoints(self, call: Call) -> None:
         while True:
             choice = self._prepare_attempt(call)
-            if choice is None or self._send(call, choice):
+            if choice is None or self._try_endpoint(call, choice):
                 return
             refusal = self._find_retry_refusal(call)
             if refusal:
@@ -286,12 +289,26 @@
             return None
         if not call.attempts and self._refusals.refuse_infeasible(call, choice):
             return None
-        if not self._commit_retry(call):
-            self._abandon(call, "no_budget")
-            return None
-        self.open_requests.raise_if_ended()
         return choice
 
+    def _try_endpoint(self, call: Call, choice: Choice) -> bool:
+        """Send the request once it has a slot; return whether the caller has its answer."""
+        with self._admission.hold_slot(call, choice) as slot:
+            if slot.retry_after_s is not None:
+                self._refuse_without_slot(call, slot.retry_after_s)
+                return True
+            if not self._commit_retry(call):
+                self._abandon(call, "no_budget")
+                return True
+            self.open_requests.raise_if_ended()
+            return self._send(call, slot)
+
+    def _refuse_without_slot(self, call: Call, retry_after_s: float) -> None:
+        if may_have_run(call.attempts):
+            self._abandon(call, "no_slot")
+        else:
+            self._refusals.refuse_without_slot(call, retry_after_s)
+
     def _choose(self, call: Call) -> Choice | None:
         """Return the endpoint for the next attempt; a cold endpoint needs a permit.
 
@@ -351,8 +368,9 @@
             self._retry_budget.release(call.reservation)
             call.reservation = None
 
-    def _send(self, call: Call, choice: Choice) -> bool:
+    def _send(self, call: Call, slot: Slot) -> bool:
         """Send the request to one endpoint; return whether the caller has its answer."""
+        choice = slot.choice
         endpoint_id = choice.record.endpoint_id
         may_retry = allows_retry(
             call.route, count_possible_runs(call.attempts) + 1
@@ -365,6 +383,8 @@
             result = self._forwarder.send(call, choice, may_retry=may_retry)
             call.attempts.pop()
             placed.is_complete = result.is_answered and result.status < 500
+            slot.took_s = time.monotonic() - placed.started_at if placed.is_complete else 0.0
+            slot.is_rejected = result.end is SendEnd.REFUSED and not result.is_other_instance
         if placed.is_complete:
             self._view.quarantine.record_sound(call)
         if result.end is None:
@@ -374,6 +394,8 @@
             self._log.write_attempt(call, choice, "answered", f"status {result.status}")
             return True
         call.attempts.append(make_tried(choice, result))
+        if slot.is_rejected:
+            self._admission.record_rejection(call.service)
         call.failure = result.failure or call.failure
         if result.is_other_instance:
             self._view.health.record_misdirected(endpoint_id)
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -12,6 +12,8 @@
 from bottle import Bottle, HTTPResponse
 from gevent.event import Event as Signal
 
+from chivetrack.components.admission.engagement import Engagement
+from chivetrack.components.admission.messages import SlotAnswer
 from chivetrack.components.announcements.models import EndpointRecord
 from chivetrack.components.deployment.settings import DeploymentSettings
 from chivetrack.components.distribution.messages import (
@@ -39,6 +41,7 @@
 from chivetrack.components.upstream.idle_connections import IdleConnections
 from chivetrack.core import WakeAt
 from chivetrack.daemon.call_gate import CallGate
+from chivetrack.daemon.fleet.admission import AdmissionClient
 from chivetrack.daemon.fleet.const import (
     PRUNE_INTERVAL_S,
     START_FAILED_DRAIN_S,
@@ -174,6 +177,17 @@
             find_lender=lambda: self.subscriber.lender,
             send=self.transport.send,
         )
+        self._admission = AdmissionClient(
+            engagement=Engagement(
+                is_enabled=settings.admission.schedules_slots,
+                min_load=settings.admission.min_load,
+            ),
+            view=self.view,
+            find_leader=lambda: self.subscriber.lender,
+            send=self.transport.send,
+            events=events,
+            record_slot=self._metrics.record_slot,
+        )
         crash_detector = CrashDetector(
             events=events,
             on_crash=self._handle_crash,
@@ -184,6 +198,7 @@
         self.request_handler = RequestHandler(
             view=self.view,
             permits=self._permits,
+            admission=self._admission,
             retry_budget=self._retry_budget,
             crash_detector=crash_detector,
             forwarder=Forwarder(
@@ -354,6 +369,7 @@
         yield LoadUpdate, self._handle_loads
         yield OriginAnswer, lambda source, answer: self._origins.handle_answer(source, answer)
         yield PermitAnswer, lambda source, answer: self._permits.handle_answer(answer)
+        yield SlotAnswer, lambda source, answer: self._admission.handle_answer(answer)
         yield LeaseAnswer, lambda source, answer: self._retry_budget.handle_answer(answer)
         yield DocumentSent, self._handle_document
         yield FetchElsewhere, self._handle_referral
--- /dev/null
+++ b/tests/daemon/fleet/test_admission.py
@@ -0,0 +1,158 @@
+"""Tests of requests that wait for a slot of a plain service."""
+
+import gevent
+
+from chivetrack.components.admission.const import ANSWER_TIMEOUT_S
+from chivetrack.components.admission.messages import (
+    SlotAnswer,
+    SlotRelease,
+    SlotRequest,
+    SlotState,
+)
+from chivetrack.components.retries.sending import SendEnd
+from chivetrack.daemon.fleet.forwarder import SendResult
+from tests.daemon.fleet.test_open_requests import LIMIT_S, NOT_RUN, OpenRequestCase
+
+
+class AdmissionCase(OpenRequestCase):
+    """A service of two endpoints whose slots are always scheduled."""
+
+    schedules_slots = True
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.configure()
+
+    def list_requests(self) -> list[SlotRequest]:
+        return [one for one in self.slot_messages if isinstance(one, SlotRequest)]
+
+    def list_releases(self) -> list[SlotRelease]:
+        return [one for one in self.slot_messages if isinstance(one, SlotRelease)]
+
+    def answer(self, state: SlotState, endpoint_id: str = "", wait_s: float = 0.0) -> None:
+        number = self.list_requests()[-1].number
+        self.admission.handle_answer(
+            SlotAnswer(number=number, state=state, endpoint_id=endpoint_id, wait_s=wait_s)
+        )
+        gevent.sleep(0.01)
+
+
+class SlotTest(AdmissionCase):
+    def test_request_goes_to_the_endpoint_of_its_slot(self) -> None:
+        """Guards against a slot that is granted at one endpoint and used at another."""
+        serving = self.start()
+        self.assertEqual(self.sent, [])
+        self.answer(SlotState.GRANTED, "e2")
+        self.assertEqual(self.sent, ["e2"])
+        self.assertEqual(self.list_releases(), [])
+        self.go_on.set()
+        serving.join(LIMIT_S)
+        (release,) = self.list_releases()
+        self.assertEqual(release.number, self.list_requests()[0].number)
+        self.assertGreater(release.took_s, 0)
+
+    def test_queued_request_is_sent_when_it_gets_its_slot(self) -> None:
+        """Guards against a wait that ends with the first answer."""
+        self.start()
+        self.answer(SlotState.QUEUED, wait_s=0.05)
+        self.assertEqual(self.sent, [])
+        self.answer(SlotState.GRANTED, "e1")
+        self.assertEqual(self.sent, ["e1"])
+        self.go_on.set()
+
+    def test_refused_request_has_not_run_and_is_told_when_to_return(self) -> None:
+        """Guards against a wait for a slot that comes too late."""
+        serving = self.start()
+        self.answer(SlotState.REFUSED, wait_s=0.25)
+        serving.join(LIMIT_S)
+        self.check((503, "no_slot", "no"), sent=0)
+        self.assertEqual(self.caller.headers["Retry-After"], "0.25")
+
+    def test_rejected_attempt_reports_a_full_endpoint(self) -> None:
+        """Guards against a scheduler that goes on granting slots of a full endpoint."""
+        self.result = SendResult(end=SendEnd.REFUSED)
+        self.start()
+        self.go_on.set()
+        self.answer(SlotState.GRANTED, "e1")
+        self.assertTrue(self.list_releases()[0].is_rejected)
+        self.assertEqual(len(self.list_requests()), 2)
+        self.assertEqual([one.endpoint_id for one in self.list_requests()[1].candidates], ["e2"])
+
+
+class FailureTest(AdmissionCase):
+    def test_silent_scheduler_delays_no_request_but_the_first(self) -> None:
+        """Guards against a frozen leader that holds up every request to its service."""
+        self.start()
+        gevent.sleep(ANSWER_TIMEOUT_S + 0.05)
+        self.assertEqual(len(self.sent), 1)
+        self.start()
+        self.assertEqual(len(self.sent), 2)
+        self.assertEqual(len(self.list_requests()), 1)
+        self.go_on.set()
+
+    def test_without_a_leader_requests_are_sent_at_once(self) -> None:
+        """Guards against a service that is closed while no replica leads."""
+        self.lender = ""
+        self.start()
+        self.assertEqual((len(self.sent), self.slot_messages), (1, []))
+        self.go_on.set()
+
+    def test_replica_that_does_not_lead_is_not_asked_again(self) -> None:
+        """Guards against requests that wait for a replica that was replaced."""
+        self.start()
+        self.answer(SlotState.NOT_LEADING)
+        self.assertEqual(len(self.sent), 1)
+        self.start()
+        self.assertEqual(len(self.list_requests()), 1)
+        self.go_on.set()
+
+    def test_request_that_waits_for_a_slot_is_not_sent_after_the_exit(self) -> None:
+        """Guards against a slot that comes when its router has decided to exit."""
+        serving = self.start()
+        self.decide_exit(serving)
+        self.check(NOT_RUN, sent=0)
+        self.assertEqual(len(self.list_releases()), 1)
+
+    def test_caller_that_leaves_gives_its_place_back(self) -> None:
+        """Guards against a slot that is granted to a caller that has left."""
+        serving = self.start()
+        serving.kill()
+        self.assertEqual(len(self.list_releases()), 1)
+        self.answer(SlotState.GRANTED, "e1")
+        self.assertEqual(self.sent, [])
+
+    def test_unknown_endpoint_in_an_answer_is_not_used(self) -> None:
+        """Guards against an answer that names an endpoint which this router must not use."""
+        self.start()
+        self.answer(SlotState.GRANTED, "e9")
+        self.assertIn(self.sent, (["e1"], ["e2"]))
+        self.go_on.set()
+
+
+class EngagementTest(AdmissionCase):
+    min_load = 0.3
+
+    def test_service_with_free_slots_is_not_scheduled(self) -> None:
+        """Guards against a round trip to a replica that a service with room does not need."""
+        self.start()
+        self.assertEqual((len(self.sent), self.slot_messages), (1, []))
+        self.go_on.set()
+
+    def test_service_is_scheduled_after_an_endpoint_was_full(self) -> None:
+        """Guards against counts of other routers that come too late to show a full endpoint."""
+        self.result = SendResult(end=SendEnd.REFUSED)
+        self.go_on.set()
+        self.start()
+        self.assertEqual(len(self.sent), 1)
+        self.assertEqual(len(self.list_requests()), 1)
+
+
+class DisabledTest(AdmissionCase):
+    schedules_slots = False
+
+    def test_nothing_is_scheduled_without_the_setting(self) -> None:
+        """Guards against a deployment that is served differently without asking for it."""
+        self.result = SendResult(end=SendEnd.REFUSED)
+        self.go_on.set()
+        self.start().join(LIMIT_S)
+        self.assertEqual((len(self.sent), self.slot_messages), (2, []))
--- a/tests/daemon/fleet/test_open_requests.py
+++ b/tests/daemon/fleet/test_open_requests.py
@@ -9,6 +9,7 @@
 import gevent
 from gevent.event import Event
 
+from chivetrack.components.admission.engagement import Engagement
 from chivetrack.components.deployment.settings import BoundSettings
 from chivetrack.components.distribution.document_receiver import DocumentReceiver
 from chivetrack.components.limits.stopping import StopWindow
@@ -16,6 +17,7 @@
 from chivetrack.components.retries.messages import LeaseAnswer, LeaseRequest
 from chivetrack.components.retries.sending import SendEnd
 from chivetrack.components.upstream.idle_connections import IdleConnections
+from chivetrack.daemon.fleet.admission import AdmissionClient
 from chivetrack.daemon.fleet.calls import Call
 from chivetrack.daemon.fleet.crashes import CrashDetector
 from chivetrack.daemon.fleet.fleet_view import FleetView
@@ -69,6 +71,9 @@
 class OpenRequestCase(unittest.TestCase):
     """Serves one request whose first wait ends when ``go_on`` is set."""
 
+    schedules_slots = False
+    min_load = 0.0
+
     def setUp(self) -> None:
         self.go_on = Event()
         self.sent: list[str] = []
@@ -92,6 +97,15 @@
         self.retry_budget = RetryBudgetClient(
             budgets=self.view.budgets, find_lender=lambda: self.lender, send=self.lend
         )
+        self.slot_messages: list[Message] = []
+        self.admission = AdmissionClient(
+            engagement=Engagement(is_enabled=self.schedules_slots, min_load=self.min_load),
+            view=self.view,
+            find_leader=lambda: self.lender,
+            send=lambda target, message: self.slot_messages.append(message),
+            events=self.events,
+            record_slot=lambda state: None,
+        )
         self.forwarder = create_autospec(Forwarder, instance=True)
         self.forwarder.send.side_effect = self.send
         self.ended: list[str] = []
@@ -102,6 +116,7 @@
             view=self.view,
             forwarder=self.forwarder,
             permits=self.permits,
+            admission=self.admission,
             retry_budget=self.retry_budget,
             crash_detector=create_autospec(CrashDetector, instance=True),
             documents=self.documents,
--- a/tests/system/deployment.py
+++ b/tests/system/deployment.py
@@ -34,6 +34,8 @@
     """A plain service that adds the server seal to its answers and records its requests."""
 
     daemon_threads = True
+    # With the default of five, some of thirty connections at a time are reset.
+    request_queue_size = 64
 
     def __init__(
         self,
@@ -132,6 +134,7 @@
     processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
     is_first_start: bool = True
     stop_within_s: float | None = None
+    min_load: float | None = None
     modules: dict[str, str] = field(default_factory=dict)
     """Programs of single processes in place of the usual one."""
     environment: dict[str, str] = field(default_factory=dict)
@@ -183,6 +186,8 @@
         lines.append('zones = ["z1", "z2"]')
         if self.stop_within_s is not None:
             lines += ["[bounds]", f"stop_within_s = {self.stop_within_s}"]
+        if self.min_load is not None:
+            lines += ["[admission]", "schedules_slots = true", f"min_load = {self.min_load}"]
         return "\n".join(lines) + "\n"
 
     def start_all(self) -> None:
