Let a router without endpoints wait instead of looking for one all the time

Cause: the greenlet that registers versions waited until the time of the next registration, which is in the past while no version is known. A router used 87 to 98 % of a core from its start until it knew an endpoint, and after the last one had left.

Change: it waits until a version is known. The test fails without the change.

--- a/chivetrack/daemon/fleet/origins.py
+++ b/chivetrack/daemon/fleet/origins.py
@@ -198,11 +198,20 @@
     def run(self) -> None:
         """Register the announced versions whenever that is due, until the greenlet is killed."""
         while True:
-            self._changed.wait(max(0.0, self.tracker.register_at - time.monotonic()))
+            self._changed.wait(self._find_registration_wait())
             self._changed.clear()
             if self.tracker.announced and time.monotonic() >= self.tracker.register_at:
                 self._register()
 
+    def _find_registration_wait(self) -> float | None:
+        """Return the time (s) until the next registration, ``None`` until a version is known.
+
+        Otherwise a router without endpoints would look for one all the time, with a whole core.
+        """
+        if not self.tracker.announced:
+            return None
+        return max(0.0, self.tracker.register_at - time.monotonic())
+
     def _register(self) -> None:
         origins = tuple(sorted(self.tracker.announced, key=lambda one: (one.service, one.software)))
         answers: dict[str, OriginAnswer] = {}
--- a/tests/daemon/fleet/test_origins.py
+++ b/tests/daemon/fleet/test_origins.py
@@ -138,6 +138,23 @@
         return sum(isinstance(one, OriginAnswer) for one in self.sent)
 
 
+class IdleRouterTest(unittest.TestCase):
+    def test_router_without_endpoints_waits(self) -> None:
+        """Guards against a router that uses a whole core until it knows an endpoint."""
+        client = OriginClient(
+            list_replicas=list,
+            count_routers=lambda: 1,
+            send=lambda target, message: None,
+            events=EventLog(instance="r1"),
+        )
+        clock = mock.patch("chivetrack.daemon.fleet.origins.time.monotonic", return_value=1.0)
+        with clock as read_clock:
+            running = gevent.spawn(client.run)
+            gevent.sleep(0.05)
+            running.kill()
+        self.assertLessEqual(read_clock.call_count, 2)
+
+
 class OriginLookupTest(OriginsCase):
     def test_one_version_needs_no_records(self) -> None:
         self.announce(V1)
