Explain where a request would go without sending it

Cause: operators could reconstruct where a request went, and not ask where one would go now.

Change: chivetrack explain-request asks a router at its metrics address. The router makes the decisions that it would make for the request and lists each endpoint with its cost or the reason why it is left out; nothing is sent or counted.

Measured: the command names the endpoint that the next request goes to, over processes (tests.system.test_deployment.ExplainTest).

--- a/chivetrack/cli/__main__.py
+++ b/chivetrack/cli/__main__.py
@@ -7,6 +7,7 @@
 from chivetrack.cli.commands import (
     apply,
     backup,
+    explain,
     fleet,
     local,
     quarantine,
@@ -18,7 +19,19 @@
 )
 from chivetrack.cli.const import ExitCode
 
-COMMANDS = (resources, apply, watch, fleet, replicas, backup, local, story, zones, quarantine)
+COMMANDS = (
+    resources,
+    apply,
+    watch,
+    fleet,
+    replicas,
+    backup,
+    local,
+    story,
+    zones,
+    quarantine,
+    explain,
+)
 
 
 def main() -> None:
--- a/chivetrack/daemon/fleet/metrics.py
+++ b/chivetrack/daemon/fleet/metrics.py
@@ -116,12 +116,22 @@
         return app
 
 
-def open_metrics_server(address: Address | None, metrics: Metrics) -> HttpServer | None:
-    """Return the server of the metrics address, ``None`` if the settings have no address."""
+def open_metrics_server(
+    address: Address | None,
+    metrics: Metrics,
+    *,
+    add_routes: Callable[[Bottle], None] = lambda app: None,
+) -> HttpServer | None:
+    """Return the server of the metrics address, ``None`` if the settings have no address.
+
+    ``add_routes`` adds other calls for operators.
+    """
     if address is None:
         return None
+    app = metrics.build_app()
+    add_routes(app)
     return HttpServer(
         address=(address.host, address.port),
-        application=metrics.build_app(),
+        application=app,
         is_closing=lambda: False,
     )
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -54,6 +54,7 @@
 from chivetrack.daemon.fleet.crashes import CrashDetector
 from chivetrack.daemon.fleet.dialer import Dialer
 from chivetrack.daemon.fleet.early import release_signals
+from chivetrack.daemon.fleet.explaining import Explainer, add_explain_route
 from chivetrack.daemon.fleet.fleet_view import FleetView
 from chivetrack.daemon.fleet.forwarder import Forwarder
 from chivetrack.daemon.fleet.gauges import Gauge
@@ -244,7 +245,12 @@
             may_accept=self._shedder.may_accept,
         )
         self._ready = self._make_server(settings.listeners.ready, self._build_ready_app())
-        self._metrics_server = open_metrics_server(settings.listeners.metrics, self._metrics)
+        explainer = Explainer(view=self.view, is_scheduled=self._admission.is_scheduled)
+        self._metrics_server = open_metrics_server(
+            settings.listeners.metrics,
+            self._metrics,
+            add_routes=lambda app: add_explain_route(app, explainer),
+        )
 
     def _forget_endpoint(self, endpoint_id: str) -> None:
         self._idle_connections.close_endpoint(endpoint_id)
--- a/tests/system/test_deployment.py
+++ b/tests/system/test_deployment.py
@@ -221,6 +221,30 @@
                 self.assertEqual(json.loads(answer[1])["error"], code)
 
 
+class ExplainTest(DeploymentCase):
+    def explain(self, deployment: Deployment, *words: str) -> tuple[int, dict[str, Any]]:
+        router = f"{deployment.get_host('r1')}:{METRICS_PORT}"
+        output = io.StringIO()
+        with contextlib.redirect_stdout(output):
+            code = run(["explain-request", "--router", router, "-o", "json", *words])
+        return code, json.loads(output.getvalue())
+
+    def test_command_explains_without_sending(self) -> None:
+        """Guards against a command that sends the request or can't reach the deployed router."""
+        deployment = self.open()
+        deployment.start_all()
+        endpoint = self.open_endpoint(deployment, 1)
+        deployment.put(make_config(2))
+        deployment.announce(endpoint)
+        deployment.wait_served("r1")
+        seen = len(endpoint.seen)
+        code, explanation = self.explain(deployment, "one.example", "/a/x", "--key", "key")
+        self.assertEqual((code, explanation["endpoint"]), (0, endpoint.name))
+        code, explanation = self.explain(deployment, "one.example", "/a/x", "--key", "other")
+        self.assertEqual((code, explanation["why"]), (3, "no workspace has this key"))
+        self.assertEqual(len(endpoint.seen), seen)
+
+
 class ColdEndpointTest(DeploymentCase):
     def test_cold_endpoint_is_rate_limited_and_nothing_is_refused(self) -> None:
         """Guards against overloading a cold endpoint.
