Keep requests out of zones that a router does not reach

Cause: where packets between zones are lost one way, each request that goes to the other zone waits for connections that never open and for carriers that are cut off as well.

Change: a zone is lost for a router when connections to two of its endpoints time out and none of it has answered since. Its endpoints are then no candidates, unless less than a quarter would be left; a probe every 0.5 s ends it. Only with [paths] avoids_lost_zones.

Ruled out: a higher cost (prompts go to their homes whatever the cost), word from replicas (cut off by the same fault).

--- a/chivetrack/components/admission/scheduler.py
+++ b/chivetrack/components/admission/scheduler.py
@@ -133,6 +133,8 @@
 
     def _grant_free(self, now: float) -> Iterator[AddressedAnswer]:
         for waiting in self._waiting:
+            if not self._has_any_room(now):
+                return
             candidate = self._find_free(waiting.request, now)
             if candidate is None:
                 continue
@@ -148,6 +150,9 @@
             )
             yield AddressedAnswer(waiting.source, answer)
 
+    def _has_any_room(self, now: float) -> bool:
+        return any(one.has_room(now=now, is_slow=False) for one in self._endpoints.values())
+
     def _find_free(self, request: SlotRequest, now: float) -> SlotCandidate | None:
         """Return the candidate with room that answers first, ``None`` if all are full."""
         fastest_s = min(self._endpoints[one.endpoint_id].mean_s for one in request.candidates)
--- a/chivetrack/components/admission/waiting.py
+++ b/chivetrack/components/admission/waiting.py
@@ -43,15 +43,16 @@
         self._waiting: dict[tuple[str, int], WaitingRequest] = {}
         self._lane_tags: dict[tuple[str, int], float] = {}
         self._virtual_time = 0.0
+        self._order: tuple[WaitingRequest, ...] | None = None
 
     def __len__(self) -> int:
         return len(self._waiting)
 
     def __iter__(self) -> Iterator[WaitingRequest]:
         """Yield the requests in the order in which they are to be served."""
-        return iter(
-            sorted(self._waiting.values(), key=lambda one: (one.is_late, one.tag, one.queued_at))
-        )
+        if self._order is None:
+            self._order = tuple(sorted(self._waiting.values(), key=_rank_in_order))
+        return iter(self._order)
 
     @property
     def late_count(self) -> int:
@@ -81,10 +82,12 @@
             tag=tag,
         )
         self._waiting[waiting.key] = waiting
+        self._order = None
 
     def postpone(self, waiting: WaitingRequest) -> None:
         """Let a request that will be late wait behind those that won't."""
         self._waiting[waiting.key] = replace(waiting, is_late=True)
+        self._order = None
 
     def serve(self, waiting: WaitingRequest) -> None:
         """Remove a request that gets a slot; the lanes of others catch up with its tag."""
@@ -95,7 +98,12 @@
         """Remove a request; return whether it was waiting."""
         if self._waiting.pop((source, number), None) is None:
             return False
+        self._order = None
         if not self._waiting:
             self._lane_tags.clear()
             self._virtual_time = 0.0
         return True
+
+
+def _rank_in_order(waiting: WaitingRequest) -> tuple[bool, float, float]:
+    return (waiting.is_late, waiting.tag, waiting.queued_at)
--- a/chivetrack/components/deployment/settings.py
+++ b/chivetrack/components/deployment/settings.py
@@ -103,6 +103,15 @@
     ] = 0.5
 
 
+class PathSettings(StructSection, frozen=True, kw_only=True):
+    """What a router does that has lost its path to a zone."""
+
+    avoids_lost_zones: Annotated[
+        bool,
+        Meta(description="Whether requests stay out of zones that the router does not reach."),
+    ] = False
+
+
 class ProcessLogSettings(StructSection, frozen=True, kw_only=True):
     """Event lines on standard output."""
 
@@ -118,6 +127,7 @@
     bounds: BoundSettings
     admission: AdmissionSettings
     hedging: HedgingSettings
+    paths: PathSettings
     log: ProcessLogSettings
 
 
--- a/chivetrack/components/paths/const.py
+++ b/chivetrack/components/paths/const.py
@@ -39,3 +39,13 @@
 UNACKNOWLEDGED_S: Final = 0.4
 """A host whose kernel has not acknowledged a request for this long can't be reached: more than
 twice the delay to the farthest region and one retransmission."""
+
+MIN_LOST_ENDPOINTS: Final = 2
+"""Endpoints of a zone whose connections time out before the zone counts as lost."""
+
+LOST_ZONE_MEMORY_S: Final = 2.0
+"""For this long, a lost zone gets no requests without another connection that timed out; probes
+try it every ``PROBE_INTERVAL_S``."""
+
+MIN_REACHED_SHARE: Final = 0.25
+"""Smallest share of a service's endpoints that may have to do without those of lost zones."""
--- a/chivetrack/components/upstream/connection.py
+++ b/chivetrack/components/upstream/connection.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 import gevent
+import urllib3.exceptions
 from urllib3.connection import HTTPConnection
 
 from chivetrack.components.upstream.carried import CarriedSocket
@@ -36,6 +37,10 @@
     """No byte of the request was sent."""
 
 
+class ConnectTimeoutError(NotSentError):
+    """The other host did not answer; a refused connection would show that it is reached."""
+
+
 class MaybeRanError(Exception):
     """Bytes of the request were sent, but no complete answer head was received."""
 
@@ -173,7 +178,9 @@
         http_connection.connect()
     except Exception as error:
         http_connection.close()
-        raise NotSentError(f"cannot connect to {address}: {error}") from error
+        is_timeout = isinstance(error, urllib3.exceptions.ConnectTimeoutError)
+        kind = ConnectTimeoutError if is_timeout else NotSentError
+        raise kind(f"cannot connect to {address}: {error}") from error
     assert http_connection.sock is not None
     return http_connection.sock
 
--- a/chivetrack/daemon/fleet/dialer.py
+++ b/chivetrack/daemon/fleet/dialer.py
@@ -13,7 +13,11 @@
 from chivetrack.components.peers.frames import encode_frame
 from chivetrack.components.peers.link import set_options
 from chivetrack.components.upstream.carried import CarriedSocket
-from chivetrack.components.upstream.connection import EndpointConnection, NotSentError
+from chivetrack.components.upstream.connection import (
+    ConnectTimeoutError,
+    EndpointConnection,
+    NotSentError,
+)
 from chivetrack.components.upstream.idle_connections import IdleConnections
 from chivetrack.daemon.fleet.const import CONNECT_TIMEOUT_S
 from chivetrack.daemon.fleet.paths import EndpointPaths
@@ -86,7 +90,9 @@
             opened = EndpointConnection.connect(
                 address=record.address, connect_timeout_s=min(CONNECT_TIMEOUT_S, left_s)
             )
-        except NotSentError:
+        except NotSentError as error:
+            if isinstance(error, ConnectTimeoutError):
+                self._paths.record_unanswered(record)
             if not self._paths.record_trouble(record):
                 raise
             return self._connect_carried(record, request_id, ends_at - time.monotonic())
--- a/chivetrack/daemon/fleet/fleet_view.py
+++ b/chivetrack/daemon/fleet/fleet_view.py
@@ -17,6 +17,7 @@
 from chivetrack.components.evacuation.models import Evacuations
 from chivetrack.components.origins.fitting import VersionFilter
 from chivetrack.components.origins.models import Origin
+from chivetrack.components.paths.zones import may_exclude
 from chivetrack.components.placement.choice import Candidate, Choice, ComparedChoice, Source
 from chivetrack.components.placement.placement import Placed, Placement
 from chivetrack.components.retries.service_budgets import ServiceRetryBudgets
@@ -84,13 +85,15 @@
         decode: Callable[[bytes], Document | None],
         forget_endpoint: Callable[[str], None],
         may_begin: Callable[[Origin], bool] | None = None,
+        list_lost_zones: Callable[[], Collection[str]] = tuple,
     ) -> None:
         """Start without configuration and endpoints.
 
         ``decode`` decodes a configuration as the operator sent it, ``forget_endpoint`` closes
         the idle connections to an endpoint, ``may_begin`` returns whether streams may begin at a
-        version.
+        version, ``list_lost_zones`` the zones that this router does not reach.
         """
+        self._list_lost_zones = list_lost_zones
         self._events = events
         self._decode = decode
         self._forget_endpoint = forget_endpoint
@@ -348,16 +351,31 @@
             call.service, passed_over=call.passed_over, is_limited=is_limited, now=now
         )
         fitting = self._list_fitting(call, division.open)
+        reached, unreached = self._divide_by_zone(fitting)
         return _ChoiceInputs(
-            candidates=self._list_candidates(call, fitting, is_limited, now),
+            candidates=self._list_candidates(call, reached, is_limited, now),
             service=None if self.table is None else self.table.find_service(call.service),
             facts=call.facts,
             now=now,
             sources=self._list_sources(call.service, now),
             routers=round(self._router_count),
-            resting=[one.endpoint_id for one in division.resting],
+            resting=[one.endpoint_id for one in (*division.resting, *unreached)],
         )
 
+    def _divide_by_zone(
+        self, records: Sequence[EndpointRecord]
+    ) -> tuple[Sequence[EndpointRecord], Sequence[EndpointRecord]]:
+        """Divide endpoints into those of zones that this router reaches and the others.
+
+        If too few would remain, all count as reached.
+        """
+        lost = self._list_lost_zones()
+        if not lost:
+            return records, ()
+        reached = [record for record in records if record.zone not in lost]
+        unreached = [record for record in records if record.zone in lost]
+        return (reached, unreached) if may_exclude(len(unreached), len(records)) else (records, ())
+
     def is_plain(self, call: Call) -> bool:
         """Return whether a request goes to a service without engines, prompts and cold limits."""
         service = None if self.table is None else self.table.find_service(call.service)
--- a/chivetrack/daemon/fleet/paths.py
+++ b/chivetrack/daemon/fleet/paths.py
@@ -15,7 +15,12 @@
     TROUBLE_WINDOW_S,
 )
 from chivetrack.components.paths.table import PathTable
-from chivetrack.components.upstream.connection import NotSentError, open_socket
+from chivetrack.components.paths.zones import ZonePaths
+from chivetrack.components.upstream.connection import (
+    ConnectTimeoutError,
+    NotSentError,
+    open_socket,
+)
 from chivetrack.daemon.fleet.const import CONNECT_TIMEOUT_S
 from chivetrack.helpers.events import EventLog
 
@@ -29,22 +34,43 @@
         self,
         *,
         list_endpoints: Callable[[str], Sequence[EndpointRecord]],
+        list_all_endpoints: Callable[[], Sequence[EndpointRecord]] = tuple,
         do_others_reach: Callable[[str], bool | None],
         request_carriers: Callable[[], None],
         events: EventLog,
     ) -> None:
         """Store how to list the endpoints of a service and what other routers say of one.
 
+        ``list_all_endpoints`` lists those of all services, to probe lost zones.
         ``request_carriers`` asks the assigned replica for carriers.
         """
         self._list_endpoints = list_endpoints
+        self._list_all_endpoints = list_all_endpoints
         self._do_others_reach = do_others_reach
         self._request_carriers = request_carriers
         self._events = events
         self._table = PathTable()
         self.carriers = CarrierPool(random=random.Random())
+        self._zones = ZonePaths()
         self._needed_at = float("-inf")
 
+    def list_lost_zones(self) -> frozenset[str]:
+        """Return the zones that this router does not reach."""
+        return self._zones.list_lost(now=time.monotonic())
+
+    def record_unanswered(self, record: EndpointRecord) -> None:
+        """Record that a connection to an endpoint timed out."""
+        before = self.list_lost_zones()
+        self._zones.record_unanswered(record.zone, record.endpoint_id, now=time.monotonic())
+        if record.zone not in before and record.zone in self.list_lost_zones():
+            self._events.write("zone_path_changed", zone=record.zone, state="lost")
+
+    def record_answer(self, record: EndpointRecord) -> None:
+        """Record that an endpoint has answered over a connection of this router."""
+        lost = self.list_lost_zones()
+        if self._zones.record_reached(record.zone) and record.zone in lost:
+            self._events.write("zone_path_changed", zone=record.zone, state="reached")
+
     @property
     def can_carry(self) -> bool:
         """Return whether this router knows which services it reaches."""
@@ -102,6 +128,7 @@
     def record_reached(self, record: EndpointRecord) -> None:
         """Record that this router has reached an endpoint by itself."""
         was_broken = self.is_broken(record)
+        self.record_answer(record)
         self._table.record_reached(record.endpoint_id, record.service, now=time.monotonic())
         if was_broken:
             self._log(record, "working")
@@ -136,6 +163,23 @@
             broken = self._table.list_broken()
             if broken:
                 self._probe(*random.choice(broken))
+            for zone in self.list_lost_zones():
+                self._probe_zone(zone)
+
+    def _probe_zone(self, zone: str) -> None:
+        """Try an endpoint of a lost zone."""
+        records = [one for one in self._list_all_endpoints() if one.zone == zone]
+        if not records:
+            return
+        record = random.choice(records)
+        try:
+            open_socket(record.address, timeout_s=CONNECT_TIMEOUT_S).close()
+        except ConnectTimeoutError:
+            self.record_unanswered(record)
+        except NotSentError:
+            self.record_answer(record)
+        else:
+            self.record_reached(record)
 
     def _probe(self, endpoint_id: str, service: str) -> None:
         """Try an endpoint, and another one of its service, of which it may be the only one cut."""
--- a/tests/daemon/fleet/test_fleet_view.py
+++ b/tests/daemon/fleet/test_fleet_view.py
@@ -70,6 +70,39 @@
         self.apply_view(evacuations=Evacuations(zones=(*states, last)))
 
 
+class LostZoneTest(FleetViewCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.lost: set[str] = set()
+        self.view = FleetView(
+            zone="z",
+            bounds=BoundSettings(),
+            events=EventLog(instance="r1"),
+            decode=lambda body: make_document(),
+            forget_endpoint=self.forgotten.append,
+            list_lost_zones=lambda: self.lost,
+        )
+        self.view.apply_document(1, b"")
+        self.apply_view(
+            *(make_record(endpoint_id=f"e{n}", zone=f"z{n % 3}", service="llm") for n in range(9))
+        )
+
+    def choose_zones(self) -> set[str]:
+        ids = [self.choose("llm", PromptPart(f"p{n}", 100), PromptPart("o", 5)) for n in range(60)]
+        return {f"z{int(one[1:]) % 3}" for one in ids}
+
+    def test_zone_that_is_not_reached_gets_nothing(self) -> None:
+        """Guards against prompts that go to their home although it lies in a lost zone."""
+        self.assertEqual(self.choose_zones(), {"z0", "z1", "z2"})
+        self.lost = {"z1", "z2"}
+        self.assertEqual(self.choose_zones(), {"z0"})
+
+    def test_all_zones_are_lost(self) -> None:
+        """Guards against callers that are refused without a try through a carrier."""
+        self.lost = {"z0", "z1", "z2"}
+        self.assertEqual(self.choose_zones(), {"z0", "z1", "z2"})
+
+
 class FleetViewTest(FleetViewCase):
     def test_first_view_brings_endpoints_and_their_cached_parts(self) -> None:
         """Guards against placements that are dropped by the view that brought them.
