Take a request that is not acknowledged as a sign of a lost zone

Cause: after a cut, a router that uses open connections has no connection that times out; its requests hang for 2 s, and the next ones follow them.

--- a/chivetrack/daemon/fleet/dialer.py
+++ b/chivetrack/daemon/fleet/dialer.py
@@ -99,6 +99,11 @@
         self._paths.record_reached(record)
         return opened
 
+    def record_unacknowledged(self, record: EndpointRecord, carrier: str) -> None:
+        """Record that an endpoint's host has not acknowledged a request."""
+        if not carrier:
+            self._paths.record_unanswered(record)
+
     def handle_broken_connection(self, record: EndpointRecord, carrier: str) -> bool:
         """Handle that a connection broke off or hangs; return whether the path is suspected.
 
--- a/chivetrack/daemon/fleet/forwarder.py
+++ b/chivetrack/daemon/fleet/forwarder.py
@@ -376,6 +376,7 @@
         """Detect a host that can't be reached any more through a connection that is still open."""
         if not connection.count_unacknowledged():
             return
+        self._dialer.record_unacknowledged(choice.record, connection.carrier)
         if may_retry:
             raise MaybeRanError(f"not acknowledged for {UNACKNOWLEDGED_S} s")
         self._dialer.handle_broken_connection(choice.record, connection.carrier)
--- a/chivetrack/daemon/fleet/paths.py
+++ b/chivetrack/daemon/fleet/paths.py
@@ -59,7 +59,7 @@
         return self._zones.list_lost(now=time.monotonic())
 
     def record_unanswered(self, record: EndpointRecord) -> None:
-        """Record that a connection to an endpoint timed out."""
+        """Record that an endpoint's host did not answer a connection, or a request on one."""
         before = self.list_lost_zones()
         self._zones.record_unanswered(record.zone, record.endpoint_id, now=time.monotonic())
         if record.zone not in before and record.zone in self.list_lost_zones():
