--- a/chivetrack/components/placement/choice.py
+++ b/chivetrack/components/placement/choice.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
+from typing import NotRequired, TypedDict, Unpack
 
 import xxhash
 
@@ -95,6 +96,24 @@
     sources: Mapping[str, _VersionSources]
 
 
+class ChoiceContext(TypedDict):
+    """What a choice depends on besides its candidates.
+
+    ``now`` is a monotonic time in seconds. ``sources``: engines from which cached parts may be
+    fetched, including leaving ones. ``routers``: number of routers that choose at the same time.
+    ``speeds``: speed statistics of the service's endpoints. ``resting``: ids of healthy endpoints
+    that get no requests now; they count towards the mean load of the service.
+    """
+
+    service: Service | None
+    facts: RequestFacts
+    now: float
+    sources: NotRequired[Sequence[Source]]
+    routers: NotRequired[int]
+    speeds: NotRequired[ServiceSpeeds | None]
+    resting: NotRequired[Collection[str]]
+
+
 class Exclusion(StrEnum):
     """Why a candidate may not be chosen."""
 
@@ -150,66 +169,21 @@
         self._weights = weights
 
     def choose(
-        self,
-        candidates: Sequence[Candidate],
-        *,
-        service: Service | None,
-        facts: RequestFacts,
-        now: float,
-        sources: Sequence[Source] = (),
-        routers: int = 1,
-        speeds: ServiceSpeeds | None = None,
-        resting: Collection[str] = (),
+        self, candidates: Sequence[Candidate], **context: Unpack[ChoiceContext]
     ) -> Choice | None:
-        """Return the endpoint of the lowest cost, or ``None`` without candidates.
-
-        ``sources``: engines from which cached parts may be fetched, including leaving ones.
-        ``routers``: number of routers that choose at the same time. ``speeds``: speed
-        statistics of the service's endpoints. ``resting``: ids of healthy endpoints that get
-        no requests now; they count towards the mean load of the service.
-        """
+        """Return the endpoint of the lowest cost, or ``None`` without candidates."""
         if not candidates:
             return None
-        ranking = self._rank(
-            candidates,
-            service=service,
-            facts=facts,
-            now=now,
-            sources=sources,
-            routers=routers,
-            speeds=speeds or ServiceSpeeds(),
-            resting=resting,
-        )
+        ranking = self._rank(candidates, **context)
         return min(ranking.list_choices(ranking.allowed), key=lambda choice: choice.cost_ms)
 
     def compare(
-        self,
-        candidates: Sequence[Candidate],
-        *,
-        service: Service | None,
-        facts: RequestFacts,
-        now: float,
-        sources: Sequence[Source] = (),
-        routers: int = 1,
-        speeds: ServiceSpeeds | None = None,
-        resting: Collection[str] = (),
+        self, candidates: Sequence[Candidate], **context: Unpack[ChoiceContext]
     ) -> list[ComparedChoice]:
-        """Return all candidates with their cost, and why some may not be chosen.
-
-        See ``choose`` for the parameters.
-        """
+        """Return all candidates with their cost, and why some may not be chosen."""
         if not candidates:
             return []
-        ranking = self._rank(
-            candidates,
-            service=service,
-            facts=facts,
-            now=now,
-            sources=sources,
-            routers=routers,
-            speeds=speeds or ServiceSpeeds(),
-            resting=resting,
-        )
+        ranking = self._rank(candidates, **context)
         return [
             ComparedChoice(choice=choice, exclusion=ranking.find_exclusion(candidate))
             for candidate, choice in zip(candidates, ranking.list_choices(candidates), strict=True)
@@ -222,11 +196,12 @@
         service: Service | None,
         facts: RequestFacts,
         now: float,
-        sources: Sequence[Source],
-        routers: int,
-        speeds: ServiceSpeeds,
-        resting: Collection[str],
+        sources: Sequence[Source] = (),
+        routers: int = 1,
+        speeds: ServiceSpeeds | None = None,
+        resting: Collection[str] = (),
     ) -> _Ranking:
+        used_speeds = speeds or ServiceSpeeds()
         running = {
             candidate.record.endpoint_id: self._loads.count_running(
                 candidate.record.endpoint_id, now
@@ -247,7 +222,7 @@
 
         def score(candidate: Candidate) -> Choice:
             count = running[candidate.record.endpoint_id]
-            return self._score_engine(candidate, facts, count, prompt, speeds, now)
+            return self._score_engine(candidate, facts, count, prompt, used_speeds, now)
 
         return _Ranking(within=within, allowed=allowed, score=score)
 
--- a/chivetrack/components/placement/placement.py
+++ b/chivetrack/components/placement/placement.py
@@ -1,7 +1,8 @@
 """Placement of requests on endpoints, and the statistics of their answers; without I/O."""
 
-from collections.abc import Collection, Iterable, Iterator, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass
+from typing import Unpack
 
 from chivetrack.components.announcements.models import EndpointRecord
 from chivetrack.components.distribution.const import LARGE_FLEET_ROUTERS
@@ -11,9 +12,9 @@
 from chivetrack.components.placement.choice import (
     Candidate,
     Choice,
+    ChoiceContext,
     Chooser,
     ComparedChoice,
-    Source,
 )
 from chivetrack.components.placement.loads import LoadTable
 from chivetrack.components.placement.parts import (
@@ -22,7 +23,6 @@
     PartTracker,
 )
 from chivetrack.components.placement.weights import DEFAULT_WEIGHTS, PlacementWeights
-from chivetrack.components.traffic.models import Service
 from chivetrack.components.traffic.requests import EndpointLoadFacts, PromptPart, RequestFacts
 
 
@@ -69,57 +69,22 @@
         return speeds
 
     def choose(
-        self,
-        candidates: Sequence[Candidate],
-        *,
-        service: Service | None,
-        facts: RequestFacts,
-        now: float,
-        sources: Sequence[Source] = (),
-        routers: int = 1,
-        resting: Collection[str] = (),
+        self, candidates: Sequence[Candidate], **context: Unpack[ChoiceContext]
     ) -> Choice | None:
-        """Return the endpoint of the lowest cost, or ``None`` without candidates.
-
-        See ``Chooser.choose`` for the parameters.
-        """
+        """Return the endpoint of the lowest cost, or ``None`` without candidates."""
         if not candidates:
             return None
-        return self._chooser.choose(
-            candidates,
-            service=service,
-            facts=facts,
-            now=now,
-            sources=sources,
-            routers=routers,
-            speeds=self.get_speeds(candidates[0].record.service),
-            resting=resting,
-        )
+        context["speeds"] = self.get_speeds(candidates[0].record.service)
+        return self._chooser.choose(candidates, **context)
 
     def compare(
-        self,
-        candidates: Sequence[Candidate],
-        *,
-        service: Service | None,
-        facts: RequestFacts,
-        now: float,
-        sources: Sequence[Source] = (),
-        routers: int = 1,
-        resting: Collection[str] = (),
+        self, candidates: Sequence[Candidate], **context: Unpack[ChoiceContext]
     ) -> list[ComparedChoice]:
         """Return all candidates with their cost, and why some may not be chosen."""
         if not candidates:
             return []
-        return self._chooser.compare(
-            candidates,
-            service=service,
-            facts=facts,
-            now=now,
-            sources=sources,
-            routers=routers,
-            speeds=self.get_speeds(candidates[0].record.service),
-            resting=resting,
-        )
+        context["speeds"] = self.get_speeds(candidates[0].record.service)
+        return self._chooser.compare(candidates, **context)
 
     def expect_complete_s(self, choice: Choice, facts: RequestFacts) -> float:
         """Return the time in seconds within which most such answers are complete."""
--- a/chivetrack/daemon/fleet/fleet_view.py
+++ b/chivetrack/daemon/fleet/fleet_view.py
@@ -3,8 +3,6 @@
 import time
 from collections.abc import Callable, Collection, Iterable, Iterator, Sequence
 from contextlib import contextmanager
-from dataclasses import dataclass
-from typing import Any
 
 from gevent.event import Event as Signal
 
@@ -18,11 +16,17 @@
 from chivetrack.components.origins.fitting import VersionFilter
 from chivetrack.components.origins.models import Origin
 from chivetrack.components.paths.zones import may_exclude
-from chivetrack.components.placement.choice import Candidate, Choice, ComparedChoice, Source
+from chivetrack.components.placement.choice import (
+    Candidate,
+    Choice,
+    ChoiceContext,
+    ComparedChoice,
+    Source,
+)
 from chivetrack.components.placement.placement import Placed, Placement
 from chivetrack.components.retries.service_budgets import ServiceRetryBudgets
-from chivetrack.components.traffic.models import Document, RouteKind, Service
-from chivetrack.components.traffic.requests import AnswerFacts, RequestFacts
+from chivetrack.components.traffic.models import Document, RouteKind
+from chivetrack.components.traffic.requests import AnswerFacts
 from chivetrack.components.traffic.table import RouteTable
 from chivetrack.daemon.fleet.calls import Call
 from chivetrack.daemon.fleet.health import EndpointHealth
@@ -49,30 +53,6 @@
 MAX_LOGGED_TEXT = 40
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _ChoiceInputs:
-    """What the choice of an endpoint depends on; see ``Chooser.choose``."""
-
-    candidates: Sequence[Candidate]
-    service: Service | None
-    facts: RequestFacts
-    now: float
-    sources: Sequence[Source]
-    routers: int
-    resting: Sequence[str]
-
-    def describe(self) -> dict[str, Any]:
-        """Return the keyword arguments of a choice besides the candidates."""
-        return {
-            "service": self.service,
-            "facts": self.facts,
-            "now": self.now,
-            "sources": self.sources,
-            "routers": self.routers,
-            "resting": self.resting,
-        }
-
-
 class FleetView:
     """Combine the state received from replicas with this router's own observations."""
 
@@ -336,15 +316,15 @@
 
     def choose(self, call: Call) -> Choice | None:
         """Return the endpoint for the next attempt of a request, ``None`` if there is none."""
-        inputs = self._list_inputs(call)
-        return self.placement.choose(inputs.candidates, **inputs.describe())
+        candidates, context = self._list_candidates(call)
+        return self.placement.choose(candidates, **context)
 
     def compare(self, call: Call) -> list[ComparedChoice]:
         """Return all candidates for a request with their cost, without choosing one."""
-        inputs = self._list_inputs(call)
-        return self.placement.compare(inputs.candidates, **inputs.describe())
+        candidates, context = self._list_candidates(call)
+        return self.placement.compare(candidates, **context)
 
-    def _list_inputs(self, call: Call) -> _ChoiceInputs:
+    def _list_candidates(self, call: Call) -> tuple[list[Candidate], ChoiceContext]:
         now = time.monotonic()
         is_limited = self.find_cold_rate(call.service) > 0
         division = self.directory.partition(
@@ -352,8 +332,7 @@
         )
         fitting = self._list_fitting(call, division.open)
         reached, unreached = self._divide_by_zone(fitting)
-        return _ChoiceInputs(
-            candidates=self._list_candidates(call, reached, is_limited, now),
+        context = ChoiceContext(
             service=None if self.table is None else self.table.find_service(call.service),
             facts=call.facts,
             now=now,
@@ -361,6 +340,7 @@
             routers=round(self._router_count),
             resting=[one.endpoint_id for one in (*division.resting, *unreached)],
         )
+        return self._filter_untried(call, reached, is_limited, now), context
 
     def _divide_by_zone(
         self, records: Sequence[EndpointRecord]
@@ -399,7 +379,7 @@
         is_new = call.origin is None and call.route.kind is RouteKind.STREAM
         return is_new and self._versions.awaits_registration(call.service)
 
-    def _list_candidates(
+    def _filter_untried(
         self, call: Call, records: Sequence[EndpointRecord], is_limited: bool, now: float
     ) -> list[Candidate]:
         tried = {one.endpoint_id for one in call.attempts}
