Let a router wait as long as its scheduler lets the request wait

Cause (found by reading): a request that will be late waits behind the others for up to a quarter of its time, but its router waited until the latency target only, sent it without a slot and asked for no slot for a second. Endpoints that had left stayed in the scheduler for good; endpoints that state no slots would never have got a request.

Change: the router waits as long; endpoints that nobody names for 10 s are forgotten; such services are not scheduled. A hedge whose request was sent in part counts as a possible run. Tests of the first two.

--- a/chivetrack/components/admission/const.py
+++ b/chivetrack/components/admission/const.py
@@ -60,5 +60,8 @@
 RETURN_SHARE: Final = 0.5
 """Part of a service's rate at which refused callers are told to return; the rest is for others."""
 
+UNNAMED_S: Final = 10.0
+"""Time after which an endpoint that no router names is forgotten; longer than any request waits."""
+
 IDLE_S: Final = 60.0
 """Time after which a service without requests is forgotten."""
--- a/chivetrack/components/admission/endpoint_slots.py
+++ b/chivetrack/components/admission/endpoint_slots.py
@@ -24,11 +24,12 @@
     """Slots in use at an endpoint, and how long its requests take.
 
     ``mean_s`` is the mean service time in seconds. ``full_until``: the endpoint rejected a request
-    as full, so that it gets none until then.
+    as full, so that it gets none until then. ``named_at`` is when a router last named it (s).
     """
 
     slots: int
     mean_s: float
+    named_at: float
     full_until: float = float("-inf")
     leases: dict[tuple[str, int], _Lease] = field(default_factory=dict)
 
--- a/chivetrack/components/admission/scheduler.py
+++ b/chivetrack/components/admission/scheduler.py
@@ -15,6 +15,7 @@
     SLOW_FACTOR,
     START_SERVICE_S,
     TAIL_FACTOR,
+    UNNAMED_S,
 )
 from chivetrack.components.admission.endpoint_slots import EndpointSlots
 from chivetrack.components.admission.messages import (
@@ -101,8 +102,7 @@
 
     def wake(self, *, now: float) -> list[AddressedAnswer]:
         """Grant slots whose leases have expired and refuse what waits in vain."""
-        for endpoint in self._endpoints.values():
-            endpoint.drop_expired(now)
+        self._forget_gone(now)
         return [*self._grant_free(now), *self._refuse_late(now)]
 
     def _refresh(self, candidates: tuple[SlotCandidate, ...], now: float) -> None:
@@ -110,12 +110,18 @@
             known = self._endpoints.get(candidate.endpoint_id)
             if known is None:
                 self._endpoints[candidate.endpoint_id] = EndpointSlots(
-                    slots=candidate.slots, mean_s=self._find_usual_s()
+                    slots=candidate.slots, mean_s=self._find_usual_s(), named_at=now
                 )
             else:
-                known.slots = candidate.slots
-        for endpoint in self._endpoints.values():
+                known.slots, known.named_at = candidate.slots, now
+        self._forget_gone(now)
+
+    def _forget_gone(self, now: float) -> None:
+        """Forget the leases that have expired, and the endpoints that have left."""
+        for endpoint_id, endpoint in list(self._endpoints.items()):
             endpoint.drop_expired(now)
+            if now - endpoint.named_at > UNNAMED_S and not endpoint.leases:
+                del self._endpoints[endpoint_id]
 
     def _find_usual_s(self) -> float:
         """Return the service time (s) of the fastest endpoint."""
--- a/chivetrack/daemon/fleet/admission.py
+++ b/chivetrack/daemon/fleet/admission.py
@@ -9,6 +9,7 @@
 
 from chivetrack.components.admission.const import (
     ANSWER_TIMEOUT_S,
+    LONGEST_WAIT_SHARE,
     MAX_ENDPOINTS,
     SUSPENDED_S,
     WAIT_MARGIN_S,
@@ -110,11 +111,14 @@
         return self._engagement.is_engaged(service, time.monotonic())
 
     def _list_scheduled(self, call: Call) -> Sequence[Choice]:
-        """Return the endpoints among which the slot is granted, none without scheduling."""
+        """Return the endpoints among which the slot is granted, none without scheduling.
+
+        A service is not scheduled if an endpoint does not state its slots.
+        """
         if not self._engagement.is_enabled or not self._view.is_plain(call):
             return ()
         choices = [one.choice for one in self._view.compare(call)]
-        if not 0 < len(choices) <= MAX_ENDPOINTS:
+        if not 0 < len(choices) <= MAX_ENDPOINTS or not all(one.record.slots for one in choices):
             return ()
         now = time.monotonic()
         self._engagement.record_load(
@@ -161,7 +165,7 @@
             queued = pending.answer
             if queued is not None and queued.state is SlotState.QUEUED:
                 pending.changed.clear()
-                pending.changed.wait(max(request.target_s, queued.wait_s) + WAIT_MARGIN_S)
+                pending.changed.wait(_find_longest_wait(request) + WAIT_MARGIN_S)
             answer = pending.answer
         finally:
             del self._pending[request.number]
@@ -178,6 +182,11 @@
         pending.changed.set()
 
 
+def _find_longest_wait(request: SlotRequest) -> float:
+    """Return how long (s) the scheduler lets a request wait at most."""
+    return max(request.target_s, LONGEST_WAIT_SHARE * request.hold_s)
+
+
 def _make_request(number: int, call: Call, choices: Sequence[Choice], *, now: float) -> SlotRequest:
     left_s = max(0.0, call.ends_at - now)
     target_s = call.route.target_s or left_s
--- a/chivetrack/daemon/fleet/hedging.py
+++ b/chivetrack/daemon/fleet/hedging.py
@@ -13,7 +13,11 @@
     allows_hedge,
     find_hedge_delay,
 )
-from chivetrack.components.upstream.connection import EndpointConnection, NotSentError
+from chivetrack.components.upstream.connection import (
+    EndpointConnection,
+    MaybeRanError,
+    NotSentError,
+)
 from chivetrack.daemon.fleet.calls import Call
 from chivetrack.daemon.fleet.dialer import Dialer
 from chivetrack.daemon.fleet.fleet_view import FleetView
@@ -40,6 +44,8 @@
     """A second attempt of a request; its resources are released by ``stack``.
 
     ``due_at`` is when it is sent (s, monotonic) unless the first endpoint answers before.
+    ``choice`` is the second endpoint once the request may have reached it, and ``connection``
+    where its answer is expected.
     """
 
     call: Call
@@ -123,6 +129,7 @@
         if not self._retry_budget.commit_spare(call.service):
             return HedgeOutcome.NO_BUDGET
         self._policy.record_hedge(call.service)
+        hedge.choice = choice
         first_placed = call.placed
         try:
             connection = self._dialer.connect(
@@ -133,11 +140,15 @@
             hedge.stack.callback(connection.close)
             hedge.placed = hedge.stack.enter_context(self._view.track_request(call, choice))
             send(connection, choice)
+            hedge.connection = connection
         except NotSentError:
+            hedge.choice = None
             return HedgeOutcome.NOT_SENT
+        except MaybeRanError:
+            # The endpoint may run what it has received, but can't answer.
+            return HedgeOutcome.LOST
         finally:
             call.placed = first_placed
-        hedge.choice, hedge.connection = choice, connection
         return HedgeOutcome.LOST
 
     def _has_room(self, call: Call) -> bool:
--- a/tests/components/admission/test_scheduler.py
+++ b/tests/components/admission/test_scheduler.py
@@ -3,7 +3,7 @@
 import unittest
 from random import Random
 
-from chivetrack.components.admission.const import MAX_RETRY_AFTER_S, MIN_LEASE_S
+from chivetrack.components.admission.const import MAX_RETRY_AFTER_S, MIN_LEASE_S, UNNAMED_S
 from chivetrack.components.admission.messages import (
     SlotAnswer,
     SlotCandidate,
@@ -121,6 +121,13 @@
         self.assertEqual(set(granted), {"e2"})
         self.assertEqual(self.ask(9, "e1", "e2", now=1.2)[0].endpoint_id, "e1")
 
+    def test_endpoint_that_has_left_is_forgotten(self) -> None:
+        """Guards against memory that grows with each release of a service."""
+        self.ask(1, "e1", now=1.0)
+        self.release(1, now=1.1)
+        self.ask(2, "e2", now=2.0 + UNNAMED_S)
+        self.assertEqual(list(self.scheduler._endpoints), ["e2"])
+
     def test_second_release_frees_nothing(self) -> None:
         """Guards against a release that comes twice and frees the slot of another request."""
         self.fill()
--- a/tests/daemon/fleet/test_admission.py
+++ b/tests/daemon/fleet/test_admission.py
@@ -2,7 +2,7 @@
 
 import gevent
 
-from chivetrack.components.admission.const import ANSWER_TIMEOUT_S
+from chivetrack.components.admission.const import ANSWER_TIMEOUT_S, WAIT_MARGIN_S
 from chivetrack.components.admission.messages import (
     SlotAnswer,
     SlotRelease,
@@ -60,6 +60,17 @@
         self.assertEqual(self.sent, ["e1"])
         self.go_on.set()
 
+    def test_request_that_will_be_late_waits_for_its_slot(self) -> None:
+        """Guards against a wait that ends at the latency target, with a slot on its way."""
+        self.start()
+        self.answer(SlotState.QUEUED, wait_s=0.05)
+        target_s = self.list_requests()[0].target_s
+        gevent.sleep(target_s + 2 * WAIT_MARGIN_S)
+        self.assertEqual(self.sent, [])
+        self.answer(SlotState.GRANTED, "e1")
+        self.assertEqual(self.sent, ["e1"])
+        self.go_on.set()
+
     def test_refused_request_has_not_run_and_is_told_when_to_return(self) -> None:
         """Guards against a wait for a slot that comes too late."""
         serving = self.start()
