Schedule slots by load alone, and take a hanging endpoint for slow

Slots of an endpoint that hangs seemed free as their leases expired, so that it got a request for each again.

Change: only the load engages the scheduler. An expired lease counts as a service time of its length. The test of the hanging endpoint fails without it.

--- a/chivetrack/components/admission/endpoint_slots.py
+++ b/chivetrack/components/admission/endpoint_slots.py
@@ -16,6 +16,7 @@
     """A slot in use; ``turns`` is its expected time in service times, with the wait before it."""
 
     expires_at: float
+    longest_s: float
     turns: float
 
 
@@ -54,7 +55,9 @@
     def lease(self, key: tuple[str, int], *, now: float, hold_s: float) -> None:
         """Use a slot; it is free again at the latest when the request must have ended."""
         longest_s = min(hold_s, max(MIN_LEASE_S, LEASE_FACTOR * self.mean_s))
-        self.leases[key] = _Lease(expires_at=now + longest_s, turns=self._count_turns())
+        self.leases[key] = _Lease(
+            expires_at=now + longest_s, longest_s=longest_s, turns=self._count_turns()
+        )
 
     def release(self, key: tuple[str, int], *, took_s: float) -> bool:
         """Free a slot; return whether it was in use.
@@ -64,13 +67,21 @@
         """
         lease = self.leases.pop(key, None)
         if lease is not None and took_s > 0:
-            self.mean_s += SAMPLE_WEIGHT * (took_s / lease.turns - self.mean_s)
+            self._record_time(took_s / lease.turns)
         return lease is not None
 
+    def _record_time(self, service_s: float) -> None:
+        self.mean_s += SAMPLE_WEIGHT * (service_s - self.mean_s)
+
     def drop_expired(self, now: float) -> None:
-        """Free the slots that were not released in time."""
+        """Free the slots that were not released in time.
+
+        The endpoint is as slow as that, unless their routers were killed. Otherwise one that
+        hangs would seem free, and get a request for each slot again and again.
+        """
         for key in [key for key, lease in self.leases.items() if lease.expires_at <= now]:
-            del self.leases[key]
+            lease = self.leases.pop(key)
+            self._record_time(lease.longest_s / lease.turns)
 
     def record_full(self, now: float) -> None:
         """Record that the endpoint rejected a request as full.
--- a/chivetrack/components/admission/engagement.py
+++ b/chivetrack/components/admission/engagement.py
@@ -20,11 +20,6 @@
         if self.is_enabled and running >= self._min_load * slots:
             self._engaged_until[service] = now + ENGAGED_S
 
-    def record_rejection(self, service: str, now: float) -> None:
-        """Record that an endpoint of a service rejected a request as full."""
-        if self.is_enabled:
-            self._engaged_until[service] = now + ENGAGED_S
-
     def is_engaged(self, service: str, now: float) -> bool:
         """Return whether slots of a service are scheduled now."""
         return now < self._engaged_until.get(service, float("-inf"))
--- a/chivetrack/daemon/fleet/admission.py
+++ b/chivetrack/daemon/fleet/admission.py
@@ -102,10 +102,6 @@
             )
             self._send(leader, release)
 
-    def record_rejection(self, service: str) -> None:
-        """Record that an endpoint of a service rejected a request as full."""
-        self._engagement.record_rejection(service, time.monotonic())
-
     def is_scheduled(self, service: str) -> bool:
         """Return whether slots of a service are handed out now."""
         return self._engagement.is_engaged(service, time.monotonic())
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -402,8 +402,6 @@
             self._log.write_attempt(call, choice, "answered", f"status {result.status}")
             return True
         call.attempts.append(make_tried(choice, result))
-        if slot.is_rejected:
-            self._admission.record_rejection(call.service)
         call.failure = result.failure or call.failure
         if result.is_other_instance:
             self._view.health.record_misdirected(endpoint_id)
--- a/tests/components/admission/test_scheduler.py
+++ b/tests/components/admission/test_scheduler.py
@@ -104,6 +104,17 @@
         answers = self.list_answers(self.scheduler.wake(now=MIN_LEASE_S + 0.01))
         self.assertEqual([one.state for one in answers], [SlotState.GRANTED])
 
+    def test_endpoint_that_hangs_gets_few_requests(self) -> None:
+        """Guards against slots that seem free since the leases of a hanging endpoint expire."""
+        now, granted = 0.0, []
+        for number in range(400):
+            now += 0.01
+            answer, *_ = self.ask(number, "e1", "e2", now=now)
+            granted.append(answer.endpoint_id)
+            if answer.endpoint_id == "e1":
+                self.release(number, now=now + 0.05, took_s=0.05)
+        self.assertLess(granted[200:].count("e2"), 10)
+
     def test_request_that_was_withdrawn_gets_no_slot(self) -> None:
         """Guards against a slot that waits for a caller who has left."""
         self.fill()
