Engage the scheduler of slots by the mean load of some seconds

A moment in which many slots are in use, as when an endpoint hangs with a few requests, had slots handed out for 5 s. The load is a mean with a half-life of 2 s now.

--- a/chivetrack/components/admission/const.py
+++ b/chivetrack/components/admission/const.py
@@ -6,6 +6,11 @@
 """Services with more endpoints are not scheduled: many random choices level out over them, and
 each request would name all of them."""
 
+LOAD_HALF_LIFE_S: Final = 2.0
+LOAD_PRIOR: Final = 1.0
+"""Half-life of the load of a service, and how many samples without load are added to it. A router
+sees a service one or two times a second."""
+
 ENGAGED_S: Final = 5.0
 """Time for which a service stays scheduled after its load was last at the limit of the settings."""
 
--- a/chivetrack/components/deployment/settings.py
+++ b/chivetrack/components/deployment/settings.py
@@ -87,8 +87,8 @@
     schedules_slots: Annotated[bool, Meta(description="Whether slots are handed out.")] = False
     min_load: Annotated[
         float,
-        Meta(ge=0, description="Share of a service's slots in use from which they are."),
-    ] = 0.3
+        Meta(ge=0, description="Mean share of a service's slots in use from which they are."),
+    ] = 0.25
 
 
 class HedgingSettings(StructSection, frozen=True, kw_only=True):
