Count the load of a service before its endpoints are compared

With schedules_slots, each request to a plain service had all endpoints scored a second time, also where the service has free slots. Only the counts are read now until it is engaged.

--- a/chivetrack/daemon/fleet/admission.py
+++ b/chivetrack/daemon/fleet/admission.py
@@ -113,17 +113,14 @@
         """
         if not self._engagement.is_enabled or not self._view.is_plain(call):
             return ()
-        choices = [one.choice for one in self._view.compare(call)]
-        if not 0 < len(choices) <= MAX_ENDPOINTS or not all(one.record.slots for one in choices):
-            return ()
         now = time.monotonic()
-        self._engagement.record_load(
-            call.service,
-            running=sum(one.running for one in choices),
-            slots=sum(one.record.slots for one in choices),
-            now=now,
-        )
-        return choices if self._engagement.is_engaged(call.service, now) else ()
+        running, slots = self._view.count_running(call.service, now)
+        self._engagement.record_load(call.service, running=running, slots=slots, now=now)
+        if not self._engagement.is_engaged(call.service, now):
+            return ()
+        choices = [one.choice for one in self._view.compare(call)]
+        has_slots = all(one.record.slots for one in choices)
+        return choices if has_slots and 0 < len(choices) <= MAX_ENDPOINTS else ()
 
     def _request(
         self, slot: Slot, number: int, leader: str, call: Call, choices: Sequence[Choice]
--- a/chivetrack/daemon/fleet/fleet_view.py
+++ b/chivetrack/daemon/fleet/fleet_view.py
@@ -418,6 +418,13 @@
         """Return the number of a service's endpoints that may receive requests."""
         return len(self.directory.list_ready(service))
 
+    def count_running(self, service: str, now: float) -> tuple[int, int]:
+        """Return how many requests of all routers run at a service, and its slots."""
+        records = self.directory.list_ready(service)
+        loads = self.placement.loads
+        running = sum(loads.count_running(record.endpoint_id, now) for record in records)
+        return running, sum(record.slots for record in records)
+
     def is_cold(self, service: str, endpoint_id: str, now: float) -> bool:
         """Return whether an endpoint is cold and its service limits requests to cold endpoints."""
         return self.find_cold_rate(service) > 0 and self.directory.cold.is_cold(endpoint_id, now)
