Probe a lost zone at endpoints that may get requests alone

Cause (found by reading): probes of a lost zone also tried endpoints that had left; their addresses may be silent, and each such probe kept the zone lost for 2 s more.

Change: only ready endpoints are tried.

--- a/chivetrack/components/announcements/directory.py
+++ b/chivetrack/components/announcements/directory.py
@@ -143,6 +143,10 @@
         """Return the endpoints that may get requests, including cold ones."""
         return self._ready.get(service, ())
 
+    def list_all_ready(self) -> Sequence[EndpointRecord]:
+        """Return the endpoints of all services that may get requests, including cold ones."""
+        return [record for records in self._ready.values() for record in records]
+
     def list_origins(self, service: str) -> Sequence[Origin]:
         """Return the versions of a service's endpoints that may get requests."""
         return self._origins.get(service, ())
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -137,7 +137,7 @@
         )
         self._paths = EndpointPaths(
             list_endpoints=self.view.directory.list_ready,
-            list_all_endpoints=lambda: tuple(self.view.directory.table.list_records()),
+            list_all_endpoints=self.view.directory.list_all_ready,
             do_others_reach=self.view.do_others_reach,
             request_carriers=self._report_now,
             events=events,
--- a/tests/daemon/fleet/test_fleet_view.py
+++ b/tests/daemon/fleet/test_fleet_view.py
@@ -103,6 +103,18 @@
         self.assertEqual(self.choose_zones(), {"z0", "z1", "z2"})
 
 
+class ProbedEndpointTest(FleetViewCase):
+    def test_endpoints_that_have_left_are_not_probed(self) -> None:
+        """Guards against a zone that stays lost since addresses of former endpoints are silent."""
+        self.apply_view(
+            make_record(endpoint_id="e1", service="llm"),
+            make_record(endpoint_id="e2", service="portal"),
+            make_record(endpoint_id="e3", service="portal", state=EndpointState.LOST),
+        )
+        ids = {one.endpoint_id for one in self.view.directory.list_all_ready()}
+        self.assertEqual(ids, {"e1", "e2"})
+
+
 class FleetViewTest(FleetViewCase):
     def test_first_view_brings_endpoints_and_their_cached_parts(self) -> None:
         """Guards against placements that are dropped by the view that brought them.
