Cancel the loser of a hedged request as soon as the winner is known

Cause (found by reading): the loser's connection was closed after the winner's whole answer had been relayed. With a stream, the endpoint that lost made its whole answer for nobody, for seconds, and counted as running there. The tests used answers that end at once.

Change: it is closed, and no longer counted, when the winner is known. Two tests with streams, one for either endpoint that loses, failed before.

--- a/chivetrack/components/placement/placement.py
+++ b/chivetrack/components/placement/placement.py
@@ -33,7 +33,8 @@
     Times are monotonic, in seconds. ``missing_tokens``: prompt tokens that the engine has to
     read for this request. ``ahead_tokens``: prompt tokens that it has to read before those.
     ``number``: the number of the attempt in ``SilenceTable``. ``new_parts``: shared parts
-    that were first recorded at the endpoint with this attempt.
+    that were first recorded at the endpoint with this attempt. ``is_finished``: it is not counted
+    any more, as one that another endpoint has overtaken.
     """
 
     endpoint_id: str
@@ -48,6 +49,7 @@
     output_tokens: int = 0
     first_at: float | None = None
     is_complete: bool = False
+    is_finished: bool = False
 
 
 class Placement:
@@ -167,6 +169,9 @@
 
         Only complete answers update the speed statistics.
         """
+        if placed.is_finished:
+            return
+        placed.is_finished = True
         if placed.first_at is None:
             self.loads.finish_reading(placed.endpoint_id, placed.missing_tokens)
             self.parts.withdraw(placed.endpoint_id, placed.new_parts)
--- a/chivetrack/daemon/fleet/forwarder.py
+++ b/chivetrack/daemon/fleet/forwarder.py
@@ -131,7 +131,6 @@
         """Store the idle connections, the dialer of new ones, and the callbacks.
 
         ``hedger`` sends slow requests to a second endpoint; without it there is none.
-
         ``handle_begin`` is called when the origin of a stream is known, before the caller gets its
         first event.
         ``handle_bytes`` is called when bytes of an answer arrive. ``record_overdue`` is
@@ -264,10 +263,14 @@
                 break
         else:
             contender = first
+        assert self._hedger is not None
+        # The loser is cancelled now and not after the whole answer, which may be a long stream.
         if contender is second:
-            assert self._hedger is not None
+            first.held.connection.close()
             self._hedger.take_over(hedge)
-        elif contender.error is not None:
+            return contender
+        self._hedger.cancel(hedge)
+        if contender.error is not None:
             raise contender.error
         return contender
 
--- a/chivetrack/daemon/fleet/hedging.py
+++ b/chivetrack/daemon/fleet/hedging.py
@@ -175,9 +175,17 @@
         hedge.outcome = HedgeOutcome.WON
         first_placed = hedge.call.placed
         if first_placed is not None:
-            self._view.placement.record_overtaken(first_placed, now=time.monotonic())
+            now = time.monotonic()
+            self._view.placement.record_overtaken(first_placed, now=now)
+            self._view.placement.finish(first_placed, now=now)
         hedge.call.placed = hedge.placed
 
+    def cancel(self, hedge: Hedge) -> None:
+        """End the attempt at the second endpoint, since the first one answers."""
+        placed = hedge.call.placed
+        hedge.stack.close()
+        hedge.call.placed = placed
+
     @contextmanager
     def hold(self, hedge: Hedge) -> Iterator[None]:
         """Release what the hedge holds at the end, and write its outcome if it was due."""
@@ -187,9 +195,7 @@
             self._finish(hedge)
 
     def _finish(self, hedge: Hedge) -> None:
-        placed = hedge.call.placed
-        hedge.stack.close()
-        hedge.call.placed = placed
+        self.cancel(hedge)
         if hedge.outcome is None:
             return
         self._record_hedge(hedge.outcome.value)
--- a/tests/daemon/fleet/test_hedging.py
+++ b/tests/daemon/fleet/test_hedging.py
@@ -22,12 +22,14 @@
     close_after,
     make_answer,
     make_call,
+    make_chunks,
     make_dialer,
 )
 from tests.daemon.fleet.test_fleet_view import FleetViewCase
 from tests.system.fleets import wait_for
 
 SLOW_S = 0.6
+STREAM_S = 0.4
 EARLIER_REQUESTS = 200
 GONE_S = 0.5
 
@@ -53,6 +55,15 @@
             self.closed_at = time.monotonic()
 
 
+def stream_at_once(connection: socket.socket) -> None:
+    """Send the first event of a stream at once, and the last one after ``STREAM_S``."""
+    first, last = make_chunks(b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n").split(b"id: 2")
+    head, _, size = first.rpartition(b"\r\n")[0].rpartition(b"\r\n")
+    connection.sendall(head + b"\r\n")
+    time.sleep(STREAM_S)
+    connection.sendall(size + b"\r\nid: 2" + last)
+
+
 class HedgingCase(FleetViewCase):
     max_share = 1.0
 
@@ -120,6 +131,31 @@
         self.assertLess(slow.closed_at - answered_at, GONE_S)
         self.assertEqual(self.outcomes, ["won"])
 
+    def check_loser_ends_before_the_stream(
+        self, slow: SlowScript, first: ScriptedEndpoint, second: ScriptedEndpoint
+    ) -> None:
+        route = make_route(kind=RouteKind.STREAM, is_resumable=True, max_attempts=2)
+        result = self.send(first, second, route=route)
+        ended_at = time.monotonic()
+        self.assertTrue(result.is_answered)
+        assert slow.closed_at is not None
+        self.assertLess(slow.closed_at, ended_at - STREAM_S / 2)
+
+    def test_loser_is_cancelled_while_the_stream_goes_on(self) -> None:
+        """Guards against a first endpoint that makes a whole stream for nobody."""
+        slow = SlowScript()
+        self.check_loser_ends_before_the_stream(slow, self.open(slow), self.open(stream_at_once))
+
+    def test_hedge_that_lost_is_cancelled_while_the_stream_goes_on(self) -> None:
+        """Guards against a second endpoint that makes a whole stream for nobody."""
+
+        def stream_late(connection: socket.socket) -> None:
+            time.sleep(0.15)
+            stream_at_once(connection)
+
+        slow = SlowScript()
+        self.check_loser_ends_before_the_stream(slow, self.open(stream_late), self.open(slow))
+
     def test_fast_answer_is_not_hedged(self) -> None:
         """Guards against a second send of a request that is answered in time."""
         second = self.open(make_answer(b"second"))
