Judge a zone by the router's own connections of the last two seconds

Causes (found by reading): endpoints that did not answer were counted over any time, so two of a quiet zone, hours apart, lost it; an answer through a carrier counted as reaching the zone; and without [paths] avoids_lost_zones, lost zones were probed all the same.

Change: each failure is within 2 s of the last, only answers over the router's own connections count, and nothing is recorded without the setting. Tests of each; those of the window and of the carrier fail without it.

--- a/chivetrack/components/paths/zones.py
+++ b/chivetrack/components/paths/zones.py
@@ -11,7 +11,7 @@
 
 @dataclass(slots=True)
 class _ZonePath:
-    """Endpoints of a zone that did not answer a connection since one of the zone was reached."""
+    """Endpoints of a zone that did not answer, each within ``LOST_ZONE_MEMORY_S`` of the last."""
 
     unanswered: set[str] = field(default_factory=set)
     unanswered_at: float = float("-inf")
@@ -36,6 +36,8 @@
     def record_unanswered(self, zone: str, endpoint_id: str, *, now: float) -> None:
         """Record that a connection to an endpoint of a zone timed out."""
         path = self._zones.setdefault(zone, _ZonePath())
+        if now - path.unanswered_at > LOST_ZONE_MEMORY_S:
+            path.unanswered.clear()
         path.unanswered.add(endpoint_id)
         path.unanswered_at = now
 
--- a/chivetrack/daemon/fleet/dialer.py
+++ b/chivetrack/daemon/fleet/dialer.py
@@ -99,6 +99,11 @@
         self._paths.record_reached(record)
         return opened
 
+    def record_answer(self, record: EndpointRecord, carrier: str) -> None:
+        """Record that an endpoint has answered; a carrier's way says nothing of the own one."""
+        if not carrier:
+            self._paths.record_answer(record)
+
     def record_unacknowledged(self, record: EndpointRecord, carrier: str) -> None:
         """Record that an endpoint's host has not acknowledged a request."""
         if not carrier:
--- a/chivetrack/daemon/fleet/forwarder.py
+++ b/chivetrack/daemon/fleet/forwarder.py
@@ -199,6 +199,7 @@
         """Handle an answer, and keep its connection if it may serve another request."""
         connection = held.connection
         self._record_answer(choice.record, facts)
+        self._dialer.record_answer(choice.record, connection.carrier)
         result = self._handle_answer(connection, call, choice, answer, facts, may_retry)
         ends = facts.closes or facts.is_leaving
         held.is_kept = answer.keeps_connection and not ends and connection.end_request()
--- a/chivetrack/daemon/fleet/paths.py
+++ b/chivetrack/daemon/fleet/paths.py
@@ -35,13 +35,15 @@
         *,
         list_endpoints: Callable[[str], Sequence[EndpointRecord]],
         list_all_endpoints: Callable[[], Sequence[EndpointRecord]] = tuple,
+        avoids_lost_zones: bool = False,
         do_others_reach: Callable[[str], bool | None],
         request_carriers: Callable[[], None],
         events: EventLog,
     ) -> None:
         """Store how to list the endpoints of a service and what other routers say of one.
 
-        ``list_all_endpoints`` lists those of all services, to probe lost zones.
+        ``list_all_endpoints`` lists those of all services, to probe lost zones; without
+        ``avoids_lost_zones``, no zone counts as lost.
         ``request_carriers`` asks the assigned replica for carriers.
         """
         self._list_endpoints = list_endpoints
@@ -51,6 +53,7 @@
         self._events = events
         self._table = PathTable()
         self.carriers = CarrierPool(random=random.Random())
+        self._avoids_lost_zones = avoids_lost_zones
         self._zones = ZonePaths()
         self._needed_at = float("-inf")
 
@@ -60,6 +63,8 @@
 
     def record_unanswered(self, record: EndpointRecord) -> None:
         """Record that an endpoint's host did not answer a connection, or a request on one."""
+        if not self._avoids_lost_zones:
+            return
         before = self.list_lost_zones()
         self._zones.record_unanswered(record.zone, record.endpoint_id, now=time.monotonic())
         if record.zone not in before and record.zone in self.list_lost_zones():
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -121,7 +121,7 @@
             decode=decode_document,
             forget_endpoint=self._forget_endpoint,
             may_begin=lambda origin: self._origins.tracker.may_begin(origin),
-            list_lost_zones=self._list_avoided_zones,
+            list_lost_zones=lambda: self._paths.list_lost_zones(),
         )
         self.view.document_listeners.append(self._apply_limits)
         self._metrics.add_gauges(*self._list_gauges())
@@ -138,6 +138,7 @@
         self._paths = EndpointPaths(
             list_endpoints=self.view.directory.list_ready,
             list_all_endpoints=self.view.directory.list_all_ready,
+            avoids_lost_zones=settings.paths.avoids_lost_zones,
             do_others_reach=self.view.do_others_reach,
             request_carriers=self._report_now,
             events=events,
@@ -354,12 +355,7 @@
         self.view.quarantine.handle_replica_restarts(self.subscriber.restart_count)
         self._paths.handle_carriers(view.carriers)
 
-    def _list_avoided_zones(self) -> frozenset[str]:
-        is_avoided = self._settings.paths.avoids_lost_zones
-        return self._paths.list_lost_zones() if is_avoided else frozenset()
-
     def _record_answer(self, record: EndpointRecord, facts: AnswerFacts) -> None:
-        self._paths.record_answer(record)
         self._metrics.record_answer(record.endpoint_id, facts)
         self.view.record_answer(record, facts)
 
--- a/tests/components/paths/test_zones.py
+++ b/tests/components/paths/test_zones.py
@@ -30,6 +30,12 @@
         self.zones.record_unanswered("z2", "e2", now=1.3)
         self.assertEqual(self.zones.list_lost(now=1.3), frozenset())
 
+    def test_failures_long_apart_lose_no_zone(self) -> None:
+        """Guards against a zone with little traffic that is lost by two endpoints hours apart."""
+        self.zones.record_unanswered("z2", "e1", now=1.0)
+        self.zones.record_unanswered("z2", "e2", now=1.1 + LOST_ZONE_MEMORY_S)
+        self.assertEqual(self.zones.list_lost(now=1.1 + LOST_ZONE_MEMORY_S), frozenset())
+
     def test_lost_zone_is_tried_again_without_probes(self) -> None:
         """Guards against a zone that gets nothing for good."""
         self.zones.record_unanswered("z2", "e1", now=1.0)
--- a/tests/daemon/fleet/test_lost_zones.py
+++ b/tests/daemon/fleet/test_lost_zones.py
@@ -19,11 +19,14 @@
 
 
 class LostZoneCase(unittest.TestCase):
+    avoids_lost_zones = True
+
     def setUp(self) -> None:
         self.events = Events()
         self.paths = EndpointPaths(
             list_endpoints=lambda service: RECORDS,
             list_all_endpoints=lambda: RECORDS,
+            avoids_lost_zones=self.avoids_lost_zones,
             do_others_reach=lambda endpoint_id: False,
             request_carriers=lambda: None,
             events=self.events,
@@ -78,6 +81,14 @@
             self.dialer.record_unacknowledged(record, "carrier")
         self.assertEqual(self.paths.list_lost_zones(), frozenset())
 
+    def test_answer_through_a_carrier_ends_nothing(self) -> None:
+        """Guards against a zone that counts as reached since a carrier reaches it."""
+        self.lose_zone()
+        self.dialer.record_answer(RECORDS[0], "carrier")
+        self.assertEqual(self.paths.list_lost_zones(), {"z0"})
+        self.dialer.record_answer(RECORDS[0], "")
+        self.assertEqual(self.paths.list_lost_zones(), frozenset())
+
     def test_probe_that_is_answered_ends_it(self) -> None:
         """Guards against a zone that stays unused after the cut has ended."""
         for error in (None, NotSentError("refused")):
@@ -92,5 +103,15 @@
         self.assertEqual(self.paths.list_lost_zones(), {"z0"})
 
 
+class DisabledTest(LostZoneCase):
+    avoids_lost_zones = False
+
+    def test_no_zone_is_lost_without_the_setting(self) -> None:
+        """Guards against probes of a deployment that did not ask for them."""
+        for record in (RECORDS[0], RECORDS[2]):
+            self.dial_in_vain(record, ConnectTimeoutError("no answer"))
+        self.assertEqual(self.paths.list_lost_zones(), frozenset())
+
+
 if __name__ == "__main__":
     unittest.main()
