Bound what an endpoint's report of its load may say

Cause (found by reading): a report of any size was believed. One endpoint that states a billion requests raises the mean of its service, and with it the bound on all others.

Change: requests count up to eight times the slots, the speed within the range of learned samples. The test fails without it.

--- a/chivetrack/components/observation/speeds.py
+++ b/chivetrack/components/observation/speeds.py
@@ -116,7 +116,8 @@
 
     def record_report(self, endpoint_id: str, work_factor: float, *, now: float) -> None:
         """Record how long work takes at an endpoint as it reports itself, 1.0 as usual."""
-        self._reports[endpoint_id] = _SpeedReport(log_factor=math.log(work_factor), at=now)
+        factor = min(MAX_SLOWNESS_SAMPLE, max(1.0 / MAX_SLOWNESS_SAMPLE, work_factor))
+        self._reports[endpoint_id] = _SpeedReport(log_factor=math.log(factor), at=now)
 
     def record_first_event(
         self, endpoint_id: str, *, tokens: float, took_ms: float, now: float
--- a/chivetrack/components/placement/loads.py
+++ b/chivetrack/components/placement/loads.py
@@ -7,7 +7,7 @@
 from chivetrack.components.endpoints.const import PEER_COUNTS_TTL_S
 
 REPORT_TTL_S = 0.5
-"""Half of the requests of an engine have ended and others begun in this time."""
+"""An older report says little, since requests end and others begin all the time."""
 
 
 @dataclass(slots=True)
--- a/chivetrack/components/placement/placement.py
+++ b/chivetrack/components/placement/placement.py
@@ -25,6 +25,9 @@
 from chivetrack.components.placement.weights import DEFAULT_WEIGHTS, PlacementWeights
 from chivetrack.components.traffic.requests import EndpointLoadFacts, PromptPart, RequestFacts
 
+MAX_REPORTED_TURNS = 8
+"""Largest number of requests that an endpoint is believed to hold, as a multiple of its slots."""
+
 
 @dataclass(slots=True, kw_only=True)
 class Placed:
@@ -195,7 +198,9 @@
         """
         if load.work_factor is None:
             return
-        self.loads.record_report(record.endpoint_id, load.running + load.waiting, now=now)
+        # A wrong figure must not raise the mean load of the service, and with it every bound.
+        requests = min(load.running + load.waiting, MAX_REPORTED_TURNS * record.slots)
+        self.loads.record_report(record.endpoint_id, requests, now=now)
         speeds = self.get_speeds(record.service)
         speeds.record_report(record.endpoint_id, load.work_factor, now=now)
 
--- a/tests/components/placement/test_reported_load.py
+++ b/tests/components/placement/test_reported_load.py
@@ -6,7 +6,7 @@
 from chivetrack.components.distribution.messages import EndpointLoad
 from chivetrack.components.observation.speeds import ServiceSpeeds
 from chivetrack.components.placement.loads import REPORT_TTL_S, LoadTable
-from chivetrack.components.placement.placement import Placement
+from chivetrack.components.placement.placement import MAX_REPORTED_TURNS, Placement
 from chivetrack.components.traffic.requests import EndpointLoadFacts
 from tests.components.announcements.test_table import make_record
 
@@ -86,6 +86,13 @@
         placement = self.report(EndpointLoadFacts(running=9, waiting=3, slots=64))
         self.assertEqual(placement.loads.count_running("e1", 1.0), 0)
 
+    def test_impossible_figures_are_bounded(self) -> None:
+        """Guards against one endpoint's report that raises the bound of all others."""
+        load = EndpointLoadFacts(running=10**9, waiting=0, slots=64, work_factor=10**6)
+        placement = self.report(load)
+        self.assertEqual(placement.loads.count_running("e1", 1.0), MAX_REPORTED_TURNS * 64)
+        self.assertLess(placement.get_speeds("llm").find_slowness("e1", 1.0), 10)
+
     def test_new_lifetime_does_not_inherit_a_report(self) -> None:
         """Guards against an endpoint that starts again and is taken for slow and full."""
         load = EndpointLoadFacts(running=9, waiting=3, slots=64, work_factor=2.5)
