Answer what waits for a slot when the leader is replaced

Causes (found by reading): a replica that no longer led forgot its queue without a word, and routers waited for up to a quarter of their requests' time; a route without a latency target let requests wait until their deadline.

Change: what waits is told to go without a slot; such a route allows a quarter of the time. Tests of both, the second fails without it.

--- a/chivetrack/components/admission/const.py
+++ b/chivetrack/components/admission/const.py
@@ -8,15 +8,14 @@
 
 LOAD_HALF_LIFE_S: Final = 2.0
 LOAD_PRIOR: Final = 1.0
-"""Half-life of the load of a service, and how many samples without load are added to it. A router
-sees a service one or two times a second."""
+"""Half-life of the load of a service, and how many samples without load are added to it."""
 
 ENGAGED_S: Final = 5.0
 """Time for which a service stays scheduled after its load was last at the limit of the settings."""
 
 ANSWER_TIMEOUT_S: Final = 0.1
-"""Time that a router waits for the first answer; the farthest regions are 0.15 s apart both ways,
-a scheduler there costs more than its order is worth."""
+"""Time that a router waits for the first answer. A leader in the farthest region answers later:
+asking it would delay each request by more than slots save."""
 
 SUSPENDED_S: Final = 1.0
 """Time for which a router sends without slots after a scheduler did not answer."""
--- a/chivetrack/components/admission/scheduler.py
+++ b/chivetrack/components/admission/scheduler.py
@@ -44,9 +44,10 @@
     all routers find the same endpoint idle and fill it together, while others stand idle; full
     endpoints then reject, and what they queue is answered after its latency target.
 
-    A request waits only while it can still be answered within its latency target; one that can't
-    is refused when that shows, and its caller is told a time at which there is room. Requests of
-    different workspaces and ranks share the slots as ``WaitingList`` tells.
+    Requests that can still be answered within their latency target go first, and share the slots
+    by workspace and rank as ``WaitingList`` tells. A few that can't wait behind them, for a part
+    of their time; all others are refused at once, and their callers are told a time at which there
+    is room.
     """
 
     def __init__(self, *, random: Random) -> None:
@@ -105,6 +106,16 @@
         self._forget_gone(now)
         return [*self._grant_free(now), *self._refuse_late(now)]
 
+    def dismiss(self) -> list[AddressedAnswer]:
+        """Return answers to all that wait: their routers send them without a slot."""
+        return [
+            AddressedAnswer(
+                waiting.source,
+                SlotAnswer(number=waiting.request.number, state=SlotState.NOT_LEADING),
+            )
+            for waiting in self._waiting
+        ]
+
     def _refresh(self, candidates: tuple[SlotCandidate, ...], now: float) -> None:
         for candidate in candidates:
             known = self._endpoints.get(candidate.endpoint_id)
--- a/chivetrack/components/admission/schedulers.py
+++ b/chivetrack/components/admission/schedulers.py
@@ -41,9 +41,13 @@
             answer for scheduler in self._schedulers.values() for answer in scheduler.wake(now=now)
         ]
 
-    def clear(self) -> None:
-        """Forget everything, since this replica does not lead any more."""
+    def clear(self) -> list[AddressedAnswer]:
+        """Forget everything, since this replica does not lead any more; answer what waits."""
+        answers = [
+            answer for scheduler in self._schedulers.values() for answer in scheduler.dismiss()
+        ]
         self._schedulers.clear()
+        return answers
 
     def describe(self) -> dict[str, dict[str, int]]:
         """Return the counts of each service, for a log line."""
--- a/chivetrack/daemon/fleet/admission.py
+++ b/chivetrack/daemon/fleet/admission.py
@@ -182,7 +182,8 @@
 
 def _make_request(number: int, call: Call, choices: Sequence[Choice], *, now: float) -> SlotRequest:
     left_s = max(0.0, call.ends_at - now)
-    target_s = call.route.target_s or left_s
+    # A route without a target must not let requests wait until their deadline.
+    target_s = call.route.target_s or LONGEST_WAIT_SHARE * left_s
     return SlotRequest(
         number=number,
         service=call.service,
--- a/chivetrack/daemon/fleet/admission_host.py
+++ b/chivetrack/daemon/fleet/admission_host.py
@@ -61,7 +61,7 @@
         while True:
             gevent.sleep(WAKE_INTERVAL_S)
             if not self._is_leader():
-                self._schedulers.clear()
+                self._send(self._schedulers.clear())
                 continue
             self._send(self._schedulers.wake(now=time.monotonic()))
             wakes += 1
--- a/tests/components/admission/test_scheduler.py
+++ b/tests/components/admission/test_scheduler.py
@@ -12,6 +12,7 @@
     SlotState,
 )
 from chivetrack.components.admission.scheduler import AddressedAnswer, SlotScheduler
+from chivetrack.components.admission.schedulers import SlotSchedulers
 
 ROOM = 9  # six slots and three requests that wait at the endpoint
 
@@ -132,6 +133,15 @@
         self.assertEqual(set(granted), {"e2"})
         self.assertEqual(self.ask(9, "e1", "e2", now=1.2)[0].endpoint_id, "e1")
 
+    def test_leader_that_is_replaced_answers_what_waits(self) -> None:
+        """Guards against routers that wait for a queue which nobody serves any more."""
+        schedulers = SlotSchedulers(random=Random(1))
+        for number in range(ROOM + 2):
+            schedulers.request("r1", make_request(number), now=0.0)
+        answers = self.list_answers(schedulers.clear())
+        self.assertEqual([one.number for one in answers], [ROOM, ROOM + 1])
+        self.assertEqual({one.state for one in answers}, {SlotState.NOT_LEADING})
+
     def test_endpoint_that_has_left_is_forgotten(self) -> None:
         """Guards against memory that grows with each release of a service."""
         self.ask(1, "e1", now=1.0)
--- a/tests/daemon/fleet/test_admission.py
+++ b/tests/daemon/fleet/test_admission.py
@@ -13,7 +13,9 @@
 )
 from chivetrack.components.distribution.messages import EndpointLoad
 from chivetrack.components.retries.sending import SendEnd
+from chivetrack.components.traffic.table import RouteTable
 from chivetrack.daemon.fleet.forwarder import SendResult
+from tests.components.traffic.documents import make_document, make_route
 from tests.daemon.fleet.test_open_requests import LIMIT_S, NOT_RUN, OpenRequestCase
 
 
@@ -93,6 +95,17 @@
         self.assertEqual([one.endpoint_id for one in self.list_requests()[1].candidates], ["e2"])
 
 
+class NoTargetTest(AdmissionCase):
+    def test_route_without_a_target_leaves_time_to_return(self) -> None:
+        """Guards against requests that wait for a slot until their deadline."""
+        self.view.table = RouteTable(
+            document=make_document(1, make_route(target_s=0.0, is_public=True))
+        )
+        self.start()
+        (request,) = self.list_requests()
+        self.assertLess(request.target_s, 0.3 * request.hold_s)
+
+
 class FailureTest(AdmissionCase):
     def test_silent_scheduler_delays_no_request_but_the_first(self) -> None:
         """Guards against a frozen leader that holds up every request to its service."""
