Show that callers get the answers of a program that is no server

The case: an entry of another writer lacks the version, the slots and the cold time, and its address is that of an HTTP program that knows none of the paths. The fleet uses it, and callers get its 404.

Why it can happen: the missing fields have defaults, so the entry names an endpoint; only a 2xx needs the seal of an endpoint, any other answer without seal and without the id of the attempt is final; and an answer below 500 counts as a success, which draws further requests there.

--- a/review/harness.py
+++ b/review/harness.py
@@ -437,6 +437,7 @@
         self.key = key
         self.connection = None
         self.router = ""
+        self.last_seal = ""
 
     def _connect(self, seed, timeout_s):
         self.close()
@@ -473,6 +474,7 @@
         attempt = f"{random.getrandbits(64):016x}"
         write = self.fleet.record.write
         is_sent = False
+        self.last_seal = ""
         try:
             if number or self.connection is None or self.connection.sock is None:
                 self._connect(self.number + number, left_s)
@@ -494,6 +496,7 @@
             return 0, is_sent, 0.0
         if answer.getheader("Connection", "").lower() == "close":
             self.close()
+        self.last_seal = answer.getheader("X-Chivetrack-Server-Seal", "")
         write("gets", attempt=attempt, status=answer.status, bytes=len(data))
         return answer.status, True, float(answer.getheader("Retry-After") or 0.0)
 
