--- a/review/harness.py
+++ b/review/harness.py
@@ -299,7 +299,7 @@
 class Server:
     """A server of a service: answers with a seal, beats, and records what it runs."""
 
-    def __init__(self, fleet, number, *, service, work_s=0.02, slots=8, answer=None):
+    def __init__(self, fleet, number, *, service, work_s=0.02, slots=8, answer=None, node=None):
         self.fleet = fleet
         self.record = fleet.record
         self.number = number
@@ -313,7 +313,7 @@
         self.state = "ready"
         self.is_closed = False
         self._open = set()
-        self._node = number
+        self._node = number if node is None else node
         self.ran = []
         self._busy = threading.Semaphore(slots)
         self._listener = socket.create_server((f"{fleet.network}.{200 + number}", 17380), backlog=256)
@@ -551,12 +551,18 @@
 ]
 
 
-def run_case(folder, play):
-    """Play a case and exit with 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
+def run_case(folder, play, **options):
+    """Play a case with a fleet of these ``options``.
+
+    Exit with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+    """
     record = Record(Path(folder) / "record.txt")
     fleet = None
+    code = 2
+    # Also a script that is ended from outside ends its processes.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
     try:
-        fleet = Fleet(record)
+        fleet = Fleet(record, **options)
         is_broken, text = play(fleet, record)
         record.write("verdict", broken=is_broken, why=text)
         print(("BROKEN: " if is_broken else "held: ") + text)
@@ -564,13 +570,12 @@
     except CannotRunError as error:
         record.write("cannot_run", why=error)
         print(f"cannot run: {error}")
-        code = 2
     except Exception as error:  # A fault of the case itself is no verdict.
         record.write("cannot_run", why=repr(error))
         print(f"cannot run: {error!r}")
-        code = 2
     finally:
         if fleet is not None:
             fleet.close()
-    sys.stdout.flush()
-    os._exit(code)
+        sys.stdout.flush()
+        # Without waiting for the threads of stand-ins.
+        os._exit(code)
