Let each case of the review name the record that it writes

Each script passes the path of its record.txt on; what is sent, answered and run is written there as before. Nothing else of the cases changes.

--- a/review/harness.py
+++ b/review/harness.py
@@ -551,12 +551,12 @@
 ]
 
 
-def run_case(folder, play, **options):
-    """Play a case with a fleet of these ``options``.
+def run_case(record_path, play, **options):
+    """Play a case with a fleet of these ``options``, and write ``record.txt``.
 
     Exit with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
     """
-    record = Record(Path(folder) / "record.txt")
+    record = Record(Path(record_path))
     fleet = None
     code = 2
     # Also a script that is ended from outside ends its processes.
