Tell what marks the end of each answer of an endpoint

request_ended has framing now, and chivetrack.router.answer_framings counts answers by it. The decision is unchanged.

--- a/chivetrack/components/upstream/connection.py
+++ b/chivetrack/components/upstream/connection.py
@@ -16,7 +16,7 @@
 from chivetrack.components.upstream.carried import CarriedSocket
 from chivetrack.components.upstream.chunks import ChunkDecoder, ChunkError
 from chivetrack.components.upstream.const import MAX_HEAD_BYTES, READ_SIZE
-from chivetrack.components.upstream.models import BrokenAnswerError
+from chivetrack.components.upstream.models import BrokenAnswerError, Framing
 from chivetrack.helpers.sockets import count_unacknowledged
 
 # TCP closes the connection when sent bytes stay unacknowledged for longer. A host that lost
@@ -109,8 +109,7 @@
 class EndpointAnswer:
     """An answer whose status and headers were received; ``read_chunks`` reads its body.
 
-    ``is_complete`` is set once the body was read to its end. ``is_framed`` is whether
-    the answer has a length or is chunked; otherwise its end is the end of the connection.
+    ``is_complete`` is set once the body was read to its end, which ``framing`` marks.
     """
 
     def __init__(self, *, response: http.client.HTTPResponse) -> None:
@@ -119,7 +118,12 @@
         self.status = response.status
         self.headers = response.headers
         self.is_complete = False
-        self.is_framed = bool(response.chunked) or response.length is not None
+        self.framing = _find_framing(response)
+
+    @property
+    def is_framed(self) -> bool:
+        """Return whether the answer itself tells where it ends."""
+        return self.framing is not Framing.CONNECTION
 
     def read_chunks(self) -> Iterator[bytes]:
         """Yield the body as it arrives; raise ``BrokenAnswerError`` if it is incomplete."""
@@ -168,6 +172,12 @@
         return self.is_complete and self.is_framed and not self._response.will_close
 
 
+def _find_framing(response: http.client.HTTPResponse) -> Framing:
+    if response.chunked:
+        return Framing.CHUNKED
+    return Framing.CONNECTION if response.length is None else Framing.LENGTH
+
+
 def open_socket(address: str, *, timeout_s: float) -> socket.socket:
     """Connect to an endpoint at ``address`` (host:port); raise ``NotSentError`` if this fails."""
     host, _, port = address.rpartition(":")
--- a/chivetrack/components/upstream/models.py
+++ b/chivetrack/components/upstream/models.py
@@ -19,6 +19,15 @@
     RAN = "ran"
 
 
+class Framing(StrEnum):
+    """What marks the end of an answer's body; ``NO_BODY``: its end is the end of the head."""
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CONNECTION = "connection"
+    NO_BODY = "no_body"
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class UpstreamRequest:
     """A request as it is sent to one endpoint.
--- a/chivetrack/daemon/fleet/calls.py
+++ b/chivetrack/daemon/fleet/calls.py
@@ -20,6 +20,7 @@
 from chivetrack.components.retries.service_budgets import Reservation
 from chivetrack.components.traffic.models import Route, RouteKind, Workspace
 from chivetrack.components.traffic.requests import RequestFacts
+from chivetrack.components.upstream.models import Framing
 from chivetrack.exceptions import Fault
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Callable[[bytes], Any]]
@@ -105,7 +106,8 @@
     continue it. ``origin_basis`` and ``origin_age_s`` tell how it is known. ``failure`` is the
     newest answer with an error that was held back for a retry, ``reservation`` the retry that may
     be sent next, ``answer_began_at`` when the endpoint of the newest attempt began its answer.
-    ``is_sound``: such an answer went on.
+    ``is_sound``: such an answer went on. ``framing``: what marks the end of the newest answer of
+    an endpoint, ``None`` without one.
     """
 
     facts: RequestFacts
@@ -133,6 +135,7 @@
     reservation: Reservation | None = None
     answer_began_at: float | None = None
     is_sound: bool = False
+    framing: Framing | None = None
 
     @property
     def is_taken_up(self) -> bool:
--- a/chivetrack/daemon/fleet/forwarder.py
+++ b/chivetrack/daemon/fleet/forwarder.py
@@ -198,6 +198,7 @@
     ) -> SendResult:
         """Handle an answer, and keep its connection if it may serve another request."""
         connection = held.connection
+        call.framing = answer.framing
         self._record_answer(choice.record, facts)
         self._dialer.record_answer(choice.record, connection.carrier)
         result = self._handle_answer(connection, call, choice, answer, facts, may_retry)
--- a/chivetrack/daemon/fleet/meters.py
+++ b/chivetrack/daemon/fleet/meters.py
@@ -53,6 +53,11 @@
             unit="{answer}",
             description="Heads of answers by what they say of the request.",
         )
+        self._framings = meter.create_counter(
+            "chivetrack.router.answer_framings",
+            unit="{answer}",
+            description="Answers of endpoints by what marks the end of their body.",
+        )
         self._continuations = meter.create_counter(
             "chivetrack.router.stream_continuations",
             unit="{placement}",
@@ -103,6 +108,8 @@
         }
         self._requests.add(1, names)
         self._duration.record(now - call.came_at, kinds)
+        if call.framing is not None:
+            self._framings.add(1, {"framing": call.framing.value})
         if call.first_event_at is not None:
             self._first_event.record(call.first_event_at - call.came_at, kinds)
 
--- a/chivetrack/daemon/fleet/request_log.py
+++ b/chivetrack/daemon/fleet/request_log.py
@@ -191,6 +191,7 @@
             status=call.reply.status,
             fingerprint=call.fingerprint.hex(),
             tries=len(call.attempts),
+            framing=call.framing,
             sent=call.reply.bytes_sent,
             ms=round((now - call.came_at) * 1000),
             first_ms=None if first is None else round((first - call.came_at) * 1000),
