Read the heads of answers with a strict parser

Cause: http.client ends a head where the connection ends, as at its blank line. The lines that had not come were missing, among them the one with the length, so the answer counted as one that ends with its connection, its end had come, and the router framed it anew, as whole. It also skips or guesses what it can't read: lines without a colon, lengths with a letter. Requests have had a strict parser; answers had not.

A parser of answer heads beside the chunk decoder, free of I/O: a head is whole only with its blank line, and each line must be sound. Several lengths, a length beside chunks, codings other than chunked, a change of protocol, and several ids or seals are no answer. Such an attempt has failed and may have run; what follows is what follows any end without an answer. A sound head without a length still ends with its connection. An empty seal is none. chivetrack.router.unsound_heads counts by fault.

Why it is enough: a head can't be shorter than its blank line, and no value of a head is used before the head is whole.

--- a/chivetrack/components/upstream/connection.py
+++ b/chivetrack/components/upstream/connection.py
@@ -3,7 +3,6 @@
 Failures distinguish requests that were not sent from requests that may have run.
 """
 
-import http.client
 import select
 import socket
 from collections.abc import Iterator, Sequence
@@ -13,9 +12,15 @@
 import urllib3.exceptions
 from urllib3.connection import HTTPConnection
 
+from chivetrack.components.upstream.answer_head import (
+    AnswerHead,
+    AnswerHeadError,
+    AnswerHeadParser,
+    HeadFault,
+)
 from chivetrack.components.upstream.carried import CarriedSocket
 from chivetrack.components.upstream.chunks import ChunkDecoder, ChunkError
-from chivetrack.components.upstream.const import MAX_HEAD_BYTES, READ_SIZE
+from chivetrack.components.upstream.const import READ_SIZE
 from chivetrack.components.upstream.models import BrokenAnswerError, Framing
 from chivetrack.helpers.sockets import count_unacknowledged
 
@@ -25,8 +30,6 @@
 # Larger bodies are sent by a separate greenlet, so that an answer that arrives before the
 # endpoint has read the body is detected immediately.
 MAX_INLINE_BODY_BYTES = 16 * 1024
-# Other interim answers than 101, after which the connection speaks another protocol.
-_INTERIM_STATUSES = frozenset(range(100, 200)) - {101}
 SOCKET_OPTIONS: list[tuple[int, int, int | bytes]] = [
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS),
@@ -45,6 +48,15 @@
     """Bytes of the request were sent, but no complete answer head was received."""
 
 
+class UnsoundHeadError(MaybeRanError):
+    """What the endpoint sent is not the head of an answer, or not all of one."""
+
+    def __init__(self, message: str, *, fault: HeadFault) -> None:
+        """Store the kind of fault beside the message."""
+        super().__init__(message)
+        self.fault = fault
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EndpointRequest:
     """A request as it is sent; ``target`` is the raw target of the request line."""
@@ -56,54 +68,37 @@
 
 
 class _Reader:
-    """A read buffer that is shared by all answers on a connection.
+    """The bytes that were read on a connection and belong to no answer's head.
 
-    ``http.client`` creates a new buffer for each answer. Bytes that this buffer had read
-    ahead, such as the beginning of a second answer, would be lost with it, and the
-    remaining bytes would be parsed as the next answer.
+    They may hold the beginning of a body, or of an answer that nobody has asked for.
     """
 
     def __init__(self, sock: socket.socket | CarriedSocket) -> None:
         self._socket = sock
         self._buffer = b""
-        self._head_bytes_left = 0
-
-    def begin_head(self) -> None:
-        """Allow the next ``MAX_HEAD_BYTES`` to be read as lines."""
-        self._head_bytes_left = MAX_HEAD_BYTES
 
     @property
     def has_buffered_data(self) -> bool:
         return bool(self._buffer)
 
-    def makefile(self, mode: str) -> "_Reader":
-        return self
-
-    def readline(self, limit: int = -1) -> bytes:
-        while b"\n" not in self._buffer and (limit < 0 or len(self._buffer) < limit):
-            data = self._socket.recv(READ_SIZE)
-            if not data:
-                break
-            self._buffer += data
-        end = self._buffer.find(b"\n") + 1 or len(self._buffer)
-        line = self._read_buffered(end if limit < 0 else min(end, limit))
-        self._head_bytes_left -= len(line)
-        if self._head_bytes_left < 0:
-            raise http.client.HTTPException("the head of the answer is too large")
-        return line
-
-    def read1(self, size: int) -> bytes:
-        return self._read_buffered(size) if self._buffer else self._socket.recv(size)
-
-    def _read_buffered(self, size: int) -> bytes:
+    def read(self, size: int) -> bytes:
+        """Return up to ``size`` bytes, empty at the end of the connection."""
+        if not self._buffer:
+            return self._socket.recv(size)
         data, self._buffer = self._buffer[:size], self._buffer[size:]
         return data
 
-    def flush(self) -> None:
-        """Do nothing; ``http.client`` calls this at the end of an answer."""
-
-    def close(self) -> None:
-        """Leave the connection open; ``http.client`` calls this at the end of an answer."""
+    def read_head(self, method: str) -> AnswerHead:
+        """Read the head of a final answer; raise ``AnswerHeadError`` or ``OSError``."""
+        parser = AnswerHeadParser(method=method)
+        head = parser.feed(self._buffer) if self._buffer else None
+        while head is None:
+            data = self._socket.recv(READ_SIZE)
+            if not data:
+                raise parser.end()
+            head = parser.feed(data)
+        self._buffer = parser.rest
+        return head
 
 
 class EndpointAnswer:
@@ -112,13 +107,15 @@
     ``is_complete`` is set once the body was read to its end, which ``framing`` marks.
     """
 
-    def __init__(self, *, response: http.client.HTTPResponse) -> None:
-        """Wrap a response whose head was read."""
-        self._response = response
-        self.status = response.status
-        self.headers = response.headers
+    def __init__(self, *, head: AnswerHead, reader: _Reader) -> None:
+        """Expect the body that ``head`` announces in ``reader``."""
+        self._reader = reader
+        self._length = head.length
+        self._closes = head.closes
+        self.status = head.status
+        self.headers = head.headers
+        self.framing = head.framing
         self.is_complete = False
-        self.framing = _find_framing(response)
 
     @property
     def is_framed(self) -> bool:
@@ -129,53 +126,44 @@
         """Yield the body as it arrives; raise ``BrokenAnswerError`` if it is incomplete."""
         try:
             yield from self._read()
-        except (OSError, ChunkError, http.client.HTTPException, ValueError) as error:
+        except (OSError, ChunkError) as error:
             raise BrokenAnswerError(f"{type(error).__name__}: {error}") from error
         self.is_complete = True
 
     def _read(self) -> Iterator[bytes]:
-        if self._response.chunked:
+        if self.framing is Framing.CHUNKED:
             return self._read_chunked()
-        if self._response.length is None:
+        if self.framing is Framing.CONNECTION:
             return self._read_to_end()
-        return self._read_length(self._response.length)
+        return self._read_length(self._length)
 
     def _read_chunked(self) -> Iterator[bytes]:
-        source = self._response.fp
         decoder = ChunkDecoder()
         while not decoder.is_ended:
-            data = source.read1(READ_SIZE)
+            data = self._reader.read(READ_SIZE)
             if not data:
                 raise ChunkError("the answer ended before its last chunk")
             if payload := decoder.feed(data):
                 yield payload
         if decoder.has_trailing_data:
-            self._response.will_close = True
+            self._closes = True
 
     def _read_length(self, left: int) -> Iterator[bytes]:
-        source = self._response.fp
         while left > 0:
-            data = source.read1(min(left, READ_SIZE))
+            data = self._reader.read(min(left, READ_SIZE))
             if not data:
                 raise ChunkError(f"the answer ended {left} bytes before its Content-Length")
             left -= len(data)
             yield data
 
     def _read_to_end(self) -> Iterator[bytes]:
-        source = self._response.fp
-        while data := source.read1(READ_SIZE):
+        while data := self._reader.read(READ_SIZE):
             yield data
 
     @property
     def keeps_connection(self) -> bool:
         """Return whether the connection may serve another request after this answer."""
-        return self.is_complete and self.is_framed and not self._response.will_close
-
-
-def _find_framing(response: http.client.HTTPResponse) -> Framing:
-    if response.chunked:
-        return Framing.CHUNKED
-    return Framing.CONNECTION if response.length is None else Framing.LENGTH
+        return self.is_complete and self.is_framed and not self._closes
 
 
 def open_socket(address: str, *, timeout_s: float) -> socket.socket:
@@ -282,19 +270,13 @@
     def read_answer(self, method: str, *, timeout_s: float) -> EndpointAnswer:
         """Read the head of the next answer; raise ``MaybeRanError`` if there is none."""
         self._socket.settimeout(timeout_s)
-        self._reader.begin_head()
         try:
-            response = self._read_head(method)
-            while response.status in _INTERIM_STATUSES:
-                response = self._read_head(method)
-        except (OSError, http.client.HTTPException, ValueError) as error:
+            head = self._reader.read_head(method)
+        except AnswerHeadError as error:
+            raise UnsoundHeadError(f"no answer: {error}", fault=error.fault) from error
+        except OSError as error:
             raise MaybeRanError(f"no answer: {type(error).__name__}: {error}") from error
-        return EndpointAnswer(response=response)
-
-    def _read_head(self, method: str) -> http.client.HTTPResponse:
-        response = http.client.HTTPResponse(self._reader, method=method)  # type: ignore[arg-type]
-        response.begin()
-        return response
+        return EndpointAnswer(head=head, reader=self._reader)
 
     def set_timeout(self, timeout_s: float) -> None:
         """Set the longest wait for the next bytes, in seconds."""
--- a/chivetrack/components/upstream/const.py
+++ b/chivetrack/components/upstream/const.py
@@ -14,6 +14,7 @@
 MIN_READ_INTERVAL_S: Final = 0.01
 # An endpoint in trouble may write bytes without end; what is read of it is bounded everywhere.
 MAX_HEAD_BYTES: Final = 128 * 1024
+MAX_HEAD_LINES: Final = 128
 MAX_TRAILER_BYTES: Final = 64 * 1024
 MAX_EVENT_BYTES: Final = 256 * 1024
 POOL_SIZE: Final = 256
--- a/chivetrack/daemon/fleet/forwarder.py
+++ b/chivetrack/daemon/fleet/forwarder.py
@@ -11,12 +11,14 @@
 from chivetrack.components.retries.sending import SendAttempt, SendEnd
 from chivetrack.components.traffic.models import RouteKind
 from chivetrack.components.traffic.requests import AnswerFacts
+from chivetrack.components.upstream.answer_head import AnswerHeadError, HeadFault
 from chivetrack.components.upstream.connection import (
     EndpointAnswer,
     EndpointConnection,
     EndpointRequest,
     MaybeRanError,
     NotSentError,
+    UnsoundHeadError,
 )
 from chivetrack.components.upstream.events import EventSplitter
 from chivetrack.components.upstream.idle_connections import IdleConnections
@@ -127,6 +129,7 @@
         may_send: Callable[[], bool] | None = None,
         handle_begin: Callable[[Call], None] | None = None,
         hedger: Hedger | None = None,
+        record_unsound_head: Callable[[HeadFault], None] = lambda fault: None,
     ) -> None:
         """Store the idle connections, the dialer of new ones, and the callbacks.
 
@@ -136,7 +139,8 @@
         ``handle_bytes`` is called when bytes of an answer arrive. ``record_overdue`` is
         called when none arrived within the wait limit; it returns whether the endpoint is
         silent to all of this router's requests. ``may_send`` returns whether the router still
-        passes requests on; it is asked right before the first byte.
+        passes requests on; it is asked right before the first byte. ``record_unsound_head`` counts
+        bytes that are not the head of an answer.
         """
         self._idle_connections = idle_connections
         self._dialer = dialer
@@ -147,6 +151,7 @@
         self._may_send = may_send or (lambda: True)
         self._handle_begin = handle_begin or (lambda call: None)
         self._hedger = hedger
+        self._record_unsound_head = record_unsound_head
 
     def send(self, call: Call, choice: Choice, *, may_retry: bool) -> SendResult:
         """Send a request to one endpoint and relay the answer.
@@ -325,8 +330,12 @@
     ) -> tuple[EndpointAnswer, AnswerFacts]:
         remaining_s = max(0.01, call.ends_at - time.monotonic())
         for _ in range(_MAX_STRAY_ANSWERS + 1):
-            answer = connection.read_answer(call.method, timeout_s=remaining_s)
-            facts = read_answer_facts(answer.status, answer.headers)
+            try:
+                answer = connection.read_answer(call.method, timeout_s=remaining_s)
+                facts = _read_facts(answer)
+            except UnsoundHeadError as error:
+                self._record_unsound_head(error.fault)
+                raise
             if facts.request_id is None or facts.request_id == call.facts.request_id:
                 return answer, facts
             # A late duplicate answer to the previous request on this connection.
@@ -482,6 +491,14 @@
             call.reply.start(answer.status, list_answer_headers(answer.headers.items()))
 
 
+def _read_facts(answer: EndpointAnswer) -> AnswerFacts:
+    """Decode the head of an answer; raise ``UnsoundHeadError`` if it contradicts itself."""
+    try:
+        return read_answer_facts(answer.status, answer.headers)
+    except AnswerHeadError as error:
+        raise UnsoundHeadError(f"no answer: {error}", fault=error.fault) from error
+
+
 def make_tried(choice: Choice, result: SendResult) -> SendAttempt:
     """Return the attempt as the decision about a retry needs it."""
     assert result.end is not None
--- a/chivetrack/daemon/fleet/meters.py
+++ b/chivetrack/daemon/fleet/meters.py
@@ -7,6 +7,7 @@
 
 from chivetrack.components.origins.models import Continuation
 from chivetrack.components.traffic.requests import AnswerFacts
+from chivetrack.components.upstream.answer_head import HeadFault
 from chivetrack.daemon.fleet.calls import Call
 from chivetrack.daemon.fleet.gauges import Gauge
 from chivetrack.exceptions import Fault
@@ -58,6 +59,11 @@
             unit="{answer}",
             description="Answers of endpoints by what marks the end of their body.",
         )
+        self._unsound_heads = meter.create_counter(
+            "chivetrack.router.unsound_heads",
+            unit="{answer}",
+            description="Bytes of endpoints that are not the head of an answer, or not all of it.",
+        )
         self._continuations = meter.create_counter(
             "chivetrack.router.stream_continuations",
             unit="{placement}",
@@ -121,6 +127,10 @@
         """Count an endpoint's answer by whether the request ran."""
         self._answers.add(1, {"ran": "no" if facts.did_not_run else "yes"})
 
+    def record_unsound_head(self, fault: HeadFault) -> None:
+        """Count bytes that are not the head of an answer."""
+        self._unsound_heads.add(1, {"fault": fault.value})
+
     def record_continuation(self, continuation: Continuation) -> None:
         """Count a placement that continues a stream."""
         by = "caller" if continuation.is_by_caller else "router"
--- a/chivetrack/daemon/fleet/metrics.py
+++ b/chivetrack/daemon/fleet/metrics.py
@@ -9,6 +9,7 @@
 
 from chivetrack.components.origins.models import Continuation
 from chivetrack.components.traffic.requests import AnswerFacts
+from chivetrack.components.upstream.answer_head import HeadFault
 from chivetrack.daemon.fleet.calls import Call
 from chivetrack.daemon.fleet.gauges import Gauge
 from chivetrack.daemon.server import HttpServer
@@ -56,6 +57,10 @@
         """Count an endpoint's answer by whether the request ran."""
         self._record(lambda meters: meters.record_answer(facts))
 
+    def record_unsound_head(self, fault: HeadFault) -> None:
+        """Count bytes of an endpoint that are not the head of an answer."""
+        self._record(lambda meters: meters.record_unsound_head(fault))
+
     def record_continuation(self, continuation: Continuation) -> None:
         """Count a placement that continues a stream."""
         self._record(lambda meters: meters.record_continuation(continuation))
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -210,6 +210,7 @@
             forwarder=Forwarder(
                 idle_connections=self._idle_connections,
                 dialer=self._dialer,
+                record_unsound_head=self._metrics.record_unsound_head,
                 record_answer=self._record_answer,
                 handle_first_event=lambda call, choice: self.view.handle_first_event(call),
                 handle_bytes=self.view.handle_bytes,
--- a/chivetrack/platform/headers.py
+++ b/chivetrack/platform/headers.py
@@ -1,7 +1,6 @@
 """Headers of the platform: their names, their decoders and which side may set them."""
 
 from collections.abc import Iterable, Iterator, Mapping
-from email.message import Message
 
 from chivetrack.components.traffic.requests import (
     AnswerFacts,
@@ -9,6 +8,7 @@
     PromptPart,
     RequestFacts,
 )
+from chivetrack.components.upstream.answer_head import AnswerHeaders
 from chivetrack.helpers.numbers import read_count
 
 HEADER_ATTEMPT = "X-Chivetrack-Attempt-Id"
@@ -125,26 +125,29 @@
     return forwarded
 
 
-def read_answer_facts(status: int, headers: Message) -> AnswerFacts:
-    """Decode the status and the headers (names in any case) of an endpoint's answer."""
-    retry_after = _read_number(headers.get("Retry-After", ""))
+def read_answer_facts(status: int, headers: AnswerHeaders) -> AnswerFacts:
+    """Decode the status and the headers of an endpoint's answer.
+
+    Raise ``AnswerHeadError`` if it names several requests or bears several seals.
+    """
+    retry_after = _read_number(headers.get("Retry-After"))
     is_misdirected = status == STATUS_MISDIRECTED
-    stated_load = headers.get(HEADER_LOAD, "")
+    stated_load = headers.get(HEADER_LOAD)
     load = _read_load(stated_load)
     return AnswerFacts(
-        request_id=headers.get(HEADER_ATTEMPT),
-        is_sealed=HEADER_SEAL in headers,
+        request_id=headers.get_single(HEADER_ATTEMPT),
+        is_sealed=bool(headers.get_single(HEADER_SEAL)),
         did_not_run=HEADER_DID_NOT_RUN in headers or is_misdirected,
         is_other_instance=is_misdirected,
         is_encoded="Content-Encoding" in headers,
-        closes="close" in headers.get("Connection", "").lower(),
-        keep_alive_s=_read_keep_alive(headers.get("Keep-Alive", "")),
+        closes="close" in headers.get("Connection").lower(),
+        keep_alive_s=_read_keep_alive(headers.get("Keep-Alive")),
         load=load,
         unreadable_load=stated_load if load is None else "",
         retry_after_s=retry_after,
         pause_s=(retry_after or 0.0) if status == STATUS_UNAVAILABLE else 0.0,
-        is_leaving=headers.get(HEADER_LEAVING, "").strip() == "1",
-        cold_s=(_read_number(headers.get(HEADER_COLD_MS, "")) or 0.0) / 1000.0,
+        is_leaving=headers.get(HEADER_LEAVING).strip() == "1",
+        cold_s=(_read_number(headers.get(HEADER_COLD_MS)) or 0.0) / 1000.0,
     )
 
 
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -1,9 +1,9 @@
 """Headers of the platform: decoding, and which ones are forwarded to which side."""
 
 import unittest
-from email.message import Message
 
 from chivetrack.components.traffic.requests import EndpointLoadFacts, PromptPart
+from chivetrack.components.upstream.answer_head import AnswerHeaders
 from chivetrack.platform.headers import (
     list_answer_headers,
     make_endpoint_headers,
@@ -12,11 +12,11 @@
 )
 
 
-def make_headers(**fields: str) -> Message:
-    message = Message()
+def make_headers(**fields: str) -> AnswerHeaders:
+    headers = AnswerHeaders()
     for name, value in fields.items():
-        message[name.replace("_", "-")] = value
-    return message
+        headers.add(name.replace("_", "-"), value)
+    return headers
 
 
 class RequestFactsTest(unittest.TestCase):
--- a/tests/platform/test_load_header.py
+++ b/tests/platform/test_load_header.py
@@ -1,16 +1,16 @@
 """Tests of what an endpoint says of its load."""
 
 import unittest
-from email.message import Message
 
 from chivetrack.components.traffic.requests import AnswerFacts, EndpointLoadFacts
+from chivetrack.components.upstream.answer_head import AnswerHeaders
 from chivetrack.platform.headers import HEADER_LOAD, read_answer_facts
 
 
 def read(text: str | None) -> AnswerFacts:
-    headers = Message()
+    headers = AnswerHeaders()
     if text is not None:
-        headers[HEADER_LOAD] = text
+        headers.add(HEADER_LOAD, text)
     return read_answer_facts(200, headers)
 
 
