--- a/tests/platform/test_deploy.py
+++ b/tests/platform/test_deploy.py
@@ -106,6 +106,8 @@
             entries = day.pop("plan", []) + day.pop("faults", [])
             self.assertTrue(entries, path.name)
             self.assertEqual(day.pop("name"), path.stem)
+            for changed in day.pop("classes", []):
+                self.assertEqual(set(changed), {"name", "retries"}, path.name)
             self.assertLessEqual(set(day), {"seed", "closing", "length_s"}, path.name)
             for entry in entries:
                 self.assertIsInstance(entry["at"], float, path.name)
