--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -13,30 +13,16 @@
 from gevent.event import Event as Signal
 
 from chivetrack.components.admission.engagement import Engagement
-from chivetrack.components.admission.messages import SlotAnswer
 from chivetrack.components.announcements.models import EndpointRecord
 from chivetrack.components.deployment.settings import DeploymentSettings
-from chivetrack.components.distribution.messages import (
-    DocumentApplied,
-    DocumentSent,
-    EndpointUpdate,
-    FetchDocument,
-    FetchElsewhere,
-    LoadUpdate,
-    SilentUpdate,
-    View,
-)
 from chivetrack.components.distribution.subscriber import RouterReport, Subscriber
 from chivetrack.components.limits.shedding import ConnectionShedder
 from chivetrack.components.limits.stopping import StopWindow
-from chivetrack.components.origins.messages import OriginAnswer
 from chivetrack.components.paths.const import MAX_CARRIED
 from chivetrack.components.paths.messages import CarryRequest
 from chivetrack.components.quarantine.models import CrashReport
 from chivetrack.components.retries.hedging import HedgingPolicy
-from chivetrack.components.retries.messages import LeaseAnswer
 from chivetrack.components.retries.sending import SendEnd
-from chivetrack.components.slow_start.messages import PermitAnswer
 from chivetrack.components.traffic.models import Document
 from chivetrack.components.traffic.requests import AnswerFacts
 from chivetrack.components.upstream.idle_connections import IdleConnections
@@ -57,7 +43,6 @@
 from chivetrack.daemon.fleet.explaining import Explainer, add_explain_route
 from chivetrack.daemon.fleet.fleet_view import FleetView
 from chivetrack.daemon.fleet.forwarder import Forwarder
-from chivetrack.daemon.fleet.gauges import Gauge
 from chivetrack.daemon.fleet.hedging import Hedger
 from chivetrack.daemon.fleet.metrics import Metrics, open_metrics_server
 from chivetrack.daemon.fleet.origins import OriginClient
@@ -66,11 +51,12 @@
 from chivetrack.daemon.fleet.permits import PermitClient
 from chivetrack.daemon.fleet.requests import RequestHandler
 from chivetrack.daemon.fleet.retry_budget import RetryBudgetClient
+from chivetrack.daemon.fleet.router_gauges import list_router_gauges
+from chivetrack.daemon.fleet.router_messages import RouterMessages
 from chivetrack.daemon.fleet.shedding import LoopMonitor
 from chivetrack.daemon.fleet.stream_carrier import StreamCarrier
 from chivetrack.daemon.server import HttpServer
 from chivetrack.daemon.server_limits import ServerLimits
-from chivetrack.helpers.codec import Message
 from chivetrack.helpers.events import EventLog
 from chivetrack.helpers.sections.values import Address
 from chivetrack.helpers.timer import TimerService
@@ -124,7 +110,13 @@
             list_lost_zones=lambda: self._paths.list_lost_zones(),
         )
         self.view.document_listeners.append(self._apply_limits)
-        self._metrics.add_gauges(*self._list_gauges())
+        self._metrics.add_gauges(
+            *list_router_gauges(
+                view=self.view,
+                count_shed=lambda: self._shedder.closed_count,
+                count_carried=lambda: self._carrier.open_count,
+            )
+        )
         self.subscriber = Subscriber(
             router=str(settings.listeners.peer),
             document_address=str(settings.listeners.ready),
@@ -157,11 +149,10 @@
             is_stopping=self._stop_requested.is_set,
             events=events,
         )
-        self._message_handlers = dict(self._list_message_handlers())
         self.transport = make_transport(
             settings,
             events=events,
-            handle_message=self._handle_message,
+            handle_message=lambda source, message: self.messages.handle(source, message),
             stream_handlers={CarryRequest: self._carrier.serve},
         )
         self._origins = OriginClient(
@@ -194,6 +185,17 @@
             events=events,
             record_slot=self._metrics.record_slot,
         )
+        self.messages = RouterMessages(
+            subscriber=self.subscriber,
+            view=self.view,
+            paths=self._paths,
+            origins=self._origins,
+            permits=self._permits,
+            admission=self._admission,
+            retry_budget=self._retry_budget,
+            transport=self.transport,
+            events=events,
+        )
         crash_detector = CrashDetector(
             events=events,
             on_crash=self._handle_crash,
@@ -285,33 +287,6 @@
     def _report_now(self) -> None:
         send_all(self.transport.send, self.subscriber.report_load(now=time.monotonic()))
 
-    def _list_gauges(self) -> Iterator[Gauge]:
-        view = self.view
-        yield Gauge(
-            name="chivetrack.router.shed_connections",
-            unit="{connection}",
-            description="Connections of callers that were closed unread while the router was late.",
-            read=lambda: self._shedder.closed_count,
-        )
-        yield Gauge(
-            name="chivetrack.router.carried_connections",
-            unit="{connection}",
-            description="Connections to endpoints that this router carries for others.",
-            read=lambda: self._carrier.open_count,
-        )
-        yield Gauge(
-            name="chivetrack.router.evacuated_zones",
-            unit="{zone}",
-            description="Zones whose endpoints get nothing new.",
-            read=lambda: len(view.directory.evacuations.list_evacuated()),
-        )
-        yield Gauge(
-            name="chivetrack.router.requests_in_evacuated_zones",
-            unit="{request}",
-            description="Requests of this router that still run there.",
-            read=lambda: view.count_running_in(view.directory.evacuations.list_evacuated()),
-        )
-
     def _make_server(
         self,
         address: Address,
@@ -345,17 +320,6 @@
         is_outdated = self.subscriber.documents.is_long_outdated(time.monotonic())
         return is_serving and not is_outdated and not self._stop_requested.is_set()
 
-    def handle_view(self, source: str, view: View) -> None:
-        """Apply the view of a replica."""
-        self.subscriber.handle_view(source, view, now=time.monotonic())
-        self._origins.handle_view(
-            keeps_origins=self.subscriber.do_replicas_keep_origins,
-            restart_count=self.subscriber.restart_count,
-        )
-        self.view.handle_view(view, viewed_at=self.subscriber.viewed_at)
-        self.view.quarantine.handle_replica_restarts(self.subscriber.restart_count)
-        self._paths.handle_carriers(view.carriers)
-
     def _record_answer(self, record: EndpointRecord, facts: AnswerFacts) -> None:
         self._metrics.record_answer(record.endpoint_id, facts)
         self.view.record_answer(record, facts)
@@ -380,72 +344,6 @@
     def _log_bad_update(self, replica: str, detail: str) -> None:
         self._events.write("endpoints_unreadable", replica=replica, detail=detail)
 
-    def _handle_message(self, source: str, message: Message) -> None:
-        handler = self._message_handlers.get(type(message))
-        if handler is not None:
-            handler(source, message)
-
-    def _list_message_handlers(self) -> Iterator[tuple[type[Message], Callable[[str, Any], None]]]:
-        yield View, self.handle_view
-        yield EndpointUpdate, self._handle_endpoints
-        yield SilentUpdate, self._handle_silent
-        yield LoadUpdate, self._handle_loads
-        yield OriginAnswer, lambda source, answer: self._origins.handle_answer(source, answer)
-        yield PermitAnswer, lambda source, answer: self._permits.handle_answer(answer)
-        yield SlotAnswer, lambda source, answer: self._admission.handle_answer(answer)
-        yield LeaseAnswer, lambda source, answer: self._retry_budget.handle_answer(answer)
-        yield DocumentSent, self._handle_document
-        yield FetchElsewhere, self._handle_referral
-        yield FetchDocument, self._answer_fetch
-
-    def _handle_endpoints(self, _source: str, update: EndpointUpdate) -> None:
-        effects = self.subscriber.handle_endpoints(update, now=time.monotonic())
-        self.view.apply_endpoints(is_partial=update.is_partial)
-        self._events.write(
-            "endpoints_taken",
-            replica=update.replica,
-            base=update.base,
-            change=update.change,
-            is_partial=update.is_partial,
-            bytes=len(update.payload),
-            handed_on=len(update.forward_to),
-        )
-        send_all(self.transport.send, effects)
-
-    def _handle_silent(self, _source: str, update: SilentUpdate) -> None:
-        if update.replica == self.subscriber.assigned_replica:
-            self.view.update_silent_endpoints(update.endpoint_ids)
-        send_all(self.transport.send, self.subscriber.handle_silent(update))
-
-    def _handle_loads(self, _source: str, update: LoadUpdate) -> None:
-        if update.replica == self.subscriber.assigned_replica:
-            self.view.handle_loads(update.payload)
-        send_all(self.transport.send, self.subscriber.forward_update(update))
-
-    def _handle_document(self, source: str, sent: DocumentSent) -> None:
-        receipt = self.subscriber.documents.handle_document(sent, now=time.monotonic())
-        if receipt is None:
-            return
-        self._events.write(
-            "configuration_received",
-            version=receipt.version,
-            base=receipt.base_version,
-            bytes=receipt.size,
-            source=source,
-            behind_s=round(receipt.behind_s, 3),
-        )
-        applied = DocumentApplied(version=receipt.version)
-        self.transport.send(self.subscriber.assigned_replica, applied)
-
-    def _handle_referral(self, _source: str, referral: FetchElsewhere) -> None:
-        self._events.write(
-            "configuration_asked_elsewhere", version=referral.version, holder=referral.holder
-        )
-        send_all(self.transport.send, self.subscriber.documents.handle_redirect(referral))
-
-    def _answer_fetch(self, source: str, fetch: FetchDocument) -> None:
-        send_all(self.transport.answer, self.subscriber.documents.handle_fetch(source, fetch))
-
     def _wake_subscriber(self, now: float) -> None:
         before = self.subscriber.assigned_replica
         effects = self.subscriber.wake(now=now)
--- a/tests/daemon/fleet/held_router.py
+++ b/tests/daemon/fleet/held_router.py
@@ -48,7 +48,8 @@
     router.view.apply_document(1, configuration.read_bytes())
     record = make_record(service="portal", address=endpoint, zone="z1")
     # The view of a replica of an earlier release: no replica runs here that confirms versions.
-    router.handle_view(REPLICA, make_view(record, replicas=(), keeps_origins=False))
+    view = make_view(record, replicas=(), keeps_origins=False)
+    router.messages.handle(REPLICA, view)
     gevent.spawn(events.run)
     cut = router.run()
     events.flush()
