Part the chooser, its candidates and what is known of a prompt

Candidates and choices stay there; chooser.py selects; prompts.py finds a prompt's homes and the engines to fetch its parts from. Only importers change. tests.components.placement: 29 passed.

--- a/chivetrack/components/placement/placement.py
+++ b/chivetrack/components/placement/placement.py
@@ -9,13 +9,8 @@
 from chivetrack.components.distribution.messages import EndpointLoad, PlacedPart
 from chivetrack.components.observation.silence import SilenceTable, find_wait_limit
 from chivetrack.components.observation.speeds import ServiceSpeeds
-from chivetrack.components.placement.choice import (
-    Candidate,
-    Choice,
-    ChoiceContext,
-    Chooser,
-    ComparedChoice,
-)
+from chivetrack.components.placement.choice import Candidate, Choice, ChoiceContext, ComparedChoice
+from chivetrack.components.placement.chooser import Chooser
 from chivetrack.components.placement.loads import LoadTable
 from chivetrack.components.placement.parts import (
     MIN_REPORTED_HOME_TOKENS,
--- a/tests/components/placement/test_choice.py
+++ b/tests/components/placement/test_chooser.py
@@ -7,13 +7,8 @@
 import msgspec
 
 from chivetrack.components.distribution.messages import EndpointLoad, PlacedPart
-from chivetrack.components.placement.choice import (
-    Candidate,
-    Choice,
-    Chooser,
-    Source,
-    find_bound,
-)
+from chivetrack.components.placement.choice import Candidate, Choice, Source
+from chivetrack.components.placement.chooser import Chooser, find_bound
 from chivetrack.components.placement.loads import LoadTable
 from chivetrack.components.placement.parts import MIN_REPORTED_TOKENS, USABLE_SHARE, PartTracker
 from chivetrack.components.placement.placement import Placement
