Reject answer heads that two answers are joined in

Cause: a late second answer ends in its reason or in the value of a header line, and the connection goes on. The next answer's status line then is the end of that value, so its status is lost; its id, seal and length are its own and are believed.

Why it is enough: the status line of the answer that comes next is always whole, so a line with a second status line shows the join, wherever the first answer was cut within a line; between lines, a status line is no header line already. The tests failed before.

--- a/chivetrack/components/upstream/answer_head.py
+++ b/chivetrack/components/upstream/answer_head.py
@@ -21,6 +21,8 @@
 # value are stripped later: several repetitions that match them take cubic time.
 _HEADER_LINE = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):([\t\x20-\x7e\x80-\xff]*)")
 _BLANKS = b" \t"
+# An answer that ended in this line, and the status line of the next one on the connection.
+_JOINED_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: |$)")
 _SWITCHING_PROTOCOLS = 101
 _OK = 200
 _NO_CONTENT = 204
@@ -170,6 +172,8 @@
         match = _STATUS_LINE.fullmatch(line)
         if match is None:
             raise AnswerHeadError(HeadFault.STATUS_LINE, "the status line is not one of HTTP/1.1")
+        if _JOINED_LINE.search(line, len(_BEGIN)):
+            raise AnswerHeadError(HeadFault.STATUS_LINE, "two answers are joined in a line")
         self._is_http_1_0 = match[1] == b"0"
         self._status = int(match[2])
         self._reason = line[match.end(2) + 1 :].decode("latin-1")
@@ -178,6 +182,8 @@
         match = _HEADER_LINE.fullmatch(line)
         if match is None:
             raise AnswerHeadError(HeadFault.HEADER_LINE, "a header line has no name and value")
+        if _JOINED_LINE.search(line):
+            raise AnswerHeadError(HeadFault.HEADER_LINE, "two answers are joined in a line")
         if len(self._headers) >= MAX_HEAD_LINES:
             raise AnswerHeadError(HeadFault.TOO_LARGE, "the answer has too many header lines")
         value = match[2].strip(_BLANKS)
--- a/tests/components/upstream/test_answer_head.py
+++ b/tests/components/upstream/test_answer_head.py
@@ -54,6 +54,7 @@
         b"HTTP/1.1 600 Other\r\n",
         b"HTTP/1.1 099 Other\r\n",
         b"HTTP/1.1  200 OK\r\n",
+        b"HTTP/1.1 200 OKHTTP/1.1 500 Failed\r\n",
         b"HTTP/1.12 200 OK\r\n",
         b"HTTP/2.0 200 OK\r\n",
         b"\r\nHTTP/1.1 200 OK\r\n",
@@ -69,6 +70,8 @@
         b"HTTP/1.1 200 OK\r\nX: a\rb\r\n",
         b"HTTP/1.1 200 OK\r\nX: a\nY: b\r\n",
         b"HTTP/1.1 200 OK\n",
+        b"HTTP/1.1 200 OK\r\nDate: Sat, 05HTTP/1.1 500 Failed\r\n",
+        b"HTTP/1.1 200 OK\r\nDate: Sat, 05HTTP/1.1 500\r\n",
     ),
     HeadFault.LENGTH: (
         b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
--- a/tests/daemon/fleet/test_cut_head_answers.py
+++ b/tests/daemon/fleet/test_cut_head_answers.py
@@ -60,6 +60,21 @@
         self.assertEqual(ends, [SendEnd.MAYBE_RAN, SendEnd.MAYBE_RAN, None])
         self.assertEqual(self.caller.body, make_event(1) + make_event(2))
 
+    def test_late_cut_head_joins_no_answer(self) -> None:
+        """Guards against an answer that gets the status of a late one that ends in its head."""
+        failed = make_answer(b"failed", "500 Failed")
+        for late, own in (
+            (b"HTTP/1.1 200 OK", failed),
+            (b"HTTP/1.1 200 OK\r\nDate: Sat, 05", failed),
+            (b"HTTP/1.1 421 Mis", make_answer()),
+            (b"HTTP/1.1 503 Full\r\nX-Chivetrack-Not-Executed: 1", make_answer()),
+        ):
+            with self.subTest(late=late):
+                endpoint = self.open(make_answer(), late + own)
+                self.send(endpoint, route=make_route())
+                self.assertIs(self.send(endpoint, route=make_route()).end, SendEnd.MAYBE_RAN)
+                self.assertEqual((self.caller.status, endpoint.connections), (0, 1))
+
     def test_answer_with_two_ids_or_seals_is_none(self) -> None:
         """Guards against an answer that is believed although it names several requests."""
         for line in ("X-Chivetrack-Attempt-Id: q2", SEAL):
