Take no sealed answer without an id on a reused connection

Callers got another request's success or failure when an endpoint's late second answer named no request (MIXED).

Cause: an answer without the echoed id counted as the one that was waited for, also on a connection that had served another request before. Endpoints echo the id, so a sealed answer without it is not a sound one, and only there can it be a late one.

The test failed before, for a success and for a failure.

Why it is enough: a late answer needs an earlier request on its connection. On a new connection, and without a seal, all is as before; refusals without an id and without a seal are still believed.

--- a/chivetrack/components/upstream/connection.py
+++ b/chivetrack/components/upstream/connection.py
@@ -205,6 +205,11 @@
         """Return the router that carries the connection, empty if none does."""
         return self._socket.carrier if isinstance(self._socket, CarriedSocket) else ""
 
+    @property
+    def is_reused(self) -> bool:
+        """Return whether the connection has been idle after an earlier request."""
+        return self.idle_limit_s > 0
+
     @property
     def _has_buffered_data(self) -> bool:
         carried = self._socket if isinstance(self._socket, CarriedSocket) else None
--- a/chivetrack/daemon/fleet/forwarder.py
+++ b/chivetrack/daemon/fleet/forwarder.py
@@ -336,6 +336,9 @@
             except UnsoundHeadError as error:
                 self._record_unsound_head(error.fault)
                 raise
+            if facts.request_id is None and facts.is_sealed and connection.is_reused:
+                # It may be the late second answer to the request before.
+                raise MaybeRanError("the endpoint's answer does not name its request")
             if facts.request_id is None or facts.request_id == call.facts.request_id:
                 return answer, facts
             # A late duplicate answer to the previous request on this connection.
--- a/tests/daemon/fleet/test_forwarder.py
+++ b/tests/daemon/fleet/test_forwarder.py
@@ -255,6 +255,16 @@
         self.send(endpoint)
         self.assertEqual(self.caller.body, b"hello")
 
+    def test_sealed_answer_without_an_id_is_none_on_a_reused_connection(self) -> None:
+        """Guards against a late second answer that names no request and is taken for the next."""
+        for status in ("200 OK", "500 Failed"):
+            with self.subTest(status=status):
+                stray = make_answer(b"stray", status, SEAL)
+                endpoint = self.open(make_answer(), stray + make_answer())
+                self.send(endpoint)
+                self.assertIs(self.send(endpoint).end, SendEnd.MAYBE_RAN)
+                self.assertEqual((self.caller.status, endpoint.connections), (0, 1))
+
     def test_bytes_after_an_answer_close_the_connection(self) -> None:
         endpoint = self.open(make_answer() + b"HTTP/1.1 200 OK\r\n\r\n", make_answer(b"again"))
         self.send(endpoint)
