Let a stray answer that breaks off end only its own attempt of a hedged request

A whole answer of one endpoint was dropped, and the request sent once more or answered with 502, when the other endpoint of a hedged request broke off in the body of a late answer to another request.

Cause: the race between the two endpoints ends an attempt at MaybeRanError, and discarding a late answer raised BrokenAnswerError, which ended both.

Why it is enough: reading the head of an answer raises MaybeRanError only, whatever comes before that head. The test failed before.

--- a/chivetrack/daemon/fleet/forwarder.py
+++ b/chivetrack/daemon/fleet/forwarder.py
@@ -402,7 +402,10 @@
     def _discard(cls, answer: EndpointAnswer) -> None:
         if not answer.is_framed:
             raise MaybeRanError("the answer belongs to another request")
-        cls._read_whole(answer)
+        try:
+            cls._read_whole(answer)
+        except BrokenAnswerError as error:
+            raise MaybeRanError(f"an answer to another request broke off: {error}") from error
 
     def _handle_answer(
         self,
--- a/tests/daemon/fleet/test_hedging.py
+++ b/tests/daemon/fleet/test_hedging.py
@@ -17,6 +17,7 @@
 from tests.components.announcements.test_table import make_record
 from tests.components.traffic.documents import make_route
 from tests.daemon.fleet.scripted import (
+    SEAL,
     Caller,
     ScriptedEndpoint,
     close_after,
@@ -170,6 +171,13 @@
         self.assertEqual((self.caller.status, self.caller.body), (200, b"slow"))
         self.assertEqual(self.outcomes, ["lost"])
 
+    def test_stray_answer_that_is_cut_does_not_end_the_other_attempt(self) -> None:
+        """Guards against a whole answer that is dropped since a late one at the other breaks."""
+        stray = make_answer(b"cut", "200 OK", SEAL, "X-Chivetrack-Attempt-Id: q0", length=9)
+        first, second = SlowScript(make_answer(b"slow")), self.open(close_after(stray))
+        self.assertTrue(self.send(self.open(first), second).is_answered)
+        self.assertEqual((self.caller.status, self.caller.body), (200, b"slow"))
+
     def test_second_endpoint_answers_if_the_first_one_breaks_off(self) -> None:
         """Guards against a running hedge that is given up with the first attempt."""
 
