Reuse no carried connection whose end was read

A request that must run once could be answered with 502 though no endpoint saw it.

Cause: the end mark of a carried connection may come in one read with the last bytes of an answer. Until the carrier's own close arrived, nothing was readable, so the connection counted as clean; the request was sent to nobody and may have run.

Why it is enough: once the end mark was read, the connection counts as one with unread data, which is neither reused nor waited for. Found by reading; the test failed before. It was not seen over processes.

--- a/chivetrack/components/upstream/carried.py
+++ b/chivetrack/components/upstream/carried.py
@@ -63,8 +63,8 @@
 
     @property
     def has_buffered_data(self) -> bool:
-        """Return whether bytes were received that ``recv`` has not returned."""
-        return bool(self._unread)
+        """Return whether ``recv`` has bytes, or the end of the connection, that it can return."""
+        return bool(self._unread) or self._reader.is_ended
 
     def recv(self, size: int) -> bytes:
         """Return up to ``size`` bytes, empty at the end; raise ``OSError`` if the stream broke."""
--- a/tests/components/upstream/test_carried.py
+++ b/tests/components/upstream/test_carried.py
@@ -9,6 +9,7 @@
     CarriedSocket,
     encode_block,
 )
+from chivetrack.components.upstream.connection import EndpointConnection
 
 
 class BlockReaderTest(unittest.TestCase):
@@ -34,6 +35,13 @@
         self.assertTrue(self.carried.has_buffered_data)
         self.assertEqual((self.carried.recv(9), self.carried.recv(9)), (b"lo", b""))
 
+    def test_connection_whose_end_was_read_is_not_reused(self) -> None:
+        """Guards against a request that counts as sent on a connection that has ended."""
+        connection = EndpointConnection(opened=self.carried)
+        self.carrier.sendall(encode_block(b"hello") + END_BLOCK)
+        self.assertEqual(self.carried.recv(9), b"hello")
+        self.assertFalse(connection.is_clean())
+
     def test_end_of_the_carrier_is_a_reset(self) -> None:
         """Guards against an answer without a length that looks complete when its carrier dies."""
         self.carrier.sendall(encode_block(b"hello"))
