Continue no stream with an answer that has no body

A stream ended as complete after its first events when the endpoint that was to continue it answered 204 (ORDER).

Cause: any sealed success may continue a stream, and the end of an answer without a body is the end of its head.

Why it is enough: of the successes only those without a body end with their head; such an attempt has failed and another endpoint may continue the stream. As the first answer of a stream it is passed on as before.

--- a/chivetrack/daemon/fleet/forwarder.py
+++ b/chivetrack/daemon/fleet/forwarder.py
@@ -22,7 +22,7 @@
 )
 from chivetrack.components.upstream.events import EventSplitter
 from chivetrack.components.upstream.idle_connections import IdleConnections
-from chivetrack.components.upstream.models import BrokenAnswerError
+from chivetrack.components.upstream.models import BrokenAnswerError, Framing
 from chivetrack.daemon.fleet.calls import Call, ReadyAnswer
 from chivetrack.daemon.fleet.const import (
     LATE_ANSWER_GRACE_S,
@@ -464,6 +464,8 @@
     def _relay_stream(
         self, connection: EndpointConnection, call: Call, choice: Choice, answer: EndpointAnswer
     ) -> None:
+        if call.reply.is_started and answer.framing is Framing.NO_BODY:
+            raise BrokenAnswerError(f"status {answer.status} in the middle of a stream")
         splitter = EventSplitter(last_id=call.last_event_id)
         is_first = True
         for chunk in answer.read_chunks():
--- a/tests/daemon/fleet/test_cut_head_answers.py
+++ b/tests/daemon/fleet/test_cut_head_answers.py
@@ -60,6 +60,17 @@
         self.assertEqual(ends, [SendEnd.MAYBE_RAN, SendEnd.MAYBE_RAN, None])
         self.assertEqual(self.caller.body, make_event(1) + make_event(2))
 
+    def test_answer_without_a_body_continues_no_stream(self) -> None:
+        """Guards against a stream that ends as complete since its continuation has no body."""
+        broken = self.open(close_after(make_chunks(make_event(1), ends=False)))
+        empty = self.open(f"HTTP/1.1 204 No Content\r\n{SEAL}\r\n{ECHO}\r\n\r\n".encode())
+        call = make_call(self.caller, route=STREAM)
+        ends = [
+            self.forwarder.send(call, make_choice(one.address), may_retry=True).end
+            for one in (broken, empty)
+        ]
+        self.assertEqual(ends, [SendEnd.MAYBE_RAN, SendEnd.MAYBE_RAN])
+
     def test_late_cut_head_joins_no_answer(self) -> None:
         """Guards against an answer that gets the status of a late one that ends in its head."""
         failed = make_answer(b"failed", "500 Failed")
