Read the answers of urllib3's pools with the strict parsers

What callers saw: an order to an endpoint counted as accepted, stale or refused; a command ended with "done", an empty document or an empty backup, or with a decoding error; chivetrackd repeated a request, since half a refusal said that it hadn't run, with a pause that had lost digits. In each case the answer had ended in its head.

Four clients (of chivetrackd for endpoints, of orders, of operators' calls, of the command line) and one command read answers through urllib3, whose heads come from http.client. It ends a head, the last chunk and a trailer where the connection ends, and skips lines that it can't read. Only chivetrackd's client asked whether the answer itself says where it ends, and it took "Content-Length:" without a number for a length.

Why this works: one subclass of the standard library's response feeds AnswerHeadParser line by line, so that no byte of the body is taken, and decodes chunks with ChunkDecoder. Its error is an HTTPException, which urllib3 turns into its own ProtocolError as before. Orders, states, operators' calls and commands are believed only when whole: an answer without a length or chunks can't be told from one whose sender failed, so it counts as lost. A watch still ends with its connection. The clients no longer read chunks themselves.

--- a/chivetrack/cli/client.py
+++ b/chivetrack/cli/client.py
@@ -23,6 +23,7 @@
 from chivetrack.cli import const
 from chivetrack.cli.models import Document, ErrorBody, Failure, FailureKind, RemoteError
 from chivetrack.cli.profile import Connection
+from chivetrack.components.upstream.strict_pool import open_pool_manager, request_whole
 from chivetrack.const import VERSION
 from chivetrack.exceptions import Ran
 from chivetrack.helpers.finding import Finding
@@ -71,7 +72,7 @@
         self._sleep = sleep
         self._rng = rng or random.Random()
         self._notify = notify
-        self._pool = urllib3.PoolManager(retries=False, ssl_context=context)
+        self._pool = open_pool_manager(retries=False, ssl_context=context)
 
     def read(self, path: str, **query: str | int) -> Result[Document, Failure]:
         """Get a document."""
@@ -124,7 +125,8 @@
         self, request: Request, request_id: str | None, remaining_s: float
     ) -> Result[bytes, Failure]:
         try:
-            response = self._pool.request(
+            answer = request_whole(
+                self._pool,
                 request.method,
                 self._make_url(request),
                 body=_encode(request),
@@ -133,15 +135,14 @@
                     connect=min(const.CONNECT_TIMEOUT_S, remaining_s),
                     read=min(const.READ_TIMEOUT_S, remaining_s),
                 ),
-                redirect=False,
             )
         except HTTPError as error:
             if _may_have_arrived(error):
                 return Error(_make_lost_answer_failure(error, request_id))
             return Error(_make_unreachable_failure(self._connection.server, error))
-        if response.status < 300:
-            return Ok(response.data)
-        failure = _read_failure(response.status, response.data)
+        if answer.status < 300:
+            return Ok(answer.body)
+        failure = _read_failure(answer.status, answer.body)
         return Error(replace(failure, request_id=request_id))
 
     @contextmanager
--- a/chivetrack/cli/commands/explain.py
+++ b/chivetrack/cli/commands/explain.py
@@ -17,6 +17,7 @@
     ExplainQuery,
     Explanation,
 )
+from chivetrack.components.upstream.strict_pool import open_pool_manager, request_whole
 
 STATUS_OK = 200
 
@@ -60,12 +61,11 @@
 def _ask(router: str, query: ExplainQuery, timeout_s: float) -> Explanation:
     body = msgspec.json.encode(query)
     try:
-        answer = urllib3.request(
-            "POST", f"http://{router}{PATH_EXPLAIN}", body=body, timeout=timeout_s, retries=False
-        )
+        with open_pool_manager(timeout=timeout_s, retries=False) as pools:
+            answer = request_whole(pools, "POST", f"http://{router}{PATH_EXPLAIN}", body=body)
         if answer.status == STATUS_OK:
-            return msgspec.json.decode(answer.data, type=Explanation)
-        detail = f"status {answer.status}: {answer.data.decode(errors='replace')[:200]}"
+            return msgspec.json.decode(answer.body, type=Explanation)
+        detail = f"status {answer.status}: {answer.body.decode(errors='replace')[:200]}"
     except (urllib3.exceptions.HTTPError, msgspec.MsgspecError) as error:
         detail = str(error)
     print_error(f"the router at {router} explains nothing: {detail}")
--- a/chivetrack/components/orders/client.py
+++ b/chivetrack/components/orders/client.py
@@ -15,6 +15,7 @@
     QueryEngine,
     SendOrder,
 )
+from chivetrack.components.upstream.strict_pool import open_pool, request_whole
 
 _NOT_CONNECTED = (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError)
 _LOST = (urllib3.exceptions.HTTPError, OSError)
@@ -57,12 +58,12 @@
         body = msgspec.json.encode(effect.order)
         try:
             with _open_pool(effect.address, timeout) as pool:
-                response = pool.request("POST", const.ORDERS_PATH, body=body, headers=_HEADERS)
+                answer = request_whole(pool, "POST", const.ORDERS_PATH, body=body, headers=_HEADERS)
         except _NOT_CONNECTED as error:
             return OrderOutcome.NOT_SENT, str(error)
         except _LOST as error:
             return OrderOutcome.LOST, str(error)
-        return _classify_status(response.status), f"status {response.status}"
+        return _classify_status(answer.status), f"status {answer.status}"
 
     def _query(self, effect: QueryEngine) -> EngineState | None:
         remaining_s = effect.answer_by - self._read_clock()
@@ -71,16 +72,19 @@
         try:
             with _open_pool(effect.address, urllib3.Timeout(total=remaining_s)) as pool:
                 fields = {const.FENCING_FIELD: str(effect.fencing)}
-                response = pool.request(
-                    "GET", const.STATE_PATH, fields=fields, preload_content=False
+                answer = request_whole(
+                    pool,
+                    "GET",
+                    const.STATE_PATH,
+                    fields=fields,
+                    max_body_bytes=const.MAX_STATE_BYTES,
                 )
-                data = response.read(const.MAX_STATE_BYTES + 1)
         except _LOST:
             return None
-        if response.status != 200 or len(data) > const.MAX_STATE_BYTES:
+        if answer.status != 200:
             return None
         try:
-            return _STATES.decode(data)
+            return _STATES.decode(answer.body)
         except msgspec.MsgspecError:
             return None
 
@@ -96,7 +100,7 @@
 
 @contextmanager
 def _open_pool(address: str, timeout: urllib3.Timeout) -> Iterator[urllib3.HTTPConnectionPool]:
-    pool = urllib3.connection_from_url(address, timeout=timeout, retries=False)
+    pool = open_pool(address, timeout=timeout, retries=False)
     try:
         yield pool
     finally:
--- a/chivetrack/components/upstream/client.py
+++ b/chivetrack/components/upstream/client.py
@@ -8,7 +8,6 @@
 import urllib3
 from expression import Error, Ok, Result
 
-from chivetrack.components.upstream.chunks import ChunkDecoder, ChunkError
 from chivetrack.components.upstream.const import (
     ATTEMPT_HEADER,
     CONNECT_TIMEOUT_S,
@@ -22,13 +21,20 @@
 from chivetrack.components.upstream.models import (
     AttemptOutcome,
     BrokenAnswerError,
+    Framing,
     UpstreamFault,
     UpstreamRequest,
 )
+from chivetrack.components.upstream.strict_pool import (
+    ChunkedBody,
+    UnsoundAnswerError,
+    get_original,
+    open_pool,
+)
 from chivetrack.helpers.numbers import read_count
 
 _CONNECT_ERRORS = (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError)
-_TRANSFER_ERRORS = (urllib3.exceptions.HTTPError, ChunkError, OSError)
+_TRANSFER_ERRORS = (urllib3.exceptions.HTTPError, UnsoundAnswerError, OSError)
 
 
 class UpstreamAnswer:
@@ -48,6 +54,7 @@
     ) -> None:
         """Wrap a response; ``dedicated_pool`` is closed together with it."""
         self._response = response
+        self._original = get_original(response)
         self._request = request
         self._dedicated_pool = dedicated_pool
         self.status = response.status
@@ -56,7 +63,8 @@
     def read_chunks(self) -> Iterator[bytes]:
         """Yield the body as it arrives; raise ``BrokenAnswerError`` if it is incomplete."""
         tail = b""
-        chunks = self._read_stream() if self._response.chunked else self._read_blocks()
+        body = self._original.chunked_body
+        chunks = self._read_blocks() if body is None else self._read_stream(body)
         try:
             for chunk in chunks:
                 tail = (tail + chunk)[-STREAM_TAIL_BYTES:]
@@ -75,25 +83,18 @@
         while chunk := self._response.read(READ_SIZE, decode_content=False):
             yield chunk
 
-    def _read_stream(self) -> Iterator[bytes]:
+    def _read_stream(self, body: ChunkedBody) -> Iterator[bytes]:
         """Yield the payload of each read as one piece, without waiting for more."""
-        raw = self._response._fp
-        source = raw.fp  # type: ignore[union-attr]
-        decoder = ChunkDecoder()
         last_read_at = 0.0
-        while True:
-            data = source.read1(READ_SIZE)
-            if not data:
-                raise ChunkError("the answer ended before its last chunk")
-            if payload := decoder.feed(data):
-                yield payload
-            if decoder.is_ended:
+        while payload := self._original.read1(READ_SIZE):
+            yield payload
+            if body.is_ended:
                 break
             last_read_at = self._limit_read_rate(last_read_at)
-        if decoder.has_trailing_data:
-            raise ChunkError("bytes were received after the end of the answer")
+        if body.has_trailing_data:
+            raise UnsoundAnswerError("bytes were received after the end of the answer")
         # No bytes are left on the connection, so the next request may use it.
-        raw.close()  # type: ignore[union-attr]
+        self._original.close()
         self._response.release_conn()
 
     def _limit_read_rate(self, last_read_at: float) -> float:
@@ -180,7 +181,7 @@
 
     @staticmethod
     def _open_pool(address: str) -> urllib3.HTTPConnectionPool:
-        return urllib3.connection_from_url(address, maxsize=POOL_SIZE, block=False)
+        return open_pool(address, maxsize=POOL_SIZE, block=False)
 
     def _check_head(
         self,
@@ -198,7 +199,7 @@
             return Error(UpstreamFault(outcome=AttemptOutcome.MAYBE_RAN, message=message))
         if response.headers.get(DID_NOT_RUN_HEADER) == "true":
             return Error(self._read_refusal(answer, response))
-        if not self._is_framed(response):
+        if get_original(response).framing is Framing.CONNECTION:
             answer.cancel()
             message = "the answer has neither a length nor chunks, so a cut would go unnoticed"
             return Error(UpstreamFault(outcome=AttemptOutcome.MAYBE_RAN, message=message))
@@ -215,13 +216,6 @@
             retry_after_s=None if retry_after_s is None else float(retry_after_s),
         )
 
-    @staticmethod
-    def _is_framed(response: urllib3.HTTPResponse) -> bool:
-        if response.status in (204, 304):
-            return True
-        headers = response.headers
-        return "Content-Length" in headers or response.chunked
-
     @staticmethod
     def _set_stall_timeout(response: urllib3.HTTPResponse, timeout_s: float) -> None:
         connection = response.connection
--- a/chivetrack/platform/operator_calls.py
+++ b/chivetrack/platform/operator_calls.py
@@ -3,7 +3,6 @@
 import random
 import time
 from collections.abc import Callable, Iterator, Sequence
-from dataclasses import dataclass
 from urllib.parse import quote
 
 import msgspec
@@ -12,6 +11,11 @@
 
 from chivetrack.components.evacuation.models import ZoneState
 from chivetrack.components.quarantine.models import QuarantinedRequest
+from chivetrack.components.upstream.strict_pool import (
+    WholeAnswer,
+    open_pool_manager,
+    request_whole,
+)
 from chivetrack.exceptions import Fault, Ran
 from chivetrack.platform.paths import PATH_QUARANTINE, PATH_ZONES
 
@@ -58,12 +62,6 @@
     revision: int
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _Answer:
-    status: int
-    body: bytes
-
-
 class OperatorClient:
     """Sends a request to one replica after another until one gives a final answer."""
 
@@ -83,7 +81,7 @@
         self._timeout_s = timeout_s
         self._clock = clock
         self._sleep = sleep
-        self._pool = urllib3.PoolManager(retries=False, timeout=CALL_TIMEOUT_S)
+        self._pool = open_pool_manager(retries=False, timeout=CALL_TIMEOUT_S)
 
     def order_evacuation(self, zone: str, *, is_evacuated: bool) -> Result[int, Fault]:
         """Order the evacuation of a zone, or withdraw it; return the order's revision."""
@@ -128,13 +126,13 @@
         while order:
             yield from order
 
-    def _send(self, method: str, url: str) -> _Answer | Fault:
+    def _send(self, method: str, url: str) -> WholeAnswer | Fault:
         try:
             for _ in range(MAX_REDIRECTS + 1):
-                response = self._pool.request(method, url, redirect=False)
-                if response.status != 307:
-                    return _Answer(status=response.status, body=response.data)
-                url = response.headers.get("Location", url)
+                answer = request_whole(self._pool, method, url)
+                if answer.status != 307:
+                    return answer
+                url = answer.headers.get("Location", url)
         except urllib3.exceptions.HTTPError as error:
             return _make_unreachable_fault(str(error))
         return _make_unreachable_fault("the replicas redirect to each other")
@@ -162,7 +160,7 @@
     )
 
 
-def _read_fault(answer: _Answer) -> Fault:
+def _read_fault(answer: WholeAnswer) -> Fault:
     try:
         read = msgspec.json.decode(answer.body, type=_Error)
     except msgspec.MsgspecError:
