Read numbers of headers only as decimal digits with a fraction

Of two statements that differ the first was believed. "Connection: x-closely" closed a connection, and "close" in a second line was missed by the decoder.

Cause: `float` reads signs, underscores, exponents, blanks and any size, and `str.strip` removes more than the blanks of a list.

Why this works: `read_decimal` reads up to 18 digits with an optional fraction of up to 18, as PROTOCOL.md states seconds and milliseconds; any other text counts as absent. The values of repeated lines are joined to one list, as HTTP defines it, so a number that is stated twice is none. A fraction in Keep-Alive is still read: its absence would mean a longer time.

The new tests failed before, except for the one of sound fractions.

--- a/chivetrack/helpers/numbers.py
+++ b/chivetrack/helpers/numbers.py
@@ -1,6 +1,9 @@
 """Reading of numbers that other parties write."""
 
+import re
+
 MAX_DIGITS = 18
+_DECIMAL = re.compile(rf"[0-9]{{1,{MAX_DIGITS}}}(?:\.[0-9]{{1,{MAX_DIGITS}}})?")
 
 
 def read_count(text: str) -> int | None:
@@ -12,3 +15,11 @@
     if not (text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS):
         return None
     return int(text)
+
+
+def read_decimal(text: str) -> float | None:
+    """Return the number that ASCII digits with an optional fraction state, else ``None``.
+
+    ``float`` also accepts blanks, signs, underscores, exponents and other digits.
+    """
+    return float(text) if _DECIMAL.fullmatch(text) else None
--- a/chivetrack/platform/headers.py
+++ b/chivetrack/platform/headers.py
@@ -9,7 +9,7 @@
     RequestFacts,
 )
 from chivetrack.components.upstream.answer_head import AnswerHeaders
-from chivetrack.helpers.numbers import read_count
+from chivetrack.helpers.numbers import read_count, read_decimal
 
 HEADER_ATTEMPT = "X-Chivetrack-Attempt-Id"
 HEADER_DEADLINE = "X-Chivetrack-Deadline-Ms"
@@ -72,13 +72,16 @@
     ("connection", "keep-alive", "transfer-encoding", "content-length", "upgrade", "trailer", "te")
 )
 
+# ``str.strip`` removes other characters as well, such as a no-break space.
+_BLANKS = " \t"
+
 HeaderLines = Iterable[tuple[str, str]]
 
 
 def read_request_facts(headers: Mapping[str, str]) -> RequestFacts:
     """Decode a caller's headers (names in lower case); malformed values count as absent."""
     prompt_tokens, max_output = _read_counts(headers.get(HEADER_TOKEN_COUNTS.lower(), ""))
-    wait_ms = _read_number(headers.get(HEADER_DEADLINE.lower(), ""))
+    wait_ms = read_decimal(headers.get(HEADER_DEADLINE.lower(), ""))
     return RequestFacts(
         request_id=headers.get(HEADER_ATTEMPT.lower(), ""),
         key=headers.get(HEADER_KEY.lower(), ""),
@@ -87,7 +90,7 @@
         parts=tuple(_read_parts(headers.get(HEADER_PROMPT_PARTS.lower(), ""))),
         prompt_tokens=prompt_tokens,
         max_output_tokens=max_output,
-        expected_tokens=int(_read_number(headers.get(HEADER_LENGTH_HINT.lower(), "")) or 0),
+        expected_tokens=int(read_decimal(headers.get(HEADER_LENGTH_HINT.lower(), "")) or 0),
         last_event_id=headers.get(HEADER_LAST_EVENT.lower(), ""),
         resumes=headers.get(HEADER_RESUMES.lower(), ""),
     )
@@ -130,9 +133,9 @@
 
     Raise ``AnswerHeadError`` if it names several requests or bears several seals.
     """
-    retry_after = _read_number(headers.get("Retry-After"))
+    retry_after = read_decimal(_join(headers, "Retry-After"))
     is_misdirected = status == STATUS_MISDIRECTED
-    stated_load = headers.get(HEADER_LOAD)
+    stated_load = _join(headers, HEADER_LOAD)
     load = _read_load(stated_load)
     return AnswerFacts(
         request_id=headers.get_single(HEADER_ATTEMPT),
@@ -140,14 +143,14 @@
         did_not_run=HEADER_DID_NOT_RUN in headers or is_misdirected,
         is_other_instance=is_misdirected,
         is_encoded="Content-Encoding" in headers,
-        closes="close" in headers.get("Connection").lower(),
-        keep_alive_s=_read_keep_alive(headers.get("Keep-Alive")),
+        closes="close" in _list_fields(_join(headers, "Connection").lower()),
+        keep_alive_s=_read_keep_alive(_join(headers, "Keep-Alive")),
         load=load,
         unreadable_load=stated_load if load is None else "",
         retry_after_s=retry_after,
         pause_s=(retry_after or 0.0) if status == STATUS_UNAVAILABLE else 0.0,
         is_leaving=headers.get(HEADER_LEAVING).strip() == "1",
-        cold_s=(_read_number(headers.get(HEADER_COLD_MS)) or 0.0) / 1000.0,
+        cold_s=(read_decimal(_join(headers, HEADER_COLD_MS)) or 0.0) / 1000.0,
     )
 
 
@@ -156,16 +159,26 @@
     return [(name, value) for name, value in headers if name.lower() not in _NOT_RETURNED_HEADERS]
 
 
+def _join(headers: AnswerHeaders, name: str) -> str:
+    """Return all values of a header as one list; a number that is stated twice is then none."""
+    return ",".join(headers.get_all(name))
+
+
+def _list_fields(text: str) -> list[str]:
+    """Return the fields of a list without the blanks around them."""
+    return [field.strip(_BLANKS) for field in text.split(",")]
+
+
 def _read_counts(text: str) -> tuple[int, int]:
-    counts = [read_count(field.strip()) for field in text.split(",")]
+    counts = [read_count(field) for field in _list_fields(text)]
     if len(counts) != 2 or counts[0] is None or counts[1] is None:
         return (0, 0)
     return (counts[0], counts[1])
 
 
 def _read_parts(text: str) -> Iterator[PromptPart]:
-    for field in filter(None, text.split(",")):
-        part_id, _, text_of_tokens = field.strip().partition(":")
+    for field in _list_fields(text):
+        part_id, _, text_of_tokens = field.partition(":")
         tokens = read_count(text_of_tokens)
         if part_id and tokens is not None:
             yield PromptPart(part_id, tokens)
@@ -173,7 +186,7 @@
 
 def _read_load(text: str) -> EndpointLoadFacts | None:
     """Decode running, waiting, slots and, where stated, the time of work in percent."""
-    counts = [read_count(field.strip()) for field in text.split(",")]
+    counts = [read_count(field) for field in _list_fields(text)]
     if len(counts) not in (3, 4):
         return None
     running, waiting, slots, *percents = counts
@@ -189,16 +202,8 @@
 
 
 def _read_keep_alive(text: str) -> float | None:
-    for field in text.split(","):
-        name, _, value = field.strip().partition("=")
-        if name.strip().lower() == "timeout":
-            return _read_number(value)
+    for field in _list_fields(text):
+        name, _, value = field.partition("=")
+        if name.lower() == "timeout":
+            return read_decimal(value)
     return None
-
-
-def _read_number(text: str) -> float | None:
-    try:
-        value = float(text)
-    except ValueError:
-        return None
-    return value if 0 <= value < float("inf") else None
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -46,6 +46,10 @@
             ("x-chivetrack-deadline-ms", "-5"),
             ("x-chivetrack-deadline-ms", "inf"),
             ("x-chivetrack-deadline-ms", "nan"),
+            ("x-chivetrack-deadline-ms", "1_000"),
+            ("x-chivetrack-deadline-ms", "1e3"),
+            ("x-chivetrack-deadline-ms", "+5"),
+            ("x-chivetrack-deadline-ms", "9" * 30),
             ("x-chivetrack-token-counts", "1460"),
             ("x-chivetrack-token-counts", "a,b"),
             ("x-chivetrack-token-counts", "²,1"),
@@ -53,6 +57,8 @@
             ("x-chivetrack-prompt-prefix", "5c1e,:3,x:y,,"),
             ("x-chivetrack-prompt-prefix", "5c1e:²"),
             ("x-chivetrack-length-hint", "?"),
+            ("x-chivetrack-length-hint", "1e3"),
+            ("x-chivetrack-length-hint", "9" * 30),
         ]
         for name, value in cases:
             with self.subTest(name=name, value=value):
@@ -147,6 +153,46 @@
                 read_answer_facts(200, make_headers(X_Chivetrack_Cold_Ms=text)).cold_s, 0
             )
 
+    def test_unsound_numbers_count_as_absent(self) -> None:
+        """Guards against a pause, a cold time or a kept connection of a length never stated."""
+        for text in ("1_0", "1e3", "+5", "-5", "5s", "5 5", ".5", "5.", "\xa05", "inf", "9" * 30):
+            with self.subTest(text):
+                facts = read_answer_facts(
+                    503,
+                    make_headers(
+                        Retry_After=text,
+                        X_Chivetrack_Cold_Ms=text,
+                        Keep_Alive=f"timeout={text}",
+                        X_Chivetrack_Server_Load=f"{text},0,8",
+                    ),
+                )
+                self.assertIsNone(facts.retry_after_s)
+                self.assertEqual((facts.pause_s, facts.cold_s), (0.0, 0.0))
+                self.assertIsNone(facts.load)
+                self.assertIsNone(facts.keep_alive_s)
+
+    def test_numbers_with_fractions(self) -> None:
+        facts = read_answer_facts(503, make_headers(Retry_After="0.25", Keep_Alive="timeout=1.5"))
+        self.assertEqual((facts.pause_s, facts.keep_alive_s), (0.25, 1.5))
+
+    def test_number_that_is_stated_twice_counts_as_absent(self) -> None:
+        """Guards against believing one of two statements that differ."""
+        headers = make_headers(
+            Retry_After="1", X_Chivetrack_Cold_Ms="1000", X_Chivetrack_Server_Load="3,0,8"
+        )
+        headers.add("retry-after", "90")
+        headers.add("x-chivetrack-cold-ms", "9000")
+        headers.add("x-chivetrack-server-load", "0,0,8")
+        facts = read_answer_facts(503, headers)
+        self.assertEqual((facts.retry_after_s, facts.pause_s, facts.cold_s), (None, 0.0, 0.0))
+        self.assertIsNone(facts.load)
+
+    def test_close_is_an_option_of_any_connection_line(self) -> None:
+        headers = make_headers(Connection="x-closely")
+        self.assertFalse(read_answer_facts(200, headers).closes)
+        headers.add("connection", "x, Close")
+        self.assertTrue(read_answer_facts(200, headers).closes)
+
     def test_hop_by_hop_headers_are_not_returned_to_the_caller(self) -> None:
         headers = [("X-Chivetrack-Server-Seal", "s"), ("Connection", "close"), ("X-A", "1")]
         self.assertEqual(
