Believe that a request did not run only with the statuses of a refusal

What callers saw: nothing yet. A success, or an error of a run, that bears X-Chivetrack-Not-Executed was thrown away and the request sent to another endpoint, so a request that may run once could run twice.

Cause: the decoder asked only whether the header is there.

Evidence: in the new test on the code before, statuses 200, 204, 404, 408, 500, 502 and 504 with the header counted as not run.

Why this works: PROTOCOL.md names the answers that state this (503, 429, 421 and 400), and says that a server's own 500 and 504 count as run. With any other status the header is contradicted, and the request counts as one that may have run. A 421 states it by itself, as before.

The new test failed before.

--- a/chivetrack/platform/headers.py
+++ b/chivetrack/platform/headers.py
@@ -32,6 +32,8 @@
 
 STATUS_MISDIRECTED = 421
 STATUS_UNAVAILABLE = 503
+# The only statuses with which a server states that it did not run the request.
+_REFUSAL_STATUSES = frozenset({400, STATUS_MISDIRECTED, 429, STATUS_UNAVAILABLE})
 
 # Hop-by-hop headers, headers that the router sets itself, and headers that ask for a hold, a
 # pin or a continuation. Callers may not ask for a hold, a pin or a continuation: an endpoint
@@ -134,14 +136,13 @@
     Raise ``AnswerHeadError`` if it names several requests or bears several seals.
     """
     retry_after = read_decimal(_join(headers, "Retry-After"))
-    is_misdirected = status == STATUS_MISDIRECTED
     stated_load = _join(headers, HEADER_LOAD)
     load = _read_load(stated_load)
     return AnswerFacts(
         request_id=headers.get_single(HEADER_ATTEMPT),
         is_sealed=bool(headers.get_single(HEADER_SEAL)),
-        did_not_run=HEADER_DID_NOT_RUN in headers or is_misdirected,
-        is_other_instance=is_misdirected,
+        did_not_run=_is_refusal(status, headers),
+        is_other_instance=status == STATUS_MISDIRECTED,
         is_encoded="Content-Encoding" in headers,
         closes="close" in _list_fields(_join(headers, "Connection").lower()),
         keep_alive_s=_read_keep_alive(_join(headers, "Keep-Alive")),
@@ -159,6 +160,11 @@
     return [(name, value) for name, value in headers if name.lower() not in _NOT_RETURNED_HEADERS]
 
 
+def _is_refusal(status: int, headers: AnswerHeaders) -> bool:
+    is_stated = HEADER_DID_NOT_RUN in headers and status in _REFUSAL_STATUSES
+    return is_stated or status == STATUS_MISDIRECTED
+
+
 def _join(headers: AnswerHeaders, name: str) -> str:
     """Return all values of a header as one list; a number that is stated twice is then none."""
     return ",".join(headers.get_all(name))
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -187,6 +187,15 @@
         self.assertEqual((facts.retry_after_s, facts.pause_s, facts.cold_s), (None, 0.0, 0.0))
         self.assertIsNone(facts.load)
 
+    def test_statement_not_to_have_run_needs_a_refusal(self) -> None:
+        """Guards against a request that runs twice since an answer of a run denies the run."""
+        for status in (200, 204, 404, 408, 500, 502, 504):
+            facts = read_answer_facts(status, make_headers(X_Chivetrack_Not_Executed="1"))
+            self.assertFalse(facts.did_not_run, status)
+        for status in (400, 421, 429, 503):
+            facts = read_answer_facts(status, make_headers(X_Chivetrack_Not_Executed="1"))
+            self.assertTrue(facts.did_not_run, status)
+
     def test_close_is_an_option_of_any_connection_line(self) -> None:
         headers = make_headers(Connection="x-closely")
         self.assertFalse(read_answer_facts(200, headers).closes)
