Take only an endpoint's own answers for answers

Callers got the 404 of a program that is no endpoint, and did not retry it (DENIED): an entry of another writer named an address at which such a program listens. Any program that gets an endpoint's address, or stands before it, could answer callers so with any status but a success.

Cause: only a success needed the endpoint's seal. Any other answer counted without a seal and without the id of the request, as a success of the endpoint if it was below 500, and its short time drew further requests there.

Sound endpoints mark all answers. PROTOCOL.md says the same: servers echo the id in their responses, and rule MIXED knows failures that bear a seal. So a refusal is believed only with the id as well: without it the bytes may be a late answer to another request, and a request that has run would be sent again. A request that came without an id is the exception, since it has nothing that could be echoed.

An answer that is not the endpoint's own is now a failed attempt that may have run, whatever its status: nothing of it is recorded of the endpoint, its connection is closed, health and circuit breaker count a failure, and the path is not suspected, since somebody did answer. It is counted by `unsound_heads`.

Stand-ins of the tests that did not echo the id of the request now do, as servers must: the refusals of tests.system.deployment and tests.system.crashing, the streams of test_router_exit, and the refusals in test_forwarder.

--- a/chivetrack/components/upstream/answer_head.py
+++ b/chivetrack/components/upstream/answer_head.py
@@ -30,7 +30,7 @@
 
 
 class HeadFault(StrEnum):
-    """Why bytes are not the head of an answer."""
+    """Why bytes are not the head of an answer, or not of the endpoint's own answer."""
 
     CUT = "cut"
     STATUS_LINE = "status_line"
@@ -40,10 +40,13 @@
     REPEATED_FIELD = "repeated_field"
     PROTOCOL_CHANGE = "protocol_change"
     TOO_LARGE = "too_large"
+    NO_REQUEST_ID = "no_request_id"
+    NO_SEAL = "no_seal"
+    ENCODED = "encoded"
 
 
 class AnswerHeadError(Exception):
-    """Bytes that are not the head of an answer, or not all of one."""
+    """Bytes that are not the head of an endpoint's own answer, or not all of one."""
 
     def __init__(self, fault: HeadFault, message: str) -> None:
         """Store the kind of fault; ``message`` explains it."""
--- a/chivetrack/components/upstream/connection.py
+++ b/chivetrack/components/upstream/connection.py
@@ -57,6 +57,10 @@
         self.fault = fault
 
 
+class ForeignAnswerError(UnsoundHeadError):
+    """Somebody answered, but not the endpoint, or not the request."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EndpointRequest:
     """A request as it is sent; ``target`` is the raw target of the request line."""
@@ -205,11 +209,6 @@
         """Return the router that carries the connection, empty if none does."""
         return self._socket.carrier if isinstance(self._socket, CarriedSocket) else ""
 
-    @property
-    def is_reused(self) -> bool:
-        """Return whether the connection has been idle after an earlier request."""
-        return self.idle_limit_s > 0
-
     @property
     def _has_buffered_data(self) -> bool:
         carried = self._socket if isinstance(self._socket, CarriedSocket) else None
--- a/chivetrack/daemon/fleet/forwarder.py
+++ b/chivetrack/daemon/fleet/forwarder.py
@@ -16,6 +16,7 @@
     EndpointAnswer,
     EndpointConnection,
     EndpointRequest,
+    ForeignAnswerError,
     MaybeRanError,
     NotSentError,
     UnsoundHeadError,
@@ -23,6 +24,7 @@
 from chivetrack.components.upstream.events import EventSplitter
 from chivetrack.components.upstream.idle_connections import IdleConnections
 from chivetrack.components.upstream.models import BrokenAnswerError, Framing
+from chivetrack.components.upstream.own_answers import check_own
 from chivetrack.daemon.fleet.calls import Call, ReadyAnswer
 from chivetrack.daemon.fleet.const import (
     LATE_ANSWER_GRACE_S,
@@ -107,11 +109,8 @@
 
     @property
     def is_success(self) -> bool:
-        """Return whether the endpoint itself answers with a success."""
-        if self.answer is None or self.facts is None:
-            return False
-        is_own = self.facts.is_sealed and not self.facts.is_encoded
-        return is_own and 200 <= self.answer.status < 300
+        """Return whether the endpoint answers with a success."""
+        return self.answer is not None and 200 <= self.answer.status < 300
 
 
 class Forwarder:
@@ -294,7 +293,9 @@
         record: EndpointRecord,
         connection: EndpointConnection,
     ) -> SendResult:
-        """Return the result of a connection that broke off."""
+        """Return the result of a connection that broke off, or on which somebody else answers."""
+        if isinstance(error, ForeignAnswerError):
+            return SendResult(end=end, detail=str(error))
         is_path_suspected = self._may_send() and self._dialer.handle_broken_connection(
             record, connection.carrier
         )
@@ -333,14 +334,12 @@
             try:
                 answer = connection.read_answer(call.method, timeout_s=remaining_s)
                 facts = _read_facts(answer)
+                if facts.request_id is None or facts.request_id == call.facts.request_id:
+                    _check_own(facts, call)
+                    return answer, facts
             except UnsoundHeadError as error:
                 self._record_unsound_head(error.fault)
                 raise
-            if facts.request_id is None and facts.is_sealed and connection.is_reused:
-                # It may be the late second answer to the request before.
-                raise MaybeRanError("the endpoint's answer does not name its request")
-            if facts.request_id is None or facts.request_id == call.facts.request_id:
-                return answer, facts
             # A late duplicate answer to the previous request on this connection.
             self._discard(answer)
         raise MaybeRanError("the connection returned answers to other requests")
@@ -426,12 +425,9 @@
                 status=status,
                 is_other_instance=facts.is_other_instance,
             )
-        is_success = 200 <= status < 300
-        if is_success and (not facts.is_sealed or facts.is_encoded):
-            raise MaybeRanError("the answer does not come from the endpoint itself")
         if status in _NOT_RUN_STATUSES:
             raise MaybeRanError(f"status {status} without a statement that the request did not run")
-        if is_success and call.route.kind is RouteKind.STREAM:
+        if 200 <= status < 300 and call.route.kind is RouteKind.STREAM:
             self._relay_stream(connection, call, choice, answer)
             return SendResult(status=status)
         return self._relay_buffered(call, answer, facts, may_retry and status >= 500)
@@ -507,6 +503,14 @@
         raise UnsoundHeadError(f"no answer: {error}", fault=error.fault) from error
 
 
+def _check_own(facts: AnswerFacts, call: Call) -> None:
+    """Raise ``ForeignAnswerError`` unless the endpoint itself answers the call."""
+    try:
+        check_own(facts, request_id=call.facts.request_id)
+    except AnswerHeadError as error:
+        raise ForeignAnswerError(f"no answer: {error}", fault=error.fault) from error
+
+
 def make_tried(choice: Choice, result: SendResult) -> SendAttempt:
     """Return the attempt as the decision about a retry needs it."""
     assert result.end is not None
--- a/tests/daemon/fleet/test_forwarder.py
+++ b/tests/daemon/fleet/test_forwarder.py
@@ -213,7 +213,8 @@
 
     def test_answer_that_the_request_did_not_run(self) -> None:
         for status in ("503 Unavailable", "429 Too Many"):
-            answer = make_answer(b"", status, "X-Chivetrack-Not-Executed: 1", "Retry-After: 2")
+            lines = (ECHO, "X-Chivetrack-Not-Executed: 1", "Retry-After: 2")
+            answer = make_answer(b"", status, *lines)
             result = self.send(self.open(answer))
             self.assertIs(result.end, SendEnd.REFUSED)
             self.assertEqual(result.retry_after_s, 2.0)
--- a/tests/daemon/fleet/test_router_exit.py
+++ b/tests/daemon/fleet/test_router_exit.py
@@ -18,7 +18,6 @@
 from tests.system.fleets import wait_for
 
 LIMIT_S = 20.0
-STREAM_HEAD = f"HTTP/1.1 200 OK\r\n{SEAL}\r\nTransfer-Encoding: chunked\r\n\r\n".encode()
 EVENT = b"id: 1\ndata: token\n\n"
 LAST_CHUNK = b"0\r\n\r\n"
 
@@ -60,6 +59,13 @@
     }
 
 
+def make_stream_begin(request_id: str) -> bytes:
+    """Return the head and the first event of an endpoint's answer."""
+    lines = ["HTTP/1.1 200 OK", SEAL, f"X-Chivetrack-Attempt-Id: {request_id}"]
+    head = "\r\n".join([*lines, "Transfer-Encoding: chunked"]).encode()
+    return head + b"\r\n\r\n%x\r\n%b\r\n" % (len(EVENT), EVENT)
+
+
 def make_request(request_id: str, path: str = "/a/x", wait_ms: int = 2000) -> bytes:
     """Return a request that a stopping router accepts late, since it times out before the exit."""
     lines = [f"POST {path} HTTP/1.1", "Host: one.example", "Content-Length: 4"]
@@ -153,7 +159,7 @@
         ends_stream = threading.Event()
 
         def stream(connection: socket.socket) -> None:
-            connection.sendall(STREAM_HEAD + b"%x\r\n%b\r\n" % (len(EVENT), EVENT))
+            connection.sendall(make_stream_begin("stream"))
             ends_stream.wait(LIMIT_S)
             connection.sendall(LAST_CHUNK)
 
@@ -197,7 +203,7 @@
         self.addCleanup(ends.set)
 
         def stream(connection: socket.socket) -> None:
-            connection.sendall(STREAM_HEAD + b"%x\r\n%b\r\n" % (len(EVENT), EVENT))
+            connection.sendall(make_stream_begin("begun"))
             ends.wait(LIMIT_S)
 
         self.start(stream, lambda connection: ends.wait(LIMIT_S), stop_within_s=2.0)
--- a/tests/system/crashing.py
+++ b/tests/system/crashing.py
@@ -54,6 +54,7 @@
     def _serve(self, body: bytes) -> None:
         if self.headers.get("X-Chivetrack-Expect-Instance") != self.server.name:
             self.send_response(421)
+            self._echo_id()
             self.send_header("Content-Length", "0")
             self.end_headers()
             return
--- a/tests/system/deployment.py
+++ b/tests/system/deployment.py
@@ -104,16 +104,20 @@
         body = self.server.name.encode()
         self.send_response(200)
         self.send_header("X-Chivetrack-Server-Seal", "seal")
-        attempt = self.headers.get("X-Chivetrack-Attempt-Id", "")
-        self.send_header("X-Chivetrack-Attempt-Id", attempt)
+        self._echo_id()
         for name, value in self.server.extra_headers.items():
             self.send_header(name, value)
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
         self.wfile.write(body)
 
+    def _echo_id(self) -> None:
+        attempt = self.headers.get("X-Chivetrack-Attempt-Id", "")
+        self.send_header("X-Chivetrack-Attempt-Id", attempt)
+
     def _refuse(self) -> None:
         self.send_response(503)
+        self._echo_id()
         self.send_header("X-Chivetrack-Not-Executed", "1")
         self.send_header("Retry-After", f"{self.server.retry_after_s:g}")
         self.send_header("Content-Length", "0")
