Move the relay of streams into a module of its own

The forwarder had grown to 516 lines. No change of behaviour; the tests of the forwarder, of hedging and of cut, unframed, foreign and endless answers pass as before.

--- a/chivetrack/daemon/fleet/forwarder.py
+++ b/chivetrack/daemon/fleet/forwarder.py
@@ -21,19 +21,17 @@
     NotSentError,
     UnsoundHeadError,
 )
-from chivetrack.components.upstream.events import EventSplitter
 from chivetrack.components.upstream.idle_connections import IdleConnections
-from chivetrack.components.upstream.models import BrokenAnswerError, Framing
+from chivetrack.components.upstream.models import BrokenAnswerError
 from chivetrack.components.upstream.own_answers import check_own
 from chivetrack.daemon.fleet.calls import Call, ReadyAnswer
 from chivetrack.daemon.fleet.const import (
-    LATE_ANSWER_GRACE_S,
     MAX_BUFFERED_ANSWER_BYTES,
     MIN_TIME_FOR_RETRY_S,
-    STREAM_STALL_TIMEOUT_S,
 )
 from chivetrack.daemon.fleet.dialer import Dialer, PathBrokenError
 from chivetrack.daemon.fleet.hedging import Hedge, Hedger
+from chivetrack.daemon.fleet.stream_relay import StreamRelay
 from chivetrack.daemon.server import AbortConnectionError
 from chivetrack.platform.headers import (
     list_answer_headers,
@@ -144,11 +142,14 @@
         self._idle_connections = idle_connections
         self._dialer = dialer
         self._record_answer = record_answer
-        self._handle_first_event = handle_first_event
         self._handle_bytes = handle_bytes or (lambda call: None)
         self._record_overdue = record_overdue or (lambda call: False)
         self._may_send = may_send or (lambda: True)
-        self._handle_begin = handle_begin or (lambda call: None)
+        self._stream_relay = StreamRelay(
+            handle_bytes=self._handle_bytes,
+            handle_first_event=handle_first_event,
+            handle_begin=handle_begin or (lambda call: None),
+        )
         self._hedger = hedger
         self._record_unsound_head = record_unsound_head
 
@@ -428,7 +429,7 @@
         if status in _NOT_RUN_STATUSES:
             raise MaybeRanError(f"status {status} without a statement that the request did not run")
         if 200 <= status < 300 and call.route.kind is RouteKind.STREAM:
-            self._relay_stream(connection, call, choice, answer)
+            self._stream_relay.relay(connection, call, choice, answer)
             return SendResult(status=status)
         return self._relay_buffered(call, answer, facts, may_retry and status >= 500)
 
@@ -457,43 +458,6 @@
                 raise BrokenAnswerError("the answer is too large")
         return body
 
-    def _relay_stream(
-        self, connection: EndpointConnection, call: Call, choice: Choice, answer: EndpointAnswer
-    ) -> None:
-        if call.reply.is_started and answer.framing is Framing.NO_BODY:
-            raise BrokenAnswerError(f"status {answer.status} in the middle of a stream")
-        splitter = EventSplitter(last_id=call.last_event_id)
-        is_first = True
-        for chunk in answer.read_chunks():
-            self._handle_bytes(call)
-            if is_first:
-                is_first = False
-                self._handle_first_event(call, choice)
-                if call.first_event_at is None:
-                    call.first_event_at = time.monotonic()
-                if call.route.is_resumable:
-                    connection.set_timeout(self._get_stall_timeout(call))
-            data = splitter.feed(chunk)
-            if data:
-                if call.begin_stream(choice.record):
-                    self._handle_begin(call)
-                self._start_reply(call, answer)
-                call.reply.write(data)
-                call.last_event_id = splitter.last_id
-        if splitter.has_partial_event:
-            raise BrokenAnswerError("the stream ended in the middle of an event")
-        self._start_reply(call, answer)
-
-    @staticmethod
-    def _get_stall_timeout(call: Call) -> float:
-        remaining_s = call.ends_at - time.monotonic()
-        return max(0.05, min(remaining_s + LATE_ANSWER_GRACE_S, STREAM_STALL_TIMEOUT_S))
-
-    @staticmethod
-    def _start_reply(call: Call, answer: EndpointAnswer) -> None:
-        if not call.reply.is_started:
-            call.reply.start(answer.status, list_answer_headers(answer.headers.items()))
-
 
 def _read_facts(answer: EndpointAnswer) -> AnswerFacts:
     """Decode the head of an answer; raise ``UnsoundHeadError`` if it contradicts itself."""
