--- a/tests/system/streams.py
+++ b/tests/system/streams.py
@@ -1,8 +1,10 @@
 """Endpoints of several software versions that stream, and callers that take streams up again."""
 
+import contextlib
 import http.client
 import random
 import re
+import socket
 import threading
 import time
 from collections.abc import Sequence
@@ -28,6 +30,9 @@
             super()._serve(body)
             return
         self.server.seen.append((self.path, dict(self.headers.items())))
+        if self.headers.get("X-Chivetrack-Expect-Instance", self.server.name) != self.server.name:
+            self._send_misdirected()
+            return
         first = int(self.headers.get("Last-Event-Id", "0")) + 1
         self.send_response(200)
         self.send_header("X-Chivetrack-Server-Seal", "seal")
@@ -36,6 +41,9 @@
         self.send_header("Transfer-Encoding", "chunked")
         self.end_headers()
         for number in range(first, EVENTS + 1):
+            if self.server.is_ended:
+                self.close_connection = True
+                return
             if first == 1 and number == self.server.breaks_after + 1:
                 self.close_connection = True
                 return
@@ -43,6 +51,13 @@
             time.sleep(self.server.interval_s)
         self._write_chunk(b"")
 
+    def _send_misdirected(self) -> None:
+        self.server.misdirected += 1
+        self.send_response(421)
+        self.send_header("X-Chivetrack-Not-Executed", "1")
+        self.send_header("Content-Length", "0")
+        self.end_headers()
+
     def _write_chunk(self, data: bytes) -> None:
         self.wfile.write(b"%x\r\n%b\r\n" % (len(data), data))
 
@@ -50,16 +65,39 @@
 class StreamingEndpoint(Endpoint):
     """An endpoint of a given software version.
 
-    After the event ``breaks_after`` it breaks off the streams that it has begun.
+    After the event ``breaks_after`` it breaks off the streams that it has begun. It does not run
+    requests that are meant for another endpoint (``misdirected``).
     """
 
     def __init__(self, *, host: str, name: str, version: str) -> None:
         """Listen on ``host``."""
         self.breaks_after = -1
         self.interval_s = EVENT_INTERVAL_S
+        self.misdirected = 0
+        self.is_ended = False
+        self._connections: set[socket.socket] = set()
         super().__init__(host=host, name=name, service="portal", handler=StreamHandler)
         self.version = version
 
+    def process_request(self, request: Any, client_address: Any) -> None:
+        """Keep the connection, so that ``end`` can close it."""
+        self._connections.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request: Any) -> None:
+        """Close a connection that has ended."""
+        self._connections.discard(request)
+        super().shutdown_request(request)
+
+    def end(self) -> None:
+        """End as a process does: all connections close, and the address is free."""
+        self.is_ended = True
+        self.shutdown()
+        self.server_close()
+        for connection in list(self._connections):
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+
     @property
     def continued(self) -> int:
         """Return how many requests came that continue a stream."""
@@ -117,9 +155,20 @@
             self.events = [(int(number), version.decode()) for number, version in found]
         self.is_complete = True
 
-    def take_up(self, first: "CallerStream", deployment: Deployment, router: str) -> None:
-        """Request the rest of a stream that ``first`` began, and read it."""
-        headers = {"Last-Event-Id": str(first.events[-1][0]), "Resumes": first.attempt}
+    def take_up(
+        self,
+        first: "CallerStream",
+        deployment: Deployment,
+        router: str,
+        *,
+        last: "CallerStream | None" = None,
+    ) -> None:
+        """Request the rest of a stream that ``first`` began, and read it.
+
+        ``last`` brought the newest event if ``first`` did not.
+        """
+        last_id = str((last or first).events[-1][0])
+        headers = {"Last-Event-Id": last_id, "Resumes": first.attempt}
         self.read(deployment, router, **headers)
 
 
