Keep the origins of streams that were taken up at the only version

Callers saw: a stream whose router was killed is taken up elsewhere and goes on; then a release begins and that router is killed as well. Every further take-up gets 503 (no_record), though endpoints of the version serve and the second router had known for as long as it lived at which version the stream began.

Cause: a router doesn't record a stream that goes on because only one version can have begun it, since callers may make up the id. The router that began it told nobody, as one version served, and is gone. So when the second version appears, nobody tells the origin.

Such a stream is now kept as inferred, and told with the others when a second version appears. What was inferred is true at that moment for all streams begun before. An id that a caller made up does no harm to a later stream that has it: a record goes before what was inferred, in a replica and among answers, and a router asks the replicas although it has inferred an origin itself.

The new tests of test_stream_versions and of test_origins (stream that was taken up) failed before. Tests changed: RecordStore.find returns an object in place of a pair, so two expectations of test_ledger name its fields; nothing is checked less.

--- a/chivetrack/components/origins/ledger.py
+++ b/chivetrack/components/origins/ledger.py
@@ -1,7 +1,7 @@
 """What a replica remembers of software versions and of the origins of streams; performs no I/O."""
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from chivetrack.components.announcements.models import EndpointRecord, EndpointState
 from chivetrack.components.origins.const import (
@@ -22,20 +22,24 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Entry:
+class FoundOrigin:
+    """The recorded origin of a stream; ``is_inferred`` as in ``OriginGroup``."""
+
     origin: Origin
     recorded_at: float
+    is_inferred: bool = False
 
 
 class RecordStore:
     """Origins of streams by the id of their first request; each expires after its time to live.
 
-    Ids come from callers. If two streams have the same id, the origin of neither is known.
+    Ids come from callers. If two streams have the same id, the origin of neither is known. An
+    inferred origin yields to a recorded one: the caller may have made up the id.
     """
 
     def __init__(self) -> None:
         """Start without records."""
-        self._buckets: dict[int, dict[str, _Entry]] = {}
+        self._buckets: dict[int, dict[str, FoundOrigin]] = {}
         self._count = 0
 
     def __len__(self) -> int:
@@ -45,32 +49,39 @@
     def record(self, group: OriginGroup, *, now: float) -> None:
         """Keep the records of a group; drop them if there are too many."""
         self._drop_expired(now)
-        entry = _Entry(group.origin, now)
+        entry = FoundOrigin(group.origin, now, group.is_inferred)
         ttl_s = min(max(0.0, group.ttl_s), MAX_RECORD_TTL_S)
         bucket = self._buckets.setdefault(int((now + ttl_s) // RECORD_BUCKET_S) + 1, {})
         for request in group.requests:
             if not is_recordable(request):
                 continue
             known = self._find(request)
-            if known is not None and known.origin != group.origin:
-                self._overwrite(request, _Entry(Origin(group.origin.service, ""), now))
-            elif known is None and self._count < MAX_RECORDS:
+            if known is not None:
+                self._merge(request, known, entry)
+            elif self._count < MAX_RECORDS:
                 bucket[request] = entry
                 self._count += 1
 
-    def find(self, request: str, *, now: float) -> tuple[Origin, float] | None:
-        """Return the origin of a stream and the age of its record in seconds."""
+    def _merge(self, request: str, known: FoundOrigin, entry: FoundOrigin) -> None:
+        if known.is_inferred != entry.is_inferred:
+            if known.is_inferred:
+                self._overwrite(request, entry)
+        elif known.origin != entry.origin:
+            unknown = Origin(entry.origin.service, "")
+            self._overwrite(request, replace(entry, origin=unknown))
+
+    def find(self, request: str, *, now: float) -> FoundOrigin | None:
+        """Return the origin of a stream, ``None`` without a record."""
         self._drop_expired(now)
-        entry = self._find(request)
-        return None if entry is None else (entry.origin, now - entry.recorded_at)
+        return self._find(request)
 
-    def _find(self, request: str) -> _Entry | None:
+    def _find(self, request: str) -> FoundOrigin | None:
         for bucket in self._buckets.values():
             if request in bucket:
                 return bucket[request]
         return None
 
-    def _overwrite(self, request: str, entry: _Entry) -> None:
+    def _overwrite(self, request: str, entry: FoundOrigin) -> None:
         for bucket in self._buckets.values():
             if request in bucket:
                 bucket[request] = entry
@@ -137,8 +148,9 @@
             members=members,
             is_complete=self.is_complete,
             origins=self._list_origins(query.services),
-            found=None if found is None else found[0],
-            age_s=0.0 if found is None else found[1],
+            found=None if found is None else found.origin,
+            age_s=0.0 if found is None else now - found.recorded_at,
+            is_inferred=found is not None and found.is_inferred,
         )
 
     def _list_origins(self, services: tuple[str, ...]) -> tuple[Origin, ...]:
--- a/chivetrack/components/origins/lookup.py
+++ b/chivetrack/components/origins/lookup.py
@@ -11,7 +11,8 @@
     """Collects the answers to one query until they decide.
 
     A record decides: it was written when the stream began, and that never changes. As ids come
-    from callers, a majority is heard before, and records that differ tell nothing. Without one, a
+    from callers, a majority is heard before, and records that differ tell nothing. An inferred one
+    counts only if no replica has another record. Without one, a
     majority of replicas with a complete memory decides if all of them together remember one
     version only. The query must be sent after the caller's request has come: every
     version that can have begun the stream was registered by then.
@@ -43,8 +44,9 @@
 
     def _list_found(self) -> list[tuple[Origin, float]]:
         """Return the recorded origins and the ages of their records."""
-        answers = self.answers.values()
-        return [(one.found, one.age_s) for one in answers if one.found is not None]
+        answers = [one for one in self.answers.values() if one.found is not None]
+        recorded = [one for one in answers if not one.is_inferred]
+        return [(one.found, one.age_s) for one in recorded or answers if one.found is not None]
 
     def _judge_found(self, found: Sequence[tuple[Origin, float]]) -> OriginVerdict:
         origins = {origin for origin, _ in found}
--- a/chivetrack/components/origins/messages.py
+++ b/chivetrack/components/origins/messages.py
@@ -6,11 +6,15 @@
 
 @message("origins.group")
 class OriginGroup(Message, frozen=True, array_like=True):
-    """Ids of requests whose streams began at ``origin``; kept for ``ttl_s`` seconds."""
+    """Ids of requests whose streams began at ``origin``; kept for ``ttl_s`` seconds.
+
+    ``is_inferred``: callers took these streams up while no other version could have begun them.
+    """
 
     origin: Origin
     requests: tuple[str, ...]
     ttl_s: float
+    is_inferred: bool = False
 
 
 @message("origins.records", priority=Priority.STATE)
@@ -41,7 +45,8 @@
 
     ``members`` are the replicas of the log as far as the sender knows. ``is_complete``: no version
     that a majority of replicas was told is missing in ``origins`` because of a restart of the
-    sender. ``found`` is the recorded origin of the request, ``age_s`` the age of the record.
+    sender. ``found`` is the recorded origin of the request, ``age_s`` the age of the record;
+    ``is_inferred`` as in ``OriginGroup``.
     """
 
     number: int
@@ -50,3 +55,4 @@
     origins: tuple[Origin, ...]
     found: Origin | None = None
     age_s: float = 0.0
+    is_inferred: bool = False
--- a/chivetrack/components/origins/tracker.py
+++ b/chivetrack/components/origins/tracker.py
@@ -17,11 +17,15 @@
 
 @dataclass(slots=True)
 class _OwnRecord:
-    """The origin of a stream that this router began or continued."""
+    """The origin of a stream that this router began or continued.
+
+    ``is_inferred`` as in ``OriginGroup``.
+    """
 
     origin: Origin
     recorded_at: float
     expires_at: float
+    is_inferred: bool = False
     is_sent: bool = False
 
 
@@ -135,30 +139,45 @@
     # Streams
 
     def record_begin(
-        self, request: str, origin: Origin, *, ttl_s: float, is_only_service: bool, now: float
+        self,
+        request: str,
+        origin: Origin,
+        *,
+        ttl_s: float,
+        is_only_service: bool,
+        now: float,
+        is_inferred: bool = False,
     ) -> None:
         """Record the origin of a stream for ``ttl_s`` seconds.
 
-        ``is_only_service``: the route of the stream leads to no other service. Ids come from
-        callers; if two streams have the same one, the origin of neither is known.
+        ``is_only_service``: the route of the stream leads to no other service. ``is_inferred`` as
+        in ``OriginGroup``. Ids come from callers; if two streams have the same one, the origin of
+        neither is known.
         """
         if not is_recordable(request):
             return
         self._drop_expired(now)
         known = self._own.get(request)
-        if known is not None and known.origin == origin:
-            return
-        if known is not None:
+        if known is not None and known.is_inferred != is_inferred:
+            if is_inferred:
+                return
+        elif known is not None:
+            if known.origin == origin:
+                return
             origin = Origin(origin.service, "")
-        record = _OwnRecord(origin, now, now + min(ttl_s, MAX_RECORD_TTL_S))
+        expires_at = now + min(ttl_s, MAX_RECORD_TTL_S)
+        record = _OwnRecord(origin, now, expires_at, is_inferred)
         self._own[request] = record
         if not (is_only_service and self.is_single(origin)):
             self._unsent[request] = record
 
     def find_own(self, request: str, *, now: float) -> tuple[Origin, float] | None:
-        """Return the origin of a stream of this router and the age of its record in seconds."""
+        """Return the origin of a stream of this router and the age of its record in seconds.
+
+        An inferred one does not count: the replicas may have the record of another router.
+        """
         record = self._own.get(request)
-        if record is None or record.expires_at <= now:
+        if record is None or record.is_inferred or record.expires_at <= now:
             return None
         return record.origin, now - record.recorded_at
 
@@ -189,16 +208,17 @@
 
     def pop_records(self, *, now: float) -> OriginRecords:
         """Return the records to send, grouped by origin and time to live."""
-        groups: dict[tuple[Origin, float], list[str]] = {}
+        groups: dict[tuple[Origin, float, bool], list[str]] = {}
         for request, record in self._unsent.items():
             record.is_sent = True
             ttl_s = float(round(record.expires_at - now))
             if ttl_s > 0:
-                groups.setdefault((record.origin, ttl_s), []).append(request)
+                kind = (record.origin, ttl_s, record.is_inferred)
+                groups.setdefault(kind, []).append(request)
         self._unsent = {}
         return OriginRecords(
             groups=tuple(
-                OriginGroup(origin=origin, requests=tuple(requests), ttl_s=ttl_s)
-                for (origin, ttl_s), requests in groups.items()
+                OriginGroup(origin, tuple(requests), ttl_s, is_inferred)
+                for (origin, ttl_s, is_inferred), requests in groups.items()
             )
         )
--- a/chivetrack/daemon/fleet/origins.py
+++ b/chivetrack/daemon/fleet/origins.py
@@ -127,8 +127,9 @@
         """Record the origin of a stream whose first event is about to be sent to the caller."""
         if call.origin is None or not call.origin.is_known:
             return
-        if call.origin_basis is OriginBasis.ONLY_VERSION:
-            # The caller names the stream, and nothing else tells that it exists.
+        # Of such a stream, nothing but the caller tells that it exists.
+        is_inferred = call.origin_basis is OriginBasis.ONLY_VERSION
+        if is_inferred and not call.facts.resumes:
             return
         wait_s = call.facts.wait_s or DEFAULT_CALLER_WAIT_S
         self.tracker.record_begin(
@@ -137,6 +138,7 @@
             ttl_s=max(wait_s, call.route.timeout_s) + RECORD_GRACE_S,
             is_only_service=len(list_services(call.route)) == 1,
             now=time.monotonic(),
+            is_inferred=is_inferred,
         )
         self._schedule_records()
 
--- a/tests/components/origins/test_ledger.py
+++ b/tests/components/origins/test_ledger.py
@@ -10,7 +10,7 @@
     MAX_REQUEST_ID,
     VERSION_MEMORY_S,
 )
-from chivetrack.components.origins.ledger import OriginLedger, RecordStore
+from chivetrack.components.origins.ledger import FoundOrigin, OriginLedger, RecordStore
 from chivetrack.components.origins.messages import OriginAnswer, OriginGroup, OriginQuery
 from chivetrack.components.origins.models import Origin
 from tests.components.announcements.test_table import make_record
@@ -34,12 +34,12 @@
 
     def find(self, request: str, now: float) -> Origin | None:
         found = self.store.find(request, now=now)
-        return None if found is None else found[0]
+        return None if found is None else found.origin
 
     def test_records_last_as_long_as_their_callers_wait(self) -> None:
         self.store.record(make_group(V1, "a", ttl_s=20.0), now=0.0)
         self.store.record(make_group(V2, "b", ttl_s=90.0), now=0.0)
-        self.assertEqual(self.store.find("a", now=20.0), (V1, 20.0))
+        self.assertEqual(self.store.find("a", now=20.0), FoundOrigin(V1, recorded_at=0.0))
         self.assertEqual(self.find("b", 90.0), V2)
         self.assertIsNone(self.find("a", 60.0 + 20.0))
         self.assertEqual(len(self.store), 1)
@@ -55,6 +55,17 @@
         self.store.record(make_group(V1, "a"), now=3.0)
         self.assertEqual(self.find("a", 3.0), Origin("llm", ""))
 
+    def test_inferred_origin_yields_to_a_recorded_one(self) -> None:
+        """Guards against an id that a caller made up, and that a later stream has."""
+        inferred = OriginGroup(V1, ("a", "b"), 20.0, is_inferred=True)
+        self.store.record(inferred, now=0.0)
+        self.assertEqual(self.store.find("a", now=1.0), FoundOrigin(V1, 0.0, is_inferred=True))
+        self.store.record(make_group(V2, "a"), now=1.0)
+        self.store.record(inferred, now=2.0)
+        self.assertEqual(self.store.find("a", now=2.0), FoundOrigin(V2, 1.0))
+        self.store.record(OriginGroup(V2, ("b",), 20.0, is_inferred=True), now=2.0)
+        self.assertEqual(self.find("b", 2.0), Origin("llm", ""))
+
     def test_records_are_bounded(self) -> None:
         """Guards against a replica whose memory callers fill with ids."""
         self.store.record(make_group(V1, "", "x" * (MAX_REQUEST_ID + 1)), now=0.0)
--- a/tests/components/origins/test_lookup.py
+++ b/tests/components/origins/test_lookup.py
@@ -31,6 +31,22 @@
         self.assertEqual(self.answer_with(V1, V1, V2), expected)
         self.assertEqual(self.lookup.conclude(), expected)
 
+    def test_inferred_origin_decides_only_without_another_record(self) -> None:
+        """Guards against an id that a caller made up before a stream began with it."""
+        lookup = OriginLookup(services=["llm"])
+        inferred = make_answer(V1, V2, found=V1, is_inferred=True)
+        self.assertIsNone(lookup.handle_answer("p1", inferred))
+        self.assertIsNone(lookup.handle_answer("p2", make_answer(V1, V2, found=V2)))
+        verdict = lookup.handle_answer("p3", inferred)
+        assert verdict is not None
+        self.assertEqual((verdict.origin, verdict.basis), (V2, OriginBasis.TOLD))
+        lookup = OriginLookup(services=["llm"])
+        lookup.handle_answer("p1", inferred)
+        lookup.handle_answer("p2", make_answer(V1, V2))
+        verdict = lookup.handle_answer("p3", make_answer(V1, V2))
+        assert verdict is not None
+        self.assertEqual((verdict.origin, verdict.basis), (V1, OriginBasis.TOLD))
+
     def test_majority_that_remembers_one_version_decides(self) -> None:
         """Guards against a guess from one replica, which may not know of the newest version."""
         other = Origin("portal", "v7")
--- a/tests/components/origins/world.py
+++ b/tests/components/origins/world.py
@@ -9,7 +9,7 @@
 from chivetrack.components.origins.ledger import OriginLedger
 from chivetrack.components.origins.lookup import OriginLookup
 from chivetrack.components.origins.messages import OriginAnswer, OriginQuery
-from chivetrack.components.origins.models import Origin, OriginVerdict
+from chivetrack.components.origins.models import Origin, OriginBasis, OriginVerdict
 from chivetrack.components.origins.tracker import OriginTracker
 from tests.components.announcements.test_table import make_record
 
@@ -221,6 +221,18 @@
             pending.answers.remove(arrived)
             self._handle_answer(pending, arrived[1], arrived[2])
 
+    def _record_taken_up(self, router: str, stream: Stream, verdict: OriginVerdict) -> None:
+        if verdict.origin is None:
+            return
+        self.routers[router].tracker.record_begin(
+            stream.request,
+            verdict.origin,
+            ttl_s=STREAM_TTL_S,
+            is_only_service=True,
+            now=self.now,
+            is_inferred=verdict.basis is OriginBasis.ONLY_VERSION,
+        )
+
     @staticmethod
     def _handle_answer(pending: PendingQuery, source: str, answer: OriginAnswer) -> None:
         if pending.lookup is None:
@@ -233,6 +245,7 @@
             assert pending.stream is not None
             verdict = pending.verdict or pending.lookup.conclude()
             self.verdicts.append((pending.stream, verdict))
+            self._record_taken_up(pending.router, pending.stream, verdict)
             return
         self.routers[pending.router].tracker.handle_registration(
             pending.query.registers,
--- a/tests/daemon/fleet/test_origins.py
+++ b/tests/daemon/fleet/test_origins.py
@@ -393,6 +393,41 @@
         self.begin("r1", "a", V2)
         self.assertEqual(self.find("r2", "a").origin, V2)
 
+    def take_up(self, router: str, request: str) -> OriginVerdict:
+        facts = RequestFacts(request_id="next", last_event_id="7", resumes=request, wait_s=15.0)
+        call = make_call(Caller(), route=STREAM, facts=facts)
+        verdict = self.find(router, request)
+        call.take_up(verdict)
+        self.clients[router].record_begin(call)
+        return verdict
+
+    def test_stream_that_was_taken_up_goes_on_when_its_next_router_is_killed(self) -> None:
+        """Guards against a second take-up that is refused since a release began after the first.
+
+        The first one needs no record, as one version serves; then its router learns of another.
+        """
+        self.announce(V1)
+        self.begin("r1", "a")
+        self.cut.add("r1")
+        self.assertEqual(self.take_up("r2", "a").basis, OriginBasis.ONLY_VERSION)
+        del self.clients["r1"]
+        self.announce(V1, V2)
+        gevent.sleep(0.05)
+        self.cut.add("r2")
+        self.open_router("r3")
+        verdict = self.find("r3", "a")
+        self.assertEqual((verdict.origin, verdict.basis), (V1, OriginBasis.TOLD))
+
+    def test_record_goes_before_what_a_take_up_told(self) -> None:
+        """Guards against an id that a caller made up, once other routers know of it as well."""
+        self.announce(V1)
+        self.take_up("r2", "a")
+        self.announce(V1, V2)
+        gevent.sleep(0.05)
+        self.begin("r1", "a", V2)
+        for router in ("r1", "r2"):
+            self.assertEqual(self.find(router, "a").origin, V2)
+
     def test_caller_that_comes_back_twice_names_the_first_request(self) -> None:
         self.announce(V1, V2)
         self.begin("r1", "a", V2)
--- a/tests/system/test_stream_versions.py
+++ b/tests/system/test_stream_versions.py
@@ -137,6 +137,52 @@
         went_on = [one for one in taken_up if one.is_complete and one.status == 200]
         self.assertGreater(len(went_on), STREAMS // 2)
 
+    def test_streams_that_were_taken_up_go_on_when_a_release_begins_and_all_are_killed(
+        self,
+    ) -> None:
+        """Guards against a second take-up that is refused since a release began after the first."""
+        self.open_endpoints("v1", "v1")
+        self.serve()
+        for endpoint in self.endpoints:
+            endpoint.interval_s = SLOW_INTERVAL_S
+        first = self.open_streams_and_kill("r1")
+        self.deployment.start("r1")
+        second = [CallerStream() for _ in first]
+
+        def release_and_kill() -> None:
+            wait_for(lambda: all(one.events for one in second), "no stream goes on")
+            self.open_endpoints("v2", "v2")
+            for endpoint in self.endpoints[2:]:
+                self.deployment.announce(endpoint)
+            wait_for(partial(self.knows_several, "r2"), "r2 does not know the release")
+            self.deployment.kill("r2")
+            self.deployment.kill("r1")
+            self.deployment.start("r1")
+            self.deployment.wait_served("r1")
+
+        take_ups = [
+            partial(one.take_up, begun, self.deployment, "r2")
+            for begun, one in zip(first, second, strict=True)
+        ]
+        run_together([*take_ups, release_and_kill])
+        third = [CallerStream() for _ in first]
+        run_together(
+            [
+                partial(one.take_up, begun, self.deployment, "r1", last=last)
+                for begun, last, one in zip(first, second, third, strict=True)
+            ]
+        )
+        self.assertEqual([one.versions for one in third], [{"v1"}] * STREAMS)
+        self.assertTrue(all(one.is_complete and one.status == 200 for one in third))
+
+    def knows_several(self, router: str) -> bool:
+        registered = [
+            event
+            for event in self.deployment.read_events(router)
+            if event["event"] == "versions_registered"
+        ]
+        return len(registered[-1]["versions"]) > 1
+
     def test_streams_of_a_version_that_has_left_are_refused_as_not_run(self) -> None:
         """Guards against streams that go on at the version which has replaced their own."""
         self.open_endpoints("v1", "v1")
