Remember versions of lost endpoints over restarts of replicas

Callers saw (in a test with fake times): a router beyond a partition begins a stream at a version whose endpoints are lost on this side. Replicas restart meanwhile. 15 min later, the partition ends and the router is killed; the caller comes to another router, which goes on at the version that is left (only_version): two versions in one stream.

Cause: replicas remember versions of lost endpoints for 2 h, since regions are cut off for an hour now and then, but neither the file nor the answers among replicas said which these are. A replica that restarted, with its disk or without, remembered each for 15 min from then on, and its table tells of lost endpoints for a minute only.

The file and the answers now name the lost ones, which are remembered for 2 h again. A file of an earlier release is read as before; an earlier release ignores the new fields.

Three tests failed before: the stream of a partitioned router (went on at v2), and a lost version over restarts with and without the disk (forgotten after 15 min). The soak with kills of all routers doesn't reach it, as it takes 15 min.

--- a/chivetrack/components/origins/ledger.py
+++ b/chivetrack/components/origins/ledger.py
@@ -1,6 +1,6 @@
 """What a replica remembers of software versions and of the origins of streams; performs no I/O."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field, replace
 
 from chivetrack.components.announcements.models import EndpointRecord, EndpointState
@@ -134,10 +134,22 @@
         """Return the versions that are remembered."""
         return frozenset(self._expires)
 
-    def register(self, origins: Iterable[Origin], *, now: float) -> None:
-        """Remember versions at which a router is going to begin streams, or began some."""
+    def list_lost(self, *, now: float) -> frozenset[Origin]:
+        """Return the versions that are remembered for longer, as their endpoints were lost."""
+        return frozenset(
+            origin for origin, until in self._expires.items() if until > now + VERSION_MEMORY_S
+        )
+
+    def register(
+        self, origins: Iterable[Origin], *, now: float, lost: Collection[Origin] = ()
+    ) -> None:
+        """Remember versions at which a router is going to begin streams, or began some.
+
+        Those in ``lost`` are remembered for as long as versions of lost endpoints.
+        """
         for origin in origins:
-            self._remember(origin, now + VERSION_MEMORY_S)
+            memory_s = LOST_VERSION_MEMORY_S if origin in lost else VERSION_MEMORY_S
+            self._remember(origin, now + memory_s)
 
     def answer(self, query: OriginQuery, *, members: tuple[str, ...], now: float) -> OriginAnswer:
         """Register the versions of a query and answer it."""
@@ -147,19 +159,22 @@
             number=query.number,
             members=members,
             is_complete=self.is_complete,
-            origins=self._list_origins(query.services),
+            origins=_filter_services(self._expires, query.services),
             found=None if found is None else found.origin,
             age_s=0.0 if found is None else now - found.recorded_at,
             is_inferred=found is not None and found.is_inferred,
+            lost=_filter_services(self.list_lost(now=now), query.services),
         )
 
-    def _list_origins(self, services: tuple[str, ...]) -> tuple[Origin, ...]:
-        return tuple(one for one in self._expires if not services or one.service in services)
-
     def merge(self, answers: Mapping[str, OriginAnswer], *, now: float) -> bool:
         """Take over what other replicas remember; return whether the memory is complete now."""
         for answer in answers.values():
-            self.register(answer.origins, now=now)
+            self.register(answer.origins, now=now, lost=answer.lost)
         complete = {source: one for source, one in answers.items() if one.is_complete}
         self.is_complete = self.is_complete or covers_majority(complete)
         return self.is_complete
+
+
+def _filter_services(origins: Iterable[Origin], services: tuple[str, ...]) -> tuple[Origin, ...]:
+    """Return the versions of some services, of all if ``services`` is empty."""
+    return tuple(one for one in origins if not services or one.service in services)
--- a/chivetrack/components/origins/messages.py
+++ b/chivetrack/components/origins/messages.py
@@ -46,7 +46,8 @@
     ``members`` are the replicas of the log as far as the sender knows. ``is_complete``: no version
     that a majority of replicas was told is missing in ``origins`` because of a restart of the
     sender. ``found`` is the recorded origin of the request, ``age_s`` the age of the record;
-    ``is_inferred`` as in ``OriginGroup``.
+    ``is_inferred`` as in ``OriginGroup``. ``lost`` are those of ``origins`` that are remembered for
+    longer, since their endpoints were lost without a departure.
     """
 
     number: int
@@ -56,3 +57,4 @@
     found: Origin | None = None
     age_s: float = 0.0
     is_inferred: bool = False
+    lost: tuple[Origin, ...] = ()
--- a/chivetrack/daemon/fleet/origin_file.py
+++ b/chivetrack/daemon/fleet/origin_file.py
@@ -1,6 +1,5 @@
 """Stores which software versions a replica has confirmed, over restarts and losses of power."""
 
-from collections.abc import Collection
 from pathlib import Path
 
 import msgspec
@@ -14,10 +13,15 @@
 
 
 class StoredOrigins(msgspec.Struct, frozen=True, array_like=True):
-    """The content of the file; ``is_complete``: no version confirmed before it is missing."""
+    """The content of the file.
+
+    ``is_complete``: no version confirmed before it is missing. ``lost`` are those of ``origins``
+    whose endpoints were lost; files of earlier releases lack them.
+    """
 
     is_complete: bool
-    origins: tuple[Origin, ...]
+    origins: frozenset[Origin] = frozenset()
+    lost: frozenset[Origin] = frozenset()
 
 
 class OriginFile:
@@ -39,9 +43,8 @@
             self._events.write("origins_not_read", detail=str(error))
             return None
 
-    def save(self, origins: Collection[Origin], *, is_complete: bool) -> bool:
+    def save(self, content: StoredOrigins) -> bool:
         """Write the file to the disk; return whether that succeeded."""
-        content = StoredOrigins(is_complete=is_complete, origins=tuple(origins))
         try:
             self._pool.apply(
                 write_file, (self._path, [msgspec.msgpack.encode(content)], SystemCalls())
--- a/chivetrack/daemon/fleet/origin_host.py
+++ b/chivetrack/daemon/fleet/origin_host.py
@@ -10,7 +10,7 @@
 from chivetrack.components.origins.ledger import OriginLedger
 from chivetrack.components.origins.messages import OriginAnswer, OriginQuery, OriginRecords
 from chivetrack.components.origins.models import Origin
-from chivetrack.daemon.fleet.origin_file import OriginFile
+from chivetrack.daemon.fleet.origin_file import OriginFile, StoredOrigins
 from chivetrack.daemon.fleet.pending_requests import count_requests
 from chivetrack.helpers.codec import Message
 from chivetrack.helpers.events import EventLog
@@ -47,8 +47,8 @@
         self._file = file
         self._unconfirmed: dict[str, OriginQuery] = {}
         self._is_saving = False
-        self._saved: frozenset[Origin] = frozenset()
-        self._is_saved_as_complete = False
+        self._saved = StoredOrigins(is_complete=False)
+        self._confirmable: frozenset[Origin] = frozenset()
         self._restore()
         self._numbers = count_requests()
         self._number = 0
@@ -60,7 +60,7 @@
 
     def handle_query(self, source: str, query: OriginQuery) -> None:
         """Answer a router or another replica; confirm a version only once it is on the disk."""
-        if self._saved.issuperset(query.registers):
+        if self._confirmable.issuperset(query.registers):
             self._answer_now(source, query)
             return
         self.ledger.register(query.registers, now=time.monotonic())
@@ -82,32 +82,33 @@
         stored = self._file.load()
         if stored is None:
             return
-        self.ledger.register(stored.origins, now=time.monotonic())
+        self.ledger.register(stored.origins, now=time.monotonic(), lost=stored.lost)
         self.ledger.is_complete = stored.is_complete
-        self._is_saved_as_complete = stored.is_complete
-        self._saved = self.ledger.origins
+        self._saved, self._confirmable = stored, stored.origins
 
     def _save(self) -> None:
         """Write the versions that are remembered, and answer the queries that wait for that."""
-        origins, is_complete = self.ledger.origins, self.ledger.is_complete
+        content = self._make_content()
         unconfirmed, self._unconfirmed = self._unconfirmed, {}
         # What this write removes must not be confirmed meanwhile.
-        self._saved &= origins
+        self._confirmable &= content.origins
         try:
-            if self._file.save(origins, is_complete=is_complete):
-                self._saved, self._is_saved_as_complete = origins, is_complete
+            if self._file.save(content):
+                self._saved, self._confirmable = content, content.origins
         finally:
             self._is_saving = False
         for source, query in unconfirmed.items():
-            if self._saved.issuperset(query.registers):
+            if self._confirmable.issuperset(query.registers):
                 self._answer_now(source, query)
         if self._unconfirmed:
             self._start_save()
 
-    @property
-    def _is_unsaved(self) -> bool:
-        saved = (self._saved, self._is_saved_as_complete)
-        return saved != (self.ledger.origins, self.ledger.is_complete)
+    def _make_content(self) -> StoredOrigins:
+        return StoredOrigins(
+            is_complete=self.ledger.is_complete,
+            origins=self.ledger.origins,
+            lost=self.ledger.list_lost(now=time.monotonic()),
+        )
 
     def handle_answer(self, source: str, answer: OriginAnswer) -> None:
         """Take over what another replica remembers, unless the answer is to an earlier query."""
@@ -118,7 +119,7 @@
     def refresh(self) -> None:
         """Remember the versions of the announced endpoints, and forget those that are gone."""
         self.ledger.refresh(self._table.list_records(), now=time.monotonic())
-        if self._is_unsaved:
+        if self._saved != self._make_content():
             self._start_save()
 
     def run(self) -> None:
--- a/tests/daemon/fleet/test_origins.py
+++ b/tests/daemon/fleet/test_origins.py
@@ -9,10 +9,16 @@
 from unittest import mock
 
 import gevent
+import msgspec
 from gevent.event import Event
 
+from chivetrack.components.announcements.models import EndpointState
 from chivetrack.components.announcements.table import EndpointTable
-from chivetrack.components.origins.const import LOOKUP_TIMEOUT_S, VERSION_MEMORY_S
+from chivetrack.components.origins.const import (
+    LOOKUP_TIMEOUT_S,
+    LOST_VERSION_MEMORY_S,
+    VERSION_MEMORY_S,
+)
 from chivetrack.components.origins.messages import OriginAnswer, OriginQuery, OriginRecords
 from chivetrack.components.origins.models import Origin, OriginBasis, OriginVerdict
 from chivetrack.components.traffic.models import RouteKind, Share
@@ -246,6 +252,73 @@
         verdict = self.find("r2", "a")
         self.assertEqual((verdict.origin, verdict.basis), (V1, OriginBasis.ONLY_VERSION))
 
+    def lose(self, origin: Origin) -> None:
+        """Let all replicas lose an endpoint without a departure, and forget the endpoint."""
+        lost = make_record(
+            service=origin.service, software=origin.software, state=EndpointState.LOST
+        )
+        for host in self.hosts.values():
+            host.ledger.refresh([lost], now=time.monotonic())
+            host.refresh()
+        gevent.sleep(0.1)
+
+    def list_remembered(self, name: str, after_s: float) -> frozenset[Origin]:
+        ledger = self.hosts[name].ledger
+        ledger.refresh([], now=time.monotonic() + after_s)
+        return ledger.origins
+
+    def test_lost_version_is_remembered_over_a_restart(self) -> None:
+        """Guards against a version that serves beyond a partition and that replicas forget.
+
+        They restart meanwhile, and nothing is announced of its endpoints any more.
+        """
+        self.announce(V1, V2)
+        self.lose(V1)
+        for name in REPLICAS:
+            self.restart(name, keeps_disk=True)
+            self.assertEqual(self.list_remembered(name, VERSION_MEMORY_S + 1.0), {V1})
+            self.assertEqual(self.list_remembered(name, LOST_VERSION_MEMORY_S + 1.0), frozenset())
+
+    def test_stream_of_a_partitioned_router_does_not_go_on_at_the_version_that_is_left(
+        self,
+    ) -> None:
+        """Guards against streams joined after a partition in which the replicas restarted.
+
+        A router beyond it began the stream at a version whose endpoints are lost here; its record
+        was lost on the way, and it is killed when the partition ends.
+        """
+        self.announce(V1, V2)
+        self.lose(V1)
+        self.cut.add("r2")
+        self.begin("r2", "a", V1)
+        current = make_record(service=V2.service, software=V2.software)
+        for name in REPLICAS:
+            self.restart(name, keeps_disk=True)
+            later = time.monotonic() + VERSION_MEMORY_S + 1.0
+            self.hosts[name].ledger.refresh([current], now=later)
+        verdict = self.find("r1", "a")
+        self.assertEqual((verdict.origin, verdict.basis), (None, OriginBasis.NO_RECORD))
+
+    def test_lost_version_is_remembered_by_a_replica_that_lost_its_disk(self) -> None:
+        """Guards against the same where replicas lose their disks one after the other."""
+        self.announce(V1, V2)
+        self.lose(V1)
+        for name in REPLICAS:
+            self.restart(name)
+            with mock.patch("chivetrack.daemon.fleet.origin_host.SYNC_INTERVAL_S", 0.02):
+                gevent.spawn(self.hosts[name].run).join(timeout=5.0)
+            self.assertTrue(self.hosts[name].ledger.is_complete)
+        for name in REPLICAS:
+            self.assertEqual(self.list_remembered(name, VERSION_MEMORY_S + 1.0), {V1})
+
+    def test_file_of_an_earlier_release_is_read(self) -> None:
+        """Guards against a replica that has lost its memory after an update."""
+        content = msgspec.msgpack.encode((True, (V1, V2)))
+        (self.folder / "p1" / "origins").write_bytes(content)
+        self.hosts["p1"] = self.make_host("p1", is_founder=False)
+        ledger = self.hosts["p1"].ledger
+        self.assertEqual((ledger.is_complete, ledger.origins), (True, {V1, V2}))
+
     def test_version_that_is_forgotten_is_taken_off_the_disk(self) -> None:
         """Guards against a version of long ago that comes back with a restarted replica."""
         self.announce(V1, V2)
