Test take-ups with no record, and addresses that another version has

A router dies between the first event of a stream and its record, the endpoints of that version leave and all replicas lose power: refused, as the versions are on the disks; so are ids that nobody recorded and callers that name no request. Endpoints end without a departure, and others of a newer version have their addresses at once while a router that has just started knows the old ones: they answer that they are not the ones meant, and the streams are refused.

--- a/tests/daemon/fleet/test_origins.py
+++ b/tests/daemon/fleet/test_origins.py
@@ -434,6 +434,26 @@
         self.assertTrue(self.hosts["p1"].ledger.is_complete)
         self.assertEqual(len(self.hosts["p1"].ledger.origins), 2)
 
+    def test_stream_whose_record_was_not_sent_does_not_go_on_at_the_version_that_is_left(
+        self,
+    ) -> None:
+        """Guards against the one version left, for a stream whose router died before it told.
+
+        Right after its first event all routers are killed, its endpoints leave, and the replicas
+        lose power as well.
+        """
+        self.announce(V1, V2)
+        self.cut.add("r1")
+        self.begin("r1", "a", V1)
+        for name in REPLICAS:
+            self.restart(name, keeps_disk=True)
+        self.open_router("r3")
+        self.clients["r3"].handle_endpoints(frozenset((V2,)))
+        self.wait_registered(self.clients["r3"], V2)
+        for request in ("a", "never", ""):
+            verdict = self.find("r3", request)
+            self.assertEqual((verdict.origin, verdict.basis), (None, OriginBasis.NO_RECORD))
+
     def test_stream_of_a_route_that_leads_to_another_service_now_is_refused(self) -> None:
         """Guards against a stream that goes on at another service than the one that began it."""
         self.announce(V1)
--- a/tests/system/test_stream_versions.py
+++ b/tests/system/test_stream_versions.py
@@ -183,6 +183,33 @@
         ]
         return len(registered[-1]["versions"]) > 1
 
+    def test_streams_do_not_go_on_at_an_address_that_another_version_has_now(self) -> None:
+        """Guards against a restarted router that still knows the endpoint that had an address.
+
+        The endpoints end without a departure, others of a newer version have their addresses at
+        once, and nothing is announced.
+        """
+        self.open_endpoints("v1", "v1")
+        self.serve()
+
+        def replace() -> None:
+            self.deployment.kill("r2")
+            self.deployment.start("r2")
+            self.deployment.wait_served("r2")
+            for number, endpoint in enumerate(list(self.endpoints), start=1):
+                endpoint.end()
+                successor = StreamingEndpoint(
+                    host=f"{self.deployment.network}.{200 + number}", name="i-new", version="v2"
+                )
+                self.addCleanup(successor.end)
+                self.endpoints.append(successor)
+
+        streams = self.open_streams_and_kill("r1", replace)
+        taken_up = self.take_up(streams, "r2")
+        self.assertEqual({one.status for one in taken_up}, {503})
+        self.assertEqual({version for one in streams for version in one.versions}, {"v1"})
+        self.assertGreater(sum(one.misdirected for one in self.endpoints), 0)
+
     def test_streams_of_a_version_that_has_left_are_refused_as_not_run(self) -> None:
         """Guards against streams that go on at the version which has replaced their own."""
         self.open_endpoints("v1", "v1")
