End the request of a caller that leaves while a connection is opened

Cause: `watch_caller` throws `CallerLeftError` into the greenlet that waits for the connection. `open_socket` caught every `Exception` there and made it `NotSentError`, which is tried again elsewhere.

`open_socket` now takes only errors of the connection itself for a failed attempt: `OSError` and the errors of urllib3.

--- a/chivetrack/components/upstream/connection.py
+++ b/chivetrack/components/upstream/connection.py
@@ -178,7 +178,8 @@
     )
     try:
         http_connection.connect()
-    except Exception as error:
+    except (OSError, urllib3.exceptions.HTTPError) as error:
+        # Only errors of the connection: a caller that leaves meanwhile ends the request.
         http_connection.close()
         is_timeout = isinstance(error, urllib3.exceptions.ConnectTimeoutError)
         kind = ConnectTimeoutError if is_timeout else NotSentError
