Take every failure to open a connection for a failed attempt

Cause: `open_socket` took the address apart and built the connection outside its `try`, so that `InvalidURL` and `ValueError` left it. The attempt ended with an exception and without a result: no failure was recorded, no other endpoint was tried. `_open_far`, `probe_address` and `_open_carried` took addresses apart in the same way and caught `OSError` only.

`read_address` now reads what is dialed. It knows IP:PORT alone, as the platform's pages write it: a name would be looked up without a bound on the time. An address that it doesn't know is a failed attempt (`NotSentError`), a carrier that doesn't reach the endpoint, a router that carries nothing, or a probe that tells nothing. What is left of http.client on the way to a connection is gone: `create_connection` opens the socket.

--- a/chivetrack/components/upstream/connection.py
+++ b/chivetrack/components/upstream/connection.py
@@ -9,8 +9,7 @@
 from dataclasses import dataclass
 
 import gevent
-import urllib3.exceptions
-from urllib3.connection import HTTPConnection
+from urllib3.util.connection import create_connection
 
 from chivetrack.components.upstream.answer_head import (
     AnswerHead,
@@ -22,6 +21,7 @@
 from chivetrack.components.upstream.chunks import ChunkDecoder, ChunkError
 from chivetrack.components.upstream.const import READ_SIZE
 from chivetrack.components.upstream.models import BrokenAnswerError, Framing
+from chivetrack.helpers.addresses import MAX_ADDRESS_LENGTH, read_address
 from chivetrack.helpers.sockets import count_unacknowledged
 
 # TCP closes the connection when sent bytes stay unacknowledged for longer. A host that lost
@@ -171,21 +171,18 @@
 
 
 def open_socket(address: str, *, timeout_s: float) -> socket.socket:
-    """Connect to an endpoint at ``address`` (host:port); raise ``NotSentError`` if this fails."""
-    host, _, port = address.rpartition(":")
-    http_connection = HTTPConnection(
-        host, int(port), timeout=timeout_s, socket_options=SOCKET_OPTIONS
-    )
+    """Connect to an endpoint at ``address`` (IP:PORT); raise ``NotSentError`` if this fails."""
+    target = read_address(address)
+    if target is None:
+        raise NotSentError(f"cannot connect to {address[:MAX_ADDRESS_LENGTH]!r}: no IP:PORT")
     try:
-        http_connection.connect()
-    except (OSError, urllib3.exceptions.HTTPError) as error:
+        return create_connection(
+            (target.host, target.port), timeout_s, socket_options=SOCKET_OPTIONS
+        )
+    except (OSError, ValueError) as error:
         # Only errors of the connection: a caller that leaves meanwhile ends the request.
-        http_connection.close()
-        is_timeout = isinstance(error, urllib3.exceptions.ConnectTimeoutError)
-        kind = ConnectTimeoutError if is_timeout else NotSentError
+        kind = ConnectTimeoutError if isinstance(error, TimeoutError) else NotSentError
         raise kind(f"cannot connect to {address}: {error}") from error
-    assert http_connection.sock is not None
-    return http_connection.sock
 
 
 class EndpointConnection:
--- a/chivetrack/daemon/fleet/crashes.py
+++ b/chivetrack/daemon/fleet/crashes.py
@@ -13,6 +13,7 @@
 from chivetrack.components.announcements.models import EndpointRecord, Incarnation
 from chivetrack.components.quarantine.models import CrashReport
 from chivetrack.daemon.fleet.calls import Call
+from chivetrack.helpers.addresses import read_address
 from chivetrack.helpers.events import EventLog
 
 # A crash breaks all answers of an endpoint within a few milliseconds; one probe covers them.
@@ -39,9 +40,11 @@
 
     Only a refused connection shows that no process listens; an unreachable host proves nothing.
     """
-    host, _, port = address.rpartition(":")
+    target = read_address(address)
+    if target is None:
+        return ProbeResult.UNKNOWN
     try:
-        with socket.create_connection((host, int(port)), timeout=PROBE_TIMEOUT_S):
+        with socket.create_connection((target.host, target.port), timeout=PROBE_TIMEOUT_S):
             return ProbeResult.ACCEPTED
     except OSError as error:
         return ProbeResult.REFUSED if error.errno == errno.ECONNREFUSED else ProbeResult.UNKNOWN
--- a/chivetrack/daemon/fleet/dialer.py
+++ b/chivetrack/daemon/fleet/dialer.py
@@ -21,6 +21,7 @@
 from chivetrack.components.upstream.idle_connections import IdleConnections
 from chivetrack.daemon.fleet.const import CONNECT_TIMEOUT_S
 from chivetrack.daemon.fleet.paths import EndpointPaths
+from chivetrack.helpers.addresses import read_address
 from chivetrack.helpers.codec import pack
 from chivetrack.helpers.events import EventLog
 
@@ -193,14 +194,16 @@
     carrier: str, record: EndpointRecord, request_id: str, *, timeout_s: float
 ) -> CarriedSocket | CarryVerdict:
     """Ask a router to carry a connection; return its verdict if it is not connected."""
-    host, _, port = carrier.rpartition(":")
+    router = read_address(carrier)
+    if router is None:
+        return CarryVerdict.REFUSED
     request = CarryRequest(
         endpoint_id=record.endpoint_id, address=record.address, request_id=request_id
     )
     ends_at = time.monotonic() + timeout_s
     try:
         opened = gevent_socket.create_connection(
-            (host, int(port)), min(CONNECT_TIMEOUT_S, timeout_s)
+            (router.host, router.port), min(CONNECT_TIMEOUT_S, timeout_s)
         )
     except OSError:
         return CarryVerdict.REFUSED
--- a/chivetrack/daemon/fleet/stream_carrier.py
+++ b/chivetrack/daemon/fleet/stream_carrier.py
@@ -15,6 +15,7 @@
 from chivetrack.components.upstream.carried import END_BLOCK, encode_block
 from chivetrack.components.upstream.connection import SOCKET_OPTIONS
 from chivetrack.daemon.fleet.const import CONNECT_TIMEOUT_S
+from chivetrack.helpers.addresses import read_address
 from chivetrack.helpers.events import EventLog
 
 _READ_BYTES = 16 * 1024
@@ -151,8 +152,10 @@
 
 def _open_far(address: str) -> gevent_socket.socket:
     """Connect to an endpoint; raise ``OSError`` if it can't be reached."""
-    host, _, port = address.rpartition(":")
-    opened = gevent_socket.create_connection((host, int(port)), CONNECT_TIMEOUT_S)
+    target = read_address(address)
+    if target is None:
+        raise OSError("the address is no IP:PORT")
+    opened = gevent_socket.create_connection((target.host, target.port), CONNECT_TIMEOUT_S)
     for option in SOCKET_OPTIONS:
         opened.setsockopt(*option)
     return opened
