Check the addresses of endpoints wherever their records come in

Cause: `read_heartbeat` took any text before the last colon for a host. The entry was kept by every replica and router, and on the replicas' disks; without load, it was the first choice of each request.

`find_fault` now tells what makes a record unsound. `read_heartbeat` rejects such an entry with 400, and `EndpointTable.merge`, through which all records of other instances and those read back from disk go, leaves it out. So an entry that an earlier release has kept or passes on does not bring the fault back.

--- a/chivetrack/components/announcements/table.py
+++ b/chivetrack/components/announcements/table.py
@@ -1,7 +1,7 @@
 """Table of all known endpoints, merged from announcements that arrive in any order."""
 
 import zlib
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 
 import msgspec
@@ -11,6 +11,7 @@
     EndpointRecord,
     EndpointState,
 )
+from chivetrack.components.announcements.soundness import UnsoundRecord, find_fault
 
 # Three heartbeat intervals of 1.2 s plus the delay of a late heartbeat. An endpoint that has
 # sent no heartbeat for this time (silent) has crashed or is cut off from every replica.
@@ -26,6 +27,8 @@
 # Longer than a heartbeat interval: an endpoint that still has its address would have sent a
 # heartbeat since.
 SUPERSEDED_AFTER_S = 1.5
+# The writer of the records that a replica restores at its start.
+RESTART_FILE = "restart_file"
 
 
 @dataclass(slots=True, kw_only=True)
@@ -43,16 +46,29 @@
     A heartbeat without changes only updates the time at which the endpoint was last seen;
     followers receive only changes. Entries are kept in the order of their changes, so that
     the cost of listing the newest ones does not grow with the fleet.
+
+    Unsound records are left out, wherever they come from: one of them would end the loops that
+    encode the table for other instances, or each request that is placed on its endpoint.
     """
 
     def __init__(self) -> None:
         """Create an empty table."""
         self._entries: dict[str, _Entry] = {}
         self._ids_at: dict[str, set[str]] = {}
+        self._unsound_listeners: list[Callable[[UnsoundRecord], None]] = []
         self.change = 0
 
-    def merge(self, record: EndpointRecord, *, now: float) -> bool:
-        """Merge an announcement; return whether it is a change that followers must receive."""
+    def listen_to_unsound(self, listener: Callable[[UnsoundRecord], None]) -> None:
+        """Call ``listener`` with each record that is left out."""
+        self._unsound_listeners.append(listener)
+
+    def merge(self, record: EndpointRecord, *, now: float, writer: str = "") -> bool:
+        """Merge an announcement; return whether it is a change that followers must receive.
+
+        ``writer`` is the instance or the file that it came from.
+        """
+        if self._leaves_out(record, writer):
+            return False
         entry = self._entries.get(record.endpoint_id)
         if entry is None:
             checksum = _make_checksum(record)
@@ -70,6 +86,15 @@
         entry.is_restored = False
         return self._replace(entry, record)
 
+    def _leaves_out(self, record: EndpointRecord, writer: str) -> bool:
+        fault = find_fault(record)
+        if fault is None:
+            return False
+        unsound = UnsoundRecord(writer=writer, endpoint_id=record.endpoint_id, fault=fault)
+        for listener in self._unsound_listeners:
+            listener(unsound)
+        return True
+
     def _replace(self, entry: _Entry, record: EndpointRecord) -> bool:
         """Replace the record of an entry; return whether followers must receive it."""
         is_change = _normalize(record) != _normalize(entry.record)
@@ -136,7 +161,7 @@
     def restore(self, records: Iterable[EndpointRecord], *, now: float) -> None:
         """Merge records stored before a restart; they count as restored until confirmed."""
         for record in records:
-            if self.merge(record, now=now):
+            if self.merge(record, now=now, writer=RESTART_FILE):
                 self._entries[record.endpoint_id].is_restored = True
 
     def mark_unconfirmed_lost(self, now: float) -> bool:
--- a/chivetrack/components/distribution/subscriber.py
+++ b/chivetrack/components/distribution/subscriber.py
@@ -325,7 +325,7 @@
         replica.keeps_origins = view.keeps_origins
         self._record_age(view)
         for record in view.records:
-            self._table.merge(record, now=now)
+            self._table.merge(record, now=now, writer=source)
         self.restart_count += bool(replica.run) and view.run != replica.run
         replica.record_run(view.run)
         if view.has_loads:
@@ -360,7 +360,7 @@
             self._on_bad_update(update.replica, unpacked.error)
             return []
         for record in unpacked.ok:
-            self._table.merge(record, now=now)
+            self._table.merge(record, now=now, writer=update.replica)
         replica = self._record_named(update.replica, now)
         replica.record_run(update.run)
         replica.record_changes(update.base, update.change, is_partial=update.is_partial)
--- a/chivetrack/daemon/fleet/control_handler.py
+++ b/chivetrack/daemon/fleet/control_handler.py
@@ -227,7 +227,7 @@
 
     def _handle_records(self, source: str, message: BroadcastRecords) -> None:
         now = time.monotonic()
-        changes = [self._table.merge(record, now=now) for record in message.records]
+        changes = [self._table.merge(record, now=now, writer=source) for record in message.records]
         changes += [self._table.refute_lost(record) for record in message.records]
         if any(changes):
             self._push()
--- a/chivetrack/daemon/fleet/meters.py
+++ b/chivetrack/daemon/fleet/meters.py
@@ -5,6 +5,7 @@
 
 from opentelemetry.metrics import CallbackOptions, Observation
 
+from chivetrack.components.announcements.soundness import RecordFault
 from chivetrack.components.origins.models import Continuation
 from chivetrack.components.traffic.requests import AnswerFacts
 from chivetrack.components.upstream.answer_head import HeadFault
@@ -95,6 +96,11 @@
             unit="{crash}",
             description="Endpoints that crashed while they had requests of this router.",
         )
+        self._unsound_records = meter.create_counter(
+            "chivetrack.instance.unsound_records",
+            unit="{record}",
+            description="Records of endpoints that were left out, by the field that is unsound.",
+        )
         self._events = meter.create_counter(
             "chivetrack.replica.events", unit="{event}", description="Events by name."
         )
@@ -131,6 +137,10 @@
         """Count bytes that are not the head of an answer."""
         self._unsound_heads.add(1, {"fault": fault.value})
 
+    def record_unsound_record(self, fault: RecordFault) -> None:
+        """Count a record of an endpoint that was left out."""
+        self._unsound_records.add(1, {"field": fault.field})
+
     def record_continuation(self, continuation: Continuation) -> None:
         """Count a placement that continues a stream."""
         by = "caller" if continuation.is_by_caller else "router"
--- a/chivetrack/daemon/fleet/metrics.py
+++ b/chivetrack/daemon/fleet/metrics.py
@@ -7,6 +7,7 @@
 
 from bottle import Bottle, HTTPResponse
 
+from chivetrack.components.announcements.soundness import RecordFault
 from chivetrack.components.origins.models import Continuation
 from chivetrack.components.traffic.requests import AnswerFacts
 from chivetrack.components.upstream.answer_head import HeadFault
@@ -61,6 +62,10 @@
         """Count bytes of an endpoint that are not the head of an answer."""
         self._record(lambda meters: meters.record_unsound_head(fault))
 
+    def record_unsound_record(self, fault: RecordFault) -> None:
+        """Count a record of an endpoint that was left out."""
+        self._record(lambda meters: meters.record_unsound_record(fault))
+
     def record_continuation(self, continuation: Continuation) -> None:
         """Count a placement that continues a stream."""
         self._record(lambda meters: meters.record_continuation(continuation))
--- a/chivetrack/daemon/fleet/replica.py
+++ b/chivetrack/daemon/fleet/replica.py
@@ -60,6 +60,7 @@
 from chivetrack.daemon.fleet.peering import TrafficLog, list_seed_peers, make_transport, send_all
 from chivetrack.daemon.fleet.quarantine_host import QuarantineHost
 from chivetrack.daemon.fleet.restart_file import RestartFile
+from chivetrack.daemon.fleet.unsound_log import UnsoundLog
 from chivetrack.daemon.server import HttpServer
 from chivetrack.helpers.codec import Message
 from chivetrack.helpers.events import EventLog
@@ -86,6 +87,8 @@
         self._rollout_told: RolloutState | None = None
         self._store = DocumentStore()
         self._table = EndpointTable()
+        unsound_log = UnsoundLog(events=events, metrics=self._metrics)
+        self._table.listen_to_unsound(unsound_log.record)
         self.transport = make_transport(
             settings, events=events, handle_message=self._handle_message
         )
@@ -219,6 +222,7 @@
                 handler=self._control_handler,
                 unpack=unpack_document,
                 report_invalid=self._log_rejected,
+                report_unsound=unsound_log.record,
             ),
             refuse=self._refuser,
         )
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -55,6 +55,7 @@
 from chivetrack.daemon.fleet.router_messages import RouterMessages
 from chivetrack.daemon.fleet.shedding import LoopMonitor
 from chivetrack.daemon.fleet.stream_carrier import StreamCarrier
+from chivetrack.daemon.fleet.unsound_log import UnsoundLog
 from chivetrack.daemon.server import HttpServer
 from chivetrack.daemon.server_limits import ServerLimits
 from chivetrack.helpers.events import EventLog
@@ -109,6 +110,8 @@
             may_begin=lambda origin: self._origins.tracker.may_begin(origin),
             list_lost_zones=lambda: self._paths.list_lost_zones(),
         )
+        unsound_log = UnsoundLog(events=events, metrics=self._metrics)
+        self.view.directory.table.listen_to_unsound(unsound_log.record)
         self.view.document_listeners.append(self._apply_limits)
         self._metrics.add_gauges(
             *list_router_gauges(
--- a/chivetrack/helpers/addresses.py
+++ b/chivetrack/helpers/addresses.py
@@ -1,23 +1,31 @@
 """Reading of the addresses that other parties write."""
 
 import ipaddress
+from functools import lru_cache
 
 from chivetrack.helpers.numbers import read_count
 from chivetrack.helpers.sections.values import MAX_PORT, Address
 
 # The longest IPv6 address in brackets, a colon and a port.
 MAX_ADDRESS_LENGTH = 55
+# Each heartbeat states the address of its endpoint again.
+_MAX_CACHED = 8192
 
 
 def read_address(text: str) -> Address | None:
     """Return the address that ``IP:PORT`` states, ``None`` for any other text.
 
-    An IPv6 address stands in brackets. Names are not accepted: looking one up may take longer than
-    any timeout of a connection. Nor are addresses at which no host can be reached.
+    An IPv6 address stands in brackets. Names are not accepted: looking one up has no timeout, and
+    blocks the whole process. Nor are addresses at which no host can be reached.
     """
+    return _parse(text) if len(text) <= MAX_ADDRESS_LENGTH else None
+
+
+@lru_cache(maxsize=_MAX_CACHED)
+def _parse(text: str) -> Address | None:
     host_text, _, port_text = text.rpartition(":")
     port = read_count(port_text)
-    if len(text) > MAX_ADDRESS_LENGTH or port is None or not 0 < port <= MAX_PORT:
+    if port is None or not 0 < port <= MAX_PORT:
         return None
     host = _read_host(host_text)
     if host is None or host.is_unspecified or host.is_multicast:
--- a/chivetrack/platform/announcements.py
+++ b/chivetrack/platform/announcements.py
@@ -1,12 +1,18 @@
 """Decoders for the heartbeats and departures that endpoints send."""
 
+import re
+
 import msgspec
 from expression import Error, Ok, Result
 
 from chivetrack.components.announcements.models import EndpointRecord, EndpointState
-from chivetrack.helpers.numbers import read_count
-from chivetrack.helpers.sections.values import MAX_PORT
+from chivetrack.components.announcements.soundness import RecordFault, find_fault
 
+# The body as a whole, where no field of it can be named.
+_BODY = "body"
+_RECORD_FIELDS = {"version": "software", "coldRemainingMs": "cold_s"}
+_PATH = re.compile(r"`\$\.(\w+)")
+_MISSING = re.compile(r"required field `(\w+)`")
 _STATES = {"ready": EndpointState.READY, "draining": EndpointState.DRAINING}
 
 
@@ -42,38 +48,44 @@
 _DEPARTURE = msgspec.json.Decoder(_Departure)
 
 
-def read_heartbeat(endpoint_id: str, body: bytes) -> Result[EndpointRecord, str]:
+def read_heartbeat(endpoint_id: str, body: bytes) -> Result[EndpointRecord, RecordFault]:
     """Decode a heartbeat; the error side says why it cannot be used."""
     try:
         beat = _HEARTBEAT.decode(body)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
-        return Error(str(error))
+        return Error(_make_decode_fault(error))
     state = _STATES.get(beat.state)
     if state is None:
-        return Error(f"the state {beat.state!r} is not known")
-    if not (endpoint_id and beat.service and _is_address(beat.address)):
-        return Error("the id, the service or the address is missing or invalid")
-    return Ok(
-        EndpointRecord(
-            endpoint_id=endpoint_id,
-            born=beat.born,
-            sequence=beat.sequence,
-            service=beat.service,
-            address=beat.address,
-            zone=beat.zone,
-            software=beat.version,
-            slots=beat.slots,
-            state=state,
-            cold_s=beat.cold_remaining_ms / 1000.0,
-            models=tuple(model.name for model in beat.models),
-        )
+        return Error(RecordFault("state", "the state is not known"))
+    if not endpoint_id:
+        return Error(RecordFault("endpoint_id", "it is empty"))
+    if not beat.service:
+        return Error(RecordFault("service", "it is empty"))
+    record = _make_record(endpoint_id, beat, state)
+    fault = find_fault(record)
+    return Ok(record) if fault is None else Error(fault)
+
+
+def _make_record(endpoint_id: str, beat: _Heartbeat, state: EndpointState) -> EndpointRecord:
+    return EndpointRecord(
+        endpoint_id=endpoint_id,
+        born=beat.born,
+        sequence=beat.sequence,
+        service=beat.service,
+        address=beat.address,
+        zone=beat.zone,
+        software=beat.version,
+        slots=beat.slots,
+        state=state,
+        cold_s=beat.cold_remaining_ms / 1000.0,
+        models=tuple(model.name for model in beat.models),
     )
 
 
-def _is_address(text: str) -> bool:
-    host, _, port_text = text.rpartition(":")
-    port = read_count(port_text)
-    return bool(host) and port is not None and 0 < port <= MAX_PORT
+def _make_decode_fault(error: Exception) -> RecordFault:
+    stated = _PATH.search(str(error)) or _MISSING.search(str(error))
+    name = _BODY if stated is None else stated[1]
+    return RecordFault(_RECORD_FIELDS.get(name, name), str(error))
 
 
 def read_departure(body: bytes) -> int | None:
--- a/chivetrack/platform/control_api.py
+++ b/chivetrack/platform/control_api.py
@@ -10,6 +10,7 @@
 from expression import Result
 
 from chivetrack.components.announcements.models import EndpointRecord
+from chivetrack.components.announcements.soundness import RecordFault, UnsoundRecord
 from chivetrack.components.caller_api.const import ENVIRON_SOCKET
 from chivetrack.components.caller_api.watch import has_left
 from chivetrack.components.document.store import StoredDocument
@@ -85,17 +86,18 @@
     handler: ControlRequestHandler,
     unpack: Callable[[bytes], bytes],
     report_invalid: Callable[[str, str], None],
+    report_unsound: Callable[[UnsoundRecord], None],
 ) -> Bottle:
     """Return the application of the control listener.
 
     ``unpack`` decompresses a stored document. ``report_invalid`` is called with the kind of
-    an invalid body and what is wrong with it.
+    an invalid body and what is wrong with it, ``report_unsound`` for a call of an endpoint.
     """
     app = make_app()
     _add_configuration_calls(app, handler, unpack, report_invalid)
     _add_zone_calls(app, handler)
     _add_quarantine_calls(app, handler)
-    _add_endpoint_calls(app, handler, report_invalid)
+    _add_endpoint_calls(app, handler, report_unsound)
     return app
 
 
@@ -184,13 +186,20 @@
 
 
 def _add_endpoint_calls(
-    app: Bottle, handler: ControlRequestHandler, report_invalid: Callable[[str, str], None]
+    app: Bottle,
+    handler: ControlRequestHandler,
+    report_unsound: Callable[[UnsoundRecord], None],
 ) -> None:
+    def reject(endpoint_id: str, fault: RecordFault) -> HTTPResponse:
+        writer = request.environ.get("REMOTE_ADDR", "")
+        report_unsound(UnsoundRecord(writer=writer, endpoint_id=endpoint_id, fault=fault))
+        message = f"{fault.field}: {fault.detail}"[:_MAX_ERROR_TEXT]
+        return _make_response(400, {"error": "unsound", "message": message})
+
     def put_endpoint(endpoint_id: str) -> HTTPResponse:
         record = read_heartbeat(endpoint_id, _read_body())
         if record.is_error():
-            report_invalid("heartbeat", record.error)
-            return _make_response(400, {"error": record.error})
+            return reject(endpoint_id, record.error)
         outcome = handler.announce(record.ok)
         return _make_response(200, {}) if outcome.is_ok() else _make_refusal(outcome.error, "")
 
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -12,6 +12,7 @@
 from gevent.threadpool import ThreadPool
 
 from chivetrack.components.announcements.models import EndpointRecord, EndpointState
+from chivetrack.components.announcements.soundness import UnsoundRecord
 from chivetrack.components.document.store import StoredDocument
 from chivetrack.components.traffic.models import Document, RouteKind
 from chivetrack.exceptions import Fault
@@ -136,12 +137,26 @@
             json.dumps({**BEAT, "address": "10.4.64.43:0"}).encode(),
             json.dumps({**BEAT, "address": "10.4.64.43:65536"}).encode(),
             json.dumps({**BEAT, "address": "10.4.64.43:²"}).encode(),
+            json.dumps({**BEAT, "address": "10.4.64.43:8281, 10.4.64.44:8281"}).encode(),
             json.dumps({**BEAT, "models": "m"}).encode(),
         ]
         for body in bodies:
             with self.subTest(body=body):
                 self.assertTrue(read_heartbeat("i-1", body).is_error())
 
+    def test_fault_names_its_field(self) -> None:
+        cases = {
+            "body": b"[]",
+            "sequence": json.dumps({**BEAT, "sequence": "4"}).encode(),
+            "cold_s": json.dumps({**BEAT, "coldRemainingMs": "1"}).encode(),
+            "service": json.dumps({k: v for k, v in BEAT.items() if k != "service"}).encode(),
+            "address": json.dumps({**BEAT, "address": "a b:80"}).encode(),
+            "models": json.dumps({**BEAT, "models": [{}]}).encode(),
+        }
+        for field, body in cases.items():
+            with self.subTest(field):
+                self.assertEqual(read_heartbeat("i-1", body).error.field, field)
+
     def test_departure(self) -> None:
         self.assertIsNone(read_departure(b""))
         self.assertIsNone(read_departure(b"what"))
@@ -175,10 +190,12 @@
     def setUp(self) -> None:
         self.handler = StubHandler()
         self.bad: list[str] = []
+        self.unsound: list[UnsoundRecord] = []
         app = build_control_app(
             handler=self.handler,
             unpack=zlib.decompress,
             report_invalid=lambda what, detail: self.bad.append(what),
+            report_unsound=self.unsound.append,
         )
         self.server = WSGIServer(("127.0.0.1", 0), app, log=None)
         self.server.start()
@@ -233,7 +250,11 @@
         self.assertEqual(answer.status, 200)
         self.assertEqual(self.handler.records[0].endpoint_id, "i-1")
         self.assertEqual(self.send_request("PUT", "/instances/i-1", b"x").status, 400)
-        self.assertEqual(self.bad, ["heartbeat"])
+        (unsound,) = self.unsound
+        self.assertEqual(
+            (unsound.writer, unsound.endpoint_id, unsound.fault.field),
+            ("127.0.0.1", "i-1", "body"),
+        )
         self.assertEqual(self.send_request("DELETE", "/instances/i-1").status, 200)
 
 
