Search each byte of an answer's head once

Cause: the end of the open line was searched from its beginning after each piece.

Why it is enough: only the last byte that was searched can begin a line end with what follows. The test failed before.

--- a/chivetrack/components/upstream/answer_head.py
+++ b/chivetrack/components/upstream/answer_head.py
@@ -132,9 +132,10 @@
         """Return the head once it is whole; raise ``AnswerHeadError`` if the bytes are none."""
         buffer = self.rest + data if self.rest else data
         position = 0
+        unsearched = max(0, len(self.rest) - 1)
         head: AnswerHead | None = None
         while head is None:
-            end = buffer.find(_LINE_END, position)
+            end = buffer.find(_LINE_END, max(position, unsearched))
             if end < 0:
                 break
             line = buffer[position:end]
--- a/tests/components/upstream/test_answer_head.py
+++ b/tests/components/upstream/test_answer_head.py
@@ -18,6 +18,7 @@
 FUZZ_SEED = 66
 FUZZ_INPUTS = 20_000
 MAX_BLANKS_S = 1.0
+MAX_SLOW_HEAD_S = 4.0
 SOUND_HEADS = {
     b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n": (200, Framing.LENGTH, 5, False),
     b"HTTP/1.1 200 OK\r\ncontent-length:5\t \r\nX-A: b c\xff\r\n\r\n": (
@@ -222,6 +223,13 @@
                 parse(b"HTTP/1.1 200 OK\r\n%b\r\n\r\n" % line)
         self.assertLess(time.process_time() - began, MAX_BLANKS_S)
 
+    def test_long_line_of_single_bytes_is_searched_once(self) -> None:
+        """Guards against seconds of work for one head that arrives byte by byte."""
+        line = b"HTTP/1.1 200 OK\r\nX: " + b"y" * (MAX_HEAD_BYTES - 100)
+        began = time.process_time()
+        parse(line, *range(len(line)))
+        self.assertLess(time.process_time() - began, MAX_SLOW_HEAD_S)
+
     def test_header_lines_keep_case_and_order(self) -> None:
         head, _ = parse(b"HTTP/1.1 200 OK\r\nB: 1\r\nx-Y:  two \r\nb: 3\r\n\r\n")
         assert head is not None
