Read chunked framing only in the forms of HTTP

What callers saw: nothing yet. The decoder took sizes with any blanks, form feeds or bare line feeds around them, control characters and line ends in extensions, and any bytes as a trailer, so that an answer that followed a lost last line end was swallowed as one.

Cause: `bytes.strip` removes more than blanks, and neither extensions nor trailer lines were looked at. A bare line feed in a line without an end waited for more bytes.

Why this works: a size is hexadecimal digits, followed by nothing or by extensions without control characters, with blanks only before a semicolon (RFC 9112, 7.1 and 7.1.1); a trailer line has to be a header line (7.1.2). A wrong byte behind a chunk and a bare line feed are seen at once. Sound extensions with blanks, quoted text and trailers are read as before, split at any byte.

--- a/chivetrack/components/upstream/answer_head.py
+++ b/chivetrack/components/upstream/answer_head.py
@@ -19,7 +19,7 @@
 _STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9]{2})(?: [\t\x20-\x7e\x80-\xff]*)?")
 # Neither bytes below the blank nor 0x7F, so no line end either, except for tabs. Blanks around the
 # value are stripped later: several repetitions that match them take cubic time.
-_HEADER_LINE = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):([\t\x20-\x7e\x80-\xff]*)")
+HEADER_LINE = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):([\t\x20-\x7e\x80-\xff]*)")
 _BLANKS = b" \t"
 # An answer that ended in this line, and the status line of the next one on the connection.
 _JOINED_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: |$)")
@@ -183,7 +183,7 @@
         self._reason = line[match.end(2) + 1 :].decode("latin-1")
 
     def _read_header_line(self, line: bytes) -> None:
-        match = _HEADER_LINE.fullmatch(line)
+        match = HEADER_LINE.fullmatch(line)
         if match is None:
             raise AnswerHeadError(HeadFault.HEADER_LINE, "a header line has no name and value")
         if _JOINED_LINE.search(line):
--- a/chivetrack/components/upstream/chunks.py
+++ b/chivetrack/components/upstream/chunks.py
@@ -1,10 +1,15 @@
 """Incremental decoder for the chunked transfer coding of HTTP/1.1."""
 
+import re
 from enum import StrEnum
 
+from chivetrack.components.upstream.answer_head import HEADER_LINE
 from chivetrack.components.upstream.const import MAX_TRAILER_BYTES
 
 MAX_SIZE_LINE_BYTES = 64
+_LINE_END = b"\r\n"
+# Extensions are not read, but they hold no control characters, so no line ends either.
+_SIZE_LINE = re.compile(rb"([0-9a-fA-F]+)(?:[ \t]*;[\t\x20-\x7e\x80-\xff]*)?")
 
 
 class ChunkError(Exception):
@@ -63,10 +68,12 @@
         return False
 
     def _read_line(self, limit: int) -> bytes | None:
-        line, end, rest = self._buffer.partition(b"\r\n")
+        line, end, rest = self._buffer.partition(_LINE_END)
         if len(line) > limit:
             raise ChunkError("a line of the chunked framing is too long")
         if not end:
+            if b"\n" in line:
+                raise ChunkError("a line of the chunked framing has no sound end")
             return None
         self._buffer = rest
         return line
@@ -75,10 +82,10 @@
         line = self._read_line(MAX_SIZE_LINE_BYTES)
         if line is None:
             return False
-        digits = line.partition(b";")[0].strip()
-        if not digits or digits.strip(b"0123456789abcdefABCDEF"):
+        match = _SIZE_LINE.fullmatch(line)
+        if match is None:
             raise ChunkError("the size of a chunk is not a hexadecimal number")
-        self._bytes_left = int(digits, 16)
+        self._bytes_left = int(match[1], 16)
         self._part = _Part.DATA if self._bytes_left else _Part.TRAILER
         return True
 
@@ -94,11 +101,11 @@
         return True
 
     def _read_data_end(self) -> bool:
-        if len(self._buffer) < 2:
-            return False
-        if self._buffer[:2] != b"\r\n":
+        if not _LINE_END.startswith(self._buffer[: len(_LINE_END)]):
             raise ChunkError("a chunk is longer than its size")
-        self._buffer = self._buffer[2:]
+        if len(self._buffer) < len(_LINE_END):
+            return False
+        self._buffer = self._buffer[len(_LINE_END) :]
         self._part = _Part.SIZE
         return True
 
@@ -106,7 +113,9 @@
         line = self._read_line(self._trailer_bytes_left)
         if line is None:
             return False
-        self._trailer_bytes_left -= len(line) + 2
+        self._trailer_bytes_left -= len(line) + len(_LINE_END)
         if not line:
             self._part = _Part.ENDED
+        elif HEADER_LINE.fullmatch(line) is None:
+            raise ChunkError("a line of the trailer has no name and value")
         return True
--- a/tests/components/upstream/test_chunks.py
+++ b/tests/components/upstream/test_chunks.py
@@ -10,7 +10,7 @@
     """Return the chunked form of a body, with random extensions and a random trailer."""
     lines = []
     for part in parts:
-        extension = rng.choice([b"", b";a=b"])
+        extension = rng.choice([b"", b";a=b", b" ; a", b'\t;a="\x80 ;"'])
         size = b"%X" % len(part) if rng.random() < 0.5 else b"%x" % len(part)
         lines.append(size + extension + b"\r\n" + part + b"\r\n")
     trailer = rng.choice([b"", b"X-Sum: 1\r\n"])
@@ -45,13 +45,40 @@
             ("no size", b"\r\n"),
             ("sign", b"+5\r\nhello\r\n"),
             ("underscore", b"1_0\r\n"),
+            ("blank before the size", b" 5\r\n"),
+            ("blank behind the size", b"5 \r\n"),
+            ("form feed behind the size", b"5\x0c\r\n"),
+            ("bare line feed before the size", b"\n5\r\n"),
+            ("bare line feed behind the size", b"5\n"),
+            ("bare line feed in an extension", b"5;a\nb\r\n"),
+            ("carriage return in an extension", b"5;a\rb\r\n"),
+            ("zero byte in an extension", b"5;\0\r\n"),
+            ("extension without a semicolon", b"5 a=b\r\n"),
             ("longer than its size", b"5\r\nhello!\r\n"),
+            ("longer by one byte", b"5\r\nhello!"),
+            ("bare line feed behind the last size", b"0\n\n"),
+            ("bare line feed as its end", b"0\r\n\n"),
+            ("bare line feed in a trailer", b"0\r\na: b\nc: d\r\n\r\n"),
+            ("trailer without a colon", b"0\r\nbroken\r\n\r\n"),
+            ("blank before the colon of a trailer", b"0\r\na : b\r\n\r\n"),
+            ("folded trailer", b"0\r\na: b\r\n c\r\n\r\n"),
+            ("zero byte in a trailer", b"0\r\na: \0\r\n\r\n"),
+            ("another answer in place of a trailer", b"0\r\nHTTP/1.1 200 OK\r\n\r\n"),
             ("endless size", b"0" * 100),
         ]
         for name, data in table:
             with self.subTest(name), self.assertRaises(ChunkError):
                 ChunkDecoder().feed(data)
 
+    def test_any_split_of_invalid_framing_is_an_error(self) -> None:
+        """Guards against a line end that is taken for a sound one when it comes in two parts."""
+        for data in (b"5\n", b"5;a\rb\r\n", b"0\r\na: b\nc: d\r\n\r\n", b"5\r\nhello\n\r\n"):
+            for size in range(len(data)):
+                with self.subTest(data=data, size=size), self.assertRaises(ChunkError):
+                    decoder = ChunkDecoder()
+                    decoder.feed(data[:size])
+                    decoder.feed(data[size:])
+
     def test_bytes_after_the_end(self) -> None:
         decoder = ChunkDecoder()
         decoder.feed(b"0\r\n\r\nHTTP/1.1")
