Ask for the origin of a stream again right after the start of a router

Callers saw: all routers and a replica are killed at once; take-ups that reach a router within the first tenths of a second of its life get 503 (no_majority), though two of three replicas serve and one version is remembered.

Cause: a router that has just started is connected to one replica only, and a lookup asks once and ends after 0.25 s. New streams wait for their version up to 2 s after the start, take-ups did not.

In these 2 s the router now asks again while it has no majority, for half of the caller's time at most. What is known (no record, another service) is refused at once as before, and a router that has run for longer asks once. A query that is sent again comes after the caller's request as well, so its answers prove as much.

--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -13,8 +13,8 @@
 from chivetrack.components.caller_api.watch import CallerLeftError, watch_caller
 from chivetrack.components.distribution.document_receiver import DocumentReceiver
 from chivetrack.components.limits.stopping import StopWindow
-from chivetrack.components.origins.const import LOOKUP_TIMEOUT_S
-from chivetrack.components.origins.models import Continuation
+from chivetrack.components.origins.const import LOOKUP_RETRY_S, LOOKUP_TIMEOUT_S
+from chivetrack.components.origins.models import Continuation, OriginBasis, OriginVerdict
 from chivetrack.components.placement.choice import Choice
 from chivetrack.components.quarantine.fingerprint import make_fingerprint
 from chivetrack.components.retries.sending import (
@@ -259,7 +259,7 @@
         """Find out where a stream began that the caller takes up; refuse it if that is unknown."""
         if not call.is_taken_up:
             return True
-        verdict = self._origins.find(call)
+        verdict = self._look_up_origin(call)
         if verdict.origin is None:
             self._refusals.refuse_unknown_origin(call, verdict)
             return False
@@ -267,6 +267,15 @@
         self._origins.record_begin(call)
         return True
 
+    def _look_up_origin(self, call: Call) -> OriginVerdict:
+        """Ask the replicas, right after the start again until a majority of them is reached."""
+        ends_at = time.monotonic() + self._find_start_left(call)
+        verdict = self._origins.find(call)
+        while verdict.basis is OriginBasis.NO_MAJORITY and time.monotonic() < ends_at:
+            gevent.sleep(LOOKUP_RETRY_S)
+            verdict = self._origins.find(call)
+        return verdict
+
     def _try_endpoints(self, call: Call) -> None:
         while True:
             choice = self._prepare_attempt(call)
@@ -332,13 +341,16 @@
             gevent.sleep(wait_s)
 
     def _find_start_wait(self, call: Call) -> float:
-        """Return how long (s) a stream waits for its versions to be confirmed.
+        """Return how long (s) a stream waits for its versions to be confirmed."""
+        return max(LOOKUP_TIMEOUT_S, self._find_start_left(call))
+
+    def _find_start_left(self, call: Call) -> float:
+        """Return how long (s) a request may still wait as the router has just started.
 
-        As for the configuration, longer right after the start, when replicas may start as well.
+        As for the configuration: replicas may start as well. Negative once that has passed.
         """
         now = time.monotonic()
-        start_s = min(self._started_at + START_WAIT_S - now, (call.ends_at - now) / 2)
-        return max(LOOKUP_TIMEOUT_S, start_s)
+        return min(self._started_at + START_WAIT_S - now, (call.ends_at - now) / 2)
 
     def _explain_no_choice(self, call: Call) -> str:
         if call.origin is not None:
--- a/tests/daemon/fleet/test_open_requests.py
+++ b/tests/daemon/fleet/test_open_requests.py
@@ -16,6 +16,7 @@
 from chivetrack.components.placement.choice import Choice
 from chivetrack.components.retries.messages import LeaseAnswer, LeaseRequest
 from chivetrack.components.retries.sending import SendEnd
+from chivetrack.components.traffic.models import RouteKind
 from chivetrack.components.upstream.idle_connections import IdleConnections
 from chivetrack.daemon.fleet.admission import AdmissionClient
 from chivetrack.daemon.fleet.calls import Call
@@ -73,6 +74,8 @@
 
     schedules_slots = False
     min_load = 0.0
+    kind = RouteKind.IDEMPOTENT
+    headers: tuple[tuple[str, str], ...] = ()
 
     def setUp(self) -> None:
         self.go_on = Event()
@@ -86,7 +89,7 @@
             events=self.events,
             decode=lambda body: make_document(
                 1,
-                make_route(timeout_s=LIMIT_S, is_public=True),
+                make_route(timeout_s=LIMIT_S, is_public=True, kind=self.kind),
             ),
             forget_endpoint=lambda endpoint_id: None,
         )
@@ -112,6 +115,7 @@
         self.documents = DocumentReceiver(
             apply=lambda version, body: None, on_unreadable=lambda version, detail: None
         )
+        self.origins = create_autospec(OriginClient, instance=True)
         self.handler = RequestHandler(
             view=self.view,
             forwarder=self.forwarder,
@@ -120,7 +124,7 @@
             retry_budget=self.retry_budget,
             crash_detector=create_autospec(CrashDetector, instance=True),
             documents=self.documents,
-            origins=create_autospec(OriginClient, instance=True),
+            origins=self.origins,
             events=self.events,
             record_end=lambda call, outcome: self.ended.append(outcome),
             record_rejection=lambda fault: None,
@@ -154,7 +158,7 @@
 
     def start(self, body: io.BytesIO | None = None, *, path: str = "/a/x") -> gevent.Greenlet:
         environ = {
-            ENVIRON_HEADERS: [("X-Chivetrack-Attempt-Id", "q1")],
+            ENVIRON_HEADERS: [("X-Chivetrack-Attempt-Id", "q1"), *self.headers],
             ENVIRON_TARGET: path,
             "PATH_INFO": path,
             "HTTP_HOST": "one.example",
