Bound what endpoints say, so that no record ends a loop

Cause: `read_heartbeat` took numbers of any width. No message between instances can hold one of more than 64 bits: the first broadcast with such a record ended the loop by which replicas tell each other of heartbeats (`OverflowError`), each poll that would have brought the record closed its link, and the file that a replica goes on from was never written again. Replicas then missed the heartbeats that only the others received.

`find_fault` now bounds each number and text of a record, narrower than the encoding: sequences of live endpoints end below 2^62, a departure's own; ids are visible ASCII, since they stand in heads of requests. All records pass it, wherever they come from, as do relayed heartbeats; departures and ids in paths are checked as well. A record on disk that can't be decoded leaves the others. Behind this wall, a message that can't be encoded is dropped with a line and ends no loop, and a file that can't be encoded is written again after the next change.

--- a/chivetrack/components/announcements/table.py
+++ b/chivetrack/components/announcements/table.py
@@ -90,10 +90,15 @@
         fault = find_fault(record)
         if fault is None:
             return False
-        unsound = UnsoundRecord(writer=writer, endpoint_id=record.endpoint_id, fault=fault)
+        self.report_unsound(
+            UnsoundRecord(writer=writer, endpoint_id=record.endpoint_id, fault=fault)
+        )
+        return True
+
+    def report_unsound(self, unsound: UnsoundRecord) -> None:
+        """Tell the listeners of a record that is left out."""
         for listener in self._unsound_listeners:
             listener(unsound)
-        return True
 
     def _replace(self, entry: _Entry, record: EndpointRecord) -> bool:
         """Replace the record of an entry; return whether followers must receive it."""
@@ -121,7 +126,7 @@
         return self._replace(entry, msgspec.structs.replace(newest, software=""))
 
     def handle_relayed_heartbeat(
-        self, endpoint_id: str, sequence: int, checksum: int, *, now: float
+        self, endpoint_id: str, sequence: int, checksum: int, *, now: float, writer: str = ""
     ) -> bool:
         """Apply a heartbeat that another replica received; return whether its record is known.
 
@@ -132,7 +137,10 @@
         if entry is None or entry.checksum != checksum:
             return False
         if sequence > entry.record.sequence:
-            entry.record = msgspec.structs.replace(entry.record, sequence=sequence)
+            record = msgspec.structs.replace(entry.record, sequence=sequence)
+            if self._leaves_out(record, writer):
+                return True
+            entry.record = record
             entry.last_seen_at = now
             entry.is_restored = False
         return True
--- a/chivetrack/components/distribution/broadcast.py
+++ b/chivetrack/components/distribution/broadcast.py
@@ -60,16 +60,21 @@
         )
 
     def handle_heartbeats(
-        self, heartbeats: BroadcastHeartbeats, *, now: float
+        self, heartbeats: BroadcastHeartbeats, *, now: float, source: str = ""
     ) -> RecordsRequest | None:
-        """Apply heartbeats that another replica received; return a request for missing records."""
+        """Apply heartbeats that another replica received; return a request for missing records.
+
+        A heartbeat with an unsound sequence is left out; ``source`` is the replica.
+        """
         rows = zip(
             heartbeats.endpoint_ids, heartbeats.sequences, heartbeats.checksums, strict=False
         )
         missing = [
             endpoint_id
             for endpoint_id, sequence, checksum in rows
-            if not self.table.handle_relayed_heartbeat(endpoint_id, sequence, checksum, now=now)
+            if not self.table.handle_relayed_heartbeat(
+                endpoint_id, sequence, checksum, now=now, writer=source
+            )
         ]
         return RecordsRequest(endpoint_ids=tuple(missing)) if missing else None
 
--- a/chivetrack/components/peers/links.py
+++ b/chivetrack/components/peers/links.py
@@ -42,6 +42,7 @@
 from chivetrack.components.peers.room import SendRoom
 from chivetrack.helpers.codec import (
     DecodeError,
+    EncodeError,
     Message,
     Priority,
     decode,
@@ -125,14 +126,23 @@
             self._close(link)
 
     def send(self, target: str, message: Message) -> None:
-        """Queue a message and return at once; a link is opened if there is none."""
+        """Queue a message and return at once; a link is opened if there is none.
+
+        One that can't be encoded is reported and dropped, so that it ends no loop of the caller.
+        """
+        try:
+            body = pack(message)
+        except EncodeError as error:
+            self.traffic.dropped_messages += 1
+            self._on_error(f"message for {target} not sent: {error}")
+            return
         priority = get_priority(message)
         known = self._queues.get((target, priority))
         if known is None:
             outbox = Outbox[_EncodedMessage](self.traffic)
             sender = gevent.spawn(self._run_sender, target, priority, outbox)
             known = self._queues[target, priority] = _Queue(outbox, sender)
-        known.outbox.put(_EncodedMessage(get_kind(message), pack(message)))
+        known.outbox.put(_EncodedMessage(get_kind(message), body))
 
     def answer(self, target: str, message: Message) -> None:
         """Queue a message for an instance that has an open link; drop it if the link is gone.
--- a/chivetrack/daemon/fleet/control_handler.py
+++ b/chivetrack/daemon/fleet/control_handler.py
@@ -209,9 +209,10 @@
                 broadcast.handle_ack(source)
             return True
         if isinstance(message, BroadcastHeartbeats):
-            self._send_if_any(
-                source, self._endpoint_broadcaster.handle_heartbeats(message, now=time.monotonic())
+            missing = self._endpoint_broadcaster.handle_heartbeats(
+                message, now=time.monotonic(), source=source
             )
+            self._send_if_any(source, missing)
             return True
         if isinstance(message, RecordsRequest):
             self._send_if_any(source, self._endpoint_broadcaster.make_records(message))
--- a/chivetrack/daemon/fleet/restart_file.py
+++ b/chivetrack/daemon/fleet/restart_file.py
@@ -1,15 +1,18 @@
 """Stores the state that routers need at once after all instances lost power."""
 
 import time
+from collections.abc import Iterable, Iterator
 from pathlib import Path
 
 import msgspec
 
 from chivetrack.components.announcements.models import EndpointRecord
-from chivetrack.components.announcements.table import EndpointTable
+from chivetrack.components.announcements.soundness import RecordFault, UnsoundRecord
+from chivetrack.components.announcements.table import RESTART_FILE, EndpointTable
 from chivetrack.components.distribution.messages import PlacedPart
 from chivetrack.components.distribution.placements import Placements
 from chivetrack.daemon.fleet.state_file import StateContent, StateFile
+from chivetrack.helpers.codec import DecodeError, decode_as, encode
 from chivetrack.helpers.events import EventLog
 
 _FILE_NAME = "restart"
@@ -18,9 +21,12 @@
 
 
 class _Content(StateContent, array_like=True):
-    """The content of the file; the ages of placements are as of the write."""
+    """The content of the file; the ages of placements are as of the write.
 
-    records: list[EndpointRecord]
+    Each record is decoded by itself, so that one which can't be read leaves the others.
+    """
+
+    records: list[msgspec.Raw]
     placed: list[PlacedPart]
 
 
@@ -65,16 +71,26 @@
         placed = [
             msgspec.structs.replace(one, age_s=one.age_s + passed_s) for one in content.placed
         ]
-        self._table.restore(content.records, now=now)
+        self._table.restore(self._read_records(content.records), now=now)
         self._placements.record(placed, now=now)
         self._events.write(
             "restart_file_read", endpoints=len(content.records), placements=len(placed)
         )
 
+    def _read_records(self, encoded: Iterable[msgspec.Raw]) -> Iterator[EndpointRecord]:
+        for one in encoded:
+            try:
+                yield decode_as(EndpointRecord, bytes(one))
+            except DecodeError as error:
+                fault = RecordFault("body", str(error))
+                self._table.report_unsound(
+                    UnsoundRecord(writer=RESTART_FILE, endpoint_id="", fault=fault)
+                )
+
     def _make_content(self) -> _Content:
         placed, _ = self._placements.list_after(0, now=time.monotonic())
         return _Content(
             written_at=time.time(),
-            records=list(self._table.list_records()),
+            records=[msgspec.Raw(encode(one)) for one in self._table.list_records()],
             placed=list(placed),
         )
--- a/chivetrack/daemon/fleet/state_file.py
+++ b/chivetrack/daemon/fleet/state_file.py
@@ -10,6 +10,7 @@
 from gevent.threadpool import ThreadPool
 
 from chivetrack.components.storage.files import SystemCalls, write_file
+from chivetrack.helpers.codec import EncodeError
 from chivetrack.helpers.events import EventLog
 
 
@@ -95,11 +96,12 @@
         self._is_scheduled = False
         self._is_writing = True
         self._written = self._get_change()
-        data = msgspec.msgpack.encode(self._make_content())
         try:
+            data = msgspec.msgpack.encode(self._make_content())
             self._pool.apply(write_file, (self._path, [data], SystemCalls()))
-        except OSError as error:
-            # The disk may be full. The copy is outdated then; no other component relies on it.
+        except (OSError, OverflowError, EncodeError) as error:
+            # The disk may be full, or a number too wide to be written. The copy is outdated
+            # then; no other component relies on it.
             self._events.write(f"{self._name}_file_not_written", detail=str(error))
         finally:
             self._is_writing = False
--- a/chivetrack/helpers/codec.py
+++ b/chivetrack/helpers/codec.py
@@ -44,6 +44,10 @@
 _MALFORMED = (msgspec.MsgspecError, RecursionError)
 
 
+class EncodeError(Exception):
+    """A message holds a value that the encoding has no form for, such as a wider number."""
+
+
 class DecodeError(Exception):
     """The bytes are not a valid message of the given kind."""
 
@@ -72,8 +76,11 @@
 
 
 def encode(value: Message) -> bytes:
-    """Encode a registered message without its kind."""
-    return _ENCODER.encode(value)
+    """Encode a registered message without its kind; raise ``EncodeError`` if that can't be."""
+    try:
+        return _ENCODER.encode(value)
+    except (OverflowError, TypeError, ValueError) as error:
+        raise EncodeError(f"{get_kind(value)}: {error}") from error
 
 
 def decode(kind: str, payload: bytes) -> Message:
--- a/chivetrack/platform/announcements.py
+++ b/chivetrack/platform/announcements.py
@@ -1,12 +1,20 @@
 """Decoders for the heartbeats and departures that endpoints send."""
 
 import re
+from typing import TypeVar
 
 import msgspec
 from expression import Error, Ok, Result
 
 from chivetrack.components.announcements.models import EndpointRecord, EndpointState
-from chivetrack.components.announcements.soundness import RecordFault, find_fault
+from chivetrack.components.announcements.soundness import (
+    RecordFault,
+    find_born_fault,
+    find_fault,
+    find_id_fault,
+)
+
+MAX_BODY_BYTES = 64 * 1024
 
 # The body as a whole, where no field of it can be named.
 _BODY = "body"
@@ -44,23 +52,21 @@
     born: int | None = None
 
 
+BodyT = TypeVar("BodyT", bound=msgspec.Struct)
+
 _HEARTBEAT = msgspec.json.Decoder(_Heartbeat)
 _DEPARTURE = msgspec.json.Decoder(_Departure)
 
 
 def read_heartbeat(endpoint_id: str, body: bytes) -> Result[EndpointRecord, RecordFault]:
     """Decode a heartbeat; the error side says why it cannot be used."""
-    try:
-        beat = _HEARTBEAT.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
-        return Error(_make_decode_fault(error))
+    decoded = _decode(_HEARTBEAT, body)
+    if decoded.is_error():
+        return Error(decoded.error)
+    beat = decoded.ok
     state = _STATES.get(beat.state)
     if state is None:
         return Error(RecordFault("state", "the state is not known"))
-    if not endpoint_id:
-        return Error(RecordFault("endpoint_id", "it is empty"))
-    if not beat.service:
-        return Error(RecordFault("service", "it is empty"))
     record = _make_record(endpoint_id, beat, state)
     fault = find_fault(record)
     return Ok(record) if fault is None else Error(fault)
@@ -88,11 +94,26 @@
     return RecordFault(_RECORD_FIELDS.get(name, name), str(error))
 
 
-def read_departure(body: bytes) -> int | None:
-    """Return the start time (Unix ms) of the incarnation that ends, ``None`` if not given."""
-    if not body:
-        return None
+def read_departure(endpoint_id: str, body: bytes) -> Result[int | None, RecordFault]:
+    """Return the start time (Unix ms) of the incarnation that ends, ``None`` if not given.
+
+    The error side says why the departure cannot be used. Without a start that can be read, it might
+    end a later incarnation than its own.
+    """
+    decoded = _decode(_DEPARTURE, body or b"{}")
+    if decoded.is_error():
+        return Error(decoded.error)
+    born = decoded.ok.born
+    fault = find_id_fault(endpoint_id)
+    if fault is None and born is not None:
+        fault = find_born_fault(born)
+    return Ok(born) if fault is None else Error(fault)
+
+
+def _decode(decoder: msgspec.json.Decoder[BodyT], body: bytes) -> Result[BodyT, RecordFault]:
+    if len(body) > MAX_BODY_BYTES:
+        return Error(RecordFault(_BODY, f"it is longer than {MAX_BODY_BYTES} bytes"))
     try:
-        return _DEPARTURE.decode(body).born
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
-        return None
+        return Ok(decoder.decode(body))
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        return Error(_make_decode_fault(error))
--- a/chivetrack/platform/control_api.py
+++ b/chivetrack/platform/control_api.py
@@ -20,7 +20,7 @@
 from chivetrack.components.traffic.models import Document
 from chivetrack.exceptions import Fault
 from chivetrack.helpers.numbers import read_count
-from chivetrack.platform.announcements import read_departure, read_heartbeat
+from chivetrack.platform.announcements import MAX_BODY_BYTES, read_departure, read_heartbeat
 from chivetrack.platform.configuration import read_document, render_findings
 from chivetrack.platform.paths import PATH_QUARANTINE, PATH_ZONES
 
@@ -197,15 +197,17 @@
         return _make_response(400, {"error": "unsound", "message": message})
 
     def put_endpoint(endpoint_id: str) -> HTTPResponse:
-        record = read_heartbeat(endpoint_id, _read_body())
+        record = read_heartbeat(endpoint_id, _read_body(MAX_BODY_BYTES + 1))
         if record.is_error():
             return reject(endpoint_id, record.error)
         outcome = handler.announce(record.ok)
         return _make_response(200, {}) if outcome.is_ok() else _make_refusal(outcome.error, "")
 
     def delete_endpoint(endpoint_id: str) -> HTTPResponse:
-        born = read_departure(_read_body())
-        outcome = handler.leave(endpoint_id, born)
+        born = read_departure(endpoint_id, _read_body(MAX_BODY_BYTES + 1))
+        if born.is_error():
+            return reject(endpoint_id, born.error)
+        outcome = handler.leave(endpoint_id, born.ok)
         return _make_response(200, {}) if outcome.is_ok() else _make_refusal(outcome.error, "")
 
     app.route("/instances/<endpoint_id>", "PUT", put_endpoint)
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -144,6 +144,43 @@
             with self.subTest(body=body):
                 self.assertTrue(read_heartbeat("i-1", body).is_error())
 
+    def test_numbers_and_texts_out_of_bounds(self) -> None:
+        """Guards against entries of another writer that no message between instances can hold."""
+        cases: list[tuple[str, dict[str, object]]] = [
+            *(("sequence", {"sequence": one}) for one in (-1, 2**62, 2**63, 2**64, 2**100)),
+            *(("born", {"born": one}) for one in (-1, 2**53, 2**100)),
+            *(("slots", {"slots": one}) for one in (-1, 2**16, 2**100)),
+            *(("cold_s", {"coldRemainingMs": one}) for one in (-1, 1e300, 10**400)),
+            ("software", {"version": "v" * 129}),
+            ("zone", {"zone": "z\u0000"}),
+            ("service", {"service": "s\r\n"}),
+            ("models", {"models": [{"name": "m"}] * 65}),
+            ("models", {"models": [{"name": "m" * 129}]}),
+            ("body", {"stage": "x" * 65536}),
+        ]
+        for field, changes in cases:
+            with self.subTest(field, **{key: str(one)[:40] for key, one in changes.items()}):
+                body = json.dumps({**BEAT, **changes}).encode()
+                self.assertEqual(read_heartbeat("i-1", body).error.field, field)
+        for endpoint_id in ("", "i 1", "i-1\r\nHost: a", "é", "i" * 129):
+            fault = read_heartbeat(endpoint_id, json.dumps(BEAT).encode()).error
+            self.assertEqual(fault.field, "endpoint_id")
+
+    def test_numbers_and_texts_at_their_bounds(self) -> None:
+        changes = {
+            "sequence": 2**62 - 1,
+            "born": 2**53 - 1,
+            "slots": 2**16 - 1,
+            "coldRemainingMs": 86_400_000,
+            "version": "v" * 128,
+            "service": "Norðurljós",
+            "models": [{"name": "m" * 128}] * 64,
+        }
+        for name, value in changes.items():
+            with self.subTest(name):
+                body = json.dumps({**BEAT, name: value}).encode()
+                self.assertTrue(read_heartbeat("i" * 128, body).is_ok())
+
     def test_fault_names_its_field(self) -> None:
         cases = {
             "body": b"[]",
@@ -158,9 +195,16 @@
                 self.assertEqual(read_heartbeat("i-1", body).error.field, field)
 
     def test_departure(self) -> None:
-        self.assertIsNone(read_departure(b""))
-        self.assertIsNone(read_departure(b"what"))
-        self.assertEqual(read_departure(b'{"born": 5}'), 5)
+        self.assertIsNone(read_departure("i-1", b"").ok)
+        self.assertIsNone(read_departure("i-1", b"{}").ok)
+        self.assertEqual(read_departure("i-1", b'{"born": 5}').ok, 5)
+
+    def test_invalid_departures(self) -> None:
+        """Guards against a departure that ends a later incarnation than it may be about."""
+        for body in (b"what", b"[]", b'{"born": "5"}', b'{"born": -1}', b'{"born": %d}' % 2**100):
+            with self.subTest(body):
+                self.assertTrue(read_departure("i-1", body).is_error())
+        self.assertEqual(read_departure("i 1", b"").error.field, "endpoint_id")
 
 
 class StubHandler:
@@ -256,6 +300,16 @@
             ("127.0.0.1", "i-1", "body"),
         )
         self.assertEqual(self.send_request("DELETE", "/instances/i-1").status, 200)
+        answer = self.send_request("DELETE", "/instances/i-1", b'{"born": "5"}')
+        self.assertEqual((answer.status, self.unsound[1].fault.field), (400, "born"))
+        answer = self.send_request("PUT", "/instances/i%0d%0a1", json.dumps(BEAT).encode())
+        self.assertEqual((answer.status, self.unsound[2].fault.field), (400, "endpoint_id"))
+        answer = self.send_request(
+            "PUT", "/instances/i-1", b" " * 10**6 + json.dumps(BEAT).encode()
+        )
+        self.assertEqual((answer.status, self.unsound[3].fault.field), (400, "body"))
+        answer = self.send_request("PUT", "/instances/i-1", json.dumps(BEAT).encode())
+        self.assertEqual((answer.status, len(self.handler.records)), (200, 2))
 
 
 if __name__ == "__main__":
