Place nothing on entries that lack what an endpoint says

Cause: `version`, `slots` and `coldRemainingMs` had defaults in `_Heartbeat`, so an entry without them named an endpoint.

They are required now, and zone, version and service must not be empty, nor slots be 0. Such an entry gets 400 and changes nothing that is known. Records of other instances and from disk are held to the same, but for the version: it is empty where one lifetime has announced two.

The new test failed before for `version`, `slots` and `coldRemainingMs` missing, and for an empty version or zone and 0 slots.

--- a/chivetrack/components/announcements/soundness.py
+++ b/chivetrack/components/announcements/soundness.py
@@ -56,8 +56,8 @@
 def find_fault(record: EndpointRecord) -> RecordFault | None:
     """Return what makes a record unsound, ``None`` if it can be used.
 
-    A record of an endpoint that has left or is lost may come from a departure alone, which names no
-    address.
+    A record of an endpoint that has left or is lost may come from a departure alone, which names
+    nothing but the id.
     """
     return next(_list_faults(record), None)
 
@@ -92,8 +92,9 @@
     max_sequence = LAST_SEQUENCE - 1 if is_live else LAST_SEQUENCE
     if not 0 <= record.sequence <= max_sequence:
         yield RecordFault("sequence", f"it is not from 0 to {max_sequence}")
-    if not 0 <= record.slots <= MAX_SLOTS:
-        yield RecordFault("slots", f"it is not from 0 to {MAX_SLOTS}")
+    min_slots = int(is_live)
+    if not min_slots <= record.slots <= MAX_SLOTS:
+        yield RecordFault("slots", f"it is not from {min_slots} to {MAX_SLOTS}")
     # Not a number compares as false.
     if not 0.0 <= record.cold_s <= MAX_COLD_S:
         yield RecordFault("cold_s", f"it is not from 0 to {MAX_COLD_S:g}")
@@ -102,8 +103,9 @@
 def _list_text_faults(record: EndpointRecord, *, is_live: bool) -> Iterator[RecordFault]:
     if not _is_text(record.service, min_length=int(is_live)):
         yield RecordFault("service", _NO_TEXT)
-    if not _is_text(record.zone):
+    if not _is_text(record.zone, min_length=int(is_live)):
         yield RecordFault("zone", _NO_TEXT)
+    # Empty where a lifetime has announced two versions.
     if not _is_text(record.software):
         yield RecordFault("software", _NO_TEXT)
     if len(record.models) > MAX_MODELS:
--- a/chivetrack/platform/announcements.py
+++ b/chivetrack/platform/announcements.py
@@ -33,7 +33,8 @@
 
     ``version`` is the version of the endpoint's software. ``cold_remaining_ms`` is the time
     for which the endpoint is still slow after its start. ``born`` is the time of its start
-    in Unix milliseconds.
+    in Unix milliseconds. The fields without a default are what each endpoint says: a body that
+    lacks one may name any program, which would get requests and answer them.
     """
 
     service: str
@@ -41,10 +42,10 @@
     zone: str
     state: str
     sequence: int
+    version: str
+    slots: int
+    cold_remaining_ms: float
     born: int = 0
-    version: str = ""
-    slots: int = 0
-    cold_remaining_ms: float = 0.0
     models: list[_Model] = []
 
 
@@ -67,6 +68,8 @@
     state = _STATES.get(beat.state)
     if state is None:
         return Error(RecordFault("state", "the state is not known"))
+    if not beat.version:
+        return Error(RecordFault("software", "it is empty"))
     record = _make_record(endpoint_id, beat, state)
     fault = find_fault(record)
     return Ok(record) if fault is None else Error(fault)
--- a/tests/components/announcements/test_soundness.py
+++ b/tests/components/announcements/test_soundness.py
@@ -43,6 +43,13 @@
         for state in (EndpointState.LEFT, EndpointState.LOST):
             self.assertIsNone(find_fault(make_record(LAST_SEQUENCE, state=state)))
 
+    def test_record_that_lacks_what_an_endpoint_says(self) -> None:
+        """Guards against requests placed on an entry that an earlier release has let in."""
+        for state in (EndpointState.READY, EndpointState.DRAINING):
+            self.check("slots", slots=0, state=state)
+            for field in ("service", "zone"):
+                self.check(field, **{field: "", "state": state})
+
     def test_texts(self) -> None:
         self.check("endpoint_id", endpoint_id="e1\r\n")
         for field in ("service", "zone", "software"):
@@ -52,7 +59,8 @@
 
     def test_departure_alone_names_no_address(self) -> None:
         for state in (EndpointState.LEFT, EndpointState.LOST):
-            self.assertIsNone(find_fault(make_record(address="", state=state)))
+            departed = make_record(address="", service="", zone="", slots=0, state=state)
+            self.assertIsNone(find_fault(departed))
 
 
 class LeftOutTest(unittest.TestCase):
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -144,6 +144,24 @@
             with self.subTest(body=body):
                 self.assertTrue(read_heartbeat("i-1", body).is_error())
 
+    def test_entry_that_lacks_what_an_endpoint_says(self) -> None:
+        """Guards against requests placed on a program that is no endpoint."""
+        fields = {"coldRemainingMs": "cold_s", "version": "software"}
+        for name in BEAT.keys() - {"born", "models", "stage"}:
+            lacking = {key: value for key, value in BEAT.items() if key != name}
+            for body in (lacking, {**BEAT, name: None}):
+                with self.subTest(name, body=body):
+                    fault = read_heartbeat("i-1", json.dumps(body).encode()).error
+                    self.assertEqual(fault.field, fields.get(name, name))
+        for name, value in (("version", ""), ("zone", ""), ("service", ""), ("slots", 0)):
+            with self.subTest(name, value=value):
+                body = json.dumps({**BEAT, name: value}).encode()
+                self.assertTrue(read_heartbeat("i-1", body).is_error())
+
+    def test_entry_with_only_what_an_endpoint_says(self) -> None:
+        said = {key: BEAT[key] for key in BEAT.keys() - {"born", "models", "stage"}}
+        self.assertTrue(read_heartbeat("i-1", json.dumps(said).encode()).is_ok())
+
     def test_numbers_and_texts_out_of_bounds(self) -> None:
         """Guards against entries of another writer that no message between instances can hold."""
         cases: list[tuple[str, dict[str, object]]] = [
