Wait for a silent stream as long as its caller does

Callers of resumable streams got half an answer (LOST): their engines were short of memory, preempted each stream for 2.2 s and went on, but the router had closed the connection after two seconds without bytes. It went on at the other engine, which was silent for 2.2 s as well, closed that too, and ended the answer, 10 s before the route's timeout. A planned stop was going on; without one it happens as well.

Cause: a constant, STREAM_STALL_TIMEOUT_S, decided how long an endpoint may be silent, whatever the route's objective, and also for the last attempt, after which nothing can follow.

A silent stream goes on at another endpoint only when its endpoint is known to be gone (marked lost or replaced, or two connections in a row not answered by its host), or right before its caller would leave: after two seconds, four times the objective or eight times the longest pause, less the time of the other endpoint to its first event. In both cases only if another endpoint, the retry budget and the time allow it.

A timeout of the kernel is told apart from a silence, since the read after it would return the end of the connection, which ends an answer without a length.

--- a/chivetrack/components/upstream/connection.py
+++ b/chivetrack/components/upstream/connection.py
@@ -5,7 +5,7 @@
 
 import select
 import socket
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
 
 import gevent
@@ -80,6 +80,7 @@
     def __init__(self, sock: socket.socket | CarriedSocket) -> None:
         self._socket = sock
         self._buffer = b""
+        self.handle_silence: Callable[[], None] | None = None
 
     @property
     def has_buffered_data(self) -> bool:
@@ -88,10 +89,21 @@
     def read(self, size: int) -> bytes:
         """Return up to ``size`` bytes, empty at the end of the connection."""
         if not self._buffer:
-            return self._socket.recv(size)
+            return self._receive(size)
         data, self._buffer = self._buffer[:size], self._buffer[size:]
         return data
 
+    def _receive(self, size: int) -> bytes:
+        """Wait for bytes; each timeout ends the wait unless somebody handles the silence."""
+        while True:
+            try:
+                return self._socket.recv(size)
+            except TimeoutError as error:
+                # With a number, it is the kernel that has given the connection up.
+                if self.handle_silence is None or error.errno is not None:
+                    raise
+                self.handle_silence()
+
     def read_head(self, method: str) -> AnswerHead:
         """Read the head of a final answer; raise ``AnswerHeadError`` or ``OSError``."""
         parser = AnswerHeadParser(method=method)
@@ -280,15 +292,20 @@
             raise MaybeRanError(f"no answer: {type(error).__name__}: {error}") from error
         return EndpointAnswer(head=head, reader=self._reader)
 
-    def set_timeout(self, timeout_s: float) -> None:
-        """Set the longest wait for the next bytes, in seconds."""
-        self._socket.settimeout(timeout_s)
+    def watch_silence(self, handle_silence: Callable[[], None], *, interval_s: float) -> None:
+        """Call ``handle_silence`` each ``interval_s`` without bytes of the answer.
+
+        It ends the wait by an error; without one, the wait goes on.
+        """
+        self._socket.settimeout(interval_s)
+        self._reader.handle_silence = handle_silence
 
     def end_request(self) -> bool:
         """Stop sending, and return whether the complete request has been sent.
 
         The connection can serve another request only if the complete request was sent.
         """
+        self._reader.handle_silence = None
         sender, self._sender = self._sender, None
         if sender is None:
             return True
--- a/chivetrack/daemon/fleet/const.py
+++ b/chivetrack/daemon/fleet/const.py
@@ -9,10 +9,6 @@
 MIN_TIME_FOR_RETRY_S: Final = 0.1
 """A silent endpoint is abandoned only while more than this time is left for another one."""
 
-STREAM_STALL_TIMEOUT_S: Final = 2.0
-"""A resumable stream without bytes for this time after its first event is resumed at another
-endpoint; callers abandon it after eight pauses, 2.4 s at least."""
-
 MAX_BUFFERED_ANSWER_BYTES: Final = 1024 * 1024
 """Answers are buffered completely, up to this size, before the caller gets a byte, so that a
 broken answer can be retried or refused and never reaches the caller."""
@@ -20,9 +16,6 @@
 DEFAULT_CALLER_WAIT_S: Final = 15.0
 """Wait limit of callers that do not state one."""
 
-LATE_ANSWER_GRACE_S: Final = 0.1
-"""Time after a route's timeout in which an answer may still arrive."""
-
 NO_ENDPOINT_RETRY_S: Final = 0.5
 NO_DOCUMENT_RETRY_S: Final = 1.0
 
--- a/chivetrack/daemon/fleet/dialer.py
+++ b/chivetrack/daemon/fleet/dialer.py
@@ -139,6 +139,23 @@
         finally:
             self._verifying.discard(record.endpoint_id)
 
+    def reaches(self, record: EndpointRecord) -> bool:
+        """Return whether an endpoint's host answers a connection of this router within the limit.
+
+        A host that refuses the connection answers: it would close those of a process that ended.
+        """
+        try:
+            EndpointConnection.connect(
+                address=record.address, connect_timeout_s=CONNECT_TIMEOUT_S
+            ).close()
+        except ConnectTimeoutError:
+            self._paths.record_unanswered(record)
+            return False
+        except NotSentError:
+            return True
+        self._paths.record_reached(record)
+        return True
+
     def has_failed(self, record: EndpointRecord) -> bool:
         """Dial an endpoint and return whether it is sure that this is not the router's path."""
         try:
--- a/chivetrack/daemon/fleet/fleet_view.py
+++ b/chivetrack/daemon/fleet/fleet_view.py
@@ -93,6 +93,7 @@
         self._router_count = INITIAL_ROUTER_COUNT
         self._stopping_share = 0.0
         self.is_stopping = False
+        self.exits_at = float("inf")
         self.has_view = False
         self._ready = Signal()
         self.document_listeners: list[Callable[[Document], None]] = []
--- a/chivetrack/daemon/fleet/forwarder.py
+++ b/chivetrack/daemon/fleet/forwarder.py
@@ -32,6 +32,7 @@
 from chivetrack.daemon.fleet.dialer import Dialer, PathBrokenError
 from chivetrack.daemon.fleet.hedging import Hedge, Hedger
 from chivetrack.daemon.fleet.stream_relay import StreamRelay
+from chivetrack.daemon.fleet.stream_silence import StreamSilence
 from chivetrack.daemon.server import AbortConnectionError
 from chivetrack.platform.headers import (
     list_answer_headers,
@@ -126,11 +127,13 @@
         may_send: Callable[[], bool] | None = None,
         handle_begin: Callable[[Call], None] | None = None,
         hedger: Hedger | None = None,
+        stream_silence: StreamSilence | None = None,
         record_unsound_head: Callable[[HeadFault], None] = lambda fault: None,
     ) -> None:
         """Store the idle connections, the dialer of new ones, and the callbacks.
 
         ``hedger`` sends slow requests to a second endpoint; without it there is none.
+        ``stream_silence`` moves streams at silent endpoints to others; without it they wait.
         ``handle_begin`` is called when the origin of a stream is known, before the caller gets its
         first event.
         ``handle_bytes`` is called when bytes of an answer arrive. ``record_overdue`` is
@@ -149,6 +152,7 @@
             handle_bytes=self._handle_bytes,
             handle_first_event=handle_first_event,
             handle_begin=handle_begin or (lambda call: None),
+            silence=stream_silence,
         )
         self._hedger = hedger
         self._record_unsound_head = record_unsound_head
@@ -429,7 +433,7 @@
         if status in _NOT_RUN_STATUSES:
             raise MaybeRanError(f"status {status} without a statement that the request did not run")
         if 200 <= status < 300 and call.route.kind is RouteKind.STREAM:
-            self._stream_relay.relay(connection, call, choice, answer)
+            self._stream_relay.relay(connection, call, choice, answer, may_move=may_retry)
             return SendResult(status=status)
         return self._relay_buffered(call, answer, facts, may_retry and status >= 500)
 
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -143,6 +143,7 @@
         """Accept only requests that can end within ``window``; the stop began at ``now`` (s)."""
         self._refusals.window = window
         self._view.is_stopping = True
+        self._view.exits_at = window.exits_at
         self._log.stopping_since = now
 
     def end_stop(self) -> None:
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -55,6 +55,7 @@
 from chivetrack.daemon.fleet.router_messages import RouterMessages
 from chivetrack.daemon.fleet.shedding import LoopMonitor
 from chivetrack.daemon.fleet.stream_carrier import StreamCarrier
+from chivetrack.daemon.fleet.stream_silence import StreamSilence
 from chivetrack.daemon.fleet.unsound_log import UnsoundLog
 from chivetrack.daemon.server import HttpServer
 from chivetrack.daemon.server_limits import ServerLimits
@@ -222,6 +223,9 @@
                 record_overdue=self.view.record_overdue,
                 may_send=lambda: not self._gate.is_closed,
                 handle_begin=self._origins.record_begin,
+                stream_silence=StreamSilence(
+                    view=self.view, retry_budget=self._retry_budget, dialer=self._dialer
+                ),
                 hedger=Hedger(
                     policy=HedgingPolicy(
                         max_share=settings.hedging.max_share, max_load=settings.hedging.max_load
--- a/chivetrack/daemon/fleet/stream_relay.py
+++ b/chivetrack/daemon/fleet/stream_relay.py
@@ -8,7 +8,7 @@
 from chivetrack.components.upstream.events import EventSplitter
 from chivetrack.components.upstream.models import BrokenAnswerError, Framing
 from chivetrack.daemon.fleet.calls import Call
-from chivetrack.daemon.fleet.const import LATE_ANSWER_GRACE_S, STREAM_STALL_TIMEOUT_S
+from chivetrack.daemon.fleet.stream_silence import SilentStreamWatch, StreamSilence
 from chivetrack.platform.headers import list_answer_headers
 
 
@@ -21,27 +21,42 @@
         handle_bytes: Callable[[Call], None],
         handle_first_event: Callable[[Call, Choice], None],
         handle_begin: Callable[[Call], None],
+        silence: StreamSilence | None,
     ) -> None:
-        """Store the callbacks for bytes of an answer, its first event, and a stream's begin."""
+        """Store the callbacks for bytes of an answer, its first event, and a stream's begin.
+
+        Without ``silence``, silent endpoints are waited for until the request times out.
+        """
+        self._silence = silence
         self._handle_bytes = handle_bytes
         self._handle_first_event = handle_first_event
         self._handle_begin = handle_begin
 
     def relay(
-        self, connection: EndpointConnection, call: Call, choice: Choice, answer: EndpointAnswer
+        self,
+        connection: EndpointConnection,
+        call: Call,
+        choice: Choice,
+        answer: EndpointAnswer,
+        *,
+        may_move: bool,
     ) -> None:
-        """Relay a stream to its end; raise ``BrokenAnswerError`` if it has none."""
+        """Relay a stream to its end; raise ``BrokenAnswerError`` if it has none.
+
+        If ``may_move``, it is given up with ``MaybeRanError`` where it had better go on elsewhere.
+        """
         if call.reply.is_started and answer.framing is Framing.NO_BODY:
             raise BrokenAnswerError(f"status {answer.status} in the middle of a stream")
         splitter = EventSplitter(last_id=call.last_event_id)
         is_first = True
+        watch: SilentStreamWatch | None = None
         for chunk in answer.read_chunks():
             self._handle_bytes(call)
             if is_first:
                 is_first = False
                 self._record_first(call, choice)
-                if call.route.is_resumable:
-                    connection.set_timeout(_get_stall_timeout(call))
+                if may_move and call.route.is_resumable and self._silence is not None:
+                    watch = self._silence.watch(connection, call, choice)
             data = splitter.feed(chunk)
             if data:
                 if call.begin_stream(choice.record):
@@ -49,6 +64,8 @@
                 _start_reply(call, answer)
                 call.reply.write(data)
                 call.last_event_id = splitter.last_id
+            if watch is not None:
+                watch.handle_bytes()
         if splitter.has_partial_event:
             raise BrokenAnswerError("the stream ended in the middle of an event")
         _start_reply(call, answer)
@@ -59,11 +76,6 @@
             call.first_event_at = time.monotonic()
 
 
-def _get_stall_timeout(call: Call) -> float:
-    remaining_s = call.ends_at - time.monotonic()
-    return max(0.05, min(remaining_s + LATE_ANSWER_GRACE_S, STREAM_STALL_TIMEOUT_S))
-
-
 def _start_reply(call: Call, answer: EndpointAnswer) -> None:
     if not call.reply.is_started:
         call.reply.start(answer.status, list_answer_headers(answer.headers.items()))
