Wait for connections whatever their descriptor

Callers of a router with over 1,000 open connections got a 500, although it may open 4,100 descriptors: the request was sent, and then `select.select` raised ValueError, since it takes descriptors up to 1,023 only. That is an error of its own, so the attempt was not handled as one that may have run.

It asks the kernel first, without waiting, and takes gevent's poll (which `select.poll` is in the deployed processes) only to wait: as gevent's select did, and with the same turn of the event loop where nothing is waited for. Closes and errors count as readable in both.

--- a/chivetrack/components/upstream/connection.py
+++ b/chivetrack/components/upstream/connection.py
@@ -3,7 +3,6 @@
 Failures distinguish requests that were not sent from requests that may have run.
 """
 
-import select
 import socket
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
@@ -22,7 +21,7 @@
 from chivetrack.components.upstream.const import READ_SIZE
 from chivetrack.components.upstream.models import BrokenAnswerError, Framing
 from chivetrack.helpers.addresses import MAX_ADDRESS_LENGTH, read_address
-from chivetrack.helpers.sockets import count_unacknowledged
+from chivetrack.helpers.sockets import count_unacknowledged, wait_readable
 
 # TCP closes the connection when sent bytes stay unacknowledged for longer. A host that lost
 # power or is behind a network partition does not close its connections itself.
@@ -231,8 +230,7 @@
         """
         if not self._is_open or self._has_buffered_data:
             return False
-        readable, _, _ = select.select([self._socket], [], [], 0)
-        return not readable
+        return not wait_readable([self._socket], 0.0)
 
     def send(self, request: EndpointRequest, *, timeout_s: float) -> None:
         """Send a request; raise ``NotSentError`` or ``MaybeRanError`` if this fails."""
@@ -272,8 +270,7 @@
         if self._has_buffered_data or (other is not None and other._has_buffered_data):
             return True
         sockets = [self._socket] if other is None else [self._socket, other._socket]
-        readable, _, _ = select.select(sockets, [], [], max(0.0, timeout_s))
-        return bool(readable)
+        return wait_readable(sockets, timeout_s)
 
     def count_unacknowledged(self) -> int:
         """Return the sent bytes of a complete request that the other host has not acknowledged."""
--- a/chivetrack/helpers/sockets.py
+++ b/chivetrack/helpers/sockets.py
@@ -1,10 +1,25 @@
-"""Facts about a connection that only the kernel knows."""
+"""Facts about connections that only the kernel knows, and waits for them."""
 
 import fcntl
+import select
 import struct
 import termios
+from collections.abc import Sequence
+from typing import Protocol
+
+import gevent
+from gevent import monkey
 
 _INT = struct.Struct("i")
+# The poll of gevent waits for a turn of the event loop, also if it may not wait at all.
+_poll_without_wait = monkey.get_original("select", "poll")
+
+
+class HasDescriptor(Protocol):
+    """Anything with a descriptor, as a socket."""
+
+    def fileno(self) -> int:
+        """Return the descriptor."""
 
 
 def count_unacknowledged(descriptor: int) -> int:
@@ -17,3 +32,23 @@
     except (OSError, ValueError):
         return 0
     return int(_INT.unpack(queued)[0])
+
+
+def wait_readable(sockets: Sequence[HasDescriptor], timeout_s: float) -> bool:
+    """Return whether any of the sockets gets bytes, an end or an error within ``timeout_s``.
+
+    Unlike ``select``, it takes descriptors above 1,023.
+    """
+    is_readable = _poll(_poll_without_wait(), sockets, 0.0)
+    if is_readable or timeout_s <= 0:
+        if monkey.is_module_patched("select"):
+            # As ``select`` of gevent does, so that no greenlet keeps the thread to itself.
+            gevent.sleep()
+        return is_readable
+    return _poll(select.poll(), sockets, timeout_s)
+
+
+def _poll(poll: select.poll, sockets: Sequence[HasDescriptor], timeout_s: float) -> bool:
+    for one in sockets:
+        poll.register(one.fileno(), select.POLLIN)
+    return bool(poll.poll(timeout_s * 1000))
