Reset connections whose answer a kill or an error leaves without an end

What callers saw: a stream to a caller of HTTP/1.0 ended as if it were whole when the process was killed. An answer that broke in its own head ended with an ordinary close, which many clients take for the end of the head.

Cause: the reset of answers that only a close ends was set when the application had failed, so not by a kill; a head that wasn't written whole counted as begun, and its lines said that there is a length.

Why this works: an answer without length and chunks is written with SO_LINGER set to a reset, which the kernel obeys when it closes the sockets of a killed process, and which is taken back once the answer is whole. A failure inside the head resets as well.

--- a/chivetrack/daemon/server.py
+++ b/chivetrack/daemon/server.py
@@ -38,7 +38,9 @@
 ENVIRON_CONNECTED_AT = "chivetrack.connected_at"
 
 # With this SO_LINGER, a close resets the connection, so that a cut answer does not look complete.
+# The kernel's close for a process that is killed does so as well.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_END_ON_CLOSE = struct.pack("ii", 0, 0)
 
 _LOGGER = get_logger("http")
 
@@ -54,6 +56,7 @@
     is_reading_ended = False
     is_running = False
     has_received = False
+    is_head_written = True
     connected_at = 0.0
 
     def handle(self) -> None:
@@ -162,15 +165,20 @@
         try:
             super().run_application()
             is_answered = True
+            if self._ends_by_close():
+                self._set_linger(_END_ON_CLOSE)
         finally:
             self.is_running = False
             self.server.receiving_handlers.discard(self)
             ends = is_answered and self.close_connection and self.server.is_ending
-            if not is_answered and self._ends_by_close():
-                self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+            if not is_answered and (self._ends_by_close() or not self.is_head_written):
+                self._set_linger(_RESET_ON_CLOSE)
             elif ends or self._has_unread_body():
                 self._linger()
 
+    def _set_linger(self, option: bytes) -> None:
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+
     def _ends_by_close(self) -> bool:
         """Return whether only the close ends the answer that has begun, as in HTTP/1.0."""
         names = [name.lower() for name, _ in self.response_headers] if self.headers_sent else []
@@ -213,11 +221,15 @@
 
     def _write_with_headers(self, data: bytes) -> None:
         self.headers_sent = True
+        self.is_head_written = False
         self.finalize_headers()
+        if self._ends_by_close():
+            self._set_linger(_RESET_ON_CLOSE)
         lines = [b"HTTP/1.1 " + self.status]
         lines += [name + b": " + value for name, value in self.response_headers]
         head = b"\r\n".join(lines) + b"\r\n\r\n"
         self._sendall(head + self._frame(data) if data else head)
+        self.is_head_written = True
 
     def _write(self, data: bytes) -> None:
         if data:
