Close the connection behind an answer that only the close ends

What callers saw: a caller of HTTP/1.0 that asks to keep its connection got a stream without length and chunks under "Connection: keep-alive". It waited for the end until the idle timeout, and a second answer followed on the same connection as if it were more of the first.

Cause: gevent announces a kept connection from the request alone, before it is known how the answer ends.

Evidence: in the new test on the code before, two answers came on one connection, the first without any end.

Why this works: once the headers are final, an answer without length and chunks that may have a body announces the close, and is the last one.

The new test failed before.

--- a/chivetrack/daemon/server.py
+++ b/chivetrack/daemon/server.py
@@ -45,6 +45,9 @@
 _LOGGER = get_logger("http")
 
 
+_STATUSES_WITHOUT_BODY = frozenset({204, 304})
+
+
 class AbortConnectionError(ChivetrackError):
     """Raised by an application to close a connection without sending another byte."""
 
@@ -57,6 +60,7 @@
     is_running = False
     has_received = False
     is_head_written = True
+    response_headers: list[tuple[bytes, bytes]]
     connected_at = 0.0
 
     def handle(self) -> None:
@@ -218,6 +222,13 @@
             self.close_connection = True
             self.response_headers.append((b"Connection", b"close"))
         super().finalize_headers()
+        if self._ends_by_close() and self.code not in _STATUSES_WITHOUT_BODY:
+            self._announce_close()
+
+    def _announce_close(self) -> None:
+        self.close_connection = True
+        lines = [line for line in self.response_headers if line[0].lower() != b"connection"]
+        self.response_headers = [*lines, (b"Connection", b"close")]
 
     def _write_with_headers(self, data: bytes) -> None:
         self.headers_sent = True
--- a/tests/daemon/test_server_cuts.py
+++ b/tests/daemon/test_server_cuts.py
@@ -123,6 +123,16 @@
         self.assertEqual(received.count(b"HTTP/1.1"), 1)
 
 
+class KeptConnectionTest(ServerCase):
+    def test_answer_without_framing_closes_its_connection(self) -> None:
+        """Guards against callers of HTTP/1.0 that wait for the end of an answer they keep."""
+        connection = self.serve(write_chunks)
+        connection.sendall(OLD_REQUEST[:-2] + b"Connection: keep-alive\r\n\r\n" + OLD_REQUEST)
+        received, _ = receive(connection)
+        self.assertEqual(received.count(b"HTTP/1.1"), 1)
+        self.assertNotIn(b"keep-alive", received)
+
+
 class KilledServerTest(unittest.TestCase):
     def test_answer_without_framing_is_reset_by_a_kill(self) -> None:
         """Guards against a cut stream that looks complete to a caller of HTTP/1.0."""
