Answer HEAD requests without a body

What callers saw: nothing yet in our record. The body of a refusal, or of any answer of an application, followed the head of an answer to HEAD on a kept connection, where the caller expects the next answer.

Cause: gevent's handler writes what the application returns for each method.

Evidence: in the new test on the code before, an answer with a length, one in pieces and one in chunks were each followed by their body.

Why this works: nothing is framed for HEAD, and no last chunk is written; the headers stay those of the answer to GET. Answers of endpoints to HEAD are read without a body already.

The new test failed before, for all three.

--- a/chivetrack/daemon/server.py
+++ b/chivetrack/daemon/server.py
@@ -224,6 +224,9 @@
         super().finalize_headers()
         if self._ends_by_close() and self.code not in _STATUSES_WITHOUT_BODY:
             self._announce_close()
+        if self.command == "HEAD":
+            # So that gevent writes no last chunk.
+            self.response_use_chunked = False
 
     def _announce_close(self) -> None:
         self.close_connection = True
@@ -243,14 +246,16 @@
         self.is_head_written = True
 
     def _write(self, data: bytes) -> None:
-        if data:
-            self._sendall(self._frame(data))
+        if data and (framed := self._frame(data)):
+            self._sendall(framed)
 
     def _sendall(self, data: bytes) -> None:
         for piece in self.server.pace(self.socket, data):
             super()._sendall(piece)
 
     def _frame(self, data: bytes) -> bytes:
+        if self.command == "HEAD":
+            return b""
         return b"%x\r\n%b\r\n" % (len(data), data) if self.response_use_chunked else data
 
     def _send_error_response_if_possible(self, error_code: int) -> None:
--- a/tests/daemon/test_server_cuts.py
+++ b/tests/daemon/test_server_cuts.py
@@ -132,6 +132,22 @@
         self.assertEqual(received.count(b"HTTP/1.1"), 1)
         self.assertNotIn(b"keep-alive", received)
 
+    def test_answer_to_a_head_request_has_no_body(self) -> None:
+        """Guards against a refusal's body that is read as the answer to the next request."""
+
+        def refuse(environ: Any, start_response: Any) -> list[bytes]:
+            start_response("404 Not Found", [("Content-Length", "5")])
+            return [b"error"]
+
+        for application in (refuse, write_pieces, write_chunks):
+            with self.subTest(application.__name__):
+                connection = self.serve(application)
+                connection.sendall(REQUEST.replace(b"GET", b"HEAD") + CLOSING)
+                received, _ = receive(connection)
+                parser = AnswerHeadParser(method="HEAD")
+                self.assertIsNotNone(parser.feed(received))
+                self.assertTrue(parser.rest.startswith(b"HTTP/1.1 "), parser.rest)
+
 
 class KilledServerTest(unittest.TestCase):
     def test_answer_without_framing_is_reset_by_a_kill(self) -> None:
