Pause between lookups of a router that has just started

The next lookup now begins no sooner than one that waits for answers would have ended.

test_replicas_without_their_memory_are_not_flooded failed before.

--- a/chivetrack/components/origins/const.py
+++ b/chivetrack/components/origins/const.py
@@ -5,9 +5,6 @@
 LOOKUP_TIMEOUT_S: Final = 0.25
 """Limit of the wait for the origin of a stream, and for the registration of a version."""
 
-LOOKUP_RETRY_S: Final = 0.02
-"""From a lookup without a majority to the next one, at a router that has just started."""
-
 VERSION_MEMORY_S: Final = 900.0
 """How long a replica remembers a version after its last endpoint has left: longer than callers
 wait for a stream that began there."""
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -13,7 +13,7 @@
 from chivetrack.components.caller_api.watch import CallerLeftError, watch_caller
 from chivetrack.components.distribution.document_receiver import DocumentReceiver
 from chivetrack.components.limits.stopping import StopWindow
-from chivetrack.components.origins.const import LOOKUP_RETRY_S, LOOKUP_TIMEOUT_S
+from chivetrack.components.origins.const import LOOKUP_TIMEOUT_S
 from chivetrack.components.origins.models import Continuation, OriginBasis, OriginVerdict
 from chivetrack.components.placement.choice import Choice
 from chivetrack.components.quarantine.fingerprint import make_fingerprint
@@ -269,13 +269,17 @@
         return True
 
     def _look_up_origin(self, call: Call) -> OriginVerdict:
-        """Ask the replicas, right after the start again until a majority of them is reached."""
+        """Ask the replicas, right after the start again until a majority of them is reached.
+
+        Replicas without their memory answer at once; asking them without a pause is a flood.
+        """
         ends_at = time.monotonic() + self._find_start_left(call)
-        verdict = self._origins.find(call)
-        while verdict.basis is OriginBasis.NO_MAJORITY and time.monotonic() < ends_at:
-            gevent.sleep(LOOKUP_RETRY_S)
+        while True:
+            asked_at = time.monotonic()
             verdict = self._origins.find(call)
-        return verdict
+            if verdict.basis is not OriginBasis.NO_MAJORITY or time.monotonic() >= ends_at:
+                return verdict
+            gevent.sleep(max(0.0, asked_at + LOOKUP_TIMEOUT_S - time.monotonic()))
 
     def _try_endpoints(self, call: Call) -> None:
         while True:
--- a/tests/daemon/fleet/test_taken_up.py
+++ b/tests/daemon/fleet/test_taken_up.py
@@ -4,6 +4,7 @@
 import unittest
 from unittest import mock
 
+from chivetrack.components.origins.const import LOOKUP_TIMEOUT_S
 from chivetrack.components.origins.models import Origin, OriginBasis, OriginVerdict
 from chivetrack.components.traffic.models import RouteKind
 from chivetrack.daemon.fleet.const import START_WAIT_S
@@ -33,6 +34,18 @@
         self.take_up(NO_MAJORITY, NO_MAJORITY, ONLY)
         self.assertEqual((self.caller.status, len(self.sent)), (200, 1))
 
+    def test_replicas_without_their_memory_are_not_flooded(self) -> None:
+        """Guards against a flood of lookups while replicas answer at once.
+
+        After a loss of all disks, each take-up would ask a hundred times.
+        """
+        began = time.monotonic()
+        self.origins.find.return_value = NO_MAJORITY
+        self.start().join(LIMIT_S)
+        self.check(REFUSED, sent=0)
+        took_s = time.monotonic() - began
+        self.assertLessEqual(self.origins.find.call_count, 1 + took_s / LOOKUP_TIMEOUT_S)
+
     def test_what_is_known_is_refused_at_once(self) -> None:
         """Guards against callers who wait for an answer that won't change."""
         self.take_up(NO_RECORD, ONLY)
