--- a/chivetrack/components/upstream/answer_head.py
+++ b/chivetrack/components/upstream/answer_head.py
@@ -146,7 +146,7 @@
             self._check_open_line()
         return head
 
-    def end(self) -> AnswerHeadError:
+    def make_cut_error(self) -> AnswerHeadError:
         """Return the error of a connection that ends before the head is whole."""
         what = "in its head" if self._status or self.rest else "before it began"
         return AnswerHeadError(HeadFault.CUT, f"the answer ended {what}")
--- a/chivetrack/components/upstream/connection.py
+++ b/chivetrack/components/upstream/connection.py
@@ -110,7 +110,7 @@
         while head is None:
             data = self._socket.recv(READ_SIZE)
             if not data:
-                raise parser.end()
+                raise parser.make_cut_error()
             head = parser.feed(data)
         self._buffer = parser.rest
         return head
--- a/chivetrack/components/upstream/strict_pool.py
+++ b/chivetrack/components/upstream/strict_pool.py
@@ -104,7 +104,7 @@
         while head is None:
             line = self.fp.readline(MAX_HEAD_BYTES)
             if not line:
-                raise parser.end()
+                raise parser.make_cut_error()
             head = parser.feed(line)
         return head
 
--- a/tests/components/upstream/test_answer_head.py
+++ b/tests/components/upstream/test_answer_head.py
@@ -188,7 +188,7 @@
                 parser = AnswerHeadParser(method="GET")
                 for byte in data[:-1]:
                     self.assertIsNone(parser.feed(bytes([byte])))
-                    self.assertIs(parser.end().fault, HeadFault.CUT)
+                    self.assertIs(parser.make_cut_error().fault, HeadFault.CUT)
                 head = parser.feed(data[-1:] + b"body")
                 assert head is not None
                 self.assertEqual((head.status, head.framing, head.length, head.closes), expected)
