Bound what all connections of a process hold together

Callers saw a router that ended or hung while a crowd of clients that no operator controls stayed connected: with bodies of legal size that stop a byte short, the process took more than the 300 MB of its machine; chunks of two bytes, extensions and trailers took the whole processor, and no ordinary request was answered any more.

Cause: each body had a limit, their sum had none, and a body was read in a loop that never lets others run while its bytes lie ready, byte by byte in the framing. Connections without a byte used up the descriptors, receive buffers grew to megabytes, and callers that send requests without waiting for an answer kept the loop busy for good.

- components/memory/budget.py is one account of the bytes of all connections of a process, free of I/O: bytes are reserved before they are read.
What was read whole never gives way, so 503 still promises that the request has not run.
- daemon/request_body.py replaces the reader of the HTTP library: one buffer a body, reserved block by block, chunks decoded by the decoder of answers, a turn of the loop after each block and after 2 ms of decoding.
- Requests that came before the answer to the one before take turns as well.
- The account bounds connections too: silent ones give way to new ones.
Each has a receive buffer of 32 KiB.
- Half of the machine's memory, which the settings name ([limits]), is for connections.

--- a/chivetrack/components/caller_api/const.py
+++ b/chivetrack/components/caller_api/const.py
@@ -25,6 +25,8 @@
 ENVIRON_SOCKET: Final = "chivetrack.socket"
 # WSGI environment key: whether the server itself has stopped reading from the caller.
 ENVIRON_READING_ENDED: Final = "chivetrack.reading_ended"
+# WSGI environment key: what the connection holds of the memory of the process.
+ENVIRON_MEMORY: Final = "chivetrack.memory"
 HEADER_REQUEST_ID: Final = "X-Request-Id"
 HEADER_ENDPOINT: Final = "X-Served-By"
 JSON_TYPE: Final = "application/json"
--- a/chivetrack/components/deployment/settings.py
+++ b/chivetrack/components/deployment/settings.py
@@ -9,6 +9,7 @@
 from expression import Result
 from msgspec import Meta
 
+from chivetrack.components.memory.const import DEFAULT_MAX_DESCRIPTORS, DEFAULT_MEMORY_MB
 from chivetrack.helpers.finding import Findings
 from chivetrack.helpers.sections.structs import StructSection, parse_structs
 from chivetrack.helpers.sections.text import Problem, read_text
@@ -81,6 +82,22 @@
     stop_within_s: Annotated[Seconds, Meta(gt=0, description="From SIGTERM to the kill.")] = 8.0
 
 
+class ProcessLimitSettings(StructSection, frozen=True, kw_only=True):
+    """What the machine gives this process; half of the memory may go to connections."""
+
+    memory_mb: Annotated[
+        int, Meta(ge=64, description="Memory of the machine, in MB; connections get half of it.")
+    ] = DEFAULT_MEMORY_MB
+    max_descriptors: Annotated[
+        int,
+        Meta(
+            ge=256,
+            description="File descriptors; three quarters of them, or of what the system "
+            "allows, are for connections that others open.",
+        ),
+    ] = DEFAULT_MAX_DESCRIPTORS
+
+
 class AdmissionSettings(StructSection, frozen=True, kw_only=True):
     """Whether the leading replica hands out the slots of plain services one by one."""
 
@@ -125,6 +142,7 @@
     listeners: ProcessListeners
     fleet: FleetSettings
     bounds: BoundSettings
+    limits: ProcessLimitSettings
     admission: AdmissionSettings
     hedging: HedgingSettings
     paths: PathSettings
--- a/chivetrack/components/pipeline/faults.py
+++ b/chivetrack/components/pipeline/faults.py
@@ -97,6 +97,14 @@
     return Fault(code="body_timeout", message=message, status=408, ran=Ran.NO)
 
 
+def memory_full(retry_after_s: float) -> Fault:
+    """Return the fault for a request that has to give way since the memory is used up."""
+    message = "There is no memory for this request now; it has not run."
+    return Fault(
+        code="memory_full", message=message, status=503, ran=Ran.NO, retry_after_s=retry_after_s
+    )
+
+
 def headers_too_large(max_bytes: int, max_lines: int) -> Fault:
     """Return the fault for a request whose headers are over a limit."""
     message = f"The headers are larger than {max_bytes} bytes or more than {max_lines} lines."
--- a/chivetrack/components/settings/models.py
+++ b/chivetrack/components/settings/models.py
@@ -6,6 +6,7 @@
 
 from pydantic import Field, StrictBool, StrictFloat, StrictInt
 
+from chivetrack.components.memory.const import DEFAULT_MAX_DESCRIPTORS, DEFAULT_MEMORY_MB
 from chivetrack.components.settings import const
 from chivetrack.helpers.log import LogFormat
 from chivetrack.helpers.sections.base import AddressField, Section
@@ -170,6 +171,18 @@
     max_headers: StrictInt = Field(
         default=const.DEFAULT_MAX_HEADERS, ge=10, description="Most header lines of a request."
     )
+    memory_mb: StrictInt = Field(
+        default=DEFAULT_MEMORY_MB,
+        ge=64,
+        description="Memory of the machine, in MB; the connections of all listeners together "
+        "get half of it.",
+    )
+    max_descriptors: StrictInt = Field(
+        default=DEFAULT_MAX_DESCRIPTORS,
+        ge=256,
+        description="File descriptors; three quarters of them, or of what the system allows, "
+        "are for connections that others open.",
+    )
     default_deadline_s: StrictFloat = Field(
         default=const.DEFAULT_DEADLINE_S,
         gt=0,
--- a/chivetrack/daemon/fleet/early.py
+++ b/chivetrack/daemon/fleet/early.py
@@ -11,6 +11,7 @@
 import tomllib
 from pathlib import Path
 
+from chivetrack.components.memory.const import RECEIVE_BUFFER_BYTES
 from chivetrack.daemon.const import BACKLOG
 
 ENV_SETTINGS = "CHIVETRACK_SETTINGS"
@@ -59,6 +60,7 @@
     try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.bind((host, port))
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         listener.listen(BACKLOG)
     except BaseException:
         listener.close()
--- a/chivetrack/daemon/fleet/metrics.py
+++ b/chivetrack/daemon/fleet/metrics.py
@@ -8,6 +8,7 @@
 from bottle import Bottle, HTTPResponse
 
 from chivetrack.components.announcements.soundness import RecordFault
+from chivetrack.components.memory.budget import MemoryBudget
 from chivetrack.components.origins.models import Continuation
 from chivetrack.components.traffic.requests import AnswerFacts
 from chivetrack.components.upstream.answer_head import HeadFault
@@ -130,10 +131,12 @@
     address: Address | None,
     metrics: Metrics,
     *,
+    memory: MemoryBudget,
     add_routes: Callable[[Bottle], None] = lambda app: None,
 ) -> HttpServer | None:
     """Return the server of the metrics address, ``None`` if the settings have no address.
 
+    ``memory`` is the budget of the process's connections.
     ``add_routes`` adds other calls for operators.
     """
     if address is None:
@@ -144,4 +147,5 @@
         address=(address.host, address.port),
         application=app,
         is_closing=lambda: False,
+        memory=memory,
     )
--- a/chivetrack/daemon/fleet/replica.py
+++ b/chivetrack/daemon/fleet/replica.py
@@ -61,6 +61,7 @@
 from chivetrack.daemon.fleet.quarantine_host import QuarantineHost
 from chivetrack.daemon.fleet.restart_file import RestartFile
 from chivetrack.daemon.fleet.unsound_log import UnsoundLog
+from chivetrack.daemon.memory import open_budget
 from chivetrack.daemon.server import HttpServer
 from chivetrack.helpers.codec import Message
 from chivetrack.helpers.events import EventLog
@@ -226,13 +227,17 @@
             ),
             refuse=self._refuser,
         )
+        memory = open_budget(
+            memory_mb=settings.limits.memory_mb, max_descriptors=settings.limits.max_descriptors
+        )
         self._control = HttpServer(
             address=(listeners.control.host, listeners.control.port),
             application=self._gate,
             is_closing=self._stop_requested.is_set,
             pace=self.transport.room.pace,
+            memory=memory,
         )
-        self._metrics_server = open_metrics_server(listeners.metrics, self._metrics)
+        self._metrics_server = open_metrics_server(listeners.metrics, self._metrics, memory=memory)
 
     def _log_rejected(self, what: str, detail: str) -> None:
         self._metrics.count("message_rejected")
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -57,6 +57,7 @@
 from chivetrack.daemon.fleet.stream_carrier import StreamCarrier
 from chivetrack.daemon.fleet.stream_silence import StreamSilence
 from chivetrack.daemon.fleet.unsound_log import UnsoundLog
+from chivetrack.daemon.memory import open_budget
 from chivetrack.daemon.server import HttpServer
 from chivetrack.daemon.server_limits import ServerLimits
 from chivetrack.helpers.events import EventLog
@@ -251,6 +252,9 @@
             application=self.request_handler, refuse=self.request_handler.late_requests
         )
         self._shedder = ConnectionShedder()
+        self._memory = open_budget(
+            memory_mb=settings.limits.memory_mb, max_descriptors=settings.limits.max_descriptors
+        )
         self._callers = self._make_server(
             settings.listeners.callers,
             self._gate,
@@ -262,6 +266,7 @@
         self._metrics_server = open_metrics_server(
             settings.listeners.metrics,
             self._metrics,
+            memory=self._memory,
             add_routes=lambda app: add_explain_route(app, explainer),
         )
 
@@ -309,6 +314,7 @@
             is_closing=self._stop_requested.is_set,
             listener=listener if is_open else None,
             may_accept=may_accept,
+            memory=self._memory,
         )
 
     def _build_ready_app(self) -> Bottle:
--- a/chivetrack/daemon/instance.py
+++ b/chivetrack/daemon/instance.py
@@ -35,6 +35,7 @@
 from chivetrack.daemon.instance_requests import InstanceRequests
 from chivetrack.daemon.listeners import Applications, Listeners
 from chivetrack.daemon.management import Management
+from chivetrack.daemon.memory import open_budget
 from chivetrack.daemon.metrics import build_metrics_app
 from chivetrack.daemon.peering import MessageDispatcher
 from chivetrack.daemon.recorder import RequestRecorder
@@ -111,6 +112,10 @@
             ),
             encryption=encryption,
             is_closing=self.is_stopping,
+            memory=open_budget(
+                memory_mb=settings.limits.memory_mb,
+                max_descriptors=settings.limits.max_descriptors,
+            ),
             limits=make_server_limits(settings.limits),
         )
         self._stop = GracefulStop(
--- a/chivetrack/daemon/listeners.py
+++ b/chivetrack/daemon/listeners.py
@@ -5,6 +5,7 @@
 
 import gevent
 
+from chivetrack.components.memory.budget import MemoryBudget
 from chivetrack.components.settings.models import ListenerSettings
 from chivetrack.daemon.call_gate import Application
 from chivetrack.daemon.encryption import Encryption
@@ -32,12 +33,14 @@
         applications: Applications,
         encryption: Encryption,
         is_closing: Callable[[], bool],
+        memory: MemoryBudget,
         limits: ServerLimits | None = None,
     ) -> None:
-        """Create the servers; ``start`` opens them."""
+        """Create the servers, which share ``memory``; ``start`` opens them."""
         self._encryption = encryption
         self._is_closing = is_closing
         self._limits = limits
+        self._memory = memory
         self._servers = {
             "caller": self._create("caller", settings.caller, applications.caller),
             "resources": self._create("resources", settings.resources, applications.resources),
@@ -51,6 +54,7 @@
             is_closing=self._is_closing,
             tls=self._encryption.get(name),
             limits=self._limits,
+            memory=self._memory,
         )
 
     def start(self) -> None:
--- /dev/null
+++ b/chivetrack/daemon/request_body.py
@@ -0,0 +1,148 @@
+"""Reader of request bodies that reserves memory before it reads, and lets others run meanwhile."""
+
+import time
+from collections.abc import Callable
+from io import BufferedReader, BytesIO
+from typing import Final
+
+import gevent
+from gevent.lock import BoundedSemaphore
+
+from chivetrack.components.upstream.chunks import ChunkDecoder, ChunkError
+from chivetrack.const import KIBIBYTE
+from chivetrack.daemon.connection_memory import ConnectionMemory
+
+BLOCK_BYTES: Final = 64 * KIBIBYTE
+"""Read at once, after which other greenlets run."""
+
+SLICE_S: Final = 0.002
+"""Time for which one body is decoded before others have their turn."""
+
+
+class RequestBodyError(OSError):
+    """The body ended early, or its framing is invalid."""
+
+
+class DecodingTurns:
+    """Lets bodies that take long to decode wait for each other.
+
+    A body of many tiny chunks can use the whole processor as long as its bytes lie ready. After
+    each slice of time, its reader waits for as long, one reader after the other. So all of them
+    together take half of the processor, and other requests find the loop free.
+    """
+
+    def __init__(self) -> None:
+        """Start without a reader."""
+        self._is_waiting = BoundedSemaphore()
+
+    def wait(self, spent_s: float) -> None:
+        """Wait after ``spent_s`` seconds of decoding."""
+        with self._is_waiting:
+            gevent.sleep(spent_s)
+
+
+class RequestBody:
+    """The body of a request, as ``wsgi.input``."""
+
+    def __init__(
+        self,
+        *,
+        source: BufferedReader,
+        length: int,
+        is_chunked: bool,
+        memory: ConnectionMemory,
+        turns: DecodingTurns,
+        send_continue: Callable[[], None],
+    ) -> None:
+        """Read from ``source``: ``length`` bytes, or chunks up to the last one.
+
+        ``send_continue`` is called before the first byte is read.
+        """
+        self._source = source
+        self._left = length
+        self._decoder = ChunkDecoder() if is_chunked else None
+        self._memory = memory
+        self._turns = turns
+        self._send_continue = send_continue
+        self._collected = BytesIO()
+        self._reserved = 0
+        self._spent_s = 0.0
+
+    @property
+    def is_whole(self) -> bool:
+        """Return whether the body has been read to its end."""
+        return self._left == 0 if self._decoder is None else self._decoder.is_ended
+
+    def read(self, size: int | None = None) -> bytes:
+        """Return up to ``size`` bytes, or all; fewer only at the end of the body.
+
+        Of a chunked body it may be up to a block more. Raises ``RequestBodyError`` if the body is
+        not whole, and ``FaultError`` if there is no memory for it.
+        """
+        if self.is_whole or size == 0:
+            return b""
+        try:
+            self._receive(size)
+            return self._collected.getvalue()
+        finally:
+            # Also after a refusal, whose connection may linger.
+            self._drop()
+
+    def _receive(self, size: int | None) -> None:
+        with self._memory.receiving(self._drop):
+            self._send_continue()
+            self._send_continue = _do_nothing
+            while not self.is_whole and (size is None or self._collected.tell() < size):
+                if self._decoder is None:
+                    wanted = BLOCK_BYTES if size is None else size - self._collected.tell()
+                    self._read_plain(min(wanted, BLOCK_BYTES, self._left))
+                else:
+                    self._read_chunks(self._decoder)
+
+    def _drop(self) -> None:
+        self._collected = BytesIO()
+
+    def _read_plain(self, size: int) -> None:
+        self._reserve(size)
+        data = self._source.read1(size)
+        if not data:
+            raise RequestBodyError(f"the connection ended {self._left} bytes before the body")
+        self._collect(data)
+        self._left -= len(data)
+        if self._left and self._collected.tell() >= BLOCK_BYTES:
+            gevent.sleep(0)
+
+    def _read_chunks(self, decoder: ChunkDecoder) -> None:
+        # Peeked at, since what follows the last chunk belongs to the next request.
+        data = self._source.peek()
+        if not data:
+            raise RequestBodyError("the connection ended before the last chunk")
+        self._reserve(len(data))
+        began = time.monotonic()
+        try:
+            payload = decoder.feed(data)
+        except ChunkError as error:
+            raise RequestBodyError(str(error)) from error
+        behind = len(decoder.rest) if decoder.is_ended else 0
+        self._source.read(len(data) - behind)
+        self._collect(payload)
+        self._spent_s += time.monotonic() - began
+        if self._spent_s >= SLICE_S and not self.is_whole:
+            spent_s, self._spent_s = self._spent_s, 0.0
+            self._turns.wait(spent_s)
+
+    def _reserve(self, size: int) -> None:
+        if self._reserved < size:
+            self._memory.reserve(size - self._reserved)
+            self._reserved = size
+
+    def _collect(self, data: bytes) -> None:
+        self._collected.write(data)
+        self._reserved -= len(data)
+
+    def _discard(self) -> None:
+        """Read nothing more; the server closes a connection with an unread body."""
+
+
+def _do_nothing() -> None:
+    """Do nothing."""
--- a/chivetrack/daemon/server.py
+++ b/chivetrack/daemon/server.py
@@ -9,19 +9,34 @@
 
 import gevent
 from gevent.pool import Pool
-from gevent.pywsgi import Input, WSGIHandler, WSGIServer
+from gevent.pywsgi import WSGIHandler, WSGIServer
 
-from chivetrack.components.caller_api.const import ENVIRON_READING_ENDED, ENVIRON_SOCKET
+from chivetrack.components.caller_api.const import (
+    ENVIRON_MEMORY,
+    ENVIRON_READING_ENDED,
+    ENVIRON_SOCKET,
+)
 from chivetrack.components.caller_api.errors import make_raw_error
 from chivetrack.components.limits.stopping import make_stopping_fault
+from chivetrack.components.memory.budget import MemoryBudget
+from chivetrack.components.memory.const import (
+    DEFAULT_MAX_DESCRIPTORS,
+    DEFAULT_MEMORY_MB,
+    RECEIVE_BUFFER_BYTES,
+)
 from chivetrack.components.pipeline import faults
+from chivetrack.daemon.connection_memory import ConnectionMemory
 from chivetrack.daemon.const import (
     BACKLOG,
+    LINGER_BLOCK_BYTES,
     LINGER_TIMEOUT_S,
     MAX_LINGER_BYTES,
+    PIPELINED_PAUSE_S,
     RECEIVE_TIMEOUT_S,
 )
 from chivetrack.daemon.headers import read_headers
+from chivetrack.daemon.memory import open_budget
+from chivetrack.daemon.request_body import DecodingTurns, RequestBody
 from chivetrack.daemon.server_limits import LimitedLines, ServerLimits
 from chivetrack.exceptions import ChivetrackError, FaultError
 from chivetrack.helpers.handshakes import TlsServerMixin
@@ -46,6 +61,7 @@
 
 
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
 class AbortConnectionError(ChivetrackError):
@@ -72,14 +88,20 @@
         # Without a timeout, a caller that stops reading would hold its stream at the engine
         # forever.
         self.socket.settimeout(self.server.limits.idle_timeout_s)
-        try:
-            super().handle()
-        finally:
-            self.server.receiving_handlers.discard(self)
+        self.memory = ConnectionMemory(budget=self.server.memory, end_waiting=self.end_reading)
+        with self.memory.open() as has_room:
+            if not has_room:
+                self.socket.close()
+                return
+            try:
+                super().handle()
+            finally:
+                self.server.receiving_handlers.discard(self)
 
     def MessageClass(self, *args: Any) -> Any:  # noqa: N802
         """Read the header lines within the limits."""
-        return read_headers(LimitedLines(source=args[0], limits=self.server.limits))
+        lines = LimitedLines(source=args[0], limits=self.server.limits, reserve=self.memory.reserve)
+        return read_headers(lines)
 
     def handle_one_request(self) -> Any:
         """Serve one request; an error that gevent itself returns becomes a typed error."""
@@ -99,9 +121,16 @@
         self.server.receiving_handlers.add(self)
         self.server.idle_handlers.add(self)
         try:
-            return super().read_requestline()
+            loop = gevent.get_hub().loop
+            waits_since = loop.now()
+            with self.memory.waiting():
+                line = super().read_requestline()
+            is_pipelined = self.has_received and loop.now() == waits_since
         finally:
             self.server.idle_handlers.discard(self)
+        if line and is_pipelined:
+            self.server.turns.wait(PIPELINED_PAUSE_S)
+        return line
 
     def find_opening_s(self) -> float:
         """Return how long (s) the caller may still take to send its first request."""
@@ -124,7 +153,7 @@
     def read_request(self, raw_requestline: str) -> Any:
         """Read the headers; raise ``FaultError`` if they take too long."""
         timeout = FaultError(faults.headers_timeout(self.server.limits.header_timeout_s))
-        with gevent.Timeout(self.server.limits.header_timeout_s, timeout):
+        with gevent.Timeout(self.server.limits.header_timeout_s, timeout), self.memory.receiving():
             is_read = super().read_request(raw_requestline)
         self._check_framing()
         return is_read
@@ -149,16 +178,32 @@
     def get_environ(self) -> dict[str, Any]:
         """Return the WSGI environment with the socket, for detecting callers that leave."""
         environ: dict[str, Any] = super().get_environ()
+        environ["wsgi.input"] = self.wsgi_input = self._make_body(environ)
         # After the server itself has stopped reading, an end of the stream does not mean that
         # the caller left. It would be mistaken for that, and the last request of the
         # connection would be abandoned without an answer.
         environ[ENVIRON_SOCKET] = None if self.is_reading_ended else self.socket
         environ[ENVIRON_READING_ENDED] = self.is_reading_ended
+        environ[ENVIRON_MEMORY] = self.memory
         environ[ENVIRON_CONNECTED_AT] = self.connected_at
         environ[ENVIRON_TARGET] = self.path
         environ[ENVIRON_HEADERS] = self.headers.list_lines()
         return environ
 
+    def _make_body(self, environ: dict[str, Any]) -> RequestBody:
+        expects_continue = environ.get("HTTP_EXPECT") == "100-continue"
+        return RequestBody(
+            source=self.rfile,
+            length=self.content_length or 0,
+            is_chunked=environ.get("HTTP_TRANSFER_ENCODING", "").lower() == "chunked",
+            memory=self.memory,
+            turns=self.server.turns,
+            send_continue=self._send_continue if expects_continue else _do_nothing,
+        )
+
+    def _send_continue(self) -> None:
+        self.socket.sendall(_CONTINUE)
+
     def run_application(self) -> None:
         """Run the application; during a stop, close the connection afterwards."""
         self.is_running = True
@@ -173,6 +218,7 @@
                 self._set_linger(_END_ON_CLOSE)
         finally:
             self.is_running = False
+            self.memory.release()
             self.server.receiving_handlers.discard(self)
             ends = is_answered and self.close_connection and self.server.is_ending
             if not is_answered and (self._ends_by_close() or not self.is_head_written):
@@ -193,10 +239,7 @@
         return not self.is_running or (self._has_unread_body() and not self.headers_sent)
 
     def _has_unread_body(self) -> bool:
-        body = self.wsgi_input
-        if body.chunked_input:
-            return bool(body.chunk_length != 0)
-        return bool(body.position < (body.content_length or 0))
+        return not self.wsgi_input.is_whole
 
     def _linger(self) -> None:
         """Close the connection after reading a limited amount of what the caller still sends.
@@ -206,13 +249,13 @@
         stops sending.
         """
         self.close_connection = True
-        self.wsgi_input = Input(self.rfile, 0)
         with gevent.Timeout(LINGER_TIMEOUT_S, False):
             try:
                 self.socket.shutdown(socket.SHUT_WR)
                 left = MAX_LINGER_BYTES
-                while left > 0 and (data := self.socket.recv(MAX_LINGER_BYTES)):
+                while left > 0 and (data := self.socket.recv(LINGER_BLOCK_BYTES)):
                     left -= len(data)
+                    gevent.sleep(0)
             except OSError:
                 return
 
@@ -288,6 +331,10 @@
         self._send_error_response_if_possible(500)
 
 
+def _do_nothing() -> None:
+    """Do nothing."""
+
+
 def write_at_once(_socket: Any, data: bytes) -> Iterable[bytes]:
     """Return the bytes as one piece that may be written now."""
     return (data,)
@@ -312,13 +359,15 @@
         listener: socket.socket | None = None,
         pace: Callable[[Any, bytes], Iterable[bytes]] = write_at_once,
         may_accept: Callable[[], bool] = lambda: True,
+        memory: MemoryBudget | None = None,
     ) -> None:
         """Create a server that binds ``address`` at ``start``.
 
         With ``tls`` all connections are encrypted. A ``listener`` that already listens at
         ``address`` is used instead of a new one. ``pace`` returns the pieces of what is
         written to a caller's socket, each once it may be written. ``may_accept`` returns whether
-        a new connection is served; otherwise it is closed unread.
+        a new connection is served; otherwise it is closed unread. ``memory`` is the budget that
+        the listeners of a process share.
         """
         options: dict[str, Any] = {} if tls is None else {"ssl_context": tls}
         super().__init__(
@@ -335,11 +384,20 @@
         self.limits = limits or ServerLimits()
         self.pace = pace
         self._may_accept = may_accept
+        self.memory = memory or open_budget(
+            memory_mb=DEFAULT_MEMORY_MB, max_descriptors=DEFAULT_MAX_DESCRIPTORS
+        )
+        self.turns = DecodingTurns()
         self.is_draining = False
         # Connections whose request may be incomplete; the idle ones wait for its first line.
         self.receiving_handlers: set[_RequestHandler] = set()
         self.idle_handlers: set[_RequestHandler] = set()
 
+    def init_socket(self) -> None:
+        """Open the listener; connections that it accepts get its receive buffer."""
+        super().init_socket()
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+
     @property
     def is_ending(self) -> bool:
         """Return whether connections close after their request."""
--- a/chivetrack/daemon/server_limits.py
+++ b/chivetrack/daemon/server_limits.py
@@ -1,7 +1,8 @@
 """Limits of an HTTP server for one connection, and header lines read within them."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Final
 
 from chivetrack.components.pipeline import faults
 from chivetrack.daemon.const import (
@@ -17,6 +18,11 @@
     from chivetrack.components.settings.models import LimitSettings
 
 
+SHORT_HEAD_BYTES: Final = 4 * 1024
+HEAD_OBJECTS_FACTOR: Final = 4
+"""Bytes that a byte of a head takes in all forms in which it is kept."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ServerLimits:
     """Limits for one connection; times are in seconds.
@@ -40,10 +46,18 @@
 class LimitedLines:
     """Source of header lines that raises ``FaultError`` when a limit is exceeded."""
 
-    def __init__(self, *, source: Any, limits: ServerLimits) -> None:
-        """Read from ``source``, a file of bytes."""
+    def __init__(
+        self, *, source: Any, limits: ServerLimits, reserve: Callable[[int], None]
+    ) -> None:
+        """Read from ``source``, a file of bytes.
+
+        ``reserve`` is called for memory beyond that of a short head; it raises ``FaultError`` if
+        there is none.
+        """
         self._source = source
         self._limits = limits
+        self._reserve = reserve
+        self._unreserved_left = SHORT_HEAD_BYTES
         self._bytes_left = limits.max_header_bytes
         self._lines_left = limits.max_headers
 
@@ -51,6 +65,9 @@
         """Return the next line; raise ``FaultError`` if it exceeds the limits."""
         line: bytes = self._source.readline(self._bytes_left + 1)
         self._bytes_left -= len(line)
+        self._unreserved_left -= len(line)
+        if self._unreserved_left < 0:
+            self._reserve(min(len(line), -self._unreserved_left) * HEAD_OBJECTS_FACTOR)
         if line.strip():
             self._lines_left -= 1
         if self._bytes_left < 0 or self._lines_left < 0:
