Bound the bodies of control, management and resource calls

Operators saw a replica that ended: PUT /config and the orders had neither a limit nor a timeout, an announced length was not looked at, and what is decoded from a configuration takes several times its size. 120 clients that send far over any sound size took the replica over 296 MB in a second.

Memory for what is decoded from it is reserved until the call ends; without room the call gets 503 and has not run, and nothing of half a document is ever looked at. Heartbeats, orders, and the calls of chivetrackd's operators are read by the same function.

--- a/chivetrack/components/management/app.py
+++ b/chivetrack/components/management/app.py
@@ -7,9 +7,11 @@
 from bottle import Bottle, HTTPResponse, request
 from expression import Result
 
+from chivetrack.components.caller_api.body import read_body
+from chivetrack.components.caller_api.const import BODY_TIMEOUT_S
 from chivetrack.components.caller_api.errors import make_error_response
 from chivetrack.components.management.models import Document, Lookup, ManagementPorts
-from chivetrack.exceptions import Fault, Ran
+from chivetrack.exceptions import Fault, FaultError, Ran
 
 PREFIX = "/api/v1"
 JSON_TYPE = "application/json"
@@ -70,7 +72,10 @@
         return _make_explanation_response(self._ports.explain_endpoint, name)
 
     def add_replica(self) -> HTTPResponse:
-        body = request.environ["wsgi.input"].read(MAX_BODY_BYTES)
+        try:
+            body = read_body(request.environ, limit=MAX_BODY_BYTES, timeout_s=BODY_TIMEOUT_S)
+        except FaultError as error:
+            return make_error_response(error.fault)
         try:
             document = msgspec.json.decode(body, type=ReplicaDocument)
         except msgspec.MsgspecError as error:
--- a/chivetrack/components/resource_api/app.py
+++ b/chivetrack/components/resource_api/app.py
@@ -9,6 +9,8 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from chivetrack.components.caller_api.body import read_body
+from chivetrack.components.caller_api.const import BODY_TIMEOUT_S
 from chivetrack.components.resource_api import const
 from chivetrack.components.resource_api.models import (
     ApiRequest,
@@ -23,12 +25,14 @@
 from chivetrack.components.resource_api.problems import make_problem
 from chivetrack.components.resource_api.rendering import render_problem
 from chivetrack.components.resources.kinds import KINDS, Kind
-from chivetrack.exceptions import Fault, Ran
+from chivetrack.exceptions import Fault, FaultError, Ran
 from chivetrack.helpers.finding import suggest_name
 
 JSON_TYPE = "application/json"
 STREAM_TYPE = "application/x-ndjson"
 
+TOO_LARGE = 413
+
 _REQUEST_ID = re.compile(const.REQUEST_ID_PATTERN)
 _REVISION = re.compile(r'(?:W/)?"?(\d{1,18})"?')
 
@@ -134,10 +138,16 @@
     length = bottle.request.content_length
     if length < 0 or bottle.request.chunked:
         return Error(make_problem("length_required", "Content-Length is missing", status=411))
-    if length > const.MAX_BODY_BYTES:
-        message = f"the body has more than {const.MAX_BODY_BYTES} bytes"
-        return Error(make_problem("too_large", message, status=413))
-    body: bytes = bottle.request.environ["wsgi.input"].read(length) if length else b""
+    if length == 0:
+        return Ok(b"")
+    try:
+        body = read_body(
+            bottle.request.environ, limit=const.MAX_BODY_BYTES, timeout_s=BODY_TIMEOUT_S
+        )
+    except FaultError as error:
+        fault = error.fault
+        code = "too_large" if fault.status == TOO_LARGE else fault.code
+        return Error(make_problem(code, fault.message, status=fault.status))
     return Ok(body)
 
 
--- a/chivetrack/platform/control_api.py
+++ b/chivetrack/platform/control_api.py
@@ -11,14 +11,24 @@
 
 from chivetrack.components.announcements.models import EndpointRecord
 from chivetrack.components.announcements.soundness import RecordFault, UnsoundRecord
-from chivetrack.components.caller_api.const import ENVIRON_SOCKET
+from chivetrack.components.caller_api.body import read_at_most, reserve_memory
+from chivetrack.components.caller_api.const import (
+    BODY_TIMEOUT_S,
+    ENVIRON_SOCKET,
+)
 from chivetrack.components.caller_api.watch import has_left
+from chivetrack.components.document.const import (
+    DECODED_DOCUMENT_FACTOR,
+    DOCUMENT_TIMEOUT_S,
+    MAX_DOCUMENT_BYTES,
+)
 from chivetrack.components.document.store import StoredDocument
 from chivetrack.components.evacuation.models import Evacuations
 from chivetrack.components.limits.stopping import RETRY_AFTER_S
+from chivetrack.components.pipeline import faults
 from chivetrack.components.quarantine.models import Quarantine
 from chivetrack.components.traffic.models import Document
-from chivetrack.exceptions import Fault
+from chivetrack.exceptions import Fault, FaultError
 from chivetrack.helpers.numbers import read_count
 from chivetrack.platform.announcements import MAX_BODY_BYTES, read_departure, read_heartbeat
 from chivetrack.platform.configuration import read_document, render_findings
@@ -119,7 +129,7 @@
     report_invalid: Callable[[str, str], None],
 ) -> None:
     def put_config() -> HTTPResponse:
-        body = _read_body()
+        body = _read_document_body()
         read = read_document(body)
         if read.is_error():
             report_invalid("configuration", "; ".join(str(one) for one in read.error)[:500])
@@ -141,7 +151,7 @@
 
 def _add_zone_calls(app: Bottle, handler: ControlRequestHandler) -> None:
     def order_zone(zone: str) -> HTTPResponse:
-        if _read_body(1):
+        if _read_body(0):
             return _make_response(400, {"error": "body", "message": "this call takes no body"})
         if has_left(request.environ.get(ENVIRON_SOCKET)):
             # The operator has closed the connection. It may have sent the order to another
@@ -197,14 +207,14 @@
         return _make_response(400, {"error": "unsound", "message": message})
 
     def put_endpoint(endpoint_id: str) -> HTTPResponse:
-        record = read_heartbeat(endpoint_id, _read_body(MAX_BODY_BYTES + 1))
+        record = read_heartbeat(endpoint_id, _read_body(MAX_BODY_BYTES))
         if record.is_error():
             return reject(endpoint_id, record.error)
         outcome = handler.announce(record.ok)
         return _make_response(200, {}) if outcome.is_ok() else _make_refusal(outcome.error, "")
 
     def delete_endpoint(endpoint_id: str) -> HTTPResponse:
-        born = read_departure(endpoint_id, _read_body(MAX_BODY_BYTES + 1))
+        born = read_departure(endpoint_id, _read_body(MAX_BODY_BYTES))
         if born.is_error():
             return reject(endpoint_id, born.error)
         outcome = handler.leave(endpoint_id, born.ok)
@@ -245,16 +255,34 @@
     app.route("/config", "GET", get_config)
 
 
-def _read_body(max_bytes: int | None = None) -> bytes:
-    """Return the body of a call; one that does not arrive whole ends the call unexecuted."""
+def _read_document_body() -> bytes:
+    """Return the body of a configuration call, with memory reserved for what is decoded from it."""
+    if int(request.environ.get("CONTENT_LENGTH") or 0) > MAX_DOCUMENT_BYTES:
+        raise _make_refusal(faults.body_too_large(MAX_DOCUMENT_BYTES), "")
+    body = _read_body(MAX_DOCUMENT_BYTES, timeout_s=DOCUMENT_TIMEOUT_S)
+    if len(body) > MAX_DOCUMENT_BYTES:
+        raise _make_refusal(faults.body_too_large(MAX_DOCUMENT_BYTES), "")
     try:
-        body: bytes = request.environ["wsgi.input"].read(max_bytes)
+        reserve_memory(request.environ, len(body) * DECODED_DOCUMENT_FACTOR)
+    except FaultError as error:
+        raise _make_refusal(error.fault, "") from error
+    return body
+
+
+def _read_body(max_bytes: int, *, timeout_s: float = BODY_TIMEOUT_S) -> bytes:
+    """Return the body of a call; of one that is too long more than ``max_bytes``, but not all.
+
+    One that does not arrive whole ends the call unexecuted.
+    """
+    try:
+        return read_at_most(request.environ, max_bytes + 1, timeout_s=timeout_s)
+    except FaultError as error:
+        raise _make_refusal(error.fault, "") from error
     except OSError as error:
         message = "the rest of the call has not arrived; the call has not run"
         response = _make_response(503, {"error": "incomplete_body", "message": message})
         response.set_header("Retry-After", f"{RETRY_AFTER_S:.2f}")
         raise response from error
-    return body
 
 
 def _make_response(status: int, document: object) -> HTTPResponse:
