Test callers that read no answer through small windows

Suspected: an answer that its caller does not read holds the slot and the connection of its endpoint until it is written. Not shown: 200 callers with windows of 4 KiB, at an endpoint whose 8 slots are handed out, keep nobody out, since the system takes the megabyte of an answer whole. The test stays; its deployment hands out slots now, as the template does.

--- a/tests/system/crowds.py
+++ b/tests/system/crowds.py
@@ -55,10 +55,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ClientKind:
-    """How many clients a crowd has, and what each of them sends."""
+    """How many clients a crowd has, and what each of them sends.
+
+    ``receive_buffer`` is the size (bytes) of a client's receive buffer, 0 for the usual one.
+    """
 
     count: int
     make_pieces: Callable[[Target], Pieces]
+    receive_buffer: int = 0
 
 
 def _frame(target: Target, line: bytes) -> bytes:
@@ -184,6 +188,11 @@
     yield from itertools.repeat(_announce(target, 1) + b"x", 2000)
 
 
+def send_one_request(target: Target) -> Pieces:
+    """Send one ordinary request, and read no answer."""
+    yield _announce(target, 1) + b"x"
+
+
 def send_nothing(target: Target) -> Pieces:
     """Stay connected without a byte."""
     return iter(())
@@ -203,6 +212,8 @@
         self._unsent = memoryview(b"")
         self.socket = socket.socket()
         self.socket.setblocking(False)
+        if self._kind.receive_buffer:
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self._kind.receive_buffer)
         self.socket.connect_ex(self._target.address)
 
     def send(self) -> None:
--- a/tests/system/test_client_crowds.py
+++ b/tests/system/test_client_crowds.py
@@ -34,6 +34,9 @@
 # With fewer descriptors, a crowd of silent clients that a test can open uses all of them.
 FEW_DESCRIPTORS = 600
 MAX_BODY = 4 * crowds.MEBIBYTE
+# As the template has it: slots are handed out while the endpoint is busy.
+MIN_LOAD = 0.25
+SMALL_WINDOW_BYTES = 4096
 LARGE_ANSWER = b"a" * 1_000_000
 PRESS_S = 3.0
 ASK_TIMEOUT_S = 3.0
@@ -60,7 +63,7 @@
     max_memory: ClassVar[int] = ROUTER_MEMORY
     expected: ClassVar[bytes] = b"HTTP/1.1 200"
 
-    def check(self, count: int, make_pieces: Any) -> None:
+    def check(self, count: int, make_pieces: Any, receive_buffer: int = 0) -> None:
         """Let a crowd press, and check the bounds and the ordinary requests."""
         target = self.find_target()
         peak = [0, 0]
@@ -72,7 +75,8 @@
             self.assertLess(held.memory, self.max_memory)
             self.assertLess(held.descriptors, MAX_DESCRIPTORS)
 
-        with open_crowd(ClientKind(count=count, make_pieces=make_pieces), target) as crowd:
+        kind = ClientKind(count=count, make_pieces=make_pieces, receive_buffer=receive_buffer)
+        with open_crowd(kind, target) as crowd:
             crowd.press(for_s=PRESS_S, check=check_bounds)
             self.check_answered("while the crowd stays")
             check_bounds()
@@ -180,6 +184,7 @@
     @classmethod
     def open_deployment(cls) -> None:
         cls.deployment = cls.enterClassContext(open_deployment(replicas=1, routers=1))
+        cls.deployment.min_load = MIN_LOAD
         with lower_descriptors():
             cls.deployment.start_all()
         endpoint = cls.enterClassContext(open_endpoint(cls.deployment, 1))
@@ -211,6 +216,10 @@
     def find_target(self) -> Target:
         return self.make_target(CALLER_PORT, b"POST /a/x")
 
+    def test_answers_unread_through_small_windows(self) -> None:
+        """Guards against callers that read no answer and so hold the slots of an endpoint."""
+        self.check(200, crowds.send_one_request, SMALL_WINDOW_BYTES)
+
 
 class ReadinessCrowdTest(CrowdTests, DeploymentCase):
     process = "r1"
