--- a/chivetrack/components/caller_api/const.py
+++ b/chivetrack/components/caller_api/const.py
@@ -25,6 +25,12 @@
 ENVIRON_SOCKET: Final = "chivetrack.socket"
 # WSGI environment key: whether the server itself has stopped reading from the caller.
 ENVIRON_READING_ENDED: Final = "chivetrack.reading_ended"
+# WSGI environment keys of the raw request target and header lines. The standard keys hold a
+# decoded path and joined lines, which cannot be forwarded unchanged.
+ENVIRON_TARGET: Final = "chivetrack.target"
+ENVIRON_HEADERS: Final = "chivetrack.headers"
+# WSGI environment key: when the connection was opened, in seconds of the monotonic clock.
+ENVIRON_CONNECTED_AT: Final = "chivetrack.connected_at"
 # WSGI environment key: what the connection holds of the memory of the process.
 ENVIRON_MEMORY: Final = "chivetrack.memory"
 HEADER_REQUEST_ID: Final = "X-Request-Id"
--- a/chivetrack/daemon/fleet/forwarder.py
+++ b/chivetrack/daemon/fleet/forwarder.py
@@ -33,7 +33,7 @@
 from chivetrack.daemon.fleet.hedging import Hedge, Hedger
 from chivetrack.daemon.fleet.stream_relay import StreamRelay
 from chivetrack.daemon.fleet.stream_silence import StreamSilence
-from chivetrack.daemon.server import AbortConnectionError
+from chivetrack.daemon.request_handler import AbortConnectionError
 from chivetrack.platform.headers import (
     list_answer_headers,
     make_endpoint_headers,
--- a/chivetrack/daemon/fleet/late_requests.py
+++ b/chivetrack/daemon/fleet/late_requests.py
@@ -4,11 +4,11 @@
 from collections.abc import Iterable
 from typing import Any
 
+from chivetrack.components.caller_api.const import ENVIRON_CONNECTED_AT, ENVIRON_HEADERS
 from chivetrack.components.limits.stopping import make_stopping_fault
 from chivetrack.daemon.fleet.calls import Reply
 from chivetrack.daemon.fleet.fleet_view import FleetView
 from chivetrack.daemon.fleet.request_log import RequestLog
-from chivetrack.daemon.server import ENVIRON_CONNECTED_AT, ENVIRON_HEADERS
 from chivetrack.platform.headers import read_request_facts
 
 
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -8,7 +8,13 @@
 import xxhash
 
 from chivetrack.components.caller_api.body import read_body
-from chivetrack.components.caller_api.const import BODY_TIMEOUT_S, ENVIRON_SOCKET
+from chivetrack.components.caller_api.const import (
+    BODY_TIMEOUT_S,
+    ENVIRON_CONNECTED_AT,
+    ENVIRON_HEADERS,
+    ENVIRON_SOCKET,
+    ENVIRON_TARGET,
+)
 from chivetrack.components.caller_api.open_requests import ExitDecidedError, OpenRequests
 from chivetrack.components.caller_api.watch import CallerLeftError, watch_caller
 from chivetrack.components.distribution.document_receiver import DocumentReceiver
@@ -48,7 +54,6 @@
 from chivetrack.daemon.fleet.refusals import Refusals
 from chivetrack.daemon.fleet.request_log import RequestLog
 from chivetrack.daemon.fleet.retry_budget import RetryBudgetClient
-from chivetrack.daemon.server import ENVIRON_CONNECTED_AT, ENVIRON_HEADERS, ENVIRON_TARGET
 from chivetrack.exceptions import Fault, FaultError, Ran
 from chivetrack.helpers.events import EventLog
 from chivetrack.platform.headers import read_request_facts
--- a/chivetrack/daemon/refusals.py
+++ b/chivetrack/daemon/refusals.py
@@ -4,10 +4,10 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+from chivetrack.components.caller_api.const import ENVIRON_CONNECTED_AT
 from chivetrack.components.caller_api.errors import make_error_response
 from chivetrack.components.limits.stopping import make_stopping_fault
 from chivetrack.daemon.call_gate import Application
-from chivetrack.daemon.server import ENVIRON_CONNECTED_AT
 from chivetrack.helpers.log import get_logger
 
 _LOGGER = get_logger("stop")
--- a/chivetrack/daemon/request_body.py
+++ b/chivetrack/daemon/request_body.py
@@ -91,7 +91,7 @@
     def _receive(self, size: int | None) -> None:
         with self._memory.receiving(self._drop):
             self._send_continue()
-            self._send_continue = _do_nothing
+            self._send_continue = send_nothing
             while not self.is_whole and (size is None or self._collected.tell() < size):
                 if self._decoder is None:
                     wanted = BLOCK_BYTES if size is None else size - self._collected.tell()
@@ -144,5 +144,5 @@
         """Read nothing more; the server closes a connection with an unread body."""
 
 
-def _do_nothing() -> None:
-    """Do nothing."""
+def send_nothing() -> None:
+    """Send no interim answer, for a caller that does not wait for one."""
--- a/tests/daemon/fleet/test_open_requests.py
+++ b/tests/daemon/fleet/test_open_requests.py
@@ -10,6 +10,7 @@
 from gevent.event import Event
 
 from chivetrack.components.admission.engagement import Engagement
+from chivetrack.components.caller_api.const import ENVIRON_HEADERS, ENVIRON_TARGET
 from chivetrack.components.deployment.settings import BoundSettings
 from chivetrack.components.distribution.document_receiver import DocumentReceiver
 from chivetrack.components.limits.stopping import StopWindow
@@ -27,7 +28,6 @@
 from chivetrack.daemon.fleet.permits import PermitClient
 from chivetrack.daemon.fleet.requests import RequestHandler
 from chivetrack.daemon.fleet.retry_budget import RetryBudgetClient
-from chivetrack.daemon.server import ENVIRON_HEADERS, ENVIRON_TARGET
 from chivetrack.helpers.clock import read_boot_clock
 from chivetrack.helpers.codec import Message
 from chivetrack.helpers.events import EventLog
--- a/tests/daemon/test_server.py
+++ b/tests/daemon/test_server.py
@@ -17,7 +17,8 @@
 from chivetrack.components.caller_api.gateway import Gateway
 from chivetrack.components.caller_api.watch import watch_caller
 from chivetrack.components.upstream.client import UpstreamClient
-from chivetrack.daemon.server import AbortConnectionError, HttpServer
+from chivetrack.daemon.request_handler import AbortConnectionError
+from chivetrack.daemon.server import HttpServer
 from chivetrack.daemon.server_limits import ServerLimits
 from chivetrack.exceptions import FaultError, Ran
 from chivetrack.helpers.telemetry import open_telemetry
--- a/tests/daemon/test_server_bodies.py
+++ b/tests/daemon/test_server_bodies.py
@@ -10,7 +10,7 @@
 from chivetrack.components.caller_api.const import ENVIRON_READING_ENDED, ENVIRON_SOCKET
 from chivetrack.components.caller_api.watch import has_left
 from chivetrack.daemon.const import RECEIVE_TIMEOUT_S
-from chivetrack.daemon.server import AbortConnectionError
+from chivetrack.daemon.request_handler import AbortConnectionError
 from chivetrack.daemon.server_limits import ServerLimits
 from tests.daemon.test_server import ServerCase
 
--- a/tests/daemon/test_server_cuts.py
+++ b/tests/daemon/test_server_cuts.py
@@ -11,7 +11,7 @@
 from chivetrack.components.upstream.answer_head import AnswerHead, AnswerHeadParser
 from chivetrack.components.upstream.chunks import ChunkDecoder
 from chivetrack.components.upstream.models import Framing
-from chivetrack.daemon.server import AbortConnectionError
+from chivetrack.daemon.request_handler import AbortConnectionError
 from tests.daemon.test_server import ServerCase
 from tests.daemon.unframed_process import PIECE
 
