Tell operators what gives way for memory, in a line, gauges and counts

Operators could not tell a router whose connections use up its memory from one that is slow.

CallersCrowdTest checks the line and the gauge, which did not exist before.

--- a/chivetrack/daemon/fleet/replica.py
+++ b/chivetrack/daemon/fleet/replica.py
@@ -51,14 +51,15 @@
 from chivetrack.daemon.fleet.control_handler import ControlHandler
 from chivetrack.daemon.fleet.documents import DocumentHandler
 from chivetrack.daemon.fleet.early import release_signals
-from chivetrack.daemon.fleet.gauges import Gauge
 from chivetrack.daemon.fleet.lending import LenderHost
 from chivetrack.daemon.fleet.log_host import LogHost
+from chivetrack.daemon.fleet.memory_log import MemoryLog, list_memory_gauges
 from chivetrack.daemon.fleet.metrics import Metrics, open_metrics_server
 from chivetrack.daemon.fleet.origin_file import OriginFile
 from chivetrack.daemon.fleet.origin_host import OriginHost
 from chivetrack.daemon.fleet.peering import TrafficLog, list_seed_peers, make_transport, send_all
 from chivetrack.daemon.fleet.quarantine_host import QuarantineHost
+from chivetrack.daemon.fleet.replica_gauges import list_replica_gauges
 from chivetrack.daemon.fleet.restart_file import RestartFile
 from chivetrack.daemon.fleet.unsound_log import UnsoundLog
 from chivetrack.daemon.memory import open_budget
@@ -173,37 +174,11 @@
             events=events,
         )
         self._message_handlers = dict(self._list_message_handlers())
+        memory = open_budget(settings.limits)
+        self._memory_log = MemoryLog(budget=memory, events=events)
         self._metrics.add_gauges(
-            Gauge(
-                name="chivetrack.replica.evacuated_since",
-                unit="s",
-                description="Unix time of the oldest evacuation in force, 0 without any.",
-                read=lambda: self._store.evacuations.evacuated_since,
-            ),
-            Gauge(
-                name="chivetrack.replica.quarantined_requests",
-                unit="{request}",
-                description="Requests that are rejected since they crash endpoints.",
-                read=lambda: len(self._store.quarantine.requests),
-            ),
-            Gauge(
-                name="chivetrack.replica.link_window",
-                unit="By",
-                description="Limit on the bytes in flight to other instances.",
-                read=lambda: self.transport.room.window.limit,
-            ),
-            Gauge(
-                name="chivetrack.replica.link_rate",
-                unit="By/s",
-                description="Rate of the network link when it was last full, 0 before that.",
-                read=lambda: self.transport.room.window.rate or 0.0,
-            ),
-            Gauge(
-                name="chivetrack.replica.link_congested",
-                unit="1",
-                description="1 while messages have to wait for the network link, 0 otherwise.",
-                read=lambda: int(self.transport.room.is_congested),
-            ),
+            *list_replica_gauges(store=self._store, room=self.transport.room),
+            *list_memory_gauges(memory),
         )
         self._quarantine = QuarantineHost(
             folder=settings.process.data_folder,
@@ -227,9 +202,6 @@
             ),
             refuse=self._refuser,
         )
-        memory = open_budget(
-            memory_mb=settings.limits.memory_mb, max_descriptors=settings.limits.max_descriptors
-        )
         self._control = HttpServer(
             address=(listeners.control.host, listeners.control.port),
             application=self._gate,
@@ -418,6 +390,7 @@
                 self.host.write_contacts()
                 self._events.write("distribution_sent", **self._publisher.pop_counts())
             now = time.monotonic()
+            self._memory_log.write(now)
             self._origins.refresh()
             for record in self._table.remove_expired(now):
                 self._events.write("endpoint_forgotten", **record.describe())
--- a/chivetrack/daemon/fleet/router.py
+++ b/chivetrack/daemon/fleet/router.py
@@ -44,6 +44,7 @@
 from chivetrack.daemon.fleet.fleet_view import FleetView
 from chivetrack.daemon.fleet.forwarder import Forwarder
 from chivetrack.daemon.fleet.hedging import Hedger
+from chivetrack.daemon.fleet.memory_log import MemoryLog, list_memory_gauges
 from chivetrack.daemon.fleet.metrics import Metrics, open_metrics_server
 from chivetrack.daemon.fleet.origins import OriginClient
 from chivetrack.daemon.fleet.paths import EndpointPaths
@@ -99,6 +100,8 @@
         self._events = events
         self._timers = TimerService()
         self._stop_requested = Signal()
+        self._memory = open_budget(settings.limits)
+        self._memory_log = MemoryLog(budget=self._memory, events=events)
         self._idle_connections = IdleConnections(read_clock=time.monotonic)
         self._metrics = Metrics(
             instance=settings.process.name, zone=settings.process.availability_zone
@@ -120,7 +123,8 @@
                 view=self.view,
                 count_shed=lambda: self._shedder.closed_count,
                 count_carried=lambda: self._carrier.open_count,
-            )
+            ),
+            *list_memory_gauges(self._memory),
         )
         self.subscriber = Subscriber(
             router=str(settings.listeners.peer),
@@ -252,9 +256,6 @@
             application=self.request_handler, refuse=self.request_handler.late_requests
         )
         self._shedder = ConnectionShedder()
-        self._memory = open_budget(
-            memory_mb=settings.limits.memory_mb, max_descriptors=settings.limits.max_descriptors
-        )
         self._callers = self._make_server(
             settings.listeners.callers,
             self._gate,
@@ -371,6 +372,7 @@
 
     def _prune(self, now: float) -> None:
         self._idle_connections.close_expired()
+        self._memory_log.write(now)
         for record in self.view.forget_expired(now=now):
             self._events.write("endpoint_forgotten", **record.describe())
 
--- a/chivetrack/daemon/instance.py
+++ b/chivetrack/daemon/instance.py
@@ -112,10 +112,7 @@
             ),
             encryption=encryption,
             is_closing=self.is_stopping,
-            memory=open_budget(
-                memory_mb=settings.limits.memory_mb,
-                max_descriptors=settings.limits.max_descriptors,
-            ),
+            memory=open_budget(settings.limits),
             limits=make_server_limits(settings.limits),
         )
         self._stop = GracefulStop(
--- a/chivetrack/daemon/server.py
+++ b/chivetrack/daemon/server.py
@@ -10,14 +10,14 @@
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIServer
 
-from chivetrack.components.memory.budget import MemoryBudget
+from chivetrack.components.memory.budget import MemoryBudget, make_budget
 from chivetrack.components.memory.const import (
     DEFAULT_MAX_DESCRIPTORS,
     DEFAULT_MEMORY_MB,
+    MEGABYTE,
     RECEIVE_BUFFER_BYTES,
 )
 from chivetrack.daemon.const import BACKLOG, RECEIVE_TIMEOUT_S
-from chivetrack.daemon.memory import open_budget
 from chivetrack.daemon.request_body import DecodingTurns
 from chivetrack.daemon.request_handler import RequestHandler
 from chivetrack.daemon.server_limits import ServerLimits
@@ -76,8 +76,8 @@
         self.limits = limits or ServerLimits()
         self.pace = pace
         self._may_accept = may_accept
-        self.memory = memory or open_budget(
-            memory_mb=DEFAULT_MEMORY_MB, max_descriptors=DEFAULT_MAX_DESCRIPTORS
+        self.memory = memory or make_budget(
+            memory_bytes=DEFAULT_MEMORY_MB * MEGABYTE, max_descriptors=DEFAULT_MAX_DESCRIPTORS
         )
         self.turns = DecodingTurns()
         self.is_draining = False
--- a/tests/daemon/test_stop.py
+++ b/tests/daemon/test_stop.py
@@ -13,6 +13,7 @@
 
 from chivetrack.components.caller_api.const import PATH_READY
 from chivetrack.components.caller_api.gateway import Gateway
+from chivetrack.components.memory.budget import make_budget
 from chivetrack.components.proposals.models import SubmissionEnded
 from chivetrack.components.settings.models import ListenerSettings
 from chivetrack.components.upstream.client import UpstreamClient
@@ -21,7 +22,6 @@
 from chivetrack.daemon.encryption import Encryption
 from chivetrack.daemon.instance_requests import InstanceRequests
 from chivetrack.daemon.listeners import Applications, Listeners
-from chivetrack.daemon.memory import open_budget
 from chivetrack.daemon.refusals import ConnectionGate, StopRefusal
 from chivetrack.daemon.stop import GracefulStop, StopReport
 from chivetrack.daemon.submissions import Submissions
@@ -103,7 +103,7 @@
                 caller=self.gates[0], resources=self.gates[1], telemetry=self.answer
             ),
             encryption=Encryption(listeners={}),
-            memory=open_budget(memory_mb=256, max_descriptors=4096),
+            memory=make_budget(memory_bytes=10**8, max_descriptors=4096),
             is_closing=lambda: self.stop.is_stopping,
         )
         listeners.start()
--- a/tests/system/test_client_crowds.py
+++ b/tests/system/test_client_crowds.py
@@ -216,6 +216,16 @@
     def find_target(self) -> Target:
         return self.make_target(CALLER_PORT, b"POST /a/x")
 
+    def test_bodies_that_stop_a_byte_short(self) -> None:
+        """Guards as above, and against requests that give way without a line or a count."""
+        super().test_bodies_that_stop_a_byte_short()
+        lines = self.deployment.read_events(self.process)
+        told = [one for one in lines if one.get("event") == "connections_gave_way"]
+        self.assertGreater(sum(one["gave_way"] for one in told), 0)
+        metrics = f"http://{self.deployment.get_host(self.process)}:{METRICS_PORT}/metrics"
+        _, text = self.deployment.send_request("GET", metrics)
+        self.assertIn(b"chivetrack_instance_connections_gave_way", text)
+
     def test_answers_unread_through_small_windows(self) -> None:
         """Guards against callers that read no answer and so hold the slots of an endpoint."""
         self.check(200, crowds.send_one_request, SMALL_WINDOW_BYTES)
