Decode equal tiny chunks together, and test single legal requests in calm

A body of 4 MiB in chunks of two bytes is inside the limits and took some three seconds of decoding, beyond the timeout of many routes. Bodies in all framings, up to their legal size, are answered when they come alone.

--- a/chivetrack/components/upstream/chunks.py
+++ b/chivetrack/components/upstream/chunks.py
@@ -1,5 +1,6 @@
 """Incremental decoder for the chunked transfer coding of HTTP/1.1."""
 
+import functools
 import re
 from enum import StrEnum
 
@@ -7,6 +8,7 @@
 from chivetrack.components.upstream.const import MAX_TRAILER_BYTES
 
 MAX_SIZE_LINE_BYTES = 64
+MAX_TINY_BYTES = 16
 _LINE_END = b"\r\n"
 # Extensions are not read, but they hold no control characters, so no line ends either.
 _PLAIN_SIZE_LINE = re.compile(rb"([0-9a-fA-F]{1,8})\r\n")
@@ -25,14 +27,45 @@
     ENDED = "ended"
 
 
+@functools.lru_cache(maxsize=64)
+def _compile_equal_chunks(size_line: bytes, size: int) -> re.Pattern[bytes]:
+    return re.compile(rb"(?:%b[\s\S]{%d}\r\n)*+" % (size_line, size))
+
+
+def _read_equal_chunks(
+    buffer: bytes, start: int, size_line: bytes, size: int, payload: bytearray
+) -> int:
+    """Decode chunks with equal size lines from ``start`` on; return where they end.
+
+    A body of chunks of a byte or two would take seconds chunk by chunk. Here all first bytes of
+    the chunks are copied at once, then all second ones, and so on.
+    """
+    match = _compile_equal_chunks(size_line, size).match(buffer, start)
+    assert match is not None
+    chunks = match[0]
+    stride = len(size_line) + size + len(_LINE_END)
+    joined = bytearray(len(chunks) // stride * size)
+    for number in range(size):
+        joined[number::size] = chunks[len(size_line) + number :: stride]
+    payload += joined
+    return match.end()
+
+
 def _read_whole_chunks(buffer: bytes, start: int, payload: bytearray) -> int:
     """Decode the chunks from ``start`` on that are whole and plain; return where they end.
 
     Tiny chunks can be as many as bytes, so this loop leaves all other cases to the decoder.
     """
+    size_line_before = b""
     while match := _PLAIN_SIZE_LINE.match(buffer, start):
         data = match.end()
-        end = data + int(match[1], 16)
+        size = int(match[1], 16)
+        end = data + size
+        if match[0] == size_line_before and 0 < size <= MAX_TINY_BYTES:
+            start = _read_equal_chunks(buffer, start, match[0], size, payload)
+            size_line_before = b""
+            continue
+        size_line_before = match[0]
         if end == data or buffer[end : end + len(_LINE_END)] != _LINE_END:
             break
         payload += buffer[data:end]
--- a/tests/components/upstream/test_chunks.py
+++ b/tests/components/upstream/test_chunks.py
@@ -82,6 +82,22 @@
                     decoder.feed(data[:size])
                     decoder.feed(data[size:])
 
+    def test_tiny_chunks_in_any_order_and_split(self) -> None:
+        """Guards against tiny chunks that are joined in another order than they came."""
+        for seed in range(200):
+            with self.subTest(seed=seed):
+                rng = random.Random(seed)
+                parts = []
+                for _ in range(rng.randrange(1, 8)):
+                    size = rng.randrange(1, 20)
+                    parts += [rng.randbytes(size) for _ in range(rng.randrange(1, 9))]
+                data = b"".join(b"%x\r\n%b\r\n" % (len(one), one) for one in parts)
+                decoder = ChunkDecoder()
+                cut = rng.randrange(len(data))
+                body = decoder.feed(data[:cut]) + decoder.feed(data[cut:] + b"0\r\n\r\n")
+                self.assertEqual(body, b"".join(parts))
+                self.assertTrue(decoder.is_ended)
+
     def test_size_line_of_the_greatest_length_in_two_parts(self) -> None:
         """Guards against counting the first byte of a line end to the line before it."""
         line = b"5;" + b"a" * (MAX_SIZE_LINE_BYTES - 2)
--- a/tests/system/crowds.py
+++ b/tests/system/crowds.py
@@ -26,6 +26,7 @@
 SAMPLE_INTERVAL_S = 0.03
 SETTLE_S = 0.3
 FAR_OVER_BYTES = 1024 * MEBIBYTE
+SINGLE_TIMEOUT_S = 20.0
 ROUTES = 20_000
 LISTEN_STATE = "0A"
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
@@ -305,6 +306,18 @@
     return unread
 
 
+def send_to_its_end(target: Target, make_pieces: Callable[[Target], Pieces]) -> bytes:
+    """Send what a client of a crowd sends, and the end that it leaves out; return the answer."""
+    with socket.create_connection(target.address, SINGLE_TIMEOUT_S) as caller:
+        pieces = list(make_pieces(target))
+        caller.sendall(b"".join(pieces))
+        if b"chunked" in pieces[0]:
+            caller.sendall(b"0\r\n\r\n")
+        elif sum(map(len, pieces[1:])) < target.max_body:
+            caller.sendall(b"x")
+        return caller.recv(4096)
+
+
 def ask(target: Target, *, timeout_s: float) -> bytes:
     """Send an ordinary request with a small body and return the first bytes of its answer."""
     with (
--- a/tests/system/test_client_crowds.py
+++ b/tests/system/test_client_crowds.py
@@ -9,6 +9,7 @@
 import unittest
 from collections.abc import Iterator
 from contextlib import contextmanager
+from dataclasses import replace
 from typing import Any, ClassVar
 
 from standins.fleet import CALLER_PORT as DAEMON_CALLER_PORT
@@ -37,6 +38,7 @@
 # As the template has it: slots are handed out while the endpoint is busy.
 MIN_LOAD = 0.25
 SMALL_WINDOW_BYTES = 4096
+LONG_TIMEOUT_MS = 15_000
 LARGE_ANSWER = b"a" * 1_000_000
 PRESS_S = 3.0
 ASK_TIMEOUT_S = 3.0
@@ -189,7 +191,9 @@
             cls.deployment.start_all()
         endpoint = cls.enterClassContext(open_endpoint(cls.deployment, 1))
         endpoint.RequestHandlerClass = LargeAnswers
-        cls.deployment.put(make_config(3))
+        config = make_config(3)
+        config["routes"][0]["timeoutMs"] = LONG_TIMEOUT_MS
+        cls.deployment.put(config)
         cls.deployment.announce(endpoint)
         cls.deployment.wait_served("r1")
 
@@ -226,6 +230,22 @@
         _, text = self.deployment.send_request("GET", metrics)
         self.assertIn(b"chivetrack_instance_connections_gave_way", text)
 
+    def test_single_legal_requests_in_calm(self) -> None:
+        """Guards against the refusal of a body inside the limits, in any framing."""
+        patient = HEAD_WITH_KEY.replace(b"3000", b"%d" % LONG_TIMEOUT_MS)
+        target = replace(self.find_target(), head=b"POST /a/x HTTP/1.1\r\n" + patient)
+        for send in (
+            crowds.send_whole,
+            crowds.send_all_but_a_byte,
+            crowds.send_in_small_pieces,
+            crowds.send_large_chunks,
+            crowds.send_tiny_chunks,
+            crowds.send_mixed_tiny_chunks,
+        ):
+            with self.subTest(send.__name__):
+                self.assertTrue(crowds.send_to_its_end(target, send).startswith(self.expected))
+        type(self).is_sound = True
+
     def test_answers_unread_through_small_windows(self) -> None:
         """Guards against callers that read no answer and so hold the slots of an endpoint."""
         self.check(200, crowds.send_one_request, SMALL_WINDOW_BYTES)
