Keep no request in the records of metrics that nobody has read yet

Operators saw a router that held 100 MB more after a crowd had gone: records of ended requests wait until the metrics are first read, and each held its request, with the body, the answer's writer and the connection's handler.

Cause, found by the holders of large objects in a process after 120 clients had sent whole bodies of 4 MiB: 26 requests, each held by a record of Metrics.record_end; a collection freed none.

--- a/chivetrack/daemon/fleet/calls.py
+++ b/chivetrack/daemon/fleet/calls.py
@@ -95,6 +95,23 @@
         self.send(fault.status, headers, msgspec.json.encode({"error": error}))
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RequestEnd:
+    """What the metrics count of a request; times are in seconds since it came.
+
+    It holds nothing of the request itself: records wait until the metrics are first read.
+    """
+
+    kind: str
+    service: str
+    workspace: str
+    outcome: str
+    status: int
+    took_s: float
+    first_event_s: float | None
+    framing: Framing | None
+
+
 @dataclass(slots=True, kw_only=True)
 class Call:
     """One request in flight; times are monotonic, in seconds.
@@ -196,6 +213,20 @@
             endpoint_id = self.attempts.pop().endpoint_id
             self.attempts.append(SendAttempt(endpoint_id=endpoint_id, end=SendEnd.NOT_SENT))
 
+    def make_end(self, outcome: str, *, now: float) -> RequestEnd:
+        """Return what is counted of this request, which has ended at ``now`` (s, monotonic)."""
+        began_at = self.first_event_at
+        return RequestEnd(
+            kind=self.route.kind.value,
+            service=self.service,
+            workspace="" if self.workspace is None else self.workspace.name,
+            outcome=outcome,
+            status=self.reply.status,
+            took_s=now - self.came_at,
+            first_event_s=None if began_at is None else began_at - self.came_at,
+            framing=self.framing,
+        )
+
     @property
     def priority(self) -> int:
         """Return the priority at the engine, 0 is first; the workspace overrides the route."""
--- a/chivetrack/daemon/fleet/meters.py
+++ b/chivetrack/daemon/fleet/meters.py
@@ -9,7 +9,7 @@
 from chivetrack.components.origins.models import Continuation
 from chivetrack.components.traffic.requests import AnswerFacts
 from chivetrack.components.upstream.answer_head import HeadFault
-from chivetrack.daemon.fleet.calls import Call
+from chivetrack.daemon.fleet.calls import RequestEnd
 from chivetrack.daemon.fleet.gauges import Gauge
 from chivetrack.exceptions import Fault
 from chivetrack.helpers.telemetry import METRICS_CONTENT_TYPE, Telemetry, open_telemetry
@@ -109,21 +109,21 @@
                 one.name, [_observe(one)], unit=one.unit, description=one.description
             )
 
-    def record_end(self, call: Call, outcome: str, now: float) -> None:
-        """Count a request that ended at ``now`` (seconds) and record its durations."""
-        kinds = {"kind": call.route.kind.value, "service": call.service}
+    def record_end(self, end: RequestEnd) -> None:
+        """Count a request that has ended and record its durations."""
+        kinds = {"kind": end.kind, "service": end.service}
         names = {
             **kinds,
-            "workspace": "" if call.workspace is None else call.workspace.name,
-            "outcome": outcome,
-            "status": str(call.reply.status),
+            "workspace": end.workspace,
+            "outcome": end.outcome,
+            "status": str(end.status),
         }
         self._requests.add(1, names)
-        self._duration.record(now - call.came_at, kinds)
-        if call.framing is not None:
-            self._framings.add(1, {"framing": call.framing.value})
-        if call.first_event_at is not None:
-            self._first_event.record(call.first_event_at - call.came_at, kinds)
+        self._duration.record(end.took_s, kinds)
+        if end.framing is not None:
+            self._framings.add(1, {"framing": end.framing.value})
+        if end.first_event_s is not None:
+            self._first_event.record(end.first_event_s, kinds)
 
     def record_rejection(self, fault: Fault) -> None:
         """Count a request that the router itself refused."""
--- a/chivetrack/daemon/fleet/metrics.py
+++ b/chivetrack/daemon/fleet/metrics.py
@@ -48,8 +48,8 @@
 
     def record_end(self, call: Call, outcome: str) -> None:
         """Count a request that has ended."""
-        now = time.monotonic()
-        self._record(lambda meters: meters.record_end(call, outcome, now))
+        end = call.make_end(outcome, now=time.monotonic())
+        self._record(lambda meters: meters.record_end(end))
 
     def record_rejection(self, fault: Fault) -> None:
         """Count a request that the router itself refused."""
--- a/tests/system/test_client_crowds.py
+++ b/tests/system/test_client_crowds.py
@@ -246,6 +246,11 @@
                 self.assertTrue(crowds.send_to_its_end(target, send).startswith(self.expected))
         type(self).is_sound = True
 
+    def test_crowds_one_after_the_other(self) -> None:
+        """Guards against bodies that stay in memory after their requests."""
+        self.check(120, crowds.send_whole)
+        self.check(120, crowds.send_far_over)
+
     def test_answers_unread_through_small_windows(self) -> None:
         """Guards against callers that read no answer and so hold the slots of an endpoint."""
         self.check(200, crowds.send_one_request, SMALL_WINDOW_BYTES)
