Let all that is read of large requests take turns, in slices

Callers with small requests found a router that closed their connections unread beside a crowd that sends far over the limit: each block of each client let the loop run once, so the loop was never idle, and the router closed nine of ten new connections as if it were behind with its work.

Reading, decoding and what is read behind a refusal wait in one line now, after 256 KiB or 2 ms, for as long as was worked and 1 ms at least. Blocks are of 16 KiB: 400 readers that wait held 64 KiB each for the bytes to come.

No bound is set on these shares.

--- a/chivetrack/daemon/lingering.py
+++ b/chivetrack/daemon/lingering.py
@@ -6,14 +6,15 @@
 import gevent
 
 from chivetrack.daemon.const import LINGER_BLOCK_BYTES, LINGER_TIMEOUT_S, MAX_LINGER_BYTES
+from chivetrack.daemon.request_body import MIN_PAUSE_S, ReadingTurns
 
 
-def linger(caller: Any) -> None:
+def linger(caller: Any, turns: ReadingTurns) -> None:
     """Read a limited amount of what a caller still sends, after which its socket can be closed.
 
     Closing a connection with unread bytes resets it, and the caller may not receive the
     answer. Reading to the end, as gevent does, would not terminate if the caller never
-    stops sending.
+    stops sending. A caller that sends on waits for its ``turns`` with others.
     """
     with gevent.Timeout(LINGER_TIMEOUT_S, False):
         try:
@@ -21,6 +22,6 @@
             left = MAX_LINGER_BYTES
             while left > 0 and (data := caller.recv(LINGER_BLOCK_BYTES)):
                 left -= len(data)
-                gevent.sleep(0)
+                turns.wait(MIN_PAUSE_S)
         except OSError:
             return
--- a/chivetrack/daemon/request_body.py
+++ b/chivetrack/daemon/request_body.py
@@ -12,23 +12,26 @@
 from chivetrack.const import KIBIBYTE
 from chivetrack.daemon.connection_memory import ConnectionMemory
 
-BLOCK_BYTES: Final = 64 * KIBIBYTE
-"""Read at once, after which other greenlets run."""
+BLOCK_BYTES: Final = 16 * KIBIBYTE
+"""Read at once; a block waits for its bytes in memory that is set aside for it."""
 
 SLICE_S: Final = 0.002
-"""Time for which one body is decoded before others have their turn."""
+SLICE_BYTES: Final = 256 * KIBIBYTE
+"""What one body may decode, or read without decoding, before others have their turn."""
+
+MIN_PAUSE_S: Final = 0.001
 
 
 class RequestBodyError(OSError):
     """The body ended early, or its framing is invalid."""
 
 
-class DecodingTurns:
-    """Lets bodies that take long to decode wait for each other.
+class ReadingTurns:
+    """Lets large bodies wait for each other, and leave the loop to small requests.
 
-    A body of many tiny chunks can use the whole processor as long as its bytes lie ready. After
-    each slice of time, its reader waits for as long, one reader after the other. So all of them
-    together take half of the processor, and other requests find the loop free.
+    A large body, or one of many tiny chunks, can use the whole processor as long as its bytes lie
+    ready. After each slice, its reader waits for as long, one reader after the other. So all of
+    them together take half of the processor at most, and other requests find the loop free.
     """
 
     def __init__(self) -> None:
@@ -36,9 +39,9 @@
         self._is_waiting = BoundedSemaphore()
 
     def wait(self, spent_s: float) -> None:
-        """Wait after ``spent_s`` seconds of decoding."""
+        """Wait after ``spent_s`` seconds of work."""
         with self._is_waiting:
-            gevent.sleep(spent_s)
+            gevent.sleep(max(MIN_PAUSE_S, spent_s))
 
 
 class RequestBody:
@@ -51,7 +54,7 @@
         length: int,
         is_chunked: bool,
         memory: ConnectionMemory,
-        turns: DecodingTurns,
+        turns: ReadingTurns,
         send_continue: Callable[[], None],
     ) -> None:
         """Read from ``source``: ``length`` bytes, or chunks up to the last one.
@@ -66,7 +69,8 @@
         self._send_continue = send_continue
         self._collected = BytesIO()
         self._reserved = 0
-        self._spent_s = 0.0
+        self._slice_s = 0.0
+        self._slice_bytes = 0
 
     @property
     def is_whole(self) -> bool:
@@ -109,8 +113,7 @@
             raise RequestBodyError(f"the connection ended {self._left} bytes before the body")
         self._collect(data)
         self._left -= len(data)
-        if self._left and self._collected.tell() >= BLOCK_BYTES:
-            gevent.sleep(0)
+        self._end_block(len(data))
 
     def _read_chunks(self, decoder: ChunkDecoder) -> None:
         # Peeked at, since what follows the last chunk belongs to the next request.
@@ -126,9 +129,15 @@
         behind = len(decoder.rest) if decoder.is_ended else 0
         self._source.read(len(data) - behind)
         self._collect(payload)
-        self._spent_s += time.monotonic() - began
-        if self._spent_s >= SLICE_S and not self.is_whole:
-            spent_s, self._spent_s = self._spent_s, 0.0
+        self._slice_s += time.monotonic() - began
+        self._end_block(len(data))
+
+    def _end_block(self, size: int) -> None:
+        """Wait for the next turn after a slice."""
+        self._slice_bytes += size
+        is_slice = self._slice_bytes >= SLICE_BYTES or self._slice_s >= SLICE_S
+        if is_slice and not self.is_whole:
+            spent_s, self._slice_s, self._slice_bytes = self._slice_s, 0.0, 0
             self._turns.wait(spent_s)
 
     def _reserve(self, size: int) -> None:
--- a/chivetrack/daemon/request_handler.py
+++ b/chivetrack/daemon/request_handler.py
@@ -222,7 +222,7 @@
 
     def _linger(self) -> None:
         self.close_connection = True
-        linger(self.socket)
+        linger(self.socket, self.server.turns)
 
     def finalize_headers(self) -> None:
         """Add ``Connection: close`` if the connection will not be reused."""
--- a/chivetrack/daemon/server.py
+++ b/chivetrack/daemon/server.py
@@ -18,7 +18,7 @@
     RECEIVE_BUFFER_BYTES,
 )
 from chivetrack.daemon.const import BACKLOG, RECEIVE_TIMEOUT_S
-from chivetrack.daemon.request_body import DecodingTurns
+from chivetrack.daemon.request_body import ReadingTurns
 from chivetrack.daemon.request_handler import RequestHandler
 from chivetrack.daemon.server_limits import ServerLimits
 from chivetrack.helpers.handshakes import TlsServerMixin
@@ -79,7 +79,7 @@
         self.memory = memory or make_budget(
             memory_bytes=DEFAULT_MEMORY_MB * MEGABYTE, max_descriptors=DEFAULT_MAX_DESCRIPTORS
         )
-        self.turns = DecodingTurns()
+        self.turns = ReadingTurns()
         self.is_draining = False
         # Connections whose request may be incomplete; the idle ones wait for its first line.
         self.receiving_handlers: set[RequestHandler] = set()
