Refuse a body whose bytes were given up while its last block came

Found by reading the diff: once the memory was full, a request that gave way had its bytes freed at once, and its reader was interrupted in the next turn of the loop. If the last block came in between, the reader took what was left for the whole body: the endpoint would have got a request without its first bytes (UNASKED). The reader looks whether it has given way after each block.

A kept connection whose request gave way found no room for any later one, and an interruption that came late could have hit the next request of the same connection: room is given back with the end of the request, and the interruption names the reading that it is for.

--- a/chivetrack/components/memory/budget.py
+++ b/chivetrack/components/memory/budget.py
@@ -170,10 +170,11 @@
         victim.give_way()
 
     def release(self, share: Share) -> None:
-        """Free what the request of a connection held."""
+        """Free what the request of a connection held; its next request may have room again."""
         if share in self._shares:
             self.held -= share.held - CONNECTION_BYTES
             share.held = CONNECTION_BYTES
+            share.has_given_way = False
 
 
 def make_budget(*, memory_bytes: int, max_descriptors: int) -> MemoryBudget:
--- a/chivetrack/daemon/connection_memory.py
+++ b/chivetrack/daemon/connection_memory.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from dataclasses import dataclass
 from typing import Any
 
 import gevent
@@ -17,6 +18,14 @@
     return FaultError(faults.memory_full(RETRY_AFTER_S))
 
 
+@dataclass(frozen=True, slots=True, kw_only=True, eq=False)
+class _Reading:
+    """A greenlet that reads a request, and what frees the bytes that it has read."""
+
+    greenlet: Any
+    drop: Callable[[], None]
+
+
 class ConnectionMemory:
     """What one connection holds; its reader is interrupted when the connection gives way."""
 
@@ -25,8 +34,7 @@
         self._budget = budget
         self._end_waiting = end_waiting
         self._share: Share | None = None
-        self._reader: Any = None
-        self._drop: Callable[[], None] = lambda: None
+        self._reading: _Reading | None = None
 
     @contextmanager
     def open(self) -> Iterator[bool]:
@@ -50,12 +58,12 @@
 
         ``drop`` frees at once what has been received.
         """
-        self._reader, self._drop = gevent.getcurrent(), drop
+        self._reading = _Reading(greenlet=gevent.getcurrent(), drop=drop)
         try:
             with self._enter(Phase.RECEIVING):
                 yield
         finally:
-            self._reader = None
+            self._reading = None
 
     @contextmanager
     def _enter(self, phase: Phase) -> Iterator[None]:
@@ -72,19 +80,28 @@
         if not self._budget.reserve(self._share, size, now=time.monotonic()):
             raise _make_refusal()
 
+    def check(self) -> None:
+        """Raise ``FaultError`` if the request has given way, so that what was read is lost.
+
+        Its bytes may come in the same turn of the loop, before its reader is interrupted.
+        """
+        assert self._share is not None
+        if self._share.has_given_way:
+            raise _make_refusal()
+
     def release(self) -> None:
         """Free what the request held."""
         if self._share is not None:
             self._budget.release(self._share)
 
     def _give_way(self) -> None:
-        if self._reader is None:
+        if self._reading is None:
             self._end_waiting()
             return
-        self._drop()
-        gevent.get_hub().loop.run_callback(self._interrupt, self._reader)
+        self._reading.drop()
+        gevent.get_hub().loop.run_callback(self._interrupt, self._reading)
 
-    def _interrupt(self, reader: Any) -> None:
-        # The request may have ended since; its greenlet must not get the error elsewhere.
-        if self._reader is reader:
-            reader.throw(_make_refusal())
+    def _interrupt(self, reading: _Reading) -> None:
+        # The request may have ended since, and its greenlet may serve the next one.
+        if self._reading is reading:
+            reading.greenlet.throw(_make_refusal())
--- a/chivetrack/daemon/request_body.py
+++ b/chivetrack/daemon/request_body.py
@@ -109,6 +109,7 @@
     def _read_plain(self, size: int) -> None:
         self._reserve(size)
         data = self._source.read1(size)
+        self._memory.check()
         if not data:
             raise RequestBodyError(f"the connection ended {self._left} bytes before the body")
         self._collect(data)
@@ -118,6 +119,7 @@
     def _read_chunks(self, decoder: ChunkDecoder) -> None:
         # Peeked at, since what follows the last chunk belongs to the next request.
         data = self._source.peek()
+        self._memory.check()
         if not data:
             raise RequestBodyError("the connection ended before the last chunk")
         self._reserve(len(data))
--- a/tests/daemon/test_request_body.py
+++ b/tests/daemon/test_request_body.py
@@ -10,6 +10,8 @@
 from chivetrack.components.memory.budget import MemoryBudget
 from chivetrack.components.memory.const import CONNECTION_BYTES
 from chivetrack.const import MEBIBYTE
+from chivetrack.daemon.connection_memory import ConnectionMemory
+from chivetrack.daemon.request_body import BLOCK_BYTES, ReadingTurns, RequestBody
 from chivetrack.daemon.server import HttpServer
 from chivetrack.exceptions import FaultError
 from chivetrack.helpers.sockets import wait_readable
@@ -125,6 +127,52 @@
         self.assertEqual(self.budget.held, 0)
 
 
+class LastBlockTest(unittest.TestCase):
+    def test_body_that_gave_way_while_its_last_block_came(self) -> None:
+        """Guards against a request that is passed on without the bytes that were given up."""
+        budget = MemoryBudget(limit=4 * MEBIBYTE, max_connections=10)
+        memory, other = (
+            ConnectionMemory(budget=budget, end_waiting=lambda: None) for _ in range(2)
+        )
+        self.assertTrue(self.enterContext(memory.open()))
+        self.assertTrue(self.enterContext(other.open()))
+        blocks = [b"a" * BLOCK_BYTES] * 150
+
+        class Source:
+            def read1(self, size: int) -> bytes:
+                if len(blocks) == 1:
+                    other.reserve(2 * MEBIBYTE)
+                return blocks.pop()
+
+        body = RequestBody(
+            source=Source(),  # type: ignore[arg-type]
+            length=len(blocks) * BLOCK_BYTES,
+            is_chunked=False,
+            memory=memory,
+            turns=ReadingTurns(),
+            send_continue=lambda: None,
+        )
+        with self.assertRaises(FaultError) as caught:
+            body.read()
+        self.assertEqual(caught.exception.fault.code, "memory_full")
+
+    def test_connection_serves_again_after_it_gave_way(self) -> None:
+        """Guards against a kept connection that gets no room for any later request."""
+        budget = MemoryBudget(limit=4 * MEBIBYTE, max_connections=10)
+        memory, other = (
+            ConnectionMemory(budget=budget, end_waiting=lambda: None) for _ in range(2)
+        )
+        self.assertTrue(self.enterContext(memory.open()))
+        self.assertTrue(self.enterContext(other.open()))
+        with memory.receiving():
+            memory.reserve(3 * MEBIBYTE)
+            other.reserve(MEBIBYTE)
+        memory.release()
+        with memory.receiving():
+            memory.reserve(1)
+            gevent.sleep(0)
+
+
 class TurnTest(BodyCase):
     def test_tiny_chunks_let_others_run(self) -> None:
         """Guards against a body that keeps the loop as long as its bytes lie ready."""
--- a/tests/system/crowds.py
+++ b/tests/system/crowds.py
@@ -9,6 +9,7 @@
 import itertools
 import json
 import os
+import random
 import selectors
 import socket
 import time
@@ -199,6 +200,36 @@
     return iter(())
 
 
+ALL_KINDS = (
+    send_all_but_a_byte,
+    send_in_small_pieces,
+    send_large_chunks,
+    send_tiny_chunks,
+    send_mixed_tiny_chunks,
+    send_whole,
+    announce_far_over,
+    send_far_over,
+    send_one_huge_chunk,
+    send_trailers,
+    send_extensions,
+    send_long_extension,
+    send_head_without_end,
+    send_endless_head,
+    send_pipelined,
+    send_nothing,
+)
+
+
+def make_mixture(seed: int) -> Callable[[Target], Pieces]:
+    """Return what clients of all kinds send, each of a kind drawn at its connection."""
+    rng = random.Random(seed)
+
+    def send_any(target: Target) -> Pieces:
+        return rng.choice(ALL_KINDS)(target)
+
+    return send_any
+
+
 class _Client:
     """One client of a crowd; ``is_done`` once it has sent its last piece."""
 
--- a/tests/system/test_client_crowds.py
+++ b/tests/system/test_client_crowds.py
@@ -5,6 +5,7 @@
 the users' machines; bytes that have arrived and were not read count.
 """
 
+import os
 import resource
 import unittest
 from collections.abc import Iterator
@@ -40,6 +41,8 @@
 SMALL_WINDOW_BYTES = 4096
 LONG_TIMEOUT_MS = 15_000
 LARGE_ANSWER = b"a" * 1_000_000
+# More by hand: CHIVETRACK_TEST_MIXTURES=50.
+MIXTURES = int(os.environ.get("CHIVETRACK_TEST_MIXTURES", "1"))
 PRESS_S = 3.0
 ASK_TIMEOUT_S = 3.0
 HEAD_WITH_KEY = (
@@ -153,6 +156,12 @@
         """Guards against answers that pile up for clients that read none."""
         self.check(200, crowds.send_pipelined)
 
+    def test_all_kinds_at_once(self) -> None:
+        """Guards against kinds that are harmless alone and exhaust a process together."""
+        for seed in range(MIXTURES):
+            with self.subTest(seed=seed):
+                self.check(200, crowds.make_mixture(seed))
+
     def test_connections_without_a_byte(self) -> None:
         """Guards against silent connections that use up the descriptors."""
         self.check(FEW_DESCRIPTORS, crowds.send_nothing)
