Let the endpoint of the crowds' tests send heartbeats

Traced in the router's lines: no_candidate, as the endpoint had announced itself once only and counted as lost. It announces itself each second now; the crowds, the checks and the bounds are unchanged.

--- a/tests/system/deployment.py
+++ b/tests/system/deployment.py
@@ -20,11 +20,13 @@
 
 import urllib3
 
-from tests.system.fleets import wait_for
+from tests.system.fleets import NotReachedError, wait_for
 
 ROOT = Path(__file__).resolve().parents[2]
 PEER_PORT, CONTROL_PORT, CALLER_PORT, READY_PORT, METRICS_PORT = 18540, 18541, 18542, 18543, 18544
 ENDPOINT_PORT = 18545
+HEARTBEAT_S = 1.0
+JOIN_TIMEOUT_S = 5.0
 
 # Names the file of tests.system.cut_process.
 ENV_CUT_FILE = "CHIVETRACK_TEST_CUT_FILE"
@@ -373,3 +375,26 @@
     finally:
         endpoint.shutdown()
         endpoint.server_close()
+
+
+@contextmanager
+def keep_announced(deployment: Deployment, endpoint: Endpoint) -> Iterator[None]:
+    """Announce an endpoint, and again each second within the context.
+
+    One that is silent for a while counts as lost, and nothing is sent there any more.
+    """
+    deployment.announce(endpoint)
+    is_over = threading.Event()
+
+    def run() -> None:
+        while not is_over.wait(HEARTBEAT_S):
+            with contextlib.suppress(NotReachedError):
+                deployment.announce(endpoint)
+
+    thread = threading.Thread(target=run, daemon=True)
+    thread.start()
+    try:
+        yield
+    finally:
+        is_over.set()
+        thread.join(timeout=JOIN_TIMEOUT_S)
--- a/tests/system/test_client_crowds.py
+++ b/tests/system/test_client_crowds.py
@@ -24,6 +24,7 @@
     READY_PORT,
     Deployment,
     EndpointHandler,
+    keep_announced,
     make_config,
     open_deployment,
     open_endpoint,
@@ -203,7 +204,7 @@
         config = make_config(3)
         config["routes"][0]["timeoutMs"] = LONG_TIMEOUT_MS
         cls.deployment.put(config)
-        cls.deployment.announce(endpoint)
+        cls.enterClassContext(keep_announced(cls.deployment, endpoint))
         cls.deployment.wait_served("r1")
 
     def get_process(self) -> Any:
