Name the machine's memory in the settings of the crowds' tests

The processes of these tests get the memory that the template names for the listed machines, 300 and 296 MB, in place of the default of 256 MB; crowds and bounds are unchanged.

--- a/tests/system/deployment.py
+++ b/tests/system/deployment.py
@@ -141,6 +141,7 @@
     is_first_start: bool = True
     stop_within_s: float | None = None
     min_load: float | None = None
+    memory_mb: int | None = None
     modules: dict[str, str] = field(default_factory=dict)
     """Programs of single processes in place of the usual one."""
     environment: dict[str, str] = field(default_factory=dict)
@@ -192,6 +193,8 @@
         lines.append('zones = ["z1", "z2"]')
         if self.stop_within_s is not None:
             lines += ["[bounds]", f"stop_within_s = {self.stop_within_s}"]
+        if self.memory_mb is not None:
+            lines += ["[limits]", f"memory_mb = {self.memory_mb}"]
         if self.min_load is not None:
             lines += ["[admission]", "schedules_slots = true", f"min_load = {self.min_load}"]
         return "\n".join(lines) + "\n"
--- a/tests/system/test_client_crowds.py
+++ b/tests/system/test_client_crowds.py
@@ -31,8 +31,9 @@
 )
 from tests.system.fleets import open_linked_fleet, wait_for
 
-ROUTER_MEMORY = 300 * 1000 * 1000
-REPLICA_MEMORY = 296 * 1000 * 1000
+MACHINE_MEMORY_MB = {"r1": 300, "p1": 296}
+ROUTER_MEMORY = MACHINE_MEMORY_MB["r1"] * 1000 * 1000
+REPLICA_MEMORY = MACHINE_MEMORY_MB["p1"] * 1000 * 1000
 MAX_DESCRIPTORS = 4096
 # With fewer descriptors, a crowd of silent clients that a test can open uses all of them.
 FEW_DESCRIPTORS = 600
@@ -197,6 +198,7 @@
     def open_deployment(cls) -> None:
         cls.deployment = cls.enterClassContext(open_deployment(replicas=1, routers=1))
         cls.deployment.min_load = MIN_LOAD
+        cls.deployment.memory_mb = MACHINE_MEMORY_MB[cls.process]
         with lower_descriptors():
             cls.deployment.start_all()
         endpoint = cls.enterClassContext(open_endpoint(cls.deployment, 1))
