Refuse a body whose bytes were given up during its last pause

Found by reading: a chunked body over the limit that gave way while it waited for its turn, and had just reached the length that is read of it, would have been taken for a body of zeros with its last block, inside the limit. The reader looks whether it has given way after each pause as well, before any byte is used. The test failed before (no refusal).

--- a/chivetrack/daemon/request_body.py
+++ b/chivetrack/daemon/request_body.py
@@ -153,6 +153,7 @@
         if is_slice and not self.is_whole:
             spent_s, self._slice_s, self._slice_bytes = self._slice_s, 0.0, 0
             self._turns.wait(spent_s)
+            self._memory.check()
 
     def _reserve(self, size: int) -> None:
         if self._reserved < size:
--- a/tests/daemon/test_request_body.py
+++ b/tests/daemon/test_request_body.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from io import BufferedReader, BytesIO
 from typing import Any
 
 import gevent
@@ -11,7 +12,7 @@
 from chivetrack.components.memory.const import CONNECTION_BYTES
 from chivetrack.const import MEBIBYTE
 from chivetrack.daemon.connection_memory import ConnectionMemory
-from chivetrack.daemon.request_body import BLOCK_BYTES, ReadingTurns, RequestBody
+from chivetrack.daemon.request_body import BLOCK_BYTES, SLICE_BYTES, ReadingTurns, RequestBody
 from chivetrack.daemon.server import HttpServer
 from chivetrack.exceptions import FaultError
 from chivetrack.helpers.sockets import wait_readable
@@ -156,6 +157,30 @@
             body.read()
         self.assertEqual(caught.exception.fault.code, "memory_full")
 
+    def test_body_that_gave_way_during_its_last_pause(self) -> None:
+        """Guards against the rest of a body over the limit that is taken for a sound one."""
+        budget = MemoryBudget(limit=600_000, max_connections=10)
+        memory, other = (
+            ConnectionMemory(budget=budget, end_waiting=lambda: None) for _ in range(2)
+        )
+        self.assertTrue(self.enterContext(memory.open()))
+        self.assertTrue(self.enterContext(other.open()))
+
+        class Turns(ReadingTurns):
+            def wait(self, spent_s: float) -> None:
+                other.reserve(200_000)
+
+        body = RequestBody(
+            source=BufferedReader(BytesIO(b"90000\r\n" + b"a" * 0x90000)),  # type: ignore[arg-type]
+            length=0,
+            is_chunked=True,
+            memory=memory,
+            turns=Turns(),
+            send_continue=lambda: None,
+        )
+        with self.assertRaises(FaultError):
+            body.read(SLICE_BYTES - BLOCK_BYTES // 4)
+
     def test_connection_serves_again_after_it_gave_way(self) -> None:
         """Guards against a kept connection that gets no room for any later request."""
         budget = MemoryBudget(limit=4 * MEBIBYTE, max_connections=10)
