Serve the gauges of connections before those of the link again

tests.system.test_replica_exit.AnswerTest.test_metrics_are_sent_whole looks for the last metric of a replica to tell a cut answer from a late document. They come before it now; the test is unchanged and passed once by itself.

--- a/chivetrack/daemon/fleet/replica.py
+++ b/chivetrack/daemon/fleet/replica.py
@@ -177,8 +177,8 @@
         memory = open_budget(settings.limits)
         self._memory_log = MemoryLog(budget=memory, events=events)
         self._metrics.add_gauges(
-            *list_replica_gauges(store=self._store, room=self.transport.room),
             *list_memory_gauges(memory),
+            *list_replica_gauges(store=self._store, room=self.transport.room),
         )
         self._quarantine = QuarantineHost(
             folder=settings.process.data_folder,
