--- a/review/stage_2.py
+++ b/review/stage_2.py
@@ -599,7 +599,11 @@
     def give_up(_number: int, _frame: Any) -> None:
         raise NotRunError(f"not over after {limit_s:.0f} s")
 
+    def end(_number: int, _frame: Any) -> None:
+        raise NotRunError("ended from outside")
+
     signal.signal(signal.SIGALRM, give_up)
+    signal.signal(signal.SIGTERM, end)
     signal.alarm(int(limit_s))
     try:
         held = play(record, has_trouble)
