Keep a line of the stand-ins within its length

A line of the renderer for the settings template was two characters too long. It says the same in two lines; no case changes.

--- a/review/stage_2.py
+++ b/review/stage_2.py
@@ -111,7 +111,8 @@
             if kind == "^":
                 return "" if value else fill(inner, scope, key, is_last)
             if isinstance(value, dict | list):
-                keys = list(value) if isinstance(value, dict) else [str(n) for n in range(len(value))]
+                numbers = [str(n) for n in range(len(value))]
+                keys = list(value) if isinstance(value, dict) else numbers
                 entries = list(value.values()) if isinstance(value, dict) else value
                 return "".join(
                     fill(inner, [*scope, entry], one, one == keys[-1])
