Name the record of a case in its own folder

Each script passes the path of its record.txt to the stand-ins, which wrote it there before by the name of the folder alone. So it can be seen in the case itself where the record comes from; what is played and judged is the same.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -57,4 +57,4 @@
         return version == 2
 
 
-sys.exit(run_case(Path(__file__).resolve().parent, play))
+sys.exit(run_case(Path(__file__).resolve().parent / "record.txt", play))
--- a/review/stage_2.py
+++ b/review/stage_2.py
@@ -591,9 +591,11 @@
         self.wfile.flush()
 
 
-def run_case(folder: Path, play: Callable[[Record, bool], bool], limit_s: float = 110.0) -> int:
+def run_case(
+    record_path: Path, play: Callable[[Record, bool], bool], limit_s: float = 110.0
+) -> int:
     """Play a case and return the exit code; ``play`` returns whether the rule held."""
-    record = Record(folder / "record.txt")
+    record = Record(record_path)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"the case begins, {'with' if has_trouble else 'without'} its disruption")
 
