Let a caught-up learner take the place of a silent voter in time

Cause: the removed machine stayed one of five voters for VOTER_TIMEOUT_S (5 s), longer than the time that operators give a successor (catchUpS, 4 s), and each new leader counted its silence anew.

Change: a voter that has been silent for half of catch_up_s (a setting now) is demoted and a learner that has caught up is promoted right after it. A demoted voter keeps its id and its disk, so a wrong verdict on a frozen one costs two entries of the log. Leaders tell the silences in their heartbeats, so that they outlive elections. A replica that stops says so and waits until its successor votes. Lagging learners are skipped, where one blocked all others.

Ruled out: a successor that had not caught up (one document), a refused removal (no such line). Weighed in the postmortem: retiring sooner, a joint change, promoting first.

Tests changed: the repair's test of a lost voter expects a demotion where it expected a removal; the bound of its silence is now below the time of a successor, which is stricter.

--- a/chivetrack/components/consensus/changes.py
+++ b/chivetrack/components/consensus/changes.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 
 from chivetrack.components.consensus.const import MAX_PROMOTION_LAG, MAX_VOTERS
-from chivetrack.components.consensus.members import ChangeKind, Members
+from chivetrack.components.consensus.members import ChangeKind, Member, Members
 from chivetrack.components.consensus.models import ChangeMembers, Refusal
 from chivetrack.components.consensus.progress import Progress
 from chivetrack.components.consensus.state import State
@@ -23,9 +23,7 @@
         return Refusal.NOT_A_MEMBER
     if event.kind is ChangeKind.PROMOTE:
         return _check_promote(state, event, progress)
-    if member.replica_id == state.replica_id:
-        return Refusal.IS_LEADER
-    return _check_quorum(state, members.change(event.kind, member), progress)
+    return _check_loss_of_vote(state, event.kind, member, progress)
 
 
 def _check_add(members: Members, event: ChangeMembers) -> Refusal:
@@ -43,12 +41,22 @@
         return Refusal.ALREADY_A_MEMBER
     if len(members.list_voters()) >= MAX_VOTERS:
         return Refusal.TOO_MANY_VOTERS
-    if not _is_caught_up(state, progress[replica_id]):
+    if not is_caught_up(state, progress[replica_id]):
         return Refusal.NOT_CAUGHT_UP
     return _check_quorum(state, members.change(event.kind, event.member), progress)
 
 
-def _is_caught_up(state: State, progress: Progress) -> bool:
+def _check_loss_of_vote(
+    state: State, kind: ChangeKind, member: Member, progress: Mapping[str, Progress]
+) -> Refusal:
+    if member.replica_id == state.replica_id:
+        return Refusal.IS_LEADER
+    if kind is ChangeKind.DEMOTE and not member.voter:
+        return Refusal.NOT_A_VOTER
+    return _check_quorum(state, state.log.members.change(kind, member), progress)
+
+
+def is_caught_up(state: State, progress: Progress) -> bool:
     """Return whether a learner holds enough of the log to become a voter.
 
     It must hold the entry that added it and all but the last ``MAX_PROMOTION_LAG``
--- a/chivetrack/components/consensus/core.py
+++ b/chivetrack/components/consensus/core.py
@@ -217,6 +217,9 @@
         match message:
             case AppendRequest():
                 self._record_leader(message.sender)
+                self._state.silences.record_heartbeat(
+                    message.sender, message.silences, self._state.now
+                )
                 self._follower.handle_append(message)
             case SnapshotChunk():
                 self._record_leader(message.sender)
--- a/chivetrack/components/consensus/leadership.py
+++ b/chivetrack/components/consensus/leadership.py
@@ -3,7 +3,10 @@
 from collections import deque
 from dataclasses import dataclass
 
-from chivetrack.components.consensus.changes import find_member_change_refusal
+from chivetrack.components.consensus.changes import (
+    find_member_change_refusal,
+    is_caught_up,
+)
 from chivetrack.components.consensus.const import (
     MAX_ENTRY_BYTES,
     MAX_UNCOMMITTED_BYTES,
@@ -302,6 +305,7 @@
         refused.
         """
         state = self._state
+        state.silences.record_own(self._replication.list_last_heard())
         for one in self._pending:
             state.outbox.add(ProposalEnded(proposal_id=one.proposal_id, outcome=Outcome.UNKNOWN))
         for read in self._reads:
@@ -322,5 +326,7 @@
             voter=state.log.members.is_voter(replica_id),
             match_index=self._get_match_index(replica_id),
             last_contact_age_s=0.0 if progress is None else now - progress.last_contact,
+            silence_s=0.0 if progress is None else now - progress.last_heard,
             regressed=progress is not None and progress.regressed,
+            caught_up=progress is None or is_caught_up(state, progress),
         )
--- a/chivetrack/components/consensus/members.py
+++ b/chivetrack/components/consensus/members.py
@@ -11,6 +11,7 @@
 
     ADD_LEARNER = "add_learner"
     PROMOTE = "promote"
+    DEMOTE = "demote"
     REMOVE = "remove"
 
 
--- a/chivetrack/components/consensus/messages.py
+++ b/chivetrack/components/consensus/messages.py
@@ -29,6 +29,14 @@
     data: bytes
 
 
+@message("log.silence")
+class Silence(Message, frozen=True, array_like=True):
+    """A replica that the leader has not heard from for ``age_s`` seconds."""
+
+    replica_id: str
+    age_s: float
+
+
 class PeerMessage(Message, frozen=True, array_like=True):
     """Base of all messages between replicas; ``term`` is the sender's term."""
 
@@ -74,7 +82,8 @@
     """Append entries after ``previous_index``; without entries, a heartbeat or a probe.
 
     ``round`` is the number of the leader's heartbeat round. The answer repeats it, which
-    proves that the sender still led when the round began.
+    proves that the sender still led when the round began. ``silences`` lists the members that
+    do not answer, so that the next leader need not wait for them again.
     """
 
     previous_index: int
@@ -82,6 +91,7 @@
     entries: tuple[Entry, ...]
     commit_index: int
     round: int
+    silences: tuple[Silence, ...] = ()
 
 
 @message("log.heartbeat", priority=Priority.URGENT)
--- a/chivetrack/components/consensus/models.py
+++ b/chivetrack/components/consensus/models.py
@@ -51,6 +51,7 @@
     NOT_READY = "not_ready"
     NOT_CAUGHT_UP = "not_caught_up"
     NOT_A_MEMBER = "not_a_member"
+    NOT_A_VOTER = "not_a_voter"
     ALREADY_A_MEMBER = "already_a_member"
     RETIRED_ID = "retired_id"
     TOO_MANY_VOTERS = "too_many_voters"
@@ -275,14 +276,20 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ReplicaStatus:
-    """Replication status of one replica, as known to the leader; ages in seconds."""
+    """Replication status of one replica, as known to the leader; ages in seconds.
+
+    ``last_contact_age_s`` counts from the election at most, ``silence_s`` across elections.
+    ``caught_up``: it may become a voter.
+    """
 
     replica_id: str
     instance_id: str
     voter: bool
     match_index: int
     last_contact_age_s: float
+    silence_s: float
     regressed: bool
+    caught_up: bool
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/chivetrack/components/consensus/progress.py
+++ b/chivetrack/components/consensus/progress.py
@@ -25,13 +25,16 @@
     holds the last index of each unanswered one. ``match_round`` is the heartbeat round
     in which ``match_index`` became known. ``knows_membership``: the replica's log names
     it as a member. ``awaits_snapshot``: the replica needs the snapshot, which is not
-    read from disk yet. ``last_contact`` is the time of its last answer, in seconds.
+    read from disk yet. ``last_contact`` is the time of its last answer to this leader, in
+    seconds, or the time of the election; ``last_heard`` the time of its last answer to this
+    leader or an earlier one.
     """
 
     replica_id: str
     instance_id: str
     next_index: int
     last_contact: float
+    last_heard: float
     match_index: int = 0
     match_round: int = 0
     acknowledged_round: int = 0
@@ -43,6 +46,10 @@
     awaits_snapshot: bool = False
     transfer: SnapshotTransfer | None = None
 
+    def record_contact(self, now: float) -> None:
+        """Record an answer of the replica."""
+        self.last_contact = self.last_heard = now
+
     @property
     def needs_snapshot(self) -> bool:
         """Return whether the replica waits for a snapshot or is receiving one."""
--- a/chivetrack/components/consensus/replication.py
+++ b/chivetrack/components/consensus/replication.py
@@ -5,6 +5,7 @@
     AppendRequest,
     Entry,
     Heartbeat,
+    Silence,
     SnapshotAnswer,
     SnapshotChunk,
 )
@@ -37,8 +38,23 @@
                 instance_id=member.instance_id,
                 next_index=state.log.last_index + 1,
                 last_contact=state.now,
+                last_heard=state.silences.get_last_heard(member.replica_id, now=state.now),
             )
 
+    def list_last_heard(self) -> dict[str, float]:
+        """Return when each replica was last heard (s, monotonic)."""
+        return {one.replica_id: one.last_heard for one in self.progress.values()}
+
+    def _list_silences(self) -> tuple[Silence, ...]:
+        now = self._state.now
+        ages = ((one.replica_id, now - one.last_heard) for one in self.progress.values())
+        min_age_s = self._state.timing.election_min_s
+        return tuple(
+            Silence(replica_id=replica_id, age_s=age_s)
+            for replica_id, age_s in ages
+            if age_s > min_age_s
+        )
+
     def drop_removed(self) -> None:
         """Stop tracking replicas whose removal is committed, after sending them the entry."""
         members = self._state.log.members
@@ -112,6 +128,7 @@
             entries=(),
             commit_index=self._state.commit_index,
             round=self.round,
+            silences=self._list_silences(),
         )
         self._send(progress, message)
 
@@ -128,6 +145,7 @@
             entries=entries,
             commit_index=state.commit_index,
             round=self.round,
+            silences=self._list_silences(),
         )
         self._send(progress, message)
 
@@ -204,7 +222,7 @@
         return answer.conflict_index if end is None else end + 1
 
     def _record_contact(self, progress: Progress, round_number: int) -> None:
-        progress.last_contact = self._state.now
+        progress.record_contact(self._state.now)
         progress.acknowledged_round = max(progress.acknowledged_round, round_number)
 
     def _start_snapshot_transfer(self, progress: Progress) -> None:
--- a/chivetrack/components/consensus/state.py
+++ b/chivetrack/components/consensus/state.py
@@ -15,6 +15,7 @@
     Timing,
 )
 from chivetrack.components.consensus.outbox import Outbox
+from chivetrack.components.consensus.silences import Silences
 from chivetrack.core import SendMessage
 
 
@@ -47,6 +48,7 @@
         self.commit_index = recovered.snapshot.index
         self.durable_index = self.log.last_index
         self.leader_last_seen_at = float("-inf")
+        self.silences = Silences()
         self.election_at = float("inf")
         self.first_election_attempts_left = FIRST_ELECTION_ATTEMPTS
         self.halted = False
--- a/chivetrack/components/deployment/settings.py
+++ b/chivetrack/components/deployment/settings.py
@@ -80,6 +80,9 @@
     retry_slack: Annotated[float, Meta(ge=0, description="Repeats on top, fleet-wide.")] = 20.0
     retry_window_s: Annotated[Seconds, Meta(gt=0, description="Window of the budget.")] = 10.0
     stop_within_s: Annotated[Seconds, Meta(gt=0, description="From SIGTERM to the kill.")] = 8.0
+    catch_up_s: Annotated[
+        Seconds, Meta(gt=0, description="From a new replica's start until it must vote.")
+    ] = 4.0
 
 
 class ProcessLimitSettings(StructSection, frozen=True, kw_only=True):
--- a/chivetrack/daemon/fleet/log_host.py
+++ b/chivetrack/daemon/fleet/log_host.py
@@ -25,7 +25,7 @@
 from chivetrack.components.document.store import DocumentStore
 from chivetrack.components.replica import Replica
 from chivetrack.components.replica.bootstrap import Hello, LogBootstrap
-from chivetrack.components.replica.repair import JoinAnswer, JoinRequest, Repair
+from chivetrack.components.replica.repair import JoinAnswer, JoinRequest, LeaveNotice, Repair
 from chivetrack.components.storage import Storage
 from chivetrack.components.storage.const import IDENTITY_NAME
 from chivetrack.components.storage.exceptions import StorageError
@@ -50,6 +50,7 @@
 
 _CHANGE_TIMEOUT_S = 2.0
 _TRANSFER_WAIT_S = 1.5
+_LEAVE_WAIT_S = 0.5
 _FOLDER_NAME = "log"
 
 
@@ -86,12 +87,14 @@
         seeds: list[str],
         is_first_start: bool,
         tolerated_losses: int,
+        catch_up_s: float,
         store: DocumentStore,
         send: Callable[[str, Message], None],
         events: EventLog,
     ) -> None:
         """Set up the replica in ``folder``; ``tolerated_losses`` disks may be lost at once.
 
+        A new replica must vote ``catch_up_s`` seconds after its start.
         At the first start of the deployment the ``seeds`` bootstrap the log.
         """
         self._instance_id = instance_id
@@ -106,7 +109,7 @@
         self._random = random.SystemRandom()
         # A majority of the voters remains after the tolerated losses.
         self._target_voters = 2 * tolerated_losses + 1
-        self._repair = Repair(target_voters=self._target_voters)
+        self._repair = Repair(target_voters=self._target_voters, catch_up_s=catch_up_s)
         self._bootstrap: LogBootstrapRunner | None = None
         self._is_retired = False
         self._address_by_replica: dict[str, str] = {}
@@ -123,7 +126,7 @@
 
     def accepts(self, message: Message) -> bool:
         """Return whether a message is for the log."""
-        return isinstance(message, PeerMessage | Hello | JoinRequest | JoinAnswer)
+        return isinstance(message, PeerMessage | Hello | JoinRequest | JoinAnswer | LeaveNotice)
 
     def handle_message(self, source: str, message: Message) -> None:
         """Handle a message for the log without blocking."""
@@ -134,6 +137,9 @@
             self._handle_join_request(source, message)
         elif isinstance(message, JoinAnswer):
             self._handle_join_answer(message)
+        elif isinstance(message, LeaveNotice):
+            # Whoever leads next may have to act on it.
+            self._repair.record_leave(message, now=time.monotonic())
         elif self.replica is not None and isinstance(message, PeerMessage):
             self._address_by_replica[message.sender] = source
             self.replica.receive(source, message)
@@ -220,6 +226,8 @@
                     "voter": one.voter,
                     "match": one.match_index,
                     "age_s": round(one.last_contact_age_s, 3),
+                    "silence_s": round(one.silence_s, 3),
+                    "caught_up": one.caught_up,
                 }
                 for one in status.replicas
             ],
@@ -377,20 +385,24 @@
     def _run_repair(self, replica: Replica) -> None:
         """At the leader, execute the member changes that are due."""
         while True:
-            gevent.sleep(REPAIR_INTERVAL_S)
-            if not self.is_leader:
-                continue
-            status = replica.get_status().consensus
-            change = self._repair.choose_change(status, now=time.monotonic())
-            if change is None:
-                continue
-            result = replica.change_members(change.kind, change.member, timeout_s=_CHANGE_TIMEOUT_S)
-            self._events.write(
-                "member_change",
-                kind=change.kind.value,
-                replica=change.member.replica_id,
-                outcome="committed" if result.is_ok() else result.error.code,
-            )
+            # A change may leave fewer able voters until the next one, so that one follows at once.
+            if not (self.is_leader and self._change_members(replica)):
+                gevent.sleep(REPAIR_INTERVAL_S)
+
+    def _change_members(self, replica: Replica) -> bool:
+        """Execute the next member change; return whether one was committed."""
+        status = replica.get_status().consensus
+        change = self._repair.choose_change(status, now=time.monotonic())
+        if change is None:
+            return False
+        result = replica.change_members(change.kind, change.member, timeout_s=_CHANGE_TIMEOUT_S)
+        self._events.write(
+            "member_change",
+            kind=change.kind.value,
+            replica=change.member.replica_id,
+            outcome="committed" if result.is_ok() else result.error.code,
+        )
+        return result.is_ok()
 
     def _run_join_requests(self, replica: Replica) -> None:
         """Send join requests to all known instances while not a voter or without a leader."""
@@ -419,3 +431,23 @@
         ends_at = time.monotonic() + _TRANSFER_WAIT_S
         while self.is_leader and time.monotonic() < ends_at:
             gevent.sleep(POLL_INTERVAL_S)
+
+    def leave(self) -> None:
+        """Tell the other replicas that this one stops, so that a successor may vote at once.
+
+        Waits until one does, if one is there: once this process is gone, it is a voter that
+        can't answer.
+        """
+        notice = LeaveNotice(replica_id=self.replica_id)
+        for instance in self.list_instances():
+            if instance != self._instance_id:
+                self._send(instance, notice)
+        ends_at = time.monotonic() + _LEAVE_WAIT_S
+        while self._has_successor() and time.monotonic() < ends_at:
+            gevent.sleep(POLL_INTERVAL_S)
+
+    def _has_successor(self) -> bool:
+        """Return whether this replica votes while another one waits to."""
+        members = self.get_members()
+        has_learner = any(not one.voter for one in members.members)
+        return has_learner and members.is_voter(self.replica_id)
--- a/chivetrack/daemon/fleet/replica.py
+++ b/chivetrack/daemon/fleet/replica.py
@@ -102,6 +102,7 @@
             seeds=seeds,
             is_first_start=settings.fleet.is_first_start,
             tolerated_losses=settings.fleet.tolerated_losses,
+            catch_up_s=settings.bounds.catch_up_s,
             store=self._store,
             send=self.transport.send,
             events=events,
@@ -351,6 +352,7 @@
         self._control_handler.begin_stop()
         self._events.write("exit_decided", open=self._gate.open_count, after_s=0.0)
         self.host.transfer_leadership()
+        self.host.leave()
         connections_left = self._drain_listeners(ends_at)
         while self._documents.forwarded_count and time.monotonic() < ends_at:
             gevent.sleep(_POLL_S)
--- a/tests/components/replica/test_repair.py
+++ b/tests/components/replica/test_repair.py
@@ -2,16 +2,21 @@
 
 import unittest
 
+from chivetrack.components.consensus.const import ELECTION_MIN_S
 from chivetrack.components.consensus.members import ChangeKind, Member, Members
 from chivetrack.components.consensus.models import ConsensusStatus, ReplicaStatus, Role
 from chivetrack.components.replica.repair import (
     LEARNER_TIMEOUT_S,
-    VOTER_TIMEOUT_S,
+    VOTER_TIMEOUT_SHARE,
     JoinRequest,
+    LeaveNotice,
     MemberChange,
     Repair,
 )
 
+CATCH_UP_S = 4.0
+VOTER_TIMEOUT_S = VOTER_TIMEOUT_SHARE * CATCH_UP_S
+
 
 class Log:
     """The members as a leader on i1 sees them; changes take effect at once."""
@@ -24,7 +29,9 @@
             )
         )
         self.ages: dict[str, float] = {}
-        self.repair = Repair(target_voters=5)
+        self.silences: dict[str, float] = {}
+        self.lagging: set[str] = set()
+        self.repair = Repair(target_voters=5, catch_up_s=CATCH_UP_S)
 
     def get_status(self) -> ConsensusStatus:
         return ConsensusStatus(
@@ -45,7 +52,9 @@
                     voter=one.voter,
                     match_index=9,
                     last_contact_age_s=self.ages.get(one.replica_id, 0.0),
+                    silence_s=self.silences.get(one.replica_id, self.ages.get(one.replica_id, 0.0)),
                     regressed=False,
+                    caught_up=one.replica_id not in self.lagging,
                 )
                 for one in self.members.members
             ),
@@ -114,7 +123,46 @@
         log.join("i6", "i6.a")
         self.assertEqual(log.settle(), [(ChangeKind.ADD_LEARNER, "i6.a")])
         log.ages = {"i3.a": VOTER_TIMEOUT_S + 0.1}
-        self.assertEqual(log.settle(), [(ChangeKind.REMOVE, "i3.a"), (ChangeKind.PROMOTE, "i6.a")])
+        self.assertEqual(log.settle(), [(ChangeKind.DEMOTE, "i3.a"), (ChangeKind.PROMOTE, "i6.a")])
+
+    def test_silent_voter_gives_way_within_the_time_of_its_successor(self) -> None:
+        """Guards against a removed voter that outlasts the time to catch up."""
+        log = Log(voters=5, learners=1)
+        log.ages = {"i3.a": CATCH_UP_S - 1.0}
+        self.assertEqual(log.settle(), [(ChangeKind.DEMOTE, "i3.a"), (ChangeKind.PROMOTE, "i6.a")])
+
+    def test_silence_counts_across_elections(self) -> None:
+        """Guards against a removed voter that each election keeps for longer."""
+        log = Log(voters=5, learners=1)
+        log.silences = {"i3.a": CATCH_UP_S}
+        log.ages = {"i3.a": ELECTION_MIN_S - 0.1}
+        self.assertEqual(log.settle(), [])
+        log.ages = {"i3.a": ELECTION_MIN_S}
+        self.assertEqual(log.settle(), [(ChangeKind.DEMOTE, "i3.a"), (ChangeKind.PROMOTE, "i6.a")])
+
+    def test_voter_that_stops_gives_way_at_once(self) -> None:
+        """Guards against a voter that has announced its stop and is waited for all the same."""
+        log = Log(voters=5, learners=1)
+        log.repair.record_leave(LeaveNotice("i3.a"), now=0.0)
+        self.assertEqual(log.settle(), [(ChangeKind.DEMOTE, "i3.a"), (ChangeKind.PROMOTE, "i6.a")])
+
+    def test_voter_that_stops_is_kept_without_a_successor(self) -> None:
+        log = Log(voters=5)
+        log.repair.record_leave(LeaveNotice("i3.a"), now=0.0)
+        self.assertEqual(log.settle(), [])
+
+    def test_silent_voter_is_kept_while_its_successor_lags(self) -> None:
+        """Guards against a voter that is demoted while nobody can take its place."""
+        log = Log(voters=5, learners=1)
+        log.lagging = {"i6.a"}
+        log.ages = {"i3.a": LEARNER_TIMEOUT_S}
+        self.assertEqual(log.settle(), [])
+
+    def test_learner_that_lags_blocks_no_other(self) -> None:
+        """Guards against a learner that is proposed again and again, and refused each time."""
+        log = Log(voters=4, learners=2)
+        log.lagging = {"i5.a"}
+        self.assertEqual(log.settle(), [(ChangeKind.PROMOTE, "i6.a")])
 
     def test_voter_is_kept_before_its_timeout(self) -> None:
         log = Log(voters=5, learners=1)
--- a/tests/daemon/fleet/test_lending.py
+++ b/tests/daemon/fleet/test_lending.py
@@ -31,6 +31,7 @@
             seeds=["p1"],
             is_first_start=True,
             tolerated_losses=0,
+            catch_up_s=4.0,
             store=DocumentStore(),
             send=lambda target, message: None,
             events=events,
--- a/tests/daemon/fleet/test_log_host.py
+++ b/tests/daemon/fleet/test_log_host.py
@@ -27,6 +27,7 @@
             seeds=SEEDS,
             is_first_start=is_first_start,
             tolerated_losses=2,
+            catch_up_s=4.0,
             store=DocumentStore(),
             send=lambda target, message: None,
             events=EventLog(instance="i1"),
