Believe the end of a connection only after a whole exchange

Cause: the body of the request is sent by a greenlet beside the reader. A socket tells its error once: where the upload is told of the reset, the reader sees a mere end. An endpoint that closes before the upload comes even ends in order first. An answer without a length took either end for its own.

Change: such an answer is whole only if the request was sent whole and acknowledged and no error is pending when the end is read. A carrier marks an end under the same condition, and only if nothing of the request waits unread at it.

--- a/chivetrack/components/upstream/carried.py
+++ b/chivetrack/components/upstream/carried.py
@@ -88,6 +88,10 @@
         """Set the limit of each call, in seconds."""
         self._socket.settimeout(timeout_s)
 
+    def getsockopt(self, level: int, option: int) -> int:
+        """Return an option of the connection to the carrier."""
+        return self._socket.getsockopt(level, option)
+
     def fileno(self) -> int:
         """Return the descriptor, for waiting until bytes can be read."""
         return self._socket.fileno()
--- a/chivetrack/components/upstream/connection.py
+++ b/chivetrack/components/upstream/connection.py
@@ -21,7 +21,7 @@
 from chivetrack.components.upstream.const import READ_SIZE
 from chivetrack.components.upstream.models import BrokenAnswerError, Framing
 from chivetrack.helpers.addresses import MAX_ADDRESS_LENGTH, read_address
-from chivetrack.helpers.sockets import count_unacknowledged, wait_readable
+from chivetrack.helpers.sockets import count_unacknowledged, has_delivered, wait_readable
 
 # TCP closes the connection when sent bytes stay unacknowledged for longer. A host that lost
 # power or is behind a network partition does not close its connections itself.
@@ -60,6 +60,10 @@
     """Somebody answered, but not the endpoint, or not the request."""
 
 
+class _UntakenRequestError(Exception):
+    """The connection ended, but not as after a whole exchange."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EndpointRequest:
     """A request as it is sent; ``target`` is the raw target of the request line."""
@@ -122,9 +126,15 @@
     ``is_complete`` is set once the body was read to its end, which ``framing`` marks.
     """
 
-    def __init__(self, *, head: AnswerHead, reader: _Reader) -> None:
-        """Expect the body that ``head`` announces in ``reader``."""
+    def __init__(
+        self, *, head: AnswerHead, reader: _Reader, is_request_taken: Callable[[], bool]
+    ) -> None:
+        """Expect the body that ``head`` announces in ``reader``.
+
+        ``is_request_taken`` returns whether the whole request has reached the endpoint.
+        """
         self._reader = reader
+        self._is_request_taken = is_request_taken
         self._length = head.length
         self._closes = head.closes
         self.status = head.status
@@ -141,7 +151,7 @@
         """Yield the body as it arrives; raise ``BrokenAnswerError`` if it is incomplete."""
         try:
             yield from self._read()
-        except (OSError, ChunkError) as error:
+        except (OSError, ChunkError, _UntakenRequestError) as error:
             raise BrokenAnswerError(f"{type(error).__name__}: {error}") from error
         self.is_complete = True
 
@@ -174,6 +184,10 @@
     def _read_to_end(self) -> Iterator[bytes]:
         while data := self._reader.read(READ_SIZE):
             yield data
+        # An endpoint that closes with a part of the request unread resets the connection. A socket
+        # tells its error once: where the upload gets it, the reader sees a mere end.
+        if not self._is_request_taken():
+            raise _UntakenRequestError("the answer ended before the whole request was taken")
 
     @property
     def keeps_connection(self) -> bool:
@@ -287,7 +301,15 @@
             raise UnsoundHeadError(f"no answer: {error}", fault=error.fault) from error
         except OSError as error:
             raise MaybeRanError(f"no answer: {type(error).__name__}: {error}") from error
-        return EndpointAnswer(head=head, reader=self._reader)
+        return EndpointAnswer(
+            head=head, reader=self._reader, is_request_taken=self._is_request_taken
+        )
+
+    def _is_request_taken(self) -> bool:
+        """Return whether the request was sent whole and has arrived at the other host."""
+        sender = self._sender
+        is_sent = sender is None or (sender.ready() and bool(sender.value))
+        return is_sent and has_delivered(self._socket)
 
     def watch_silence(self, handle_silence: Callable[[], None], *, interval_s: float) -> None:
         """Call ``handle_silence`` each ``interval_s`` without bytes of the answer.
--- a/chivetrack/daemon/fleet/stream_carrier.py
+++ b/chivetrack/daemon/fleet/stream_carrier.py
@@ -17,6 +17,7 @@
 from chivetrack.daemon.fleet.const import CONNECT_TIMEOUT_S
 from chivetrack.helpers.addresses import read_address
 from chivetrack.helpers.events import EventLog
+from chivetrack.helpers.sockets import has_delivered, has_unread
 
 _READ_BYTES = 16 * 1024
 _SEND_TIMEOUT_S = 5.0
@@ -26,11 +27,22 @@
 
 @dataclass(slots=True, eq=False)
 class _Stream:
-    """One carried connection: ``near`` to the router that asked, ``far`` to the endpoint."""
+    """One carried connection: ``near`` to the router that asked, ``far`` to the endpoint.
+
+    ``relayed`` counts the bytes that were read for the endpoint, ``taken`` those that it was sent.
+    """
 
     near: gevent_socket.socket
     far: gevent_socket.socket
     active_at: float
+    relayed: int = 0
+    taken: int = 0
+
+    @property
+    def has_taken_requests(self) -> bool:
+        """Return whether all that has come for the endpoint has reached it."""
+        is_sent = self.taken == self.relayed and has_delivered(self.far)
+        return is_sent and not has_unread(self.near)
 
     def close(self) -> None:
         for opened in (self.near, self.far):
@@ -132,20 +144,26 @@
         try:
             while data := stream.near.recv(_READ_BYTES):
                 stream.active_at = time.monotonic()
+                stream.relayed += len(data)
                 stream.far.sendall(data)
+                stream.taken += len(data)
         except OSError:
             pass  # Either side is gone; the other one is closed below.
         finally:
             stream.close()
 
     def _relay_answers(self, stream: _Stream) -> None:
-        """Relay bytes from the endpoint; only its own end is marked as an end."""
+        """Relay bytes from the endpoint; only its own orderly end is marked as an end.
+
+        The other greenlet may have got the endpoint's reset, which shows as a mere end here.
+        """
         stream.far.settimeout(None)
         try:
             while data := stream.far.recv(_READ_BYTES):
                 stream.active_at = time.monotonic()
                 stream.near.sendall(encode_block(data))
-            stream.near.sendall(END_BLOCK)
+            if stream.has_taken_requests:
+                stream.near.sendall(END_BLOCK)
         except OSError:
             pass  # The connection to the router ends without the mark.
 
--- a/tests/components/upstream/test_cut_answers.py
+++ b/tests/components/upstream/test_cut_answers.py
@@ -50,6 +50,17 @@
     "status without a blank line": b"HTTP/1.1 200 OK\r\n",
     "other protocol": b"HTTP/2.0 200 OK\r\n\r\n",
     "status of two digits": b"HTTP/1.1 20 OK\r\n\r\n",
+    "status of zeros": make_head(SEAL, LENGTH, status="000 OK"),
+    "status of zeros alone": b"HTTP/1.1 000\r\n\r\n",
+    "status of four digits": make_head(SEAL, LENGTH, status="2000 OK"),
+    "status above 599": make_head(SEAL, LENGTH, status="600 OK"),
+    "blank in a name": make_head(SEAL, "X Name: value", LENGTH),
+    "tab in a name": make_head(SEAL, "X\tName: value", LENGTH),
+    "zero byte in a name": make_head(SEAL, "X\0Name: value", LENGTH),
+    "control byte in a name": make_head(SEAL, "X\x01Name: value", LENGTH),
+    "delete in a name": make_head(SEAL, "X\x7fName: value", LENGTH),
+    "control byte in a value": make_head(SEAL, "X-Name: val\x01ue", LENGTH),
+    "control byte in the name of the length": make_head(SEAL, LENGTH.replace(":", "\x01:")),
     "protocol change": make_head(SEAL, status="101 Switching Protocols"),
 }
 
@@ -95,6 +106,11 @@
         taken = [name for name, head in UNSOUND_HEADS.items() if is_taken(head + half)]
         self.assertEqual(taken, [])
 
+    def test_unsound_head_after_an_interim_answer_is_no_answer(self) -> None:
+        """Guards against a final head that is read less strictly than the first one."""
+        taken = [name for name, head in UNSOUND_HEADS.items() if is_taken(INTERIM + head + BODY)]
+        self.assertEqual(taken, [])
+
     def test_sound_head_without_a_length_ends_with_its_connection(self) -> None:
         self.assertEqual(read_whole(make_head(SEAL, ECHO) + BODY), (200, BODY))
 
--- a/tests/system/deployment.py
+++ b/tests/system/deployment.py
@@ -92,7 +92,10 @@
         self._answer()
 
     def do_POST(self) -> None:
-        self._serve(self.rfile.read(int(self.headers.get("Content-Length", 0))))
+        self._serve(self._read_body())
+
+    def _read_body(self) -> bytes:
+        return self.rfile.read(int(self.headers.get("Content-Length", 0)))
 
     def _serve(self, body: bytes) -> None:
         self._answer()
