Leave orders of an unknown kind to other routers during a stop

Cause: before the first answer of a service its expected time is a start value of 30 ms, which the stop took for knowledge.

Change: the expected time is unknown until an answer has ended here; an unknown kind is taken only if no other router would.

Evidence: UnknownOrderTest, six orders between 0.3 and 1.8 s after SIGTERM: 6 of 6 got 502 before, 6 of 6 get 503 (not run) now.

--- a/chivetrack/components/limits/stopping.py
+++ b/chivetrack/components/limits/stopping.py
@@ -22,10 +22,12 @@
     exits_at: float
 
     def accepts(
-        self, *, ends_at: float, expected_s: float, do_others_accept: bool, now: float
+        self, *, ends_at: float, expected_s: float | None, do_others_accept: bool, now: float
     ) -> bool:
         """Return whether to accept a request that times out at ``ends_at``.
 
+        ``expected_s`` is how long it will take, ``None`` if nothing is known of its kind.
+
         A request that times out before the exit cannot be aborted by it and is always
         accepted. Until ``accepts_until`` other requests are accepted if they are expected
         to end before the exit or if other instances would refuse them as well. After
@@ -36,7 +38,8 @@
             return True
         if now >= self.accepts_until:
             return False
-        return now + expected_s <= self.exits_at or not do_others_accept
+        is_short = expected_s is not None and now + expected_s <= self.exits_at
+        return is_short or not do_others_accept
 
 
 def make_cut_fault() -> Fault:
--- a/chivetrack/components/observation/speeds.py
+++ b/chivetrack/components/observation/speeds.py
@@ -60,6 +60,8 @@
         self._plain = RunningMedian(START_PLAIN_MS)
         self._tail_factor = RunningQuantile(START_TAIL_FACTOR, share=TAIL_QUANTILE)
         self._token = RunningQuantile(START_TOKEN_MS, share=TOKEN_TIME_QUANTILE)
+        self.has_plain_answers = False
+        self.has_streams = False
         # Decaying mean of log(observed time / usual time), by endpoint id.
         self._slowness: dict[str, DecayingMean] = {}
         self._reports: dict[str, _SpeedReport] = {}
@@ -146,12 +148,14 @@
 
         ``tokens`` is the length that its caller expected, or 0 if unknown.
         """
+        self.has_streams = True
         self._answer.add(took_ms)
         if tokens:
             self._token.add(took_ms / tokens)
 
     def record_plain_answer(self, endpoint_id: str, *, took_ms: float, now: float) -> None:
         """Record a complete answer without a stream."""
+        self.has_plain_answers = True
         self._record_ratio(endpoint_id, took_ms, self._plain.value, now)
         self._plain.add(took_ms)
 
--- a/chivetrack/components/placement/placement.py
+++ b/chivetrack/components/placement/placement.py
@@ -86,9 +86,14 @@
         context["speeds"] = self.get_speeds(candidates[0].record.service)
         return self._chooser.compare(candidates, **context)
 
-    def expect_complete_s(self, choice: Choice, facts: RequestFacts) -> float:
-        """Return the time in seconds within which most such answers are complete."""
+    def expect_complete_s(self, choice: Choice, facts: RequestFacts) -> float | None:
+        """Return the time in seconds within which most such answers are complete.
+
+        Return ``None`` as long as none of the service has ended here.
+        """
         speeds = self.get_speeds(choice.record.service)
+        if not (speeds.has_streams if facts.parts else speeds.has_plain_answers):
+            return None
         if not facts.parts:
             return choice.expected_ms * speeds.tail_factor / 1000
         answer_ms = speeds.expect_answer_ms(facts.likely_output_tokens)
--- a/chivetrack/daemon/fleet/request_log.py
+++ b/chivetrack/daemon/fleet/request_log.py
@@ -61,7 +61,7 @@
         )
 
     def write_stopping(
-        self, call: Call, choice: Choice, fault: Fault, *, expected_s: float, left_s: float
+        self, call: Call, choice: Choice, fault: Fault, *, expected_s: float | None, left_s: float
     ) -> None:
         """Write that a request is refused because the instance stops before it could end."""
         self.write_rejected(
@@ -69,7 +69,7 @@
             fault,
             path=call.target,
             endpoint=choice.record.endpoint_id,
-            expected_ms=round(expected_s * 1000),
+            expected_ms=None if expected_s is None else round(expected_s * 1000),
             left_ms=round(left_s * 1000),
             **self._describe_stop(came_at=call.came_at, connected_at=call.connected_at),
         )
--- a/tests/components/limits/test_stopping.py
+++ b/tests/components/limits/test_stopping.py
@@ -9,7 +9,7 @@
 
 
 def accepts(
-    *, ends_at: float, expected_s: float, now: float, do_others_accept: bool = True
+    *, ends_at: float, expected_s: float | None, now: float, do_others_accept: bool = True
 ) -> bool:
     return WINDOW.accepts(
         ends_at=ends_at, expected_s=expected_s, do_others_accept=do_others_accept, now=now
@@ -24,6 +24,12 @@
     def test_answer_that_fits_is_accepted_while_the_balancer_sends(self) -> None:
         self.assertTrue(accepts(ends_at=116.0, expected_s=5.0, now=102.0))
 
+    def test_request_of_an_unknown_kind_is_left_to_others(self) -> None:
+        """Guards against an order that is taken as short as long as none of its kind has ended."""
+        self.assertFalse(accepts(ends_at=116.0, expected_s=None, now=100.1))
+        self.assertTrue(accepts(ends_at=116.0, expected_s=None, now=100.1, do_others_accept=False))
+        self.assertTrue(accepts(ends_at=107.5, expected_s=None, now=106.0))
+
     def test_request_that_may_outlast_the_exit_is_refused_after_the_window(self) -> None:
         """Guards against a late request that takes longer than expected."""
         self.assertFalse(accepts(ends_at=116.0, expected_s=0.1, now=102.5))
--- a/tests/system/test_stop.py
+++ b/tests/system/test_stop.py
@@ -17,8 +17,11 @@
     open_deployment,
 )
 from tests.system.deployment import open_endpoint as open_endpoint_of
+from tests.system.fleets import wait_for
 
 ROUTE_TIMEOUT_MS = 15_000
+ORDERS = 6
+ORDER_INTERVAL_S = 0.3
 HEADERS = {"Host": "one.example", "X-Chivetrack-Key": "key"}
 
 
@@ -56,6 +59,57 @@
         ]
 
 
+class UnknownOrderTest(StopCase):
+    def test_order_of_an_unknown_kind_is_left_to_other_routers(self) -> None:
+        """Guards against an order that a stopping router takes as short, runs and cuts."""
+        deployment, _ = self.open(stop_within_s=5.0)
+        slow = self.enterContext(open_endpoint_of(deployment, 2, "slow"))
+        slow.work_s = 6.0
+        config = make_config(4, "/a/", "/slow/")
+        config["services"].append({**config["services"][0], "name": "slow"})
+        for route in config["routes"]:
+            route["timeoutMs"] = ROUTE_TIMEOUT_MS
+        config["routes"][1]["service"] = "slow"
+        deployment.put(config)
+        deployment.announce(slow)
+        self.wait_routed(deployment, "/slow/x")
+        answers = self.send_late_orders(deployment)
+        self.assertEqual([one for one in answers if one != 503], [])
+        self.assertEqual(slow.seen, [])
+
+    def wait_routed(self, deployment: Deployment, path: str) -> None:
+        """Wait until a router knows a route and its endpoint, without sending a request."""
+
+        def is_routed() -> bool:
+            events = deployment.read_events("r1")
+            versions = [
+                one["version"] for one in events if one["event"] == "configuration_in_force"
+            ]
+            endpoints = [one for one in events if one["event"] == "endpoint_changed"]
+            return 4 in versions and len(endpoints) >= 2
+
+        wait_for(is_routed, f"r1 does not know {path}")
+
+    def send_late_orders(self, deployment: Deployment) -> list[int]:
+        """Stop a router and send it orders as long as it accepts some; return their statuses."""
+        process = deployment.begin_stop("r1")
+        statuses: list[int] = []
+        callers = []
+        for _ in range(ORDERS):
+            time.sleep(ORDER_INTERVAL_S)
+            caller = threading.Thread(
+                target=lambda: statuses.append(
+                    deployment.call("r1", "/slow/x", X_Chivetrack_Deadline_Ms="15000")[0]
+                )
+            )
+            caller.start()
+            callers.append(caller)
+        for caller in callers:
+            caller.join()
+        process.wait(timeout=20)
+        return statuses
+
+
 class CutRequestTest(StopCase):
     def test_request_cut_by_the_exit_has_its_end_logged(self) -> None:
         """Guards against a request that is cut by the exit without a ``request_ended`` event."""
