Send a replica on an empty disk little more than the state

Cause: one entry is the whole state, yet the log was compacted after 8 MiB and kept 1 MiB beside each

A test changed: the bound on the log of a leader was one check after eight entries of 1 MiB; it is checked after each of 24 now.

--- a/chivetrack/components/consensus/const.py
+++ b/chivetrack/components/consensus/const.py
@@ -34,3 +34,6 @@
 # that lags slightly is sent entries instead of the whole snapshot.
 TRAILING_ENTRIES: Final = 1024
 TRAILING_BYTES: Final = MEBIBYTE
+# Entries of this size are kept in any case. Beyond it, entries that are more than the snapshot
+# itself are dropped: a replica that lags is sent the snapshot sooner than them.
+MIN_KEPT_BYTES: Final = 256 * KIBIBYTE
--- a/chivetrack/components/consensus/log.py
+++ b/chivetrack/components/consensus/log.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 
-from chivetrack.components.consensus.const import ENTRY_OVERHEAD_BYTES
+from chivetrack.components.consensus.const import ENTRY_OVERHEAD_BYTES, MIN_KEPT_BYTES
 from chivetrack.components.consensus.members import Members
 from chivetrack.components.consensus.messages import Entry, EntryKind
 from chivetrack.components.consensus.models import Limits, Recovered, Snapshot
@@ -122,7 +122,7 @@
 
     def compact(self, snapshot: Snapshot) -> None:
         """Drop entries that a new snapshot covers, except for the trailing ones."""
-        keep_after = self._find_trailing(snapshot.index)
+        keep_after = self._find_trailing(snapshot)
         self._base_term = self.find_term(keep_after) or 0
         del self._entries[: keep_after - self._base_index]
         self._base_index = keep_after
@@ -130,13 +130,15 @@
         self._members = [(snapshot.index, snapshot.members), *later]
         self.snapshot = drop_data(snapshot)
 
-    def _find_trailing(self, index: int) -> int:
-        """Return the index after which entries are kept, for a snapshot at ``index``."""
+    def _find_trailing(self, snapshot: Snapshot) -> int:
+        """Return the index after which entries are kept beside a snapshot."""
+        index = snapshot.index
+        limit = min(self._limits.trailing_bytes, max(MIN_KEPT_BYTES, len(snapshot.data)))
         first = max(self._base_index, index - self._limits.trailing_entries)
         size = 0
         while index > first:
             size += len(self._entries[index - self._base_index - 1].data)
-            if size > self._limits.trailing_bytes:
+            if size > limit:
                 break
             index -= 1
         return index
--- a/chivetrack/components/replica/const.py
+++ b/chivetrack/components/replica/const.py
@@ -7,7 +7,7 @@
 # A snapshot is taken after this many entries or bytes. This bounds what a restart has to
 # read and apply again, and the entries held in memory.
 SNAPSHOT_ENTRIES: Final = 10_000
-SNAPSHOT_BYTES: Final = 8 * MEBIBYTE
+MAX_SNAPSHOT_BYTES: Final = 8 * MEBIBYTE
 
 # Bounds the memory of a replica whose disk is blocked: further messages are dropped, which
 # is safe because messages may be lost anyway.
--- a/chivetrack/components/replica/core.py
+++ b/chivetrack/components/replica/core.py
@@ -1,6 +1,7 @@
 """The replicated log and its state machine as one component without I/O."""
 
 from chivetrack.components.consensus import Consensus
+from chivetrack.components.consensus.const import MIN_KEPT_BYTES
 from chivetrack.components.consensus.messages import Entry, EntryKind
 from chivetrack.components.consensus.models import (
     Apply,
@@ -11,7 +12,7 @@
     Snapshot,
     SnapshotTaken,
 )
-from chivetrack.components.replica.const import SNAPSHOT_BYTES, SNAPSHOT_ENTRIES
+from chivetrack.components.replica.const import MAX_SNAPSHOT_BYTES, SNAPSHOT_ENTRIES
 from chivetrack.components.replica.models import ProposalAnswered, StateMachine
 from chivetrack.core import Effect, Event
 
@@ -58,7 +59,10 @@
 
     def _needs_snapshot(self) -> bool:
         too_many = self._applied_index - self._snapshot_index >= self._snapshot_entries
-        return too_many or self._applied_bytes >= SNAPSHOT_BYTES
+        # A replica on an empty disk is sent the snapshot and the entries after it, so these should
+        # be no more than the state itself. Many entries may each hold all of it.
+        limit = min(MAX_SNAPSHOT_BYTES, max(MIN_KEPT_BYTES, self._snapshot_bytes))
+        return too_many or self._applied_bytes >= limit
 
     def _execute(self, effects: list[Effect]) -> list[Effect]:
         others: list[Effect] = []
@@ -88,6 +92,7 @@
         self._state_machine.restore_snapshot(snapshot.data)
         self._applied_index = snapshot.index
         self._snapshot_index = snapshot.index
+        self._snapshot_bytes = len(snapshot.data)
         self._applied_bytes = 0
 
     def _answer(self, ended: ProposalEnded) -> ProposalAnswered:
@@ -104,6 +109,7 @@
     def _save_snapshot(self, now: float) -> list[Effect]:
         data = self._state_machine.take_snapshot()
         self._snapshot_index = self._applied_index
+        self._snapshot_bytes = len(data)
         self._applied_bytes = 0
         self._snapshot_at = now
         taken = SnapshotTaken(index=self._applied_index, data=data)
--- a/tests/components/replica/test_replica.py
+++ b/tests/components/replica/test_replica.py
@@ -223,13 +223,14 @@
 
     def test_memory_is_bounded(self) -> None:
         """Large entries: one that exceeds a message is refused; a partitioned leader
-        accepts 16 MiB and refuses the rest; after 8 MiB a snapshot compacts the log."""
+        accepts 16 MiB and refuses the rest; a snapshot compacts the log before 8 MiB are more."""
         fault = self.get_fault(bytes(MEBIBYTE + 1))
         self.assertEqual((fault.code, fault.status, fault.ran), ("too_large", 413, Ran.NO))
         disk = self.cluster.disks[self.name]
-        for _ in range(8):
+        for _ in range(24):
             self.assertTrue(self.leader.propose(b"x" * MEBIBYTE).is_ok())
-        self.assertGreater(disk.snapshot.index, 8)
+            last_index = self.leader.get_status().consensus.last_index
+            self.assertLessEqual(last_index - disk.snapshot.index, 8)
         self.cluster.cut.add(self.name)
         self.leader._calls._make_waiter = StepWaiter
         for _ in range(17):
