Look again at an endpoint before a request is sent after a wait

Cause: the choice is made before the wait for a slot and used after it, and the scheduler knows endpoints only from the lists of such choices.

Change: right before the send, the endpoint must still be one that may get requests; else the slot is given back and the request chooses anew.

Evidence: OutdatedSlotTest failed before for endpoints that drain, have left, are lost or paused.

--- a/chivetrack/components/announcements/directory.py
+++ b/chivetrack/components/announcements/directory.py
@@ -76,6 +76,12 @@
             return False
         return known.born > record.born or known.state is EndpointState.LOST
 
+    def may_get_requests(self, record: EndpointRecord, now: float) -> bool:
+        """Return whether an endpoint that was chosen before may still get a request."""
+        ready = self.list_ready(record.service)
+        is_ready = any(one.incarnation == record.incarnation for one in ready)
+        return is_ready and not self.find_pause(record, now)
+
     def record_pause(self, record: EndpointRecord, *, until: float) -> None:
         """Exclude an endpoint until a time; an earlier time does not shorten its pause."""
         incarnation = record.incarnation
--- a/chivetrack/daemon/fleet/fleet_view.py
+++ b/chivetrack/daemon/fleet/fleet_view.py
@@ -320,6 +320,10 @@
         candidates, context = self._list_candidates(call)
         return self.placement.choose(candidates, **context)
 
+    def is_outdated(self, choice: Choice) -> bool:
+        """Return whether an endpoint has left, or may get nothing, since it was chosen."""
+        return not self.directory.may_get_requests(choice.record, time.monotonic())
+
     def compare(self, call: Call) -> list[ComparedChoice]:
         """Return all candidates for a request with their cost, without choosing one."""
         candidates, context = self._list_candidates(call)
--- a/chivetrack/daemon/fleet/request_log.py
+++ b/chivetrack/daemon/fleet/request_log.py
@@ -60,6 +60,15 @@
             **evidence,
         )
 
+    def write_outdated(self, call: Call, choice: Choice) -> None:
+        """Write that an endpoint is not used, since it has left while the request waited."""
+        self._events.write(
+            "choice_outdated",
+            request=call.facts.request_id,
+            endpoint=choice.record.endpoint_id,
+            sequence=choice.record.sequence,
+        )
+
     def write_stopping(
         self, call: Call, choice: Choice, fault: Fault, *, expected_s: float | None, left_s: float
     ) -> None:
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable, Iterable
+from enum import Enum, auto
 from typing import Any
 
 import gevent
@@ -63,6 +64,14 @@
     """The timeout of the route or the caller's own wait limit has passed."""
 
 
+class _Progress(Enum):
+    """What became of an attempt: ``OUTDATED`` ones were not sent, as their endpoint has left."""
+
+    ENDED = auto()
+    FAILED = auto()
+    OUTDATED = auto()
+
+
 class RequestHandler:
     """The WSGI application of the listener for callers."""
 
@@ -289,8 +298,13 @@
     def _try_endpoints(self, call: Call) -> None:
         while True:
             choice = self._prepare_attempt(call)
-            if choice is None or self._try_endpoint(call, choice):
+            if choice is None:
+                return
+            progress = self._try_endpoint(call, choice)
+            if progress is _Progress.ENDED:
                 return
+            if progress is _Progress.OUTDATED:
+                continue
             refusal = self._find_retry_refusal(call)
             if refusal:
                 self._abandon(call, refusal)
@@ -310,17 +324,24 @@
             return None
         return choice
 
-    def _try_endpoint(self, call: Call, choice: Choice) -> bool:
-        """Send the request once it has a slot; return whether the caller has its answer."""
+    def _try_endpoint(self, call: Call, choice: Choice) -> _Progress:
+        """Send the request once it has a slot.
+
+        The endpoint may have left during the wait for a permit or a slot. It would run the request,
+        and end before it answers.
+        """
         with self._admission.hold_slot(call, choice) as slot:
             if slot.retry_after_s is not None:
                 self._refuse_without_slot(call, slot.retry_after_s)
-                return True
+                return _Progress.ENDED
+            if self._view.is_outdated(slot.choice):
+                self._log.write_outdated(call, slot.choice)
+                return _Progress.OUTDATED
             if not self._commit_retry(call):
                 self._abandon(call, "no_budget")
-                return True
+                return _Progress.ENDED
             self.open_requests.raise_if_ended()
-            return self._send(call, slot)
+            return _Progress.ENDED if self._send(call, slot) else _Progress.FAILED
 
     def _refuse_without_slot(self, call: Call, retry_after_s: float) -> None:
         if may_have_run(call.attempts):
--- a/tests/daemon/fleet/test_admission.py
+++ b/tests/daemon/fleet/test_admission.py
@@ -3,6 +3,7 @@
 import time
 
 import gevent
+import msgspec
 
 from chivetrack.components.admission.const import ANSWER_TIMEOUT_S, WAIT_MARGIN_S
 from chivetrack.components.admission.messages import (
@@ -11,6 +12,7 @@
     SlotRequest,
     SlotState,
 )
+from chivetrack.components.announcements.models import EndpointState
 from chivetrack.components.distribution.messages import EndpointLoad
 from chivetrack.components.retries.sending import SendEnd
 from chivetrack.components.traffic.table import RouteTable
@@ -95,6 +97,56 @@
         self.assertEqual([one.endpoint_id for one in self.list_requests()[1].candidates], ["e2"])
 
 
+class OutdatedSlotTest(AdmissionCase):
+    """An endpoint leaves while a request waits for a slot."""
+
+    def announce(self, state: EndpointState) -> None:
+        table = self.view.directory.table
+        record = table.find("e2")
+        assert record is not None
+        changed = msgspec.structs.replace(record, sequence=record.sequence + 1, state=state)
+        table.merge(changed, now=0.0)
+        self.view.apply_endpoints(is_partial=True)
+
+    def test_slot_of_an_endpoint_that_has_left_is_not_used(self) -> None:
+        """Guards against an order that reaches an endpoint long after it has begun to drain."""
+        for state in (EndpointState.DRAINING, EndpointState.LEFT, EndpointState.LOST):
+            with self.subTest(state=state):
+                self.setUp()
+                serving = self.start()
+                self.answer(SlotState.QUEUED, wait_s=0.05)
+                self.announce(state)
+                self.answer(SlotState.GRANTED, "e2")
+                self.assertEqual(self.sent, [])
+                first, second = self.list_requests()
+                self.assertEqual(self.list_releases()[0].number, first.number)
+                self.assertEqual([one.endpoint_id for one in second.candidates], ["e1"])
+                self.answer(SlotState.GRANTED, "e1")
+                self.assertEqual(self.sent, ["e1"])
+                self.go_on.set()
+                serving.join(LIMIT_S)
+
+    def test_first_choice_that_has_left_is_not_used_without_a_scheduler(self) -> None:
+        """Guards against a first choice that is used when no answer has come in time."""
+        self.start()
+        self.announce(EndpointState.DRAINING)
+        gevent.sleep(ANSWER_TIMEOUT_S + 0.05)
+        self.assertEqual(self.sent, ["e1"])
+        self.go_on.set()
+
+    def test_paused_endpoint_is_not_used(self) -> None:
+        """Guards against a request at an endpoint that has asked for a pause meanwhile."""
+        self.start()
+        record = self.view.directory.table.find("e2")
+        assert record is not None
+        self.view.directory.record_pause(record, until=time.monotonic() + LIMIT_S)
+        self.answer(SlotState.GRANTED, "e2")
+        self.assertEqual(self.sent, [])
+        self.answer(SlotState.GRANTED, "e1")
+        self.assertEqual(self.sent, ["e1"])
+        self.go_on.set()
+
+
 class NoTargetTest(AdmissionCase):
     def test_route_without_a_target_leaves_time_to_return(self) -> None:
         """Guards against requests that wait for a slot until their deadline."""
