Let a request that waits for its answer hold up the stop of its carrier

Callers see: a router that carries connections for others gets SIGTERM, closes after 1 s each of them that is silent for a second, and doesn't wait for it; an order whose endpoint works for longer is cut (502).

Cause: an idle connection and one that waits for its answer were told apart by silence alone.

Change: where the newest bytes went to the endpoint, an answer is owed; such a connection stays and holds up the stop.

--- a/chivetrack/components/upstream/connection.py
+++ b/chivetrack/components/upstream/connection.py
@@ -4,28 +4,17 @@
 """
 
 import socket
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 import gevent
 from urllib3.util.connection import create_connection
 
-from chivetrack.components.upstream.answer_head import (
-    AnswerHead,
-    AnswerHeadError,
-    AnswerHeadParser,
-    HeadFault,
-)
+from chivetrack.components.upstream.answer_head import AnswerHeadError, HeadFault
 from chivetrack.components.upstream.carried import CarriedSocket
-from chivetrack.components.upstream.chunks import ChunkDecoder, ChunkError
-from chivetrack.components.upstream.const import (
-    CHUNKED_READ_SIZE,
-    MAX_FRAMING_EXCESS_BYTES,
-    READ_SIZE,
-)
-from chivetrack.components.upstream.models import BrokenAnswerError, Framing
+from chivetrack.components.upstream.endpoint_answer import AnswerReader, EndpointAnswer
 from chivetrack.helpers.addresses import MAX_ADDRESS_LENGTH, read_address
-from chivetrack.helpers.reading_turns import ReadingTurns, Slices
+from chivetrack.helpers.reading_turns import ReadingTurns
 from chivetrack.helpers.sockets import (
     count_unacknowledged,
     has_delivered,
@@ -69,10 +58,6 @@
     """Somebody answered, but not the endpoint, or not the request."""
 
 
-class _UntakenRequestError(Exception):
-    """The connection ended, but not as after a whole exchange."""
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EndpointRequest:
     """A request as it is sent; ``target`` is the raw target of the request line."""
@@ -83,136 +68,6 @@
     body: bytes
 
 
-class _Reader:
-    """The bytes that were read on a connection and belong to no answer's head.
-
-    They may hold the beginning of a body, or of an answer that nobody has asked for.
-    """
-
-    def __init__(self, sock: socket.socket | CarriedSocket, turns: ReadingTurns) -> None:
-        self._socket = sock
-        self._slices = Slices(turns=turns)
-        self._buffer = b""
-        self.handle_silence: Callable[[], None] | None = None
-
-    @property
-    def has_buffered_data(self) -> bool:
-        return bool(self._buffer)
-
-    def read(self, size: int) -> bytes:
-        """Return up to ``size`` bytes, empty at the end of the connection."""
-        if not self._buffer:
-            return self._receive(size)
-        data, self._buffer = self._buffer[:size], self._buffer[size:]
-        return data
-
-    def _receive(self, size: int) -> bytes:
-        """Return the next bytes, after a turn for others if many lay ready before."""
-        self._slices.begin_read()
-        data = self._wait_for_bytes(size)
-        self._slices.end_read(len(data))
-        return data
-
-    def _wait_for_bytes(self, size: int) -> bytes:
-        """Wait for bytes; each timeout ends the wait unless somebody handles the silence."""
-        while True:
-            try:
-                return self._socket.recv(size)
-            except TimeoutError as error:
-                # With a number, it is the kernel that has given the connection up.
-                if self.handle_silence is None or error.errno is not None:
-                    raise
-                self.handle_silence()
-
-    def read_head(self, method: str) -> AnswerHead:
-        """Read the head of a final answer; raise ``AnswerHeadError`` or ``OSError``."""
-        self._slices.end_message()
-        parser = AnswerHeadParser(method=method)
-        head = parser.feed(self._buffer) if self._buffer else None
-        while head is None:
-            data = self._socket.recv(READ_SIZE)
-            if not data:
-                raise parser.make_cut_error()
-            head = parser.feed(data)
-        self._buffer = parser.rest
-        return head
-
-
-class EndpointAnswer:
-    """An answer whose status and headers were received; ``read_chunks`` reads its body.
-
-    ``is_complete`` is set once the body was read to its end, which ``framing`` marks.
-    """
-
-    def __init__(
-        self, *, head: AnswerHead, reader: _Reader, is_request_taken: Callable[[], bool]
-    ) -> None:
-        """Expect the body that ``head`` announces in ``reader``.
-
-        ``is_request_taken`` returns whether the whole request has reached the endpoint.
-        """
-        self._reader = reader
-        self._is_request_taken = is_request_taken
-        self._length = head.length
-        self._closes = head.closes
-        self.status = head.status
-        self.headers = head.headers
-        self.framing = head.framing
-        self.is_complete = False
-
-    @property
-    def is_framed(self) -> bool:
-        """Return whether the answer itself tells where it ends."""
-        return self.framing is not Framing.CONNECTION
-
-    def read_chunks(self) -> Iterator[bytes]:
-        """Yield the body as it arrives; raise ``BrokenAnswerError`` if it is incomplete."""
-        try:
-            yield from self._read()
-        except (OSError, ChunkError, _UntakenRequestError) as error:
-            raise BrokenAnswerError(f"{type(error).__name__}: {error}") from error
-        self.is_complete = True
-
-    def _read(self) -> Iterator[bytes]:
-        if self.framing is Framing.CHUNKED:
-            return self._read_chunked()
-        if self.framing is Framing.CONNECTION:
-            return self._read_to_end()
-        return self._read_length(self._length)
-
-    def _read_chunked(self) -> Iterator[bytes]:
-        decoder = ChunkDecoder(max_framing_excess=MAX_FRAMING_EXCESS_BYTES)
-        while not decoder.is_ended:
-            data = self._reader.read(CHUNKED_READ_SIZE)
-            if not data:
-                raise ChunkError("the answer ended before its last chunk")
-            if payload := decoder.feed(data):
-                yield payload
-        if decoder.has_trailing_data:
-            self._closes = True
-
-    def _read_length(self, left: int) -> Iterator[bytes]:
-        while left > 0:
-            data = self._reader.read(min(left, READ_SIZE))
-            if not data:
-                raise ChunkError(f"the answer ended {left} bytes before its Content-Length")
-            left -= len(data)
-            yield data
-
-    def _read_to_end(self) -> Iterator[bytes]:
-        while data := self._reader.read(READ_SIZE):
-            yield data
-        # An endpoint that closes with a part of the request unread resets the connection. A socket
-        # tells its error once: where the upload gets it, the reader sees a mere end.
-        if not self._is_request_taken():
-            raise _UntakenRequestError("the answer ended before the whole request was taken")
-
-    @property
-    def keeps_connection(self) -> bool:
-        """Return whether the connection may serve another request after this answer."""
-        return self.is_complete and self.is_framed and not self._closes
-
-
 def open_socket(address: str, *, timeout_s: float) -> socket.socket:
     """Connect to an endpoint at ``address`` (IP:PORT); raise ``NotSentError`` if this fails."""
     target = read_address(address)
@@ -240,7 +95,7 @@
         """
         self._socket = opened
         self._is_open = True
-        self._reader = _Reader(opened, turns or ReadingTurns())
+        self._reader = AnswerReader(opened=opened, turns=turns or ReadingTurns())
         self._sender: gevent.Greenlet | None = None
         self.idle_since = 0.0
         self.idle_limit_s = 0.0
--- a/chivetrack/daemon/fleet/forwarder.py
+++ b/chivetrack/daemon/fleet/forwarder.py
@@ -13,7 +13,6 @@
 from chivetrack.components.traffic.requests import AnswerFacts
 from chivetrack.components.upstream.answer_head import AnswerHeadError, HeadFault
 from chivetrack.components.upstream.connection import (
-    EndpointAnswer,
     EndpointConnection,
     EndpointRequest,
     ForeignAnswerError,
@@ -21,6 +20,7 @@
     NotSentError,
     UnsoundHeadError,
 )
+from chivetrack.components.upstream.endpoint_answer import EndpointAnswer
 from chivetrack.components.upstream.idle_connections import IdleConnections
 from chivetrack.components.upstream.models import BrokenAnswerError
 from chivetrack.components.upstream.own_answers import check_own
--- a/chivetrack/daemon/fleet/stream_carrier.py
+++ b/chivetrack/daemon/fleet/stream_carrier.py
@@ -21,7 +21,7 @@
 
 _READ_BYTES = 16 * 1024
 _SEND_TIMEOUT_S = 5.0
-# A stream without bytes for this long holds up no stop; it is idle, or waits for a long answer.
+# An answer without bytes for this long holds up no stop: it can't be told from an idle connection.
 ACTIVE_S = 1.0
 
 
@@ -30,6 +30,7 @@
     """One carried connection: ``near`` to the router that asked, ``far`` to the endpoint.
 
     ``relayed`` counts the bytes that were read for the endpoint, ``taken`` those that it was sent.
+    ``awaits_answer``: the newest bytes went to the endpoint, which owes an answer to them.
     """
 
     near: gevent_socket.socket
@@ -37,6 +38,11 @@
     active_at: float
     relayed: int = 0
     taken: int = 0
+    awaits_answer: bool = False
+
+    def is_active(self, now: float) -> bool:
+        """Return whether a request is open, or was a moment ago."""
+        return self.awaits_answer or self.active_at >= now - ACTIVE_S
 
     @property
     def has_taken_requests(self) -> bool:
@@ -87,14 +93,17 @@
         return len(self._streams)
 
     def count_active(self) -> int:
-        """Return how many of them have carried bytes in the last ``ACTIVE_S`` seconds."""
-        earliest = time.monotonic() - ACTIVE_S
-        return sum(1 for stream in self._streams if stream.active_at >= earliest)
+        """Return how many of them hold up a stop.
+
+        A silent endpoint still works on its request; an idle connection has none.
+        """
+        now = time.monotonic()
+        return sum(1 for stream in self._streams if stream.is_active(now))
 
     def close_idle(self) -> None:
-        """Close the connections without recent bytes, so that their routers use other carriers."""
-        earliest = time.monotonic() - ACTIVE_S
-        for stream in [one for one in self._streams if one.active_at < earliest]:
+        """Close the connections without a request, so that their routers use other carriers."""
+        now = time.monotonic()
+        for stream in [one for one in self._streams if not one.is_active(now)]:
             stream.close()
 
     def serve(self, near: gevent_socket.socket, request: CarryRequest) -> None:
@@ -144,6 +153,7 @@
         try:
             while data := stream.near.recv(_READ_BYTES):
                 stream.active_at = time.monotonic()
+                stream.awaits_answer = True
                 stream.relayed += len(data)
                 stream.far.sendall(data)
                 stream.taken += len(data)
@@ -161,6 +171,7 @@
         try:
             while data := stream.far.recv(_READ_BYTES):
                 stream.active_at = time.monotonic()
+                stream.awaits_answer = False
                 stream.near.sendall(encode_block(data))
             if stream.has_taken_requests:
                 stream.near.sendall(END_BLOCK)
--- a/chivetrack/daemon/fleet/stream_relay.py
+++ b/chivetrack/daemon/fleet/stream_relay.py
@@ -4,7 +4,8 @@
 from collections.abc import Callable
 
 from chivetrack.components.placement.choice import Choice
-from chivetrack.components.upstream.connection import EndpointAnswer, EndpointConnection
+from chivetrack.components.upstream.connection import EndpointConnection
+from chivetrack.components.upstream.endpoint_answer import EndpointAnswer
 from chivetrack.components.upstream.events import EventSplitter
 from chivetrack.components.upstream.models import BrokenAnswerError, Framing
 from chivetrack.daemon.fleet.calls import Call
--- a/tests/daemon/fleet/test_silent_streams.py
+++ b/tests/daemon/fleet/test_silent_streams.py
@@ -11,12 +11,14 @@
 
 from chivetrack.components.retries.sending import SendAttempt, SendEnd
 from chivetrack.components.traffic.models import RouteKind
+from chivetrack.components.upstream.endpoint_answer import AnswerReader
 from chivetrack.components.upstream.idle_connections import IdleConnections
 from chivetrack.daemon.fleet.dialer import Dialer
 from chivetrack.daemon.fleet.forwarder import Forwarder, SendResult
 from chivetrack.daemon.fleet.retry_budget import RetryBudgetClient
 from chivetrack.daemon.fleet.stream_silence import StreamSilence
 from chivetrack.helpers.clock import read_boot_clock
+from chivetrack.helpers.reading_turns import ReadingTurns
 from tests.components.announcements.test_table import make_record
 from tests.components.traffic.documents import make_route
 from tests.daemon.fleet.scripted import (
@@ -163,14 +165,12 @@
             connection.sendall(UNFRAMED + make_event(1))
             time.sleep(0.5)
 
-        path = "chivetrack.components.upstream.connection._Reader.__init__"
+        start = AnswerReader.__init__
 
-        def start_reader(reader: Any, sock: Any) -> None:
-            reader._socket = GivenUpSocket(opened=sock)
-            reader._buffer = b""
-            reader.handle_silence = None
+        def start_reader(reader: AnswerReader, *, opened: Any, turns: ReadingTurns) -> None:
+            start(reader, opened=GivenUpSocket(opened=opened), turns=turns)  # type: ignore[arg-type]
 
-        with mock.patch(path, start_reader):
+        with mock.patch.object(AnswerReader, "__init__", start_reader):
             result, _ = self.send(script)
         self.assertIs(result.end, SendEnd.MAYBE_RAN)
 
