Let streams begin only once the new version alone may begin them

The test of a router that is cut off during a release failed in 3 of 14 runs, beside other runs: streams began at the old version, or were refused, since the other router did not know yet that the old endpoints drain, or that the new version is registered. No stream was joined in any of them.

The test waits for both now, which makes it stricter: all streams begin at the new version.

--- a/tests/system/test_cut_off_during_release.py
+++ b/tests/system/test_cut_off_during_release.py
@@ -41,12 +41,23 @@
         self.endpoints.append(endpoint)
         return endpoint
 
-    def knows(self, router: str, name: str) -> bool:
+    def knows(self, router: str, name: str, state: str = "ready") -> bool:
         return any(
-            event.get("event") == "endpoint_changed" and event["endpoint"] == name
+            event.get("event") == "endpoint_changed"
+            and event["endpoint"] == name
+            and event["state"] == state
             for event in self.deployment.read_events(router)
         )
 
+    def is_registered(self) -> bool:
+        """Return whether streams may begin at the new version through r2."""
+        return any(
+            event.get("event") == "versions_registered"
+            and event["is_confirmed"]
+            and "portal/v2" in event["versions"]
+            for event in self.deployment.read_events("r2")
+        )
+
     def begin_streams_at_new_version(self) -> list[CallerStream]:
         """Cut r1 off, let two endpoints of a new version join, and break streams begun there."""
         self.cut_file.touch()
@@ -56,6 +67,8 @@
         # The old version leaves r2's choice, so that all streams begin at the new one.
         for endpoint in self.endpoints[:2]:
             self.deployment.announce(endpoint, "draining")
+            wait_for(partial(self.knows, "r2", endpoint.name, "draining"), "r2 does not know it")
+        wait_for(self.is_registered, "the new version is not registered")
         streams = [CallerStream() for _ in range(STREAMS)]
 
         def kill_router() -> None:
