Know the time of an order by its route during a stop

Callers saw: a stopping router took orders of 6 s whose service had answered quick orders of another route, and answered 502 at its exit, while other routers would have taken them.

Cause: the expected time is one for all routes of a service, so that of an order of which nothing is known was the usual time of quick ones.

Change: a plain request is expected to take the longest of the newest times of its route, which fades; without any, it is of an unknown kind and left to other routers.

--- a/chivetrack/components/observation/speeds.py
+++ b/chivetrack/components/observation/speeds.py
@@ -60,7 +60,6 @@
         self._plain = RunningMedian(START_PLAIN_MS)
         self._tail_factor = RunningQuantile(START_TAIL_FACTOR, share=TAIL_QUANTILE)
         self._token = RunningQuantile(START_TOKEN_MS, share=TOKEN_TIME_QUANTILE)
-        self.has_plain_answers = False
         self.has_streams = False
         # Decaying mean of log(observed time / usual time), by endpoint id.
         self._slowness: dict[str, DecayingMean] = {}
@@ -155,7 +154,6 @@
 
     def record_plain_answer(self, endpoint_id: str, *, took_ms: float, now: float) -> None:
         """Record a complete answer without a stream."""
-        self.has_plain_answers = True
         self._record_ratio(endpoint_id, took_ms, self._plain.value, now)
         self._plain.add(took_ms)
 
--- a/chivetrack/components/placement/placement.py
+++ b/chivetrack/components/placement/placement.py
@@ -89,13 +89,13 @@
     def expect_complete_s(self, choice: Choice, facts: RequestFacts) -> float | None:
         """Return the time in seconds within which most such answers are complete.
 
-        Return ``None`` as long as none of the service has ended here.
+        Return ``None`` for a stream as long as none of the service has ended here.
         """
         speeds = self.get_speeds(choice.record.service)
-        if not (speeds.has_streams if facts.parts else speeds.has_plain_answers):
-            return None
         if not facts.parts:
             return choice.expected_ms * speeds.tail_factor / 1000
+        if not speeds.has_streams:
+            return None
         answer_ms = speeds.expect_answer_ms(facts.likely_output_tokens)
         return (choice.expected_ms + answer_ms) / 1000
 
--- a/chivetrack/daemon/fleet/fleet_view.py
+++ b/chivetrack/daemon/fleet/fleet_view.py
@@ -13,6 +13,7 @@
 from chivetrack.components.distribution.messages import EndpointLoad, View
 from chivetrack.components.distribution.subscriber import RouterReport
 from chivetrack.components.evacuation.models import Evacuations
+from chivetrack.components.limits.completion_times import CompletionTimes
 from chivetrack.components.origins.fitting import VersionFilter
 from chivetrack.components.origins.models import Origin
 from chivetrack.components.paths.zones import may_exclude
@@ -84,6 +85,7 @@
             directory=self.directory, may_begin=may_begin or (lambda origin: True)
         )
         self.placement = Placement(zone=zone)
+        self.completion_times = CompletionTimes()
         self.health = EndpointHealth(events=events, is_silent=self.placement.is_silent)
         self.budgets = ServiceRetryBudgets(ratio=bounds.retry_ratio, window_s=bounds.retry_window_s)
         self.quarantine = QuarantineView(events=events)
@@ -119,6 +121,7 @@
         self.table = RouteTable(document=document)
         sizes = [one.engine.memory_tokens for one in document.services if one.engine is not None]
         self._memory_tokens = max(sizes, default=DEFAULT_MEMORY_TOKENS)
+        self.completion_times.keep({one.name for one in document.routes})
         self._events.write(
             "configuration_in_force",
             version=document.version,
@@ -320,6 +323,19 @@
         candidates, context = self._list_candidates(call)
         return self.placement.choose(candidates, **context)
 
+    def expect_complete_s(self, choice: Choice, call: Call) -> float | None:
+        """Return the time (s) within which the answer is complete, ``None`` if it is unknown."""
+        expected_s = self.placement.expect_complete_s(choice, call.facts)
+        if call.facts.parts or expected_s is None:
+            return expected_s
+        longest_s = self.completion_times.find(call.route.name)
+        return None if longest_s is None else max(longest_s, expected_s)
+
+    def record_complete(self, call: Call, took_s: float) -> None:
+        """Record how long a complete answer took."""
+        if not call.facts.parts:
+            self.completion_times.record(call.route.name, took_s)
+
     def is_outdated(self, choice: Choice) -> bool:
         """Return whether an endpoint has left, or may get nothing, since it was chosen."""
         return not self.directory.may_get_requests(choice.record, time.monotonic())
--- a/chivetrack/daemon/fleet/refusals.py
+++ b/chivetrack/daemon/fleet/refusals.py
@@ -77,7 +77,7 @@
         if self.window is None or may_have_run(call.attempts):
             return False
         now = time.monotonic()
-        expected_s = self._view.placement.expect_complete_s(choice, call.facts)
+        expected_s = self._view.expect_complete_s(choice, call)
         do_others_accept = self._view.do_others_accept
         if self.window.accepts(
             ends_at=call.ends_at,
--- a/chivetrack/daemon/fleet/requests.py
+++ b/chivetrack/daemon/fleet/requests.py
@@ -432,6 +432,7 @@
             slot.is_rejected = result.end is SendEnd.REFUSED and not result.is_other_instance
         if is_complete:
             self._view.quarantine.record_sound(call)
+            self._view.record_complete(call, time.monotonic() - placed.started_at)
         if result.loser is not None:
             call.attempts.append(
                 SendAttempt(endpoint_id=result.loser.record.endpoint_id, end=SendEnd.MAYBE_RAN)
--- a/tests/system/test_stop.py
+++ b/tests/system/test_stop.py
@@ -22,6 +22,7 @@
 ROUTE_TIMEOUT_MS = 15_000
 ORDERS = 6
 ORDER_INTERVAL_S = 0.3
+QUICK_ORDERS = 10
 HEADERS = {"Host": "one.example", "X-Chivetrack-Key": "key"}
 
 
@@ -77,6 +78,28 @@
         self.assertEqual([one for one in answers if one != 503], [])
         self.assertEqual(slow.seen, [])
 
+    def test_order_among_quick_ones_of_its_service_is_left_to_other_routers(self) -> None:
+        """Guards against an order that is taken as short since others of its service are."""
+        deployment, endpoint = self.open(stop_within_s=5.0)
+        config = make_config(4, "/a/", "/slow/")
+        for route in config["routes"]:
+            route["timeoutMs"] = ROUTE_TIMEOUT_MS
+        deployment.put(config)
+        wait_for(lambda: self.has_applied(deployment), "r1 does not know the configuration")
+        for _ in range(QUICK_ORDERS):
+            deployment.wait_served("r1")
+        endpoint.work_s = 6.0
+        quick = len(endpoint.seen)
+        answers = self.send_late_orders(deployment)
+        self.assertEqual([one for one in answers if one != 503], [])
+        self.assertEqual(len(endpoint.seen), quick)
+
+    @staticmethod
+    def has_applied(deployment: Deployment) -> bool:
+        events = deployment.read_events("r1")
+        in_force = [one for one in events if one["event"] == "configuration_in_force"]
+        return bool(in_force) and in_force[-1]["version"] == 4
+
     def wait_routed(self, deployment: Deployment, path: str) -> None:
         """Wait until a router knows a route and its endpoint, without sending a request."""
 
