Forget the stops of replicas that were announced long ago

Cause: each stop of a replica left its id in the repair of the others for as long as their processes ran; found on a last reading, no operator saw it. Change: older ones go when the next one comes. Checked: the repair's tests pass, format, lint and types are clean.

--- a/chivetrack/components/replica/repair.py
+++ b/chivetrack/components/replica/repair.py
@@ -84,6 +84,8 @@
 
     def record_leave(self, notice: LeaveNotice, *, now: float) -> None:
         """Record a replica that stops, so that its silence need not be waited for."""
+        recent = now - self._voter_timeout_s
+        self._left_at = {name: at for name, at in self._left_at.items() if at > recent}
         self._left_at[notice.replica_id] = now
 
     def choose_change(self, status: ConsensusStatus, *, now: float) -> MemberChange | None:
